--- /dev/null
+++ b/crates/core/src/journal/tests.rs
@@ -0,0 +1,210 @@
+use super::*;
+use crate::Incarnation;
+
+pub(super) fn life(i: u64) -> Life {
+    Life { node: format!("n{i}").parse().unwrap(), incarnation: Incarnation(1) }
+}
+
+pub(super) fn intent(id: &str, at: u64) -> Intent {
+    Intent {
+        id: id.parse().unwrap(),
+        customer: "c".parse().unwrap(),
+        service: "orders".parse().unwrap(),
+        at: life(at),
+        time_ms: 1,
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        head: Vec::new(),
+        body: vec![1, 2, 3],
+        truncated: false,
+        fingerprint: 7,
+    }
+}
+
+pub(super) fn end(id: &str, kind: OutcomeKind) -> Conclusion {
+    Conclusion {
+        id: id.parse().unwrap(),
+        customer: "c".parse().unwrap(),
+        time_ms: 2,
+        outcome: Outcome::without_answer(kind),
+    }
+}
+
+fn partition() -> Partition {
+    Partition::new(Config::default(), 1, IndexMap::new(), 100)
+}
+
+fn run(act: impl FnOnce(&mut Vec<Action>)) -> Vec<Action> {
+    let mut out = Vec::new();
+    act(&mut out);
+    out
+}
+
+fn written_segment(actions: &[Action]) -> &Segment {
+    match actions.iter().find(|action| matches!(action, Action::Write(_))) {
+        Some(Action::Write(segment)) => segment,
+        _ => panic!("no write in {actions:?}"),
+    }
+}
+
+#[test]
+fn an_intent_is_answered_only_after_its_segment_is_in_place() {
+    let mut partition = partition();
+
+    let before = run(|out| partition.intend(Token(1), intent("a", 1), out));
+    let after = run(|out| partition.written(1, Written::Done, out));
+
+    assert_eq!(before.len(), 1);
+    assert_eq!(after, [Action::Answer(Token(1), Verdict::Recorded)]);
+}
+
+#[test]
+fn all_that_arrives_during_a_write_goes_into_the_next_segment() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(0), intent("first", 1), out));
+
+    for i in 1..=50 {
+        let out = run(|out| partition.intend(Token(i), intent(&format!("r{i}"), 1), out));
+        assert_eq!(out, []);
+    }
+    let next = run(|out| partition.written(1, Written::Done, out));
+
+    assert_eq!(written_segment(&next).records.len(), 50);
+}
+
+#[test]
+fn a_second_arrival_is_never_told_to_send() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(1), intent("a", 1), out));
+
+    let during = run(|out| partition.intend(Token(2), intent("a", 2), out));
+    run(|out| partition.written(1, Written::Done, out));
+    run(|out| partition.conclude(None, end("a", OutcomeKind::Ran), out));
+    let after = run(|out| partition.intend(Token(3), intent("a", 2), out));
+
+    assert_eq!(during, [Action::Answer(Token(2), Verdict::Open(life(1)))]);
+    let outcome = Outcome::without_answer(OutcomeKind::Ran);
+    assert_eq!(after, [Action::Answer(Token(3), Verdict::Concluded(outcome))]);
+}
+
+#[test]
+fn the_same_id_with_another_body_is_refused() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(1), intent("a", 1), out));
+
+    let other = Intent { fingerprint: 8, ..intent("a", 1) };
+    let out = run(|out| partition.intend(Token(2), other, out));
+
+    assert_eq!(out, [Action::Answer(Token(2), Verdict::Mismatch)]);
+}
+
+#[test]
+fn what_certainly_did_not_run_may_be_tried_again() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(1), intent("a", 1), out));
+    run(|out| partition.written(1, Written::Done, out));
+    run(|out| partition.conclude(None, end("a", OutcomeKind::NotRun), out));
+    run(|out| partition.written(2, Written::Done, out));
+
+    let again = run(|out| partition.intend(Token(2), intent("a", 2), out));
+
+    assert_eq!(written_segment(&again).sequence, 3);
+}
+
+#[test]
+fn store_answer_lost_after_write_is_not_written_twice() {
+    let mut partition = partition();
+    let first = run(|out| partition.intend(Token(1), intent("a", 1), out));
+    let nonce = written_segment(&first).nonce;
+
+    let lost = run(|out| partition.written(1, Written::Uncertain, out));
+    let found = run(|out| partition.read_back(1, Some(nonce), out));
+
+    let refused = Action::Answer(Token(1), Verdict::Refused);
+    assert_eq!(lost, [refused, Action::ReadBack(1)]);
+    let withdrawn = written_segment(&found);
+    assert_eq!(withdrawn.sequence, 2);
+    assert_eq!(
+        withdrawn.records,
+        [Record::Conclusion(Conclusion { time_ms: 1, ..end("a", OutcomeKind::NotRun) })]
+    );
+}
+
+#[test]
+fn a_segment_of_another_writer_ends_the_term() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(1), intent("a", 1), out));
+    run(|out| partition.written(1, Written::Uncertain, out));
+
+    let out = run(|out| partition.read_back(1, Some(999), out));
+    let later = run(|out| partition.intend(Token(2), intent("b", 1), out));
+
+    assert_eq!(out, [Action::Stop]);
+    assert_eq!(later, [Action::Answer(Token(2), Verdict::Refused)]);
+}
+
+#[test]
+fn while_the_store_fails_intents_are_refused_and_conclusions_wait() {
+    let mut partition = partition();
+    run(|out| partition.intend(Token(1), intent("a", 1), out));
+    run(|out| partition.conclude(Some(Token(2)), end("z", OutcomeKind::Ran), out));
+
+    let failed = run(|out| partition.written(1, Written::Failed, out));
+    let retried = run(|out| partition.flush(out));
+    let done = run(|out| partition.written(1, Written::Done, out));
+
+    assert_eq!(failed, [Action::Answer(Token(1), Verdict::Refused)]);
+    assert_eq!(written_segment(&retried).records.len(), 1);
+    assert_eq!(done, [Action::Durable(Token(2))]);
+}
+
+#[test]
+fn a_segment_stays_within_its_bytes() {
+    let cfg = Config { max_bytes: 2_000, ..Config::default() };
+    let mut partition = Partition::new(cfg, 1, IndexMap::new(), 1);
+    run(|out| partition.intend(Token(0), intent("first", 1), out));
+    for i in 1..=20 {
+        run(|out| partition.intend(Token(i), intent(&format!("r{i}"), 1), out));
+    }
+
+    let next = run(|out| partition.written(1, Written::Done, out));
+
+    let size: usize = written_segment(&next).records.iter().map(Record::size).sum();
+    assert!(size <= 2_000 && size > 1_000, "{size}");
+}
+
+#[test]
+fn recovery_from_a_snapshot_equals_recovery_from_all_segments() {
+    let records = |from: u64| {
+        (from..from + 10).map(move |i| Segment {
+            sequence: i,
+            nonce: i,
+            records: vec![
+                Record::Intent(intent(&format!("r{i}"), 1)),
+                Record::Conclusion(end(&format!("r{}", i / 2), OutcomeKind::Ran)),
+            ],
+        })
+    };
+
+    let whole = recover(IndexMap::new(), records(0).chain(records(10)));
+    let snapshot = recover(IndexMap::new(), records(0));
+
+    assert_eq!(recover(snapshot, records(10)), whole);
+}
+
+#[test]
+fn a_story_is_told_once_in_the_order_of_time() {
+    let early = Intent { time_ms: 5, ..intent("b", 1) };
+    let late = Intent { time_ms: 9, ..intent("a", 1) };
+    let records = [
+        Record::Intent(late),
+        Record::Intent(early),
+        Record::Conclusion(end("b", OutcomeKind::Ran)),
+    ];
+
+    let stories = stories(records);
+
+    let ids: Vec<_> = stories.iter().map(|story| story.intent.id.as_str()).collect();
+    assert_eq!(ids, ["b", "a"]);
+    assert!(stories[0].conclusion.is_some() && stories[1].conclusion.is_none());
+}
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -15,6 +15,8 @@
 //! moves only slots to or from that holder, and with many more nodes than slots each node gets a
 //! stable subset of the VMs with no further mechanism.
 
+pub mod exchange;
+
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/proto/src/gen/teaselgap.peer.rs
+++ b/crates/proto/src/gen/teaselgap.peer.rs
@@ -108,6 +108,9 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub declaration: ::prost::bytes::Bytes,
 }
+/// One exchange between a holder of slots and the node that keeps their ledgers.
+///
+/// Exchanges carry only what changed: pools that are left out are renewed as they stand.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SlotsRequest {
     #[prost(string, tag = "1")]
@@ -115,49 +118,56 @@
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     #[prost(string, tag = "3")]
-    pub pool: ::prost::alloc::string::String,
-    /// Version of the grant set that the caller holds from `epoch`.
+    pub zone: ::prost::alloc::string::String,
+    /// Grows with each request of one life; the keeper refuses what is out of order.
     #[prost(uint64, tag = "4")]
-    pub version: u64,
+    pub sequence: u64,
+    /// The last sequence whose reply was taken in; zero asks for everything anew.
     #[prost(uint64, tag = "5")]
-    pub epoch: u64,
-    /// Requests waiting at the caller for a slot of the pool.
-    #[prost(uint32, tag = "6")]
-    pub waiting: u32,
+    pub acknowledged: u64,
+    /// Hash of the pools and epochs that the holder counts on from this keeper.
+    #[prost(uint64, tag = "6")]
+    pub fingerprint: u64,
     #[prost(message, repeated, tag = "7")]
-    pub uses: ::prost::alloc::vec::Vec<SlotUse>,
+    pub reports: ::prost::alloc::vec::Vec<PoolReport>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PoolReport {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint32, tag = "3")]
+    pub demand: u32,
+    #[prost(message, repeated, tag = "4")]
+    pub ceilings: ::prost::alloc::vec::Vec<VmSlots>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SlotUse {
+pub struct VmSlots {
     #[prost(string, tag = "1")]
     pub vm: ::prost::alloc::string::String,
-    /// The most slots that the caller may occupy until it hears otherwise.
     #[prost(uint32, tag = "2")]
-    pub ceiling: u32,
-    #[prost(uint32, tag = "3")]
-    pub in_use: u32,
+    pub slots: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SlotsReply {
-    /// False when this node is not the keeper; the caller keeps what it holds until its deadline.
+    /// True if the holder must report everything anew; nothing is renewed then.
     #[prost(bool, tag = "1")]
-    pub keeper: bool,
-    #[prost(uint64, tag = "2")]
-    pub epoch: u64,
-    #[prost(uint64, tag = "3")]
-    pub version: u64,
-    /// How long the grants last from the moment the caller sent its request.
-    #[prost(uint32, tag = "4")]
+    pub resync: bool,
+    /// How long the grants last from the moment the holder sent its request.
+    #[prost(uint32, tag = "2")]
     pub ttl_ms: u32,
-    #[prost(message, repeated, tag = "5")]
-    pub grants: ::prost::alloc::vec::Vec<SlotGrant>,
+    #[prost(message, repeated, tag = "3")]
+    pub pools: ::prost::alloc::vec::Vec<PoolGrants>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SlotGrant {
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PoolGrants {
     #[prost(string, tag = "1")]
-    pub vm: ::prost::alloc::string::String,
-    #[prost(uint32, tag = "2")]
-    pub slots: u32,
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub grants: ::prost::alloc::vec::Vec<VmSlots>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct IntendRequest {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Small stand-ins for what surrounds teaselgap, for tests, measurements and the demo.
+//!
+//! | module | stands in for |
+//! |---|---|
+//! | [`store`] | the platform's key-value service (etcd v3 wire format), with faults |
+//! | [`vm_list`] | the platform's list of VMs |
+//! | [`worker`] | backend servers, which keep their own tally of what they ran |
+//! | [`proxy`] | the network between any two, with faults |
+//! | [`caller`] | callers that count what they were told |
+//!
+//! Nothing here is linked into what an entry VM runs in production.
+
+pub mod caller;
+pub mod http;
+pub mod proxy;
+pub mod store;
+pub mod vm_list;
+pub mod worker;
--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,149 @@
+//! A TCP proxy that stands between any two and spoils what passes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    task::JoinHandle,
+};
+
+/// What happens to bytes that pass.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Added to each piece, in both directions.
+    pub delay: Duration,
+    /// Bytes from the client are swallowed.
+    pub drop_requests: bool,
+    /// Bytes from the server are swallowed.
+    pub drop_answers: bool,
+    /// Connections are cut after this many bytes from the server.
+    pub cut_after: Option<usize>,
+    /// New connections are closed at once.
+    pub refuse: bool,
+    /// Grows by one to cut every connection that is open.
+    pub cuts: u64,
+}
+
+/// A running proxy.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    faults: Arc<watch::Sender<Faults>>,
+    task: Arc<JoinHandle<()>>,
+}
+
+impl Handle {
+    /// Changes the faults from now on.
+    pub fn set(&self, change: impl FnOnce(&mut Faults)) {
+        self.faults.send_modify(change);
+    }
+
+    /// Passes everything again.
+    pub fn heal(&self) {
+        self.set(|faults| *faults = Faults { cuts: faults.cuts, ..Faults::default() });
+    }
+
+    /// Swallows everything in both directions, while connections stay open.
+    pub fn black_hole(&self) {
+        self.set(|faults| {
+            faults.drop_requests = true;
+            faults.drop_answers = true;
+        });
+    }
+
+    /// Cuts every open connection.
+    pub fn cut(&self) {
+        self.set(|faults| faults.cuts += 1);
+    }
+
+    /// Stops the proxy.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a proxy on a loopback port.
+///
+/// # Errors
+///
+/// If no port can be opened.
+pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Handle> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let faults = Arc::new(watch::Sender::new(Faults::default()));
+    let seen = Arc::clone(&faults);
+    let task = tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            if !seen.borrow().refuse {
+                tokio::spawn(pass(client, target, seen.subscribe()));
+            }
+        }
+    });
+    Ok(Handle { address, faults, task: Arc::new(task) })
+}
+
+async fn pass(client: TcpStream, target: SocketAddr, faults: watch::Receiver<Faults>) {
+    let Ok(server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let mut cut = faults.clone();
+    let cuts = cut.borrow().cuts;
+    tokio::select! {
+        () = copy(client_read, server_write, faults.clone(), Direction::Request) => {}
+        () = copy(server_read, client_write, faults, Direction::Answer) => {}
+        _ = cut.wait_for(|faults| faults.cuts != cuts) => {}
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Direction {
+    Request,
+    Answer,
+}
+
+const PIECE: usize = 16 * 1024;
+
+/// Copies until either side ends; an end in one direction ends the connection.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    faults: watch::Receiver<Faults>,
+    direction: Direction,
+) {
+    let mut buf = vec![0; PIECE];
+    let mut passed = 0;
+    while let Ok(n) = from.read(&mut buf).await {
+        if n == 0 {
+            return;
+        }
+        let now = faults.borrow().clone();
+        if !now.delay.is_zero() {
+            tokio::time::sleep(now.delay).await;
+        }
+        let swallow = match direction {
+            Direction::Request => now.drop_requests,
+            Direction::Answer => now.drop_answers,
+        };
+        if swallow {
+            continue;
+        }
+        let room = match (direction, now.cut_after) {
+            (Direction::Answer, Some(limit)) => limit.saturating_sub(passed).min(n),
+            _ => n,
+        };
+        if to.write_all(&buf[..room]).await.is_err() || room < n {
+            return;
+        }
+        passed += n;
+    }
+}
