--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -86,20 +86,19 @@
 impl Queue {
     /// Declares a service or changes its share.
     pub fn set_share(&mut self, service: &ServiceId, share: Share) {
-        match self.services.get_mut(service) {
-            Some(queue) => queue.share = share,
-            None => {
-                let queue = ServiceQueue {
-                    share,
-                    in_use: 0,
-                    waiting: 0,
-                    customers: IndexMap::new(),
-                    turn: 0,
-                    service_time_us: 0,
-                };
-                self.services.insert(service.clone(), queue);
-            }
+        if let Some(queue) = self.services.get_mut(service) {
+            queue.share = share;
+            return;
         }
+        let queue = ServiceQueue {
+            share,
+            in_use: 0,
+            waiting: 0,
+            customers: IndexMap::new(),
+            turn: 0,
+            service_time_us: 0,
+        };
+        self.services.insert(service.clone(), queue);
     }
 
     /// Says how many slots this node holds.
@@ -186,16 +185,20 @@
 
     /// The request that gets the next free slot. Those that can't be answered in time any more are
     /// moved to `too_late`.
-    pub fn next(&mut self, now: Timestamp, too_late: &mut Vec<Ticket>) -> Option<Waiting> {
+    pub fn next(
+        &mut self,
+        now: Timestamp,
+        too_late: &mut Vec<Ticket>,
+    ) -> Option<(ServiceId, Waiting)> {
         loop {
             let service = self.neediest()?;
-            let queue = &mut self.services[service];
+            let (name, queue) = self.services.get_index_mut(service)?;
             let Some(waiting) = queue.take(now) else {
                 continue;
             };
             let expected = Span(queue.service_time_us / 1_000);
             if now + expected < waiting.deadline {
-                return Some(waiting);
+                return Some((name.clone(), waiting));
             }
             too_late.push(waiting.ticket);
         }
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -30,7 +30,7 @@
 fn serve(queue: &mut Queue, count: usize, names: &[&str]) -> Vec<usize> {
     let mut served = vec![0; names.len()];
     for _ in 0..count {
-        let next = queue.next(Timestamp(1), &mut Vec::new()).unwrap();
+        let (_, next) = queue.next(Timestamp(1), &mut Vec::new()).unwrap();
         let i = usize::try_from(next.ticket.0 / 1_000).unwrap();
         queue.started(&service(names[i]));
         served[i] += 1;
@@ -80,7 +80,7 @@
     queue.offer(&service("s"), waiting(100, "quiet", 0)).unwrap();
 
     let first_two: Vec<_> =
-        (0..2).map(|_| queue.next(Timestamp(1), &mut Vec::new()).unwrap().ticket).collect();
+        (0..2).map(|_| queue.next(Timestamp(1), &mut Vec::new()).unwrap().1.ticket).collect();
 
     assert!(first_two.contains(&Ticket(100)));
 }
@@ -119,7 +119,7 @@
     queue.offer(&service("s"), waiting(1, "c", 0)).unwrap();
     queue.offer(&service("s"), waiting(2, "c", 500)).unwrap();
 
-    let next = queue.next(Timestamp(600), &mut Vec::new()).unwrap();
+    let (_, next) = queue.next(Timestamp(600), &mut Vec::new()).unwrap();
 
     assert_eq!(next.ticket, Ticket(2));
 }
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -204,8 +204,8 @@
             let mut next = catalogs[i].clone();
             let generation = next.generation().next();
             let service = format!("s{}", step % 4);
-            let declaration =
-                (step % 5 != 0).then(|| Arc::new(declaration(&service, i as u32 + 1)));
+            let declaration = (step % 5 != 0)
+                .then(|| Arc::new(declaration(&service, u32::try_from(i).unwrap() + 1)));
             let record = Record { generation, declaration };
             next.merge(Delta { generation, records: vec![(service.parse().unwrap(), record)] });
             catalogs.push(next);
--- a/crates/core/src/declare.rs
+++ b/crates/core/src/declare.rs
@@ -311,16 +311,14 @@
 fn pointer_of(field: &str, path: &serde_path_to_error::Path) -> String {
     use serde_path_to_error::Segment;
 
-    let mut pointer = format!("/{field}");
-    for segment in path {
-        match segment {
-            Segment::Seq { index } => pointer.push_str(&format!("/{index}")),
-            Segment::Map { key } => pointer.push_str(&format!("/{key}")),
-            Segment::Enum { variant } => pointer.push_str(&format!("/{variant}")),
-            Segment::Unknown => {}
-        }
-    }
-    pointer
+    let segments = path.iter().filter_map(|segment| match segment {
+        Segment::Seq { index } => Some(index.to_string()),
+        Segment::Map { key } => Some(key.clone()),
+        Segment::Enum { variant } => Some(variant.clone()),
+        Segment::Unknown => None,
+    });
+    let segments: Vec<String> = std::iter::once(field.to_owned()).chain(segments).collect();
+    format!("/{}", segments.join("/"))
 }
 
 /// Reads one declaration.
--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -152,6 +152,17 @@
         self.registered = registered;
     }
 
+    /// How many nodes are registered.
+    #[must_use]
+    pub fn registered_count(&self) -> usize {
+        self.registered.len()
+    }
+
+    /// The lives that are registered.
+    pub fn registered(&self) -> impl Iterator<Item = Life> {
+        self.registered.iter().map(|(node, &incarnation)| Life { node: node.clone(), incarnation })
+    }
+
     /// Replaces the members that gossip takes for dead; they are proposed nothing.
     pub fn set_doubted(&mut self, doubted: IndexSet<NodeId>) {
         self.doubted = doubted;
@@ -233,9 +244,8 @@
     }
 
     fn proposed(&self, duty: &DutyId) -> Option<Life> {
-        let able = |node: &NodeId| {
-            !self.doubted.contains(node) && !(self.leaving && *node == self.me.node)
-        };
+        let able =
+            |node: &NodeId| !(self.doubted.contains(node) || self.leaving && *node == self.me.node);
         let candidates = self.registered.iter().filter(|(node, _)| able(node));
         let best = candidates.max_by_key(|(node, _)| rendezvous(duty, node))?;
         Some(Life { node: best.0.clone(), incarnation: *best.1 })
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -13,7 +13,7 @@
 
 mod record;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 use indexmap::IndexMap;
 
@@ -71,30 +71,46 @@
     Stop,
 }
 
-/// What is known of a request.
+/// What is known of a request that must run at most once.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Entry {
-    /// An intent stands without a conclusion.
-    Open {
-        /// Hash of the request's body and head.
-        fingerprint: u64,
-        /// Who recorded the intent.
-        at: Life,
-    },
-    /// The request ended.
-    Concluded {
-        /// Hash of the request's body and head.
-        fingerprint: u64,
-        /// How it ended.
-        outcome: Outcome,
-    },
+pub struct Entry {
+    /// Hash of the request's method, path and body.
+    pub fingerprint: u64,
+    /// The newest arrival whose intent was recorded.
+    pub attempt: u64,
+    /// How far that arrival has come.
+    pub progress: Progress,
+}
+
+/// How far an arrival of a request has come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Progress {
+    /// This life may have sent the request, or may still do so.
+    Open(Life),
+    /// It ended.
+    Concluded(Outcome),
 }
 
 impl Entry {
-    fn fingerprint(&self) -> u64 {
-        match self {
-            Self::Open { fingerprint, .. } | Self::Concluded { fingerprint, .. } => *fingerprint,
+    fn open(intent: &Intent) -> Self {
+        Self {
+            fingerprint: intent.fingerprint,
+            attempt: intent.attempt,
+            progress: Progress::Open(intent.at.clone()),
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        matches!(self.progress, Progress::Open(_))
+    }
+
+    /// Takes in the end of an arrival; false if it is not the one that is open here.
+    fn conclude(&mut self, end: &Conclusion) -> bool {
+        let applies = self.is_open() && self.attempt == end.attempt;
+        if applies {
+            self.progress = Progress::Concluded(end.outcome.clone());
         }
+        applies
     }
 }
 
@@ -105,11 +121,13 @@
     pub max_bytes: usize,
     /// Most concluded requests that are remembered for the sake of second arrivals.
     pub max_remembered: usize,
+    /// Of those, how many keep the body of their answer.
+    pub max_answers: usize,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { max_bytes: 512 * 1024, max_remembered: 100_000 }
+        Self { max_bytes: 512 * 1024, max_remembered: 100_000, max_answers: 1_000 }
     }
 }
 
@@ -123,8 +141,12 @@
 struct Writing {
     segment: Segment,
     tokens: Vec<Option<Token>>,
-    /// Intents of this segment were refused because it was not known to be durable.
-    refused: bool,
+    /// Intents whose askers were refused; if the segment is in place after all, they are concluded.
+    withdrawn: Vec<Intent>,
+    /// The answer to an earlier try was lost.
+    doubtful: bool,
+    /// A later try was refused, by the end of the term or by the earlier try.
+    fenced: bool,
 }
 
 /// One partition at its owner, for one term.
@@ -134,6 +156,8 @@
     next: Sequence,
     next_nonce: u64,
     entries: IndexMap<RequestId, Entry>,
+    /// Requests whose answers' bodies are kept, oldest first.
+    answers: VecDeque<RequestId>,
     pending: Vec<Pending>,
     writing: Option<Writing>,
     stopped: bool,
@@ -149,15 +173,21 @@
         entries: IndexMap<RequestId, Entry>,
         nonce: u64,
     ) -> Self {
-        Self {
+        let mut partition = Self {
             cfg,
             next,
             next_nonce: nonce,
             entries,
+            answers: VecDeque::new(),
             pending: Vec::new(),
             writing: None,
             stopped: false,
+        };
+        let ids: Vec<RequestId> = partition.entries.keys().cloned().collect();
+        for id in ids {
+            partition.keep_answer(id);
         }
+        partition
     }
 
     /// What is known of a request.
@@ -166,18 +196,27 @@
         self.entries.get(id)
     }
 
-    /// All that is known, in the order of the last change, and the number that follows it. It is
-    /// `None` while a segment is on its way.
+    /// The number of the next segment that is not in place yet.
     #[must_use]
-    pub fn snapshot(&self) -> Option<(Sequence, &IndexMap<RequestId, Entry>)> {
-        let settled = self.writing.is_none() && self.pending.is_empty();
-        settled.then_some((self.next, &self.entries))
+    pub fn next_sequence(&self) -> Sequence {
+        self.next
     }
 
-    /// Records that waits for the next segment.
+    /// All that is known, in the order of the last change, but for intents that are not durable.
     #[must_use]
-    pub fn backlog(&self) -> usize {
-        self.pending.len()
+    pub fn durable_entries(&self) -> IndexMap<RequestId, Entry> {
+        let writing = self.writing.iter().flat_map(|writing| &writing.segment.records);
+        let pending = self.pending.iter().map(|pending| &pending.record);
+        let open: HashSet<&RequestId> = writing
+            .chain(pending)
+            .filter_map(|record| match record {
+                Record::Intent(intent) => Some(&intent.id),
+                Record::Conclusion(_) => None,
+            })
+            .collect();
+        let durable = |id: &RequestId, entry: &Entry| !(entry.is_open() && open.contains(id));
+        let entries = self.entries.iter().filter(|(id, entry)| durable(id, entry));
+        entries.map(|(id, entry)| (id.clone(), entry.clone())).collect()
     }
 
     /// Somebody wants to send a request.
@@ -190,41 +229,71 @@
             out.push(Action::Answer(token, verdict));
             return;
         }
-        let entry = Entry::Open { fingerprint: intent.fingerprint, at: intent.at.clone() };
-        self.entries.insert(intent.id.clone(), entry);
+        self.entries.insert(intent.id.clone(), Entry::open(&intent));
         self.pending.push(Pending { token: Some(token), record: Record::Intent(intent) });
         self.flush(out);
     }
 
     fn known(&self, intent: &Intent) -> Option<Verdict> {
         let entry = self.entries.get(&intent.id)?;
-        if entry.fingerprint() != intent.fingerprint {
+        if entry.fingerprint != intent.fingerprint {
             return Some(Verdict::Mismatch);
         }
-        match entry {
-            Entry::Open { at, .. } => Some(Verdict::Open(at.clone())),
+        match &entry.progress {
+            Progress::Open(at) => Some(Verdict::Open(at.clone())),
             // What certainly did not run may be tried again under the same id.
-            Entry::Concluded { outcome, .. } if outcome.kind == OutcomeKind::NotRun => None,
-            Entry::Concluded { outcome, .. } => Some(Verdict::Concluded(outcome.clone())),
+            Progress::Concluded(outcome) if outcome.kind == OutcomeKind::NotRun => None,
+            Progress::Concluded(outcome) => Some(Verdict::Concluded(outcome.clone())),
         }
     }
 
     /// A request ended, or certainly was not sent.
     pub fn conclude(&mut self, token: Option<Token>, end: Conclusion, out: &mut Vec<Action>) {
         if self.stopped {
+            out.extend(token.map(|token| Action::Answer(token, Verdict::Refused)));
             return;
         }
-        if let Some(entry) = self.entries.get(&end.id) {
-            let fingerprint = entry.fingerprint();
-            let outcome = end.outcome.clone();
-            self.entries.shift_remove(&end.id);
-            self.entries.insert(end.id.clone(), Entry::Concluded { fingerprint, outcome });
+        if self.entries.get_mut(&end.id).is_some_and(|entry| entry.conclude(&end)) {
+            if let Some(entry) = self.entries.shift_remove(&end.id) {
+                self.entries.insert(end.id.clone(), entry);
+            }
+            self.keep_answer(end.id.clone());
             self.forget();
         }
         self.pending.push(Pending { token, record: Record::Conclusion(end) });
         self.flush(out);
     }
 
+    /// Adds a record that needs no verdict: an intent to send an idempotent request, or its end.
+    pub fn append(&mut self, token: Token, record: Record, out: &mut Vec<Action>) {
+        if self.stopped {
+            out.push(Action::Answer(token, Verdict::Refused));
+            return;
+        }
+        match record {
+            Record::Intent(_) => {
+                self.pending.push(Pending { token: Some(token), record });
+                self.flush(out);
+            }
+            Record::Conclusion(end) => self.conclude(Some(token), end, out),
+        }
+    }
+
+    /// Keeps the body of this answer in place of the oldest one beyond the bound.
+    fn keep_answer(&mut self, id: RequestId) {
+        self.answers.push_back(id);
+        if self.answers.len() <= self.cfg.max_answers {
+            return;
+        }
+        let oldest = self.answers.pop_front().and_then(|id| self.entries.get_mut(&id));
+        if let Some(Entry { progress: Progress::Concluded(outcome), .. }) = oldest
+            && !outcome.body.is_empty()
+        {
+            outcome.body = Vec::new();
+            outcome.truncated = true;
+        }
+    }
+
     /// Drops the oldest concluded requests beyond the bound; open ones stay.
     fn forget(&mut self) {
         let excess = self.entries.len().saturating_sub(self.cfg.max_remembered);
@@ -232,7 +301,7 @@
         if excess > self.cfg.max_remembered / 16 {
             let mut left = excess;
             self.entries.retain(|_, entry| {
-                let drop = left > 0 && matches!(entry, Entry::Concluded { .. });
+                let drop = left > 0 && !entry.is_open();
                 left -= usize::from(drop);
                 !drop
             });
@@ -244,10 +313,17 @@
         if self.writing.as_ref().is_none_or(|writing| writing.segment.sequence != sequence) {
             return;
         }
+        let doubtful = self.writing.as_ref().is_some_and(|writing| writing.doubtful);
         match result {
             Written::Done => self.commit(out),
-            Written::Fenced => self.stop(out),
+            // An earlier try of the same write may have taken the number, or may still do so.
+            Written::Failed if doubtful => out.push(Action::ReadBack(sequence)),
+            Written::Fenced if doubtful => {
+                self.writing.iter_mut().for_each(|writing| writing.fenced = true);
+                out.push(Action::ReadBack(sequence));
+            }
             Written::Failed => self.fail(out),
+            Written::Fenced => self.stop(out),
             Written::Uncertain => {
                 self.refuse_writing(out);
                 out.push(Action::ReadBack(sequence));
@@ -266,6 +342,7 @@
         match nonce {
             Some(nonce) if nonce == writing.segment.nonce => self.commit(out),
             Some(_) => self.stop(out),
+            None if writing.fenced => self.stop(out),
             // The lost write can still arrive; creating the same number again is safe, because
             // only one of the two can succeed and both have the same content.
             None => out.push(Action::Write(writing.segment.clone())),
@@ -277,74 +354,76 @@
             return;
         };
         self.next = writing.segment.sequence + 1;
-        let refused = writing.refused;
-        for (record, token) in writing.segment.records.into_iter().zip(writing.tokens) {
-            match (record, token) {
-                (Record::Intent(intent), _) if refused => self.withdraw(&intent),
-                (Record::Intent(_), Some(token)) => {
-                    out.push(Action::Answer(token, Verdict::Recorded));
-                }
-                (Record::Conclusion(_), Some(token)) => out.push(Action::Durable(token)),
-                (_, None) => {}
-            }
+        for (record, token) in writing.segment.records.iter().zip(writing.tokens) {
+            let Some(token) = token else {
+                continue;
+            };
+            out.push(match record {
+                Record::Intent(_) => Action::Answer(token, Verdict::Recorded),
+                Record::Conclusion(_) => Action::Durable(token),
+            });
+        }
+        for intent in &writing.withdrawn {
+            self.withdraw(intent);
         }
         self.flush(out);
     }
 
     /// Its asker was told not to send the request, so that it certainly did not run.
     fn withdraw(&mut self, intent: &Intent) {
-        let outcome = Outcome::not_run();
-        let end = Conclusion {
-            id: intent.id.clone(),
-            customer: intent.customer.clone(),
-            time_ms: intent.time_ms,
-            outcome: outcome.clone(),
-        };
-        let entry = Entry::Concluded { fingerprint: intent.fingerprint, outcome };
-        self.entries.insert(intent.id.clone(), entry);
+        let end = Conclusion::not_run(intent);
+        if let Some(entry) = self.entries.get_mut(&intent.id) {
+            entry.conclude(&end);
+        }
         self.pending.push(Pending { token: None, record: Record::Conclusion(end) });
     }
 
-    /// The write had no effect: its intents are refused, its conclusions wait.
+    /// The write had no effect: those who wait are told so, and what nobody waits for is kept.
     fn fail(&mut self, out: &mut Vec<Action>) {
         let Some(writing) = self.writing.take() else {
             return;
         };
-        let mut kept = Vec::new();
-        for (record, token) in writing.segment.records.into_iter().zip(writing.tokens) {
-            match record {
-                Record::Intent(intent) => {
-                    self.entries.swap_remove(&intent.id);
-                    if let (Some(token), false) = (token, writing.refused) {
-                        out.push(Action::Answer(token, Verdict::Refused));
-                    }
-                }
-                record @ Record::Conclusion(_) => kept.push(Pending { token, record }),
-            }
-        }
+        let tried = writing.segment.records.into_iter().zip(writing.tokens);
+        let tried = tried.map(|(record, token)| Pending { token, record });
         // The failure says that the store takes nothing now, so what waits is refused as well.
-        for pending in std::mem::take(&mut self.pending) {
-            match pending.record {
-                Record::Intent(intent) => {
-                    self.entries.swap_remove(&intent.id);
-                    out.extend(pending.token.map(|token| Action::Answer(token, Verdict::Refused)));
+        let rest = std::mem::take(&mut self.pending);
+        for pending in tried.chain(rest) {
+            match pending.token {
+                Some(token) => {
+                    self.drop_open(&pending.record);
+                    out.push(Action::Answer(token, Verdict::Refused));
                 }
-                Record::Conclusion(_) => kept.push(pending),
+                None => self.pending.push(pending),
             }
         }
-        self.pending = kept;
     }
 
+    /// Forgets an intent that is certainly not in the journal.
+    fn drop_open(&mut self, record: &Record) {
+        let Record::Intent(intent) = record else {
+            return;
+        };
+        let entry = self.entries.get(&intent.id);
+        if entry.is_some_and(|entry| entry.is_open() && entry.attempt == intent.attempt) {
+            self.entries.shift_remove(&intent.id);
+        }
+    }
+
+    /// Tells all who wait for the segment under way that it is not known to be durable.
     fn refuse_writing(&mut self, out: &mut Vec<Action>) {
         let Some(writing) = &mut self.writing else {
             return;
         };
-        if std::mem::replace(&mut writing.refused, true) {
-            return;
-        }
-        for (record, token) in writing.segment.records.iter().zip(&writing.tokens) {
-            if let (Record::Intent(_), Some(token)) = (record, token) {
-                out.push(Action::Answer(*token, Verdict::Refused));
+        writing.doubtful = true;
+        for (record, token) in writing.segment.records.iter().zip(&mut writing.tokens) {
+            let Some(asker) = token.take() else {
+                continue;
+            };
+            out.push(Action::Answer(asker, Verdict::Refused));
+            if let Record::Intent(intent) = record
+                && intent.at_most_once
+            {
+                writing.withdrawn.push(intent.clone());
             }
         }
     }
@@ -352,9 +431,7 @@
     fn stop(&mut self, out: &mut Vec<Action>) {
         self.refuse_writing(out);
         for pending in std::mem::take(&mut self.pending) {
-            if let (Record::Intent(_), Some(token)) = (&pending.record, pending.token) {
-                out.push(Action::Answer(token, Verdict::Refused));
-            }
+            out.extend(pending.token.map(|token| Action::Answer(token, Verdict::Refused)));
         }
         self.stopped = true;
         out.push(Action::Stop);
@@ -372,7 +449,13 @@
         let segment = Segment { sequence: self.next, nonce: self.next_nonce, records };
         self.next_nonce = self.next_nonce.wrapping_add(1);
         out.push(Action::Write(segment.clone()));
-        self.writing = Some(Writing { segment, tokens, refused: false });
+        self.writing = Some(Writing {
+            segment,
+            tokens,
+            withdrawn: Vec::new(),
+            doubtful: false,
+            fenced: false,
+        });
     }
 }
 
@@ -394,16 +477,20 @@
 ) -> IndexMap<RequestId, Entry> {
     for record in segments.into_iter().flat_map(|segment| segment.records) {
         match record {
-            Record::Intent(intent) => {
-                let entry = Entry::Open { fingerprint: intent.fingerprint, at: intent.at };
-                entries.shift_remove(&intent.id);
-                entries.insert(intent.id, entry);
+            Record::Intent(intent) if intent.at_most_once => {
+                let known = entries.get(&intent.id);
+                // The same arrival may have been written twice.
+                if known.is_none_or(|known| known.attempt != intent.attempt) {
+                    entries.shift_remove(&intent.id);
+                    entries.insert(intent.id.clone(), Entry::open(&intent));
+                }
             }
+            Record::Intent(_) => {}
             Record::Conclusion(end) => {
-                if let Some(entry) = entries.shift_remove(&end.id) {
-                    let fingerprint = entry.fingerprint();
-                    let outcome = end.outcome;
-                    entries.insert(end.id, Entry::Concluded { fingerprint, outcome });
+                if entries.get_mut(&end.id).is_some_and(|entry| entry.conclude(&end))
+                    && let Some(entry) = entries.shift_remove(&end.id)
+                {
+                    entries.insert(end.id, entry);
                 }
             }
         }
@@ -424,25 +511,29 @@
 #[must_use]
 pub fn stories(records: impl IntoIterator<Item = Record>) -> Vec<Story> {
     let mut by_id: HashMap<RequestId, Story> = HashMap::new();
-    let mut order: BTreeMap<(u64, RequestId), ()> = BTreeMap::new();
+    let mut order: BTreeSet<(u64, RequestId)> = BTreeSet::new();
     for record in records {
         match record {
             Record::Intent(intent) => {
                 let id = intent.id.clone();
                 if let Some(old) = by_id.get(&id) {
+                    if old.intent.attempt == intent.attempt {
+                        continue;
+                    }
                     order.remove(&(old.intent.time_ms, id.clone()));
                 }
-                order.insert((intent.time_ms, id.clone()), ());
+                order.insert((intent.time_ms, id.clone()));
                 by_id.insert(id, Story { intent, conclusion: None });
             }
             Record::Conclusion(end) => {
-                if let Some(story) = by_id.get_mut(&end.id) {
+                let story = by_id.get_mut(&end.id);
+                if let Some(story) = story.filter(|story| story.intent.attempt == end.attempt) {
                     story.conclusion = Some(end);
                 }
             }
         }
     }
-    order.into_keys().filter_map(|(_, id)| by_id.remove(&id)).collect()
+    order.into_iter().filter_map(|(_, id)| by_id.remove(&id)).collect()
 }
 
 #[cfg(test)]
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -59,6 +59,10 @@
 pub struct Intent {
     /// The request.
     pub id: RequestId,
+    /// Tells this arrival of the request from any other.
+    pub attempt: u64,
+    /// Whether the request must run at most once.
+    pub at_most_once: bool,
     /// On whose behalf.
     pub customer: CustomerId,
     /// To which service.
@@ -88,6 +92,8 @@
 pub struct Conclusion {
     /// The request.
     pub id: RequestId,
+    /// The arrival that ended.
+    pub attempt: u64,
     /// On whose behalf.
     pub customer: CustomerId,
     /// When it ended, in milliseconds since the Unix epoch.
@@ -96,6 +102,20 @@
     pub outcome: Outcome,
 }
 
+impl Conclusion {
+    /// The end of an arrival whose request was not and will not be sent.
+    #[must_use]
+    pub fn not_run(intent: &Intent) -> Self {
+        Self {
+            id: intent.id.clone(),
+            attempt: intent.attempt,
+            customer: intent.customer.clone(),
+            time_ms: intent.time_ms,
+            outcome: Outcome::not_run(),
+        }
+    }
+}
+
 /// One thing that happened to a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -145,6 +145,12 @@
         self.cfg.ttl
     }
 
+    /// Whether grants of earlier terms may stand that this ledger does not show.
+    #[must_use]
+    pub fn is_uncertain(&self) -> bool {
+        self.quarantine.is_some()
+    }
+
     /// Those who may hold slots, for a successor.
     #[must_use]
     pub fn holders(&self) -> Vec<HolderId> {
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -30,6 +30,9 @@
     pub reports: Vec<(PoolId, Epoch, Report)>,
 }
 
+/// Slots that a holder is granted, by VM.
+pub type Grants = Vec<(VmId, Slots)>;
+
 /// The keeper's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
@@ -38,7 +41,7 @@
     /// How long the grants last from when the request was sent.
     pub ttl: Span,
     /// Whole sets of grants of the pools in which they changed.
-    pub pools: Vec<(PoolId, Epoch, Vec<(VmId, Slots)>)>,
+    pub pools: Vec<(PoolId, Epoch, Grants)>,
 }
 
 /// A hash of pools and epochs that does not depend on their order.
@@ -135,6 +138,7 @@
 struct Pending {
     sequence: u64,
     sent: Timestamp,
+    patience: Timestamp,
     reports: Vec<(PoolId, Epoch, Report)>,
 }
 
@@ -147,6 +151,7 @@
         zone: &ZoneId,
         current: &IndexMap<PoolId, (Epoch, Report)>,
         now: Timestamp,
+        patience: Timestamp,
     ) -> Request {
         if self.pending.take().is_some() {
             self.start_over();
@@ -163,8 +168,12 @@
             .map(|(pool, (epoch, report))| (pool.clone(), *epoch, report.clone()))
             .collect();
         self.sequence += 1;
-        self.pending =
-            Some(Pending { sequence: self.sequence, sent: now, reports: reports.clone() });
+        self.pending = Some(Pending {
+            sequence: self.sequence,
+            sent: now,
+            patience,
+            reports: reports.clone(),
+        });
         Request {
             holder: holder.clone(),
             zone: zone.clone(),
@@ -208,6 +217,17 @@
         true
     }
 
+    /// Whether an answer is still awaited.
+    #[must_use]
+    pub fn is_waiting(&self, now: Timestamp) -> bool {
+        self.pending.as_ref().is_some_and(|pending| now < pending.patience)
+    }
+
+    /// The pools that the keeper has been told of.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.known.keys()
+    }
+
     /// The message numbered `sequence` got no answer.
     pub fn failed(&mut self, sequence: u64) {
         if self.pending.take_if(|pending| pending.sequence == sequence).is_some() {
@@ -302,8 +322,9 @@
     impl Pair {
         fn send(&mut self, epoch: u64, now: u64) -> (Request, Reply) {
             let current = current(epoch, &self.holdings);
-            let req = self.holder_side.request(&holder(), &zone(), &current, Timestamp(now));
-            let reply = self.keeper_side.handle(&req, &mut self.keepers, Timestamp(now)).unwrap();
+            let now = Timestamp(now);
+            let req = self.holder_side.request(&holder(), &zone(), &current, now, now);
+            let reply = self.keeper_side.handle(&req, &mut self.keepers, now).unwrap();
             (req, reply)
         }
 
--- a/crates/proto/src/gen/teaselgap.peer.rs
+++ b/crates/proto/src/gen/teaselgap.peer.rs
@@ -64,15 +64,16 @@
 pub struct ProbeRequest {
     #[prost(string, tag = "1")]
     pub from: ::prost::alloc::string::String,
+    /// Newest control revision that the sender has taken in.
     #[prost(uint64, tag = "2")]
-    pub generation: u64,
+    pub revision: u64,
     #[prost(message, repeated, tag = "3")]
     pub deltas: ::prost::alloc::vec::Vec<Member>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ProbeReply {
     #[prost(uint64, tag = "1")]
-    pub generation: u64,
+    pub revision: u64,
     #[prost(message, repeated, tag = "2")]
     pub deltas: ::prost::alloc::vec::Vec<Member>,
 }
@@ -93,20 +94,23 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PullReply {
+    /// The revision that the items lead to.
     #[prost(uint64, tag = "1")]
-    pub generation: u64,
+    pub revision: u64,
     #[prost(message, repeated, tag = "2")]
-    pub records: ::prost::alloc::vec::Vec<ConfigRecord>,
+    pub items: ::prost::alloc::vec::Vec<ControlItem>,
 }
+/// A key of the store's control prefix as one node knows it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ConfigRecord {
+pub struct ControlItem {
     #[prost(string, tag = "1")]
-    pub service: ::prost::alloc::string::String,
+    pub key: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
-    pub generation: u64,
-    /// The declaration as JSON; empty for a service that was withdrawn.
+    pub revision: u64,
     #[prost(bytes = "bytes", tag = "3")]
-    pub declaration: ::prost::bytes::Bytes,
+    pub value: ::prost::bytes::Bytes,
+    #[prost(bool, tag = "4")]
+    pub deleted: bool,
 }
 /// One exchange between a holder of slots and the node that keeps their ledgers.
 ///
@@ -130,6 +134,9 @@
     pub fingerprint: u64,
     #[prost(message, repeated, tag = "7")]
     pub reports: ::prost::alloc::vec::Vec<PoolReport>,
+    /// Whether the holder reaches the platform's store.
+    #[prost(bool, tag = "8")]
+    pub store_reachable: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PoolReport {
@@ -171,31 +178,19 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct IntendRequest {
-    #[prost(string, tag = "1")]
-    pub request: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub customer: ::prost::alloc::string::String,
-    #[prost(string, tag = "3")]
-    pub service: ::prost::alloc::string::String,
-    #[prost(string, tag = "4")]
-    pub node: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "5")]
-    pub time_ms: u64,
-    #[prost(bytes = "bytes", tag = "6")]
-    pub head: ::prost::bytes::Bytes,
-    #[prost(bytes = "bytes", tag = "7")]
-    pub body: ::prost::bytes::Bytes,
-    #[prost(uint64, tag = "8")]
-    pub body_hash: u64,
-    #[prost(bool, tag = "9")]
-    pub at_most_once: bool,
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// The intent as JSON, as it stands in the journal.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub intent: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct IntendReply {
     #[prost(enumeration = "intend_reply::Verdict", tag = "1")]
     pub verdict: i32,
-    #[prost(message, optional, tag = "2")]
-    pub outcome: ::core::option::Option<Outcome>,
+    /// For OPEN the life that recorded the intent, for CONCLUDED the outcome, as JSON.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub detail: ::prost::bytes::Bytes,
 }
 /// Nested message and enum types in `IntendReply`.
 pub mod intend_reply {
@@ -212,18 +207,16 @@
     )]
     #[repr(i32)]
     pub enum Verdict {
+        /// The intent is not durable; the request must not be sent.
+        Refused = 0,
         /// The intent is durable; the caller may send the request.
-        Recorded = 0,
-        /// The request is known and still open at another node.
-        Open = 1,
-        /// The request is known and ended; its answer is attached.
-        Concluded = 2,
+        Recorded = 1,
+        /// The request is known and not concluded.
+        Open = 2,
+        /// The request is known and concluded; its outcome is attached.
+        Concluded = 3,
         /// The same id was used with another body.
-        Mismatch = 3,
-        /// Not the owner of the partition, or the store did not take the record.
-        Unavailable = 4,
-        /// The store's answer was lost and could not be settled.
-        Uncertain = 5,
+        Mismatch = 4,
     }
     impl Verdict {
         /// String value of the enum field names used in the ProtoBuf definition.
@@ -232,96 +225,36 @@
         /// (if the ProtoBuf definition does not change) and safe for programmatic use.
         pub fn as_str_name(&self) -> &'static str {
             match self {
+                Self::Refused => "REFUSED",
                 Self::Recorded => "RECORDED",
                 Self::Open => "OPEN",
                 Self::Concluded => "CONCLUDED",
                 Self::Mismatch => "MISMATCH",
-                Self::Unavailable => "UNAVAILABLE",
-                Self::Uncertain => "UNCERTAIN",
             }
         }
         /// Creates an enum from field names used in the ProtoBuf definition.
         pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
             match value {
+                "REFUSED" => Some(Self::Refused),
                 "RECORDED" => Some(Self::Recorded),
                 "OPEN" => Some(Self::Open),
                 "CONCLUDED" => Some(Self::Concluded),
                 "MISMATCH" => Some(Self::Mismatch),
-                "UNAVAILABLE" => Some(Self::Unavailable),
-                "UNCERTAIN" => Some(Self::Uncertain),
-                _ => None,
-            }
-        }
-    }
-}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Outcome {
-    #[prost(enumeration = "outcome::Kind", tag = "1")]
-    pub kind: i32,
-    #[prost(uint32, tag = "2")]
-    pub status: u32,
-    #[prost(bytes = "bytes", tag = "3")]
-    pub head: ::prost::bytes::Bytes,
-    #[prost(bytes = "bytes", tag = "4")]
-    pub body: ::prost::bytes::Bytes,
-    #[prost(bool, tag = "5")]
-    pub body_truncated: bool,
-}
-/// Nested message and enum types in `Outcome`.
-pub mod outcome {
-    #[derive(
-        Clone,
-        Copy,
-        Debug,
-        PartialEq,
-        Eq,
-        Hash,
-        PartialOrd,
-        Ord,
-        ::prost::Enumeration
-    )]
-    #[repr(i32)]
-    pub enum Kind {
-        Ran = 0,
-        NotRun = 1,
-        Unknown = 2,
-    }
-    impl Kind {
-        /// String value of the enum field names used in the ProtoBuf definition.
-        ///
-        /// The values are not transformed in any way and thus are considered stable
-        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
-        pub fn as_str_name(&self) -> &'static str {
-            match self {
-                Self::Ran => "RAN",
-                Self::NotRun => "NOT_RUN",
-                Self::Unknown => "UNKNOWN",
-            }
-        }
-        /// Creates an enum from field names used in the ProtoBuf definition.
-        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
-            match value {
-                "RAN" => Some(Self::Ran),
-                "NOT_RUN" => Some(Self::NotRun),
-                "UNKNOWN" => Some(Self::Unknown),
                 _ => None,
             }
         }
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ConcludeRequest {
-    #[prost(string, tag = "1")]
-    pub request: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub customer: ::prost::alloc::string::String,
-    #[prost(message, optional, tag = "3")]
-    pub outcome: ::core::option::Option<Outcome>,
-    #[prost(uint64, tag = "4")]
-    pub time_ms: u64,
+pub struct AppendRequest {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// Records as a JSON list, as they stand in the journal.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub records: ::prost::bytes::Bytes,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ConcludeReply {
+pub struct AppendReply {
     #[prost(bool, tag = "1")]
     pub durable: bool,
 }
@@ -347,6 +280,18 @@
     #[prost(bool, tag = "8")]
     pub ready: bool,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ExplainRequest {
+    /// A service, a VM or a request.
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ExplainReply {
+    /// What is known, as JSON.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub answer: ::prost::bytes::Bytes,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -481,7 +426,7 @@
                 .insert(GrpcMethod::new("teaselgap.peer.Peer", "ProbeFor"));
             self.inner.unary(req, path, codec).await
         }
-        /// Configuration records that changed after a generation.
+        /// Control items that changed after a revision.
         pub async fn pull(
             &mut self,
             request: impl tonic::IntoRequest<super::PullRequest>,
@@ -543,11 +488,11 @@
                 .insert(GrpcMethod::new("teaselgap.peer.Peer", "Intend"));
             self.inner.unary(req, path, codec).await
         }
-        /// Records how a request ended.
-        pub async fn conclude(
+        /// Adds records that need no verdict.
+        pub async fn append(
             &mut self,
-            request: impl tonic::IntoRequest<super::ConcludeRequest>,
-        ) -> std::result::Result<tonic::Response<super::ConcludeReply>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::AppendRequest>,
+        ) -> std::result::Result<tonic::Response<super::AppendReply>, tonic::Status> {
             self.inner
                 .ready()
                 .await
@@ -558,11 +503,11 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/teaselgap.peer.Peer/Conclude",
+                "/teaselgap.peer.Peer/Append",
             );
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("teaselgap.peer.Peer", "Conclude"));
+                .insert(GrpcMethod::new("teaselgap.peer.Peer", "Append"));
             self.inner.unary(req, path, codec).await
         }
         /// What this node has in force.
@@ -587,6 +532,28 @@
                 .insert(GrpcMethod::new("teaselgap.peer.Peer", "Status"));
             self.inner.unary(req, path, codec).await
         }
+        /// Why something is where it is.
+        pub async fn explain(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/teaselgap.peer.Peer/Explain",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("teaselgap.peer.Peer", "Explain"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -612,7 +579,7 @@
             &self,
             request: tonic::Request<super::ProbeForRequest>,
         ) -> std::result::Result<tonic::Response<super::ProbeForReply>, tonic::Status>;
-        /// Configuration records that changed after a generation.
+        /// Control items that changed after a revision.
         async fn pull(
             &self,
             request: tonic::Request<super::PullRequest>,
@@ -627,16 +594,21 @@
             &self,
             request: tonic::Request<super::IntendRequest>,
         ) -> std::result::Result<tonic::Response<super::IntendReply>, tonic::Status>;
-        /// Records how a request ended.
-        async fn conclude(
+        /// Adds records that need no verdict.
+        async fn append(
             &self,
-            request: tonic::Request<super::ConcludeRequest>,
-        ) -> std::result::Result<tonic::Response<super::ConcludeReply>, tonic::Status>;
+            request: tonic::Request<super::AppendRequest>,
+        ) -> std::result::Result<tonic::Response<super::AppendReply>, tonic::Status>;
         /// What this node has in force.
         async fn status(
             &self,
             request: tonic::Request<super::StatusRequest>,
         ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status>;
+        /// Why something is where it is.
+        async fn explain(
+            &self,
+            request: tonic::Request<super::ExplainRequest>,
+        ) -> std::result::Result<tonic::Response<super::ExplainReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct PeerServer<T> {
@@ -929,23 +901,23 @@
                     };
                     Box::pin(fut)
                 }
-                "/teaselgap.peer.Peer/Conclude" => {
+                "/teaselgap.peer.Peer/Append" => {
                     #[allow(non_camel_case_types)]
-                    struct ConcludeSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::ConcludeRequest>
-                    for ConcludeSvc<T> {
-                        type Response = super::ConcludeReply;
+                    struct AppendSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::AppendRequest>
+                    for AppendSvc<T> {
+                        type Response = super::AppendReply;
                         type Future = BoxFuture<
                             tonic::Response<Self::Response>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::ConcludeRequest>,
+                            request: tonic::Request<super::AppendRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Peer>::conclude(&inner, request).await
+                                <T as Peer>::append(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -956,7 +928,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = ConcludeSvc(inner);
+                        let method = AppendSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
@@ -1015,6 +987,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/teaselgap.peer.Peer/Explain" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExplainSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ExplainRequest>
+                    for ExplainSvc<T> {
+                        type Response = super::ExplainReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ExplainRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::explain(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExplainSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -137,6 +137,18 @@
         self.told.entry(id.to_owned()).or_default().push(told);
     }
 
+    /// Requests that callers were told of.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.told.len()
+    }
+
+    /// Whether no caller was told anything.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
     /// Holds the ledger against what the workers counted. `at_most_once` tells which requests must
     /// not run twice.
     #[must_use]
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -9,7 +9,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Collected};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -158,7 +158,7 @@
             http::json(StatusCode::OK, &())
         }
         (&Method::PUT, "/faults") => {
-            let body = req.into_body().collect().await.map(|body| body.to_bytes());
+            let body = req.into_body().collect().await.map(Collected::to_bytes);
             match body.map(|body: Bytes| serde_json::from_slice(&body)) {
                 Ok(Ok(faults)) => {
                     service.set_faults(faults);
--- a/crates/standins/src/vm_list.rs
+++ b/crates/standins/src/vm_list.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Collected};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -151,7 +151,7 @@
             http::json(StatusCode::OK, &list.after(after).await)
         }
         Method::PUT => {
-            let body = req.into_body().collect().await.map(|body| body.to_bytes());
+            let body = req.into_body().collect().await.map(Collected::to_bytes);
             match body.map(|body| serde_json::from_slice(&body)) {
                 Ok(Ok(vms)) => {
                     list.put(vms);
--- /dev/null
+++ b/src/command/explain.rs
@@ -0,0 +1,49 @@
+//! `teaselgap explain`: why something is where it is.
+
+use std::time::Duration;
+
+use pico_args::Arguments;
+use serde_json::Value;
+use teaselgap_proto::peer::ExplainRequest;
+
+use super::{CommandError, block_on, end, settings, status};
+use crate::peer::PeerClients;
+
+const HELP: &str = "\
+Usage: teaselgap explain NAME --settings FILE
+
+Asks a live node why the service or VM called NAME is where it is, as JSON.
+";
+
+/// Longest wait for one node.
+const NODE_TIMEOUT: Duration = Duration::from_secs(1);
+
+pub(super) fn run(mut args: Arguments, help: bool) -> Result<(), CommandError> {
+    if help {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let settings = settings(&mut args)?;
+    let name: String = args.free_from_str()?;
+    end(args)?;
+    block_on(async {
+        let peers = PeerClients::default();
+        for address in status::addresses(&settings).await? {
+            let Some(mut client) = peers.get(address) else {
+                continue;
+            };
+            let call = client.explain(ExplainRequest { name: name.clone() });
+            let Ok(Ok(reply)) = tokio::time::timeout(NODE_TIMEOUT, call).await else {
+                continue;
+            };
+            let answer: Value =
+                serde_json::from_slice(&reply.get_ref().answer).map_err(CommandError::failed)?;
+            if answer.get("unknown").is_some() {
+                return Err(CommandError::Failed(format!("no service or VM is called {name}")));
+            }
+            println!("{answer:#}");
+            return Ok(());
+        }
+        Err(CommandError::Failed("no node answers".to_owned()))
+    })
+}
--- /dev/null
+++ b/src/control/shares.rs
@@ -0,0 +1,298 @@
+//! The fleet as the VM list shows it, and the slots that this node holds or lends.
+
+use std::{collections::HashMap, sync::Arc};
+
+use indexmap::{IndexMap, IndexSet};
+use slog::{info, warn};
+use teaselgap_core::{
+    Epoch, PoolId, ServiceId, Span, Timestamp, VmId,
+    admit::Share,
+    duty::{DutyId, Life},
+    slots::{
+        self, Report, demand_step,
+        exchange::{Reply, Request},
+    },
+};
+use teaselgap_proto::peer::{SlotsReply, SlotsRequest};
+
+use super::{Control, Event};
+use crate::{
+    peer::{
+        slots_reply_from_wire, slots_reply_to_wire, slots_request_from_wire, slots_request_to_wire,
+    },
+    traffic::{Pool, PoolConfig, VmGate, VmInfo},
+    vm_list::{Vm, VmPage, VmState},
+};
+
+/// Most requests of a customer that may wait at a node where its service names no bound.
+const WAITING_PER_CUSTOMER: u32 = 256;
+
+/// The longest request of a pool that no service is declared for.
+const DEFAULT_LONGEST: Span = Span(60_000);
+
+/// How long a holder's word that it can't reach the store counts.
+const REACHABILITY_MEMORY: Span = Span(2_000);
+
+impl Control {
+    pub(super) fn take_vms(&mut self, page: VmPage, now: Timestamp) {
+        self.vm_list_seen = true;
+        for vm in page.vms {
+            let before = self.fleet.get(&vm.id);
+            if before.is_none_or(|before| before.state != vm.state || before.pool != vm.pool) {
+                info!(self.log, "VM listed"; "vm" => %vm.id, "pool" => %vm.pool,
+                    "state" => format!("{:?}", vm.state).to_lowercase());
+            }
+            if vm.state == VmState::Gone {
+                self.fleet.shift_remove(&vm.id);
+            } else {
+                self.fleet.insert(vm.id.clone(), vm);
+            }
+        }
+        self.rebuild_pools(now);
+    }
+
+    /// Brings pools, gates and shares in line with the fleet and the declarations.
+    pub(super) fn rebuild_pools(&mut self, now: Timestamp) {
+        let mut by_pool: HashMap<PoolId, Vec<Vm>> = HashMap::new();
+        for vm in self.fleet.values() {
+            by_pool.entry(vm.pool.clone()).or_default().push(vm.clone());
+        }
+        let declared: IndexSet<PoolId> =
+            self.catalog.declarations().map(|declaration| declaration.pool.clone()).collect();
+        for id in declared {
+            let vms = by_pool.remove(&id).unwrap_or_default();
+            self.rebuild_pool(&id, vms, now);
+        }
+        let fleet = &self.fleet;
+        self.gates.retain(|vm, _| fleet.contains_key(vm));
+        self.set_shares();
+        let slots: Vec<_> =
+            self.keepers.keys().map(|pool| (pool.clone(), self.pool_slots(pool))).collect();
+        for (pool, vms) in slots {
+            if let Some(keeper) = self.keepers.get_mut(&pool) {
+                keeper.set_vms(vms);
+            }
+        }
+        self.publish_view(now);
+    }
+
+    fn rebuild_pool(&mut self, id: &PoolId, vms: Vec<Vm>, now: Timestamp) {
+        let routing = &self.cfg.shared.settings.routing;
+        let cfg = PoolConfig { policy: routing.policy, warm_up: routing.warm_up };
+        // VMs that were there when the node started are not new.
+        let added = if self.pools.contains_key(id) { now } else { Timestamp(0) };
+        let pool =
+            self.pools.entry(id.clone()).or_insert_with(|| Arc::new(Pool::new(id.clone(), cfg)));
+        let was_empty = pool.vms().is_empty();
+        let added = if was_empty { Timestamp(0) } else { added };
+        let zone = &self.cfg.shared.settings.zone;
+        let mut gates = IndexMap::new();
+        for vm in vms {
+            let info =
+                VmInfo { id: vm.id.clone(), address: vm.address, zone: vm.zone, rack: vm.rack };
+            let known = self.gates.get(&vm.id).filter(|gate| gate.info == info);
+            let gate = known.cloned().unwrap_or_else(|| {
+                let local = info.zone == *zone;
+                Arc::new(VmGate::new(info, local, added))
+            });
+            gate.set_leaving(vm.state == VmState::Leaving);
+            self.gates.insert(vm.id.clone(), Arc::clone(&gate));
+            gates.insert(vm.id, gate);
+        }
+        pool.set_vms(gates);
+    }
+
+    fn set_shares(&self) {
+        for declaration in self.catalog.declarations() {
+            let Some(pool) = self.pools.get(&declaration.pool) else {
+                continue;
+            };
+            let waiting = declaration.quota.waiting_per_customer.unwrap_or(WAITING_PER_CUSTOMER);
+            let share = Share {
+                normal: declaration.capacity.normal.0,
+                urgency: declaration.urgency,
+                waiting_per_customer: waiting,
+            };
+            pool.set_share(&declaration.service, share);
+        }
+    }
+
+    /// The VMs of a pool whose slots may be lent.
+    pub(super) fn pool_slots(&self, pool: &PoolId) -> IndexMap<VmId, slots::Vm> {
+        let live = |vm: &&Vm| vm.pool == *pool && vm.state == VmState::Live;
+        let vm = |vm: &Vm| {
+            let content = slots::Vm { slots: vm.slots, zone: vm.zone.clone() };
+            (vm.id.clone(), content)
+        };
+        self.fleet.values().filter(live).map(vm).collect()
+    }
+
+    /// The longest that a request in a pool can run.
+    pub(super) fn longest_request(&self, pool: &PoolId) -> Span {
+        let services = self.catalog.declarations().filter(|declaration| declaration.pool == *pool);
+        services.map(|declaration| declaration.deadline.max).max().unwrap_or(DEFAULT_LONGEST)
+    }
+
+    /// Sends each keeper what changed, unless its answer is still awaited.
+    pub(super) fn exchange_slots(&mut self, now: Timestamp) {
+        let mut by_keeper: HashMap<Life, IndexMap<PoolId, (Epoch, Report)>> = HashMap::new();
+        for (id, pool) in &self.pools {
+            let Some((owner, epoch)) = self.duties.owner(&DutyId::Slots(id.clone())) else {
+                continue;
+            };
+            let holding = self.holdings.entry(id.clone()).or_default();
+            if holding.epoch() != epoch {
+                holding.bind(epoch);
+            }
+            let report = report(pool);
+            by_keeper.entry(owner.clone()).or_default().insert(id.clone(), (epoch, report));
+        }
+        self.holder_sides.retain(|keeper, _| by_keeper.contains_key(keeper));
+        for (keeper, current) in by_keeper {
+            self.exchange_with(keeper, &current, now);
+        }
+    }
+
+    fn exchange_with(
+        &mut self,
+        keeper: Life,
+        current: &IndexMap<PoolId, (Epoch, Report)>,
+        now: Timestamp,
+    ) {
+        let me = self.life().clone();
+        let zone = self.cfg.shared.settings.zone.clone();
+        let side = self.holder_sides.entry(keeper.clone()).or_default();
+        if side.is_waiting(now) {
+            return;
+        }
+        let patience = self.cfg.shared.settings.cluster.slots_interval;
+        let holder = (me.node.clone(), me.incarnation);
+        let req = side.request(&holder, &zone, current, now, now + patience);
+        if keeper == me {
+            let reachable = self.cfg.store.is_reachable();
+            let reply = self.handle_slots(&req, reachable, now);
+            self.slots_answered(&keeper, req.sequence, reply);
+            return;
+        }
+        let Some(address) = self.members.get(&keeper.node).map(|member| member.address) else {
+            return;
+        };
+        let wire = slots_request_to_wire(&req, self.cfg.store.is_reachable());
+        let sequence = req.sequence;
+        let (peers, tx) = (Arc::clone(&self.peers), self.tx.clone());
+        tokio::task::spawn_local(async move {
+            let reply = match peers.get(address) {
+                Some(mut client) => {
+                    let call = client.slots(wire);
+                    let reply = tokio::time::timeout(patience.to_std(), call).await;
+                    reply.ok().and_then(Result::ok)
+                }
+                None => None,
+            };
+            let reply = reply.and_then(|reply| slots_reply_from_wire(reply.get_ref()));
+            let _ = tx.send(Event::SlotsAnswered { keeper, sequence, reply });
+        });
+    }
+
+    pub(super) fn slots_answered(&mut self, keeper: &Life, sequence: u64, reply: Option<Reply>) {
+        let Some(side) = self.holder_sides.get_mut(keeper) else {
+            return;
+        };
+        match reply {
+            Some(reply) => {
+                if side.reply(sequence, reply, &mut self.holdings) {
+                    let pools: Vec<PoolId> = side.pools().cloned().collect();
+                    for pool in &pools {
+                        self.apply_holding(pool);
+                    }
+                }
+            }
+            None => side.failed(sequence),
+        }
+    }
+
+    /// Lets traffic use what is held.
+    fn apply_holding(&self, id: &PoolId) {
+        let (Some(pool), Some(holding)) = (self.pools.get(id), self.holdings.get(id)) else {
+            return;
+        };
+        for (vm, gate) in &*pool.vms() {
+            gate.set_held(holding.slots(vm));
+        }
+        pool.set_deadline(holding.deadline());
+    }
+
+    /// Answers a holder; `None` if this node may not act as keeper.
+    pub(super) fn answer_slots(
+        &mut self,
+        wire: &SlotsRequest,
+        now: Timestamp,
+    ) -> Option<SlotsReply> {
+        let req = slots_request_from_wire(wire)?;
+        let reply = self.handle_slots(&req, wire.store_reachable, now)?;
+        Some(slots_reply_to_wire(&reply))
+    }
+
+    fn handle_slots(
+        &mut self,
+        req: &Request,
+        store_reachable: bool,
+        now: Timestamp,
+    ) -> Option<Reply> {
+        self.reachability.insert(req.holder.0.clone(), (store_reachable, now));
+        if !self.may_keep(now) {
+            return None;
+        }
+        self.keeper_side.handle(req, &mut self.keepers, now)
+    }
+
+    /// Whether this node may act as keeper: while its registration stands, and beyond that while
+    /// the store is down for everybody, because nobody can take the duty over then.
+    fn may_keep(&self, now: Timestamp) -> bool {
+        if now < self.duties.lease_deadline() {
+            return true;
+        }
+        if self.cfg.store.is_reachable() {
+            return false;
+        }
+        let fresh = |at: Timestamp| now < at + REACHABILITY_MEMORY;
+        let me = &self.life().node;
+        let mut without_store = 1;
+        for (node, (reachable, at)) in &self.reachability {
+            if fresh(*at) && node != me {
+                if *reachable {
+                    return false;
+                }
+                without_store += 1;
+            }
+        }
+        2 * without_store > self.duties.registered_count()
+    }
+
+    /// Leaves out VMs that fail what they are given.
+    pub(super) fn judge_vms(&self, now: Timestamp) {
+        for pool in self.pools.values() {
+            for vm in pool.judge(now) {
+                warn!(self.log, "VM ejected"; "vm" => %vm, "pool" => %pool.id);
+            }
+        }
+    }
+
+    /// The retry budget of a service, which outlives its declaration's changes.
+    pub(super) fn budget(
+        &mut self,
+        service: &ServiceId,
+    ) -> Arc<std::sync::Mutex<teaselgap_core::retry::Budget>> {
+        Arc::clone(self.budgets.entry(service.clone()).or_default())
+    }
+}
+
+/// What is to be reported of a pool.
+fn report(pool: &Pool) -> Report {
+    let vms = pool.vms();
+    let ceilings = vms.iter().map(|(vm, gate)| (vm.clone(), gate.ceiling()));
+    Report {
+        demand: demand_step(pool.demand()),
+        ceilings: ceilings.filter(|(_, slots)| *slots > 0).collect(),
+    }
+}
--- /dev/null
+++ b/src/control/view.rs
@@ -0,0 +1,161 @@
+//! What this node shows of itself: the snapshot for traffic, its status, and explanations.
+
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+use teaselgap_core::{Span, Timestamp, duty::DutyId};
+use teaselgap_proto::peer::{ExplainReply, StatusReply};
+
+use super::Control;
+use crate::{
+    peer::member_to_wire,
+    traffic::{Service, Snapshot},
+};
+
+/// How often the view is renewed when nothing happens.
+const VIEW_INTERVAL: Span = Span(500);
+
+impl Control {
+    /// Publishes what traffic needs to know.
+    pub(super) fn publish_view(&mut self, now: Timestamp) {
+        self.next_view = now + VIEW_INTERVAL;
+        let declarations: Vec<_> = self.catalog.declarations().cloned().collect();
+        let mut services = indexmap::IndexMap::new();
+        for declaration in declarations {
+            let Some(pool) = self.pools.get(&declaration.pool).map(Arc::clone) else {
+                continue;
+            };
+            let budget = self.budget(&declaration.service);
+            let id = declaration.service.clone();
+            services.insert(id, Service { declaration, pool, budget });
+        }
+        let status = self.status(now);
+        let peers = self.members.peers().count();
+        let owned = self.duties.all_owned(now).count();
+        let generation = self.catalog.generation();
+        self.cfg.shared.metrics.control(generation.0, owned, peers + 1);
+        self.cfg.shared.snapshot.store(Arc::new(Snapshot {
+            services,
+            ready: self.is_ready(),
+            registered: self.duties.registered().collect(),
+            store_reachable: self.cfg.store.is_reachable(),
+            status,
+        }));
+    }
+
+    fn is_ready(&self) -> bool {
+        self.cache.is_filled() && self.vm_list_seen
+    }
+
+    fn status(&self, now: Timestamp) -> Value {
+        let members = self.members.members().map(|(node, member)| {
+            json!({
+                "node": node,
+                "incarnation": member.incarnation,
+                "state": format!("{:?}", member.state).to_lowercase(),
+                "peer": member.address,
+                "zone": member.zone,
+            })
+        });
+        let duties: Vec<String> =
+            self.duties.all_owned(now).map(|(duty, _)| duty.to_string()).collect();
+        let pools = self.pools.iter().map(|(id, pool)| {
+            let vms = pool.vms();
+            let (held, in_use) = vms
+                .values()
+                .map(|vm| vm.slots())
+                .fold((0, 0), |sum, slots| (sum.0 + slots.0, sum.1 + slots.1));
+            json!({
+                "pool": id, "vms": vms.len(), "held": held, "in_use": in_use,
+                "waiting": pool.waiting(),
+            })
+        });
+        json!({
+            "node": self.life().node,
+            "incarnation": self.life().incarnation,
+            "generation": self.catalog.generation(),
+            "refused": self.refused.as_ref().map(|(generation, reason)| {
+                json!({"generation": generation, "reason": reason})
+            }),
+            "ready": self.is_ready(),
+            "store_reachable": self.cfg.store.is_reachable(),
+            "history_waiting_bytes": self.cfg.shared.journal.waiting_bytes(),
+            "in_flight": self.cfg.shared.in_flight(),
+            "members": members.collect::<Vec<_>>(),
+            "duties": duties,
+            "pools": pools.collect::<Vec<_>>(),
+        })
+    }
+
+    pub(super) fn status_reply(&self, now: Timestamp) -> StatusReply {
+        let refused = self.refused.as_ref();
+        let refused = refused.map(|(generation, reason)| format!("{generation}: {reason}"));
+        StatusReply {
+            node: self.life().node.to_string(),
+            incarnation: self.life().incarnation.0,
+            generation: self.catalog.generation().0,
+            refused: refused.unwrap_or_default(),
+            members: self.members.members().map(|(n, m)| member_to_wire(n, m)).collect(),
+            duties: self.duties.all_owned(now).map(|(duty, _)| duty.to_string()).collect(),
+            store_reachable: self.cfg.store.is_reachable(),
+            ready: self.is_ready(),
+        }
+    }
+
+    /// Why a service or a VM is where it is.
+    pub(super) fn explain(&self, name: &str, now: Timestamp) -> ExplainReply {
+        let answer = self
+            .explain_service(name, now)
+            .or_else(|| self.explain_vm(name, now))
+            .unwrap_or_else(|| json!({"unknown": name}));
+        ExplainReply { answer: answer.to_string().into() }
+    }
+
+    fn explain_service(&self, name: &str, now: Timestamp) -> Option<Value> {
+        let declaration = self.catalog.get(name)?;
+        let duty = DutyId::Slots(declaration.pool.clone());
+        let keeper = self
+            .duties
+            .owner(&duty)
+            .map(|(life, epoch)| json!({"node": life.node, "epoch": epoch}));
+        let pool = self.pools.get(&declaration.pool);
+        let vms = pool.map(|pool| pool.vms());
+        let vms: Vec<Value> = vms
+            .iter()
+            .flat_map(|vms| vms.values())
+            .map(|gate| {
+                let (held, in_use) = gate.slots();
+                json!({
+                    "vm": gate.info.id, "zone": gate.info.zone, "rack": gate.info.rack,
+                    "held": held, "in_use": in_use, "leaving": gate.is_leaving(),
+                    "ejected": gate.health().is_ejected(now),
+                })
+            })
+            .collect();
+        Some(json!({
+            "service": name,
+            "because": "its declaration names the pool, and the keeper of the pool lends the slots",
+            "generation": self.catalog.generation(),
+            "declaration": **declaration,
+            "keeper": keeper,
+            "waiting": pool.map(|pool| pool.waiting()),
+            "vms": vms,
+        }))
+    }
+
+    fn explain_vm(&self, name: &str, now: Timestamp) -> Option<Value> {
+        let vm = self.fleet.get(name)?;
+        let gate = self.gates.get(name);
+        let services = self.catalog.declarations().filter(|one| one.pool == vm.pool);
+        Some(json!({
+            "vm": name,
+            "because": "the VM list puts it into this pool",
+            "pool": vm.pool,
+            "state": format!("{:?}", vm.state).to_lowercase(),
+            "services": services.map(|one| &one.service).collect::<Vec<_>>(),
+            "held_here": gate.map(|gate| gate.slots().0),
+            "in_use_here": gate.map(|gate| gate.slots().1),
+            "ejected_here": gate.map(|gate| gate.health().is_ejected(now)),
+        }))
+    }
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,340 @@
+//! Requests of callers, from their heads to their answers.
+
+mod answer;
+mod body;
+mod head;
+mod pages;
+
+use std::{sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, http::request::Parts};
+use slog::{info, warn};
+use teaselgap_core::{
+    RackId, Span,
+    admit::Refusal,
+    declare::StoreOutage,
+    duty::Life,
+    journal::{Conclusion, Intent, Outcome, OutcomeKind, Record, Verdict},
+    retry::{self, Failure},
+};
+use tokio::sync::oneshot;
+use xitca_web::{
+    body::{RequestBody, ResponseBody},
+    http::RequestExt,
+};
+
+use self::{
+    answer::{Problem, Recorder},
+    body::Collected,
+    head::Head,
+};
+use crate::{
+    backend::{self, Answer, AttemptError, OutBody},
+    clock,
+    traffic::{Permit, Presence, Service, Shared, Snapshot},
+};
+
+/// A request of a caller as the library hands it over.
+pub(crate) type InRequest = Request<RequestExt<RequestBody>>;
+
+/// How often a request that is open at another node is asked for again.
+const OPEN_POLL: Span = Span(50);
+
+/// Answers any request.
+pub(crate) async fn handle(shared: &Arc<Shared>, req: InRequest) -> Response<ResponseBody> {
+    let (parts, ext) = req.into_parts();
+    let (_, body) = ext.replace_body(());
+    if let Some(page) = pages::answer(shared, &parts) {
+        return page;
+    }
+    let started = Instant::now();
+    let service = parts.uri.path().split('/').nth(1).unwrap_or_default().to_owned();
+    match serve(shared, &parts, body, started).await {
+        Ok(answer) => answer,
+        Err(problem) => {
+            let outcome = problem.outcome;
+            shared.metrics.request(&service, answer::label(outcome), seconds(started));
+            info!(shared.log, "refused"; "service" => service, "reason" => problem.reason,
+                "outcome" => answer::label(outcome), "request" => problem.request_text());
+            problem.into_response()
+        }
+    }
+}
+
+fn seconds(started: Instant) -> f64 {
+    started.elapsed().as_secs_f64()
+}
+
+/// One request on its way through the node.
+struct Passage<'a> {
+    shared: &'a Arc<Shared>,
+    snapshot: &'a Snapshot,
+    service: &'a Service,
+    head: Head,
+    parts: &'a Parts,
+    started: Instant,
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    parts: &Parts,
+    body: RequestBody,
+    started: Instant,
+) -> Result<Response<ResponseBody>, Problem> {
+    let Some(presence) = shared.enter() else {
+        return Err(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "node-full", None));
+    };
+    let snapshot = shared.snapshot.load_full();
+    let head = Head::read(parts, &snapshot, &shared.settings.limits)?;
+    let Some(service) = snapshot.services.get(&head.service) else {
+        return Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown-service", Some(&head.id)));
+    };
+    let passage = Passage { shared, snapshot: &snapshot, service, head, parts, started };
+    if service.declaration.is_idempotent(parts.method.as_str(), &passage.head.path) {
+        passage.repeatable(body, presence).await
+    } else {
+        passage.at_most_once(body, presence).await
+    }
+}
+
+impl Passage<'_> {
+    fn not_run(&self, status: StatusCode, reason: &'static str) -> Problem {
+        Problem::not_run(status, reason, Some(&self.head.id))
+    }
+
+    fn intent(&self, kept: &[u8], truncated: bool, at_most_once: bool) -> Intent {
+        let path = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(self.parts.method.as_str().as_bytes());
+        hasher.update(path.as_bytes());
+        hasher.update(kept);
+        Intent {
+            id: self.head.id.clone(),
+            attempt: self.head.attempt,
+            at_most_once,
+            customer: self.head.customer.clone(),
+            service: self.head.service.clone(),
+            at: self.shared.life.clone(),
+            time_ms: clock::wall_ms(),
+            method: self.parts.method.to_string(),
+            path: path.to_owned(),
+            head: head::pairs(&self.parts.headers),
+            body: kept.to_vec(),
+            truncated,
+            fingerprint: hasher.digest(),
+        }
+    }
+
+    /// Serves a request that must run at most once: its intent is durable before it is sent.
+    async fn at_most_once(
+        &self,
+        body: RequestBody,
+        presence: Presence,
+    ) -> Result<Response<ResponseBody>, Problem> {
+        let limit = self.shared.settings.limits.journal_body;
+        let collected = body::collect(body, limit, self.head.deadline).await;
+        let Collected::Whole(bytes) = collected.map_err(|err| self.body_problem(&err))? else {
+            return Err(self.not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"));
+        };
+        let intent = self.intent(&bytes, false, true);
+        let permit = self.acquire(&[]).await?;
+        loop {
+            match self.shared.journal.intend(intent.clone(), self.head.deadline).await {
+                Verdict::Recorded => break,
+                Verdict::Refused => {
+                    return Err(self.not_run(StatusCode::SERVICE_UNAVAILABLE, "not-recorded"));
+                }
+                Verdict::Mismatch => {
+                    let status = StatusCode::UNPROCESSABLE_ENTITY;
+                    return Err(self.not_run(status, "id-used-with-another-request"));
+                }
+                Verdict::Concluded(outcome) => {
+                    return Ok(answer::replay(&self.head.id, &outcome));
+                }
+                Verdict::Open(life) => self.wait_for_other(&life).await?,
+            }
+        }
+        self.run(Some(permit), Some(bytes), None, presence).await
+    }
+
+    /// Waits a little for the node that has the request; it is known not to have ended yet.
+    async fn wait_for_other(&self, life: &Life) -> Result<(), Problem> {
+        let alive = self.snapshot.registered.contains(life) || *life == self.shared.life;
+        let next = clock::now() + OPEN_POLL;
+        if !alive || next >= self.head.deadline {
+            let reason = "open-elsewhere";
+            return Err(Problem::unknown(StatusCode::CONFLICT, reason, &self.head.id));
+        }
+        tokio::time::sleep(OPEN_POLL.to_std()).await;
+        Ok(())
+    }
+
+    /// Serves a request that may be repeated: it is recorded while it runs.
+    async fn repeatable(
+        &self,
+        body: RequestBody,
+        presence: Presence,
+    ) -> Result<Response<ResponseBody>, Problem> {
+        let refuses = self.service.declaration.store_outage == StoreOutage::Refuse;
+        if refuses && !self.snapshot.store_reachable {
+            return Err(self.not_run(StatusCode::SERVICE_UNAVAILABLE, "store-down"));
+        }
+        let kept = self.shared.settings.limits.kept_body;
+        let collected = body::collect(body, kept, self.head.deadline).await;
+        match collected.map_err(|err| self.body_problem(&err))? {
+            Collected::Whole(bytes) => {
+                let permit = self.acquire(&[]).await?;
+                let durable = self.record(&bytes, false)?;
+                let answer = self.run(Some(permit), Some(bytes), None, presence).await;
+                self.recorded(durable).await;
+                answer
+            }
+            Collected::Larger { start, rest } => {
+                let permit = self.acquire(&[]).await?;
+                let durable = self.record(&start, true)?;
+                let limit = self.shared.settings.limits.body;
+                let stream = body::stream(start, rest, limit);
+                let answer = self.run(Some(permit), None, Some(stream), presence).await;
+                self.recorded(durable).await;
+                answer
+            }
+        }
+    }
+
+    /// Hands the record of a repeatable request over; the receiver tells when it is durable.
+    fn record(&self, kept: &Bytes, truncated: bool) -> Result<oneshot::Receiver<bool>, Problem> {
+        let record = Record::Intent(self.intent(kept, truncated, false));
+        let handed_over = self.shared.journal.append_with_notice(record);
+        handed_over.ok_or_else(|| self.not_run(StatusCode::SERVICE_UNAVAILABLE, "history-full"))
+    }
+
+    /// An answer goes out once its request is in the history, or the store is known not to take it.
+    async fn recorded(&self, durable: oneshot::Receiver<bool>) {
+        let limit = clock::until(self.head.deadline);
+        let _ = tokio::time::timeout(limit, durable).await;
+    }
+
+    fn body_problem(&self, err: &body::BodyError) -> Problem {
+        let (status, reason) = match err {
+            body::BodyError::Broken => (StatusCode::BAD_REQUEST, "body-broken"),
+            body::BodyError::Slow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        };
+        self.not_run(status, reason)
+    }
+
+    async fn acquire(&self, avoid: &[RackId]) -> Result<Permit, Problem> {
+        let Head { service, customer, deadline, .. } = &self.head;
+        let permit = self.service.pool.acquire(service, customer, *deadline, avoid).await;
+        permit.map_err(|refusal| {
+            let reason = match refusal {
+                Refusal::UnknownService => "unknown-service",
+                Refusal::CustomerLimit => "customer-limit",
+                Refusal::TooLate => "too-late",
+                Refusal::Full => "queue-full",
+            };
+            self.shared.metrics.refusal(reason);
+            self.not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+        })
+    }
+
+    /// Makes attempts until one brings an answer or none may follow.
+    async fn run(
+        &self,
+        mut permit: Option<Permit>,
+        bytes: Option<Bytes>,
+        mut stream: Option<OutBody>,
+        presence: Presence,
+    ) -> Result<Response<ResponseBody>, Problem> {
+        let mut avoid = Vec::new();
+        let mut ran_before = false;
+        self.budget(retry::Budget::deposit);
+        for attempt in 1.. {
+            let taken = match permit.take() {
+                Some(permit) => permit,
+                None => match self.acquire(&avoid).await {
+                    Ok(permit) => permit,
+                    Err(problem) => return Err(self.ended(problem, ran_before)),
+                },
+            };
+            self.log_decision(&taken, attempt);
+            let body = match (&bytes, stream.take()) {
+                (Some(bytes), _) => backend::whole_body(bytes.clone()),
+                (None, Some(stream)) => stream,
+                (None, None) => break,
+            };
+            let rack = taken.vm.info.rack.clone();
+            let req = head::outgoing(self.parts, &self.head, &taken.vm.info, body);
+            let err = match backend::exchange(taken, req, self.head.deadline).await {
+                Ok(answer) => return Ok(self.deliver(answer, presence)),
+                Err(err) => err,
+            };
+            warn!(self.shared.log, "attempt failed"; "request" => %self.head.id,
+                "service" => %self.head.service, "attempt" => attempt, "error" => %err);
+            ran_before |= err.failure == Failure::Unknown;
+            avoid.push(rack);
+            if bytes.is_none() || !self.may_repeat(&err) {
+                let status = if clock::now() >= self.head.deadline {
+                    StatusCode::GATEWAY_TIMEOUT
+                } else {
+                    StatusCode::BAD_GATEWAY
+                };
+                return Err(self.ended(self.not_run(status, "attempt-failed"), ran_before));
+            }
+            self.shared.metrics.repeat(self.head.service.as_str());
+        }
+        Err(self.ended(self.not_run(StatusCode::BAD_GATEWAY, "attempt-failed"), ran_before))
+    }
+
+    fn budget<T>(&self, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let budget = &self.service.budget;
+        act(&mut budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    fn may_repeat(&self, err: &AttemptError) -> bool {
+        let path = &self.head.path;
+        let idempotent = self.service.declaration.is_idempotent(self.parts.method.as_str(), path);
+        // The queue refuses what could not end in time, so nothing is added for the attempt here.
+        let safe =
+            retry::may_repeat(err.failure, idempotent, self.head.deadline, Span(0), clock::now());
+        safe && self.shared.settings.routing.retries && self.budget(retry::Budget::withdraw)
+    }
+
+    /// Records the end of a request that brought no answer.
+    fn ended(&self, problem: Problem, may_have_run: bool) -> Problem {
+        let kind = if may_have_run { OutcomeKind::Unknown } else { OutcomeKind::NotRun };
+        self.conclude(Outcome::without_answer(kind));
+        if may_have_run { problem.with_unknown_outcome() } else { problem }
+    }
+
+    fn conclude(&self, outcome: Outcome) {
+        let end = Conclusion {
+            id: self.head.id.clone(),
+            attempt: self.head.attempt,
+            customer: self.head.customer.clone(),
+            time_ms: clock::wall_ms(),
+            outcome,
+        };
+        self.shared.journal.append(Record::Conclusion(end));
+    }
+
+    fn log_decision(&self, permit: &Permit, attempt: u32) {
+        let vm = &permit.vm;
+        let (held, in_use) = vm.slots();
+        info!(self.shared.log, "routed"; "request" => %self.head.id,
+            "service" => %self.head.service, "vm" => %vm.info.id, "attempt" => attempt,
+            "held" => held, "in_use" => in_use, "zone" => %vm.info.zone,
+            "weighed" => permit.weighed, "waited_us" => self.started.elapsed().as_micros());
+    }
+
+    /// Passes an answer on, and records it as it goes by.
+    fn deliver(&self, answer: Response<Answer>, presence: Presence) -> Response<ResponseBody> {
+        let (mut parts, body) = answer.into_parts();
+        head::strip_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(hyper::header::CONTENT_LENGTH);
+        let recorder = Recorder::new(self, &parts, presence);
+        answer::mark(&mut parts.headers, &self.head.id, OutcomeKind::Ran);
+        let body = body.watched(Box::new(recorder));
+        Response::from_parts(parts, ResponseBody::boxed(body))
+    }
+}
--- /dev/null
+++ b/src/front/answer.rs
@@ -0,0 +1,198 @@
+//! Answers to callers: marked heads, problems, and the record of what was answered.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    http::response::Parts,
+};
+use serde_json::json;
+use teaselgap_core::{
+    CustomerId, RequestId, ServiceId,
+    journal::{Conclusion, Outcome, OutcomeKind, Record},
+};
+use xitca_web::body::ResponseBody;
+
+use super::{Passage, head, seconds};
+use crate::{backend::Witness, clock, journal::JournalClient, metrics::Metrics, traffic::Presence};
+
+/// How an outcome is written in heads and metrics.
+pub(super) fn label(kind: OutcomeKind) -> &'static str {
+    match kind {
+        OutcomeKind::Ran => "ran",
+        OutcomeKind::NotRun => "not-run",
+        OutcomeKind::Unknown => "unknown",
+    }
+}
+
+/// Marks an answer with its request and outcome.
+pub(super) fn mark(headers: &mut HeaderMap, id: &RequestId, kind: OutcomeKind) {
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(head::REQUEST, value);
+    }
+    headers.insert(head::OUTCOME, HeaderValue::from_static(label(kind)));
+}
+
+/// An answer that this node gives in place of a backend server.
+#[derive(Debug)]
+pub(super) struct Problem {
+    status: StatusCode,
+    pub(super) reason: &'static str,
+    pub(super) outcome: OutcomeKind,
+    request: Option<RequestId>,
+}
+
+/// Seconds after which a caller that was refused may try again.
+const RETRY_AFTER_SECONDS: &str = "1";
+
+impl Problem {
+    /// The request was not and will not be run.
+    pub(super) fn not_run(
+        status: StatusCode,
+        reason: &'static str,
+        request: Option<&RequestId>,
+    ) -> Self {
+        Self { status, reason, outcome: OutcomeKind::NotRun, request: request.cloned() }
+    }
+
+    /// The request may have run.
+    pub(super) fn unknown(status: StatusCode, reason: &'static str, request: &RequestId) -> Self {
+        Self { status, reason, outcome: OutcomeKind::Unknown, request: Some(request.clone()) }
+    }
+
+    pub(super) fn with_unknown_outcome(mut self) -> Self {
+        self.outcome = OutcomeKind::Unknown;
+        self
+    }
+
+    pub(super) fn request_text(&self) -> String {
+        self.request.as_ref().map(ToString::to_string).unwrap_or_default()
+    }
+
+    pub(super) fn into_response(self) -> Response<ResponseBody> {
+        let hint = match self.outcome {
+            OutcomeKind::Unknown => {
+                "Send the same request with the same Idempotency-Key to learn how it ended; \
+                 a request that must run at most once is not run again."
+            }
+            _ => "No backend server has acted on the request; it may be sent again.",
+        };
+        let body = json!({
+            "type": "about:blank",
+            "title": self.status.canonical_reason().unwrap_or_default(),
+            "status": self.status.as_u16(),
+            "detail": hint,
+            "reason": self.reason,
+            "outcome": label(self.outcome),
+            "request": self.request_text(),
+        });
+        let mut response = Response::new(ResponseBody::bytes(Bytes::from(body.to_string())));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let problem = HeaderValue::from_static("application/problem+json");
+        headers.insert(CONTENT_TYPE, problem);
+        headers.insert(head::OUTCOME, HeaderValue::from_static(label(self.outcome)));
+        if let Some(id) = &self.request {
+            mark(headers, id, self.outcome);
+        }
+        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+        }
+        response
+    }
+}
+
+/// The recorded answer of a request that ended before.
+pub(super) fn replay(id: &RequestId, outcome: &Outcome) -> Response<ResponseBody> {
+    if outcome.kind != OutcomeKind::Ran || outcome.truncated {
+        let (status, reason) = match outcome.kind {
+            OutcomeKind::Ran => (StatusCode::CONFLICT, "ran-but-answer-not-kept"),
+            _ => (StatusCode::CONFLICT, "outcome-unknown"),
+        };
+        let problem = Problem::unknown(status, reason, id);
+        return Problem { outcome: outcome.kind, ..problem }.into_response();
+    }
+    let mut response = Response::new(ResponseBody::bytes(Bytes::copy_from_slice(&outcome.body)));
+    *response.status_mut() = StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK);
+    for (name, value) in &outcome.head {
+        if let (Ok(name), Ok(value)) =
+            (name.parse::<hyper::header::HeaderName>(), HeaderValue::from_str(value))
+        {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    mark(response.headers_mut(), id, OutcomeKind::Ran);
+    response
+}
+
+/// Keeps what is answered and hands it to the journal when it ends.
+pub(super) struct Recorder {
+    journal: JournalClient,
+    metrics: Metrics,
+    service: ServiceId,
+    customer: CustomerId,
+    id: RequestId,
+    attempt: u64,
+    status: StatusCode,
+    head: Vec<(String, String)>,
+    body: Vec<u8>,
+    bound: usize,
+    truncated: bool,
+    started: Instant,
+    /// The request is in the node until its answer has ended.
+    _presence: Presence,
+}
+
+impl Recorder {
+    pub(super) fn new(passage: &Passage<'_>, parts: &Parts, presence: Presence) -> Self {
+        let shared = passage.shared;
+        let bound = shared.settings.limits.kept_body.0;
+        Self {
+            journal: shared.journal.clone(),
+            metrics: shared.metrics.clone(),
+            service: passage.head.service.clone(),
+            customer: passage.head.customer.clone(),
+            id: passage.head.id.clone(),
+            attempt: passage.head.attempt,
+            status: parts.status,
+            head: head::pairs(&parts.headers),
+            body: Vec::new(),
+            bound: usize::try_from(bound).unwrap_or(usize::MAX),
+            truncated: false,
+            started: passage.started,
+            _presence: presence,
+        }
+    }
+}
+
+impl Witness for Recorder {
+    fn data(&mut self, bytes: &Bytes) {
+        let room = self.bound.saturating_sub(self.body.len()).min(bytes.len());
+        self.body.extend_from_slice(&bytes[..room]);
+        self.truncated |= room < bytes.len();
+    }
+
+    fn end(&mut self, in_order: bool) {
+        // The request ran whether or not its answer came through whole.
+        let outcome = Outcome {
+            kind: OutcomeKind::Ran,
+            status: self.status.as_u16(),
+            head: std::mem::take(&mut self.head),
+            body: std::mem::take(&mut self.body),
+            truncated: self.truncated || !in_order,
+        };
+        let end = Conclusion {
+            id: self.id.clone(),
+            attempt: self.attempt,
+            customer: self.customer.clone(),
+            time_ms: clock::wall_ms(),
+            outcome,
+        };
+        self.journal.append(Record::Conclusion(end));
+        let told = if in_order { "ran" } else { "broken-off" };
+        self.metrics.request(self.service.as_str(), told, seconds(self.started));
+    }
+}
--- /dev/null
+++ b/src/journal/recover.rs
@@ -0,0 +1,145 @@
+//! Reading a partition back from the store.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+use teaselgap_core::{
+    RequestId,
+    duty::Life,
+    journal::{Entry, Outcome, Progress, Segment, Sequence, recover},
+};
+
+use super::codec::{self, CodecError};
+use crate::store::{Priority, Store, StoreError, keys::Keys, prefix_end};
+
+/// Says which snapshot counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SnapshotHead {
+    /// The snapshot covers all segments before this one.
+    pub(crate) sequence: Sequence,
+    /// In how many parts it is written.
+    pub(crate) parts: usize,
+}
+
+/// An entry as a snapshot holds it.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SavedEntry {
+    #[serde_as(as = "DisplayFromStr")]
+    id: RequestId,
+    fingerprint: u64,
+    attempt: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    at: Option<Life>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    outcome: Option<Outcome>,
+}
+
+impl SavedEntry {
+    pub(crate) fn new(id: &RequestId, entry: &Entry) -> Self {
+        let (at, outcome) = match entry.progress.clone() {
+            Progress::Open(at) => (Some(at), None),
+            Progress::Concluded(outcome) => (None, Some(outcome)),
+        };
+        let Entry { fingerprint, attempt, .. } = *entry;
+        Self { id: id.clone(), fingerprint, attempt, at, outcome }
+    }
+
+    fn into_entry(self) -> Option<(RequestId, Entry)> {
+        let progress = match (self.at, self.outcome) {
+            (_, Some(outcome)) => Progress::Concluded(outcome),
+            (Some(at), None) => Progress::Open(at),
+            (None, None) => return None,
+        };
+        let Self { id, fingerprint, attempt, .. } = self;
+        Some((id, Entry { fingerprint, attempt, progress }))
+    }
+}
+
+/// A partition could not be read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum RecoverError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    #[error("segment {found} follows segment {before} of partition {partition}")]
+    Gap { partition: u32, before: Sequence, found: Sequence },
+}
+
+/// A partition as read back.
+#[derive(Debug, Default)]
+pub(crate) struct Recovered {
+    pub(crate) entries: IndexMap<RequestId, Entry>,
+    /// The first segment that no snapshot covers.
+    pub(crate) first: Sequence,
+    /// The first free number.
+    pub(crate) next: Sequence,
+}
+
+/// Segments read with one call.
+const PAGE: u32 = 16;
+
+/// Reads all segments of a partition from a number on.
+pub(crate) async fn read_segments(
+    store: &dyn Store,
+    keys: &Keys,
+    partition: u32,
+    from: Sequence,
+) -> Result<Vec<Segment>, RecoverError> {
+    let end = prefix_end(&keys.segments(partition));
+    let mut start = keys.segment(partition, from);
+    let mut segments: Vec<Segment> = Vec::new();
+    loop {
+        let page = store.range(&start, &end, PAGE, Priority::Control).await?;
+        for item in &page.items {
+            let segment: Segment = codec::decode(&item.value)?;
+            if let Some(last) = segments.last()
+                && last.sequence + 1 != segment.sequence
+            {
+                let (before, found) = (last.sequence, segment.sequence);
+                return Err(RecoverError::Gap { partition, before, found });
+            }
+            segments.push(segment);
+        }
+        match page.items.last() {
+            Some(last) if page.more => start = format!("{}\0", last.key),
+            _ => return Ok(segments),
+        }
+    }
+}
+
+/// The number of the snapshot that counts.
+pub(crate) async fn read_head(
+    store: &dyn Store,
+    keys: &Keys,
+    partition: u32,
+) -> Result<SnapshotHead, RecoverError> {
+    let key = keys.snapshot_head(partition);
+    let page = store.range(&key, &format!("{key}\0"), 1, Priority::Control).await?;
+    let Some(item) = page.items.first() else {
+        return Ok(SnapshotHead { sequence: 1, parts: 0 });
+    };
+    Ok(codec::decode(&item.value)?)
+}
+
+/// Reads a partition from its newest snapshot and the segments after it.
+pub(crate) async fn read(
+    store: &dyn Store,
+    keys: &Keys,
+    partition: u32,
+) -> Result<Recovered, RecoverError> {
+    let head = read_head(store, keys, partition).await?;
+    let mut entries = IndexMap::new();
+    for part in 0..head.parts {
+        let key = keys.snapshot_part(partition, head.sequence, part);
+        let page = store.range(&key, &format!("{key}\0"), 1, Priority::Control).await?;
+        for item in &page.items {
+            let saved: Vec<SavedEntry> = codec::decode(&item.value)?;
+            entries.extend(saved.into_iter().filter_map(SavedEntry::into_entry));
+        }
+    }
+    let segments = read_segments(store, keys, partition, head.sequence).await?;
+    let next = segments.last().map_or(head.sequence, |segment| segment.sequence + 1);
+    Ok(Recovered { entries: recover(entries, segments), first: head.sequence, next })
+}
--- /dev/null
+++ b/src/journal/service.rs
@@ -0,0 +1,530 @@
+//! The journal's thread: one task that drives the partitions owned here.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use slog::{Logger, info, warn};
+use teaselgap_core::{
+    Epoch, RequestId,
+    duty::{DutyId, Life},
+    journal::{
+        Action, Conclusion, Config, Intent, Partition, Record, Segment, Sequence, Token, Verdict,
+        Written,
+    },
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+};
+
+use super::{
+    Ask, JournalClient, LeaseDeadline, Owner, Owners, codec, compact,
+    outbox::Outbox,
+    recover::{self, RecoverError, Recovered},
+};
+use crate::{
+    clock,
+    peer::PeerClients,
+    settings::JournalSettings,
+    store::{
+        Condition, Priority, Store, StoreError, Transaction, Write,
+        keys::{Keys, partition_of},
+    },
+};
+
+/// What the journal's thread works with.
+pub(crate) struct JournalConfig {
+    pub(crate) life: Life,
+    pub(crate) settings: JournalSettings,
+    pub(crate) keys: Keys,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) owners: watch::Receiver<Owners>,
+    pub(crate) lease: LeaseDeadline,
+    pub(crate) client: JournalClient,
+    pub(crate) log: Logger,
+}
+
+/// Starts the journal's thread; it ends with the last client.
+pub(crate) fn start(
+    cfg: JournalConfig,
+    asks: mpsc::UnboundedReceiver<Ask>,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    std::thread::Builder::new().name("journal".to_owned()).spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = match runtime {
+            Ok(runtime) => runtime,
+            Err(err) => {
+                slog::error!(cfg.log, "journal thread"; "error" => %err);
+                return;
+            }
+        };
+        LocalSet::new().block_on(&runtime, Service::new(cfg).run(asks));
+    })
+}
+
+/// What the tasks of this thread report back.
+enum Event {
+    Recovered { partition: u32, epoch: Epoch, result: Result<Recovered, RecoverError> },
+    Stored { partition: u32, epoch: Epoch, sequence: Sequence, written: Written },
+    ReadBack { partition: u32, epoch: Epoch, sequence: Sequence, nonce: Option<u64> },
+    BatchDone { partition: u32, durable: bool },
+    Compacted { partition: u32, epoch: Epoch, first: Option<Sequence> },
+    Recheck,
+}
+
+/// Who waits for a token.
+enum Waiter {
+    Verdict(oneshot::Sender<Verdict>, Intent),
+    Batch(Rc<RefCell<Batch>>),
+}
+
+/// Records that were brought together and are answered together.
+struct Batch {
+    left: usize,
+    durable: bool,
+    reply: Option<oneshot::Sender<bool>>,
+}
+
+impl Batch {
+    fn settle(&mut self, durable: bool) {
+        self.left -= 1;
+        self.durable &= durable;
+        if self.left == 0 {
+            let _ = self.reply.take().map(|reply| reply.send(self.durable));
+        }
+    }
+}
+
+/// A partition that is owned here.
+struct Local {
+    epoch: Epoch,
+    state: Option<Ready>,
+    /// What arrived while the partition was being read.
+    early: Vec<Ask>,
+}
+
+struct Ready {
+    machine: Partition,
+    waiters: HashMap<Token, Waiter>,
+    /// The first segment that no snapshot covers.
+    first: Sequence,
+    compacting: bool,
+}
+
+struct Service {
+    cfg: JournalConfig,
+    peers: PeerClients,
+    locals: HashMap<u32, Local>,
+    outboxes: Vec<Outbox>,
+    next_token: u64,
+    tx: mpsc::UnboundedSender<Event>,
+    rx: Option<mpsc::UnboundedReceiver<Event>>,
+}
+
+/// Longest pause while nothing waits.
+const IDLE_PAUSE: Duration = Duration::from_mins(1);
+
+/// Pause before a partition that could not be read is read again.
+const RECOVER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause before a segment that could not be read back is read again.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(20);
+
+impl Service {
+    fn new(cfg: JournalConfig) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let outboxes = (0..cfg.settings.partitions).map(|_| Outbox::default()).collect();
+        Self {
+            cfg,
+            peers: PeerClients::default(),
+            locals: HashMap::new(),
+            outboxes,
+            next_token: 0,
+            tx,
+            rx: Some(rx),
+        }
+    }
+
+    async fn run(mut self, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        let Some(mut events) = self.rx.take() else {
+            return;
+        };
+        let mut owners = self.cfg.owners.clone();
+        loop {
+            self.flush_outboxes();
+            let due = self.outboxes.iter().filter_map(Outbox::due).min();
+            let pause = due.map_or(IDLE_PAUSE, clock::until);
+            tokio::select! {
+                ask = asks.recv() => match ask {
+                    Some(ask) => self.ask(ask),
+                    None => return,
+                },
+                Some(event) = events.recv() => self.event(event),
+                changed = owners.changed() => match changed {
+                    Ok(()) => self.take_owners(),
+                    Err(_) => return,
+                },
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    fn partition_of(&self, id: &RequestId) -> u32 {
+        partition_of(id, self.cfg.settings.partitions)
+    }
+
+    fn owner(&self, partition: u32) -> Option<Owner> {
+        self.cfg.owners.borrow().get(partition as usize).cloned().flatten()
+    }
+
+    /// Starts reading what became owned here and lets go of what is owned elsewhere.
+    fn take_owners(&mut self) {
+        for partition in 0..self.cfg.settings.partitions {
+            let mine = self.owner(partition).filter(|owner| owner.life == self.cfg.life);
+            let Some(owner) = mine else {
+                // Those who wait see their channel close, which is a refusal.
+                self.locals.remove(&partition);
+                continue;
+            };
+            let known = self.locals.get(&partition).map(|local| local.epoch);
+            if known != Some(owner.epoch) {
+                let local = Local { epoch: owner.epoch, state: None, early: Vec::new() };
+                self.locals.insert(partition, local);
+                self.recover(partition, owner.epoch, Duration::ZERO);
+            }
+        }
+    }
+
+    fn recover(&self, partition: u32, epoch: Epoch, pause: Duration) {
+        let (store, keys) = (Arc::clone(&self.cfg.store), self.cfg.keys.clone());
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            let result = recover::read(&*store, &keys, partition).await;
+            let _ = tx.send(Event::Recovered { partition, epoch, result });
+        });
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        match ask {
+            Ask::Append { record, reply } => {
+                let id = match &record {
+                    Record::Intent(intent) => &intent.id,
+                    Record::Conclusion(end) => &end.id,
+                };
+                let partition = self.partition_of(id);
+                self.outboxes[partition as usize].push(record, reply);
+            }
+            Ask::Intend { intent, reply } => {
+                let partition = self.partition_of(&intent.id);
+                match self.owner(partition) {
+                    Some(owner) if owner.life == self.cfg.life => {
+                        self.local(partition, Ask::PeerIntend { partition, intent, reply });
+                    }
+                    Some(owner) => self.intend_at(&owner, partition, intent, reply),
+                    None => drop(reply),
+                }
+            }
+            Ask::PeerIntend { partition, .. } | Ask::PeerAppend { partition, .. } => {
+                self.local(partition, ask);
+            }
+        }
+    }
+
+    /// Asks the owner; a question without an answer is a refusal, and the owner is told so.
+    fn intend_at(
+        &self,
+        owner: &Owner,
+        partition: u32,
+        intent: Intent,
+        reply: oneshot::Sender<Verdict>,
+    ) {
+        let call = self.peers.intend(owner.address, partition, &intent);
+        let client = self.cfg.client.clone();
+        tokio::task::spawn_local(async move {
+            let verdict = call.await;
+            let lost = verdict.is_none();
+            let refused = reply.send(verdict.unwrap_or(Verdict::Refused)).err();
+            // Nobody will send the request, so the intent is taken back in case it was recorded.
+            if lost || refused == Some(Verdict::Recorded) {
+                client.append(Record::Conclusion(Conclusion::not_run(&intent)));
+            }
+        });
+    }
+
+    /// Handles what concerns a partition that should be owned here.
+    fn local(&mut self, partition: u32, ask: Ask) {
+        let Some(local) = self.locals.get_mut(&partition) else {
+            // Dropping the reply is a refusal.
+            return;
+        };
+        let Some(ready) = &mut local.state else {
+            local.early.push(ask);
+            return;
+        };
+        let mut out = Vec::new();
+        let mut token = || {
+            self.next_token += 1;
+            Token(self.next_token)
+        };
+        match ask {
+            Ask::PeerIntend { intent, reply, .. } | Ask::Intend { intent, reply } => {
+                let token = token();
+                ready.waiters.insert(token, Waiter::Verdict(reply, intent.clone()));
+                ready.machine.intend(token, intent, &mut out);
+            }
+            Ask::PeerAppend { records, reply, .. } => {
+                let left = records.len();
+                let batch = Batch { left, durable: true, reply: Some(reply) };
+                let batch = Rc::new(RefCell::new(batch));
+                for record in records {
+                    let token = token();
+                    ready.waiters.insert(token, Waiter::Batch(Rc::clone(&batch)));
+                    ready.machine.append(token, record, &mut out);
+                }
+            }
+            Ask::Append { .. } => {}
+        }
+        self.perform(partition, out);
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        let partition = match event {
+            Event::Recheck => return self.take_owners(),
+            Event::BatchDone { partition, durable } => {
+                let outbox = &mut self.outboxes[partition as usize];
+                let bytes = outbox.answered(durable, clock::now());
+                self.cfg.client.settled(bytes);
+                return;
+            }
+            Event::Recovered { partition, epoch, result } => {
+                return self.recovered(partition, epoch, result);
+            }
+            Event::Compacted { partition, epoch, first } => {
+                if let Some(ready) = self.ready(partition, epoch) {
+                    ready.compacting = false;
+                    ready.first = first.unwrap_or(ready.first);
+                }
+                return;
+            }
+            Event::Stored { partition, epoch, sequence, written } => {
+                if let Some(ready) = self.ready(partition, epoch) {
+                    ready.machine.written(sequence, written, &mut out);
+                }
+                partition
+            }
+            Event::ReadBack { partition, epoch, sequence, nonce } => {
+                if let Some(ready) = self.ready(partition, epoch) {
+                    ready.machine.read_back(sequence, nonce, &mut out);
+                }
+                partition
+            }
+        };
+        self.perform(partition, out);
+        self.compact_if_due(partition);
+    }
+
+    fn ready(&mut self, partition: u32, epoch: Epoch) -> Option<&mut Ready> {
+        let local = self.locals.get_mut(&partition)?;
+        local.state.as_mut().filter(|_| local.epoch == epoch)
+    }
+
+    fn recovered(&mut self, partition: u32, epoch: Epoch, result: Result<Recovered, RecoverError>) {
+        let Some(local) = self.locals.get_mut(&partition).filter(|local| local.epoch == epoch)
+        else {
+            return;
+        };
+        let recovered = match result {
+            Ok(recovered) => recovered,
+            Err(err) => {
+                warn!(self.cfg.log, "journal not read"; "partition" => partition,
+                    "error" => %err);
+                return self.recover(partition, epoch, RECOVER_PAUSE);
+            }
+        };
+        info!(self.cfg.log, "journal read"; "partition" => partition, "epoch" => epoch.0,
+            "entries" => recovered.entries.len(), "next" => recovered.next);
+        let max_remembered = usize::try_from(self.cfg.settings.remembered).unwrap_or(usize::MAX);
+        let cfg = Config { max_remembered, ..Config::default() };
+        // The term is part of the nonce, and within a term it counts up.
+        let nonce = epoch.0 << 24;
+        let machine = Partition::new(cfg, recovered.next, recovered.entries, nonce);
+        local.state = Some(Ready {
+            machine,
+            waiters: HashMap::new(),
+            first: recovered.first,
+            compacting: false,
+        });
+        for ask in std::mem::take(&mut local.early) {
+            self.local(partition, ask);
+        }
+    }
+
+    /// Carries out what a partition asks for.
+    fn perform(&mut self, partition: u32, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Write(segment) => self.write(partition, segment),
+                Action::ReadBack(sequence) => self.read_back(partition, sequence),
+                Action::Answer(token, verdict) => self.answer(partition, token, verdict),
+                Action::Durable(token) => self.answer(partition, token, Verdict::Recorded),
+                Action::Stop => {
+                    warn!(self.cfg.log, "journal term ended"; "partition" => partition);
+                    self.locals.remove(&partition);
+                    // If the term stands after all, the partition is read anew.
+                    let tx = self.tx.clone();
+                    tokio::task::spawn_local(async move {
+                        tokio::time::sleep(RECOVER_PAUSE).await;
+                        let _ = tx.send(Event::Recheck);
+                    });
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, partition: u32, token: Token, verdict: Verdict) {
+        let Some(ready) = self.locals.get_mut(&partition).and_then(|local| local.state.as_mut())
+        else {
+            return;
+        };
+        match ready.waiters.remove(&token) {
+            Some(Waiter::Verdict(reply, intent)) => {
+                let unheard = reply.send(verdict).err();
+                // Nobody waits for the verdict any more, so nobody will send the request.
+                if unheard == Some(Verdict::Recorded) {
+                    self.cfg.client.append(Record::Conclusion(Conclusion::not_run(&intent)));
+                }
+            }
+            Some(Waiter::Batch(batch)) => {
+                batch.borrow_mut().settle(verdict == Verdict::Recorded);
+            }
+            None => {}
+        }
+    }
+
+    fn write(&self, partition: u32, segment: Segment) {
+        let Some(epoch) = self.locals.get(&partition).map(|local| local.epoch) else {
+            return;
+        };
+        let sequence = segment.sequence;
+        let tx = self.tx.clone();
+        let stored = move |written| Event::Stored { partition, epoch, sequence, written };
+        // The deadline is looked at before each effect; the store's compare fences what is late.
+        if !self.cfg.lease.stands() {
+            let _ = tx.send(stored(Written::Failed));
+            return;
+        }
+        let duty = self.cfg.keys.duty(&DutyId::Journal(partition));
+        let key = self.cfg.keys.segment(partition, sequence);
+        let store = Arc::clone(&self.cfg.store);
+        tokio::task::spawn_local(async move {
+            let written = match codec::encode(&segment) {
+                Ok(value) => {
+                    let transaction = Transaction {
+                        conditions: vec![
+                            Condition::Revision(duty, epoch.0),
+                            Condition::Absent(key.clone()),
+                        ],
+                        writes: vec![Write::Put { key, value, lease: None }],
+                    };
+                    match store.transact(&transaction, Priority::Vital).await {
+                        Ok(Some(_)) => Written::Done,
+                        Ok(None) => Written::Fenced,
+                        Err(StoreError::Unavailable(_)) => Written::Failed,
+                        Err(StoreError::Uncertain(_)) => Written::Uncertain,
+                    }
+                }
+                Err(_) => Written::Failed,
+            };
+            let _ = tx.send(stored(written));
+        });
+    }
+
+    /// Reads a segment's nonce, however long that takes; the term may end meanwhile.
+    fn read_back(&self, partition: u32, sequence: Sequence) {
+        let Some(epoch) = self.locals.get(&partition).map(|local| local.epoch) else {
+            return;
+        };
+        let key = self.cfg.keys.segment(partition, sequence);
+        let store = Arc::clone(&self.cfg.store);
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            let end = format!("{key}\0");
+            while !tx.is_closed() {
+                if let Ok(page) = store.range(&key, &end, 1, Priority::Vital).await {
+                    let segment =
+                        page.items.first().map(|item| codec::decode::<Segment>(&item.value));
+                    let nonce = segment.and_then(Result::ok).map(|segment| segment.nonce);
+                    let _ = tx.send(Event::ReadBack { partition, epoch, sequence, nonce });
+                    return;
+                }
+                tokio::time::sleep(READ_BACK_PAUSE).await;
+            }
+        });
+    }
+
+    /// Sends what waits in the outboxes to the owners.
+    fn flush_outboxes(&mut self) {
+        let now = clock::now();
+        for partition in 0..self.cfg.settings.partitions {
+            let Some(records) = self.outboxes[partition as usize].next_batch(now) else {
+                continue;
+            };
+            let tx = self.tx.clone();
+            let done = move |durable| {
+                let _ = tx.send(Event::BatchDone { partition, durable });
+            };
+            match self.owner(partition) {
+                None => done(false),
+                Some(owner) if owner.life == self.cfg.life => {
+                    let (reply, rx) = oneshot::channel();
+                    self.local(partition, Ask::PeerAppend { partition, records, reply });
+                    tokio::task::spawn_local(async move { done(rx.await.unwrap_or(false)) });
+                }
+                Some(owner) => {
+                    let call = self.peers.append(owner.address, partition, &records);
+                    tokio::task::spawn_local(async move { done(call.await) });
+                }
+            }
+        }
+    }
+
+    /// Makes a snapshot once enough segments have gathered since the last one.
+    fn compact_if_due(&mut self, partition: u32) {
+        let every = self.cfg.settings.snapshot_every;
+        let Some(local) = self.locals.get_mut(&partition) else {
+            return;
+        };
+        let epoch = local.epoch;
+        let Some(ready) = &mut local.state else {
+            return;
+        };
+        let due = ready.machine.next_sequence() >= ready.first + every;
+        if !due || ready.compacting {
+            return;
+        }
+        ready.compacting = true;
+        let job = compact::Job {
+            partition,
+            epoch,
+            first: ready.first,
+            next: ready.machine.next_sequence(),
+            entries: ready.machine.durable_entries(),
+            store: Arc::clone(&self.cfg.store),
+            keys: self.cfg.keys.clone(),
+        };
+        let (tx, log) = (self.tx.clone(), self.cfg.log.clone());
+        tokio::task::spawn_local(async move {
+            let first = match job.run().await {
+                Ok(first) => Some(first),
+                Err(err) => {
+                    warn!(log, "journal not compacted"; "partition" => partition, "error" => %err);
+                    // Not at once again: the store may be in trouble.
+                    tokio::time::sleep(RECOVER_PAUSE * 10).await;
+                    None
+                }
+            };
+            let _ = tx.send(Event::Compacted { partition, epoch, first });
+        });
+    }
+}
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,32 @@
+//! Log lines: JSON on standard error, written by a thread of their own.
+
+use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
+
+use crate::settings::{Level, Settings};
+
+/// Lines that may wait to be written; more are dropped and counted in a later line.
+const QUEUE: usize = 8_192;
+
+/// A logger for a node. Keep the guard: what waits is written when it is dropped.
+pub(crate) fn start(settings: &Settings) -> (Logger, slog_async::AsyncGuard) {
+    let level = match settings.log.level {
+        Level::Debug => slog::Level::Debug,
+        Level::Info => slog::Level::Info,
+        Level::Warning => slog::Level::Warning,
+        Level::Error => slog::Level::Error,
+    };
+    let json = slog_json::Json::new(std::io::LineWriter::new(std::io::stderr()))
+        .add_key_value(o!(
+            "msg" => PushFnValue(|record: &Record, ser| ser.emit(record.msg())),
+            "level" => FnValue(|record: &Record| record.level().as_short_str()),
+            "time_ms" => FnValue(|_: &Record| crate::clock::wall_ms()),
+        ))
+        .build()
+        .fuse();
+    let (drain, guard) = slog_async::Async::new(json)
+        .chan_size(QUEUE)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let drain = slog::LevelFilter::new(drain, level).fuse();
+    (Logger::root(drain, o!("node" => settings.node.to_string())), guard)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,5 @@
-fn main() {}
+//! The one binary of teaselgap.
+
+fn main() -> std::process::ExitCode {
+    teaselgap::run(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics, scraped in Prometheus text form.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of a node.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    repeats: Counter<u64>,
+    seconds: Histogram<f64>,
+    store_calls: Counter<u64>,
+    generation: Gauge<u64>,
+    duties: Gauge<u64>,
+    members: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments without any readings.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|err| MetricsError(err.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("teaselgap");
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Ok(Self {
+            requests: counter("teaselgap_requests", "Requests by service and outcome."),
+            refusals: counter("teaselgap_refusals", "Requests refused as not run, by reason."),
+            repeats: counter("teaselgap_repeats", "Attempts beyond the first, by service."),
+            seconds: meter
+                .f64_histogram("teaselgap_request_seconds")
+                .with_description("Time from a request's head to its answer's head.")
+                .build(),
+            store_calls: counter("teaselgap_store_calls", "Calls to the platform's store."),
+            generation: gauge("teaselgap_generation", "Generation in force."),
+            duties: gauge("teaselgap_duties", "Duties that this node owns."),
+            members: gauge("teaselgap_members", "Nodes that are alive or suspected."),
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn request(&self, service: &str, outcome: &'static str, seconds: f64) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.seconds.record(seconds, &labels[..1]);
+    }
+
+    /// Counts a request that was refused.
+    pub(crate) fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an attempt beyond the first.
+    pub(crate) fn repeat(&self, service: &str) {
+        self.repeats.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, kind: &'static str, result: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind), KeyValue::new("result", result)]);
+    }
+
+    /// Notes the control state.
+    pub(crate) fn control(&self, generation: u64, duties: usize, members: usize) {
+        self.generation.record(generation, &[]);
+        self.duties.record(duties as u64, &[]);
+        self.members.record(members as u64, &[]);
+    }
+
+    /// All readings as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        // Writing to memory fails only for names that the registry has already refused.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        buf
+    }
+}
+
+/// The metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}")]
+pub(crate) struct MetricsError(String);
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,120 @@
+//! The calls that other nodes make here; each is passed on to the thread that it concerns.
+
+use teaselgap_core::journal::{Intent, Record, Verdict};
+use teaselgap_proto::peer::{
+    AppendReply, AppendRequest, ExplainReply, ExplainRequest, IntendReply, IntendRequest,
+    ProbeForReply, ProbeForRequest, ProbeReply, ProbeRequest, PullReply, PullRequest, SlotsReply,
+    SlotsRequest, StatusReply, StatusRequest,
+    intend_reply::Verdict as WireVerdict,
+    peer_server::{Peer, PeerServer},
+};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use crate::{
+    control::{Event, PeerCall},
+    journal::{Ask, JournalClient},
+};
+
+struct Server {
+    control: mpsc::UnboundedSender<Event>,
+    journal: JournalClient,
+}
+
+/// Serves other nodes until the runtime ends.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    control: mpsc::UnboundedSender<Event>,
+    journal: JournalClient,
+) -> Result<(), tonic::transport::Error> {
+    let server =
+        PeerServer::new(Server { control, journal }).max_decoding_message_size(super::MAX_MESSAGE);
+    tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(server)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+}
+
+impl Server {
+    /// Asks the control thread.
+    async fn control<T>(
+        &self,
+        call: impl FnOnce(oneshot::Sender<T>) -> PeerCall,
+    ) -> Result<Response<T>, Status> {
+        let (reply, rx) = oneshot::channel();
+        let gone = || Status::unavailable("the node is stopping");
+        self.control.send(Event::Peer(call(reply))).map_err(|_| gone())?;
+        rx.await.map(Response::new).map_err(|_| gone())
+    }
+}
+
+fn invalid(err: &serde_json::Error) -> Status {
+    Status::invalid_argument(err.to_string())
+}
+
+#[tonic::async_trait]
+impl Peer for Server {
+    async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
+        self.control(|reply| PeerCall::Probe(req.into_inner(), reply)).await
+    }
+
+    async fn probe_for(
+        &self,
+        req: Request<ProbeForRequest>,
+    ) -> Result<Response<ProbeForReply>, Status> {
+        self.control(|reply| PeerCall::ProbeFor(req.into_inner(), reply)).await
+    }
+
+    async fn pull(&self, req: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
+        self.control(|reply| PeerCall::Pull(req.into_inner(), reply)).await
+    }
+
+    async fn slots(&self, req: Request<SlotsRequest>) -> Result<Response<SlotsReply>, Status> {
+        self.control(|reply| PeerCall::Slots(req.into_inner(), reply)).await
+    }
+
+    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
+        self.control(PeerCall::Status).await
+    }
+
+    async fn explain(
+        &self,
+        req: Request<ExplainRequest>,
+    ) -> Result<Response<ExplainReply>, Status> {
+        self.control(|reply| PeerCall::Explain(req.into_inner(), reply)).await
+    }
+
+    async fn intend(&self, req: Request<IntendRequest>) -> Result<Response<IntendReply>, Status> {
+        let req = req.into_inner();
+        let intent: Intent = serde_json::from_slice(&req.intent).map_err(|err| invalid(&err))?;
+        let (reply, rx) = oneshot::channel();
+        self.journal.peer(Ask::PeerIntend { partition: req.partition, intent, reply });
+        let verdict = rx.await.unwrap_or(Verdict::Refused);
+        let json = |value: Result<Vec<u8>, serde_json::Error>| value.unwrap_or_default().into();
+        let (verdict, detail) = match verdict {
+            Verdict::Refused => (WireVerdict::Refused, bytes::Bytes::new()),
+            Verdict::Recorded => (WireVerdict::Recorded, bytes::Bytes::new()),
+            Verdict::Mismatch => (WireVerdict::Mismatch, bytes::Bytes::new()),
+            Verdict::Open(life) => (WireVerdict::Open, json(serde_json::to_vec(&life))),
+            Verdict::Concluded(outcome) => {
+                (WireVerdict::Concluded, json(serde_json::to_vec(&outcome)))
+            }
+        };
+        Ok(Response::new(IntendReply { verdict: verdict.into(), detail }))
+    }
+
+    async fn append(&self, req: Request<AppendRequest>) -> Result<Response<AppendReply>, Status> {
+        let req = req.into_inner();
+        let records: Vec<Record> =
+            serde_json::from_slice(&req.records).map_err(|err| invalid(&err))?;
+        let (reply, rx) = oneshot::channel();
+        self.journal.peer(Ask::PeerAppend { partition: req.partition, records, reply });
+        let durable = rx.await.unwrap_or(false);
+        Ok(Response::new(AppendReply { durable }))
+    }
+}
--- /dev/null
+++ b/src/store/keys.rs
@@ -0,0 +1,147 @@
+//! The names of all keys in the store.
+
+use teaselgap_core::{
+    CustomerId, RequestId, ServiceId,
+    duty::{DutyId, Life},
+    journal::Sequence,
+};
+
+/// Builds and reads keys under one prefix.
+#[derive(Clone, Debug)]
+pub(crate) struct Keys {
+    prefix: String,
+}
+
+/// A key below the control prefix, as read back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ControlKey {
+    Head,
+    Service(ServiceId),
+    Node(Life),
+    Duty(DutyId),
+}
+
+impl Keys {
+    pub(crate) fn new(prefix: &str) -> Self {
+        Self { prefix: prefix.to_owned() }
+    }
+
+    /// Everything that each node watches.
+    pub(crate) fn control(&self) -> String {
+        format!("{}control/", self.prefix)
+    }
+
+    /// The newest generation.
+    pub(crate) fn head(&self) -> String {
+        format!("{}head", self.control())
+    }
+
+    pub(crate) fn service(&self, service: &ServiceId) -> String {
+        format!("{}service/{service}", self.control())
+    }
+
+    pub(crate) fn nodes(&self) -> String {
+        format!("{}node/", self.control())
+    }
+
+    pub(crate) fn node(&self, life: &Life) -> String {
+        format!("{}{}/{}", self.nodes(), life.node, life.incarnation)
+    }
+
+    pub(crate) fn duty(&self, duty: &DutyId) -> String {
+        format!("{}duty/{duty}", self.control())
+    }
+
+    /// All segments of a journal partition.
+    pub(crate) fn segments(&self, partition: u32) -> String {
+        format!("{}journal/{partition}/segment/", self.prefix)
+    }
+
+    pub(crate) fn segment(&self, partition: u32, sequence: Sequence) -> String {
+        format!("{}{sequence:016x}", self.segments(partition))
+    }
+
+    /// All parts of the snapshots of a journal partition.
+    pub(crate) fn snapshots(&self, partition: u32) -> String {
+        format!("{}journal/{partition}/snapshot/", self.prefix)
+    }
+
+    /// Says which snapshot counts.
+    pub(crate) fn snapshot_head(&self, partition: u32) -> String {
+        format!("{}journal/{partition}/current", self.prefix)
+    }
+
+    pub(crate) fn snapshot_part(&self, partition: u32, sequence: Sequence, part: usize) -> String {
+        format!("{}{sequence:016x}/{part:06}", self.snapshots(partition))
+    }
+
+    /// The regrouped history of all customers.
+    pub(crate) fn histories(&self) -> String {
+        format!("{}history/", self.prefix)
+    }
+
+    /// The regrouped history of a customer.
+    pub(crate) fn history(&self, customer: &CustomerId) -> String {
+        format!("{}{customer}/", self.histories())
+    }
+
+    pub(crate) fn history_part(
+        &self,
+        customer: &CustomerId,
+        partition: u32,
+        sequence: Sequence,
+        part: usize,
+    ) -> String {
+        format!("{}{partition:04}/{sequence:016x}/{part:06}", self.history(customer))
+    }
+
+    /// Reads a key below the control prefix; `None` for a key of another version.
+    pub(crate) fn parse_control(&self, key: &str) -> Option<ControlKey> {
+        let rest = key.strip_prefix(&self.control())?;
+        if rest == "head" {
+            return Some(ControlKey::Head);
+        }
+        let (kind, name) = rest.split_once('/')?;
+        match kind {
+            "service" => name.parse().ok().map(ControlKey::Service),
+            "duty" => name.parse().ok().map(ControlKey::Duty),
+            "node" => {
+                let (node, incarnation) = name.split_once('/')?;
+                let life =
+                    Life { node: node.parse().ok()?, incarnation: incarnation.parse().ok()? };
+                Some(ControlKey::Node(life))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The partition that a request belongs to.
+pub(crate) fn partition_of(id: &RequestId, partitions: u32) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes());
+    u32::try_from(hash % u64::from(partitions.max(1))).unwrap_or(0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn control_keys_read_back_as_written() {
+        let keys = Keys::new("/t/");
+        let life = Life { node: "n1".parse().unwrap(), incarnation: "7".parse().unwrap() };
+        let duty: DutyId = "slots/shop".parse().unwrap();
+        let service: ServiceId = "previews".parse().unwrap();
+
+        let cases = [
+            (keys.head(), ControlKey::Head),
+            (keys.node(&life), ControlKey::Node(life)),
+            (keys.duty(&duty), ControlKey::Duty(duty)),
+            (keys.service(&service), ControlKey::Service(service)),
+        ];
+
+        for (key, expected) in cases {
+            assert_eq!(keys.parse_control(&key), Some(expected), "{key}");
+        }
+    }
+}
