--- /dev/null
+++ b/crates/standins/src/cluster.rs
@@ -0,0 +1,507 @@
+//! A whole system for tests and measurements: real node processes around the stand-ins.
+//!
+//! Each node reaches the store and the other nodes through fault proxies of its own.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Output, Stdio},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal};
+use serde_json::{Value, json};
+use teaselgap_core::Slots;
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, Command},
+};
+
+use crate::{
+    http, proxy, store,
+    vm_list::{self, Vm, VmState},
+    worker,
+};
+
+/// What a system consists of.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The `teaselgap` binary.
+    pub binary: PathBuf,
+    /// Entry nodes.
+    pub nodes: usize,
+    /// Names of the pools, with their VMs.
+    pub pools: Vec<(String, usize)>,
+    /// Slots of each VM.
+    pub slots: u32,
+    /// Availability zones that nodes and VMs are spread over.
+    pub zones: usize,
+    /// VMs of one rack.
+    pub rack_size: usize,
+    /// Whether VMs have workers behind them; without, they are entries of the list only.
+    pub workers: bool,
+    /// Settings that replace those of every node, as a JSON object merged into them.
+    pub settings: Value,
+}
+
+impl Config {
+    /// A small system: three nodes in three zones, two pools of four VMs.
+    #[must_use]
+    pub fn small(binary: &str) -> Self {
+        Self {
+            binary: PathBuf::from(binary),
+            nodes: 3,
+            pools: vec![("shop".to_owned(), 4), ("workshop".to_owned(), 4)],
+            slots: 8,
+            zones: 3,
+            rack_size: 2,
+            workers: true,
+            settings: json!({}),
+        }
+    }
+}
+
+/// A running system.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What it was started with.
+    pub cfg: Config,
+    /// The platform's store.
+    pub store: store::Handle,
+    /// The platform's list of VMs.
+    pub list: vm_list::Handle,
+    /// The VMs as first listed.
+    pub vms: Vec<Vm>,
+    /// Their workers, in the same order.
+    pub workers: Vec<worker::Handle>,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    dir: PathBuf,
+    started: usize,
+}
+
+/// A node's process with the proxies around it.
+#[derive(Debug)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    /// Between the node and the store.
+    pub store: proxy::Handle,
+    /// Between other nodes and the node.
+    pub peer: proxy::Handle,
+    /// Where its log goes.
+    pub log: PathBuf,
+    child: Child,
+}
+
+/// Something did not come about in time.
+#[derive(Debug, thiserror::Error)]
+pub enum ClusterError {
+    /// A process or port could not be had.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    /// A node ended, or said something else than its addresses.
+    #[error("{0} did not start; see {1}")]
+    NodeDidNotStart(String, PathBuf),
+    /// A condition did not come about.
+    #[error("waited too long: {0}")]
+    Timeout(String),
+    /// A command failed.
+    #[error("{0}")]
+    Command(String),
+}
+
+/// Longest wait for any condition.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// [`ClusterError::Timeout`] if it does not within [`PATIENCE`].
+pub async fn wait_for<F, Fut>(what: &str, mut holds: F) -> Result<(), ClusterError>
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let started = Instant::now();
+    while !holds().await {
+        if started.elapsed() > PATIENCE {
+            return Err(ClusterError::Timeout(what.to_owned()));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+impl Cluster {
+    /// Starts the platform, the workers and the nodes, and waits until the nodes are ready.
+    ///
+    /// # Errors
+    ///
+    /// If anything does not start.
+    pub async fn start(cfg: Config) -> Result<Self, ClusterError> {
+        let mut cluster = Self::platform(cfg).await?;
+        for i in 0..cluster.cfg.nodes {
+            cluster.add_node(&format!("entry-{i}")).await?;
+        }
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Starts everything but the nodes.
+    ///
+    /// # Errors
+    ///
+    /// If anything does not start.
+    pub async fn platform(cfg: Config) -> Result<Self, ClusterError> {
+        let store = store::start(any_port(), any_port()).await?;
+        let mut workers = Vec::new();
+        let mut vms = Vec::new();
+        for (pool, count) in &cfg.pools {
+            for i in 0..*count {
+                let mut address = SocketAddr::from(([127, 0, 0, 1], 9));
+                if cfg.workers {
+                    let worker = worker::start(any_port()).await?;
+                    address = worker.address;
+                    workers.push(worker);
+                }
+                vms.push(vm(&cfg, pool, i, address)?);
+            }
+        }
+        let list = vm_list::start(any_port(), vms.clone()).await?;
+        let unique = format!("teaselgap-{}-{}", std::process::id(), store.address.port());
+        let dir = std::env::temp_dir().join(unique);
+        std::fs::create_dir_all(&dir)?;
+        Ok(Self { cfg, store, list, vms, workers, nodes: Vec::new(), dir, started: 0 })
+    }
+
+    /// Starts one more node.
+    ///
+    /// # Errors
+    ///
+    /// If it does not start.
+    pub async fn add_node(&mut self, name: &str) -> Result<(), ClusterError> {
+        let node = self.spawn(name).await?;
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    /// Starts a node in the place of the one at `index`, which must have ended.
+    ///
+    /// # Errors
+    ///
+    /// If it does not start.
+    pub async fn replace_node(&mut self, index: usize) -> Result<(), ClusterError> {
+        let name = self.nodes[index].name.clone();
+        let node = self.spawn(&name).await?;
+        self.nodes[index] = node;
+        Ok(())
+    }
+
+    async fn spawn(&mut self, name: &str) -> Result<Node, ClusterError> {
+        self.started += 1;
+        let store = proxy::start(any_port(), Some(self.store.address)).await?;
+        let peer = proxy::start(any_port(), None).await?;
+        let zone = format!("zone-{}", (self.started - 1) % self.cfg.zones.max(1));
+        let mut settings = json!({
+            "node": name,
+            "zone": zone,
+            "listen": {
+                "http": "127.0.0.1:0", "peer": "127.0.0.1:0", "advertise_peer": peer.address,
+            },
+            "store": {"endpoints": [store.address]},
+            "vm_list": self.list.address,
+            "peers": self.nodes.iter().map(|node| node.peer.address).collect::<Vec<_>>(),
+            "limits": {"threads": 1},
+            "shutdown": {"linger": "300ms", "drain": "30s"},
+        });
+        merge(&mut settings, &self.cfg.settings);
+        let file = self.dir.join(format!("{name}-{}.json", self.started));
+        std::fs::write(&file, settings.to_string())?;
+        let log = self.dir.join(format!("{name}-{}.log", self.started));
+        let mut child = Command::new(&self.cfg.binary)
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(std::fs::File::create(&log)?)
+            .kill_on_drop(true)
+            .spawn()?;
+        let failed = || ClusterError::NodeDidNotStart(name.to_owned(), log.clone());
+        let stdout = child.stdout.take().ok_or_else(failed)?;
+        let line = BufReader::new(stdout).lines().next_line().await?.ok_or_else(failed)?;
+        let said: Value = serde_json::from_str(&line).map_err(|_| failed())?;
+        let address =
+            |kind: &str| -> Option<SocketAddr> { said["listening"][kind].as_str()?.parse().ok() };
+        let (http, bound) = address("http").zip(address("peer")).ok_or_else(failed)?;
+        peer.set_target(bound);
+        Ok(Node { name: name.to_owned(), http, store, peer, log, child })
+    }
+
+    /// Waits until every node that runs says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// If one does not in time.
+    pub async fn wait_ready(&self) -> Result<(), ClusterError> {
+        for node in &self.nodes {
+            wait_for(&format!("{} ready", node.name), || async {
+                get(node.http, "/readyz").await.is_some_and(|(status, _)| status == 200)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every node holds slots in every declared pool.
+    ///
+    /// # Errors
+    ///
+    /// If one does not in time.
+    pub async fn wait_slots(&self) -> Result<(), ClusterError> {
+        for node in &self.nodes {
+            wait_for(&format!("{} holds slots", node.name), || async {
+                let status = node.status().await;
+                let pools = status["pools"].as_array().cloned().unwrap_or_default();
+                let holds = |pool: &Value| pool["held"].as_u64() > Some(0);
+                !pools.is_empty() && pools.iter().all(holds)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Writes declarations to a directory of their own; each is a JSON object.
+    ///
+    /// # Errors
+    ///
+    /// If a file can't be written.
+    pub fn write_declarations(
+        &self,
+        directory: &str,
+        declarations: &[Value],
+    ) -> Result<PathBuf, ClusterError> {
+        let directory = self.dir.join(directory);
+        if directory.exists() {
+            std::fs::remove_dir_all(&directory)?;
+        }
+        std::fs::create_dir_all(&directory)?;
+        for (i, declaration) in declarations.iter().enumerate() {
+            let file = directory.join(format!("declaration-{i:04}.json"));
+            std::fs::write(file, declaration.to_string())?;
+        }
+        Ok(directory)
+    }
+
+    /// Writes settings for commands; they reach the platform without proxies.
+    ///
+    /// # Errors
+    ///
+    /// If the file can't be written.
+    pub fn command_settings(&self) -> Result<PathBuf, ClusterError> {
+        let mut settings = json!({
+            "node": "operator",
+            "zone": "zone-0",
+            "listen": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+            "store": {"endpoints": [self.store.address]},
+            "vm_list": self.list.address,
+            "peers": self.nodes.iter().map(|node| node.peer.address).collect::<Vec<_>>(),
+        });
+        merge(&mut settings, &self.cfg.settings);
+        let file = self.dir.join("operator.json");
+        std::fs::write(&file, settings.to_string())?;
+        Ok(file)
+    }
+
+    /// Runs a command of the binary with `--settings` and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// If the process can't be started.
+    pub async fn command(&self, args: &[&str]) -> Result<Output, ClusterError> {
+        let settings = self.command_settings()?;
+        let (command, rest) = args.split_at(1.min(args.len()));
+        let output = Command::new(&self.cfg.binary)
+            .args(command)
+            .args(rest)
+            .arg("--settings")
+            .arg(settings)
+            .kill_on_drop(true)
+            .output();
+        Ok(output.await?)
+    }
+
+    /// Publishes declarations as the whole set and waits until they are in force.
+    ///
+    /// # Errors
+    ///
+    /// If the command fails; the error holds what it said.
+    pub async fn publish(&self, declarations: &[Value]) -> Result<String, ClusterError> {
+        let directory = self.write_declarations("published", declarations)?;
+        let directory = directory.display().to_string();
+        let output = self.command(&["publish", "--wait", &directory]).await?;
+        if !output.status.success() {
+            let said = String::from_utf8_lossy(&output.stderr).into_owned();
+            return Err(ClusterError::Command(said));
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// The sum of all workers' tallies.
+    #[must_use]
+    pub fn tally(&self) -> worker::Tally {
+        worker::sum(self.workers.iter().map(worker::Handle::tally))
+    }
+
+    /// Where callers reach the nodes.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.http).collect()
+    }
+
+    /// Changes a VM's state in the list.
+    pub fn set_vm_state(&self, index: usize, state: VmState) {
+        self.list.put(vec![Vm { state, ..self.vms[index].clone() }]);
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.store.stop();
+        self.list.stop();
+        if std::env::var_os("TEASELGAP_KEEP_LOGS").is_none() {
+            // What stays behind lies in the system's folder for such things.
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Node {
+    /// The process's number.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.pid().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // A process that has ended needs no signal.
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Ends the process at once, as `kill -9` does, and waits for its end.
+    pub async fn kill(&mut self) {
+        // A process that has ended already is as good as killed.
+        let _ = self.child.kill().await;
+    }
+
+    /// Asks the process to stop in order and waits for its end; its exit status.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError::Timeout`] if it does not end within [`PATIENCE`].
+    pub async fn stop(&mut self) -> Result<Option<i32>, ClusterError> {
+        self.signal(Signal::TERM);
+        let ended = tokio::time::timeout(PATIENCE, self.child.wait()).await;
+        let status = ended.map_err(|_| ClusterError::Timeout(format!("{} stops", self.name)))??;
+        Ok(status.code())
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// What the node says of itself; null if it does not answer.
+    pub async fn status(&self) -> Value {
+        let page = get(self.http, "/-/status").await;
+        page.and_then(|(_, body)| serde_json::from_slice(&body).ok()).unwrap_or(Value::Null)
+    }
+
+    /// The generation that the node has in force, if it answers.
+    pub async fn generation(&self) -> Option<u64> {
+        self.status().await["generation"].as_u64()
+    }
+
+    /// The lines of the node's log that hold a text.
+    #[must_use]
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+}
+
+/// Longest wait for a page of a node.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Fetches a page; `None` without an answer.
+pub async fn get(address: SocketAddr, path: &str) -> Option<(u16, bytes::Bytes)> {
+    let req = hyper::Request::get(path)
+        .header("host", address.to_string())
+        .body(http_body_util::Full::new(bytes::Bytes::new()))
+        .ok()?;
+    let answer = tokio::time::timeout(PAGE_TIMEOUT, http::fetch(address, req)).await.ok()?.ok()?;
+    Some((answer.status().as_u16(), answer.into_body()))
+}
+
+fn vm(cfg: &Config, pool: &str, i: usize, address: SocketAddr) -> Result<Vm, ClusterError> {
+    let invalid = |err: teaselgap_core::IdError| ClusterError::Command(err.to_string());
+    let zone = format!("zone-{}", i % cfg.zones.max(1));
+    let rack = format!("{pool}-rack-{}", i / cfg.rack_size.max(1));
+    Ok(Vm {
+        id: format!("{pool}-{i}").parse().map_err(invalid)?,
+        address,
+        zone: zone.parse().map_err(invalid)?,
+        rack: rack.parse().map_err(invalid)?,
+        pool: pool.parse().map_err(invalid)?,
+        slots: Slots(cfg.slots),
+        state: VmState::Live,
+        accelerators: 0,
+    })
+}
+
+/// Merges one JSON object into another, the second one's values over the first one's.
+fn merge(into: &mut Value, from: &Value) {
+    match (into, from) {
+        (Value::Object(into), Value::Object(from)) => {
+            for (name, value) in from {
+                merge(into.entry(name.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (into, from) => *into = from.clone(),
+    }
+}
+
+/// The binary beside the running program, for tools that are built with it.
+///
+/// # Errors
+///
+/// If it is not there.
+pub fn sibling_binary(name: &str) -> Result<PathBuf, ClusterError> {
+    let own = std::env::current_exe()?;
+    let path = own.parent().unwrap_or(Path::new(".")).join(name);
+    if path.exists() {
+        return Ok(path);
+    }
+    Err(ClusterError::Command(format!(
+        "{} is missing; build it with the same profile: cargo build --release",
+        path.display()
+    )))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`vm_list`] | the platform's list of VMs |
 //! | [`worker`] | backend servers, which keep their own tally of what they ran |
 //! | [`proxy`] | the network between any two, with faults |
+//! | [`cluster`] | a whole system of real node processes around the others |
 //! | [`caller`] | callers that count what they were told |
 //!
 //! Nothing here is linked into what an entry VM runs in production.
 
 pub mod caller;
+pub mod cluster;
 pub mod http;
 pub mod proxy;
 pub mod store;
--- /dev/null
+++ b/crates/standins/src/measure.rs
@@ -0,0 +1,118 @@
+//! What the measurements share: readings from outside a process, fits, and the last line.
+
+pub(crate) mod control;
+pub(crate) mod journal;
+pub(crate) mod overhead;
+pub(crate) mod rollout;
+
+use serde_json::{Value, json};
+use teaselgap_standins::cluster::ClusterError;
+
+/// What the operating system says of a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reading {
+    /// Processor time so far, in seconds.
+    pub(crate) cpu_seconds: f64,
+    /// Resident memory, in bytes.
+    pub(crate) resident: u64,
+    /// The most resident memory so far, in bytes.
+    pub(crate) peak: u64,
+}
+
+/// Ticks of processor time in a second, as Linux reports them to programs.
+const TICKS: f64 = 100.0;
+
+/// Reads a process; zeros if it has ended.
+pub(crate) fn read_process(pid: Option<u32>) -> Reading {
+    let Some(pid) = pid else {
+        return Reading::default();
+    };
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The command's name may hold spaces; fields are counted from the parenthesis that ends it.
+    let fields: Vec<&str> =
+        stat.rsplit_once(')').map_or(Vec::new(), |(_, rest)| rest.split_whitespace().collect());
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let kilobytes = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name));
+        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        number.unwrap_or(0) * 1024
+    };
+    Reading {
+        cpu_seconds: (ticks(11) + ticks(12)) / TICKS,
+        resident: kilobytes("VmRSS"),
+        peak: kilobytes("VmHWM"),
+    }
+}
+
+/// The line through points by least squares: offset and slope.
+pub(crate) fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    #[expect(clippy::cast_precision_loss, reason = "a handful of points")]
+    let n = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / n;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / n;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = if variance > 0.0 { covariance / variance } else { 0.0 };
+    (mean_y - slope * mean_x, slope)
+}
+
+/// The value below which a share of the sorted values lies.
+pub(crate) fn quantile(sorted: &[f64], share: f64) -> f64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "an index into a list"
+    )]
+    let index = (sorted.len().saturating_sub(1) as f64 * share).round() as usize;
+    sorted.get(index).copied().unwrap_or(f64::NAN)
+}
+
+/// The last line of a measurement; `bound` is the greatest value that meets the target.
+pub(crate) fn finish(measure: &str, value: f64, baseline: Option<f64>, bound: f64) {
+    let line = json!({
+        "measure": measure, "value": value, "baseline": baseline, "bound": bound,
+        "holds": value <= bound,
+    });
+    println!("{line}");
+}
+
+/// A list of numbers as given on the command line.
+pub(crate) fn numbers(text: &str) -> Result<Vec<usize>, std::num::ParseIntError> {
+    text.split(',').map(str::parse).collect()
+}
+
+/// One declared service for each of `count` pools.
+pub(crate) fn declarations(count: usize, normal: u32) -> Vec<Value> {
+    (0..count).map(|i| declaration(i, normal)).collect()
+}
+
+/// A declaration of ordinary size.
+pub(crate) fn declaration(pool: usize, normal: u32) -> Value {
+    json!({
+        "service": format!("service-{pool}"),
+        "pool": format!("pool-{pool}"),
+        "capacity": {"normal": normal, "peak": normal * 5, "cores": 4, "memory": "4GiB"},
+        "availability": {"target": "99.9%", "period": "28d"},
+        "maintenance": {"max_vms": 1, "max_racks": 1, "notice": "60s", "drain": "30s"},
+        "idempotency": {
+            "default": "idempotent",
+            "rules": [{"methods": ["POST"], "path": "/*", "idempotent": false}],
+        },
+        "urgency": "interactive",
+        "deadline": {"default": "2s", "max": "10s"},
+        "quota": {"team": format!("team-{}", pool % 85)},
+    })
+}
+
+/// Pools with VMs spread evenly over them.
+pub(crate) fn pools(count: usize, vms: usize) -> Vec<(String, usize)> {
+    let size = |i: usize| vms / count + usize::from(i < vms % count);
+    (0..count).map(|i| (format!("pool-{i}"), size(i))).collect()
+}
+
+/// The command line of a measurement was wrong.
+pub(crate) fn usage(err: impl std::fmt::Display) -> ClusterError {
+    ClusterError::Command(err.to_string())
+}
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,6 +1,13 @@
 //! A TCP proxy that stands between any two and spoils what passes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -35,6 +42,8 @@
     /// Where clients connect.
     pub address: SocketAddr,
     faults: Arc<watch::Sender<Faults>>,
+    target: Arc<watch::Sender<Option<SocketAddr>>>,
+    passed: Arc<AtomicU64>,
     task: Arc<JoinHandle<()>>,
 }
 
@@ -44,6 +53,17 @@
         self.faults.send_modify(change);
     }
 
+    /// Bytes that passed so far, in both directions.
+    #[must_use]
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
+    /// From now on new connections go to this address.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
+    }
+
     /// Passes everything again.
     pub fn heal(&self) {
         self.set(|faults| *faults = Faults { cuts: faults.cuts, ..Faults::default() });
@@ -68,27 +88,37 @@
     }
 }
 
-/// Starts a proxy on a loopback port.
+/// Starts a proxy on a loopback port; without a target it closes new connections at once.
 ///
 /// # Errors
 ///
 /// If no port can be opened.
-pub async fn start(address: SocketAddr, target: SocketAddr) -> std::io::Result<Handle> {
+pub async fn start(address: SocketAddr, target: Option<SocketAddr>) -> std::io::Result<Handle> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let faults = Arc::new(watch::Sender::new(Faults::default()));
     let seen = Arc::clone(&faults);
+    let target = Arc::new(watch::Sender::new(target));
+    let aim = Arc::clone(&target);
+    let passed = Arc::new(AtomicU64::new(0));
+    let count = Arc::clone(&passed);
     let task = tokio::spawn(async move {
         while let Ok((client, _)) = listener.accept().await {
-            if !seen.borrow().refuse {
-                tokio::spawn(pass(client, target, seen.subscribe()));
+            let target = *aim.borrow();
+            if let Some(target) = target.filter(|_| !seen.borrow().refuse) {
+                tokio::spawn(pass(client, target, seen.subscribe(), Arc::clone(&count)));
             }
         }
     });
-    Ok(Handle { address, faults, task: Arc::new(task) })
+    Ok(Handle { address, faults, target, passed, task: Arc::new(task) })
 }
 
-async fn pass(client: TcpStream, target: SocketAddr, faults: watch::Receiver<Faults>) {
+async fn pass(
+    client: TcpStream,
+    target: SocketAddr,
+    faults: watch::Receiver<Faults>,
+    count: Arc<AtomicU64>,
+) {
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
@@ -99,8 +129,8 @@
     let mut cut = faults.clone();
     let cuts = cut.borrow().cuts;
     tokio::select! {
-        () = copy(client_read, server_write, faults.clone(), Direction::Request) => {}
-        () = copy(server_read, client_write, faults, Direction::Answer) => {}
+        () = copy(client_read, server_write, faults.clone(), Direction::Request, &count) => {}
+        () = copy(server_read, client_write, faults, Direction::Answer, &count) => {}
         _ = cut.wait_for(|faults| faults.cuts != cuts) => {}
     }
 }
@@ -119,6 +149,7 @@
     mut to: OwnedWriteHalf,
     faults: watch::Receiver<Faults>,
     direction: Direction,
+    count: &AtomicU64,
 ) {
     let mut buf = vec![0; PIECE];
     let mut passed = 0;
@@ -145,5 +176,6 @@
             return;
         }
         passed += n;
+        count.fetch_add(n as u64, Ordering::Relaxed);
     }
 }
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -109,7 +109,12 @@
     let mut settings = Settings {
         node: format!("entry-{i}").parse().map_err(CommandError::failed)?,
         zone: ZONES[i].parse().map_err(CommandError::failed)?,
-        listen: Listen { http: any_port(), peer: any_port(), allow_plain_text: false },
+        listen: Listen {
+            http: any_port(),
+            peer: any_port(),
+            advertise_peer: None,
+            allow_plain_text: false,
+        },
         store: StoreSettings::at(platform.store.address),
         vm_list: platform.list.address,
         ..Settings::default()
--- a/src/node.rs
+++ b/src/node.rs
@@ -101,6 +101,7 @@
     let (client, asks) = JournalClient::new();
     let (owners_tx, owners_rx) = watch::channel(Vec::new());
     let lease = LeaseDeadline::default();
+    let advertised = settings.listen.advertise_peer.unwrap_or(peer);
     let journal_settings = settings.journal.clone();
     let threads = settings.limits.threads;
     let shared =
@@ -110,7 +111,7 @@
         shared: Arc::clone(&shared),
         keys: keys.clone(),
         store: Arc::clone(&store),
-        address: peer,
+        address: advertised,
         http,
         lease: lease.clone(),
         owners: owners_tx,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,9 @@
     pub(crate) http: SocketAddr,
     /// For other nodes.
     pub(crate) peer: SocketAddr,
+    /// Where other nodes reach this one, if not at `peer`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) advertise_peer: Option<SocketAddr>,
     /// Plain text is for loopback; anywhere else it must be allowed here.
     #[serde(default)]
     pub(crate) allow_plain_text: bool,
@@ -238,7 +241,12 @@
         Self {
             node: "entry-1".parse().expect("a constant name"),
             zone: "zone-1".parse().expect("a constant name"),
-            listen: Listen { http: loopback(8080), peer: loopback(8081), allow_plain_text: false },
+            listen: Listen {
+                http: loopback(8080),
+                peer: loopback(8081),
+                advertise_peer: None,
+                allow_plain_text: false,
+            },
             store: StoreSettings::at(loopback(2379)),
             vm_list: loopback(8082),
             peers: Vec::new(),
