--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -131,9 +131,22 @@
     ///
     /// A [`Refusal`]; the request was not and will not be run.
     pub fn offer(&mut self, service: &ServiceId, waiting: Waiting) -> Result<(), Refusal> {
+        self.check(service, &waiting)?;
+        let queue = self.services.get_mut(service).ok_or(Refusal::UnknownService)?;
+        queue.waiting += 1;
+        queue.customers.entry(waiting.customer.clone()).or_default().push_back(waiting);
+        Ok(())
+    }
+
+    /// Says whether a request would be let in now.
+    ///
+    /// # Errors
+    ///
+    /// The [`Refusal`] that [`Queue::offer`] would give.
+    pub fn check(&self, service: &ServiceId, waiting: &Waiting) -> Result<(), Refusal> {
         let held = self.held;
         let total: u32 = self.services.values().map(|queue| queue.share.normal).sum();
-        let queue = self.services.get_mut(service).ok_or(Refusal::UnknownService)?;
+        let queue = self.services.get(service).ok_or(Refusal::UnknownService)?;
         if queue.waiting >= MAX_WAITING {
             return Err(Refusal::Full);
         }
@@ -144,8 +157,6 @@
         if waiting.arrived + queue.expected_wait(held, total, own) >= waiting.deadline {
             return Err(Refusal::TooLate);
         }
-        queue.waiting += 1;
-        queue.customers.entry(waiting.customer.clone()).or_default().push_back(waiting);
         Ok(())
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`duty`] | which node owns which duty, and until when |
 //! | [`slots`] | how a worker's slots are shared by all nodes without exceeding them |
 //! | [`route`] | which VM gets a request |
+//! | [`rtt`] | how long to wait for an answer |
 //! | [`eject`] | which VMs are left out because they fail what they are given |
 //! | [`admit`] | which waiting request is served next and which is refused early |
 //! | [`retry`] | whether a failed attempt may be repeated |
@@ -38,6 +39,7 @@
 pub mod membership;
 pub mod retry;
 pub mod route;
+pub mod rtt;
 pub mod slots;
 mod unit;
 
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -57,11 +57,13 @@
     pub suspicion: Span,
     /// How long a member that is gone is remembered, so that old news can't bring it back.
     pub memory: Span,
+    /// How long a refuted suspicion counts against a member.
+    pub doubt: Span,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { suspicion: Span(2_000), memory: Span(60_000) }
+        Self { suspicion: Span(2_000), memory: Span(60_000), doubt: Span(20_000) }
     }
 }
 
@@ -71,6 +73,17 @@
 /// How often a change is passed on, as a multiple of the logarithm of the members.
 const SPREAD_FACTOR: u32 = 3;
 
+/// Suspicions refuted within [`Config::doubt`] that make a member doubtful.
+const DOUBTFUL_REFUTATIONS: usize = 2;
+
+/// Remembers a refutation; only as many as decide are kept.
+fn note_refutation(refuted: &mut Vec<Timestamp>, now: Timestamp) {
+    refuted.push(now);
+    if refuted.len() > DOUBTFUL_REFUTATIONS {
+        refuted.remove(0);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
@@ -78,6 +91,8 @@
     deadline: Option<Timestamp>,
     /// How often the newest change is still to be passed on.
     spread_left: u32,
+    /// When the member last refuted suspicions, newest last.
+    refuted: Vec<Timestamp>,
 }
 
 /// One node's view of all nodes, itself included.
@@ -94,7 +109,8 @@
     /// A view that holds this node only.
     #[must_use]
     pub fn new(me: NodeId, member: Member, cfg: Config) -> Self {
-        let entry = Entry { member, deadline: None, spread_left: SPREAD_FACTOR };
+        let entry =
+            Entry { member, deadline: None, spread_left: SPREAD_FACTOR, refuted: Vec::new() };
         let entries = IndexMap::from([(me.clone(), entry)]);
         Self { me, cfg, entries, round: Vec::new() }
     }
@@ -115,17 +131,23 @@
         self.members().filter(|(node, m)| **node != self.me && m.state <= State::Suspect)
     }
 
-    /// Members that are taken for dead or have left.
+    /// Members that should own nothing: those that are gone, and those that were suspected several
+    /// times of late although they are alive. The latter can speak but not be spoken to.
     #[must_use]
-    pub fn gone(&self) -> IndexSet<NodeId> {
-        let gone = self.members().filter(|(_, member)| member.state >= State::Dead);
-        gone.map(|(node, _)| node.clone()).collect()
+    pub fn doubted(&self, now: Timestamp) -> IndexSet<NodeId> {
+        let often = |entry: &Entry| {
+            let recent = entry.refuted.iter().filter(|at| now < **at + self.cfg.doubt);
+            recent.count() >= DOUBTFUL_REFUTATIONS
+        };
+        let doubted = |entry: &Entry| entry.member.state >= State::Dead || often(entry);
+        let entries = self.entries.iter().filter(|(_, entry)| doubted(entry));
+        entries.map(|(node, _)| node.clone()).collect()
     }
 
     /// Takes in what another node or the store says of a member; true if that was news.
     pub fn merge(&mut self, node: &NodeId, member: Member, now: Timestamp) -> bool {
         if *node == self.me {
-            return self.refute(&member);
+            return self.refute(&member, now);
         }
         let known = self.entries.get(node).map(|entry| entry.member.rank());
         if known.is_some_and(|known| known >= member.rank()) {
@@ -137,12 +159,21 @@
             State::Dead | State::Left => Some(now + self.cfg.memory),
         };
         let spread_left = self.spread();
-        self.entries.insert(node.clone(), Entry { member, deadline, spread_left });
+        let mut refuted = Vec::new();
+        if let Some(known) = self.entries.swap_remove(node)
+            && known.member.incarnation == member.incarnation
+        {
+            refuted = known.refuted;
+            if member.refutation > known.member.refutation {
+                note_refutation(&mut refuted, now);
+            }
+        }
+        self.entries.insert(node.clone(), Entry { member, deadline, spread_left, refuted });
         true
     }
 
     /// Outbids whatever is said of this node unless it says the same.
-    fn refute(&mut self, said: &Member) -> bool {
+    fn refute(&mut self, said: &Member, now: Timestamp) -> bool {
         let spread_left = self.spread();
         let Some(entry) = self.entries.get_mut(&self.me) else {
             return false;
@@ -154,6 +185,7 @@
         }
         mine.refutation = said.refutation + 1;
         entry.spread_left = spread_left;
+        note_refutation(&mut entry.refuted, now);
         true
     }
 
@@ -335,6 +367,19 @@
         assert_eq!(view.get(&node(1)).unwrap().state, State::Alive);
     }
 
+    #[test]
+    fn a_member_that_keeps_refuting_suspicions_is_doubted_for_a_while() {
+        let mut view = view();
+        view.merge(&node(1), member(1, 0, State::Alive), Timestamp(0));
+
+        view.merge(&node(1), member(1, 1, State::Alive), Timestamp(1_000));
+        assert!(view.doubted(Timestamp(1_000)).is_empty());
+        view.merge(&node(1), member(1, 2, State::Alive), Timestamp(4_000));
+
+        assert!(view.doubted(Timestamp(4_000)).contains(&node(1)));
+        assert!(view.doubted(Timestamp(21_000)).is_empty());
+    }
+
     #[test]
     fn old_news_of_an_earlier_life_changes_nothing() {
         let mut view = view();
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -22,11 +22,18 @@
 }
 
 /// Repeats that a service may still make.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Budget {
     saved: u32,
 }
 
+impl Default for Budget {
+    /// A service starts with what can be saved up, so that its first failures can be repeated.
+    fn default() -> Self {
+        Self { saved: MAX_SAVED }
+    }
+}
+
 impl Budget {
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -6,20 +6,21 @@
 use std::{
     convert::Infallible,
     fmt,
+    future::poll_fn,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
     time::Instant,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
     Request, Response,
     body::{Body as _, Frame, Incoming},
 };
 use hyper_util::rt::TokioIo;
-use teaselgap_core::{Timestamp, retry::Failure};
+use teaselgap_core::{ByteSize, Timestamp, retry::Failure};
 use tokio::net::TcpStream;
 use xitca_web::body::{Body, Frame as AnswerFrame, SizeHint};
 
@@ -87,7 +88,7 @@
     vm.record(good, took, clock::now());
     let (connection, answer) = result?;
     Ok(answer.map(|incoming| Answer {
-        incoming,
+        source: Source::Incoming(incoming),
         connection: Some(connection),
         permit: Some(permit),
         deadline: Box::pin(tokio::time::sleep(clock::until(deadline))),
@@ -135,6 +136,14 @@
     }
 }
 
+/// Where the body of an answer comes from.
+enum Source {
+    /// The backend server, as it sends it.
+    Incoming(Incoming),
+    /// Memory; taken once.
+    Read(Option<Bytes>),
+}
+
 /// Sees the body of an answer go by.
 pub(crate) trait Witness {
     /// A piece of the body.
@@ -145,7 +154,7 @@
 
 /// The body of an answer, which holds on to its slot and connection until it ends.
 pub(crate) struct Answer {
-    incoming: Incoming,
+    source: Source,
     connection: Option<Connection>,
     permit: Option<Permit>,
     deadline: Pin<Box<tokio::time::Sleep>>,
@@ -159,16 +168,42 @@
         self
     }
 
+    /// Reads the body into memory if its length is known and small, which frees the slot.
+    pub(crate) async fn read_if_small(
+        answer: Response<Self>,
+        bound: ByteSize,
+    ) -> Result<Response<Self>, AttemptError> {
+        let (parts, mut body) = answer.into_parts();
+        let length = match body.size_hint() {
+            SizeHint::Exact(length) if length <= bound.0 => length,
+            _ => return Ok(Response::from_parts(parts, body)),
+        };
+        let mut bytes = BytesMut::with_capacity(usize::try_from(length).unwrap_or(0));
+        while let Some(frame) = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await {
+            if let AnswerFrame::Data(data) = frame? {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        body.source = Source::Read(Some(bytes.freeze()).filter(|bytes| !bytes.is_empty()));
+        Ok(Response::from_parts(parts, body))
+    }
+
+    fn is_read(&self) -> bool {
+        match &self.source {
+            Source::Incoming(incoming) => incoming.is_end_stream(),
+            Source::Read(bytes) => bytes.is_none(),
+        }
+    }
+
     /// The answer ended; an exchange out of order takes its connection with it.
     fn finish(&mut self, in_order: bool) {
-        let Some(permit) = self.permit.take() else {
-            return;
-        };
-        let connection = self.connection.take();
-        if let Some(connection) = connection.filter(|_| in_order) {
-            permit.vm.check_in(connection);
+        if let Some(permit) = self.permit.take() {
+            let connection = self.connection.take();
+            if let Some(connection) = connection.filter(|_| in_order) {
+                permit.vm.check_in(connection);
+            }
         }
-        if let Some(witness) = &mut self.witness {
+        if let Some(mut witness) = self.witness.take() {
             witness.end(in_order);
         }
     }
@@ -176,7 +211,7 @@
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        let in_order = self.incoming.is_end_stream();
+        let in_order = self.is_read();
         self.finish(in_order);
     }
 }
@@ -190,7 +225,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<AnswerFrame<Bytes>, AttemptError>>> {
         let this = &mut *self;
-        let frame = match Pin::new(&mut this.incoming).poll_frame(cx) {
+        let incoming = match &mut this.source {
+            Source::Incoming(incoming) => incoming,
+            Source::Read(bytes) => {
+                let Some(bytes) = bytes.take() else {
+                    this.finish(true);
+                    return Poll::Ready(None);
+                };
+                return Poll::Ready(Some(Ok(this.pass(Frame::data(bytes)))));
+            }
+        };
+        let frame = match Pin::new(incoming).poll_frame(cx) {
             Poll::Ready(frame) => frame,
             Poll::Pending => {
                 if this.deadline.as_mut().poll(cx).is_pending() {
@@ -214,11 +259,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        self.is_read()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint().exact().map_or(SizeHint::Unknown, SizeHint::Exact)
+        match &self.source {
+            Source::Incoming(incoming) => {
+                incoming.size_hint().exact().map_or(SizeHint::Unknown, SizeHint::Exact)
+            }
+            Source::Read(bytes) => SizeHint::Exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+        }
     }
 }
 
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -187,7 +187,7 @@
     /// Claims and hands over what should be elsewhere than it is.
     pub(super) fn plan_duties(&mut self, now: Timestamp) {
         self.next_plan = now + PLAN_INTERVAL;
-        self.duties.set_doubted(self.members.gone());
+        self.duties.set_doubted(self.members.doubted(now));
         let wanted = self.wanted();
         let wanted = wanted.iter().filter(|duty| !self.writing.contains(duty));
         let mut plan = self.duties.plan(wanted, now);
--- a/src/front.rs
+++ b/src/front.rs
@@ -66,6 +66,14 @@
     started.elapsed().as_secs_f64()
 }
 
+/// The body of a request.
+enum Content {
+    /// It can be sent again.
+    Whole(Bytes),
+    /// It is passed on as it arrives.
+    Stream(OutBody),
+}
+
 /// One request on its way through the node.
 struct Passage<'a> {
     shared: &'a Arc<Shared>,
@@ -91,7 +99,7 @@
         return Err(Problem::not_run(StatusCode::NOT_FOUND, "unknown-service", Some(&head.id)));
     };
     let passage = Passage { shared, snapshot: &snapshot, service, head, parts, started };
-    if service.declaration.is_idempotent(parts.method.as_str(), &passage.head.path) {
+    if passage.is_idempotent() {
         passage.repeatable(body, presence).await
     } else {
         passage.at_most_once(body, presence).await
@@ -137,8 +145,12 @@
         let Collected::Whole(bytes) = collected.map_err(|err| self.body_problem(&err))? else {
             return Err(self.not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"));
         };
+        // A refusal that can be foreseen costs no record.
+        let Head { service, customer, deadline, .. } = &self.head;
+        let foreseen = self.service.pool.check(service, customer, *deadline);
+        foreseen.map_err(|refusal| self.refusal(refusal))?;
         let intent = self.intent(&bytes, false, true);
-        let permit = self.acquire(&[]).await?;
+        // No slot is held meanwhile, so that a slow store takes no slots from other work.
         loop {
             match self.shared.journal.intend(intent.clone(), self.head.deadline).await {
                 Verdict::Recorded => break,
@@ -155,7 +167,8 @@
                 Verdict::Open(life) => self.wait_for_other(&life).await?,
             }
         }
-        self.run(Some(permit), Some(bytes), None, presence).await
+        let answer = self.run(Content::Whole(bytes)).await?;
+        Ok(self.deliver(answer, presence))
     }
 
     /// Waits a little for the node that has the request; it is known not to have ended yet.
@@ -182,24 +195,22 @@
         }
         let kept = self.shared.settings.limits.kept_body;
         let collected = body::collect(body, kept, self.head.deadline).await;
-        match collected.map_err(|err| self.body_problem(&err))? {
+        let (content, durable) = match collected.map_err(|err| self.body_problem(&err))? {
             Collected::Whole(bytes) => {
-                let permit = self.acquire(&[]).await?;
                 let durable = self.record(&bytes, false)?;
-                let answer = self.run(Some(permit), Some(bytes), None, presence).await;
-                self.recorded(durable).await;
-                answer
+                (Content::Whole(bytes), durable)
             }
             Collected::Larger { start, rest } => {
-                let permit = self.acquire(&[]).await?;
                 let durable = self.record(&start, true)?;
                 let limit = self.shared.settings.limits.body;
-                let stream = body::stream(start, rest, limit);
-                let answer = self.run(Some(permit), None, Some(stream), presence).await;
-                self.recorded(durable).await;
-                answer
+                (Content::Stream(body::stream(start, rest, limit)), durable)
             }
-        }
+        };
+        let answer = self.run(content).await;
+        // By now the slot is free again unless the answer is a large one.
+        let limit = clock::until(self.head.deadline);
+        let _ = tokio::time::timeout(limit, durable).await;
+        Ok(self.deliver(answer?, presence))
     }
 
     /// Hands the record of a repeatable request over; the receiver tells when it is durable.
@@ -209,12 +220,6 @@
         handed_over.ok_or_else(|| self.not_run(StatusCode::SERVICE_UNAVAILABLE, "history-full"))
     }
 
-    /// An answer goes out once its request is in the history, or the store is known not to take it.
-    async fn recorded(&self, durable: oneshot::Receiver<bool>) {
-        let limit = clock::until(self.head.deadline);
-        let _ = tokio::time::timeout(limit, durable).await;
-    }
-
     fn body_problem(&self, err: &body::BodyError) -> Problem {
         let (status, reason) = match err {
             body::BodyError::Broken => (StatusCode::BAD_REQUEST, "body-broken"),
@@ -226,64 +231,77 @@
     async fn acquire(&self, avoid: &[RackId]) -> Result<Permit, Problem> {
         let Head { service, customer, deadline, .. } = &self.head;
         let permit = self.service.pool.acquire(service, customer, *deadline, avoid).await;
-        permit.map_err(|refusal| {
-            let reason = match refusal {
-                Refusal::UnknownService => "unknown-service",
-                Refusal::CustomerLimit => "customer-limit",
-                Refusal::TooLate => "too-late",
-                Refusal::Full => "queue-full",
-            };
-            self.shared.metrics.refusal(reason);
-            self.not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-        })
+        permit.map_err(|refusal| self.refusal(refusal))
+    }
+
+    fn refusal(&self, refusal: Refusal) -> Problem {
+        let reason = match refusal {
+            Refusal::UnknownService => "unknown-service",
+            Refusal::CustomerLimit => "customer-limit",
+            Refusal::TooLate => "too-late",
+            Refusal::Full => "queue-full",
+        };
+        self.shared.metrics.refusal(reason);
+        self.not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
     /// Makes attempts until one brings an answer or none may follow.
-    async fn run(
-        &self,
-        mut permit: Option<Permit>,
-        bytes: Option<Bytes>,
-        mut stream: Option<OutBody>,
-        presence: Presence,
-    ) -> Result<Response<ResponseBody>, Problem> {
+    async fn run(&self, content: Content) -> Result<Response<Answer>, Problem> {
+        let (kept, mut stream) = match content {
+            Content::Whole(bytes) => (Some(bytes), None),
+            Content::Stream(body) => (None, Some(body)),
+        };
         let mut avoid = Vec::new();
-        let mut ran_before = false;
+        let mut may_have_run = false;
         self.budget(retry::Budget::deposit);
         for attempt in 1.. {
-            let taken = match permit.take() {
-                Some(permit) => permit,
-                None => match self.acquire(&avoid).await {
-                    Ok(permit) => permit,
-                    Err(problem) => return Err(self.ended(problem, ran_before)),
-                },
-            };
-            self.log_decision(&taken, attempt);
-            let body = match (&bytes, stream.take()) {
+            let body = match (&kept, stream.take()) {
                 (Some(bytes), _) => backend::whole_body(bytes.clone()),
                 (None, Some(stream)) => stream,
                 (None, None) => break,
             };
-            let rack = taken.vm.info.rack.clone();
-            let req = head::outgoing(self.parts, &self.head, &taken.vm.info, body);
-            let err = match backend::exchange(taken, req, self.head.deadline).await {
-                Ok(answer) => return Ok(self.deliver(answer, presence)),
+            let permit = match self.acquire(&avoid).await {
+                Ok(permit) => permit,
+                Err(problem) => return Err(self.ended(problem, may_have_run)),
+            };
+            self.log_decision(&permit, attempt);
+            avoid.push(permit.vm.info.rack.clone());
+            let err = match self.attempt(permit, body).await {
+                Ok(answer) => return Ok(answer),
                 Err(err) => err,
             };
             warn!(self.shared.log, "attempt failed"; "request" => %self.head.id,
                 "service" => %self.head.service, "attempt" => attempt, "error" => %err);
-            ran_before |= err.failure == Failure::Unknown;
-            avoid.push(rack);
-            if bytes.is_none() || !self.may_repeat(&err) {
-                let status = if clock::now() >= self.head.deadline {
-                    StatusCode::GATEWAY_TIMEOUT
-                } else {
-                    StatusCode::BAD_GATEWAY
-                };
-                return Err(self.ended(self.not_run(status, "attempt-failed"), ran_before));
+            may_have_run |= err.failure == Failure::Unknown;
+            if kept.is_none() || !self.may_repeat(&err) {
+                break;
             }
             self.shared.metrics.repeat(self.head.service.as_str());
         }
-        Err(self.ended(self.not_run(StatusCode::BAD_GATEWAY, "attempt-failed"), ran_before))
+        let late = clock::now() >= self.head.deadline;
+        let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        Err(self.ended(self.not_run(status, "attempt-failed"), may_have_run))
+    }
+
+    /// One attempt. The answer to a repeatable request is read whole if it is small, so that one
+    /// that breaks off can be repeated and its slot is free while its record is awaited.
+    async fn attempt(
+        &self,
+        permit: Permit,
+        body: OutBody,
+    ) -> Result<Response<Answer>, AttemptError> {
+        let req = head::outgoing(self.parts, &self.head, &permit.vm.info, body);
+        let answer = backend::exchange(permit, req, self.head.deadline).await?;
+        if self.is_idempotent() {
+            let kept = self.shared.settings.limits.kept_body;
+            return Answer::read_if_small(answer, kept).await;
+        }
+        Ok(answer)
+    }
+
+    fn is_idempotent(&self) -> bool {
+        let (method, path) = (self.parts.method.as_str(), &self.head.path);
+        self.service.declaration.is_idempotent(method, path)
     }
 
     fn budget<T>(&self, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
@@ -292,11 +310,14 @@
     }
 
     fn may_repeat(&self, err: &AttemptError) -> bool {
-        let path = &self.head.path;
-        let idempotent = self.service.declaration.is_idempotent(self.parts.method.as_str(), path);
         // The queue refuses what could not end in time, so nothing is added for the attempt here.
-        let safe =
-            retry::may_repeat(err.failure, idempotent, self.head.deadline, Span(0), clock::now());
+        let safe = retry::may_repeat(
+            err.failure,
+            self.is_idempotent(),
+            self.head.deadline,
+            Span(0),
+            clock::now(),
+        );
         safe && self.shared.settings.routing.retries && self.budget(retry::Budget::withdraw)
     }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -6,17 +6,22 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use teaselgap_core::journal::{Intent, Record, Verdict};
+use teaselgap_core::{
+    Span,
+    journal::{Intent, Record, Verdict},
+    rtt::{self, RoundTrip},
+};
 use teaselgap_proto::peer::{
     AppendRequest, IntendRequest, intend_reply::Verdict as WireVerdict, peer_client::PeerClient,
 };
 use tonic::transport::{Channel, Endpoint};
 
 pub(crate) use self::{convert::*, server::serve};
+use crate::clock;
 
 /// Largest message between nodes.
 pub(crate) const MAX_MESSAGE: usize = 16 << 20;
@@ -24,19 +29,25 @@
 /// Longest wait for a connection to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest wait for a record to become durable at its owner.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// The bounds of the wait for the owner of a journal partition.
+const OWNER_WAIT: rtt::Config = rtt::Config { least: Span(200), most: Span(2_000) };
 
 /// Connections to other nodes, made when they are first used. Use it within one runtime.
 #[derive(Debug, Default)]
 pub(crate) struct PeerClients {
     channels: Mutex<HashMap<SocketAddr, PeerClient<Channel>>>,
+    /// How long the owners of journal partitions took to answer.
+    waits: Arc<Mutex<HashMap<SocketAddr, RoundTrip>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl PeerClients {
     /// The client for a node.
     pub(crate) fn get(&self, address: SocketAddr) -> Option<PeerClient<Channel>> {
-        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut channels = lock(&self.channels);
         if let Some(client) = channels.get(&address) {
             return Some(client.clone());
         }
@@ -50,7 +61,28 @@
 
     /// Drops the connection to a node, so that the next call makes a new one.
     pub(crate) fn forget(&self, address: SocketAddr) {
-        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        lock(&self.channels).remove(&address);
+    }
+
+    /// Waits for the owner of a journal partition as long as its earlier answers suggest.
+    fn wait_for_owner<T, C: Future<Output = Option<T>>>(
+        &self,
+        address: SocketAddr,
+        call: C,
+    ) -> impl Future<Output = Option<T>> + use<T, C> {
+        let waits = Arc::clone(&self.waits);
+        async move {
+            let limit = lock(&waits).entry(address).or_default().timeout(OWNER_WAIT);
+            let sent = clock::now();
+            let reply = tokio::time::timeout(limit.to_std(), call).await;
+            let mut waits = lock(&waits);
+            let estimate = waits.entry(address).or_default();
+            match &reply {
+                Ok(_) => estimate.record(clock::now().since(sent)),
+                Err(_) => estimate.record_timeout(OWNER_WAIT),
+            }
+            reply.ok().flatten()
+        }
     }
 
     /// Asks the owner of a partition for a verdict; `None` without an answer.
@@ -62,7 +94,7 @@
     ) -> impl Future<Output = Option<Verdict>> + use<> {
         let client = self.get(address);
         let intent = serde_json::to_vec(intent).ok();
-        async move {
+        self.wait_for_owner(address, async move {
             let req = IntendRequest { partition, intent: intent?.into() };
             let reply = client?.intend(req).await.ok()?.into_inner();
             match reply.verdict() {
@@ -74,7 +106,7 @@
                     serde_json::from_slice(&reply.detail).ok().map(Verdict::Concluded)
                 }
             }
-        }
+        })
     }
 
     /// Brings records to the owner of a partition; whether they are durable there.
@@ -86,13 +118,11 @@
     ) -> impl Future<Output = bool> + use<> {
         let client = self.get(address);
         let records = serde_json::to_vec(records).unwrap_or_default();
-        async move {
-            let Some(mut client) = client else {
-                return false;
-            };
-            let call = client.append(AppendRequest { partition, records: records.into() });
-            let reply = tokio::time::timeout(APPEND_TIMEOUT, call).await;
-            matches!(reply, Ok(Ok(reply)) if reply.get_ref().durable)
-        }
+        let reply = self.wait_for_owner(address, async move {
+            let req = AppendRequest { partition, records: records.into() };
+            let reply = client?.append(req).await.ok()?;
+            Some(reply.get_ref().durable)
+        });
+        async move { reply.await.unwrap_or(false) }
     }
 }
--- a/src/traffic/pool.rs
+++ b/src/traffic/pool.rs
@@ -175,6 +175,18 @@
         }
     }
 
+    /// Says whether a request would be let in now, without letting it in.
+    pub(crate) fn check(
+        &self,
+        service: &ServiceId,
+        customer: &CustomerId,
+        deadline: Timestamp,
+    ) -> Result<(), Refusal> {
+        let (ticket, arrived) = (Ticket(u64::MAX), clock::now());
+        let waiting = Waiting { ticket, customer: customer.clone(), deadline, arrived };
+        self.lock().queue.check(service, &waiting)
+    }
+
     /// Waits for a slot, at most until the deadline.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
