Moves between pools and maintenance waves, carried out by the keepers

Cause: a VM's pool was whatever the VM list said at each node, so that a change of pool could have two keepers lend the same VM; nothing maintained VMs. Change: a record a VM in the store, written under the keeper's term; cordon, drain by the ledger, one compare-and-swap; waves from core::maintain; the platform is asked for maintenance over HTTP.

--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -172,6 +172,13 @@
         self.quarantine.is_some()
     }
 
+    /// Whether nobody can occupy a slot of a VM that is not lent any more.
+    #[must_use]
+    pub fn is_drained(&self, vm: &VmId) -> bool {
+        let held = |holder: &Holder| holder.ceilings.get(vm).is_some_and(|&slots| slots > 0);
+        !self.is_uncertain() && !self.vms.contains_key(vm) && !self.holders.values().any(held)
+    }
+
     /// Those who may hold slots, for a successor.
     #[must_use]
     pub fn holders(&self) -> Vec<HolderId> {
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -3,18 +3,20 @@
 //! Each node reaches the store and the other nodes through fault proxies of its own.
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Output, Stdio},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
-use teaselgap_core::Slots;
+use teaselgap_core::{Slots, VmId};
 use tokio::{
     io::{AsyncBufReadExt, BufReader},
     process::{Child, Command},
+    sync::watch,
 };
 
 use crate::{
@@ -369,6 +371,57 @@
         self.nodes.iter().map(|node| node.http).collect()
     }
 
+    /// Shows all VMs as last maintained this long ago, and from now on maintains those for which it
+    /// is asked: the worker loses its connections, and the VM shows as leaving meanwhile. The number
+    /// of maintenances done.
+    pub fn maintain_on_request(&self, age: Duration, takes: Duration) -> watch::Receiver<usize> {
+        let wall_ms = |age: Duration| {
+            let then = SystemTime::now().checked_sub(age).unwrap_or(UNIX_EPOCH);
+            let since = then.duration_since(UNIX_EPOCH).unwrap_or_default();
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        };
+        let shown = move |vm: &Vm, state, age| Vm {
+            state,
+            maintained_ms: Some(wall_ms(age)),
+            ..vm.clone()
+        };
+        self.list.put(self.vms.iter().map(|vm| shown(vm, VmState::Live, age)).collect());
+        let (done_tx, done) = watch::channel(0);
+        let mut asked = self.list.maintenance();
+        let (list, vms, workers) = (self.list.clone(), self.vms.clone(), self.workers.clone());
+        tokio::spawn(async move {
+            let mut handled = 0;
+            let mut finished: HashSet<VmId> = HashSet::new();
+            while asked.wait_for(|asked| asked.len() > handled).await.is_ok() {
+                let batch: Vec<VmId> = asked.borrow()[handled..].to_vec();
+                handled += batch.len();
+                for id in batch {
+                    let Some(i) = vms.iter().position(|vm| vm.id == id) else { continue };
+                    // Asking again does no harm.
+                    if !finished.insert(id) {
+                        continue;
+                    }
+                    list.put(vec![shown(&vms[i], VmState::Leaving, age)]);
+                    if let Some(worker) = workers.get(i) {
+                        worker.disconnect();
+                    }
+                    tokio::time::sleep(takes).await;
+                    list.put(vec![shown(&vms[i], VmState::Live, Duration::ZERO)]);
+                    done_tx.send_modify(|count| *count += 1);
+                }
+            }
+        });
+        done
+    }
+
+    /// Shows a VM in another pool.
+    pub fn move_vm(&mut self, index: usize, pool: &str) {
+        if let Ok(pool) = pool.parse() {
+            self.vms[index].pool = pool;
+            self.list.put(vec![self.vms[index].clone()]);
+        }
+    }
+
     /// Changes a VM's state in the list.
     pub fn set_vm_state(&self, index: usize, state: VmState) {
         self.list.put(vec![Vm { state, ..self.vms[index].clone() }]);
@@ -474,6 +527,7 @@
         slots: Slots(cfg.slots),
         state: VmState::Live,
         accelerators: 0,
+        maintained_ms: None,
     })
 }
 
--- a/crates/standins/src/vm_list.rs
+++ b/crates/standins/src/vm_list.rs
@@ -1,7 +1,8 @@
 //! A stand-in for the platform's list of VMs: JSON over HTTP with a revision and a long poll.
 //!
 //! `GET /vms?after=N` answers with the VMs that changed after revision `N`, as soon as there are
-//! any. `PUT /vms` with a JSON list of VMs changes or adds those VMs.
+//! any. `PUT /vms` with a JSON list of VMs changes or adds those VMs. `POST /maintain?vm=ID` asks for the
+//! maintenance of a VM, which whoever runs the list then carries out.
 
 use std::{
     net::SocketAddr,
@@ -38,6 +39,9 @@
     /// Its accelerators.
     #[serde(default)]
     pub accelerators: u32,
+    /// When it was last maintained, in milliseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub maintained_ms: Option<u64>,
 }
 
 /// Whether a VM takes new work.
@@ -83,6 +87,7 @@
     content: Arc<Mutex<Content>>,
     revision: Arc<watch::Sender<u64>>,
     lag: Arc<watch::Sender<Duration>>,
+    maintenance: Arc<watch::Sender<Vec<VmId>>>,
 }
 
 impl Handle {
@@ -96,6 +101,12 @@
         self.list.lag.send_replace(lag);
     }
 
+    /// The VMs for which maintenance was asked, in order, with repetitions.
+    #[must_use]
+    pub fn maintenance(&self) -> watch::Receiver<Vec<VmId>> {
+        self.list.maintenance.subscribe()
+    }
+
     /// Stops the list.
     pub fn stop(&self) {
         self.task.abort();
@@ -136,6 +147,7 @@
         content: Arc::default(),
         revision: Arc::new(watch::Sender::new(0)),
         lag: Arc::new(watch::Sender::new(Duration::ZERO)),
+        maintenance: Arc::default(),
     };
     list.put(vms);
     let pages = list.clone();
@@ -160,6 +172,16 @@
                 _ => http::json(StatusCode::BAD_REQUEST, &"expected a list of VMs"),
             }
         }
-        _ => http::json(StatusCode::METHOD_NOT_ALLOWED, &"GET or PUT"),
+        Method::POST => {
+            let query = req.uri().query().unwrap_or_default();
+            match query.strip_prefix("vm=").map(str::parse) {
+                Some(Ok(vm)) => {
+                    list.maintenance.send_modify(|asked| asked.push(vm));
+                    http::json(StatusCode::ACCEPTED, &())
+                }
+                _ => http::json(StatusCode::BAD_REQUEST, &"expected /maintain?vm=ID"),
+            }
+        }
+        _ => http::json(StatusCode::METHOD_NOT_ALLOWED, &"GET, PUT or POST"),
     }
 }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -101,6 +101,7 @@
     pub address: SocketAddr,
     shared: Arc<Shared>,
     stop: tokio::sync::watch::Sender<bool>,
+    reboots: tokio::sync::watch::Sender<u64>,
 }
 
 impl Handle {
@@ -115,6 +116,11 @@
         *lock(&self.shared.mode) = mode;
     }
 
+    /// Closes all connections at once, as a reboot does; new ones are taken afterwards.
+    pub fn disconnect(&self) {
+        self.reboots.send_modify(|count| *count += 1);
+    }
+
     /// Closes the listener and all connections at once.
     pub fn kill(&self) {
         self.stop.send_replace(true);
@@ -131,6 +137,7 @@
     let address = listener.local_addr()?;
     let shared = Arc::new(Shared::default());
     let (stop, mut stopped) = tokio::sync::watch::channel(false);
+    let (reboots, mut rebooted) = tokio::sync::watch::channel(0);
     let accepting = Arc::clone(&shared);
     tokio::spawn(async move {
         let mut connections = JoinSet::new();
@@ -140,7 +147,11 @@
                     Ok((stream, _)) => stream,
                     Err(_) => break,
                 },
-                _ = stopped.wait_for(|stop| *stop) => break,
+                () = until_true(&mut stopped) => break,
+                Ok(()) = rebooted.changed() => {
+                    connections.shutdown().await;
+                    continue;
+                }
                 Some(_) = connections.join_next() => continue,
             };
             let _ = stream.set_nodelay(true);
@@ -148,7 +159,12 @@
         }
         connections.shutdown().await;
     });
-    Ok(Handle { address, shared, stop })
+    Ok(Handle { address, shared, stop, reboots })
+}
+
+async fn until_true(flag: &mut tokio::sync::watch::Receiver<bool>) {
+    // A handle that is gone stops the worker as well.
+    let _ = flag.wait_for(|flag| *flag).await;
 }
 
 /// Counts a connection as long as it lives.
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -102,6 +102,7 @@
         slots: Slots(8),
         state: vm_list::VmState::Live,
         accelerators: 0,
+        maintained_ms: None,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,13 +5,14 @@
 
 mod cache;
 mod duties;
+mod fleet;
 mod probes;
 mod registration;
 mod shares;
 mod view;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -24,6 +25,7 @@
     Generation, NodeId, PoolId, ServiceId, Span, Timestamp, VmId,
     catalog::Catalog,
     duty::{Duties, DutyId, Life},
+    maintain::{Shortfall, Waves},
     membership::{self, Member, Membership, State},
     retry::Budget,
     slots::{
@@ -78,6 +80,8 @@
     SlotsAnswered { keeper: Life, sequence: u64, reply: Option<Reply> },
     /// A write about duties ended.
     DutiesWritten { duties: Vec<DutyId>, written: bool },
+    /// A write of VMs' records ended.
+    VmsWritten(Vec<VmId>),
     /// The node is to leave in order; the answer comes when nothing is owned any more.
     Leave(oneshot::Sender<()>),
 }
@@ -121,7 +125,15 @@
     duties: Duties,
     /// Duties whose write is under way.
     writing: Vec<DutyId>,
+    /// VMs as the platform's list shows them.
     fleet: IndexMap<VmId, Vm>,
+    /// The VMs' records in the store.
+    records: IndexMap<VmId, fleet::Known>,
+    /// VMs whose record is being written.
+    writing_vms: HashSet<VmId>,
+    waves: HashMap<PoolId, Waves>,
+    shortfalls: HashMap<PoolId, Shortfall>,
+    next_fleet: Timestamp,
     vm_list_seen: bool,
     pools: IndexMap<PoolId, Arc<Pool>>,
     gates: HashMap<VmId, Arc<VmGate>>,
@@ -197,6 +209,11 @@
             duties: Duties::new(life),
             writing: Vec::new(),
             fleet: IndexMap::new(),
+            records: IndexMap::new(),
+            writing_vms: HashSet::new(),
+            waves: HashMap::new(),
+            shortfalls: HashMap::new(),
+            next_fleet: Timestamp(0),
             vm_list_seen: false,
             pools: IndexMap::new(),
             gates: HashMap::new(),
@@ -291,6 +308,7 @@
                 self.slots_answered(&keeper, sequence, reply);
             }
             Event::DutiesWritten { duties, written } => self.duties_written(&duties, written, now),
+            Event::VmsWritten(vms) => self.vms_written(&vms),
             Event::Leave(done) => self.leave(done, now),
         }
     }
@@ -310,6 +328,9 @@
             self.next_judgement = now + JUDGEMENT_INTERVAL;
             self.judge_vms(now);
         }
+        if now >= self.next_fleet {
+            self.step_fleet(now);
+        }
         if now >= self.next_view {
             self.publish_view(now);
         }
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -36,6 +36,7 @@
         let mut services = Vec::new();
         let mut head = None;
         let mut nodes_changed = false;
+        let mut vms_changed = false;
         for change in changes {
             let key = self.cfg.keys.parse_control(&change.key);
             let (revision, value) = (change.revision, change.value.clone());
@@ -51,6 +52,10 @@
                     nodes_changed = true;
                     self.take_node(&life, value.as_ref(), now);
                 }
+                (Some(ControlKey::Vm(vm)), value) => {
+                    vms_changed = true;
+                    self.take_vm_record(vm, value.as_ref(), revision);
+                }
                 (Some(ControlKey::Duty(duty)), Some(value)) => {
                     if let Ok(record) = serde_json::from_slice(&value) {
                         self.take_term(duty, Term { epoch: Epoch(revision), record }, now);
@@ -66,6 +71,9 @@
         if head.is_some() || !services.is_empty() {
             self.take_generation(head, services, now);
         }
+        if vms_changed {
+            self.rebuild_pools(now);
+        }
         self.publish_owners();
         self.plan_duties(now);
         self.publish_view(now);
@@ -138,6 +146,7 @@
         let mut keeper = Keeper::new(epoch, self.slots_config(pool), predecessor);
         keeper.set_vms(self.pool_slots(pool));
         self.keepers.insert(pool.clone(), keeper);
+        self.next_fleet = Timestamp(0);
     }
 
     /// Owned pools whose record names shorter grants than are to be made; their terms are renewed.
@@ -178,8 +187,10 @@
     /// All duties that there should be.
     fn wanted(&self) -> Vec<DutyId> {
         let partitions = self.cfg.shared.settings.journal.partitions;
-        let pools: IndexSet<&PoolId> =
-            self.catalog.declarations().map(|declaration| &declaration.pool).collect();
+        let declared = self.catalog.declarations().map(|declaration| &declaration.pool);
+        // A VM may still belong to a pool that is not declared any more.
+        let recorded = self.records.values().map(|known| &known.record.pool);
+        let pools: IndexSet<&PoolId> = declared.chain(recorded).collect();
         let slots = pools.into_iter().cloned().map(DutyId::Slots);
         (0..partitions).map(DutyId::Journal).chain(slots).collect()
     }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -36,6 +36,7 @@
 impl Control {
     pub(super) fn take_vms(&mut self, page: VmPage, now: Timestamp) {
         self.vm_list_seen = true;
+        self.next_fleet = Timestamp(0);
         for vm in page.vms {
             let before = self.fleet.get(&vm.id);
             if before.is_none_or(|before| before.state != vm.state || before.pool != vm.pool) {
@@ -56,7 +57,9 @@
         self.note_longest_requests();
         let mut by_pool: HashMap<PoolId, Vec<Vm>> = HashMap::new();
         for vm in self.fleet.values() {
-            by_pool.entry(vm.pool.clone()).or_default().push(vm.clone());
+            if let Some(known) = self.records.get(&vm.id) {
+                by_pool.entry(known.record.pool.clone()).or_default().push(vm.clone());
+            }
         }
         let declared: IndexSet<PoolId> =
             self.catalog.declarations().map(|declaration| declaration.pool.clone()).collect();
@@ -67,12 +70,12 @@
         let fleet = &self.fleet;
         self.gates.retain(|vm, _| fleet.contains_key(vm));
         self.set_shares();
-        let slots: Vec<_> =
-            self.keepers.keys().map(|pool| (pool.clone(), self.pool_slots(pool))).collect();
-        for (pool, vms) in slots {
-            if let Some(keeper) = self.keepers.get_mut(&pool) {
-                keeper.set_vms(vms);
-            }
+        let mut lent: HashMap<PoolId, IndexMap<VmId, slots::Vm>> = HashMap::new();
+        for (pool, vm, content) in self.lent_vms() {
+            lent.entry(pool.clone()).or_default().insert(vm.clone(), content);
+        }
+        for (pool, keeper) in &mut self.keepers {
+            keeper.set_vms(lent.remove(pool).unwrap_or_default());
         }
         self.publish_view(now);
     }
@@ -96,7 +99,8 @@
                 let local = info.zone == *zone;
                 Arc::new(VmGate::new(info, local, added))
             });
-            gate.set_leaving(vm.state == VmState::Leaving);
+            let planned = self.records.get(&vm.id).is_none_or(|one| !one.record.takes_requests());
+            gate.set_leaving(vm.state == VmState::Leaving || planned);
             self.gates.insert(vm.id.clone(), Arc::clone(&gate));
             gates.insert(vm.id, gate);
         }
@@ -118,14 +122,20 @@
         }
     }
 
+    /// VMs whose slots may be lent, each with its pool.
+    fn lent_vms(&self) -> impl Iterator<Item = (&PoolId, &VmId, slots::Vm)> {
+        let live = self.fleet.values().filter(|vm| vm.state == VmState::Live);
+        live.filter_map(|vm| {
+            let record = &self.records.get(&vm.id)?.record;
+            let content = slots::Vm { slots: vm.slots, zone: vm.zone.clone() };
+            record.takes_requests().then_some((&record.pool, &vm.id, content))
+        })
+    }
+
     /// The VMs of a pool whose slots may be lent.
     pub(super) fn pool_slots(&self, pool: &PoolId) -> IndexMap<VmId, slots::Vm> {
-        let live = |vm: &&Vm| vm.pool == *pool && vm.state == VmState::Live;
-        let vm = |vm: &Vm| {
-            let content = slots::Vm { slots: vm.slots, zone: vm.zone.clone() };
-            (vm.id.clone(), content)
-        };
-        self.fleet.values().filter(live).map(vm).collect()
+        let of_pool = self.lent_vms().filter(|(one, ..)| *one == pool);
+        of_pool.map(|(_, vm, content)| (vm.clone(), content)).collect()
     }
 
     /// The longest that a request in a pool can run.
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -1,9 +1,9 @@
 //! What this node shows of itself: the snapshot for traffic, its status, and explanations.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
 use serde_json::{Value, json};
-use teaselgap_core::{Span, Timestamp, duty::DutyId};
+use teaselgap_core::{PoolId, Span, Timestamp, duty::DutyId};
 use teaselgap_proto::peer::{ExplainReply, StatusReply};
 
 use super::Control;
@@ -59,6 +59,10 @@
         });
         let duties: Vec<String> =
             self.duties.all_owned(now).map(|(duty, _)| duty.to_string()).collect();
+        let mut stops: HashMap<&PoolId, u32> = HashMap::new();
+        for known in self.records.values().filter(|known| !known.record.takes_requests()) {
+            *stops.entry(&known.record.pool).or_default() += 1;
+        }
         let pools = self.pools.iter().map(|(id, pool)| {
             let vms = pool.vms();
             let (held, in_use) = vms
@@ -66,7 +70,7 @@
                 .map(|vm| vm.slots())
                 .fold((0, 0), |sum, slots| (sum.0 + slots.0, sum.1 + slots.1));
             json!({
-                "pool": id, "vms": vms.len(), "held": held, "in_use": in_use,
+                "pool": id, "vms": vms.len(), "planned_stops": stops.get(id).copied().unwrap_or(0), "held": held, "in_use": in_use,
                 "waiting": pool.waiting(),
             })
         });
@@ -146,11 +150,15 @@
     fn explain_vm(&self, name: &str, now: Timestamp) -> Option<Value> {
         let vm = self.fleet.get(name)?;
         let gate = self.gates.get(name);
-        let services = self.catalog.declarations().filter(|one| one.pool == vm.pool);
+        let record = self.records.get(name).map(|known| &known.record);
+        let services = self.catalog.declarations();
+        let services = services.filter(|one| record.is_some_and(|record| record.pool == one.pool));
         Some(json!({
             "vm": name,
-            "because": "the VM list puts it into this pool",
-            "pool": vm.pool,
+            "because": "its record in the store names the pool, whatever the VM list says",
+            "pool": record.map(|one| &one.pool),
+            "plan": record.map(|one| &one.plan),
+            "listed_pool": vm.pool,
             "state": format!("{:?}", vm.state).to_lowercase(),
             "services": services.map(|one| &one.service).collect::<Vec<_>>(),
             "held_here": gate.map(|gate| gate.slots().0),
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -1,7 +1,7 @@
 //! The names of all keys in the store.
 
 use teaselgap_core::{
-    CustomerId, RequestId, ServiceId,
+    CustomerId, RequestId, ServiceId, VmId,
     duty::{DutyId, Life},
     journal::Sequence,
 };
@@ -19,6 +19,7 @@
     Service(ServiceId),
     Node(Life),
     Duty(DutyId),
+    Vm(VmId),
 }
 
 impl Keys {
@@ -48,6 +49,10 @@
         format!("{}{}/{}", self.nodes(), life.node, life.incarnation)
     }
 
+    pub(crate) fn vm(&self, vm: &VmId) -> String {
+        format!("{}vm/{vm}", self.control())
+    }
+
     pub(crate) fn duty(&self, duty: &DutyId) -> String {
         format!("{}duty/{duty}", self.control())
     }
@@ -105,6 +110,7 @@
         match kind {
             "service" => name.parse().ok().map(ControlKey::Service),
             "duty" => name.parse().ok().map(ControlKey::Duty),
+            "vm" => name.parse().ok().map(ControlKey::Vm),
             "node" => {
                 let (node, incarnation) = name.split_once('/')?;
                 let life =
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod configuration;
 mod failures;
+mod fleet;
 mod heads;
 mod journal;
 mod path;
