--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -111,8 +111,8 @@
 
 fn successors(world: &World, wait_for_drain: bool) -> Vec<World> {
     let mut next = Vec::new();
-    for i in 0..2 {
-        let own = pool(NAMES[i]);
+    for (i, name) in NAMES.into_iter().enumerate() {
+        let own = pool(name);
         let mut push = |change: &dyn Fn(&mut World)| {
             let mut after = world.clone();
             change(&mut after);
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -164,7 +164,7 @@
             max_remembered: 100_000,
             max_answers: 1_000,
             max_answer_bytes: 16 * 1024,
-            lazy: Span(25),
+            lazy: Span(100),
         }
     }
 }
@@ -182,7 +182,7 @@
     segment: Segment,
     tokens: Vec<Option<Token>>,
     /// Intents whose askers were refused; if the segment is in place after all, they are concluded.
-    withdrawn: Vec<Intent>,
+    withdrawn: Vec<Arc<Intent>>,
     /// The answer to an earlier try was lost.
     doubtful: bool,
     /// A later try was refused, by the end of the term or by the earlier try.
@@ -290,7 +290,7 @@
             return;
         }
         self.entries.insert(intent.id.clone(), Arc::new(Entry::open(&intent)));
-        self.wait(Some(token), Record::Intent(intent));
+        self.wait(Some(token), Record::Intent(Arc::new(intent)));
         self.flush(out);
     }
 
@@ -308,7 +308,7 @@
     }
 
     /// A request ended, or certainly was not sent.
-    pub fn conclude(&mut self, token: Option<Token>, end: Conclusion, out: &mut Vec<Action>) {
+    pub fn conclude(&mut self, token: Option<Token>, end: Arc<Conclusion>, out: &mut Vec<Action>) {
         if self.stopped {
             out.extend(token.map(|token| Action::Answer(token, Verdict::Refused)));
             return;
@@ -433,7 +433,7 @@
 
     /// Its asker was told not to send the request, so that it certainly did not run.
     fn withdraw(&mut self, intent: &Intent) {
-        let end = Conclusion::not_run(intent);
+        let end = Arc::new(Conclusion::not_run(intent));
         if let Some(entry) = self.entries.get_mut(&intent.id) {
             Arc::make_mut(entry).conclude(&end);
         }
@@ -551,7 +551,7 @@
                 if entry.is_some_and(|entry| Arc::make_mut(entry).conclude(&end))
                     && let Some(entry) = entries.shift_remove(&end.id)
                 {
-                    entries.insert(end.id, entry);
+                    entries.insert(end.id.clone(), entry);
                 }
             }
         }
@@ -563,9 +563,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Story {
     /// The newest intent.
-    pub intent: Intent,
+    pub intent: Arc<Intent>,
     /// The newest conclusion after it.
-    pub conclusion: Option<Conclusion>,
+    pub conclusion: Option<Arc<Conclusion>>,
 }
 
 /// Puts intents and conclusions of one customer together, in the order of the intents' times.
--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -1,5 +1,7 @@
 //! What a segment of the journal holds.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as};
 
@@ -116,18 +118,21 @@
     }
 }
 
-/// One thing that happened to a request.
+/// One thing that happened to a request. Copies share the content.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Record {
     /// It is about to be sent.
-    Intent(Intent),
+    Intent(Arc<Intent>),
     /// It ended.
-    Conclusion(Conclusion),
+    Conclusion(Arc<Conclusion>),
 }
 
 /// Bytes that a record takes besides its body and head.
-const RECORD_OVERHEAD: usize = 256;
+const RECORD_OVERHEAD: usize = 512;
+
+/// Bytes that a head field takes besides its name and value.
+const FIELD_OVERHEAD: usize = 64;
 
 impl Record {
     /// On whose behalf the request was made.
@@ -146,7 +151,8 @@
             Self::Intent(intent) => (&intent.head, &intent.body),
             Self::Conclusion(end) => (&end.outcome.head, &end.outcome.body),
         };
-        let head: usize = head.iter().map(|(name, value)| name.len() + value.len() + 8).sum();
+        let head: usize =
+            head.iter().map(|(name, value)| name.len() + value.len() + FIELD_OVERHEAD).sum();
         // Bodies are written in base64.
         RECORD_OVERHEAD + head + body.len() * 4 / 3
     }
--- a/crates/core/src/journal/tests.rs
+++ b/crates/core/src/journal/tests.rs
@@ -23,7 +23,11 @@
     }
 }
 
-pub(super) fn end(id: &str, kind: OutcomeKind) -> Conclusion {
+pub(super) fn end(id: &str, kind: OutcomeKind) -> Arc<Conclusion> {
+    Arc::new(conclusion(id, kind))
+}
+
+fn conclusion(id: &str, kind: OutcomeKind) -> Conclusion {
     Conclusion {
         id: id.parse().unwrap(),
         attempt: 1,
@@ -96,8 +100,8 @@
     run(|out| partition.intend(Token(1), intent("a", 1), out));
     run(|out| partition.written(1, Written::Done, out));
 
-    let other = Conclusion { attempt: 2, ..end("a", OutcomeKind::NotRun) };
-    run(|out| partition.conclude(None, other, out));
+    let other = Conclusion { attempt: 2, ..conclusion("a", OutcomeKind::NotRun) };
+    run(|out| partition.conclude(None, Arc::new(other), out));
     let again = run(|out| partition.intend(Token(2), intent("a", 2), out));
 
     assert_eq!(again, [Action::Answer(Token(2), Verdict::Open(life(1)))]);
@@ -142,7 +146,10 @@
     assert_eq!(withdrawn.sequence, 2);
     assert_eq!(
         withdrawn.records,
-        [Record::Conclusion(Conclusion { time_ms: 1, ..end("a", OutcomeKind::NotRun) })]
+        [Record::Conclusion(Arc::new(Conclusion {
+            time_ms: 1,
+            ..conclusion("a", OutcomeKind::NotRun)
+        }))]
     );
 }
 
@@ -193,7 +200,7 @@
 #[test]
 fn an_idempotent_request_is_recorded_each_time_it_arrives() {
     let mut partition = partition();
-    let record = || Record::Intent(Intent { at_most_once: false, ..intent("a", 1) });
+    let record = || Record::Intent(Arc::new(Intent { at_most_once: false, ..intent("a", 1) }));
 
     run(|out| partition.append(Token(1), record(), out));
     let first = run(|out| partition.written(1, Written::Done, out));
@@ -212,7 +219,7 @@
     let travelling = run(|out| partition.intend(Token(1), intent("b", 1), out));
     run(|out| partition.written(1, Written::Done, out));
     let next = run(|out| partition.conclude(None, end("b", OutcomeKind::Ran), out));
-    let due = run(|out| partition.advance(Timestamp(1_025), out));
+    let due = run(|out| partition.advance(Timestamp(1_100), out));
 
     assert_eq!((alone.len(), next.len()), (0, 0));
     assert_eq!(written_segment(&travelling).records.len(), 2);
@@ -241,7 +248,7 @@
             sequence: i,
             nonce: i,
             records: vec![
-                Record::Intent(intent(&format!("r{i}"), 1)),
+                Record::Intent(Arc::new(intent(&format!("r{i}"), 1))),
                 Record::Conclusion(end(&format!("r{}", i / 2), OutcomeKind::Ran)),
             ],
         })
@@ -258,8 +265,8 @@
     let early = Intent { time_ms: 5, ..intent("b", 1) };
     let late = Intent { time_ms: 9, ..intent("a", 1) };
     let records = [
-        Record::Intent(late),
-        Record::Intent(early),
+        Record::Intent(Arc::new(late)),
+        Record::Intent(Arc::new(early)),
         Record::Conclusion(end("b", OutcomeKind::Ran)),
     ];
 
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -116,7 +116,7 @@
 }
 
 /// Longest wait for any condition.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_mins(1);
 
 /// How often a condition is looked at.
 const POLL: Duration = Duration::from_millis(20);
@@ -374,6 +374,7 @@
     /// Shows all VMs as last maintained this long ago, and from now on maintains those for which it
     /// is asked: the worker loses its connections, and the VM shows as leaving meanwhile. The number
     /// of maintenances done.
+    #[must_use]
     pub fn maintain_on_request(&self, age: Duration, takes: Duration) -> watch::Receiver<usize> {
         let wall_ms = |age: Duration| {
             let then = SystemTime::now().checked_sub(age).unwrap_or(UNIX_EPOCH);
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -15,6 +15,7 @@
   control    [--nodes N,…] [--workers N,…] [--seconds N]   cost of control alone, and its slopes
   rollout    [--nodes N] [--changes N]                     time until a change is in force everywhere
   overhead   [--seconds N] [--callers N]                   what a node adds to a request
+  flood      [--seconds N] [--seed N]                      what others keep while one service floods
   journal    [--seconds N] [--nodes N]                     cost of recording requests
 
 Build the whole workspace with the same profile first: cargo build --release --workspace
@@ -34,6 +35,7 @@
         (Some("measure"), Some("control")) => measure::control::run(args).await,
         (Some("measure"), Some("rollout")) => measure::rollout::run(args).await,
         (Some("measure"), Some("overhead")) => measure::overhead::run(args).await,
+        (Some("measure"), Some("flood")) => measure::flood::run(args).await,
         (Some("measure"), Some("journal")) => measure::journal::run(args).await,
         _ => {
             eprint!("{HELP}");
--- a/crates/standins/src/measure.rs
+++ b/crates/standins/src/measure.rs
@@ -1,6 +1,7 @@
 //! What the measurements share: readings from outside a process, fits, and the last line.
 
 pub(crate) mod control;
+pub(crate) mod flood;
 pub(crate) mod journal;
 pub(crate) mod overhead;
 pub(crate) mod rollout;
--- a/crates/standins/src/measure/control.rs
+++ b/crates/standins/src/measure/control.rs
@@ -40,6 +40,9 @@
     store_calls_per_second: f64,
 }
 
+/// One of the costs.
+type Field = fn(&Cost) -> f64;
+
 /// One size of system.
 #[derive(Clone, Copy, Debug)]
 struct Size {
@@ -79,7 +82,7 @@
         let points: Vec<_> = points.iter().map(|(s, c)| (x(s) as f64, y(c))).collect();
         fit(&points)
     };
-    let fields: [(&str, fn(&Cost) -> f64); 4] = [
+    let fields: [(&str, Field); 4] = [
         ("cpu_percent", |cost| cost.cpu_percent),
         ("memory_mb", |cost| cost.memory_mb),
         ("bytes_per_second", |cost| cost.bytes_per_second),
--- a/crates/standins/src/measure/journal.rs
+++ b/crates/standins/src/measure/journal.rs
@@ -108,7 +108,13 @@
 
 static NUMBER: AtomicUsize = AtomicUsize::new(0);
 
-async fn run_load(cluster: &Cluster, method: &'static str, callers: usize, time: Duration) -> Load {
+async fn run_load(
+    cluster: &Cluster,
+    method: &'static str,
+    callers: usize,
+    thinking: Duration,
+    time: Duration,
+) -> Load {
     let entries = Arc::new(cluster.entries());
     let before = writes(&cluster.store.calls());
     let until = Instant::now() + time;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -17,7 +17,7 @@
     kv_server::KvServer, lease_server::LeaseServer, watch_server::WatchServer,
 };
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 pub use data::Data;
 pub use service::Service;
@@ -123,11 +123,10 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(KvServer::new(service.clone()))
         .add_service(WatchServer::new(service.clone()))
         .add_service(LeaseServer::new(service.clone()))
-        .serve_with_incoming(TcpListenerStream::new(listener));
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
     let server = tokio::spawn(async move {
         let _ = server.await;
     });
--- a/src/command/history.rs
+++ b/src/command/history.rs
@@ -4,6 +4,7 @@
     fs::File,
     io::{BufRead, BufReader, BufWriter, Write as _},
     path::{Path, PathBuf},
+    sync::Arc,
 };
 
 use pico_args::Arguments;
@@ -34,9 +35,9 @@
 /// One request as it is handed back.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Line {
-    request: Intent,
+    request: Arc<Intent>,
     /// `None` where no end was recorded: the request may have run.
-    end: Option<Conclusion>,
+    end: Option<Arc<Conclusion>>,
 }
 
 /// The last line of an export.
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -9,7 +9,7 @@
     Epoch, PoolId, Slots, Span, Timestamp, VmId,
     duty::DutyId,
     fleet::{Observed, Plan, Step, VmRecord, next_step},
-    maintain::{Decision, Tolerance, VmView},
+    maintain::{Decision, Shortfall, Tolerance, VmView},
     slots::Keeper,
 };
 
@@ -195,7 +195,7 @@
 
     /// What all services of a pool tolerate together; `None` if none is declared.
     fn tolerance(&self, pool: &PoolId) -> Option<Tolerance> {
-        let used = self.shortfalls.get(pool).map_or(Span(0), |shortfall| shortfall.used());
+        let used = self.shortfalls.get(pool).map_or(Span(0), Shortfall::used);
         let services = || self.catalog.declarations().filter(|one| one.pool == *pool);
         let budget = services().map(|one| {
             let rule = &one.availability;
--- a/src/front.rs
+++ b/src/front.rs
@@ -217,7 +217,7 @@
 
     /// Hands the record of a repeatable request over; the receiver tells when it is durable.
     fn record(&self, kept: &Bytes, truncated: bool) -> Result<oneshot::Receiver<bool>, Problem> {
-        let record = Record::Intent(self.intent(kept, truncated, false));
+        let record = Record::Intent(Arc::new(self.intent(kept, truncated, false)));
         let handed_over = self.shared.journal.append_with_notice(record);
         handed_over.ok_or_else(|| self.not_run(StatusCode::SERVICE_UNAVAILABLE, "history-full"))
     }
@@ -338,7 +338,7 @@
             time_ms: clock::wall_ms(),
             outcome,
         };
-        self.shared.journal.append(Record::Conclusion(end));
+        self.shared.journal.append(Record::Conclusion(Arc::new(end)));
     }
 
     fn log_decision(&self, permit: &Permit, attempt: u32) {
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -1,6 +1,6 @@
 //! Answers to callers: marked heads, problems, and the record of what was answered.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use hyper::{
@@ -191,7 +191,7 @@
             time_ms: clock::wall_ms(),
             outcome,
         };
-        self.journal.append(Record::Conclusion(end));
+        self.journal.append(Record::Conclusion(Arc::new(end)));
         let told = if in_order { "ran" } else { "broken-off" };
         self.metrics.request(self.service.as_str(), told, seconds(self.started));
     }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -63,7 +63,7 @@
 }
 
 /// Bytes of records that may wait at this node to become durable.
-pub(crate) const MAX_WAITING_BYTES: usize = 24 << 20;
+pub(crate) const MAX_WAITING_BYTES: usize = 16 << 20;
 
 /// The way to the journal from any thread.
 #[derive(Clone, Debug)]
--- a/src/journal/outbox.rs
+++ b/src/journal/outbox.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 /// Bytes of one batch; it must fit into one segment with others.
-const MAX_BATCH_BYTES: usize = 128 << 10;
+const MAX_BATCH_BYTES: usize = 384 << 10;
 
 #[derive(Debug)]
 struct Waiting {
--- a/src/journal/service.rs
+++ b/src/journal/service.rs
@@ -269,7 +269,7 @@
             let refused = reply.send(verdict.unwrap_or(Verdict::Refused)).err();
             // Nobody will send the request, so the intent is taken back in case it was recorded.
             if lost || refused == Some(Verdict::Recorded) {
-                client.append(Record::Conclusion(Conclusion::not_run(&intent)));
+                client.append(Record::Conclusion(Arc::new(Conclusion::not_run(&intent))));
             }
         });
     }
@@ -414,7 +414,9 @@
                 let unheard = reply.send(verdict).err();
                 // Nobody waits for the verdict any more, so nobody will send the request.
                 if unheard == Some(Verdict::Recorded) {
-                    self.cfg.client.append(Record::Conclusion(Conclusion::not_run(&intent)));
+                    self.cfg
+                        .client
+                        .append(Record::Conclusion(Arc::new(Conclusion::not_run(&intent))));
                 }
             }
             Some(Waiter::Batch(batch)) => {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -12,8 +12,7 @@
     net::TcpListener,
     sync::{mpsc, oneshot},
 };
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, transport::server::TcpIncoming};
 
 use crate::{
     control::{Event, PeerCall},
@@ -34,9 +33,8 @@
     let server =
         PeerServer::new(Server { control, journal }).max_decoding_message_size(super::MAX_MESSAGE);
     tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(server)
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)))
         .await
 }
 
