--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -60,6 +60,9 @@
 /// Most requests that may wait in one service's queue.
 const MAX_WAITING: usize = 4_096;
 
+/// How many times the expected wait a request's deadline must leave.
+const ADMISSION_MARGIN: u64 = 2;
+
 /// A queue is overloaded once its oldest request has waited this part of its time.
 const OVERLOAD_DIVISOR: u64 = 2;
 
@@ -154,7 +157,9 @@
         if own >= queue.share.waiting_per_customer as usize {
             return Err(Refusal::CustomerLimit);
         }
-        if waiting.arrived + queue.expected_wait(held, total, own) >= waiting.deadline {
+        // The estimate is of a mean, so a request is let in only if it leaves as much time again.
+        let expected = queue.expected_wait(held, total, own);
+        if waiting.arrived + Span(expected.0 * ADMISSION_MARGIN) >= waiting.deadline {
             return Err(Refusal::TooLate);
         }
         Ok(())
--- a/crates/core/src/admit/tests.rs
+++ b/crates/core/src/admit/tests.rs
@@ -104,7 +104,7 @@
 fn what_cannot_make_its_deadline_is_refused_on_arrival() {
     let mut queue = queue(1, &[("s", 1, Urgency::Normal)]);
     queue.started(&service("s"));
-    queue.finished(&service("s"), 300_000);
+    queue.finished(&service("s"), 150_000);
 
     let results: Vec<_> =
         (0..5).map(|ticket| queue.offer(&service("s"), waiting(ticket, "c", 0))).collect();
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -297,27 +297,66 @@
             return;
         }
         self.targets.clear();
+        let weights = self.weights();
+        let sum: f64 = weights.values().sum();
+        let slots: u32 = self.vms.values().map(|vm| vm.slots.0).sum();
+        let most = |id: &HolderId| most_slots(f64::from(slots) * weights[id] / sum);
+        let mut given: IndexMap<HolderId, f64> = IndexMap::new();
         for (vm, info) in &self.vms {
             for slot in 0..info.slots.0 {
-                let Some(id) = self.winner(vm, info, slot) else {
+                let has_room = |id: &HolderId| given.get(id).is_none_or(|&has| has < most(id));
+                let Some(id) = self.winner(vm, info, slot, &weights, has_room).cloned() else {
                     continue;
                 };
-                let targets = self.targets.entry(id.clone()).or_default();
+                *given.entry(id.clone()).or_default() += 1.0;
+                let targets = self.targets.entry(id).or_default();
                 *targets.entry(vm.clone()).or_default() += 1;
             }
         }
     }
 
-    fn winner(&self, vm: &VmId, info: &Vm, slot: u32) -> Option<&HolderId> {
+    /// What each holder's share is in proportion to.
+    ///
+    /// Each has an equal share by right, so that one that was idle a moment ago can take a burst
+    /// before the next exchange. Demand counts up to twice that share: beyond it everybody is
+    /// flooded, and differences say nothing about who needs slots more.
+    fn weights(&self) -> IndexMap<HolderId, f64> {
+        let slots: u32 = self.vms.values().map(|vm| vm.slots.0).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a count of holders")]
+        let holders = self.holders.len().max(1) as f64;
+        let base = (f64::from(slots) / holders).max(1.0);
+        let weight = |holder: &Holder| base + f64::from(holder.demand).min(2.0 * base);
+        self.holders.iter().map(|(id, holder)| (id.clone(), weight(holder))).collect()
+    }
+
+    fn winner(
+        &self,
+        vm: &VmId,
+        info: &Vm,
+        slot: u32,
+        weights: &IndexMap<HolderId, f64>,
+        has_room: impl Fn(&HolderId) -> bool,
+    ) -> Option<&HolderId> {
         let score = |id: &HolderId, holder: &Holder| {
             let affinity = if holder.zone == info.zone { LOCAL_ZONE_WEIGHT } else { 1.0 };
-            weighted_score(&id.0, vm, slot, f64::from(holder.demand + 1) * affinity)
+            weighted_score(&id.0, vm, slot, weights[id] * affinity)
         };
-        let scored = self.holders.iter().map(|(id, holder)| (id, score(id, holder)));
+        let able = self.holders.iter().filter(|(id, _)| has_room(id));
+        let scored = able.map(|(id, holder)| (id, score(id, holder)));
         scored.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(id, _)| id)
     }
 }
 
+/// The most slots for a holder whose share is this.
+///
+/// Among few holders chance alone would leave one with half of what it should have. Among many, a
+/// bound would move slots between those whom a change does not concern, and a stable subset of VMs
+/// counts for more.
+fn most_slots(share: f64) -> f64 {
+    const LEAST_BOUNDED: f64 = 4.0;
+    if share < LEAST_BOUNDED { f64::INFINITY } else { share.floor() + 1.0 }
+}
+
 /// How much likelier a holder gets a slot in its own availability zone than elsewhere.
 const LOCAL_ZONE_WEIGHT: f64 = 2.0;
 
@@ -375,6 +414,18 @@
         true
     }
 
+    /// Gives up grants that have ended; true if there were any.
+    ///
+    /// Call it before a report: the keeper lent the slots to others in good faith, and a new keeper
+    /// would believe a holder that still claims them.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        if now < self.deadline || self.grants.is_empty() {
+            return false;
+        }
+        self.grants.clear();
+        true
+    }
+
     /// When the grants end.
     #[must_use]
     pub fn deadline(&self) -> Timestamp {
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, PoolId, ServiceId, Span, Timestamp, VmId,
+    Epoch, PoolId, ServiceId, Slots, Span, Timestamp, VmId,
     admit::Share,
     duty::{DutyId, Life},
     slots::{
@@ -168,6 +168,11 @@
                 continue;
             };
             let holding = self.holdings.entry(id.clone()).or_default();
+            if holding.expire(now) {
+                for gate in pool.vms().values() {
+                    gate.set_held(Slots(0));
+                }
+            }
             if holding.epoch() != epoch {
                 holding.bind(epoch);
             }
--- a/src/front.rs
+++ b/src/front.rs
@@ -62,6 +62,17 @@
     }
 }
 
+/// Whether an answer says that the backend server failed, rather than what the caller asked.
+fn is_failure(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
 fn seconds(started: Instant) -> f64 {
     started.elapsed().as_secs_f64()
 }
@@ -268,16 +279,26 @@
             };
             self.log_decision(&permit, attempt);
             avoid.push(permit.vm.info.rack.clone());
-            let err = match self.attempt(permit, body).await {
-                Ok(answer) => return Ok(answer),
-                Err(err) => err,
+            let (failure, reason) = match self.attempt(permit, body).await {
+                Ok(answer) if !is_failure(answer.status()) => return Ok(answer),
+                Ok(answer) => {
+                    // An answer of any kind is better than none, so it goes out if it is the last.
+                    if kept.is_none() || !self.may_repeat(Failure::Unknown) {
+                        return Ok(answer);
+                    }
+                    (Failure::Unknown, answer.status().to_string())
+                }
+                Err(err) => {
+                    if kept.is_none() || !self.may_repeat(err.failure) {
+                        may_have_run |= err.failure == Failure::Unknown;
+                        self.log_failure(attempt, &err.reason);
+                        break;
+                    }
+                    (err.failure, err.reason)
+                }
             };
-            warn!(self.shared.log, "attempt failed"; "request" => %self.head.id,
-                "service" => %self.head.service, "attempt" => attempt, "error" => %err);
-            may_have_run |= err.failure == Failure::Unknown;
-            if kept.is_none() || !self.may_repeat(&err) {
-                break;
-            }
+            may_have_run |= failure == Failure::Unknown;
+            self.log_failure(attempt, &reason);
             self.shared.metrics.repeat(self.head.service.as_str());
         }
         let late = clock::now() >= self.head.deadline;
@@ -311,10 +332,10 @@
         act(&mut budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
 
-    fn may_repeat(&self, err: &AttemptError) -> bool {
+    fn may_repeat(&self, failure: Failure) -> bool {
         // The queue refuses what could not end in time, so nothing is added for the attempt here.
         let safe = retry::may_repeat(
-            err.failure,
+            failure,
             self.is_idempotent(),
             self.head.deadline,
             Span(0),
@@ -341,6 +362,11 @@
         self.shared.journal.append(Record::Conclusion(Arc::new(end)));
     }
 
+    fn log_failure(&self, attempt: u32, reason: &str) {
+        warn!(self.shared.log, "attempt failed"; "request" => %self.head.id,
+            "service" => %self.head.service, "attempt" => attempt, "error" => reason);
+    }
+
     fn log_decision(&self, permit: &Permit, attempt: u32) {
         let vm = &permit.vm;
         let (held, in_use) = vm.slots();
