--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -11,16 +11,20 @@
 //! same id is never sent. An answer of the store that was lost is settled by reading the segment
 //! back and comparing its nonce.
 
+mod entry;
 mod record;
+mod replay;
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{HashSet, VecDeque},
     sync::Arc,
 };
 
-use indexmap::IndexMap;
-
-pub use record::{Conclusion, Intent, Outcome, OutcomeKind, Record, Segment};
+pub use self::{
+    entry::{Entries, Entry, Progress},
+    record::{Conclusion, Intent, Outcome, OutcomeKind, Record, Segment},
+    replay::{Story, recover, stories},
+};
 
 use crate::{RequestId, Span, Timestamp, duty::Life};
 
@@ -74,72 +78,6 @@
     Stop,
 }
 
-/// What a partition knows, in the order of the last change. Entries are shared so that a snapshot
-/// can be taken without holding up the partition.
-pub type Entries = IndexMap<RequestId, Arc<Entry>>;
-
-/// What is known of a request that must run at most once.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Hash of the request's method, path and body.
-    pub fingerprint: u64,
-    /// The newest arrival whose intent was recorded.
-    pub attempt: u64,
-    /// How far that arrival has come.
-    pub progress: Progress,
-}
-
-/// How far an arrival of a request has come.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Progress {
-    /// This life may have sent the request, or may still do so.
-    Open(Life),
-    /// It ended.
-    Concluded(Outcome),
-}
-
-impl Entry {
-    fn open(intent: &Intent) -> Self {
-        Self {
-            fingerprint: intent.fingerprint,
-            attempt: intent.attempt,
-            progress: Progress::Open(intent.at.clone()),
-        }
-    }
-
-    fn is_open(&self) -> bool {
-        matches!(self.progress, Progress::Open(_))
-    }
-
-    /// Bytes of the body of the answer that is kept.
-    #[must_use]
-    pub fn answer_bytes(&self) -> usize {
-        match &self.progress {
-            Progress::Open(_) => 0,
-            Progress::Concluded(outcome) => outcome.body.len(),
-        }
-    }
-
-    /// Forgets the body of an answer, which is then only in the history.
-    fn drop_answer(&mut self) {
-        if let Progress::Concluded(outcome) = &mut self.progress
-            && !outcome.body.is_empty()
-        {
-            outcome.body = Vec::new();
-            outcome.truncated = true;
-        }
-    }
-
-    /// Takes in the end of an arrival; false if it is not the one that is open here.
-    fn conclude(&mut self, end: &Conclusion) -> bool {
-        let applies = self.is_open() && self.attempt == end.attempt;
-        if applies {
-            self.progress = Progress::Concluded(end.outcome.clone());
-        }
-        applies
-    }
-}
-
 /// The limits of one segment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -532,71 +470,6 @@
     fitting.count().max(1)
 }
 
-/// Rebuilds the entries of a partition from a snapshot and the segments after it.
-#[must_use]
-pub fn recover(mut entries: Entries, segments: impl IntoIterator<Item = Segment>) -> Entries {
-    for record in segments.into_iter().flat_map(|segment| segment.records) {
-        match record {
-            Record::Intent(intent) if intent.at_most_once => {
-                let known = entries.get(&intent.id);
-                // The same arrival may have been written twice.
-                if known.is_none_or(|known| known.attempt != intent.attempt) {
-                    entries.shift_remove(&intent.id);
-                    entries.insert(intent.id.clone(), Arc::new(Entry::open(&intent)));
-                }
-            }
-            Record::Intent(_) => {}
-            Record::Conclusion(end) => {
-                let entry = entries.get_mut(&end.id);
-                if entry.is_some_and(|entry| Arc::make_mut(entry).conclude(&end))
-                    && let Some(entry) = entries.shift_remove(&end.id)
-                {
-                    entries.insert(end.id.clone(), entry);
-                }
-            }
-        }
-    }
-    entries
-}
-
-/// One request with all that the journal says of it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Story {
-    /// The newest intent.
-    pub intent: Arc<Intent>,
-    /// The newest conclusion after it.
-    pub conclusion: Option<Arc<Conclusion>>,
-}
-
-/// Puts intents and conclusions of one customer together, in the order of the intents' times.
-#[must_use]
-pub fn stories(records: impl IntoIterator<Item = Record>) -> Vec<Story> {
-    let mut by_id: HashMap<RequestId, Story> = HashMap::new();
-    let mut order: BTreeSet<(u64, RequestId)> = BTreeSet::new();
-    for record in records {
-        match record {
-            Record::Intent(intent) => {
-                let id = intent.id.clone();
-                if let Some(old) = by_id.get(&id) {
-                    if old.intent.attempt == intent.attempt {
-                        continue;
-                    }
-                    order.remove(&(old.intent.time_ms, id.clone()));
-                }
-                order.insert((intent.time_ms, id.clone()));
-                by_id.insert(id, Story { intent, conclusion: None });
-            }
-            Record::Conclusion(end) => {
-                let story = by_id.get_mut(&end.id);
-                if let Some(story) = story.filter(|story| story.intent.attempt == end.attempt) {
-                    story.conclusion = Some(end);
-                }
-            }
-        }
-    }
-    order.into_iter().filter_map(|(_, id)| by_id.remove(&id)).collect()
-}
-
 #[cfg(test)]
 mod model;
 #[cfg(test)]
--- a/crates/core/src/journal/model.rs
+++ b/crates/core/src/journal/model.rs
@@ -3,8 +3,10 @@
 
 use std::collections::{HashSet, VecDeque};
 
+use indexmap::IndexMap;
+
 use super::{
-    Action, Config, IndexMap, Partition, Record, Segment, Span, Token, Verdict, Written, recover,
+    Action, Config, Partition, Record, Segment, Span, Token, Verdict, Written, recover,
     tests::intent,
 };
 
--- a/crates/core/src/journal/tests.rs
+++ b/crates/core/src/journal/tests.rs
@@ -1,3 +1,5 @@
+use indexmap::IndexMap;
+
 use super::*;
 use crate::Incarnation;
 
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -134,10 +134,7 @@
 
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fits = |size: u64| self.0 != 0 && self.0.is_multiple_of(size);
-        let (unit, size) =
-            SPAN_UNITS.into_iter().find(|&(_, size)| fits(size)).unwrap_or(("ms", 1));
-        write!(f, "{}{unit}", self.0 / size)
+        format_in(&SPAN_UNITS, self.0, f)
     }
 }
 
@@ -145,15 +142,30 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let fail = || unit_error(text, "a length of time such as \"250ms\", \"30s\" or \"28d\"");
-        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
-        let (number, unit) = text.split_at(digits);
-        let (_, size) = SPAN_UNITS.into_iter().find(|&(name, _)| name == unit).ok_or_else(fail)?;
-        let count: u64 = number.parse().map_err(|_| fail())?;
-        count.checked_mul(size).map(Self).ok_or_else(fail)
+        let wanted = "a length of time such as \"250ms\", \"30s\" or \"28d\"";
+        parse_in(&SPAN_UNITS, text).map(Self).ok_or_else(|| unit_error(text, wanted))
     }
 }
 
+/// Names of units with their sizes, the largest first.
+type Units = [(&'static str, u64)];
+
+/// Writes a quantity in the largest unit that it is a multiple of.
+fn format_in(units: &Units, quantity: u64, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let fits = |size: u64| quantity != 0 && quantity.is_multiple_of(size);
+    let unit = units.iter().find(|&&(_, size)| fits(size)).or(units.last());
+    let (name, size) = unit.copied().unwrap_or(("", 1));
+    write!(f, "{}{name}", quantity / size)
+}
+
+/// Reads a whole number with a unit.
+fn parse_in(units: &Units, text: &str) -> Option<u64> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = text.split_at(digits);
+    let (_, size) = units.iter().find(|&&(name, _)| name == unit)?;
+    number.parse::<u64>().ok()?.checked_mul(*size)
+}
+
 /// A size in bytes, written `512MiB` or `64KiB`.
 #[derive(
     Clone,
@@ -174,9 +186,7 @@
 
 impl fmt::Display for ByteSize {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let fits = |size: u64| self.0 != 0 && self.0.is_multiple_of(size);
-        let (unit, size) = BYTE_UNITS.into_iter().find(|&(_, size)| fits(size)).unwrap_or(("B", 1));
-        write!(f, "{}{unit}", self.0 / size)
+        format_in(&BYTE_UNITS, self.0, f)
     }
 }
 
@@ -184,12 +194,8 @@
     type Err = UnitError;
 
     fn from_str(text: &str) -> Result<Self, UnitError> {
-        let fail = || unit_error(text, "a size such as \"64KiB\" or \"2GiB\"");
-        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
-        let (number, unit) = text.split_at(digits);
-        let (_, size) = BYTE_UNITS.into_iter().find(|&(name, _)| name == unit).ok_or_else(fail)?;
-        let count: u64 = number.parse().map_err(|_| fail())?;
-        count.checked_mul(size).map(Self).ok_or_else(fail)
+        let wanted = "a size such as \"64KiB\" or \"2GiB\"";
+        parse_in(&BYTE_UNITS, text).map(Self).ok_or_else(|| unit_error(text, wanted))
     }
 }
 
--- a/crates/standins/src/measure.rs
+++ b/crates/standins/src/measure.rs
@@ -7,7 +7,7 @@
 pub(crate) mod rollout;
 
 use serde_json::{Value, json};
-use teaselgap_standins::cluster::ClusterError;
+use teaselgap_standins::cluster::{ClusterError, Config, sibling_binary};
 
 /// What the operating system says of a process.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,6 +113,23 @@
     (0..count).map(|i| (format!("pool-{i}"), size(i))).collect()
 }
 
+/// A system over 11 zones whose VMs are entries of the list only.
+pub(crate) fn listed_fleet(
+    nodes: usize,
+    pools: Vec<(String, usize)>,
+) -> Result<Config, ClusterError> {
+    Ok(Config {
+        binary: sibling_binary("teaselgap")?,
+        nodes,
+        pools,
+        slots: 8,
+        zones: 11,
+        rack_size: 4,
+        workers: false,
+        settings: json!({"log": {"level": "warning"}}),
+    })
+}
+
 /// The command line of a measurement was wrong.
 pub(crate) fn usage(err: impl std::fmt::Display) -> ClusterError {
     ClusterError::Command(err.to_string())
--- a/crates/standins/src/measure/control.rs
+++ b/crates/standins/src/measure/control.rs
@@ -5,11 +5,13 @@
 use pico_args::Arguments;
 use serde_json::json;
 use teaselgap_standins::{
-    cluster::{Cluster, ClusterError, Config, sibling_binary},
+    cluster::{Cluster, ClusterError},
     vm_list::VmState,
 };
 
-use super::{declaration, declarations, finish, fit, numbers, pools, read_process, usage};
+use super::{
+    declaration, declarations, finish, fit, listed_fleet, numbers, pools, read_process, usage,
+};
 
 /// Processor time that control may cost a node, as a percentage of a core.
 const MAX_CPU_PERCENT: f64 = 3.2;
@@ -109,16 +111,7 @@
 }
 
 async fn measure(size: Size, window: Duration) -> Result<Cost, ClusterError> {
-    let cfg = Config {
-        binary: sibling_binary("teaselgap")?,
-        nodes: size.nodes,
-        pools: pools(size.pools(), size.workers),
-        slots: 8,
-        zones: 11,
-        rack_size: 4,
-        workers: false,
-        settings: json!({"log": {"level": "warning"}}),
-    };
+    let cfg = listed_fleet(size.nodes, pools(size.pools(), size.workers))?;
     let cluster = Cluster::start(cfg).await?;
     cluster.publish(&declarations(size.pools(), 8)).await?;
     let nodes = u32::try_from(size.nodes).unwrap_or(u32::MAX);
--- a/crates/standins/src/measure/rollout.rs
+++ b/crates/standins/src/measure/rollout.rs
@@ -4,9 +4,9 @@
 
 use pico_args::Arguments;
 use serde_json::{Value, json};
-use teaselgap_standins::cluster::{Cluster, ClusterError, Config, sibling_binary};
+use teaselgap_standins::cluster::{Cluster, ClusterError};
 
-use super::{declaration, declarations, finish, pools, quantile, usage};
+use super::{declaration, declarations, finish, listed_fleet, pools, quantile, usage};
 
 /// Within this time a change must be in force everywhere at the expected size.
 const MAX_MS: f64 = 8_000.0;
@@ -25,16 +25,7 @@
 pub(crate) async fn run(mut args: Arguments) -> Result<(), ClusterError> {
     let nodes = args.opt_value_from_str("--nodes").map_err(usage)?.unwrap_or(7);
     let changes: u32 = args.opt_value_from_str("--changes").map_err(usage)?.unwrap_or(40);
-    let cfg = Config {
-        binary: sibling_binary("teaselgap")?,
-        nodes,
-        pools: pools(POOLS, WORKERS),
-        slots: 8,
-        zones: 11,
-        rack_size: 4,
-        workers: false,
-        settings: json!({"log": {"level": "warning"}}),
-    };
+    let cfg = listed_fleet(nodes, pools(POOLS, WORKERS))?;
     let cluster = Cluster::start(cfg).await?;
     cluster.publish(&declarations(POOLS, 8)).await?;
     let healthy = measure(&cluster, changes, 0).await?;
