History: a test of verify, of a changed export and of forgetting

Cause: the test of the export left verify and forget unproved. Change: the test verifies, tampers, forgets and exports again. Conclusion: an export is complete and checked, and forgetting leaves none of a customer's records.

--- a/tests/it/journal.rs
+++ b/tests/it/journal.rs
@@ -1,6 +1,6 @@
 //! At most once, whatever the store and the nodes do, and everything handed back.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use teaselgap_standins::{
     caller::{Told, call},
@@ -118,7 +118,7 @@
 }
 
 #[test]
-fn an_export_holds_every_request_once_and_no_other_customers() {
+fn an_export_holds_every_request_once_and_no_other_customers_and_forgetting_leaves_none() {
     run(async {
         let settings = serde_json::json!({"journal": {"snapshot_every": 8}});
         let cluster = cluster(Config { settings, ..config() }).await;
@@ -141,13 +141,13 @@
 
         let export =
             cluster.command(&["history", "export", "--customer", "leaving", "--out", &out]).await;
-        let verify = cluster.command(&["history", "verify", &out]).await;
         let text = std::fs::read_to_string(&file).expect("an export");
-        std::fs::remove_file(&file).expect("removed");
 
         assert!(export.expect("it runs").status.success());
-        // verify takes no settings, so that it refuses them; the file is checked below as well.
-        assert!(!verify.expect("it runs").status.success());
+        assert!(verify(&out));
+        std::fs::write(&file, text.replacen("ran", "run", 1)).expect("tampered with");
+        assert!(!verify(&out), "a changed export must not verify");
+        std::fs::write(&file, &text).expect("restored");
         let lines: Vec<serde_json::Value> =
             text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
         let (manifest, requests) = lines.split_last().expect("a manifest");
@@ -157,5 +157,28 @@
         assert_eq!(manifest["manifest"]["requests"], 20);
         assert!(!text.contains("staying"));
         assert!(requests.iter().all(|line| line["request"]["end"]["outcome"]["kind"] == "ran"));
+
+        // Everything is regrouped by customer once others' traffic goes on.
+        let n = Cell::new(0);
+        wait_for("the customer is forgotten", || async {
+            let id = format!("more-{}", n.replace(n.get() + 1));
+            call(cluster.nodes[0].http, &order(&id)).await;
+            let args = ["history", "forget", "--customer", "leaving", "--export", &out];
+            cluster.command(&args).await.is_ok_and(|output| output.status.success())
+        })
+        .await
+        .expect("forgotten");
+        let again =
+            cluster.command(&["history", "export", "--customer", "leaving", "--out", &out]).await;
+        let text = std::fs::read_to_string(&file).expect("an export");
+        std::fs::remove_file(&file).expect("removed");
+        assert!(again.expect("it runs").status.success());
+        assert_eq!(text.lines().count(), 1, "only the manifest is left: {text}");
     });
 }
+
+fn verify(file: &str) -> bool {
+    let binary = env!("CARGO_BIN_EXE_teaselgap");
+    let output = std::process::Command::new(binary).args(["history", "verify", file]).output();
+    output.expect("it runs").status.success()
+}
