Publishing refuses capacity that leaves no VM for maintenance; a leaving node closes connections

Cause: a pool whose services promise all its slots could never be maintained, and callers that keep a connection open went on sending to a node that leaves. Change: catalog::check against the slots without one VM; Connection: close while a node drains. Conclusion: what is accepted can be maintained.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -138,6 +138,13 @@
     pub slots: Slots,
 }
 
+impl PoolSize {
+    /// Slots that are left while one VM is maintained.
+    fn slots_without_one_vm(&self) -> u32 {
+        self.slots.0 - self.slots.0.div_ceil(self.vms.max(1))
+    }
+}
+
 /// Checks declarations against each other and, where it is known, against the fleet.
 ///
 /// Each declaration comes with the file that it was read from.
@@ -172,6 +179,14 @@
                 declaration.capacity.normal, declaration.pool, size.slots
             );
             problems.push(Problem::new(file, "/capacity/normal", message));
+        } else if *sum > size.slots_without_one_vm() {
+            let message = format!(
+                "{} brings what pool {} promises to {sum} slots; with a VM in maintenance it has {}",
+                declaration.capacity.normal,
+                declaration.pool,
+                size.slots_without_one_vm()
+            );
+            problems.push(Problem::new(file, "/capacity/normal", message));
         }
         if declaration.maintenance.max_vms >= size.vms {
             let message = format!(
@@ -254,7 +269,7 @@
             ("a.json".to_owned(), declaration("a", 10)),
             ("b.json".to_owned(), declaration("b", 10)),
         ];
-        let size = PoolSize { vms: 2, racks: 1, slots: Slots(16) };
+        let size = PoolSize { vms: 16, racks: 1, slots: Slots(16) };
         let fleet = IndexMap::from([("p".parse().unwrap(), size)]);
 
         let problems = check(&declarations, Some(&fleet));
@@ -263,6 +278,17 @@
         assert_eq!(problems[0].pointer, "/capacity/normal");
     }
 
+    #[test]
+    fn capacity_that_leaves_no_vm_for_maintenance_is_refused() {
+        let size = PoolSize { vms: 2, racks: 1, slots: Slots(16) };
+        let fleet = IndexMap::from([("p".parse().unwrap(), size)]);
+        let problems_of =
+            |normal| check(&[("a.json".to_owned(), declaration("a", normal))], Some(&fleet));
+
+        assert_eq!(problems_of(8), []);
+        assert!(problems_of(9)[0].message.contains("with a VM in maintenance it has 8"));
+    }
+
     #[test]
     fn a_service_declared_twice_is_refused() {
         let declarations = [
--- a/src/front.rs
+++ b/src/front.rs
@@ -8,7 +8,11 @@
 use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, http::request::Parts};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{CONNECTION, HeaderValue},
+    http::request::Parts,
+};
 use slog::{info, warn};
 use teaselgap_core::{
     RackId, Span,
@@ -50,7 +54,7 @@
     }
     let started = Instant::now();
     let service = parts.uri.path().split('/').nth(1).unwrap_or_default().to_owned();
-    match serve(shared, &parts, body, started).await {
+    let mut answer = match serve(shared, &parts, body, started).await {
         Ok(answer) => answer,
         Err(problem) => {
             let outcome = problem.outcome;
@@ -59,7 +63,12 @@
                 "outcome" => answer::label(outcome), "request" => problem.request_text());
             problem.into_response()
         }
+    };
+    if shared.is_draining() {
+        // The caller's next request goes to another node.
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    answer
 }
 
 /// Whether an answer says that the backend server failed, rather than what the caller asked.
