--- a/src/command/publish.rs
+++ b/src/command/publish.rs
@@ -14,8 +14,11 @@
     declare::{self, Declaration},
 };
 
+use teaselgap_proto::peer::StatusReply;
+
 use super::{CommandError, block_on, files, settings, status};
 use crate::{
+    peer::PeerClients,
     settings::Settings,
     store::{
         Condition, Page, Priority, Store, StoreError, Transaction, Write,
@@ -58,8 +61,12 @@
 /// Most declarations in one transaction; the store bounds its operations.
 const MAX_CHANGES: usize = 100;
 
-/// How often nodes are asked for what they have in force.
-const WAIT_POLL: Duration = Duration::from_millis(10);
+/// The first pause between two questions to nodes for what they have in force; each further one is
+/// twice as long.
+const FIRST_POLL: Duration = Duration::from_millis(5);
+
+/// The longest pause between two questions.
+const LONGEST_POLL: Duration = Duration::from_millis(100);
 
 /// Tries to read back what a publication whose answer was lost did.
 const SETTLE_TRIES: u32 = 50;
@@ -346,32 +353,34 @@
     limit: Duration,
 ) -> Result<(), CommandError> {
     let started = Instant::now();
-    let nodes = status::addresses(settings).await?;
+    let peers = PeerClients::default();
+    let mut behind = status::addresses(settings).await?;
+    let mut pause = FIRST_POLL;
     loop {
-        let statuses = status::ask(&nodes).await;
-        let refused: Vec<String> = statuses
-            .iter()
-            .flatten()
-            .filter(|status| !status.refused.is_empty())
-            .map(|status| format!("{}: {}", status.node, status.refused))
-            .collect();
-        if !refused.is_empty() {
-            return Err(CommandError::Failed(format!("refused by\n{}", refused.join("\n"))));
+        let statuses = status::ask(&peers, &behind).await;
+        let refusals = statuses.iter().flatten().filter(|status| !status.refused.is_empty());
+        let refusals: Vec<String> =
+            refusals.map(|status| format!("{}: {}", status.node, status.refused)).collect();
+        if !refusals.is_empty() {
+            return Err(CommandError::Failed(format!("refused by\n{}", refusals.join("\n"))));
         }
         // A node that does not answer is waited for: it may be live.
-        let behind = statuses
-            .iter()
-            .filter(|status| status.as_ref().is_none_or(|one| one.generation < generation.0));
-        let behind = behind.count();
-        if behind == 0 {
+        let in_force = |status: &Option<StatusReply>| {
+            status.as_ref().is_some_and(|status| status.generation >= generation.0)
+        };
+        let nodes = behind.into_iter().zip(&statuses);
+        behind = nodes.filter(|(_, status)| !in_force(status)).map(|(node, _)| node).collect();
+        if behind.is_empty() {
             return Ok(());
         }
         if started.elapsed() > limit {
+            let nodes: Vec<String> = behind.iter().map(ToString::to_string).collect();
             return Err(CommandError::Failed(format!(
-                "{behind} of {} nodes do not have generation {generation} in force",
-                nodes.len()
+                "generation {generation} is not in force at {}",
+                nodes.join(", ")
             )));
         }
-        tokio::time::sleep(WAIT_POLL).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_POLL);
     }
 }
--- a/src/journal/service.rs
+++ b/src/journal/service.rs
@@ -18,7 +18,7 @@
 
 use super::{
     Ask, JournalClient, LeaseDeadline, Owner, Owners, codec, compact,
-    outbox::Outbox,
+    outbox::{LaneId, Outbox},
     recover::{self, RecoverError, Recovered},
 };
 use crate::{
@@ -66,7 +66,7 @@
     Recovered { partition: u32, epoch: Epoch, result: Result<Recovered, RecoverError> },
     Stored { partition: u32, epoch: Epoch, sequence: Sequence, written: Written },
     ReadBack { partition: u32, epoch: Epoch, sequence: Sequence, nonce: Option<u64> },
-    BatchDone { partition: u32, durable: bool },
+    BatchDone { partition: u32, lane: LaneId, durable: bool },
     Compacted { partition: u32, epoch: Epoch, first: Option<Sequence> },
     Recheck,
 }
@@ -314,9 +314,9 @@
     fn event(&mut self, event: Event) {
         let partition = match event {
             Event::Recheck => return self.take_owners(),
-            Event::BatchDone { partition, durable } => {
+            Event::BatchDone { partition, lane, durable } => {
                 let outbox = &mut self.outboxes[partition as usize];
-                let bytes = outbox.answered(durable, clock::now());
+                let bytes = outbox.answered(lane, durable, clock::now());
                 self.cfg.client.settled(bytes);
                 return;
             }
@@ -491,28 +491,34 @@
     fn flush_outboxes(&mut self) {
         let now = clock::now();
         for partition in 0..self.cfg.settings.partitions {
-            let Some(records) = self.outboxes[partition as usize].next_batch(now) else {
-                continue;
-            };
-            let tx = self.tx.clone();
-            let done = move |durable| {
-                let _ = tx.send(Event::BatchDone { partition, durable });
-            };
-            match self.owner(partition) {
-                None => done(false),
-                Some(owner) if owner.life == self.cfg.life => {
-                    let (reply, rx) = oneshot::channel();
-                    self.local(partition, Ask::PeerAppend { partition, records, reply });
-                    tokio::task::spawn_local(async move { done(rx.await.unwrap_or(false)) });
-                }
-                Some(owner) => {
-                    let call = self.peers.append(owner.address, partition, &records);
-                    tokio::task::spawn_local(async move { done(call.await) });
+            for lane in [LaneId::Intents, LaneId::Conclusions] {
+                let batch = self.outboxes[partition as usize].next_batch(lane, now);
+                if let Some(records) = batch {
+                    self.send_batch(partition, lane, records);
                 }
             }
         }
     }
 
+    fn send_batch(&mut self, partition: u32, lane: LaneId, records: Vec<Record>) {
+        let tx = self.tx.clone();
+        let done = move |durable| {
+            let _ = tx.send(Event::BatchDone { partition, lane, durable });
+        };
+        match self.owner(partition) {
+            None => done(false),
+            Some(owner) if owner.life == self.cfg.life => {
+                let (reply, rx) = oneshot::channel();
+                self.local(partition, Ask::PeerAppend { partition, records, reply });
+                tokio::task::spawn_local(async move { done(rx.await.unwrap_or(false)) });
+            }
+            Some(owner) => {
+                let call = self.peers.append(owner.address, partition, &records);
+                tokio::task::spawn_local(async move { done(call.await) });
+            }
+        }
+    }
+
     /// Makes a snapshot once enough segments have gathered since the last one.
     fn compact_if_due(&mut self, partition: u32) {
         let every = self.cfg.settings.snapshot_every;
