Rebuilds of pools are coalesced, so that a burst of changes no longer starves probes

Change: at most one rebuild of the pools in 100 ms; the view and the duties are looked at when what they depend on changed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -134,6 +134,9 @@
     waves: HashMap<PoolId, Waves>,
     shortfalls: HashMap<PoolId, Shortfall>,
     next_fleet: Timestamp,
+    next_rebuild: Timestamp,
+    /// The pools are behind the fleet or its records.
+    rebuild_due: bool,
     vm_list_seen: bool,
     pools: IndexMap<PoolId, Arc<Pool>>,
     gates: HashMap<VmId, Arc<VmGate>>,
@@ -214,6 +217,8 @@
             waves: HashMap::new(),
             shortfalls: HashMap::new(),
             next_fleet: Timestamp(0),
+            next_rebuild: Timestamp(0),
+            rebuild_due: false,
             vm_list_seen: false,
             pools: IndexMap::new(),
             gates: HashMap::new(),
@@ -323,6 +328,9 @@
             self.next_probe = now + self.cfg.shared.settings.cluster.probe_interval;
             self.probe();
         }
+        if self.rebuild_due {
+            self.rebuild_soon(now);
+        }
         self.exchange_slots(now);
         if now >= self.next_judgement {
             self.next_judgement = now + JUDGEMENT_INTERVAL;
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -37,6 +37,7 @@
         let mut head = None;
         let mut nodes_changed = false;
         let mut vms_changed = false;
+        let mut duties_changed = false;
         for change in changes {
             let key = self.cfg.keys.parse_control(&change.key);
             let (revision, value) = (change.revision, change.value.clone());
@@ -57,6 +58,7 @@
                     self.take_vm_record(vm, value.as_ref(), revision);
                 }
                 (Some(ControlKey::Duty(duty)), Some(value)) => {
+                    duties_changed = true;
                     if let Ok(record) = serde_json::from_slice(&value) {
                         self.take_term(duty, Term { epoch: Epoch(revision), record }, now);
                     }
@@ -72,11 +74,12 @@
             self.take_generation(head, services, now);
         }
         if vms_changed {
-            self.rebuild_pools(now);
+            self.rebuild_soon(now);
+        }
+        if nodes_changed || duties_changed {
+            self.publish_owners();
+            self.plan_duties(now);
         }
-        self.publish_owners();
-        self.plan_duties(now);
-        self.publish_view(now);
     }
 
     fn take_node(&mut self, life: &Life, value: Option<&Bytes>, now: Timestamp) {
@@ -341,6 +344,8 @@
             }
             info!(self.log, "generation in force"; "generation" => generation.0);
             self.rebuild_pools(now);
+            self.plan_duties(now);
+            self.publish_view(now);
         }
     }
 }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -30,6 +30,9 @@
 /// The longest request of a pool that no service is declared for.
 const DEFAULT_LONGEST: Span = Span(60_000);
 
+/// Least time between two rebuilds of all pools.
+const REBUILD_INTERVAL: Span = Span(100);
+
 /// How long a holder's word that it can't reach the store counts.
 const REACHABILITY_MEMORY: Span = Span(2_000);
 
@@ -49,11 +52,23 @@
                 self.fleet.insert(vm.id.clone(), vm);
             }
         }
-        self.rebuild_pools(now);
+        self.rebuild_soon(now);
+    }
+
+    /// Rebuilds the pools now, or within a tick if that was just done: changes come in bursts, and
+    /// each rebuild looks at the whole fleet.
+    pub(super) fn rebuild_soon(&mut self, now: Timestamp) {
+        if now >= self.next_rebuild {
+            self.rebuild_pools(now);
+        } else {
+            self.rebuild_due = true;
+        }
     }
 
     /// Brings pools, gates and shares in line with the fleet and the declarations.
     pub(super) fn rebuild_pools(&mut self, now: Timestamp) {
+        self.rebuild_due = false;
+        self.next_rebuild = now + REBUILD_INTERVAL;
         self.note_longest_requests();
         let mut by_pool: HashMap<PoolId, Vec<Vm>> = HashMap::new();
         for vm in self.fleet.values() {
@@ -77,7 +92,6 @@
         for (pool, keeper) in &mut self.keepers {
             keeper.set_vms(lent.remove(pool).unwrap_or_default());
         }
-        self.publish_view(now);
     }
 
     fn rebuild_pool(&mut self, id: &PoolId, vms: Vec<Vm>, now: Timestamp) {
