--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -65,12 +65,13 @@
         }
         let pools = self.pools.iter().map(|(id, pool)| {
             let vms = pool.vms();
+            let lendable = vms.values().filter(|vm| !vm.is_leaving()).count();
             let (held, in_use) = vms
                 .values()
                 .map(|vm| vm.slots())
                 .fold((0, 0), |sum, slots| (sum.0 + slots.0, sum.1 + slots.1));
             json!({
-                "pool": id, "vms": vms.len(), "planned_stops": stops.get(id).copied().unwrap_or(0), "held": held, "in_use": in_use,
+                "pool": id, "vms": vms.len(), "lendable": lendable, "planned_stops": stops.get(id).copied().unwrap_or(0), "held": held, "in_use": in_use,
                 "waiting": pool.waiting(),
             })
         });
--- a/src/node.rs
+++ b/src/node.rs
@@ -57,7 +57,7 @@
     pub(crate) peer: SocketAddr,
     shared: Arc<Shared>,
     control: mpsc::UnboundedSender<control::Event>,
-    server: xitca_server_handle::Handle,
+    stop_server: StopServer,
     log: Logger,
     /// Drives the connections to the store.
     platform: Option<tokio::runtime::Runtime>,
@@ -65,11 +65,8 @@
     _log_guard: slog_async::AsyncGuard,
 }
 
-/// The HTTP server's own handle, which its library does not name in public.
-mod xitca_server_handle {
-    /// Stops the server; the argument says whether in order.
-    pub(super) type Handle = Box<dyn Fn(bool) + Send>;
-}
+/// Stops the HTTP server in order; the library does not name its own handle in public.
+type StopServer = Box<dyn Fn() + Send>;
 
 fn listen(what: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr), NodeError> {
     let fail = |source| NodeError::Listen { what, address, source };
@@ -128,14 +125,14 @@
         log: log.clone(),
     };
     journal::start(cfg, asks)?;
-    let server = serve_http(&shared, http_listener, threads)?;
+    let stop_server = serve_http(&shared, http_listener, threads)?;
     info!(log, "listening"; "http" => %http, "peer" => %peer);
     Ok(Node {
         http,
         peer,
         shared,
         control: control_tx,
-        server,
+        stop_server,
         log,
         platform: Some(platform),
         _log_guard: log_guard,
@@ -146,7 +143,7 @@
     shared: &Arc<Shared>,
     listener: TcpListener,
     threads: usize,
-) -> std::io::Result<xitca_server_handle::Handle> {
+) -> std::io::Result<StopServer> {
     let shared = Arc::clone(shared);
     let handler = move |req: front::InRequest| {
         let shared = Arc::clone(&shared);
@@ -168,7 +165,7 @@
     let mut running = server.listen(listener)?.run();
     let handle = running.handle()?;
     std::thread::Builder::new().name("http".to_owned()).spawn(move || running.wait())?;
-    Ok(Box::new(move |in_order| handle.stop(in_order)))
+    Ok(Box::new(move || handle.stop(true)))
 }
 
 /// How often the end of requests in flight is looked for.
@@ -209,7 +206,7 @@
         if self.control.send(control::Event::Leave(done)).is_ok() {
             let _ = left.await;
         }
-        (self.server)(true);
+        (self.stop_server)();
         tokio::time::sleep(FLUSH_TIME).await;
         info!(self.log, "stopped"; "in_flight" => self.shared.in_flight());
     }
--- a/tests/it/scenario.rs
+++ b/tests/it/scenario.rs
@@ -1,6 +1,6 @@
 //! Scripted scenarios in a small test language: `testdata/*.scenario`.
 
-use std::{fmt::Write as _, time::Duration};
+use std::fmt::Write as _;
 
 use datadriven::TestCase;
 use teaselgap_standins::{
@@ -50,6 +50,16 @@
             for i in 0..number("count") {
                 cluster.set_vm_state(i, state);
             }
+            let left = if state == VmState::Live { number("count") } else { 0 };
+            wait_for("the nodes see the VMs", || async {
+                let mut seen = true;
+                for node in &cluster.nodes {
+                    seen &= node.status().await["pools"][0]["lendable"] == left;
+                }
+                seen
+            })
+            .await
+            .expect("seen");
             String::new()
         }
         "store" => {
@@ -87,10 +97,6 @@
             }
             out
         }
-        "wait" => {
-            tokio::time::sleep(Duration::from_millis(number("ms") as u64)).await;
-            String::new()
-        }
         other => format!("no directive is called {other}\n"),
     }
 }
