--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -84,8 +84,6 @@
             }),
             "ready": self.is_ready(),
             "store_reachable": self.cfg.store.is_reachable(),
-            "history_waiting_bytes": self.cfg.shared.journal.waiting_bytes(),
-            "in_flight": self.cfg.shared.in_flight(),
             "members": members.collect::<Vec<_>>(),
             "duties": duties,
             "pools": pools.collect::<Vec<_>>(),
--- a/src/front/pages.rs
+++ b/src/front/pages.rs
@@ -17,8 +17,11 @@
         "/readyz" => ready(shared),
         "/metrics" => page(StatusCode::OK, "text/plain; version=0.0.4", shared.metrics.text()),
         "/-/status" => {
-            let status = shared.snapshot.load().status.to_string();
-            page(StatusCode::OK, "application/json", status)
+            let mut status = shared.snapshot.load().status.clone();
+            // What changes with each request is read now; the rest is as old as the snapshot.
+            status["in_flight"] = shared.in_flight().into();
+            status["history_waiting_bytes"] = shared.journal.waiting_bytes().into();
+            page(StatusCode::OK, "application/json", status.to_string())
         }
         _ => return None,
     };
--- a/src/node.rs
+++ b/src/node.rs
@@ -176,6 +176,7 @@
 
 impl Node {
     /// Whether the node would tell a balancer that it is ready.
+    #[cfg(feature = "demo")]
     pub(crate) fn is_ready(&self) -> bool {
         self.shared.snapshot.load().ready
     }
