Tests of outages wait on what they are about, not on the clock

Cause: two tests slept through the time that leases, grants or an outage were meant to take; the wait for a noticed outage stood three times. Change: the outage test goes on until no node's registration stands and each node's grants have ended and been renewed since, which the status page now shows (grants_end_ms); one fixture waits for the outage. Every preview must still be answered and every order refused. What still sleeps are a caller's pause between two tries and the pause between two looks at a condition.

--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use serde_json::{Value, json};
-use teaselgap_core::{PoolId, Span, Timestamp, duty::DutyId};
+use teaselgap_core::{PoolId, Span, Timestamp, duty::DutyId, slots::Holding};
 use teaselgap_proto::peer::{ExplainReply, StatusReply};
 
 use super::Control;
@@ -71,7 +71,8 @@
                 .map(|vm| vm.slots())
                 .fold((0, 0), |sum, slots| (sum.0 + slots.0, sum.1 + slots.1));
             json!({
-                "pool": id, "vms": vms.len(), "lendable": lendable, "planned_stops": stops.get(id).copied().unwrap_or(0), "held": held, "in_use": in_use,
+                "pool": id, "vms": vms.len(), "lendable": lendable,
+                "grants_end_ms": self.holdings.get(id).map(Holding::deadline), "planned_stops": stops.get(id).copied().unwrap_or(0), "held": held, "in_use": in_use,
                 "waiting": pool.waiting(),
             })
         });
--- a/tests/it/configuration.rs
+++ b/tests/it/configuration.rs
@@ -9,7 +9,7 @@
     store::Faults,
 };
 
-use crate::support::{cluster, config, declarations, preview, run};
+use crate::support::{cluster, config, declarations, outage_noticed, preview, run};
 
 fn with_normal(normal: u32) -> Vec<Value> {
     let mut all = declarations();
@@ -87,7 +87,7 @@
             cluster.store.set_faults(Faults { repeat_events: true, ..Faults::default() });
             cluster.publish(&with_normal(13)).await.expect("published");
             cluster.store.set_faults(Faults { down: true, ..Faults::default() });
-            tokio::time::sleep(Duration::from_secs(2)).await;
+            outage_noticed(&cluster).await;
             cluster.store.set_faults(Faults::default());
             wait_for("published after the outage", || async {
                 cluster.publish(&with_normal(14)).await.is_ok()
@@ -135,13 +135,7 @@
     run(async {
         let mut cluster = cluster(config()).await;
         cluster.store.set_faults(Faults { down: true, ..Faults::default() });
-        for node in &cluster.nodes {
-            wait_for("the outage is noticed", || async {
-                node.status().await["store_reachable"] == false
-            })
-            .await
-            .expect("noticed");
-        }
+        outage_noticed(&cluster).await;
 
         cluster.add_node("late").await.expect("a new node");
         cluster.wait_ready().await.expect("ready");
--- a/tests/it/journal.rs
+++ b/tests/it/journal.rs
@@ -4,11 +4,11 @@
 
 use teaselgap_standins::{
     caller::{Told, call},
-    cluster::{Config, wait_for},
+    cluster::{Cluster, Config, wait_for},
     store::Faults,
 };
 
-use crate::support::{Load, assert_promises, cluster, config, order, preview, run};
+use crate::support::{Load, assert_promises, cluster, config, order, outage_noticed, preview, run};
 
 const WORK: Duration = Duration::from_millis(10);
 
@@ -81,28 +81,52 @@
     });
 }
 
+async fn no_duties(cluster: &Cluster) -> bool {
+    let mut none = true;
+    for node in &cluster.nodes {
+        none &= node.status().await["duties"].as_array().is_some_and(Vec::is_empty);
+    }
+    none
+}
+
+/// When the first pool's grants end at each node, in milliseconds since that node's start.
+async fn grants_end(cluster: &Cluster) -> Vec<u64> {
+    let mut ends = Vec::new();
+    for node in &cluster.nodes {
+        let end = node.status().await["pools"][0]["grants_end_ms"].as_u64();
+        ends.push(end.expect("grants were made"));
+    }
+    ends
+}
+
 #[test]
 fn while_the_store_is_down_previews_go_on_and_orders_are_refused_as_not_run() {
     run(async {
         let cluster = cluster(config()).await;
 
         cluster.store.set_faults(Faults { down: true, ..Faults::default() });
-        for node in &cluster.nodes {
-            wait_for("the outage is noticed", || async {
-                node.status().await["store_reachable"] == false
-            })
-            .await
-            .expect("noticed");
-        }
+        outage_noticed(&cluster).await;
         let mut previews = Vec::new();
         let mut orders = Vec::new();
-        // Longer than leases and grants last.
-        for i in 0..80 {
+        let mut round = async || {
+            let i = previews.len();
             let entry = cluster.nodes[i % 3].http;
             previews.push(call(entry, &preview(&format!("p{i}"))).await.0);
             orders.push(call(entry, &order(&format!("order-{i}"))).await.0);
-            tokio::time::sleep(Duration::from_millis(100)).await;
+        };
+        // Until no node's registration stands any more, and then until each grant that was made
+        // before has ended and been renewed.
+        while !no_duties(&cluster).await {
+            round().await;
+        }
+        let ends_at_lapse = grants_end(&cluster).await;
+        // As the default settings have it; 3 nodes count as 4, which leaves it unchanged.
+        let ttl_ms = 3_000;
+        let renewed = |(now, before): (&u64, &u64)| *now >= before + ttl_ms;
+        while !grants_end(&cluster).await.iter().zip(&ends_at_lapse).all(renewed) {
+            round().await;
         }
+        let rounds = previews.len();
         cluster.store.set_faults(Faults::default());
         wait_for("orders run again", || async {
             call(cluster.nodes[0].http, &order("order-after")).await.0 == Told::Answered
@@ -110,10 +134,11 @@
         .await
         .expect("orders run again");
 
-        assert_eq!(previews, vec![Told::Answered; 80]);
-        assert_eq!(orders, vec![Told::NotRun; 80]);
+        assert!(rounds >= 10, "{rounds} rounds only");
+        assert_eq!(previews, vec![Told::Answered; rounds]);
+        assert_eq!(orders, vec![Told::NotRun; rounds]);
         let ran = cluster.tally().runs;
-        assert!((0..80).all(|i| !ran.contains_key(&format!("order-{i}"))));
+        assert!((0..rounds).all(|i| !ran.contains_key(&format!("order-{i}"))));
     });
 }
 
--- a/tests/it/support.rs
+++ b/tests/it/support.rs
@@ -48,6 +48,17 @@
     ]
 }
 
+/// Waits until every node has noticed that the store does not answer.
+pub(crate) async fn outage_noticed(cluster: &Cluster) {
+    for node in &cluster.nodes {
+        wait_for("the outage is noticed", || async {
+            node.status().await["store_reachable"] == false
+        })
+        .await
+        .expect("noticed");
+    }
+}
+
 /// A system with the declarations in force and slots at every node.
 pub(crate) async fn cluster(cfg: Config) -> Cluster {
     let cluster = Cluster::start(cfg).await.expect("the system starts");
