Machines for another pool are chosen by how soon they are empty

The least booked worker was chosen, whatever ran there, and tasks that save their progress were waited for. Change: the worker that is empty soonest is given up first; for another pool or upkeep, what saves its progress and would run on for more than twice the time of a stop is stopped if it has room elsewhere. The plan's file is split by concern (plan, vacate, load); room elsewhere is booked once for all of a pass.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -1,10 +1,12 @@
 //! The owner of a cell: what it accepts, what it remembers, what it tells.
 
 mod ends;
+mod load;
 mod orders;
 mod plan;
 mod recover;
 mod roster;
+mod vacate;
 
 use std::collections::VecDeque;
 
--- /dev/null
+++ b/crates/core/src/job/cell/vacate.rs
@@ -0,0 +1,162 @@
+//! Emptying workers that leave, are moved or are due for upkeep.
+
+use super::{
+    super::{
+        Step, TaskId, Vacate, WorkerId,
+        place::{self, Seat},
+        task::Task,
+        worker::{Run, Worker},
+    },
+    Cell,
+    plan::count_of,
+};
+use crate::{Span, Timestamp};
+
+/// How long before a draining worker leaves what still runs there is stopped, beside the time that
+/// a stop takes.
+const LEAVE_MARGIN: Span = Span(700);
+
+/// What is left at least of a task that has not ended, as a part of its estimate in percent.
+const OVERRUN_PERCENT: u64 = 20;
+
+impl Cell {
+    /// Empties workers that leave or are to be handed over.
+    pub(super) fn vacate(&mut self, now: Timestamp) {
+        let runs = self.runs_to_clear(now);
+        if runs.is_empty() {
+            return;
+        }
+        let mut seats = self.seats(now);
+        for (id, task, reason) in runs {
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
+            let leaves = worker.entry.draining;
+            let hurries = leaves || worker.vacate == Some(Vacate::Stop);
+            let may_stop = leaves || now >= self.vacates_from && self.may_miss_one_more(task, now);
+            if may_stop && (self.book_elsewhere(task, &mut seats) || hurries) {
+                self.stop_run(&id, task, reason, now);
+            }
+        }
+    }
+
+    /// Runs that are in the way of emptying their workers.
+    fn runs_to_clear(&self, now: Timestamp) -> Vec<(WorkerId, TaskId, &'static str)> {
+        let margin = Span(self.cfg.stop.0 + LEAVE_MARGIN.0);
+        let mut runs = Vec::new();
+        for (id, worker) in &self.workers {
+            let leaving = worker.leave_deadline.is_some_and(|deadline| now + margin >= deadline);
+            for (task, run) in worker.runs.iter().filter(|(_, run)| run.stopping.is_none()) {
+                let step = self.step(*task);
+                let lasts = step.is_some_and(|step| step.long_running);
+                let saves = step.is_some_and(|step| self.is_worth_stopping(step, run, now));
+                if worker.entry.draining && (leaving || lasts) {
+                    runs.push((id.clone(), *task, "its worker leaves"));
+                    continue;
+                }
+                let in_the_way = match worker.vacate {
+                    None => false,
+                    Some(Vacate::Wait) => lasts,
+                    Some(Vacate::Save) => lasts || saves,
+                    Some(Vacate::Stop) => true,
+                };
+                if in_the_way {
+                    runs.push((id.clone(), *task, "its worker is to be emptied"));
+                }
+            }
+        }
+        runs
+    }
+
+    /// Whether a task that saves its progress is stopped much sooner than it would end.
+    fn is_worth_stopping(&self, step: &Step, run: &Run, now: Timestamp) -> bool {
+        step.checkpoints && time_left(step, run, now).0 > 2 * self.cfg.stop.0
+    }
+
+    fn step(&self, task: TaskId) -> Option<&Step> {
+        self.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
+    }
+
+    /// Books room for a task that is to be stopped, so that it can start again at once; whether there
+    /// was room.
+    fn book_elsewhere(&self, id: TaskId, seats: &mut [Seat]) -> bool {
+        let Some(step) = self.step(id) else {
+            return true;
+        };
+        let count = |worker: &WorkerId, step| count_of(&self.workers, worker, step);
+        let place = place::choose(seats, step, id.step_id(), count);
+        if let Some(place) = place {
+            seats[place].book(step);
+        }
+        place.is_some()
+    }
+
+    /// Whether a task that lasts may be stopped without too many of its step being away.
+    fn may_miss_one_more(&self, id: TaskId, now: Timestamp) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return true;
+        };
+        let Some(step) = job.spec.steps.get(id.step as usize) else {
+            return true;
+        };
+        if !step.long_running {
+            return true;
+        }
+        let Some(occurrence) = job.occurrence(id.occurrence) else {
+            return true;
+        };
+        let away = (0..)
+            .zip(&occurrence.steps[id.step as usize].tasks)
+            .filter(|&(index, task)| {
+                index != id.index && self.is_away(task, TaskId { index, ..id }, now)
+            })
+            .count();
+        away < step.may_miss.max(1) as usize
+    }
+
+    /// Whether a task that lasts is not at work, or is about to be stopped. What runs on a worker that
+    /// does not answer is not known to be at work.
+    fn is_away(&self, task: &Task, id: TaskId, now: Timestamp) -> bool {
+        task.away_since.is_some()
+            || task.runs.is_empty()
+            || task.runs.iter().any(|worker| {
+                self.workers.get(worker).is_none_or(|worker| {
+                    worker.is_silent(now)
+                        || worker.runs.get(&id).is_none_or(|run| run.stopping.is_some())
+                })
+            })
+    }
+
+    /// Workers in the order in which they are given up most easily: those without tasks that last
+    /// first, and among them those that are empty soonest.
+    pub(super) fn spare_workers(&self, now: Timestamp) -> Vec<WorkerId> {
+        let mut workers: Vec<(usize, Span, &WorkerId)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| Self::is_usable(worker, now))
+            .map(|(id, worker)| {
+                let lasts = |task: &&TaskId| self.step(**task).is_some_and(|one| one.long_running);
+                let lasting = worker.runs.keys().filter(lasts).count();
+                (lasting, self.time_to_empty(worker, now), id)
+            })
+            .collect();
+        workers.sort_unstable();
+        workers.into_iter().map(|(_, _, id)| id.clone()).collect()
+    }
+
+    /// How long a worker that gets no more work takes to become empty, but for tasks that last.
+    fn time_to_empty(&self, worker: &Worker, now: Timestamp) -> Span {
+        let left = |(task, run): (&TaskId, &Run)| {
+            let step = self.step(*task).filter(|step| !step.long_running)?;
+            let stops = self.is_worth_stopping(step, run, now);
+            Some(if stops { self.cfg.stop } else { time_left(step, run, now) })
+        };
+        worker.runs.iter().filter_map(left).max().unwrap_or_default()
+    }
+}
+
+/// How long a run is likely to go on.
+fn time_left(step: &Step, run: &Run, now: Timestamp) -> Span {
+    let left = step.estimate.0.saturating_sub(now.since(run.started).0);
+    Span(left.max(step.estimate.0 * OVERRUN_PERCENT / 100))
+}
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -307,7 +307,8 @@
             };
             let vacate = match &errand.purpose {
                 Purpose::Upkeep(wave) if self.is_late(*wave, now) => Vacate::Stop,
-                _ => Vacate::Wait,
+                Purpose::Move(pool) if self.standby.contains(pool) => Vacate::Wait,
+                _ => Vacate::Save,
             };
             directives.entry(machine.pool.clone()).or_default().insert(worker.clone(), vacate);
         }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -154,6 +154,8 @@
 pub enum Vacate {
     /// What runs there may end by itself.
     Wait,
+    /// What saves its progress is stopped if it can start elsewhere at once; the rest may end.
+    Save,
     /// What runs there is stopped as far as availability allows.
     Stop,
 }
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -177,7 +177,8 @@
     /// VMs (as ids of their backend servers) that are to be emptied and not used.
     #[prost(string, repeated, tag = "2")]
     pub vacate: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// What each of them must be empty for, in the same order.
+    /// How soon each of them is to be empty, in the same order: 0 what runs may end, 1 what runs is
+    /// stopped, 2 what saves its progress is stopped.
     #[prost(uint32, repeated, tag = "3")]
     pub urgent: ::prost::alloc::vec::Vec<u32>,
 }
--- a/crates/standins/tests/cells/turns.rs
+++ b/crates/standins/tests/cells/turns.rs
@@ -1,6 +1,6 @@
 //! Loads of a queue's turn, in which more arrives than the pool can run.
 
-use teaselgap_core::job::{EndKind, JobEnd, JobId, JobState, Note, Vacate};
+use teaselgap_core::job::{EndKind, JobEnd, JobId, JobState, Note, Step, Vacate};
 use teaselgap_standins::model::{Model, TaskTime};
 
 use crate::fixtures::{cell, job, lasting, queue, state, step};
@@ -91,3 +91,53 @@
 
     assert_eq!(model.ends(EndKind::Stopped), 0);
 }
+
+/// A task on each of two workers that saves its progress and takes six seconds.
+fn saving(model: &mut Model) {
+    let spec = Step { checkpoints: true, max_per_worker: Some(1), ..step(2, 4_000, 6_000) };
+    model.submit(JobId(1), &queue(), job(vec![spec]));
+    model.run_for(1_500);
+}
+
+#[test]
+fn a_worker_that_another_pool_needs_is_emptied_at_once_of_tasks_that_save_their_progress() {
+    let mut model = cell(3);
+    saving(&mut model);
+    let busy = model.workers().find(|worker| worker.run_count() > 0).unwrap().entry.id.clone();
+
+    model.cell_mut().unwrap().direct([(busy.clone(), Vacate::Save)].into_iter().collect());
+    model.run_for(600);
+    let vacant = model.cell().unwrap().vacant();
+    let done = model.run_until(8_000, |model| {
+        state(model, JobId(1)) == Some(JobState::Ended(JobEnd::Succeeded))
+    });
+
+    assert_eq!(vacant, [busy]);
+    assert!(done);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_task_that_saves_its_progress_goes_on_where_no_other_worker_has_room() {
+    let mut model = cell(2);
+    saving(&mut model);
+
+    model.cell_mut().unwrap().direct([("w0".into(), Vacate::Save)].into_iter().collect());
+    model.run_for(600);
+
+    assert_eq!(model.ends(EndKind::Stopped), 0);
+}
+
+#[test]
+fn workers_that_are_empty_soonest_are_given_up_first() {
+    let mut model = cell(2);
+    model.submit(JobId(1), &queue(), job(vec![step(1, 24_000, 4_000)]));
+    model.run_for(200);
+    model.submit(JobId(2), &queue(), job(vec![step(3, 10_000, 500)]));
+    model.run_for(200);
+    let soon = model.workers().find(|worker| worker.run_count() > 1).unwrap().entry.id.clone();
+
+    let load = model.cell().unwrap().load(model.now());
+
+    assert_eq!(load.spare.first(), Some(&soon));
+}
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -127,7 +127,7 @@
         let req = DirectRequest {
             cell: cell.to_string(),
             vacate: vacate.keys().map(ToString::to_string).collect(),
-            urgent: vacate.values().map(|how| u32::from(*how == Vacate::Stop)).collect(),
+            urgent: vacate.values().map(|how| urgency(*how)).collect(),
         };
         let Ok(Ok(reply)) = tokio::time::timeout(DIRECT_WAIT, client.direct(req)).await else {
             self.forget(address);
@@ -140,6 +140,23 @@
     }
 }
 
+/// How soon a worker is to be empty, as a number between nodes.
+fn urgency(how: Vacate) -> u32 {
+    match how {
+        Vacate::Wait => 0,
+        Vacate::Stop => 1,
+        Vacate::Save => 2,
+    }
+}
+
+fn vacate_from(urgency: u32) -> Vacate {
+    match urgency {
+        0 => Vacate::Wait,
+        2 => Vacate::Save,
+        _ => Vacate::Stop,
+    }
+}
+
 fn to_wire(ask: &Ask) -> AskRequest {
     let (verb, spec) = match &ask.verb {
         // A specification holds nothing that JSON can't express.
@@ -266,10 +283,7 @@
 
     async fn direct(&self, req: Request<DirectRequest>) -> Result<Response<DirectReply>, Status> {
         let req = req.into_inner();
-        let how = req.urgent.iter().map(|&urgent| match urgent {
-            0 => Vacate::Wait,
-            _ => Vacate::Stop,
-        });
+        let how = req.urgent.iter().map(|&urgent| vacate_from(urgent));
         let vacate = req.vacate.iter().map(|id| id.as_str().into()).zip(how).collect();
         let cell = req.cell.parse().map_err(|err| invalid_id(&err))?;
         let (reply, rx) = oneshot::channel();
