A queue's turn finds machines sooner, and large jobs no longer ask for the whole fleet

Change: a rise counts from eight jobs a second on, fewer are averaged over two seconds; what open jobs require is the least capacity that does them in time, earliest deadline first; machines stay where the operator put them until work has come; at a turn's first sign a pool gets back what it was given; a cell reads the list of workers at each step while a moved machine's worker is expected.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -81,6 +81,7 @@
     plan_due: bool,
     paces: PaceTable,
     arrived_milli_s: u64,
+    arrived_jobs: u64,
     /// Processor time of tasks that are done, as it was and as it was declared, in thousandths of a
     /// core-second.
     took_milli_s: (u64, u64),
@@ -229,6 +230,7 @@
             .map(|step| step.need.cpu_milli * u64::from(step.count) * step.estimate.0 / 1_000)
             .sum();
         self.arrived_milli_s += work;
+        self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
         self.jobs.insert(id, Job::new(queue, spec, wall_ms, now));
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -1,5 +1,8 @@
 //! How busy a cell is, as the fleet is told.
 
+#[cfg(test)]
+mod tests;
+
 use super::{
     super::{
         JobId, Load, Step, order, place,
@@ -7,7 +10,7 @@
     },
     Cell,
 };
-use crate::Timestamp;
+use crate::{Span, Timestamp};
 
 /// Declared work that must be done before the times that tasks took say anything, in thousandths of a
 /// core-second.
@@ -35,11 +38,13 @@
         let (took, declared) = self.took_milli_s;
         let mut load = Load {
             arrived_milli_s: self.arrived_milli_s,
+            arrived_jobs: self.arrived_jobs,
             correction_percent: if declared < LEAST_DECLARED { 100 } else { took * 100 / declared },
             floor_workers: self.floor_workers(),
             spare: self.spare_workers(now),
             ..Load::default()
         };
+        let mut demands = Vec::new();
         for worker in self.workers.values().filter(|worker| Self::is_usable(worker, now)) {
             load.capacity_milli += worker.entry.capacity.cpu_milli;
             load.booked_milli += worker.used().cpu_milli;
@@ -47,9 +52,10 @@
         }
         for job in self.jobs.values().filter(|job| job.end.is_none()) {
             for place in 0..job.occurrences.len() {
-                self.add_load(&mut load, job, place, now);
+                demands.extend(self.add_load(&mut load, job, place, now));
             }
         }
+        load.required_milli = required_milli(demands);
         load
     }
 }
@@ -57,9 +63,30 @@
 /// A task that runs counts as half done.
 const RUNNING_PERCENT: u64 = 50;
 
+/// What is left to do of a job, and the time that is left for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Demand {
+    left: Span,
+    /// Thousandths of a core for a millisecond.
+    work: u64,
+}
+
+/// The least processor capacity, in thousandths of a core, with which all of this is done in time if
+/// what is due first is served first.
+fn required_milli(mut demands: Vec<Demand>) -> u64 {
+    demands.sort_unstable();
+    let mut due = 0;
+    let mut required = 0;
+    for Demand { left, work } in demands {
+        due += work;
+        required = required.max(due / left.0.max(1));
+    }
+    required
+}
+
 impl Cell {
-    /// Adds what one occurrence of a job asks for.
-    fn add_load(&self, load: &mut Load, job: &Job, place: usize, now: Timestamp) {
+    /// Adds what one occurrence of a job asks for; what is left of it to do.
+    fn add_load(&self, load: &mut Load, job: &Job, place: usize, now: Timestamp) -> Option<Demand> {
         let occurrence = &job.occurrences[place];
         let mut work = 0;
         for (number, (state, step)) in occurrence.steps.iter().zip(&job.spec.steps).enumerate() {
@@ -77,9 +104,8 @@
                 load.waiting_milli += cpu * idle;
             }
         }
-        if let Some(queue) = self.queues.get(&job.queue).filter(|_| work > 0) {
-            let left = order::time_left(job, place, queue, (now, self.wall_offset));
-            load.required_milli += work / left.0.max(1);
-        }
+        let queue = self.queues.get(&job.queue).filter(|_| work > 0)?;
+        let left = order::time_left(job, place, queue, (now, self.wall_offset));
+        Some(Demand { left, work })
     }
 }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -62,6 +62,7 @@
             plan_due: true,
             paces: super::PaceTable::default(),
             arrived_milli_s: 0,
+            arrived_jobs: 0,
             took_milli_s: (0, 0),
             cordoned: IndexMap::new(),
             has_roster: false,
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -25,6 +25,12 @@
 /// How far the wall clocks of two nodes may be apart.
 const WALL_CLOCK_MARGIN: Span = Span(500);
 
+/// How long before its worker starts a machine is looked out for.
+const JOIN_MARGIN: Span = Span(100);
+
+/// How long after its start a worker may not be listed yet.
+const JOIN_TIME: Span = Span(700);
+
 /// What a machine is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineState {
@@ -77,6 +83,9 @@
     /// Waves that are over.
     #[serde(default)]
     pub finished: IndexSet<u64>,
+    /// How many machines the operator gave each pool: what it had before any were moved.
+    #[serde(default)]
+    pub given: IndexMap<ServiceId, u64>,
     /// What the last holder ordered before it ended its term in order; `None` while a term lasts,
     /// and after one that ended otherwise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -104,7 +113,7 @@
     /// Move a machine to another pool.
     Move(VmId, ServiceId),
     /// Write down what must outlive the holder.
-    Save(FleetRecord),
+    Save(Box<FleetRecord>),
     /// Write to the log what a pool has and should have.
     Note(ServiceId, PoolSize),
     /// Tell the operator how far a wave is.
@@ -198,6 +207,10 @@
     moved: IndexMap<VmId, Timestamp>,
     vacant: IndexSet<WorkerId>,
     noted: IndexMap<ServiceId, PoolSize>,
+    /// When the workers of machines that were ordered about start, with their pool.
+    joining: Vec<(ServiceId, Timestamp)>,
+    /// Work has arrived at some pool.
+    has_seen_work: bool,
     out: Vec<FleetAction>,
 }
 
@@ -235,6 +248,8 @@
             moved: IndexMap::new(),
             vacant: IndexSet::new(),
             noted: IndexMap::new(),
+            joining: Vec::new(),
+            has_seen_work: false,
             out: Vec::new(),
         }
     }
@@ -267,6 +282,11 @@
     /// Takes in the platform's list of machines.
     pub fn list(&mut self, machines: Vec<Machine>) {
         self.machines = machines.into_iter().map(|one| (one.vm.clone(), one)).collect();
+        if self.record.given.is_empty() {
+            for machine in self.machines.values() {
+                *self.record.given.entry(machine.pool.clone()).or_default() += 1;
+            }
+        }
     }
 
     /// Takes in the waves that the operator asks for.
@@ -278,10 +298,16 @@
 
     /// Takes in how busy a cell is and which of the workers to be vacated are empty.
     pub fn report(&mut self, pool: &ServiceId, load: Load, vacant: Vec<WorkerId>, now: Timestamp) {
+        self.has_seen_work |= load.arrived_milli_s > 0;
+        let given = self.record.given.get(pool).copied().unwrap_or(0) * self.machine_milli(pool);
         let report = self.reports.entry(pool.clone()).or_default();
-        report.arrivals.note(load.arrived_milli_s, now);
+        report.arrivals.note(&load, now);
         let need = size::need_milli(&load, &report.arrivals, now);
-        report.need_milli = report.need.update(need, now);
+        report.need_milli = if report.arrivals.is_turn(given, now) {
+            report.need.raise(need, given, now)
+        } else {
+            report.need.update(need, now)
+        };
         report.load = load;
         report.at = now;
         let in_pool: IndexSet<WorkerId> = self
@@ -319,10 +345,18 @@
         directives
     }
 
+    /// Whether workers of a pool have just started, or will at any moment, that the store may not list
+    /// yet.
+    #[must_use]
+    pub fn is_expecting(&self, pool: &ServiceId, now: Timestamp) -> bool {
+        self.joining.iter().any(|(to, at)| to == pool && now + JOIN_MARGIN >= *at)
+    }
+
     /// It is `now`: chooses machines, sends what is due.
     pub fn tick(&mut self, now: Timestamp) {
         self.away.retain(|_, away| now < away.until);
         self.ended.retain(|_, (_, until)| now < *until);
+        self.joining.retain(|(_, at)| now < *at + JOIN_TIME);
         if self.machines.is_empty() || now < self.orders_from {
             return;
         }
@@ -335,7 +369,7 @@
         self.send_orders(now);
         if self.record != self.saved {
             self.saved = self.record.clone();
-            self.out.push(FleetAction::Save(self.saved.clone()));
+            self.out.push(FleetAction::Save(Box::new(self.saved.clone())));
         }
     }
 
@@ -398,6 +432,9 @@
                         self.cfg.migration
                     }
                 };
+                if let Some(machine) = self.machines.get(vm) {
+                    self.joining.push((machine.pool.clone(), now + length));
+                }
                 // The list may be older than the order; until then the machine counts as down.
                 self.away.insert(vm.clone(), Away { until: now + length + ORDER_REPEAT });
                 if let Some((pool, Some(worker))) = seat {
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -102,7 +102,10 @@
                 self.errands.insert(vm, Errand::new(Purpose::Move(pool.clone()), now, patience));
             }
         }
-        self.park(&standby, &sizes, now);
+        // Before any work has come the operator's division is the best guess at where it will.
+        if self.has_seen_work {
+            self.park(&standby, &sizes, now);
+        }
         self.note_standby(&standby);
     }
 
--- a/crates/core/src/job/fleet/size.rs
+++ b/crates/core/src/job/fleet/size.rs
@@ -15,9 +15,18 @@
 /// The length of the two windows over which arrivals are compared.
 const WINDOW: Span = Span(1_000);
 
+/// The length of the window for arrivals that are too few to be compared.
+const SPARSE_WINDOW: Span = Span(2_000);
+
+/// Jobs by the second from which on a rise is told from chance.
+const LEAST_JOBS: u64 = 8;
+
 /// How far ahead a rise of arrivals is carried on: a machine that is asked for now works by then.
 const LEAD: Span = Span(1_800);
 
+/// A queue's turn is on if at least this part of what the pool was given arrives, in percent.
+const TURN_PERCENT: u64 = 45;
+
 /// A forecast is at most this many times the present rate.
 const MAX_RISE: u64 = 2;
 
@@ -27,47 +36,79 @@
 /// How far the work that a pool got may be from what was declared, in percent.
 const CORRECTION_BOUNDS: (u64, u64) = (50, 250);
 
+/// What had arrived in all by the time of a report.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    at: Timestamp,
+    jobs: u64,
+    /// Thousandths of a core-second.
+    work: u64,
+}
+
 /// Arrivals of one pool as its cell reported them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Arrivals {
-    /// Work that had arrived in all, in thousandths of a core-second, by the time of the report.
-    readings: VecDeque<(Timestamp, u64)>,
+    readings: VecDeque<Reading>,
+}
+
+/// What arrived within a window, by the second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    jobs: u64,
+    /// Thousandths of a core.
+    milli: u64,
 }
 
 impl Arrivals {
     /// Notes a report; a total that has fallen comes from a new owner, which counts from zero.
-    pub(super) fn note(&mut self, total: u64, now: Timestamp) {
-        if self.readings.back().is_some_and(|(_, last)| total < *last) {
+    pub(super) fn note(&mut self, load: &Load, now: Timestamp) {
+        let reading = Reading { at: now, jobs: load.arrived_jobs, work: load.arrived_milli_s };
+        if self.readings.back().is_some_and(|last| reading.work < last.work) {
             self.readings.clear();
         }
-        self.readings.push_back((now, total));
-        let kept = Span(2 * WINDOW.0 + 600);
-        while self.readings.front().is_some_and(|(at, _)| now > *at + kept) {
+        self.readings.push_back(reading);
+        let kept = Span(2 * SPARSE_WINDOW.0);
+        while self.readings.front().is_some_and(|first| now > first.at + kept) {
             self.readings.pop_front();
         }
     }
 
-    /// The work that arrived in the window that ended `ago`, in thousandths of a core.
-    fn rate(&self, now: Timestamp, ago: u64) -> u64 {
-        let end = Timestamp(now.0.saturating_sub(ago));
-        let start = Timestamp(end.0.saturating_sub(WINDOW.0));
-        let at = |time: Timestamp| self.readings.iter().rev().find(|(at, _)| *at <= time);
-        let Some((last_at, last)) = at(end) else {
-            return 0;
+    /// What arrived in the window that ended `ago`.
+    fn rate(&self, window: Span, ago: Span, now: Timestamp) -> Rate {
+        let end = Timestamp(now.0.saturating_sub(ago.0));
+        let start = Timestamp(end.0.saturating_sub(window.0));
+        let at = |time: Timestamp| self.readings.iter().rev().find(|one| one.at <= time);
+        let Some(last) = at(end) else {
+            return Rate::default();
         };
-        let Some((first_at, first)) = at(start).or(self.readings.front()) else {
-            return 0;
+        let Some(first) = at(start).or(self.readings.front()) else {
+            return Rate::default();
         };
-        let time = last_at.since(*first_at).0;
-        ((last - first) * 1_000).checked_div(time).unwrap_or(0)
+        let by_second =
+            |total: u64| (total * 1_000).checked_div(last.at.since(first.at).0).unwrap_or(0);
+        Rate { jobs: by_second(last.jobs - first.jobs), milli: by_second(last.work - first.work) }
     }
 
-    /// The processor capacity that arriving work will need, in thousandths of a core.
+    /// The processor capacity that arriving work will need, in thousandths of a core. Few large jobs
+    /// in a second say little about the next one: a rise is carried on only if it shows in many.
     pub(super) fn forecast(&self, now: Timestamp) -> u64 {
-        let rate = self.rate(now, 0);
-        let before = self.rate(now, WINDOW.0);
-        let rise = rate.saturating_sub(before) * LEAD.0 / WINDOW.0;
-        (rate + rise).min(rate * MAX_RISE)
+        let rate = self.rate(WINDOW, Span(0), now);
+        if rate.jobs < LEAST_JOBS {
+            return self.rate(SPARSE_WINDOW, Span(0), now).milli;
+        }
+        let before = self.rate(WINDOW, WINDOW, now);
+        let rise = rate.milli.saturating_sub(before.milli) * LEAD.0 / WINDOW.0;
+        (rate.milli + rise).min(rate.milli * MAX_RISE)
+    }
+
+    /// Whether a queue's turn is on: a good part of `given`, the capacity that the operator gave the
+    /// pool, arrives.
+    pub(super) fn is_turn(&self, given: u64, now: Timestamp) -> bool {
+        let last = self.readings.back().map_or(0, |one| one.work);
+        let start = Timestamp(now.0.saturating_sub(WINDOW.0));
+        let first = self.readings.iter().rev().find(|one| one.at <= start);
+        let first = first.or(self.readings.front()).map_or(0, |one| one.work);
+        given > 0 && (last - first) * 100 >= given * WINDOW.0 / 1_000 * TURN_PERCENT
     }
 }
 
@@ -91,6 +132,14 @@
 }
 
 impl Smoothed {
+    /// Takes in the need at the start of a turn, which is at least what the pool was given: waiting for
+    /// a measured rate would cost the time that machines take to come once more.
+    pub(super) fn raise(&mut self, need: u64, given: u64, now: Timestamp) -> u64 {
+        let averaged = self.update(need, now);
+        self.milli = averaged.max(given);
+        self.milli
+    }
+
     /// Takes in the need as it is now; returns it averaged.
     pub(super) fn update(&mut self, need: u64, now: Timestamp) -> u64 {
         let time = if need > self.milli { RISE_TIME } else { FALL_TIME };
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -42,7 +42,11 @@
 
 /// Four machines that run tasks and four on standby; the holder may give orders.
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::new(config(), FleetRecord::default(), (Timestamp(1_000), 1_000));
+    fleet_of(FleetRecord::default())
+}
+
+fn fleet_of(record: FleetRecord) -> Fleet {
+    let mut fleet = Fleet::new(config(), record, (Timestamp(1_000), 1_000));
     let (busy, spare) = (pool("desk"), pool("spare"));
     let machines = (0..4).map(|number| machine(number, &busy));
     fleet.list(machines.chain((4..8).map(|number| machine(number, &spare))).collect());
@@ -50,11 +54,15 @@
     fleet
 }
 
+/// The work of each job that arrives, in core-seconds.
+const JOB_CORE_S: u64 = 4;
+
 fn load(required_cores: u64, arrived_core_s: u64) -> Load {
     Load {
         capacity_milli: 4 * CORES,
         required_milli: required_cores * 1_000,
         arrived_milli_s: arrived_core_s * 1_000,
+        arrived_jobs: arrived_core_s / JOB_CORE_S,
         correction_percent: 100,
         workers: 4,
         floor_workers: 2,
@@ -215,7 +223,7 @@
     for step in 0..30_u64 {
         let now = Timestamp(4_100 + step * 200);
         let vacant = fleet.directives(now).values().flat_map(|one| one.keys().cloned()).collect();
-        fleet.report(&pool("desk"), load(0, 0), vacant, now);
+        fleet.report(&pool("desk"), load(0, 1), vacant, now);
         fleet.tick(now);
         for (vm, to) in moves(&fleet.take_actions()) {
             assert_eq!(to, pool("spare"));
@@ -232,7 +240,7 @@
     let mut fleet = fleet();
     for step in 0..12_u64 {
         let now = Timestamp(4_100 + step * 200);
-        fleet.report(&pool("desk"), load(0, 0), Vec::new(), now);
+        fleet.report(&pool("desk"), load(0, 1), Vec::new(), now);
         fleet.tick(now);
     }
     let leaving = fleet.directives(Timestamp(6_500))[&pool("desk")].clone();
@@ -240,10 +248,10 @@
         (0..4).filter(|&number| leaving.contains_key(&worker(number))).collect();
 
     fleet.ask(vec![wave(&chosen, 4)]);
-    fleet.report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(6_600));
+    fleet.report(&pool("desk"), load(0, 1), Vec::new(), Timestamp(6_600));
     fleet.tick(Timestamp(6_600));
     let vacant = chosen.iter().map(|&number| worker(number)).collect();
-    fleet.report(&pool("desk"), load(0, 0), vacant, Timestamp(6_800));
+    fleet.report(&pool("desk"), load(0, 1), vacant, Timestamp(6_800));
     fleet.take_actions();
     fleet.tick(Timestamp(6_800));
     let actions = fleet.take_actions();
@@ -252,3 +260,57 @@
     assert_eq!(upkeeps(&actions).len(), 2);
     assert_eq!(moves(&actions), []);
 }
+
+#[test]
+fn before_any_work_has_come_each_pool_keeps_what_the_operator_gave_it() {
+    let mut fleet = fleet();
+
+    for step in 0..30_u64 {
+        let now = Timestamp(4_100 + step * 200);
+        fleet.report(&pool("desk"), load(0, 0), Vec::new(), now);
+        fleet.tick(now);
+    }
+
+    assert_eq!(moves(&fleet.take_actions()), []);
+}
+
+/// The load of a turn's first moment: half of what the pool was given arrives at once.
+#[test]
+fn at_the_first_sign_of_a_turn_a_pool_gets_back_what_the_operator_gave_it() {
+    let given = FleetRecord {
+        given: IndexMap::from([(pool("desk"), 6), (pool("spare"), 2)]),
+        ..FleetRecord::default()
+    };
+    let mut fleet = fleet_of(given);
+    for step in 0..12_u64 {
+        fleet.report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000 + step * 200));
+    }
+
+    fleet.report(&pool("desk"), load(0, 180), Vec::new(), Timestamp(6_400));
+    fleet.tick(Timestamp(6_400));
+    let joined = moves(&fleet.take_actions());
+
+    assert_eq!(joined.len(), 2);
+    assert!(joined.iter().all(|(_, to)| *to == pool("desk")));
+}
+
+/// The load of a turn of large jobs: four of them a second, now three, now six.
+#[test]
+fn a_few_large_jobs_more_than_before_are_not_taken_for_a_rise() {
+    let mut fleet = fleet();
+    let mut wanted = 0;
+    let mut jobs = 0;
+
+    for (second, arriving) in [4, 3, 4, 6].into_iter().enumerate() {
+        for step in 0..5_u64 {
+            let now = Timestamp(4_000 + second as u64 * 1_000 + step * 200);
+            jobs += if step < arriving % 5 { arriving / 5 + 1 } else { arriving / 5 };
+            let arrived = Load { arrived_jobs: jobs, ..load(0, jobs * 64) };
+            fleet.report(&pool("desk"), arrived, Vec::new(), now);
+            wanted = fleet.sizes(now)[&pool("desk")].wants;
+        }
+    }
+
+    // Five of 64 core-seconds arrive by the second in the end, and a quarter is added.
+    assert!((6..=7).contains(&wanted), "{wanted}");
+}
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -240,6 +240,9 @@
     /// Processor time asked for by jobs that arrived since the term began, in thousandths of a
     /// core-second.
     pub arrived_milli_s: u64,
+    /// How many jobs that was.
+    #[serde(default)]
+    pub arrived_jobs: u64,
     /// Workers below which the pool must not fall for the sake of tasks that last.
     pub floor_workers: u32,
     /// How the time that tasks took compares with what was declared, in percent.
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -181,6 +181,9 @@
     /// stopped, 2 what saves its progress is stopped.
     #[prost(uint32, repeated, tag = "3")]
     pub urgent: ::prost::alloc::vec::Vec<u32>,
+    /// Workers that the store does not list yet are about to join.
+    #[prost(bool, tag = "4")]
+    pub expecting: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DirectReply {
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -185,7 +185,8 @@
         let mut directives = self.fleet.borrow().directives(now);
         for cell in self.cells() {
             let vacate = directives.shift_remove(&cell).unwrap_or_default();
-            if let Some(report) = self.node.direct_cell(&cell, vacate).await {
+            let expecting = self.fleet.borrow().is_expecting(&cell, now);
+            if let Some(report) = self.node.direct_cell(&cell, vacate, expecting).await {
                 let now = clock::now();
                 self.fleet.borrow_mut().report(&cell, report.load, report.vacant, now);
             }
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -277,7 +277,10 @@
             || !session::holds_lease(&self.node)
     }
 
-    pub(super) fn direct(&self, vacate: IndexMap<WorkerId, Vacate>) -> Report {
+    pub(super) fn direct(&self, vacate: IndexMap<WorkerId, Vacate>, expecting: bool) -> Report {
+        if expecting {
+            self.node.roster_due.notify_one();
+        }
         let now = clock::now();
         let report = self.with_cell(|cell| {
             cell.direct(vacate);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -143,9 +143,10 @@
     }
 
     fn direct(&self, direction: Direction) {
-        let report = self.host(&direction.cell).map(|host| host.direct(direction.vacate));
+        let Direction { cell, vacate, expecting, reply } = direction;
+        let report = self.host(&cell).map(|host| host.direct(vacate, expecting));
         // The asker may have given up waiting.
-        let _ = direction.reply.send(report);
+        let _ = reply.send(report);
     }
 
     /// Tells the owner of a cell which VMs to vacate, wherever it is.
@@ -153,12 +154,13 @@
         &self,
         cell: &ServiceId,
         vacate: IndexMap<teaselgap_core::job::WorkerId, teaselgap_core::job::Vacate>,
+        expecting: bool,
     ) -> Option<Report> {
         if let Some(host) = self.host(cell) {
-            return Some(host.direct(vacate));
+            return Some(host.direct(vacate, expecting));
         }
         let address = self.owner_address(cell)?;
-        self.peers.direct(address, cell, &vacate).await
+        self.peers.direct(address, cell, &vacate, expecting).await
     }
 }
 
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Direction {
     pub(crate) cell: ServiceId,
     pub(crate) vacate: IndexMap<WorkerId, Vacate>,
+    /// Workers that the store does not list yet are about to join.
+    pub(crate) expecting: bool,
     pub(crate) reply: oneshot::Sender<Option<Report>>,
 }
 
@@ -122,12 +124,14 @@
         address: SocketAddr,
         cell: &ServiceId,
         vacate: &IndexMap<WorkerId, Vacate>,
+        expecting: bool,
     ) -> Option<Report> {
         let mut client = self.get(address)?;
         let req = DirectRequest {
             cell: cell.to_string(),
             vacate: vacate.keys().map(ToString::to_string).collect(),
             urgent: vacate.values().map(|how| urgency(*how)).collect(),
+            expecting,
         };
         let Ok(Ok(reply)) = tokio::time::timeout(DIRECT_WAIT, client.direct(req)).await else {
             self.forget(address);
@@ -287,7 +291,7 @@
         let vacate = req.vacate.iter().map(|id| id.as_str().into()).zip(how).collect();
         let cell = req.cell.parse().map_err(|err| invalid_id(&err))?;
         let (reply, rx) = oneshot::channel();
-        let direction = Direction { cell, vacate, reply };
+        let direction = Direction { cell, vacate, expecting: req.expecting, reply };
         self.inbound.send(Inbound::Direction(direction)).map_err(gone)?;
         let Some(report) = rx.await.map_err(gone)? else {
             return Ok(Response::new(DirectReply::default()));
