Turns of queues are foreseen by their order and length

Change: the holder of the machines notes when each turn begins, durably; once two have been seen it knows their distance, and the pools that have not had theirs (or the successor, once the order was seen) get back what the operator gave them just before. Only tasks that last still wait for the stops of an earlier owner.

--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -33,7 +33,7 @@
             };
             let leaves = worker.entry.draining;
             let hurries = leaves || worker.vacate == Some(Vacate::Stop);
-            let may_stop = leaves || now >= self.vacates_from && self.may_miss_one_more(task, now);
+            let may_stop = leaves || self.may_miss_one_more(task, now);
             if may_stop && (self.book_elsewhere(task, &mut seats) || hurries) {
                 self.stop_run(&id, task, reason, now);
             }
@@ -102,6 +102,9 @@
         if !step.long_running {
             return true;
         }
+        if now < self.vacates_from {
+            return false;
+        }
         let Some(occurrence) = job.occurrence(id.occurrence) else {
             return true;
         };
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -9,13 +9,14 @@
 mod size;
 #[cfg(test)]
 mod tests;
+mod turns;
 mod wave;
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-pub use self::size::PoolSize;
 use self::size::{Arrivals, Smoothed};
+pub use self::{size::PoolSize, turns::Turns};
 use super::{Load, Resources, Vacate, WorkerId};
 use crate::{ServiceId, Span, Timestamp, VmId, ZoneId};
 
@@ -86,6 +87,9 @@
     /// How many machines the operator gave each pool: what it had before any were moved.
     #[serde(default)]
     pub given: IndexMap<ServiceId, u64>,
+    /// The queues' turns seen so far.
+    #[serde(default)]
+    pub turns: Turns,
     /// What the last holder ordered before it ended its term in order; `None` while a term lasts,
     /// and after one that ended otherwise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -209,6 +213,8 @@
     noted: IndexMap<ServiceId, PoolSize>,
     /// When the workers of machines that were ordered about start, with their pool.
     joining: Vec<(ServiceId, Timestamp)>,
+    /// This node's wall clock minus its clock, in milliseconds.
+    wall_offset: u64,
     /// Work has arrived at some pool.
     has_seen_work: bool,
     out: Vec<FleetAction>,
@@ -249,6 +255,7 @@
             vacant: IndexSet::new(),
             noted: IndexMap::new(),
             joining: Vec::new(),
+            wall_offset: wall_ms.saturating_sub(now.0),
             has_seen_work: false,
             out: Vec::new(),
         }
@@ -299,15 +306,19 @@
     /// Takes in how busy a cell is and which of the workers to be vacated are empty.
     pub fn report(&mut self, pool: &ServiceId, load: Load, vacant: Vec<WorkerId>, now: Timestamp) {
         self.has_seen_work |= load.arrived_milli_s > 0;
-        let given = self.record.given.get(pool).copied().unwrap_or(0) * self.machine_milli(pool);
+        let given = self.given_milli(pool);
         let report = self.reports.entry(pool.clone()).or_default();
         report.arrivals.note(&load, now);
         let need = size::need_milli(&load, &report.arrivals, now);
-        report.need_milli = if report.arrivals.is_turn(given, now) {
+        let is_turn = report.arrivals.is_turn(given, now);
+        report.need_milli = if is_turn {
             report.need.raise(need, given, now)
         } else {
             report.need.update(need, now)
         };
+        if is_turn && report.arrivals.is_sustained(now) {
+            self.record.turns.note(pool, self.wall_offset + now.0);
+        }
         report.load = load;
         report.at = now;
         let in_pool: IndexSet<WorkerId> = self
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::WorkerId,
-    Errand, Fleet, FleetAction, Machine, MachineState, Purpose,
+    CellReport, Errand, Fleet, FleetAction, Machine, MachineState, Purpose,
     size::{self, PoolSize},
 };
 use crate::{ServiceId, Span, Timestamp, VmId};
@@ -18,6 +18,9 @@
 /// How long a machine may take to become empty for a move before the move is given up.
 const MOVE_PATIENCE: Span = Span(4_000);
 
+/// The time from the start of a machine in its new pool until its worker can be used.
+const JOINING_TIME: Span = Span(500);
+
 /// The age beyond which a cell's report says nothing.
 const REPORT_AGE: Span = Span(1_500);
 
@@ -60,18 +63,40 @@
             .max(1)
     }
 
+    /// The capacity that the operator gave a pool, in thousandths of a core.
+    pub(super) fn given_milli(&self, pool: &ServiceId) -> u64 {
+        self.record.given.get(pool).copied().unwrap_or(0) * self.machine_milli(pool)
+    }
+
+    /// Pools whose queue's turn is about to begin.
+    fn foreseen(&self, now: Timestamp) -> Vec<ServiceId> {
+        let is_served = |(pool, report): &(&ServiceId, &CellReport)| {
+            !self.standby.contains(*pool) && now <= report.at + REPORT_AGE
+        };
+        let pools: Vec<ServiceId> =
+            self.reports.iter().filter(is_served).map(|(pool, _)| pool.clone()).collect();
+        let lead = Span(self.cfg.migration.0 + JOINING_TIME.0);
+        let due = self.record.turns.due(&pools, lead, self.wall_offset + now.0);
+        due.into_iter().cloned().collect()
+    }
+
     /// What each pool with a cell has and should have.
     pub(super) fn sizes(&self, now: Timestamp) -> IndexMap<ServiceId, PoolSize> {
+        let foreseen = self.foreseen(now);
         let fresh = self.reports.iter().filter(|(pool, report)| {
             now <= report.at + REPORT_AGE && !self.standby.contains(*pool)
         });
         fresh
             .map(|(pool, report)| {
-                let need = report.need_milli;
+                let machine = self.machine_milli(pool);
+                let mut need = report.need_milli;
+                if foreseen.contains(pool) {
+                    need = need.max(self.given_milli(pool));
+                }
                 let size = PoolSize {
                     has: self.size_of(pool),
                     floor: u64::from(report.load.floor_workers),
-                    wants: need.div_ceil(self.machine_milli(pool)),
+                    wants: need.div_ceil(machine),
                 };
                 (pool.clone(), size)
             })
--- a/crates/core/src/job/fleet/size.rs
+++ b/crates/core/src/job/fleet/size.rs
@@ -24,6 +24,9 @@
 /// How far ahead a rise of arrivals is carried on: a machine that is asked for now works by then.
 const LEAD: Span = Span(1_800);
 
+/// Jobs within the longer window that make a turn more than a chance.
+const SUSTAINED_JOBS: u64 = 4;
+
 /// A queue's turn is on if at least this part of what the pool was given arrives, in percent.
 const TURN_PERCENT: u64 = 45;
 
@@ -101,6 +104,11 @@
         (rate.milli + rise).min(rate.milli * MAX_RISE)
     }
 
+    /// Whether what arrives is more than one or two large jobs.
+    pub(super) fn is_sustained(&self, now: Timestamp) -> bool {
+        self.rate(SPARSE_WINDOW, Span(0), now).jobs * SPARSE_WINDOW.0 / 1_000 >= SUSTAINED_JOBS
+    }
+
     /// Whether a queue's turn is on: a good part of `given`, the capacity that the operator gave the
     /// pool, arrives.
     pub(super) fn is_turn(&self, given: u64, now: Timestamp) -> bool {
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -314,3 +314,58 @@
     // Five of 64 core-seconds arrive by the second in the end, and a quarter is added.
     assert!((6..=7).contains(&wanted), "{wanted}");
 }
+
+fn turns(began: &[(&str, u64)]) -> Turns {
+    let mut turns = Turns::default();
+    for (name, wall_ms) in began {
+        turns.note(&pool(name), *wall_ms);
+    }
+    turns
+}
+
+fn pools(names: &[&str]) -> Vec<ServiceId> {
+    names.iter().map(|name| pool(name)).collect()
+}
+
+const LEAD: Span = Span(2_000);
+
+#[test]
+fn the_turn_that_is_left_is_foreseen_before_it_begins() {
+    let all = pools(&["a", "b", "c"]);
+    let turns = turns(&[("b", 10_000), ("a", 18_500), ("b", 18_600)]);
+    let first_round = self::turns(&[("b", 10_000), ("a", 18_500)]);
+
+    assert_eq!(first_round.due(&all, LEAD, 24_000), [] as [&ServiceId; 0]);
+    assert_eq!(first_round.due(&all, LEAD, 25_500), [&all[2]]);
+    assert_eq!(turns.due(&all[..2], LEAD, 18_700), [] as [&ServiceId; 0]);
+}
+
+#[test]
+fn an_order_of_turns_that_was_seen_is_carried_on_beyond_the_next_one() {
+    let all = pools(&["a", "b", "c"]);
+    let turns = turns(&[("a", 10_000), ("b", 20_000), ("c", 30_000), ("a", 40_000)]);
+
+    assert_eq!(turns.due(&all, LEAD, 48_500), [&all[1]]);
+    // Nobody saw the turn of b: all processes were down.
+    assert_eq!(turns.due(&all, LEAD, 58_500), [&all[2]]);
+    assert_eq!(turns.due(&all, LEAD, 54_000), [] as [&ServiceId; 0]);
+}
+
+#[test]
+fn a_pool_whose_turn_is_foreseen_gets_what_the_operator_gave_it() {
+    let record = FleetRecord {
+        given: IndexMap::from([(pool("desk"), 6), (pool("spare"), 2)]),
+        turns: turns(&[("shop", 1_000), ("yard", 5_000)]),
+        ..FleetRecord::default()
+    };
+    let mut fleet = fleet_of(record);
+    for name in ["shop", "yard", "desk"] {
+        fleet.report(&pool(name), Load::default(), Vec::new(), Timestamp(7_000));
+    }
+
+    fleet.tick(Timestamp(7_500));
+    let joined = moves(&fleet.take_actions());
+
+    assert_eq!(joined.len(), 2, "{joined:?}");
+    assert!(joined.iter().all(|(_, to)| *to == pool("desk")));
+}
