Times of tasks are learnt from their progress; slow workers are found and left out

Change: the time of a task is the median of its step's tasks as their progress shows it, before that mostly what tasks of the queue took. A worker whose runs make less than 35 % of the progress of their step's other tasks is left out for a while, tried with one task at a time, and what would be done sooner elsewhere is taken away from it, twice a task at most. A list waits 400 ms for an end, so that standing still shows.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -22,13 +22,14 @@
 mod spec;
 mod task;
 mod term;
+mod times;
 mod worker;
 
 pub use self::{
     cell::{Cell, CellConfig, QueueConfig, Recovered},
     fleet::{
         Fleet, FleetAction, FleetConfig, FleetRecord, Machine, MachineState, OrderOutcome,
-        PoolSize, Wave,
+        PoolSize, Turns, Wave,
     },
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
     log::{LogConfig, LogWriter, Position, Sequence},
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -4,6 +4,7 @@
 mod load;
 mod orders;
 mod plan;
+mod progress;
 mod recover;
 mod roster;
 mod vacate;
@@ -12,12 +13,14 @@
 
 use indexmap::IndexMap;
 
+pub(super) use self::progress::Speed;
 pub use self::recover::Recovered;
 use super::{
     Action, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogWriter, Note, Position, Record,
     Segment, Sequence, Token, WorkerId,
     pace::PaceTable,
     task::Job,
+    times::{self, UsualTimes},
     worker::{Vacate, Worker},
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp};
@@ -82,9 +85,10 @@
     paces: PaceTable,
     arrived_milli_s: u64,
     arrived_jobs: u64,
-    /// Processor time of tasks that are done, as it was and as it was declared, in thousandths of a
+    /// Processor time of tasks that are done, as it was and as it was guessed before, in thousandths of a
     /// core-second.
     took_milli_s: (u64, u64),
+    usual_times: UsualTimes,
     cordoned: IndexMap<WorkerId, Vacate>,
     /// The store's list of workers has been read in this term.
     has_roster: bool,
@@ -223,11 +227,15 @@
         }
         let note = Note::Accepted { job: id, queue: queue.clone(), waiting };
         self.out.push(Action::Note(note));
+        let usual = self.usual_times.get(&queue);
         let work: u64 = spec
             .steps
             .iter()
             .filter(|step| !step.long_running)
-            .map(|step| step.need.cpu_milli * u64::from(step.count) * step.estimate.0 / 1_000)
+            .map(|step| {
+                let each = times::guess(step, usual).0;
+                step.need.cpu_milli * u64::from(step.count) * each / 1_000
+            })
             .sum();
         self.arrived_milli_s += work;
         self.arrived_jobs += u64::from(work > 0);
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -5,6 +5,7 @@
 use super::{
     super::{
         Action, End, EndKind, JobEnd, JobId, Note, Record, RunName, TaskId, WorkerId, task::Job,
+        times,
     },
     Cell, Consequence,
 };
@@ -16,7 +17,7 @@
 /// The longest that a task that lasts waits after failures in a row.
 const MAX_RETRY_PAUSE: Span = Span(1_000);
 
-/// Beyond this much declared work, older times count half, in thousandths of a core-second.
+/// Beyond this much guessed work, older times count half, in thousandths of a core-second.
 const TIMES_REMEMBERED: u64 = 4_000_000;
 
 impl Cell {
@@ -53,6 +54,7 @@
                 && how == EndKind::Done
             {
                 self.note_time(task, run.started, now);
+                self.note_done(id, task, &run, now);
             }
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -90,19 +92,22 @@
         job.failed_at.len() == 1
     }
 
-    /// Compares how long a task took with what was declared.
+    /// Compares how long a task took with what was guessed before.
     fn note_time(&mut self, task: TaskId, started: Timestamp, now: Timestamp) {
         let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
         let Some(step) = step.filter(|step| !step.long_running) else {
             return;
         };
+        let queue = self.jobs.get(&task.job).map(|job| &job.queue);
+        let usual = queue.and_then(|queue| self.usual_times.get(queue));
+        let guess = times::guess(step, usual).0;
         let cpu = step.need.cpu_milli;
-        let (took, declared) = &mut self.took_milli_s;
+        let (took, guessed) = &mut self.took_milli_s;
         *took += cpu * now.since(started).0 / 1_000;
-        *declared += cpu * step.estimate.0 / 1_000;
-        if *declared > TIMES_REMEMBERED {
+        *guessed += cpu * guess / 1_000;
+        if *guessed > TIMES_REMEMBERED {
             *took /= 2;
-            *declared /= 2;
+            *guessed /= 2;
         }
     }
 
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -5,17 +5,16 @@
 
 use super::{
     super::{
-        JobId, Load, Step, order, place,
+        JobId, Load, Step,
+        order::{self, View},
+        place,
         task::{Job, Task},
+        times,
     },
     Cell,
 };
 use crate::{Span, Timestamp};
 
-/// Declared work that must be done before the times that tasks took say anything, in thousandths of a
-/// core-second.
-const LEAST_DECLARED: u64 = 200_000;
-
 impl Cell {
     /// Workers that the tasks that last fill, and one more, so that any of them can be done without
     /// for a while.
@@ -35,11 +34,10 @@
     /// How busy the cell is.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
-        let (took, declared) = self.took_milli_s;
         let mut load = Load {
             arrived_milli_s: self.arrived_milli_s,
             arrived_jobs: self.arrived_jobs,
-            correction_percent: if declared < LEAST_DECLARED { 100 } else { took * 100 / declared },
+            correction_percent: self.correction_percent(),
             floor_workers: self.floor_workers(),
             spare: self.spare_workers(now),
             ..Load::default()
@@ -88,6 +86,7 @@
     /// Adds what one occurrence of a job asks for; what is left of it to do.
     fn add_load(&self, load: &mut Load, job: &Job, place: usize, now: Timestamp) -> Option<Demand> {
         let occurrence = &job.occurrences[place];
+        let usual = self.usual_times.get(&job.queue);
         let mut work = 0;
         for (number, (state, step)) in occurrence.steps.iter().zip(&job.spec.steps).enumerate() {
             let cpu = step.booked().cpu_milli;
@@ -99,13 +98,14 @@
             let idle = |task: &&Task| !task.done && task.runs.is_empty();
             let idle = state.tasks.iter().filter(idle).count() as u64;
             let weighed = idle * 100 + (open - idle) * RUNNING_PERCENT;
-            work += cpu * step.estimate.0 * weighed / 100;
+            work += cpu * times::of_step(step, state, usual).0 * weighed / 100;
             if occurrence.is_ready(&job.spec, number) {
                 load.waiting_milli += cpu * idle;
             }
         }
         let queue = self.queues.get(&job.queue).filter(|_| work > 0)?;
-        let left = order::time_left(job, place, queue, (now, self.wall_offset));
+        let view = View { queue, usual, now, wall_offset: self.wall_offset };
+        let left = order::time_left(job, place, &view);
         Some(Demand { left, work })
     }
 }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         Action, JobId, StepId, TaskId, WorkerId,
-        order::{self, Rank},
+        order::{self, Rank, View},
         place::{self, Seat},
         task::Task,
         worker::Worker,
@@ -55,6 +55,7 @@
                 free: worker.free(),
                 serving: count(worker, |run| run.serves),
                 filling: count(worker, |run| run.fills),
+                on_probation: worker.on_probation,
             })
             .collect()
     }
@@ -65,6 +66,7 @@
 
     fn candidates(&mut self, now: Timestamp) -> Vec<Candidate> {
         let wall_offset = self.wall_offset;
+        let usual = &self.usual_times;
         let mut candidates = Vec::new();
         for (&id, job) in &self.jobs {
             if job.end.is_some() || !job.durable || job.inherited {
@@ -74,6 +76,7 @@
             let Some(queue) = queue else {
                 continue;
             };
+            let view = View { queue, usual: usual.get(&job.queue), now, wall_offset };
             for (place, occurrence) in job.occurrences.iter().enumerate() {
                 if occurrence.is_done() {
                     continue;
@@ -92,8 +95,7 @@
                         self.plan_due = true;
                         continue;
                     }
-                    let rank = *rank
-                        .get_or_insert_with(|| order::rank(job, place, queue, (now, wall_offset)));
+                    let rank = *rank.get_or_insert_with(|| order::rank(job, place, &view));
                     candidates.push(Candidate { rank, job: id, occurrence: place, step });
                 }
             }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -64,6 +64,7 @@
             arrived_milli_s: 0,
             arrived_jobs: 0,
             took_milli_s: (0, 0),
+            usual_times: super::UsualTimes::default(),
             cordoned: IndexMap::new(),
             has_roster: false,
             vacates_from: now + Span(cfg.stop.0 + STOP_MARGIN.0),
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -14,8 +14,12 @@
 /// How long an entry may be missing before its worker gets no new work.
 const MISSING_GRACE: Span = Span(2_000);
 
-/// How long a worker with runs may wait for an end before it answers a hold.
-const BUSY_WAIT: Span = Span(1_000);
+/// How long a worker with runs may wait for an end before it answers a hold: what makes no progress
+/// shows in two answers.
+const BUSY_WAIT: Span = Span(400);
+
+/// The same for a worker on which only tasks that last run.
+const LASTING_WAIT: Span = Span(1_000);
 
 /// The least pause between two holds of one worker.
 const HOLD_PAUSE: Span = Span(60);
@@ -231,6 +235,8 @@
             let unconfirmed = worker.ends_seen > worker.ends_durable;
             let wait = if worker.runs.is_empty() || unconfirmed || settling || !worker.adopted {
                 Span(0)
+            } else if worker.only_lasting() {
+                LASTING_WAIT
             } else {
                 BUSY_WAIT
             };
@@ -300,6 +306,7 @@
                 self.take_row(id, row, now);
             }
             self.release_unlisted(id, sent, report, now);
+            self.watch_progress(id, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -381,7 +388,8 @@
             Some(step) => Run::new(row.attempt, step, state, now),
             None => Run::unknown(row.attempt, state, now),
         };
-        let run = Run { percent: row.percent, ..run };
+        let (percent, marked_percent) = (row.percent, row.percent);
+        let run = Run { percent, marked_percent, counted: true, ..run };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(row.task, run);
         }
@@ -464,6 +472,7 @@
             && !worker.entry.draining
             && worker.hold_failures < MAX_HOLD_FAILURES
             && now >= worker.excluded_until
+            && (!worker.on_probation || worker.only_lasting())
             && worker.missing_since.is_none_or(|since| now <= since + MISSING_GRACE)
     }
 }
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -16,7 +16,7 @@
 /// a stop takes.
 const LEAVE_MARGIN: Span = Span(700);
 
-/// What is left at least of a task that has not ended, as a part of its estimate in percent.
+/// What is left at least of a task that has not ended, as a part of its whole time in percent.
 const OVERRUN_PERCENT: u64 = 20;
 
 impl Cell {
@@ -49,7 +49,7 @@
             for (task, run) in worker.runs.iter().filter(|(_, run)| run.stopping.is_none()) {
                 let step = self.step(*task);
                 let lasts = step.is_some_and(|step| step.long_running);
-                let saves = step.is_some_and(|step| self.is_worth_stopping(step, run, now));
+                let saves = step.is_some_and(|step| self.is_worth_stopping(*task, step, run, now));
                 if worker.entry.draining && (leaving || lasts) {
                     runs.push((id.clone(), *task, "its worker leaves"));
                     continue;
@@ -69,17 +69,24 @@
     }
 
     /// Whether a task that saves its progress is stopped much sooner than it would end.
-    fn is_worth_stopping(&self, step: &Step, run: &Run, now: Timestamp) -> bool {
-        step.checkpoints && time_left(step, run, now).0 > 2 * self.cfg.stop.0
+    fn is_worth_stopping(&self, id: TaskId, step: &Step, run: &Run, now: Timestamp) -> bool {
+        step.checkpoints && self.time_left(id, step, run, now).0 > 2 * self.cfg.stop.0
     }
 
-    fn step(&self, task: TaskId) -> Option<&Step> {
+    /// How long a run is likely to go on.
+    fn time_left(&self, id: TaskId, step: &Step, run: &Run, now: Timestamp) -> Span {
+        let whole = self.known_time(id).unwrap_or(step.estimate).0;
+        let left = whole.saturating_sub(now.since(run.started).0);
+        Span(left.max(whole * OVERRUN_PERCENT / 100))
+    }
+
+    pub(super) fn step(&self, task: TaskId) -> Option<&Step> {
         self.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
     }
 
     /// Books room for a task that is to be stopped, so that it can start again at once; whether there
     /// was room.
-    fn book_elsewhere(&self, id: TaskId, seats: &mut [Seat]) -> bool {
+    pub(super) fn book_elsewhere(&self, id: TaskId, seats: &mut [Seat]) -> bool {
         let Some(step) = self.step(id) else {
             return true;
         };
@@ -151,15 +158,9 @@
     fn time_to_empty(&self, worker: &Worker, now: Timestamp) -> Span {
         let left = |(task, run): (&TaskId, &Run)| {
             let step = self.step(*task).filter(|step| !step.long_running)?;
-            let stops = self.is_worth_stopping(step, run, now);
-            Some(if stops { self.cfg.stop } else { time_left(step, run, now) })
+            let stops = self.is_worth_stopping(*task, step, run, now);
+            Some(if stops { self.cfg.stop } else { self.time_left(*task, step, run, now) })
         };
         worker.runs.iter().filter_map(left).max().unwrap_or_default()
     }
 }
-
-/// How long a run is likely to go on.
-fn time_left(step: &Step, run: &Run, now: Timestamp) -> Span {
-    let left = step.estimate.0.saturating_sub(now.since(run.started).0);
-    Span(left.max(step.estimate.0 * OVERRUN_PERCENT / 100))
-}
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -4,7 +4,7 @@
 //! Serving in the order of arrival would make every job late. So what can still make its objective
 //! comes first, by how soon it must start; a job that has missed it is behind all that have not.
 
-use super::{spec::JobSpec, task::Job};
+use super::{Step, task::Job, times};
 use crate::{Span, Timestamp, job::QueueConfig};
 
 /// Beyond this many times its objective a job earns nothing.
@@ -32,16 +32,34 @@
     pub(super) by: Timestamp,
 }
 
-/// How long the job may take in all.
-fn objective(spec: &JobSpec, queue: &QueueConfig) -> Span {
-    let path = spec.critical_path(|_, step| step.estimate.0).0;
-    Span(path * queue.stretch_percent / 100 + queue.target_latency.0)
+/// What a rank depends on beside the job.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct View<'a> {
+    pub(super) queue: &'a QueueConfig,
+    /// What a task of the queue usually takes.
+    pub(super) usual: Option<Span>,
+    pub(super) now: Timestamp,
+    /// The wall clock minus this node's clock, in milliseconds.
+    pub(super) wall_offset: u64,
 }
 
-/// The time that the open steps of an occurrence still need.
-fn remaining(job: &Job, occurrence: usize) -> Span {
-    let steps = &job.occurrences[occurrence].steps;
-    job.spec.critical_path(|number, step| if steps[number].open > 0 { step.estimate.0 } else { 0 })
+impl View<'_> {
+    /// How long an occurrence of a job may take in all.
+    fn objective(&self, job: &Job, occurrence: usize) -> Span {
+        let steps = &job.occurrences[occurrence].steps;
+        let time = |number: usize, step: &Step| times::of_step(step, &steps[number], self.usual).0;
+        let path = job.spec.critical_path(time).0;
+        Span(path * self.queue.stretch_percent / 100 + self.queue.target_latency.0)
+    }
+
+    /// The time that the open steps of an occurrence still need.
+    fn remaining(&self, job: &Job, occurrence: usize) -> Span {
+        let steps = &job.occurrences[occurrence].steps;
+        job.spec.critical_path(|number, step| match steps[number].open {
+            0 => 0,
+            _ => times::of_step(step, &steps[number], self.usual).0,
+        })
+    }
 }
 
 /// When an occurrence of a job came due, on this node's clock.
@@ -60,32 +78,23 @@
 const LEAST_TIME: Span = Span(500);
 
 /// The time that is left to finish an occurrence, if its work is spread evenly over it.
-pub(super) fn time_left(
-    job: &Job,
-    occurrence: usize,
-    queue: &QueueConfig,
-    (now, wall_offset): (Timestamp, u64),
-) -> Span {
-    let deadline = due(job, occurrence, wall_offset) + objective(&job.spec, queue);
-    let left = deadline.since(now);
-    let least = remaining(job, occurrence).max(LEAST_TIME);
+pub(super) fn time_left(job: &Job, occurrence: usize, view: &View<'_>) -> Span {
+    let deadline = due(job, occurrence, view.wall_offset) + view.objective(job, occurrence);
+    let left = deadline.since(view.now);
+    let least = view.remaining(job, occurrence).max(LEAST_TIME);
     if left >= least { left } else { least.max(LATE_TIME) }
 }
 
 /// Ranks one occurrence of a job.
-pub(super) fn rank(
-    job: &Job,
-    occurrence: usize,
-    queue: &QueueConfig,
-    (now, wall_offset): (Timestamp, u64),
-) -> Rank {
+pub(super) fn rank(job: &Job, occurrence: usize, view: &View<'_>) -> Rank {
+    let now = view.now;
     if job.spec.is_long_running() {
-        return Rank { class: Class::Lasting, priority: queue.priority, by: job.arrived };
+        return Rank { class: Class::Lasting, priority: view.queue.priority, by: job.arrived };
     }
-    let due = due(job, occurrence, wall_offset);
-    let objective = objective(&job.spec, queue);
+    let due = due(job, occurrence, view.wall_offset);
+    let objective = view.objective(job, occurrence);
     let deadline = due + objective;
-    let remaining = remaining(job, occurrence);
+    let remaining = view.remaining(job, occurrence);
     let latest_start = Timestamp(deadline.0.saturating_sub(remaining.0));
     let class = if now <= latest_start {
         Class::OnTime
@@ -95,5 +104,5 @@
         Class::Overdue
     };
     let by = if class == Class::OnTime { latest_start } else { due };
-    Rank { class, priority: queue.priority, by }
+    Rank { class, priority: view.queue.priority, by }
 }
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -16,6 +16,8 @@
     /// Tasks that serve users, and tasks that fill.
     pub(super) serving: u32,
     pub(super) filling: u32,
+    /// It gets one task and no more.
+    pub(super) on_probation: bool,
 }
 
 impl Seat {
@@ -26,6 +28,9 @@
     /// Notes that a task of the step goes here.
     pub(super) fn book(&mut self, step: &Step) {
         self.free -= step.booked();
+        if self.on_probation {
+            self.free = Resources::default();
+        }
         self.serving += u32::from(step.tail_target.is_some());
         self.filling += u32::from(step.fills);
     }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexSet;
 
-use super::{JobEnd, JobSpec, TaskId, WorkerId};
+use super::{JobEnd, JobSpec, TaskId, WorkerId, times::Samples};
 use crate::{QueueId, Timestamp};
 
 /// One task.
@@ -20,6 +20,8 @@
     /// Where a run of it may be alive.
     pub(super) runs: Vec<WorkerId>,
     pub(super) not_before: Timestamp,
+    /// How often it was taken away from a slow worker.
+    pub(super) relocations: u32,
     /// Until when it has not been at work, for tasks that last; `None` while it is at work.
     pub(super) away_since: Option<Timestamp>,
 }
@@ -27,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
     pub(super) tasks: Vec<Task>,
+    /// How long its tasks take.
+    pub(super) samples: Samples,
     pub(super) open: u32,
 }
 
@@ -39,8 +43,11 @@
 
 impl Occurrence {
     fn new(number: u32, spec: &JobSpec) -> Self {
-        let step =
-            |count: u32| StepState { tasks: vec![Task::default(); count as usize], open: count };
+        let step = |count: u32| StepState {
+            tasks: vec![Task::default(); count as usize],
+            samples: Samples::default(),
+            open: count,
+        };
         Self { number, steps: spec.steps.iter().map(|one| step(one.count)).collect() }
     }
 
--- /dev/null
+++ b/crates/core/src/job/times.rs
@@ -0,0 +1,91 @@
+//! How long tasks really take, learnt from those that run and those that are done.
+//!
+//! Declared times are off by a multiple in either direction. A worker lists how much of each task is
+//! done, so a few hundred milliseconds into a step its tasks tell how long the others will take; before
+//! that, what tasks of the queue usually take says more than what was declared.
+
+use indexmap::IndexMap;
+
+use super::{Step, task::StepState};
+use crate::{QueueId, Span};
+
+/// Most times that are kept of one step.
+const MAX_SAMPLES: usize = 9;
+
+/// Times of one step from which on they are believed.
+const LEAST_SAMPLES: usize = 2;
+
+/// Tasks of a queue from which on their usual time is believed.
+const LEAST_TASKS: u64 = 12;
+
+/// The weight of the latest task in the usual time of a queue is one part in this many.
+const REMEMBERED_TASKS: u64 = 64;
+
+/// How much of a guess is the usual time of the queue and not what was declared, in percent.
+const USUAL_PERCENT: u64 = 75;
+
+/// Times that tasks of one step take in all, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Samples(Vec<u32>);
+
+impl Samples {
+    pub(super) fn note(&mut self, total: Span) {
+        if self.0.len() < MAX_SAMPLES {
+            self.0.push(u32::try_from(total.0).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// The time in the middle, once there are enough.
+    pub(super) fn median(&self) -> Option<Span> {
+        if self.0.len() < LEAST_SAMPLES {
+            return None;
+        }
+        let mut sorted = self.0.clone();
+        sorted.sort_unstable();
+        Some(Span(u64::from(sorted[sorted.len() / 2])))
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    mean: u64,
+    tasks: u64,
+}
+
+/// What tasks usually take, by queue.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UsualTimes {
+    queues: IndexMap<QueueId, Usual>,
+}
+
+impl UsualTimes {
+    pub(super) fn note(&mut self, queue: &QueueId, total: Span) {
+        if !self.queues.contains_key(queue) {
+            self.queues.insert(queue.clone(), Usual::default());
+        }
+        let usual = &mut self.queues[queue];
+        usual.tasks += 1;
+        let weight = usual.tasks.min(REMEMBERED_TASKS);
+        usual.mean = (usual.mean * (weight - 1) + total.0) / weight;
+    }
+
+    /// What a task of the queue usually takes, once enough have been seen.
+    pub(super) fn get(&self, queue: &QueueId) -> Option<Span> {
+        let usual = self.queues.get(queue)?;
+        (usual.tasks >= LEAST_TASKS).then_some(Span(usual.mean))
+    }
+}
+
+/// How long a task of a step of which nothing has run takes.
+pub(super) fn guess(step: &Step, usual: Option<Span>) -> Span {
+    let declared = step.estimate.0;
+    let guess = usual.map_or(declared, |usual| {
+        (usual.0 * USUAL_PERCENT + declared * (100 - USUAL_PERCENT)) / 100
+    });
+    Span(guess.max(1))
+}
+
+/// How long a task of a step takes, by what is known of its other tasks.
+pub(super) fn of_step(step: &Step, state: &StepState, usual: Option<Span>) -> Span {
+    state.samples.median().unwrap_or_else(|| guess(step, usual))
+}
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Resources, Step, StepId, TaskId, WorkerId};
+use super::{Resources, Step, StepId, TaskId, WorkerId, cell::Speed};
 use crate::{ServiceId, Span, Timestamp, ZoneId};
 
 /// A worker that has not answered for this long is silent.
@@ -74,20 +74,28 @@
 }
 
 /// One run of a task on a worker. It is removed only once it certainly does not run any more.
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 #[derive(Clone, Debug)]
 pub(super) struct Run {
     pub(super) attempt: u32,
     pub(super) booked: Resources,
     pub(super) fills: bool,
     pub(super) serves: bool,
+    /// It goes on until its job is cancelled.
+    pub(super) lasts: bool,
     pub(super) state: RunState,
     pub(super) started: Timestamp,
     /// From when on a list of the worker shows the run if it is there.
     pub(super) listed_after: Timestamp,
     /// It is to end; the order is repeated until the run is gone.
     pub(super) stopping: Option<Stop>,
-    /// The share at which it works, in percent.
+    /// How much of it is done, in percent; for tasks that last, the share at which they work.
     pub(super) percent: u64,
+    /// When its progress was last measured, and what it was then.
+    pub(super) marked: Timestamp,
+    pub(super) marked_percent: u64,
+    /// How long it takes in all has been noted, or can't be told.
+    pub(super) counted: bool,
     /// The share that the worker confirmed for it, in percent; only for what fills.
     pub(super) paced: u64,
     /// When its share may be sent again.
@@ -147,6 +155,9 @@
     pub(super) failures_in_a_row: u32,
     pub(super) exclusions: u32,
     pub(super) excluded_until: Timestamp,
+    pub(super) speed: Speed,
+    /// It was too slow, and has not been seen to be well since: it gets one task at a time.
+    pub(super) on_probation: bool,
 }
 
 /// How soon a worker is to be empty.
@@ -167,6 +178,7 @@
             booked: step.booked(),
             fills: step.fills,
             serves: step.tail_target.is_some(),
+            lasts: step.long_running,
             ..Self::unknown(attempt, state, now)
         }
     }
@@ -178,17 +190,28 @@
             booked: Resources::default(),
             fills: false,
             serves: false,
+            lasts: false,
             state,
             started: now,
             listed_after: now,
             stopping: None,
             percent: 0,
+            marked: now,
+            marked_percent: 0,
+            counted: false,
             paced: 100,
             next_pace: now,
         }
     }
 }
 
+impl Run {
+    /// Whether the worker has it and it is not to end.
+    pub(super) fn is_settled(&self) -> bool {
+        self.state == RunState::Running && self.stopping.is_none()
+    }
+}
+
 impl Worker {
     pub(super) fn new(entry: WorkerEntry, inherited_lapse: Timestamp, now: Timestamp) -> Self {
         Self {
@@ -214,6 +237,8 @@
             failures_in_a_row: 0,
             exclusions: 0,
             excluded_until: Timestamp(0),
+            speed: Speed::default(),
+            on_probation: false,
         }
     }
 
@@ -226,6 +251,11 @@
         self.entry.capacity.minus(&self.used())
     }
 
+    /// Whether only tasks that last run here, if any.
+    pub(super) fn only_lasting(&self) -> bool {
+        self.runs.values().all(|run| run.lasts)
+    }
+
     pub(super) fn count_of(&self, step: StepId) -> u32 {
         let count = self.runs.keys().filter(|task| task.step_id() == step).count();
         u32::try_from(count).unwrap_or(u32::MAX)
@@ -281,11 +311,16 @@
         }
         self.failures_in_a_row += 1;
         if self.failures_in_a_row >= MAX_FAILURES_IN_A_ROW {
-            let doublings = self.exclusions.min(MAX_EXCLUSION_DOUBLINGS);
-            self.excluded_until = now + Span(FIRST_EXCLUSION.0 << doublings);
-            self.exclusions += 1;
+            self.exclude(now);
             // One more failure after the exclusion is enough for the next one.
             self.failures_in_a_row = MAX_FAILURES_IN_A_ROW - 1;
         }
     }
+
+    /// Leaves the worker out for a while, longer each time; then it is tried anew.
+    pub(super) fn exclude(&mut self, now: Timestamp) {
+        let doublings = self.exclusions.min(MAX_EXCLUSION_DOUBLINGS);
+        self.excluded_until = now + Span(FIRST_EXCLUSION.0 << doublings);
+        self.exclusions += 1;
+    }
 }
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -29,6 +29,8 @@
     Percent(u64),
     /// It fails after this many milliseconds.
     FailsAfter(u64),
+    /// It stands still until it is stopped.
+    Stalls,
 }
 
 #[derive(Clone, Debug)]
@@ -39,6 +41,20 @@
     /// When it ends by itself; `None` for a task that lasts.
     ends: Option<(Timestamp, EndKind)>,
     stops: Option<Timestamp>,
+    /// It stands still.
+    stalls: bool,
+}
+
+impl ModelRun {
+    /// How much is done, in percent; of a task that lasts, whether it is at work.
+    fn percent(&self, now: Timestamp) -> u64 {
+        let whole = match self.ends {
+            None if self.stalls => return 0,
+            None => STARTUP_MS,
+            Some((ends, _)) => ends.since(self.started).0.max(1),
+        };
+        (now.since(self.started).0 * 100 / whole).min(100)
+    }
 }
 
 /// An end that has not been confirmed.
@@ -215,6 +231,7 @@
         }
         let ends = match self.task_time {
             _ if step.long_running => None,
+            TaskTime::Stalls => None,
             TaskTime::AsEstimated => Some((now + step.estimate, EndKind::Done)),
             TaskTime::Percent(percent) => {
                 Some((now + Span(step.estimate.0 * percent / 100), EndKind::Done))
@@ -222,7 +239,9 @@
             TaskTime::FailsAfter(ms) => Some((now + Span(ms), EndKind::Failed)),
         };
         let (attempt, need) = (order.attempt, step.booked());
-        self.runs.insert(order.task, ModelRun { attempt, need, started: now, ends, stops: None });
+        let stalls = self.task_time == TaskTime::Stalls;
+        let run = ModelRun { attempt, need, started: now, ends, stops: None, stalls };
+        self.runs.insert(order.task, run);
         StartOutcome::Started
     }
 
@@ -284,7 +303,7 @@
             task,
             attempt: run.attempt,
             checkpoint: None,
-            percent: (now.since(run.started).0 * 100 / STARTUP_MS).min(100),
+            percent: run.percent(now),
             gauge: 0,
         });
         let report = HoldReport {
--- a/crates/standins/tests/cells/turns.rs
+++ b/crates/standins/tests/cells/turns.rs
@@ -141,3 +141,66 @@
 
     assert_eq!(load.spare.first(), Some(&soon));
 }
+
+/// The time within which jobs on sound workers would be done, with one relocation.
+const RELOCATED_MS: u64 = 3_500;
+
+/// Ten jobs, each with tasks on all of three workers, the first of which has `time` for its tasks.
+fn one_worker_is_slow(time: TaskTime) -> (Model, usize) {
+    let mut model = cell(3);
+    model.worker_mut("w0").task_time = time;
+    for number in 0..10 {
+        model.submit(JobId(number), &queue(), job(vec![step(3, 2_000, 800)]));
+        model.run_for(50);
+    }
+    model.run_for(RELOCATED_MS);
+    let done = times(&model).len();
+    (model, done)
+}
+
+#[test]
+fn tasks_that_stand_still_on_a_worker_go_on_elsewhere() {
+    let (model, done) = one_worker_is_slow(TaskTime::Stalls);
+
+    assert_eq!(done, 10);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn tasks_on_a_worker_that_runs_many_times_slower_go_on_elsewhere() {
+    let (model, done) = one_worker_is_slow(TaskTime::Percent(700));
+
+    assert_eq!(done, 10);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_job_that_takes_longer_than_it_declared_is_left_where_it_is() {
+    let mut model = cell(3);
+    for id in ["w0", "w1", "w2"] {
+        model.worker_mut(id).task_time = TaskTime::Percent(700);
+    }
+
+    model.submit(JobId(1), &queue(), job(vec![step(9, 2_000, 400)]));
+    model.run_for(4_000);
+
+    assert_eq!(times(&model).len(), 1);
+    assert_eq!(model.ends(EndKind::Stopped), 0);
+}
+
+#[test]
+fn work_that_arrives_is_weighed_by_what_tasks_of_its_queue_took_and_not_as_declared() {
+    let mut model = cell(2);
+    for id in ["w0", "w1"] {
+        model.worker_mut(id).task_time = TaskTime::Percent(500);
+    }
+    model.submit(JobId(1), &queue(), job(vec![step(16, 2_000, 200)]));
+    model.run_for(2_000);
+    let before = model.cell().unwrap().load(model.now()).arrived_milli_s;
+
+    model.submit(JobId(2), &queue(), job(vec![step(4, 2_000, 200)]));
+    let arrived = model.cell().unwrap().load(model.now()).arrived_milli_s - before;
+
+    // Eight cores for a second were asked for, of which a fifth was declared.
+    assert!((6_000..=8_000).contains(&arrived), "{arrived}");
+}
