A new holder of the machines waits only for those that were ordered about just before

Change: a machine is listed durably before an order about it is sent, and the order is sent within a second of that or not at all. The next holder waits only for listed machines, and only for as long as their last order may be younger than the pause. One record at a time is on its way. Wall clocks of two nodes may now be 2.5 s apart, since steps of the time of day happen (it was 0.5 s, also for what a cell hands over).

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -25,11 +25,14 @@
 mod times;
 mod worker;
 
+/// How far the wall clocks of two nodes may be apart, steps of either included.
+const WALL_CLOCK_MARGIN: crate::Span = crate::Span(2_500);
+
 pub use self::{
     cell::{Cell, CellConfig, QueueConfig, Recovered},
     fleet::{
-        Fleet, FleetAction, FleetConfig, FleetRecord, Machine, MachineState, OrderOutcome,
-        PoolSize, Turns, Wave,
+        Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Machine, MachineState,
+        ORDER_LIFE, OrderOutcome, PoolSize, Turns, Wave,
     },
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
     log::{LogConfig, LogWriter, Position, Sequence},
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -6,7 +6,7 @@
     super::{JobEnd, JobId, LogWriter, Pending, Record, Segment, Sequence, WorkerId, task::Job},
     Cell, CellConfig,
 };
-use crate::{Epoch, ServiceId, Span, Timestamp};
+use crate::{Epoch, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
 /// What the log of a cell says, in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -20,9 +20,6 @@
 /// The worker's slowest clock: a lease lasts this many percent of its time.
 const SLOWEST_CLOCK_PERCENT: u64 = 103;
 
-/// How far the wall clocks of two nodes may be apart.
-const WALL_CLOCK_MARGIN: Span = Span(500);
-
 /// Added to the time that a stop takes on a worker, for its way there and the list that shows it.
 const STOP_MARGIN: Span = Span(700);
 
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -18,13 +18,16 @@
 use self::size::{Arrivals, Smoothed};
 pub use self::{size::PoolSize, turns::Turns};
 use super::{Load, Resources, Vacate, WorkerId};
-use crate::{ServiceId, Span, Timestamp, VmId, ZoneId};
+use crate::{ServiceId, Span, Timestamp, VmId, ZoneId, job::WALL_CLOCK_MARGIN};
 
 /// The pause before an order that brought no answer, or was refused, is repeated.
 const ORDER_REPEAT: Span = Span(400);
 
-/// How far the wall clocks of two nodes may be apart.
-const WALL_CLOCK_MARGIN: Span = Span(500);
+/// How long a machine stays listed as ordered about after another holder may order it about.
+const ORDERED_MARGIN: Span = Span(5_000);
+
+/// How long after a machine was listed for it an order may still be sent.
+pub const ORDER_LIFE: Span = Span(1_000);
 
 /// How long before its worker starts a machine is looked out for.
 const JOIN_MARGIN: Span = Span(100);
@@ -90,10 +93,16 @@
     /// The queues' turns seen so far.
     #[serde(default)]
     pub turns: Turns,
-    /// What the last holder ordered before it ended its term in order; `None` while a term lasts,
-    /// and after one that ended otherwise.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub released: Option<IndexMap<VmId, u64>>,
+    /// Machines that were ordered about lately, and when, in milliseconds since the Unix epoch. A machine
+    /// is listed before an order about it is sent.
+    #[serde(default)]
+    pub ordered: IndexMap<VmId, u64>,
+    /// The list is complete: whoever wrote it lists machines before ordering them about.
+    #[serde(default)]
+    pub is_complete: bool,
+    /// The last holder ended its term in order and gives no more orders.
+    #[serde(default)]
+    pub is_released: bool,
 }
 
 /// The bounds of what the fleet does.
@@ -112,12 +121,8 @@
 /// What the holder's surroundings are to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetAction {
-    /// Begin a machine's upkeep.
-    Upkeep(VmId, u64),
-    /// Move a machine to another pool.
-    Move(VmId, ServiceId),
-    /// Write down what must outlive the holder.
-    Save(Box<FleetRecord>),
+    /// Write down what must outlive the holder; once that is durable, carry out the orders.
+    Save(Box<FleetRecord>, Vec<FleetOrder>),
     /// Write to the log what a pool has and should have.
     Note(ServiceId, PoolSize),
     /// Tell the operator how far a wave is.
@@ -129,6 +134,15 @@
     },
 }
 
+/// An order about a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FleetOrder {
+    /// Begin its upkeep for a wave.
+    Upkeep(VmId, u64),
+    /// Move it to another pool.
+    Move(VmId, ServiceId),
+}
+
 /// How the platform answered an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -228,21 +242,26 @@
         mut record: FleetRecord,
         (now, wall_ms): (Timestamp, u64),
     ) -> Self {
-        let released = record.released.take();
-        let orders_from = if released.is_some() { now } else { now + cfg.takeover_pause };
-        // Machines that the last holder ordered about wait out the pause, each for itself.
-        let not_before = released.unwrap_or_default().into_iter().map(|(vm, ordered_wall_ms)| {
-            let age = wall_ms.saturating_sub(ordered_wall_ms);
-            let left = (cfg.takeover_pause.0 + WALL_CLOCK_MARGIN.0).saturating_sub(age);
-            (vm, now + Span(left))
+        let is_complete = std::mem::replace(&mut record.is_complete, true);
+        let is_released = std::mem::take(&mut record.is_released);
+        let orders_from = if is_complete { now } else { now + cfg.takeover_pause };
+        // Machines that the last holder may have ordered about wait out the pause, each for itself.
+        let latest_order = if is_released { Span(0) } else { ORDER_LIFE };
+        let settled = cfg.takeover_pause.0 + latest_order.0 + WALL_CLOCK_MARGIN.0;
+        let not_before = record.ordered.iter().map(|(vm, ordered_wall_ms)| {
+            let age = wall_ms.saturating_sub(*ordered_wall_ms);
+            let left = settled.saturating_sub(age).min(cfg.takeover_pause.0);
+            (vm.clone(), now + Span(left))
         });
+        let not_before: IndexMap<VmId, Timestamp> = not_before.collect();
+        let ordered_at = not_before.keys().map(|vm| (vm.clone(), now)).collect();
         Self {
             cfg,
             saved: record.clone(),
             record,
             orders_from,
-            not_before: not_before.collect(),
-            ordered_at: IndexMap::new(),
+            not_before,
+            ordered_at,
             machines: IndexMap::new(),
             waves: IndexMap::new(),
             reported: IndexMap::new(),
@@ -266,14 +285,8 @@
     pub fn release(&self, now: Timestamp, wall_ms: u64) -> FleetRecord {
         let recent = self.ordered_at.iter().map(|(vm, at)| (vm, now.since(*at).0));
         let recent = recent.filter(|(_, age)| *age <= self.cfg.takeover_pause.0);
-        let released = recent.map(|(vm, age)| (vm.clone(), wall_ms.saturating_sub(age))).collect();
-        FleetRecord { released: Some(released), ..self.record.clone() }
-    }
-
-    /// What must outlive the holder, as it stands.
-    #[must_use]
-    pub fn record(&self) -> &FleetRecord {
-        &self.record
+        let ordered = recent.map(|(vm, age)| (vm.clone(), wall_ms.saturating_sub(age))).collect();
+        FleetRecord { ordered, is_released: true, ..self.record.clone() }
     }
 
     /// What is to be done since the last call.
@@ -377,10 +390,13 @@
         }
         self.give_up_moves(now);
         self.balance(now);
-        self.send_orders(now);
-        if self.record != self.saved {
+        let orders = self.due_orders(now);
+        if !orders.is_empty() {
+            self.list_ordered(now);
+        }
+        if self.record != self.saved || !orders.is_empty() {
             self.saved = self.record.clone();
-            self.out.push(FleetAction::Save(Box::new(self.saved.clone())));
+            self.out.push(FleetAction::Save(Box::new(self.saved.clone()), orders));
         }
     }
 
@@ -389,7 +405,18 @@
             || machine.worker.as_ref().is_none_or(|worker| self.vacant.contains(worker))
     }
 
-    fn send_orders(&mut self, now: Timestamp) {
+    /// Lists the machines that were ordered about lately, or are about to be.
+    fn list_ordered(&mut self, now: Timestamp) {
+        let kept = Span(self.cfg.takeover_pause.0 + ORDERED_MARGIN.0);
+        self.ordered_at.retain(|_, at| now <= *at + kept);
+        let wall_ms = |at: &Timestamp| self.wall_offset + at.0;
+        self.record.ordered =
+            self.ordered_at.iter().map(|(vm, at)| (vm.clone(), wall_ms(at))).collect();
+    }
+
+    /// The orders that are due.
+    fn due_orders(&mut self, now: Timestamp) -> Vec<FleetOrder> {
+        let mut orders = Vec::new();
         let vms: Vec<VmId> = self.errands.keys().cloned().collect();
         for vm in vms {
             let Some(machine) = self.machines.get(&vm).cloned() else {
@@ -403,23 +430,24 @@
             if now < errand.next || !(errand.sent || self.is_vacant(&machine)) {
                 continue;
             }
-            let action = match errand.purpose.clone() {
+            let order = match errand.purpose.clone() {
                 Purpose::Upkeep(number) => {
                     let max_down = self.waves.get(&number).map_or(0, |wave| wave.max_down as usize);
                     if !errand.sent && self.down_for(number) >= max_down {
                         continue;
                     }
-                    FleetAction::Upkeep(vm.clone(), number)
+                    FleetOrder::Upkeep(vm.clone(), number)
                 }
-                Purpose::Move(pool) => FleetAction::Move(vm.clone(), pool),
+                Purpose::Move(pool) => FleetOrder::Move(vm.clone(), pool),
             };
             if let Some(errand) = self.errands.get_mut(&vm) {
                 errand.sent = true;
                 errand.next = Timestamp(u64::MAX);
             }
             self.ordered_at.insert(vm.clone(), now);
-            self.out.push(action);
+            orders.push(order);
         }
+        orders
     }
 
     /// The platform answered an order, or didn't.
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -76,20 +76,37 @@
     Wave { number: 1, machines, max_down, deadline: Timestamp(60_000) }
 }
 
+fn orders(actions: &[FleetAction]) -> Vec<FleetOrder> {
+    let orders = |action: &FleetAction| match action {
+        FleetAction::Save(_, orders) => orders.clone(),
+        _ => Vec::new(),
+    };
+    actions.iter().flat_map(orders).collect()
+}
+
 fn upkeeps(actions: &[FleetAction]) -> Vec<VmId> {
-    let upkeep = |action: &FleetAction| match action {
-        FleetAction::Upkeep(vm, _) => Some(vm.clone()),
-        _ => None,
+    let upkeep = |order: FleetOrder| match order {
+        FleetOrder::Upkeep(vm, _) => Some(vm),
+        FleetOrder::Move(..) => None,
     };
-    actions.iter().filter_map(upkeep).collect()
+    orders(actions).into_iter().filter_map(upkeep).collect()
 }
 
 fn moves(actions: &[FleetAction]) -> Vec<(VmId, ServiceId)> {
-    let moved = |action: &FleetAction| match action {
-        FleetAction::Move(vm, to) => Some((vm.clone(), to.clone())),
+    let moved = |order: FleetOrder| match order {
+        FleetOrder::Move(vm, to) => Some((vm, to)),
+        FleetOrder::Upkeep(..) => None,
+    };
+    orders(actions).into_iter().filter_map(moved).collect()
+}
+
+/// The record that was written last.
+fn saved(actions: &[FleetAction]) -> FleetRecord {
+    let record = |action: &FleetAction| match action {
+        FleetAction::Save(record, _) => Some((**record).clone()),
         _ => None,
     };
-    actions.iter().filter_map(moved).collect()
+    actions.iter().rev().find_map(record).unwrap()
 }
 
 #[test]
@@ -369,3 +386,57 @@
     assert_eq!(joined.len(), 2, "{joined:?}");
     assert!(joined.iter().all(|(_, to)| *to == pool("desk")));
 }
+
+#[test]
+fn after_a_holder_is_lost_only_machines_that_it_listed_wait() {
+    let mut first = fleet();
+    first.ask(vec![wave(&[4], 1)]);
+    first.tick(Timestamp(4_100));
+    let record = saved(&first.take_actions());
+
+    let mut next = Fleet::new(config(), record, (Timestamp(0), 7_000));
+    let spare = pool("spare");
+    next.list((4..8).map(|number| machine(number, &spare)).collect());
+    next.configure(IndexSet::from([spare]));
+    next.ask(vec![wave(&[4, 5], 2)]);
+    next.tick(Timestamp(100));
+    let at_once = next.take_actions();
+    next.tick(Timestamp(2_900));
+    let early = next.take_actions();
+    next.tick(Timestamp(3_100));
+    let later = next.take_actions();
+
+    // The order may have been sent a second after it was listed, by a clock that was behind.
+    assert_eq!(upkeeps(&at_once), [vm(5)]);
+    assert_eq!(upkeeps(&early), []);
+    assert_eq!(upkeeps(&later), [vm(4)]);
+}
+
+#[test]
+fn a_machine_is_listed_before_it_is_ordered_about() {
+    let mut fleet = fleet();
+    fleet.ask(vec![wave(&[4, 5], 1)]);
+
+    fleet.tick(Timestamp(4_100));
+    let actions = fleet.take_actions();
+
+    let listed: Vec<VmId> = saved(&actions).ordered.into_keys().collect();
+    assert_eq!(upkeeps(&actions), listed);
+}
+
+#[test]
+fn a_machine_that_a_lost_holder_listed_long_ago_does_not_wait() {
+    let mut first = fleet();
+    first.ask(vec![wave(&[4], 1)]);
+    first.tick(Timestamp(4_100));
+    let record = saved(&first.take_actions());
+
+    let mut next = Fleet::new(config(), record, (Timestamp(0), 11_000));
+    let spare = pool("spare");
+    next.list((4..8).map(|number| machine(number, &spare)).collect());
+    next.configure(IndexSet::from([spare]));
+    next.ask(vec![wave(&[4], 1)]);
+    next.tick(Timestamp(100));
+
+    assert_eq!(upkeeps(&next.take_actions()), [vm(4)]);
+}
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -9,8 +9,10 @@
 use indexmap::IndexMap;
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, ServiceId, Span, VmId,
-    job::{Fleet, FleetAction, FleetConfig, FleetRecord, Load, OrderOutcome},
+    Epoch, ServiceId, Span, Timestamp, VmId,
+    job::{
+        Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load, ORDER_LIFE, OrderOutcome,
+    },
 };
 use teaselgap_platform::{
     config,
@@ -42,6 +44,9 @@
 /// How long a stopping holder tries to say so.
 const RELEASE_TIME: Span = Span(1_000);
 
+/// How often a stopping holder looks whether the last record is written.
+const SAVE_POLL: Duration = Duration::from_millis(5);
+
 /// The pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -54,6 +59,8 @@
     given_up: Slot<bool>,
     /// The record of earlier terms has been read.
     is_started: Slot<bool>,
+    /// A record is on its way to the store.
+    is_saving: Slot<bool>,
     /// The term is being ended in order.
     is_releasing: Slot<bool>,
 }
@@ -86,6 +93,7 @@
         fleet: RefCell::new(fleet),
         given_up: Slot::new(false),
         is_started: Slot::new(false),
+        is_saving: Slot::new(false),
         is_releasing: Slot::new(false),
     });
     *node.fleet.borrow_mut() = Some(Rc::clone(&holder));
@@ -114,14 +122,8 @@
         let Some(record) = self.read_record().await else {
             return;
         };
-        let was_released = record.released.is_some();
         let time = (clock::now(), clock::wall_ms());
         *self.fleet.borrow_mut() = Fleet::new(fleet_config(&self.node), record, time);
-        if was_released {
-            // No order is given before the store says that a term lasts.
-            let record = self.fleet.borrow().record().clone();
-            self.save(&record).await;
-        }
         self.is_started.set(true);
         let mut step: u32 = 0;
         while !self.given_up.get() {
@@ -206,7 +208,12 @@
         services.collect::<IndexMap<_, ()>>().into_keys().collect()
     }
 
+    /// Has the fleet decide, and does what follows. One record at a time is on its way to the store, so
+    /// that none is overtaken by an older one.
     fn order(self: &Rc<Self>) {
+        if self.is_saving.get() {
+            return;
+        }
         let actions = {
             let mut fleet = self.fleet.borrow_mut();
             fleet.tick(clock::now());
@@ -214,25 +221,26 @@
         };
         for action in actions {
             let holder = Rc::clone(self);
+            if matches!(action, FleetAction::Save(..)) {
+                self.is_saving.set(true);
+            }
             tokio::task::spawn_local(async move { holder.act(action).await });
         }
     }
 
-    async fn act(&self, action: FleetAction) {
+    async fn act(self: Rc<Self>, action: FleetAction) {
         match action {
-            FleetAction::Upkeep(vm, wave) => {
-                let outcome = self.machines.upkeep(&vm, wave).await;
-                info!(self.node.log, "upkeep ordered"; "vm" => %vm, "wave" => wave,
-                    "outcome" => ?outcome, "epoch" => self.epoch.0);
-                self.ordered(&vm, outcome);
-            }
-            FleetAction::Move(vm, pool) => {
-                let outcome = self.machines.relocate(&vm, &pool).await;
-                info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
-                    "outcome" => ?outcome, "epoch" => self.epoch.0);
-                self.ordered(&vm, outcome);
+            FleetAction::Save(record, orders) => {
+                let order_deadline = clock::now() + ORDER_LIFE;
+                self.save(&record).await;
+                self.is_saving.set(false);
+                for order in orders {
+                    let holder = Rc::clone(&self);
+                    tokio::task::spawn_local(async move {
+                        holder.carry_out(order, order_deadline).await;
+                    });
+                }
             }
-            FleetAction::Save(record) => self.save(&record).await,
             FleetAction::Note(pool, size) => {
                 info!(self.node.log, "pool"; "pool" => %pool, "has" => size.has,
                     "floor" => size.floor, "wants" => size.wants, "epoch" => self.epoch.0);
@@ -245,6 +253,30 @@
         }
     }
 
+    /// Gives an order about a machine that has been listed for it, unless the record took so long that
+    /// the next holder would not expect the order any more.
+    async fn carry_out(&self, order: FleetOrder, deadline: Timestamp) {
+        if !self.may_order() || clock::now() > deadline {
+            let (FleetOrder::Upkeep(vm, _) | FleetOrder::Move(vm, _)) = order;
+            self.ordered(&vm, OrderOutcome::Busy);
+            return;
+        }
+        match order {
+            FleetOrder::Upkeep(vm, wave) => {
+                let outcome = self.machines.upkeep(&vm, wave).await;
+                info!(self.node.log, "upkeep ordered"; "vm" => %vm, "wave" => wave,
+                    "outcome" => ?outcome, "epoch" => self.epoch.0);
+                self.ordered(&vm, outcome);
+            }
+            FleetOrder::Move(vm, pool) => {
+                let outcome = self.machines.relocate(&vm, &pool).await;
+                info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
+                    "outcome" => ?outcome, "epoch" => self.epoch.0);
+                self.ordered(&vm, outcome);
+            }
+        }
+    }
+
     async fn save(&self, record: &FleetRecord) {
         match serde_json::to_vec(record) {
             Ok(value) => self.write(RECORD_KEY.to_owned(), value).await,
@@ -260,9 +292,15 @@
         if self.is_releasing.replace(true) || !may_release {
             return;
         }
-        let record = self.fleet.borrow().release(clock::now(), clock::wall_ms());
         let limit = RELEASE_TIME.to_std();
-        if tokio::time::timeout(limit, self.save(&record)).await.is_err() {
+        let release = async {
+            while self.is_saving.get() {
+                tokio::time::sleep(SAVE_POLL).await;
+            }
+            let record = self.fleet.borrow().release(clock::now(), clock::wall_ms());
+            self.save(&record).await;
+        };
+        if tokio::time::timeout(limit, release).await.is_err() {
             warn!(self.node.log, "the fleet could not be handed over in time");
         }
     }
