Queues with advice are served: a step runs only where the service outside allows it

Cause: the contract was read from the configuration and nothing asked, so that each start on such a queue would have been refused for want of a ticket. Change: a step that waits, or is next, is asked about once, for up to 30 workers, the roomiest first; tickets are kept while they hold, and only allowed workers are asked about again. Other workers are barred from it in the one function that every placement passes. A refused ticket is forgotten and asked for anew.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -10,6 +10,7 @@
 //! run out on the slowest clock. And a new owner starts nothing that an earlier one may have
 //! started until each worker has either refused the earlier term or outlived its leases.
 
+mod advice;
 mod cell;
 mod fleet;
 mod id;
@@ -29,6 +30,7 @@
 const WALL_CLOCK_MARGIN: crate::Span = crate::Span(2_500);
 
 pub use self::{
+    advice::{AdviceConfig, Advised, Question},
     cell::{Cell, CellConfig, QueueConfig, Recovered},
     fleet::{
         Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Machine, MachineState,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -1,5 +1,6 @@
 //! The owner of a cell: what it accepts, what it remembers, what it tells.
 
+mod advise;
 mod ends;
 mod load;
 mod orders;
@@ -16,8 +17,8 @@
 pub(super) use self::progress::Speed;
 pub use self::recover::Recovered;
 use super::{
-    Action, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogWriter, Note, Position, Record,
-    Segment, Sequence, Token, WorkerId,
+    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogWriter, Note,
+    Position, Record, Segment, Sequence, Token, WorkerId,
     pace::PaceTable,
     task::Job,
     times::{self, UsualTimes},
@@ -38,6 +39,8 @@
     pub target_latency: Span,
     /// Zero comes first.
     pub priority: u32,
+    /// Its tasks may run only where a service outside allows it.
+    pub advice: Option<AdviceConfig>,
 }
 
 /// The bounds within which a cell works.
@@ -89,6 +92,8 @@
     /// core-second.
     took_milli_s: (u64, u64),
     usual_times: UsualTimes,
+    /// Questions about advice that are on their way.
+    questions: usize,
     cordoned: IndexMap<WorkerId, Vacate>,
     /// The store's list of workers has been read in this term.
     has_roster: bool,
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -43,6 +43,7 @@
         state.runs.push(id.clone());
         state.away_since.get_or_insert(now);
         let checkpoint = state.checkpoint.clone();
+        let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
         worker.lease_sent = worker.lease_sent.max(lease_end);
         // The list of a worker without runs is far off; the first run brings it near.
         if worker.runs.is_empty() {
@@ -51,7 +52,7 @@
         worker.runs.insert(task, run);
         let run = RunName { task, attempt, worker: id.clone() };
         self.out.push(Action::Note(Note::Placed { run, free_cpu_milli, waited }));
-        let order = Order { task, attempt, spec, lease_end, checkpoint };
+        let order = Order { task, attempt, spec, lease_end, checkpoint, ticket };
         self.out.push(Action::Start(id.clone(), order));
     }
 
@@ -87,6 +88,7 @@
         let reason = match outcome {
             StartOutcome::Refused(reason) => reason,
             StartOutcome::Outdated => "a later attempt is known there",
+            StartOutcome::NotAdvised => "no valid ticket",
             StartOutcome::Started | StartOutcome::Unknown => "no answer",
         };
         let name = RunName { task, attempt, worker: id.clone() };
@@ -105,9 +107,16 @@
             worker.excluded_until = worker.excluded_until.max(now + REFUSING_EXCLUSION);
             worker.next_hold = worker.next_hold.min(now);
         }
-        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
-            task.runs.retain(|one| one != id);
-            task.not_before = now + REFUSED_PAUSE;
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(job) = job {
+            if let (StartOutcome::NotAdvised, Some(step)) = (outcome, job.step_mut(task.step_id()))
+            {
+                step.advice.forget(id);
+            }
+            if let Some(task) = job.task_mut(task) {
+                task.runs.retain(|one| one != id);
+                task.not_before = now + REFUSED_PAUSE;
+            }
         }
         self.plan_due = true;
     }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -7,7 +7,7 @@
         Action, JobId, Step, StepId, TaskId, WorkerId,
         order::{self, Class, Rank, View},
         place::{self, Seat},
-        task::Task,
+        task::{Job, Task},
         worker::Worker,
     },
     Cell,
@@ -15,13 +15,32 @@
 use crate::{Span, Timestamp};
 
 /// A step with tasks that can start now.
-struct Candidate {
+pub(super) struct Candidate {
     rank: Rank,
-    job: JobId,
+    pub(super) job: JobId,
     occurrence: usize,
     step: usize,
 }
 
+impl Candidate {
+    pub(super) fn step_id(&self, job: &Job) -> StepId {
+        StepId {
+            job: self.job,
+            occurrence: job.occurrences[self.occurrence].number,
+            step: u32::try_from(self.step).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// Steps that are not done.
+#[derive(Default)]
+struct Waiting {
+    /// Steps with tasks that can start now.
+    ready: Vec<Candidate>,
+    /// Steps of queues with advice whose turn comes once what runs is done.
+    upcoming: Vec<Candidate>,
+}
+
 impl Cell {
     /// Starts what can start.
     pub(super) fn plan(&mut self, now: Timestamp) {
@@ -30,9 +49,11 @@
         if seats.is_empty() {
             return;
         }
-        let mut candidates = self.candidates(now);
-        candidates.sort_by_key(|candidate| (candidate.rank, candidate.job));
-        for candidate in candidates {
+        let mut waiting = self.waiting(now);
+        waiting.ready.sort_by_key(|candidate| (candidate.rank, candidate.job));
+        self.ask_advice(&waiting.ready, &seats, now);
+        self.ask_advice(&waiting.upcoming, &seats, now);
+        for candidate in waiting.ready {
             if seats.iter().all(|seat| seat.free.memory_mb == 0) {
                 break;
             }
@@ -57,6 +78,7 @@
                 filling: count(worker, |run| run.fills),
                 on_probation: worker.on_probation,
                 is_held: false,
+                is_barred: false,
             })
             .collect()
     }
@@ -65,10 +87,10 @@
         !task.done && task.runs.is_empty() && now >= task.not_before
     }
 
-    fn candidates(&mut self, now: Timestamp) -> Vec<Candidate> {
+    fn waiting(&mut self, now: Timestamp) -> Waiting {
         let wall_offset = self.wall_offset;
         let usual = &self.usual_times;
-        let mut candidates = Vec::new();
+        let mut waiting = Waiting::default();
         for (&id, job) in &self.jobs {
             if job.end.is_some() || !job.durable || job.inherited {
                 continue;
@@ -84,7 +106,15 @@
                 }
                 let mut rank = None;
                 for (step, state) in occurrence.steps.iter().enumerate() {
-                    if state.open == 0 || !occurrence.is_ready(&job.spec, step) {
+                    if state.open == 0 {
+                        continue;
+                    }
+                    if !occurrence.is_ready(&job.spec, step) {
+                        if queue.advice.is_some() && occurrence.is_next(&job.spec, step) {
+                            let rank = order::rank(job, place, &view);
+                            let candidate = Candidate { rank, job: id, occurrence: place, step };
+                            waiting.upcoming.push(candidate);
+                        }
                         continue;
                     }
                     let waits = |task: &&Task| !task.done && task.runs.is_empty();
@@ -97,11 +127,11 @@
                         continue;
                     }
                     let rank = *rank.get_or_insert_with(|| order::rank(job, place, &view));
-                    candidates.push(Candidate { rank, job: id, occurrence: place, step });
+                    waiting.ready.push(Candidate { rank, job: id, occurrence: place, step });
                 }
             }
         }
-        candidates
+        waiting
     }
 
     /// Starts the tasks of a step that find room; whether all that could start did.
@@ -112,12 +142,9 @@
         let spec = std::sync::Arc::clone(&job.spec);
         let step = &spec.steps[candidate.step];
         let occurrence = &job.occurrences[candidate.occurrence];
-        let id = StepId {
-            job: candidate.job,
-            occurrence: occurrence.number,
-            step: u32::try_from(candidate.step).unwrap_or(u32::MAX),
-        };
+        let id = candidate.step_id(job);
         let tasks = &occurrence.steps[candidate.step].tasks;
+        self.bar_unadvised(id, seats, now);
         if step.gang {
             if tasks.iter().all(|task| Self::is_startable(task, now)) {
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
--- a/crates/core/src/job/cell/progress.rs
+++ b/crates/core/src/job/cell/progress.rs
@@ -186,7 +186,7 @@
             .collect();
         let mut seats = if slow.is_empty() { Vec::new() } else { self.seats(now) };
         for task in slow {
-            if !self.book_elsewhere(task, &mut seats) {
+            if !self.book_elsewhere(task, &mut seats, now) {
                 continue;
             }
             if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -62,6 +62,7 @@
             arrived_jobs: 0,
             took_milli_s: (0, 0),
             usual_times: super::UsualTimes::default(),
+            questions: 0,
             cordoned: IndexMap::new(),
             has_roster: false,
             vacates_from: now + Span(cfg.stop.0 + STOP_MARGIN.0),
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -34,7 +34,7 @@
             let leaves = worker.entry.draining;
             let hurries = leaves || worker.vacate == Some(Vacate::Stop);
             let may_stop = leaves || self.may_miss_one_more(task, now);
-            if may_stop && (self.book_elsewhere(task, &mut seats) || hurries) {
+            if may_stop && (self.book_elsewhere(task, &mut seats, now) || hurries) {
                 self.stop_run(&id, task, reason, now);
             }
         }
@@ -86,10 +86,11 @@
 
     /// Books room for a task that is to be stopped, so that it can start again at once; whether there
     /// was room.
-    pub(super) fn book_elsewhere(&self, id: TaskId, seats: &mut [Seat]) -> bool {
+    pub(super) fn book_elsewhere(&self, id: TaskId, seats: &mut [Seat], now: Timestamp) -> bool {
         let Some(step) = self.step(id) else {
             return true;
         };
+        self.bar_unadvised(id.step_id(), seats, now);
         let count = |worker: &WorkerId, step| count_of(&self.workers, worker, step);
         let place = place::choose(seats, step, id.step_id(), count);
         if let Some(place) = place {
--- a/crates/core/src/job/id.rs
+++ b/crates/core/src/job/id.rs
@@ -53,7 +53,8 @@
 
 impl StepId {
     /// One task of the step.
-    pub(super) fn task(self, index: u32) -> TaskId {
+    #[must_use]
+    pub fn task(self, index: u32) -> TaskId {
         TaskId { job: self.job, occurrence: self.occurrence, step: self.step, index }
     }
 }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{EndKind, JobEnd, JobId, JobSpec, TaskId, WorkerId};
+use super::{EndKind, JobEnd, JobId, JobSpec, Question, StepId, TaskId, WorkerId};
 use crate::{QueueId, Span};
 
 /// A caller's name for a question that is still to be answered.
@@ -47,6 +47,8 @@
     pub lease_end: u64,
     /// Progress to go on from.
     pub checkpoint: Option<Arc<str>>,
+    /// The leave to run there, for a queue with advice.
+    pub ticket: Option<Arc<str>>,
 }
 
 /// What the owner's surroundings are to do.
@@ -71,6 +73,8 @@
     },
     /// Let a task work at a share of its speed, in percent.
     Pace(WorkerId, TaskId, u32, u64),
+    /// Ask which workers may run a step.
+    Advise(Question),
     /// Something was decided or found out.
     Note(Note),
 }
@@ -125,6 +129,8 @@
     Started,
     /// It certainly does not and never will run, for the reason given.
     Refused(&'static str),
+    /// It certainly does not run, because it is not allowed there.
+    NotAdvised,
     /// It certainly does not run, because a later attempt is known there.
     Outdated,
     /// It may or may not run.
@@ -202,6 +208,15 @@
         /// How that is known.
         reason: &'static str,
     },
+    /// It was asked which workers may run a step.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// Workers that were asked about.
+        asked: usize,
+        /// Workers that were allowed; `None` if there was no answer.
+        allowed: Option<usize>,
+    },
     /// A job is over.
     Finished {
         /// The job.
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -23,6 +23,8 @@
     pub(super) on_probation: bool,
     /// Its room is kept for a task that is larger than what is free.
     pub(super) is_held: bool,
+    /// The step that is being placed may not run there.
+    pub(super) is_barred: bool,
 }
 
 impl Seat {
@@ -51,6 +53,7 @@
 /// What a step asks of a worker beside room.
 pub(super) fn is_allowed(seat: &Seat, step: &Step, count_there: u32) -> bool {
     !seat.is_held
+        && !seat.is_barred
         && step.booked().fits(&seat.free)
         && step.label.as_ref().is_none_or(|label| seat.labels.contains(label))
         && step.max_per_worker.is_none_or(|most| count_there < most)
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexSet;
 
-use super::{JobEnd, JobSpec, TaskId, WorkerId, times::Samples};
+use super::{JobEnd, JobSpec, StepId, TaskId, WorkerId, advice::Advice, times::Samples};
 use crate::{QueueId, Timestamp};
 
 /// One task.
@@ -31,6 +31,8 @@
     pub(super) tasks: Vec<Task>,
     /// How long its tasks take.
     pub(super) samples: Samples,
+    /// Where they may run.
+    pub(super) advice: Advice,
     pub(super) open: u32,
 }
 
@@ -46,6 +48,7 @@
         let step = |count: u32| StepState {
             tasks: vec![Task::default(); count as usize],
             samples: Samples::default(),
+            advice: Advice::default(),
             open: count,
         };
         Self { number, steps: spec.steps.iter().map(|one| step(one.count)).collect() }
@@ -55,6 +58,13 @@
         self.steps.iter().all(|step| step.open == 0)
     }
 
+    /// Whether all that the step waits for runs or is done.
+    pub(super) fn is_next(&self, spec: &JobSpec, step: usize) -> bool {
+        let begun = |task: &Task| task.done || !task.runs.is_empty();
+        let after = spec.steps[step].after.iter();
+        after.into_iter().all(|&after| self.steps[after as usize].tasks.iter().all(begun))
+    }
+
     /// Whether all that the step waits for is done.
     pub(super) fn is_ready(&self, spec: &JobSpec, step: usize) -> bool {
         spec.steps[step].after.iter().all(|&after| self.steps[after as usize].open == 0)
@@ -129,6 +139,11 @@
         self.occurrences.iter().find(|one| one.number == number)
     }
 
+    pub(super) fn step_mut(&mut self, id: StepId) -> Option<&mut StepState> {
+        let occurrence = self.occurrences.iter_mut().find(|one| one.number == id.occurrence);
+        occurrence.and_then(|one| one.steps.get_mut(id.step as usize))
+    }
+
     pub(super) fn task(&self, id: TaskId) -> Option<&Task> {
         let step = self.occurrence(id.occurrence)?.steps.get(id.step as usize)?;
         step.tasks.get(id.index as usize)
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -13,9 +13,9 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, Answer, Cell, CellConfig, EndKind, HoldReport, JobId, JobSpec, LogConfig, Note,
-        Order, QueueConfig, Recovered, Segment, Sequence, StartOutcome, TaskId, Token, WorkerEntry,
-        WorkerId,
+        Action, Advised, Answer, Cell, CellConfig, EndKind, HoldReport, JobId, JobSpec, LogConfig,
+        Note, Order, Question, QueueConfig, Recovered, Segment, Sequence, StartOutcome, TaskId,
+        Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -39,6 +39,15 @@
 /// How long after a worker's last sign its entry is gone, in milliseconds.
 const ENTRY_LIFE_MS: u64 = 4_500;
 
+/// The time that the service with advice takes, in milliseconds.
+const ADVICE_MS: u64 = 60;
+
+/// How long a ticket holds, in milliseconds.
+const TICKET_MS: u64 = 3_000;
+
+/// The only ticket.
+const TICKET: &str = "ticket";
+
 /// The wall clock of the model's first millisecond.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
@@ -68,6 +77,7 @@
     Started(TaskId, u32, StartOutcome),
     Stopped(TaskId, u32, bool),
     Held(Timestamp, Option<HoldReport>),
+    Advised(Question, Option<Advised>),
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +128,11 @@
     starts: IndexMap<TaskId, u32>,
     last_starts: IndexMap<TaskId, Timestamp>,
     notes: Vec<Note>,
+    /// Workers that the service with advice allows.
+    allowed: BTreeSet<WorkerId>,
+    /// The service with advice answers.
+    advises: bool,
+    questions: usize,
 }
 
 /// The bounds of a deployment such as the smaller ones of the users.
@@ -164,6 +179,9 @@
             starts: IndexMap::new(),
             last_starts: IndexMap::new(),
             notes: Vec::new(),
+            allowed: BTreeSet::new(),
+            advises: true,
+            questions: 0,
         };
         model.take_over();
         model
@@ -234,6 +252,25 @@
         self.unreachable.insert(id.into(), self.now + Span(for_ms));
     }
 
+    /// Has the service with advice allow these workers only, and workers refuse what has no ticket.
+    pub fn allow_only(&mut self, ids: &[&str]) {
+        self.allowed = ids.iter().map(|&id| id.into()).collect();
+        for worker in self.workers.values_mut() {
+            worker.ticket = Some(TICKET);
+        }
+    }
+
+    /// Has the service with advice answer, or not.
+    pub fn set_advice(&mut self, up: bool) {
+        self.advises = up;
+    }
+
+    /// How often advice was asked for.
+    #[must_use]
+    pub fn questions(&self) -> usize {
+        self.questions
+    }
+
     /// Lets the store take writes, or not.
     pub fn set_store(&mut self, up: bool) {
         self.store_up = up;
@@ -382,6 +419,7 @@
             }
             Action::Note(note) => self.notes.push(note),
             Action::Pace(..) => {}
+            Action::Advise(question) => self.advise(question),
             Action::Start(worker, order) => self.order(worker, Call::Start(order)),
             Action::Stop(worker, task, attempt) => self.order(worker, Call::Stop(task, attempt)),
             Action::Hold { worker, lease_end, last_seen, wait } => {
@@ -391,6 +429,17 @@
         }
     }
 
+    /// The service with advice answers, unless it is down.
+    fn advise(&mut self, question: Question) {
+        let allowed = question.workers.iter().filter(|&worker| self.allowed.contains(worker));
+        let allowed = allowed.map(|worker| (worker.clone(), TICKET.into())).collect();
+        let advised = self.advises.then_some(Advised { allowed, valid: Span(TICKET_MS) });
+        self.questions += 1;
+        let (worker, epoch) = (question.workers[0].clone(), self.epoch);
+        let said = Said::Advised(question, advised);
+        self.send(ADVICE_MS, Delivery::ToCell { worker, epoch, said });
+    }
+
     fn is_cut(&self, worker: &WorkerId) -> bool {
         self.unreachable.get(worker).is_some_and(|until| self.now < *until)
     }
@@ -549,6 +598,7 @@
                 cell.stopped(id, (task, attempt), confirmed, now);
             }
             Said::Held(sent, report) => cell.held(id, sent, report, now),
+            Said::Advised(question, advised) => cell.advised(&question, advised.as_ref(), now),
         }
     }
 
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -85,6 +85,8 @@
     ends: Vec<ModelEnd>,
     next_end: u64,
     is_known: bool,
+    /// The ticket that an order to start must carry, if any.
+    pub(super) ticket: Option<&'static str>,
 }
 
 impl ModelWorker {
@@ -104,6 +106,7 @@
             ends: Vec::new(),
             next_end: 1,
             is_known: false,
+            ticket: None,
         }
     }
 
@@ -132,9 +135,9 @@
     /// It ends and starts anew under its id, knowing nothing of before.
     pub fn rebirth(&mut self, now: Timestamp, wall_ms: u64) {
         let entry = WorkerEntry { born_wall_ms: wall_ms, ..self.entry.clone() };
-        let task_time = self.task_time;
+        let (task_time, ticket) = (self.task_time, self.ticket);
         let dark_until = now + Span(RESTART_MS);
-        *self = Self { task_time, clock_start: now, dark_until, ..Self::new(entry) };
+        *self = Self { task_time, ticket, clock_start: now, dark_until, ..Self::new(entry) };
     }
 
     /// Whether an owner has spoken to this life. Before that nobody can have it refuse an order that
@@ -217,6 +220,9 @@
         if order.lease_end <= self.clock(now) {
             return StartOutcome::Refused("late");
         }
+        if self.ticket.is_some() && order.ticket.as_deref() != self.ticket {
+            return StartOutcome::NotAdvised;
+        }
         self.extend(Some(order.lease_end), epoch, now);
         if let Some(run) = self.runs.get(&order.task) {
             let same = run.attempt == order.attempt;
--- /dev/null
+++ b/crates/standins/tests/cells/advice.rs
@@ -0,0 +1,71 @@
+//! Queues whose tasks may run only where a service outside allows it.
+
+use teaselgap_core::job::{JobEnd, JobId, JobState, Note, Step, StepId};
+use teaselgap_standins::model::Model;
+
+use crate::fixtures::{advised_cell, job, queue, state, step};
+
+const JOB: JobId = JobId(1);
+
+fn is_done(model: &Model) -> bool {
+    state(model, JOB) == Some(JobState::Ended(JobEnd::Succeeded))
+}
+
+fn two_steps() -> Vec<Step> {
+    vec![step(4, 2_000, 400), Step { after: vec![0], ..step(4, 2_000, 400) }]
+}
+
+#[test]
+fn tasks_run_only_where_advice_allows_it() {
+    let mut model = advised_cell(4, &["w1", "w3"]);
+
+    model.submit(JOB, &queue(), job(two_steps()));
+    let done = model.run_until(3_000, is_done);
+
+    let elsewhere = |note: &&Note| match note {
+        Note::Placed { run, .. } => !["w1", "w3"].contains(&run.worker.as_str()),
+        _ => false,
+    };
+    assert!(done);
+    assert_eq!(model.notes().iter().find(elsewhere), None);
+}
+
+#[test]
+fn advice_is_asked_for_once_a_step_and_before_the_step_before_is_done() {
+    let mut model = advised_cell(4, &["w1"]);
+
+    model.submit(JOB, &queue(), job(two_steps()));
+    model.run_for(300);
+    let asked_early = model.questions();
+    model.run_until(3_000, is_done);
+
+    assert_eq!((asked_early, model.questions()), (2, 2));
+}
+
+#[test]
+fn a_step_waits_for_advice_that_does_not_come_and_goes_on_when_it_does() {
+    let mut model = advised_cell(2, &["w0"]);
+    model.set_advice(false);
+
+    model.submit(JOB, &queue(), job(vec![step(2, 2_000, 400)]));
+    model.run_for(2_000);
+    let before = model.starts(StepId { job: JOB, occurrence: 0, step: 0 }.task(0));
+    model.set_advice(true);
+    let done = model.run_until(3_000, is_done);
+
+    assert_eq!(before, 0);
+    assert!(done);
+}
+
+#[test]
+fn tickets_that_have_run_out_are_asked_for_again() {
+    let mut model = advised_cell(1, &["w0"]);
+
+    // One task at a time, for longer than a ticket holds.
+    model.submit(JOB, &queue(), job(vec![step(6, 32_000, 900)]));
+    let done = model.run_until(8_000, is_done);
+
+    assert!(done);
+    assert!((2..=4).contains(&model.questions()), "{}", model.questions());
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
--- a/crates/standins/tests/cells/fixtures.rs
+++ b/crates/standins/tests/cells/fixtures.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     QueueId, ServiceId, Span,
-    job::{JobId, JobSpec, JobState, QueueConfig, Resources, Step, TaskId, WorkerEntry},
+    job::{
+        AdviceConfig, JobId, JobSpec, JobState, QueueConfig, Resources, Step, TaskId, WorkerEntry,
+    },
 };
 use teaselgap_standins::model::{Model, ModelWorker};
 
@@ -24,6 +26,7 @@
         stretch_percent: 160,
         target_latency: Span(600),
         priority: 0,
+        advice: None,
     }
 }
 
@@ -43,7 +46,19 @@
 }
 
 pub(crate) fn cell(workers: usize) -> Model {
-    let queues = IndexMap::from([(queue(), queue_config())]);
+    cell_of(workers, queue_config())
+}
+
+/// A cell whose queue's tasks may run only on the `allowed` workers.
+pub(crate) fn advised_cell(workers: usize, allowed: &[&str]) -> Model {
+    let advice = AdviceConfig { decision: Span(50), per_worker: Span(1), valid: Span(3_000) };
+    let mut model = cell_of(workers, QueueConfig { advice: Some(advice), ..queue_config() });
+    model.allow_only(allowed);
+    model
+}
+
+fn cell_of(workers: usize, cfg: QueueConfig) -> Model {
+    let queues = IndexMap::from([(queue(), cfg)]);
     let mut model = Model::new(service(), queues, (0..workers).map(worker).collect());
     // The workers are found and adopted.
     model.run_for(300);
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -11,11 +11,13 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, Answer, Cell, CellConfig, Load, LogConfig, Recovered, Segment, Sequence, TaskId,
-        Token, Vacate, WorkerEntry, WorkerId,
+        Action, Answer, Cell, CellConfig, Load, LogConfig, Question, Recovered, Segment, Sequence,
+        TaskId, Token, Vacate, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
+    advice,
+    client::CallError,
     config::Config,
     settings::Bounds,
     store::{Expected, Outcome, Put, StoreError, Transaction},
@@ -319,11 +321,15 @@
             Action::Start(worker, order) => {
                 self.spawn(&worker, async move |host, target| {
                     let task = (order.task, order.attempt);
-                    let (outcome, _) = host.workers.start(&target, &order, None).await;
+                    let (outcome, _) = host.workers.start(&target, &order).await;
                     let now = clock::now();
                     host.with_cell(|cell| cell.started(&target.worker, task, outcome, now));
                 });
             }
+            Action::Advise(question) => {
+                let host = Rc::clone(self);
+                tokio::task::spawn_local(async move { host.ask_advice(question).await });
+            }
             Action::Stop(worker, task, attempt) => {
                 self.spawn(&worker, async move |host, target| {
                     let confirmed = host.workers.stop(&target, task, attempt).await;
@@ -358,6 +364,18 @@
         tokio::task::spawn_local(async move { call(host, target).await });
     }
 
+    async fn ask_advice(&self, question: Question) {
+        let advised = match self.node.settings.advice {
+            Some(address) => advice::ask(&self.node.connections, address, &question).await,
+            None => Err(CallError::NotSent("no service with advice in the settings".to_owned())),
+        };
+        if let Err(err) = &advised {
+            warn!(self.node.log, "no advice"; "step" => %question.step, "error" => %err,
+                "cell" => %self.service, "epoch" => self.epoch.0);
+        }
+        self.with_cell(|cell| cell.advised(&question, advised.as_ref().ok(), clock::now()));
+    }
+
     async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
         if self.workers.pace(target, task, attempt, share).await {
             self.with_cell(|cell| cell.paced(&target.worker, (task, attempt), share));
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -38,6 +38,10 @@
                 "worker" => %run.worker,
                 "reason" => reason, "epoch" => epoch);
         }
+        Note::Advised { step, asked, allowed } => {
+            info!(log, "advised"; "step" => %step, "asked" => asked, "allowed" => allowed,
+                "epoch" => epoch);
+        }
         Note::Finished { job, end, after } => {
             info!(log, "job finished"; "job" => %job, "end" => ?end, "after_ms" => after.0,
                 "cell" => cell, "epoch" => epoch);
