--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -54,6 +54,15 @@
     fleet
 }
 
+/// A holder whose term begins at zero of its own clock, with the machines on standby.
+fn next_holder(record: FleetRecord, wall_ms: u64) -> Fleet {
+    let mut next = Fleet::new(config(), record, (Timestamp(0), wall_ms));
+    let spare = pool("spare");
+    next.list((4..8).map(|number| machine(number, &spare)).collect());
+    next.configure(IndexSet::from([spare]));
+    next
+}
+
 /// The work of each job that arrives, in core-seconds.
 const JOB_CORE_S: u64 = 4;
 
@@ -132,10 +141,7 @@
     first.ordered(&vm(5), OrderOutcome::Busy, Timestamp(4_110));
     let record = first.release(Timestamp(4_200), 4_200);
 
-    let mut next = Fleet::new(config(), record, (Timestamp(0), 4_300));
-    let spare = pool("spare");
-    next.list((4..8).map(|number| machine(number, &spare)).collect());
-    next.configure(IndexSet::from([spare]));
+    let mut next = next_holder(record, 4_300);
     next.ask(vec![wave(&[4, 5, 6], 3)]);
     next.tick(Timestamp(100));
     let at_once = next.take_actions();
@@ -394,10 +400,7 @@
     first.tick(Timestamp(4_100));
     let record = saved(&first.take_actions());
 
-    let mut next = Fleet::new(config(), record, (Timestamp(0), 7_000));
-    let spare = pool("spare");
-    next.list((4..8).map(|number| machine(number, &spare)).collect());
-    next.configure(IndexSet::from([spare]));
+    let mut next = next_holder(record, 7_000);
     next.ask(vec![wave(&[4, 5], 2)]);
     next.tick(Timestamp(100));
     let at_once = next.take_actions();
@@ -431,10 +434,7 @@
     first.tick(Timestamp(4_100));
     let record = saved(&first.take_actions());
 
-    let mut next = Fleet::new(config(), record, (Timestamp(0), 11_000));
-    let spare = pool("spare");
-    next.list((4..8).map(|number| machine(number, &spare)).collect());
-    next.configure(IndexSet::from([spare]));
+    let mut next = next_holder(record, 11_000);
     next.ask(vec![wave(&[4], 1)]);
     next.tick(Timestamp(100));
 
