A new owner does not wait for workers that were emptied and taken away

Cause: what a new owner inherits starts only once each worker of before was adopted or has outlived its leases; a worker that had been emptied for a move or upkeep stayed in the log as used until its entry was gone, some seven seconds. Change: the log says of a worker that is to be emptied, and is, that nothing runs there; before it gets an order again it is logged as used anew.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -22,7 +22,7 @@
     pace::PaceTable,
     task::Job,
     times::{self, UsualTimes},
-    worker::{Vacate, Worker},
+    worker::{Logged, Vacate, Worker},
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp};
 
@@ -65,7 +65,7 @@
     JobDurable(JobId),
     EndShown(JobId),
     ConfirmEnds(WorkerId, u64, u64),
-    WorkerLogged(WorkerId),
+    WorkerLogged(WorkerId, u32),
 }
 
 /// One service's jobs and workers, at their owner.
@@ -186,9 +186,12 @@
                     worker.next_hold = worker.next_hold.min(now);
                 }
             }
-            Consequence::WorkerLogged(id) => {
-                if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.logged = true;
+            Consequence::WorkerLogged(id, times) => {
+                let worker = self.workers.get_mut(&id);
+                let is_newest =
+                    |one: &&mut Worker| one.logged == Logged::Nothing && one.times_logged == times;
+                if let Some(worker) = worker.filter(is_newest) {
+                    worker.logged = Logged::Used;
                     self.plan_due = true;
                 }
             }
@@ -315,6 +318,7 @@
         self.settle_inherited(now);
         self.lapse_runs(now);
         self.send_stops(now);
+        self.log_cordoned(now);
         self.send_holds(now);
         self.open_occurrences(wall_ms);
         self.vacate(now);
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         Action, HoldReport, Listed, Note, Record, RunName, TaskId, Vacate, WorkerEntry, WorkerId,
-        worker::{LATEST_ORDER, Run, RunState, Worker},
+        worker::{LATEST_ORDER, Logged, Run, RunState, Worker},
     },
     Cell, Consequence,
 };
@@ -71,8 +71,7 @@
             worker.vacate = self.cordoned.get(&id).copied();
             Self::note_draining(&mut worker, now);
             self.workers.insert(id.clone(), worker);
-            let record = Record::WorkerUsed { worker: id.clone() };
-            self.record(record, now, Some(Consequence::WorkerLogged(id)));
+            self.log_used(&id, now);
             return;
         };
         worker.missing_since = None;
@@ -105,6 +104,7 @@
         let lapse = old.inherited_lapse;
         let mut worker = Worker::new(entry, lapse, now);
         worker.logged = old.logged;
+        worker.times_logged = old.times_logged;
         worker.vacate = old.vacate;
         worker.missing_since = old.missing_since;
         Self::note_draining(&mut worker, now);
@@ -327,6 +327,43 @@
         }
     }
 
+    /// Logs that a worker is used; it gets no orders before that is durable.
+    fn log_used(&mut self, id: &WorkerId, now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.logged = Logged::Nothing;
+        worker.times_logged += 1;
+        let consequence = Consequence::WorkerLogged(id.clone(), worker.times_logged);
+        self.record(Record::WorkerUsed { worker: id.clone() }, now, Some(consequence));
+    }
+
+    /// Logs which workers that are to be emptied are, so that a later owner does not wait for what ran
+    /// there; and which of those may be used after all.
+    pub(super) fn log_cordoned(&mut self, now: Timestamp) {
+        let inherited = &self.inherited_workers;
+        let is_emptied = |(id, worker): &(&WorkerId, &Worker)| {
+            let has_no_orders = worker.adopted || worker.lease_sent == 0;
+            let is_settled = has_no_orders && worker.runs.is_empty();
+            let is_used = worker.logged == Logged::Used;
+            is_used && worker.vacate.is_some() && is_settled && !inherited.contains_key(*id)
+        };
+        let emptied: Vec<WorkerId> =
+            self.workers.iter().filter(is_emptied).map(|(id, _)| id.clone()).collect();
+        let back = |worker: &&Worker| worker.logged == Logged::Gone && worker.vacate.is_none();
+        let back: Vec<WorkerId> =
+            self.workers.values().filter(back).map(|one| one.entry.id.clone()).collect();
+        for id in emptied {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.logged = Logged::Gone;
+            }
+            self.record(Record::WorkerGone { worker: id }, now, None);
+        }
+        for id in back {
+            self.log_used(&id, now);
+        }
+    }
+
     /// Takes in a run that a worker lists.
     fn take_row(&mut self, id: &WorkerId, row: &Listed, now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -466,7 +503,7 @@
     /// Whether a worker may get new work.
     pub(super) fn is_usable(worker: &Worker, now: Timestamp) -> bool {
         worker.adopted
-            && worker.logged
+            && worker.logged == Logged::Used
             && worker.clock.is_some()
             && worker.vacate.is_none()
             && !worker.entry.draining
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -90,7 +90,8 @@
         /// Workers on which something may run.
         pending: Vec<Pending>,
     },
-    /// Nothing that was ordered at this worker can run any more.
+    /// Nothing that was ordered at this worker can run any more; it gets no orders unless it is logged
+    /// as used again.
     WorkerGone {
         /// The worker.
         worker: WorkerId,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -127,8 +127,10 @@
     pub(super) leave_deadline: Option<Timestamp>,
     /// It has refused orders of earlier terms since, and has told what runs there.
     pub(super) adopted: bool,
-    /// The log says that this worker is used.
-    pub(super) logged: bool,
+    /// What the log says of it.
+    pub(super) logged: Logged,
+    /// How often it has been logged as used: what becomes durable of earlier times does not count.
+    pub(super) times_logged: u32,
     pub(super) clock: Option<ClockReading>,
     /// The worker's clock in the newest list that was taken in; lists may overtake each other.
     pub(super) listed_clock_ms: u64,
@@ -160,6 +162,17 @@
     pub(super) on_probation: bool,
 }
 
+/// What the log says of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Logged {
+    /// Nothing that is durable.
+    Nothing,
+    /// It is used: it may get orders.
+    Used,
+    /// Nothing runs there: it gets no orders.
+    Gone,
+}
+
 /// How soon a worker is to be empty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Vacate {
@@ -219,7 +232,8 @@
             missing_since: None,
             leave_deadline: None,
             adopted: false,
-            logged: false,
+            logged: Logged::Nothing,
+            times_logged: 0,
             clock: None,
             listed_clock_ms: 0,
             over: IndexMap::new(),
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -4,7 +4,8 @@
 use teaselgap_core::{
     Timestamp,
     job::{
-        Action, Answer, End, EndKind, HoldReport, JobEnd, JobId, JobState, Listed, Note, Vacate,
+        Action, Answer, End, EndKind, HoldReport, JobEnd, JobId, JobState, Listed, Note, Step,
+        Vacate,
     },
 };
 use teaselgap_standins::model::{Astray, ModelWorker, TaskTime};
@@ -358,3 +359,46 @@
         assert_eq!(model.violations(), &[] as &[String]);
     }
 }
+
+#[test]
+fn a_worker_that_was_emptied_and_taken_away_does_not_hold_up_the_next_owner() {
+    let mut model = cell(3);
+    let later = Step { after: vec![0], ..step(1, 2_000, 300) };
+    model.submit(JOB, &queue(), job(vec![step(1, 2_000, 900), later]));
+    model.run_for(100);
+    let idle = model.workers().find(|worker| worker.run_count() == 0).unwrap().entry.id.clone();
+    model.cell_mut().unwrap().direct(IndexMap::from([(idle.clone(), Vacate::Wait)]));
+    model.run_for(200);
+    let now = model.now();
+    model.worker_mut(idle.as_str()).darken(now, 60_000);
+    model.run_for(200);
+    model.kill_owner();
+    model.run_for(500);
+
+    model.take_over();
+    let done = model.run_until(1_500, |model| state(model, JOB) == SUCCEEDED);
+
+    assert!(done);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_worker_that_was_emptied_and_is_used_after_all_is_waited_for_again() {
+    let mut model = cell(1);
+    model.cell_mut().unwrap().direct(IndexMap::from([("w0".into(), Vacate::Wait)]));
+    model.run_for(200);
+    model.cell_mut().unwrap().direct(IndexMap::new());
+    model.submit(JOB, &queue(), job(vec![step(1, 2_000, 3_000)]));
+    model.run_for(500);
+    let now = model.now();
+    model.worker_mut("w0").darken(now, 20_000);
+    model.kill_owner();
+
+    model.take_over();
+    model.run_for(3_000);
+    let cell = model.cell_mut().unwrap();
+    cell.direct(IndexMap::from([("w0".into(), Vacate::Wait)]));
+
+    assert_eq!(model.starts(task(JOB, 0)), 1);
+    assert_eq!(model.cell().unwrap().vacant(), []);
+}
