A task that goes on from a checkpoint is not taken for a short one

Change: such runs are not counted. Also: a result that nobody used, two comments, and checkpoints in the model's workers.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -35,7 +35,6 @@
         let step = &spec.steps[task.step as usize];
         let waited = now.since(job.arrived);
         let free_cpu_milli = worker.free().cpu_milli;
-        let run = Run::new(attempt, step, RunState::Ordered, now);
         let Some(state) = job.task_mut(task) else {
             return;
         };
@@ -44,6 +43,9 @@
         state.away_since.get_or_insert(now);
         let checkpoint = state.checkpoint.clone();
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
+        // The progress of a run that goes on from a checkpoint does not tell how long a whole one takes.
+        let counted = checkpoint.is_some();
+        let run = Run { counted, ..Run::new(attempt, step, RunState::Ordered, now) };
         worker.lease_sent = worker.lease_sent.max(lease_end);
         // The list of a worker without runs is far off; the first run brings it near.
         if worker.runs.is_empty() {
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -14,7 +14,7 @@
 };
 use crate::{Span, Timestamp};
 
-/// A step with tasks that can start now.
+/// A step of an occurrence, with its place among those that wait.
 pub(super) struct Candidate {
     rank: Rank,
     pub(super) job: JobId,
@@ -134,10 +134,10 @@
         waiting
     }
 
-    /// Starts the tasks of a step that find room; whether all that could start did.
-    fn start_step(&mut self, candidate: &Candidate, seats: &mut [Seat], now: Timestamp) -> bool {
+    /// Starts the tasks of a step that find room.
+    fn start_step(&mut self, candidate: &Candidate, seats: &mut [Seat], now: Timestamp) {
         let Some(job) = self.jobs.get(&candidate.job) else {
-            return true;
+            return;
         };
         let spec = std::sync::Arc::clone(&job.spec);
         let step = &spec.steps[candidate.step];
@@ -150,7 +150,7 @@
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
                 self.start_gang(step, id, attempt, seats, now);
             }
-            return true;
+            return;
         }
         let ready: Vec<(u32, u32)> = (0..)
             .zip(tasks)
@@ -164,11 +164,10 @@
                 if candidate.rank.class <= Class::OnTime {
                     place::hold_room(seats, step, id, count);
                 }
-                return false;
+                return;
             };
             self.start_at(&mut seats[place], step, id.task(index), attempt, now);
         }
-        true
     }
 
     fn start_gang(
--- a/crates/core/src/job/cell/progress.rs
+++ b/crates/core/src/job/cell/progress.rs
@@ -235,7 +235,7 @@
     step.is_some_and(|step| is_measurable(step, rack))
 }
 
-/// Whether progress can be compared with the estimate: not for what waits for other tasks, or works far
+/// Whether progress can be compared with that of other tasks of the step: not for what waits for other tasks, or works far
 /// from its data.
 fn is_measurable(step: &Step, rack: Option<&str>) -> bool {
     let is_near = step.data_rack.as_deref().is_none_or(|near| rack == Some(near));
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -43,6 +43,10 @@
     stops: Option<Timestamp>,
     /// It stands still.
     stalls: bool,
+    /// It saves its progress when it is stopped.
+    saves: bool,
+    /// How much was done when it started, in percent.
+    resumed_percent: u64,
 }
 
 impl ModelRun {
@@ -53,7 +57,8 @@
             None => STARTUP_MS,
             Some((ends, _)) => ends.since(self.started).0.max(1),
         };
-        (now.since(self.started).0 * 100 / whole).min(100)
+        let rest = 100 - self.resumed_percent;
+        (self.resumed_percent + now.since(self.started).0 * rest / whole).min(100)
     }
 }
 
@@ -169,7 +174,7 @@
         self.over.insert(task, run.attempt);
         let number = self.next_end;
         self.next_end += 1;
-        let checkpoint = None::<Arc<str>>;
+        let checkpoint: Option<Arc<str>> = run.saves.then(|| run.percent(at).to_string().into());
         let end = End { number, task, attempt: run.attempt, how, checkpoint };
         self.ends.push(ModelEnd { end, at, is_void: false });
     }
@@ -235,10 +240,13 @@
         if !step.booked().fits(&self.entry.capacity.minus(&self.used())) {
             return StartOutcome::Refused("room");
         }
+        let resumed_percent: u64 =
+            order.checkpoint.as_deref().and_then(|saved| saved.parse().ok()).unwrap_or(0);
+        let rest = Span(step.estimate.0 * (100 - resumed_percent) / 100);
         let ends = match self.task_time {
             _ if step.long_running => None,
             TaskTime::Stalls => None,
-            TaskTime::AsEstimated => Some((now + step.estimate, EndKind::Done)),
+            TaskTime::AsEstimated => Some((now + rest, EndKind::Done)),
             TaskTime::Percent(percent) => {
                 Some((now + Span(step.estimate.0 * percent / 100), EndKind::Done))
             }
@@ -246,7 +254,17 @@
         };
         let (attempt, need) = (order.attempt, step.booked());
         let stalls = self.task_time == TaskTime::Stalls;
-        let run = ModelRun { attempt, need, started: now, ends, stops: None, stalls };
+        let saves = step.checkpoints;
+        let run = ModelRun {
+            attempt,
+            need,
+            started: now,
+            ends,
+            stops: None,
+            stalls,
+            saves,
+            resumed_percent,
+        };
         self.runs.insert(order.task, run);
         StartOutcome::Started
     }
--- a/crates/standins/tests/cells/turns.rs
+++ b/crates/standins/tests/cells/turns.rs
@@ -223,3 +223,20 @@
     // Eight of the small ones fill the worker; they never leave so much room at one time.
     assert!(large.is_some_and(|(_, after)| after <= 2_500), "{large:?}");
 }
+
+#[test]
+fn a_task_that_goes_on_from_a_checkpoint_does_not_count_as_a_short_one() {
+    let mut model = cell(3);
+    let spec = Step { checkpoints: true, ..step(24, 2_000, 4_000) };
+    model.submit(JobId(1), &queue(), job(vec![spec]));
+    model.run_for(2_000);
+    model.cell_mut().unwrap().direct([("w0".into(), Vacate::Save)].into_iter().collect());
+    model.run_for(4_000);
+    let before = model.cell().unwrap().load(model.now()).arrived_milli_s;
+
+    model.submit(JobId(2), &queue(), job(vec![step(1, 2_000, 4_000)]));
+    let arrived = model.cell().unwrap().load(model.now()).arrived_milli_s - before;
+
+    assert!(model.ends(EndKind::Stopped) > 0);
+    assert!((7_500..=8_500).contains(&arrived), "{arrived}");
+}
