Nodes register what they can carry; failing test of who owns a cell

Callers of a queue whose cell was owned by a node with 0.12 of a core and 10 Mbit/s got no answer in a burst, beside eight nodes with twenty times the link that owned nothing. Nothing told the nodes of each other's resources. They now stand in the registration; the choice of owners does not use them yet, and two tests of it fail: a_cell_is_not_owned_by_a_node_with_a_slow_link_while_a_large_node_is_free (panicked at term/tests.rs:31), a_node_with_an_unknown_order_rate_comes_last.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -48,6 +48,6 @@
     },
     record::{EndKind, JobEnd, Record, Segment, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
-    term::{Duty, propose_owners},
+    term::{Candidate, Duty, OrderRate, propose_owners},
     worker::{DrainMode, WorkerEntry},
 };
--- a/crates/core/src/job/term.rs
+++ b/crates/core/src/job/term.rs
@@ -5,9 +5,13 @@
 //! in the platform's store decides who becomes the owner. An owner keeps its duties as long as it
 //! lives, so a node that joins causes no handover.
 
-use std::cmp::Reverse;
+#[cfg(test)]
+mod tests;
+
+use std::{cmp::Reverse, fmt, num::ParseIntError, str::FromStr};
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{Incarnation, NodeId};
@@ -19,6 +23,52 @@
 /// The name of a duty, a leased role that one node at a time holds.
 pub type Duty = String;
 
+/// How many orders to workers a node can send in a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct OrderRate(pub u64);
+
+impl OrderRate {
+    /// Returns the rate that a link, in bytes per second, and a processor, in thousandths of a
+    /// core, allow; the scarcer of the two decides.
+    #[must_use]
+    pub fn from_resources(link_bytes_per_s: u64, cpu_milli: u64) -> Self {
+        let by_link = link_bytes_per_s / ORDER_BYTES;
+        let by_cpu = cpu_milli * 1_000 / ORDER_CPU_US;
+        Self(by_link.min(by_cpu).max(1))
+    }
+}
+
+impl fmt::Display for OrderRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for OrderRate {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_suffix("/s").unwrap_or(text).parse().map(Self)
+    }
+}
+
+/// Bytes that the order to start a task, its answer and its share of the worker's lists take on
+/// the link in the busier direction.
+const ORDER_BYTES: u64 = 2_500;
+
+/// Processor time of the same, in microseconds of a standard core.
+const ORDER_CPU_US: u64 = 150;
+
+/// A node that may take over duties.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identifies the node's process.
+    pub incarnation: Incarnation,
+    /// What the node can carry.
+    pub order_rate: OrderRate,
+}
+
 /// Returns the weight of a node for a duty in rendezvous hashing.
 fn rendezvous_weight(duty: &str, node: &NodeId) -> u64 {
     let mut hasher = Xxh3::new();
@@ -38,7 +88,7 @@
 pub fn propose_owners(
     duties: &IndexSet<Duty>,
     owners: &IndexMap<Duty, NodeId>,
-    nodes: &IndexMap<NodeId, Incarnation>,
+    nodes: &IndexMap<NodeId, Candidate>,
 ) -> IndexMap<Duty, Vec<NodeId>> {
     let mut counts: IndexMap<&NodeId, usize> = nodes.keys().map(|node| (node, 0)).collect();
     for owner in owners.values() {
@@ -55,7 +105,7 @@
         order.sort_by_key(|node| {
             let count = counts.get(node).copied().unwrap_or(0);
             let started =
-                nodes.get(node).map_or(0, |incarnation| incarnation.0 / START_TIME_GRANULARITY_MS);
+                nodes.get(node).map_or(0, |node| node.incarnation.0 / START_TIME_GRANULARITY_MS);
             (count, Reverse(started), Reverse(rendezvous_weight(duty, node)))
         });
         if let Some(count) = order.first().and_then(|first| counts.get_mut(first)) {
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -4,7 +4,10 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use teaselgap_core::{Incarnation, NodeId, job::Duty};
+use teaselgap_core::{
+    Incarnation, NodeId,
+    job::{Duty, OrderRate},
+};
 use teaselgap_platform::store::Item;
 
 /// The prefix of the keys of members and duties. Each node watches all of them, so their values must
@@ -23,6 +26,9 @@
     pub(super) node: NodeId,
     pub(super) incarnation: Incarnation,
     pub(super) address: SocketAddr,
+    /// What the node can carry; zero if an earlier version wrote the record.
+    #[serde(default)]
+    pub(super) order_rate: OrderRate,
 }
 
 /// The registered nodes and the owners of duties, as read from the store.
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -10,10 +10,13 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, Incarnation, NodeId, ServiceId, Span, Timestamp,
-    job::{Duty, propose_owners},
+    Epoch, NodeId, ServiceId, Span, Timestamp,
+    job::{Candidate, Duty, OrderRate, propose_owners},
+};
+use teaselgap_platform::{
+    settings::Limits,
+    store::{Change, Expected, Outcome, Put, StoreError, Transaction},
 };
-use teaselgap_platform::store::{Change, Expected, Outcome, Put, StoreError, Transaction};
 
 use super::{
     fleet, host,
@@ -55,6 +58,9 @@
 /// A node that last reached the store within this time counts as able to reach it.
 const STORE_REACHABLE_WINDOW: Span = Span(900);
 
+/// Bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// The longest time for which an owner may continue after the store has dropped its duty's key.
 pub(super) fn owner_ttl(node: &Node) -> Span {
     Span(lease_ttl(node).0 + OUTAGE_CONFIRMATION_TTL.0)
@@ -96,7 +102,19 @@
 }
 
 fn own_record(node: &Node) -> NodeRecord {
-    NodeRecord { node: node.id.clone(), incarnation: node.incarnation, address: node.peer_address }
+    NodeRecord {
+        node: node.id.clone(),
+        incarnation: node.incarnation,
+        address: node.peer_address,
+        order_rate: order_rate(&node.settings.limits),
+    }
+}
+
+fn order_rate(limits: &Limits) -> OrderRate {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "not negative")]
+    let whole = |value: f64| value.max(0.0) as u64;
+    let link_bytes_per_s = whole(limits.link_mbps * BYTES_PER_MEGABIT);
+    OrderRate::from_resources(link_bytes_per_s, whole(limits.cpu_share * limits.cores * 1_000.0))
 }
 
 fn own_record_json(node: &Node) -> Vec<u8> {
@@ -371,8 +389,12 @@
         }
         owners.insert(duty.clone(), record.node.clone());
     }
-    let nodes: IndexMap<NodeId, Incarnation> =
-        members.nodes.iter().map(|(node, record)| (node.clone(), record.incarnation)).collect();
+    let candidate = |record: &NodeRecord| Candidate {
+        incarnation: record.incarnation,
+        order_rate: record.order_rate,
+    };
+    let nodes: IndexMap<NodeId, Candidate> =
+        members.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect();
     let proposal = propose_owners(&duties, &owners, &nodes);
     session.free_since.retain(|duty, _| proposal.contains_key(duty));
     for (duty, candidates) in proposal {
