--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -18,6 +18,7 @@
 mod cell;
 mod fleet;
 mod id;
+mod lag;
 mod log;
 mod message;
 mod order;
@@ -41,6 +42,7 @@
         OrderOutcome, PoolSize, Vm, VmState, Wave,
     },
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
+    lag::LagMonitor,
     log::{LogConfig, LogWriter, Position, Sequence},
     message::{
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, RunEnd, RunId, StartOrder,
@@ -48,6 +50,6 @@
     },
     record::{EndKind, JobEnd, Record, Segment, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
-    term::{Candidate, Duty, OrderRate, propose_owners},
+    term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
 };
--- a/crates/core/src/job/term.rs
+++ b/crates/core/src/job/term.rs
@@ -48,6 +48,14 @@
     }
 }
 
+impl OrderRate {
+    /// The part of the rate that a node is left with while it lags behind its work.
+    #[must_use]
+    pub fn while_lagging(self) -> Self {
+        self
+    }
+}
+
 impl FromStr for OrderRate {
     type Err = ParseIntError;
 
@@ -125,3 +133,16 @@
     }
     proposal
 }
+
+/// Returns which of its own duties a node should hand over, if another node can carry it much more
+/// easily. `movable` are the duties that this node owns and may hand over.
+#[must_use]
+pub fn duty_to_hand_over(
+    own: &NodeId,
+    movable: &[Duty],
+    owners: &IndexMap<Duty, NodeId>,
+    nodes: &IndexMap<NodeId, Candidate>,
+) -> Option<Duty> {
+    let _ = (own, movable, owners, nodes);
+    None
+}
--- a/crates/core/src/job/term/tests.rs
+++ b/crates/core/src/job/term/tests.rs
@@ -76,3 +76,70 @@
     assert_eq!(slow_link, OrderRate(500));
     assert_eq!("500/s".parse(), Ok(slow_link));
 }
+
+/// The cells `0`, `1` and so on, each owned by the node of this name.
+fn owners(names: &[&str]) -> IndexMap<Duty, NodeId> {
+    names.iter().enumerate().map(|(index, name)| (format!("cell/{index}"), node(name))).collect()
+}
+
+fn duty_that_n0_hands_over(rates: &[OrderRate], owner_names: &[&str]) -> Option<Duty> {
+    let owners = owners(owner_names);
+    let own = node("n0");
+    let movable: Vec<Duty> =
+        owners.iter().filter(|(_, owner)| **owner == own).map(|(duty, _)| duty.clone()).collect();
+    duty_to_hand_over(&own, &movable, &owners, &nodes(rates))
+}
+
+#[test]
+fn a_small_node_hands_its_cell_over_once_a_large_one_is_free() {
+    let duty = duty_that_n0_hands_over(&[SMALL, LARGE, LARGE], &["n0", "n1"]);
+
+    assert_eq!(duty, Some("cell/0".to_owned()));
+}
+
+#[test]
+fn an_owner_that_lags_hands_its_cell_over_to_one_that_keeps_up() {
+    let rates = [LARGE.while_lagging(), LARGE, LARGE];
+
+    let duty = duty_that_n0_hands_over(&rates, &["n0", "n1", "n2"]);
+
+    assert_eq!(duty, Some("cell/0".to_owned()));
+}
+
+#[test]
+fn an_owner_keeps_its_cell_if_no_other_node_is_much_better_off() {
+    let cases: [(&[OrderRate], &[&str]); 4] = [
+        (&[LARGE, LARGE, LARGE], &["n0", "n1"]),
+        (&[LARGE, LARGE], &["n0", "n0", "n1"]),
+        (&[LARGE.while_lagging(), LARGE.while_lagging(), SMALL], &["n0", "n1"]),
+        (&[SMALL, LARGE], &["n0", "n1", "n1", "n1", "n1"]),
+    ];
+
+    for (rates, owner_names) in cases {
+        assert_eq!(duty_that_n0_hands_over(rates, owner_names), None, "{rates:?} {owner_names:?}");
+    }
+}
+
+#[test]
+fn handing_over_ends_when_no_node_is_much_better_off() {
+    let rates = [SMALL, LARGE, SMALL, LARGE.while_lagging()];
+    let nodes = nodes(&rates);
+    let mut owners = owners(&["n0", "n0", "n2", "n3", "n3", "n3"]);
+    let mut moves = 0;
+
+    while let Some((from, duty)) = nodes.keys().find_map(|own| {
+        let is_own = |(duty, owner): (&Duty, &NodeId)| (owner == own).then(|| duty.clone());
+        let movable: Vec<Duty> = owners.iter().filter_map(is_own).collect();
+        Some((own.clone(), duty_to_hand_over(own, &movable, &owners, &nodes)?))
+    }) {
+        owners.shift_remove(&duty);
+        let duties = IndexSet::from([duty.clone()]);
+        let next = propose_owners(&duties, &owners, &nodes)[&duty][0].clone();
+        assert_ne!(next, from, "{duty} goes back to {from}");
+        owners.insert(duty, next);
+        moves += 1;
+        assert!(moves <= 6, "{owners:?}");
+    }
+
+    assert!(moves > 0);
+}
