An owner that falls behind hands its cell over

Callers saw: a burst lost because the processor of the cell's owner had become 4.5 times slower, beside idle nodes; and cells that stay on a small node after the large ones have come back. Cause: an owner kept its duties for life, whatever it and the others could carry. Now a node watches how late its own timers fire and registers an eighth of its order rate while it lags; an owner hands a cell over in order (log flushed, key deleted, claimed by another node within 100 ms) if the relative load elsewhere is three times smaller. Nodes of one size with one duty more or less keep what they have.

--- a/crates/core/src/job/lag.rs
+++ b/crates/core/src/job/lag.rs
@@ -38,6 +38,9 @@
         if self.timers.len() > WINDOW_TIMERS {
             self.timers.pop_front();
         }
+        if self.timers.iter().filter(|is_late| **is_late).count() >= MIN_LATE_TIMERS {
+            self.lagged_at = Some(now);
+        }
     }
 
     /// Whether the node lags, or did so a short time ago.
--- a/crates/core/src/job/term.rs
+++ b/crates/core/src/job/term.rs
@@ -49,10 +49,10 @@
 }
 
 impl OrderRate {
-    /// The part of the rate that a node is left with while it lags behind its work.
+    /// Returns the rate that a node counts with while it lags behind its work.
     #[must_use]
     pub fn while_lagging(self) -> Self {
-        self
+        Self((self.0 / LAGGING_DIVISOR).max(1))
     }
 }
 
@@ -71,6 +71,13 @@
 /// Processor time of the same, in microseconds of a standard core.
 const ORDER_CPU_US: u64 = 150;
 
+/// A lagging node counts with its order rate divided by this.
+const LAGGING_DIVISOR: u64 = 8;
+
+/// The factor by which the relative load of a duty's owner must shrink for a handover, which
+/// interrupts the work of the duty for a moment.
+const MIN_HANDOVER_GAIN: u64 = 3;
+
 /// A node that may take over duties.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -134,8 +141,10 @@
     proposal
 }
 
-/// Returns which of its own duties a node should hand over, if another node can carry it much more
-/// easily. `movable` are the duties that this node owns and may hand over.
+/// Returns which of its own duties a node should hand over: the first movable one, if another node
+/// would be left with a relative load [`MIN_HANDOVER_GAIN`] times smaller than this node's.
+///
+/// `movable` are the duties that this node owns and may hand over.
 #[must_use]
 pub fn duty_to_hand_over(
     own: &NodeId,
@@ -143,6 +152,11 @@
     owners: &IndexMap<Duty, NodeId>,
     nodes: &IndexMap<NodeId, Candidate>,
 ) -> Option<Duty> {
-    let _ = (own, movable, owners, nodes);
-    None
+    let count = |node: &NodeId| owners.values().filter(|owner| *owner == node).count();
+    let load_here = relative_load(count(own), nodes.get(own)?.order_rate);
+    let others = nodes.iter().filter(|(node, _)| *node != own);
+    let load_elsewhere =
+        others.map(|(node, other)| relative_load(count(node) + 1, other.order_rate)).min()?;
+    let is_worth_it = load_elsewhere.saturating_mul(MIN_HANDOVER_GAIN) <= load_here;
+    movable.first().filter(|_| is_worth_it).cloned()
 }
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use teaselgap_core::{
     Incarnation, NodeId,
-    job::{Duty, OrderRate},
+    job::{Candidate, Duty, OrderRate},
 };
 use teaselgap_platform::store::Item;
 
@@ -49,6 +49,15 @@
         (record.node != *own).then_some(record.address)
     }
 
+    /// The registered nodes, as candidates for duties.
+    pub(super) fn candidates(&self) -> IndexMap<NodeId, Candidate> {
+        let candidate = |record: &NodeRecord| Candidate {
+            incarnation: record.incarnation,
+            order_rate: record.order_rate,
+        };
+        self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
+    }
+
     pub(super) fn other_addresses(&self, own: &NodeId) -> Vec<SocketAddr> {
         let others = self.nodes.values().filter(|record| record.node != *own);
         others.map(|record| record.address).collect()
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use teaselgap_core::{
     Epoch, NodeId, ServiceId, Span, Timestamp,
-    job::{Candidate, Duty, OrderRate, propose_owners},
+    job::{Duty, LagMonitor, OrderRate, duty_to_hand_over, propose_owners},
 };
 use teaselgap_platform::{
     settings::Limits,
@@ -49,7 +49,10 @@
 const RANK_DELAY: Span = Span(250);
 
 /// How often the node looks for duties that it should claim.
-const DUTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
+const DUTY_POLL_INTERVAL: Span = Span(100);
+
+/// How long an owner keeps a cell before it may hand it over to a node that can carry more.
+const MIN_TENURE: Span = Span(3_000);
 
 /// How long an owner whose lease has expired continues after other nodes last confirmed that they
 /// can't reach the store either. No node can claim its duties while the store is unreachable.
@@ -92,6 +95,14 @@
     claiming: IndexSet<Duty>,
     /// When each free duty was first seen to be free.
     free_since: IndexMap<Duty, Timestamp>,
+    /// When this node claimed each of the duties that it owns.
+    claimed_at: IndexMap<Duty, Timestamp>,
+    /// Duties that are being handed over to another node.
+    handing_over: IndexSet<Duty>,
+    /// How late the timers of this thread fire.
+    lag: LagMonitor,
+    /// The order rate of this node in its registration.
+    registered_rate: OrderRate,
 }
 
 /// Keeps the lease, follows members and owners, and claims duties until the process ends.
@@ -106,8 +117,17 @@
         node: node.id.clone(),
         incarnation: node.incarnation,
         address: node.peer_address,
-        order_rate: order_rate(&node.settings.limits),
+        order_rate: current_order_rate(node),
+    }
+}
+
+/// What this node can carry at present.
+fn current_order_rate(node: &Node) -> OrderRate {
+    let order_rate = order_rate(&node.settings.limits);
+    if node.session.borrow().lag.is_lagging(clock::now()) {
+        return order_rate.while_lagging();
     }
+    order_rate
 }
 
 fn order_rate(limits: &Limits) -> OrderRate {
@@ -174,13 +194,19 @@
 async fn write_member(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
     let key = format!("{MEMBER_PREFIX}{}", node.id);
     let revision = node.store.get(&key).await?.map_or(0, |item| item.revision);
+    let record = own_record(node);
+    // A record can always be serialized to JSON.
+    let value = serde_json::to_vec(&record).unwrap_or_default();
     let txn = Transaction {
         expected: vec![Expected { key: key.clone(), revision }],
-        puts: vec![Put { key, value: own_record_json(node), lease: Some(lease) }],
+        puts: vec![Put { key, value, lease: Some(lease) }],
         deletes: Vec::new(),
     };
     match node.store.transact(&txn).await? {
-        Outcome::Done(_) => Ok(()),
+        Outcome::Done(_) => {
+            node.session.borrow_mut().registered_rate = record.order_rate;
+            Ok(())
+        }
         Outcome::Conflict(_) => {
             Err(StoreError::Unavailable("the registration was changed concurrently".to_owned()))
         }
@@ -196,18 +222,32 @@
         && clock::now() > since + SETTLE_TIME
 }
 
+/// Registers the order rate anew if it has changed, so that all nodes propose the same owners.
+async fn update_order_rate(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
+    let registered_rate = node.session.borrow().registered_rate;
+    let order_rate = current_order_rate(node);
+    if order_rate == registered_rate {
+        return Ok(());
+    }
+    info!(node.log, "order rate changed"; "registered" => %registered_rate, "now" => %order_rate);
+    write_member(node, lease).await
+}
+
 async fn renew(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
     let sent_at = clock::now();
     let timeout = Duration::from_millis(lease_ttl(node).0 / RENEWALS_PER_TTL);
     match node.store.renew(lease, timeout).await {
         Ok(()) => {
             node.session.borrow_mut().valid_until = sent_at + lease_ttl(node);
-            if is_registration_missing(node) && !node.is_draining() {
+            if node.is_draining() {
+                return Ok(());
+            }
+            if is_registration_missing(node) {
                 warn!(node.log, "registration lost; writing it again"; "lease" => lease);
                 write_member(node, lease).await?;
                 node.session.borrow_mut().registered_at = clock::now();
             }
-            Ok(())
+            update_order_rate(node, lease).await
         }
         Err(StoreError::NoLease) => {
             warn!(node.log, "lease expired"; "lease" => lease);
@@ -345,14 +385,22 @@
     }
 }
 
-/// Claims, at regular intervals, the duties that this node should own.
+/// Claims, at regular intervals, the duties that this node should own, and hands over those that
+/// another node should own.
 async fn claim_duties(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(DUTY_POLL_INTERVAL).await;
+        let timer_deadline = clock::now() + DUTY_POLL_INTERVAL;
+        tokio::time::sleep(DUTY_POLL_INTERVAL.to_std()).await;
+        node.session.borrow_mut().lag.record_timer(timer_deadline, clock::now());
         for (duty, key_revision) in claimable_duties(&node) {
             node.session.borrow_mut().claiming.insert(duty.clone());
             tokio::task::spawn_local(claim_duty(Rc::clone(&node), duty, key_revision));
         }
+        if let Some(owner) = cell_to_hand_over(&node) {
+            let duty = cell_duty(owner.service());
+            node.session.borrow_mut().handing_over.insert(duty);
+            tokio::task::spawn_local(hand_over_cell(Rc::clone(&node), owner));
+        }
     }
 }
 
@@ -389,13 +437,7 @@
         }
         owners.insert(duty.clone(), record.node.clone());
     }
-    let candidate = |record: &NodeRecord| Candidate {
-        incarnation: record.incarnation,
-        order_rate: record.order_rate,
-    };
-    let nodes: IndexMap<NodeId, Candidate> =
-        members.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect();
-    let proposal = propose_owners(&duties, &owners, &nodes);
+    let proposal = propose_owners(&duties, &owners, &members.candidates());
     session.free_since.retain(|duty, _| proposal.contains_key(duty));
     for (duty, candidates) in proposal {
         let since = *session.free_since.entry(duty.clone()).or_insert(now);
@@ -407,10 +449,62 @@
             claimable.push((duty, 0));
         }
     }
-    claimable.retain(|(duty, _)| !session.claiming.contains(duty));
+    claimable.retain(|(duty, _)| {
+        !session.claiming.contains(duty) && !session.handing_over.contains(duty)
+    });
     claimable
 }
 
+/// The cell that this node should hand over now, if any; one at a time.
+fn cell_to_hand_over(node: &Rc<Node>) -> Option<Rc<host::CellOwner>> {
+    let now = clock::now();
+    let session = node.session.borrow();
+    let is_store_reached = now < session.store_reached_at + STORE_REACHABLE_WINDOW;
+    if node.is_draining() || !is_store_reached || !session.handing_over.is_empty() {
+        return None;
+    }
+    let members = node.members.borrow();
+    let owners: IndexMap<Duty, NodeId> = members
+        .owners
+        .iter()
+        .map(|(duty, (record, _))| (duty.clone(), record.node.clone()))
+        .collect();
+    let cell_owners = node.cell_owners.borrow();
+    let has_settled = |duty: &Duty| {
+        session.claimed_at.get(duty).is_some_and(|claimed_at| now >= *claimed_at + MIN_TENURE)
+    };
+    let movable: Vec<Duty> = cell_owners
+        .values()
+        .filter(|owner| owner.is_serving())
+        .map(|owner| cell_duty(owner.service()))
+        .filter(|duty| has_settled(duty) && owners.get(duty) == Some(&node.id))
+        .collect();
+    let duty = duty_to_hand_over(&node.id, &movable, &owners, &members.candidates())?;
+    cell_owners.values().find(|owner| cell_duty(owner.service()) == duty).cloned()
+}
+
+/// Ends a cell's term in order and deletes the duty's key, so that another node claims it at once.
+async fn hand_over_cell(node: Rc<Node>, owner: Rc<host::CellOwner>) {
+    let duty = cell_duty(owner.service());
+    info!(node.log, "handing over a cell"; "cell" => %owner.service(), "epoch" => owner.epoch().0,
+        "order_rate" => %current_order_rate(&node));
+    owner.hand_over();
+    owner.flush().await;
+    node.cell_owners.borrow_mut().retain(|_, other| !Rc::ptr_eq(other, &owner));
+    owner.end_term("handed over to a node that can carry more");
+    let key = duty_key(&duty);
+    let txn = Transaction {
+        expected: vec![Expected { key: key.clone(), revision: owner.epoch().0 }],
+        puts: Vec::new(),
+        deletes: vec![key],
+    };
+    if let Err(err) = node.store.transact(&txn).await {
+        // This node claims the duty again if its key is still there.
+        warn!(node.log, "failed to release a duty"; "seat" => &duty, "error" => %err);
+    }
+    node.session.borrow_mut().handing_over.swap_remove(&duty);
+}
+
 async fn claim_duty(node: Rc<Node>, duty: Duty, key_revision: u64) {
     let key = duty_key(&duty);
     if let Some(epoch) = write_claim(&node, &key, key_revision).await {
@@ -423,6 +517,7 @@
                 members.predecessors.insert(duty.clone(), previous);
             }
         }
+        node.session.borrow_mut().claimed_at.insert(duty.clone(), clock::now());
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
         } else if let Some(Ok(cell)) = duty.strip_prefix("cell/").map(str::parse) {
@@ -450,8 +545,8 @@
             // The answer was lost, so the key's current value decides. A write that reaches the
             // store late, after another claim, finds another revision and fails.
             let item = node.store.get(key).await.ok()??;
-            let is_own =
-                serde_json::from_slice::<NodeRecord>(&item.value).ok() == Some(own_record(node));
+            let owner = serde_json::from_slice::<NodeRecord>(&item.value).ok()?;
+            let is_own = owner.node == node.id && owner.incarnation == node.incarnation;
             is_own.then_some(Epoch(item.revision))
         }
     }
