--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -49,6 +49,9 @@
 /// The ticket that the advice service issues for every allowed worker.
 const TICKET: &str = "ticket";
 
+/// The longest time for which an owner may give orders after another one has claimed the cell.
+pub const OWNER_TTL: Span = Span(3_000);
+
 /// Wall-clock time at the model's time zero, in milliseconds since the Unix epoch.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
@@ -164,7 +167,7 @@
 pub fn cell_config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
-        owner_ttl: Span(3_000),
+        owner_ttl: OWNER_TTL,
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         log: LogConfig::default(),
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -76,9 +76,31 @@
         self.is_handing_over = false;
     }
 
+    /// Ends the owner's term without a handover, while its process lives on. The process may claim
+    /// the cell again with [`Model::take_over_again`].
+    pub fn give_up(&mut self) {
+        self.cell = None;
+    }
+
     /// Begins the term of a new owner, which recovers the cell from the log in the store.
     pub fn take_over(&mut self) {
+        self.take_over_reading_for(0);
+    }
+
+    /// Like [`Model::take_over`], but the owner reads the log for `read_ms` after its claim.
+    pub fn take_over_reading_for(&mut self, read_ms: u64) {
         self.epoch = Epoch(self.epoch.0 + 1);
+        self.run_for(read_ms);
+        self.recover();
+    }
+
+    /// Lets the process that gave the cell up claim it again, before any other process has claimed
+    /// it. Reading the log takes `read_ms`.
+    pub fn take_over_again(&mut self, read_ms: u64) {
+        self.take_over_reading_for(read_ms);
+    }
+
+    fn recover(&mut self) {
         let recovered = RecoveredLog {
             next: self.log.keys().next_back().map_or(0, |last| last + 1),
             segments: self.log.values().cloned().collect(),
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -4,4 +4,5 @@
 mod faults;
 mod fixtures;
 mod random;
+mod takeover;
 mod turns;
--- /dev/null
+++ b/crates/standins/tests/cells/takeover.rs
@@ -0,0 +1,100 @@
+//! Tests of what a new owner waits for, and of what it does meanwhile.
+
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{JobId, Step, WorkerId},
+};
+use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
+
+use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+
+const JOB: JobId = JobId(7);
+
+/// A duration that exceeds every timeout of the model, in milliseconds.
+const FOREVER_MS: u64 = 600_000;
+
+/// Time within which an owner plans after the last thing that it waits for, in milliseconds.
+const PLAN_DELAY_MS: u64 = 300;
+
+/// Longest duration of a worker's lease, including the allowance for a slow clock.
+fn longest_lease() -> Span {
+    Span(cell_config().lease.0 * 103 / 100)
+}
+
+/// Returns a worker without runs.
+fn idle_worker(model: &Model) -> WorkerId {
+    let idle = model.workers().find(|worker| worker.run_count() == 0);
+    idle.expect("a worker without runs").entry.id.clone()
+}
+
+fn partition(model: &mut Model, worker: &WorkerId) {
+    let now = model.now();
+    model.worker_mut(worker.as_str()).partition_for(now, FOREVER_MS);
+}
+
+/// Creates a model with a job of two steps. The task of the second step may start 1,200 ms later;
+/// until then one worker has no runs and is partitioned.
+fn model_with_partitioned_idle_worker() -> Model {
+    let mut model = new_model(3);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+    partition(&mut model, &idle);
+    model
+}
+
+/// Returns when the second step of the job started.
+fn second_step_start(model: &mut Model) -> Option<Timestamp> {
+    let second = teaselgap_core::job::TaskId { step: 1, ..task_id(JOB, 0) };
+    model.run_until(30_000, |model| model.start_count(second) > 0).then(|| model.now())
+}
+
+#[test]
+fn the_wait_for_an_unreachable_worker_counts_from_the_claim() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.run_for(500);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+
+    model.take_over_reading_for(4_000);
+    let started_at = second_step_start(&mut model);
+
+    let latest = claimed_at + OWNER_TTL + longest_lease() + Span(PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_process_that_takes_its_cell_again_waits_from_the_end_of_its_own_term() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.run_for(500);
+    model.give_up();
+    let gave_up_at = model.now();
+    model.run_for(500);
+
+    model.take_over_again(2_000);
+    let started_at = second_step_start(&mut model);
+
+    let latest = gave_up_at + longest_lease() + Span(PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_short_term_does_not_shorten_the_wait_for_the_owner_before_it() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+    model.take_over();
+    model.run_for(200);
+    model.give_up();
+
+    model.take_over_again(300);
+    let started_at = second_step_start(&mut model);
+
+    let earliest = claimed_at + OWNER_TTL + cell_config().lease;
+    assert!(started_at.is_some_and(|at| at >= earliest), "{started_at:?}, before {earliest}");
+}
