Count the wait for earlier owners' leases from the claim

Cause: Cell::new took the time after reading the log as the time of the claim, and knew no difference between its own process's earlier term and a stranger's.

Why it is safe: an order's lease is computed when the cell decides on it, which it no longer does once the term is over; the store takes the claim only if the key is gone or unchanged, so nobody came between the two terms of the same process.

Tests: both named tests of takeover.rs failed before ("Some(Timestamp(27270)), not by 23565ms", "Some(Timestamp(25270)), not by 20065ms") and pass. Their fixture now lets the model's first owner outlive the wait for owners before it, or that wait would be the longer one; the red run above is with this fixture.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -51,9 +51,6 @@
 pub struct CellConfig {
     /// The duration of a worker's lease, counted from the order that grants or renews it.
     pub lease: Span,
-    /// The longest time for which an owner may still give orders after it lost its key in the
-    /// store.
-    pub owner_ttl: Span,
     /// The longest time that a worker takes to stop a run.
     pub stop_timeout: Span,
     /// How long the state of an ended job is kept.
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -42,11 +42,15 @@
 
 impl Cell {
     /// Creates the cell at the start of its owner's term.
+    ///
+    /// Unless the log shows a handover, owners of earlier terms may have given orders until
+    /// `earlier_orders_end`.
     #[must_use]
     pub fn new(
         cfg: CellConfig,
         (service, epoch): (ServiceId, Epoch),
         recovered: RecoveredLog,
+        earlier_orders_end: Timestamp,
         (now, wall_ms): (Timestamp, u64),
     ) -> Self {
         let handed_over = find_handover(&recovered.segments);
@@ -80,9 +84,10 @@
                 cell.replay(record, &mut used_workers, (now, wall_ms));
             }
         }
-        // Without a handover the previous owner may still give orders for `owner_ttl`.
-        let latest_possible_order = if handed_over.is_some() { now } else { now + cfg.owner_ttl };
-        cell.earlier_leases_expiry = cell.expiry_after(latest_possible_order);
+        let is_handed_over = handed_over.is_some();
+        let last_order =
+            if is_handed_over { earlier_orders_end.min(now) } else { earlier_orders_end };
+        cell.earlier_leases_expiry = cell.expiry_after(last_order);
         let expiry = cell.earlier_leases_expiry;
         cell.inherited_workers = match handed_over {
             // The previous owner knew which workers had runs, and when their leases expire.
@@ -103,15 +108,15 @@
         cell
     }
 
-    /// When every lease has certainly expired if no order is given after `latest_possible_order`.
-    fn expiry_after(&self, latest_possible_order: Timestamp) -> Timestamp {
-        latest_possible_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
+    /// When every lease has certainly expired if no order is given after `last_order`.
+    fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
+        last_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
     }
 
     /// Brings forward the assumed expiry of leases of earlier terms once the previous owner is
-    /// known to give no more orders.
-    pub fn on_predecessor_ended(&mut self, now: Timestamp) {
-        let expiry = self.expiry_after(now);
+    /// known to have given its last order by `last_order`.
+    pub fn on_predecessor_ended(&mut self, last_order: Timestamp) {
+        let expiry = self.expiry_after(last_order);
         self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
         for inherited in self.inherited_workers.values_mut() {
             *inherited = (*inherited).min(expiry);
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -130,6 +130,11 @@
     queues: IndexMap<QueueId, QueueConfig>,
     /// The cell at its owner; `None` while no node owns it.
     cell: Option<Cell>,
+    /// Time until which owners of earlier terms than the current or latest one may have given
+    /// orders.
+    earlier_orders_end: Timestamp,
+    /// When the owner that gave up the cell may have given its last order.
+    gave_up_at: Timestamp,
     epoch: Epoch,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
@@ -167,7 +172,6 @@
 pub fn cell_config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
-        owner_ttl: OWNER_TTL,
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         log: LogConfig::default(),
@@ -188,6 +192,8 @@
             service,
             queues,
             cell: None,
+            earlier_orders_end: Timestamp(0),
+            gave_up_at: Timestamp(0),
             epoch: Epoch(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -1,8 +1,8 @@
 //! Operations by which a test controls the model: faults, takeovers and client requests.
 
-use super::{Model, ModelWorker, TICK_MS, TICKET, WorkerFaults};
+use super::{Model, ModelWorker, OWNER_TTL, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
-    Epoch, QueueId, Span,
+    Epoch, QueueId, Span, Timestamp,
     job::{Answer, Cell, JobId, JobSpec, RecoveredLog, Token},
 };
 
@@ -79,6 +79,7 @@
     /// Ends the owner's term without a handover, while its process lives on. The process may claim
     /// the cell again with [`Model::take_over_again`].
     pub fn give_up(&mut self) {
+        self.gave_up_at = self.now.max(self.earlier_orders_end);
         self.cell = None;
     }
 
@@ -89,15 +90,20 @@
 
     /// Like [`Model::take_over`], but the owner reads the log for `read_ms` after its claim.
     pub fn take_over_reading_for(&mut self, read_ms: u64) {
-        self.epoch = Epoch(self.epoch.0 + 1);
-        self.run_for(read_ms);
-        self.recover();
+        self.claim(self.now + OWNER_TTL, read_ms);
     }
 
     /// Lets the process that gave the cell up claim it again, before any other process has claimed
     /// it. Reading the log takes `read_ms`.
     pub fn take_over_again(&mut self, read_ms: u64) {
-        self.take_over_reading_for(read_ms);
+        self.claim(self.gave_up_at, read_ms);
+    }
+
+    fn claim(&mut self, earlier_orders_end: Timestamp, read_ms: u64) {
+        self.epoch = Epoch(self.epoch.0 + 1);
+        self.earlier_orders_end = earlier_orders_end;
+        self.run_for(read_ms);
+        self.recover();
     }
 
     fn recover(&mut self) {
@@ -106,8 +112,9 @@
             segments: self.log.values().cloned().collect(),
         };
         let service_and_epoch = (self.service.clone(), self.epoch);
+        let time = (self.now, self.wall_ms());
         let mut cell =
-            Cell::new(self.cfg, service_and_epoch, recovered, (self.now, self.wall_ms()));
+            Cell::new(self.cfg, service_and_epoch, recovered, self.earlier_orders_end, time);
         cell.set_queues(self.queues.clone());
         self.cell = Some(cell);
         self.pending_write = None;
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -33,9 +33,11 @@
 }
 
 /// Creates a model with a job of two steps. The task of the second step may start 1,200 ms later;
-/// until then one worker has no runs and is partitioned.
+/// until then one worker has no runs and is partitioned. Owners before the model's first one give
+/// no more orders.
 fn model_with_partitioned_idle_worker() -> Model {
     let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
     let second = Step { after: vec![0], ..step(1, 1_000, 300) };
     model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
     model.run_for(300);
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -71,8 +71,8 @@
     is_term_over: StdCell<bool>,
     /// When the pending write of a segment was first sent; `None` if no write is pending.
     writing_since: StdCell<Option<Timestamp>>,
-    /// Whether the previous owner is known to send no more orders.
-    has_predecessor_ended: StdCell<bool>,
+    /// Time until which owners of earlier terms may have given orders.
+    earlier_orders_end: StdCell<Timestamp>,
     is_handing_over: StdCell<bool>,
     wake: Notify,
 }
@@ -83,15 +83,35 @@
     let status_retention = Span((status_s.max(0.0) * 1_000.0) as u64);
     CellConfig {
         lease: Span((max_hold_ms * LEASE_PERCENT / 100).min(MAX_WORKER_LEASE.0)),
-        owner_ttl: session::owner_ttl(node),
         stop_timeout: Span(stop_ms),
         status_retention,
         log: LogConfig::default(),
     }
 }
 
-/// Starts a term as the owner of a cell.
-pub(super) fn start(node: &Rc<Node>, service: ServiceId, epoch: Epoch) {
+/// A term of this process that is over.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndedTerm {
+    epoch: Epoch,
+    /// Time until which this owner, or one of an earlier term, may have given orders.
+    orders_end: Timestamp,
+}
+
+/// Starts a term as the owner of a cell, whose key in the store this node has just claimed.
+/// `earlier_revision` is the key's revision before that; zero if there was no key.
+///
+/// Another process may give orders for `owner_ttl` after the claim. If the term before was one of
+/// this process, nobody has given any order since that term ended.
+pub(super) fn start(node: &Rc<Node>, service: ServiceId, epoch: Epoch, earlier_revision: u64) {
+    let claimed_at = clock::now();
+    let previous = node.cell_owners.borrow_mut().shift_remove(&service);
+    if let Some(previous) = previous {
+        previous.end_term("a new term has begun");
+    }
+    let own_term = node.ended_terms.borrow().get(&service).copied();
+    let own_term = own_term.filter(|term| term.epoch.0 == earlier_revision);
+    let earlier_orders_end =
+        own_term.map_or(claimed_at + session::owner_ttl(node), |term| term.orders_end);
     let owner = Rc::new(CellOwner {
         node: Rc::clone(node),
         service: service.clone(),
@@ -103,14 +123,11 @@
         next_token: StdCell::new(0),
         is_term_over: StdCell::new(false),
         writing_since: StdCell::new(None),
-        has_predecessor_ended: StdCell::new(false),
+        earlier_orders_end: StdCell::new(earlier_orders_end),
         is_handing_over: StdCell::new(false),
         wake: Notify::new(),
     });
-    let previous = node.cell_owners.borrow_mut().insert(service, Rc::clone(&owner));
-    if let Some(previous) = previous {
-        previous.end_term("a new term has begun");
-    }
+    node.cell_owners.borrow_mut().insert(service, Rc::clone(&owner));
     tokio::task::spawn_local(owner.run());
 }
 
@@ -134,6 +151,9 @@
         if self.is_term_over.replace(true) {
             return;
         }
+        let orders_end = clock::now().max(self.earlier_orders_end.get());
+        let ended_term = EndedTerm { epoch: self.epoch, orders_end };
+        self.node.ended_terms.borrow_mut().insert(self.service.clone(), ended_term);
         info!(self.node.log, "cell term ended"; "cell" => %self.service, "epoch" => self.epoch.0,
             "reason" => reason, "open_questions" => self.pending_replies.borrow().len());
         self.pending_replies.borrow_mut().clear();
@@ -167,10 +187,9 @@
         let segments = recovered.segments.len();
         let time = (clock::now(), clock::wall_ms());
         let cfg = cell_config(&self.node);
-        let mut cell = Cell::new(cfg, (self.service.clone(), self.epoch), recovered, time);
-        if self.has_predecessor_ended.get() {
-            cell.on_predecessor_ended(time.0);
-        }
+        let service_and_epoch = (self.service.clone(), self.epoch);
+        let earlier_orders_end = self.earlier_orders_end.get();
+        let cell = Cell::new(cfg, service_and_epoch, recovered, earlier_orders_end, time);
         *self.cell.borrow_mut() = Some(cell);
         if let Some(config) = self.node.shared.config.load_full() {
             self.set_queues(&config);
@@ -499,9 +518,11 @@
 
     /// Records that the previous owner sends no more orders.
     pub(super) fn on_predecessor_ended(&self) {
-        if !self.has_predecessor_ended.replace(true) {
+        let now = clock::now();
+        if now < self.earlier_orders_end.get() {
+            self.earlier_orders_end.set(now);
             info!(self.node.log, "previous owner has ended"; "cell" => %self.service);
-            self.with_cell(|cell| cell.on_predecessor_ended(clock::now()));
+            self.with_cell(|cell| cell.on_predecessor_ended(now));
         }
     }
 
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -26,7 +26,7 @@
 use super::{
     ask, fleet,
     front::{self, SharedState},
-    host::CellOwner,
+    host::{CellOwner, EndedTerm},
     members::Members,
     operator,
     peer::{self, CellReport, DrainInstruction, NodeRequest, Peers},
@@ -96,6 +96,8 @@
     pub(super) session: RefCell<Session>,
     pub(super) members: RefCell<Members>,
     pub(super) cell_owners: RefCell<IndexMap<ServiceId, Rc<CellOwner>>>,
+    /// The latest term of this process that is over, by cell.
+    pub(super) ended_terms: RefCell<IndexMap<ServiceId, EndedTerm>>,
     /// The fleet's owner, if this node holds the fleet duty.
     pub(super) fleet: RefCell<Option<Rc<fleet::FleetOwner>>>,
     pub(super) operator: RefCell<operator::OperatorState>,
@@ -213,6 +215,7 @@
         session: RefCell::new(Session::default()),
         members: RefCell::new(Members::default()),
         cell_owners: RefCell::new(IndexMap::new()),
+        ended_terms: RefCell::new(IndexMap::new()),
         fleet: RefCell::new(None),
         operator: RefCell::new(operator::OperatorState::default()),
         roster_refresh: Notify::new(),
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -55,7 +55,13 @@
 /// A node that last reached the store within this time counts as able to reach it.
 const STORE_REACHABLE_WINDOW: Span = Span(900);
 
-/// The longest time for which an owner may continue after the store has dropped its duty's key.
+/// The longest time for which an owner may continue after another node has claimed its duty.
+///
+/// The store drops the key of a duty only once the owner's lease has ended there, and an owner
+/// counts its lease from before it asked for it. It continues beyond that only while the other
+/// nodes confirm that the store is away. The node that claimed the duty denies that from its next
+/// renewal on, at the latest when its own lease would end; a confirmation counts for
+/// `OUTAGE_CONFIRMATION_TTL`. An owner that can't reach the claimant is not covered.
 pub(super) fn owner_ttl(node: &Node) -> Span {
     Span(lease_ttl(node).0 + OUTAGE_CONFIRMATION_TTL.0)
 }
@@ -404,7 +410,7 @@
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
         } else if let Some(Ok(cell)) = duty.strip_prefix("cell/").map(str::parse) {
-            host::start(&node, cell, epoch);
+            host::start(&node, cell, epoch, key_revision);
         }
         node.roster_refresh.notify_one();
     }
