Test that a worker is reported as drained only once the log says so

The fleet may move a worker as soon as the cell reports it as drained, but the record that no run is alive there may still be waiting to be written. If the owner dies then, the next one waits for a worker that no longer exists.

--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -1,8 +1,9 @@
 //! Tests of what a new owner waits for, and of what it does meanwhile.
 
+use indexmap::IndexMap;
 use teaselgap_core::{
     Span, Timestamp,
-    job::{JobId, Step, WorkerId},
+    job::{DrainMode, JobId, Step, WorkerId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
@@ -100,3 +101,45 @@
     let earliest = claimed_at + OWNER_TTL + cell_config().lease;
     assert!(started_at.is_some_and(|at| at >= earliest), "{started_at:?}, before {earliest}");
 }
+
+#[test]
+fn a_worker_reported_as_drained_does_not_delay_the_next_owner() {
+    let mut model = new_model(3);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+
+    let drains = IndexMap::from([(idle.clone(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains);
+    let drained = |model: &Model| !model.cell().unwrap().drained_workers().is_empty();
+    let is_reported = model.run_until(500, drained);
+    // The fleet moves the worker to another pool, and the owner dies.
+    partition(&mut model, &idle);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+    model.take_over();
+    let started_at = second_step_start(&mut model);
+
+    let latest = claimed_at + Span(1_200);
+    assert!(is_reported);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_worker_is_not_reported_as_drained_while_the_store_is_away() {
+    let mut model = new_model(2);
+    let drains = IndexMap::from([("w0".into(), DrainMode::WaitForRuns)]);
+
+    model.set_store_available(false);
+    model.cell_mut().unwrap().set_drains(drains);
+    model.run_for(1_000);
+    let drained_meanwhile = model.cell().unwrap().drained_workers();
+    model.set_store_available(true);
+    model.run_for(500);
+
+    assert_eq!(drained_meanwhile, []);
+    assert_eq!(model.cell().unwrap().drained_workers(), ["w0".into()]);
+}
