Report a worker as drained only once the log says so

Cause: the cell reported a worker as drained as soon as it had no runs; the fleet then moved its VM. That it is gone reached the log later, or never if the owner ended first, so the next owner waited for a worker that no longer existed.

Change: WorkerGone is tracked like WorkerUsed, and a worker counts as drained only when that record is durable.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -71,8 +71,9 @@
     /// Confirms run ends to a worker instance, which is named by its id and its start time, up to
     /// the number of the last one.
     ConfirmEnds(WorkerId, u64, u64),
-    /// Allows orders to a worker if this was the latest time that it was logged as used.
-    WorkerLogged(WorkerId, u32),
+    /// Marks what the log says about a worker as durable if this was the latest time that the worker
+    /// was logged.
+    WorkerLogged(WorkerId, u32, Logged),
 }
 
 /// One service's jobs and workers, as the owner of the cell knows them.
@@ -201,13 +202,13 @@
                     worker.next_hold = worker.next_hold.min(now);
                 }
             }
-            DeferredEffect::WorkerLogged(id, times_logged) => {
+            DeferredEffect::WorkerLogged(id, times_logged, state) => {
                 let worker = self.workers.get_mut(&id);
                 let is_newest = |worker: &&mut Worker| {
                     worker.logged == Logged::Nothing && worker.times_logged == times_logged
                 };
                 if let Some(worker) = worker.filter(is_newest) {
-                    worker.logged = Logged::Used;
+                    worker.logged = state;
                     self.plan_due = true;
                 }
             }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -355,13 +355,24 @@
 
     /// Logs that a worker is used; it gets no orders before that record is durable.
     fn log_worker_used(&mut self, id: &WorkerId, now: Timestamp) {
+        self.log_worker(id, Logged::Used, now);
+    }
+
+    /// Logs whether a worker is used or gone. Until the record is durable, nothing counts as
+    /// logged.
+    fn log_worker(&mut self, id: &WorkerId, state: Logged, now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.logged = Logged::Nothing;
         worker.times_logged += 1;
-        let effect = DeferredEffect::WorkerLogged(id.clone(), worker.times_logged);
-        self.record(Record::WorkerUsed { worker: id.clone() }, now, Some(effect));
+        let effect = DeferredEffect::WorkerLogged(id.clone(), worker.times_logged, state);
+        let worker = id.clone();
+        let record = match state {
+            Logged::Gone => Record::WorkerGone { worker },
+            Logged::Nothing | Logged::Used => Record::WorkerUsed { worker },
+        };
+        self.record(record, now, Some(effect));
     }
 
     /// Logs which workers are drained, so that a later owner does not wait for their runs, and
@@ -385,10 +396,7 @@
             .map(|worker| worker.entry.id.clone())
             .collect();
         for id in drained {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.logged = Logged::Gone;
-            }
-            self.record(Record::WorkerGone { worker: id }, now, None);
+            self.log_worker(&id, Logged::Gone, now);
         }
         for id in used_again {
             self.log_worker_used(&id, now);
@@ -538,11 +546,14 @@
         self.plan_due = true;
     }
 
-    /// The workers that are to be drained and have no runs left.
+    /// The workers that are to be drained and have no runs left, according to the durable log. Once
+    /// they are moved they no longer answer, and a later owner must not wait for them.
     #[must_use]
     pub fn drained_workers(&self) -> Vec<WorkerId> {
         let is_drained = |id: &&WorkerId| match self.workers.get(*id) {
-            Some(worker) => worker.is_adopted && worker.runs.is_empty(),
+            Some(worker) => {
+                worker.is_adopted && worker.runs.is_empty() && worker.logged == Logged::Gone
+            }
             // A worker that the store has not listed may still have runs of earlier terms.
             None => self.has_worker_list && self.inherited_workers.is_empty(),
         };
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -140,8 +140,8 @@
     pub(super) is_adopted: bool,
     /// What the log says about the worker.
     pub(super) logged: Logged,
-    /// How often the worker has been logged as used. Only when the latest of these records is
-    /// durable may it get orders.
+    /// How often the worker has been logged as used or gone. Only the latest of these records
+    /// counts, once it is durable.
     pub(super) times_logged: u32,
     /// The latest reading of the worker's clock.
     pub(super) clock: Option<ClockReading>,
