Test long-running tasks around a change of owners

The others pin what must stay so: no second run while an order of the previous owner may arrive late, while its worker is unreachable, or when the owner dies or hands over at any moment of a placement; a restart while the store is away. The property test has long-running tasks and their failures as well.

--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -192,6 +192,18 @@
         self.ends.push(ModelEnd { end, at, is_void: false });
     }
 
+    /// Ends all runs that would not end by themselves as failed.
+    pub fn fail_endless_runs(&mut self, now: Timestamp) {
+        let is_endless = |run: &ModelRun| run.scheduled_end.is_none();
+        let failed: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| is_endless(run)).map(|(&task, _)| task).collect();
+        for task in failed {
+            if let Some(run) = self.runs.shift_remove(&task) {
+                self.end(task, &run, EndKind::Failed, now);
+            }
+        }
+    }
+
     /// Ends the runs whose end is reached: by themselves, by a stop order or by lease expiry.
     pub(super) fn advance(&mut self, now: Timestamp) {
         let lease_expired = self.clock(now) >= self.lease_end;
--- a/crates/standins/tests/cells/fixtures.rs
+++ b/crates/standins/tests/cells/fixtures.rs
@@ -5,6 +5,7 @@
     QueueId, ServiceId, Span,
     job::{
         AdviceConfig, JobId, JobSpec, JobState, QueueConfig, Resources, Step, TaskId, WorkerEntry,
+        WorkerId,
     },
 };
 use teaselgap_standins::model::{Model, ModelWorker};
@@ -12,6 +13,9 @@
 /// Processor capacity of a worker, in thousandths of a core.
 pub(crate) const WORKER_CPU_MILLI: u64 = 32_000;
 
+/// A duration that exceeds every timeout of the model, in milliseconds.
+const FOREVER_MS: u64 = 600_000;
+
 pub(crate) fn service() -> ServiceId {
     "drums".parse().unwrap()
 }
@@ -88,6 +92,24 @@
     job_spec(vec![Step { long_running: true, max_unavailable, ..step(count, 4_000, 500) }])
 }
 
+/// Returns a worker without runs.
+pub(crate) fn idle_worker(model: &Model) -> WorkerId {
+    let idle = model.workers().find(|worker| worker.run_count() == 0);
+    idle.expect("a worker without runs").entry.id.clone()
+}
+
+/// Returns a worker with runs.
+pub(crate) fn busy_worker(model: &Model) -> WorkerId {
+    let busy = model.workers().find(|worker| worker.run_count() > 0);
+    busy.expect("a worker with runs").entry.id.clone()
+}
+
+/// Partitions a worker from the owner and the store for the rest of the test; it keeps running.
+pub(crate) fn partition(model: &mut Model, worker: &WorkerId) {
+    let now = model.now();
+    model.worker_mut(worker.as_str()).partition_for(now, FOREVER_MS);
+}
+
 pub(crate) fn task_id(job: JobId, index: u32) -> TaskId {
     TaskId { job, occurrence: 0, step: 0, index }
 }
--- /dev/null
+++ b/crates/standins/tests/cells/long_running.rs
@@ -0,0 +1,192 @@
+//! Tests of long-running tasks around a change of owners. The new owner must neither leave such a
+//! task without a run for long nor start it while an earlier run may be alive.
+
+use teaselgap_core::{Span, Timestamp, job::JobId};
+use teaselgap_standins::model::{Model, OWNER_TTL, WorkerFaults, cell_config};
+
+use crate::fixtures::{
+    busy_worker, idle_worker, long_running_job, new_model, partition, queue, task_id,
+};
+
+const JOB: JobId = JobId(7);
+
+/// Time after which every lease of an owner that was killed has expired, in milliseconds.
+const ALL_LEASES_MS: u64 = 7_000;
+
+/// Time within which an owner that waits for nothing starts a task, in milliseconds.
+const START_MS: u64 = 1_000;
+
+/// Creates a model whose only job has one long-running task, which runs.
+fn model_with_one_task(workers: usize) -> Model {
+    let mut model = new_model(workers);
+    model.run_for(OWNER_TTL.0);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    model.run_for(1_000);
+    model
+}
+
+fn starts(model: &Model) -> u32 {
+    model.start_count(task_id(JOB, 0))
+}
+
+/// Returns when the task has started `count` times.
+fn nth_start(model: &mut Model, count: u32) -> Option<Timestamp> {
+    model.run_until(30_000, |model| starts(model) >= count).then(|| model.now())
+}
+
+#[test]
+fn a_task_starts_at_once_although_another_worker_is_unreachable() {
+    let mut model = model_with_one_task(3);
+    let idle = idle_worker(&model);
+    partition(&mut model, &idle);
+    model.kill_owner();
+    model.run_for(ALL_LEASES_MS);
+    let claimed_at = model.now();
+
+    model.take_over();
+    let started_at = nth_start(&mut model, 2);
+
+    let latest = claimed_at + Span(START_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_new_task_starts_at_once_although_a_worker_is_unreachable() {
+    let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
+    let idle = idle_worker(&model);
+    partition(&mut model, &idle);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    // The job is durable, but no record of its placement is.
+    model.run_for(42);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+
+    model.take_over();
+    let started_at = nth_start(&mut model, 1);
+
+    let latest = claimed_at + Span(START_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+}
+
+#[test]
+fn a_task_whose_worker_is_unreachable_waits_for_its_lease() {
+    let mut model = model_with_one_task(3);
+    let busy = busy_worker(&model);
+    partition(&mut model, &busy);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+
+    model.take_over();
+    let started_at = nth_start(&mut model, 2);
+
+    let earliest = claimed_at + OWNER_TTL + cell_config().lease;
+    assert!(started_at.is_some_and(|at| at >= earliest), "{started_at:?}, before {earliest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn an_order_of_the_previous_owner_that_arrives_late_runs_no_task_twice() {
+    for late_ms in [200, 1_500, 2_900] {
+        for unreachable in [false, true] {
+            let mut model = new_model(2);
+            model.run_for(OWNER_TTL.0);
+            let late = WorkerFaults { late_orders: 1, late_ms, ..WorkerFaults::default() };
+            model.set_faults("w0", late);
+            model.set_faults("w1", late);
+            model.submit(JOB, &queue(), long_running_job(1, 1));
+            model.run_for(100);
+            model.kill_owner();
+            if unreachable {
+                model.make_unreachable("w0", 20_000);
+                model.make_unreachable("w1", 20_000);
+            }
+
+            model.take_over();
+            let started_at = nth_start(&mut model, 1);
+            model.run_for(30_000);
+
+            assert!(started_at.is_some(), "{late_ms} ms late, unreachable: {unreachable}");
+            assert_eq!(model.violations(), [] as [&str; 0]);
+        }
+    }
+}
+
+#[test]
+fn an_owner_that_dies_while_it_places_a_task_neither_loses_it_nor_runs_it_twice() {
+    for offset_ms in 0..120 {
+        let mut model = new_model(3);
+        model.run_for(OWNER_TTL.0);
+        let token = model.submit(JOB, &queue(), long_running_job(2, 1));
+        model.run_for(offset_ms);
+        model.kill_owner();
+        let is_accepted = model.answer(token).is_some();
+        model.run_for(300);
+
+        model.take_over();
+        model.run_for(START_MS);
+        let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) > 0).count();
+        model.run_for(10_000);
+
+        assert!(!is_accepted || started == 2, "{started} started, killed after {offset_ms} ms");
+        assert_eq!(model.violations(), [] as [&str; 0]);
+    }
+}
+
+#[test]
+fn a_task_whose_worker_restarts_while_there_is_no_owner_starts_at_once() {
+    let mut model = model_with_one_task(3);
+    let (idle, busy) = (idle_worker(&model), busy_worker(&model));
+    partition(&mut model, &idle);
+    model.kill_owner();
+    model.run_for(500);
+    let (now, wall_ms) = (model.now(), model.wall_ms());
+    model.worker_mut(busy.as_str()).restart(now, wall_ms);
+    model.run_for(1_500);
+    let claimed_at = model.now();
+
+    model.take_over();
+    let started_at = nth_start(&mut model, 2);
+
+    let latest = claimed_at + Span(START_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_handover_while_a_task_is_being_placed_neither_loses_it_nor_runs_it_twice() {
+    for offset_ms in 0..120 {
+        let mut model = new_model(3);
+        model.run_for(OWNER_TTL.0);
+        let token = model.submit(JOB, &queue(), long_running_job(2, 1));
+        model.run_for(offset_ms);
+
+        model.hand_over();
+        let is_accepted = model.answer(token).is_some();
+        model.take_over();
+        model.run_for(START_MS);
+        let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) > 0).count();
+        model.run_for(10_000);
+
+        assert!(!is_accepted || started == 2, "{started} started, handed over at {offset_ms} ms");
+        assert_eq!(model.violations(), [] as [&str; 0]);
+    }
+}
+
+#[test]
+fn a_task_that_fails_while_the_store_is_away_starts_again() {
+    let mut model = model_with_one_task(3);
+    let busy = busy_worker(&model);
+    model.set_store_available(false);
+    model.run_for(200);
+    let now = model.now();
+
+    model.worker_mut(busy.as_str()).fail_endless_runs(now);
+    let started_at = nth_start(&mut model, 2);
+
+    let latest = now + Span(START_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod faults;
 mod fixtures;
+mod long_running;
 mod random;
 mod takeover;
 mod turns;
--- a/crates/standins/tests/cells/random.rs
+++ b/crates/standins/tests/cells/random.rs
@@ -1,14 +1,18 @@
-//! A property test: under any sequence of faults, no task runs twice at the same time and no
-//! accepted job is lost.
+//! A property test: under any sequence of faults, no task runs twice at the same time, no accepted
+//! job is lost, and long-running tasks run again in the end.
 
 use proptest::prelude::*;
 use teaselgap_core::job::{JobEnd, JobId, JobState};
 use teaselgap_standins::model::{Model, WorkerFaults};
 
-use crate::fixtures::{job_spec, new_model, queue, state, step};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
 
 const WORKERS: usize = 3;
 
+const LONG_RUNNING_JOB: JobId = JobId(1_000);
+
+const LONG_RUNNING_TASKS: u32 = 4;
+
 /// A fault or a planned event, injected between two submissions.
 #[derive(Clone, Debug)]
 enum Fault {
@@ -29,6 +33,10 @@
     WorkerRestart {
         worker: usize,
     },
+    /// All long-running tasks on the worker fail.
+    LongRunningFailures {
+        worker: usize,
+    },
     /// Start orders to the worker arrive late, or their answers are lost.
     FaultyOrders {
         worker: usize,
@@ -52,6 +60,7 @@
         (worker.clone(), 500_u64..9_000).prop_map(|(worker, ms)| Fault::Partition { worker, ms }),
         (worker.clone(), 500_u64..9_000).prop_map(|(worker, ms)| Fault::Unreachable { worker, ms }),
         worker.clone().prop_map(|worker| Fault::WorkerRestart { worker }),
+        worker.clone().prop_map(|worker| Fault::LongRunningFailures { worker }),
         (worker, 0_u32..3, 0_u32..3, 1_000_u64..9_000).prop_map(
             |(worker, lost_answers, late_orders, late_ms)| {
                 Fault::FaultyOrders { worker, lost_answers, late_orders, late_ms }
@@ -83,6 +92,10 @@
             let (now, wall_ms) = (model.now(), model.wall_ms());
             model.worker_mut(&worker_id(worker)).restart(now, wall_ms);
         }
+        Fault::LongRunningFailures { worker } => {
+            let now = model.now();
+            model.worker_mut(&worker_id(worker)).fail_endless_runs(now);
+        }
         Fault::FaultyOrders { worker, lost_answers, late_orders, late_ms } => {
             let faults = WorkerFaults {
                 lost_answers: *lost_answers,
@@ -111,6 +124,8 @@
     ) {
         let mut model = new_model(WORKERS);
         let mut accepted = Vec::new();
+        let long_running = long_running_job(LONG_RUNNING_TASKS, 1);
+        let long_running = model.submit(LONG_RUNNING_JOB, &queue(), long_running);
         for (number, (fault, pause)) in (1..).zip(&faults) {
             let id = JobId(number);
             let token = model.submit(
@@ -131,5 +146,11 @@
         for id in accepted {
             prop_assert_eq!(state(&model, id), Some(JobState::Ended(JobEnd::Succeeded)));
         }
+        let is_running = |index| {
+            let task = task_id(LONG_RUNNING_JOB, index);
+            model.workers().any(|worker| worker.is_running(task))
+        };
+        let lost = (0..LONG_RUNNING_TASKS).filter(|&index| !is_running(index)).count();
+        prop_assert!(model.answer(long_running).is_none() || lost == 0, "{} lost", lost);
     }
 }
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -3,17 +3,14 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Span, Timestamp,
-    job::{DrainMode, JobId, Step, WorkerId},
+    job::{DrainMode, JobId, Step},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{idle_worker, job_spec, new_model, partition, queue, step, task_id};
 
 const JOB: JobId = JobId(7);
 
-/// A duration that exceeds every timeout of the model, in milliseconds.
-const FOREVER_MS: u64 = 600_000;
-
 /// Time within which an owner plans after the last thing that it waits for, in milliseconds.
 const PLAN_DELAY_MS: u64 = 300;
 
@@ -22,17 +19,6 @@
     Span(cell_config().lease.0 * 103 / 100)
 }
 
-/// Returns a worker without runs.
-fn idle_worker(model: &Model) -> WorkerId {
-    let idle = model.workers().find(|worker| worker.run_count() == 0);
-    idle.expect("a worker without runs").entry.id.clone()
-}
-
-fn partition(model: &mut Model, worker: &WorkerId) {
-    let now = model.now();
-    model.worker_mut(worker.as_str()).partition_for(now, FOREVER_MS);
-}
-
 /// Creates a model with a job of two steps. The task of the second step may start 1,200 ms later;
 /// until then one worker has no runs and is partitioned. Owners before the model's first one give
 /// no more orders.
