Failing tests of the size of a cell's log

The model's store keeps segments as bytes and refuses one above the largest value, as the platform's store does. Nothing removes old segments, and a write is bounded by its number of records alone:

- the_log_stays_bounded_while_jobs_come_and_go: the log grows beyond twice what is live.
- a_segment_never_exceeds_the_largest_value_of_the_store: 'segment 1 is too large', and no client is answered.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -6,6 +6,7 @@
 //! guarantees, above all a task that runs twice at the same time. A day of load takes milliseconds.
 
 mod control;
+mod log;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,7 +21,10 @@
     },
 };
 
-pub use self::worker::{ModelWorker, TaskTime};
+pub use self::{
+    log::MAX_VALUE_BYTES,
+    worker::{ModelWorker, TaskTime},
+};
 
 /// One-way latency of a message, in milliseconds.
 const LATENCY_MS: u64 = 1;
@@ -132,7 +136,7 @@
     faults: IndexMap<WorkerId, WorkerFaults>,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
-    log: BTreeMap<Sequence, Segment>,
+    log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
     is_handing_over: bool,
@@ -189,7 +193,7 @@
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
-            log: BTreeMap::new(),
+            log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
             pending_write: None,
@@ -313,14 +317,24 @@
         if self.is_store_available
             && let Some((epoch, sequence, segment)) = self.pending_write.take()
         {
-            self.log.insert(sequence, segment);
-            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            self.write_segment(epoch, sequence, segment);
         }
         for action in actions {
             self.perform(action);
         }
     }
 
+    /// Writes a segment to the store. The owner repeats a write that the store refuses.
+    fn write_segment(&mut self, epoch: Epoch, sequence: Sequence, segment: Segment) {
+        let value = serde_json::to_vec(&segment).expect("a segment is valid JSON");
+        if self.log.write(sequence, value) {
+            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+        } else {
+            self.violations.push(format!("{} segment {sequence} is too large", self.now));
+            self.pending_write = Some((epoch, sequence, segment));
+        }
+    }
+
     fn send(&mut self, delay_ms: u64, delivery: Delivery) {
         self.next_delivery += 1;
         self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -3,7 +3,7 @@
 use super::{Model, ModelWorker, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span,
-    job::{Answer, Cell, JobId, JobSpec, RecoveredLog, Token},
+    job::{Answer, Cell, JobId, JobSpec, Token},
 };
 
 impl Model {
@@ -57,6 +57,18 @@
         self.is_store_available = is_available;
     }
 
+    /// Returns the size of the log in the store, in bytes.
+    #[must_use]
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Returns the size of the largest segment that the store has accepted, in bytes.
+    #[must_use]
+    pub fn largest_segment_bytes(&self) -> usize {
+        self.log.largest_segment_bytes()
+    }
+
     /// Ends the owner without a handover.
     pub fn kill_owner(&mut self) {
         self.cell = None;
@@ -79,10 +91,7 @@
     /// Begins the term of a new owner, which recovers the cell from the log in the store.
     pub fn take_over(&mut self) {
         self.epoch = Epoch(self.epoch.0 + 1);
-        let recovered = RecoveredLog {
-            next: self.log.keys().next_back().map_or(0, |last| last + 1),
-            segments: self.log.values().cloned().collect(),
-        };
+        let recovered = self.log.recover();
         let service_and_epoch = (self.service.clone(), self.epoch);
         let mut cell =
             Cell::new(self.cfg, service_and_epoch, recovered, (self.now, self.wall_ms()));
--- /dev/null
+++ b/crates/standins/src/model/log.rs
@@ -0,0 +1,47 @@
+//! The segments of a cell's log in the model's store.
+
+use std::collections::BTreeMap;
+
+use teaselgap_core::job::{RecoveredLog, Segment, Sequence};
+
+/// Maximum size of a value in the store, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// The store's part that holds the log, with each segment as the store would hold it.
+#[derive(Debug, Default)]
+pub(super) struct LogStore {
+    segments: BTreeMap<Sequence, Vec<u8>>,
+    largest_segment_bytes: usize,
+}
+
+impl LogStore {
+    /// Stores a segment and returns true, or refuses it if its value is too large.
+    pub(super) fn write(&mut self, sequence: Sequence, value: Vec<u8>) -> bool {
+        if value.len() > MAX_VALUE_BYTES {
+            return false;
+        }
+        self.largest_segment_bytes = self.largest_segment_bytes.max(value.len());
+        self.segments.insert(sequence, value);
+        true
+    }
+
+    /// Returns the contents of the log, as a new owner reads it.
+    pub(super) fn recover(&self) -> RecoveredLog {
+        let segment = |value: &Vec<u8>| -> Segment {
+            serde_json::from_slice(value).expect("a segment that an owner wrote")
+        };
+        RecoveredLog {
+            next: self.segments.keys().next_back().map_or(0, |last| last + 1),
+            segments: self.segments.values().map(segment).collect(),
+        }
+    }
+
+    /// Returns the total size of all segments.
+    pub(super) fn bytes(&self) -> usize {
+        self.segments.values().map(Vec::len).sum()
+    }
+
+    pub(super) fn largest_segment_bytes(&self) -> usize {
+        self.largest_segment_bytes
+    }
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod fixtures;
+mod log;
 mod random;
 mod turns;
