Clean the log of a cell

What callers saw: after its owner was lost, a cell stood still for seconds, because the next owner read some 8 MB of log after 15 s of a burst.

Cause: no segment was ever deleted, so the log held every job and every end since the cell began.

Change: the owner knows which live things (jobs within retention, used workers) need which record of the log. The deletion is part of the transaction that makes the last copy durable, so at each moment the log holds the whole state. Finished names the queue and is enough by itself, so an ended job costs one small record and no copy of its spec. The store side of the log is in log_store.rs; 'cell recovered' tells the bytes read. A segment that can't be read keeps its number taken.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -4,6 +4,7 @@
 //! [`Action`]s and log writes that the cell returns.
 
 mod advise;
+mod clean;
 mod ends;
 mod load;
 mod orders;
@@ -20,8 +21,8 @@
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
 use super::{
-    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWriter,
-    Position, Record, Segment, Sequence, Token, WorkerId,
+    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWrite,
+    LogWriter, Position, Record, Sequence, Token, WorkerId,
     pace::PaceTable,
     task::Job,
     times::{self, ExpectedTimes},
@@ -88,6 +89,9 @@
     jobs: IndexMap<JobId, Job>,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
+    live: clean::LiveIndex,
+    /// Whether the handover was recorded, after which the owner sends no more orders.
+    is_handed_over: bool,
     deferred_effects: VecDeque<(Position, DeferredEffect)>,
     actions: Vec<Action>,
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
@@ -147,7 +151,8 @@
     }
 
     /// Takes the next write of the log, if one is due.
-    pub fn take_write(&mut self, now: Timestamp) -> Option<(Sequence, Segment)> {
+    pub fn take_write(&mut self, now: Timestamp) -> Option<LogWrite> {
+        self.clean_log(now);
         self.log.take_write(now)
     }
 
@@ -217,11 +222,6 @@
         }
     }
 
-    fn record(&mut self, record: Record, now: Timestamp, effect: Option<DeferredEffect>) {
-        let position = self.log.append(record, now);
-        self.deferred_effects.extend(effect.map(|effect| (position, effect)));
-    }
-
     /// Applies an effect once every record appended so far is durable, which may be at once.
     fn defer_until_durable(&mut self, effect: DeferredEffect, now: Timestamp) {
         if self.log.is_idle() {
@@ -274,7 +274,7 @@
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
-        self.jobs.insert(id, Job::new(queue, spec, wall_ms, now));
+        self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, now));
         self.record(record, now, Some(DeferredEffect::JobDurable(id)));
         self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
     }
@@ -324,14 +324,11 @@
         job.ended = now;
         let after = now.since(job.arrived);
         // Computed from the arrival's wall-clock time, so that the wall clock is not needed here.
-        let wall_ms = job.arrived_wall_ms + after.0;
+        job.ended_wall_ms = job.arrived_wall_ms + after.0;
+        let record = clean::finished_record(id, job, end);
         let tasks = job.task_ids(id);
         self.actions.push(Action::Log(LogEvent::Finished { job: id, end, after }));
-        self.record(
-            Record::Finished { job: id, end, wall_ms },
-            now,
-            Some(DeferredEffect::EndDurable(id)),
-        );
+        self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
             self.stop_task(task, "job ended", now);
         }
@@ -369,7 +366,14 @@
         let retention = self.cfg.status_retention;
         let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
         if self.jobs.values().any(is_expired) {
-            self.jobs.retain(|_, job| !is_expired(job));
+            let live = &mut self.live;
+            self.jobs.retain(|id, job| {
+                let expired = is_expired(job);
+                if expired {
+                    live.remove(&clean::LiveKey::Job(*id));
+                }
+                !expired
+            });
         }
     }
 }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -2,15 +2,18 @@
 //! Until each inherited worker, one that earlier owners used, is adopted or its leases have
 //! expired, it may still run tasks, and inherited jobs are not planned.
 
+use std::sync::Arc;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
     super::{
-        JobEnd, JobId, LogWriter, Record, Segment, Sequence, UnsettledWorker, WorkerId, task::Job,
+        JobEnd, JobId, JobSpec, LogWriter, Position, Record, Sequence, StoredSegment, TaskId,
+        TaskSnapshot, UnsettledWorker, WorkerId, record::EncodedRecord, task::Job,
     },
     Cell, CellConfig,
 };
-use crate::{Epoch, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
+use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
 /// The contents of a cell's log.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -18,7 +21,7 @@
     /// The first free sequence number.
     pub next: Sequence,
     /// The segments, the oldest first.
-    pub segments: Vec<Segment>,
+    pub segments: Vec<StoredSegment>,
 }
 
 /// How long a lease can last by this node's clock, in percent of its nominal duration, because the
@@ -31,7 +34,7 @@
 
 /// The workers that the previous owner listed in its handover; `None` if its term did not end by
 /// handover. Run ends may follow the handover in the log, but no orders.
-fn find_handover(segments: &[Segment]) -> Option<Vec<UnsettledWorker>> {
+fn find_handover(segments: &[StoredSegment]) -> Option<Vec<UnsettledWorker>> {
     let last = segments.last()?.epoch;
     let term = segments.iter().rev().take_while(|segment| segment.epoch == last);
     term.flat_map(|segment| &segment.records).find_map(|record| match record {
@@ -40,6 +43,51 @@
     })
 }
 
+/// Converts a time in milliseconds since the Unix epoch to this node's clock.
+fn timestamp_of(wall_ms: u64, (now, wall_now_ms): (Timestamp, u64)) -> Timestamp {
+    let age = wall_now_ms.saturating_sub(wall_ms);
+    Timestamp(now.0.saturating_sub(age))
+}
+
+/// Creates a job of an earlier term that arrived at `wall_ms`.
+fn inherited_job(queue: &QueueId, spec: Arc<JobSpec>, wall_ms: u64, time: (Timestamp, u64)) -> Job {
+    let mut job = Job::new(queue.clone(), spec, wall_ms, timestamp_of(wall_ms, time));
+    job.is_durable = true;
+    job.is_inherited = true;
+    job
+}
+
+/// Applies a [`Record::Job`] to a job that has been created from it or from earlier records.
+fn replay_job(job: &mut Job, record: &Record) {
+    let Record::Job { has_started, due_occurrences, open_occurrences, .. } = record else {
+        return;
+    };
+    job.has_started |= has_started;
+    job.add_occurrences(*due_occurrences);
+    let is_done = |number: u32| number < *due_occurrences && !open_occurrences.contains(&number);
+    for occurrence in &mut job.occurrences {
+        if is_done(occurrence.number) {
+            occurrence.mark_done();
+        }
+    }
+}
+
+/// Applies a [`Record::Tasks`] of the step whose first task is `first`.
+fn replay_tasks(job: &mut Job, first: TaskId, (done, open): (&[u32], &[TaskSnapshot])) {
+    for &index in done {
+        job.mark_done(TaskId { index, ..first });
+    }
+    for snapshot in open {
+        let Some(task) = job.task_mut(TaskId { index: snapshot.index, ..first }) else {
+            continue;
+        };
+        task.attempt = snapshot.attempt;
+        task.failures = snapshot.failures;
+        task.failed_attempts.clone_from(&snapshot.failed_attempts);
+        task.checkpoint.clone_from(&snapshot.checkpoint);
+    }
+}
+
 impl Cell {
     /// Creates the cell at the start of its owner's term.
     #[must_use]
@@ -57,7 +105,9 @@
             queues: IndexMap::new(),
             jobs: IndexMap::new(),
             workers: IndexMap::new(),
-            log: LogWriter::new(cfg.log, epoch, recovered.next),
+            log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
+            live: super::clean::LiveIndex::default(),
+            is_handed_over: false,
             deferred_effects: std::collections::VecDeque::new(),
             actions: Vec::new(),
             inherited_workers: IndexMap::new(),
@@ -75,10 +125,11 @@
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
         let mut used_workers = IndexSet::new();
-        for segment in recovered.segments {
-            for record in segment.records {
-                cell.replay(record, &mut used_workers, (now, wall_ms));
-            }
+        let records = recovered.segments.into_iter().flat_map(|segment| segment.records);
+        for (position, record) in (1..).map(Position).zip(records) {
+            let bytes = EncodedRecord::new(&record).len();
+            cell.replay(&record, &mut used_workers, (now, wall_ms));
+            cell.track_record(&record, position, bytes);
         }
         // Without a handover the previous owner may still give orders for `owner_ttl`.
         let latest_possible_order = if handed_over.is_some() { now } else { now + cfg.owner_ttl };
@@ -138,30 +189,43 @@
         let inherited = inherited.filter(|(id, _)| !has_runs(id));
         let pending = own.chain(inherited).map(pending).collect();
         self.record(Record::HandedOver { pending }, now, None);
+        self.is_handed_over = true;
     }
 
     fn replay(
         &mut self,
-        record: Record,
+        record: &Record,
         used_workers: &mut IndexSet<WorkerId>,
-        (now, wall_now_ms): (Timestamp, u64),
+        time: (Timestamp, u64),
     ) {
         match record {
             Record::Accepted { job: id, queue, spec, wall_ms } => {
-                let age = wall_now_ms.saturating_sub(wall_ms);
-                let arrived = Timestamp(now.0.saturating_sub(age));
-                let mut job = Job::new(queue, spec, wall_ms, arrived);
-                job.is_durable = true;
-                job.is_inherited = true;
-                job.add_due_occurrences(wall_now_ms);
-                self.jobs.insert(id, job);
+                let mut job = inherited_job(queue, spec.clone().into(), *wall_ms, time);
+                job.add_due_occurrences(time.1);
+                self.jobs.insert(*id, job);
             }
-            Record::Finished { job: id, end, wall_ms } => {
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.end = Some(end);
+            Record::Job { job: id, queue, spec, wall_ms, .. } => {
+                let new = || inherited_job(queue, Arc::clone(spec), *wall_ms, time);
+                let job = self.jobs.entry(*id).or_insert_with(new);
+                replay_job(job, record);
+                job.add_due_occurrences(time.1);
+            }
+            Record::Tasks { job: id, occurrence, step, done, open } => {
+                let first = TaskId { job: *id, occurrence: *occurrence, step: *step, index: 0 };
+                if let Some(job) = self.jobs.get_mut(id) {
+                    replay_tasks(job, first, (done, open));
+                }
+            }
+            Record::Finished { job: id, queue, end, wall_ms } => {
+                if let Some(queue) = queue {
+                    let new = || inherited_job(queue, Arc::default(), *wall_ms, time);
+                    self.jobs.entry(*id).or_insert_with(new);
+                }
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.end = Some(*end);
                     job.is_end_durable = true;
-                    let age = wall_now_ms.saturating_sub(wall_ms);
-                    job.ended = Timestamp(now.0.saturating_sub(age));
+                    job.ended = timestamp_of(*wall_ms, time);
+                    job.ended_wall_ms = *wall_ms;
                 }
             }
             Record::Ended { task, attempt, how, checkpoint } => {
@@ -169,16 +233,14 @@
                     return;
                 };
                 job.has_started = true;
-                while job.due_occurrences <= task.occurrence {
-                    job.add_due_occurrences(job.due_wall_ms(job.due_occurrences));
-                }
-                Self::apply_end(job, (task, attempt), how, checkpoint.as_deref());
+                job.add_occurrences(task.occurrence.saturating_add(1));
+                Self::apply_end(job, (*task, *attempt), *how, checkpoint.as_deref());
             }
             Record::WorkerUsed { worker } => {
-                used_workers.insert(worker);
+                used_workers.insert(worker.clone());
             }
             Record::WorkerGone { worker } => {
-                used_workers.shift_remove(&worker);
+                used_workers.shift_remove(worker);
             }
             Record::HandedOver { .. } => {}
         }
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -1,8 +1,10 @@
 //! The records of a cell's log, in their stored form.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
-use super::{JobId, JobSpec, TaskId, WorkerId};
+use super::{JobId, JobSpec, Sequence, TaskId, WorkerId};
 use crate::{Epoch, QueueId};
 
 /// How a run of a task ended.
@@ -44,6 +46,29 @@
     pub lapse_wall_ms: u64,
 }
 
+/// The state of a task that is not done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSnapshot {
+    /// The index of the task in its step.
+    pub index: u32,
+    /// The highest attempt so far.
+    pub attempt: u32,
+    /// How many attempts have failed.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// The attempts that failed, as far as they are remembered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_attempts: Vec<u32>,
+    /// The last checkpoint, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Arc<str>>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 /// A record of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -59,10 +84,14 @@
         /// When it arrived, in milliseconds since the Unix epoch.
         wall_ms: u64,
     },
-    /// A job ended; the state of its tasks is no longer needed.
+    /// A job ended; what earlier records say about it is no longer needed.
     Finished {
         /// The job.
         job: JobId,
+        /// The queue that it was submitted to. A record without it belongs to a job of an earlier
+        /// record.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        queue: Option<QueueId>,
         /// How it ended.
         end: JobEnd,
         /// When it ended, in milliseconds since the Unix epoch.
@@ -80,6 +109,39 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         checkpoint: Option<String>,
     },
+    /// The state of a job that has not ended, without its tasks.
+    ///
+    /// Together with the [`Record::Tasks`] that follow, it contains all that earlier records say
+    /// about the job.
+    Job {
+        /// The job.
+        job: JobId,
+        /// The queue that it was submitted to.
+        queue: QueueId,
+        /// Its specification.
+        spec: Arc<JobSpec>,
+        /// When it arrived, in milliseconds since the Unix epoch.
+        wall_ms: u64,
+        /// Whether any of its tasks has started.
+        has_started: bool,
+        /// How many occurrences have fallen due.
+        due_occurrences: u32,
+        /// The occurrences among them that are not done.
+        open_occurrences: Vec<u32>,
+    },
+    /// The state of tasks of one step; tasks that were never ordered may be left out.
+    Tasks {
+        /// The job.
+        job: JobId,
+        /// The number of the occurrence.
+        occurrence: u32,
+        /// The index of the step in the job.
+        step: u32,
+        /// The indices of tasks that are done.
+        done: Vec<u32>,
+        /// Tasks that are not done.
+        open: Vec<TaskSnapshot>,
+    },
     /// From now on, the owner may send orders to this worker.
     WorkerUsed {
         /// The worker.
@@ -98,11 +160,68 @@
     },
 }
 
-/// The records of one write to the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Segment {
+/// A record in its stored form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct EncodedRecord(Vec<u8>);
+
+impl EncodedRecord {
+    pub(super) fn new(record: &Record) -> Self {
+        // Serialisation can't fail: records hold only values that JSON can represent.
+        Self(serde_json::to_vec(record).unwrap_or_default())
+    }
+
+    /// Returns the size in bytes.
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// The records of one write to the log, in the order in which they were appended.
+#[derive(Deserialize)]
+struct Segment {
+    epoch: Epoch,
+    records: Vec<Record>,
+}
+
+/// The size of a segment without records, whatever its epoch.
+pub(super) const EMPTY_SEGMENT_BYTES: usize = 64;
+
+/// Returns the stored form of a segment, which [`StoredSegment::decode`] reads.
+pub(super) fn encode_segment(epoch: Epoch, records: &[EncodedRecord]) -> Vec<u8> {
+    let records_bytes: usize = records.iter().map(|record| record.len() + 1).sum();
+    let mut buf = Vec::with_capacity(EMPTY_SEGMENT_BYTES + records_bytes);
+    buf.extend_from_slice(format!("{{\"epoch\":{},\"records\":[", epoch.0).as_bytes());
+    for (index, record) in records.iter().enumerate() {
+        if index > 0 {
+            buf.push(b',');
+        }
+        buf.extend_from_slice(&record.0);
+    }
+    buf.extend_from_slice(b"]}");
+    buf
+}
+
+/// A segment of the log: the records of one write, as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredSegment {
+    /// Its sequence number.
+    pub sequence: Sequence,
+    /// Its size in the store.
+    pub bytes: usize,
     /// The epoch of the term in which it was written.
     pub epoch: Epoch,
     /// The records, in the order in which they were appended.
     pub records: Vec<Record>,
 }
+
+impl StoredSegment {
+    /// Parses a segment from its value in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a valid segment.
+    pub fn decode(sequence: Sequence, value: &[u8]) -> Result<Self, serde_json::Error> {
+        let Segment { epoch, records } = serde_json::from_slice(value)?;
+        Ok(Self { sequence, bytes: value.len(), epoch, records })
+    }
+}
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -147,7 +147,7 @@
 
 /// The specification of a job.
 #[skip_serializing_none]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// Text that is sent to the worker with each start order.
     pub payload: String,
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -28,6 +28,13 @@
     pub(super) unavailable_since: Option<Timestamp>,
 }
 
+impl Task {
+    fn mark_done(&mut self) {
+        self.is_done = true;
+        self.checkpoint = None;
+    }
+}
+
 /// The state of a step in one occurrence.
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
@@ -58,6 +65,13 @@
         Self { number, steps: spec.steps.iter().map(|spec| step(spec.count)).collect() }
     }
 
+    pub(super) fn mark_done(&mut self) {
+        for step in &mut self.steps {
+            step.open_tasks = 0;
+            step.tasks.iter_mut().for_each(Task::mark_done);
+        }
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.open_tasks == 0)
     }
@@ -101,15 +115,22 @@
     pub(super) is_end_durable: bool,
     /// When the job ended, on this node's clock; meaningful only if `end` is set.
     pub(super) ended: Timestamp,
+    /// The same in milliseconds since the Unix epoch.
+    pub(super) ended_wall_ms: u64,
     /// Workers on which any of its tasks has failed.
     pub(super) failed_workers: IndexSet<WorkerId>,
 }
 
 impl Job {
-    pub(super) fn new(queue: QueueId, spec: JobSpec, wall_ms: u64, arrived: Timestamp) -> Self {
+    pub(super) fn new(
+        queue: QueueId,
+        spec: Arc<JobSpec>,
+        wall_ms: u64,
+        arrived: Timestamp,
+    ) -> Self {
         Self {
             queue,
-            spec: Arc::new(spec),
+            spec,
             arrived_wall_ms: wall_ms,
             arrived,
             is_durable: false,
@@ -120,6 +141,7 @@
             end: None,
             is_end_durable: false,
             ended: Timestamp(0),
+            ended_wall_ms: 0,
             failed_workers: IndexSet::new(),
         }
     }
@@ -134,6 +156,15 @@
         }
     }
 
+    /// Adds the first `count` occurrences as far as they are missing.
+    pub(super) fn add_occurrences(&mut self, count: u32) {
+        let count = count.min(self.spec.occurrences());
+        while self.due_occurrences < count {
+            self.occurrences.push(Occurrence::new(self.due_occurrences, &self.spec));
+            self.due_occurrences += 1;
+        }
+    }
+
     /// Returns when an occurrence is due, in milliseconds since the Unix epoch; zero without a
     /// schedule.
     pub(super) fn due_wall_ms(&self, occurrence: u32) -> u64 {
@@ -176,8 +207,7 @@
         };
         match step.tasks.get_mut(id.index as usize) {
             Some(task) if !task.is_done => {
-                task.is_done = true;
-                task.checkpoint = None;
+                task.mark_done();
                 step.open_tasks -= 1;
                 true
             }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -16,7 +16,7 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, HoldReport,
-        LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome, TaskId,
+        LogConfig, LogEvent, LogWrite, QueueConfig, Sequence, StartOrder, StartOutcome, TaskId,
         Token, WorkerEntry, WorkerId,
     },
 };
@@ -141,7 +141,7 @@
     /// During a handover the owner sends no more calls and only finishes writing its log.
     is_handing_over: bool,
     /// A write that the store has not accepted yet.
-    pending_write: Option<(Epoch, Sequence, Segment)>,
+    pending_write: Option<(Epoch, LogWrite)>,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
     next_token: u64,
@@ -308,16 +308,16 @@
         }
         if self.pending_write.is_none() {
             let write = cell.take_write(now);
-            self.pending_write = write.map(|(sequence, segment)| (self.epoch, sequence, segment));
+            self.pending_write = write.map(|write| (self.epoch, write));
         }
         let mut actions = cell.take_actions();
         if self.is_handing_over {
             actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
         }
         if self.is_store_available
-            && let Some((epoch, sequence, segment)) = self.pending_write.take()
+            && let Some((epoch, write)) = self.pending_write.take()
         {
-            self.write_segment(epoch, sequence, segment);
+            self.write_segment(epoch, write);
         }
         for action in actions {
             self.perform(action);
@@ -325,13 +325,13 @@
     }
 
     /// Writes a segment to the store. The owner repeats a write that the store refuses.
-    fn write_segment(&mut self, epoch: Epoch, sequence: Sequence, segment: Segment) {
-        let value = serde_json::to_vec(&segment).expect("a segment is valid JSON");
-        if self.log.write(sequence, value) {
+    fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
+        let sequence = write.sequence;
+        if self.log.write(&write) {
             self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
         } else {
             self.violations.push(format!("{} segment {sequence} is too large", self.now));
-            self.pending_write = Some((epoch, sequence, segment));
+            self.pending_write = Some((epoch, write));
         }
     }
 
--- a/crates/standins/src/model/log.rs
+++ b/crates/standins/src/model/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use teaselgap_core::job::{RecoveredLog, Segment, Sequence};
+use teaselgap_core::job::{LogWrite, RecoveredLog, Sequence, StoredSegment};
 
 /// Maximum size of a value in the store, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -15,24 +15,28 @@
 }
 
 impl LogStore {
-    /// Stores a segment and returns true, or refuses it if its value is too large.
-    pub(super) fn write(&mut self, sequence: Sequence, value: Vec<u8>) -> bool {
-        if value.len() > MAX_VALUE_BYTES {
+    /// Applies a write and returns true, or refuses it if its value is too large.
+    pub(super) fn write(&mut self, write: &LogWrite) -> bool {
+        let bytes = write.value.len();
+        if bytes > MAX_VALUE_BYTES {
             return false;
         }
-        self.largest_segment_bytes = self.largest_segment_bytes.max(value.len());
-        self.segments.insert(sequence, value);
+        self.largest_segment_bytes = self.largest_segment_bytes.max(bytes);
+        self.segments.insert(write.sequence, write.value.clone());
+        for sequence in &write.deletes {
+            self.segments.remove(sequence);
+        }
         true
     }
 
     /// Returns the contents of the log, as a new owner reads it.
     pub(super) fn recover(&self) -> RecoveredLog {
-        let segment = |value: &Vec<u8>| -> Segment {
-            serde_json::from_slice(value).expect("a segment that an owner wrote")
+        let segment = |(&sequence, value): (&Sequence, &Vec<u8>)| {
+            StoredSegment::decode(sequence, value).expect("a segment that an owner wrote")
         };
         RecoveredLog {
             next: self.segments.keys().next_back().map_or(0, |last| last + 1),
-            segments: self.segments.values().map(segment).collect(),
+            segments: self.segments.iter().map(segment).collect(),
         }
     }
 
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -1,4 +1,4 @@
-//! The owner of a cell: reads and writes the cell's log, calls its workers and answers requests.
+//! The owner of a cell: has the cell's log written, calls its workers and answers requests.
 
 use std::{
     cell::{Cell as StdCell, RefCell},
@@ -11,8 +11,8 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, RecoveredLog,
-        Segment, Sequence, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, TaskId, Token,
+        WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -20,13 +20,13 @@
     client::CallError,
     config::Config,
     settings::Bounds,
-    store::{Expected, Outcome, Put, StoreError, Transaction},
     worker::{HoldError, Target, WorkerClient},
 };
 use tokio::sync::{Notify, oneshot};
 
 use super::{
     ask::{CellRequest, Operation, Reply},
+    log_store::{LogStore, WriteError},
     node::Node,
     note,
     peer::CellReport,
@@ -34,15 +34,9 @@
 };
 use crate::clock;
 
-/// The prefix of the store keys that hold the logs of all cells.
-const LOG_PREFIX: &str = "teaselgap/log/";
-
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The pause before a failed call to the store is retried.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-
 /// How long a write to the store may be pending before the cell refuses new jobs at once.
 const STALLED_WRITE_TIMEOUT: Span = Span(400);
 
@@ -63,6 +57,7 @@
     node: Rc<Node>,
     service: ServiceId,
     epoch: Epoch,
+    log_store: LogStore,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
@@ -96,6 +91,7 @@
         node: Rc::clone(node),
         service: service.clone(),
         epoch,
+        log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
@@ -140,14 +136,6 @@
         self.wake.notify_one();
     }
 
-    fn log_prefix(&self) -> String {
-        format!("{LOG_PREFIX}{}/", self.service)
-    }
-
-    fn segment_key(&self, sequence: Sequence) -> String {
-        format!("{}{sequence:016x}", self.log_prefix())
-    }
-
     /// Calls `f` on the cell and wakes the loop that executes the resulting actions. Returns `None`
     /// without calling `f` before the log has been read and once the term has ended.
     fn with_cell<T>(&self, f: impl FnOnce(&mut Cell) -> T) -> Option<T> {
@@ -161,10 +149,11 @@
 
     async fn run(self: Rc<Self>) {
         let started = clock::now();
-        let Some(recovered) = self.read_log().await else {
+        let Some(recovered) = self.log_store.read(&self.is_term_over).await else {
             return;
         };
         let segments = recovered.segments.len();
+        let bytes: usize = recovered.segments.iter().map(|segment| segment.bytes).sum();
         let time = (clock::now(), clock::wall_ms());
         let cfg = cell_config(&self.node);
         let mut cell = Cell::new(cfg, (self.service.clone(), self.epoch), recovered, time);
@@ -176,7 +165,7 @@
             self.set_queues(&config);
         }
         info!(self.node.log, "cell recovered"; "cell" => %self.service, "epoch" => self.epoch.0,
-            "segments" => segments, "took_ms" => clock::now().since(started).0);
+            "segments" => segments, "bytes" => bytes, "took_ms" => clock::now().since(started).0);
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
         while !self.is_term_over.get() {
@@ -185,39 +174,6 @@
         }
     }
 
-    /// Reads the whole log. Returns `None` if the term ends first.
-    async fn read_log(&self) -> Option<RecoveredLog> {
-        loop {
-            if self.is_term_over.get() {
-                return None;
-            }
-            match self.node.store.range(&self.log_prefix(), false).await {
-                Ok(range) => return Some(self.parse_log(&range.items)),
-                Err(err) => {
-                    warn!(self.node.log, "failed to read the log"; "cell" => %self.service,
-                        "error" => %err);
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn parse_log(&self, items: &[teaselgap_platform::store::Item]) -> RecoveredLog {
-        let mut recovered = RecoveredLog::default();
-        for item in items {
-            let suffix = item.key.rsplit('/').next().unwrap_or_default();
-            let sequence = Sequence::from_str_radix(suffix, 16);
-            match (sequence, serde_json::from_slice::<Segment>(&item.value)) {
-                (Ok(sequence), Ok(segment)) => {
-                    recovered.next = recovered.next.max(sequence + 1);
-                    recovered.segments.push(segment);
-                }
-                _ => warn!(self.node.log, "skipped an unreadable segment"; "key" => &item.key),
-            }
-        }
-        recovered
-    }
-
     pub(super) fn set_queues(&self, config: &Config) {
         let queues = config.queues.clone();
         self.with_cell(|cell| cell.set_queues(queues));
@@ -433,7 +389,7 @@
                 let mut cell = self.cell.borrow_mut();
                 cell.as_mut().and_then(|cell| cell.take_write(clock::now()))
             };
-            let Some((sequence, segment)) = write else {
+            let Some(write) = write else {
                 let due_at = self.cell.borrow().as_ref().and_then(Cell::write_due);
                 let pause = due_at
                     .map_or(TICK_INTERVAL, clock::until)
@@ -442,59 +398,18 @@
                 continue;
             };
             self.writing_since.set(Some(clock::now()));
-            if !self.write_segment(sequence, &segment).await {
-                return;
-            }
-            self.writing_since.set(None);
-            self.with_cell(|cell| cell.on_segment_written(sequence, clock::now()));
-        }
-    }
-
-    /// Writes one segment, retrying until the store has it. Returns false if the term ends first.
-    async fn write_segment(self: &Rc<Self>, sequence: Sequence, segment: &Segment) -> bool {
-        let key = self.segment_key(sequence);
-        let duty = session::duty_key(&session::cell_duty(&self.service));
-        let value = match serde_json::to_vec(segment) {
-            Ok(value) => value,
-            Err(err) => {
-                warn!(self.node.log, "failed to serialize a segment"; "error" => %err);
-                self.end_term("failed to serialize a segment");
-                return false;
-            }
-        };
-        let txn = Transaction {
-            expected: vec![
-                Expected { key: duty, revision: self.epoch.0 },
-                Expected { key: key.clone(), revision: 0 },
-            ],
-            puts: vec![Put { key: key.clone(), value: value.clone(), lease: None }],
-            deletes: Vec::new(),
-        };
-        while !self.is_term_over.get() {
-            match self.node.store.transact(&txn).await {
-                Ok(Outcome::Done(_)) => return true,
-                // An earlier attempt of this write took effect although its answer was lost. Only
-                // the owner in this term can have written this value.
-                Ok(Outcome::Conflict(items))
-                    if items.iter().any(|item| item.key == key && item.value == value) =>
-                {
-                    return true;
-                }
-                Ok(Outcome::Conflict(_)) => {
-                    self.node.cell_owners.borrow_mut().retain(|_, owner| !Rc::ptr_eq(owner, self));
+            match self.log_store.write(&write, &self.is_term_over).await {
+                Ok(()) => {}
+                Err(WriteError::TermOver) => return,
+                Err(WriteError::OtherOwner) => {
+                    self.node.cell_owners.borrow_mut().retain(|_, owner| !Rc::ptr_eq(owner, &self));
                     self.end_term("another owner holds the duty or has written the segment");
-                    return false;
-                }
-                Err(err) => {
-                    self.node.shared.metrics.record_store_call("log", "failed");
-                    if !matches!(err, StoreError::Unavailable(_) | StoreError::Uncertain(_)) {
-                        warn!(self.node.log, "failed to write the log"; "error" => %err);
-                    }
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    return;
                 }
             }
+            self.writing_since.set(None);
+            self.with_cell(|cell| cell.on_segment_written(write.sequence, clock::now()));
         }
-        false
     }
 
     /// Records that the previous owner sends no more orders.
--- /dev/null
+++ b/src/jobs/log_store.rs
@@ -0,0 +1,136 @@
+//! The log of a cell in the platform's store.
+
+use std::{cell::Cell as StdCell, rc::Rc, time::Duration};
+
+use slog::warn;
+use teaselgap_core::{
+    Epoch, ServiceId,
+    job::{LogWrite, RecoveredLog, Sequence, StoredSegment},
+};
+use teaselgap_platform::store::{
+    self, Expected, Item, Outcome, Put, Range, StoreError, Transaction,
+};
+
+use super::{node::Node, session};
+
+/// The prefix of the store keys that hold the logs of all cells.
+const LOG_PREFIX: &str = "teaselgap/log/";
+
+/// The pause before a failed call to the store is retried.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a write was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WriteError {
+    /// The term ended before the store answered.
+    TermOver,
+    /// Another owner holds the duty or has written the segment.
+    OtherOwner,
+}
+
+/// The log of a cell, as its owner reads and writes it during one term.
+pub(super) struct LogStore {
+    node: Rc<Node>,
+    service: ServiceId,
+    epoch: Epoch,
+}
+
+impl LogStore {
+    pub(super) fn new(node: Rc<Node>, service: ServiceId, epoch: Epoch) -> Self {
+        Self { node, service, epoch }
+    }
+
+    fn prefix(&self) -> String {
+        format!("{LOG_PREFIX}{}/", self.service)
+    }
+
+    fn segment_key(&self, sequence: Sequence) -> String {
+        format!("{}{sequence:016x}", self.prefix())
+    }
+
+    /// Reads the whole log. Returns `None` if the term ends first.
+    ///
+    /// The pages fit together although they are no snapshot: only the owner in this term can write
+    /// to the log, and it has not begun to.
+    pub(super) async fn read(&self, is_term_over: &StdCell<bool>) -> Option<RecoveredLog> {
+        let page_timeout = store::page_timeout(self.node.settings.limits.link_mbps);
+        let prefix = self.prefix();
+        let mut range = Range::default();
+        while !is_term_over.get() {
+            match self.node.store.extend_range(&prefix, page_timeout, &mut range).await {
+                Ok(()) => return Some(self.parse(&range.items)),
+                Err(err) => {
+                    warn!(self.node.log, "failed to read the log"; "cell" => %self.service,
+                        "error" => %err, "segments_read" => range.items.len());
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        None
+    }
+
+    fn parse(&self, items: &[Item]) -> RecoveredLog {
+        let mut recovered = RecoveredLog::default();
+        for item in items {
+            self.parse_segment(item, &mut recovered);
+        }
+        recovered
+    }
+
+    fn parse_segment(&self, item: &Item, recovered: &mut RecoveredLog) {
+        let suffix = item.key.rsplit('/').next().unwrap_or_default();
+        let segment = Sequence::from_str_radix(suffix, 16).ok().and_then(|sequence| {
+            // The number is taken even if the segment is unreadable.
+            recovered.next = recovered.next.max(sequence + 1);
+            StoredSegment::decode(sequence, &item.value).ok()
+        });
+        match segment {
+            Some(segment) => recovered.segments.push(segment),
+            None => warn!(self.node.log, "skipped an unreadable segment"; "key" => &item.key),
+        }
+    }
+
+    fn transaction(&self, write: &LogWrite) -> Transaction {
+        let duty = session::duty_key(&session::cell_duty(&self.service));
+        let key = self.segment_key(write.sequence);
+        Transaction {
+            expected: vec![
+                Expected { key: duty, revision: self.epoch.0 },
+                Expected { key: key.clone(), revision: 0 },
+            ],
+            puts: vec![Put { key, value: write.value.clone(), lease: None }],
+            deletes: write.deletes.iter().map(|&sequence| self.segment_key(sequence)).collect(),
+        }
+    }
+
+    /// Executes a write, retrying until the store has it.
+    pub(super) async fn write(
+        &self,
+        write: &LogWrite,
+        is_term_over: &StdCell<bool>,
+    ) -> Result<(), WriteError> {
+        let key = self.segment_key(write.sequence);
+        let txn = self.transaction(write);
+        while !is_term_over.get() {
+            match self.node.store.transact(&txn).await {
+                Ok(Outcome::Done(_)) => return Ok(()),
+                // An earlier attempt of this write took effect although its answer was lost. Only
+                // the owner in this term can have written this value.
+                Ok(Outcome::Conflict(items))
+                    if items.iter().any(|item| item.key == key && item.value == write.value) =>
+                {
+                    return Ok(());
+                }
+                Ok(Outcome::Conflict(_)) => return Err(WriteError::OtherOwner),
+                Err(err) => {
+                    self.node.shared.metrics.record_store_call("log", "failed");
+                    if !matches!(err, StoreError::Unavailable(_) | StoreError::Uncertain(_)) {
+                        warn!(self.node.log, "failed to write the log"; "error" => %err);
+                    }
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        Err(WriteError::TermOver)
+    }
+}
