Bound a segment of the log by its size

What callers saw: nothing yet. A write took up to 1,000 records, which may be more than a value of the store holds. The store refuses such a segment each time, and the cell stands still for good.

Records are serialised once, when they are appended, which gives their exact size.

Evidence: a_segment_never_exceeds_the_largest_value_of_the_store failed before with '10330ms segment 1 is too large' and without an answer to any client, and passes.

--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -227,9 +227,15 @@
         Some(LogWrite { sequence, value, deletes })
     }
 
-    /// Returns how many of the pending records go into the next write.
+    /// Returns how many of the pending records fit into one write; at least one if there are any.
     fn batch_len(&self) -> usize {
-        self.pending.len().min(self.cfg.max_records)
+        let mut bytes = record::EMPTY_SEGMENT_BYTES;
+        let fits = |record: &&EncodedRecord| {
+            bytes += record.len() + 1;
+            bytes <= self.cfg.max_segment_bytes
+        };
+        let count = self.pending.iter().take(self.cfg.max_records).take_while(fits).count();
+        count.max(1).min(self.pending.len())
     }
 
     /// Takes the deletions that may go with a write that makes the log durable up to `last`.
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -76,12 +76,14 @@
     let Bounds { max_hold_ms, stop_ms, status_s, .. } = node.settings.bounds;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "short durations")]
     let status_retention = Span((status_s.max(0.0) * 1_000.0) as u64);
+    let defaults = LogConfig::default();
+    let max_segment_bytes = defaults.max_segment_bytes.min(node.settings.store.value_bytes);
     CellConfig {
         lease: Span((max_hold_ms * LEASE_PERCENT / 100).min(MAX_WORKER_LEASE.0)),
         owner_ttl: session::owner_ttl(node),
         stop_timeout: Span(stop_ms),
         status_retention,
-        log: LogConfig::default(),
+        log: LogConfig { max_segment_bytes, ..defaults },
     }
 }
 
