Reject a job whose specification doesn't fit into the store

Labels, racks and images of a step had no limit, so one accepted job could make a record that no value of the store can hold, and the cell would stand still. A specification above 64 KiB in its stored form is invalid.

Evidence: a_job_that_does_not_fit_into_the_store_is_invalid failed before with 'assertion failed: spec_with_label(2_000_000).validate().is_err()'.

--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -1,5 +1,8 @@
 //! The specification of a job, as a client account submits it.
 
+#[cfg(test)]
+mod tests;
+
 use std::ops::{Add, AddAssign, SubAssign};
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +13,10 @@
 /// Maximum size of a job's payload in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// Maximum size of a job's specification in its stored form, in bytes. Together with its task
+/// states it must fit into values of the store.
+const MAX_STORED_BYTES: usize = 64 * 1024;
+
 /// Maximum number of steps of a job.
 const MAX_STEPS: usize = 64;
 
@@ -200,6 +207,10 @@
         if tasks > MAX_TASKS {
             return fail(format!("steps: {tasks} tasks, over {MAX_TASKS}"));
         }
+        // Serialisation can't fail: the specification holds only values that JSON can represent.
+        if serde_json::to_vec(self).is_ok_and(|json| json.len() > MAX_STORED_BYTES) {
+            return fail(format!("over {MAX_STORED_BYTES} bytes in its stored form"));
+        }
         match self.schedule {
             Some(schedule) if schedule.occurrences == 0 => fail("schedule: 0 occurrences".into()),
             Some(schedule) if schedule.occurrences > MAX_OCCURRENCES => {
