Tests of what a new owner recovers from a cleaned log

A property test recovers a cell from a random log and from the same log after cleaning, with and without the deletion, and compares every job and worker. It found that a Finished record of an earlier version, which does not name the queue, was taken to be enough by itself: 'left' lacked the ended job of 'right'. Such a record now counts as a later record of its job.

--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -5,6 +5,9 @@
 //! segments, and deletes these segments with the write that contains the last copy. Each write
 //! carries a small part of this work, so no answer waits for it.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
@@ -19,9 +22,6 @@
 };
 use crate::Timestamp;
 
-/// The log is not cleaned below this size, in bytes.
-const MIN_LOG_BYTES: usize = 256 * 1024;
-
 /// The log is cleaned when it is larger than what is live by this factor.
 const MAX_LOG_TO_LIVE: usize = 2;
 
@@ -109,11 +109,6 @@
     fn first_until(&self, end: Position) -> Option<LiveKey> {
         self.by_position.range(..=end).next().map(|(_, key)| key.clone())
     }
-
-    /// Returns the size above which the log is cleaned.
-    fn max_log_bytes(&self) -> usize {
-        (MAX_LOG_TO_LIVE * self.bytes).max(MIN_LOG_BYTES)
-    }
 }
 
 impl Cell {
@@ -137,10 +132,12 @@
         match record {
             Record::Accepted { job, .. }
             | Record::Job { job, .. }
-            | Record::Finished { job, .. } => {
+            | Record::Finished { job, queue: Some(_), .. } => {
                 self.live.set(LiveKey::Job(*job), position, bytes);
             }
-            Record::Tasks { job, .. } => self.track_job_bytes(*job, bytes),
+            Record::Tasks { job, .. } | Record::Finished { job, queue: None, .. } => {
+                self.track_job_bytes(*job, bytes);
+            }
             Record::Ended { task, .. } => self.track_job_bytes(task.job, bytes),
             Record::WorkerUsed { worker } => {
                 self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
@@ -166,9 +163,7 @@
             return;
         }
         let mut copy_bytes = COPY_BYTES_PER_WRITE.min(self.log.room_bytes());
-        while self.log.stored_bytes() > self.live.max_log_bytes()
-            && self.log.has_room_for_deletion()
-        {
+        while self.is_log_too_large() && self.log.has_room_for_deletion() {
             let Some(segment_end) = self.log.oldest_segment_end() else {
                 return;
             };
@@ -182,6 +177,11 @@
         }
     }
 
+    fn is_log_too_large(&self) -> bool {
+        let max_bytes = (MAX_LOG_TO_LIVE * self.live.bytes).max(self.cfg.log.min_log_bytes);
+        self.log.stored_bytes() > max_bytes
+    }
+
     /// Appends the state of a live thing, so that its earlier records are no longer needed. Returns
     /// the size of the new records.
     fn copy_forward(&mut self, key: &LiveKey, now: Timestamp) -> usize {
--- /dev/null
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -0,0 +1,208 @@
+use proptest::{collection::vec, option, prelude::*};
+
+use super::{
+    super::{
+        super::{EndKind, JobSpec, Schedule, Step, StoredSegment, record},
+        CellConfig, RecoveredLog,
+    },
+    *,
+};
+use crate::{Epoch, Span, job::LogConfig};
+
+const NOW: (Timestamp, u64) = (Timestamp(1_000_000), 1_700_000_000_000);
+
+/// The number of jobs and of workers in the records.
+const THINGS: u64 = 4;
+
+/// The number of tasks of each step of the jobs.
+const TASKS: u32 = 3;
+
+fn config() -> CellConfig {
+    CellConfig {
+        lease: Span(5_500),
+        owner_ttl: Span(3_000),
+        stop_timeout: Span(500),
+        status_retention: Span(120_000),
+        log: LogConfig::default(),
+    }
+}
+
+/// Returns a job with a plain step, a gang that saves checkpoints and, depending on the id, three
+/// occurrences or a long-running step.
+fn spec(id: u64) -> JobSpec {
+    let step = Step { count: TASKS, ..Step::default() };
+    let gang = Step { gang: true, checkpoints: true, ..step.clone() };
+    let third = Step { long_running: id % 2 == 1, ..step.clone() };
+    let schedule = Schedule { first_wall_ms: NOW.1 - 25_000, period: Span(10_000), occurrences: 5 };
+    JobSpec {
+        payload: format!("payload {id}"),
+        steps: vec![step, gang, third],
+        schedule: (id % 2 == 0).then_some(schedule),
+    }
+}
+
+fn accepted(id: u64) -> Record {
+    let queue = "quotes".parse().unwrap();
+    Record::Accepted { job: JobId(id), queue, spec: spec(id), wall_ms: NOW.1 - 30_000 }
+}
+
+fn ended() -> impl Strategy<Value = Record> {
+    let task = (0..THINGS, 0_u32..3, 0_u32..3, 0..TASKS);
+    let how = prop_oneof![
+        3 => Just(EndKind::Done),
+        2 => Just(EndKind::Failed),
+        1 => Just(EndKind::Stopped),
+    ];
+    (task, 1_u32..6, how, option::of("[a-c]")).prop_map(
+        |((job, occurrence, step, index), attempt, how, checkpoint)| {
+            let occurrence = if job % 2 == 0 { occurrence } else { 0 };
+            let task = TaskId { job: JobId(job), occurrence, step, index };
+            Record::Ended { task, attempt, how, checkpoint }
+        },
+    )
+}
+
+fn finished() -> impl Strategy<Value = Record> {
+    let end = prop_oneof![Just(JobEnd::Succeeded), Just(JobEnd::Failed), Just(JobEnd::Cancelled)];
+    let queue = option::of(Just("quotes".parse().unwrap()));
+    (0..THINGS, end, queue).prop_map(|(job, end, queue)| Record::Finished {
+        job: JobId(job),
+        queue,
+        end,
+        wall_ms: NOW.1 - 500,
+    })
+}
+
+fn log_record() -> impl Strategy<Value = Record> {
+    let worker = (0..THINGS).prop_map(|number| WorkerId::from(format!("w{number}").as_str()));
+    prop_oneof![
+        3 => (0..THINGS).prop_map(accepted),
+        24 => ended(),
+        1 => finished(),
+        2 => worker.clone().prop_map(|worker| Record::WorkerUsed { worker }),
+        1 => worker.prop_map(|worker| Record::WorkerGone { worker }),
+    ]
+}
+
+/// Drops records that no owner writes: a second acceptance of a job, and whatever follows its end.
+fn without_impossible(records: Vec<Record>) -> Vec<Record> {
+    let mut accepted_jobs = Vec::new();
+    let mut ended_jobs = Vec::new();
+    let mut is_possible = |record: &Record| match record {
+        Record::Accepted { job, .. } if accepted_jobs.contains(job) => false,
+        Record::Accepted { job, .. } => {
+            accepted_jobs.push(*job);
+            true
+        }
+        Record::Ended { task, .. } => !ended_jobs.contains(&task.job),
+        Record::Finished { job, .. } if ended_jobs.contains(job) => false,
+        Record::Finished { job, .. } if accepted_jobs.contains(job) => {
+            ended_jobs.push(*job);
+            true
+        }
+        Record::Finished { .. } => false,
+        _ => true,
+    };
+    records.into_iter().filter(|record| is_possible(record)).collect()
+}
+
+fn segment(sequence: u64, records: &[Record]) -> StoredSegment {
+    let encoded: Vec<EncodedRecord> = records.iter().map(EncodedRecord::new).collect();
+    let value = record::encode_segment(Epoch(1), &encoded);
+    StoredSegment::decode(sequence, &value).unwrap()
+}
+
+fn recover(segments: &[StoredSegment]) -> Cell {
+    let next = segments.last().map_or(0, |last| last.sequence + 1);
+    let recovered = RecoveredLog { next, segments: segments.to_vec() };
+    Cell::new(config(), ("drums".parse().unwrap(), Epoch(2)), recovered, NOW)
+}
+
+/// The state that a log describes, in an order that does not depend on the log's.
+fn described_state(cell: &Cell) -> (Vec<Record>, Vec<String>) {
+    let mut ids: Vec<JobId> = cell.jobs.keys().copied().collect();
+    ids.sort();
+    let jobs = ids.iter().flat_map(|id| job_records(*id, &cell.jobs[id])).collect();
+    let mut workers: Vec<String> = cell.inherited_workers.keys().map(WorkerId::to_string).collect();
+    workers.sort();
+    (jobs, workers)
+}
+
+/// Copies everything whose first record is in the first segment, and returns the writes.
+fn clean_first_segment(cell: &mut Cell) -> Vec<StoredSegment> {
+    let Some(end) = cell.log.oldest_segment_end() else {
+        return Vec::new();
+    };
+    while let Some(key) = cell.live.first_until(end) {
+        cell.copy_forward(&key, NOW.0);
+    }
+    cell.log.delete_oldest_segment(NOW.0);
+    let mut writes = Vec::new();
+    let mut deletes = Vec::new();
+    while let Some(write) = cell.log.take_write(NOW.0 + Span(1_000)) {
+        writes.push(StoredSegment::decode(write.sequence, &write.value).unwrap());
+        deletes.extend(write.deletes);
+        cell.log.on_written(write.sequence);
+    }
+    assert_eq!(deletes, [0]);
+    writes
+}
+
+proptest! {
+    #[test]
+    fn a_cleaned_log_describes_the_same_state(
+        records in vec(log_record(), 2..80),
+        split_percent in 0_usize..100,
+    ) {
+        let records = without_impossible(records);
+        let (old, new) = records.split_at(records.len() * split_percent / 100);
+        let log = [segment(0, old), segment(1, new)];
+        let mut cell = recover(&log);
+        let expected = described_state(&cell);
+
+        let copies = clean_first_segment(&mut cell);
+
+        let cleaned: Vec<StoredSegment> = log[1..].iter().chain(&copies).cloned().collect();
+        prop_assert_eq!(&described_state(&recover(&cleaned)), &expected);
+        // What a new owner finds if only some of the writes took effect.
+        let uncleaned: Vec<StoredSegment> = log.iter().chain(&copies).cloned().collect();
+        prop_assert_eq!(&described_state(&recover(&uncleaned)), &expected);
+    }
+}
+
+#[test]
+fn the_state_of_a_job_with_many_tasks_is_split_over_several_records() {
+    let step = Step { count: 10_000, ..Step::default() };
+    let spec = JobSpec { payload: String::new(), steps: vec![step], schedule: None };
+    let queue = "quotes".parse().unwrap();
+    let mut job = Job::new(queue, spec.into(), 0, Timestamp(0));
+    job.add_due_occurrences(0);
+    for task in &mut job.occurrences[0].steps[0].tasks {
+        task.attempt = 1;
+        task.checkpoint = Some("0123456789abcdef".into());
+    }
+
+    let records = job_records(JobId(1), &job);
+
+    let sizes = records.iter().map(|record| EncodedRecord::new(record).len());
+    assert!(sizes.max().unwrap() < config().log.max_segment_bytes / 4);
+    assert!(records.len() > 10_000 / TASKS_PER_RECORD);
+}
+
+#[test]
+fn the_estimated_size_of_a_job_does_not_grow_with_its_failures() {
+    let records: Vec<Record> = (1..10_000)
+        .map(|attempt| Record::Ended {
+            task: TaskId { job: JobId(1), occurrence: 0, step: 2, index: 0 },
+            attempt,
+            how: EndKind::Failed,
+            checkpoint: None,
+        })
+        .collect();
+    let log = [segment(0, &[accepted(1)]), segment(1, &records)];
+
+    let cell = recover(&log);
+
+    let first = EncodedRecord::new(&accepted(1)).len();
+    assert!(cell.live.bytes <= 4 * (first + OPEN_TASK_BYTES), "{} bytes", cell.live.bytes);
+}
--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -37,11 +37,18 @@
     pub max_records: usize,
     /// Maximum size of one write in bytes. A larger record is written alone.
     pub max_segment_bytes: usize,
+    /// Size in bytes up to which the log is not cleaned.
+    pub min_log_bytes: usize,
 }
 
 impl Default for LogConfig {
     fn default() -> Self {
-        Self { batch_delay: Span(30), max_records: 1_000, max_segment_bytes: 128 * 1024 }
+        Self {
+            batch_delay: Span(30),
+            max_records: 1_000,
+            max_segment_bytes: 128 * 1024,
+            min_log_bytes: 256 * 1024,
+        }
     }
 }
 
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -3,7 +3,7 @@
 use super::{Model, ModelWorker, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span,
-    job::{Answer, Cell, JobId, JobSpec, Token},
+    job::{Answer, Cell, JobId, JobSpec, Sequence, Token},
 };
 
 impl Model {
@@ -63,12 +63,26 @@
         self.log.bytes()
     }
 
+    /// Returns the sequence number of the oldest segment of the log, if there is any.
+    #[must_use]
+    pub fn oldest_segment(&self) -> Option<Sequence> {
+        self.log.oldest()
+    }
+
     /// Returns the size of the largest segment that the store has accepted, in bytes.
     #[must_use]
     pub fn largest_segment_bytes(&self) -> usize {
         self.log.largest_segment_bytes()
     }
 
+    /// Returns whether the owner waits for the confirmation of a write that deletes segments.
+    #[must_use]
+    pub fn is_deleting_segments(&self) -> bool {
+        let is_pending =
+            self.pending_write.as_ref().is_some_and(|(_, write)| !write.deletes.is_empty());
+        is_pending || self.is_deletion_in_flight
+    }
+
     /// Ends the owner without a handover.
     pub fn kill_owner(&mut self) {
         self.cell = None;
--- a/crates/standins/src/model/log.rs
+++ b/crates/standins/src/model/log.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns the sequence number of the oldest segment.
+    pub(super) fn oldest(&self) -> Option<Sequence> {
+        self.segments.keys().next().copied()
+    }
+
     /// Returns the total size of all segments.
     pub(super) fn bytes(&self) -> usize {
         self.segments.values().map(Vec::len).sum()
