Compare recovered jobs field by field, after each write of a cleaning

The property test compared the records of state that cleaning itself writes, so it could not see a field that they lack. It now compares the jobs' fields, and recovers after each of several small writes.

--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        super::{EndKind, JobSpec, Schedule, Step, StoredSegment, record},
+        super::{EndKind, JobSpec, LogWrite, Schedule, Step, StoredSegment, record},
         CellConfig, RecoveredLog,
     },
     *,
@@ -23,7 +23,8 @@
         owner_ttl: Span(3_000),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
-        log: LogConfig::default(),
+        // Small, so that the copies need several writes.
+        log: LogConfig { max_segment_bytes: 1_000, ..LogConfig::default() },
     }
 }
 
@@ -32,12 +33,12 @@
 fn spec(id: u64) -> JobSpec {
     let step = Step { count: TASKS, ..Step::default() };
     let gang = Step { gang: true, checkpoints: true, ..step.clone() };
-    let third = Step { long_running: id % 2 == 1, ..step.clone() };
+    let third = Step { long_running: !id.is_multiple_of(2), ..step.clone() };
     let schedule = Schedule { first_wall_ms: NOW.1 - 25_000, period: Span(10_000), occurrences: 5 };
     JobSpec {
         payload: format!("payload {id}"),
         steps: vec![step, gang, third],
-        schedule: (id % 2 == 0).then_some(schedule),
+        schedule: id.is_multiple_of(2).then_some(schedule),
     }
 }
 
@@ -55,7 +56,7 @@
     ];
     (task, 1_u32..6, how, option::of("[a-c]")).prop_map(
         |((job, occurrence, step, index), attempt, how, checkpoint)| {
-            let occurrence = if job % 2 == 0 { occurrence } else { 0 };
+            let occurrence = if job.is_multiple_of(2) { occurrence } else { 0 };
             let task = TaskId { job: JobId(job), occurrence, step, index };
             Record::Ended { task, attempt, how, checkpoint }
         },
@@ -118,55 +119,76 @@
     Cell::new(config(), ("drums".parse().unwrap(), Epoch(2)), recovered, NOW)
 }
 
-/// The state that a log describes, in an order that does not depend on the log's.
-fn described_state(cell: &Cell) -> (Vec<Record>, Vec<String>) {
-    let mut ids: Vec<JobId> = cell.jobs.keys().copied().collect();
-    ids.sort();
-    let jobs = ids.iter().flat_map(|id| job_records(*id, &cell.jobs[id])).collect();
-    let mut workers: Vec<String> = cell.inherited_workers.keys().map(WorkerId::to_string).collect();
-    workers.sort();
-    (jobs, workers)
+/// What a log says about a job. Once a part of the job is done, its tasks no longer matter.
+fn describe_job(id: JobId, job: &Job) -> String {
+    let Job { queue, end: Some(end), ended_wall_ms, .. } = job else {
+        let header = (&job.queue, &job.spec, job.arrived_wall_ms, job.arrived, job.has_started);
+        let occurrences: Vec<_> = job.occurrences.iter().map(describe_occurrence).collect();
+        return format!("{id} {header:?} {occurrences:?}");
+    };
+    format!("{id} {queue} {end:?} at {ended_wall_ms}")
 }
 
-/// Copies everything whose first record is in the first segment, and returns the writes.
-fn clean_first_segment(cell: &mut Cell) -> Vec<StoredSegment> {
-    let Some(end) = cell.log.oldest_segment_end() else {
-        return Vec::new();
+fn describe_occurrence(occurrence: &Occurrence) -> (u32, Vec<String>) {
+    let describe_task = |task: &Task| match task {
+        Task { is_done: true, .. } => "done".to_owned(),
+        Task { attempt, failures, failed_attempts, checkpoint, .. } => {
+            format!("{attempt} {failures} {failed_attempts:?} {checkpoint:?}")
+        }
+    };
+    let steps = occurrence.steps.iter();
+    let describe_step = |step: &StepState| {
+        let tasks: Vec<String> = step.tasks.iter().map(describe_task).collect();
+        format!("{} open: {tasks:?}", step.open_tasks)
     };
+    (occurrence.number, steps.map(describe_step).collect())
+}
+
+/// What a log says about jobs and workers, in an order that does not depend on the log's.
+fn describe(cell: &Cell) -> Vec<String> {
+    let jobs = cell.jobs.iter().map(|(id, job)| describe_job(*id, job));
+    let workers = cell.inherited_workers.keys().map(WorkerId::to_string);
+    let mut lines: Vec<String> = jobs.chain(workers).collect();
+    lines.sort();
+    lines
+}
+
+/// Copies everything whose first record is in the oldest segment. Returns the writes that follow.
+fn clean_oldest_segment(cell: &mut Cell) -> Vec<LogWrite> {
+    let end = cell.log.oldest_segment_end().expect("at least two segments");
     while let Some(key) = cell.live.first_until(end) {
         cell.copy_forward(&key, NOW.0);
     }
     cell.log.delete_oldest_segment(NOW.0);
-    let mut writes = Vec::new();
-    let mut deletes = Vec::new();
-    while let Some(write) = cell.log.take_write(NOW.0 + Span(1_000)) {
-        writes.push(StoredSegment::decode(write.sequence, &write.value).unwrap());
-        deletes.extend(write.deletes);
+    std::iter::from_fn(|| {
+        let write = cell.log.take_write(NOW.0 + Span(1_000))?;
         cell.log.on_written(write.sequence);
-    }
-    assert_eq!(deletes, [0]);
-    writes
+        Some(write)
+    })
+    .collect()
 }
 
 proptest! {
     #[test]
-    fn a_cleaned_log_describes_the_same_state(
+    fn a_log_describes_the_same_state_during_and_after_cleaning(
         records in vec(log_record(), 2..80),
         split_percent in 0_usize..100,
     ) {
         let records = without_impossible(records);
         let (old, new) = records.split_at(records.len() * split_percent / 100);
-        let log = [segment(0, old), segment(1, new)];
+        let mut log = vec![segment(0, old), segment(1, new)];
         let mut cell = recover(&log);
-        let expected = described_state(&cell);
+        let expected = describe(&cell);
 
-        let copies = clean_first_segment(&mut cell);
+        let writes = clean_oldest_segment(&mut cell);
 
-        let cleaned: Vec<StoredSegment> = log[1..].iter().chain(&copies).cloned().collect();
-        prop_assert_eq!(&described_state(&recover(&cleaned)), &expected);
-        // What a new owner finds if only some of the writes took effect.
-        let uncleaned: Vec<StoredSegment> = log.iter().chain(&copies).cloned().collect();
-        prop_assert_eq!(&described_state(&recover(&uncleaned)), &expected);
+        // The owner may be lost after any of the writes.
+        for LogWrite { sequence, value, deletes } in writes {
+            log.retain(|segment| !deletes.contains(&segment.sequence));
+            log.push(StoredSegment::decode(sequence, &value).unwrap());
+            prop_assert_eq!(&describe(&recover(&log)), &expected);
+        }
+        prop_assert!(log.iter().all(|segment| segment.sequence != 0));
     }
 }
 
@@ -185,7 +207,7 @@
     let records = job_records(JobId(1), &job);
 
     let sizes = records.iter().map(|record| EncodedRecord::new(record).len());
-    assert!(sizes.max().unwrap() < config().log.max_segment_bytes / 4);
+    assert!(sizes.max().unwrap() < LogConfig::default().max_segment_bytes / 4);
     assert!(records.len() > 10_000 / TASKS_PER_RECORD);
 }
 
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -142,8 +142,6 @@
     is_handing_over: bool,
     /// A write that the store has not accepted yet.
     pending_write: Option<(Epoch, LogWrite)>,
-    /// Whether the store has accepted a write with deletions that it has not confirmed yet.
-    is_deletion_in_flight: bool,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
     next_token: u64,
@@ -200,7 +198,6 @@
             is_store_available: true,
             is_handing_over: false,
             pending_write: None,
-            is_deletion_in_flight: false,
             deliveries: BTreeMap::new(),
             next_delivery: 0,
             next_token: 0,
@@ -332,7 +329,6 @@
     fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
         let sequence = write.sequence;
         if self.log.write(&write) {
-            self.is_deletion_in_flight = !write.deletes.is_empty();
             self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
         } else {
             self.violations.push(format!("{} segment {sequence} is too large", self.now));
@@ -432,7 +428,7 @@
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
                     let now = self.now;
-                    self.is_deletion_in_flight = false;
+                    self.log.confirm();
                     if let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) {
                         cell.on_segment_written(sequence, now);
                     }
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -80,7 +80,7 @@
     pub fn is_deleting_segments(&self) -> bool {
         let is_pending =
             self.pending_write.as_ref().is_some_and(|(_, write)| !write.deletes.is_empty());
-        is_pending || self.is_deletion_in_flight
+        is_pending || self.log.is_deletion_unconfirmed()
     }
 
     /// Ends the owner without a handover.
--- a/crates/standins/src/model/log.rs
+++ b/crates/standins/src/model/log.rs
@@ -12,6 +12,8 @@
 pub(super) struct LogStore {
     segments: BTreeMap<Sequence, Vec<u8>>,
     largest_segment_bytes: usize,
+    /// Whether the last write deleted segments and is not confirmed yet.
+    is_deletion_unconfirmed: bool,
 }
 
 impl LogStore {
@@ -26,9 +28,19 @@
         for sequence in &write.deletes {
             self.segments.remove(sequence);
         }
+        self.is_deletion_unconfirmed = !write.deletes.is_empty();
         true
     }
 
+    /// Marks the last write as confirmed to its owner.
+    pub(super) fn confirm(&mut self) {
+        self.is_deletion_unconfirmed = false;
+    }
+
+    pub(super) fn is_deletion_unconfirmed(&self) -> bool {
+        self.is_deletion_unconfirmed
+    }
+
     /// Returns the contents of the log, as a new owner reads it.
     pub(super) fn recover(&self) -> RecoveredLog {
         let segment = |(&sequence, value): (&Sequence, &Vec<u8>)| {
