--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -6,6 +6,7 @@
 //! guarantees, above all a task that runs twice at the same time. A day of load takes milliseconds.
 
 mod control;
+mod log;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,12 +16,15 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, HoldReport,
-        LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome, TaskId,
+        LogConfig, LogEvent, LogWrite, QueueConfig, Sequence, StartOrder, StartOutcome, TaskId,
         Token, WorkerEntry, WorkerId,
     },
 };
 
-pub use self::worker::{ModelWorker, TaskTime};
+pub use self::{
+    log::MAX_VALUE_BYTES,
+    worker::{ModelWorker, TaskTime},
+};
 
 /// One-way latency of a message, in milliseconds.
 const LATENCY_MS: u64 = 1;
@@ -140,12 +144,12 @@
     faults: IndexMap<WorkerId, WorkerFaults>,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
-    log: BTreeMap<Sequence, Segment>,
+    log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
     is_handing_over: bool,
     /// A write that the store has not accepted yet.
-    pending_write: Option<(Epoch, Sequence, Segment)>,
+    pending_write: Option<(Epoch, LogWrite)>,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
     next_token: u64,
@@ -174,7 +178,8 @@
         lease: Span(5_500),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
-        log: LogConfig::default(),
+        // Small, so that short tests clean the log too.
+        log: LogConfig { min_log_bytes: 4 * 1024, ..LogConfig::default() },
     }
 }
 
@@ -198,7 +203,7 @@
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
-            log: BTreeMap::new(),
+            log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
             pending_write: None,
@@ -313,23 +318,33 @@
         }
         if self.pending_write.is_none() {
             let write = cell.take_write(now);
-            self.pending_write = write.map(|(sequence, segment)| (self.epoch, sequence, segment));
+            self.pending_write = write.map(|write| (self.epoch, write));
         }
         let mut actions = cell.take_actions();
         if self.is_handing_over {
             actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
         }
         if self.is_store_available
-            && let Some((epoch, sequence, segment)) = self.pending_write.take()
+            && let Some((epoch, write)) = self.pending_write.take()
         {
-            self.log.insert(sequence, segment);
-            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            self.write_segment(epoch, write);
         }
         for action in actions {
             self.perform(action);
         }
     }
 
+    /// Writes a segment to the store. The owner repeats a write that the store refuses.
+    fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
+        let sequence = write.sequence;
+        if self.log.write(&write) {
+            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+        } else {
+            self.violations.push(format!("{} segment {sequence} is too large", self.now));
+            self.pending_write = Some((epoch, write));
+        }
+    }
+
     fn send(&mut self, delay_ms: u64, delivery: Delivery) {
         self.next_delivery += 1;
         self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
@@ -422,6 +437,7 @@
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
                     let now = self.now;
+                    self.log.confirm();
                     if let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) {
                         cell.on_segment_written(sequence, now);
                     }
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -3,7 +3,7 @@
 use super::{Model, ModelWorker, OWNER_TTL, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
-    job::{Answer, Cell, JobId, JobSpec, RecoveredLog, Token},
+    job::{Answer, Cell, JobId, JobSpec, Sequence, Token},
 };
 
 impl Model {
@@ -57,6 +57,32 @@
         self.is_store_available = is_available;
     }
 
+    /// Returns the size of the log in the store, in bytes.
+    #[must_use]
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Returns the sequence number of the oldest segment of the log, if there is any.
+    #[must_use]
+    pub fn oldest_segment(&self) -> Option<Sequence> {
+        self.log.oldest()
+    }
+
+    /// Returns the size of the largest segment that the store has accepted, in bytes.
+    #[must_use]
+    pub fn largest_segment_bytes(&self) -> usize {
+        self.log.largest_segment_bytes()
+    }
+
+    /// Returns whether the owner waits for the confirmation of a write that deletes segments.
+    #[must_use]
+    pub fn is_deleting_segments(&self) -> bool {
+        let is_pending =
+            self.pending_write.as_ref().is_some_and(|(_, write)| !write.deletes.is_empty());
+        is_pending || self.log.is_deletion_unconfirmed()
+    }
+
     /// Ends the owner without a handover.
     pub fn kill_owner(&mut self) {
         self.cell = None;
@@ -107,10 +133,7 @@
     }
 
     fn recover(&mut self) {
-        let recovered = RecoveredLog {
-            next: self.log.keys().next_back().map_or(0, |last| last + 1),
-            segments: self.log.values().cloned().collect(),
-        };
+        let recovered = self.log.recover();
         let service_and_epoch = (self.service.clone(), self.epoch);
         let time = (self.now, self.wall_ms());
         let mut cell =
