--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -1,5 +1,7 @@
 //! Requests to a cell, and how they reach the node that owns it.
 
+mod inquiry;
+
 use std::rc::Rc;
 
 use slog::info;
@@ -9,21 +11,10 @@
 };
 use tokio::sync::oneshot;
 
+use self::inquiry::{Inquiry, NextStep};
 use super::node::Node;
 use crate::clock;
 
-/// The pause before a request without an answer is sent to the cell's owner again.
-const RETRY_PAUSE: Span = Span(60);
-
-/// How long a request waits while its cell has no owner that can be reached, before it is refused.
-const OWNERLESS_TIMEOUT: Span = Span(120);
-
-/// How long a refused client should wait before it retries while a cell has no owner.
-const OWNERLESS_RETRY_AFTER: Span = Span(1_000);
-
-/// The part of the caller's time that is reserved for returning the answer.
-const ANSWER_MARGIN: Span = Span(150);
-
 /// The longest wait for the answer of another node, after which the owner is looked up again.
 const FORWARD_TIMEOUT: Span = Span(1_500);
 
@@ -101,39 +92,38 @@
     }
 }
 
-/// Asks the cell's owner, at this node or another one, retrying until there is an answer or the
-/// caller's time is over. Refuses the request if no owner is reached within `OWNERLESS_TIMEOUT`.
+/// Asks the cell's owner, at this node or another one, retrying until the request can be answered.
 async fn ask_owner(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
-    let deadline = Timestamp(deadline.0.saturating_sub(ANSWER_MARGIN.0));
-    let ownerless_until = clock::now() + OWNERLESS_TIMEOUT;
-    let mut is_uncertain = false;
+    let mut inquiry = Inquiry::new(clock::now(), deadline);
     loop {
-        let reply = match node.cell_owner(&request.cell) {
-            Some(_) => ask_local_cell(node, request, deadline).await,
-            None => match node.owner_address(&request.cell) {
-                Some(address) => {
-                    let limit = deadline.min(clock::now() + FORWARD_TIMEOUT);
-                    node.peers.forward(address, request, limit).await
-                }
-                None => Reply::NotOwner,
-            },
-        };
-        match reply {
-            Reply::Uncertain => is_uncertain = true,
-            Reply::NotOwner => {}
-            reply => return reply,
-        }
-        let now = clock::now();
-        if now + RETRY_PAUSE >= deadline {
-            return Reply::Uncertain;
+        let reply = ask_once(node, request, inquiry.deadline).await;
+        match inquiry.on_reply(reply, clock::now()) {
+            NextStep::Answer(answer) => {
+                log_ownerless_refusal(node, request, reply, answer);
+                return answer;
+            }
+            NextStep::RetryAt(time) => tokio::time::sleep(clock::until(time)).await,
         }
-        // Only a request that certainly had no effect is refused; the client may retry it later.
-        if !is_uncertain && now >= ownerless_until {
-            info!(node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
-                "cell" => %request.cell, "reason" => "no owner of the cell can be reached",
-                "retry_after_ms" => OWNERLESS_RETRY_AFTER.0);
-            return Reply::Refused { retry_after: OWNERLESS_RETRY_AFTER };
-        }
-        tokio::time::sleep(RETRY_PAUSE.to_std()).await;
+    }
+}
+
+/// Asks the cell's owner once, at this node or another one.
+async fn ask_once(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
+    if node.cell_owner(&request.cell).is_some() {
+        return ask_local_cell(node, request, deadline).await;
+    }
+    let Some(address) = node.owner_address(&request.cell) else {
+        return Reply::NotOwner;
+    };
+    let limit = deadline.min(clock::now() + FORWARD_TIMEOUT);
+    node.peers.forward(address, request, limit).await
+}
+
+/// Logs a refusal that no owner has decided on; an owner logs its own.
+fn log_ownerless_refusal(node: &Node, request: &CellRequest, reply: Reply, answer: Reply) {
+    if let (Reply::NotOwner, Reply::Refused { retry_after }) = (reply, answer) {
+        info!(node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
+            "cell" => %request.cell, "reason" => "no owner of the cell can be reached",
+            "retry_after_ms" => retry_after.0);
     }
 }
--- /dev/null
+++ b/src/jobs/ask/inquiry.rs
@@ -0,0 +1,66 @@
+//! Decides what follows each reply of a cell's owner: another try, or the answer to the caller.
+
+#[cfg(test)]
+mod tests;
+
+use teaselgap_core::{Span, Timestamp};
+
+use super::Reply;
+
+/// The pause before a request without an answer is sent to the cell's owner again.
+const RETRY_PAUSE: Span = Span(60);
+
+/// How long a request waits while its cell has no owner that can be reached, before it is refused.
+pub(super) const OWNERLESS_TIMEOUT: Span = Span(120);
+
+/// How long a refused client should wait before it retries while a cell has no owner.
+pub(super) const OWNERLESS_RETRY_AFTER: Span = Span(1_000);
+
+/// The part of the caller's time that is reserved for returning the answer.
+const ANSWER_MARGIN: Span = Span(150);
+
+/// What is known about a caller's request while the owner of its cell is being asked.
+#[derive(Debug)]
+pub(super) struct Inquiry {
+    /// By when the owner must have answered.
+    pub(super) deadline: Timestamp,
+    /// Until when the request waits for an owner that can be reached.
+    ownerless_until: Timestamp,
+    /// Whether an earlier try may have taken effect.
+    is_uncertain: bool,
+}
+
+/// What to do with a request after a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NextStep {
+    Answer(Reply),
+    RetryAt(Timestamp),
+}
+
+impl Inquiry {
+    pub(super) fn new(now: Timestamp, caller_deadline: Timestamp) -> Self {
+        Self {
+            deadline: Timestamp(caller_deadline.0.saturating_sub(ANSWER_MARGIN.0)),
+            ownerless_until: now + OWNERLESS_TIMEOUT,
+            is_uncertain: false,
+        }
+    }
+
+    /// Decides what follows a reply to the latest try.
+    pub(super) fn on_reply(&mut self, reply: Reply, now: Timestamp) -> NextStep {
+        match reply {
+            Reply::Uncertain => self.is_uncertain = true,
+            Reply::NotOwner => {}
+            reply => return NextStep::Answer(reply),
+        }
+        let retry_at = now + RETRY_PAUSE;
+        if retry_at >= self.deadline {
+            return NextStep::Answer(Reply::Uncertain);
+        }
+        // Only a request that certainly had no effect is refused; the client may retry it later.
+        if !self.is_uncertain && now >= self.ownerless_until {
+            return NextStep::Answer(Reply::Refused { retry_after: OWNERLESS_RETRY_AFTER });
+        }
+        NextStep::RetryAt(retry_at)
+    }
+}
