--- a/src/jobs/ask/inquiry/tests.rs
+++ b/src/jobs/ask/inquiry/tests.rs
@@ -28,3 +28,42 @@
     assert_eq!(first, NextStep::RetryAt(NOW + RETRY_PAUSE));
     assert!(matches!(later, NextStep::RetryAt(_)), "{later:?}");
 }
+
+#[test]
+fn a_request_with_little_time_left_that_had_no_effect_is_refused_and_not_left_uncertain() {
+    let mut inquiry = inquiry(Span(140));
+
+    let step = inquiry.on_reply(Reply::NotOwner, NOW + Span(60));
+
+    let refusal = Reply::Refused { retry_after: OWNERLESS_RETRY_AFTER };
+    assert_eq!(step, NextStep::Answer(refusal));
+}
+
+#[test]
+fn a_caller_with_little_time_left_leaves_most_of_it_to_the_owner() {
+    let inquiry = inquiry(Span(140));
+
+    assert!(inquiry.deadline >= NOW + Span(100), "{:?}", inquiry.deadline);
+}
+
+#[test]
+fn a_refusal_is_not_passed_on_while_an_earlier_try_may_still_take_effect() {
+    let mut inquiry = inquiry(Span(3_000));
+    let refusal = Reply::Refused { retry_after: Span(1_000) };
+
+    inquiry.on_reply(Reply::Uncertain, NOW);
+    let step = inquiry.on_reply(refusal, NOW + Span(100));
+
+    assert_eq!(step, NextStep::RetryAt(NOW + Span(1_100)));
+}
+
+#[test]
+fn a_caller_does_not_wait_for_an_owner_that_will_not_serve_within_its_time() {
+    let mut inquiry = inquiry(Span(3_000));
+    let refusal = Reply::Refused { retry_after: Span(4_000) };
+
+    inquiry.on_reply(Reply::Uncertain, NOW);
+    let step = inquiry.on_reply(refusal, NOW + Span(100));
+
+    assert_eq!(step, NextStep::Answer(Reply::Uncertain));
+}
