Refuse what certainly had no effect, and nothing that may have

Cause: 150 ms were reserved for the answer whatever the caller had, and running out of time counted as uncertain even if no try could have had an effect. Besides, a refusal by the owner was passed on although an earlier forward of the same request was unanswered and could still arrive. Why it works: the reserve is a quarter of the caller's time, at most 150 ms; only a try whose outcome is unknown makes a request uncertain, and from then on it is settled by asking again or left uncertain, never refused.

--- a/src/jobs/ask/inquiry.rs
+++ b/src/jobs/ask/inquiry.rs
@@ -16,8 +16,11 @@
 /// How long a refused client should wait before it retries while a cell has no owner.
 pub(super) const OWNERLESS_RETRY_AFTER: Span = Span(1_000);
 
-/// The part of the caller's time that is reserved for returning the answer.
-const ANSWER_MARGIN: Span = Span(150);
+/// The longest part of the caller's time that is reserved for returning the answer.
+const MAX_ANSWER_MARGIN: Span = Span(150);
+
+/// The part of the caller's time that is reserved for returning the answer, in percent.
+const ANSWER_MARGIN_PERCENT: u64 = 25;
 
 /// What is known about a caller's request while the owner of its cell is being asked.
 #[derive(Debug)]
@@ -39,8 +42,10 @@
 
 impl Inquiry {
     pub(super) fn new(now: Timestamp, caller_deadline: Timestamp) -> Self {
+        let margin = caller_deadline.since(now).0 * ANSWER_MARGIN_PERCENT / 100;
+        let margin = margin.min(MAX_ANSWER_MARGIN.0);
         Self {
-            deadline: Timestamp(caller_deadline.0.saturating_sub(ANSWER_MARGIN.0)),
+            deadline: Timestamp(caller_deadline.0.saturating_sub(margin)),
             ownerless_until: now + OWNERLESS_TIMEOUT,
             is_uncertain: false,
         }
@@ -48,17 +53,23 @@
 
     /// Decides what follows a reply to the latest try.
     pub(super) fn on_reply(&mut self, reply: Reply, now: Timestamp) -> NextStep {
-        match reply {
-            Reply::Uncertain => self.is_uncertain = true,
-            Reply::NotOwner => {}
+        let pause = match reply {
+            Reply::Uncertain => {
+                self.is_uncertain = true;
+                RETRY_PAUSE
+            }
+            Reply::NotOwner => RETRY_PAUSE,
+            // An earlier try may still reach the owner, so the request can't be refused yet.
+            Reply::Refused { retry_after } if self.is_uncertain => retry_after.max(RETRY_PAUSE),
             reply => return NextStep::Answer(reply),
-        }
-        let retry_at = now + RETRY_PAUSE;
-        if retry_at >= self.deadline {
+        };
+        let retry_at = now + pause;
+        let is_late = retry_at >= self.deadline;
+        if self.is_uncertain && is_late {
             return NextStep::Answer(Reply::Uncertain);
         }
         // Only a request that certainly had no effect is refused; the client may retry it later.
-        if !self.is_uncertain && now >= self.ownerless_until {
+        if !self.is_uncertain && (is_late || now >= self.ownerless_until) {
             return NextStep::Answer(Reply::Refused { retry_after: OWNERLESS_RETRY_AFTER });
         }
         NextStep::RetryAt(retry_at)
