--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -1,5 +1,8 @@
 //! Calls between nodes: requests to cells, drain instructions and the reachability of the store.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
--- /dev/null
+++ b/src/jobs/peer/tests.rs
@@ -0,0 +1,55 @@
+use teaselgap_core::QueueId;
+
+use super::*;
+
+/// Serves a node's interface for other nodes. Returns its address and the requests that arrive.
+async fn serve_peer() -> (SocketAddr, mpsc::UnboundedReceiver<NodeRequest>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (requests, request_rx) = mpsc::unbounded_channel();
+    tokio::spawn(serve(listener, requests));
+    (address, request_rx)
+}
+
+fn cancellation() -> CellRequest {
+    let queue: QueueId = "quotes".parse().unwrap();
+    CellRequest {
+        cell: "drums".parse().unwrap(),
+        queue,
+        job: JobId(7),
+        operation: Operation::Cancel,
+    }
+}
+
+#[tokio::test]
+async fn the_owner_learns_how_much_time_the_caller_has_left() {
+    let (address, mut request_rx) = serve_peer().await;
+    let peers = Peers::default();
+    let request = cancellation();
+    let deadline = clock::now() + Span(700);
+
+    let forwarded = peers.forward(address, &request, deadline);
+    let received = async {
+        let Some(NodeRequest::Cell(pending)) = request_rx.recv().await else {
+            panic!("no request to a cell");
+        };
+        let deadline = pending.deadline;
+        pending.reply.send(Reply::Durable).unwrap();
+        deadline
+    };
+    let (reply, owner_deadline) = tokio::join!(forwarded, received);
+
+    assert_eq!(reply, Reply::Durable);
+    assert!(owner_deadline <= deadline + Span(50), "{owner_deadline:?} after {deadline:?}");
+}
+
+#[tokio::test]
+async fn a_request_that_could_not_connect_had_no_effect() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+
+    let reply = Peers::default().forward(address, &cancellation(), clock::now() + Span(700)).await;
+
+    assert_eq!(reply, Reply::NotOwner);
+}
