Forward a request with the time that its caller has left

What callers saw: the owner worked on forwarded requests for up to 2 s whatever the caller had left, so that at full links it answered requests whose callers had gone; and a node that couldn't be connected to made requests uncertain (504) that had certainly had no effect. Cause: the wire carried no deadline, and peer.rs took each failed call for an uncertain one.

--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -18,6 +18,9 @@
 /// The longest wait for the answer of another node, after which the owner is looked up again.
 const FORWARD_TIMEOUT: Span = Span(1_500);
 
+/// How long a client should wait before it retries a request that was not started in its time.
+const EXPIRED_RETRY_AFTER: Span = Span(1_000);
+
 /// What a request asks a cell to do.
 #[derive(Clone, Debug)]
 pub(crate) enum Operation {
@@ -69,6 +72,12 @@
 /// Answers a request by asking the cell's owner, at this node or another one.
 pub(super) async fn answer_request(node: Rc<Node>, pending: PendingRequest) {
     let PendingRequest { request, from_peer, deadline, reply } = pending;
+    if reply.is_closed() || clock::now() >= deadline {
+        let refusal = refuse(&node, &request, "its time was over on arrival", EXPIRED_RETRY_AFTER);
+        // The caller has probably stopped waiting.
+        let _ = reply.send(refusal);
+        return;
+    }
     let answer = if from_peer {
         ask_local_cell(&node, &request, deadline).await
     } else {
@@ -122,8 +131,13 @@
 /// Logs a refusal that no owner has decided on; an owner logs its own.
 fn log_ownerless_refusal(node: &Node, request: &CellRequest, reply: Reply, answer: Reply) {
     if let (Reply::NotOwner, Reply::Refused { retry_after }) = (reply, answer) {
-        info!(node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
-            "cell" => %request.cell, "reason" => "no owner of the cell can be reached",
-            "retry_after_ms" => retry_after.0);
+        refuse(node, request, "no owner of the cell can be reached", retry_after);
     }
 }
+
+/// Logs the refusal of a request and returns the reply.
+fn refuse(node: &Node, request: &CellRequest, reason: &'static str, retry_after: Span) -> Reply {
+    info!(node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
+        "cell" => %request.cell, "reason" => reason, "retry_after_ms" => retry_after.0);
+    Reply::Refused { retry_after }
+}
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -2,6 +2,7 @@
 
 #[cfg(test)]
 mod tests;
+mod timeout;
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
@@ -35,7 +36,7 @@
 /// How often a connection in use is probed, and how long the probe waits for an answer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The longest time in which a request forwarded by another node is answered.
+/// The time allowed for a request of another node that states none, and the most allowed for any.
 const PEER_TIMEOUT: Span = Span(2_000);
 
 /// The longest wait for the answer to a drain instruction.
@@ -107,12 +108,20 @@
         let Some(mut client) = self.get(address) else {
             return Reply::NotOwner;
         };
-        let call = client.ask(request_to_wire(request));
-        let Ok(Ok(reply)) = tokio::time::timeout(clock::until(deadline), call).await else {
-            self.discard_client(address);
-            return Reply::Uncertain;
-        };
-        reply_from_wire(&request.operation, reply.get_ref())
+        let time_left = clock::until(deadline);
+        let mut req = Request::new(request_to_wire(request));
+        req.set_timeout(time_left);
+        match tokio::time::timeout(time_left, client.ask(req)).await {
+            Ok(Ok(reply)) => reply_from_wire(&request.operation, reply.get_ref()),
+            Ok(Err(status)) if was_not_sent(&status) => {
+                self.discard_client(address);
+                Reply::NotOwner
+            }
+            Ok(Err(_)) | Err(_) => {
+                self.discard_client(address);
+                Reply::Uncertain
+            }
+        }
     }
 
     /// Asks the node at `address` how long ago it last reached the store. Returns `None` if it does
@@ -154,6 +163,13 @@
     }
 }
 
+/// Whether a call failed before any of it was sent, because there was no connection.
+fn was_not_sent(status: &Status) -> bool {
+    let first = std::error::Error::source(status);
+    std::iter::successors(first, |err| err.source())
+        .any(<dyn std::error::Error>::is::<tonic::ConnectError>)
+}
+
 /// Encodes how to drain a worker as the number used between nodes.
 fn drain_mode_to_wire(mode: DrainMode) -> u32 {
     match mode {
@@ -264,6 +280,8 @@
 #[tonic::async_trait]
 impl CellService for PeerServer {
     async fn ask(&self, req: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
+        let timeout = timeout::caller_timeout(req.metadata()).unwrap_or(PEER_TIMEOUT);
+        let deadline = clock::now() + timeout.min(PEER_TIMEOUT);
         let req = req.into_inner();
         let operation = match req.verb() {
             WireOperation::State => Operation::State,
@@ -281,7 +299,6 @@
             operation,
         };
         let (reply, reply_rx) = oneshot::channel();
-        let deadline = clock::now() + PEER_TIMEOUT;
         let pending = PendingRequest { request, from_peer: true, deadline, reply };
         self.requests.send(NodeRequest::Cell(pending)).map_err(stopping_status)?;
         reply_to_wire(reply_rx.await.map_err(stopping_status)?).map(Response::new)
