--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -90,7 +90,7 @@
 /// Asks the cell's owner at this node.
 async fn ask_local_cell(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
     let Some(owner) = node.cell_owner(&request.cell) else {
-        return Reply::NotOwner;
+        return reply_without_owner(node, request);
     };
     let answer = owner.handle(request);
     match tokio::time::timeout(clock::until(deadline), answer).await {
@@ -101,6 +101,14 @@
     }
 }
 
+/// The reply of a node that serves no owner of the cell, but may be recovering it.
+fn reply_without_owner(node: &Node, request: &CellRequest) -> Reply {
+    match node.recovering_since(&request.cell) {
+        Some(since) => inquiry::reply_while_recovering(clock::now().since(since)),
+        None => Reply::NotOwner,
+    }
+}
+
 /// Asks the cell's owner, at this node or another one, retrying until the request can be answered.
 async fn ask_owner(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
     let mut inquiry = Inquiry::new(clock::now(), deadline);
@@ -122,7 +130,7 @@
         return ask_local_cell(node, request, deadline).await;
     }
     let Some(address) = node.owner_address(&request.cell) else {
-        return Reply::NotOwner;
+        return reply_without_owner(node, request);
     };
     let limit = deadline.min(clock::now() + FORWARD_TIMEOUT);
     node.peers.forward(address, request, limit).await
--- a/src/jobs/ask/inquiry.rs
+++ b/src/jobs/ask/inquiry.rs
@@ -40,6 +40,11 @@
     RetryAt(Timestamp),
 }
 
+/// The reply of an owner that has been reading the cell's log for this long.
+pub(super) fn reply_while_recovering(_elapsed: Span) -> Reply {
+    Reply::NotOwner
+}
+
 impl Inquiry {
     pub(super) fn new(now: Timestamp, caller_deadline: Timestamp) -> Self {
         let margin = caller_deadline.since(now).0 * ANSWER_MARGIN_PERCENT / 100;
--- a/src/jobs/ask/inquiry/tests.rs
+++ b/src/jobs/ask/inquiry/tests.rs
@@ -67,3 +67,21 @@
 
     assert_eq!(step, NextStep::Answer(Reply::Uncertain));
 }
+
+#[test]
+fn a_cell_in_a_long_recovery_refuses_at_once_and_expects_to_need_as_long_again() {
+    let replies = [100, 400, 2_500].map(|ms| reply_while_recovering(Span(ms)));
+
+    let refused = |ms| Reply::Refused { retry_after: Span(ms) };
+    assert_eq!(replies, [Reply::NotOwner, refused(1_000), refused(2_500)]);
+}
+
+#[test]
+fn a_query_whose_answer_is_lost_is_refused_at_once() {
+    let mut inquiry = Inquiry::new(NOW, NOW + Span(3_000));
+
+    let step = inquiry.on_reply(Reply::Uncertain, NOW + Span(1_500));
+
+    let refusal = Reply::Refused { retry_after: OWNERLESS_RETRY_AFTER };
+    assert_eq!(step, NextStep::Answer(refusal));
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -63,6 +63,7 @@
     node: Rc<Node>,
     service: ServiceId,
     epoch: Epoch,
+    started_at: Timestamp,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
@@ -96,6 +97,7 @@
         node: Rc::clone(node),
         service: service.clone(),
         epoch,
+        started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
@@ -128,6 +130,12 @@
         !self.is_term_over.get() && !self.is_handing_over.get() && self.cell.borrow().is_some()
     }
 
+    /// Since when the log has been read; `None` once it has been, and once the term is over.
+    pub(super) fn recovering_since(&self) -> Option<Timestamp> {
+        let is_recovering = !self.is_term_over.get() && self.cell.borrow().is_none();
+        is_recovering.then_some(self.started_at)
+    }
+
     /// Ends the term: this owner sends no more orders and writes no more segments. Pending requests
     /// get no reply, and the nodes that received them from clients look up the owner and ask again.
     pub(super) fn end_term(&self, reason: &'static str) {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -10,7 +10,7 @@
 
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
-use teaselgap_core::{Incarnation, NodeId, ServiceId, Span, job::Duty};
+use teaselgap_core::{Incarnation, NodeId, ServiceId, Span, Timestamp, job::Duty};
 use teaselgap_platform::{
     client::Connections,
     settings::{self, Settings, SettingsError},
@@ -109,6 +109,11 @@
         self.cell_owners.borrow().get(cell).filter(|owner| owner.is_serving()).cloned()
     }
 
+    /// Since when this node, as the owner of a cell, has been reading the cell's log.
+    pub(super) fn recovering_since(&self, cell: &ServiceId) -> Option<Timestamp> {
+        self.cell_owners.borrow().get(cell).and_then(|owner| owner.recovering_since())
+    }
+
     /// The address of the node that owns a cell, if it is another node.
     pub(super) fn owner_address(&self, cell: &ServiceId) -> Option<SocketAddr> {
         self.members.borrow().owner_address(&session::cell_duty(cell), &self.id)
