Refuse at once while a cell is being recovered, with the time that this will take

Queries whose forward had got no answer were sent again until 2.85 s were over. Cause: an owner in recovery said 'not the owner', so that the others looked for one; queries counted as uncertain. Why it works: the owner says that it is recovering; up to 120 ms are waited for, from then on it refuses at once, and expects to need as long again as it has needed so far, at least 1 s. Queries change nothing, so that they can be refused after a try without an answer. Each refusal has a 'refused' line with its reason.

--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -103,15 +103,19 @@
 
 /// The reply of a node that serves no owner of the cell, but may be recovering it.
 fn reply_without_owner(node: &Node, request: &CellRequest) -> Reply {
-    match node.recovering_since(&request.cell) {
+    let reply = match node.recovering_since(&request.cell) {
         Some(since) => inquiry::reply_while_recovering(clock::now().since(since)),
         None => Reply::NotOwner,
+    };
+    if let Reply::Refused { retry_after } = reply {
+        refuse(node, request, "the cell is being recovered", retry_after);
     }
+    reply
 }
 
 /// Asks the cell's owner, at this node or another one, retrying until the request can be answered.
 async fn ask_owner(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
-    let mut inquiry = Inquiry::new(clock::now(), deadline);
+    let mut inquiry = Inquiry::new(&request.operation, clock::now(), deadline);
     loop {
         let reply = ask_once(node, request, inquiry.deadline).await;
         match inquiry.on_reply(reply, clock::now()) {
@@ -138,9 +142,15 @@
 
 /// Logs a refusal that no owner has decided on; an owner logs its own.
 fn log_ownerless_refusal(node: &Node, request: &CellRequest, reply: Reply, answer: Reply) {
-    if let (Reply::NotOwner, Reply::Refused { retry_after }) = (reply, answer) {
-        refuse(node, request, "no owner of the cell can be reached", retry_after);
-    }
+    let Reply::Refused { retry_after } = answer else {
+        return;
+    };
+    let reason = match reply {
+        Reply::NotOwner => "no owner of the cell can be reached",
+        Reply::Uncertain => "the owner of the cell does not answer",
+        _ => return,
+    };
+    refuse(node, request, reason, retry_after);
 }
 
 /// Logs the refusal of a request and returns the reply.
--- a/src/jobs/ask/inquiry.rs
+++ b/src/jobs/ask/inquiry.rs
@@ -5,7 +5,7 @@
 
 use teaselgap_core::{Span, Timestamp};
 
-use super::Reply;
+use super::{Operation, Reply};
 
 /// The pause before a request without an answer is sent to the cell's owner again.
 const RETRY_PAUSE: Span = Span(60);
@@ -29,6 +29,8 @@
     pub(super) deadline: Timestamp,
     /// Until when the request waits for an owner that can be reached.
     ownerless_until: Timestamp,
+    /// Whether the request changes nothing, so that it can be refused at any time.
+    is_query: bool,
     /// Whether an earlier try may have taken effect.
     is_uncertain: bool,
 }
@@ -40,18 +42,23 @@
     RetryAt(Timestamp),
 }
 
-/// The reply of an owner that has been reading the cell's log for this long.
-pub(super) fn reply_while_recovering(_elapsed: Span) -> Reply {
-    Reply::NotOwner
+/// The reply of an owner that has been reading the cell's log for this long. A short recovery is
+/// waited for; one that has lasted longer is expected to take as long again.
+pub(super) fn reply_while_recovering(elapsed: Span) -> Reply {
+    if elapsed < OWNERLESS_TIMEOUT {
+        return Reply::NotOwner;
+    }
+    Reply::Refused { retry_after: elapsed.max(OWNERLESS_RETRY_AFTER) }
 }
 
 impl Inquiry {
-    pub(super) fn new(now: Timestamp, caller_deadline: Timestamp) -> Self {
+    pub(super) fn new(operation: &Operation, now: Timestamp, caller_deadline: Timestamp) -> Self {
         let margin = caller_deadline.since(now).0 * ANSWER_MARGIN_PERCENT / 100;
         let margin = margin.min(MAX_ANSWER_MARGIN.0);
         Self {
             deadline: Timestamp(caller_deadline.0.saturating_sub(margin)),
             ownerless_until: now + OWNERLESS_TIMEOUT,
+            is_query: matches!(operation, Operation::State | Operation::Pending),
             is_uncertain: false,
         }
     }
@@ -60,7 +67,7 @@
     pub(super) fn on_reply(&mut self, reply: Reply, now: Timestamp) -> NextStep {
         let pause = match reply {
             Reply::Uncertain => {
-                self.is_uncertain = true;
+                self.is_uncertain = !self.is_query;
                 RETRY_PAUSE
             }
             Reply::NotOwner => RETRY_PAUSE,
--- a/src/jobs/ask/inquiry/tests.rs
+++ b/src/jobs/ask/inquiry/tests.rs
@@ -3,7 +3,7 @@
 const NOW: Timestamp = Timestamp(10_000);
 
 fn inquiry(time_left: Span) -> Inquiry {
-    Inquiry::new(NOW, NOW + time_left)
+    Inquiry::new(&Operation::Cancel, NOW, NOW + time_left)
 }
 
 #[test]
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_query_whose_answer_is_lost_is_refused_at_once() {
-    let mut inquiry = Inquiry::new(NOW, NOW + Span(3_000));
+    let mut inquiry = Inquiry::new(&Operation::State, NOW, NOW + Span(3_000));
 
     let step = inquiry.on_reply(Reply::Uncertain, NOW + Span(1_500));
 
