--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -1,5 +1,7 @@
 //! The owner of a cell: reads and writes the cell's log, calls its workers and answers requests.
 
+mod replies;
+
 use std::{
     cell::{Cell as StdCell, RefCell},
     rc::Rc,
@@ -25,6 +27,7 @@
 };
 use tokio::sync::{Notify, oneshot};
 
+use self::replies::PendingReplies;
 use super::{
     ask::{CellRequest, Operation, Reply},
     node::Node,
@@ -67,8 +70,7 @@
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
-    pending_replies: RefCell<IndexMap<Token, oneshot::Sender<Reply>>>,
-    next_token: StdCell<u64>,
+    pending_replies: RefCell<PendingReplies>,
     is_term_over: StdCell<bool>,
     /// When the pending write of a segment was first sent; `None` if no write is pending.
     writing_since: StdCell<Option<Timestamp>>,
@@ -101,8 +103,7 @@
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
-        pending_replies: RefCell::new(IndexMap::new()),
-        next_token: StdCell::new(0),
+        pending_replies: RefCell::default(),
         is_term_over: StdCell::new(false),
         writing_since: StdCell::new(None),
         has_predecessor_ended: StdCell::new(false),
@@ -269,9 +270,7 @@
             let _ = reply.send(answer);
             return reply_rx;
         }
-        let token = Token(self.next_token.get());
-        self.next_token.set(token.0 + 1);
-        self.pending_replies.borrow_mut().insert(token, reply);
+        let token = self.pending_replies.borrow_mut().insert(reply);
         self.with_cell(|cell| match &request.operation {
             Operation::Submit(spec) => {
                 let job_and_queue = (request.job, request.queue.clone());
@@ -422,16 +421,12 @@
     }
 
     fn reply(&self, token: Token, answer: Answer) {
-        let Some(reply) = self.pending_replies.borrow_mut().swap_remove(&token) else {
-            return;
-        };
         let answer = match answer {
             Answer::Durable => Reply::Durable,
             Answer::Refused { retry_after } => Reply::Refused { retry_after },
             Answer::Unknown => Reply::UnknownJob,
         };
-        // The caller may have stopped waiting.
-        let _ = reply.send(answer);
+        self.pending_replies.borrow_mut().answer(token, answer);
     }
 
     /// Writes the segments that the cell has ready, one after the other, until the term ends.
--- /dev/null
+++ b/src/jobs/host/replies.rs
@@ -0,0 +1,41 @@
+//! The requests for which the cell has not decided on an answer or has not made it durable.
+
+use indexmap::IndexMap;
+use teaselgap_core::job::Token;
+use tokio::sync::oneshot;
+
+use super::Reply;
+
+/// The channels for the answers to pending requests, by token.
+#[derive(Debug, Default)]
+pub(super) struct PendingReplies {
+    channels: IndexMap<Token, oneshot::Sender<Reply>>,
+    next_token: u64,
+}
+
+impl PendingReplies {
+    pub(super) fn len(&self) -> usize {
+        self.channels.len()
+    }
+
+    /// Adds a request.
+    pub(super) fn insert(&mut self, reply: oneshot::Sender<Reply>) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.channels.insert(token, reply);
+        token
+    }
+
+    /// Answers a request.
+    pub(super) fn answer(&mut self, token: Token, answer: Reply) {
+        if let Some(reply) = self.channels.swap_remove(&token) {
+            // The caller may have stopped waiting.
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Drops all requests without an answer.
+    pub(super) fn clear(&mut self) {
+        self.channels.clear();
+    }
+}
