--- a/src/jobs/peer/tests.rs
+++ b/src/jobs/peer/tests.rs
@@ -53,3 +53,35 @@
 
     assert_eq!(reply, Reply::NotOwner);
 }
+
+/// How long a test waits for requests that are to be refused at once.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// Forwards `count` requests to a node that answers none. Returns how many were refused at once.
+async fn count_refusals(peers: &Peers, address: SocketAddr, count: usize) -> usize {
+    let request = cancellation();
+    let deadline = clock::now() + Span(5_000);
+    let forward = || tokio::time::timeout(REFUSAL_TIME, peers.forward(address, &request, deadline));
+    let replies = futures_util::future::join_all((0..count).map(|_| forward())).await;
+    replies.iter().filter(|reply| matches!(reply, Ok(Reply::Refused { .. }))).count()
+}
+
+#[tokio::test]
+async fn requests_to_a_node_that_answers_none_are_refused_beyond_a_bound() {
+    let (address, _request_rx) = serve_peer().await;
+
+    let refused = count_refusals(&Peers::default(), address, 1_000).await;
+
+    assert!((500..1_000).contains(&refused), "{refused}");
+}
+
+#[tokio::test]
+async fn a_node_whose_queue_is_full_refuses_requests_at_once() {
+    let (address, _request_rx) = serve_peer().await;
+    let nodes: Vec<Peers> = (0..40).map(|_| Peers::default()).collect();
+
+    let counts = nodes.iter().map(|peers| count_refusals(peers, address, 25));
+    let refused: usize = futures_util::future::join_all(counts).await.into_iter().sum();
+
+    assert!((300..1_000).contains(&refused), "{refused}");
+}
