Bound the requests that wait at a node, for another node and for the log

What callers saw: at full links requests waited for up to 2.85 s for a 504; nothing limited how many. Cause: the queue to the control thread, the calls in flight to one node and the owner's pending replies had no bound. Why it works: 512 requests wait for the control thread (half a second at 1 ms each), 128 for one node (0.4 s of a 10 Mbit/s link at the largest payload), 1,000 for the log (one write's records); the next one is told 503 at once, certainly without an effect, with a 'refused' line that names the bound. Over the wire that is RESOURCE_EXHAUSTED.

--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -55,6 +55,8 @@
     UnknownJob,
     /// The node asked does not own the cell and has done nothing.
     NotOwner,
+    /// Too many requests wait for the node asked, which has done nothing.
+    Busy,
     /// The request may or may not have taken effect.
     Uncertain,
 }
@@ -146,6 +148,7 @@
         return;
     };
     let reason = match reply {
+        Reply::Busy => "too many requests wait for the owner of the cell",
         Reply::NotOwner => "no owner of the cell can be reached",
         Reply::Uncertain => "the owner of the cell does not answer",
         _ => return,
--- a/src/jobs/ask/inquiry.rs
+++ b/src/jobs/ask/inquiry.rs
@@ -5,7 +5,7 @@
 
 use teaselgap_core::{Span, Timestamp};
 
-use super::{Operation, Reply};
+use super::{super::peer::BUSY_RETRY_AFTER, Operation, Reply};
 
 /// The pause before a request without an answer is sent to the cell's owner again.
 const RETRY_PAUSE: Span = Span(60);
@@ -71,6 +71,10 @@
                 RETRY_PAUSE
             }
             Reply::NotOwner => RETRY_PAUSE,
+            Reply::Busy if !self.is_uncertain => {
+                return NextStep::Answer(Reply::Refused { retry_after: BUSY_RETRY_AFTER });
+            }
+            Reply::Busy => BUSY_RETRY_AFTER,
             // An earlier try may still reach the owner, so the request can't be refused yet.
             Reply::Refused { retry_after } if self.is_uncertain => retry_after.max(RETRY_PAUSE),
             reply => return NextStep::Answer(reply),
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -21,7 +21,7 @@
 
 use super::{
     ask::{CellRequest, Operation, PendingRequest, Reply},
-    peer::NodeRequest,
+    peer::{BUSY_RETRY_AFTER, NodeRequest},
 };
 use crate::{
     clock,
@@ -41,7 +41,7 @@
     pub(crate) config: arc_swap::ArcSwapOption<Config>,
     pub(crate) draining: std::sync::atomic::AtomicBool,
     pub(crate) in_flight: std::sync::atomic::AtomicUsize,
-    pub(crate) requests: mpsc::UnboundedSender<NodeRequest>,
+    pub(crate) requests: mpsc::Sender<NodeRequest>,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
 }
@@ -166,10 +166,14 @@
         CellRequest { cell: queue.service.clone(), queue: route.queue.clone(), job, operation };
     let (reply, reply_rx) = oneshot::channel();
     let pending = PendingRequest { request, from_peer: false, deadline, reply };
-    if shared.requests.send(NodeRequest::Cell(pending)).is_err() {
-        return refusal_response(StatusCode::SERVICE_UNAVAILABLE, NO_CONFIG_RETRY_AFTER);
-    }
-    let reply = reply_rx.await.unwrap_or(Reply::Uncertain);
+    let reply = if shared.requests.try_send(NodeRequest::Cell(pending)).is_ok() {
+        reply_rx.await.unwrap_or(Reply::Uncertain)
+    } else {
+        info!(shared.log, "refused"; "job" => %job, "queue" => %route.queue,
+            "reason" => "too many requests wait at this node",
+            "retry_after_ms" => BUSY_RETRY_AFTER.0);
+        Reply::Refused { retry_after: BUSY_RETRY_AFTER }
+    };
     let response = reply_response(reply);
     let elapsed = clock::now().since(received_at);
     shared.metrics.record_request(
@@ -245,6 +249,6 @@
         Reply::UnknownJob => no_body(StatusCode::GONE),
         // The request may or may not have taken effect; the client may send it again with the same
         // id.
-        Reply::NotOwner | Reply::Uncertain => no_body(StatusCode::GATEWAY_TIMEOUT),
+        Reply::NotOwner | Reply::Busy | Reply::Uncertain => no_body(StatusCode::GATEWAY_TIMEOUT),
     }
 }
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -32,7 +32,7 @@
     ask::{CellRequest, Operation, Reply},
     node::Node,
     note,
-    peer::CellReport,
+    peer::{BUSY_RETRY_AFTER, CellReport},
     session,
 };
 use crate::clock;
@@ -270,7 +270,16 @@
             let _ = reply.send(answer);
             return reply_rx;
         }
-        let token = self.pending_replies.borrow_mut().insert(reply);
+        let token = match self.pending_replies.borrow_mut().insert(reply) {
+            Ok(token) => token,
+            Err(reply) => {
+                info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
+                    "reason" => "too many requests wait for the log",
+                    "retry_after_ms" => BUSY_RETRY_AFTER.0, "epoch" => self.epoch.0);
+                let _ = reply.send(Reply::Refused { retry_after: BUSY_RETRY_AFTER });
+                return reply_rx;
+            }
+        };
         self.with_cell(|cell| match &request.operation {
             Operation::Submit(spec) => {
                 let job_and_queue = (request.job, request.queue.clone());
--- a/src/jobs/host/replies.rs
+++ b/src/jobs/host/replies.rs
@@ -6,6 +6,10 @@
 
 use super::Reply;
 
+/// The most requests that may be pending, as many as one write of the log can answer. Later ones
+/// would wait for a second write.
+const MAX_PENDING_REPLIES: usize = 1_000;
+
 /// The channels for the answers to pending requests, by token.
 #[derive(Debug, Default)]
 pub(super) struct PendingReplies {
@@ -18,12 +22,18 @@
         self.channels.len()
     }
 
-    /// Adds a request.
-    pub(super) fn insert(&mut self, reply: oneshot::Sender<Reply>) -> Token {
+    /// Adds a request; returns its channel if too many are pending.
+    pub(super) fn insert(
+        &mut self,
+        reply: oneshot::Sender<Reply>,
+    ) -> Result<Token, oneshot::Sender<Reply>> {
+        if self.channels.len() >= MAX_PENDING_REPLIES {
+            return Err(reply);
+        }
         let token = Token(self.next_token);
         self.next_token += 1;
         self.channels.insert(token, reply);
-        token
+        Ok(token)
     }
 
     /// Answers a request.
@@ -49,7 +59,7 @@
         let mut pending = PendingReplies::default();
 
         for _ in 0..5_000 {
-            pending.insert(oneshot::channel().0);
+            let _ = pending.insert(oneshot::channel().0);
         }
 
         assert!(pending.len() <= 1_000, "{}", pending.len());
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -185,7 +185,7 @@
         settings.node.parse().map_err(|err| NodeError::InvalidSetting(format!("node: {err}")))?;
     let incarnation = Incarnation(clock::wall_ms());
     let metrics = Metrics::new()?;
-    let (requests, request_rx) = mpsc::unbounded_channel();
+    let (requests, request_rx) = peer::request_channel();
     let shared = Arc::new(SharedState {
         config: arc_swap::ArcSwapOption::empty(),
         draining: false.into(),
@@ -270,8 +270,8 @@
 async fn run(
     node: Rc<Node>,
     peer_listener: TcpListener,
-    requests: mpsc::UnboundedSender<NodeRequest>,
-    mut request_rx: mpsc::UnboundedReceiver<NodeRequest>,
+    requests: mpsc::Sender<NodeRequest>,
+    mut request_rx: mpsc::Receiver<NodeRequest>,
 ) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -4,7 +4,7 @@
 mod tests;
 mod timeout;
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use teaselgap_core::{
@@ -20,10 +20,14 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{
+        OwnedSemaphorePermit, Semaphore,
+        mpsc::{self, error::TrySendError},
+        oneshot,
+    },
 };
 use tonic::{
-    Request, Response, Status,
+    Code, Request, Response, Status,
     transport::{Channel, Endpoint, server::TcpIncoming},
 };
 
@@ -42,6 +46,22 @@
 /// The longest wait for the answer to a drain instruction.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The most requests that may wait for the control thread. Even if it takes a millisecond for each,
+/// the last one is started well within a caller's time.
+const MAX_QUEUED_REQUESTS: usize = 512;
+
+/// The most requests that may wait for the answer of one node. Even if each carries the largest
+/// payload, a link of 10 Mbit/s passes them on well within a caller's time.
+const MAX_IN_FLIGHT_PER_NODE: usize = 128;
+
+/// How long a refused client should wait before it retries while requests wait at a bound.
+pub(super) const BUSY_RETRY_AFTER: Span = Span(1_000);
+
+/// Creates the queue of requests for the control thread.
+pub(crate) fn request_channel() -> (mpsc::Sender<NodeRequest>, mpsc::Receiver<NodeRequest>) {
+    mpsc::channel(MAX_QUEUED_REQUESTS)
+}
+
 /// Workers that the owner of a cell is to drain.
 #[derive(Debug)]
 pub(crate) struct DrainInstruction {
@@ -75,6 +95,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     clients: RefCell<IndexMap<SocketAddr, CellClient<Channel>>>,
+    /// The permits to have a request in flight to each node.
+    permits: RefCell<IndexMap<SocketAddr, Arc<Semaphore>>>,
 }
 
 impl Peers {
@@ -93,6 +115,15 @@
         Some(client)
     }
 
+    /// Takes a permit to have a request in flight to a node; `None` if too many are.
+    fn acquire(&self, address: SocketAddr) -> Option<OwnedSemaphorePermit> {
+        let mut permits = self.permits.borrow_mut();
+        let permits = permits
+            .entry(address)
+            .or_insert_with(|| Arc::new(Semaphore::new(MAX_IN_FLIGHT_PER_NODE)));
+        Arc::clone(permits).try_acquire_owned().ok()
+    }
+
     /// Drops the connection to a node, so that the next call to it opens a new one.
     fn discard_client(&self, address: SocketAddr) {
         self.clients.borrow_mut().swap_remove(&address);
@@ -108,11 +139,15 @@
         let Some(mut client) = self.get(address) else {
             return Reply::NotOwner;
         };
+        let Some(_permit) = self.acquire(address) else {
+            return Reply::Busy;
+        };
         let time_left = clock::until(deadline);
         let mut req = Request::new(request_to_wire(request));
         req.set_timeout(time_left);
         match tokio::time::timeout(time_left, client.ask(req)).await {
             Ok(Ok(reply)) => reply_from_wire(&request.operation, reply.get_ref()),
+            Ok(Err(status)) if status.code() == Code::ResourceExhausted => Reply::Busy,
             Ok(Err(status)) if was_not_sent(&status) => {
                 self.discard_client(address);
                 Reply::NotOwner
@@ -247,19 +282,20 @@
                 JobState::Ended(JobEnd::Cancelled) => State::Cancelled,
             });
         }
+        Reply::Busy => return Err(Status::resource_exhausted("too many requests wait")),
         Reply::Uncertain => return Err(Status::unavailable("the outcome is not known")),
     }
     Ok(wire)
 }
 
 struct PeerServer {
-    requests: mpsc::UnboundedSender<NodeRequest>,
+    requests: mpsc::Sender<NodeRequest>,
 }
 
 /// Serves other nodes until the runtime ends.
 pub(crate) async fn serve(
     listener: TcpListener,
-    requests: mpsc::UnboundedSender<NodeRequest>,
+    requests: mpsc::Sender<NodeRequest>,
 ) -> Result<(), tonic::transport::Error> {
     tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
@@ -277,6 +313,16 @@
     Status::unavailable("the node is stopping")
 }
 
+impl PeerServer {
+    /// Passes a request to the control thread.
+    fn enqueue(&self, request: NodeRequest) -> Result<(), Status> {
+        self.requests.try_send(request).map_err(|err| match err {
+            TrySendError::Full(_) => Status::resource_exhausted("too many requests wait"),
+            TrySendError::Closed(_) => stopping_status(()),
+        })
+    }
+}
+
 #[tonic::async_trait]
 impl CellService for PeerServer {
     async fn ask(&self, req: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
@@ -300,7 +346,7 @@
         };
         let (reply, reply_rx) = oneshot::channel();
         let pending = PendingRequest { request, from_peer: true, deadline, reply };
-        self.requests.send(NodeRequest::Cell(pending)).map_err(stopping_status)?;
+        self.enqueue(NodeRequest::Cell(pending))?;
         reply_to_wire(reply_rx.await.map_err(stopping_status)?).map(Response::new)
     }
 
@@ -309,7 +355,7 @@
         _: Request<StoreAgeRequest>,
     ) -> Result<Response<StoreAgeReply>, Status> {
         let (reply, reply_rx) = oneshot::channel();
-        self.requests.send(NodeRequest::StoreAge(reply)).map_err(stopping_status)?;
+        self.enqueue(NodeRequest::StoreAge(reply))?;
         let age_ms = reply_rx.await.map_err(stopping_status)?.0;
         Ok(Response::new(StoreAgeReply { age_ms }))
     }
@@ -321,7 +367,7 @@
         let cell = req.cell.parse().map_err(|err| invalid_id_status(&err))?;
         let (reply, reply_rx) = oneshot::channel();
         let instruction = DrainInstruction { cell, drains, expects_workers: req.expecting, reply };
-        self.requests.send(NodeRequest::Drain(instruction)).map_err(stopping_status)?;
+        self.enqueue(NodeRequest::Drain(instruction))?;
         let Some(report) = reply_rx.await.map_err(stopping_status)? else {
             return Ok(Response::new(DirectReply::default()));
         };
--- a/src/jobs/peer/tests.rs
+++ b/src/jobs/peer/tests.rs
@@ -3,10 +3,10 @@
 use super::*;
 
 /// Serves a node's interface for other nodes. Returns its address and the requests that arrive.
-async fn serve_peer() -> (SocketAddr, mpsc::UnboundedReceiver<NodeRequest>) {
+async fn serve_peer() -> (SocketAddr, mpsc::Receiver<NodeRequest>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let (requests, request_rx) = mpsc::unbounded_channel();
+    let (requests, request_rx) = request_channel();
     tokio::spawn(serve(listener, requests));
     (address, request_rx)
 }
@@ -63,7 +63,7 @@
     let deadline = clock::now() + Span(5_000);
     let forward = || tokio::time::timeout(REFUSAL_TIME, peers.forward(address, &request, deadline));
     let replies = futures_util::future::join_all((0..count).map(|_| forward())).await;
-    replies.iter().filter(|reply| matches!(reply, Ok(Reply::Refused { .. }))).count()
+    replies.iter().filter(|reply| matches!(reply, Ok(Reply::Busy))).count()
 }
 
 #[tokio::test]
