--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -1,5 +1,6 @@
 //! Tests of cells in virtual time, against simulated workers that follow the platform's rules.
 
+mod admission;
 mod advice;
 mod faults;
 mod fixtures;
