Refuse jobs that would end only when that is worth nothing

Cause: Cell::submit counted jobs and not the time that they need. Change: core/job/cell/admit.rs forecasts from the waiting work by rank, the largest capacity of the term (five times the current one while the fleet announces workers) and the rate of submitted work. A job is accepted if it can start in time at its rank and makes no accepted one overdue, or if it ends before it is overdue. Nothing is refused in the first 3 s of a term, and arrivals don't count while workers join. Long-running and scheduled jobs are never refused. Retry-After is when the backlog will have fallen, spread by the job's id. CellConfig has a policy: the model of workers keeps accepting late jobs unless a test asks for the forecast, because turns::under_overload_jobs_that_can_still_be_on_time_run_before_those_that_cannot wants all 40 jobs of an overload accepted; that test is unchanged. Nodes use the forecast. The count of a step's waiting tasks now stands once, in task.rs.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -35,7 +35,7 @@
 
 pub use self::{
     advice::{AdviceAnswer, AdviceConfig, AdviceRequest},
-    cell::{Cell, CellConfig, QueueConfig, RecoveredLog},
+    cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
         OrderOutcome, PoolSize, Vm, VmState, Wave,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -3,6 +3,7 @@
 //! A [`Cell`] does no I/O. Its owner passes in requests, answers and the time, and carries out the
 //! [`Action`]s and log writes that the cell returns.
 
+mod admit;
 mod advise;
 mod ends;
 mod load;
@@ -17,6 +18,8 @@
 
 use indexmap::IndexMap;
 
+pub use self::admit::AdmissionPolicy;
+use self::admit::Refusal;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
 use super::{
@@ -60,6 +63,8 @@
     pub status_retention: Span,
     /// The limits on writes of the log.
     pub log: LogConfig,
+    /// Whether jobs that would end too late are refused.
+    pub admission: AdmissionPolicy,
 }
 
 /// An effect that is applied once the log is durable up to a position.
@@ -102,6 +107,7 @@
     /// core-second, without long-running tasks.
     arrived_milli_s: u64,
     arrived_jobs: u64,
+    admission: admit::Admission,
     /// The actual and the estimated processor time of finished tasks, both in thousandths of a
     /// core-second.
     task_cpu_milli_s: (u64, u64),
@@ -119,9 +125,6 @@
     wall_offset_ms: u64,
 }
 
-/// The number of jobs waiting to start at which a cell refuses new ones.
-const MAX_WAITING_JOBS: usize = 2_000;
-
 impl Cell {
     /// Replaces the settings of all queues.
     pub fn set_queues(&mut self, queues: IndexMap<QueueId, QueueConfig>) {
@@ -232,7 +235,7 @@
         self.deferred_effects.push_back((last, effect));
     }
 
-    /// Accepts a job from a client account, or refuses it if too many jobs wait. A job that was
+    /// Accepts a job from a client account, or refuses it if it would end too late. A job that was
     /// submitted before is not accepted again.
     pub fn submit(
         &mut self,
@@ -247,29 +250,17 @@
             return;
         }
         let waiting = self.waiting_jobs();
-        if waiting >= MAX_WAITING_JOBS {
-            let retry_after = Span(1_000);
-            self.actions.push(Action::Log(LogEvent::Refused {
-                job: id,
-                queue,
-                waiting,
-                retry_after,
-            }));
+        if let Some(refusal) = self.check_admission(id, &queue, &spec, now) {
+            let Refusal { reason, wait, retry_after } = refusal;
+            let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
+            self.actions.push(Action::Log(event));
             self.actions.push(Action::Reply(token, Answer::Refused { retry_after }));
             return;
         }
         let event = LogEvent::Accepted { job: id, queue: queue.clone(), waiting };
         self.actions.push(Action::Log(event));
         let expected = self.expected_times.get(&queue);
-        let work: u64 = spec
-            .steps
-            .iter()
-            .filter(|step| !step.long_running)
-            .map(|step| {
-                let each = times::estimate(step, expected).0;
-                step.need.cpu_milli * u64::from(step.count) * each / 1_000
-            })
-            .sum();
+        let work = times::total_work(&spec, expected) / 1_000;
         self.arrived_milli_s += work;
         self.arrived_jobs += u64::from(work > 0);
         let record =
@@ -343,6 +334,7 @@
     pub fn tick(&mut self, now: Timestamp, wall_ms: u64) {
         self.wall_offset_ms = wall_ms.saturating_sub(now.0);
         self.release_inherited_jobs(now);
+        self.note_capacity(now);
         self.expire_runs(now);
         self.send_stops(now);
         self.log_drained_workers(now);
--- /dev/null
+++ b/crates/core/src/job/cell/admit.rs
@@ -0,0 +1,386 @@
+//! Admission by forecast: refuses a job that would end only when that is worth nothing any more.
+//!
+//! The forecast treats the workers as one large processor. It rests on:
+//!
+//! - the work that waits to start, by rank, from the expected times of its steps;
+//! - the most processor capacity that the cell's workers have had in this term, or several times
+//!   their current capacity while more workers are announced. A pool grows within seconds of the
+//!   start of a burst, so its current size says little;
+//! - the rate at which work has been submitted of late, unless the pool has been growing.
+//!
+//! A wrong refusal costs the caller more than a late job. A job is therefore accepted if it can
+//! start in time at its rank, unless that makes a job overdue that was accepted before; and also if
+//! the capacity that arriving jobs leave over ends it before it is overdue. While the owner may not
+//! know all workers yet, nothing is refused. Memory, labels and racks are left out, which makes the
+//! forecast too optimistic rather than too strict.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::VecDeque;
+
+use super::{
+    super::{
+        JobId, JobSpec,
+        order::{self, OVERDUE_FACTOR, RankClass, RankContext},
+        task::Job,
+        times,
+    },
+    Cell, QueueConfig,
+};
+use crate::{QueueId, Span, Timestamp};
+
+/// The number of jobs waiting to start at which a cell refuses new ones, however soon they could
+/// end.
+const MAX_WAITING_JOBS: usize = 2_000;
+
+/// How long a measurement of the backlog is used.
+const BACKLOG_VALIDITY: Span = Span(100);
+
+/// The length of the window over which the rate of arrivals is measured.
+const ARRIVAL_WINDOW: Span = Span(2_000);
+
+/// How long after the start of its term an owner may not know all workers yet.
+const SETTLING_TIME: Span = Span(3_000);
+
+/// How long workers may take to join after they were announced.
+const JOIN_TIME: Span = Span(3_000);
+
+/// By how much a pool may grow while workers are announced.
+const MAX_GROWTH_FACTOR: u64 = 5;
+
+/// A pool with less than this part of its largest capacity is expected to grow again, in percent.
+const SMALL_POOL_PERCENT: u64 = 75;
+
+/// The shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Span = Span(1_000);
+
+/// The part of the time until a job's latest start that its forecast wait may take, in percent.
+/// Workers are never as busy as the forecast assumes.
+const MAX_WAIT_PERCENT: u64 = 80;
+
+/// Whether a cell refuses jobs that would end too late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionPolicy {
+    /// Refuses jobs by forecast.
+    #[default]
+    ByForecast,
+    /// Accepts jobs however late they would end, up to a number of waiting jobs.
+    AcceptLate,
+}
+
+/// A processor time, in thousandths of a core times milliseconds.
+pub(super) type MilliCoreMillis = u64;
+
+/// The order in which jobs that can be on time start: by priority, then by their latest start.
+type StartOrder = (u32, Timestamp);
+
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    pub(super) reason: &'static str,
+    /// How long the job would wait until its last task starts.
+    pub(super) wait: Span,
+    pub(super) retry_after: Span,
+}
+
+/// The work of a job that can no longer be on time, but can still end before it is overdue.
+#[derive(Clone, Copy, Debug)]
+struct LateWork {
+    order: StartOrder,
+    latest_useful_start: Timestamp,
+    /// The time that the open steps still need.
+    remaining: Span,
+    work: MilliCoreMillis,
+}
+
+/// The work of a cell that has not started, without jobs that are overdue. All of it is in the order
+/// in which it starts; the late work starts after that which can be on time.
+#[derive(Clone, Debug, Default)]
+struct Backlog {
+    on_time: Vec<(StartOrder, MilliCoreMillis)>,
+    late: Vec<LateWork>,
+    /// The capacity that long-running tasks book, in thousandths of a core.
+    long_running_milli: u64,
+}
+
+impl Backlog {
+    fn add(&mut self, order: StartOrder, work: MilliCoreMillis) {
+        let index = self.on_time.partition_point(|(other, _)| *other <= order);
+        self.on_time.insert(index, (order, work));
+    }
+
+    /// The work that starts before a new job that can be on time.
+    fn work_ahead(&self, order: StartOrder) -> MilliCoreMillis {
+        let ahead = self.on_time.iter().take_while(|(other, _)| *other <= order);
+        ahead.map(|(_, work)| work).sum()
+    }
+
+    fn on_time_work(&self) -> MilliCoreMillis {
+        self.on_time.iter().map(|(_, work)| work).sum()
+    }
+
+    fn late_work(&self) -> MilliCoreMillis {
+        self.late.iter().map(|late| late.work).sum()
+    }
+
+    /// Whether work that starts before all late work would make a job overdue that isn't yet.
+    fn makes_overdue(&self, added: MilliCoreMillis, total_milli: u64, now: Timestamp) -> bool {
+        let mut ahead = self.on_time_work();
+        self.late.iter().any(|late| {
+            let time_left = late.latest_useful_start.since(now).0;
+            let is_lost = ahead / total_milli > time_left;
+            let safe_time_left = time_left.saturating_sub(late.remaining.0);
+            let would_be_lost = (ahead + added) / total_milli > safe_time_left;
+            ahead += late.work;
+            would_be_lost && !is_lost
+        })
+    }
+}
+
+/// A new job as the forecast sees it.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    order: StartOrder,
+    work: MilliCoreMillis,
+    critical_path: Span,
+    objective: Span,
+}
+
+impl Candidate {
+    /// How long the job may wait until it starts and still be on time.
+    fn slack(&self) -> Span {
+        Span(self.objective.0.saturating_sub(self.critical_path.0))
+    }
+}
+
+/// Capacities in thousandths of a core.
+#[derive(Clone, Copy, Debug)]
+struct Capacity {
+    /// What the workers can do, without the long-running tasks.
+    total_milli: u64,
+    /// What the jobs that arrive need.
+    arriving_milli: u64,
+    /// Whether workers may be joining, so that a backlog does not show that arrivals exceed what
+    /// the workers will do.
+    is_growing: bool,
+}
+
+/// Returns how long a new job would wait until its last task starts, if it is to be refused.
+fn refused_wait(
+    backlog: &Backlog,
+    capacity: Capacity,
+    job: Candidate,
+    now: Timestamp,
+) -> Option<Span> {
+    let wait = Span((backlog.work_ahead(job.order) + job.work) / capacity.total_milli);
+    let is_on_time = wait.0 * 100 <= job.slack().0 * MAX_WAIT_PERCENT;
+    let is_accepted = if is_on_time {
+        capacity.is_growing || !backlog.makes_overdue(job.work, capacity.total_milli, now)
+    } else {
+        ends_before_overdue(backlog, capacity, job)
+    };
+    (!is_accepted).then_some(wait)
+}
+
+/// Whether a job that is late ends before it is overdue. It starts after the jobs that can be on
+/// time, also after those that are still to arrive.
+fn ends_before_overdue(backlog: &Backlog, capacity: Capacity, job: Candidate) -> bool {
+    let arriving_milli = if capacity.is_growing { 0 } else { capacity.arriving_milli };
+    let spare_milli = capacity.total_milli.saturating_sub(arriving_milli);
+    let work = backlog.on_time_work() + backlog.late_work() + job.work;
+    work.checked_div(spare_milli)
+        .is_some_and(|wait_ms| wait_ms + job.critical_path.0 <= job.objective.0 * OVERDUE_FACTOR)
+}
+
+/// The estimated processor time of an occurrence's tasks that wait to start.
+fn waiting_work(job: &Job, index: usize, expected: Option<Span>) -> MilliCoreMillis {
+    let steps = job.occurrences[index].steps.iter().zip(&job.spec.steps);
+    steps
+        .filter(|(state, step)| state.open_tasks > 0 && !step.long_running)
+        .map(|(state, step)| {
+            let time = times::task_time(step, state, expected);
+            step.booked().cpu_milli * time.0 * state.waiting_tasks()
+        })
+        .sum()
+}
+
+/// When a refused caller should come back: once the backlog has fallen by `excess`, spread by the
+/// job's id so that not all callers come back in the same second.
+fn retry_after(job: JobId, excess: Span) -> Span {
+    let seconds = excess.max(MIN_RETRY_AFTER).0.div_ceil(1_000);
+    Span((seconds + job.0 % (seconds + 1)) * 1_000)
+}
+
+/// What the forecast has measured in this term.
+#[derive(Clone, Debug)]
+pub(super) struct Admission {
+    settled_at: Timestamp,
+    /// The most capacity that the usable workers have had, in thousandths of a core.
+    largest_capacity_milli: u64,
+    /// Until when announced workers, or those of a pool that was small, may still be joining.
+    workers_join_until: Timestamp,
+    /// Until when workers are announced.
+    workers_announced_until: Timestamp,
+    /// The work of all jobs submitted in this term, also of refused ones.
+    submitted_work: MilliCoreMillis,
+    /// The submitted work up to a time, the oldest first.
+    arrivals: VecDeque<(Timestamp, MilliCoreMillis)>,
+    backlog: Backlog,
+    backlog_valid_until: Timestamp,
+}
+
+impl Admission {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            settled_at: now + SETTLING_TIME,
+            largest_capacity_milli: 0,
+            workers_join_until: Timestamp(0),
+            workers_announced_until: Timestamp(0),
+            submitted_work: 0,
+            arrivals: VecDeque::new(),
+            backlog: Backlog::default(),
+            backlog_valid_until: Timestamp(0),
+        }
+    }
+
+    fn record_arrivals(&mut self, now: Timestamp) {
+        self.arrivals.push_back((now, self.submitted_work));
+        while self.arrivals.get(1).is_some_and(|(at, _)| *at + ARRIVAL_WINDOW <= now) {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// The capacity that the work submitted within the window needs, in thousandths of a core.
+    fn arriving_milli(&self) -> u64 {
+        let before = self.arrivals.front().map_or(self.submitted_work, |(_, work)| *work);
+        (self.submitted_work - before) / ARRIVAL_WINDOW.0
+    }
+}
+
+impl Cell {
+    /// Notes that more workers are about to join, so that no job is refused for want of them.
+    pub fn expect_workers(&mut self, now: Timestamp) {
+        self.admission.workers_announced_until = now + JOIN_TIME;
+        self.admission.workers_join_until = now + JOIN_TIME;
+    }
+
+    /// Decides whether a new job is refused. Long-running and scheduled jobs never are: their
+    /// callers do not wait for their end.
+    pub(super) fn check_admission(
+        &mut self,
+        id: JobId,
+        queue: &QueueId,
+        spec: &JobSpec,
+        now: Timestamp,
+    ) -> Option<Refusal> {
+        if spec.is_long_running() || spec.schedule.is_some() {
+            return None;
+        }
+        if self.waiting_jobs() >= MAX_WAITING_JOBS {
+            let retry_after = retry_after(id, MIN_RETRY_AFTER);
+            let reason = "too many jobs wait";
+            return Some(Refusal { reason, wait: Span(0), retry_after });
+        }
+        if self.cfg.admission == AdmissionPolicy::AcceptLate {
+            return None;
+        }
+        self.refresh_backlog(now);
+        let job = self.candidate(queue, spec, now)?;
+        self.admission.submitted_work += job.work;
+        let capacity = self.forecast_capacity(now)?;
+        let Some(wait) = refused_wait(&self.admission.backlog, capacity, job, now) else {
+            self.admission.backlog.add(job.order, job.work);
+            return None;
+        };
+        let retry_after = retry_after(id, Span(wait.0.saturating_sub(job.slack().0)));
+        Some(Refusal { reason: "it would end too late", wait, retry_after })
+    }
+
+    /// Describes a new job for the forecast; `None` if its queue is unknown.
+    fn candidate(&self, id: &QueueId, spec: &JobSpec, now: Timestamp) -> Option<Candidate> {
+        let queue: &QueueConfig = self.queues.get(id)?;
+        let expected = self.expected_times.get(id);
+        let critical_path = spec.critical_path(|_, step| times::estimate(step, expected).0);
+        let objective = order::objective(critical_path, queue);
+        let work = times::total_work(spec, expected);
+        let mut job = Candidate { order: (queue.priority, now), work, critical_path, objective };
+        job.order.1 = now + job.slack();
+        Some(job)
+    }
+
+    /// The capacity that the forecast counts on; `None` while too little is known of the workers.
+    fn forecast_capacity(&self, now: Timestamp) -> Option<Capacity> {
+        let admission = &self.admission;
+        if now < admission.settled_at || !self.has_worker_list {
+            return None;
+        }
+        let mut total_milli = admission.largest_capacity_milli;
+        if now < admission.workers_announced_until {
+            total_milli = total_milli.max(self.usable_capacity_milli(now) * MAX_GROWTH_FACTOR);
+        }
+        let total_milli = total_milli.checked_sub(admission.backlog.long_running_milli)?;
+        let arriving_milli = admission.arriving_milli();
+        let is_growing = now < admission.workers_join_until;
+        (total_milli > 0).then_some(Capacity { total_milli, arriving_milli, is_growing })
+    }
+
+    fn usable_capacity_milli(&self, now: Timestamp) -> u64 {
+        let usable = self.workers.values().filter(|worker| Self::is_usable(worker, now));
+        usable.map(|worker| worker.entry.capacity.cpu_milli).sum()
+    }
+
+    /// Notes the current capacity: whether it is the largest so far, and whether it is small.
+    pub(super) fn note_capacity(&mut self, now: Timestamp) {
+        let current = self.usable_capacity_milli(now);
+        let admission = &mut self.admission;
+        admission.largest_capacity_milli = admission.largest_capacity_milli.max(current);
+        if current * 100 < admission.largest_capacity_milli * SMALL_POOL_PERCENT {
+            admission.workers_join_until = now + JOIN_TIME;
+        }
+    }
+
+    fn refresh_backlog(&mut self, now: Timestamp) {
+        if now < self.admission.backlog_valid_until {
+            return;
+        }
+        self.admission.backlog = self.measure_backlog(now);
+        self.admission.backlog_valid_until = now + BACKLOG_VALIDITY;
+        self.admission.record_arrivals(now);
+    }
+
+    fn measure_backlog(&self, now: Timestamp) -> Backlog {
+        let wall_offset_ms = self.wall_offset_ms;
+        let mut backlog = Backlog::default();
+        for job in self.jobs.values().filter(|job| job.end.is_none()) {
+            let Some(queue) = self.queues.get(&job.queue) else {
+                continue;
+            };
+            let expected = self.expected_times.get(&job.queue);
+            let context = RankContext { queue, expected, now, wall_offset_ms };
+            for index in 0..job.occurrences.len() {
+                backlog.long_running_milli += job.long_running_milli();
+                let work = waiting_work(job, index, expected);
+                if work == 0 {
+                    continue;
+                }
+                let rank = order::rank(job, index, &context);
+                match rank.class {
+                    RankClass::OnTime => {
+                        backlog.on_time.push(((rank.priority, rank.sort_time), work));
+                    }
+                    RankClass::Late => backlog.late.push(LateWork {
+                        order: (rank.priority, rank.sort_time),
+                        latest_useful_start: order::latest_useful_start(job, index, &context),
+                        remaining: context.remaining(job, index),
+                        work,
+                    }),
+                    RankClass::LongRunning | RankClass::Overdue => {}
+                }
+            }
+        }
+        backlog.on_time.sort_unstable();
+        backlog.late.sort_by_key(|late| late.order);
+        backlog
+    }
+}
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -8,7 +8,7 @@
         JobId, Load, Step,
         order::{self, RankContext},
         place,
-        task::{Job, Task},
+        task::Job,
         times,
     },
     Cell,
@@ -99,8 +99,7 @@
                 continue;
             }
             let open_tasks = state.tasks.iter().filter(|task| !task.is_done).count() as u64;
-            let is_waiting = |task: &&Task| !task.is_done && task.run_workers.is_empty();
-            let waiting_tasks = state.tasks.iter().filter(is_waiting).count() as u64;
+            let waiting_tasks = state.waiting_tasks();
             let weighted_tasks =
                 waiting_tasks * 100 + (open_tasks - waiting_tasks) * RUNNING_TASK_LEFT_PERCENT;
             work += cpu * times::task_time(step, state, expected).0 * weighted_tasks / 100;
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -66,6 +66,7 @@
             pace_table: super::PaceTable::default(),
             arrived_milli_s: 0,
             arrived_jobs: 0,
+            admission: super::admit::Admission::new(now),
             task_cpu_milli_s: (0, 0),
             expected_times: super::ExpectedTimes::default(),
             advice_requests_in_flight: 0,
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -172,6 +172,10 @@
         queue: QueueId,
         /// Number of the cell's jobs that have not started.
         waiting: usize,
+        /// Why it was refused.
+        reason: &'static str,
+        /// How long it would have waited until its start, according to the forecast.
+        wait: Span,
         /// How long the client account should wait before it submits the job again.
         retry_after: Span,
     },
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -9,7 +9,7 @@
 
 /// A job is overdue, and finishing it earns nothing, once it takes longer than its objective times
 /// this factor.
-const OVERDUE_FACTOR: u64 = 3;
+pub(super) const OVERDUE_FACTOR: u64 = 3;
 
 /// The urgency of a step; the most urgent class comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -52,12 +52,11 @@
         let steps = &job.occurrences[occurrence].steps;
         let time =
             |index: usize, step: &Step| times::task_time(step, &steps[index], self.expected).0;
-        let path = job.spec.critical_path(time).0;
-        Span(path * self.queue.stretch_percent / 100 + self.queue.target_latency.0)
+        objective(job.spec.critical_path(time), self.queue)
     }
 
     /// Estimates the time that the open steps of an occurrence still need.
-    fn remaining(&self, job: &Job, occurrence: usize) -> Span {
+    pub(super) fn remaining(&self, job: &Job, occurrence: usize) -> Span {
         let steps = &job.occurrences[occurrence].steps;
         job.spec.critical_path(|index, step| match steps[index].open_tasks {
             0 => 0,
@@ -66,6 +65,11 @@
     }
 }
 
+/// Returns how long a job with this critical path may take.
+pub(super) fn objective(critical_path: Span, queue: &QueueConfig) -> Span {
+    Span(critical_path.0 * queue.stretch_percent / 100 + queue.target_latency.0)
+}
+
 /// Returns when an occurrence fell due, on this node's clock. A job without a schedule is due when
 /// it arrives.
 fn due_time(job: &Job, occurrence: usize, wall_offset_ms: u64) -> Timestamp {
@@ -93,6 +97,17 @@
     if left >= needed { left } else { needed.max(LATE_FINISH_TIME) }
 }
 
+/// Returns when an occurrence must start at the latest so that finishing it still earns something.
+pub(super) fn latest_useful_start(
+    job: &Job,
+    occurrence: usize,
+    context: &RankContext<'_>,
+) -> Timestamp {
+    let due = due_time(job, occurrence, context.wall_offset_ms);
+    let overdue_from = due + Span(context.objective(job, occurrence).0 * OVERDUE_FACTOR);
+    Timestamp(overdue_from.0.saturating_sub(context.remaining(job, occurrence).0))
+}
+
 /// Ranks the steps of one occurrence of a job.
 pub(super) fn rank(job: &Job, occurrence: usize, context: &RankContext<'_>) -> Rank {
     let now = context.now;
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -40,6 +40,14 @@
     pub(super) open_tasks: u32,
 }
 
+impl StepState {
+    /// Returns the number of tasks that are neither done nor possibly running.
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        let is_waiting = |task: &&Task| !task.is_done && task.run_workers.is_empty();
+        self.tasks.iter().filter(is_waiting).count() as u64
+    }
+}
+
 /// The state of an occurrence of a job.
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
@@ -143,6 +151,13 @@
         schedule.first_wall_ms + u64::from(occurrence) * schedule.period.0
     }
 
+    /// Returns the processor capacity that the long-running tasks of one occurrence book, in
+    /// thousandths of a core.
+    pub(super) fn long_running_milli(&self) -> u64 {
+        let steps = self.spec.steps.iter().filter(|step| step.long_running);
+        steps.map(|step| step.booked().cpu_milli * u64::from(step.count)).sum()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.due_occurrences == self.spec.occurrences()
             && self.occurrences.iter().all(Occurrence::is_done)
--- a/crates/core/src/job/times.rs
+++ b/crates/core/src/job/times.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Step, task::StepState};
+use super::{JobSpec, Step, task::StepState};
 use crate::{QueueId, Span};
 
 /// Maximum number of durations kept for one step.
@@ -91,6 +91,13 @@
     Span(estimate.max(1))
 }
 
+/// Estimates the processor time of a job's tasks that are not long-running, before any of them has
+/// run, in thousandths of a core times milliseconds.
+pub(super) fn total_work(spec: &JobSpec, expected: Option<Span>) -> u64 {
+    let steps = spec.steps.iter().filter(|step| !step.long_running);
+    steps.map(|step| step.need.cpu_milli * u64::from(step.count) * estimate(step, expected).0).sum()
+}
+
 /// Estimates the duration of a task from the other tasks of its step or, while too few of them
 /// have been measured, by [`estimate`].
 pub(super) fn task_time(step: &Step, state: &StepState, expected: Option<Span>) -> Span {
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -14,9 +14,9 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, HoldReport,
-        LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome, TaskId,
-        Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
+        HoldReport, LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome,
+        TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -159,7 +159,8 @@
     advice_request_count: usize,
 }
 
-/// Returns the cell configuration of a typical small deployment.
+/// Returns the cell configuration of a typical small deployment. Jobs are accepted however late they
+/// end, so that a test can overload a cell.
 #[must_use]
 pub fn cell_config() -> CellConfig {
     CellConfig {
@@ -168,6 +169,7 @@
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         log: LogConfig::default(),
+        admission: AdmissionPolicy::AcceptLate,
     }
 }
 
@@ -178,10 +180,21 @@
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
+    ) -> Self {
+        Self::with_config(cell_config(), service, queues, workers)
+    }
+
+    /// Creates a cell of this configuration with its workers and lets a first owner take it over.
+    #[must_use]
+    pub fn with_config(
+        cfg: CellConfig,
+        service: ServiceId,
+        queues: IndexMap<QueueId, QueueConfig>,
+        workers: Vec<ModelWorker>,
     ) -> Self {
         let mut model = Self {
             now: Timestamp(10_000),
-            cfg: cell_config(),
+            cfg,
             service,
             queues,
             cell: None,
--- a/crates/standins/tests/cells/admission.rs
+++ b/crates/standins/tests/cells/admission.rs
@@ -1,12 +1,15 @@
 //! Tests of admission by forecast: overloads, bursts that a growing pool can do, and refusals.
 
+use indexmap::IndexMap;
 use teaselgap_core::{
     Span,
-    job::{Answer, DrainMode, JobId, JobSpec, LogEvent, Schedule, Token},
+    job::{
+        AdmissionPolicy, Answer, CellConfig, DrainMode, JobId, JobSpec, LogEvent, Schedule, Token,
+    },
 };
-use teaselgap_standins::model::{Model, TaskTime};
+use teaselgap_standins::model::{Model, TaskTime, cell_config};
 
-use crate::fixtures::{job_spec, long_running_job, new_model, queue, step};
+use crate::fixtures::{job_spec, long_running_job, queue, queue_config, service, step, worker};
 
 /// Time that a task of these tests takes, in milliseconds.
 const TASK_MS: u64 = 800;
@@ -26,13 +29,25 @@
     job_spec(vec![step(2, 16_000, TASK_MS)])
 }
 
-/// Creates a model whose owner has known its workers for a while.
+/// Creates a model whose owner has known its workers for a while and refuses jobs by forecast.
 fn settled_model(workers: usize) -> Model {
-    let mut model = new_model(workers);
+    settled_model_with(AdmissionPolicy::ByForecast, workers)
+}
+
+fn settled_model_with(admission: AdmissionPolicy, workers: usize) -> Model {
+    let mut model = unsettled_model_with(admission, workers);
     model.run_for(SETTLING_MS);
     model
 }
 
+fn unsettled_model_with(admission: AdmissionPolicy, workers: usize) -> Model {
+    let cfg = CellConfig { admission, ..cell_config() };
+    let queues = IndexMap::from([(queue(), queue_config())]);
+    let mut model = Model::with_config(cfg, service(), queues, (0..workers).map(worker).collect());
+    model.run_for(300);
+    model
+}
+
 /// Submits a job every `interval_ms` for `duration_ms`. Returns the jobs with their tokens.
 fn submit_steadily(model: &mut Model, interval_ms: u64, duration_ms: u64) -> Vec<(JobId, Token)> {
     let first = model.now().0;
@@ -69,6 +84,41 @@
     model.cell_mut().unwrap().set_drains(drains.collect());
 }
 
+/// What became of the jobs of an overload.
+#[derive(Debug)]
+struct Outcome {
+    refused: usize,
+    on_time: usize,
+    /// How long the slowest accepted job took, in milliseconds.
+    slowest_ms: u64,
+}
+
+/// Submits for 20 s twice as many jobs as the workers can do, at intervals that vary by up to
+/// `jitter_ms` either way, and waits until all accepted ones have ended.
+fn run_overload(admission: AdmissionPolicy, workers: usize, jitter_ms: u64) -> Outcome {
+    let mut model = settled_model_with(admission, workers);
+    let interval_ms = TASK_MS / (2 * workers as u64);
+    let end = model.now() + Span(20_000);
+    let mut jobs = Vec::new();
+    let mut random = 1_u64;
+    while model.now() < end {
+        jobs.extend(submit_steadily(&mut model, 1, 1));
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let pause_ms =
+            (interval_ms + (random >> 33) % (2 * jitter_ms + 1)).saturating_sub(jitter_ms);
+        model.run_for(pause_ms.saturating_sub(1));
+    }
+    let refused = refusals(&model, &jobs).len();
+    let accepted = jobs.len() - refused;
+    assert!(model.run_until(60_000, |model| completion_times(model).len() == accepted));
+    let times = completion_times(&model);
+    Outcome {
+        refused,
+        on_time: times.iter().filter(|&&time| time <= OBJECTIVE_MS).count(),
+        slowest_ms: times.into_iter().max().unwrap_or(0),
+    }
+}
+
 #[test]
 fn in_an_overload_each_accepted_job_ends_while_it_is_worth_something() {
     let mut model = settled_model(4);
@@ -87,6 +137,27 @@
     assert!(on_time > 100, "{on_time} of {accepted} accepted");
 }
 
+#[test]
+fn in_an_overload_as_many_jobs_end_on_time_as_without_refusals() {
+    for jitter_ms in [0, 10, 30] {
+        let without_refusals = run_overload(AdmissionPolicy::AcceptLate, 4, jitter_ms);
+        let outcome = run_overload(AdmissionPolicy::ByForecast, 4, jitter_ms);
+
+        assert!(outcome.refused > 0, "{outcome:?}");
+        assert!(outcome.slowest_ms <= OBJECTIVE_MS * OVERDUE_FACTOR, "{outcome:?}");
+        assert!(outcome.on_time >= without_refusals.on_time, "{outcome:?} {without_refusals:?}");
+    }
+}
+
+#[test]
+fn in_an_overload_of_a_large_pool_each_accepted_job_ends_while_it_is_worth_something() {
+    let outcome = run_overload(AdmissionPolicy::ByForecast, 20, 0);
+
+    // The workers do 25 jobs a second for 20 s.
+    assert!(outcome.slowest_ms <= OBJECTIVE_MS * OVERDUE_FACTOR, "{outcome:?}");
+    assert!(outcome.on_time >= 500, "{outcome:?}");
+}
+
 #[test]
 fn callers_refused_in_an_overload_come_back_in_different_seconds_within_their_time() {
     let mut model = settled_model(4);
@@ -132,9 +203,21 @@
     assert_eq!(refusals(&model, &jobs), []);
 }
 
+#[test]
+fn nothing_is_refused_while_more_workers_are_announced() {
+    let mut model = settled_model(2);
+    let now = model.now();
+    model.cell_mut().unwrap().expect_workers(now);
+
+    // Two workers do two and a half of these jobs in a second, five times as many twelve.
+    let jobs = submit_steadily(&mut model, 100, 2_500);
+
+    assert_eq!(refusals(&model, &jobs), []);
+}
+
 #[test]
 fn nothing_is_refused_while_a_new_owner_may_not_know_its_workers() {
-    let mut model = new_model(10);
+    let mut model = unsettled_model_with(AdmissionPolicy::ByForecast, 10);
     drain(&mut model, 2..10);
     model.kill_owner();
     model.take_over();
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -13,8 +13,8 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, RecoveredLog,
-        Segment, Sequence, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load,
+        LogConfig, RecoveredLog, Segment, Sequence, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -90,6 +90,7 @@
         stop_timeout: Span(stop_ms),
         status_retention,
         log: LogConfig::default(),
+        admission: AdmissionPolicy::ByForecast,
     }
 }
 
@@ -311,6 +312,9 @@
         let now = clock::now();
         let report = self.with_cell(|cell| {
             cell.set_drains(drains);
+            if expects_workers {
+                cell.expect_workers(now);
+            }
             CellReport { drained: cell.drained_workers(), load: cell.load(now) }
         });
         report.unwrap_or_else(|| CellReport { drained: Vec::new(), load: Load::default() })
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -11,8 +11,9 @@
             info!(log, "accepted"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
                 "cell" => cell, "epoch" => epoch);
         }
-        LogEvent::Refused { job, queue, waiting, retry_after } => {
+        LogEvent::Refused { job, queue, waiting, reason, wait, retry_after } => {
             info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
+                "reason" => reason, "forecast_wait_ms" => wait.0,
                 "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
         }
         LogEvent::Placed { run, free_cpu_milli, waited } => {
