--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -5,4 +5,5 @@
 mod faults;
 mod fixtures;
 mod random;
+mod store_outage;
 mod turns;
