--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -7,7 +7,10 @@
     },
     *,
 };
-use crate::{Epoch, Span, job::LogConfig};
+use crate::{
+    Epoch, Span,
+    job::{AdmissionPolicy, LogConfig},
+};
 
 const NOW: (Timestamp, u64) = (Timestamp(1_000_000), 1_700_000_000_000);
 
@@ -23,6 +26,7 @@
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         // Small, so that the copies need several writes.
+        admission: AdmissionPolicy::AcceptLate,
         log: LogConfig { max_segment_bytes: 1_000, ..LogConfig::default() },
     }
 }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -15,9 +15,9 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, HoldReport,
-        LogConfig, LogEvent, LogWrite, QueueConfig, Sequence, StartOrder, StartOutcome, TaskId,
-        Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
+        HoldReport, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence, StartOrder, StartOutcome,
+        TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -171,7 +171,8 @@
     advice_request_count: usize,
 }
 
-/// Returns the cell configuration of a typical small deployment.
+/// Returns the cell configuration of a typical small deployment. Jobs are accepted however late they
+/// end, so that a test can overload a cell.
 #[must_use]
 pub fn cell_config() -> CellConfig {
     CellConfig {
@@ -180,6 +181,7 @@
         status_retention: Span(120_000),
         // Small, so that short tests clean the log too.
         log: LogConfig { min_log_bytes: 4 * 1024, ..LogConfig::default() },
+        admission: AdmissionPolicy::AcceptLate,
     }
 }
 
@@ -190,10 +192,21 @@
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
+    ) -> Self {
+        Self::with_config(cell_config(), service, queues, workers)
+    }
+
+    /// Creates a cell of this configuration with its workers and lets a first owner take it over.
+    #[must_use]
+    pub fn with_config(
+        cfg: CellConfig,
+        service: ServiceId,
+        queues: IndexMap<QueueId, QueueConfig>,
+        workers: Vec<ModelWorker>,
     ) -> Self {
         let mut model = Self {
             now: Timestamp(10_000),
-            cfg: cell_config(),
+            cfg,
             service,
             queues,
             cell: None,
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -1,5 +1,7 @@
 //! The owner of a cell: has the cell's log written, calls its workers and answers requests.
 
+mod replies;
+
 use std::{
     cell::{Cell as StdCell, RefCell},
     rc::Rc,
@@ -11,8 +13,8 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, TaskId, Token,
-        WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load,
+        LogConfig, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -24,12 +26,13 @@
 };
 use tokio::sync::{Notify, oneshot};
 
+use self::replies::PendingReplies;
 use super::{
     ask::{CellRequest, Operation, Reply},
     log_store::{LogStore, WriteError},
     node::Node,
     note,
-    peer::CellReport,
+    peer::{BUSY_RETRY_AFTER, CellReport},
     session,
 };
 use crate::clock;
@@ -58,11 +61,11 @@
     service: ServiceId,
     epoch: Epoch,
     log_store: LogStore,
+    started_at: Timestamp,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
-    pending_replies: RefCell<IndexMap<Token, oneshot::Sender<Reply>>>,
-    next_token: StdCell<u64>,
+    pending_replies: RefCell<PendingReplies>,
     is_term_over: StdCell<bool>,
     /// When the pending write of a segment was first sent; `None` if no write is pending.
     writing_since: StdCell<Option<Timestamp>>,
@@ -83,6 +86,7 @@
         stop_timeout: Span(stop_ms),
         status_retention,
         log: LogConfig { max_segment_bytes, ..defaults },
+        admission: AdmissionPolicy::ByForecast,
     }
 }
 
@@ -114,11 +118,11 @@
         service: service.clone(),
         epoch,
         log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
+        started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
-        pending_replies: RefCell::new(IndexMap::new()),
-        next_token: StdCell::new(0),
+        pending_replies: RefCell::default(),
         is_term_over: StdCell::new(false),
         writing_since: StdCell::new(None),
         earlier_orders_end: StdCell::new(earlier_orders_end),
@@ -143,6 +147,12 @@
         !self.is_term_over.get() && !self.is_handing_over.get() && self.cell.borrow().is_some()
     }
 
+    /// Since when the log has been read; `None` once it has been, and once the term is over.
+    pub(super) fn recovering_since(&self) -> Option<Timestamp> {
+        let is_recovering = !self.is_term_over.get() && self.cell.borrow().is_none();
+        is_recovering.then_some(self.started_at)
+    }
+
     /// Ends the term: this owner sends no more orders and writes no more segments. Pending requests
     /// get no reply, and the nodes that received them from clients look up the owner and ask again.
     pub(super) fn end_term(&self, reason: &'static str) {
@@ -238,9 +248,16 @@
             let _ = reply.send(answer);
             return reply_rx;
         }
-        let token = Token(self.next_token.get());
-        self.next_token.set(token.0 + 1);
-        self.pending_replies.borrow_mut().insert(token, reply);
+        let token = match self.pending_replies.borrow_mut().insert(reply) {
+            Ok(token) => token,
+            Err(reply) => {
+                info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
+                    "reason" => "too many requests wait for the log",
+                    "retry_after_ms" => BUSY_RETRY_AFTER.0, "epoch" => self.epoch.0);
+                let _ = reply.send(Reply::Refused { retry_after: BUSY_RETRY_AFTER });
+                return reply_rx;
+            }
+        };
         self.with_cell(|cell| match &request.operation {
             Operation::Submit(spec) => {
                 let job_and_queue = (request.job, request.queue.clone());
@@ -272,6 +289,9 @@
         let now = clock::now();
         let report = self.with_cell(|cell| {
             cell.set_drains(drains);
+            if expects_workers {
+                cell.expect_workers(now);
+            }
             CellReport { drained: cell.drained_workers(), load: cell.load(now) }
         });
         report.unwrap_or_else(|| CellReport { drained: Vec::new(), load: Load::default() })
@@ -391,16 +411,12 @@
     }
 
     fn reply(&self, token: Token, answer: Answer) {
-        let Some(reply) = self.pending_replies.borrow_mut().swap_remove(&token) else {
-            return;
-        };
         let answer = match answer {
             Answer::Durable => Reply::Durable,
             Answer::Refused { retry_after } => Reply::Refused { retry_after },
             Answer::Unknown => Reply::UnknownJob,
         };
-        // The caller may have stopped waiting.
-        let _ = reply.send(answer);
+        self.pending_replies.borrow_mut().answer(token, answer);
     }
 
     /// Writes the segments that the cell has ready, one after the other, until the term ends.
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -10,7 +10,7 @@
 
 use indexmap::IndexMap;
 use slog::{Logger, info, warn};
-use teaselgap_core::{Incarnation, NodeId, ServiceId, Span, job::Duty};
+use teaselgap_core::{Incarnation, NodeId, ServiceId, Span, Timestamp, job::Duty};
 use teaselgap_platform::{
     client::Connections,
     settings::{self, Settings, SettingsError},
@@ -111,6 +111,11 @@
         self.cell_owners.borrow().get(cell).filter(|owner| owner.is_serving()).cloned()
     }
 
+    /// Since when this node, as the owner of a cell, has been reading the cell's log.
+    pub(super) fn recovering_since(&self, cell: &ServiceId) -> Option<Timestamp> {
+        self.cell_owners.borrow().get(cell).and_then(|owner| owner.recovering_since())
+    }
+
     /// The address of the node that owns a cell, if it is another node.
     pub(super) fn owner_address(&self, cell: &ServiceId) -> Option<SocketAddr> {
         self.members.borrow().owner_address(&session::cell_duty(cell), &self.id)
@@ -182,7 +187,7 @@
         settings.node.parse().map_err(|err| NodeError::InvalidSetting(format!("node: {err}")))?;
     let incarnation = Incarnation(clock::wall_ms());
     let metrics = Metrics::new()?;
-    let (requests, request_rx) = mpsc::unbounded_channel();
+    let (requests, request_rx) = peer::request_channel();
     let shared = Arc::new(SharedState {
         config: arc_swap::ArcSwapOption::empty(),
         draining: false.into(),
@@ -268,8 +273,8 @@
 async fn run(
     node: Rc<Node>,
     peer_listener: TcpListener,
-    requests: mpsc::UnboundedSender<NodeRequest>,
-    mut request_rx: mpsc::UnboundedReceiver<NodeRequest>,
+    requests: mpsc::Sender<NodeRequest>,
+    mut request_rx: mpsc::Receiver<NodeRequest>,
 ) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
