--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -24,6 +24,7 @@
     Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWrite,
     LogWriter, Position, Record, Sequence, Token, WorkerId,
     pace::PaceTable,
+    record::EncodedRecord,
     task::Job,
     times::{self, ExpectedTimes},
     worker::{DrainMode, Logged, Worker},
@@ -222,6 +223,16 @@
         }
     }
 
+    /// Appends a record to the log. The effect is applied once the record is durable.
+    #[expect(clippy::needless_pass_by_value, reason = "callers create the record for this call")]
+    fn record(&mut self, record: Record, now: Timestamp, effect: Option<DeferredEffect>) {
+        let encoded = EncodedRecord::new(&record);
+        let bytes = encoded.len();
+        let position = self.log.append(encoded, now);
+        self.track_record(&record, position, bytes);
+        self.deferred_effects.extend(effect.map(|effect| (position, effect)));
+    }
+
     /// Applies an effect once every record appended so far is durable, which may be at once.
     fn defer_until_durable(&mut self, effect: DeferredEffect, now: Timestamp) {
         if self.log.is_idle() {
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -15,10 +15,9 @@
 use super::{
     super::{
         JobEnd, JobId, Position, Record, TaskId, TaskSnapshot, WorkerId,
-        record::EncodedRecord,
         task::{Job, Occurrence, StepState, Task},
     },
-    Cell, DeferredEffect,
+    Cell,
 };
 use crate::Timestamp;
 
@@ -112,21 +111,6 @@
 }
 
 impl Cell {
-    /// Appends a record to the log. The effect is applied once the record is durable.
-    #[expect(clippy::needless_pass_by_value, reason = "callers create the record for this call")]
-    pub(super) fn record(
-        &mut self,
-        record: Record,
-        now: Timestamp,
-        effect: Option<DeferredEffect>,
-    ) {
-        let encoded = EncodedRecord::new(&record);
-        let bytes = encoded.len();
-        let position = self.log.append(encoded, now);
-        self.track_record(&record, position, bytes);
-        self.deferred_effects.extend(effect.map(|effect| (position, effect)));
-    }
-
     /// Updates the index of live records by a record at this position.
     pub(super) fn track_record(&mut self, record: &Record, position: Position, bytes: usize) {
         match record {
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -2,7 +2,10 @@
 
 use super::{
     super::{
-        super::{EndKind, JobSpec, LogWrite, Schedule, Step, StoredSegment, record},
+        super::{
+            EndKind, JobSpec, LogWrite, Schedule, Step, StoredSegment, record,
+            record::EncodedRecord,
+        },
         CellConfig, RecoveredLog,
     },
     *,
@@ -228,3 +231,13 @@
     let first = EncodedRecord::new(&accepted(1)).len();
     assert!(cell.live.bytes <= 4 * (first + OPEN_TASK_BYTES), "{} bytes", cell.live.bytes);
 }
+
+#[test]
+fn the_number_of_an_unreadable_segment_is_not_used_again() {
+    let mut recovered = RecoveredLog::default();
+
+    let result = recovered.add_segment(7, b"not a segment");
+
+    assert!(result.is_err());
+    assert_eq!(recovered, RecoveredLog { next: 8, segments: Vec::new() });
+}
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -24,6 +24,23 @@
     pub segments: Vec<StoredSegment>,
 }
 
+impl RecoveredLog {
+    /// Adds the next segment, given its value in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a valid segment. Its sequence number is taken anyway.
+    pub fn add_segment(
+        &mut self,
+        sequence: Sequence,
+        value: &[u8],
+    ) -> Result<(), serde_json::Error> {
+        self.next = self.next.max(sequence + 1);
+        self.segments.push(StoredSegment::decode(sequence, value)?);
+        Ok(())
+    }
+}
+
 /// How long a lease can last by this node's clock, in percent of its nominal duration, because the
 /// worker's clock may be slow.
 const LEASE_STRETCH_PERCENT: u64 = 103;
--- a/crates/standins/src/model/log.rs
+++ b/crates/standins/src/model/log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use teaselgap_core::job::{LogWrite, RecoveredLog, Sequence, StoredSegment};
+use teaselgap_core::job::{LogWrite, RecoveredLog, Sequence};
 
 /// Maximum size of a value in the store, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -43,13 +43,11 @@
 
     /// Returns the contents of the log, as a new owner reads it.
     pub(super) fn recover(&self) -> RecoveredLog {
-        let segment = |(&sequence, value): (&Sequence, &Vec<u8>)| {
-            StoredSegment::decode(sequence, value).expect("a segment that an owner wrote")
-        };
-        RecoveredLog {
-            next: self.segments.keys().next_back().map_or(0, |last| last + 1),
-            segments: self.segments.iter().map(segment).collect(),
+        let mut recovered = RecoveredLog::default();
+        for (&sequence, value) in &self.segments {
+            recovered.add_segment(sequence, value).expect("a segment that an owner wrote");
         }
+        recovered
     }
 
     /// Returns the sequence number of the oldest segment.
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -5,7 +5,7 @@
 use slog::warn;
 use teaselgap_core::{
     Epoch, ServiceId,
-    job::{LogWrite, RecoveredLog, Sequence, StoredSegment},
+    job::{LogWrite, RecoveredLog, Sequence},
 };
 use teaselgap_platform::store::{
     self, Expected, Item, Outcome, Put, Range, StoreError, Transaction,
@@ -71,25 +71,17 @@
 
     fn parse(&self, items: &[Item]) -> RecoveredLog {
         let mut recovered = RecoveredLog::default();
-        for item in items {
-            self.parse_segment(item, &mut recovered);
+        for Item { key, value, .. } in items {
+            let suffix = key.rsplit('/').next().unwrap_or_default();
+            let sequence = Sequence::from_str_radix(suffix, 16).ok();
+            let result = sequence.map(|sequence| recovered.add_segment(sequence, value));
+            if !matches!(result, Some(Ok(()))) {
+                warn!(self.node.log, "skipped an unreadable segment"; "key" => key);
+            }
         }
         recovered
     }
 
-    fn parse_segment(&self, item: &Item, recovered: &mut RecoveredLog) {
-        let suffix = item.key.rsplit('/').next().unwrap_or_default();
-        let segment = Sequence::from_str_radix(suffix, 16).ok().and_then(|sequence| {
-            // The number is taken even if the segment is unreadable.
-            recovered.next = recovered.next.max(sequence + 1);
-            StoredSegment::decode(sequence, &item.value).ok()
-        });
-        match segment {
-            Some(segment) => recovered.segments.push(segment),
-            None => warn!(self.node.log, "skipped an unreadable segment"; "key" => &item.key),
-        }
-    }
-
     fn transaction(&self, write: &LogWrite) -> Transaction {
         let duty = session::duty_key(&session::cell_duty(&self.service));
         let key = self.segment_key(write.sequence);
