Log the placement of a long-running task before its start order

Cause: the log didn't say where a task may run, so that each worker that an earlier owner had used held back each inherited task.

Change: Record::Placed names the worker of a long-running task. The run is booked at once (RunState::Planned) and its order sent when the record is durable. A new owner lets such a task wait for that worker only; the other inherited tasks wait as before. A restart goes to the worker that the log already names while it is usable, has room and the task didn't fail there twice: that needs no record, so it works while the store is away.

Why it is safe: an owner logs another worker only once the earlier run is certainly over, and no order goes to a worker before the record that names it is durable under the epoch, which a new owner's claim makes impossible. So the one worker of the latest record that the new owner reads is the only one where a run or an order in flight can be.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -11,8 +11,9 @@
 //!   its end or confirms that it will never start, or until the worker's lease has expired even by
 //!   the slowest clock.
 //! - After a takeover, the new owner starts no task that an earlier owner may have started until
-//!   each worker either rejects orders of earlier terms or its leases from those terms have
-//!   expired.
+//!   each worker on which it may run either rejects orders of earlier terms or its leases from
+//!   those terms have expired. For a long-running task, the log names this worker; for any other
+//!   task, it may be each worker that was used.
 
 mod advice;
 mod cell;
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod load;
 mod orders;
+mod placement;
 mod plan;
 mod progress;
 mod recover;
@@ -21,7 +22,7 @@
 pub use self::recover::RecoveredLog;
 use super::{
     Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWriter,
-    Position, Record, Segment, Sequence, Token, WorkerId,
+    Position, Record, Segment, Sequence, TaskId, Token, WorkerId,
     pace::PaceTable,
     task::Job,
     times::{self, ExpectedTimes},
@@ -74,6 +75,8 @@
     /// Marks what the log says about a worker as durable if this was the latest time that the worker
     /// was logged.
     WorkerLogged(WorkerId, u32, Logged),
+    /// Sends the start order of a run, given by worker, task and attempt.
+    PlacementDurable(WorkerId, TaskId, u32),
 }
 
 /// One service's jobs and workers, as the owner of the cell knows them.
@@ -212,6 +215,9 @@
                     self.plan_due = true;
                 }
             }
+            DeferredEffect::PlacementDurable(id, task, attempt) => {
+                self.on_placement_durable(&id, (task, attempt), now);
+            }
         }
     }
 
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -71,6 +71,9 @@
         let checkpoint = end.checkpoint.as_deref();
         let must_log = Self::apply_end(job, (task, attempt), kind, checkpoint);
         Self::delay_retry(job, task, kind, now);
+        if kind == EndKind::Failed {
+            self.record_failure_in_place(id, task);
+        }
         if must_log {
             let checkpoint = checkpoint.map(str::to_owned);
             self.record(Record::Ended { task, attempt, how: kind, checkpoint }, now, None);
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -3,7 +3,7 @@
 use super::{
     super::{
         Action, LogEvent, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
-        worker::{Run, RunState, StopOrder, UNANSWERED_START_LIFETIME},
+        worker::{RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
 };
@@ -19,41 +19,37 @@
 const REFUSAL_EXCLUSION: Span = Span(300);
 
 impl Cell {
-    /// Sends a worker the order to start a task; the caller has checked that the task may run
-    /// there.
-    pub(super) fn start_task(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
+    /// Sends a worker the order to start a task, for which a run is booked there.
+    pub(super) fn start_task(&mut self, id: &WorkerId, task: TaskId, now: Timestamp) {
         let lease = self.cfg.lease;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let Some(lease_end) = worker.lease_end(lease, now) else {
+            self.withdraw_run(id, task);
+            return;
+        };
+        // A worker without runs is rarely sent holds; its first run brings the next one forward.
+        if worker.runs.len() == 1 {
+            worker.next_hold = worker.next_hold.min(now + Span(30));
+        }
+        let free = worker.free();
+        let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         let spec = std::sync::Arc::clone(&job.spec);
-        let step = &spec.steps[task.step as usize];
         let waited = now.since(job.arrived);
-        let free_cpu_milli = worker.free().cpu_milli;
-        let Some(task_state) = job.task_mut(task) else {
-            return;
-        };
-        task_state.attempt = attempt;
-        task_state.run_workers.push(id.clone());
-        // The task counts as unavailable until its run works at full speed.
-        task_state.unavailable_since.get_or_insert(now);
-        let checkpoint = task_state.checkpoint.clone();
+        let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
+        let attempt = run.attempt;
+        let free_cpu_milli = (free + run.booked).cpu_milli;
+        run.order(now);
         // The duration of a run that resumes from a checkpoint says nothing about a full run.
-        let skips_duration = checkpoint.is_some();
-        let run = Run { skips_duration, ..Run::new(attempt, step, RunState::Ordered, now) };
+        run.skips_duration = checkpoint.is_some();
         worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end);
-        // A worker without runs is rarely sent holds; its first run brings the next one forward.
-        if worker.runs.is_empty() {
-            worker.next_hold = worker.next_hold.min(now + Span(30));
-        }
-        worker.runs.insert(task, run);
         let run = RunId { task, attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::Placed { run, free_cpu_milli, waited }));
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
@@ -105,6 +101,7 @@
             worker.unanswered_starts.push((task, attempt, now));
             worker.next_hold = worker.next_hold.min(now);
             self.stop_run(id, task, "start order unanswered", now);
+            self.record_failure_in_place(id, task);
             return;
         }
         worker.runs.shift_remove(&task);
@@ -150,6 +147,10 @@
         let Some(run) = worker.runs.get_mut(&task).filter(|run| run.stopping.is_none()) else {
             return;
         };
+        if run.state == RunState::Planned {
+            self.withdraw_run(id, task);
+            return;
+        }
         run.stopping = Some(StopOrder { next: Some(now), confirmed: None });
         let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::Stopping { run: run_id, reason }));
--- /dev/null
+++ b/crates/core/src/job/cell/placement.rs
@@ -0,0 +1,159 @@
+//! Placements of long-running tasks, which are durable before the start order is sent.
+//!
+//! A new owner that knows the only worker on which a task may run need not wait for any other one.
+//! Other tasks are placed too often for a record each; an order to start one of them is sent at
+//! once, and a new owner waits for all workers of earlier terms before it starts one.
+
+use indexmap::IndexMap;
+
+use super::{
+    super::{
+        Record, Step, StepId, TaskId, WorkerId,
+        place::{self, PlacementCandidate},
+        task::{Placement, Task},
+        worker::{Run, RunState},
+    },
+    Cell, DeferredEffect,
+    plan::count_step_runs,
+};
+use crate::Timestamp;
+
+/// The number of failures of a task on one worker from which on other workers are as good.
+const MAX_FAILURES_IN_PLACE: u32 = 2;
+
+/// Whether the placements of a step's tasks are logged.
+pub(super) fn is_logged(step: &Step) -> bool {
+    step.long_running && !step.gang
+}
+
+/// Whether a run of an earlier term may be alive on the worker that the log names for the task.
+pub(super) fn may_run_elsewhere(task: &Task, inherited: &IndexMap<WorkerId, Timestamp>) -> bool {
+    task.placement.as_ref().is_some_and(|placement| inherited.contains_key(&placement.worker))
+}
+
+impl Cell {
+    /// Books resources for a run of a task on a worker, and sends the start order as soon as the
+    /// log allows. The caller has checked that the task may run there.
+    pub(super) fn place_task(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
+        let Some(is_logged) = self.step(task).map(is_logged) else {
+            return;
+        };
+        self.book_run(id, task, attempt, now);
+        if !is_logged {
+            self.start_task(id, task, now);
+            return;
+        }
+        let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
+        let Some(task_state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
+            return;
+        };
+        match &task_state.placement {
+            Some(placement) if placement.worker == *id => {
+                if placement.position <= self.log.durable() {
+                    self.start_task(id, task, now);
+                } else {
+                    self.defer_until_durable(effect, now);
+                }
+            }
+            _ => self.log_placement(id, (task, attempt), effect, now),
+        }
+    }
+
+    fn log_placement(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        effect: DeferredEffect,
+        now: Timestamp,
+    ) {
+        let worker = id.clone();
+        self.record(Record::Placed { task, attempt, worker }, now, Some(effect));
+        let placement =
+            Placement { worker: id.clone(), position: self.log.appended(), failures: 0 };
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
+            task.placement = Some(placement);
+        }
+    }
+
+    /// Adds a run for which no order has been sent.
+    fn book_run(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = std::sync::Arc::clone(&job.spec);
+        let Some(task_state) = job.task_mut(task) else {
+            return;
+        };
+        task_state.attempt = attempt;
+        task_state.run_workers.push(id.clone());
+        // The task counts as unavailable until its run works at full speed.
+        task_state.unavailable_since.get_or_insert(now);
+        let step = &spec.steps[task.step as usize];
+        worker.runs.insert(task, Run::new(attempt, step, RunState::Planned, now));
+    }
+
+    /// Sends the start order of a run whose placement has become durable. If the worker can't be
+    /// used any more, the task is planned again.
+    pub(super) fn on_placement_durable(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let run = worker.runs.get(&task).filter(|run| run.attempt == attempt);
+        if run.is_none_or(|run| run.state != RunState::Planned) {
+            return;
+        }
+        if Self::is_usable(worker, now) {
+            self.start_task(id, task, now);
+        } else {
+            self.withdraw_run(id, task);
+        }
+    }
+
+    /// Removes a run for which no order has been sent; the task may start elsewhere.
+    pub(super) fn withdraw_run(&mut self, id: &WorkerId, task: TaskId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.runs.shift_remove(&task);
+        }
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
+            task.run_workers.retain(|worker| worker != id);
+        }
+        self.plan_due = true;
+    }
+
+    /// Records that a run of a task failed on a worker or that its start order got no answer.
+    pub(super) fn record_failure_in_place(&mut self, id: &WorkerId, task: TaskId) {
+        let task = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
+        let placement = task.and_then(|task| task.placement.as_mut());
+        if let Some(placement) = placement.filter(|placement| placement.worker == *id) {
+            placement.failures += 1;
+        }
+    }
+
+    /// The candidate that the log already names for a task, if the task may start there again.
+    /// That needs no record, so it works while the store accepts no writes.
+    pub(super) fn candidate_in_place(
+        &self,
+        task: TaskId,
+        step: &Step,
+        candidates: &[PlacementCandidate],
+    ) -> Option<usize> {
+        let state = self.jobs.get(&task.job)?.task(task)?;
+        let placement = state.placement.as_ref()?;
+        if placement.failures >= MAX_FAILURES_IN_PLACE {
+            return None;
+        }
+        let step_id: StepId = task.step_id();
+        let step_runs = count_step_runs(&self.workers, &placement.worker, step_id);
+        candidates.iter().position(|candidate| {
+            candidate.worker == placement.worker && place::is_allowed(candidate, step, step_runs)
+        })
+    }
+}
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -11,6 +11,7 @@
         worker::Worker,
     },
     Cell,
+    placement::{is_logged, may_run_elsewhere},
 };
 use crate::{Span, Timestamp};
 
@@ -85,8 +86,15 @@
             .collect()
     }
 
-    fn is_startable(task: &Task, now: Timestamp) -> bool {
-        !task.is_done && task.run_workers.is_empty() && now >= task.not_before
+    fn is_startable(
+        task: &Task,
+        inherited: &IndexMap<WorkerId, Timestamp>,
+        now: Timestamp,
+    ) -> bool {
+        !task.is_done
+            && task.run_workers.is_empty()
+            && now >= task.not_before
+            && !may_run_elsewhere(task, inherited)
     }
 
     /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
@@ -94,9 +102,10 @@
     fn waiting_steps(&mut self, now: Timestamp) -> WaitingSteps {
         let wall_offset_ms = self.wall_offset_ms;
         let expected = &self.expected_times;
+        let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
         for (&id, job) in &self.jobs {
-            if job.end.is_some() || !job.is_durable || job.is_inherited {
+            if job.end.is_some() || !job.is_durable {
                 continue;
             }
             let queue = self.queues.get(&job.queue).filter(|queue| queue.service == self.service);
@@ -111,7 +120,8 @@
                 }
                 let mut rank = None;
                 for (step_index, state) in occurrence.steps.iter().enumerate() {
-                    if state.open_tasks == 0 {
+                    let is_held = job.is_inherited && !is_logged(&job.spec.steps[step_index]);
+                    if state.open_tasks == 0 || is_held {
                         continue;
                     }
                     if !occurrence.is_ready(&job.spec, step_index) {
@@ -123,11 +133,16 @@
                         }
                         continue;
                     }
-                    let is_waiting = |task: &&Task| !task.is_done && task.run_workers.is_empty();
+                    // Tasks that wait for an inherited worker are planned when it is released.
+                    let is_waiting = |task: &&Task| {
+                        !task.is_done
+                            && task.run_workers.is_empty()
+                            && !may_run_elsewhere(task, inherited)
+                    };
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
                     }
-                    if !state.tasks.iter().any(|task| Self::is_startable(task, now)) {
+                    if !state.tasks.iter().any(|task| Self::is_startable(task, inherited, now)) {
                         // Every waiting task of the step is delayed: plan again at the next tick.
                         self.plan_due = true;
                         continue;
@@ -161,8 +176,9 @@
         let id = waiting_step.step_id(job);
         let tasks = &occurrence.steps[waiting_step.step_index].tasks;
         self.disallow_without_ticket(id, candidates, now);
+        let is_startable = |task: &Task| Self::is_startable(task, &self.inherited_workers, now);
         if step.gang {
-            if tasks.iter().all(|task| Self::is_startable(task, now)) {
+            if tasks.iter().all(is_startable) {
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
                 self.start_gang(step, id, attempt, candidates, now);
             }
@@ -170,13 +186,15 @@
         }
         let ready: Vec<(u32, u32)> = (0..)
             .zip(tasks)
-            .filter(|(_, task)| Self::is_startable(task, now))
+            .filter(|(_, task)| is_startable(task))
             .map(|(index, task)| (index, task.attempt + 1))
             .collect();
         for (index, attempt) in ready {
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
-            let Some(chosen) = place::choose_candidate(candidates, step, id, count) else {
+            let in_place = self.candidate_in_place(id.task(index), step, candidates);
+            let choose = || place::choose_candidate(candidates, step, id, count);
+            let Some(chosen) = in_place.or_else(choose) else {
                 if waiting_step.rank.class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
@@ -212,7 +230,7 @@
     ) {
         candidate.reserve(step);
         let worker = candidate.worker.clone();
-        self.start_task(&worker, task, attempt, now);
+        self.place_task(&worker, task, attempt, now);
     }
 
     /// Sends workers the pace of their best-effort tasks where it changed.
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -1,12 +1,14 @@
 //! The start of a term, which recovers the cell's state from the log, and its end by handover.
 //! Until each inherited worker, one that earlier owners used, is adopted or its leases have
-//! expired, it may still run tasks, and inherited jobs are not planned.
+//! expired, it may still run tasks, and inherited jobs are not planned. A long-running task waits
+//! only for the worker that the log names for it.
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
     super::{
-        JobEnd, JobId, LogWriter, Record, Segment, Sequence, UnsettledWorker, WorkerId, task::Job,
+        JobEnd, JobId, LogWriter, Position, Record, Segment, Sequence, UnsettledWorker, WorkerId,
+        task::{Job, Placement},
     },
     Cell, CellConfig,
 };
@@ -179,6 +181,19 @@
                 }
                 Self::apply_end(job, (task, attempt), how, checkpoint.as_deref());
             }
+            Record::Placed { task, attempt, worker } => {
+                let Some(job) = self.jobs.get_mut(&task.job) else {
+                    return;
+                };
+                while job.due_occurrences <= task.occurrence {
+                    job.add_due_occurrences(job.due_wall_ms(job.due_occurrences));
+                }
+                if let Some(task) = job.task_mut(task) {
+                    task.attempt = task.attempt.max(attempt);
+                    let position = Position::default();
+                    task.placement = Some(Placement { worker, position, failures: 0 });
+                }
+            }
             Record::WorkerUsed { worker } => {
                 used_workers.insert(worker);
             }
@@ -197,6 +212,7 @@
         self.inherited_workers.retain(|id, expiry| {
             now < *expiry && workers.get(id).is_none_or(|worker| !worker.is_adopted)
         });
+        self.plan_due |= self.inherited_workers.len() < before;
         if !self.inherited_workers.is_empty() {
             return;
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -121,7 +121,9 @@
             runs: run_count,
         }));
         for (task, run) in runs {
-            if run.state == RunState::Running {
+            if run.state == RunState::Planned {
+                self.withdraw_run(id, task);
+            } else if run.state == RunState::Running {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
@@ -208,7 +210,7 @@
         let expired: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.runs.is_empty() && now > worker.lease_expiry())
+            .filter(|(_, worker)| worker.has_ordered_runs() && now > worker.lease_expiry())
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -80,6 +80,16 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         checkpoint: Option<String>,
     },
+    /// A long-running task is placed on a worker. Its start orders go to no other worker until a
+    /// later record of this kind is durable.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// The number of the attempt.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+    },
     /// From now on, the owner may send orders to this worker.
     WorkerUsed {
         /// The worker.
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -4,7 +4,9 @@
 
 use indexmap::IndexSet;
 
-use super::{JobEnd, JobSpec, StepId, TaskId, WorkerId, advice::StepAdvice, times::Samples};
+use super::{
+    JobEnd, JobSpec, Position, StepId, TaskId, WorkerId, advice::StepAdvice, times::Samples,
+};
 use crate::{QueueId, Timestamp};
 
 /// The state of a task.
@@ -26,6 +28,19 @@
     /// Since when the task has not worked at full speed; `None` while it does. Used for
     /// long-running tasks only.
     pub(super) unavailable_since: Option<Timestamp>,
+    /// The worker that the log names for the task; `None` if its placements are not logged or it
+    /// was never placed.
+    pub(super) placement: Option<Placement>,
+}
+
+/// The latest logged placement of a task.
+#[derive(Clone, Debug)]
+pub(super) struct Placement {
+    pub(super) worker: WorkerId,
+    /// The position of its record in the log, which may not be durable yet.
+    pub(super) position: Position,
+    /// How often the task failed there in this term.
+    pub(super) failures: u32,
 }
 
 /// The state of a step in one occurrence.
@@ -88,7 +103,7 @@
     /// Whether its acceptance is durable in the log.
     pub(super) is_durable: bool,
     /// Whether the job was accepted in an earlier term and runs of that term may still be alive, so
-    /// that none of its tasks may start.
+    /// that none of its tasks may start, except for those whose placement is known.
     pub(super) is_inherited: bool,
     /// Whether any of its tasks has started.
     pub(super) has_started: bool,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -67,6 +67,8 @@
 /// What the owner knows about a run that it ordered or found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunState {
+    /// No order has been sent: the task's placement is not durable yet.
+    Planned,
     /// The start order is in flight.
     Ordered,
     /// The start order got no answer: the run may exist, or may still start at any time.
@@ -239,6 +241,14 @@
 }
 
 impl Run {
+    /// Records that the start order is sent.
+    pub(super) fn order(&mut self, now: Timestamp) {
+        self.state = RunState::Ordered;
+        self.started = now;
+        self.expect_in_lists_after = now;
+        self.measured_at = now;
+    }
+
     /// Whether the worker has the run and it is not being stopped.
     pub(super) fn is_settled(&self) -> bool {
         self.state == RunState::Running && self.stopping.is_none()
@@ -285,6 +295,11 @@
         self.entry.capacity.saturating_sub(&self.used())
     }
 
+    /// Whether an order was sent for any of the runs.
+    pub(super) fn has_ordered_runs(&self) -> bool {
+        self.runs.values().any(|run| run.state != RunState::Planned)
+    }
+
     /// Whether all runs on the worker, if any, are of long-running tasks.
     pub(super) fn has_only_long_running(&self) -> bool {
         self.runs.values().all(|run| run.is_long_running)
--- a/crates/standins/tests/cells/long_running.rs
+++ b/crates/standins/tests/cells/long_running.rs
@@ -136,6 +136,51 @@
     }
 }
 
+#[test]
+fn an_owner_that_dies_while_it_places_a_task_does_not_leave_an_unknown_run() {
+    for offset_ms in 30..120 {
+        let mut model = new_model(3);
+        model.run_for(OWNER_TTL.0);
+        model.submit(JOB, &queue(), long_running_job(1, 1));
+        model.run_for(offset_ms);
+        model.kill_owner();
+        // An order that was just sent arrives.
+        model.run_for(5);
+        let busy = model.workers().find(|worker| worker.run_count() > 0);
+        if let Some(busy) = busy.map(|worker| worker.entry.id.clone()) {
+            partition(&mut model, &busy);
+        }
+
+        model.take_over();
+        let started_at = nth_start(&mut model, 1);
+
+        assert!(started_at.is_some());
+        model.run_for(12_000);
+        assert_eq!(model.violations(), [] as [&str; 0], "killed after {offset_ms} ms");
+    }
+}
+
+#[test]
+fn a_task_is_not_started_before_its_placement_is_durable() {
+    let mut model = new_model(1);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    // The job is durable, but no record of its placement is.
+    model.run_for(42);
+    model.set_store_available(false);
+    model.run_for(300);
+    let starts_at_first = starts(&model);
+
+    // The task is withdrawn and then placed on the same worker again.
+    let (now, wall_ms) = (model.now(), model.wall_ms());
+    model.worker_mut("w0").restart(now, wall_ms);
+    model.run_for(5_000);
+    let starts_after_restart = starts(&model);
+    model.set_store_available(true);
+    model.run_for(300);
+
+    assert_eq!((starts_at_first, starts_after_restart, starts(&model)), (0, 0, 1));
+}
+
 #[test]
 fn a_task_whose_worker_restarts_while_there_is_no_owner_starts_at_once() {
     let mut model = model_with_one_task(3);
