--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -270,6 +270,26 @@
     assert_eq!(model.violations(), &[] as &[String]);
 }
 
+#[test]
+fn an_order_that_reaches_a_restarted_worker_before_the_owner_does_runs_no_task_twice() {
+    for restart_ms in (800..1_400).step_by(20) {
+        let mut model = new_model(2);
+        // The leases of earlier terms expire.
+        model.run_for(10_000);
+        let late = WorkerFaults { late_orders: 1, late_ms: 1_400, ..WorkerFaults::default() };
+        model.set_faults("w0", late);
+        model.submit(JOB, &queue(), job_spec(vec![step(2, 4_000, 650)]));
+        // The order has timed out, and the store shows the restart before the worker answers.
+        model.run_for(restart_ms);
+        let (now, wall_ms) = (model.now(), model.wall_ms());
+        model.worker_mut("w0").restart(now, wall_ms);
+        model.run_for(20_000);
+
+        assert_eq!(state(&model, JOB), SUCCEEDED);
+        assert_eq!(model.violations(), [] as [&str; 0], "restarted after {restart_ms} ms");
+    }
+}
+
 /// Returns a worker's report at `clock_ms` of its clock, with an active run or a run end.
 fn hold_report(clock_ms: u64, running: Option<ListedRun>, end: Option<RunEnd>) -> HoldReport {
     let (running, ends) = (running.into_iter().collect(), end.into_iter().collect());
