Wait for late orders to a worker that has restarted

What callers would see: a task runs on two workers at a time (TWICE).

Cause: after a restart under the same id, the clock of the new instance is unknown, and the expiry of all leases was then that of earlier terms, long past. A start order that the old instance hadn't answered counted as over at once, and its task was started elsewhere, while the order could still reach the new instance, which had seen no stop.

Change: while such a run is unsettled, the leases of its worker expire no earlier than an unanswered order's lifetime plus one lease after the restart. As before, a confirmed stop settles it within milliseconds.

--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -111,7 +111,7 @@
     }
 
     /// When every lease has certainly expired if no order is given after `last_order`.
-    fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
+    pub(super) fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
         last_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
     }
 
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -103,11 +103,12 @@
     /// Handles the restart of a worker under the same id. The runs of its previous instance have
     /// ended, but an unanswered start order may still reach the new instance.
     fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
+        let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
         let expiry = old.inherited_expiry;
-        let mut worker = Worker::new(entry, expiry, now);
+        let mut worker = Worker { late_start_expiry, ..Worker::new(entry, expiry, now) };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -156,6 +156,9 @@
     pub(super) last_lease_end_sent: u64,
     /// When every lease of earlier terms has certainly expired.
     pub(super) inherited_expiry: Timestamp,
+    /// When every lease has certainly expired that comes from orders which the previous instance of
+    /// the worker did not answer.
+    pub(super) late_start_expiry: Timestamp,
     /// The number of the last run end that was processed.
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
@@ -269,6 +272,7 @@
             ended_attempts: IndexMap::new(),
             last_lease_end_sent: 0,
             inherited_expiry,
+            late_start_expiry: Timestamp(0),
             ends_seen: 0,
             ends_durable: 0,
             runs: IndexMap::new(),
@@ -326,14 +330,18 @@
 
     /// Returns when every lease that was ever sent to the worker has certainly expired. For leases
     /// of this term, this follows from the worker's clock; for those of earlier terms, from
-    /// `inherited_expiry`.
+    /// `inherited_expiry`. An order that the worker has not answered may start a run later.
     pub(super) fn lease_expiry(&self) -> Timestamp {
+        let is_unsettled = |run: &Run| run.state == RunState::Unsettled;
+        let has_unsettled_run = self.runs.values().any(is_unsettled);
+        let late = if has_unsettled_run { self.late_start_expiry } else { Timestamp(0) };
+        let earliest = late.max(self.inherited_expiry);
         let Some(clock) = self.clock else {
-            return self.inherited_expiry;
+            return earliest;
         };
         let remaining = self.last_lease_end_sent.saturating_sub(clock.worker_ms);
         let stretched = remaining * 100 / (100 - CLOCK_DRIFT_PERCENT);
-        (clock.at + Span(stretched) + EXPIRY_MARGIN).max(self.inherited_expiry)
+        (clock.at + Span(stretched) + EXPIRY_MARGIN).max(earliest)
     }
 
     /// Records that a run ended on the worker.
