Test that workers which were moved away are not logged as used

The store lists a worker for some seconds after its VM was moved. In that time it is logged as used again, by its owner once the fleet asks for the drain no longer, or by the next owner that finds it in the list; the owner after that waits for it.

--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Span, Timestamp,
-    job::{DrainMode, JobId, Step},
+    job::{DrainMode, JobId, Step, TaskId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
@@ -35,7 +35,7 @@
 
 /// Returns when the second step of the job started.
 fn second_step_start(model: &mut Model) -> Option<Timestamp> {
-    let second = teaselgap_core::job::TaskId { step: 1, ..task_id(JOB, 0) };
+    let second = TaskId { step: 1, ..task_id(JOB, 0) };
     model.run_until(30_000, |model| model.start_count(second) > 0).then(|| model.now())
 }
 
@@ -129,3 +129,56 @@
     assert_eq!(drained_meanwhile, []);
     assert_eq!(model.cell().unwrap().drained_workers(), ["w0".into()]);
 }
+
+/// Creates a model with a job of two steps, the second of which can start 1,200 ms after the first.
+/// An idle worker was drained and reported as such, and has just been moved to another pool, so
+/// that it no longer answers. Its entry in the store has not expired yet.
+fn model_with_moved_worker(first_step_ms: u64) -> Model {
+    let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, first_step_ms), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+    let drains = IndexMap::from([(idle.clone(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains);
+    model.run_until(500, |model| !model.cell().unwrap().drained_workers().is_empty());
+    partition(&mut model, &idle);
+    model
+}
+
+#[test]
+fn a_moved_worker_is_not_logged_as_used_again_when_its_drain_ends() {
+    let mut model = model_with_moved_worker(8_000);
+    // The fleet stops asking for the drain, while the store still lists the worker.
+    model.run_for(4_200);
+    model.cell_mut().unwrap().set_drains(IndexMap::new());
+    model.run_for(500);
+    model.kill_owner();
+    model.run_for(500);
+
+    model.take_over();
+    let second = TaskId { step: 1, ..task_id(JOB, 0) };
+    let started = model.run_until(4_000, |model| model.start_count(second) > 0);
+
+    assert!(started);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_moved_worker_that_a_short_term_found_in_the_store_does_not_delay_the_next_owner() {
+    let mut model = model_with_moved_worker(3_000);
+    model.kill_owner();
+    model.run_for(500);
+    model.take_over();
+    model.run_for(500);
+    model.kill_owner();
+    model.run_for(500);
+
+    model.take_over();
+    let second = TaskId { step: 1, ..task_id(JOB, 0) };
+    let started = model.run_until(3_000, |model| model.start_count(second) > 0);
+
+    assert!(started);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
