--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -122,7 +122,9 @@
             Record::Tasks { job, .. } | Record::Finished { job, queue: None, .. } => {
                 self.track_job_bytes(*job, bytes);
             }
-            Record::Ended { task, .. } => self.track_job_bytes(task.job, bytes),
+            Record::Ended { task, .. } | Record::Placed { task, .. } => {
+                self.track_job_bytes(task.job, bytes);
+            }
             Record::WorkerUsed { worker } => {
                 self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
             }
@@ -221,7 +223,9 @@
 /// Returns the records of the tasks of the step whose first task is `first`.
 fn task_records(first: TaskId, step: &StepState) -> Vec<Record> {
     let TaskId { job, occurrence, step: step_index, .. } = first;
-    let is_touched = |task: &Task| task.is_done || task.attempt > 0 || task.checkpoint.is_some();
+    let is_touched = |task: &Task| {
+        task.is_done || task.attempt > 0 || task.checkpoint.is_some() || task.placement.is_some()
+    };
     let touched: Vec<(u32, &Task)> =
         (0..).zip(&step.tasks).filter(|(_, task)| is_touched(task)).collect();
     let record = |tasks: &[(u32, &Task)]| Record::Tasks {
@@ -245,6 +249,7 @@
         failures: task.failures,
         failed_attempts: task.failed_attempts.clone(),
         checkpoint: task.checkpoint.clone(),
+        worker: task.placement.as_ref().map(|placement| placement.worker.clone()),
     }
 }
 
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -28,8 +28,8 @@
         lease: Span(5_500),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
-        // Small, so that the copies need several writes.
         admission: AdmissionPolicy::AcceptLate,
+        // Small, so that the copies need several writes.
         log: LogConfig { max_segment_bytes: 1_000, ..LogConfig::default() },
     }
 }
@@ -69,6 +69,20 @@
     )
 }
 
+/// Returns placements of tasks of the long-running steps.
+fn placed() -> impl Strategy<Value = Record> {
+    let job = (0..THINGS / 2).prop_map(|half| JobId(2 * half + 1));
+    (job, 0..TASKS, 1_u32..6, worker()).prop_map(|(job, index, attempt, worker)| Record::Placed {
+        task: TaskId { job, occurrence: 0, step: 2, index },
+        attempt,
+        worker,
+    })
+}
+
+fn worker() -> impl Strategy<Value = WorkerId> {
+    (0..THINGS).prop_map(|number| WorkerId::from(format!("w{number}").as_str()))
+}
+
 fn finished() -> impl Strategy<Value = Record> {
     let end = prop_oneof![Just(JobEnd::Succeeded), Just(JobEnd::Failed), Just(JobEnd::Cancelled)];
     let queue = option::of(Just("quotes".parse().unwrap()));
@@ -81,13 +95,13 @@
 }
 
 fn log_record() -> impl Strategy<Value = Record> {
-    let worker = (0..THINGS).prop_map(|number| WorkerId::from(format!("w{number}").as_str()));
     prop_oneof![
         3 => (0..THINGS).prop_map(accepted),
         24 => ended(),
+        6 => placed(),
         1 => finished(),
-        2 => worker.clone().prop_map(|worker| Record::WorkerUsed { worker }),
-        1 => worker.prop_map(|worker| Record::WorkerGone { worker }),
+        2 => worker().prop_map(|worker| Record::WorkerUsed { worker }),
+        1 => worker().prop_map(|worker| Record::WorkerGone { worker }),
     ]
 }
 
@@ -101,7 +115,7 @@
             accepted_jobs.push(*job);
             true
         }
-        Record::Ended { task, .. } => !ended_jobs.contains(&task.job),
+        Record::Ended { task, .. } | Record::Placed { task, .. } => !ended_jobs.contains(&task.job),
         Record::Finished { job, .. } if ended_jobs.contains(job) => false,
         Record::Finished { job, .. } if accepted_jobs.contains(job) => {
             ended_jobs.push(*job);
@@ -138,8 +152,9 @@
 fn describe_occurrence(occurrence: &Occurrence) -> (u32, Vec<String>) {
     let describe_task = |task: &Task| match task {
         Task { is_done: true, .. } => "done".to_owned(),
-        Task { attempt, failures, failed_attempts, checkpoint, .. } => {
-            format!("{attempt} {failures} {failed_attempts:?} {checkpoint:?}")
+        Task { attempt, failures, failed_attempts, checkpoint, placement, .. } => {
+            let worker = placement.as_ref().map(|placement| &placement.worker);
+            format!("{attempt} {failures} {failed_attempts:?} {checkpoint:?} {worker:?}")
         }
     };
     let steps = occurrence.steps.iter();
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -1,6 +1,7 @@
 //! The start of a term, which recovers the cell's state from the log, and its end by handover.
 //! Until each inherited worker, one that earlier owners used, is adopted or its leases have
-//! expired, it may still run tasks, and inherited jobs are not planned.
+//! expired, it may still run tasks, and inherited jobs are not planned. A long-running task waits
+//! only for the worker that the log names for it.
 
 use std::sync::Arc;
 
@@ -9,7 +10,9 @@
 use super::{
     super::{
         JobEnd, JobId, JobSpec, LogWriter, Position, Record, Sequence, StoredSegment, TaskId,
-        TaskSnapshot, UnsettledWorker, WorkerId, record::EncodedRecord, task::Job,
+        TaskSnapshot, UnsettledWorker, WorkerId,
+        record::EncodedRecord,
+        task::{Job, Placement},
     },
     Cell, CellConfig,
 };
@@ -102,6 +105,7 @@
         task.failures = snapshot.failures;
         task.failed_attempts.clone_from(&snapshot.failed_attempts);
         task.checkpoint.clone_from(&snapshot.checkpoint);
+        task.placement = snapshot.worker.clone().map(Placement::recovered);
     }
 }
 
@@ -178,7 +182,7 @@
     }
 
     /// When every lease has certainly expired if no order is given after `last_order`.
-    fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
+    pub(super) fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
         last_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
     }
 
@@ -259,6 +263,16 @@
                 job.add_occurrences(task.occurrence.saturating_add(1));
                 Self::apply_end(job, (*task, *attempt), *how, checkpoint.as_deref());
             }
+            Record::Placed { task, attempt, worker } => {
+                let Some(job) = self.jobs.get_mut(&task.job) else {
+                    return;
+                };
+                job.add_occurrences(task.occurrence.saturating_add(1));
+                if let Some(task) = job.task_mut(*task) {
+                    task.attempt = task.attempt.max(*attempt);
+                    task.placement = Some(Placement::recovered(worker.clone()));
+                }
+            }
             Record::WorkerUsed { worker } => {
                 used_workers.insert(worker.clone());
             }
@@ -277,6 +291,7 @@
         self.inherited_workers.retain(|id, expiry| {
             now < *expiry && workers.get(id).is_none_or(|worker| !worker.is_adopted)
         });
+        self.plan_due |= self.inherited_workers.len() < before;
         if !self.inherited_workers.is_empty() {
             return;
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -103,11 +103,12 @@
     /// Handles the restart of a worker under the same id. The runs of its previous instance have
     /// ended, but an unanswered start order may still reach the new instance.
     fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
+        let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
         let expiry = old.inherited_expiry;
-        let mut worker = Worker::new(entry, expiry, now);
+        let mut worker = Worker { late_start_expiry, ..Worker::new(entry, expiry, now) };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
@@ -121,7 +122,9 @@
             runs: run_count,
         }));
         for (task, run) in runs {
-            if run.state == RunState::Running {
+            if run.state == RunState::Planned {
+                self.withdraw_run(id, task);
+            } else if run.state == RunState::Running {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
@@ -208,7 +211,7 @@
         let expired: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.runs.is_empty() && now > worker.lease_expiry())
+            .filter(|(_, worker)| worker.has_ordered_runs() && now > worker.lease_expiry())
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -62,6 +62,9 @@
     /// The last checkpoint, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
+    /// The worker of the latest [`Record::Placed`], if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<WorkerId>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
@@ -142,6 +145,16 @@
         /// Tasks that are not done.
         open: Vec<TaskSnapshot>,
     },
+    /// A long-running task is placed on a worker. Its start orders go to no other worker until a
+    /// later record of this kind is durable.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// The number of the attempt.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+    },
     /// From now on, the owner may send orders to this worker.
     WorkerUsed {
         /// The worker.
