Refuse submissions that no write of the log contains when the store stalls

Cause: what arrives during a write was appended at once and could no longer be taken back, though the next write could contain it at the earliest. Why it works: such submissions are appended when the write in flight is durable, with the time at which they arrived, so that the batch delay doesn't start again. Until then they have certainly had no effect: after 1.2 s they are refused, at a handover they are appended before the handover's record, and when their job is cancelled they are refused. A repeated submission waits with the first one, and isn't refused while that one waits.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -12,6 +12,7 @@
 mod progress;
 mod recover;
 mod roster;
+mod staged;
 mod vacate;
 
 use std::collections::VecDeque;
@@ -19,9 +20,12 @@
 use indexmap::IndexMap;
 
 pub use self::admit::AdmissionPolicy;
-use self::admit::Refusal;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
+use self::{
+    admit::Refusal,
+    staged::{StagedSubmissions, Submission},
+};
 use super::{
     Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWriter,
     Position, Record, Segment, Sequence, Token, WorkerId,
@@ -108,6 +112,7 @@
     arrived_milli_s: u64,
     arrived_jobs: u64,
     admission: admit::Admission,
+    staged: StagedSubmissions,
     /// The actual and the estimated processor time of finished tasks, both in thousandths of a
     /// core-second.
     task_cpu_milli_s: (u64, u64),
@@ -151,7 +156,11 @@
 
     /// Takes the next write of the log, if one is due.
     pub fn take_write(&mut self, now: Timestamp) -> Option<(Sequence, Segment)> {
-        self.log.take_write(now)
+        let write = self.log.take_write(now);
+        if write.is_some() {
+            self.staged.on_write_taken();
+        }
+        write
     }
 
     /// When the next write of the log is due, unless one is in flight.
@@ -160,10 +169,10 @@
         self.log.write_due()
     }
 
-    /// Whether the cell has a job with this id.
+    /// Whether the cell has a job with this id or a submission of it that has not been refused.
     #[must_use]
     pub fn has_job(&self, job: JobId) -> bool {
-        self.jobs.contains_key(&job)
+        self.jobs.contains_key(&job) || self.staged.contains(job)
     }
 
     /// Whether every record of the log is durable.
@@ -182,6 +191,7 @@
         {
             self.apply_effect(effect, now);
         }
+        self.on_write_finished(now);
     }
 
     fn apply_effect(&mut self, effect: DeferredEffect, now: Timestamp) {
@@ -249,14 +259,35 @@
             self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
             return;
         }
-        let waiting = self.waiting_jobs();
+        if self.staged.join(id, token) {
+            return;
+        }
         if let Some(refusal) = self.check_admission(id, &queue, &spec, now) {
             let Refusal { reason, wait, retry_after } = refusal;
+            let waiting = self.waiting_jobs();
             let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
             self.actions.push(Action::Log(event));
             self.actions.push(Action::Reply(token, Answer::Refused { retry_after }));
             return;
         }
+        let submission = Submission { queue, spec, arrived: now, arrived_wall_ms: wall_ms };
+        if self.staged.is_write_in_flight() {
+            self.staged.add(id, token, submission);
+        } else {
+            self.append_submission(id, submission, vec![token], now);
+        }
+    }
+
+    /// Creates a job and appends its acceptance to the log.
+    fn append_submission(
+        &mut self,
+        id: JobId,
+        submission: Submission,
+        tokens: Vec<Token>,
+        now: Timestamp,
+    ) {
+        let Submission { queue, spec, arrived, arrived_wall_ms: wall_ms } = submission;
+        let waiting = self.waiting_jobs();
         let event = LogEvent::Accepted { job: id, queue: queue.clone(), waiting };
         self.actions.push(Action::Log(event));
         let expected = self.expected_times.get(&queue);
@@ -265,13 +296,16 @@
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
-        self.jobs.insert(id, Job::new(queue, spec, wall_ms, now));
-        self.record(record, now, Some(DeferredEffect::JobDurable(id)));
-        self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
+        self.jobs.insert(id, Job::new(queue, spec, wall_ms, arrived));
+        self.record(record, arrived, Some(DeferredEffect::JobDurable(id)));
+        for token in tokens {
+            self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
+        }
     }
 
     /// Cancels a job for a client account.
     pub fn cancel(&mut self, token: Token, id: JobId, now: Timestamp) {
+        self.refuse_cancelled(id);
         let Some(job) = self.jobs.get(&id) else {
             self.actions.push(Action::Reply(token, Answer::Unknown));
             return;
@@ -335,6 +369,7 @@
         self.wall_offset_ms = wall_ms.saturating_sub(now.0);
         self.release_inherited_jobs(now);
         self.note_capacity(now);
+        self.refuse_stalled(now);
         self.expire_runs(now);
         self.send_stops(now);
         self.log_drained_workers(now);
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -67,6 +67,7 @@
             arrived_milli_s: 0,
             arrived_jobs: 0,
             admission: super::admit::Admission::new(now),
+            staged: super::StagedSubmissions::default(),
             task_cpu_milli_s: (0, 0),
             expected_times: super::ExpectedTimes::default(),
             advice_requests_in_flight: 0,
@@ -125,6 +126,7 @@
     /// Ends the term by handover: records that no more orders follow and which workers may still
     /// have runs.
     pub fn hand_over(&mut self, now: Timestamp, wall_ms: u64) {
+        self.append_staged(now);
         // A worker without runs has no order of this term outstanding. One that was never adopted
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -174,7 +174,8 @@
         waiting: usize,
         /// Why it was refused.
         reason: &'static str,
-        /// How long it would have waited until its start, according to the forecast.
+        /// How long it would wait until its start or, if it was accepted first, has waited for the
+        /// log.
         wait: Span,
         /// How long the client account should wait before it submits the job again.
         retry_after: Span,
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -13,7 +13,7 @@
         }
         LogEvent::Refused { job, queue, waiting, reason, wait, retry_after } => {
             info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
-                "reason" => reason, "forecast_wait_ms" => wait.0,
+                "reason" => reason, "wait_ms" => wait.0,
                 "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
         }
         LogEvent::Placed { run, free_cpu_milli, waited } => {
