--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -60,10 +60,9 @@
 const MAX_WAIT_PERCENT: u64 = 80;
 
 /// Whether a cell refuses jobs that would end too late.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionPolicy {
     /// Refuses jobs by forecast.
-    #[default]
     ByForecast,
     /// Accepts jobs however late they would end, up to a number of waiting jobs.
     AcceptLate,
@@ -105,6 +104,33 @@
 }
 
 impl Backlog {
+    /// Adds an occurrence of an open job, not in the order in which it starts.
+    fn add_occurrence(&mut self, job: &Job, index: usize, context: &RankContext<'_>) {
+        self.long_running_milli += job.long_running_milli();
+        let work = waiting_work(job, index, context.expected);
+        if work == 0 {
+            return;
+        }
+        let rank = order::rank(job, index, context);
+        let order = (rank.priority, rank.sort_time);
+        match rank.class {
+            RankClass::OnTime => self.on_time.push((order, work)),
+            RankClass::Late => self.late.push(LateWork {
+                order,
+                latest_useful_start: order::latest_useful_start(job, index, context),
+                remaining: context.remaining(job, index),
+                work,
+            }),
+            RankClass::LongRunning | RankClass::Overdue => {}
+        }
+    }
+
+    fn sort(&mut self) {
+        self.on_time.sort_unstable();
+        self.late.sort_by_key(|late| late.order);
+    }
+
+    /// Adds a new job in its place.
     fn add(&mut self, order: StartOrder, work: MilliCoreMillis) {
         let index = self.on_time.partition_point(|(other, _)| *other <= order);
         self.on_time.insert(index, (order, work));
@@ -303,10 +329,10 @@
         let expected = self.expected_times.get(id);
         let critical_path = spec.critical_path(|_, step| times::estimate(step, expected).0);
         let objective = order::objective(critical_path, queue);
+        let latest_start = now + Span(objective.0.saturating_sub(critical_path.0));
+        let order = (queue.priority, latest_start);
         let work = times::total_work(spec, expected);
-        let mut job = Candidate { order: (queue.priority, now), work, critical_path, objective };
-        job.order.1 = now + job.slack();
-        Some(job)
+        Some(Candidate { order, work, critical_path, objective })
     }
 
     /// The capacity that the forecast counts on; `None` while too little is known of the workers.
@@ -359,28 +385,10 @@
             let expected = self.expected_times.get(&job.queue);
             let context = RankContext { queue, expected, now, wall_offset_ms };
             for index in 0..job.occurrences.len() {
-                backlog.long_running_milli += job.long_running_milli();
-                let work = waiting_work(job, index, expected);
-                if work == 0 {
-                    continue;
-                }
-                let rank = order::rank(job, index, &context);
-                match rank.class {
-                    RankClass::OnTime => {
-                        backlog.on_time.push(((rank.priority, rank.sort_time), work));
-                    }
-                    RankClass::Late => backlog.late.push(LateWork {
-                        order: (rank.priority, rank.sort_time),
-                        latest_useful_start: order::latest_useful_start(job, index, &context),
-                        remaining: context.remaining(job, index),
-                        work,
-                    }),
-                    RankClass::LongRunning | RankClass::Overdue => {}
-                }
+                backlog.add_occurrence(job, index, &context);
             }
         }
-        backlog.on_time.sort_unstable();
-        backlog.late.sort_by_key(|late| late.order);
+        backlog.sort();
         backlog
     }
 }
