--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -18,6 +18,7 @@
 mod cell;
 mod fleet;
 mod id;
+mod lag;
 mod log;
 mod message;
 mod order;
@@ -41,13 +42,14 @@
         OrderOutcome, PoolSize, Vm, VmState, Wave,
     },
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
-    log::{LogConfig, LogWriter, Position, Sequence},
+    lag::LagMonitor,
+    log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, RunEnd, RunId, StartOrder,
         StartOutcome, Token,
     },
-    record::{EndKind, JobEnd, Record, Segment, UnsettledWorker},
+    record::{EndKind, JobEnd, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
-    term::{Duty, propose_owners},
+    term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
 };
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod advise;
+mod clean;
 mod ends;
 mod load;
 mod orders;
@@ -27,9 +28,10 @@
     staged::{StagedSubmissions, Submission},
 };
 use super::{
-    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWriter,
-    Position, Record, Segment, Sequence, Token, WorkerId,
+    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWrite,
+    LogWriter, Position, Record, Sequence, Token, WorkerId,
     pace::PaceTable,
+    record::EncodedRecord,
     task::Job,
     times::{self, ExpectedTimes},
     worker::{DrainMode, Logged, Worker},
@@ -58,9 +60,6 @@
 pub struct CellConfig {
     /// The duration of a worker's lease, counted from the order that grants or renews it.
     pub lease: Span,
-    /// The longest time for which an owner may still give orders after it lost its key in the
-    /// store.
-    pub owner_ttl: Span,
     /// The longest time that a worker takes to stop a run.
     pub stop_timeout: Span,
     /// How long the state of an ended job is kept.
@@ -83,8 +82,9 @@
     /// Confirms run ends to a worker instance, which is named by its id and its start time, up to
     /// the number of the last one.
     ConfirmEnds(WorkerId, u64, u64),
-    /// Allows orders to a worker if this was the latest time that it was logged as used.
-    WorkerLogged(WorkerId, u32),
+    /// Marks what the log says about a worker as durable if this was the latest time that the worker
+    /// was logged.
+    WorkerLogged(WorkerId, u32, Logged),
 }
 
 /// One service's jobs and workers, as the owner of the cell knows them.
@@ -97,6 +97,9 @@
     jobs: IndexMap<JobId, Job>,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
+    live: clean::LiveIndex,
+    /// Whether the handover was recorded, after which the owner sends no more orders.
+    is_handed_over: bool,
     deferred_effects: VecDeque<(Position, DeferredEffect)>,
     actions: Vec<Action>,
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
@@ -155,7 +158,8 @@
     }
 
     /// Takes the next write of the log, if one is due.
-    pub fn take_write(&mut self, now: Timestamp) -> Option<(Sequence, Segment)> {
+    pub fn take_write(&mut self, now: Timestamp) -> Option<LogWrite> {
+        self.clean_log(now);
         let write = self.log.take_write(now);
         if write.is_some() {
             self.staged.on_write_taken();
@@ -217,21 +221,26 @@
                     worker.next_hold = worker.next_hold.min(now);
                 }
             }
-            DeferredEffect::WorkerLogged(id, times_logged) => {
+            DeferredEffect::WorkerLogged(id, times_logged, state) => {
                 let worker = self.workers.get_mut(&id);
                 let is_newest = |worker: &&mut Worker| {
                     worker.logged == Logged::Nothing && worker.times_logged == times_logged
                 };
                 if let Some(worker) = worker.filter(is_newest) {
-                    worker.logged = Logged::Used;
+                    worker.logged = state;
                     self.plan_due = true;
                 }
             }
         }
     }
 
+    /// Appends a record to the log. The effect is applied once the record is durable.
+    #[expect(clippy::needless_pass_by_value, reason = "callers create the record for this call")]
     fn record(&mut self, record: Record, now: Timestamp, effect: Option<DeferredEffect>) {
-        let position = self.log.append(record, now);
+        let encoded = EncodedRecord::new(&record);
+        let bytes = encoded.len();
+        let position = self.log.append(encoded, now);
+        self.track_record(&record, position, bytes);
         self.deferred_effects.extend(effect.map(|effect| (position, effect)));
     }
 
@@ -296,7 +305,7 @@
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
-        self.jobs.insert(id, Job::new(queue, spec, wall_ms, arrived));
+        self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, arrived));
         self.record(record, arrived, Some(DeferredEffect::JobDurable(id)));
         for token in tokens {
             self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
@@ -349,14 +358,11 @@
         job.ended = now;
         let after = now.since(job.arrived);
         // Computed from the arrival's wall-clock time, so that the wall clock is not needed here.
-        let wall_ms = job.arrived_wall_ms + after.0;
+        job.ended_wall_ms = job.arrived_wall_ms + after.0;
+        let record = clean::finished_record(id, job, end);
         let tasks = job.task_ids(id);
         self.actions.push(Action::Log(LogEvent::Finished { job: id, end, after }));
-        self.record(
-            Record::Finished { job: id, end, wall_ms },
-            now,
-            Some(DeferredEffect::EndDurable(id)),
-        );
+        self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
             self.stop_task(task, "job ended", now);
         }
@@ -396,7 +402,14 @@
         let retention = self.cfg.status_retention;
         let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
         if self.jobs.values().any(is_expired) {
-            self.jobs.retain(|_, job| !is_expired(job));
+            let live = &mut self.live;
+            self.jobs.retain(|id, job| {
+                let expired = is_expired(job);
+                if expired {
+                    live.remove(&clean::LiveKey::Job(*id));
+                }
+                !expired
+            });
         }
     }
 }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -6,6 +6,7 @@
 //! guarantees, above all a task that runs twice at the same time. A day of load takes milliseconds.
 
 mod control;
+mod log;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,12 +16,15 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
-        HoldReport, LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome,
+        HoldReport, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence, StartOrder, StartOutcome,
         TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
-pub use self::worker::{ModelWorker, TaskTime};
+pub use self::{
+    log::MAX_VALUE_BYTES,
+    worker::{ModelWorker, TaskTime},
+};
 
 /// One-way latency of a message, in milliseconds.
 const LATENCY_MS: u64 = 1;
@@ -49,6 +53,9 @@
 /// The ticket that the advice service issues for every allowed worker.
 const TICKET: &str = "ticket";
 
+/// The longest time for which an owner may give orders after another one has claimed the cell.
+pub const OWNER_TTL: Span = Span(3_000);
+
 /// Wall-clock time at the model's time zero, in milliseconds since the Unix epoch.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
@@ -127,17 +134,22 @@
     queues: IndexMap<QueueId, QueueConfig>,
     /// The cell at its owner; `None` while no node owns it.
     cell: Option<Cell>,
+    /// Time until which owners of earlier terms than the current or latest one may have given
+    /// orders.
+    earlier_orders_end: Timestamp,
+    /// When the owner that gave up the cell may have given its last order.
+    gave_up_at: Timestamp,
     epoch: Epoch,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
-    log: BTreeMap<Sequence, Segment>,
+    log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
     is_handing_over: bool,
     /// A write that the store has not accepted yet.
-    pending_write: Option<(Epoch, Sequence, Segment)>,
+    pending_write: Option<(Epoch, LogWrite)>,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
     next_token: u64,
@@ -165,10 +177,10 @@
 pub fn cell_config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
-        owner_ttl: Span(3_000),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
-        log: LogConfig::default(),
+        // Small, so that short tests clean the log too.
+        log: LogConfig { min_log_bytes: 4 * 1024, ..LogConfig::default() },
         admission: AdmissionPolicy::AcceptLate,
     }
 }
@@ -198,11 +210,13 @@
             service,
             queues,
             cell: None,
+            earlier_orders_end: Timestamp(0),
+            gave_up_at: Timestamp(0),
             epoch: Epoch(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
-            log: BTreeMap::new(),
+            log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
             pending_write: None,
@@ -317,23 +331,33 @@
         }
         if self.pending_write.is_none() {
             let write = cell.take_write(now);
-            self.pending_write = write.map(|(sequence, segment)| (self.epoch, sequence, segment));
+            self.pending_write = write.map(|write| (self.epoch, write));
         }
         let mut actions = cell.take_actions();
         if self.is_handing_over {
             actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
         }
         if self.is_store_available
-            && let Some((epoch, sequence, segment)) = self.pending_write.take()
+            && let Some((epoch, write)) = self.pending_write.take()
         {
-            self.log.insert(sequence, segment);
-            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            self.write_segment(epoch, write);
         }
         for action in actions {
             self.perform(action);
         }
     }
 
+    /// Writes a segment to the store. The owner repeats a write that the store refuses.
+    fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
+        let sequence = write.sequence;
+        if self.log.write(&write) {
+            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+        } else {
+            self.violations.push(format!("{} segment {sequence} is too large", self.now));
+            self.pending_write = Some((epoch, write));
+        }
+    }
+
     fn send(&mut self, delay_ms: u64, delivery: Delivery) {
         self.next_delivery += 1;
         self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
@@ -426,6 +450,7 @@
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
                     let now = self.now;
+                    self.log.confirm();
                     if let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) {
                         cell.on_segment_written(sequence, now);
                     }
--- /dev/null
+++ b/crates/standins/tests/cells/takeover.rs
@@ -0,0 +1,131 @@
+//! Tests of what a new owner waits for, and of what it does meanwhile.
+
+use indexmap::IndexMap;
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{DrainMode, JobId, Step},
+};
+use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
+
+use crate::fixtures::{idle_worker, job_spec, new_model, partition, queue, step, task_id};
+
+const JOB: JobId = JobId(7);
+
+/// Time within which an owner plans after the last thing that it waits for, in milliseconds.
+const PLAN_DELAY_MS: u64 = 300;
+
+/// Longest duration of a worker's lease, including the allowance for a slow clock.
+fn longest_lease() -> Span {
+    Span(cell_config().lease.0 * 103 / 100)
+}
+
+/// Creates a model with a job of two steps. The task of the second step may start 1,200 ms later;
+/// until then one worker has no runs and is partitioned. Owners before the model's first one give
+/// no more orders.
+fn model_with_partitioned_idle_worker() -> Model {
+    let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+    partition(&mut model, &idle);
+    model
+}
+
+/// Returns when the second step of the job started.
+fn second_step_start(model: &mut Model) -> Option<Timestamp> {
+    let second = teaselgap_core::job::TaskId { step: 1, ..task_id(JOB, 0) };
+    model.run_until(30_000, |model| model.start_count(second) > 0).then(|| model.now())
+}
+
+#[test]
+fn the_wait_for_an_unreachable_worker_counts_from_the_claim() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.run_for(500);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+
+    model.take_over_reading_for(4_000);
+    let started_at = second_step_start(&mut model);
+
+    let latest = claimed_at + OWNER_TTL + longest_lease() + Span(PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_process_that_takes_its_cell_again_waits_from_the_end_of_its_own_term() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.run_for(500);
+    model.give_up();
+    let gave_up_at = model.now();
+    model.run_for(500);
+
+    model.take_over_again(2_000);
+    let started_at = second_step_start(&mut model);
+
+    let latest = gave_up_at + longest_lease() + Span(PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_short_term_does_not_shorten_the_wait_for_the_owner_before_it() {
+    let mut model = model_with_partitioned_idle_worker();
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+    model.take_over();
+    model.run_for(200);
+    model.give_up();
+
+    model.take_over_again(300);
+    let started_at = second_step_start(&mut model);
+
+    let earliest = claimed_at + OWNER_TTL + cell_config().lease;
+    assert!(started_at.is_some_and(|at| at >= earliest), "{started_at:?}, before {earliest}");
+}
+
+#[test]
+fn a_worker_reported_as_drained_does_not_delay_the_next_owner() {
+    let mut model = new_model(3);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+
+    let drains = IndexMap::from([(idle.clone(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains);
+    let drained = |model: &Model| !model.cell().unwrap().drained_workers().is_empty();
+    let is_reported = model.run_until(500, drained);
+    // The fleet moves the worker to another pool, and the owner dies.
+    partition(&mut model, &idle);
+    model.kill_owner();
+    model.run_for(500);
+    let claimed_at = model.now();
+    model.take_over();
+    let started_at = second_step_start(&mut model);
+
+    let latest = claimed_at + Span(1_200);
+    assert!(is_reported);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_worker_is_not_reported_as_drained_while_the_store_is_away() {
+    let mut model = new_model(2);
+    let drains = IndexMap::from([("w0".into(), DrainMode::WaitForRuns)]);
+
+    model.set_store_available(false);
+    model.cell_mut().unwrap().set_drains(drains);
+    model.run_for(1_000);
+    let drained_meanwhile = model.cell().unwrap().drained_workers();
+    model.set_store_available(true);
+    model.run_for(500);
+
+    assert_eq!(drained_meanwhile, []);
+    assert_eq!(model.cell().unwrap().drained_workers(), ["w0".into()]);
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -1,4 +1,4 @@
-//! The owner of a cell: reads and writes the cell's log, calls its workers and answers requests.
+//! The owner of a cell: has the cell's log written, calls its workers and answers requests.
 
 mod replies;
 
@@ -14,7 +14,7 @@
     Epoch, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load,
-        LogConfig, RecoveredLog, Segment, Sequence, TaskId, Token, WorkerEntry, WorkerId,
+        LogConfig, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -22,7 +22,6 @@
     client::CallError,
     config::Config,
     settings::Bounds,
-    store::{Expected, Outcome, Put, StoreError, Transaction},
     worker::{HoldError, Target, WorkerClient},
 };
 use tokio::sync::{Notify, oneshot};
@@ -30,6 +29,7 @@
 use self::replies::PendingReplies;
 use super::{
     ask::{CellRequest, Operation, Reply},
+    log_store::{LogStore, WriteError},
     node::Node,
     note,
     peer::{BUSY_RETRY_AFTER, CellReport},
@@ -37,15 +37,9 @@
 };
 use crate::clock;
 
-/// The prefix of the store keys that hold the logs of all cells.
-const LOG_PREFIX: &str = "teaselgap/log/";
-
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The pause before a failed call to the store is retried.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-
 /// How long a write to the store may be pending before the cell refuses new jobs at once.
 const STALLED_WRITE_TIMEOUT: Span = Span(400);
 
@@ -66,6 +60,7 @@
     node: Rc<Node>,
     service: ServiceId,
     epoch: Epoch,
+    log_store: LogStore,
     started_at: Timestamp,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
@@ -74,8 +69,8 @@
     is_term_over: StdCell<bool>,
     /// When the pending write of a segment was first sent; `None` if no write is pending.
     writing_since: StdCell<Option<Timestamp>>,
-    /// Whether the previous owner is known to send no more orders.
-    has_predecessor_ended: StdCell<bool>,
+    /// Time until which owners of earlier terms may have given orders.
+    earlier_orders_end: StdCell<Timestamp>,
     is_handing_over: StdCell<bool>,
     wake: Notify,
 }
@@ -84,22 +79,45 @@
     let Bounds { max_hold_ms, stop_ms, status_s, .. } = node.settings.bounds;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "short durations")]
     let status_retention = Span((status_s.max(0.0) * 1_000.0) as u64);
+    let defaults = LogConfig::default();
+    let max_segment_bytes = defaults.max_segment_bytes.min(node.settings.store.value_bytes);
     CellConfig {
         lease: Span((max_hold_ms * LEASE_PERCENT / 100).min(MAX_WORKER_LEASE.0)),
-        owner_ttl: session::owner_ttl(node),
         stop_timeout: Span(stop_ms),
         status_retention,
-        log: LogConfig::default(),
+        log: LogConfig { max_segment_bytes, ..defaults },
         admission: AdmissionPolicy::ByForecast,
     }
 }
 
-/// Starts a term as the owner of a cell.
-pub(super) fn start(node: &Rc<Node>, service: ServiceId, epoch: Epoch) {
+/// A term of this process that is over.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndedTerm {
+    epoch: Epoch,
+    /// Time until which this owner, or one of an earlier term, may have given orders.
+    orders_end: Timestamp,
+}
+
+/// Starts a term as the owner of a cell, whose key in the store this node has just claimed.
+/// `earlier_revision` is the key's revision before that; zero if there was no key.
+///
+/// Another process may give orders for `owner_ttl` after the claim. If the term before was one of
+/// this process, nobody has given any order since that term ended.
+pub(super) fn start(node: &Rc<Node>, service: ServiceId, epoch: Epoch, earlier_revision: u64) {
+    let claimed_at = clock::now();
+    let previous = node.cell_owners.borrow_mut().shift_remove(&service);
+    if let Some(previous) = previous {
+        previous.end_term("a new term has begun");
+    }
+    let own_term = node.ended_terms.borrow().get(&service).copied();
+    let own_term = own_term.filter(|term| term.epoch.0 == earlier_revision);
+    let earlier_orders_end =
+        own_term.map_or(claimed_at + session::owner_ttl(node), |term| term.orders_end);
     let owner = Rc::new(CellOwner {
         node: Rc::clone(node),
         service: service.clone(),
         epoch,
+        log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
@@ -107,14 +125,11 @@
         pending_replies: RefCell::default(),
         is_term_over: StdCell::new(false),
         writing_since: StdCell::new(None),
-        has_predecessor_ended: StdCell::new(false),
+        earlier_orders_end: StdCell::new(earlier_orders_end),
         is_handing_over: StdCell::new(false),
         wake: Notify::new(),
     });
-    let previous = node.cell_owners.borrow_mut().insert(service, Rc::clone(&owner));
-    if let Some(previous) = previous {
-        previous.end_term("a new term has begun");
-    }
+    node.cell_owners.borrow_mut().insert(service, Rc::clone(&owner));
     tokio::task::spawn_local(owner.run());
 }
 
@@ -144,20 +159,15 @@
         if self.is_term_over.replace(true) {
             return;
         }
+        let orders_end = clock::now().max(self.earlier_orders_end.get());
+        let ended_term = EndedTerm { epoch: self.epoch, orders_end };
+        self.node.ended_terms.borrow_mut().insert(self.service.clone(), ended_term);
         info!(self.node.log, "cell term ended"; "cell" => %self.service, "epoch" => self.epoch.0,
             "reason" => reason, "open_questions" => self.pending_replies.borrow().len());
         self.pending_replies.borrow_mut().clear();
         self.wake.notify_one();
     }
 
-    fn log_prefix(&self) -> String {
-        format!("{LOG_PREFIX}{}/", self.service)
-    }
-
-    fn segment_key(&self, sequence: Sequence) -> String {
-        format!("{}{sequence:016x}", self.log_prefix())
-    }
-
     /// Calls `f` on the cell and wakes the loop that executes the resulting actions. Returns `None`
     /// without calling `f` before the log has been read and once the term has ended.
     fn with_cell<T>(&self, f: impl FnOnce(&mut Cell) -> T) -> Option<T> {
@@ -171,22 +181,22 @@
 
     async fn run(self: Rc<Self>) {
         let started = clock::now();
-        let Some(recovered) = self.read_log().await else {
+        let Some(recovered) = self.log_store.read(&self.is_term_over).await else {
             return;
         };
         let segments = recovered.segments.len();
+        let bytes: usize = recovered.segments.iter().map(|segment| segment.bytes).sum();
         let time = (clock::now(), clock::wall_ms());
         let cfg = cell_config(&self.node);
-        let mut cell = Cell::new(cfg, (self.service.clone(), self.epoch), recovered, time);
-        if self.has_predecessor_ended.get() {
-            cell.on_predecessor_ended(time.0);
-        }
+        let service_and_epoch = (self.service.clone(), self.epoch);
+        let earlier_orders_end = self.earlier_orders_end.get();
+        let cell = Cell::new(cfg, service_and_epoch, recovered, earlier_orders_end, time);
         *self.cell.borrow_mut() = Some(cell);
         if let Some(config) = self.node.shared.config.load_full() {
             self.set_queues(&config);
         }
         info!(self.node.log, "cell recovered"; "cell" => %self.service, "epoch" => self.epoch.0,
-            "segments" => segments, "took_ms" => clock::now().since(started).0);
+            "segments" => segments, "bytes" => bytes, "took_ms" => clock::now().since(started).0);
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
         while !self.is_term_over.get() {
@@ -195,39 +205,6 @@
         }
     }
 
-    /// Reads the whole log. Returns `None` if the term ends first.
-    async fn read_log(&self) -> Option<RecoveredLog> {
-        loop {
-            if self.is_term_over.get() {
-                return None;
-            }
-            match self.node.store.range(&self.log_prefix(), false).await {
-                Ok(range) => return Some(self.parse_log(&range.items)),
-                Err(err) => {
-                    warn!(self.node.log, "failed to read the log"; "cell" => %self.service,
-                        "error" => %err);
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn parse_log(&self, items: &[teaselgap_platform::store::Item]) -> RecoveredLog {
-        let mut recovered = RecoveredLog::default();
-        for item in items {
-            let suffix = item.key.rsplit('/').next().unwrap_or_default();
-            let sequence = Sequence::from_str_radix(suffix, 16);
-            match (sequence, serde_json::from_slice::<Segment>(&item.value)) {
-                (Ok(sequence), Ok(segment)) => {
-                    recovered.next = recovered.next.max(sequence + 1);
-                    recovered.segments.push(segment);
-                }
-                _ => warn!(self.node.log, "skipped an unreadable segment"; "key" => &item.key),
-            }
-        }
-        recovered
-    }
-
     pub(super) fn set_queues(&self, config: &Config) {
         let queues = config.queues.clone();
         self.with_cell(|cell| cell.set_queues(queues));
@@ -449,7 +426,7 @@
                 let mut cell = self.cell.borrow_mut();
                 cell.as_mut().and_then(|cell| cell.take_write(clock::now()))
             };
-            let Some((sequence, segment)) = write else {
+            let Some(write) = write else {
                 let due_at = self.cell.borrow().as_ref().and_then(Cell::write_due);
                 let pause = due_at
                     .map_or(TICK_INTERVAL, clock::until)
@@ -458,66 +435,27 @@
                 continue;
             };
             self.writing_since.set(Some(clock::now()));
-            if !self.write_segment(sequence, &segment).await {
-                return;
-            }
-            self.writing_since.set(None);
-            self.with_cell(|cell| cell.on_segment_written(sequence, clock::now()));
-        }
-    }
-
-    /// Writes one segment, retrying until the store has it. Returns false if the term ends first.
-    async fn write_segment(self: &Rc<Self>, sequence: Sequence, segment: &Segment) -> bool {
-        let key = self.segment_key(sequence);
-        let duty = session::duty_key(&session::cell_duty(&self.service));
-        let value = match serde_json::to_vec(segment) {
-            Ok(value) => value,
-            Err(err) => {
-                warn!(self.node.log, "failed to serialize a segment"; "error" => %err);
-                self.end_term("failed to serialize a segment");
-                return false;
-            }
-        };
-        let txn = Transaction {
-            expected: vec![
-                Expected { key: duty, revision: self.epoch.0 },
-                Expected { key: key.clone(), revision: 0 },
-            ],
-            puts: vec![Put { key: key.clone(), value: value.clone(), lease: None }],
-            deletes: Vec::new(),
-        };
-        while !self.is_term_over.get() {
-            match self.node.store.transact(&txn).await {
-                Ok(Outcome::Done(_)) => return true,
-                // An earlier attempt of this write took effect although its answer was lost. Only
-                // the owner in this term can have written this value.
-                Ok(Outcome::Conflict(items))
-                    if items.iter().any(|item| item.key == key && item.value == value) =>
-                {
-                    return true;
-                }
-                Ok(Outcome::Conflict(_)) => {
-                    self.node.cell_owners.borrow_mut().retain(|_, owner| !Rc::ptr_eq(owner, self));
+            match self.log_store.write(&write, &self.is_term_over).await {
+                Ok(()) => {}
+                Err(WriteError::TermOver) => return,
+                Err(WriteError::OtherOwner) => {
+                    self.node.cell_owners.borrow_mut().retain(|_, owner| !Rc::ptr_eq(owner, &self));
                     self.end_term("another owner holds the duty or has written the segment");
-                    return false;
-                }
-                Err(err) => {
-                    self.node.shared.metrics.record_store_call("log", "failed");
-                    if !matches!(err, StoreError::Unavailable(_) | StoreError::Uncertain(_)) {
-                        warn!(self.node.log, "failed to write the log"; "error" => %err);
-                    }
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    return;
                 }
             }
+            self.writing_since.set(None);
+            self.with_cell(|cell| cell.on_segment_written(write.sequence, clock::now()));
         }
-        false
     }
 
     /// Records that the previous owner sends no more orders.
     pub(super) fn on_predecessor_ended(&self) {
-        if !self.has_predecessor_ended.replace(true) {
+        let now = clock::now();
+        if now < self.earlier_orders_end.get() {
+            self.earlier_orders_end.set(now);
             info!(self.node.log, "previous owner has ended"; "cell" => %self.service);
-            self.with_cell(|cell| cell.on_predecessor_ended(clock::now()));
+            self.with_cell(|cell| cell.on_predecessor_ended(now));
         }
     }
 
