Failing tests: the lease is renewed while the control thread is busy

Renewals run on the control thread, among the cell's answers and plans. LeaseRenewer has them, so far on that thread too; two of its tests fail: left [Err(Timeout) x 6], right [Ok(()) x 6]. Nothing uses it yet.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -22,6 +22,7 @@
 mod fleet;
 mod front;
 mod host;
+mod lease;
 mod log_store;
 mod members;
 mod node;
--- /dev/null
+++ b/src/jobs/lease.rs
@@ -0,0 +1,173 @@
+//! The node's lease in the store, and its renewal.
+//!
+//! All duties of the node depend on the lease, so its renewal must not wait behind the work that
+//! the duties bring.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use slog::{Logger, info, warn};
+use teaselgap_core::{Span, Timestamp};
+use teaselgap_platform::{
+    client::Connections,
+    store::{Store, StoreError},
+};
+
+use crate::clock;
+
+/// How many times the lease is renewed within its time-to-live.
+const RENEWALS_PER_TTL: u64 = 4;
+
+/// The pause before a failed renewal is retried. It is short because the lease is short.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How the lease is renewed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RenewalConfig {
+    /// The address of the store.
+    pub(super) store: SocketAddr,
+    /// The time-to-live of the lease.
+    pub(super) ttl: Span,
+    /// The lease is renewed only if the control thread has made progress within this time.
+    pub(super) max_stall: Span,
+}
+
+/// The lease as it is known to both threads.
+#[derive(Debug, Default)]
+struct LeaseState {
+    lease: Option<u64>,
+    /// The time until which the lease is certainly valid.
+    valid_until: Timestamp,
+    /// When the node last reached the store.
+    store_reached_at: Timestamp,
+    /// When the control thread last made progress.
+    progress_at: Timestamp,
+    /// Whether the store no longer had the lease when it was to be renewed.
+    has_expired: bool,
+}
+
+/// Holds the node's lease and has it renewed.
+#[derive(Debug)]
+pub(super) struct LeaseRenewer {
+    state: Arc<Mutex<LeaseState>>,
+}
+
+impl LeaseRenewer {
+    /// Starts the renewal of leases that are set later.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no thread can be started.
+    #[expect(clippy::unnecessary_wraps, reason = "a thread may fail to start")]
+    pub(super) fn start(cfg: RenewalConfig, log: Logger) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(LeaseState::default()));
+        tokio::task::spawn_local(renew_repeatedly(cfg, Arc::clone(&state), log));
+        Ok(Self { state })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LeaseState> {
+        lock(&self.state)
+    }
+
+    /// The lease, if the node has one.
+    pub(super) fn lease(&self) -> Option<u64> {
+        self.lock().lease
+    }
+
+    /// Sets a lease that the store has just granted.
+    pub(super) fn set(&self, lease: u64, valid_until: Timestamp) {
+        let mut state = self.lock();
+        state.lease = Some(lease);
+        state.valid_until = valid_until;
+        state.store_reached_at = clock::now();
+        state.has_expired = false;
+    }
+
+    /// Takes the lease, which is renewed no more.
+    pub(super) fn take(&self) -> Option<u64> {
+        self.lock().lease.take()
+    }
+
+    /// Whether the store has lost a lease since the last call.
+    pub(super) fn take_expired(&self) -> bool {
+        std::mem::take(&mut self.lock().has_expired)
+    }
+
+    /// The time until which the lease is certainly valid; zero before the first one.
+    pub(super) fn valid_until(&self) -> Timestamp {
+        self.lock().valid_until
+    }
+
+    /// When this node last reached the store.
+    pub(super) fn store_reached_at(&self) -> Timestamp {
+        self.lock().store_reached_at
+    }
+
+    /// Records that the control thread makes progress. A lease is not renewed for a control thread
+    /// that hangs, so that other nodes can take its duties over.
+    pub(super) fn record_progress(&self) {
+        self.lock().progress_at = clock::now();
+    }
+}
+
+fn lock(state: &Mutex<LeaseState>) -> MutexGuard<'_, LeaseState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn renew_repeatedly(cfg: RenewalConfig, state: Arc<Mutex<LeaseState>>, log: Logger) {
+    let store = Store::new(cfg.store, Rc::new(Connections::default()));
+    let interval = Duration::from_millis(cfg.ttl.0 / RENEWALS_PER_TTL);
+    let mut is_failing = false;
+    loop {
+        let due = {
+            let state = lock(&state);
+            let is_stalled = clock::now() > state.progress_at + cfg.max_stall;
+            state.lease.filter(|_| !is_stalled)
+        };
+        let Some(lease) = due else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let sent_at = clock::now();
+        let result = store.renew(lease, interval).await;
+        apply(&mut lock(&state), lease, &result, sent_at + cfg.ttl);
+        if result.is_err() != is_failing {
+            is_failing = result.is_err();
+            match &result {
+                Ok(()) => info!(log, "lease calls succeed again"; "lease" => lease),
+                Err(err) => warn!(log, "lease calls fail"; "lease" => lease, "error" => %err),
+            }
+        }
+        tokio::time::sleep(if is_failing { RETRY_PAUSE } else { interval }).await;
+    }
+}
+
+/// Applies the result of a renewal, unless another lease has been set or it was taken meanwhile.
+fn apply(
+    state: &mut LeaseState,
+    lease: u64,
+    result: &Result<(), StoreError>,
+    valid_until: Timestamp,
+) {
+    if state.lease != Some(lease) {
+        return;
+    }
+    match result {
+        Ok(()) => {
+            state.valid_until = valid_until;
+            state.store_reached_at = clock::now();
+        }
+        Err(StoreError::NoLease) => {
+            state.lease = None;
+            state.has_expired = true;
+        }
+        Err(_) => {}
+    }
+}
