Renew the node's lease on a thread of its own

Cause: the renewal ran on the control thread and waited behind the cell's answers and plans; with a backlog of more than its 500 ms it timed out although the store had answered. Why it works: a thread with a connection of its own renews the lease. It does so only while the control thread shows progress at least every 3 s, so the duties of a hanging node still go to others. Next: the work that queues on its thread.

--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -1,7 +1,7 @@
 //! The node's lease in the store, and its renewal.
 //!
 //! All duties of the node depend on the lease, so its renewal must not wait behind the work that
-//! the duties bring.
+//! the duties bring: a thread of its own renews it, over a connection of its own.
 
 #[cfg(test)]
 mod tests;
@@ -28,6 +28,9 @@
 /// The pause before a failed renewal is retried. It is short because the lease is short.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// The stack of the thread that renews the lease.
+const STACK_BYTES: usize = 256 * 1024;
+
 /// How the lease is renewed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RenewalConfig {
@@ -60,15 +63,19 @@
 }
 
 impl LeaseRenewer {
-    /// Starts the renewal of leases that are set later.
+    /// Starts the thread that renews leases that are set later, until the process ends.
     ///
     /// # Errors
     ///
-    /// Returns an error if no thread can be started.
-    #[expect(clippy::unnecessary_wraps, reason = "a thread may fail to start")]
+    /// Returns an error if the thread can't be started.
     pub(super) fn start(cfg: RenewalConfig, log: Logger) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(LeaseState::default()));
-        tokio::task::spawn_local(renew_repeatedly(cfg, Arc::clone(&state), log));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let shared = Arc::clone(&state);
+        std::thread::Builder::new()
+            .name("lease".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || runtime.block_on(renew_repeatedly(cfg, shared, log)))?;
         Ok(Self { state })
     }
 
--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -74,7 +74,7 @@
     let (address, calls) = store("200 OK");
 
     on_control_thread(address, Span(300), |_| {
-        let pause = Duration::from_millis(1_000);
+        let pause = Duration::from_secs(1);
         let end = (0..20).find_map(|_| calls.recv_timeout(pause).err());
 
         assert_eq!(end, Some(RecvTimeoutError::Timeout));
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -27,6 +27,7 @@
     ask, fleet,
     front::{self, SharedState},
     host::{CellOwner, EndedTerm},
+    lease::LeaseRenewer,
     members::Members,
     operator,
     peer::{self, CellReport, DrainInstruction, NodeRequest, Peers},
@@ -93,6 +94,7 @@
     pub(super) store: Store,
     pub(super) shared: Arc<SharedState>,
     pub(super) peers: Peers,
+    pub(super) lease: LeaseRenewer,
     pub(super) session: RefCell<Session>,
     pub(super) members: RefCell<Members>,
     pub(super) cell_owners: RefCell<IndexMap<ServiceId, Rc<CellOwner>>>,
@@ -142,7 +144,7 @@
             }
             NodeRequest::Drain(instruction) => self.handle_drain_instruction(instruction),
             NodeRequest::StoreAge(reply) => {
-                let reached_at = self.session.borrow().store_reached_at;
+                let reached_at = self.lease.store_reached_at();
                 // The caller may have stopped waiting.
                 let _ = reply.send(clock::now().since(reached_at));
             }
@@ -208,6 +210,7 @@
     let stop_front = serve_http(&shared, listeners)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let connections = Rc::new(Connections::default());
+    let lease = LeaseRenewer::start(session::renewal_config(&settings.store), log.clone())?;
     let node = Rc::new(Node {
         log: log.clone(),
         id,
@@ -217,6 +220,7 @@
         connections,
         shared,
         peers: Peers::default(),
+        lease,
         session: RefCell::new(Session::default()),
         members: RefCell::new(Members::default()),
         cell_owners: RefCell::new(IndexMap::new()),
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -14,12 +14,13 @@
     job::{Duty, LagMonitor, OrderRate, duty_to_hand_over, propose_owners},
 };
 use teaselgap_platform::{
-    settings::Limits,
+    settings::{Limits, StoreSettings},
     store::{Change, Expected, Outcome, Put, StoreError, Transaction},
 };
 
 use super::{
     fleet, host,
+    lease::RenewalConfig,
     members::{CONTROL_PREFIX, DUTY_PREFIX, MEMBER_PREFIX, NodeRecord},
     node::{FLEET_DUTY, Node},
 };
@@ -28,18 +29,21 @@
 /// The time-to-live of the node's lease, unless the store's minimum is longer.
 const LEASE_TTL: Span = Span(2_000);
 
-/// How many times the lease is renewed within its time-to-live.
-const RENEWALS_PER_TTL: u64 = 4;
-
 /// How long one watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The pause before members and owners are read again after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// The pause before a failed registration or renewal is retried. It is short because the lease is
-/// short.
-const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How often the node looks whether it still has its lease, and retries a failed registration. It
+/// is short because the lease is short.
+const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How often the node looks whether its registration is still right.
+const REGISTRATION_CHECK_INTERVAL: Span = Span(500);
+
+/// How long the control thread may make no progress before the lease is renewed no more.
+const MAX_CONTROL_STALL: Span = Span(3_000);
 
 /// How long a node that has just registered waits for others to register before it claims free
 /// duties, and how long its own registration may take to appear among the members.
@@ -85,15 +89,10 @@
     format!("{DUTY_PREFIX}{duty}")
 }
 
-/// The state of the node's lease and of the claims made under it.
+/// The state of the node's registration and of the claims made under its lease.
 #[derive(Debug, Default)]
 pub(crate) struct Session {
-    lease: Option<u64>,
-    /// The time until which the lease is certainly valid.
-    valid_until: Timestamp,
     registered_at: Timestamp,
-    /// When this node last reached the store.
-    pub(super) store_reached_at: Timestamp,
     /// When this node sent the latest calls to other nodes whose answers confirmed an outage of the
     /// store.
     outage_confirmed_at: Timestamp,
@@ -149,35 +148,48 @@
 }
 
 fn lease_ttl(node: &Node) -> Span {
-    Span(LEASE_TTL.0.max(node.settings.store.min_ttl_ms))
+    ttl(&node.settings.store)
+}
+
+fn ttl(store: &StoreSettings) -> Span {
+    Span(LEASE_TTL.0.max(store.min_ttl_ms))
 }
 
+/// How the lease of a node with this store is renewed.
+pub(super) fn renewal_config(store: &StoreSettings) -> RenewalConfig {
+    RenewalConfig { store: store.address, ttl: ttl(store), max_stall: MAX_CONTROL_STALL }
+}
+
+/// Registers the node whenever it has no lease, and ends its terms when its lease has ended.
 async fn keep_lease(node: &Rc<Node>) {
-    let mut is_store_reachable = true;
+    let mut is_registered = true;
+    let mut next_check = Timestamp(0);
     loop {
-        let lease = node.session.borrow().lease;
+        if node.lease.take_expired() {
+            warn!(node.log, "lease expired");
+            end_all_terms(node, "the lease has expired");
+        }
+        let lease = node.lease.lease();
         if node.is_draining() && lease.is_none() {
             return;
         }
+        let now = clock::now();
         let result = match lease {
-            Some(lease) => renew(node, lease).await,
+            Some(lease) if now >= next_check && !node.is_draining() => {
+                next_check = now + REGISTRATION_CHECK_INTERVAL;
+                check_registration(node, lease).await
+            }
+            Some(_) => Ok(()),
             None => register(node).await,
         };
-        if result.is_ok() {
-            node.session.borrow_mut().store_reached_at = clock::now();
-        }
-        if result.is_ok() != is_store_reachable {
-            is_store_reachable = result.is_ok();
+        if result.is_ok() != is_registered {
+            is_registered = result.is_ok();
             match &result {
-                Ok(()) => info!(node.log, "lease calls succeed again"; "lease" => lease),
-                Err(err) => warn!(node.log, "lease calls fail"; "lease" => lease, "error" => %err),
+                Ok(()) => info!(node.log, "registration succeeds again"),
+                Err(err) => warn!(node.log, "registration fails"; "error" => %err),
             }
         }
-        let pause = match result {
-            Ok(()) => Duration::from_millis(lease_ttl(node).0 / RENEWALS_PER_TTL),
-            Err(_) => RENEW_RETRY_PAUSE,
-        };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(LEASE_POLL_INTERVAL).await;
         end_expired_terms(node);
     }
 }
@@ -187,10 +199,8 @@
     let (lease, granted_ttl) = node.store.grant(lease_ttl(node).to_std()).await?;
     let granted_ttl = Span(u64::try_from(granted_ttl.as_millis()).unwrap_or(u64::MAX));
     write_member(node, lease).await?;
-    let mut session = node.session.borrow_mut();
-    session.lease = Some(lease);
-    session.valid_until = sent_at + granted_ttl;
-    session.registered_at = clock::now();
+    node.lease.set(lease, sent_at + granted_ttl);
+    node.session.borrow_mut().registered_at = clock::now();
     info!(node.log, "registered"; "lease" => lease, "ttl_ms" => granted_ttl.0);
     Ok(())
 }
@@ -239,39 +249,21 @@
     write_member(node, lease).await
 }
 
-async fn renew(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
-    let sent_at = clock::now();
-    let timeout = Duration::from_millis(lease_ttl(node).0 / RENEWALS_PER_TTL);
-    match node.store.renew(lease, timeout).await {
-        Ok(()) => {
-            node.session.borrow_mut().valid_until = sent_at + lease_ttl(node);
-            if node.is_draining() {
-                return Ok(());
-            }
-            if is_registration_missing(node) {
-                warn!(node.log, "registration lost; writing it again"; "lease" => lease);
-                write_member(node, lease).await?;
-                node.session.borrow_mut().registered_at = clock::now();
-            }
-            update_order_rate(node, lease).await
-        }
-        Err(StoreError::NoLease) => {
-            warn!(node.log, "lease expired"; "lease" => lease);
-            node.session.borrow_mut().lease = None;
-            end_all_terms(node, "the lease has expired");
-            Err(StoreError::NoLease)
-        }
-        Err(err) => Err(err),
+/// Writes the registration again if the store has lost it or the order rate has changed.
+async fn check_registration(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
+    if is_registration_missing(node) {
+        warn!(node.log, "registration lost; writing it again"; "lease" => lease);
+        write_member(node, lease).await?;
+        node.session.borrow_mut().registered_at = clock::now();
     }
+    update_order_rate(node, lease).await
 }
 
 /// Ends all terms once other nodes may own the duties. A node that can't reach the store continues
 /// beyond the end of its lease only while other nodes confirm that they can't reach it either.
 fn end_expired_terms(node: &Rc<Node>) {
-    let (valid_until, outage_confirmed_at) = {
-        let session = node.session.borrow();
-        (session.valid_until, session.outage_confirmed_at)
-    };
+    let valid_until = node.lease.valid_until();
+    let outage_confirmed_at = node.session.borrow().outage_confirmed_at;
     let now = clock::now();
     let is_idle = node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none();
     if valid_until == Timestamp(0) || is_idle {
@@ -314,7 +306,7 @@
 
 /// Whether this node's lease is certainly valid.
 pub(super) fn holds_lease(node: &Node) -> bool {
-    clock::now() < node.session.borrow().valid_until
+    clock::now() < node.lease.valid_until()
 }
 
 /// Keeps the members and owners up to date with the store.
@@ -398,6 +390,7 @@
         let timer_deadline = clock::now() + DUTY_POLL_INTERVAL;
         tokio::time::sleep(DUTY_POLL_INTERVAL.to_std()).await;
         node.session.borrow_mut().lag.record_timer(timer_deadline, clock::now());
+        node.lease.record_progress();
         for (duty, key_revision) in claimable_duties(&node) {
             node.session.borrow_mut().claiming.insert(duty.clone());
             tokio::task::spawn_local(claim_duty(Rc::clone(&node), duty, key_revision));
@@ -425,7 +418,8 @@
     let session = &mut *session;
     let members = node.members.borrow();
     let is_settled = now >= session.registered_at + SETTLE_TIME;
-    let may_claim = session.lease.is_some() && now < session.valid_until && members.revision > 0;
+    let may_claim =
+        node.lease.lease().is_some() && now < node.lease.valid_until() && members.revision > 0;
     if node.is_draining() || !may_claim {
         return Vec::new();
     }
@@ -465,7 +459,7 @@
 fn cell_to_hand_over(node: &Rc<Node>) -> Option<Rc<host::CellOwner>> {
     let now = clock::now();
     let session = node.session.borrow();
-    let is_store_reached = now < session.store_reached_at + STORE_REACHABLE_WINDOW;
+    let is_store_reached = now < node.lease.store_reached_at() + STORE_REACHABLE_WINDOW;
     if node.is_draining() || !is_store_reached || !session.handing_over.is_empty() {
         return None;
     }
@@ -538,7 +532,7 @@
 
 /// Writes the duty's key under this node's lease. Returns the epoch if this node owns the duty now.
 async fn write_claim(node: &Rc<Node>, key: &str, key_revision: u64) -> Option<Epoch> {
-    let lease = node.session.borrow().lease?;
+    let lease = node.lease.lease()?;
     let txn = Transaction {
         expected: vec![Expected { key: key.to_owned(), revision: key_revision }],
         puts: vec![Put { key: key.to_owned(), value: own_record_json(node), lease: Some(lease) }],
@@ -573,7 +567,7 @@
         owner.flush().await;
     }
     end_all_terms(node, "the node is stopping");
-    let lease = node.session.borrow_mut().lease.take();
+    let lease = node.lease.take();
     if let Some(lease) = lease
         && let Err(err) = node.store.revoke(lease).await
     {
