Model a slow link of the owner; failing tests of a burst over it

All calls of a cell's owner pass a link of limited rate with a queue in each direction; a call that takes longer than its timeout counts as unanswered. The owner's own lease in the store can be made to depend on the same link.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -6,6 +6,8 @@
 //! guarantees, above all a task that runs twice at the same time. A day of load takes milliseconds.
 
 mod control;
+mod lease;
+mod link;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,7 +22,11 @@
     },
 };
 
-pub use self::worker::{ModelWorker, TaskTime};
+use self::lease::OwnerLease;
+pub use self::{
+    link::Link,
+    worker::{ModelWorker, TaskTime},
+};
 
 /// One-way latency of a message, in milliseconds.
 const LATENCY_MS: u64 = 1;
@@ -74,6 +80,27 @@
     },
 }
 
+impl Call {
+    /// Returns how long the owner waits for the answer.
+    fn timeout(&self) -> Span {
+        match self {
+            Self::Start(_) | Self::Stop(..) => Span(CALL_TIMEOUT_MS),
+            Self::Hold { wait, .. } | Self::PendingHold { wait, .. } => {
+                Span(CALL_TIMEOUT_MS + wait.0)
+            }
+        }
+    }
+
+    /// Returns the reply that the owner gets when the call times out.
+    fn timed_out(&self) -> Reply {
+        match self {
+            Self::Start(order) => Reply::Started(order.task, order.attempt, StartOutcome::Unknown),
+            Self::Stop(task, attempt) => Reply::Stopped(*task, *attempt, false),
+            Self::Hold { sent, .. } | Self::PendingHold { sent, .. } => Reply::Held(*sent, None),
+        }
+    }
+}
+
 /// The result of a call to a worker, or of a request to the advice service.
 #[derive(Clone, Debug)]
 enum Reply {
@@ -89,12 +116,14 @@
 /// A message in transit, or the confirmation of a write to the store.
 #[derive(Clone, Debug)]
 enum Delivery {
-    /// A call; the owner gets the worker's answer only if `answer_arrives`.
+    /// A call; the owner gets the worker's answer only if `answer_arrives`, and not after
+    /// `deadline`.
     ToWorker {
         worker: WorkerId,
         epoch: Epoch,
         call: Call,
         answer_arrives: bool,
+        deadline: Timestamp,
     },
     ToCell {
         worker: WorkerId,
@@ -105,6 +134,18 @@
         epoch: Epoch,
         sequence: Sequence,
     },
+    /// The renewal of the owner's lease, sent at the given time, has reached the store.
+    RenewalAtStore {
+        epoch: Epoch,
+        sent: Timestamp,
+    },
+    /// The owner has the store's answer to a renewal.
+    Renewed {
+        epoch: Epoch,
+        sent: Timestamp,
+    },
+    /// A new owner has read the log.
+    LogRead,
 }
 
 /// Faults of the next start orders to a worker; late orders come before lost answers.
@@ -157,6 +198,15 @@
     /// Whether the advice service answers.
     is_advice_available: bool,
     advice_request_count: usize,
+    /// The owner's link; `None` if messages don't wait for each other.
+    link: Option<Link>,
+    /// The owner's lease in the store; `None` if it never expires.
+    owner_lease: Option<OwnerLease>,
+    /// Number of terms that ended because the owner's lease expired.
+    expired_terms: u32,
+    /// Start orders of this term that the owner has no outcome of.
+    starts_in_flight: usize,
+    max_starts_in_flight: usize,
 }
 
 /// Returns the cell configuration of a typical small deployment.
@@ -206,6 +256,11 @@
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
             advice_request_count: 0,
+            link: None,
+            owner_lease: None,
+            expired_terms: 0,
+            starts_in_flight: 0,
+            max_starts_in_flight: 0,
         };
         model.take_over();
         model
@@ -282,6 +337,7 @@
     }
 
     fn tick(&mut self) {
+        self.keep_owner_lease();
         if self.now >= self.next_worker_list && self.is_store_available {
             self.next_worker_list = self.now + Span(WORKER_LIST_INTERVAL_MS);
             let now = self.now;
@@ -313,8 +369,9 @@
         if self.is_store_available
             && let Some((epoch, sequence, segment)) = self.pending_write.take()
         {
+            let delay = self.send_over_link(link::segment_bytes(&segment));
             self.log.insert(sequence, segment);
-            self.send(WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            self.send(delay.0 + WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
         }
         for action in actions {
             self.perform(action);
@@ -326,6 +383,18 @@
         self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
     }
 
+    /// Passes a message of the owner over its link, and returns how long that takes.
+    fn send_over_link(&mut self, bytes: u64) -> Span {
+        let now = self.now;
+        self.link.as_mut().map_or(Span(0), |link| link.send(bytes, now))
+    }
+
+    /// Passes a message to the owner over its link, and returns how long that takes.
+    fn receive_over_link(&mut self, bytes: u64) -> Span {
+        let now = self.now;
+        self.link.as_mut().map_or(Span(0), |link| link.receive(bytes, now))
+    }
+
     fn perform(&mut self, action: Action) {
         match action {
             Action::Reply(token, answer) => {
@@ -334,7 +403,11 @@
             Action::Log(event) => self.log_events.push(event),
             Action::Pace(..) => {}
             Action::RequestAdvice(request) => self.request_advice(request),
-            Action::Start(worker, order) => self.call(worker, Call::Start(order)),
+            Action::Start(worker, order) => {
+                self.starts_in_flight += 1;
+                self.max_starts_in_flight = self.max_starts_in_flight.max(self.starts_in_flight);
+                self.call(worker, Call::Start(order));
+            }
             Action::Stop(worker, task, attempt) => self.call(worker, Call::Stop(task, attempt)),
             Action::Hold { worker, lease_end, last_seen, wait } => {
                 let call = Call::Hold { lease_end, last_seen, wait, sent: self.now };
@@ -368,8 +441,9 @@
             self.schedule_timeout(worker, epoch, &call);
             return;
         }
-        let mut delay_ms = LATENCY_MS;
-        let mut answer_arrives = true;
+        let deadline = self.now + call.timeout();
+        let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
+        let mut answer_arrives = self.now + Span(delay_ms) < deadline;
         if let (Call::Start(_), Some(faults)) = (&call, self.faults.get_mut(&worker)) {
             if faults.late_orders > 0 {
                 faults.late_orders -= 1;
@@ -383,22 +457,30 @@
         if !answer_arrives {
             self.schedule_timeout(worker.clone(), epoch, &call);
         }
-        self.send(delay_ms, Delivery::ToWorker { worker, epoch, call, answer_arrives });
+        let delivery = Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
+        self.send(delay_ms, delivery);
     }
 
     /// Schedules the reply that the owner gets when a call times out.
     fn schedule_timeout(&mut self, worker: WorkerId, epoch: Epoch, call: &Call) {
-        let (delay_ms, reply) = match call {
-            Call::Start(order) => {
-                let outcome = StartOutcome::Unknown;
-                (CALL_TIMEOUT_MS, Reply::Started(order.task, order.attempt, outcome))
-            }
-            Call::Stop(task, attempt) => (CALL_TIMEOUT_MS, Reply::Stopped(*task, *attempt, false)),
-            Call::Hold { wait, sent, .. } | Call::PendingHold { wait, sent, .. } => {
-                (CALL_TIMEOUT_MS + wait.0, Reply::Held(*sent, None))
-            }
-        };
-        self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
+        let delivery = Delivery::ToCell { worker, epoch, reply: call.timed_out() };
+        self.send(call.timeout().0, delivery);
+    }
+
+    /// Sends a worker's answer to the owner, which stops waiting for it at `deadline`.
+    fn answer_call(
+        &mut self,
+        (worker, epoch): (WorkerId, Epoch),
+        (reply, timed_out): (Reply, Reply),
+        deadline: Timestamp,
+    ) {
+        let delay_ms = LATENCY_MS + self.receive_over_link(reply.bytes()).0;
+        if self.now + Span(delay_ms) <= deadline {
+            self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
+        } else {
+            let delay_ms = deadline.since(self.now).0;
+            self.send(delay_ms, Delivery::ToCell { worker, epoch, reply: timed_out });
+        }
     }
 
     fn deliver(&mut self) {
@@ -407,8 +489,8 @@
                 return;
             }
             match entry.remove() {
-                Delivery::ToWorker { worker, epoch, call, answer_arrives } => {
-                    self.on_call(worker, epoch, call, answer_arrives);
+                Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline } => {
+                    self.on_call((worker, epoch), call, answer_arrives, deadline);
                 }
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
@@ -417,11 +499,20 @@
                         cell.on_segment_written(sequence, now);
                     }
                 }
+                Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
+                Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
+                Delivery::LogRead => self.take_over(),
             }
         }
     }
 
-    fn on_call(&mut self, id: WorkerId, epoch: Epoch, call: Call, answer_arrives: bool) {
+    fn on_call(
+        &mut self,
+        (id, epoch): (WorkerId, Epoch),
+        call: Call,
+        answer_arrives: bool,
+        deadline: Timestamp,
+    ) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&id) else {
             return;
@@ -432,6 +523,7 @@
             }
             return;
         }
+        let timed_out = call.timed_out();
         let reply = match call {
             Call::Start(order) => {
                 let outcome = worker.start(&order, epoch, now);
@@ -459,7 +551,9 @@
                     worker.extend_lease(lease_end, epoch, now);
                     let started_wall_ms = worker.entry.started_wall_ms;
                     let call = Call::PendingHold { last_seen, wait, sent, started_wall_ms };
-                    let pending = Delivery::ToWorker { worker: id, epoch, call, answer_arrives };
+                    let worker = id;
+                    let pending =
+                        Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
                     self.send(delay_ms, pending);
                     return;
                 }
@@ -471,7 +565,7 @@
             }
         };
         if answer_arrives {
-            self.send(LATENCY_MS, Delivery::ToCell { worker: id, epoch, reply });
+            self.answer_call((id, epoch), (reply, timed_out), deadline);
         }
     }
 
@@ -514,6 +608,7 @@
         };
         match reply {
             Reply::Started(task, attempt, outcome) => {
+                self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
                 cell.on_start_answer(id, (task, attempt), outcome, now);
             }
             Reply::Stopped(task, attempt, confirmed) => {
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -1,6 +1,6 @@
 //! Operations by which a test controls the model: faults, takeovers and client requests.
 
-use super::{Model, ModelWorker, TICK_MS, TICKET, WorkerFaults};
+use super::{Link, Model, ModelWorker, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span,
     job::{Answer, Cell, JobId, JobSpec, RecoveredLog, Token},
@@ -52,6 +52,28 @@
         self.advice_request_count
     }
 
+    /// Passes all calls of the owner to workers and to the store over a link.
+    pub fn set_link(&mut self, link: Link) {
+        self.link = Some(link);
+    }
+
+    /// Makes the owner's term depend on a lease in the store, which the owner renews.
+    pub fn require_owner_lease(&mut self) {
+        self.owner_lease = Some(OwnerLease::new(self.now));
+    }
+
+    /// Returns how many terms ended because the owner could not renew its lease in time.
+    #[must_use]
+    pub fn expired_terms(&self) -> u32 {
+        self.expired_terms
+    }
+
+    /// Returns the largest number of start orders that an owner waited for at the same time.
+    #[must_use]
+    pub fn max_starts_in_flight(&self) -> usize {
+        self.max_starts_in_flight
+    }
+
     /// Sets whether the store accepts writes and the owner can read the list of workers.
     pub fn set_store_available(&mut self, is_available: bool) {
         self.is_store_available = is_available;
@@ -90,6 +112,8 @@
         self.cell = Some(cell);
         self.pending_write = None;
         self.next_worker_list = self.now;
+        self.owner_lease = self.owner_lease.map(|_| OwnerLease::new(self.now));
+        self.starts_in_flight = 0;
     }
 
     fn new_token(&mut self) -> Token {
--- /dev/null
+++ b/crates/standins/src/model/link.rs
@@ -0,0 +1,105 @@
+//! The network link of the owner's node: a limited rate and a queue in each direction.
+
+use teaselgap_core::{Span, Timestamp, job::Segment};
+
+use super::{Call, Reply};
+
+/// Bytes of headers of a call or of an answer, from TCP to HTTP.
+const HEADER_BYTES: u64 = 250;
+
+/// Bytes of the fields of a call's body beside those that vary.
+const BODY_BYTES: u64 = 100;
+
+/// Bytes of one entry in a worker's list of runs or of run ends.
+const LIST_ENTRY_BYTES: u64 = 50;
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// A link on which messages wait for those before them.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    bytes_per_s: u64,
+    outbound: Queue,
+    inbound: Queue,
+}
+
+/// The messages that wait in one direction, as the time when the last of them has been sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Queue {
+    busy_until_us: u64,
+}
+
+impl Queue {
+    fn push(&mut self, bytes: u64, bytes_per_s: u64, now: Timestamp) -> Timestamp {
+        let start_us = self.busy_until_us.max(now.0 * MICROS_PER_MILLI);
+        self.busy_until_us = start_us + bytes * 1_000_000 / bytes_per_s;
+        Timestamp(self.busy_until_us.div_ceil(MICROS_PER_MILLI))
+    }
+}
+
+impl Link {
+    /// Creates an idle link with this rate in each direction, in megabits per second.
+    #[must_use]
+    pub fn new(mbps: u64) -> Self {
+        let bytes_per_s = mbps * 1_000_000 / 8;
+        Self { bytes_per_s, outbound: Queue::default(), inbound: Queue::default() }
+    }
+
+    /// Queues a message that the owner sends, and returns how long it takes to pass the link.
+    pub(super) fn send(&mut self, bytes: u64, now: Timestamp) -> Span {
+        self.outbound.push(bytes, self.bytes_per_s, now).since(now)
+    }
+
+    /// Queues a message to the owner, and returns how long it takes to pass the link.
+    pub(super) fn receive(&mut self, bytes: u64, now: Timestamp) -> Span {
+        self.inbound.push(bytes, self.bytes_per_s, now).since(now)
+    }
+}
+
+/// Returns the size of a call or an answer whose body has no parts that vary.
+pub(super) fn small_message_bytes() -> u64 {
+    HEADER_BYTES + BODY_BYTES
+}
+
+/// Returns the size of a segment of the log.
+pub(super) fn segment_bytes(segment: &Segment) -> u64 {
+    serde_json::to_vec(segment).map_or(0, |value| value.len() as u64)
+}
+
+impl Call {
+    /// Returns the size of the call.
+    pub(super) fn bytes(&self) -> u64 {
+        let payload = match self {
+            Self::Start(order) => order.spec.payload.len() as u64,
+            Self::Stop(..) | Self::Hold { .. } | Self::PendingHold { .. } => 0,
+        };
+        small_message_bytes() + payload
+    }
+}
+
+impl Reply {
+    /// Returns the size of the answer.
+    pub(super) fn bytes(&self) -> u64 {
+        let entries = match self {
+            Self::Held(_, Some(report)) => report.running.len() + report.ends.len(),
+            _ => 0,
+        };
+        small_message_bytes() + entries as u64 * LIST_ENTRY_BYTES
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_message_waits_for_those_before_it_in_its_direction() {
+        let mut link = Link::new(8);
+
+        let first = link.send(100_000, Timestamp(1_000));
+        let second = link.send(100_000, Timestamp(1_050));
+        let other_direction = link.receive(100_000, Timestamp(1_050));
+
+        assert_eq!((first, second, other_direction), (Span(100), Span(150), Span(100)));
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/cells/flow.rs
@@ -0,0 +1,80 @@
+//! Tests of an owner whose link is slower than what a burst asks it to send.
+
+use teaselgap_core::job::{EndKind, JobId, LogEvent, Step};
+use teaselgap_standins::model::{Link, Model};
+
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
+
+/// Number of workers in the pool.
+const WORKERS: usize = 100;
+
+/// Rate of the owner's link, in megabits per second.
+const LINK_MBPS: u64 = 10;
+
+/// The long-running job that is at work before the burst begins.
+const LASTING_JOB: JobId = JobId(1 << 32);
+
+/// Number of tasks of the long-running job.
+const LASTING_TASKS: u32 = 24;
+
+const JOBS_PER_S: u64 = 125;
+
+/// Size of a job's payload, which every start order carries.
+const PAYLOAD_BYTES: usize = 2_000;
+
+/// Returns an owner behind a slow link with a long-running job at work.
+fn model_with_slow_link() -> Model {
+    let mut model = new_model(WORKERS);
+    model.set_link(Link::new(LINK_MBPS));
+    model.submit(LASTING_JOB, &queue(), long_running_job(LASTING_TASKS, 0));
+    model.run_for(2_000);
+    model
+}
+
+/// Submits [`JOBS_PER_S`] jobs of two steps of eight short tasks each second, and lets the time pass.
+fn run_burst(model: &mut Model, seconds: u64) {
+    let jobs = JOBS_PER_S * seconds;
+    let mut submitted_ms = 0;
+    for number in 0..jobs {
+        let second = Step { after: vec![0], ..step(8, 3_200, 640) };
+        let mut spec = job_spec(vec![step(8, 3_200, 640), second]);
+        spec.payload = "x".repeat(PAYLOAD_BYTES);
+        model.submit(JobId(number), &queue(), spec);
+        let next_ms = (number + 1) * 1_000 / JOBS_PER_S;
+        model.run_for(next_ms - submitted_ms);
+        submitted_ms = next_ms;
+    }
+}
+
+/// Returns the number of runs that ended because the lease of their worker had expired.
+fn lapsed_runs(model: &Model) -> usize {
+    let is_lapsed = |event: &&LogEvent| match event {
+        LogEvent::RunEndedUnreported { reason, .. } => *reason == "lease expired",
+        _ => false,
+    };
+    model.log_events().iter().filter(is_lapsed).count() + model.end_count(EndKind::Lapsed)
+}
+
+#[test]
+fn a_burst_over_a_slow_link_lets_no_lease_of_a_worker_lapse() {
+    let mut model = model_with_slow_link();
+
+    run_burst(&mut model, 12);
+    model.run_for(5_000);
+
+    assert_eq!(lapsed_runs(&model), 0);
+    for index in 0..LASTING_TASKS {
+        assert_eq!(model.start_count(task_id(LASTING_JOB, index)), 1);
+    }
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+#[test]
+fn a_burst_over_a_slow_link_does_not_delay_renewals_of_the_owners_lease() {
+    let mut model = model_with_slow_link();
+    model.require_owner_lease();
+
+    run_burst(&mut model, 6);
+
+    assert_eq!(model.expired_terms(), 0);
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod fixtures;
+mod flow;
 mod random;
 mod turns;
