--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -43,8 +43,8 @@
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
     log::{LogConfig, LogWriter, Position, Sequence},
     message::{
-        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, RunEnd, RunId, StartOrder,
-        StartOutcome, Token,
+        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, PlacedTask, RunEnd, RunId,
+        StartOrder, StartOutcome, Token,
     },
     record::{EndKind, JobEnd, Record, Segment, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        Action, EndKind, JobEnd, JobId, LogEvent, Record, RunEnd, RunId, TaskId, WorkerId,
+        Action, EndKind, JobEnd, JobId, LogEvent, Record, RunEnd, RunId, StepId, TaskId, WorkerId,
         task::Job, times,
     },
     Cell, DeferredEffect,
@@ -45,8 +45,7 @@
 
     fn on_run_end(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
         let RunEnd { task, attempt, kind, .. } = *end;
-        let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Ended { run, how: kind }));
+        self.log_run_end(id, end);
         let at_fault = self.is_worker_at_fault(id, task.job, kind);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_ended_attempt(task, attempt);
@@ -76,6 +75,9 @@
             self.record(Record::Ended { task, attempt, how: kind, checkpoint }, now, None);
         }
         if kind == EndKind::Done {
+            if must_log {
+                self.log_step_done(task.step_id());
+            }
             // Other runs of the task, started after a lease had expired, are no longer needed.
             self.stop_task(task, "task already done", now);
         } else if is_gang {
@@ -84,6 +86,23 @@
         self.finish_if_over(task.job, now);
     }
 
+    fn log_run_end(&mut self, id: &WorkerId, end: &RunEnd) {
+        let RunEnd { task, attempt, kind, .. } = *end;
+        let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
+        let is_task_done = kind == EndKind::Done && step.is_none_or(|step| !step.long_running);
+        let run = RunId { task, attempt, worker: id.clone() };
+        self.actions.push(Action::Log(LogEvent::Ended { run, how: kind, is_task_done }));
+    }
+
+    /// Logs that a step is done if it has no open tasks.
+    fn log_step_done(&mut self, step: StepId) {
+        let state = self.jobs.get_mut(&step.job).and_then(|job| job.step_mut(step));
+        if let Some(state) = state.filter(|state| state.open_tasks == 0) {
+            let runs = state.tasks.iter().map(|task| task.attempt).sum();
+            self.actions.push(Action::Log(LogEvent::StepDone { step, runs }));
+        }
+    }
+
     /// Whether a failure counts against the worker. A job that has failed on several workers is at
     /// fault itself.
     fn is_worker_at_fault(&mut self, id: &WorkerId, job: JobId, kind: EndKind) -> bool {
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        Action, LogEvent, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
+        Action, LogEvent, PlacedTask, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
         worker::{Run, RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
@@ -20,25 +20,22 @@
 
 impl Cell {
     /// Sends a worker the order to start a task; the caller has checked that the task may run
-    /// there.
-    pub(super) fn start_task(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
+    /// there. Returns `None` if no order was sent.
+    pub(super) fn start_task(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        attempt: u32,
+        now: Timestamp,
+    ) -> Option<PlacedTask> {
         let lease = self.cfg.lease;
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let Some(lease_end) = worker.lease_end(lease, now) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
+        let worker = self.workers.get_mut(id)?;
+        let lease_end = worker.lease_end(lease, now)?;
+        let job = self.jobs.get_mut(&task.job)?;
         let spec = std::sync::Arc::clone(&job.spec);
         let step = &spec.steps[task.step as usize];
-        let waited = now.since(job.arrived);
         let free_cpu_milli = worker.free().cpu_milli;
-        let Some(task_state) = job.task_mut(task) else {
-            return;
-        };
+        let task_state = job.task_mut(task)?;
         task_state.attempt = attempt;
         task_state.run_workers.push(id.clone());
         // The task counts as unavailable until its run works at full speed.
@@ -54,10 +51,9 @@
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
         worker.runs.insert(task, run);
-        let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Placed { run, free_cpu_milli, waited }));
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
         self.actions.push(Action::Start(id.clone(), order));
+        Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
     }
 
     /// Handles the outcome of a start order.
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        Action, JobId, Step, StepId, TaskId, WorkerId,
+        Action, JobId, LogEvent, PlacedTask, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
         task::{Job, Task},
@@ -145,7 +145,7 @@
         waiting
     }
 
-    /// Starts the tasks of a step for which a worker has room.
+    /// Starts the tasks of a step for which a worker has room, and logs where.
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
@@ -155,6 +155,24 @@
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return;
         };
+        let step = waiting_step.step_id(job);
+        let waited = now.since(job.arrived);
+        let tasks = self.start_step_tasks(waiting_step, candidates, now);
+        if !tasks.is_empty() {
+            self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
+        }
+    }
+
+    fn start_step_tasks(
+        &mut self,
+        waiting_step: &WaitingStep,
+        candidates: &mut [PlacementCandidate],
+        now: Timestamp,
+    ) -> Vec<PlacedTask> {
+        let mut placed = Vec::new();
+        let Some(job) = self.jobs.get(&waiting_step.job) else {
+            return placed;
+        };
         let spec = std::sync::Arc::clone(&job.spec);
         let step = &spec.steps[waiting_step.step_index];
         let occurrence = &job.occurrences[waiting_step.occurrence_index];
@@ -164,9 +182,9 @@
         if step.gang {
             if tasks.iter().all(|task| Self::is_startable(task, now)) {
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
-                self.start_gang(step, id, attempt, candidates, now);
+                placed = self.start_gang(step, id, attempt, candidates, now);
             }
-            return;
+            return placed;
         }
         let ready: Vec<(u32, u32)> = (0..)
             .zip(tasks)
@@ -180,10 +198,12 @@
                 if waiting_step.rank.class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
-                return;
+                return placed;
             };
-            self.reserve_and_start(&mut candidates[chosen], step, id.task(index), attempt, now);
+            let candidate = &mut candidates[chosen];
+            placed.extend(self.reserve_and_start(candidate, step, id.task(index), attempt, now));
         }
+        placed
     }
 
     fn start_gang(
@@ -193,13 +213,16 @@
         attempt: u32,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
-    ) {
+    ) -> Vec<PlacedTask> {
         let workers = &self.workers;
         let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
         let gang_candidates = place::choose_gang(candidates, step, id, count);
+        let mut placed = Vec::new();
         for (index, chosen) in (0..).zip(gang_candidates.into_iter().flatten()) {
-            self.reserve_and_start(&mut candidates[chosen], step, id.task(index), attempt, now);
+            let candidate = &mut candidates[chosen];
+            placed.extend(self.reserve_and_start(candidate, step, id.task(index), attempt, now));
         }
+        placed
     }
 
     fn reserve_and_start(
@@ -209,10 +232,10 @@
         task: TaskId,
         attempt: u32,
         now: Timestamp,
-    ) {
+    ) -> Option<PlacedTask> {
         candidate.reserve(step);
         let worker = candidate.worker.clone();
-        self.start_task(&worker, task, attempt, now);
+        self.start_task(&worker, task, attempt, now)
     }
 
     /// Sends workers the pace of their best-effort tasks where it changed.
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -152,6 +152,19 @@
     pub worker: WorkerId,
 }
 
+/// A task that was placed on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedTask {
+    /// The index of the task in its step.
+    pub index: u32,
+    /// The number of the attempt.
+    pub attempt: u32,
+    /// The worker.
+    pub worker: WorkerId,
+    /// Processor capacity that was free on the worker before, in thousandths of a core.
+    pub free_cpu_milli: u64,
+}
+
 /// A decision of the cell or a change of its state, written to the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -175,12 +188,12 @@
         /// How long the client account should wait before it submits the job again.
         retry_after: Span,
     },
-    /// A task was placed on a worker.
+    /// Tasks of a step were placed on workers.
     Placed {
-        /// The run.
-        run: RunId,
-        /// Processor capacity that was free on the worker before, in thousandths of a core.
-        free_cpu_milli: u64,
+        /// The step.
+        step: StepId,
+        /// The tasks, at least one.
+        tasks: Vec<PlacedTask>,
         /// The time since the job arrived.
         waited: Span,
     },
@@ -190,6 +203,15 @@
         run: RunId,
         /// How the run ended.
         how: EndKind,
+        /// Whether the task is done, so that it will not start again.
+        is_task_done: bool,
+    },
+    /// All tasks of a step are done.
+    StepDone {
+        /// The step.
+        step: StepId,
+        /// Number of runs that its tasks took.
+        runs: u32,
     },
     /// The cell decided to stop a run.
     Stopping {
--- a/crates/standins/tests/cells/advice.rs
+++ b/crates/standins/tests/cells/advice.rs
@@ -23,7 +23,9 @@
     let done = model.run_until(3_000, is_done);
 
     let is_placed_elsewhere = |event: &&LogEvent| match event {
-        LogEvent::Placed { run, .. } => !["w1", "w3"].contains(&run.worker.as_str()),
+        LogEvent::Placed { tasks, .. } => {
+            tasks.iter().any(|task| !["w1", "w3"].contains(&task.worker.as_str()))
+        }
         _ => false,
     };
     assert!(done);
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -30,6 +30,34 @@
     assert_eq!(model.violations(), &[] as &[String]);
 }
 
+#[test]
+fn each_step_has_one_event_for_its_placement_and_one_for_its_end() {
+    let mut model = new_model(3);
+    let second = Step { after: vec![0], ..step(4, 1_000, 300) };
+
+    model.submit(JOB, &queue(), job_spec(vec![step(4, 1_000, 300), second]));
+    model.run_until(3_000, |model| state(model, JOB) == SUCCEEDED);
+
+    let placed_counts: Vec<usize> = model
+        .log_events()
+        .iter()
+        .filter_map(|event| match event {
+            LogEvent::Placed { tasks, .. } => Some(tasks.len()),
+            _ => None,
+        })
+        .collect();
+    let done_runs: Vec<(u32, u32)> = model
+        .log_events()
+        .iter()
+        .filter_map(|event| match event {
+            LogEvent::StepDone { step, runs } => Some((step.step, *runs)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(placed_counts, [4, 4]);
+    assert_eq!(done_runs, [(0, 4), (1, 4)]);
+}
+
 #[test]
 fn a_job_submitted_again_after_an_owner_crash_is_not_duplicated() {
     let mut model = new_model(3);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -12,7 +12,7 @@
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
-//! | `note` | log events of a cell |
+//! | `note`, `line_limit` | log events of a cell, and how many lines of a kind they may take |
 //!
 //! The control thread runs everything except HTTP for client accounts. It shares only the
 //! configuration, the draining flag, the number of requests in flight, the metrics, the logger and
@@ -22,6 +22,7 @@
 mod fleet;
 mod front;
 mod host;
+mod line_limit;
 mod members;
 mod node;
 mod note;
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -28,7 +28,7 @@
 use super::{
     ask::{CellRequest, Operation, Reply},
     node::Node,
-    note,
+    note::CellLog,
     peer::CellReport,
     session,
 };
@@ -40,6 +40,9 @@
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The interval at which an owner writes how many log lines it left out.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The pause before a failed call to the store is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,6 +66,7 @@
     node: Rc<Node>,
     service: ServiceId,
     epoch: Epoch,
+    log: CellLog,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
@@ -96,6 +100,7 @@
         node: Rc::clone(node),
         service: service.clone(),
         epoch,
+        log: CellLog::new(node.log.clone(), service.clone(), epoch),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
@@ -179,12 +184,20 @@
             "segments" => segments, "took_ms" => clock::now().since(started).0);
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
+        tokio::task::spawn_local(Rc::clone(&self).report());
         while !self.is_term_over.get() {
             let _ = tokio::time::timeout(TICK_INTERVAL, self.wake.notified()).await;
             self.tick();
         }
     }
 
+    async fn report(self: Rc<Self>) {
+        while !self.is_term_over.get() {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            self.log.start_second();
+        }
+    }
+
     /// Reads the whole log. Returns `None` if the term ends first.
     async fn read_log(&self) -> Option<RecoveredLog> {
         loop {
@@ -327,7 +340,7 @@
     fn execute(self: &Rc<Self>, action: Action) {
         match action {
             Action::Reply(token, answer) => self.reply(token, answer),
-            Action::Log(event) => note::write(&self.node.log, &self.service, self.epoch, &event),
+            Action::Log(event) => self.log.write(&event),
             Action::Start(worker, order) => {
                 self.spawn_call(&worker, async move |owner, target| {
                     let task = (order.task, order.attempt);
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -1,54 +1,108 @@
-//! Writes the log events of a cell to the node's log.
-
-use slog::{Logger, info};
-use teaselgap_core::{Epoch, ServiceId, job::LogEvent};
-
-/// Writes one log event.
-pub(super) fn write(log: &Logger, cell: &ServiceId, epoch: Epoch, event: &LogEvent) {
-    let (cell, epoch) = (cell.as_str(), epoch.0);
-    match event {
-        LogEvent::Accepted { job, queue, waiting } => {
-            info!(log, "accepted"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
-                "cell" => cell, "epoch" => epoch);
-        }
-        LogEvent::Refused { job, queue, waiting, retry_after } => {
-            info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
-                "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
-        }
-        LogEvent::Placed { run, free_cpu_milli, waited } => {
-            info!(log, "placed"; "task" => %run.task, "attempt" => run.attempt,
-                "worker" => %run.worker,
-                "free_cpu_milli" => free_cpu_milli, "waited_ms" => waited.0, "epoch" => epoch);
-        }
-        LogEvent::Ended { run, how } => {
-            info!(log, "run ended"; "task" => %run.task, "attempt" => run.attempt,
-                "worker" => %run.worker,
-                "how" => ?how, "epoch" => epoch);
-        }
-        LogEvent::Stopping { run, reason } => {
-            info!(log, "stopping run"; "task" => %run.task, "attempt" => run.attempt,
-                "worker" => %run.worker, "reason" => reason, "epoch" => epoch);
-        }
-        LogEvent::StartFailed { run, reason } => {
-            info!(log, "start failed"; "task" => %run.task, "attempt" => run.attempt,
-                "worker" => %run.worker, "reason" => reason, "epoch" => epoch);
-        }
-        LogEvent::RunEndedUnreported { run, reason } => {
-            info!(log, "run ended without a report"; "task" => %run.task, "attempt" => run.attempt,
-                "worker" => %run.worker,
-                "reason" => reason, "epoch" => epoch);
+//! Writes the log events of a cell to the node's log: one line for each decision, and of each kind
+//! of run's end a limited number a second.
+
+use std::cell::RefCell;
+
+use slog::{Logger, debug, info};
+use teaselgap_core::{
+    Epoch, ServiceId, Span,
+    job::{EndKind, LogEvent, PlacedTask, RunId, StepId},
+};
+
+use super::line_limit::LineLimit;
+
+/// Writes the events of one term of a cell.
+#[derive(Debug)]
+pub(super) struct CellLog {
+    log: Logger,
+    cell: ServiceId,
+    epoch: u64,
+    limit: RefCell<LineLimit>,
+}
+
+impl CellLog {
+    pub(super) fn new(log: Logger, cell: ServiceId, epoch: Epoch) -> Self {
+        Self { log, cell, epoch: epoch.0, limit: RefCell::default() }
+    }
+
+    /// Writes one log event.
+    pub(super) fn write(&self, event: &LogEvent) {
+        let (log, cell, epoch) = (&self.log, self.cell.as_str(), self.epoch);
+        match event {
+            LogEvent::Accepted { job, queue, waiting } => {
+                info!(log, "accepted"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
+                    "cell" => cell, "epoch" => epoch);
+            }
+            LogEvent::Refused { job, queue, waiting, retry_after } => {
+                info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
+                    "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
+            }
+            LogEvent::Placed { step, tasks, waited } => self.write_placed(*step, tasks, *waited),
+            LogEvent::Ended { run, how, is_task_done: true } => self.write_task_done(run, *how),
+            LogEvent::Ended { run, how, is_task_done: false } => self.write_end(run, *how),
+            LogEvent::StepDone { step, runs } => {
+                info!(log, "step done"; "step" => %step, "runs" => runs, "epoch" => epoch);
+            }
+            LogEvent::Stopping { run, reason } => self.write_run("stopping run", run, reason),
+            LogEvent::StartFailed { run, reason } => self.write_run("start failed", run, reason),
+            LogEvent::RunEndedUnreported { run, reason } => {
+                self.write_run("run ended without a report", run, reason);
+            }
+            LogEvent::AdviceAnswered { step, asked, allowed } => {
+                info!(log, "advised"; "step" => %step, "asked" => asked, "allowed" => allowed,
+                    "epoch" => epoch);
+            }
+            LogEvent::Finished { job, end, after } => {
+                info!(log, "job finished"; "job" => %job, "end" => ?end, "after_ms" => after.0,
+                    "cell" => cell, "epoch" => epoch);
+            }
+            LogEvent::Worker { worker, change, runs } => {
+                info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
+                    "cell" => cell, "epoch" => epoch);
+            }
         }
-        LogEvent::AdviceAnswered { step, asked, allowed } => {
-            info!(log, "advised"; "step" => %step, "asked" => asked, "allowed" => allowed,
-                "epoch" => epoch);
+    }
+
+    fn write_placed(&self, step: StepId, tasks: &[PlacedTask], waited: Span) {
+        let attempts = || tasks.iter().map(|task| task.attempt);
+        let free_cpu_milli = tasks.iter().map(|task| task.free_cpu_milli).min();
+        info!(self.log, "placed"; "step" => %step, "count" => tasks.len(),
+            "first_attempt" => attempts().min(), "last_attempt" => attempts().max(),
+            "workers" => worker_by_index(tasks), "least_free_cpu_milli" => free_cpu_milli,
+            "waited_ms" => waited.0, "epoch" => self.epoch);
+    }
+
+    fn write_task_done(&self, run: &RunId, how: EndKind) {
+        debug!(self.log, "run ended"; "task" => %run.task, "attempt" => run.attempt,
+            "worker" => %run.worker, "how" => ?how, "epoch" => self.epoch);
+    }
+
+    fn write_end(&self, run: &RunId, how: EndKind) {
+        if self.limit.borrow_mut().admit("run ended") {
+            info!(self.log, "run ended"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "how" => ?how, "epoch" => self.epoch);
         }
-        LogEvent::Finished { job, end, after } => {
-            info!(log, "job finished"; "job" => %job, "end" => ?end, "after_ms" => after.0,
-                "cell" => cell, "epoch" => epoch);
+    }
+
+    fn write_run(&self, kind: &'static str, run: &RunId, reason: &'static str) {
+        if self.limit.borrow_mut().admit(kind) {
+            info!(self.log, "{}", kind; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "reason" => reason, "epoch" => self.epoch);
         }
-        LogEvent::Worker { worker, change, runs } => {
-            info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
-                "cell" => cell, "epoch" => epoch);
+    }
+
+    /// Starts a new second, after a line for each kind of which lines were left out.
+    pub(super) fn start_second(&self) {
+        for (kind, lines) in self.limit.borrow_mut().start_second() {
+            info!(self.log, "log lines left out"; "of" => kind, "lines" => lines,
+                "cell" => self.cell.as_str(), "epoch" => self.epoch);
         }
     }
 }
+
+/// Returns the index of each task with its worker, such as `0@w3 1@w7`.
+fn worker_by_index(tasks: &[PlacedTask]) -> String {
+    let parts: Vec<String> =
+        tasks.iter().map(|task| format!("{}@{}", task.index, task.worker)).collect();
+    parts.join(" ")
+}
