Write the load of a cell's owner once a second

An owner now writes one owner load line a second with calls in flight and the age of the oldest, starts and holds sent, calls without an answer, median and largest time to an answer, the longest tick, the age of the pending log write and what is left of the node's lease; the same figures are gauges on /metrics.

Tests: those of LoadMeter, which is new.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,6 +9,7 @@
 //! | `members` | the registered nodes and the owners of duties |
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
 //! | `host` | the owner of a cell: its log, its orders and its workers |
+//! | `owner_load` | what an owner has in flight, and how quickly it is answered |
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
@@ -27,8 +28,9 @@
 mod node;
 mod note;
 mod operator;
+mod owner_load;
 mod peer;
 mod roster;
 mod session;
 
-pub(crate) use self::node::serve;
+pub(crate) use self::{node::serve, owner_load::OwnerLoad};
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell as StdCell, RefCell},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -12,7 +12,7 @@
     Epoch, ServiceId, Span, Timestamp,
     job::{
         Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, RecoveredLog,
-        Segment, Sequence, TaskId, Token, WorkerEntry, WorkerId,
+        Segment, Sequence, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -29,6 +29,7 @@
     ask::{CellRequest, Operation, Reply},
     node::Node,
     note::CellLog,
+    owner_load::{CallKind, LoadMeter},
     peer::CellReport,
     session,
 };
@@ -40,7 +41,7 @@
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The interval at which an owner writes how many log lines it left out.
+/// The interval at which an owner writes its load, and how many log lines it left out.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The pause before a failed call to the store is retried.
@@ -67,6 +68,7 @@
     service: ServiceId,
     epoch: Epoch,
     log: CellLog,
+    meter: RefCell<LoadMeter>,
     worker_client: WorkerClient,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
@@ -101,6 +103,7 @@
         service: service.clone(),
         epoch,
         log: CellLog::new(node.log.clone(), service.clone(), epoch),
+        meter: RefCell::default(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
@@ -195,9 +198,21 @@
         while !self.is_term_over.get() {
             tokio::time::sleep(REPORT_INTERVAL).await;
             self.log.start_second();
+            self.report_load();
         }
     }
 
+    /// Writes the load of the last second to the log and the metrics.
+    fn report_load(&self) {
+        let now = clock::now();
+        let load = self.meter.borrow_mut().take_report(now);
+        let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
+        let lease_validity = session::lease_validity(&self.node);
+        self.log.write_load(&load, write_age, lease_validity);
+        let service = self.service.as_str();
+        self.node.shared.metrics.record_owner_load(service, &load, write_age, lease_validity);
+    }
+
     /// Reads the whole log. Returns `None` if the term ends first.
     async fn read_log(&self) -> Option<RecoveredLog> {
         loop {
@@ -319,6 +334,7 @@
         if self.is_term_over.get() {
             return;
         }
+        let started = Instant::now();
         let mut actions = {
             let mut cell = self.cell.borrow_mut();
             let Some(cell) = cell.as_mut() else {
@@ -335,6 +351,21 @@
         for action in actions {
             self.execute(action);
         }
+        self.meter.borrow_mut().record_tick(started);
+    }
+
+    /// Sends a call, and counts it for the report of the load. `is_answered` tells whether the
+    /// call's result is a worker's answer.
+    async fn measured<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = T>,
+        is_answered: impl FnOnce(&T) -> bool,
+    ) -> T {
+        let id = self.meter.borrow_mut().begin(kind, clock::now());
+        let result = call.await;
+        self.meter.borrow_mut().end(id, is_answered(&result), clock::now());
+        result
     }
 
     fn execute(self: &Rc<Self>, action: Action) {
@@ -344,7 +375,10 @@
             Action::Start(worker, order) => {
                 self.spawn_call(&worker, async move |owner, target| {
                     let task = (order.task, order.attempt);
-                    let (outcome, _) = owner.worker_client.start(&target, &order).await;
+                    let call = owner.worker_client.start(&target, &order);
+                    let is_answered =
+                        |(outcome, _): &(StartOutcome, String)| *outcome != StartOutcome::Unknown;
+                    let (outcome, _) = owner.measured(CallKind::Start, call, is_answered).await;
                     let now = clock::now();
                     owner
                         .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
@@ -356,7 +390,8 @@
             }
             Action::Stop(worker, task, attempt) => {
                 self.spawn_call(&worker, async move |owner, target| {
-                    let confirmed = owner.worker_client.stop(&target, task, attempt).await;
+                    let call = owner.worker_client.stop(&target, task, attempt);
+                    let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
                     let (run, now) = ((task, attempt), clock::now());
                     owner
                         .with_cell(|cell| cell.on_stop_answer(&target.worker, run, confirmed, now));
@@ -404,14 +439,18 @@
     }
 
     async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
-        if self.worker_client.pace(target, task, attempt, share).await {
+        let call = self.worker_client.pace(target, task, attempt, share);
+        if self.measured(CallKind::Order, call, |ok| *ok).await {
             self.with_cell(|cell| cell.on_pace_answer(&target.worker, (task, attempt), share));
         }
     }
 
     async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
         let sent_at = clock::now();
-        let result = self.worker_client.hold(target, lease_end, last_seen, wait).await;
+        let call = self.worker_client.hold(target, lease_end, last_seen, wait);
+        let is_answered =
+            |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
+        let result = self.measured(CallKind::Hold, call, is_answered).await;
         if let Err(HoldError::Fenced) = result {
             warn!(self.node.log, "fenced by a later owner"; "cell" => %self.service,
                 "worker" => %target.worker, "epoch" => self.epoch.0);
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -9,7 +9,7 @@
     job::{EndKind, LogEvent, PlacedTask, RunId, StepId},
 };
 
-use super::line_limit::LineLimit;
+use super::{line_limit::LineLimit, owner_load::OwnerLoad};
 
 /// Writes the events of one term of a cell.
 #[derive(Debug)]
@@ -91,6 +91,18 @@
         }
     }
 
+    /// Writes the load of the last second.
+    pub(super) fn write_load(&self, load: &OwnerLoad, write_age: Span, lease_validity: Span) {
+        info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
+            "oldest_call_ms" => load.oldest_call.0, "starts" => load.starts,
+            "holds" => load.holds, "unanswered" => load.unanswered,
+            "median_answer_ms" => load.median_answer.0,
+            "longest_answer_ms" => load.longest_answer.0,
+            "longest_tick_us" => load.longest_tick.as_micros(), "write_age_ms" => write_age.0,
+            "lease_left_ms" => lease_validity.0, "cell" => self.cell.as_str(),
+            "epoch" => self.epoch);
+    }
+
     /// Starts a new second, after a line for each kind of which lines were left out.
     pub(super) fn start_second(&self) {
         for (kind, lines) in self.limit.borrow_mut().start_second() {
--- /dev/null
+++ b/src/jobs/owner_load.rs
@@ -0,0 +1,156 @@
+//! What an owner of a cell has in flight and how quickly it is answered, second by second.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use teaselgap_core::{Span, Timestamp};
+
+/// A kind of call to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallKind {
+    /// An order about one run that the worker answers at once.
+    Order,
+    /// An order to start a task.
+    Start,
+    /// A hold, whose answer the worker may delay.
+    Hold,
+}
+
+/// Identifies a call that is in flight.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallId(u64);
+
+/// Counts the calls to workers and the ticks of one term.
+#[derive(Debug, Default)]
+pub(super) struct LoadMeter {
+    next_call: u64,
+    /// The calls in flight with the time when each was sent, the oldest first.
+    in_flight: BTreeMap<u64, (CallKind, Timestamp)>,
+    second: Second,
+}
+
+/// What was counted since the last report.
+#[derive(Debug, Default)]
+struct Second {
+    starts: u32,
+    holds: u32,
+    unanswered: u32,
+    /// How long the answers to starts and other orders took.
+    answer_times: Vec<Span>,
+    longest_tick: Duration,
+}
+
+/// The load of an owner in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OwnerLoad {
+    /// Number of calls to workers in flight.
+    pub(crate) calls_in_flight: usize,
+    /// Age of the oldest of them.
+    pub(crate) oldest_call: Span,
+    /// Number of start orders sent.
+    pub(crate) starts: u32,
+    /// Number of holds sent.
+    pub(crate) holds: u32,
+    /// Number of calls that ended without an answer.
+    pub(crate) unanswered: u32,
+    /// Median time to the answer of an order.
+    pub(crate) median_answer: Span,
+    /// Longest time to the answer of an order.
+    pub(crate) longest_answer: Span,
+    /// Processing time of the longest tick.
+    pub(crate) longest_tick: Duration,
+}
+
+impl LoadMeter {
+    /// Counts a call that is sent at `now`.
+    pub(super) fn begin(&mut self, kind: CallKind, now: Timestamp) -> CallId {
+        match kind {
+            CallKind::Start => self.second.starts += 1,
+            CallKind::Hold => self.second.holds += 1,
+            CallKind::Order => {}
+        }
+        let id = self.next_call;
+        self.next_call += 1;
+        self.in_flight.insert(id, (kind, now));
+        CallId(id)
+    }
+
+    /// Counts the end of a call.
+    pub(super) fn end(&mut self, id: CallId, is_answered: bool, now: Timestamp) {
+        let Some((kind, sent)) = self.in_flight.remove(&id.0) else {
+            return;
+        };
+        self.second.unanswered += u32::from(!is_answered);
+        if is_answered && kind != CallKind::Hold {
+            self.second.answer_times.push(now.since(sent));
+        }
+    }
+
+    /// Counts a tick that took from `started` until now.
+    pub(super) fn record_tick(&mut self, started: Instant) {
+        self.second.longest_tick = self.second.longest_tick.max(started.elapsed());
+    }
+
+    /// Returns the load since the last report.
+    pub(super) fn take_report(&mut self, now: Timestamp) -> OwnerLoad {
+        let mut second = std::mem::take(&mut self.second);
+        second.answer_times.sort_unstable();
+        let times = &second.answer_times;
+        let oldest = self.in_flight.first_key_value().map(|(_, (_, sent))| now.since(*sent));
+        OwnerLoad {
+            calls_in_flight: self.in_flight.len(),
+            oldest_call: oldest.unwrap_or_default(),
+            starts: second.starts,
+            holds: second.holds,
+            unanswered: second.unanswered,
+            median_answer: times.get(times.len() / 2).copied().unwrap_or_default(),
+            longest_answer: times.last().copied().unwrap_or_default(),
+            longest_tick: second.longest_tick,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_shows_calls_in_flight_and_how_long_answers_took() {
+        let mut meter = LoadMeter::default();
+        let quick = meter.begin(CallKind::Start, Timestamp(1_000));
+        let slow = meter.begin(CallKind::Start, Timestamp(1_000));
+        let order = meter.begin(CallKind::Order, Timestamp(1_000));
+        let lost = meter.begin(CallKind::Hold, Timestamp(1_100));
+        meter.begin(CallKind::Hold, Timestamp(1_200));
+
+        meter.end(quick, true, Timestamp(1_003));
+        meter.end(order, true, Timestamp(1_005));
+        meter.end(slow, true, Timestamp(1_400));
+        meter.end(lost, false, Timestamp(1_900));
+
+        let expected = OwnerLoad {
+            calls_in_flight: 1,
+            oldest_call: Span(800),
+            starts: 2,
+            holds: 2,
+            unanswered: 1,
+            median_answer: Span(5),
+            longest_answer: Span(400),
+            longest_tick: Duration::ZERO,
+        };
+        assert_eq!(meter.take_report(Timestamp(2_000)), expected);
+    }
+
+    #[test]
+    fn a_report_counts_only_what_came_after_the_one_before() {
+        let mut meter = LoadMeter::default();
+        let call = meter.begin(CallKind::Start, Timestamp(1_000));
+        meter.end(call, true, Timestamp(1_003));
+
+        meter.take_report(Timestamp(2_000));
+
+        assert_eq!(meter.take_report(Timestamp(3_000)), OwnerLoad::default());
+    }
+}
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -253,6 +253,11 @@
     clock::now() < node.session.borrow().valid_until
 }
 
+/// How much longer this node's lease is certainly valid.
+pub(super) fn lease_validity(node: &Node) -> Span {
+    node.session.borrow().valid_until.since(clock::now())
+}
+
 /// Keeps the members and owners up to date with the store.
 async fn follow_members(node: Rc<Node>) {
     loop {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,10 +2,13 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use teaselgap_core::Span;
+
+use crate::jobs::OwnerLoad;
 
 /// The instruments that record a node's metrics. Clones share them.
 #[derive(Clone, Debug)]
@@ -19,6 +22,40 @@
     generation: Gauge<u64>,
     duties: Gauge<u64>,
     members: Gauge<u64>,
+    owner: OwnerGauges,
+}
+
+/// The gauges of what an owner of a cell did in the last second.
+#[derive(Clone, Debug)]
+struct OwnerGauges {
+    calls_in_flight: Gauge<u64>,
+    oldest_call_ms: Gauge<u64>,
+    starts: Gauge<u64>,
+    holds: Gauge<u64>,
+    unanswered: Gauge<u64>,
+    median_answer_ms: Gauge<u64>,
+    longest_answer_ms: Gauge<u64>,
+    longest_tick_us: Gauge<u64>,
+    write_age_ms: Gauge<u64>,
+    lease_left_ms: Gauge<u64>,
+}
+
+impl OwnerGauges {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name, description| meter.u64_gauge(name).with_description(description).build();
+        Self {
+            calls_in_flight: gauge("teaselgap_owner_calls_in_flight", "Calls to workers."),
+            oldest_call_ms: gauge("teaselgap_owner_oldest_call_ms", "Age of the oldest call."),
+            starts: gauge("teaselgap_owner_starts", "Start orders sent in a second."),
+            holds: gauge("teaselgap_owner_holds", "Holds sent in a second."),
+            unanswered: gauge("teaselgap_owner_unanswered", "Calls without an answer in a second."),
+            median_answer_ms: gauge("teaselgap_owner_median_answer_ms", "Median time of orders."),
+            longest_answer_ms: gauge("teaselgap_owner_longest_answer_ms", "Longest of orders."),
+            longest_tick_us: gauge("teaselgap_owner_longest_tick_us", "Time of the longest tick."),
+            write_age_ms: gauge("teaselgap_owner_write_age_ms", "Age of the pending log write."),
+            lease_left_ms: gauge("teaselgap_owner_lease_left_ms", "Validity left of the lease."),
+        }
+    }
 }
 
 impl Metrics {
@@ -45,6 +82,7 @@
             store_calls: counter("teaselgap_store_calls", "Calls to the platform's store."),
             generation: gauge("teaselgap_generation", "Generation in force."),
             duties: gauge("teaselgap_duties", "Duties that this node owns."),
+            owner: OwnerGauges::new(&meter),
             members: gauge("teaselgap_members", "Nodes that are alive or suspected."),
             registry,
         })
@@ -80,6 +118,29 @@
         self.members.record(members as u64, &[]);
     }
 
+    /// Records the load of the owner of a cell in the last second.
+    pub(crate) fn record_owner_load(
+        &self,
+        cell: &str,
+        load: &OwnerLoad,
+        write_age: Span,
+        lease_validity: Span,
+    ) {
+        let labels = [KeyValue::new("cell", cell.to_owned())];
+        let micros = u64::try_from(load.longest_tick.as_micros()).unwrap_or(u64::MAX);
+        let gauges = &self.owner;
+        gauges.calls_in_flight.record(load.calls_in_flight as u64, &labels);
+        gauges.oldest_call_ms.record(load.oldest_call.0, &labels);
+        gauges.starts.record(u64::from(load.starts), &labels);
+        gauges.holds.record(u64::from(load.holds), &labels);
+        gauges.unanswered.record(u64::from(load.unanswered), &labels);
+        gauges.median_answer_ms.record(load.median_answer.0, &labels);
+        gauges.longest_answer_ms.record(load.longest_answer.0, &labels);
+        gauges.longest_tick_us.record(micros, &labels);
+        gauges.write_age_ms.record(write_age.0, &labels);
+        gauges.lease_left_ms.record(lease_validity.0, &labels);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
