Bound the start orders in flight by the link and the processor

What callers saw: in a burst the owner on 10 Mbit/s queued start orders without a bound; all calls behind them timed out, the renewals of the workers' leases and of the node's own among them, and accepted work stood still.

Cause: the plan sends an order for every task that has room, up to 1,000 at once with 100 workers of ten slots; 952 in flight are 1.8 s of a 10 Mbit/s link, three times the timeout of a call.

Change: at most as many bytes of start orders without an outcome as pass the link in 50 ms, as many orders as the node's share of a core handles in 100 ms, and three to one worker, which with a hold is what its kept connections carry. The plan stops at the window and goes on as answers come, in rank order. Slow answers shrink the window, to a quarter at most; quick ones restore it. A start order to a worker without an address is now refused at once instead of staying ordered; the number of tasks held back is in the load of the owner.

Why it works: the queue before any other call is at most 50 ms per cell, below every timeout, and a link that is full of useful orders stays full.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -17,6 +17,7 @@
 mod advice;
 mod cell;
 mod fleet;
+mod flow;
 mod id;
 mod log;
 mod message;
@@ -40,6 +41,7 @@
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
         OrderOutcome, PoolSize, Vm, VmState, Wave,
     },
+    flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
     log::{LogConfig, LogWriter, Position, Sequence},
     message::{
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -20,8 +20,9 @@
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
 use super::{
-    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWriter,
-    Position, Record, Segment, Sequence, Token, WorkerId,
+    Action, AdviceConfig, Answer, FlowLimits, JobEnd, JobId, JobSpec, JobState, LogConfig,
+    LogEvent, LogWriter, Position, Record, Segment, Sequence, Token, WorkerId,
+    flow::StartWindow,
     pace::PaceTable,
     task::Job,
     times::{self, ExpectedTimes},
@@ -60,6 +61,8 @@
     pub status_retention: Span,
     /// The limits on writes of the log.
     pub log: LogConfig,
+    /// The limits on calls to workers.
+    pub flow: FlowLimits,
 }
 
 /// An effect that is applied once the log is durable up to a position.
@@ -97,6 +100,9 @@
     /// listed yet may still carry out orders of earlier terms.
     earlier_leases_expiry: Timestamp,
     plan_due: bool,
+    start_window: StartWindow,
+    /// Number of tasks that could start but wait for the window.
+    held_back_starts: usize,
     pace_table: PaceTable,
     /// The estimated processor time of jobs that arrived in this term, in thousandths of a
     /// core-second, without long-running tasks.
@@ -141,6 +147,12 @@
         &self.service
     }
 
+    /// The number of tasks that could start but wait until fewer start orders are in flight.
+    #[must_use]
+    pub fn held_back_starts(&self) -> usize {
+        self.held_back_starts
+    }
+
     /// Takes the actions that were added since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -51,6 +51,7 @@
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
         worker.runs.insert(task, run);
+        self.start_window.begin(id, (task, attempt), spec.payload.len(), now);
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
         self.actions.push(Action::Start(id.clone(), order));
         Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
@@ -64,6 +65,8 @@
         outcome: StartOutcome,
         now: Timestamp,
     ) {
+        self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
+        self.plan_due |= self.held_back_starts > 0;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -20,6 +20,7 @@
     pub(super) job: JobId,
     occurrence_index: usize,
     step_index: usize,
+    startable_tasks: usize,
 }
 
 impl WaitingStep {
@@ -46,6 +47,7 @@
     /// Requests advice and starts waiting tasks, by rank, on workers with free capacity.
     pub(super) fn plan(&mut self, now: Timestamp) {
         self.plan_due = false;
+        self.held_back_starts = 0;
         let mut candidates = self.placement_candidates(now);
         if candidates.is_empty() {
             return;
@@ -58,6 +60,10 @@
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
+            if !self.start_window.has_room() {
+                self.held_back_starts += waiting_step.startable_tasks;
+                continue;
+            }
             self.start_step(&waiting_step, &mut candidates, now);
         }
     }
@@ -79,6 +85,7 @@
                 latency_sensitive_runs: count(worker, |run| run.is_latency_sensitive),
                 best_effort_runs: count(worker, |run| run.is_best_effort),
                 on_probation: worker.on_probation,
+                start_room: self.start_window.room_at(id),
                 is_reserved: false,
                 is_disallowed: false,
             })
@@ -117,8 +124,13 @@
                     if !occurrence.is_ready(&job.spec, step_index) {
                         if queue.advice.is_some() && occurrence.is_upcoming(&job.spec, step_index) {
                             let rank = order::rank(job, index, &context);
-                            let waiting_step =
-                                WaitingStep { rank, job: id, occurrence_index: index, step_index };
+                            let waiting_step = WaitingStep {
+                                rank,
+                                job: id,
+                                occurrence_index: index,
+                                step_index,
+                                startable_tasks: 0,
+                            };
                             waiting.upcoming.push(waiting_step);
                         }
                         continue;
@@ -127,7 +139,9 @@
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
                     }
-                    if !state.tasks.iter().any(|task| Self::is_startable(task, now)) {
+                    let startable_tasks =
+                        state.tasks.iter().filter(|task| Self::is_startable(task, now)).count();
+                    if startable_tasks == 0 {
                         // Every waiting task of the step is delayed: plan again at the next tick.
                         self.plan_due = true;
                         continue;
@@ -138,6 +152,7 @@
                         job: id,
                         occurrence_index: index,
                         step_index,
+                        startable_tasks,
                     });
                 }
             }
@@ -191,11 +206,17 @@
             .filter(|(_, task)| Self::is_startable(task, now))
             .map(|(index, task)| (index, task.attempt + 1))
             .collect();
-        for (index, attempt) in ready {
+        for (started, (index, attempt)) in ready.iter().copied().enumerate() {
+            if !self.start_window.has_room() {
+                self.held_back_starts += ready.len() - started;
+                return placed;
+            }
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
             let Some(chosen) = place::choose_candidate(candidates, step, id, count) else {
-                if waiting_step.rank.class <= RankClass::OnTime {
+                if place::waits_for_answers(candidates, step, id, count) {
+                    self.held_back_starts += ready.len() - started;
+                } else if waiting_step.rank.class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
                 return placed;
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -63,6 +63,8 @@
             inherited_workers: IndexMap::new(),
             earlier_leases_expiry: now,
             plan_due: true,
+            start_window: super::StartWindow::new(cfg.flow),
+            held_back_starts: 0,
             pace_table: super::PaceTable::default(),
             arrived_milli_s: 0,
             arrived_jobs: 0,
--- /dev/null
+++ b/crates/core/src/job/flow.rs
@@ -0,0 +1,277 @@
+//! Limits on what the owner of a cell asks of its node's link, so that no call waits behind so many
+//! others that it times out.
+//!
+//! Start orders are bounded by a window: the bytes of those that have no outcome yet. The window
+//! shrinks while answers take long, for instance because the node owns several cells.
+
+use indexmap::IndexMap;
+
+use super::{TaskId, WorkerId};
+use crate::{Span, Timestamp};
+
+/// Bytes on the wire of a call to a worker without its payload, with all headers.
+const CALL_BYTES: u64 = 400;
+
+/// How long the start orders that are in flight may occupy the link.
+const START_QUEUE_TIME: Span = Span(50);
+
+/// Processor time of a start order and its answer, in microseconds of a whole core.
+const START_CPU_US: u64 = 200;
+
+/// How long the start orders that are in flight may occupy the processor.
+const START_CPU_TIME: Span = Span(100);
+
+/// The most start orders in flight to one worker. With a hold, they use as many connections as are
+/// kept open.
+const MAX_STARTS_PER_WORKER: u32 = 3;
+
+/// Time to the answer of a start order above which the window shrinks.
+const SLOW_ANSWER: Span = Span(150);
+
+/// The part of the window that remains after an answer that took long, in percent.
+const SHRINK_PERCENT: u64 = 75;
+
+/// The part of its limit to which the window shrinks at most, in percent.
+const MIN_WINDOW_PERCENT: u64 = 25;
+
+/// The rate of a network link in each direction, in bytes per second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkRate(pub u64);
+
+impl LinkRate {
+    /// Converts a rate in megabits per second.
+    #[must_use]
+    pub fn from_mbps(mbps: f64) -> Self {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "not negative")]
+        Self((mbps.max(0.0) * 125_000.0) as u64)
+    }
+
+    /// Returns how many bytes pass the link in this time.
+    fn bytes_in(self, time: Span) -> u64 {
+        self.0 * time.0 / 1_000
+    }
+}
+
+/// What the owner of a cell may have in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowLimits {
+    /// The most bytes of start orders in flight; the last order may exceed it.
+    pub max_start_bytes: u64,
+    /// The most start orders in flight.
+    pub max_starts: usize,
+}
+
+impl FlowLimits {
+    /// Returns the limits for a node with this link and this share of a core.
+    #[must_use]
+    pub fn new(link: LinkRate, cpu_share: f64) -> Self {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "not negative")]
+        let cpu_milli = (cpu_share.max(0.0) * 1_000.0) as u64;
+        let cpu_us = START_CPU_TIME.0 * cpu_milli;
+        let max_starts = usize::try_from(cpu_us / START_CPU_US).unwrap_or(usize::MAX);
+        Self {
+            max_start_bytes: link.bytes_in(START_QUEUE_TIME).max(CALL_BYTES),
+            max_starts: max_starts.max(1),
+        }
+    }
+}
+
+/// A start order that has no outcome yet.
+#[derive(Clone, Debug)]
+struct PendingStart {
+    worker: WorkerId,
+    bytes: u64,
+    sent: Timestamp,
+}
+
+/// The start orders of a cell that are in flight, and how many may be.
+#[derive(Debug)]
+pub(super) struct StartWindow {
+    limits: FlowLimits,
+    pending: IndexMap<(TaskId, u32), PendingStart>,
+    pending_bytes: u64,
+    pending_by_worker: IndexMap<WorkerId, u32>,
+    /// The current limit on `pending_bytes`.
+    window_bytes: u64,
+    shrunk_at: Timestamp,
+}
+
+impl StartWindow {
+    pub(super) fn new(limits: FlowLimits) -> Self {
+        Self {
+            limits,
+            pending: IndexMap::new(),
+            pending_bytes: 0,
+            pending_by_worker: IndexMap::new(),
+            window_bytes: limits.max_start_bytes,
+            shrunk_at: Timestamp(0),
+        }
+    }
+
+    /// Whether another start order may be sent.
+    pub(super) fn has_room(&self) -> bool {
+        self.pending_bytes < self.window_bytes && self.pending.len() < self.limits.max_starts
+    }
+
+    /// Returns how many more start orders may be sent to a worker.
+    pub(super) fn room_at(&self, worker: &WorkerId) -> u32 {
+        let pending = self.pending_by_worker.get(worker).copied().unwrap_or(0);
+        MAX_STARTS_PER_WORKER.saturating_sub(pending)
+    }
+
+    /// Adds a start order with a payload of this size.
+    pub(super) fn begin(
+        &mut self,
+        worker: &WorkerId,
+        run: (TaskId, u32),
+        payload_bytes: usize,
+        now: Timestamp,
+    ) {
+        let bytes = CALL_BYTES + payload_bytes as u64;
+        let start = PendingStart { worker: worker.clone(), bytes, sent: now };
+        if self.pending.insert(run, start).is_none() {
+            self.pending_bytes += bytes;
+            *self.pending_by_worker.entry(worker.clone()).or_default() += 1;
+        }
+    }
+
+    /// Removes a start order that was answered or has timed out, and adapts the window to the time
+    /// that an answer took. A timeout says more about the worker than about the link.
+    pub(super) fn end(&mut self, run: (TaskId, u32), is_answered: bool, now: Timestamp) {
+        let Some(start) = self.pending.swap_remove(&run) else {
+            return;
+        };
+        self.pending_bytes -= start.bytes;
+        if let Some(pending) = self.pending_by_worker.get_mut(&start.worker) {
+            *pending -= 1;
+            if *pending == 0 {
+                self.pending_by_worker.swap_remove(&start.worker);
+            }
+        }
+        if is_answered {
+            self.adapt(&start, now);
+        }
+    }
+
+    fn adapt(&mut self, start: &PendingStart, now: Timestamp) {
+        let limit = self.limits.max_start_bytes;
+        if now.since(start.sent) <= SLOW_ANSWER {
+            // Grows by one order for each window of quick answers.
+            let growth = start.bytes * start.bytes / self.window_bytes.max(1);
+            self.window_bytes = (self.window_bytes + growth.max(1)).min(limit);
+        } else if start.sent > self.shrunk_at {
+            // Orders sent before the window last shrank say nothing about the smaller window.
+            let smaller = self.window_bytes * SHRINK_PERCENT / 100;
+            self.window_bytes = smaller.max(limit * MIN_WINDOW_PERCENT / 100);
+            self.shrunk_at = now;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::job::JobId;
+
+    const LIMITS: FlowLimits = FlowLimits { max_start_bytes: 8 * CALL_BYTES, max_starts: 100 };
+
+    fn run(number: u64) -> (TaskId, u32) {
+        (TaskId { job: JobId(number), occurrence: 0, step: 0, index: 0 }, 1)
+    }
+
+    /// Sends orders to different workers until the window is full and returns their number.
+    fn fill(window: &mut StartWindow, now: Timestamp) -> u64 {
+        let mut count = 0;
+        while window.has_room() {
+            window.begin(&format!("w{count}").as_str().into(), run(count), 0, now);
+            count += 1;
+        }
+        count
+    }
+
+    #[test]
+    fn the_limits_follow_the_link_and_the_processor() {
+        let small = FlowLimits::new(LinkRate::from_mbps(10.0), 0.12);
+        let large = FlowLimits::new(LinkRate::from_mbps(200.0), 0.5);
+
+        assert_eq!(small, FlowLimits { max_start_bytes: 62_500, max_starts: 60 });
+        assert_eq!(large, FlowLimits { max_start_bytes: 1_250_000, max_starts: 250 });
+    }
+
+    #[test]
+    fn a_node_without_known_resources_still_sends_one_order_at_a_time() {
+        let mut window = StartWindow::new(FlowLimits::new(LinkRate::from_mbps(0.0), 0.0));
+
+        assert_eq!(fill(&mut window, Timestamp(1_000)), 1);
+    }
+
+    #[test]
+    fn the_window_is_full_until_an_order_has_an_outcome() {
+        let mut window = StartWindow::new(LIMITS);
+
+        let count = fill(&mut window, Timestamp(1_000));
+        window.end(run(3), false, Timestamp(1_600));
+
+        assert_eq!(count, 8);
+        assert!(window.has_room());
+    }
+
+    #[test]
+    fn an_outcome_counts_once() {
+        let mut window = StartWindow::new(LIMITS);
+        fill(&mut window, Timestamp(1_000));
+
+        window.end(run(3), true, Timestamp(1_002));
+        window.end(run(3), true, Timestamp(1_003));
+        window.begin(&"w3".into(), run(3), 0, Timestamp(1_004));
+
+        assert!(!window.has_room());
+    }
+
+    #[test]
+    fn one_worker_gets_few_orders_at_once() {
+        let mut window = StartWindow::new(LIMITS);
+        let worker = "w".into();
+
+        for number in 0..u64::from(MAX_STARTS_PER_WORKER) {
+            window.begin(&worker, run(number), 0, Timestamp(1_000));
+        }
+
+        assert_eq!(window.room_at(&worker), 0);
+        assert_eq!(window.room_at(&"other".into()), MAX_STARTS_PER_WORKER);
+    }
+
+    #[test]
+    fn the_window_shrinks_once_per_round_of_slow_answers_and_grows_with_quick_ones() {
+        let mut window = StartWindow::new(LIMITS);
+        let count = fill(&mut window, Timestamp(1_000));
+
+        for number in 0..count {
+            window.end(run(number), true, Timestamp(1_400 + number));
+        }
+        let shrunk = fill(&mut window, Timestamp(1_500));
+        for round in 0..100 {
+            let now = Timestamp(2_000 + round * 10);
+            for number in 0..count {
+                window.end(run(number), true, now);
+            }
+            fill(&mut window, now);
+        }
+
+        assert_eq!(shrunk, 6);
+        assert_eq!(window.window_bytes, LIMITS.max_start_bytes);
+    }
+
+    #[test]
+    fn slow_answers_leave_a_part_of_the_window() {
+        let mut window = StartWindow::new(LIMITS);
+
+        for round in 0..50 {
+            let sent = Timestamp(1_000 + round * 1_000);
+            let count = fill(&mut window, sent);
+            (0..count).for_each(|number| window.end(run(number), true, sent + Span(500)));
+        }
+
+        assert_eq!(fill(&mut window, Timestamp(60_000)), 2);
+    }
+}
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -20,6 +20,8 @@
     pub(super) latency_sensitive_runs: u32,
     /// Number of runs of best-effort tasks.
     pub(super) best_effort_runs: u32,
+    /// Number of start orders that may be sent to it before it answers others.
+    pub(super) start_room: u32,
     /// The worker was too slow and gets only one task at a time.
     pub(super) on_probation: bool,
     /// Its resources are reserved for a step whose tasks found no candidate with enough free
@@ -40,6 +42,7 @@
         if self.on_probation {
             self.free = Resources::default();
         }
+        self.start_room = self.start_room.saturating_sub(1);
         self.latency_sensitive_runs += u32::from(step.tail_target.is_some());
         self.best_effort_runs += u32::from(step.is_best_effort);
     }
@@ -72,8 +75,9 @@
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> Option<usize> {
-    let allowed =
-        |candidate: &PlacementCandidate| is_allowed(candidate, step, count(&candidate.worker, id));
+    let allowed = |candidate: &PlacementCandidate| {
+        candidate.start_room > 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+    };
     let cost = |candidate: &PlacementCandidate| {
         let near_data = step.data_rack.as_deref().is_none_or(|rack| candidate.rack() == Some(rack));
         // Best-effort tasks slow down latency-sensitive tasks on the same worker.
@@ -89,6 +93,19 @@
         .map(|(index, _)| index)
 }
 
+/// Whether a task of the step could be placed on a candidate that first has to answer earlier start
+/// orders.
+pub(super) fn waits_for_answers(
+    candidates: &[PlacementCandidate],
+    step: &Step,
+    id: StepId,
+    count: impl Fn(&WorkerId, StepId) -> u32,
+) -> bool {
+    candidates.iter().any(|candidate| {
+        candidate.start_room == 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+    })
+}
+
 /// Reserves a candidate for a step whose task fits on none: of the candidates that could run the
 /// task if they were empty, the one with the most free processor capacity. Without the reservation,
 /// the small tasks of later steps would take all capacity that becomes free, and large tasks would
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -16,9 +16,9 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, HoldReport,
-        LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder, StartOutcome, TaskId,
-        Token, WorkerEntry, WorkerId,
+        Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, FlowLimits,
+        HoldReport, LinkRate, LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder,
+        StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -55,6 +55,9 @@
 /// The ticket that the advice service issues for every allowed worker.
 const TICKET: &str = "ticket";
 
+/// Share of a core of an owner behind a link.
+const LINKED_OWNER_CPU_SHARE: f64 = 0.12;
+
 /// Wall-clock time at the model's time zero, in milliseconds since the Unix epoch.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
@@ -218,6 +221,7 @@
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         log: LogConfig::default(),
+        flow: FlowLimits::new(LinkRate::from_mbps(1_000.0), 1.0),
     }
 }
 
@@ -228,10 +232,34 @@
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
+    ) -> Self {
+        Self::with_config(cell_config(), None, service, queues, workers)
+    }
+
+    /// Creates a cell like [`Model::new`], whose owner passes all calls to workers and to the store
+    /// over a link.
+    #[must_use]
+    pub fn with_link(
+        link: Link,
+        service: ServiceId,
+        queues: IndexMap<QueueId, QueueConfig>,
+        workers: Vec<ModelWorker>,
+    ) -> Self {
+        let flow = FlowLimits::new(link.rate(), LINKED_OWNER_CPU_SHARE);
+        let cfg = CellConfig { flow, ..cell_config() };
+        Self::with_config(cfg, Some(link), service, queues, workers)
+    }
+
+    fn with_config(
+        cfg: CellConfig,
+        link: Option<Link>,
+        service: ServiceId,
+        queues: IndexMap<QueueId, QueueConfig>,
+        workers: Vec<ModelWorker>,
     ) -> Self {
         let mut model = Self {
             now: Timestamp(10_000),
-            cfg: cell_config(),
+            cfg,
             service,
             queues,
             cell: None,
@@ -256,7 +284,7 @@
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
             advice_request_count: 0,
-            link: None,
+            link,
             owner_lease: None,
             expired_terms: 0,
             starts_in_flight: 0,
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -1,9 +1,9 @@
 //! Operations by which a test controls the model: faults, takeovers and client requests.
 
-use super::{Link, Model, ModelWorker, OwnerLease, TICK_MS, TICKET, WorkerFaults};
+use super::{Model, ModelWorker, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span,
-    job::{Answer, Cell, JobId, JobSpec, RecoveredLog, Token},
+    job::{Answer, Cell, FlowLimits, JobId, JobSpec, RecoveredLog, Token},
 };
 
 impl Model {
@@ -52,11 +52,6 @@
         self.advice_request_count
     }
 
-    /// Passes all calls of the owner to workers and to the store over a link.
-    pub fn set_link(&mut self, link: Link) {
-        self.link = Some(link);
-    }
-
     /// Makes the owner's term depend on a lease in the store, which the owner renews.
     pub fn require_owner_lease(&mut self) {
         self.owner_lease = Some(OwnerLease::new(self.now));
@@ -68,6 +63,12 @@
         self.expired_terms
     }
 
+    /// Returns the limits on calls that the owner keeps.
+    #[must_use]
+    pub fn flow_limits(&self) -> FlowLimits {
+        self.cfg.flow
+    }
+
     /// Returns the largest number of start orders that an owner waited for at the same time.
     #[must_use]
     pub fn max_starts_in_flight(&self) -> usize {
--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -1,6 +1,9 @@
 //! The network link of the owner's node: a limited rate and a queue in each direction.
 
-use teaselgap_core::{Span, Timestamp, job::Segment};
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{LinkRate, Segment},
+};
 
 use super::{Call, Reply};
 
@@ -18,7 +21,7 @@
 /// A link on which messages wait for those before them.
 #[derive(Clone, Copy, Debug)]
 pub struct Link {
-    bytes_per_s: u64,
+    rate: LinkRate,
     outbound: Queue,
     inbound: Queue,
 }
@@ -30,9 +33,9 @@
 }
 
 impl Queue {
-    fn push(&mut self, bytes: u64, bytes_per_s: u64, now: Timestamp) -> Timestamp {
+    fn push(&mut self, bytes: u64, rate: LinkRate, now: Timestamp) -> Timestamp {
         let start_us = self.busy_until_us.max(now.0 * MICROS_PER_MILLI);
-        self.busy_until_us = start_us + bytes * 1_000_000 / bytes_per_s;
+        self.busy_until_us = start_us + bytes * 1_000_000 / rate.0;
         Timestamp(self.busy_until_us.div_ceil(MICROS_PER_MILLI))
     }
 }
@@ -41,18 +44,24 @@
     /// Creates an idle link with this rate in each direction, in megabits per second.
     #[must_use]
     pub fn new(mbps: u64) -> Self {
-        let bytes_per_s = mbps * 1_000_000 / 8;
-        Self { bytes_per_s, outbound: Queue::default(), inbound: Queue::default() }
+        let rate = LinkRate(mbps * 1_000_000 / 8);
+        Self { rate, outbound: Queue::default(), inbound: Queue::default() }
+    }
+
+    /// Returns the rate in each direction.
+    #[must_use]
+    pub fn rate(&self) -> LinkRate {
+        self.rate
     }
 
     /// Queues a message that the owner sends, and returns how long it takes to pass the link.
     pub(super) fn send(&mut self, bytes: u64, now: Timestamp) -> Span {
-        self.outbound.push(bytes, self.bytes_per_s, now).since(now)
+        self.outbound.push(bytes, self.rate, now).since(now)
     }
 
     /// Queues a message to the owner, and returns how long it takes to pass the link.
     pub(super) fn receive(&mut self, bytes: u64, now: Timestamp) -> Span {
-        self.inbound.push(bytes, self.bytes_per_s, now).since(now)
+        self.inbound.push(bytes, self.rate, now).since(now)
     }
 }
 
--- a/crates/standins/tests/cells/fixtures.rs
+++ b/crates/standins/tests/cells/fixtures.rs
@@ -7,7 +7,7 @@
         AdviceConfig, JobId, JobSpec, JobState, QueueConfig, Resources, Step, TaskId, WorkerEntry,
     },
 };
-use teaselgap_standins::model::{Model, ModelWorker};
+use teaselgap_standins::model::{Link, Model, ModelWorker};
 
 /// Processor capacity of a worker, in thousandths of a core.
 pub(crate) const WORKER_CPU_MILLI: u64 = 32_000;
@@ -51,6 +51,15 @@
     new_model_with_config(workers, queue_config())
 }
 
+/// Creates a model whose owner has adopted this many workers over a link of this rate.
+pub(crate) fn new_model_with_link(workers: usize, link_mbps: u64) -> Model {
+    let queues = IndexMap::from([(queue(), queue_config())]);
+    let workers = (0..workers).map(worker).collect();
+    let mut model = Model::with_link(Link::new(link_mbps), service(), queues, workers);
+    model.run_for(300);
+    model
+}
+
 /// Creates a model in which the queue's tasks may run only on the `allowed` workers.
 pub(crate) fn new_model_with_advice(workers: usize, allowed: &[&str]) -> Model {
     let advice =
--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -1,9 +1,9 @@
 //! Tests of an owner whose link is slower than what a burst asks it to send.
 
 use teaselgap_core::job::{EndKind, JobId, LogEvent, Step};
-use teaselgap_standins::model::{Link, Model};
+use teaselgap_standins::model::Model;
 
-use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model_with_link, queue, step, task_id};
 
 /// Number of workers in the pool.
 const WORKERS: usize = 100;
@@ -24,8 +24,7 @@
 
 /// Returns an owner behind a slow link with a long-running job at work.
 fn model_with_slow_link() -> Model {
-    let mut model = new_model(WORKERS);
-    model.set_link(Link::new(LINK_MBPS));
+    let mut model = new_model_with_link(WORKERS, LINK_MBPS);
     model.submit(LASTING_JOB, &queue(), long_running_job(LASTING_TASKS, 0));
     model.run_for(2_000);
     model
@@ -78,3 +77,27 @@
 
     assert_eq!(model.expired_terms(), 0);
 }
+
+#[test]
+fn a_burst_never_has_more_start_orders_in_flight_than_the_window() {
+    let mut model = model_with_slow_link();
+
+    run_burst(&mut model, 3);
+
+    let limits = model.flow_limits();
+    let orders_in_window = limits.max_start_bytes.div_ceil(PAYLOAD_BYTES as u64);
+    let most_orders = limits.max_starts.min(usize::try_from(orders_in_window).unwrap());
+    assert!(model.max_starts_in_flight() <= most_orders);
+}
+
+#[test]
+fn a_burst_over_a_slow_link_uses_most_of_the_link() {
+    let mut model = model_with_slow_link();
+
+    run_burst(&mut model, 6);
+
+    // What the link carries in this time, if it carried nothing but start orders.
+    let most_starts = 6 * 1_250_000 / (PAYLOAD_BYTES + 350);
+    let done = model.end_count(EndKind::Done);
+    assert!(done >= most_starts / 2, "{done} of {most_starts}");
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -11,15 +11,16 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load, LogConfig, RecoveredLog,
-        Segment, Sequence, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdviceRequest, Answer, Cell, CellConfig, DrainMode, FlowLimits, LinkRate, Load,
+        LogConfig, RecoveredLog, Segment, Sequence, StartOutcome, TaskId, Token, WorkerEntry,
+        WorkerId,
     },
 };
 use teaselgap_platform::{
     advice,
     client::CallError,
     config::Config,
-    settings::Bounds,
+    settings::{Bounds, Limits},
     store::{Expected, Outcome, Put, StoreError, Transaction},
     worker::{HoldError, Target, WorkerClient},
 };
@@ -29,7 +30,7 @@
     ask::{CellRequest, Operation, Reply},
     node::Node,
     note::CellLog,
-    owner_load::{CallKind, LoadMeter},
+    owner_load::{CallKind, LoadMeter, OwnerLoad},
     peer::CellReport,
     session,
 };
@@ -85,6 +86,7 @@
 
 fn cell_config(node: &Node) -> CellConfig {
     let Bounds { max_hold_ms, stop_ms, status_s, .. } = node.settings.bounds;
+    let Limits { link_mbps, cpu_share, cores } = node.settings.limits;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "short durations")]
     let status_retention = Span((status_s.max(0.0) * 1_000.0) as u64);
     CellConfig {
@@ -93,6 +95,7 @@
         stop_timeout: Span(stop_ms),
         status_retention,
         log: LogConfig::default(),
+        flow: FlowLimits::new(LinkRate::from_mbps(link_mbps), cpu_share * cores),
     }
 }
 
@@ -205,7 +208,8 @@
     /// Writes the load of the last second to the log and the metrics.
     fn report_load(&self) {
         let now = clock::now();
-        let load = self.meter.borrow_mut().take_report(now);
+        let held_back_starts = self.cell.borrow().as_ref().map_or(0, Cell::held_back_starts);
+        let load = OwnerLoad { held_back_starts, ..self.meter.borrow_mut().take_report(now) };
         let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
         let lease_validity = session::lease_validity(&self.node);
         self.log.write_load(&load, write_age, lease_validity);
@@ -373,8 +377,8 @@
             Action::Reply(token, answer) => self.reply(token, answer),
             Action::Log(event) => self.log.write(&event),
             Action::Start(worker, order) => {
-                self.spawn_call(&worker, async move |owner, target| {
-                    let task = (order.task, order.attempt);
+                let task = (order.task, order.attempt);
+                let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     let call = owner.worker_client.start(&target, &order);
                     let is_answered =
                         |(outcome, _): &(StartOutcome, String)| *outcome != StartOutcome::Unknown;
@@ -383,6 +387,11 @@
                     owner
                         .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
                 });
+                if !is_sent {
+                    let outcome = StartOutcome::Refused("worker without an address");
+                    let now = clock::now();
+                    self.with_cell(|cell| cell.on_start_answer(&worker, task, outcome, now));
+                }
             }
             Action::RequestAdvice(request) => {
                 let owner = Rc::clone(self);
@@ -410,18 +419,20 @@
         }
     }
 
+    /// Calls a worker in a task of its own. Returns whether the worker's address is known.
     fn spawn_call(
         self: &Rc<Self>,
         worker: &WorkerId,
         call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
-    ) {
+    ) -> bool {
         let target = self.targets.borrow().get(worker).cloned();
         let Some(target) = target else {
             warn!(self.node.log, "call not sent: worker without an address"; "worker" => %worker);
-            return;
+            return false;
         };
         let owner = Rc::clone(self);
         tokio::task::spawn_local(async move { call(owner, target).await });
+        true
     }
 
     async fn ask_advice(&self, request: AdviceRequest) {
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -94,7 +94,8 @@
     /// Writes the load of the last second.
     pub(super) fn write_load(&self, load: &OwnerLoad, write_age: Span, lease_validity: Span) {
         info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
-            "oldest_call_ms" => load.oldest_call.0, "starts" => load.starts,
+            "oldest_call_ms" => load.oldest_call.0,
+            "held_back_starts" => load.held_back_starts, "starts" => load.starts,
             "holds" => load.holds, "unanswered" => load.unanswered,
             "median_answer_ms" => load.median_answer.0,
             "longest_answer_ms" => load.longest_answer.0,
--- a/src/jobs/owner_load.rs
+++ b/src/jobs/owner_load.rs
@@ -49,6 +49,8 @@
     pub(crate) calls_in_flight: usize,
     /// Age of the oldest of them.
     pub(crate) oldest_call: Span,
+    /// Number of tasks that could start but wait until fewer start orders are in flight.
+    pub(crate) held_back_starts: usize,
     /// Number of start orders sent.
     pub(crate) starts: u32,
     /// Number of holds sent.
@@ -102,6 +104,7 @@
         OwnerLoad {
             calls_in_flight: self.in_flight.len(),
             oldest_call: oldest.unwrap_or_default(),
+            held_back_starts: 0,
             starts: second.starts,
             holds: second.holds,
             unanswered: second.unanswered,
@@ -133,6 +136,7 @@
         let expected = OwnerLoad {
             calls_in_flight: 1,
             oldest_call: Span(800),
+            held_back_starts: 0,
             starts: 2,
             holds: 2,
             unanswered: 1,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -30,6 +30,7 @@
 struct OwnerGauges {
     calls_in_flight: Gauge<u64>,
     oldest_call_ms: Gauge<u64>,
+    held_back_starts: Gauge<u64>,
     starts: Gauge<u64>,
     holds: Gauge<u64>,
     unanswered: Gauge<u64>,
@@ -46,6 +47,7 @@
         Self {
             calls_in_flight: gauge("teaselgap_owner_calls_in_flight", "Calls to workers."),
             oldest_call_ms: gauge("teaselgap_owner_oldest_call_ms", "Age of the oldest call."),
+            held_back_starts: gauge("teaselgap_owner_held_back_starts", "Starts that wait."),
             starts: gauge("teaselgap_owner_starts", "Start orders sent in a second."),
             holds: gauge("teaselgap_owner_holds", "Holds sent in a second."),
             unanswered: gauge("teaselgap_owner_unanswered", "Calls without an answer in a second."),
@@ -131,6 +133,7 @@
         let gauges = &self.owner;
         gauges.calls_in_flight.record(load.calls_in_flight as u64, &labels);
         gauges.oldest_call_ms.record(load.oldest_call.0, &labels);
+        gauges.held_back_starts.record(load.held_back_starts as u64, &labels);
         gauges.starts.record(u64::from(load.starts), &labels);
         gauges.holds.record(u64::from(load.holds), &labels);
         gauges.unanswered.record(u64::from(load.unanswered), &labels);
