--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -210,6 +210,10 @@
     /// Start orders of this term that the owner has no outcome of.
     starts_in_flight: usize,
     max_starts_in_flight: usize,
+    /// Bytes of the answers to holds.
+    hold_answer_bytes: u64,
+    /// The least time that was left of the lease of a worker with runs.
+    least_lease_left: Span,
 }
 
 /// Returns the cell configuration of a typical small deployment.
@@ -289,6 +293,8 @@
             expired_terms: 0,
             starts_in_flight: 0,
             max_starts_in_flight: 0,
+            hold_answer_bytes: 0,
+            least_lease_left: Span(u64::MAX),
         };
         model.take_over();
         model
@@ -344,6 +350,9 @@
             self.deliver();
             for worker in self.workers.values_mut() {
                 worker.advance(self.now);
+                if let Some(left) = worker.lease_left(self.now) {
+                    self.least_lease_left = self.least_lease_left.min(left);
+                }
             }
             if self.now.0.is_multiple_of(TICK_MS) {
                 self.tick();
@@ -502,6 +511,9 @@
         (reply, timed_out): (Reply, Reply),
         deadline: Timestamp,
     ) {
+        if matches!(reply, Reply::Held(..)) {
+            self.hold_answer_bytes += reply.bytes();
+        }
         let delay_ms = LATENCY_MS + self.receive_over_link(reply.bytes()).0;
         if self.now + Span(delay_ms) <= deadline {
             self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -75,6 +75,18 @@
         self.max_starts_in_flight
     }
 
+    /// Returns the bytes of the answers to holds so far.
+    #[must_use]
+    pub fn hold_answer_bytes(&self) -> u64 {
+        self.hold_answer_bytes
+    }
+
+    /// Returns the least time that was left of the lease of a worker with runs so far.
+    #[must_use]
+    pub fn least_lease_left(&self) -> Span {
+        self.least_lease_left
+    }
+
     /// Sets whether the store accepts writes and the owner can read the list of workers.
     pub fn set_store_available(&mut self, is_available: bool) {
         self.is_store_available = is_available;
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -181,6 +181,12 @@
         self.runs.values().fold(Resources::default(), |sum, run| sum + run.need)
     }
 
+    /// Returns how much of the lease is left; `None` if there are no runs.
+    pub(super) fn lease_left(&self, now: Timestamp) -> Option<Span> {
+        let left = Span(self.lease_end.saturating_sub(self.clock(now)));
+        (!self.runs.is_empty()).then_some(left)
+    }
+
     /// Adds a run that has ended to the list of unconfirmed ends.
     fn end(&mut self, task: TaskId, run: &ModelRun, kind: EndKind, at: Timestamp) {
         self.closed_attempts.insert(task, run.attempt);
--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -1,6 +1,9 @@
 //! Tests of an owner whose link is slower than what a burst asks it to send.
 
-use teaselgap_core::job::{EndKind, JobId, LogEvent, Step};
+use teaselgap_core::{
+    Span,
+    job::{EndKind, JobId, LogEvent, Step},
+};
 use teaselgap_standins::model::Model;
 
 use crate::fixtures::{job_spec, long_running_job, new_model_with_link, queue, step, task_id};
@@ -22,6 +25,9 @@
 /// Size of a job's payload, which every start order carries.
 const PAYLOAD_BYTES: usize = 2_000;
 
+/// Size of a payload of which the link carries as many orders as the workers have room for.
+const SMALL_PAYLOAD_BYTES: usize = 100;
+
 /// Returns an owner behind a slow link with a long-running job at work.
 fn model_with_slow_link() -> Model {
     let mut model = new_model_with_link(WORKERS, LINK_MBPS);
@@ -31,13 +37,13 @@
 }
 
 /// Submits [`JOBS_PER_S`] jobs of two steps of eight short tasks each second, and lets the time pass.
-fn run_burst(model: &mut Model, seconds: u64) {
+fn run_burst(model: &mut Model, seconds: u64, payload_bytes: usize) {
     let jobs = JOBS_PER_S * seconds;
     let mut submitted_ms = 0;
     for number in 0..jobs {
         let second = Step { after: vec![0], ..step(8, 3_200, 640) };
         let mut spec = job_spec(vec![step(8, 3_200, 640), second]);
-        spec.payload = "x".repeat(PAYLOAD_BYTES);
+        spec.payload = "x".repeat(payload_bytes);
         model.submit(JobId(number), &queue(), spec);
         let next_ms = (number + 1) * 1_000 / JOBS_PER_S;
         model.run_for(next_ms - submitted_ms);
@@ -58,7 +64,7 @@
 fn a_burst_over_a_slow_link_lets_no_lease_of_a_worker_lapse() {
     let mut model = model_with_slow_link();
 
-    run_burst(&mut model, 12);
+    run_burst(&mut model, 12, PAYLOAD_BYTES);
     model.run_for(5_000);
 
     assert_eq!(lapsed_runs(&model), 0);
@@ -73,7 +79,7 @@
     let mut model = model_with_slow_link();
     model.require_owner_lease();
 
-    run_burst(&mut model, 6);
+    run_burst(&mut model, 6, PAYLOAD_BYTES);
 
     assert_eq!(model.expired_terms(), 0);
 }
@@ -82,7 +88,7 @@
 fn a_burst_never_has_more_start_orders_in_flight_than_the_window() {
     let mut model = model_with_slow_link();
 
-    run_burst(&mut model, 3);
+    run_burst(&mut model, 3, PAYLOAD_BYTES);
 
     let limits = model.flow_limits();
     let orders_in_window = limits.max_start_bytes.div_ceil(PAYLOAD_BYTES as u64);
@@ -94,10 +100,44 @@
 fn a_burst_over_a_slow_link_uses_most_of_the_link() {
     let mut model = model_with_slow_link();
 
-    run_burst(&mut model, 6);
+    run_burst(&mut model, 6, PAYLOAD_BYTES);
 
     // What the link carries in this time, if it carried nothing but start orders.
     let most_starts = 6 * 1_250_000 / (PAYLOAD_BYTES + 350);
     let done = model.end_count(EndKind::Done);
     assert!(done >= most_starts / 2, "{done} of {most_starts}");
 }
+
+#[test]
+fn holds_of_a_burst_keep_to_their_share_of_the_link() {
+    let mut model = model_with_slow_link();
+    let before = model.hold_answer_bytes();
+
+    run_burst(&mut model, 4, SMALL_PAYLOAD_BYTES);
+
+    let bytes_per_s = (model.hold_answer_bytes() - before) / 4;
+    assert!(bytes_per_s <= 625_000, "{bytes_per_s} bytes a second of a link of 1,250,000");
+}
+
+#[test]
+fn a_workers_lease_is_renewed_in_time_during_a_burst() {
+    let mut model = model_with_slow_link();
+
+    run_burst(&mut model, 10, SMALL_PAYLOAD_BYTES);
+
+    // A third of the lease of 5.5 s.
+    assert!(model.least_lease_left() > Span(1_800), "{} left", model.least_lease_left());
+}
+
+#[test]
+fn renewals_of_leases_do_not_wait_for_holds_that_look_for_ends() {
+    // The holds of all workers take longer to pass their share of the link than a lease lasts.
+    let (workers, link_mbps) = (400, 1);
+    let mut model = new_model_with_link(workers, link_mbps);
+
+    model.submit(JobId(1), &queue(), job_spec(vec![step(1_600, 8_000, 60_000)]));
+    model.run_for(15_000);
+
+    assert!(model.least_lease_left() > Span(1_800), "{} left", model.least_lease_left());
+    assert_eq!(lapsed_runs(&model), 0);
+}
