Give holds a share of the owner's link, renewals first

What callers saw: ends of tasks and renewals of leases were late on an owner with a small link, because the holds of all its workers filled it.

Cause: the interval between holds is bounded for each worker (60 ms), not for the cell; 100 workers that end 1,200 tasks a second answer as many holds, each with a list of about 1 KB.

Change: a token bucket gives the answers to holds 40 % of the link's rate, by the length of the lists expected, so they are spread. A renewal that is due (half of the lease has passed since the last confirmed one) and the adoption of a worker never wait; among the others the one due the longest goes first.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -22,7 +22,7 @@
 use super::{
     Action, AdviceConfig, Answer, FlowLimits, JobEnd, JobId, JobSpec, JobState, LogConfig,
     LogEvent, LogWriter, Position, Record, Segment, Sequence, Token, WorkerId,
-    flow::StartWindow,
+    flow::{HoldBudget, StartWindow},
     pace::PaceTable,
     task::Job,
     times::{self, ExpectedTimes},
@@ -101,6 +101,7 @@
     earlier_leases_expiry: Timestamp,
     plan_due: bool,
     start_window: StartWindow,
+    hold_budget: HoldBudget,
     /// Number of tasks that could start but wait for the window.
     held_back_starts: usize,
     pace_table: PaceTable,
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -65,6 +65,7 @@
             plan_due: true,
             start_window: super::StartWindow::new(cfg.flow),
             held_back_starts: 0,
+            hold_budget: super::HoldBudget::new(cfg.flow, now),
             pace_table: super::PaceTable::default(),
             arrived_milli_s: 0,
             arrived_jobs: 0,
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -38,6 +38,59 @@
 /// The number of unanswered holds in a row after which a worker gets no new tasks.
 const MAX_HOLD_FAILURES: u32 = 2;
 
+/// The part of a lease, in percent, after which its renewal can't wait any more.
+const RENEWAL_DUE_PERCENT: u64 = 50;
+
+/// How urgent a hold that is due is; the most urgent comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum HoldUrgency {
+    /// The lease of a worker with runs needs a renewal.
+    Renews { due: Timestamp },
+    /// The worker gets no orders before it answers.
+    Adopts,
+    /// The hold only looks for ends or confirms them.
+    CanWait { due: Timestamp },
+}
+
+impl HoldUrgency {
+    fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
+        let renewal_due = worker.renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
+        if !worker.is_adopted {
+            Self::Adopts
+        } else if now >= renewal_due && !worker.runs.is_empty() {
+            Self::Renews { due: renewal_due }
+        } else {
+            Self::CanWait { due: worker.next_hold }
+        }
+    }
+}
+
+/// Notes in the worker's state that a hold is sent, and returns it.
+fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
+    worker.holds_in_flight += 1;
+    worker.next_hold = now + HOLD_INTERVAL;
+    // An unanswered order may still be carried out. If the lease of a silent worker were renewed
+    // with each hold, it would never be known to have expired.
+    let lease_end = if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
+    worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
+    let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
+    let answers_at_once = worker.runs.is_empty()
+        || has_unconfirmed_ends
+        || worker.is_settling()
+        || !worker.is_adopted;
+    let wait = if answers_at_once {
+        Span(0)
+    } else if worker.has_only_long_running() {
+        LONG_RUNNING_HOLD_WAIT
+    } else {
+        HOLD_WAIT
+    };
+    // A worker that did not answer may have restarted. It then numbers its ends from the beginning,
+    // and the old number would confirm ends that have not been handled.
+    let last_seen = if worker.hold_failures == 0 { worker.ends_durable } else { 0 };
+    Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
+}
+
 impl Cell {
     /// Updates the workers from the list in the platform's store. A list that is not complete,
     /// because the store was unavailable, says nothing about workers that it lacks.
@@ -225,43 +278,27 @@
         }
     }
 
-    /// Sends the holds that are due.
+    /// Sends the holds that are due. Renewals and adoptions never wait; all others share what the
+    /// link allows, the one that has been due the longest first.
     pub(super) fn send_holds(&mut self, now: Timestamp) {
         let lease = self.cfg.lease;
-        for (id, worker) in &mut self.workers {
-            let is_settling = worker
-                .runs
-                .values()
-                .any(|run| run.state == RunState::Unsettled || run.stopping.is_some());
-            // While an order is unsettled, a second hold may be in flight: the first may wait for a
-            // run to end and must not delay the list that settles the order.
-            let max_in_flight = if is_settling { 2 } else { 1 };
-            if worker.holds_in_flight >= max_in_flight || now < worker.next_hold {
-                continue;
+        self.hold_budget.refill(now);
+        let mut due: Vec<(HoldUrgency, usize)> = self
+            .workers
+            .values()
+            .enumerate()
+            .filter(|(_, worker)| worker.is_hold_due(now))
+            .map(|(index, worker)| (HoldUrgency::of(worker, lease, now), index))
+            .collect();
+        due.sort_unstable();
+        for (urgency, index) in due {
+            if matches!(urgency, HoldUrgency::CanWait { .. }) && !self.hold_budget.has_room() {
+                return;
+            }
+            if let Some((id, worker)) = self.workers.get_index_mut(index) {
+                self.hold_budget.take(worker.runs.len());
+                self.actions.push(hold(id, worker, lease, now));
             }
-            worker.holds_in_flight += 1;
-            worker.next_hold = now + HOLD_INTERVAL;
-            // An unanswered order may still be carried out. If the lease of a silent worker were
-            // renewed with each hold, it would never be known to have expired.
-            let lease_end =
-                if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
-            worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
-            let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
-            let wait = if worker.runs.is_empty()
-                || has_unconfirmed_ends
-                || is_settling
-                || !worker.is_adopted
-            {
-                Span(0)
-            } else if worker.has_only_long_running() {
-                LONG_RUNNING_HOLD_WAIT
-            } else {
-                HOLD_WAIT
-            };
-            // A worker that did not answer may have restarted. It then numbers its ends from the
-            // beginning, and the old number would confirm ends that have not been handled.
-            let last_seen = if worker.hold_failures == 0 { worker.ends_durable } else { 0 };
-            self.actions.push(Action::Hold { worker: id.clone(), lease_end, last_seen, wait });
         }
     }
 
@@ -321,6 +358,9 @@
             worker.listed_clock_ms = report.clock_ms;
             worker.record_clock(report.clock_ms, now);
         }
+        if was_adopted && !had_failed_holds {
+            worker.renewed_at = worker.renewed_at.max(sent);
+        }
         worker.hold_failures = 0;
         worker.last_heard = now;
         worker.is_adopted = true;
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -2,7 +2,8 @@
 //! others that it times out.
 //!
 //! Start orders are bounded by a window: the bytes of those that have no outcome yet. The window
-//! shrinks while answers take long, for instance because the node owns several cells.
+//! shrinks while answers take long, for instance because the node owns several cells. Holds have a
+//! share of the link's rate.
 
 use indexmap::IndexMap;
 
@@ -12,6 +13,15 @@
 /// Bytes on the wire of a call to a worker without its payload, with all headers.
 const CALL_BYTES: u64 = 400;
 
+/// Bytes on the wire of one entry in a worker's list of runs or of run ends.
+const LIST_ENTRY_BYTES: u64 = 50;
+
+/// The share of the link that holds and their answers may use, in percent.
+const HOLD_PERCENT: u64 = 40;
+
+/// How long holds may be sent at the full rate of the link after a pause.
+const HOLD_BURST: Span = Span(20);
+
 /// How long the start orders that are in flight may occupy the link.
 const START_QUEUE_TIME: Span = Span(50);
 
@@ -59,6 +69,10 @@
     pub max_start_bytes: u64,
     /// The most start orders in flight.
     pub max_starts: usize,
+    /// The rate of the answers to holds, in total.
+    pub hold_rate: LinkRate,
+    /// The most bytes of answers to holds that are requested at once.
+    pub max_hold_burst_bytes: u64,
 }
 
 impl FlowLimits {
@@ -72,6 +86,8 @@
         Self {
             max_start_bytes: link.bytes_in(START_QUEUE_TIME).max(CALL_BYTES),
             max_starts: max_starts.max(1),
+            hold_rate: LinkRate(link.0 * HOLD_PERCENT / 100),
+            max_hold_burst_bytes: link.bytes_in(HOLD_BURST).max(CALL_BYTES),
         }
     }
 }
@@ -168,12 +184,53 @@
     }
 }
 
+/// The bytes of answers to holds that may be requested now, as a token bucket.
+#[derive(Debug)]
+pub(super) struct HoldBudget {
+    rate: LinkRate,
+    max_bytes: i64,
+    /// Negative after holds that could not wait.
+    bytes: i64,
+    refilled_at: Timestamp,
+}
+
+impl HoldBudget {
+    pub(super) fn new(limits: FlowLimits, now: Timestamp) -> Self {
+        let max_bytes = i64::try_from(limits.max_hold_burst_bytes).unwrap_or(i64::MAX);
+        Self { rate: limits.hold_rate, max_bytes, bytes: max_bytes, refilled_at: now }
+    }
+
+    /// Adds what may be requested for the time since the last call.
+    pub(super) fn refill(&mut self, now: Timestamp) {
+        let bytes = self.rate.bytes_in(now.since(self.refilled_at));
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.bytes = self.bytes.saturating_add(bytes).min(self.max_bytes);
+        self.refilled_at = now;
+    }
+
+    /// Whether another hold may be sent.
+    pub(super) fn has_room(&self) -> bool {
+        self.bytes > 0
+    }
+
+    /// Takes the bytes of a hold whose answer lists this many runs and ends.
+    pub(super) fn take(&mut self, entries: usize) {
+        let bytes = CALL_BYTES + entries as u64 * LIST_ENTRY_BYTES;
+        self.bytes = self.bytes.saturating_sub_unsigned(bytes);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::job::JobId;
 
-    const LIMITS: FlowLimits = FlowLimits { max_start_bytes: 8 * CALL_BYTES, max_starts: 100 };
+    const LIMITS: FlowLimits = FlowLimits {
+        max_start_bytes: 8 * CALL_BYTES,
+        max_starts: 100,
+        hold_rate: LinkRate(10 * CALL_BYTES),
+        max_hold_burst_bytes: 2 * CALL_BYTES,
+    };
 
     fn run(number: u64) -> (TaskId, u32) {
         (TaskId { job: JobId(number), occurrence: 0, step: 0, index: 0 }, 1)
@@ -194,8 +251,10 @@
         let small = FlowLimits::new(LinkRate::from_mbps(10.0), 0.12);
         let large = FlowLimits::new(LinkRate::from_mbps(200.0), 0.5);
 
-        assert_eq!(small, FlowLimits { max_start_bytes: 62_500, max_starts: 60 });
-        assert_eq!(large, FlowLimits { max_start_bytes: 1_250_000, max_starts: 250 });
+        assert_eq!((small.max_start_bytes, small.max_starts), (62_500, 60));
+        assert_eq!((large.max_start_bytes, large.max_starts), (1_250_000, 250));
+        assert_eq!(small.hold_rate, LinkRate(500_000));
+        assert_eq!(large.hold_rate, LinkRate(10_000_000));
     }
 
     #[test]
@@ -274,4 +333,36 @@
 
         assert_eq!(fill(&mut window, Timestamp(60_000)), 2);
     }
+    /// Sends empty holds until the budget is used up and returns their number.
+    fn spend(budget: &mut HoldBudget) -> u32 {
+        let mut count = 0;
+        while budget.has_room() {
+            budget.take(0);
+            count += 1;
+        }
+        count
+    }
+
+    #[test]
+    fn holds_are_spread_over_time() {
+        let mut budget = HoldBudget::new(LIMITS, Timestamp(1_000));
+
+        let at_once = spend(&mut budget);
+        budget.refill(Timestamp(1_100));
+        let after_a_tenth = spend(&mut budget);
+        budget.refill(Timestamp(11_100));
+
+        assert_eq!((at_once, after_a_tenth), (2, 1));
+        assert_eq!(spend(&mut budget), 2);
+    }
+
+    #[test]
+    fn what_could_not_wait_is_made_up_for() {
+        let mut budget = HoldBudget::new(LIMITS, Timestamp(1_000));
+
+        (0..7).for_each(|_| budget.take(0));
+        budget.refill(Timestamp(1_500));
+
+        assert!(!budget.has_room());
+    }
 }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -166,6 +166,8 @@
     pub(super) next_hold: Timestamp,
     /// Number of holds in a row that got no answer.
     pub(super) hold_failures: u32,
+    /// When the latest answered hold that renewed the worker's lease was sent.
+    pub(super) renewed_at: Timestamp,
     /// When the worker last answered a hold.
     pub(super) last_heard: Timestamp,
     /// How the worker is to be drained; `None` if it is not.
@@ -266,6 +268,7 @@
             holds_in_flight: 0,
             next_hold: now,
             hold_failures: 0,
+            renewed_at: Timestamp(0),
             last_heard: now,
             drain: None,
             failures_in_a_row: 0,
@@ -295,6 +298,26 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Whether any order is unsettled: a start without an answer, or a stop.
+    pub(super) fn is_settling(&self) -> bool {
+        let is_unsettled = |run: &Run| run.state == RunState::Unsettled || run.stopping.is_some();
+        self.runs.values().any(is_unsettled)
+    }
+
+    /// Whether a hold is to be sent.
+    pub(super) fn is_hold_due(&self, now: Timestamp) -> bool {
+        if now < self.next_hold {
+            return false;
+        }
+        // While an order is unsettled, a second hold may be in flight: the first may wait for a run
+        // to end and must not delay the list that settles the order.
+        match self.holds_in_flight {
+            0 => true,
+            1 => self.is_settling(),
+            _ => false,
+        }
+    }
+
     /// Whether the worker has not answered lately or its entry is missing from the store.
     pub(super) fn is_unresponsive(&self, now: Timestamp) -> bool {
         self.hold_failures > 0
