--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -11,14 +11,16 @@
 //!   its end or confirms that it will never start, or until the worker's lease has expired even by
 //!   the slowest clock.
 //! - After a takeover, the new owner starts no task that an earlier owner may have started until
-//!   each worker either rejects orders of earlier terms or its leases from those terms have
-//!   expired.
+//!   each worker on which it may run either rejects orders of earlier terms or its leases from
+//!   those terms have expired. For a long-running task, the log names this worker; for any other
+//!   task, it may be each worker that was used.
 
 mod advice;
 mod cell;
 mod fleet;
 mod flow;
 mod id;
+mod lag;
 mod log;
 mod message;
 mod order;
@@ -36,20 +38,21 @@
 
 pub use self::{
     advice::{AdviceAnswer, AdviceConfig, AdviceRequest},
-    cell::{Cell, CellConfig, QueueConfig, RecoveredLog},
+    cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
         OrderOutcome, PoolSize, Vm, VmState, Wave,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
-    log::{LogConfig, LogWriter, Position, Sequence},
+    lag::LagMonitor,
+    log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, PlacedTask, RunEnd, RunId,
         StartOrder, StartOutcome, Token,
     },
-    record::{EndKind, JobEnd, Record, Segment, UnsettledWorker},
+    record::{EndKind, JobEnd, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
-    term::{Duty, propose_owners},
+    term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
 };
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -3,10 +3,13 @@
 //! A [`Cell`] does no I/O. Its owner passes in requests, answers and the time, and carries out the
 //! [`Action`]s and log writes that the cell returns.
 
+mod admit;
 mod advise;
+mod clean;
 mod ends;
 mod load;
 mod orders;
+mod placement;
 mod plan;
 mod progress;
 mod recover;
@@ -17,13 +20,16 @@
 
 use indexmap::IndexMap;
 
+pub use self::admit::AdmissionPolicy;
+use self::admit::Refusal;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
 use super::{
     Action, AdviceConfig, Answer, FlowLimits, JobEnd, JobId, JobSpec, JobState, LogConfig,
-    LogEvent, LogWriter, Position, Record, Segment, Sequence, Token, WorkerId,
+    LogEvent, LogWrite, LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
     flow::{HoldBudget, StartWindow},
     pace::PaceTable,
+    record::EncodedRecord,
     task::Job,
     times::{self, ExpectedTimes},
     worker::{DrainMode, Logged, Worker},
@@ -52,9 +58,6 @@
 pub struct CellConfig {
     /// The duration of a worker's lease, counted from the order that grants or renews it.
     pub lease: Span,
-    /// The longest time for which an owner may still give orders after it lost its key in the
-    /// store.
-    pub owner_ttl: Span,
     /// The longest time that a worker takes to stop a run.
     pub stop_timeout: Span,
     /// How long the state of an ended job is kept.
@@ -63,6 +66,8 @@
     pub log: LogConfig,
     /// The limits on calls to workers.
     pub flow: FlowLimits,
+    /// Whether jobs that would end too late are refused.
+    pub admission: AdmissionPolicy,
 }
 
 /// An effect that is applied once the log is durable up to a position.
@@ -77,8 +82,11 @@
     /// Confirms run ends to a worker instance, which is named by its id and its start time, up to
     /// the number of the last one.
     ConfirmEnds(WorkerId, u64, u64),
-    /// Allows orders to a worker if this was the latest time that it was logged as used.
-    WorkerLogged(WorkerId, u32),
+    /// Marks what the log says about a worker as durable if this was the latest time that the worker
+    /// was logged.
+    WorkerLogged(WorkerId, u32, Logged),
+    /// Sends the start order of a run, given by worker, task and attempt.
+    PlacementDurable(WorkerId, TaskId, u32),
 }
 
 /// One service's jobs and workers, as the owner of the cell knows them.
@@ -91,6 +99,9 @@
     jobs: IndexMap<JobId, Job>,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
+    live: clean::LiveIndex,
+    /// Whether the handover was recorded, after which the owner sends no more orders.
+    is_handed_over: bool,
     deferred_effects: VecDeque<(Position, DeferredEffect)>,
     actions: Vec<Action>,
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
@@ -109,6 +120,7 @@
     /// core-second, without long-running tasks.
     arrived_milli_s: u64,
     arrived_jobs: u64,
+    admission: admit::Admission,
     /// The actual and the estimated processor time of finished tasks, both in thousandths of a
     /// core-second.
     task_cpu_milli_s: (u64, u64),
@@ -126,9 +138,6 @@
     wall_offset_ms: u64,
 }
 
-/// The number of jobs waiting to start at which a cell refuses new ones.
-const MAX_WAITING_JOBS: usize = 2_000;
-
 impl Cell {
     /// Replaces the settings of all queues.
     pub fn set_queues(&mut self, queues: IndexMap<QueueId, QueueConfig>) {
@@ -160,7 +169,8 @@
     }
 
     /// Takes the next write of the log, if one is due.
-    pub fn take_write(&mut self, now: Timestamp) -> Option<(Sequence, Segment)> {
+    pub fn take_write(&mut self, now: Timestamp) -> Option<LogWrite> {
+        self.clean_log(now);
         self.log.take_write(now)
     }
 
@@ -217,21 +227,29 @@
                     worker.next_hold = worker.next_hold.min(now);
                 }
             }
-            DeferredEffect::WorkerLogged(id, times_logged) => {
+            DeferredEffect::WorkerLogged(id, times_logged, state) => {
                 let worker = self.workers.get_mut(&id);
                 let is_newest = |worker: &&mut Worker| {
                     worker.logged == Logged::Nothing && worker.times_logged == times_logged
                 };
                 if let Some(worker) = worker.filter(is_newest) {
-                    worker.logged = Logged::Used;
+                    worker.logged = state;
                     self.plan_due = true;
                 }
             }
+            DeferredEffect::PlacementDurable(id, task, attempt) => {
+                self.on_placement_durable(&id, (task, attempt), now);
+            }
         }
     }
 
+    /// Appends a record to the log. The effect is applied once the record is durable.
+    #[expect(clippy::needless_pass_by_value, reason = "callers create the record for this call")]
     fn record(&mut self, record: Record, now: Timestamp, effect: Option<DeferredEffect>) {
-        let position = self.log.append(record, now);
+        let encoded = EncodedRecord::new(&record);
+        let bytes = encoded.len();
+        let position = self.log.append(encoded, now);
+        self.track_record(&record, position, bytes);
         self.deferred_effects.extend(effect.map(|effect| (position, effect)));
     }
 
@@ -245,7 +263,7 @@
         self.deferred_effects.push_back((last, effect));
     }
 
-    /// Accepts a job from a client account, or refuses it if too many jobs wait. A job that was
+    /// Accepts a job from a client account, or refuses it if it would end too late. A job that was
     /// submitted before is not accepted again.
     pub fn submit(
         &mut self,
@@ -260,34 +278,22 @@
             return;
         }
         let waiting = self.waiting_jobs();
-        if waiting >= MAX_WAITING_JOBS {
-            let retry_after = Span(1_000);
-            self.actions.push(Action::Log(LogEvent::Refused {
-                job: id,
-                queue,
-                waiting,
-                retry_after,
-            }));
+        if let Some(refusal) = self.check_admission(id, &queue, &spec, now) {
+            let Refusal { reason, wait, retry_after } = refusal;
+            let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
+            self.actions.push(Action::Log(event));
             self.actions.push(Action::Reply(token, Answer::Refused { retry_after }));
             return;
         }
         let event = LogEvent::Accepted { job: id, queue: queue.clone(), waiting };
         self.actions.push(Action::Log(event));
         let expected = self.expected_times.get(&queue);
-        let work: u64 = spec
-            .steps
-            .iter()
-            .filter(|step| !step.long_running)
-            .map(|step| {
-                let each = times::estimate(step, expected).0;
-                step.need.cpu_milli * u64::from(step.count) * each / 1_000
-            })
-            .sum();
+        let work = times::total_work(&spec, expected) / 1_000;
         self.arrived_milli_s += work;
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
-        self.jobs.insert(id, Job::new(queue, spec, wall_ms, now));
+        self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, now));
         self.record(record, now, Some(DeferredEffect::JobDurable(id)));
         self.defer_until_durable(DeferredEffect::Reply(token, Answer::Durable), now);
     }
@@ -337,14 +343,11 @@
         job.ended = now;
         let after = now.since(job.arrived);
         // Computed from the arrival's wall-clock time, so that the wall clock is not needed here.
-        let wall_ms = job.arrived_wall_ms + after.0;
+        job.ended_wall_ms = job.arrived_wall_ms + after.0;
+        let record = clean::finished_record(id, job, end);
         let tasks = job.task_ids(id);
         self.actions.push(Action::Log(LogEvent::Finished { job: id, end, after }));
-        self.record(
-            Record::Finished { job: id, end, wall_ms },
-            now,
-            Some(DeferredEffect::EndDurable(id)),
-        );
+        self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
             self.stop_task(task, "job ended", now);
         }
@@ -356,6 +359,7 @@
     pub fn tick(&mut self, now: Timestamp, wall_ms: u64) {
         self.wall_offset_ms = wall_ms.saturating_sub(now.0);
         self.release_inherited_jobs(now);
+        self.note_capacity(now);
         self.expire_runs(now);
         self.send_stops(now);
         self.log_drained_workers(now);
@@ -382,7 +386,14 @@
         let retention = self.cfg.status_retention;
         let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
         if self.jobs.values().any(is_expired) {
-            self.jobs.retain(|_, job| !is_expired(job));
+            let live = &mut self.live;
+            self.jobs.retain(|id, job| {
+                let expired = is_expired(job);
+                if expired {
+                    live.remove(&clean::LiveKey::Job(*id));
+                }
+                !expired
+            });
         }
     }
 }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -156,11 +156,12 @@
     /// Handles the restart of a worker under the same id. The runs of its previous instance have
     /// ended, but an unanswered start order may still reach the new instance.
     fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
+        let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
         let expiry = old.inherited_expiry;
-        let mut worker = Worker::new(entry, expiry, now);
+        let mut worker = Worker { late_start_expiry, ..Worker::new(entry, expiry, now) };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
@@ -174,7 +175,9 @@
             runs: run_count,
         }));
         for (task, run) in runs {
-            if run.state == RunState::Running {
+            if run.state == RunState::Planned {
+                self.withdraw_run(id, task);
+            } else if run.state == RunState::Running {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
@@ -261,7 +264,7 @@
         let expired: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.runs.is_empty() && now > worker.lease_expiry())
+            .filter(|(_, worker)| worker.has_ordered_runs() && now > worker.lease_expiry())
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
@@ -395,13 +398,24 @@
 
     /// Logs that a worker is used; it gets no orders before that record is durable.
     fn log_worker_used(&mut self, id: &WorkerId, now: Timestamp) {
+        self.log_worker(id, Logged::Used, now);
+    }
+
+    /// Logs whether a worker is used or gone. Until the record is durable, nothing counts as
+    /// logged.
+    fn log_worker(&mut self, id: &WorkerId, state: Logged, now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.logged = Logged::Nothing;
         worker.times_logged += 1;
-        let effect = DeferredEffect::WorkerLogged(id.clone(), worker.times_logged);
-        self.record(Record::WorkerUsed { worker: id.clone() }, now, Some(effect));
+        let effect = DeferredEffect::WorkerLogged(id.clone(), worker.times_logged, state);
+        let worker = id.clone();
+        let record = match state {
+            Logged::Gone => Record::WorkerGone { worker },
+            Logged::Nothing | Logged::Used => Record::WorkerUsed { worker },
+        };
+        self.record(record, now, Some(effect));
     }
 
     /// Logs which workers are drained, so that a later owner does not wait for their runs, and
@@ -425,10 +439,7 @@
             .map(|worker| worker.entry.id.clone())
             .collect();
         for id in drained {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.logged = Logged::Gone;
-            }
-            self.record(Record::WorkerGone { worker: id }, now, None);
+            self.log_worker(&id, Logged::Gone, now);
         }
         for id in used_again {
             self.log_worker_used(&id, now);
@@ -578,11 +589,14 @@
         self.plan_due = true;
     }
 
-    /// The workers that are to be drained and have no runs left.
+    /// The workers that are to be drained and have no runs left, according to the durable log. Once
+    /// they are moved they no longer answer, and a later owner must not wait for them.
     #[must_use]
     pub fn drained_workers(&self) -> Vec<WorkerId> {
         let is_drained = |id: &&WorkerId| match self.workers.get(*id) {
-            Some(worker) => worker.is_adopted && worker.runs.is_empty(),
+            Some(worker) => {
+                worker.is_adopted && worker.runs.is_empty() && worker.logged == Logged::Gone
+            }
             // A worker that the store has not listed may still have runs of earlier terms.
             None => self.has_worker_list && self.inherited_workers.is_empty(),
         };
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -4,7 +4,9 @@
 
 use indexmap::IndexSet;
 
-use super::{JobEnd, JobSpec, StepId, TaskId, WorkerId, advice::StepAdvice, times::Samples};
+use super::{
+    JobEnd, JobSpec, Position, StepId, TaskId, WorkerId, advice::StepAdvice, times::Samples,
+};
 use crate::{QueueId, Timestamp};
 
 /// The state of a task.
@@ -26,6 +28,33 @@
     /// Since when the task has not worked at full speed; `None` while it does. Used for
     /// long-running tasks only.
     pub(super) unavailable_since: Option<Timestamp>,
+    /// The worker that the log names for the task; `None` if its placements are not logged or it
+    /// was never placed.
+    pub(super) placement: Option<Placement>,
+}
+
+/// The latest logged placement of a task.
+#[derive(Clone, Debug)]
+pub(super) struct Placement {
+    pub(super) worker: WorkerId,
+    /// The position of its record in the log, which may not be durable yet.
+    pub(super) position: Position,
+    /// How often the task failed there in this term.
+    pub(super) failures: u32,
+}
+
+impl Task {
+    fn mark_done(&mut self) {
+        self.is_done = true;
+        self.checkpoint = None;
+    }
+}
+
+impl Placement {
+    /// Returns a placement that the log contained when the term began.
+    pub(super) fn recovered(worker: WorkerId) -> Self {
+        Self { worker, position: Position::default(), failures: 0 }
+    }
 }
 
 /// The state of a step in one occurrence.
@@ -40,6 +69,14 @@
     pub(super) open_tasks: u32,
 }
 
+impl StepState {
+    /// Returns the number of tasks that are neither done nor possibly running.
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        let is_waiting = |task: &&Task| !task.is_done && task.run_workers.is_empty();
+        self.tasks.iter().filter(is_waiting).count() as u64
+    }
+}
+
 /// The state of an occurrence of a job.
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
@@ -58,6 +95,13 @@
         Self { number, steps: spec.steps.iter().map(|spec| step(spec.count)).collect() }
     }
 
+    pub(super) fn mark_done(&mut self) {
+        for step in &mut self.steps {
+            step.open_tasks = 0;
+            step.tasks.iter_mut().for_each(Task::mark_done);
+        }
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.steps.iter().all(|step| step.open_tasks == 0)
     }
@@ -88,7 +132,7 @@
     /// Whether its acceptance is durable in the log.
     pub(super) is_durable: bool,
     /// Whether the job was accepted in an earlier term and runs of that term may still be alive, so
-    /// that none of its tasks may start.
+    /// that none of its tasks may start, except for those whose placement is known.
     pub(super) is_inherited: bool,
     /// Whether any of its tasks has started.
     pub(super) has_started: bool,
@@ -101,15 +145,22 @@
     pub(super) is_end_durable: bool,
     /// When the job ended, on this node's clock; meaningful only if `end` is set.
     pub(super) ended: Timestamp,
+    /// The same in milliseconds since the Unix epoch.
+    pub(super) ended_wall_ms: u64,
     /// Workers on which any of its tasks has failed.
     pub(super) failed_workers: IndexSet<WorkerId>,
 }
 
 impl Job {
-    pub(super) fn new(queue: QueueId, spec: JobSpec, wall_ms: u64, arrived: Timestamp) -> Self {
+    pub(super) fn new(
+        queue: QueueId,
+        spec: Arc<JobSpec>,
+        wall_ms: u64,
+        arrived: Timestamp,
+    ) -> Self {
         Self {
             queue,
-            spec: Arc::new(spec),
+            spec,
             arrived_wall_ms: wall_ms,
             arrived,
             is_durable: false,
@@ -120,6 +171,7 @@
             end: None,
             is_end_durable: false,
             ended: Timestamp(0),
+            ended_wall_ms: 0,
             failed_workers: IndexSet::new(),
         }
     }
@@ -134,6 +186,15 @@
         }
     }
 
+    /// Adds the first `count` occurrences as far as they are missing.
+    pub(super) fn add_occurrences(&mut self, count: u32) {
+        let count = count.min(self.spec.occurrences());
+        while self.due_occurrences < count {
+            self.occurrences.push(Occurrence::new(self.due_occurrences, &self.spec));
+            self.due_occurrences += 1;
+        }
+    }
+
     /// Returns when an occurrence is due, in milliseconds since the Unix epoch; zero without a
     /// schedule.
     pub(super) fn due_wall_ms(&self, occurrence: u32) -> u64 {
@@ -143,6 +204,13 @@
         schedule.first_wall_ms + u64::from(occurrence) * schedule.period.0
     }
 
+    /// Returns the processor capacity that the long-running tasks of one occurrence book, in
+    /// thousandths of a core.
+    pub(super) fn long_running_milli(&self) -> u64 {
+        let steps = self.spec.steps.iter().filter(|step| step.long_running);
+        steps.map(|step| step.booked().cpu_milli * u64::from(step.count)).sum()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.due_occurrences == self.spec.occurrences()
             && self.occurrences.iter().all(Occurrence::is_done)
@@ -176,8 +244,7 @@
         };
         match step.tasks.get_mut(id.index as usize) {
             Some(task) if !task.is_done => {
-                task.is_done = true;
-                task.checkpoint = None;
+                task.mark_done();
                 step.open_tasks -= 1;
                 true
             }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -67,6 +67,8 @@
 /// What the owner knows about a run that it ordered or found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RunState {
+    /// No order has been sent: the task's placement is not durable yet.
+    Planned,
     /// The start order is in flight.
     Ordered,
     /// The start order got no answer: the run may exist, or may still start at any time.
@@ -140,8 +142,8 @@
     pub(super) is_adopted: bool,
     /// What the log says about the worker.
     pub(super) logged: Logged,
-    /// How often the worker has been logged as used. Only when the latest of these records is
-    /// durable may it get orders.
+    /// How often the worker has been logged as used or gone. Only the latest of these records
+    /// counts, once it is durable.
     pub(super) times_logged: u32,
     /// The latest reading of the worker's clock.
     pub(super) clock: Option<ClockReading>,
@@ -154,6 +156,9 @@
     pub(super) last_lease_end_sent: u64,
     /// When every lease of earlier terms has certainly expired.
     pub(super) inherited_expiry: Timestamp,
+    /// When every lease has certainly expired that comes from orders which the previous instance of
+    /// the worker did not answer.
+    pub(super) late_start_expiry: Timestamp,
     /// The number of the last run end that was processed.
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
@@ -241,6 +246,14 @@
 }
 
 impl Run {
+    /// Records that the start order is sent.
+    pub(super) fn order(&mut self, now: Timestamp) {
+        self.state = RunState::Ordered;
+        self.started = now;
+        self.expect_in_lists_after = now;
+        self.measured_at = now;
+    }
+
     /// Whether the worker has the run and it is not being stopped.
     pub(super) fn is_settled(&self) -> bool {
         self.state == RunState::Running && self.stopping.is_none()
@@ -261,6 +274,7 @@
             ended_attempts: IndexMap::new(),
             last_lease_end_sent: 0,
             inherited_expiry,
+            late_start_expiry: Timestamp(0),
             ends_seen: 0,
             ends_durable: 0,
             runs: IndexMap::new(),
@@ -288,6 +302,11 @@
         self.entry.capacity.saturating_sub(&self.used())
     }
 
+    /// Whether an order was sent for any of the runs.
+    pub(super) fn has_ordered_runs(&self) -> bool {
+        self.runs.values().any(|run| run.state != RunState::Planned)
+    }
+
     /// Whether all runs on the worker, if any, are of long-running tasks.
     pub(super) fn has_only_long_running(&self) -> bool {
         self.runs.values().all(|run| run.is_long_running)
@@ -334,14 +353,18 @@
 
     /// Returns when every lease that was ever sent to the worker has certainly expired. For leases
     /// of this term, this follows from the worker's clock; for those of earlier terms, from
-    /// `inherited_expiry`.
+    /// `inherited_expiry`. An order that the worker has not answered may start a run later.
     pub(super) fn lease_expiry(&self) -> Timestamp {
+        let is_unsettled = |run: &Run| run.state == RunState::Unsettled;
+        let has_unsettled_run = self.runs.values().any(is_unsettled);
+        let late = if has_unsettled_run { self.late_start_expiry } else { Timestamp(0) };
+        let earliest = late.max(self.inherited_expiry);
         let Some(clock) = self.clock else {
-            return self.inherited_expiry;
+            return earliest;
         };
         let remaining = self.last_lease_end_sent.saturating_sub(clock.worker_ms);
         let stretched = remaining * 100 / (100 - CLOCK_DRIFT_PERCENT);
-        (clock.at + Span(stretched) + EXPIRY_MARGIN).max(self.inherited_expiry)
+        (clock.at + Span(stretched) + EXPIRY_MARGIN).max(earliest)
     }
 
     /// Records that a run ended on the worker.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -8,6 +8,7 @@
 mod control;
 mod lease;
 mod link;
+mod log;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,15 +17,16 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind, FlowLimits,
-        HoldReport, LinkRate, LogConfig, LogEvent, QueueConfig, Segment, Sequence, StartOrder,
-        StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
+        FlowLimits, HoldReport, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
+        StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
 use self::lease::OwnerLease;
 pub use self::{
     link::Link,
+    log::MAX_VALUE_BYTES,
     worker::{ModelWorker, TaskTime},
 };
 
@@ -57,6 +59,8 @@
 
 /// Share of a core of an owner behind a link.
 const LINKED_OWNER_CPU_SHARE: f64 = 0.12;
+/// The longest time for which an owner may give orders after another one has claimed the cell.
+pub const OWNER_TTL: Span = Span(3_000);
 
 /// Wall-clock time at the model's time zero, in milliseconds since the Unix epoch.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
@@ -171,17 +175,22 @@
     queues: IndexMap<QueueId, QueueConfig>,
     /// The cell at its owner; `None` while no node owns it.
     cell: Option<Cell>,
+    /// Time until which owners of earlier terms than the current or latest one may have given
+    /// orders.
+    earlier_orders_end: Timestamp,
+    /// When the owner that gave up the cell may have given its last order.
+    gave_up_at: Timestamp,
     epoch: Epoch,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
-    log: BTreeMap<Sequence, Segment>,
+    log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
     is_handing_over: bool,
     /// A write that the store has not accepted yet.
-    pending_write: Option<(Epoch, Sequence, Segment)>,
+    pending_write: Option<(Epoch, LogWrite)>,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
     next_token: u64,
@@ -216,15 +225,17 @@
     least_lease_left: Span,
 }
 
-/// Returns the cell configuration of a typical small deployment.
+/// Returns the cell configuration of a typical small deployment. Jobs are accepted however late they
+/// end, so that a test can overload a cell.
 #[must_use]
 pub fn cell_config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
-        owner_ttl: Span(3_000),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
-        log: LogConfig::default(),
+        // Small, so that short tests clean the log too.
+        log: LogConfig { min_log_bytes: 4 * 1024, ..LogConfig::default() },
+        admission: AdmissionPolicy::AcceptLate,
         flow: FlowLimits::new(LinkRate::from_mbps(1_000.0), 1.0),
     }
 }
@@ -237,7 +248,7 @@
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
     ) -> Self {
-        Self::with_config(cell_config(), None, service, queues, workers)
+        Self::with_config(cell_config(), service, queues, workers)
     }
 
     /// Creates a cell like [`Model::new`], whose owner passes all calls to workers and to the store
@@ -251,12 +262,15 @@
     ) -> Self {
         let flow = FlowLimits::new(link.rate(), LINKED_OWNER_CPU_SHARE);
         let cfg = CellConfig { flow, ..cell_config() };
-        Self::with_config(cfg, Some(link), service, queues, workers)
+        let mut model = Self::with_config(cfg, service, queues, workers);
+        model.link = Some(link);
+        model
     }
 
-    fn with_config(
+    /// Creates a cell of this configuration with its workers and lets a first owner take it over.
+    #[must_use]
+    pub fn with_config(
         cfg: CellConfig,
-        link: Option<Link>,
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
@@ -267,11 +281,13 @@
             service,
             queues,
             cell: None,
+            earlier_orders_end: Timestamp(0),
+            gave_up_at: Timestamp(0),
             epoch: Epoch(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
-            log: BTreeMap::new(),
+            log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
             pending_write: None,
@@ -288,7 +304,7 @@
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
             advice_request_count: 0,
-            link,
+            link: None,
             owner_lease: None,
             expired_terms: 0,
             starts_in_flight: 0,
@@ -397,24 +413,34 @@
         }
         if self.pending_write.is_none() {
             let write = cell.take_write(now);
-            self.pending_write = write.map(|(sequence, segment)| (self.epoch, sequence, segment));
+            self.pending_write = write.map(|write| (self.epoch, write));
         }
         let mut actions = cell.take_actions();
         if self.is_handing_over {
             actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
         }
         if self.is_store_available
-            && let Some((epoch, sequence, segment)) = self.pending_write.take()
+            && let Some((epoch, write)) = self.pending_write.take()
         {
-            let delay = self.send_over_link(link::segment_bytes(&segment));
-            self.log.insert(sequence, segment);
-            self.send(delay.0 + WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            self.write_segment(epoch, write);
         }
         for action in actions {
             self.perform(action);
         }
     }
 
+    /// Writes a segment to the store. The owner repeats a write that the store refuses.
+    fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
+        let sequence = write.sequence;
+        if self.log.write(&write) {
+            let delay_ms = self.send_over_link(write.value.len() as u64).0 + WRITE_LATENCY_MS;
+            self.send(delay_ms, Delivery::SegmentWritten { epoch, sequence });
+        } else {
+            self.violations.push(format!("{} segment {sequence} is too large", self.now));
+            self.pending_write = Some((epoch, write));
+        }
+    }
+
     fn send(&mut self, delay_ms: u64, delivery: Delivery) {
         self.next_delivery += 1;
         self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
@@ -535,13 +561,14 @@
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
                     let now = self.now;
+                    self.log.confirm();
                     if let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) {
                         cell.on_segment_written(sequence, now);
                     }
                 }
                 Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
                 Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
-                Delivery::LogRead => self.take_over(),
+                Delivery::LogRead => self.take_over_again(0),
             }
         }
     }
--- a/crates/standins/src/model/lease.rs
+++ b/crates/standins/src/model/lease.rs
@@ -71,7 +71,7 @@
     fn end_expired_term(&mut self) {
         self.kill_owner();
         self.expired_terms += 1;
-        let log_bytes = self.log.values().map(link::segment_bytes).sum();
+        let log_bytes = self.log.bytes() as u64;
         let delay_ms = CLAIM_DELAY.0 + self.receive_over_link(log_bytes).0;
         self.send(delay_ms, Delivery::LogRead);
     }
--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -1,9 +1,6 @@
 //! The network link of the owner's node: a limited rate and a queue in each direction.
 
-use teaselgap_core::{
-    Span, Timestamp,
-    job::{LinkRate, Segment},
-};
+use teaselgap_core::{Span, Timestamp, job::LinkRate};
 
 use super::{Call, Reply};
 
@@ -70,11 +67,6 @@
     HEADER_BYTES + BODY_BYTES
 }
 
-/// Returns the size of a segment of the log.
-pub(super) fn segment_bytes(segment: &Segment) -> u64 {
-    serde_json::to_vec(segment).map_or(0, |value| value.len() as u64)
-}
-
 impl Call {
     /// Returns the size of the call.
     pub(super) fn bytes(&self) -> u64 {
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -1,8 +1,13 @@
 //! Tests of cells in virtual time, against simulated workers that follow the platform's rules.
 
+mod admission;
 mod advice;
 mod faults;
 mod fixtures;
 mod flow;
+mod log;
+mod long_running;
 mod random;
+mod store_outage;
+mod takeover;
 mod turns;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -24,6 +24,7 @@
 mod front;
 mod host;
 mod line_limit;
+mod log_store;
 mod members;
 mod node;
 mod note;
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -4,7 +4,10 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use teaselgap_core::{Incarnation, NodeId, job::Duty};
+use teaselgap_core::{
+    Incarnation, NodeId,
+    job::{Candidate, Duty, OrderRate},
+};
 use teaselgap_platform::store::Item;
 
 /// The prefix of the keys of members and duties. Each node watches all of them, so their values must
@@ -23,6 +26,9 @@
     pub(super) node: NodeId,
     pub(super) incarnation: Incarnation,
     pub(super) address: SocketAddr,
+    /// What the node can carry; zero if an earlier version wrote the record.
+    #[serde(default)]
+    pub(super) order_rate: OrderRate,
 }
 
 /// The registered nodes and the owners of duties, as read from the store.
@@ -43,6 +49,15 @@
         (record.node != *own).then_some(record.address)
     }
 
+    /// The registered nodes, as candidates for duties.
+    pub(super) fn candidates(&self) -> IndexMap<NodeId, Candidate> {
+        let candidate = |record: &NodeRecord| Candidate {
+            incarnation: record.incarnation,
+            order_rate: record.order_rate,
+        };
+        self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
+    }
+
     pub(super) fn other_addresses(&self, own: &NodeId) -> Vec<SocketAddr> {
         let others = self.nodes.values().filter(|record| record.node != *own);
         others.map(|record| record.address).collect()
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -33,8 +33,9 @@
                 info!(log, "accepted"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
                     "cell" => cell, "epoch" => epoch);
             }
-            LogEvent::Refused { job, queue, waiting, retry_after } => {
+            LogEvent::Refused { job, queue, waiting, reason, wait, retry_after } => {
                 info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
+                    "reason" => reason, "forecast_wait_ms" => wait.0,
                     "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
             }
             LogEvent::Placed { step, tasks, waited } => self.write_placed(*step, tasks, *waited),
