--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod cost;
 mod faults;
 mod fixtures;
 mod flow;
