--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -18,6 +18,7 @@
 mod advice;
 mod cell;
 mod fleet;
+mod flow;
 mod id;
 mod lag;
 mod log;
@@ -42,12 +43,13 @@
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
         OrderOutcome, PoolSize, Vm, VmState, Wave,
     },
+    flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
     lag::LagMonitor,
     log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
-        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, RunEnd, RunId, StartOrder,
-        StartOutcome, Token,
+        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, PlacedTask, RunEnd, RunId,
+        StartOrder, StartOutcome, Token,
     },
     record::{EndKind, JobEnd, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -33,7 +33,6 @@
         if worker.runs.len() == 1 {
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
-        let free = worker.free();
         let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
@@ -41,17 +40,14 @@
             return;
         };
         let spec = std::sync::Arc::clone(&job.spec);
-        let waited = now.since(job.arrived);
         let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
         let attempt = run.attempt;
-        let free_cpu_milli = (free + run.booked).cpu_milli;
         run.order(now);
         // The duration of a run that resumes from a checkpoint says nothing about a full run.
         run.skips_duration = checkpoint.is_some();
         worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end);
-        let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Placed { run, free_cpu_milli, waited }));
+        self.start_window.begin(id, (task, attempt), spec.payload.len(), now);
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
         self.actions.push(Action::Start(id.clone(), order));
     }
@@ -64,6 +60,8 @@
         outcome: StartOutcome,
         now: Timestamp,
     ) {
+        self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
+        self.plan_due |= self.held_back_starts > 0;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{
     super::{
-        Record, Step, StepId, TaskId, WorkerId,
+        PlacedTask, Record, Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
         worker::{Run, RunState},
@@ -34,15 +34,27 @@
 impl Cell {
     /// Books resources for a run of a task on a worker, and sends the start order as soon as the
     /// log allows. The caller has checked that the task may run there.
-    pub(super) fn place_task(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
-        let Some(is_logged) = self.step(task).map(is_logged) else {
-            return;
-        };
+    /// Returns `None` if the task or the worker does not exist.
+    pub(super) fn place_task(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        attempt: u32,
+        now: Timestamp,
+    ) -> Option<PlacedTask> {
+        let is_logged = self.step(task).map(is_logged)?;
+        let free_cpu_milli = self.workers.get(id)?.free().cpu_milli;
         self.book_run(id, task, attempt, now);
-        if !is_logged {
+        if is_logged {
+            self.start_once_logged(id, (task, attempt), now);
+        } else {
             self.start_task(id, task, now);
-            return;
         }
+        Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
+    }
+
+    /// Sends the start order of a run once the log names its worker.
+    fn start_once_logged(&mut self, id: &WorkerId, (task, attempt): (TaskId, u32), now: Timestamp) {
         let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
         let Some(task_state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
             return;
@@ -96,7 +108,7 @@
     }
 
     /// Sends the start order of a run whose placement has become durable. If the worker can't be
-    /// used any more, the task is planned again.
+    /// used any more, or too many start orders are in flight, the task is planned again.
     pub(super) fn on_placement_durable(
         &mut self,
         id: &WorkerId,
@@ -110,7 +122,7 @@
         if run.is_none_or(|run| run.state != RunState::Planned) {
             return;
         }
-        if Self::is_usable(worker, now) {
+        if Self::is_usable(worker, now) && self.start_window.has_room() {
             self.start_task(id, task, now);
         } else {
             self.withdraw_run(id, task);
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -1,9 +1,9 @@
 //! Operations by which a test controls the model: faults, takeovers and client requests.
 
-use super::{Model, ModelWorker, OWNER_TTL, TICK_MS, TICKET, WorkerFaults};
+use super::{Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
-    job::{Answer, Cell, JobId, JobSpec, Sequence, Token},
+    job::{Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, Token},
 };
 
 impl Model {
@@ -52,6 +52,41 @@
         self.advice_request_count
     }
 
+    /// Makes the owner's term depend on a lease in the store, which the owner renews.
+    pub fn require_owner_lease(&mut self) {
+        self.owner_lease = Some(OwnerLease::new(self.now));
+    }
+
+    /// Returns how many terms ended because the owner could not renew its lease in time.
+    #[must_use]
+    pub fn expired_terms(&self) -> u32 {
+        self.expired_terms
+    }
+
+    /// Returns the limits on calls that the owner keeps.
+    #[must_use]
+    pub fn flow_limits(&self) -> FlowLimits {
+        self.cfg.flow
+    }
+
+    /// Returns the largest number of start orders that an owner waited for at the same time.
+    #[must_use]
+    pub fn max_starts_in_flight(&self) -> usize {
+        self.max_starts_in_flight
+    }
+
+    /// Returns the bytes of the answers to holds so far.
+    #[must_use]
+    pub fn hold_answer_bytes(&self) -> u64 {
+        self.hold_answer_bytes
+    }
+
+    /// Returns the least time that was left of the lease of a worker with runs so far.
+    #[must_use]
+    pub fn least_lease_left(&self) -> Span {
+        self.least_lease_left
+    }
+
     /// Sets whether the store accepts writes and the owner can read the list of workers.
     pub fn set_store_available(&mut self, is_available: bool) {
         self.is_store_available = is_available;
@@ -142,6 +177,8 @@
         self.cell = Some(cell);
         self.pending_write = None;
         self.next_worker_list = self.now;
+        self.owner_lease = self.owner_lease.map(|_| OwnerLease::new(self.now));
+        self.starts_in_flight = 0;
     }
 
     fn new_token(&mut self) -> Token {
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -2,8 +2,10 @@
 
 mod admission;
 mod advice;
+mod cost;
 mod faults;
 mod fixtures;
+mod flow;
 mod log;
 mod long_running;
 mod random;
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -5,7 +5,7 @@
 use std::{
     cell::{Cell as StdCell, RefCell},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -13,15 +13,15 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, Load,
-        LogConfig, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, FlowLimits,
+        LinkRate, Load, LogConfig, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
     advice,
     client::CallError,
     config::Config,
-    settings::Bounds,
+    settings::{Bounds, Limits},
     worker::{HoldError, Target, WorkerClient},
 };
 use tokio::sync::{Notify, oneshot};
@@ -31,7 +31,8 @@
     ask::{CellRequest, Operation, Reply},
     log_store::{LogStore, WriteError},
     node::Node,
-    note,
+    note::CellLog,
+    owner_load::{CallKind, LoadMeter, OwnerLoad},
     peer::{BUSY_RETRY_AFTER, CellReport},
     session,
 };
@@ -40,6 +41,9 @@
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The interval at which an owner writes its load, and how many log lines it left out.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a write to the store may be pending before the cell refuses new jobs at once.
 const STALLED_WRITE_TIMEOUT: Span = Span(400);
 
@@ -60,6 +64,8 @@
     node: Rc<Node>,
     service: ServiceId,
     epoch: Epoch,
+    log: CellLog,
+    meter: RefCell<LoadMeter>,
     log_store: LogStore,
     started_at: Timestamp,
     worker_client: WorkerClient,
@@ -77,6 +83,7 @@
 
 fn cell_config(node: &Node) -> CellConfig {
     let Bounds { max_hold_ms, stop_ms, status_s, .. } = node.settings.bounds;
+    let Limits { link_mbps, cpu_share, cores } = node.settings.limits;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "short durations")]
     let status_retention = Span((status_s.max(0.0) * 1_000.0) as u64);
     let defaults = LogConfig::default();
@@ -87,6 +94,7 @@
         status_retention,
         log: LogConfig { max_segment_bytes, ..defaults },
         admission: AdmissionPolicy::ByForecast,
+        flow: FlowLimits::new(LinkRate::from_mbps(link_mbps), cpu_share * cores),
     }
 }
 
@@ -117,6 +125,8 @@
         node: Rc::clone(node),
         service: service.clone(),
         epoch,
+        log: CellLog::new(node.log.clone(), service.clone(), epoch),
+        meter: RefCell::default(),
         log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
@@ -199,12 +209,33 @@
             "segments" => segments, "bytes" => bytes, "took_ms" => clock::now().since(started).0);
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
+        tokio::task::spawn_local(Rc::clone(&self).report());
         while !self.is_term_over.get() {
             let _ = tokio::time::timeout(TICK_INTERVAL, self.wake.notified()).await;
             self.tick();
         }
     }
 
+    async fn report(self: Rc<Self>) {
+        while !self.is_term_over.get() {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            self.log.start_second();
+            self.report_load();
+        }
+    }
+
+    /// Writes the load of the last second to the log and the metrics.
+    fn report_load(&self) {
+        let now = clock::now();
+        let held_back_starts = self.cell.borrow().as_ref().map_or(0, Cell::held_back_starts);
+        let load = OwnerLoad { held_back_starts, ..self.meter.borrow_mut().take_report(now) };
+        let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
+        let lease_validity = session::lease_validity(&self.node);
+        self.log.write_load(&load, write_age, lease_validity);
+        let service = self.service.as_str();
+        self.node.shared.metrics.record_owner_load(service, &load, write_age, lease_validity);
+    }
+
     pub(super) fn set_queues(&self, config: &Config) {
         let queues = config.queues.clone();
         self.with_cell(|cell| cell.set_queues(queues));
@@ -303,6 +334,7 @@
         if self.is_term_over.get() {
             return;
         }
+        let started = Instant::now();
         let mut actions = {
             let mut cell = self.cell.borrow_mut();
             let Some(cell) = cell.as_mut() else {
@@ -319,20 +351,43 @@
         for action in actions {
             self.execute(action);
         }
+        self.meter.borrow_mut().record_tick(started);
+    }
+
+    /// Sends a call, and counts it for the report of the load. `is_answered` tells whether the
+    /// call's result is a worker's answer.
+    async fn measured<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = T>,
+        is_answered: impl FnOnce(&T) -> bool,
+    ) -> T {
+        let id = self.meter.borrow_mut().begin(kind, clock::now());
+        let result = call.await;
+        self.meter.borrow_mut().end(id, is_answered(&result), clock::now());
+        result
     }
 
     fn execute(self: &Rc<Self>, action: Action) {
         match action {
             Action::Reply(token, answer) => self.reply(token, answer),
-            Action::Log(event) => note::write(&self.node.log, &self.service, self.epoch, &event),
+            Action::Log(event) => self.log.write(&event),
             Action::Start(worker, order) => {
-                self.spawn_call(&worker, async move |owner, target| {
-                    let task = (order.task, order.attempt);
-                    let (outcome, _) = owner.worker_client.start(&target, &order).await;
+                let task = (order.task, order.attempt);
+                let is_sent = self.spawn_call(&worker, async move |owner, target| {
+                    let call = owner.worker_client.start(&target, &order);
+                    let is_answered =
+                        |(outcome, _): &(StartOutcome, String)| *outcome != StartOutcome::Unknown;
+                    let (outcome, _) = owner.measured(CallKind::Start, call, is_answered).await;
                     let now = clock::now();
                     owner
                         .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
                 });
+                if !is_sent {
+                    let outcome = StartOutcome::Refused("worker without an address");
+                    let now = clock::now();
+                    self.with_cell(|cell| cell.on_start_answer(&worker, task, outcome, now));
+                }
             }
             Action::RequestAdvice(request) => {
                 let owner = Rc::clone(self);
@@ -340,7 +395,8 @@
             }
             Action::Stop(worker, task, attempt) => {
                 self.spawn_call(&worker, async move |owner, target| {
-                    let confirmed = owner.worker_client.stop(&target, task, attempt).await;
+                    let call = owner.worker_client.stop(&target, task, attempt);
+                    let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
                     let (run, now) = ((task, attempt), clock::now());
                     owner
                         .with_cell(|cell| cell.on_stop_answer(&target.worker, run, confirmed, now));
@@ -359,18 +415,20 @@
         }
     }
 
+    /// Calls a worker in a task of its own. Returns whether the worker's address is known.
     fn spawn_call(
         self: &Rc<Self>,
         worker: &WorkerId,
         call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
-    ) {
+    ) -> bool {
         let target = self.targets.borrow().get(worker).cloned();
         let Some(target) = target else {
             warn!(self.node.log, "call not sent: worker without an address"; "worker" => %worker);
-            return;
+            return false;
         };
         let owner = Rc::clone(self);
         tokio::task::spawn_local(async move { call(owner, target).await });
+        true
     }
 
     async fn ask_advice(&self, request: AdviceRequest) {
@@ -388,14 +446,18 @@
     }
 
     async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
-        if self.worker_client.pace(target, task, attempt, share).await {
+        let call = self.worker_client.pace(target, task, attempt, share);
+        if self.measured(CallKind::Order, call, |ok| *ok).await {
             self.with_cell(|cell| cell.on_pace_answer(&target.worker, (task, attempt), share));
         }
     }
 
     async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
         let sent_at = clock::now();
-        let result = self.worker_client.hold(target, lease_end, last_seen, wait).await;
+        let call = self.worker_client.hold(target, lease_end, last_seen, wait);
+        let is_answered =
+            |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
+        let result = self.measured(CallKind::Hold, call, is_answered).await;
         if let Err(HoldError::Fenced) = result {
             warn!(self.node.log, "fenced by a later owner"; "cell" => %self.service,
                 "worker" => %target.worker, "epoch" => self.epoch.0);
