--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -1,11 +1,11 @@
 //! Which node owns which duty.
 //!
-//! A duty is a role that one node at a time holds for the whole cluster: keeping the ledger of a
-//! pool's slots, or owning a partition of the journal. Rendezvous hashing over the live members
-//! *proposes* an owner; a record in the platform's store *decides*. A record names one incarnation
-//! of a node and is valid while that incarnation is registered in the store. Each node registers
-//! under a single lease, so a duty costs no store call while nothing changes. The store's revision
-//! of the record is the fencing token of the term.
+//! A duty is a role that one node at a time holds for the whole cluster: owning a pool, with the
+//! ledger of its slots, or owning a partition of the journal. Rendezvous hashing over the live
+//! members *proposes* an owner; a record in the platform's store *decides*. A record names one
+//! incarnation of a node and is valid while that incarnation is registered in the store. Each node
+//! registers under a single lease, so a duty costs no store call while nothing changes. The store's
+//! revision of the record is the fencing token of the term.
 //!
 //! While the store is down, no node gains a duty, and an owner stops acting on its duties at the
 //! deadline of its lease.
@@ -24,7 +24,7 @@
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
 pub enum DutyId {
-    /// Keeps the ledger of a pool's slots.
+    /// Owns a pool, with the ledger of its slots.
     Slots(PoolId),
     /// Owns a partition of the journal.
     Journal(u32),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,9 +1,9 @@
 //! Which pool a VM belongs to, and how it is stopped or moved.
 //!
-//! Each VM has one record in the platform's store, which names exactly one pool. The keeper of that
+//! Each VM has one record in the platform's store, which names exactly one pool. The owner of that
 //! pool writes the record by compare-and-swap under its term. A planned stop cordons the VM, waits
-//! until the keeper's ledger shows that no node holds a slot of it, and only then hands it over to
-//! another pool or to the platform for maintenance. A new keeper continues from the record.
+//! until the owner's ledger shows that no node holds a slot of it, and only then hands it over to
+//! another pool or to the platform for maintenance. A new owner continues from the record.
 //!
 //! The states of a planned stop are types, so a VM that may still serve requests can't be handed
 //! over.
@@ -64,7 +64,7 @@
     }
 }
 
-/// What a keeper knows of a VM besides its record.
+/// What the owner of a pool knows of a VM besides its record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VmObservation {
     /// The VM's pool in the platform's list; `None` if the VM is not listed.
@@ -73,7 +73,7 @@
     pub live: bool,
     /// Whether the list shows that a maintenance has ended since the plan began.
     pub maintained: bool,
-    /// Whether the keeper's ledger is certain and shows that no node holds a slot of the VM.
+    /// Whether the owner's ledger is certain and shows that no node holds a slot of the VM.
     pub drained: bool,
     /// Wall-clock time.
     pub now: Timestamp,
@@ -139,7 +139,7 @@
     }
 }
 
-/// The next step of a keeper for a VM of its pool.
+/// The next step of the owner of a pool for a VM of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextStep {
     /// Do nothing now.
@@ -154,7 +154,7 @@
     DeleteRecord,
 }
 
-/// Derives the keeper's next step from a VM's record and what else is known of the VM.
+/// Derives the owner's next step from a VM's record and what else is known of the VM.
 #[must_use]
 pub fn next_step(record: &VmRecord, observation: &VmObservation) -> NextStep {
     let draining_stop =
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -59,13 +59,13 @@
     assert_eq!(next_step(&record, &observation(true, 500)), NextStep::Failed);
 }
 
-/// One VM and two pools, each with one holder and a keeper that may be replaced or paused at any
+/// One VM and two pools, each with one holder and an owner that may be replaced or paused at any
 /// time; explored breadth-first.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct SystemState {
     record: VmRecord,
     revision: u64,
-    keepers: [Keeper; 2],
+    owners: [PoolOwner; 2],
     /// Whether the holder of each pool occupies a slot of the VM.
     occupied: [bool; 2],
     listed: usize,
@@ -73,14 +73,14 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Keeper {
+struct PoolOwner {
     term: u64,
-    /// The record as the keeper last read it.
+    /// The record as the owner last read it.
     known: VmRecord,
     known_revision: u64,
     /// Whether the ledger shows that the holder may occupy a slot.
     granted: bool,
-    /// Whether the ledger is complete; a new keeper does not know its predecessor's grants.
+    /// Whether the ledger is complete; a new owner does not know its predecessor's grants.
     certain: bool,
     /// A write that has not reached the store: the revision that it expects, its term and the new
     /// record.
@@ -92,7 +92,7 @@
 
 fn start() -> SystemState {
     let record = VmRecord::serving(pool("a"));
-    let keeper = |granted| Keeper {
+    let owner = |granted| PoolOwner {
         term: 1,
         known: record.clone(),
         known_revision: 1,
@@ -103,7 +103,7 @@
     SystemState {
         record: record.clone(),
         revision: 1,
-        keepers: [keeper(true), keeper(false)],
+        owners: [owner(true), owner(false)],
         occupied: [true, false],
         listed: 1,
         changes: 0,
@@ -121,63 +121,63 @@
                 next.push(after);
             }
         };
-        // The keeper's watch delivers the record.
+        // The owner's watch delivers the record.
         push(&|s| {
-            s.keepers[i].known = s.record.clone();
-            s.keepers[i].known_revision = s.revision;
+            s.owners[i].known = s.record.clone();
+            s.owners[i].known_revision = s.revision;
         });
-        // The keeper grants a slot of the VM if, as far as it knows, the VM serves its pool.
+        // The owner grants a slot of the VM if, as far as it knows, the VM serves its pool.
         push(&|s| {
-            let keeper = &mut s.keepers[i];
-            if keeper.known.pool == own && keeper.known.takes_requests() && keeper.certain {
-                keeper.granted = true;
+            let owner = &mut s.owners[i];
+            if owner.known.pool == own && owner.known.takes_requests() && owner.certain {
+                owner.granted = true;
                 s.occupied[i] = true;
             }
         });
         // The holder releases the slot and reports that.
         push(&|s| {
-            let keeper = &s.keepers[i];
-            let may_keep = keeper.known.pool == own && keeper.known.takes_requests();
+            let owner = &s.owners[i];
+            let may_keep = owner.known.pool == own && owner.known.takes_requests();
             if !may_keep {
                 s.occupied[i] = false;
-                s.keepers[i].granted = false;
+                s.owners[i].granted = false;
             }
         });
-        // Another node takes over as keeper; its ledger is uncertain until the holder has reported.
+        // Another node takes over as owner; its ledger is uncertain until the holder has reported.
         push(&|s| {
             if s.changes < MAX_CHANGES {
                 s.changes += 1;
-                let keeper = &mut s.keepers[i];
-                keeper.term += 1;
-                keeper.granted = false;
-                keeper.certain = false;
-                keeper.known = s.record.clone();
-                keeper.known_revision = s.revision;
+                let owner = &mut s.owners[i];
+                owner.term += 1;
+                owner.granted = false;
+                owner.certain = false;
+                owner.known = s.record.clone();
+                owner.known_revision = s.revision;
             }
         });
         push(&|s| {
-            s.keepers[i].certain = true;
-            s.keepers[i].granted = s.occupied[i];
+            s.owners[i].certain = true;
+            s.owners[i].granted = s.occupied[i];
         });
-        // The keeper derives its next step; the write reaches the store at any later time.
+        // The owner derives its next step; the write reaches the store at any later time.
         push(&|s| {
-            let keeper = &mut s.keepers[i];
-            if keeper.known.pool != own || keeper.write.is_some() {
+            let owner = &mut s.owners[i];
+            if owner.known.pool != own || owner.write.is_some() {
                 return;
             }
-            let drained = keeper.certain && !keeper.granted;
+            let drained = owner.certain && !owner.granted;
             let observed = VmObservation {
                 listed_pool: Some(pool(NAMES[s.listed])),
                 ..observation(drained || !wait_for_drain, 0)
             };
-            if let NextStep::Write(record) = next_step(&keeper.known, &observed) {
-                keeper.write = Some((keeper.known_revision, keeper.term, record));
+            if let NextStep::Write(record) = next_step(&owner.known, &observed) {
+                owner.write = Some((owner.known_revision, owner.term, record));
             }
         });
         push(&|s| {
-            if let Some((revision, term, record)) = s.keepers[i].write.take()
+            if let Some((revision, term, record)) = s.owners[i].write.take()
                 && revision == s.revision
-                && term == s.keepers[i].term
+                && term == s.owners[i].term
             {
                 s.record = record;
                 s.revision += 1;
--- a/crates/core/src/maintain.rs
+++ b/crates/core/src/maintain.rs
@@ -127,7 +127,7 @@
         if self.paused_until.is_some_and(|until| now < until) {
             return Decision::Wait(WaitReason::RecentFailures);
         }
-        // After a takeover, the new keeper learns of its predecessor's stops from the VMs' records.
+        // After a takeover, the new owner learns of its predecessor's stops from the VMs' records.
         self.in_progress
             .extend(vms.iter().filter(|(_, vm)| vm.is_out_of_service).map(|(id, _)| id.clone()));
         self.in_progress.retain(|id| vms.get(id).is_some_and(|vm| vm.is_out_of_service));
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -1,14 +1,14 @@
 //! Shares the slots of a pool's VMs among all nodes without exceeding them.
 //!
-//! One node at a time owns the ledger of a pool, the [`Keeper`]. One continuous ownership is a
-//! term, and its epoch is the fencing token. Every node that sends requests to the pool is a holder
-//! and exchanges one message with the keeper about twice a second. The holder counts the duration
-//! of a grant from the moment it *sent* its message, whereas the keeper counts from the moment it
+//! One node at a time owns a pool and its [`SlotLedger`]. One continuous ownership is a term, and
+//! its epoch is the fencing token. Every node that sends requests to the pool is a holder and
+//! exchanges one message with the owner about twice a second. The holder counts the duration of a
+//! grant from the moment it *sent* its message, whereas the owner counts from the moment it
 //! *received* the message, so that a grant always expires at the holder first. A slot that a silent
 //! holder may still occupy is granted to no other holder until both the grant and the longest
 //! request that could have started under it have ended.
 //!
-//! A new keeper does not know what its predecessor granted. It lets every holder keep the grants
+//! A new owner does not know what its predecessor granted. It lets every holder keep the grants
 //! that the holder reports, and grants nothing new until all earlier grants must have expired, or
 //! until every holder that the predecessor named has reported.
 //!
@@ -36,18 +36,18 @@
 }
 
 impl Config {
-    /// The keeper extends a grant by the TTL divided by this number, because its clock and the
-    /// holder's may run at slightly different rates.
+    /// The owner of the pool extends a grant by the TTL divided by this number, because its clock
+    /// and the holder's may run at slightly different rates.
     const DRIFT_DIVISOR: u64 = 8;
 
-    /// When a grant made at `now`, and the last request under it, must have ended, on the keeper's
+    /// When a grant made at `now`, and the last request under it, must have ended, on the owner's
     /// clock.
     #[must_use]
     pub fn expiry(self, now: Timestamp) -> Timestamp {
         now + self.max_grant_duration()
     }
 
-    /// The longest time that a grant and the requests under it can last, on the keeper's clock.
+    /// The longest time that a grant and the requests under it can last, on the owner's clock.
     #[must_use]
     pub fn max_grant_duration(self) -> Span {
         let drift = self.ttl.0 / Self::DRIFT_DIVISOR + 1;
@@ -64,12 +64,12 @@
     pub zone: ZoneId,
 }
 
-/// A holder's report to its keeper.
+/// A holder's report to the owner of a pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
     /// Slots that the holder could use now; see [`round_up_demand`].
     pub demand: u32,
-    /// The most slots that the holder may occupy on each VM until the next reply of the keeper: the
+    /// The most slots that the holder may occupy on each VM until the next reply of the owner: the
     /// greater of the slots granted and the slots in use. It is zero for a VM that is not listed.
     pub ceilings: Vec<(VmId, u32)>,
 }
@@ -104,7 +104,7 @@
 
 /// The ledger of one pool's slots during one term.
 #[derive(Clone, Debug)]
-pub struct Keeper {
+pub struct SlotLedger {
     epoch: Epoch,
     cfg: Config,
     vms: IndexMap<VmId, Vm>,
@@ -115,26 +115,26 @@
     quarantine: Option<Quarantine>,
 }
 
-/// What a new keeper knows of the grants of earlier terms.
+/// What a new owner of a pool knows of the grants of earlier terms.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Predecessor {
-    /// The pool never had a keeper.
+    /// The pool never had an owner.
     None,
-    /// The previous keeper handed over and named its holders.
+    /// The previous owner handed over and named its holders.
     HandedOver {
         /// The holders that may have grants.
         holders: Vec<HolderId>,
         /// When the last of its grants, and the requests under it, must have ended.
         until: Timestamp,
     },
-    /// The previous keeper's term ended without a handover.
+    /// The previous owner's term ended without a handover.
     Lost {
         /// When the last of its grants, and the requests under it, must have ended.
         until: Timestamp,
     },
 }
 
-impl Keeper {
+impl SlotLedger {
     /// Starts a term with an empty ledger.
     #[must_use]
     pub fn new(epoch: Epoch, cfg: Config, predecessor: Predecessor) -> Self {
@@ -163,8 +163,8 @@
         self.epoch
     }
 
-    /// Changes the time limits of future grants. The keeper node must tell its successor of limits
-    /// at least as long, because the successor waits only that long.
+    /// Changes the time limits of future grants. The owner must tell its successor of limits at
+    /// least as long, because the successor waits only that long.
     pub fn set_config(&mut self, cfg: Config) {
         self.cfg = cfg;
     }
@@ -212,7 +212,7 @@
     /// # Errors
     ///
     /// [`UnknownHolder`] if `report` is `None` and the holder's grants have expired or it never
-    /// reported; the keeper then needs a report.
+    /// reported; the owner then needs a report.
     pub fn exchange(
         &mut self,
         id: &HolderId,
@@ -391,11 +391,11 @@
     -weight / uniform.ln()
 }
 
-/// The error for a renewal without a report by a holder that the keeper does not know, because it
-/// never reported or its grants have expired. The holder must send a report of its demand and
+/// The error for a renewal without a report by a holder that the ledger does not contain, because
+/// it never reported or its grants have expired. The holder must send a report of its demand and
 /// ceilings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the keeper has no report of this holder; send one")]
+#[error("the pool's owner has no report of this holder; send one")]
 pub struct UnknownHolder;
 
 /// The grants of a node in one pool.
@@ -410,13 +410,13 @@
 impl HeldSlots {
     /// Sets the term whose replies are accepted from now on.
     ///
-    /// Call this before sending a report to a new keeper: a late reply of the old keeper must not
+    /// Call this before sending a report to a new owner: a late reply of the old owner must not
     /// raise the grants above the reported ones. Existing grants stay valid until their deadline.
     pub fn set_epoch(&mut self, epoch: Epoch) {
         self.epoch = epoch;
     }
 
-    /// Applies a keeper's reply to the message sent at `sent`; false if it is from another term.
+    /// Applies an owner's reply to the message sent at `sent`; false if it is from another term.
     ///
     /// `grants` is `None` if the grants did not change.
     pub fn renew(
@@ -438,8 +438,8 @@
 
     /// Drops the grants if they have expired; true if there were any.
     ///
-    /// Call this before making a report: the keeper may have granted the slots to other holders,
-    /// and a new keeper would trust a report that still claims them.
+    /// Call this before making a report: the owner may have granted the slots to other holders,
+    /// and a new owner would trust a report that still claims them.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         if now < self.deadline || self.grants.is_empty() {
             return false;
--- a/crates/core/src/slots/exchange.rs
+++ b/crates/core/src/slots/exchange.rs
@@ -1,22 +1,22 @@
-//! The message exchange between a holder of slots and the node that is keeper of several pools.
+//! The message exchange between a holder of slots and an owner, a node that owns several pools.
 //!
 //! One message of the holder and one reply renew the grants of all these pools at once. They carry
 //! only changes, so their cost depends on the changes in demand and not on the number of VMs. Each
 //! side remembers what the other one knows. If a message or a reply is lost, or a pool gets another
-//! keeper, the sequence numbers or the fingerprints no longer match: the holder renews nothing
+//! owner, the sequence numbers or the fingerprints no longer match: the holder renews nothing
 //! then, and its next message is a full report, which contains every pool.
 //!
-//! A [`Keeper`] is the ledger of one pool. The keeper node may own the ledgers of several pools.
+//! The owner has one [`SlotLedger`] for each of its pools.
 
 use std::collections::HashMap;
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{HeldSlots, HolderId, Keeper, Report};
+use super::{HeldSlots, HolderId, Report, SlotLedger};
 use crate::{Epoch, PoolId, Slots, Span, Timestamp, VmId, ZoneId};
 
-/// A holder's message to a keeper node, which asks to renew its grants.
+/// A holder's message to an owner, which asks to renew its grants.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
     /// The holder that sends the message.
@@ -27,8 +27,7 @@
     pub sequence: u64,
     /// The last message whose reply the holder applied; zero if this message is a full report.
     pub acknowledged: u64,
-    /// A hash of the pools, with their epochs, for which the holder takes the receiver for the
-    /// keeper node.
+    /// A hash of the pools, with their epochs, that the receiver owns in the holder's view.
     pub fingerprint: u64,
     /// Reports of the pools in which something changed.
     pub reports: Vec<(PoolId, Epoch, Report)>,
@@ -37,7 +36,7 @@
 /// The slots that a holder is granted on each VM.
 pub type Grants = Vec<(VmId, Slots)>;
 
-/// The keeper node's reply to a holder's message.
+/// The owner's reply to a holder's message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
     /// Whether the holder must send a full report; it renews nothing then.
@@ -54,7 +53,7 @@
     pools.map(one).fold(0, u64::wrapping_add)
 }
 
-/// What a keeper node remembers of one holder.
+/// What an owner remembers of one holder.
 #[derive(Clone, Debug, Default)]
 struct Session {
     /// The number of the holder's last message.
@@ -63,18 +62,18 @@
     pools: IndexMap<PoolId, Epoch>,
 }
 
-/// What a keeper node remembers of the holders.
+/// What an owner remembers of the holders.
 #[derive(Clone, Debug, Default)]
-pub struct KeeperSessions {
+pub struct OwnerSessions {
     sessions: HashMap<HolderId, Session>,
 }
 
-impl KeeperSessions {
-    /// Handles a message about the pools in `keepers`; `None` if it arrived out of order.
+impl OwnerSessions {
+    /// Handles a message about the pools in `ledgers`; `None` if it arrived out of order.
     pub fn handle(
         &mut self,
         req: &Request,
-        keepers: &mut IndexMap<PoolId, Keeper>,
+        ledgers: &mut IndexMap<PoolId, SlotLedger>,
         now: Timestamp,
     ) -> Option<Reply> {
         let session = self.sessions.entry(req.holder.clone()).or_default();
@@ -91,7 +90,7 @@
         }
         session
             .pools
-            .retain(|pool, epoch| keepers.get(pool).is_some_and(|keeper| keeper.epoch() == *epoch));
+            .retain(|pool, epoch| ledgers.get(pool).is_some_and(|ledger| ledger.epoch() == *epoch));
         let expected = fingerprint(session.pools.iter().map(|(pool, epoch)| (pool, *epoch)));
         // A full report acknowledges zero, and its fingerprint covers exactly the pools that it
         // contains.
@@ -105,12 +104,12 @@
         let mut pools = Vec::new();
         let mut ttl = Span(u64::MAX);
         for (pool, epoch) in &session.pools {
-            let Some(keeper) = keepers.get_mut(pool) else {
+            let Some(ledger) = ledgers.get_mut(pool) else {
                 continue;
             };
-            ttl = ttl.min(keeper.ttl());
+            ttl = ttl.min(ledger.ttl());
             let report = reports.get(pool).copied();
-            match keeper.exchange(&req.holder, &req.zone, report, now) {
+            match ledger.exchange(&req.holder, &req.zone, report, now) {
                 Ok(Some(grants)) => pools.push((pool.clone(), *epoch, grants)),
                 Ok(None) => {}
                 Err(_) => {
@@ -131,22 +130,22 @@
     }
 }
 
-/// What a holder remembers of one keeper node.
+/// What a holder remembers of one owner.
 #[derive(Clone, Debug, Default)]
 pub struct HolderSession {
     sequence: u64,
     acknowledged: u64,
-    /// What the keeper node is known to have: the last report of each pool, with its ceilings
-    /// raised to the grants received since.
-    known_to_keeper: IndexMap<PoolId, (Epoch, Report)>,
+    /// What the owner is known to have: the last report of each pool, with its ceilings raised to
+    /// the grants received since.
+    known_to_owner: IndexMap<PoolId, (Epoch, Report)>,
     pending: Option<PendingRequest>,
     last_sent: Timestamp,
     /// Whether the last message or reply contained a change, so that the next one may as well.
     recently_changed: bool,
 }
 
-/// The time between two messages to the keeper node while grants are changing or customers'
-/// requests wait for slots.
+/// The time between two messages to the owner while grants are changing or customers' requests
+/// wait for slots.
 const SHORT_INTERVAL: Span = Span(200);
 
 /// A message whose reply has not arrived.
@@ -160,7 +159,7 @@
 
 impl HolderSession {
     /// Creates the next message. `current` contains the epoch and the report of each pool that has
-    /// this keeper node. An earlier message without a reply counts as lost.
+    /// this owner. An earlier message without a reply counts as lost.
     ///
     /// [`is_awaiting_reply`](Self::is_awaiting_reply) holds until `reply_deadline`.
     pub fn next_request(
@@ -174,11 +173,11 @@
         if self.pending.take().is_some() {
             self.reset();
         }
-        self.known_to_keeper.retain(|pool, (epoch, _)| {
+        self.known_to_owner.retain(|pool, (epoch, _)| {
             current.get(pool).is_some_and(|(current, _)| current == epoch)
         });
         let changed = |pool: &PoolId, report: &(Epoch, Report)| {
-            self.known_to_keeper.get(pool).is_none_or(|known| !same_report(known, report))
+            self.known_to_owner.get(pool).is_none_or(|known| !same_report(known, report))
         };
         let reports: Vec<_> = current
             .iter()
@@ -221,11 +220,11 @@
         self.acknowledged = sequence;
         self.recently_changed |= !reply.pools.is_empty();
         for (pool, epoch, report) in pending.reports {
-            self.known_to_keeper.insert(pool, (epoch, report));
+            self.known_to_owner.insert(pool, (epoch, report));
         }
         let mut grants: HashMap<PoolId, Vec<(VmId, Slots)>> =
             reply.pools.into_iter().map(|(pool, _, grants)| (pool, grants)).collect();
-        for (pool, (epoch, report)) in &mut self.known_to_keeper {
+        for (pool, (epoch, report)) in &mut self.known_to_owner {
             let Some(held) = held_slots.get_mut(pool) else {
                 continue;
             };
@@ -244,9 +243,8 @@
         self.pending.as_ref().is_some_and(|pending| now < pending.reply_deadline)
     }
 
-    /// Whether to send the next message: after `interval`, or sooner while the holder and the
-    /// keeper node are not in sync, something changed recently, or customers' requests wait for
-    /// slots.
+    /// Whether to send the next message: after `interval`, or sooner while the holder and the owner
+    /// are not in sync, something changed recently, or customers' requests wait for slots.
     #[must_use]
     pub fn should_send(
         &self,
@@ -259,9 +257,9 @@
         now >= self.last_sent + min_interval
     }
 
-    /// The pools that were reported to the keeper node.
+    /// The pools that were reported to the owner.
     pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
-        self.known_to_keeper.keys()
+        self.known_to_owner.keys()
     }
 
     /// Handles the failure of the message numbered `sequence`: the next one will be a full report.
@@ -271,10 +269,10 @@
         }
     }
 
-    /// Forgets what the keeper node is known to have, so that the next message is a full report.
+    /// Forgets what the owner is known to have, so that the next message is a full report.
     fn reset(&mut self) {
         self.acknowledged = 0;
-        self.known_to_keeper.clear();
+        self.known_to_owner.clear();
     }
 }
 
@@ -286,7 +284,7 @@
     a.0 == b.0 && a.1.demand == b.1.demand && as_map(&a.1) == as_map(&b.1)
 }
 
-/// Raises reported ceilings to the grants, as the keeper does: it counts the greater of the two.
+/// Raises reported ceilings to the grants, as the owner does: it counts the greater of the two.
 fn raise_ceilings(ceilings: &mut Vec<(VmId, u32)>, grants: &[(VmId, Slots)]) {
     for (vm, slots) in grants {
         match ceilings.iter_mut().find(|(known, _)| known == vm) {
@@ -318,11 +316,11 @@
         ("n1".parse().unwrap(), Incarnation(1))
     }
 
-    fn keepers(epoch: u64) -> IndexMap<PoolId, Keeper> {
-        let mut keeper = Keeper::new(Epoch(epoch), CFG, Predecessor::None);
+    fn ledgers(epoch: u64) -> IndexMap<PoolId, SlotLedger> {
+        let mut ledger = SlotLedger::new(Epoch(epoch), CFG, Predecessor::None);
         let vm = Vm { slots: Slots(8), zone: zone() };
-        keeper.set_vms(IndexMap::from([("vm1".parse().unwrap(), vm)]));
-        IndexMap::from([(pool(), keeper)])
+        ledger.set_vms(IndexMap::from([("vm1".parse().unwrap(), vm)]));
+        IndexMap::from([(pool(), ledger)])
     }
 
     fn held_slots(epoch: u64) -> IndexMap<PoolId, HeldSlots> {
@@ -341,16 +339,16 @@
     }
 
     struct Pair {
-        keepers: IndexMap<PoolId, Keeper>,
-        keeper_side: KeeperSessions,
+        ledgers: IndexMap<PoolId, SlotLedger>,
+        owner_side: OwnerSessions,
         held_slots: IndexMap<PoolId, HeldSlots>,
         holder_side: HolderSession,
     }
 
     fn pair() -> Pair {
         Pair {
-            keepers: keepers(1),
-            keeper_side: KeeperSessions::default(),
+            ledgers: ledgers(1),
+            owner_side: OwnerSessions::default(),
             held_slots: held_slots(1),
             holder_side: HolderSession::default(),
         }
@@ -361,7 +359,7 @@
             let current = current(epoch, &self.held_slots);
             let now = Timestamp(now);
             let req = self.holder_side.next_request(&holder(), &zone(), &current, now, now);
-            let reply = self.keeper_side.handle(&req, &mut self.keepers, now).unwrap();
+            let reply = self.owner_side.handle(&req, &mut self.ledgers, now).unwrap();
             (req, reply)
         }
 
@@ -396,10 +394,10 @@
     }
 
     #[test]
-    fn a_pool_with_a_new_keeper_is_not_renewed() {
+    fn a_pool_with_a_new_owner_is_not_renewed() {
         let mut pair = pair();
         pair.exchange(1, 0);
-        pair.keepers = keepers(2);
+        pair.ledgers = ledgers(2);
 
         let (_, reply) = pair.exchange(1, 10);
 
@@ -413,6 +411,6 @@
         let (req, _) = pair.exchange(1, 0);
         pair.exchange(1, 10);
 
-        assert_eq!(pair.keeper_side.handle(&req, &mut pair.keepers, Timestamp(20)), None);
+        assert_eq!(pair.owner_side.handle(&req, &mut pair.ledgers, Timestamp(20)), None);
     }
 }
--- a/crates/core/src/slots/tests.rs
+++ b/crates/core/src/slots/tests.rs
@@ -18,17 +18,17 @@
     (format!("n{i}").parse().unwrap(), Incarnation(1))
 }
 
-fn keeper(count: usize, predecessor: Predecessor) -> Keeper {
-    let mut keeper = Keeper::new(Epoch(1), CFG, predecessor);
-    keeper.set_vms(vms(count));
-    keeper
+fn ledger(count: usize, predecessor: Predecessor) -> SlotLedger {
+    let mut ledger = SlotLedger::new(Epoch(1), CFG, predecessor);
+    ledger.set_vms(vms(count));
+    ledger
 }
 
 fn total(grants: &[(VmId, Slots)]) -> u32 {
     grants.iter().map(|(_, slots)| slots.0).sum()
 }
 
-fn settle(keeper: &mut Keeper, demands: &[u32]) -> Vec<Vec<(VmId, Slots)>> {
+fn settle(ledger: &mut SlotLedger, demands: &[u32]) -> Vec<Vec<(VmId, Slots)>> {
     let mut grants = vec![Vec::new(); demands.len()];
     for round in 0..3 {
         for (i, &demand) in demands.iter().enumerate() {
@@ -36,7 +36,7 @@
                 grants[i].iter().map(|(vm, slots): &(VmId, Slots)| (vm.clone(), slots.0));
             let report = Report { demand, ceilings: ceilings.collect() };
             let now = Timestamp(round);
-            let answer = keeper.exchange(&holder(i), &zone(), Some(&report), now).unwrap();
+            let answer = ledger.exchange(&holder(i), &zone(), Some(&report), now).unwrap();
             grants[i] = answer.unwrap();
         }
     }
@@ -45,9 +45,9 @@
 
 #[test]
 fn all_slots_are_granted_and_follow_demand() {
-    let mut keeper = keeper(10, Predecessor::None);
+    let mut ledger = ledger(10, Predecessor::None);
 
-    let grants = settle(&mut keeper, &[256, 0, 0]);
+    let grants = settle(&mut ledger, &[256, 0, 0]);
 
     assert_eq!(grants.iter().map(|g| total(g)).sum::<u32>(), 80);
     // Three fifths of 80, give or take a slot.
@@ -56,10 +56,10 @@
 
 #[test]
 fn few_holders_get_even_shares_and_a_new_holder_moves_few_other_slots() {
-    let mut keeper = keeper(10, Predecessor::None);
-    let before = settle(&mut keeper, &[0; 6]);
+    let mut ledger = ledger(10, Predecessor::None);
+    let before = settle(&mut ledger, &[0; 6]);
 
-    let after = settle(&mut keeper, &[0; 7]);
+    let after = settle(&mut ledger, &[0; 7]);
 
     assert!(before.iter().all(|grants| (12..=14).contains(&total(grants))), "{before:?}");
     let moved: u32 =
@@ -69,19 +69,19 @@
 
 #[test]
 fn a_holder_without_demand_keeps_slots_for_a_burst() {
-    let mut keeper = keeper(10, Predecessor::None);
+    let mut ledger = ledger(10, Predecessor::None);
 
-    let grants = settle(&mut keeper, &[16, 16, 0]);
+    let grants = settle(&mut ledger, &[16, 16, 0]);
 
     assert!(total(&grants[2]) >= 12, "{}", total(&grants[2]));
 }
 
 #[test]
 fn with_many_nodes_each_node_uses_a_subset_of_the_vms_and_churn_is_small() {
-    let mut keeper = keeper(10, Predecessor::None);
-    let before = settle(&mut keeper, &[0; 40]);
+    let mut ledger = ledger(10, Predecessor::None);
+    let before = settle(&mut ledger, &[0; 40]);
 
-    let after = settle(&mut keeper, &[0; 41]);
+    let after = settle(&mut ledger, &[0; 41]);
 
     assert!(before.iter().all(|grants| grants.len() < 10));
     let moved: u32 =
@@ -90,13 +90,13 @@
 }
 
 #[test]
-fn a_new_keeper_grants_nothing_new_while_unknown_grants_may_be_valid() {
-    let mut keeper = keeper(1, Predecessor::Lost { until: CFG.expiry(Timestamp(0)) });
+fn a_new_owner_grants_nothing_new_while_unknown_grants_may_be_valid() {
+    let mut ledger = ledger(1, Predecessor::Lost { until: CFG.expiry(Timestamp(0)) });
     let vm: VmId = "vm0".parse().unwrap();
     let report = Report { demand: 8, ceilings: vec![(vm.clone(), 3)] };
 
-    let during = keeper.exchange(&holder(0), &zone(), Some(&report), Timestamp(10)).unwrap();
-    let after = keeper.exchange(&holder(0), &zone(), None, Timestamp(163)).unwrap();
+    let during = ledger.exchange(&holder(0), &zone(), Some(&report), Timestamp(10)).unwrap();
+    let after = ledger.exchange(&holder(0), &zone(), None, Timestamp(163)).unwrap();
 
     assert_eq!(during, Some(vec![(vm.clone(), Slots(3))]));
     assert_eq!(after, Some(vec![(vm, Slots(8))]));
@@ -116,7 +116,7 @@
 
 #[test]
 fn the_quarantine_after_a_handover_ends_once_all_holders_have_reported() {
-    let mut keeper = keeper(
+    let mut ledger = ledger(
         1,
         Predecessor::HandedOver {
             holders: vec![holder(0), holder(1)],
@@ -125,10 +125,10 @@
     );
     let none = Report::default();
 
-    keeper.exchange(&holder(0), &zone(), Some(&none), Timestamp(1)).unwrap();
-    let before = keeper.exchange(&holder(0), &zone(), None, Timestamp(2)).unwrap();
-    keeper.exchange(&holder(1), &zone(), Some(&none), Timestamp(3)).unwrap();
-    let after = keeper.exchange(&holder(0), &zone(), Some(&none), Timestamp(4)).unwrap().unwrap();
+    ledger.exchange(&holder(0), &zone(), Some(&none), Timestamp(1)).unwrap();
+    let before = ledger.exchange(&holder(0), &zone(), None, Timestamp(2)).unwrap();
+    ledger.exchange(&holder(1), &zone(), Some(&none), Timestamp(3)).unwrap();
+    let after = ledger.exchange(&holder(0), &zone(), Some(&none), Timestamp(4)).unwrap().unwrap();
 
     assert_eq!(before, None);
     assert!(total(&after) > 0);
@@ -181,8 +181,8 @@
     Finish { node: usize },
     Crash { node: usize },
     Replace { node: usize },
-    KeeperCrashes,
-    KeeperHandsOver,
+    OwnerCrashes,
+    OwnerHandsOver,
     Wait { ms: u64 },
 }
 
@@ -196,17 +196,17 @@
         2 => node.clone().prop_map(|node| Step::Finish { node }),
         1 => node.clone().prop_map(|node| Step::Crash { node }),
         1 => node.prop_map(|node| Step::Replace { node }),
-        1 => Just(Step::KeeperCrashes),
-        1 => Just(Step::KeeperHandsOver),
+        1 => Just(Step::OwnerCrashes),
+        1 => Just(Step::OwnerHandsOver),
         4 => (1..60_u64).prop_map(|ms| Step::Wait { ms }),
     ]
 }
 
 /// Runs an interleaving and returns the most slots of one VM that were occupied at the same time.
-fn find_max_occupied(steps: &[Step], new_keeper: impl Fn(Epoch, Predecessor) -> Keeper) -> u32 {
+fn find_max_occupied(steps: &[Step], new_ledger: impl Fn(Epoch, Predecessor) -> SlotLedger) -> u32 {
     let mut now = Timestamp(1_000);
-    let mut keeper = new_keeper(Epoch(1), Predecessor::None);
-    keeper.set_vms(vms(2));
+    let mut ledger = new_ledger(Epoch(1), Predecessor::None);
+    ledger.set_vms(vms(2));
     let mut nodes: Vec<Node> = (0..3).map(new_node).collect();
     // Requests of replaced nodes may still run on their VMs.
     let mut orphans: Vec<(VmId, Timestamp)> = Vec::new();
@@ -216,19 +216,19 @@
         match *step {
             Step::Send { node, demand } => {
                 let node = &mut nodes[node];
-                if node.held.epoch() != keeper.epoch() {
-                    node.held.set_epoch(keeper.epoch());
+                if node.held.epoch() != ledger.epoch() {
+                    node.held.set_epoch(ledger.epoch());
                 }
                 node.held.expire(now);
-                node.pending = Some((keeper.epoch(), node.report(demand), now));
+                node.pending = Some((ledger.epoch(), node.report(demand), now));
             }
             Step::Deliver { node, answer_lost } => {
                 let node = &mut nodes[node];
                 if let Some((epoch, report, sent)) = node.pending.take()
-                    && epoch == keeper.epoch()
+                    && epoch == ledger.epoch()
                     && !node.crashed
                 {
-                    let answer = keeper.exchange(&node.id, &zone(), Some(&report), now).unwrap();
+                    let answer = ledger.exchange(&node.id, &zone(), Some(&report), now).unwrap();
                     if !answer_lost {
                         node.held.renew(epoch, answer, sent, CFG.ttl);
                     }
@@ -245,25 +245,25 @@
                 nodes[node] = new_node(node);
                 nodes[node].id.1 = Incarnation(incarnations);
             }
-            Step::KeeperCrashes => {
-                keeper = new_keeper(
-                    Epoch(keeper.epoch().0 + 1),
+            Step::OwnerCrashes => {
+                ledger = new_ledger(
+                    Epoch(ledger.epoch().0 + 1),
                     Predecessor::Lost { until: CFG.expiry(now) },
                 );
-                keeper.set_vms(vms(2));
+                ledger.set_vms(vms(2));
             }
-            Step::KeeperHandsOver => {
-                // A keeper in quarantine may not know all holders of earlier terms, so it can't
+            Step::OwnerHandsOver => {
+                // An owner in quarantine may not know all holders of earlier terms, so it can't
                 // name them to its successor.
-                let predecessor = match keeper.quarantine {
+                let predecessor = match ledger.quarantine {
                     None => Predecessor::HandedOver {
-                        holders: keeper.holders(),
+                        holders: ledger.holders(),
                         until: CFG.expiry(now),
                     },
                     Some(_) => Predecessor::Lost { until: CFG.expiry(now) },
                 };
-                keeper = new_keeper(Epoch(keeper.epoch().0 + 1), predecessor);
-                keeper.set_vms(vms(2));
+                ledger = new_ledger(Epoch(ledger.epoch().0 + 1), predecessor);
+                ledger.set_vms(vms(2));
             }
             Step::Wait { ms } => now = now + Span(ms),
         }
@@ -298,7 +298,8 @@
     fn no_interleaving_gives_a_vm_more_than_its_slots(
         steps in prop::collection::vec(step(), 1..80),
     ) {
-        let max = find_max_occupied(&steps, |epoch, predecessor| Keeper::new(epoch, CFG, predecessor));
+        let new_ledger = |epoch, predecessor| SlotLedger::new(epoch, CFG, predecessor);
+        let max = find_max_occupied(&steps, new_ledger);
         prop_assert!(max <= SLOTS, "{max}");
     }
 }
@@ -307,15 +308,15 @@
 fn without_the_quarantine_the_search_finds_an_overrun() {
     let send =
         |node, demand| [Step::Send { node, demand }, Step::Deliver { node, answer_lost: false }];
-    let steps: Vec<Step> = [send(0, 8), [Step::KeeperCrashes, Step::Wait { ms: 1 }], send(1, 8)]
+    let steps: Vec<Step> = [send(0, 8), [Step::OwnerCrashes, Step::Wait { ms: 1 }], send(1, 8)]
         .into_iter()
         .flatten()
         .collect();
 
     let max_without_quarantine =
-        find_max_occupied(&steps, |epoch, _| Keeper::new(epoch, CFG, Predecessor::None));
+        find_max_occupied(&steps, |epoch, _| SlotLedger::new(epoch, CFG, Predecessor::None));
     let max_with_quarantine =
-        find_max_occupied(&steps, |epoch, predecessor| Keeper::new(epoch, CFG, predecessor));
+        find_max_occupied(&steps, |epoch, predecessor| SlotLedger::new(epoch, CFG, predecessor));
 
     assert!(max_without_quarantine > SLOTS);
     assert!(max_with_quarantine <= SLOTS);
--- a/src/control.rs
+++ b/src/control.rs
@@ -30,8 +30,8 @@
     membership::{self, Member, Membership, State},
     retry::RetryBudget,
     slots::{
-        HeldSlots, Keeper,
-        exchange::{HolderSession, KeeperSessions, Reply},
+        HeldSlots, SlotLedger,
+        exchange::{HolderSession, OwnerSessions, Reply},
     },
 };
 use teaselgap_proto::peer::{
@@ -77,8 +77,8 @@
     DirectProbeFailed { node: NodeId },
     /// A request for another node's control items ended; `None` without a reply.
     PullEnded(Option<PullReply>),
-    /// An exchange of slots with a keeper ended; `reply` is `None` without a reply.
-    SlotsAnswered { keeper: NodeIncarnation, sequence: u64, reply: Option<Reply> },
+    /// An exchange of slots with an owner of pools ended; `reply` is `None` without a reply.
+    SlotsAnswered { owner: NodeIncarnation, sequence: u64, reply: Option<Reply> },
     /// A write of duty records ended; `may_be_written` says whether it may have
     /// taken effect.
     DutiesWritten { duties: Vec<DutyId>, may_be_written: bool },
@@ -142,12 +142,12 @@
     records: IndexMap<VmId, fleet::StoredRecord>,
     /// VMs whose records are being written.
     vms_being_written: HashSet<VmId>,
-    /// The maintenance waves of each pool whose keeper this node is or was.
+    /// The maintenance waves of each pool that this node owns or owned.
     waves: HashMap<PoolId, Waves>,
     /// The time in which each pool had less than its services' normal capacity, as observed while
-    /// this node was the pool's keeper.
+    /// this node owned the pool.
     shortfalls: HashMap<PoolId, Shortfall>,
-    /// When this node next updates the records of the VMs in the pools whose keeper it is; zero for
+    /// When this node next updates the records of the VMs in the pools that it owns; zero for
     /// the next tick.
     next_fleet_step: Timestamp,
     /// Earliest time of the next rebuild of the pools.
@@ -162,13 +162,13 @@
     gates: HashMap<VmId, Arc<VmGate>>,
     /// The retry budget of each service.
     retry_budgets: HashMap<ServiceId, Arc<Mutex<RetryBudget>>>,
-    /// The ledgers of the pools whose keeper is this node.
-    keepers: IndexMap<PoolId, Keeper>,
-    /// The exchanges of slots with holders, in which this node is the keeper.
-    keeper_sessions: KeeperSessions,
-    /// The slots that keepers have granted to this node.
+    /// The ledgers of the pools that this node owns.
+    ledgers: IndexMap<PoolId, SlotLedger>,
+    /// The exchanges of slots with holders, in which this node is the owner.
+    owner_sessions: OwnerSessions,
+    /// The slots that the owners of pools have granted to this node.
     held_slots: IndexMap<PoolId, HeldSlots>,
-    /// The exchanges of slots with each keeper, in which this node is the holder.
+    /// The exchanges of slots with each owner of pools, in which this node is the holder.
     holder_sessions: HashMap<NodeIncarnation, HolderSession>,
     /// Each holder's last report of whether it can reach the store, and when that report arrived.
     reachability: HashMap<NodeId, (bool, Timestamp)>,
@@ -256,8 +256,8 @@
             pools: IndexMap::new(),
             gates: HashMap::new(),
             retry_budgets: HashMap::new(),
-            keepers: IndexMap::new(),
-            keeper_sessions: KeeperSessions::default(),
+            ledgers: IndexMap::new(),
+            owner_sessions: OwnerSessions::default(),
             held_slots: IndexMap::new(),
             holder_sessions: HashMap::new(),
             reachability: HashMap::new(),
@@ -345,8 +345,8 @@
             Event::ProbeEnded { node, reply } => self.on_probe_reply(&node, reply, now),
             Event::DirectProbeFailed { node } => self.on_probe_failed(node),
             Event::PullEnded(reply) => self.on_pull_reply(reply, now),
-            Event::SlotsAnswered { keeper, sequence, reply } => {
-                self.on_slots_reply(&keeper, sequence, reply);
+            Event::SlotsAnswered { owner, sequence, reply } => {
+                self.on_slots_reply(&owner, sequence, reply);
             }
             Event::DutiesWritten { duties, may_be_written } => {
                 self.on_duty_write(&duties, may_be_written, now);
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -14,7 +14,7 @@
     declare,
     duty::{Action, DutyId, NodeIncarnation, Record, Term},
     membership::{Member, State},
-    slots::{Keeper, Predecessor},
+    slots::{Predecessor, SlotLedger},
 };
 
 use super::{Control, DUTY_PLAN_INTERVAL, Event, registration::NodeValue};
@@ -122,7 +122,7 @@
         self.set_store_share();
     }
 
-    /// Records a duty's term, and starts or drops the keeper if the owner grants a pool's slots.
+    /// Records a duty's term, and creates or drops the ledger of a pool.
     fn apply_term(&mut self, duty: DutyId, term: Term, now: Timestamp) {
         let is_own = term.record.owner == *self.own_incarnation();
         info!(self.log, "new duty term"; "duty" => %duty, "owner" => %term.record.owner.node,
@@ -130,20 +130,20 @@
         self.duties.set_term(duty.clone(), term);
         if let DutyId::Slots(pool) = duty {
             if is_own {
-                self.ensure_keeper(&pool, now);
+                self.ensure_ledger(&pool, now);
             } else {
-                self.keepers.shift_remove(&pool);
+                self.ledgers.shift_remove(&pool);
             }
         }
     }
 
-    /// Starts a keeper for a pool if this node owns the current term and has no keeper for it yet.
-    pub(super) fn ensure_keeper(&mut self, pool: &PoolId, now: Timestamp) {
+    /// Creates the ledger of a pool if this node owns the current term and has none for it yet.
+    pub(super) fn ensure_ledger(&mut self, pool: &PoolId, now: Timestamp) {
         let Some(term) = self.duties.term(&DutyId::Slots(pool.clone())) else {
             return;
         };
-        let keeper_epoch = self.keepers.get(pool).map(Keeper::epoch);
-        if term.record.owner != *self.own_incarnation() || keeper_epoch == Some(term.epoch) {
+        let ledger_epoch = self.ledgers.get(pool).map(SlotLedger::epoch);
+        if term.record.owner != *self.own_incarnation() || ledger_epoch == Some(term.epoch) {
             return;
         }
         let record = &term.record;
@@ -159,14 +159,14 @@
             (None, false) => Predecessor::None,
         };
         let epoch = term.epoch;
-        self.start_keeper(pool, epoch, predecessor);
+        self.create_ledger(pool, epoch, predecessor);
     }
 
-    /// Creates a keeper for a pool, in place of an earlier one.
-    fn start_keeper(&mut self, pool: &PoolId, epoch: Epoch, predecessor: Predecessor) {
-        let mut keeper = Keeper::new(epoch, self.slots_config(pool), predecessor);
-        keeper.set_vms(self.grantable_vms_in(pool));
-        self.keepers.insert(pool.clone(), keeper);
+    /// Creates the ledger of a pool, in place of an earlier one.
+    fn create_ledger(&mut self, pool: &PoolId, epoch: Epoch, predecessor: Predecessor) {
+        let mut ledger = SlotLedger::new(epoch, self.slots_config(pool), predecessor);
+        ledger.set_vms(self.grantable_vms_in(pool));
+        self.ledgers.insert(pool.clone(), ledger);
         // Zero lets the next tick step the fleet at once.
         self.next_fleet_step = Timestamp(0);
     }
@@ -261,7 +261,7 @@
                 }
                 Action::HandOver { duty, expected_epoch, to } => {
                     incarnations.insert((to.clone(), true));
-                    (duty, expected_epoch, to.clone(), self.stop_keeper(duty), true)
+                    (duty, expected_epoch, to.clone(), self.drop_ledger(duty), true)
                 }
             };
             let (earlier_grants, own_grants) = self.grant_durations(duty);
@@ -287,19 +287,19 @@
         });
     }
 
-    /// Drops the keeper of a pool that is handed over, so that it grants no more slots.
+    /// Drops the ledger of a pool that is handed over, so that this node grants no more slots.
     ///
-    /// Returns the nodes that may hold slots of the pool, or `None` if there is no keeper or if
-    /// grants of earlier terms that its ledger does not contain may still be valid.
-    fn stop_keeper(&mut self, duty: &DutyId) -> Option<Vec<NodeIncarnation>> {
+    /// Returns the nodes that may hold slots of the pool, or `None` if there is no ledger or if
+    /// grants of earlier terms that it does not contain may still be valid.
+    fn drop_ledger(&mut self, duty: &DutyId) -> Option<Vec<NodeIncarnation>> {
         let DutyId::Slots(pool) = duty else {
             return None;
         };
-        let keeper = self.keepers.shift_remove(pool)?;
-        if keeper.is_uncertain() {
+        let ledger = self.ledgers.shift_remove(pool)?;
+        if ledger.is_uncertain() {
             return None;
         }
-        let incarnations = keeper.holders().into_iter();
+        let incarnations = ledger.holders().into_iter();
         Some(
             incarnations.map(|(node, incarnation)| NodeIncarnation { node, incarnation }).collect(),
         )
@@ -316,15 +316,15 @@
         if may_be_written {
             return;
         }
-        // This node keeps the pools whose handover failed. Their keepers were dropped, so the new
-        // ones start without knowing the holders.
+        // This node still owns the pools whose handover failed. Their ledgers were dropped, so the
+        // new ones start without knowing the holders.
         for duty in duties {
             let owned_epoch = self.duties.owned_epoch(duty, now);
             if let (Some(epoch), DutyId::Slots(pool)) = (owned_epoch, duty)
-                && !self.keepers.contains_key(pool)
+                && !self.ledgers.contains_key(pool)
             {
                 let until = now + self.slots_config(pool).max_grant_duration();
-                self.start_keeper(pool, epoch, Predecessor::Lost { until });
+                self.create_ledger(pool, epoch, Predecessor::Lost { until });
             }
         }
     }
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -1,4 +1,4 @@
-//! Manages the VMs of the pools whose keeper this node is: their records, drains, moves between
+//! Manages the VMs of the pools that this node owns: their records, drains, moves between
 //! pools and maintenance.
 
 use std::{collections::HashMap, sync::Arc};
@@ -11,7 +11,7 @@
     duty::DutyId,
     fleet::{NextStep, Plan, VmObservation, VmRecord, next_step},
     maintain::{Decision, Shortfall, Tolerance, VmView},
-    slots::Keeper,
+    slots::SlotLedger,
 };
 
 use super::{Control, Event};
@@ -71,13 +71,13 @@
         }
     }
 
-    /// Takes the next steps for the VMs of all pools whose keeper this node is.
+    /// Takes the next steps for the VMs of all pools that this node owns.
     pub(super) fn step_fleet(&mut self, now: Timestamp) {
         self.next_fleet_step = now + FLEET_STEP_INTERVAL;
         let pools: Vec<(PoolId, Epoch)> = self
-            .keepers
+            .ledgers
             .iter()
-            .map(|(pool, keeper)| (pool.clone(), keeper.epoch()))
+            .map(|(pool, ledger)| (pool.clone(), ledger.epoch()))
             .filter(|(pool, _)| {
                 self.duties.owned_epoch(&DutyId::Slots(pool.clone()), now).is_some()
             })
@@ -115,7 +115,7 @@
 
     /// Takes the next step of each VM's plan; returns the records to write.
     fn advance_vms(&mut self, pool: &PoolId, vms: &[VmId], now: Timestamp) -> Vec<RecordChange> {
-        let Some(keeper) = self.keepers.get(pool) else {
+        let Some(ledger) = self.ledgers.get(pool) else {
             return Vec::new();
         };
         let drain_deadline = Timestamp(clock::wall_ms()) + self.drain_timeout(pool);
@@ -125,7 +125,7 @@
                 continue;
             };
             let observation =
-                observe(vm, &stored.record, self.fleet.get(vm), keeper, drain_deadline);
+                observe(vm, &stored.record, self.fleet.get(vm), ledger, drain_deadline);
             steps.push((vm.clone(), stored.clone(), next_step(&stored.record, &observation)));
         }
         let mut changes = Vec::new();
@@ -291,7 +291,7 @@
     vm: &VmId,
     record: &VmRecord,
     listed: Option<&Vm>,
-    keeper: &Keeper,
+    ledger: &SlotLedger,
     drain_deadline: Timestamp,
 ) -> VmObservation {
     let now = Timestamp(clock::wall_ms());
@@ -306,7 +306,7 @@
         listed_pool: listed.map(|vm| vm.pool.clone()),
         live: listed.is_some_and(|vm| vm.state == VmState::Live),
         maintained,
-        drained: keeper.is_drained(vm),
+        drained: ledger.is_drained(vm),
         now,
         drain_deadline,
         return_deadline: now + MAINTENANCE_TIMEOUT,
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -1,4 +1,4 @@
-//! The pools and their VMs, and the exchange of slots between holders and keepers.
+//! The pools and their VMs, and the exchange of slots between holders and the owners of pools.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Updates pools, gates, shares and keepers from the fleet, its records and the declarations.
+    /// Updates pools, gates, shares and ledgers from the fleet, its records and the declarations.
     pub(super) fn rebuild_pools(&mut self, now: Timestamp) {
         self.is_rebuild_pending = false;
         self.next_rebuild = now + REBUILD_INTERVAL;
@@ -93,8 +93,8 @@
         for (pool, vm, grantable_vm) in self.grantable_vms() {
             grantable.entry(pool.clone()).or_default().insert(vm.clone(), grantable_vm);
         }
-        for (pool, keeper) in &mut self.keepers {
-            keeper.set_vms(grantable.remove(pool).unwrap_or_default());
+        for (pool, ledger) in &mut self.ledgers {
+            ledger.set_vms(grantable.remove(pool).unwrap_or_default());
         }
     }
 
@@ -181,11 +181,11 @@
         cluster.slots_config(nodes, self.max_request_duration(pool))
     }
 
-    /// Drops expired grants and starts the exchanges with keepers that are due.
+    /// Drops expired grants and starts the exchanges with owners of pools that are due.
     pub(super) fn exchange_slots(&mut self, now: Timestamp) {
         let interval =
             self.cfg.shared.settings.cluster.exchange_interval(self.duties.registered_count());
-        let mut by_keeper: HashMap<NodeIncarnation, Vec<(PoolId, Epoch, Arc<Pool>)>> =
+        let mut by_owner: HashMap<NodeIncarnation, Vec<(PoolId, Epoch, Arc<Pool>)>> =
             HashMap::new();
         for (id, pool) in &self.pools {
             let Some((owner, epoch)) = self.duties.owner(&DutyId::Slots(id.clone())) else {
@@ -200,48 +200,49 @@
             if held_slots.epoch() != epoch {
                 held_slots.set_epoch(epoch);
             }
-            let pools = by_keeper.entry(owner.clone()).or_default();
+            let pools = by_owner.entry(owner.clone()).or_default();
             pools.push((id.clone(), epoch, Arc::clone(pool)));
         }
-        self.holder_sessions.retain(|keeper, _| by_keeper.contains_key(keeper));
-        for (keeper, pools) in by_keeper {
+        self.holder_sessions.retain(|owner, _| by_owner.contains_key(owner));
+        for (owner, pools) in by_owner {
             let waiting = pools.iter().any(|(_, _, pool)| pool.waiting() > 0);
-            let session = self.holder_sessions.get(&keeper);
+            let session = self.holder_sessions.get(&owner);
             let due = session.is_none_or(|session| session.should_send(now, interval, waiting));
             if due {
                 let current =
                     pools.into_iter().map(|(id, epoch, pool)| (id, (epoch, pool_report(&pool))));
                 let current = current.collect();
-                self.exchange_with(keeper, &current, now);
+                self.exchange_with(owner, &current, now);
             }
         }
     }
 
-    /// Reports this node's demand for slots to a keeper and requests that its grants are renewed.
+    /// Reports this node's demand for slots to an owner of pools and requests that its grants are
+    /// renewed.
     ///
     /// Does nothing while the reply to an earlier request is pending.
     fn exchange_with(
         &mut self,
-        keeper: NodeIncarnation,
+        owner: NodeIncarnation,
         current: &IndexMap<PoolId, (Epoch, Report)>,
         now: Timestamp,
     ) {
         let own = self.own_incarnation().clone();
         let zone = self.cfg.shared.settings.zone.clone();
-        let session = self.holder_sessions.entry(keeper.clone()).or_default();
+        let session = self.holder_sessions.entry(owner.clone()).or_default();
         if session.is_awaiting_reply(now) {
             return;
         }
         let timeout = self.cfg.shared.settings.cluster.slots_interval;
         let holder = (own.node.clone(), own.incarnation);
         let req = session.next_request(&holder, &zone, current, now, now + timeout);
-        if keeper == own {
+        if owner == own {
             let reachable = self.cfg.store.is_reachable();
             let reply = self.handle_slots(&req, reachable, now);
-            self.on_slots_reply(&keeper, req.sequence, reply);
+            self.on_slots_reply(&owner, req.sequence, reply);
             return;
         }
-        let Some(address) = self.members.get(&keeper.node).map(|member| member.address) else {
+        let Some(address) = self.members.get(&owner.node).map(|member| member.address) else {
             return;
         };
         let wire = slots_request_to_wire(&req, self.cfg.store.is_reachable());
@@ -257,18 +258,18 @@
                 None => None,
             };
             let reply = reply.and_then(|reply| slots_reply_from_wire(reply.get_ref()));
-            let _ = tx.send(Event::SlotsAnswered { keeper, sequence, reply });
+            let _ = tx.send(Event::SlotsAnswered { owner, sequence, reply });
         });
     }
 
-    /// Handles the end of an exchange with a keeper: applies the grants of its reply.
+    /// Handles the end of an exchange with an owner of pools: applies the grants of its reply.
     pub(super) fn on_slots_reply(
         &mut self,
-        keeper: &NodeIncarnation,
+        owner: &NodeIncarnation,
         sequence: u64,
         reply: Option<Reply>,
     ) {
-        let Some(session) = self.holder_sessions.get_mut(keeper) else {
+        let Some(session) = self.holder_sessions.get_mut(owner) else {
             return;
         };
         match reply {
@@ -296,7 +297,7 @@
         pool.set_grant_expiry(held_slots.deadline());
     }
 
-    /// Answers a holder's request; `None` if it is invalid or this node may not act as keeper.
+    /// Answers a holder's request; `None` if it is invalid or this node may not grant slots.
     pub(super) fn answer_slots(
         &mut self,
         wire: &SlotsRequest,
@@ -315,19 +316,19 @@
         now: Timestamp,
     ) -> Option<Reply> {
         self.reachability.insert(req.holder.0.clone(), (store_reachable, now));
-        if !self.may_act_as_keeper(now) {
+        if !self.may_grant_slots(now) {
             return None;
         }
-        self.keeper_sessions.handle(req, &mut self.keepers, now)
+        self.owner_sessions.handle(req, &mut self.ledgers, now)
     }
 
-    /// Whether this node may act as keeper.
+    /// Whether this node may grant slots of the pools that it owns.
     ///
     /// It may while the lease of its registration is valid. After that it may only while more than
     /// half of the registered nodes, this one included, report that they can't reach the store and
     /// none reports that it can, because without the store no node can take over the duty. Reports
     /// older than [`REACHABILITY_VALIDITY`] don't count.
-    fn may_act_as_keeper(&self, now: Timestamp) -> bool {
+    fn may_grant_slots(&self, now: Timestamp) -> bool {
         if now < self.duties.lease_deadline() {
             return true;
         }
@@ -366,7 +367,7 @@
     }
 }
 
-/// The report to the keeper about a pool.
+/// The report to the owner about a pool.
 fn pool_report(pool: &Pool) -> Report {
     let vms = pool.vms();
     let ceilings = vms.iter().map(|(vm, gate)| (vm.clone(), gate.ceiling()));
--- a/src/control/view.rs
+++ b/src/control/view.rs
@@ -128,7 +128,7 @@
     fn explain_service(&self, name: &str, now: Timestamp) -> Option<Value> {
         let declaration = self.catalog.get(name)?;
         let duty = DutyId::Slots(declaration.pool.clone());
-        let keeper = self.duties.owner(&duty).map(
+        let owner = self.duties.owner(&duty).map(
             |(node_incarnation, epoch)| json!({"node": node_incarnation.node, "epoch": epoch}),
         );
         let pool = self.pools.get(&declaration.pool);
@@ -150,7 +150,7 @@
             "because": "its declaration names the pool, and the keeper of the pool lends the slots",
             "generation": self.catalog.generation(),
             "declaration": **declaration,
-            "keeper": keeper,
+            "keeper": owner,
             "waiting": pool.map(|pool| pool.waiting()),
             "vms": vms,
         }))
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -76,7 +76,7 @@
         self.call_control(|reply| PeerCall::Pull(req.into_inner(), reply)).await
     }
 
-    /// Renews and adjusts the slots that the caller holds in pools whose keeper is this node.
+    /// Renews and adjusts the slots that the caller holds in pools that this node owns.
     async fn slots(&self, req: Request<SlotsRequest>) -> Result<Response<SlotsReply>, Status> {
         self.call_control(|reply| PeerCall::Slots(req.into_inner(), reply)).await
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,7 +120,7 @@
     pub(crate) probe_timeout: Span,
     /// The time that a suspected node has to refute the suspicion.
     pub(crate) suspicion: Span,
-    /// The time between two exchanges of slots with one keeper; longer in a large cluster.
+    /// The time between two exchanges of slots with one owner of pools; longer in a large cluster.
     pub(crate) slots_interval: Span,
     /// The time for which slots are granted; longer in a large cluster.
     pub(crate) slots_ttl: Span,
@@ -279,7 +279,8 @@
 }
 
 impl Cluster {
-    /// The time between two exchanges of slots with one keeper in a cluster of `nodes` nodes.
+    /// The time between two exchanges of slots with one owner of pools, in a cluster of `nodes`
+    /// nodes.
     ///
     /// Each node exchanges slots with every other node, so the interval grows with the number of
     /// nodes to keep each node's load constant. Waiting demand is reported at once, regardless of
@@ -300,7 +301,7 @@
     }
 }
 
-/// The least mean time between two exchanges of one node, with any of the keepers, in milliseconds.
+/// The least mean time between two exchanges of one node, with any owner of pools, in milliseconds.
 const EXCHANGE_SPACING_MS: u64 = 120;
 
 /// The number of exchanges that may fail in a row before a grant expires.
--- a/tests/it/fleet.rs
+++ b/tests/it/fleet.rs
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn maintenance_continues_after_a_keeper_is_killed() {
+fn maintenance_continues_after_the_owner_of_the_pool_is_killed() {
     run_test(async {
         let mut cluster = start_cluster(config_with_short_grants()).await;
         let load = Load::start(cluster.node_addresses(), 8, WORK_TIME);
@@ -67,15 +67,15 @@
             .await
             .expect("one VM is maintained");
 
-        let mut keeper = 0;
+        let mut owner = 0;
         for (i, node) in cluster.nodes.iter().enumerate() {
             let status = node.status().await;
             let duties = status["duties"].as_array().cloned().unwrap_or_default();
             if duties.iter().any(|duty| duty == "slots/shop") {
-                keeper = i;
+                owner = i;
             }
         }
-        cluster.nodes[keeper].kill().await;
+        cluster.nodes[owner].kill().await;
         wait_for("all VMs are maintained", || async {
             *maintained_count.borrow() == cluster.vms.len()
         })
