Log a worker as used only when it answers

Cause: ten workers of the term 44 (until 31.81) were never found by 12440: e.g. i-8ca4e7d58b, drained at 23.52, silent at 26.81, missing at 27.79, and never gone; so with i-909c2b64a1, i-10f503813e, i-c19293148a, i-21c5d2fcc8, i-a376a064af, i-e362b9b1c3, i-ff9717f472, i-e5282ef314 and i-054aab89d6. They were drained, logged as gone and moved. The fleet asks for the drain of a moved worker for the lifetime of its entry; when it stopped, the cell still knew the worker, took it for free to use again and logged it so, though it had been silent for seconds. The record that ends this comes 2 s after the worker is missing, with a list of workers, and that could not be read from 29.8 s to the end of the term. The next owner waited for all ten. A new owner does the same with each worker that it finds in the store, moved or not; after a short term its successor waits for these.

Change: a worker is logged as used when it first answers, and as used again only while it answers.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -76,8 +76,7 @@
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
             Self::update_stays_until(&mut worker, now);
-            self.workers.insert(id.clone(), worker);
-            self.log_worker_used(&id, now);
+            self.workers.insert(id, worker);
             return;
         };
         worker.missing_since = None;
@@ -348,12 +347,17 @@
             // The lease can be renewed only now that the worker answers.
             worker.next_hold = now;
         }
+        let is_logged = worker.times_logged > 0;
         if !was_adopted || was_silent {
             let (worker, runs) = (id.clone(), worker.runs.len());
             let change = if was_adopted { "answers again" } else { "adopted" };
             self.actions.push(Action::Log(LogEvent::Worker { worker, change, runs }));
             self.plan_due = true;
         }
+        // The store also lists workers whose VM was moved, which never answer.
+        if !is_logged {
+            self.log_worker_used(id, now);
+        }
     }
 
     /// Logs that a worker is used; it gets no orders before that record is durable.
@@ -390,8 +394,10 @@
         };
         let drained: Vec<WorkerId> =
             self.workers.iter().filter(is_drained).map(|(id, _)| id.clone()).collect();
-        let is_used_again =
-            |worker: &&Worker| worker.logged == Logged::Gone && worker.drain.is_none();
+        // The store lists a worker for a while after its VM was moved.
+        let is_used_again = |worker: &&Worker| {
+            worker.logged == Logged::Gone && worker.drain.is_none() && !worker.is_unresponsive(now)
+        };
         let used_again: Vec<WorkerId> = self
             .workers
             .values()
