--- /dev/null
+++ b/crates/standins/tests/cells/availability.rs
@@ -0,0 +1,103 @@
+//! Tests of when the owner stops a long-running task while others of its step may be unavailable.
+
+use indexmap::IndexMap;
+use teaselgap_core::job::{DrainMode, EndKind, JobId, LogEvent, WorkerId};
+use teaselgap_standins::model::{Model, WorkerFaults};
+
+use crate::fixtures::{long_running_job, new_model, queue, task_id};
+
+const JOB: JobId = JobId(7);
+
+/// Creates a model of three workers, each of which runs one task of a long-running step, of which
+/// one may be unavailable.
+fn model_with_task_on_each_worker() -> Model {
+    let mut model = new_model(3);
+    model.submit(JOB, &queue(), long_running_job(3, 1));
+    model.run_for(3_000);
+    model
+}
+
+fn drain(model: &mut Model, worker: &str) {
+    let drains = IndexMap::from([(worker.into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains);
+}
+
+/// Returns how often owners have adopted the worker.
+fn adoption_count(model: &Model, worker: &str) -> usize {
+    let worker: WorkerId = worker.into();
+    let is_adoption = |event: &&LogEvent| matches!(event, LogEvent::Worker { worker: id, change: "adopted", .. } if *id == worker);
+    model.log_events().iter().filter(is_adoption).count()
+}
+
+/// Runs until the worker is adopted once more, to the millisecond.
+fn run_until_adopted(model: &mut Model, worker: &str) {
+    let count = adoption_count(model, worker);
+    while adoption_count(model, worker) == count {
+        model.run_for(1);
+    }
+}
+
+#[test]
+fn no_task_is_stopped_while_the_lease_of_another_one_has_not_been_renewed() {
+    let mut model = model_with_task_on_each_worker();
+    model.kill_owner();
+    model.run_for(2_000);
+    model.take_over();
+    drain(&mut model, "w0");
+
+    // The worker has listed its runs to the new owner, which then can't reach it.
+    run_until_adopted(&mut model, "w1");
+    model.make_unreachable("w1", 30_000);
+    model.run_for(3_000);
+
+    assert_eq!(model.end_count(EndKind::Stopped), 0);
+}
+
+#[test]
+fn no_task_is_stopped_soon_after_the_worker_of_another_one_was_adopted() {
+    let mut model = model_with_task_on_each_worker();
+    model.kill_owner();
+    model.make_unreachable("w1", 3_000);
+    model.take_over();
+    drain(&mut model, "w0");
+
+    // The previous owner may have ordered the worker to stop its run.
+    run_until_adopted(&mut model, "w1");
+    model.run_for(1_000);
+    let stopped_soon = model.end_count(EndKind::Stopped);
+    model.run_for(3_000);
+
+    assert_eq!(stopped_soon, 0);
+    assert_eq!(model.end_count(EndKind::Stopped), 1);
+}
+
+#[test]
+fn a_task_that_runs_although_its_start_order_got_no_answer_is_not_stopped() {
+    let mut model = new_model(2);
+    for id in ["w0", "w1"] {
+        model.set_faults(id, WorkerFaults { lost_answers: 1, ..WorkerFaults::default() });
+    }
+
+    model.submit(JOB, &queue(), long_running_job(2, 1));
+    model.run_for(5_000);
+
+    assert_eq!(model.end_count(EndKind::Stopped), 0);
+    assert_eq!((0..2).map(|index| model.start_count(task_id(JOB, index))).max(), Some(1));
+}
+
+#[test]
+fn a_task_whose_start_order_is_late_starts_elsewhere() {
+    let mut model = new_model(2);
+    for id in ["w0", "w1"] {
+        let late = WorkerFaults { late_orders: 1, late_ms: 9_000, ..WorkerFaults::default() };
+        model.set_faults(id, late);
+    }
+
+    model.submit(JOB, &queue(), long_running_job(2, 1));
+    model.run_for(3_500);
+    let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) == 1).count();
+    model.run_for(10_000);
+
+    assert_eq!(started, 2);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
