Count a long-running task as unavailable while its worker's state is uncertain

Cause: a worker counted as sound from its first answer. That answer can't have renewed its lease, because the owner learns the worker's clock from it; the lease is the previous owner's, and some seconds old. And the time after which every stop of the previous owner shows was counted from the start of the term, not from the adoption of each worker, which refuses the previous owner only from then on.

Change: a task counts as unavailable while its worker has not confirmed a renewal for two thirds of a lease, or was adopted within the time of a stop and a margin. The wait of a hold is at most a quarter of a lease, so that short leases are renewed in time as well.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -113,9 +113,6 @@
     drains: IndexMap<WorkerId, DrainMode>,
     /// Whether a complete list of workers has been read from the store in this term.
     has_worker_list: bool,
-    /// From this time on, long-running tasks may be stopped to drain their workers. By then the
-    /// workers' lists show every stop that the previous owner ordered.
-    long_running_stops_allowed_from: Timestamp,
     /// The wall clock minus this node's clock, in milliseconds.
     wall_offset_ms: u64,
 }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -27,10 +27,6 @@
 /// worker's clock may be slow.
 const LEASE_STRETCH_PERCENT: u64 = 103;
 
-/// Added to the time that a worker takes to stop a run, for the order to reach the worker and for
-/// the worker's list of runs to show the stop.
-const STOP_MARGIN: Span = Span(700);
-
 /// The workers that the previous owner listed in its handover; `None` if its term did not end by
 /// handover. Run ends may follow the handover in the log, but no orders.
 fn find_handover(segments: &[Segment]) -> Option<Vec<UnsettledWorker>> {
@@ -77,7 +73,6 @@
             advice_requests_in_flight: 0,
             drains: IndexMap::new(),
             has_worker_list: false,
-            long_running_stops_allowed_from: now + Span(cfg.stop_timeout.0 + STOP_MARGIN.0),
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
         let mut used_workers = IndexSet::new();
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -23,6 +23,9 @@
 /// The same for a worker that runs only long-running tasks.
 const LONG_RUNNING_HOLD_WAIT: Span = Span(1_000);
 
+/// A worker answers at least this many holds within the duration of a lease, however short that is.
+const MIN_HOLDS_PER_LEASE: u64 = 4;
+
 /// The shortest interval between two holds of one worker.
 const HOLD_INTERVAL: Span = Span(60);
 
@@ -248,6 +251,7 @@
             let lease_end =
                 if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
             worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
+            worker.renewing_since = lease_end.and(worker.renewing_since.or(Some(now)));
             let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
             let wait = if worker.runs.is_empty()
                 || has_unconfirmed_ends
@@ -256,9 +260,9 @@
             {
                 Span(0)
             } else if worker.has_only_long_running() {
-                LONG_RUNNING_HOLD_WAIT
+                LONG_RUNNING_HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
             } else {
-                HOLD_WAIT
+                HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
             };
             // A worker that did not answer may have restarted. It then numbers its ends from the
             // beginning, and the old number would confirm ends that have not been handled.
@@ -325,7 +329,11 @@
         }
         worker.hold_failures = 0;
         worker.last_heard = now;
-        worker.is_adopted = true;
+        worker.record_renewal(sent);
+        if !worker.is_adopted {
+            worker.is_adopted = true;
+            worker.adopted_at = now;
+        }
         self.on_run_ends(id, &report.ends, now);
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -16,6 +16,10 @@
 /// the time that a stop takes.
 const LEAVE_MARGIN: Span = Span(700);
 
+/// Added to the time that a worker takes to stop a run, for the worker's list of runs to show a
+/// stop that the previous owner ordered just before the worker was adopted.
+const EARLIER_STOP_MARGIN: Span = Span(700);
+
 /// The least time that a run is assumed to have left, in percent of its total time.
 const MIN_TIME_LEFT_PERCENT: u64 = 20;
 
@@ -121,9 +125,6 @@
         if !step.long_running {
             return true;
         }
-        if now < self.long_running_stops_allowed_from {
-            return false;
-        }
         let Some(occurrence) = job.occurrence(id.occurrence) else {
             return true;
         };
@@ -136,19 +137,29 @@
         unavailable < step.max_unavailable.max(1) as usize
     }
 
-    /// Whether a long-running task is not at work or is being stopped. A task on a worker that does
-    /// not answer counts as unavailable.
+    /// Whether a long-running task is not at work, is being stopped, or may be soon. A task on a
+    /// worker whose state is not certain counts as unavailable.
     fn is_unavailable(&self, task: &Task, id: TaskId, now: Timestamp) -> bool {
         task.unavailable_since.is_some()
             || task.run_workers.is_empty()
             || task.run_workers.iter().any(|worker| {
                 self.workers.get(worker).is_none_or(|worker| {
-                    worker.is_unresponsive(now)
+                    self.is_uncertain(worker, now)
                         || worker.runs.get(&id).is_none_or(|run| run.stopping.is_some())
                 })
             })
     }
 
+    /// Whether the runs on a worker may end soon although its latest list shows them at work: it
+    /// does not answer, its lease may expire, or the previous owner may have stopped them.
+    fn is_uncertain(&self, worker: &Worker, now: Timestamp) -> bool {
+        let earlier_stops_end =
+            worker.adopted_at + Span(self.cfg.stop_timeout.0 + EARLIER_STOP_MARGIN.0);
+        worker.is_unresponsive(now)
+            || !worker.has_safe_lease(self.cfg.lease, now)
+            || now < earlier_stops_end
+    }
+
     /// Usable workers in the order in which they should be given up: those with the fewest
     /// long-running tasks first, and among them those that become empty soonest.
     pub(super) fn spare_workers(&self, now: Timestamp) -> Vec<WorkerId> {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -13,6 +13,9 @@
 /// Maximum percentage by which a worker's clock runs slower than true time.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 
+/// The age of a lease, in percent of its duration, from which on it counts as about to expire.
+const MAX_LEASE_AGE_PERCENT: u64 = 66;
+
 /// Added to the computed expiry of a lease, to allow for the resolution of clocks.
 const EXPIRY_MARGIN: Span = Span(50);
 
@@ -140,6 +143,14 @@
     /// Whether the worker has answered a hold in this term, and so has listed its runs and rejects
     /// orders of earlier terms. Reset when its leases expire.
     pub(super) is_adopted: bool,
+    /// When the worker was adopted; meaningful only if it is.
+    pub(super) adopted_at: Timestamp,
+    /// Since when each hold that was sent carried a renewal of the lease; `None` if the latest one
+    /// carried none.
+    pub(super) renewing_since: Option<Timestamp>,
+    /// When the latest renewal of the lease that the worker confirmed was sent; `None` if it
+    /// confirmed none.
+    pub(super) renewed_at: Option<Timestamp>,
     /// What the log says about the worker.
     pub(super) logged: Logged,
     /// How often the worker has been logged as used or gone. Only the latest of these records
@@ -265,6 +276,9 @@
             missing_since: None,
             stays_until: None,
             is_adopted: false,
+            adopted_at: now,
+            renewing_since: None,
+            renewed_at: None,
             logged: Logged::Nothing,
             times_logged: 0,
             clock: None,
@@ -321,6 +335,20 @@
             || now > self.last_heard + SILENCE_TIMEOUT
     }
 
+    /// Whether the worker has confirmed a lease of which enough is left that it won't expire before
+    /// the next renewals, even if some of them fail.
+    pub(super) fn has_safe_lease(&self, lease: Span, now: Timestamp) -> bool {
+        let max_age = Span(lease.0 * MAX_LEASE_AGE_PERCENT / 100);
+        self.renewed_at.is_some_and(|sent| now <= sent + max_age)
+    }
+
+    /// Records that the worker answered a hold that was sent at `sent`.
+    pub(super) fn record_renewal(&mut self, sent: Timestamp) {
+        if self.renewing_since.is_some_and(|since| sent >= since) {
+            self.renewed_at = self.renewed_at.max(Some(sent));
+        }
+    }
+
     /// Returns when a lease that is granted now expires, on the worker's clock; `None` if the clock
     /// is unknown.
     pub(super) fn lease_end(&self, lease: Span, now: Timestamp) -> Option<u64> {
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -45,11 +45,12 @@
     model.take_over();
     drain(&mut model, "w0");
 
-    // The worker has listed its runs to the new owner, which then can't reach it.
-    run_until_adopted(&mut model, "w1");
+    // The worker gets one call of the new owner, to which it lists its runs, and no renewal.
+    model.run_for(5);
     model.make_unreachable("w1", 30_000);
     model.run_for(3_000);
 
+    assert_eq!(adoption_count(&model, "w1"), 2);
     assert_eq!(model.end_count(EndKind::Stopped), 0);
 }
 
