Look for a long-running task before its unanswered start is stopped

Cause: a start order without an answer was stopped at once, although a list of the worker's runs, requested at the same moment, would show whether the run is there.

Change: for long-running tasks, the order stays unsettled until a list that was requested after the timeout; only if it doesn't show the run is the order stopped. Other tasks are stopped at once as before: whether looking first is better for them depends on the load of the link, which bounding the orders in flight changes.

Tests: availability::a_task_that_runs_although_its_start_order_got_no_answer_is_not_stopped failed before ("left: 2 right: 0"); a_task_whose_start_order_is_late_starts_elsewhere passed before and does.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -100,7 +100,11 @@
             worker.unanswered_starts.retain(|(_, _, at)| now <= *at + UNANSWERED_START_LIFETIME);
             worker.unanswered_starts.push((task, attempt, now));
             worker.next_hold = worker.next_hold.min(now);
-            self.stop_run(id, task, "start order unanswered", now);
+            // A long-running task that runs after all is worth the delay until the worker's list
+            // shows it. If the list doesn't, the order is stopped then.
+            if !run.is_long_running {
+                self.stop_run(id, task, "start order unanswered", now);
+            }
             self.record_failure_in_place(id, task);
             return;
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -546,12 +546,23 @@
                 Some((*task, run.attempt, reason))
             })
             .collect();
+        let is_missing = |(task, run): &(&TaskId, &Run)| {
+            run.state == RunState::Unsettled
+                && run.stopping.is_none()
+                && sent > run.expect_in_lists_after
+                && !is_listed(task, run)
+        };
+        let missing: Vec<TaskId> =
+            worker.runs.iter().filter(is_missing).map(|(&task, _)| task).collect();
         for (task, attempt, reason) in ended {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.runs.shift_remove(&task);
             }
             self.end_unreported_run(id, task, attempt, reason, now);
         }
+        for task in missing {
+            self.stop_run(id, task, "start order unanswered", now);
+        }
     }
 
     /// Sets which workers are to be drained and how; all others may be used.
