Test the late end of an earlier attempt on the same worker

A worker lists at most 500 of its ends at a time. The end of a run may thus be listed after the run was found to be gone and its task started there again.

--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use teaselgap_core::{
-    Timestamp,
+    Span, Timestamp,
     job::{
         Action, Answer, DrainMode, EndKind, HoldReport, JobEnd, JobId, JobState, ListedRun,
         LogEvent, RunEnd, Step,
@@ -326,6 +326,37 @@
     assert!(!actions.iter().any(|action| matches!(action, Action::Stop(..))));
 }
 
+#[test]
+fn the_late_end_of_an_earlier_attempt_does_not_hide_the_present_run() {
+    let mut model = new_model(1);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    model.run_for(2_000);
+    let (now, id) = (model.now() + Span(10), task_id(JOB, 0));
+    let listed_run = ListedRun {
+        task: id,
+        attempt: 2,
+        checkpoint: None,
+        progress_percent: 100,
+        tail_ms_or_cpu: 0,
+    };
+    let kind = EndKind::Stopped;
+    let end = RunEnd { number: 1, task: id, attempt: 1, kind, checkpoint: None };
+    let cell = model.cell_mut().unwrap();
+
+    // The worker lists no more than some of its ends, so that of the first attempt comes late.
+    cell.on_hold_answer(&"w0".into(), now, Some(hold_report(60_000, None, None)), now);
+    cell.tick(now, now.0);
+    let first_actions = cell.take_actions();
+    let report = hold_report(60_001, Some(listed_run), Some(end));
+    cell.on_hold_answer(&"w0".into(), now, Some(report), now);
+    cell.tick(now, now.0);
+    let actions = cell.take_actions();
+
+    let is_start = |action: &Action| matches!(action, Action::Start(..));
+    assert!(first_actions.iter().any(is_start));
+    assert!(!actions.iter().any(is_start));
+}
+
 #[test]
 fn after_a_handover_the_owner_does_not_wait_for_a_partitioned_worker_without_runs() {
     let mut model = new_model(3);
