Keep the present run when an earlier attempt's end is listed late

What callers would see: a task runs twice at a time (TWICE), or is given up although it is done.

Cause: the end of any attempt on a worker made the cell forget that the task has a run there, also if a later attempt runs.

Change: it forgets that only if the worker has no run of the task left.

Test: faults::the_late_end_of_an_earlier_attempt_does_not_hide_the_present_run failed before ("assertion failed: !actions.iter().any(is_start)").

--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -62,11 +62,15 @@
                 self.record_completion(id, task, &run, now);
             }
         }
+        let has_later_run =
+            self.workers.get(id).is_some_and(|worker| worker.runs.contains_key(&task));
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         job.has_started = true;
-        Self::forget_run(job, task, id, attempt);
+        if !has_later_run {
+            Self::forget_run(job, task, id);
+        }
         let is_gang = job.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
         let checkpoint = end.checkpoint.as_deref();
         let must_log = Self::apply_end(job, (task, attempt), kind, checkpoint);
@@ -119,10 +123,9 @@
         }
     }
 
-    fn forget_run(job: &mut Job, task: TaskId, worker: &WorkerId, attempt: u32) {
+    fn forget_run(job: &mut Job, task: TaskId, worker: &WorkerId) {
         if let Some(task) = job.task_mut(task) {
             task.run_workers.retain(|id| id != worker);
-            task.attempt = task.attempt.max(attempt);
         }
     }
 
