--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{
     super::{
-        Record, Step, StepId, TaskId, WorkerId,
+        Record, Step, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
         worker::{Run, RunState},
@@ -26,8 +26,9 @@
     step.long_running && !step.gang
 }
 
-/// Whether a run of an earlier term may be alive on the worker that the log names for the task.
-pub(super) fn may_run_elsewhere(task: &Task, inherited: &IndexMap<WorkerId, Timestamp>) -> bool {
+/// Whether a task must wait for the worker that the log names for it, on which a run of an earlier
+/// term may be alive.
+pub(super) fn awaits_worker(task: &Task, inherited: &IndexMap<WorkerId, Timestamp>) -> bool {
     task.placement.as_ref().is_some_and(|placement| inherited.contains_key(&placement.worker))
 }
 
@@ -150,8 +151,7 @@
         if placement.failures >= MAX_FAILURES_IN_PLACE {
             return None;
         }
-        let step_id: StepId = task.step_id();
-        let step_runs = count_step_runs(&self.workers, &placement.worker, step_id);
+        let step_runs = count_step_runs(&self.workers, &placement.worker, task.step_id());
         candidates.iter().position(|candidate| {
             candidate.worker == placement.worker && place::is_allowed(candidate, step, step_runs)
         })
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -11,7 +11,7 @@
         worker::Worker,
     },
     Cell,
-    placement::{is_logged, may_run_elsewhere},
+    placement::{awaits_worker, is_logged},
 };
 use crate::{Span, Timestamp};
 
@@ -94,7 +94,7 @@
         !task.is_done
             && task.run_workers.is_empty()
             && now >= task.not_before
-            && !may_run_elsewhere(task, inherited)
+            && !awaits_worker(task, inherited)
     }
 
     /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
@@ -137,7 +137,7 @@
                     let is_waiting = |task: &&Task| {
                         !task.is_done
                             && task.run_workers.is_empty()
-                            && !may_run_elsewhere(task, inherited)
+                            && !awaits_worker(task, inherited)
                     };
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
