--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -290,6 +290,24 @@
     }
 }
 
+#[test]
+fn a_task_that_starts_on_a_new_worker_instance_of_which_the_owner_does_not_know_runs_once() {
+    for restart_ms in (0..500).step_by(20) {
+        let mut model = new_model(2);
+        model.run_for(10_000 + restart_ms);
+        let (now, wall_ms) = (model.now(), model.wall_ms());
+        model.worker_mut("w0").restart(now, wall_ms);
+        // The worker is back, but the owner has not read the store's list since.
+        model.run_for(270);
+
+        model.submit(JOB, &queue(), job_spec(vec![step(2, 4_000, 1_500)]));
+        model.run_for(10_000);
+
+        assert_eq!(state(&model, JOB), SUCCEEDED);
+        assert_eq!(model.violations(), [] as [&str; 0], "restarted after {restart_ms} ms");
+    }
+}
+
 /// Returns a worker's report at `clock_ms` of its clock, with an active run or a run end.
 fn hold_report(clock_ms: u64, running: Option<ListedRun>, end: Option<RunEnd>) -> HoldReport {
     let (running, ends) = (running.into_iter().collect(), end.into_iter().collect());
