Treat a start that no list has shown as unsettled when its worker restarts

What callers would see: a task runs on two workers at a time (TWICE).

Cause: a worker that restarts under its id answers a start order as before; the answer doesn't name the instance. When the owner then learnt of the restart, it took the run for one of the old instance, which has ended, and started the task elsewhere, while it ran on the new instance.

Change: only a run that a list has shown counts as ended with the old instance, because lists name theirs. Any other is unsettled, as after an unanswered order, and is stopped on the new instance.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -102,8 +102,8 @@
         worker.stays_until = Some(worker.stays_until.map_or(deadline, |old| old.min(deadline)));
     }
 
-    /// Handles the restart of a worker under the same id. The runs of its previous instance have
-    /// ended, but an unanswered start order may still reach the new instance.
+    /// Handles the restart of a worker under the same id. The runs that its previous instance listed
+    /// have ended, but a start order may have reached the new instance or may still reach it.
     fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
         let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
@@ -126,7 +126,7 @@
         for (task, run) in runs {
             if run.state == RunState::Planned {
                 self.withdraw_run(id, task);
-            } else if run.state == RunState::Running {
+            } else if run.is_listed {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
@@ -434,6 +434,7 @@
             if run.state != RunState::Running {
                 run.state = RunState::Running;
             }
+            run.is_listed = true;
             run.progress_percent = listed_run.progress_percent;
             self.apply_listed_run(id, listed_run, now);
             return;
@@ -499,7 +500,8 @@
         };
         let (progress_percent, measured_percent) =
             (listed_run.progress_percent, listed_run.progress_percent);
-        let run = Run { progress_percent, measured_percent, skips_duration: true, ..run };
+        let (is_listed, skips_duration) = (true, true);
+        let run = Run { is_listed, progress_percent, measured_percent, skips_duration, ..run };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
         }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -91,6 +91,9 @@
     /// Whether its task runs until the job is cancelled.
     pub(super) is_long_running: bool,
     pub(super) state: RunState,
+    /// Whether a list of the worker's runs has shown the run. Other answers don't name the instance
+    /// of the worker.
+    pub(super) is_listed: bool,
     pub(super) started: Timestamp,
     /// A list of runs that the owner requests after this time contains the run if the worker has
     /// it.
@@ -241,6 +244,7 @@
             is_latency_sensitive: false,
             is_long_running: false,
             state,
+            is_listed: false,
             started: now,
             expect_in_lists_after: now,
             stopping: None,
