Measure the processor time of a busy cell by kind of input

measure cell keeps 1,200 jobs open on 250 full workers in virtual time and times each call to the cell.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -16,6 +16,8 @@
   rollout    [--nodes N] [--changes N]                     time until a change is in force everywhere
   overhead   [--seconds N] [--callers N]                   what a node adds to a request
   flood      [--seconds N] [--seed N]                      what others keep while one service floods
+  cell       [--workers N] [--jobs N] [--ended N] [--seconds N]
+                                                           cost of each kind of input to a busy cell
   journal    [--seconds N] [--nodes N]                     cost of recording requests
 
 Build the whole workspace with the same profile first: cargo build --release --workspace
@@ -32,6 +34,7 @@
             print!("{HELP}");
             return ExitCode::SUCCESS;
         }
+        (Some("measure"), Some("cell")) => measure::cell::run(args),
         (Some("measure"), Some("control")) => measure::control::run(args).await,
         (Some("measure"), Some("rollout")) => measure::rollout::run(args).await,
         (Some("measure"), Some("overhead")) => measure::overhead::run(args).await,
--- a/crates/standins/src/measure.rs
+++ b/crates/standins/src/measure.rs
@@ -1,6 +1,7 @@
 //! Helpers for all measurements: readings of processes, line fits, cluster configurations and the
 //! printing of results.
 
+pub(crate) mod cell;
 pub(crate) mod control;
 pub(crate) mod flood;
 pub(crate) mod journal;
