Failing tests: placement counts the runs of workers without room

Each waiting step that finds no room costs a look-up and a count of runs for each worker, once for the choice and once more for the reservation.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -4,6 +4,9 @@
 //! the loss of a rack affects few of them. Workers on the rack with the task's data come first,
 //! because the task takes a multiple of the time elsewhere.
 
+#[cfg(test)]
+mod tests;
+
 use super::{JobId, Resources, Step, StepId, WorkerId};
 
 /// At most one candidate in this many is reserved for a large task.
