Count a worker's runs of a step only where the count decides

Callers saw bursts lost: the owner of a busy cell fell behind its workers' answers. Cause: for each waiting step without room, choose_candidate counted the runs of every worker before it looked at the free resources, and reserve_candidate cloned every candidate with its labels. The count is now asked for last, and only with a limit per worker; a reservation compares with the capacity without a clone.

--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -60,11 +60,22 @@
 /// Whether a task of the step may be placed on a candidate that already runs `step_runs` tasks of
 /// the step.
 pub(super) fn is_allowed(candidate: &PlacementCandidate, step: &Step, step_runs: u32) -> bool {
+    may_hold(candidate, &candidate.free, step, || step_runs)
+}
+
+/// Whether a task of the step may be placed on a candidate if `free` is free there. `step_runs`
+/// returns how many tasks of the step run on the candidate; it is called only if that matters.
+fn may_hold(
+    candidate: &PlacementCandidate,
+    free: &Resources,
+    step: &Step,
+    step_runs: impl FnOnce() -> u32,
+) -> bool {
     !candidate.is_reserved
         && !candidate.is_disallowed
-        && step.booked().fits(&candidate.free)
+        && step.booked().fits(free)
         && step.label.as_ref().is_none_or(|label| candidate.labels.contains(label))
-        && step.max_per_worker.is_none_or(|max| step_runs < max)
+        && step.max_per_worker.is_none_or(|max| step_runs() < max)
 }
 
 /// Returns the index of the best candidate for one task of the step. `count` returns how many tasks
@@ -75,8 +86,9 @@
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> Option<usize> {
-    let allowed =
-        |candidate: &PlacementCandidate| is_allowed(candidate, step, count(&candidate.worker, id));
+    let allowed = |candidate: &PlacementCandidate| {
+        may_hold(candidate, &candidate.free, step, || count(&candidate.worker, id))
+    };
     let cost = |candidate: &PlacementCandidate| {
         let near_data = step.data_rack.as_deref().is_none_or(|rack| candidate.rack() == Some(rack));
         // Best-effort tasks slow down latency-sensitive tasks on the same worker.
@@ -106,12 +118,8 @@
     if reserved * CANDIDATES_PER_RESERVATION >= candidates.len() {
         return;
     }
-    let emptied = |candidate: &PlacementCandidate| PlacementCandidate {
-        free: candidate.capacity,
-        ..candidate.clone()
-    };
     let fits_when_empty = |candidate: &&mut PlacementCandidate| {
-        is_allowed(&emptied(candidate), step, count(&candidate.worker, id))
+        may_hold(candidate, &candidate.capacity, step, || count(&candidate.worker, id))
     };
     let roomiest = candidates
         .iter_mut()
@@ -193,7 +201,10 @@
                 GangScope::Rack(rack) => candidates_left[index].rack() == rack,
                 GangScope::All => true,
             })
-            .filter(|&index| is_allowed(&candidates_left[index], step, step_runs(index)))
+            .filter(|&index| {
+                let candidate = &candidates_left[index];
+                may_hold(candidate, &candidate.free, step, || step_runs(index))
+            })
             .min_by_key(|&index| candidates_left[index].booked_share())?;
         candidates_left[index].reserve(step);
         placed.push(index);
