Failing tests: what one pass of planning looks at

Planning and each tick go over all jobs, also those that ended and are kept for their retention time, and planning looks at every worker for each waiting step that has no room.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -16,6 +16,7 @@
 mod roster;
 mod staged;
 mod vacate;
+mod work;
 
 use std::collections::VecDeque;
 
@@ -112,6 +113,7 @@
     /// listed yet may still carry out orders of earlier terms.
     earlier_leases_expiry: Timestamp,
     plan_due: bool,
+    plan_work: work::PlanWork,
     pace_table: PaceTable,
     /// The estimated processor time of jobs that arrived in this term, in thousandths of a
     /// core-second, without long-running tasks.
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -1,5 +1,8 @@
 //! Planning: which tasks start on which workers, and at what pace best-effort tasks run.
 
+#[cfg(test)]
+mod tests;
+
 use indexmap::IndexMap;
 
 use super::{
@@ -12,6 +15,7 @@
     },
     Cell,
     placement::{is_logged, may_run_elsewhere},
+    work::PlanWork,
 };
 use crate::{Span, Timestamp};
 
@@ -47,6 +51,7 @@
     /// Requests advice and starts waiting tasks, by rank, on workers with free capacity.
     pub(super) fn plan(&mut self, now: Timestamp) {
         self.plan_due = false;
+        self.plan_work = PlanWork::default();
         let mut candidates = self.placement_candidates(now);
         if candidates.is_empty() {
             return;
@@ -59,6 +64,7 @@
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
+            self.plan_work.searches += 1;
             self.start_step(&waiting_step, &mut candidates, now);
         }
     }
@@ -105,6 +111,7 @@
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
         for (&id, job) in &self.jobs {
+            self.plan_work.jobs += 1;
             if job.end.is_some() || !job.is_durable {
                 continue;
             }
--- /dev/null
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -0,0 +1,154 @@
+use super::{
+    super::{
+        super::{
+            AdmissionPolicy, HoldReport, JobSpec, LogConfig, Resources, StartOutcome, Token,
+            WorkerEntry,
+        },
+        CellConfig, QueueConfig, RecoveredLog,
+    },
+    *,
+};
+use crate::Epoch;
+
+const WORKERS: usize = 20;
+
+/// The number of tasks that fill a worker.
+const TASKS_PER_WORKER: u32 = 4;
+
+const WALL_MS: u64 = 1_700_000_000_000;
+
+fn entry(number: usize) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w{number}").as_str().into(),
+        started_wall_ms: 1,
+        service: "drums".parse().unwrap(),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        zone: "tartu".parse().unwrap(),
+        capacity: Resources {
+            cpu_milli: u64::from(TASKS_PER_WORKER) * 1_000,
+            memory_mb: 65_536,
+            gpus: 0,
+        },
+        labels: vec!["a".to_owned(), "rack-1".to_owned()],
+        is_draining: false,
+        leaves_in: None,
+    }
+}
+
+fn spec() -> JobSpec {
+    let need = Resources { cpu_milli: 1_000, memory_mb: 1_000, gpus: 0 };
+    let step = Step { count: TASKS_PER_WORKER, need, estimate: Span(1_000), ..Step::default() };
+    JobSpec { payload: String::new(), steps: vec![step], schedule: None }
+}
+
+/// A cell and the time.
+struct Fixture {
+    cell: Cell,
+    now: Timestamp,
+    jobs: u64,
+}
+
+impl Fixture {
+    /// Creates a cell that has adopted its workers.
+    fn new() -> Self {
+        let cfg = CellConfig {
+            lease: Span(5_500),
+            stop_timeout: Span(500),
+            status_retention: Span(120_000),
+            log: LogConfig::default(),
+            admission: AdmissionPolicy::AcceptLate,
+        };
+        let queue = QueueConfig {
+            service: "drums".parse().unwrap(),
+            max_attempts: 3,
+            stretch_percent: 160,
+            target_latency: Span(600),
+            priority: 0,
+            advice: None,
+        };
+        let (now, recovered) = (Timestamp(100_000), RecoveredLog::default());
+        let term = ("drums".parse().unwrap(), Epoch(1));
+        let mut cell = Cell::new(cfg, term, recovered, Timestamp(0), (now, WALL_MS + now.0));
+        cell.set_queues(IndexMap::from([("quotes".parse().unwrap(), queue)]));
+        cell.update_workers((0..WORKERS).map(entry).collect(), true, now);
+        let mut fixture = Self { cell, now, jobs: 0 };
+        // The records of the workers become durable, then their empty lists arrive.
+        fixture.advance();
+        fixture.advance();
+        fixture
+    }
+
+    /// Writes the log, ticks, and answers all orders.
+    fn advance(&mut self) {
+        self.now = self.now + Span(100);
+        let now = self.now;
+        while let Some(write) = self.cell.take_write(now) {
+            self.cell.on_segment_written(write.sequence, now);
+        }
+        self.cell.tick(now, WALL_MS + now.0);
+        for action in self.cell.take_actions() {
+            match action {
+                Action::Hold { worker, .. } if !self.cell.workers[&worker].is_adopted => {
+                    let report = HoldReport {
+                        clock_ms: now.0,
+                        started_wall_ms: 1,
+                        running: Vec::new(),
+                        ends: Vec::new(),
+                    };
+                    self.cell.on_hold_answer(&worker, now, Some(report), now);
+                }
+                Action::Start(worker, order) => {
+                    let run = (order.task, order.attempt);
+                    self.cell.on_start_answer(&worker, run, StartOutcome::Started, now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn submit(&mut self) -> JobId {
+        self.jobs += 1;
+        let id = JobId(self.jobs);
+        let time = (self.now, WALL_MS + self.now.0);
+        self.cell.submit(Token(self.jobs), (id, "quotes".parse().unwrap()), spec(), time);
+        id
+    }
+
+    /// Plans once more and returns what that looked at.
+    fn plan_again(&mut self) -> PlanWork {
+        self.cell.plan_due = true;
+        self.advance();
+        self.cell.plan_work
+    }
+}
+
+#[test]
+fn ended_jobs_are_not_looked_at() {
+    let mut fixture = Fixture::new();
+    for _ in 0..200 {
+        let job = fixture.submit();
+        let now = fixture.now;
+        fixture.cell.cancel(Token(0), job, now);
+    }
+    fixture.submit();
+    fixture.advance();
+
+    let work = fixture.plan_again();
+
+    assert!(work.jobs <= 1, "{} jobs were looked at", work.jobs);
+}
+
+#[test]
+fn steps_without_room_do_not_look_at_all_workers() {
+    let mut fixture = Fixture::new();
+    for _ in 0..WORKERS + 100 {
+        fixture.submit();
+    }
+    fixture.advance();
+    let runs: usize = fixture.cell.workers.values().map(|worker| worker.runs.len()).sum();
+    assert_eq!(runs, WORKERS * TASKS_PER_WORKER as usize);
+
+    let work = fixture.plan_again();
+
+    assert!(work.searches <= 1, "all workers were looked at for {} steps", work.searches);
+}
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -138,6 +138,7 @@
             inherited_workers: IndexMap::new(),
             earlier_leases_expiry: now,
             plan_due: true,
+            plan_work: super::work::PlanWork::default(),
             pace_table: super::PaceTable::default(),
             arrived_milli_s: 0,
             arrived_jobs: 0,
