Keep open jobs apart from those that have ended

Planning, each tick, each submission and the load went over all jobs of the cell, and those that ended are kept for 120 s: 20,000 and more at 190 jobs a second. JobTable holds the open ones in their order of arrival and the ended ones by the time of their end, so that only what is open or due for removal is looked at.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod advise;
 mod clean;
 mod ends;
+mod job_table;
 mod load;
 mod orders;
 mod placement;
@@ -98,7 +99,7 @@
     service: ServiceId,
     epoch: Epoch,
     queues: IndexMap<QueueId, QueueConfig>,
-    jobs: IndexMap<JobId, Job>,
+    jobs: job_table::JobTable,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
     live: clean::LiveIndex,
@@ -348,12 +349,12 @@
     /// The number of a queue's accepted jobs that have not started.
     #[must_use]
     pub fn queued_jobs(&self, queue: &QueueId) -> u64 {
-        let is_queued = |job: &&Job| &job.queue == queue && !job.has_started && job.end.is_none();
-        self.jobs.values().filter(is_queued).count() as u64
+        let is_queued = |job: &&Job| &job.queue == queue && !job.has_started;
+        self.jobs.open().map(|(_, job)| job).filter(is_queued).count() as u64
     }
 
     fn waiting_jobs(&self) -> usize {
-        self.jobs.values().filter(|job| job.end.is_none() && !job.has_started).count()
+        self.jobs.open().filter(|(_, job)| !job.has_started).count()
     }
 
     /// Records the end of a job and marks its runs to be stopped; the orders go out with the next
@@ -370,6 +371,7 @@
         let record = clean::finished_record(id, job, end);
         let tasks = job.task_ids(id);
         self.actions.push(Action::Log(LogEvent::Finished { job: id, end, after }));
+        self.jobs.close(id);
         self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
             self.stop_task(task, "job ended", now);
@@ -398,7 +400,7 @@
     }
 
     fn open_occurrences(&mut self, wall_ms: u64) {
-        for job in self.jobs.values_mut().filter(|job| job.end.is_none()) {
+        for job in self.jobs.open_mut() {
             let due_before = job.due_occurrences;
             job.add_due_occurrences(wall_ms);
             self.plan_due |= job.due_occurrences > due_before;
@@ -407,17 +409,8 @@
 
     /// Removes ended jobs whose retention time has passed.
     fn remove_expired_jobs(&mut self, now: Timestamp) {
-        let retention = self.cfg.status_retention;
-        let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
-        if self.jobs.values().any(is_expired) {
-            let live = &mut self.live;
-            self.jobs.retain(|id, job| {
-                let expired = is_expired(job);
-                if expired {
-                    live.remove(&clean::LiveKey::Job(*id));
-                }
-                !expired
-            });
+        for id in self.jobs.remove_expired(self.cfg.status_retention, now) {
+            self.live.remove(&clean::LiveKey::Job(id));
         }
     }
 }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -110,9 +110,9 @@
         let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
-        for (&id, job) in &self.jobs {
+        for (id, job) in self.jobs.open() {
             self.plan_work.jobs += 1;
-            if job.end.is_some() || !job.is_durable {
+            if !job.is_durable {
                 continue;
             }
             let queue = self.queues.get(&job.queue).filter(|queue| queue.service == self.service);
--- a/crates/core/src/job/cell/progress.rs
+++ b/crates/core/src/job/cell/progress.rs
@@ -6,14 +6,10 @@
 //! step. Slow tasks of a single job say nothing about their worker, unless they make no progress at
 //! all.
 
-use indexmap::IndexMap;
-
 use super::{
-    super::{
-        Action, JobId, LogEvent, Step, TaskId, WorkerId, task::Job, times::ExpectedTimes,
-        worker::Run,
-    },
+    super::{Action, JobId, LogEvent, Step, TaskId, WorkerId, times::ExpectedTimes, worker::Run},
     Cell,
+    job_table::JobTable,
 };
 use crate::{Span, Timestamp};
 
@@ -236,10 +232,13 @@
     }
 }
 
-type Jobs = IndexMap<JobId, Job>;
-
 /// Records the total time of a task for its step and its queue.
-fn record_total_time(jobs: &mut Jobs, expected_times: &mut ExpectedTimes, id: TaskId, total: Span) {
+fn record_total_time(
+    jobs: &mut JobTable,
+    expected_times: &mut ExpectedTimes,
+    id: TaskId,
+    total: Span,
+) {
     let Some(job) = jobs.get_mut(&id.job) else {
         return;
     };
@@ -250,7 +249,7 @@
     }
 }
 
-fn is_measurable_in(jobs: &Jobs, id: TaskId, rack: Option<&str>) -> bool {
+fn is_measurable_in(jobs: &JobTable, id: TaskId, rack: Option<&str>) -> bool {
     let step = jobs.get(&id.job).and_then(|job| job.spec.steps.get(id.step as usize));
     step.is_some_and(|step| is_measurable(step, rack))
 }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -128,7 +128,7 @@
             service,
             epoch,
             queues: IndexMap::new(),
-            jobs: IndexMap::new(),
+            jobs: super::job_table::JobTable::default(),
             workers: IndexMap::new(),
             log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
             live: super::clean::LiveIndex::default(),
@@ -159,6 +159,7 @@
             cell.replay(&record, &mut used_workers, (now, wall_ms));
             cell.track_record(&record, position, bytes);
         }
+        cell.jobs.close_ended();
         let is_handed_over = handed_over.is_some();
         let last_order =
             if is_handed_over { earlier_orders_end.min(now) } else { earlier_orders_end };
@@ -236,7 +237,7 @@
             }
             Record::Job { job: id, queue, spec, wall_ms, .. } => {
                 let new = || inherited_job(queue, Arc::clone(spec), *wall_ms, time);
-                let job = self.jobs.entry(*id).or_insert_with(new);
+                let job = self.jobs.get_or_insert_with(*id, new);
                 replay_job(job, record);
                 job.add_due_occurrences(time.1);
             }
@@ -249,7 +250,7 @@
             Record::Finished { job: id, queue, end, wall_ms } => {
                 if let Some(queue) = queue {
                     let new = || inherited_job(queue, Arc::default(), *wall_ms, time);
-                    self.jobs.entry(*id).or_insert_with(new);
+                    self.jobs.get_or_insert_with(*id, new);
                 }
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.end = Some(*end);
@@ -298,8 +299,8 @@
         if !self.inherited_workers.is_empty() {
             return;
         }
-        if before > 0 || self.jobs.values().any(|job| job.is_inherited) {
-            for job in self.jobs.values_mut() {
+        if before > 0 || self.jobs.open().any(|(_, job)| job.is_inherited) {
+            for job in self.jobs.open_mut() {
                 job.is_inherited = false;
             }
             self.plan_due = true;
@@ -309,8 +310,7 @@
 
     /// Ends inherited jobs that are done or have failed but have no logged end.
     fn finish_inherited_jobs(&mut self, now: Timestamp) {
-        let open_jobs: Vec<JobId> =
-            self.jobs.iter().filter(|(_, job)| job.end.is_none()).map(|(&id, _)| id).collect();
+        let open_jobs: Vec<JobId> = self.jobs.open().map(|(id, _)| id).collect();
         for id in open_jobs {
             let max_attempts = self.max_attempts(id);
             let Some(job) = self.jobs.get(&id) else {
