Pass over steps that fit on no worker without looking at each

During a burst most waiting steps find no room, and each pass of planning marked, searched and counted every worker for every one of them. Room keeps the most of each resource that is free on any worker; a step that needs more at most reserves a worker, as before, and only while another reservation is possible. It is measured anew after each step that was searched for, so it is never below what a worker has free.

--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -1,10 +1,12 @@
 //! Planning: which tasks start on which workers, and at what pace best-effort tasks run.
 
+mod room;
 #[cfg(test)]
 mod tests;
 
 use indexmap::IndexMap;
 
+use self::room::Room;
 use super::{
     super::{
         Action, JobId, Step, StepId, TaskId, WorkerId,
@@ -60,12 +62,17 @@
         waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
         self.ask_advice(&waiting.ready, &candidates, now);
         self.ask_advice(&waiting.upcoming, &candidates, now);
+        let mut room = Room::of(&candidates);
         for waiting_step in waiting.ready {
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
+            if self.pass_over(&waiting_step, &mut candidates, &mut room, now) {
+                continue;
+            }
             self.plan_work.searches += 1;
             self.start_step(&waiting_step, &mut candidates, now);
+            room = Room::of(&candidates);
         }
     }
 
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -104,6 +104,12 @@
         .map(|(index, _)| index)
 }
 
+/// Whether so few candidates are reserved that another one may be.
+pub(super) fn can_reserve(candidates: &[PlacementCandidate]) -> bool {
+    let reserved = candidates.iter().filter(|candidate| candidate.is_reserved).count();
+    reserved * CANDIDATES_PER_RESERVATION < candidates.len()
+}
+
 /// Reserves a candidate for a step whose task fits on none: of the candidates that could run the
 /// task if they were empty, the one with the most free processor capacity. Without the reservation,
 /// the small tasks of later steps would take all capacity that becomes free, and large tasks would
@@ -114,8 +120,7 @@
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) {
-    let reserved = candidates.iter().filter(|candidate| candidate.is_reserved).count();
-    if reserved * CANDIDATES_PER_RESERVATION >= candidates.len() {
+    if !can_reserve(candidates) {
         return;
     }
     let fits_when_empty = |candidate: &&mut PlacementCandidate| {
