Prepare candidates for placement without cloning labels

Each pass of planning cloned the labels of every worker, went over its runs three times, and looked every waiting step up twice for advice that no queue uses. Labels are shared, one pass over the runs gives all sums, and without a queue with advice nothing is asked.

--- a/crates/core/src/job/cell/advise.rs
+++ b/crates/core/src/job/cell/advise.rs
@@ -25,6 +25,9 @@
         candidates: &[PlacementCandidate],
         now: Timestamp,
     ) {
+        if self.queues.values().all(|queue| queue.advice.is_none()) {
+            return;
+        }
         let mut remaining =
             MAX_ADVICE_REQUESTS_IN_FLIGHT.saturating_sub(self.advice_requests_in_flight);
         for waiting_step in waiting_steps {
--- a/crates/core/src/job/cell/job_table.rs
+++ b/crates/core/src/job/cell/job_table.rs
@@ -23,6 +23,7 @@
     by_end: BTreeSet<(Timestamp, JobId)>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the look-ups of a map take references")]
 impl JobTable {
     pub(super) fn contains_key(&self, id: &JobId) -> bool {
         self.open.contains_key(id) || self.ended.contains_key(id)
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -4,6 +4,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use self::room::Room;
@@ -78,20 +80,17 @@
 
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
         let is_usable = |(_, worker): &(&WorkerId, &Worker)| Self::is_usable(worker, now);
-        let count = |worker: &Worker, matches: fn(&super::super::worker::Run) -> bool| {
-            u32::try_from(worker.runs.values().filter(|run| matches(run)).count())
-                .unwrap_or(u32::MAX)
-        };
         self.workers
             .iter()
             .filter(is_usable)
-            .map(|(id, worker)| PlacementCandidate {
+            .map(|(id, worker)| (id, worker, worker.totals()))
+            .map(|(id, worker, totals)| PlacementCandidate {
                 worker: id.clone(),
-                labels: worker.entry.labels.clone(),
+                labels: Arc::clone(&worker.entry.labels),
                 capacity: worker.entry.capacity,
-                free: worker.free(),
-                latency_sensitive_runs: count(worker, |run| run.is_latency_sensitive),
-                best_effort_runs: count(worker, |run| run.is_best_effort),
+                free: worker.entry.capacity.saturating_sub(&totals.booked),
+                latency_sensitive_runs: totals.latency_sensitive,
+                best_effort_runs: totals.best_effort,
                 on_probation: worker.on_probation,
                 is_reserved: false,
                 is_disallowed: false,
@@ -184,7 +183,7 @@
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return;
         };
-        let spec = std::sync::Arc::clone(&job.spec);
+        let spec = Arc::clone(&job.spec);
         let step = &spec.steps[waiting_step.step_index];
         let occurrence = &job.occurrences[waiting_step.occurrence_index];
         let id = waiting_step.step_id(job);
--- a/crates/core/src/job/cell/plan/room/tests.rs
+++ b/crates/core/src/job/cell/plan/room/tests.rs
@@ -18,7 +18,7 @@
 fn candidate() -> impl Strategy<Value = PlacementCandidate> {
     (resources(), any::<bool>()).prop_map(|(free, is_reserved)| PlacementCandidate {
         worker: "w1".into(),
-        labels: Vec::new(),
+        labels: [].into(),
         capacity: Resources { cpu_milli: 4, memory_mb: 4, gpus: 2 },
         free,
         latency_sensitive_runs: 0,
--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -29,7 +29,7 @@
             memory_mb: 65_536,
             gpus: 0,
         },
-        labels: vec!["a".to_owned(), "rack-1".to_owned()],
+        labels: vec!["a".to_owned(), "rack-1".to_owned()].into(),
         is_draining: false,
         leaves_in: None,
     }
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -7,6 +7,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::sync::Arc;
+
 use super::{JobId, Resources, Step, StepId, WorkerId};
 
 /// At most one candidate in this many is reserved for a large task.
@@ -16,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
     pub(super) worker: WorkerId,
-    pub(super) labels: Vec<String>,
+    pub(super) labels: Arc<[String]>,
     pub(super) capacity: Resources,
     pub(super) free: Resources,
     /// Number of runs of latency-sensitive tasks.
--- a/crates/core/src/job/place/tests.rs
+++ b/crates/core/src/job/place/tests.rs
@@ -9,7 +9,7 @@
 fn candidate(number: usize, free_cpu_milli: u64) -> PlacementCandidate {
     PlacementCandidate {
         worker: format!("w{number}").as_str().into(),
-        labels: vec!["a".to_owned(), "rack-1".to_owned()],
+        labels: vec!["a".to_owned(), "rack-1".to_owned()].into(),
         capacity: CAPACITY,
         free: Resources { cpu_milli: free_cpu_milli, ..CAPACITY },
         latency_sensitive_runs: 0,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -1,6 +1,6 @@
 //! The state of a worker and its runs, as kept by the owner of the cell.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use indexmap::IndexMap;
 
@@ -49,7 +49,7 @@
     /// Its resources.
     pub capacity: Resources,
     /// Its labels, such as its kind; the last one is the name of its rack.
-    pub labels: Vec<String>,
+    pub labels: Arc<[String]>,
     /// Whether it is about to leave and accepts no new work.
     pub is_draining: bool,
     /// Minimum time until it leaves, if it is draining.
@@ -185,6 +185,14 @@
     pub(super) on_probation: bool,
 }
 
+/// The runs of a worker taken together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct RunTotals {
+    pub(super) booked: Resources,
+    pub(super) latency_sensitive: u32,
+    pub(super) best_effort: u32,
+}
+
 /// What the log says about a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Logged {
@@ -309,6 +317,17 @@
         self.runs.values().all(|run| run.is_long_running)
     }
 
+    /// Returns what the runs book, and how many of them are of each kind.
+    pub(super) fn totals(&self) -> RunTotals {
+        let mut totals = RunTotals::default();
+        for run in self.runs.values() {
+            totals.booked += run.booked;
+            totals.latency_sensitive += u32::from(run.is_latency_sensitive);
+            totals.best_effort += u32::from(run.is_best_effort);
+        }
+        totals
+    }
+
     pub(super) fn count_step_runs(&self, step: StepId) -> u32 {
         let count = self.runs.keys().filter(|task| task.step_id() == step).count();
         u32::try_from(count).unwrap_or(u32::MAX)
--- a/crates/standins/src/measure/cell.rs
+++ b/crates/standins/src/measure/cell.rs
@@ -150,7 +150,7 @@
         address: ([127, 0, 0, 1], 7_000).into(),
         zone: "tartu".parse().expect("a valid name"),
         capacity,
-        labels: vec!["a".to_owned(), format!("rack-{}", number / 10)],
+        labels: vec!["a".to_owned(), format!("rack-{}", number / 10)].into(),
         is_draining: false,
         leaves_in: None,
     };
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -388,7 +388,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             zone: "z".parse().unwrap(),
             capacity: Resources::default(),
-            labels: Vec::new(),
+            labels: [].into(),
             is_draining: false,
             leaves_in: None,
         };
--- a/crates/standins/tests/cells/fixtures.rs
+++ b/crates/standins/tests/cells/fixtures.rs
@@ -44,7 +44,7 @@
         address: ([127, 0, 0, 1], port).into(),
         zone: "tartu".parse().unwrap(),
         capacity: Resources { cpu_milli: WORKER_CPU_MILLI, memory_mb: 131_072, gpus: 0 },
-        labels: vec!["a".to_owned(), format!("rack-{}", number / 4)],
+        labels: vec!["a".to_owned(), format!("rack-{}", number / 4)].into(),
         is_draining: false,
         leaves_in: None,
     })
