--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -69,6 +69,7 @@
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
+            self.plan_work.steps += 1;
             if self.pass_over(&waiting_step, &mut candidates, &mut room, now) {
                 continue;
             }
--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -152,3 +152,16 @@
 
     assert!(work.searches <= 1, "all workers were looked at for {} steps", work.searches);
 }
+
+#[test]
+fn planning_stops_once_no_waiting_step_fits() {
+    let mut fixture = Fixture::new();
+    for _ in 0..WORKERS + 100 {
+        fixture.submit();
+    }
+    fixture.advance();
+
+    let work = fixture.plan_again();
+
+    assert!(work.steps <= 1, "{} steps were considered", work.steps);
+}
--- a/crates/core/src/job/cell/work.rs
+++ b/crates/core/src/job/cell/work.rs
@@ -5,6 +5,8 @@
 pub(super) struct PlanWork {
     /// Number of jobs among which the waiting steps were found.
     pub(super) jobs: usize,
+    /// Number of waiting steps that were considered, in the order of their ranks.
+    pub(super) steps: usize,
     /// Number of waiting steps for which every worker was looked at.
     pub(super) searches: usize,
 }
