--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -1,7 +1,14 @@
 //! Planning: which tasks start on which workers, and at what pace best-effort tasks run.
 
+mod room;
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
+use self::room::Room;
 use super::{
     super::{
         Action, JobId, LogEvent, PlacedTask, Step, StepId, TaskId, WorkerId,
@@ -12,6 +19,7 @@
     },
     Cell,
     placement::{awaits_worker, is_logged},
+    work::PlanWork,
 };
 use crate::{Span, Timestamp};
 
@@ -49,6 +57,7 @@
     pub(super) fn plan(&mut self, now: Timestamp) {
         self.plan_due = false;
         self.held_back_starts = 0;
+        self.plan_work = PlanWork::default();
         let mut candidates = self.placement_candidates(now);
         if candidates.is_empty() {
             return;
@@ -57,6 +66,7 @@
         waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
         self.ask_advice(&waiting.ready, &candidates, now);
         self.ask_advice(&waiting.upcoming, &candidates, now);
+        let mut room = Room::of(&candidates);
         for waiting_step in waiting.ready {
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
@@ -65,26 +75,29 @@
                 self.held_back_starts += waiting_step.startable_tasks;
                 continue;
             }
+            self.plan_work.steps += 1;
+            if self.pass_over(&waiting_step, &mut candidates, &mut room, now) {
+                continue;
+            }
+            self.plan_work.searches += 1;
             self.start_step(&waiting_step, &mut candidates, now);
+            room = Room::of(&candidates);
         }
     }
 
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
         let is_usable = |(_, worker): &(&WorkerId, &Worker)| Self::is_usable(worker, now);
-        let count = |worker: &Worker, matches: fn(&super::super::worker::Run) -> bool| {
-            u32::try_from(worker.runs.values().filter(|run| matches(run)).count())
-                .unwrap_or(u32::MAX)
-        };
         self.workers
             .iter()
             .filter(is_usable)
-            .map(|(id, worker)| PlacementCandidate {
+            .map(|(id, worker)| (id, worker, worker.totals()))
+            .map(|(id, worker, totals)| PlacementCandidate {
                 worker: id.clone(),
-                labels: worker.entry.labels.clone(),
+                labels: Arc::clone(&worker.entry.labels),
                 capacity: worker.entry.capacity,
-                free: worker.free(),
-                latency_sensitive_runs: count(worker, |run| run.is_latency_sensitive),
-                best_effort_runs: count(worker, |run| run.is_best_effort),
+                free: worker.entry.capacity.saturating_sub(&totals.booked),
+                latency_sensitive_runs: totals.latency_sensitive,
+                best_effort_runs: totals.best_effort,
                 on_probation: worker.on_probation,
                 start_room: self.start_window.room_at(id),
                 is_reserved: false,
@@ -111,8 +124,9 @@
         let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
-        for (&id, job) in &self.jobs {
-            if job.end.is_some() || !job.is_durable {
+        for (id, job) in self.jobs.open() {
+            self.plan_work.jobs += 1;
+            if !job.is_durable {
                 continue;
             }
             let queue = self.queues.get(&job.queue).filter(|queue| queue.service == self.service);
@@ -206,7 +220,7 @@
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return placed;
         };
-        let spec = std::sync::Arc::clone(&job.spec);
+        let spec = Arc::clone(&job.spec);
         let step = &spec.steps[waiting_step.step_index];
         let occurrence = &job.occurrences[waiting_step.occurrence_index];
         let id = waiting_step.step_id(job);
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -4,6 +4,11 @@
 //! the loss of a rack affects few of them. Workers on the rack with the task's data come first,
 //! because the task takes a multiple of the time elsewhere.
 
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+
 use super::{JobId, Resources, Step, StepId, WorkerId};
 
 /// At most one candidate in this many is reserved for a large task.
@@ -13,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
     pub(super) worker: WorkerId,
-    pub(super) labels: Vec<String>,
+    pub(super) labels: Arc<[String]>,
     pub(super) capacity: Resources,
     pub(super) free: Resources,
     /// Number of runs of latency-sensitive tasks.
@@ -60,11 +65,22 @@
 /// Whether a task of the step may be placed on a candidate that already runs `step_runs` tasks of
 /// the step.
 pub(super) fn is_allowed(candidate: &PlacementCandidate, step: &Step, step_runs: u32) -> bool {
+    may_hold(candidate, &candidate.free, step, || step_runs)
+}
+
+/// Whether a task of the step may be placed on a candidate if `free` is free there. `step_runs`
+/// returns how many tasks of the step run on the candidate; it is called only if that matters.
+fn may_hold(
+    candidate: &PlacementCandidate,
+    free: &Resources,
+    step: &Step,
+    step_runs: impl FnOnce() -> u32,
+) -> bool {
     !candidate.is_reserved
         && !candidate.is_disallowed
-        && step.booked().fits(&candidate.free)
+        && step.booked().fits(free)
         && step.label.as_ref().is_none_or(|label| candidate.labels.contains(label))
-        && step.max_per_worker.is_none_or(|max| step_runs < max)
+        && step.max_per_worker.is_none_or(|max| step_runs() < max)
 }
 
 /// Returns the index of the best candidate for one task of the step. `count` returns how many tasks
@@ -76,7 +92,8 @@
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> Option<usize> {
     let allowed = |candidate: &PlacementCandidate| {
-        candidate.start_room > 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+        candidate.start_room > 0
+            && may_hold(candidate, &candidate.free, step, || count(&candidate.worker, id))
     };
     let cost = |candidate: &PlacementCandidate| {
         let near_data = step.data_rack.as_deref().is_none_or(|rack| candidate.rack() == Some(rack));
@@ -102,10 +119,17 @@
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> bool {
     candidates.iter().any(|candidate| {
-        candidate.start_room == 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+        candidate.start_room == 0
+            && may_hold(candidate, &candidate.free, step, || count(&candidate.worker, id))
     })
 }
 
+/// Whether so few candidates are reserved that another one may be.
+pub(super) fn can_reserve(candidates: &[PlacementCandidate]) -> bool {
+    let reserved = candidates.iter().filter(|candidate| candidate.is_reserved).count();
+    reserved * CANDIDATES_PER_RESERVATION < candidates.len()
+}
+
 /// Reserves a candidate for a step whose task fits on none: of the candidates that could run the
 /// task if they were empty, the one with the most free processor capacity. Without the reservation,
 /// the small tasks of later steps would take all capacity that becomes free, and large tasks would
@@ -116,16 +140,11 @@
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) {
-    let reserved = candidates.iter().filter(|candidate| candidate.is_reserved).count();
-    if reserved * CANDIDATES_PER_RESERVATION >= candidates.len() {
+    if !can_reserve(candidates) {
         return;
     }
-    let emptied = |candidate: &PlacementCandidate| PlacementCandidate {
-        free: candidate.capacity,
-        ..candidate.clone()
-    };
     let fits_when_empty = |candidate: &&mut PlacementCandidate| {
-        is_allowed(&emptied(candidate), step, count(&candidate.worker, id))
+        may_hold(candidate, &candidate.capacity, step, || count(&candidate.worker, id))
     };
     let roomiest = candidates
         .iter_mut()
@@ -207,7 +226,10 @@
                 GangScope::Rack(rack) => candidates_left[index].rack() == rack,
                 GangScope::All => true,
             })
-            .filter(|&index| is_allowed(&candidates_left[index], step, step_runs(index)))
+            .filter(|&index| {
+                let candidate = &candidates_left[index];
+                may_hold(candidate, &candidate.free, step, || step_runs(index))
+            })
             .min_by_key(|&index| candidates_left[index].booked_share())?;
         candidates_left[index].reserve(step);
         placed.push(index);
