Make a tick cost by open jobs, and plans by what fits

What callers saw: a busy owner on a share of 0.12 of a core takes tens of milliseconds for a plan, and each answer of a worker caused one.

Cause: each plan looked at all jobs, also at ended ones, which are kept for 120 s; for each waiting job that fits nowhere it looked at every worker, cloned each with its labels and counted its runs; ticks were not coalesced.

Change: the cell keeps an index of its open jobs, which planning, admission, load and the check for occurrences use; ended jobs are removed once a second. A plan knows the most that is free on any worker and skips what needs more. Runs of a step are counted only where a step limits them. The owner's loop ticks at most once in 10 ms, and at once after a pause.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -19,7 +19,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 pub use self::admit::AdmissionPolicy;
 pub(super) use self::progress::WorkerSpeed;
@@ -74,6 +74,9 @@
     pub admission: AdmissionPolicy,
 }
 
+/// How often ended jobs are removed.
+const REMOVAL_INTERVAL: Span = Span(1_000);
+
 /// An effect that is applied once the log is durable up to a position.
 #[derive(Clone, Debug)]
 enum DeferredEffect {
@@ -101,6 +104,10 @@
     epoch: Epoch,
     queues: IndexMap<QueueId, QueueConfig>,
     jobs: IndexMap<JobId, Job>,
+    /// The jobs that have not ended.
+    open_jobs: IndexSet<JobId>,
+    /// When ended jobs are removed next.
+    next_removal: Timestamp,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
     live: clean::LiveIndex,
@@ -324,6 +331,7 @@
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
+        self.open_jobs.insert(id);
         self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, arrived));
         self.record(record, arrived, Some(DeferredEffect::JobDurable(id)));
         for token in tokens {
@@ -359,12 +367,17 @@
     /// The number of a queue's accepted jobs that have not started.
     #[must_use]
     pub fn queued_jobs(&self, queue: &QueueId) -> u64 {
-        let is_queued = |job: &&Job| &job.queue == queue && !job.has_started && job.end.is_none();
-        self.jobs.values().filter(is_queued).count() as u64
+        let is_queued = |job: &&Job| &job.queue == queue && !job.has_started;
+        self.open_jobs().map(|(_, job)| job).filter(is_queued).count() as u64
     }
 
     fn waiting_jobs(&self) -> usize {
-        self.jobs.values().filter(|job| job.end.is_none() && !job.has_started).count()
+        self.open_jobs().filter(|(_, job)| !job.has_started).count()
+    }
+
+    /// The jobs that have not ended.
+    fn open_jobs(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.open_jobs.iter().filter_map(|&id| Some((id, self.jobs.get(&id)?)))
     }
 
     /// Records the end of a job and marks its runs to be stopped; the orders go out with the next
@@ -373,6 +386,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        self.open_jobs.swap_remove(&id);
         job.end = Some(end);
         job.ended = now;
         let after = now.since(job.arrived);
@@ -409,7 +423,10 @@
     }
 
     fn open_occurrences(&mut self, wall_ms: u64) {
-        for job in self.jobs.values_mut().filter(|job| job.end.is_none()) {
+        for id in &self.open_jobs {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
             let due_before = job.due_occurrences;
             job.add_due_occurrences(wall_ms);
             self.plan_due |= job.due_occurrences > due_before;
@@ -418,6 +435,10 @@
 
     /// Removes ended jobs whose retention time has passed.
     fn remove_expired_jobs(&mut self, now: Timestamp) {
+        if now < self.next_removal {
+            return;
+        }
+        self.next_removal = now + REMOVAL_INTERVAL;
         let retention = self.cfg.status_retention;
         let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
         if self.jobs.values().any(is_expired) {
--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -378,7 +378,7 @@
     fn measure_backlog(&self, now: Timestamp) -> Backlog {
         let wall_offset_ms = self.wall_offset_ms;
         let mut backlog = Backlog::default();
-        for job in self.jobs.values().filter(|job| job.end.is_none()) {
+        for (_, job) in self.open_jobs() {
             let Some(queue) = self.queues.get(&job.queue) else {
                 continue;
             };
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -24,9 +24,9 @@
         let Some(capacity) = capacities.min_by_key(|capacity| capacity.memory_mb) else {
             return 1;
         };
-        let open_jobs = self.jobs.iter().filter(|(_, job)| job.end.is_none());
-        let steps =
-            open_jobs.flat_map(|(&id, job)| job.spec.steps.iter().map(move |step| (id, step)));
+        let steps = self
+            .open_jobs()
+            .flat_map(|(id, job)| job.spec.steps.iter().map(move |step| (id, step)));
         let mut long_running: Vec<(JobId, &Step)> =
             steps.filter(|(_, step)| step.long_running).collect();
         long_running.sort_by_key(|(_, step)| std::cmp::Reverse(step.need.memory_mb));
@@ -50,7 +50,7 @@
             load.booked_milli += worker.used().cpu_milli;
             load.workers += 1;
         }
-        for job in self.jobs.values().filter(|job| job.end.is_none()) {
+        for (_, job) in self.open_jobs() {
             for index in 0..job.occurrences.len() {
                 demands.extend(self.add_load(&mut load, job, index, now));
             }
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -163,7 +163,7 @@
             return None;
         }
         let step_id: StepId = task.step_id();
-        let step_runs = count_step_runs(&self.workers, &placement.worker, step_id);
+        let step_runs = || count_step_runs(&self.workers, &placement.worker, step_id);
         candidates.iter().position(|candidate| {
             candidate.worker == placement.worker && place::is_allowed(candidate, step, step_runs)
         })
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        Action, JobId, LogEvent, PlacedTask, Step, StepId, TaskId, WorkerId,
+        Action, JobId, LogEvent, PlacedTask, Resources, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
         task::{Job, Task},
@@ -22,6 +22,9 @@
     occurrence_index: usize,
     step_index: usize,
     startable_tasks: usize,
+    /// The resources that a task books.
+    booked: Resources,
+    is_gang: bool,
 }
 
 impl WaitingStep {
@@ -57,6 +60,7 @@
         waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
         self.ask_advice(&waiting.ready, &candidates, now);
         self.ask_advice(&waiting.upcoming, &candidates, now);
+        let mut most_free = place::most_free(&candidates);
         for waiting_step in waiting.ready {
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
@@ -65,8 +69,34 @@
                 self.held_back_starts += waiting_step.startable_tasks;
                 continue;
             }
-            self.start_step(&waiting_step, &mut candidates, now);
+            if waiting_step.booked.fits(&most_free) {
+                if self.start_step(&waiting_step, &mut candidates, now) {
+                    most_free = place::most_free(&candidates);
+                }
+            } else if !waiting_step.is_gang && waiting_step.rank.class <= RankClass::OnTime {
+                self.reserve_for_step(&waiting_step, &mut candidates, now);
+            }
+        }
+    }
+
+    /// Reserves a worker for a step of which no task fits on any.
+    fn reserve_for_step(
+        &self,
+        waiting_step: &WaitingStep,
+        candidates: &mut [PlacementCandidate],
+        now: Timestamp,
+    ) {
+        if place::has_reserved_enough(candidates) {
+            return;
         }
+        let Some(job) = self.jobs.get(&waiting_step.job) else {
+            return;
+        };
+        let id = waiting_step.step_id(job);
+        self.disallow_without_ticket(id, candidates, now);
+        let step = &job.spec.steps[waiting_step.step_index];
+        let count = |worker: &WorkerId, id| count_step_runs(&self.workers, worker, id);
+        place::reserve_candidate(candidates, step, id, count);
     }
 
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
@@ -111,10 +141,10 @@
         let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
-        for (&id, job) in &self.jobs {
-            if job.end.is_some() || !job.is_durable {
+        for &id in &self.open_jobs {
+            let Some(job) = self.jobs.get(&id).filter(|job| job.is_durable) else {
                 continue;
-            }
+            };
             let queue = self.queues.get(&job.queue).filter(|queue| queue.service == self.service);
             let Some(queue) = queue else {
                 continue;
@@ -140,6 +170,8 @@
                                 occurrence_index: index,
                                 step_index,
                                 startable_tasks: 0,
+                                booked: job.spec.steps[step_index].booked(),
+                                is_gang: job.spec.steps[step_index].gang,
                             };
                             waiting.upcoming.push(waiting_step);
                         }
@@ -171,6 +203,8 @@
                         occurrence_index: index,
                         step_index,
                         startable_tasks,
+                        booked: job.spec.steps[step_index].booked(),
+                        is_gang: job.spec.steps[step_index].gang,
                     });
                 }
             }
@@ -178,22 +212,26 @@
         waiting
     }
 
-    /// Starts the tasks of a step for which a worker has room, and logs where.
+    /// Starts the tasks of a step for which a worker has room, and logs where. Returns whether any
+    /// resources were booked or reserved.
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
-    ) {
+    ) -> bool {
         let Some(job) = self.jobs.get(&waiting_step.job) else {
-            return;
+            return false;
         };
         let step = waiting_step.step_id(job);
         let waited = now.since(job.arrived);
+        let reserved_before = place::reserved_count(candidates);
         let tasks = self.start_step_tasks(waiting_step, candidates, now);
+        let has_changed = !tasks.is_empty() || place::reserved_count(candidates) > reserved_before;
         if !tasks.is_empty() {
             self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
         }
+        has_changed
     }
 
     fn start_step_tasks(
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -129,6 +129,8 @@
             epoch,
             queues: IndexMap::new(),
             jobs: IndexMap::new(),
+            open_jobs: IndexSet::new(),
+            next_removal: now,
             workers: IndexMap::new(),
             log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
             live: super::clean::LiveIndex::default(),
@@ -181,6 +183,8 @@
             }
             None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
         };
+        let is_open = |(_, job): &(&JobId, &Job)| job.end.is_none();
+        cell.open_jobs = cell.jobs.iter().filter(is_open).map(|(&id, _)| id).collect();
         cell.release_inherited_jobs(now);
         cell
     }
@@ -300,9 +304,11 @@
         if !self.inherited_workers.is_empty() {
             return;
         }
-        if before > 0 || self.jobs.values().any(|job| job.is_inherited) {
-            for job in self.jobs.values_mut() {
-                job.is_inherited = false;
+        if before > 0 || self.open_jobs().any(|(_, job)| job.is_inherited) {
+            for id in &self.open_jobs {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.is_inherited = false;
+                }
             }
             self.plan_due = true;
             self.finish_inherited_jobs(now);
@@ -311,8 +317,7 @@
 
     /// Ends inherited jobs that are done or have failed but have no logged end.
     fn finish_inherited_jobs(&mut self, now: Timestamp) {
-        let open_jobs: Vec<JobId> =
-            self.jobs.iter().filter(|(_, job)| job.end.is_none()).map(|(&id, _)| id).collect();
+        let open_jobs: Vec<JobId> = self.open_jobs.iter().copied().collect();
         for id in open_jobs {
             let max_attempts = self.max_attempts(id);
             let Some(job) = self.jobs.get(&id) else {
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -57,14 +57,46 @@
     }
 }
 
-/// Whether a task of the step may be placed on a candidate that already runs `step_runs` tasks of
-/// the step.
-pub(super) fn is_allowed(candidate: &PlacementCandidate, step: &Step, step_runs: u32) -> bool {
+/// Returns the most of each resource that is free on any candidate that is not reserved.
+pub(super) fn most_free(candidates: &[PlacementCandidate]) -> Resources {
+    let unreserved = candidates.iter().filter(|candidate| !candidate.is_reserved);
+    unreserved.fold(Resources::default(), |most, candidate| Resources {
+        cpu_milli: most.cpu_milli.max(candidate.free.cpu_milli),
+        memory_mb: most.memory_mb.max(candidate.free.memory_mb),
+        gpus: most.gpus.max(candidate.free.gpus),
+    })
+}
+
+/// Whether a task of the step may be placed on a candidate. `step_runs` returns how many tasks of
+/// the step the candidate runs.
+pub(super) fn is_allowed(
+    candidate: &PlacementCandidate,
+    step: &Step,
+    step_runs: impl FnOnce() -> u32,
+) -> bool {
+    step.booked().fits(&candidate.free) && is_allowed_if_empty(candidate, step, step_runs)
+}
+
+/// Whether a task of the step could be placed on a candidate that had all its resources free.
+fn is_allowed_if_empty(
+    candidate: &PlacementCandidate,
+    step: &Step,
+    step_runs: impl FnOnce() -> u32,
+) -> bool {
     !candidate.is_reserved
         && !candidate.is_disallowed
-        && step.booked().fits(&candidate.free)
+        && step.booked().fits(&candidate.capacity)
         && step.label.as_ref().is_none_or(|label| candidate.labels.contains(label))
-        && step.max_per_worker.is_none_or(|max| step_runs < max)
+        && step.max_per_worker.is_none_or(|max| step_runs() < max)
+}
+
+pub(super) fn reserved_count(candidates: &[PlacementCandidate]) -> usize {
+    candidates.iter().filter(|candidate| candidate.is_reserved).count()
+}
+
+/// Whether no further candidate may be reserved.
+pub(super) fn has_reserved_enough(candidates: &[PlacementCandidate]) -> bool {
+    reserved_count(candidates) * CANDIDATES_PER_RESERVATION >= candidates.len()
 }
 
 /// Returns the index of the best candidate for one task of the step. `count` returns how many tasks
@@ -76,7 +108,7 @@
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> Option<usize> {
     let allowed = |candidate: &PlacementCandidate| {
-        candidate.start_room > 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+        candidate.start_room > 0 && is_allowed(candidate, step, || count(&candidate.worker, id))
     };
     let cost = |candidate: &PlacementCandidate| {
         let near_data = step.data_rack.as_deref().is_none_or(|rack| candidate.rack() == Some(rack));
@@ -102,7 +134,7 @@
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> bool {
     candidates.iter().any(|candidate| {
-        candidate.start_room == 0 && is_allowed(candidate, step, count(&candidate.worker, id))
+        candidate.start_room == 0 && is_allowed(candidate, step, || count(&candidate.worker, id))
     })
 }
 
@@ -116,16 +148,11 @@
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) {
-    let reserved = candidates.iter().filter(|candidate| candidate.is_reserved).count();
-    if reserved * CANDIDATES_PER_RESERVATION >= candidates.len() {
+    if has_reserved_enough(candidates) {
         return;
     }
-    let emptied = |candidate: &PlacementCandidate| PlacementCandidate {
-        free: candidate.capacity,
-        ..candidate.clone()
-    };
     let fits_when_empty = |candidate: &&mut PlacementCandidate| {
-        is_allowed(&emptied(candidate), step, count(&candidate.worker, id))
+        is_allowed_if_empty(candidate, step, || count(&candidate.worker, id))
     };
     let roomiest = candidates
         .iter_mut()
@@ -207,7 +234,7 @@
                 GangScope::Rack(rack) => candidates_left[index].rack() == rack,
                 GangScope::All => true,
             })
-            .filter(|&index| is_allowed(&candidates_left[index], step, step_runs(index)))
+            .filter(|&index| is_allowed(&candidates_left[index], step, || step_runs(index)))
             .min_by_key(|&index| candidates_left[index].booked_share())?;
         candidates_left[index].reserve(step);
         placed.push(index);
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -11,7 +11,10 @@
 mod log;
 mod worker;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 use teaselgap_core::{
@@ -219,6 +222,9 @@
     /// Start orders of this term that the owner has no outcome of.
     starts_in_flight: usize,
     max_starts_in_flight: usize,
+    /// Processing time of all ticks of the owners, on the machine's clock.
+    tick_time: Duration,
+    longest_tick: Duration,
     /// Bytes of the answers to holds.
     hold_answer_bytes: u64,
     /// The least time that was left of the lease of a worker with runs.
@@ -309,6 +315,8 @@
             expired_terms: 0,
             starts_in_flight: 0,
             max_starts_in_flight: 0,
+            tick_time: Duration::ZERO,
+            longest_tick: Duration::ZERO,
             hold_answer_bytes: 0,
             least_lease_left: Span(u64::MAX),
         };
@@ -409,7 +417,11 @@
             return;
         };
         if !self.is_handing_over {
+            let started = Instant::now();
             cell.tick(now, wall_ms);
+            let elapsed = started.elapsed();
+            self.tick_time += elapsed;
+            self.longest_tick = self.longest_tick.max(elapsed);
         }
         if self.pending_write.is_none() {
             let write = cell.take_write(now);
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -1,5 +1,7 @@
 //! Operations by which a test controls the model: faults, takeovers and client requests.
 
+use std::time::Duration;
+
 use super::{Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
@@ -75,6 +77,13 @@
         self.max_starts_in_flight
     }
 
+    /// Returns the processing time of all ticks so far, and of the longest one, on the machine's
+    /// clock.
+    #[must_use]
+    pub fn tick_times(&self) -> (Duration, Duration) {
+        (self.tick_time, self.longest_tick)
+    }
+
     /// Returns the bytes of the answers to holds so far.
     #[must_use]
     pub fn hold_answer_bytes(&self) -> u64 {
--- a/crates/standins/tests/cells/cost.rs
+++ b/crates/standins/tests/cells/cost.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use teaselgap_core::job::JobId;
+use teaselgap_core::job::{JobId, Step};
 use teaselgap_standins::model::Model;
 
 use crate::fixtures::{job_spec, new_model, queue, queue_config, step};
@@ -61,3 +61,20 @@
     // Looking at each worker for each waiting job would take a hundred times as long.
     assert!(with < without * 10, "{with:?} instead of {without:?}");
 }
+
+#[test]
+fn the_ticks_of_a_burst_take_less_time_than_the_burst() {
+    // Half as much work again arrives as the workers can do.
+    let mut model = new_model(100);
+    let (before, _) = model.tick_times();
+
+    for number in 0..150 * 5 {
+        let second = Step { after: vec![0], ..step(8, 3_200, 640) };
+        model.submit(JobId(number), &queue(), job_spec(vec![step(8, 3_200, 640), second]));
+        model.run_for(if number % 3 == 0 { 6 } else { 7 });
+    }
+
+    let (total, longest) = model.tick_times();
+    let time = total.saturating_sub(before);
+    assert!(time < Duration::from_secs(5), "{time:?} in 5 s of the burst, at most {longest:?}");
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -41,6 +41,9 @@
 /// The longest pause between two ticks of a cell, and between two checks for a segment to write.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The shortest interval between two ticks of a cell; what happens meanwhile shares a tick.
+const MIN_TICK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The interval at which an owner writes its load, and how many log lines it left out.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -210,8 +213,11 @@
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
         tokio::task::spawn_local(Rc::clone(&self).report());
+        let mut next_tick = tokio::time::Instant::now();
         while !self.is_term_over.get() {
             let _ = tokio::time::timeout(TICK_INTERVAL, self.wake.notified()).await;
+            tokio::time::sleep_until(next_tick).await;
+            next_tick = tokio::time::Instant::now() + MIN_TICK_INTERVAL;
             self.tick();
         }
     }
