Rank waiting steps only if one of them can start

If no waiting step fits what is most free on any worker and none needs advice, neither their order nor a reservation has an effect, so they are not ranked; a plan stops looking for workers to reserve once it may reserve no more.

The gauges of an owner's load return to zero when its term is over.

--- a/crates/core/src/job/cell/advise.rs
+++ b/crates/core/src/job/cell/advise.rs
@@ -19,9 +19,9 @@
 impl Cell {
     /// Sends the advice requests that are due, in the order of the steps, up to the limit on
     /// requests in flight.
-    pub(super) fn ask_advice(
+    pub(super) fn ask_advice<'a>(
         &mut self,
-        waiting_steps: &[WaitingStep],
+        waiting_steps: impl Iterator<Item = &'a WaitingStep>,
         candidates: &[PlacementCandidate],
         now: Timestamp,
     ) {
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -15,9 +15,8 @@
 };
 use crate::{Span, Timestamp};
 
-/// A step of an occurrence that waits to start, with its rank.
+/// A step of an occurrence that waits to start.
 pub(super) struct WaitingStep {
-    rank: Rank,
     pub(super) job: JobId,
     occurrence_index: usize,
     step_index: usize,
@@ -25,6 +24,7 @@
     /// The resources that a task books.
     booked: Resources,
     is_gang: bool,
+    needs_advice: bool,
 }
 
 impl WaitingStep {
@@ -56,12 +56,19 @@
         if candidates.is_empty() {
             return;
         }
-        let mut waiting = self.waiting_steps(now);
-        waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
-        self.ask_advice(&waiting.ready, &candidates, now);
-        self.ask_advice(&waiting.upcoming, &candidates, now);
+        let waiting = self.waiting_steps(now);
         let mut most_free = place::most_free(&candidates);
-        for waiting_step in waiting.ready {
+        let needs_rank = |step: &WaitingStep| step.needs_advice || step.booked.fits(&most_free);
+        // If no step has room, neither their order nor a reservation matters.
+        let ready = if waiting.ready.iter().any(needs_rank) {
+            self.sort_by_rank(waiting.ready, now)
+        } else {
+            Vec::new()
+        };
+        self.ask_advice(ready.iter().map(|(_, step)| step), &candidates, now);
+        self.ask_advice(waiting.upcoming.iter(), &candidates, now);
+        let mut may_reserve = true;
+        for (rank, waiting_step) in ready {
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
@@ -70,15 +77,32 @@
                 continue;
             }
             if waiting_step.booked.fits(&most_free) {
-                if self.start_step(&waiting_step, &mut candidates, now) {
+                if self.start_step(&waiting_step, rank.class, &mut candidates, now) {
                     most_free = place::most_free(&candidates);
                 }
-            } else if !waiting_step.is_gang && waiting_step.rank.class <= RankClass::OnTime {
+            } else if may_reserve && !waiting_step.is_gang && rank.class <= RankClass::OnTime {
                 self.reserve_for_step(&waiting_step, &mut candidates, now);
+                may_reserve = !place::has_reserved_enough(&candidates);
             }
         }
     }
 
+    /// Ranks steps and returns them in the order in which they start.
+    fn sort_by_rank(&self, steps: Vec<WaitingStep>, now: Timestamp) -> Vec<(Rank, WaitingStep)> {
+        let wall_offset_ms = self.wall_offset_ms;
+        let rank = |step: &WaitingStep| {
+            let job = self.jobs.get(&step.job)?;
+            let queue = self.queues.get(&job.queue)?;
+            let expected = self.expected_times.get(&job.queue);
+            let context = RankContext { queue, expected, now, wall_offset_ms };
+            Some(order::rank(job, step.occurrence_index, &context))
+        };
+        let mut ranked: Vec<(Rank, WaitingStep)> =
+            steps.into_iter().filter_map(|step| Some((rank(&step)?, step))).collect();
+        ranked.sort_by_key(|(rank, step)| (*rank, step.job));
+        ranked
+    }
+
     /// Reserves a worker for a step of which no task fits on any.
     fn reserve_for_step(
         &self,
@@ -86,9 +110,6 @@
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) {
-        if place::has_reserved_enough(candidates) {
-            return;
-        }
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return;
         };
@@ -137,8 +158,6 @@
     /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
     /// back.
     fn waiting_steps(&mut self, now: Timestamp) -> WaitingSteps {
-        let wall_offset_ms = self.wall_offset_ms;
-        let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
         for &id in &self.open_jobs {
@@ -149,13 +168,10 @@
             let Some(queue) = queue else {
                 continue;
             };
-            let context =
-                RankContext { queue, expected: expected.get(&job.queue), now, wall_offset_ms };
             for (index, occurrence) in job.occurrences.iter().enumerate() {
                 if occurrence.is_done() {
                     continue;
                 }
-                let mut rank = None;
                 for (step_index, state) in occurrence.steps.iter().enumerate() {
                     let is_held = job.is_inherited && !is_logged(&job.spec.steps[step_index]);
                     if state.open_tasks == 0 || is_held {
@@ -163,15 +179,14 @@
                     }
                     if !occurrence.is_ready(&job.spec, step_index) {
                         if queue.advice.is_some() && occurrence.is_upcoming(&job.spec, step_index) {
-                            let rank = order::rank(job, index, &context);
                             let waiting_step = WaitingStep {
-                                rank,
                                 job: id,
                                 occurrence_index: index,
                                 step_index,
                                 startable_tasks: 0,
                                 booked: job.spec.steps[step_index].booked(),
                                 is_gang: job.spec.steps[step_index].gang,
+                                needs_advice: true,
                             };
                             waiting.upcoming.push(waiting_step);
                         }
@@ -196,15 +211,14 @@
                         self.plan_due = true;
                         continue;
                     }
-                    let rank = *rank.get_or_insert_with(|| order::rank(job, index, &context));
                     waiting.ready.push(WaitingStep {
-                        rank,
                         job: id,
                         occurrence_index: index,
                         step_index,
                         startable_tasks,
                         booked: job.spec.steps[step_index].booked(),
                         is_gang: job.spec.steps[step_index].gang,
+                        needs_advice: queue.advice.is_some(),
                     });
                 }
             }
@@ -217,6 +231,7 @@
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
+        class: RankClass,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) -> bool {
@@ -226,7 +241,7 @@
         let step = waiting_step.step_id(job);
         let waited = now.since(job.arrived);
         let reserved_before = place::reserved_count(candidates);
-        let tasks = self.start_step_tasks(waiting_step, candidates, now);
+        let tasks = self.start_step_tasks(waiting_step, class, candidates, now);
         let has_changed = !tasks.is_empty() || place::reserved_count(candidates) > reserved_before;
         if !tasks.is_empty() {
             self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
@@ -237,6 +252,7 @@
     fn start_step_tasks(
         &mut self,
         waiting_step: &WaitingStep,
+        class: RankClass,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) -> Vec<PlacedTask> {
@@ -275,7 +291,7 @@
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
                     self.held_back_starts += ready.len() - started;
-                } else if waiting_step.rank.class <= RankClass::OnTime {
+                } else if class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
                 return placed;
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -228,6 +228,9 @@
             self.log.start_second();
             self.report_load();
         }
+        // The gauges would otherwise keep showing the last second of this term.
+        let (service, none) = (self.service.as_str(), OwnerLoad::default());
+        self.node.shared.metrics.record_owner_load(service, &none, Span(0), Span(0));
     }
 
     /// Writes the load of the last second to the log and the metrics.
