Stop planning once no waiting step fits on any worker

A reservation only keeps later steps of the same pass off a worker, so once the smallest need of all ready steps fits nowhere, no later step can start and the pass is over.

--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -11,7 +11,7 @@
 use self::room::Room;
 use super::{
     super::{
-        Action, JobId, Step, StepId, TaskId, WorkerId,
+        Action, JobId, Resources, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
         task::{Job, Task},
@@ -46,11 +46,19 @@
 struct WaitingSteps {
     /// Steps with tasks that can start now.
     ready: Vec<WaitingStep>,
+    /// The least of each resource that a task of a ready step books; `None` if no step is ready.
+    smallest_need: Option<Resources>,
     /// Steps of queues with advice that can start once running tasks are done; advice is requested
     /// ahead for them.
     upcoming: Vec<WaitingStep>,
 }
 
+impl WaitingSteps {
+    fn note_need(&mut self, need: &Resources) {
+        self.smallest_need = Some(self.smallest_need.map_or(*need, |least| least.min(need)));
+    }
+}
+
 impl Cell {
     /// Requests advice and starts waiting tasks, by rank, on workers with free capacity.
     pub(super) fn plan(&mut self, now: Timestamp) {
@@ -66,7 +74,8 @@
         self.ask_advice(&waiting.upcoming, &candidates, now);
         let mut room = Room::of(&candidates);
         for waiting_step in waiting.ready {
-            if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
+            let may_fit = waiting.smallest_need.is_some_and(|need| room.may_fit(&need));
+            if !may_fit || candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
             self.plan_work.steps += 1;
@@ -162,6 +171,7 @@
                         continue;
                     }
                     let rank = *rank.get_or_insert_with(|| order::rank(job, index, &context));
+                    waiting.note_need(&job.spec.steps[step_index].booked());
                     waiting.ready.push(WaitingStep {
                         rank,
                         job: id,
--- a/crates/core/src/job/cell/plan/room.rs
+++ b/crates/core/src/job/cell/plan/room.rs
@@ -6,7 +6,7 @@
 use super::{
     super::{
         super::{
-            Resources, Step,
+            Resources,
             order::RankClass,
             place::{self, PlacementCandidate},
         },
@@ -28,20 +28,16 @@
 impl Room {
     pub(super) fn of(candidates: &[PlacementCandidate]) -> Self {
         let usable = candidates.iter().filter(|candidate| !candidate.is_reserved);
-        let largest = |sum: Resources, candidate: &PlacementCandidate| Resources {
-            cpu_milli: sum.cpu_milli.max(candidate.free.cpu_milli),
-            memory_mb: sum.memory_mb.max(candidate.free.memory_mb),
-            gpus: sum.gpus.max(candidate.free.gpus),
-        };
         Self {
-            largest_free: usable.fold(Resources::default(), largest),
+            largest_free: usable
+                .fold(Resources::default(), |largest, candidate| largest.max(&candidate.free)),
             can_reserve: place::can_reserve(candidates),
         }
     }
 
-    /// Whether a task of the step may fit on a candidate. If not, it certainly fits on none.
-    pub(super) fn may_fit(&self, step: &Step) -> bool {
-        step.booked().fits(&self.largest_free)
+    /// Whether a task that books `need` may fit on a candidate. If not, it certainly fits on none.
+    pub(super) fn may_fit(&self, need: &Resources) -> bool {
+        need.fits(&self.largest_free)
     }
 }
 
@@ -59,7 +55,7 @@
             return true;
         };
         let step = &job.spec.steps[waiting_step.step_index];
-        if room.may_fit(step) {
+        if room.may_fit(&step.booked()) {
             return false;
         }
         if room.can_reserve && !step.gang && waiting_step.rank.class <= RankClass::OnTime {
--- a/crates/core/src/job/cell/plan/room/tests.rs
+++ b/crates/core/src/job/cell/plan/room/tests.rs
@@ -1,7 +1,7 @@
 use proptest::{collection::vec, prelude::*};
 
 use super::{
-    super::super::super::{JobId, StepId},
+    super::super::super::{JobId, Step, StepId},
     *,
 };
 
@@ -39,6 +39,6 @@
 
         let chosen = place::choose_candidate(&candidates, &step, STEP, |_, _| 0);
 
-        prop_assert!(chosen.is_none() || Room::of(&candidates).may_fit(&step));
+        prop_assert!(chosen.is_none() || Room::of(&candidates).may_fit(&need));
     }
 }
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -47,6 +47,26 @@
             && self.gpus <= available.gpus
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub(super) fn min(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub(super) fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// Returns what is left after `used` is taken away, at least zero of each resource.
     #[must_use]
     pub fn saturating_sub(&self, used: &Self) -> Self {
