--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -29,8 +29,9 @@
     staged::{StagedSubmissions, Submission},
 };
 use super::{
-    Action, AdviceConfig, Answer, JobEnd, JobId, JobSpec, JobState, LogConfig, LogEvent, LogWrite,
-    LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
+    Action, AdviceConfig, Answer, FlowLimits, JobEnd, JobId, JobSpec, JobState, LogConfig,
+    LogEvent, LogWrite, LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
+    flow::{HoldBudget, StartWindow},
     pace::PaceTable,
     record::EncodedRecord,
     task::Job,
@@ -69,6 +70,8 @@
     pub log: LogConfig,
     /// Whether jobs that would end too late are refused.
     pub admission: AdmissionPolicy,
+    /// The limits on calls to workers.
+    pub flow: FlowLimits,
 }
 
 /// An effect that is applied once the log is durable up to a position.
@@ -112,6 +115,10 @@
     /// listed yet may still carry out orders of earlier terms.
     earlier_leases_expiry: Timestamp,
     plan_due: bool,
+    start_window: StartWindow,
+    hold_budget: HoldBudget,
+    /// Number of tasks that could start but wait for the window.
+    held_back_starts: usize,
     pace_table: PaceTable,
     /// The estimated processor time of jobs that arrived in this term, in thousandths of a
     /// core-second, without long-running tasks.
@@ -155,6 +162,12 @@
         &self.service
     }
 
+    /// The number of tasks that could start but wait until fewer start orders are in flight.
+    #[must_use]
+    pub fn held_back_starts(&self) -> usize {
+        self.held_back_starts
+    }
+
     /// Takes the actions that were added since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     Epoch, Span,
-    job::{AdmissionPolicy, LogConfig},
+    job::{AdmissionPolicy, FlowLimits, LinkRate, LogConfig},
 };
 
 const NOW: (Timestamp, u64) = (Timestamp(1_000_000), 1_700_000_000_000);
@@ -31,6 +31,7 @@
         admission: AdmissionPolicy::AcceptLate,
         // Small, so that the copies need several writes.
         log: LogConfig { max_segment_bytes: 1_000, ..LogConfig::default() },
+        flow: FlowLimits::new(LinkRate::from_mbps(1_000.0), 1.0),
     }
 }
 
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        Action, LogEvent, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
+        Action, LogEvent, PlacedTask, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
         worker::{RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
@@ -19,29 +19,28 @@
 const REFUSAL_EXCLUSION: Span = Span(300);
 
 impl Cell {
-    /// Sends a worker the order to start a task, for which a run is booked there.
-    pub(super) fn start_task(&mut self, id: &WorkerId, task: TaskId, now: Timestamp) {
+    /// Sends a worker the order to start a task, for which a run is booked there. Returns `None` if
+    /// no order was sent.
+    pub(super) fn start_task(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        now: Timestamp,
+    ) -> Option<PlacedTask> {
         let lease = self.cfg.lease;
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
+        let worker = self.workers.get_mut(id)?;
         let Some(lease_end) = worker.lease_end(lease, now) else {
             self.withdraw_run(id, task);
-            return;
+            return None;
         };
         // A worker without runs is rarely sent holds; its first run brings the next one forward.
         if worker.runs.len() == 1 {
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
         let free = worker.free();
-        let Some(run) = worker.runs.get_mut(&task) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
+        let run = worker.runs.get_mut(&task)?;
+        let job = self.jobs.get_mut(&task.job)?;
         let spec = std::sync::Arc::clone(&job.spec);
-        let waited = now.since(job.arrived);
         let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
         let attempt = run.attempt;
@@ -50,10 +49,10 @@
         // The duration of a run that resumes from a checkpoint says nothing about a full run.
         run.skips_duration = checkpoint.is_some();
         worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end);
-        let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Placed { run, free_cpu_milli, waited }));
+        self.start_window.begin(id, (task, attempt), spec.payload.len(), now);
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
         self.actions.push(Action::Start(id.clone(), order));
+        Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
     }
 
     /// Handles the outcome of a start order.
@@ -64,6 +63,8 @@
         outcome: StartOutcome,
         now: Timestamp,
     ) {
+        self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
+        self.plan_due |= self.held_back_starts > 0;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{
     super::{
-        Record, Step, StepId, TaskId, WorkerId,
+        PlacedTask, Record, Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
         worker::{Run, RunState},
@@ -33,30 +33,32 @@
 
 impl Cell {
     /// Books resources for a run of a task on a worker, and sends the start order as soon as the
-    /// log allows. The caller has checked that the task may run there.
-    pub(super) fn place_task(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
-        let Some(is_logged) = self.step(task).map(is_logged) else {
-            return;
-        };
+    /// log allows. The caller has checked that the task may run there. Returns `None` if no order
+    /// has been sent yet.
+    pub(super) fn place_task(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        attempt: u32,
+        now: Timestamp,
+    ) -> Option<PlacedTask> {
+        let is_logged = self.step(task).map(is_logged)?;
         self.book_run(id, task, attempt, now);
         if !is_logged {
-            self.start_task(id, task, now);
-            return;
+            return self.start_task(id, task, now);
         }
         let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
-        let Some(task_state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
-            return;
-        };
+        let task_state = self.jobs.get(&task.job)?.task(task)?;
         match &task_state.placement {
             Some(placement) if placement.worker == *id => {
                 if placement.position <= self.log.durable() {
-                    self.start_task(id, task, now);
-                } else {
-                    self.defer_until_durable(effect, now);
+                    return self.start_task(id, task, now);
                 }
+                self.defer_until_durable(effect, now);
             }
             _ => self.log_placement(id, (task, attempt), effect, now),
         }
+        None
     }
 
     fn log_placement(
@@ -110,11 +112,12 @@
         if run.is_none_or(|run| run.state != RunState::Planned) {
             return;
         }
-        if Self::is_usable(worker, now) {
-            self.start_task(id, task, now);
-        } else {
+        if !Self::is_usable(worker, now) {
             self.withdraw_run(id, task);
+            return;
         }
+        let placed = self.start_task(id, task, now);
+        self.log_placed(task.step_id(), placed.into_iter().collect(), now);
     }
 
     /// Removes a run for which no order has been sent; the task may start elsewhere.
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -4,7 +4,7 @@
 
 use super::{
     super::{
-        Action, JobId, Step, StepId, TaskId, WorkerId,
+        Action, JobId, LogEvent, PlacedTask, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
         task::{Job, Task},
@@ -21,6 +21,7 @@
     pub(super) job: JobId,
     occurrence_index: usize,
     step_index: usize,
+    startable_tasks: usize,
 }
 
 impl WaitingStep {
@@ -47,6 +48,7 @@
     /// Requests advice and starts waiting tasks, by rank, on workers with free capacity.
     pub(super) fn plan(&mut self, now: Timestamp) {
         self.plan_due = false;
+        self.held_back_starts = 0;
         let mut candidates = self.placement_candidates(now);
         if candidates.is_empty() {
             return;
@@ -59,6 +61,10 @@
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
+            if !self.start_window.has_room() {
+                self.held_back_starts += waiting_step.startable_tasks;
+                continue;
+            }
             self.start_step(&waiting_step, &mut candidates, now);
         }
     }
@@ -80,6 +86,7 @@
                 latency_sensitive_runs: count(worker, |run| run.is_latency_sensitive),
                 best_effort_runs: count(worker, |run| run.is_best_effort),
                 on_probation: worker.on_probation,
+                start_room: self.start_window.room_at(id),
                 is_reserved: false,
                 is_disallowed: false,
             })
@@ -127,8 +134,13 @@
                     if !occurrence.is_ready(&job.spec, step_index) {
                         if queue.advice.is_some() && occurrence.is_upcoming(&job.spec, step_index) {
                             let rank = order::rank(job, index, &context);
-                            let waiting_step =
-                                WaitingStep { rank, job: id, occurrence_index: index, step_index };
+                            let waiting_step = WaitingStep {
+                                rank,
+                                job: id,
+                                occurrence_index: index,
+                                step_index,
+                                startable_tasks: 0,
+                            };
                             waiting.upcoming.push(waiting_step);
                         }
                         continue;
@@ -142,7 +154,9 @@
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
                     }
-                    if !state.tasks.iter().any(|task| Self::is_startable(task, inherited, now)) {
+                    let is_startable = |task: &&Task| Self::is_startable(task, inherited, now);
+                    let startable_tasks = state.tasks.iter().filter(is_startable).count();
+                    if startable_tasks == 0 {
                         // Every waiting task of the step is delayed: plan again at the next tick.
                         self.plan_due = true;
                         continue;
@@ -153,6 +167,7 @@
                         job: id,
                         occurrence_index: index,
                         step_index,
+                        startable_tasks,
                     });
                 }
             }
@@ -160,7 +175,8 @@
         waiting
     }
 
-    /// Starts the tasks of a step for which a worker has room.
+    /// Places the tasks of a step for which a worker has room, and logs where those are for which an
+    /// order is sent at once.
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
@@ -170,6 +186,30 @@
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return;
         };
+        let step = waiting_step.step_id(job);
+        let placed = self.start_step_tasks(waiting_step, candidates, now);
+        self.log_placed(step, placed, now);
+    }
+
+    /// Logs to which workers start orders for tasks of a step were sent.
+    pub(super) fn log_placed(&mut self, step: StepId, tasks: Vec<PlacedTask>, now: Timestamp) {
+        let Some(job) = self.jobs.get(&step.job).filter(|_| !tasks.is_empty()) else {
+            return;
+        };
+        let waited = now.since(job.arrived);
+        self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
+    }
+
+    fn start_step_tasks(
+        &mut self,
+        waiting_step: &WaitingStep,
+        candidates: &mut [PlacementCandidate],
+        now: Timestamp,
+    ) -> Vec<PlacedTask> {
+        let mut placed = Vec::new();
+        let Some(job) = self.jobs.get(&waiting_step.job) else {
+            return placed;
+        };
         let spec = std::sync::Arc::clone(&job.spec);
         let step = &spec.steps[waiting_step.step_index];
         let occurrence = &job.occurrences[waiting_step.occurrence_index];
@@ -180,28 +220,36 @@
         if step.gang {
             if tasks.iter().all(is_startable) {
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
-                self.start_gang(step, id, attempt, candidates, now);
+                placed = self.start_gang(step, id, attempt, candidates, now);
             }
-            return;
+            return placed;
         }
         let ready: Vec<(u32, u32)> = (0..)
             .zip(tasks)
             .filter(|(_, task)| is_startable(task))
             .map(|(index, task)| (index, task.attempt + 1))
             .collect();
-        for (index, attempt) in ready {
+        for (started, (index, attempt)) in ready.iter().copied().enumerate() {
+            if !self.start_window.has_room() {
+                self.held_back_starts += ready.len() - started;
+                return placed;
+            }
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
             let in_place = self.candidate_in_place(id.task(index), step, candidates);
             let choose = || place::choose_candidate(candidates, step, id, count);
             let Some(chosen) = in_place.or_else(choose) else {
-                if waiting_step.rank.class <= RankClass::OnTime {
+                if place::waits_for_answers(candidates, step, id, count) {
+                    self.held_back_starts += ready.len() - started;
+                } else if waiting_step.rank.class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
-                return;
+                return placed;
             };
-            self.reserve_and_start(&mut candidates[chosen], step, id.task(index), attempt, now);
+            let candidate = &mut candidates[chosen];
+            placed.extend(self.reserve_and_start(candidate, step, id.task(index), attempt, now));
         }
+        placed
     }
 
     fn start_gang(
@@ -211,13 +259,16 @@
         attempt: u32,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
-    ) {
+    ) -> Vec<PlacedTask> {
         let workers = &self.workers;
         let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
         let gang_candidates = place::choose_gang(candidates, step, id, count);
+        let mut placed = Vec::new();
         for (index, chosen) in (0..).zip(gang_candidates.into_iter().flatten()) {
-            self.reserve_and_start(&mut candidates[chosen], step, id.task(index), attempt, now);
+            let candidate = &mut candidates[chosen];
+            placed.extend(self.reserve_and_start(candidate, step, id.task(index), attempt, now));
         }
+        placed
     }
 
     fn reserve_and_start(
@@ -227,10 +278,10 @@
         task: TaskId,
         attempt: u32,
         now: Timestamp,
-    ) {
+    ) -> Option<PlacedTask> {
         candidate.reserve(step);
         let worker = candidate.worker.clone();
-        self.place_task(&worker, task, attempt, now);
+        self.place_task(&worker, task, attempt, now)
     }
 
     /// Sends workers the pace of their best-effort tasks where it changed.
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod faults;
 mod fixtures;
+mod flow;
 mod log;
 mod long_running;
 mod random;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,10 +9,11 @@
 //! | `members` | the registered nodes and the owners of duties |
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
 //! | `host` | the owner of a cell: its log, its orders and its workers |
+//! | `owner_load` | what an owner has in flight, and how quickly it is answered |
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
-//! | `note` | log events of a cell |
+//! | `note`, `line_limit` | log events of a cell, and how many lines of a kind they may take |
 //!
 //! The control thread runs everything except HTTP for client accounts. It shares only the
 //! configuration, the draining flag, the number of requests in flight, the metrics, the logger and
@@ -22,13 +23,15 @@
 mod fleet;
 mod front;
 mod host;
+mod line_limit;
 mod log_store;
 mod members;
 mod node;
 mod note;
 mod operator;
+mod owner_load;
 mod peer;
 mod roster;
 mod session;
 
-pub(crate) use self::node::serve;
+pub(crate) use self::{node::serve, owner_load::OwnerLoad};
