--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -68,10 +68,10 @@
     pub status_retention: Span,
     /// The limits on writes of the log.
     pub log: LogConfig,
-    /// Whether jobs that would end too late are refused.
-    pub admission: AdmissionPolicy,
     /// The limits on calls to workers.
     pub flow: FlowLimits,
+    /// Whether jobs that would end too late are refused.
+    pub admission: AdmissionPolicy,
 }
 
 /// An effect that is applied once the log is durable up to a position.
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -98,7 +98,7 @@
     }
 
     /// Sends the start order of a run whose placement has become durable. If the worker can't be
-    /// used any more, the task is planned again.
+    /// used any more, or too many start orders are in flight, the task is planned again.
     pub(super) fn on_placement_durable(
         &mut self,
         id: &WorkerId,
@@ -112,7 +112,7 @@
         if run.is_none_or(|run| run.state != RunState::Planned) {
             return;
         }
-        if !Self::is_usable(worker, now) {
+        if !Self::is_usable(worker, now) || !self.start_window.has_room() {
             self.withdraw_run(id, task);
             return;
         }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -57,12 +57,12 @@
 /// The ticket that the advice service issues for every allowed worker.
 const TICKET: &str = "ticket";
 
-/// The longest time for which an owner may give orders after another one has claimed the cell.
-pub const OWNER_TTL: Span = Span(3_000);
-
 /// Share of a core of an owner behind a link.
 const LINKED_OWNER_CPU_SHARE: f64 = 0.12;
 
+/// The longest time for which an owner may give orders after another one has claimed the cell.
+pub const OWNER_TTL: Span = Span(3_000);
+
 /// Wall-clock time at the model's time zero, in milliseconds since the Unix epoch.
 const WALL_OFFSET_MS: u64 = 1_700_000_000_000;
 
@@ -252,17 +252,6 @@
         Self::with_config(cell_config(), service, queues, workers)
     }
 
-    /// Creates a cell of this configuration with its workers and lets a first owner take it over.
-    #[must_use]
-    pub fn with_config(
-        cfg: CellConfig,
-        service: ServiceId,
-        queues: IndexMap<QueueId, QueueConfig>,
-        workers: Vec<ModelWorker>,
-    ) -> Self {
-        Self::with_config_and_link(cfg, None, service, queues, workers)
-    }
-
     /// Creates a cell like [`Model::new`], whose owner passes all calls to workers and to the store
     /// over a link.
     #[must_use]
@@ -274,12 +263,15 @@
     ) -> Self {
         let flow = FlowLimits::new(link.rate(), LINKED_OWNER_CPU_SHARE);
         let cfg = CellConfig { flow, ..cell_config() };
-        Self::with_config_and_link(cfg, Some(link), service, queues, workers)
+        let mut model = Self::with_config(cfg, service, queues, workers);
+        model.link = Some(link);
+        model
     }
 
-    fn with_config_and_link(
+    /// Creates a cell of this configuration with its workers and lets a first owner take it over.
+    #[must_use]
+    pub fn with_config(
         cfg: CellConfig,
-        link: Option<Link>,
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
@@ -313,7 +305,7 @@
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
             advice_request_count: 0,
-            link,
+            link: None,
             owner_lease: None,
             expired_terms: 0,
             starts_in_flight: 0,
@@ -441,9 +433,9 @@
     /// Writes a segment to the store. The owner repeats a write that the store refuses.
     fn write_segment(&mut self, epoch: Epoch, write: LogWrite) {
         let sequence = write.sequence;
-        let delay = self.send_over_link(write.value.len() as u64);
         if self.log.write(&write) {
-            self.send(delay.0 + WRITE_LATENCY_MS, Delivery::SegmentWritten { epoch, sequence });
+            let delay_ms = self.send_over_link(write.value.len() as u64).0 + WRITE_LATENCY_MS;
+            self.send(delay_ms, Delivery::SegmentWritten { epoch, sequence });
         } else {
             self.violations.push(format!("{} segment {sequence} is too large", self.now));
             self.pending_write = Some((epoch, write));
