Log placements that become durable together in one event a step

Cause: orders that waited for the log were sent, and logged, one by one as the effects of a write were applied.

Change: the effects of a write only collect the runs whose placements are durable; the orders follow after the last effect, with an event for each step.

tasks_whose_placements_become_durable_together_share_a_placed_event: failed with left: [1, 1, 1, 1], right: [4]; passes now.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -89,7 +89,7 @@
     /// Marks what the log says about a worker as durable if this was the latest time that the worker
     /// was logged.
     WorkerLogged(WorkerId, u32, Logged),
-    /// Sends the start order of a run, given by worker, task and attempt.
+    /// Lets the start order of a run, given by worker, task and attempt, be sent.
     PlacementDurable(WorkerId, TaskId, u32),
 }
 
@@ -107,6 +107,8 @@
     /// Whether the handover was recorded, after which the owner sends no more orders.
     is_handed_over: bool,
     deferred_effects: VecDeque<(Position, DeferredEffect)>,
+    /// Runs, given by worker, task and attempt, whose placements have just become durable.
+    durable_placements: Vec<(WorkerId, TaskId, u32)>,
     actions: Vec<Action>,
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
     /// has certainly expired.
@@ -211,6 +213,7 @@
         {
             self.apply_effect(effect, now);
         }
+        self.start_placed_tasks(now);
         self.on_write_finished(now);
     }
 
@@ -248,7 +251,7 @@
                 }
             }
             DeferredEffect::PlacementDurable(id, task, attempt) => {
-                self.on_placement_durable(&id, (task, attempt), now);
+                self.durable_placements.push((id, task, attempt));
             }
         }
     }
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -97,27 +97,37 @@
         worker.runs.insert(task, Run::new(attempt, step, RunState::Planned, now));
     }
 
-    /// Sends the start order of a run whose placement has become durable. If the worker can't be
-    /// used any more, or too many start orders are in flight, the task is planned again.
-    pub(super) fn on_placement_durable(
+    /// Sends the start orders of the runs whose placements have just become durable, and logs them.
+    pub(super) fn start_placed_tasks(&mut self, now: Timestamp) {
+        let mut placed: IndexMap<StepId, Vec<PlacedTask>> = IndexMap::new();
+        for (id, task, attempt) in std::mem::take(&mut self.durable_placements) {
+            if let Some(placed_task) = self.start_placed_task(&id, (task, attempt), now) {
+                placed.entry(task.step_id()).or_default().push(placed_task);
+            }
+        }
+        for (step, tasks) in placed {
+            self.log_placed(step, tasks, now);
+        }
+    }
+
+    /// Sends the start order of a run whose placement is durable. If the worker can't be used any
+    /// more, or too many start orders are in flight, the task is planned again.
+    fn start_placed_task(
         &mut self,
         id: &WorkerId,
         (task, attempt): (TaskId, u32),
         now: Timestamp,
-    ) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let run = worker.runs.get(&task).filter(|run| run.attempt == attempt);
-        if run.is_none_or(|run| run.state != RunState::Planned) {
-            return;
+    ) -> Option<PlacedTask> {
+        let worker = self.workers.get(id)?;
+        let run = worker.runs.get(&task).filter(|run| run.attempt == attempt)?;
+        if run.state != RunState::Planned {
+            return None;
         }
         if !Self::is_usable(worker, now) || !self.start_window.has_room() {
             self.withdraw_run(id, task);
-            return;
+            return None;
         }
-        let placed = self.start_task(id, task, now);
-        self.log_placed(task.step_id(), placed.into_iter().collect(), now);
+        self.start_task(id, task, now)
     }
 
     /// Removes a run for which no order has been sent; the task may start elsewhere.
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -134,6 +134,7 @@
             live: super::clean::LiveIndex::default(),
             is_handed_over: false,
             deferred_effects: std::collections::VecDeque::new(),
+            durable_placements: Vec::new(),
             actions: Vec::new(),
             inherited_workers: IndexMap::new(),
             earlier_leases_expiry: now,
