Bound the start orders in flight to one worker in place too

What callers saw: nothing yet; a worker with many long-running tasks got the orders for all of them at once when it had restarted, more than its kept connections carry, which the window of flow is to prevent.

Cause: the worker that the log names for a task was chosen without regard to its open orders, and orders that had waited for the log looked only at the window of the cell. A placement that waits for the log counted against the worker in the plan, although its order is not sent.

Change: a task in place waits until its worker has answered; an order that waited for the log is sent only if the worker has room, else the task is planned again, in place; a plan counts an order once it is sent.

one_worker_gets_few_orders_for_long_running_tasks_at_once: failed with 7 in flight after a restart, passes with 3 now.

--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -123,7 +123,7 @@
         if run.state != RunState::Planned {
             return None;
         }
-        if !Self::is_usable(worker, now) || !self.start_window.has_room() {
+        if !Self::is_usable(worker, now) || !self.start_window.has_room_at(id) {
             self.withdraw_run(id, task);
             return None;
         }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -237,6 +237,10 @@
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
             let in_place = self.candidate_in_place(id.task(index), step, candidates);
+            if in_place.is_some_and(|chosen| candidates[chosen].start_room == 0) {
+                self.held_back_starts += 1;
+                continue;
+            }
             let choose = || place::choose_candidate(candidates, step, id, count);
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
@@ -280,8 +284,9 @@
         now: Timestamp,
     ) -> Option<PlacedTask> {
         candidate.reserve(step);
-        let worker = candidate.worker.clone();
-        self.place_task(&worker, task, attempt, now)
+        let placed = self.place_task(&candidate.worker, task, attempt, now)?;
+        candidate.start_room = candidate.start_room.saturating_sub(1);
+        Some(placed)
     }
 
     /// Sends workers the pace of their best-effort tasks where it changed.
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -135,6 +135,11 @@
         MAX_STARTS_PER_WORKER.saturating_sub(pending)
     }
 
+    /// Whether another start order may be sent to a worker.
+    pub(super) fn has_room_at(&self, worker: &WorkerId) -> bool {
+        self.has_room() && self.room_at(worker) > 0
+    }
+
     /// Adds a start order with a payload of this size.
     pub(super) fn begin(
         &mut self,
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -42,7 +42,6 @@
         if self.on_probation {
             self.free = Resources::default();
         }
-        self.start_room = self.start_room.saturating_sub(1);
         self.latency_sensitive_runs += u32::from(step.tail_target.is_some());
         self.best_effort_runs += u32::from(step.is_best_effort);
     }
