--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -23,6 +23,7 @@
 mod fleet;
 mod front;
 mod host;
+mod lease;
 mod line_limit;
 mod log_store;
 mod members;
