--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -23,6 +23,9 @@
 /// The same for a worker that runs only long-running tasks.
 const LONG_RUNNING_HOLD_WAIT: Span = Span(1_000);
 
+/// A worker answers at least this many holds within the duration of a lease, however short that is.
+const MIN_HOLDS_PER_LEASE: u64 = 4;
+
 /// The shortest interval between two holds of one worker.
 const HOLD_INTERVAL: Span = Span(60);
 
@@ -54,7 +57,8 @@
 
 impl HoldUrgency {
     fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
-        let renewal_due = worker.renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
+        let renewed_at = worker.renewed_at.unwrap_or_default();
+        let renewal_due = renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
         if !worker.is_adopted {
             Self::Adopts
         } else if now >= renewal_due && !worker.runs.is_empty() {
@@ -73,6 +77,7 @@
     // with each hold, it would never be known to have expired.
     let lease_end = if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
     worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
+    worker.renewing_since = lease_end.and(worker.renewing_since.or(Some(now)));
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
     let answers_at_once = worker.runs.is_empty()
         || has_unconfirmed_ends
@@ -81,9 +86,9 @@
     let wait = if answers_at_once {
         Span(0)
     } else if worker.has_only_long_running() {
-        LONG_RUNNING_HOLD_WAIT
+        LONG_RUNNING_HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
     } else {
-        HOLD_WAIT
+        HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
     };
     // A worker that did not answer may have restarted. It then numbers its ends from the beginning,
     // and the old number would confirm ends that have not been handled.
@@ -129,8 +134,7 @@
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
             Self::update_stays_until(&mut worker, now);
-            self.workers.insert(id.clone(), worker);
-            self.log_worker_used(&id, now);
+            self.workers.insert(id, worker);
             return;
         };
         worker.missing_since = None;
@@ -153,8 +157,8 @@
         worker.stays_until = Some(worker.stays_until.map_or(deadline, |old| old.min(deadline)));
     }
 
-    /// Handles the restart of a worker under the same id. The runs of its previous instance have
-    /// ended, but an unanswered start order may still reach the new instance.
+    /// Handles the restart of a worker under the same id. The runs that its previous instance listed
+    /// have ended, but a start order may have reached the new instance or may still reach it.
     fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
         let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
@@ -177,7 +181,7 @@
         for (task, run) in runs {
             if run.state == RunState::Planned {
                 self.withdraw_run(id, task);
-            } else if run.state == RunState::Running {
+            } else if run.is_listed {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
@@ -361,12 +365,13 @@
             worker.listed_clock_ms = report.clock_ms;
             worker.record_clock(report.clock_ms, now);
         }
-        if was_adopted && !had_failed_holds {
-            worker.renewed_at = worker.renewed_at.max(sent);
-        }
         worker.hold_failures = 0;
         worker.last_heard = now;
-        worker.is_adopted = true;
+        worker.record_renewal(sent);
+        if !worker.is_adopted {
+            worker.is_adopted = true;
+            worker.adopted_at = now;
+        }
         self.on_run_ends(id, &report.ends, now);
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
@@ -388,12 +393,17 @@
             // The lease can be renewed only now that the worker answers.
             worker.next_hold = now;
         }
+        let is_logged = worker.times_logged > 0;
         if !was_adopted || was_silent {
             let (worker, runs) = (id.clone(), worker.runs.len());
             let change = if was_adopted { "answers again" } else { "adopted" };
             self.actions.push(Action::Log(LogEvent::Worker { worker, change, runs }));
             self.plan_due = true;
         }
+        // The store also lists workers whose VM was moved, which never answer.
+        if !is_logged {
+            self.log_worker_used(id, now);
+        }
     }
 
     /// Logs that a worker is used; it gets no orders before that record is durable.
@@ -430,8 +440,10 @@
         };
         let drained: Vec<WorkerId> =
             self.workers.iter().filter(is_drained).map(|(id, _)| id.clone()).collect();
-        let is_used_again =
-            |worker: &&Worker| worker.logged == Logged::Gone && worker.drain.is_none();
+        // The store lists a worker for a while after its VM was moved.
+        let is_used_again = |worker: &&Worker| {
+            worker.logged == Logged::Gone && worker.drain.is_none() && !worker.is_unresponsive(now)
+        };
         let used_again: Vec<WorkerId> = self
             .workers
             .values()
@@ -460,6 +472,7 @@
             if run.state != RunState::Running {
                 run.state = RunState::Running;
             }
+            run.is_listed = true;
             run.progress_percent = listed_run.progress_percent;
             self.apply_listed_run(id, listed_run, now);
             return;
@@ -525,7 +538,8 @@
         };
         let (progress_percent, measured_percent) =
             (listed_run.progress_percent, listed_run.progress_percent);
-        let run = Run { progress_percent, measured_percent, skips_duration: true, ..run };
+        let (is_listed, skips_duration) = (true, true);
+        let run = Run { is_listed, progress_percent, measured_percent, skips_duration, ..run };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
         }
@@ -572,12 +586,23 @@
                 Some((*task, run.attempt, reason))
             })
             .collect();
+        let is_missing = |(task, run): &(&TaskId, &Run)| {
+            run.state == RunState::Unsettled
+                && run.stopping.is_none()
+                && sent > run.expect_in_lists_after
+                && !is_listed(task, run)
+        };
+        let missing: Vec<TaskId> =
+            worker.runs.iter().filter(is_missing).map(|(&task, _)| task).collect();
         for (task, attempt, reason) in ended {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.runs.shift_remove(&task);
             }
             self.end_unreported_run(id, task, attempt, reason, now);
         }
+        for task in missing {
+            self.stop_run(id, task, "start order unanswered", now);
+        }
     }
 
     /// Sets which workers are to be drained and how; all others may be used.
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod availability;
 mod cost;
 mod faults;
 mod fixtures;
