--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod advise;
 mod clean;
 mod ends;
+mod job_table;
 mod load;
 mod orders;
 mod placement;
@@ -16,10 +17,11 @@
 mod roster;
 mod staged;
 mod vacate;
+mod work;
 
 use std::collections::VecDeque;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 pub use self::admit::AdmissionPolicy;
 pub(super) use self::progress::WorkerSpeed;
@@ -74,9 +76,6 @@
     pub admission: AdmissionPolicy,
 }
 
-/// How often ended jobs are removed.
-const REMOVAL_INTERVAL: Span = Span(1_000);
-
 /// An effect that is applied once the log is durable up to a position.
 #[derive(Clone, Debug)]
 enum DeferredEffect {
@@ -103,11 +102,7 @@
     service: ServiceId,
     epoch: Epoch,
     queues: IndexMap<QueueId, QueueConfig>,
-    jobs: IndexMap<JobId, Job>,
-    /// The jobs that have not ended.
-    open_jobs: IndexSet<JobId>,
-    /// When ended jobs are removed next.
-    next_removal: Timestamp,
+    jobs: job_table::JobTable,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
     live: clean::LiveIndex,
@@ -128,6 +123,7 @@
     hold_budget: HoldBudget,
     /// Number of tasks that could start but wait for the window.
     held_back_starts: usize,
+    plan_work: work::PlanWork,
     pace_table: PaceTable,
     /// The estimated processor time of jobs that arrived in this term, in thousandths of a
     /// core-second, without long-running tasks.
@@ -331,7 +327,6 @@
         self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
-        self.open_jobs.insert(id);
         self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, arrived));
         self.record(record, arrived, Some(DeferredEffect::JobDurable(id)));
         for token in tokens {
@@ -368,16 +363,11 @@
     #[must_use]
     pub fn queued_jobs(&self, queue: &QueueId) -> u64 {
         let is_queued = |job: &&Job| &job.queue == queue && !job.has_started;
-        self.open_jobs().map(|(_, job)| job).filter(is_queued).count() as u64
+        self.jobs.open().map(|(_, job)| job).filter(is_queued).count() as u64
     }
 
     fn waiting_jobs(&self) -> usize {
-        self.open_jobs().filter(|(_, job)| !job.has_started).count()
-    }
-
-    /// The jobs that have not ended.
-    fn open_jobs(&self) -> impl Iterator<Item = (JobId, &Job)> {
-        self.open_jobs.iter().filter_map(|&id| Some((id, self.jobs.get(&id)?)))
+        self.jobs.open().filter(|(_, job)| !job.has_started).count()
     }
 
     /// Records the end of a job and marks its runs to be stopped; the orders go out with the next
@@ -386,7 +376,6 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        self.open_jobs.swap_remove(&id);
         job.end = Some(end);
         job.ended = now;
         let after = now.since(job.arrived);
@@ -395,6 +384,7 @@
         let record = clean::finished_record(id, job, end);
         let tasks = job.task_ids(id);
         self.actions.push(Action::Log(LogEvent::Finished { job: id, end, after }));
+        self.jobs.close(id);
         self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
             self.stop_task(task, "job ended", now);
@@ -423,10 +413,7 @@
     }
 
     fn open_occurrences(&mut self, wall_ms: u64) {
-        for id in &self.open_jobs {
-            let Some(job) = self.jobs.get_mut(id) else {
-                continue;
-            };
+        for job in self.jobs.open_mut() {
             let due_before = job.due_occurrences;
             job.add_due_occurrences(wall_ms);
             self.plan_due |= job.due_occurrences > due_before;
@@ -435,21 +422,8 @@
 
     /// Removes ended jobs whose retention time has passed.
     fn remove_expired_jobs(&mut self, now: Timestamp) {
-        if now < self.next_removal {
-            return;
-        }
-        self.next_removal = now + REMOVAL_INTERVAL;
-        let retention = self.cfg.status_retention;
-        let is_expired = |job: &Job| job.is_end_durable && now > job.ended + retention;
-        if self.jobs.values().any(is_expired) {
-            let live = &mut self.live;
-            self.jobs.retain(|id, job| {
-                let expired = is_expired(job);
-                if expired {
-                    live.remove(&clean::LiveKey::Job(*id));
-                }
-                !expired
-            });
+        for id in self.jobs.remove_expired(self.cfg.status_retention, now) {
+            self.live.remove(&clean::LiveKey::Job(id));
         }
     }
 }
--- a/crates/core/src/job/cell/advise.rs
+++ b/crates/core/src/job/cell/advise.rs
@@ -19,12 +19,15 @@
 impl Cell {
     /// Sends the advice requests that are due, in the order of the steps, up to the limit on
     /// requests in flight.
-    pub(super) fn ask_advice<'a>(
+    pub(super) fn ask_advice(
         &mut self,
-        waiting_steps: impl Iterator<Item = &'a WaitingStep>,
+        waiting_steps: &[WaitingStep],
         candidates: &[PlacementCandidate],
         now: Timestamp,
     ) {
+        if self.queues.values().all(|queue| queue.advice.is_none()) {
+            return;
+        }
         let mut remaining =
             MAX_ADVICE_REQUESTS_IN_FLIGHT.saturating_sub(self.advice_requests_in_flight);
         for waiting_step in waiting_steps {
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -25,7 +25,8 @@
             return 1;
         };
         let steps = self
-            .open_jobs()
+            .jobs
+            .open()
             .flat_map(|(id, job)| job.spec.steps.iter().map(move |step| (id, step)));
         let mut long_running: Vec<(JobId, &Step)> =
             steps.filter(|(_, step)| step.long_running).collect();
@@ -50,7 +51,7 @@
             load.booked_milli += worker.used().cpu_milli;
             load.workers += 1;
         }
-        for (_, job) in self.open_jobs() {
+        for (_, job) in self.jobs.open() {
             for index in 0..job.occurrences.len() {
                 demands.extend(self.add_load(&mut load, job, index, now));
             }
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -164,7 +164,7 @@
         if placement.failures >= MAX_FAILURES_IN_PLACE {
             return None;
         }
-        let step_runs = || count_step_runs(&self.workers, &placement.worker, task.step_id());
+        let step_runs = count_step_runs(&self.workers, &placement.worker, task.step_id());
         candidates.iter().position(|candidate| {
             candidate.worker == placement.worker && place::is_allowed(candidate, step, step_runs)
         })
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -1,10 +1,17 @@
 //! Planning: which tasks start on which workers, and at what pace best-effort tasks run.
 
+mod room;
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
+use self::room::Room;
 use super::{
     super::{
-        Action, JobId, LogEvent, PlacedTask, Resources, Step, StepId, TaskId, WorkerId,
+        Action, JobId, LogEvent, PlacedTask, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
         task::{Job, Task},
@@ -12,19 +19,17 @@
     },
     Cell,
     placement::{awaits_worker, is_logged},
+    work::PlanWork,
 };
 use crate::{Span, Timestamp};
 
-/// A step of an occurrence that waits to start.
+/// A step of an occurrence that waits to start, with its rank.
 pub(super) struct WaitingStep {
+    rank: Rank,
     pub(super) job: JobId,
     occurrence_index: usize,
     step_index: usize,
     startable_tasks: usize,
-    /// The resources that a task books.
-    booked: Resources,
-    is_gang: bool,
-    needs_advice: bool,
 }
 
 impl WaitingStep {
@@ -52,23 +57,17 @@
     pub(super) fn plan(&mut self, now: Timestamp) {
         self.plan_due = false;
         self.held_back_starts = 0;
+        self.plan_work = PlanWork::default();
         let mut candidates = self.placement_candidates(now);
         if candidates.is_empty() {
             return;
         }
-        let waiting = self.waiting_steps(now);
-        let mut most_free = place::most_free(&candidates);
-        let needs_rank = |step: &WaitingStep| step.needs_advice || step.booked.fits(&most_free);
-        // If no step has room, neither their order nor a reservation matters.
-        let ready = if waiting.ready.iter().any(needs_rank) {
-            self.sort_by_rank(waiting.ready, now)
-        } else {
-            Vec::new()
-        };
-        self.ask_advice(ready.iter().map(|(_, step)| step), &candidates, now);
-        self.ask_advice(waiting.upcoming.iter(), &candidates, now);
-        let mut may_reserve = true;
-        for (rank, waiting_step) in ready {
+        let mut waiting = self.waiting_steps(now);
+        waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
+        self.ask_advice(&waiting.ready, &candidates, now);
+        self.ask_advice(&waiting.upcoming, &candidates, now);
+        let mut room = Room::of(&candidates);
+        for waiting_step in waiting.ready {
             if candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
                 break;
             }
@@ -76,66 +75,29 @@
                 self.held_back_starts += waiting_step.startable_tasks;
                 continue;
             }
-            if waiting_step.booked.fits(&most_free) {
-                if self.start_step(&waiting_step, rank.class, &mut candidates, now) {
-                    most_free = place::most_free(&candidates);
-                }
-            } else if may_reserve && !waiting_step.is_gang && rank.class <= RankClass::OnTime {
-                self.reserve_for_step(&waiting_step, &mut candidates, now);
-                may_reserve = !place::has_reserved_enough(&candidates);
+            self.plan_work.steps += 1;
+            if self.pass_over(&waiting_step, &mut candidates, &mut room, now) {
+                continue;
             }
+            self.plan_work.searches += 1;
+            self.start_step(&waiting_step, &mut candidates, now);
+            room = Room::of(&candidates);
         }
     }
 
-    /// Ranks steps and returns them in the order in which they start.
-    fn sort_by_rank(&self, steps: Vec<WaitingStep>, now: Timestamp) -> Vec<(Rank, WaitingStep)> {
-        let wall_offset_ms = self.wall_offset_ms;
-        let rank = |step: &WaitingStep| {
-            let job = self.jobs.get(&step.job)?;
-            let queue = self.queues.get(&job.queue)?;
-            let expected = self.expected_times.get(&job.queue);
-            let context = RankContext { queue, expected, now, wall_offset_ms };
-            Some(order::rank(job, step.occurrence_index, &context))
-        };
-        let mut ranked: Vec<(Rank, WaitingStep)> =
-            steps.into_iter().filter_map(|step| Some((rank(&step)?, step))).collect();
-        ranked.sort_by_key(|(rank, step)| (*rank, step.job));
-        ranked
-    }
-
-    /// Reserves a worker for a step of which no task fits on any.
-    fn reserve_for_step(
-        &self,
-        waiting_step: &WaitingStep,
-        candidates: &mut [PlacementCandidate],
-        now: Timestamp,
-    ) {
-        let Some(job) = self.jobs.get(&waiting_step.job) else {
-            return;
-        };
-        let id = waiting_step.step_id(job);
-        self.disallow_without_ticket(id, candidates, now);
-        let step = &job.spec.steps[waiting_step.step_index];
-        let count = |worker: &WorkerId, id| count_step_runs(&self.workers, worker, id);
-        place::reserve_candidate(candidates, step, id, count);
-    }
-
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
         let is_usable = |(_, worker): &(&WorkerId, &Worker)| Self::is_usable(worker, now);
-        let count = |worker: &Worker, matches: fn(&super::super::worker::Run) -> bool| {
-            u32::try_from(worker.runs.values().filter(|run| matches(run)).count())
-                .unwrap_or(u32::MAX)
-        };
         self.workers
             .iter()
             .filter(is_usable)
-            .map(|(id, worker)| PlacementCandidate {
+            .map(|(id, worker)| (id, worker, worker.totals()))
+            .map(|(id, worker, totals)| PlacementCandidate {
                 worker: id.clone(),
-                labels: worker.entry.labels.clone(),
+                labels: Arc::clone(&worker.entry.labels),
                 capacity: worker.entry.capacity,
-                free: worker.free(),
-                latency_sensitive_runs: count(worker, |run| run.is_latency_sensitive),
-                best_effort_runs: count(worker, |run| run.is_best_effort),
+                free: worker.entry.capacity.saturating_sub(&totals.booked),
+                latency_sensitive_runs: totals.latency_sensitive,
+                best_effort_runs: totals.best_effort,
                 on_probation: worker.on_probation,
                 start_room: self.start_window.room_at(id),
                 is_reserved: false,
@@ -158,20 +120,26 @@
     /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
     /// back.
     fn waiting_steps(&mut self, now: Timestamp) -> WaitingSteps {
+        let wall_offset_ms = self.wall_offset_ms;
+        let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
-        for &id in &self.open_jobs {
-            let Some(job) = self.jobs.get(&id).filter(|job| job.is_durable) else {
+        for (id, job) in self.jobs.open() {
+            self.plan_work.jobs += 1;
+            if !job.is_durable {
                 continue;
-            };
+            }
             let queue = self.queues.get(&job.queue).filter(|queue| queue.service == self.service);
             let Some(queue) = queue else {
                 continue;
             };
+            let context =
+                RankContext { queue, expected: expected.get(&job.queue), now, wall_offset_ms };
             for (index, occurrence) in job.occurrences.iter().enumerate() {
                 if occurrence.is_done() {
                     continue;
                 }
+                let mut rank = None;
                 for (step_index, state) in occurrence.steps.iter().enumerate() {
                     let is_held = job.is_inherited && !is_logged(&job.spec.steps[step_index]);
                     if state.open_tasks == 0 || is_held {
@@ -179,14 +147,13 @@
                     }
                     if !occurrence.is_ready(&job.spec, step_index) {
                         if queue.advice.is_some() && occurrence.is_upcoming(&job.spec, step_index) {
+                            let rank = order::rank(job, index, &context);
                             let waiting_step = WaitingStep {
+                                rank,
                                 job: id,
                                 occurrence_index: index,
                                 step_index,
                                 startable_tasks: 0,
-                                booked: job.spec.steps[step_index].booked(),
-                                is_gang: job.spec.steps[step_index].gang,
-                                needs_advice: true,
                             };
                             waiting.upcoming.push(waiting_step);
                         }
@@ -208,14 +175,13 @@
                         self.plan_due = true;
                         continue;
                     }
+                    let rank = *rank.get_or_insert_with(|| order::rank(job, index, &context));
                     waiting.ready.push(WaitingStep {
+                        rank,
                         job: id,
                         occurrence_index: index,
                         step_index,
                         startable_tasks,
-                        booked: job.spec.steps[step_index].booked(),
-                        is_gang: job.spec.steps[step_index].gang,
-                        needs_advice: queue.advice.is_some(),
                     });
                 }
             }
@@ -224,26 +190,19 @@
     }
 
     /// Places the tasks of a step for which a worker has room, and logs where those are for which an
-    /// order is sent at once. Returns whether any resources may have been booked or reserved.
+    /// order is sent at once.
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
-        class: RankClass,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
-    ) -> bool {
+    ) {
         let Some(job) = self.jobs.get(&waiting_step.job) else {
-            return false;
+            return;
         };
         let step = waiting_step.step_id(job);
-        let books_before_order = is_logged(&job.spec.steps[waiting_step.step_index]);
-        let reserved_before = place::reserved_count(candidates);
-        let placed = self.start_step_tasks(waiting_step, class, candidates, now);
-        let has_changed = books_before_order
-            || !placed.is_empty()
-            || place::reserved_count(candidates) > reserved_before;
+        let placed = self.start_step_tasks(waiting_step, candidates, now);
         self.log_placed(step, placed, now);
-        has_changed
     }
 
     /// Logs to which workers start orders for tasks of a step were sent.
@@ -258,7 +217,6 @@
     fn start_step_tasks(
         &mut self,
         waiting_step: &WaitingStep,
-        class: RankClass,
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) -> Vec<PlacedTask> {
@@ -266,7 +224,7 @@
         let Some(job) = self.jobs.get(&waiting_step.job) else {
             return placed;
         };
-        let spec = std::sync::Arc::clone(&job.spec);
+        let spec = Arc::clone(&job.spec);
         let step = &spec.steps[waiting_step.step_index];
         let occurrence = &job.occurrences[waiting_step.occurrence_index];
         let id = waiting_step.step_id(job);
@@ -301,7 +259,7 @@
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
                     self.held_back_starts += ready.len() - started;
-                } else if class <= RankClass::OnTime {
+                } else if waiting_step.rank.class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
                 return placed;
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -124,9 +124,7 @@
             service,
             epoch,
             queues: IndexMap::new(),
-            jobs: IndexMap::new(),
-            open_jobs: IndexSet::new(),
-            next_removal: now,
+            jobs: super::job_table::JobTable::default(),
             workers: IndexMap::new(),
             log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
             live: super::clean::LiveIndex::default(),
@@ -140,6 +138,7 @@
             start_window: super::StartWindow::new(cfg.flow),
             held_back_starts: 0,
             hold_budget: super::HoldBudget::new(cfg.flow, now),
+            plan_work: super::work::PlanWork::default(),
             pace_table: super::PaceTable::default(),
             arrived_milli_s: 0,
             arrived_jobs: 0,
@@ -159,6 +158,7 @@
             cell.replay(&record, &mut used_workers, (now, wall_ms));
             cell.track_record(&record, position, bytes);
         }
+        cell.jobs.close_ended();
         let is_handed_over = handed_over.is_some();
         let last_order =
             if is_handed_over { earlier_orders_end.min(now) } else { earlier_orders_end };
@@ -179,8 +179,6 @@
             }
             None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
         };
-        let is_open = |(_, job): &(&JobId, &Job)| job.end.is_none();
-        cell.open_jobs = cell.jobs.iter().filter(is_open).map(|(&id, _)| id).collect();
         cell.release_inherited_jobs(now);
         cell
     }
@@ -238,7 +236,7 @@
             }
             Record::Job { job: id, queue, spec, wall_ms, .. } => {
                 let new = || inherited_job(queue, Arc::clone(spec), *wall_ms, time);
-                let job = self.jobs.entry(*id).or_insert_with(new);
+                let job = self.jobs.get_or_insert_with(*id, new);
                 replay_job(job, record);
                 job.add_due_occurrences(time.1);
             }
@@ -251,7 +249,7 @@
             Record::Finished { job: id, queue, end, wall_ms } => {
                 if let Some(queue) = queue {
                     let new = || inherited_job(queue, Arc::default(), *wall_ms, time);
-                    self.jobs.entry(*id).or_insert_with(new);
+                    self.jobs.get_or_insert_with(*id, new);
                 }
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.end = Some(*end);
@@ -300,11 +298,9 @@
         if !self.inherited_workers.is_empty() {
             return;
         }
-        if before > 0 || self.open_jobs().any(|(_, job)| job.is_inherited) {
-            for id in &self.open_jobs {
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.is_inherited = false;
-                }
+        if before > 0 || self.jobs.open().any(|(_, job)| job.is_inherited) {
+            for job in self.jobs.open_mut() {
+                job.is_inherited = false;
             }
             self.plan_due = true;
             self.finish_inherited_jobs(now);
@@ -313,7 +309,7 @@
 
     /// Ends inherited jobs that are done or have failed but have no logged end.
     fn finish_inherited_jobs(&mut self, now: Timestamp) {
-        let open_jobs: Vec<JobId> = self.open_jobs.iter().copied().collect();
+        let open_jobs: Vec<JobId> = self.jobs.open().map(|(id, _)| id).collect();
         for id in open_jobs {
             let max_attempts = self.max_attempts(id);
             let Some(job) = self.jobs.get(&id) else {
