--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        Action, LogEvent, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
+        Action, LogEvent, PlacedTask, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
         worker::{RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
@@ -19,30 +19,32 @@
 const REFUSAL_EXCLUSION: Span = Span(300);
 
 impl Cell {
-    /// Sends a worker the order to start a task, for which a run is booked there.
-    pub(super) fn start_task(&mut self, id: &WorkerId, task: TaskId, now: Timestamp) {
+    /// Sends a worker the order to start a task, for which a run is booked there. Returns `None` if
+    /// no order was sent.
+    pub(super) fn start_task(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        now: Timestamp,
+    ) -> Option<PlacedTask> {
         let lease = self.cfg.lease;
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
+        let worker = self.workers.get_mut(id)?;
         let Some(lease_end) = worker.lease_end(lease, now) else {
             self.withdraw_run(id, task);
-            return;
+            return None;
         };
         // A worker without runs is rarely sent holds; its first run brings the next one forward.
         if worker.runs.len() == 1 {
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
-        let Some(run) = worker.runs.get_mut(&task) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
+        let free = worker.free();
+        let run = worker.runs.get_mut(&task)?;
+        let job = self.jobs.get_mut(&task.job)?;
         let spec = std::sync::Arc::clone(&job.spec);
         let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
         let attempt = run.attempt;
+        let free_cpu_milli = (free + run.booked).cpu_milli;
         run.order(now);
         // The duration of a run that resumes from a checkpoint says nothing about a full run.
         run.skips_duration = checkpoint.is_some();
@@ -50,6 +52,7 @@
         self.start_window.begin(id, (task, attempt), spec.payload.len(), now);
         let order = StartOrder { task, attempt, spec, lease_end, checkpoint, ticket };
         self.actions.push(Action::Start(id.clone(), order));
+        Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
     }
 
     /// Handles the outcome of a start order.
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{
     super::{
-        PlacedTask, Record, Step, TaskId, WorkerId,
+        PlacedTask, Record, Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
         worker::{Run, RunState},
@@ -34,8 +34,8 @@
 
 impl Cell {
     /// Books resources for a run of a task on a worker, and sends the start order as soon as the
-    /// log allows. The caller has checked that the task may run there.
-    /// Returns `None` if the task or the worker does not exist.
+    /// log allows. The caller has checked that the task may run there. Returns `None` if no order
+    /// has been sent yet.
     pub(super) fn place_task(
         &mut self,
         id: &WorkerId,
@@ -44,32 +44,22 @@
         now: Timestamp,
     ) -> Option<PlacedTask> {
         let is_logged = self.step(task).map(is_logged)?;
-        let free_cpu_milli = self.workers.get(id)?.free().cpu_milli;
         self.book_run(id, task, attempt, now);
-        if is_logged {
-            self.start_once_logged(id, (task, attempt), now);
-        } else {
-            self.start_task(id, task, now);
+        if !is_logged {
+            return self.start_task(id, task, now);
         }
-        Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
-    }
-
-    /// Sends the start order of a run once the log names its worker.
-    fn start_once_logged(&mut self, id: &WorkerId, (task, attempt): (TaskId, u32), now: Timestamp) {
         let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
-        let Some(task_state) = self.jobs.get(&task.job).and_then(|job| job.task(task)) else {
-            return;
-        };
+        let task_state = self.jobs.get(&task.job)?.task(task)?;
         match &task_state.placement {
             Some(placement) if placement.worker == *id => {
                 if placement.position <= self.log.durable() {
-                    self.start_task(id, task, now);
-                } else {
-                    self.defer_until_durable(effect, now);
+                    return self.start_task(id, task, now);
                 }
+                self.defer_until_durable(effect, now);
             }
             _ => self.log_placement(id, (task, attempt), effect, now),
         }
+        None
     }
 
     fn log_placement(
@@ -108,26 +98,37 @@
         worker.runs.insert(task, Run::new(attempt, step, RunState::Planned, now));
     }
 
-    /// Sends the start order of a run whose placement has become durable. If the worker can't be
-    /// used any more, or too many start orders are in flight, the task is planned again.
-    pub(super) fn on_placement_durable(
+    /// Sends the start orders of the runs whose placements have just become durable, and logs them.
+    pub(super) fn start_placed_tasks(&mut self, now: Timestamp) {
+        let mut placed: IndexMap<StepId, Vec<PlacedTask>> = IndexMap::new();
+        for (id, task, attempt) in std::mem::take(&mut self.durable_placements) {
+            if let Some(placed_task) = self.start_placed_task(&id, (task, attempt), now) {
+                placed.entry(task.step_id()).or_default().push(placed_task);
+            }
+        }
+        for (step, tasks) in placed {
+            self.log_placed(step, tasks, now);
+        }
+    }
+
+    /// Sends the start order of a run whose placement is durable. If the worker can't be used any
+    /// more, or too many start orders are in flight, the task is planned again.
+    fn start_placed_task(
         &mut self,
         id: &WorkerId,
         (task, attempt): (TaskId, u32),
         now: Timestamp,
-    ) {
-        let Some(worker) = self.workers.get(id) else {
-            return;
-        };
-        let run = worker.runs.get(&task).filter(|run| run.attempt == attempt);
-        if run.is_none_or(|run| run.state != RunState::Planned) {
-            return;
+    ) -> Option<PlacedTask> {
+        let worker = self.workers.get(id)?;
+        let run = worker.runs.get(&task).filter(|run| run.attempt == attempt)?;
+        if run.state != RunState::Planned {
+            return None;
         }
-        if Self::is_usable(worker, now) && self.start_window.has_room() {
-            self.start_task(id, task, now);
-        } else {
+        if !Self::is_usable(worker, now) || !self.start_window.has_room_at(id) {
             self.withdraw_run(id, task);
+            return None;
         }
+        self.start_task(id, task, now)
     }
 
     /// Removes a run for which no order has been sent; the task may start elsewhere.
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -177,11 +177,8 @@
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
                     }
-                    let startable_tasks = state
-                        .tasks
-                        .iter()
-                        .filter(|task| Self::is_startable(task, inherited, now))
-                        .count();
+                    let is_startable = |task: &&Task| Self::is_startable(task, inherited, now);
+                    let startable_tasks = state.tasks.iter().filter(is_startable).count();
                     if startable_tasks == 0 {
                         // Every waiting task of the step is delayed: plan again at the next tick.
                         self.plan_due = true;
@@ -202,7 +199,8 @@
         waiting
     }
 
-    /// Starts the tasks of a step for which a worker has room, and logs where.
+    /// Places the tasks of a step for which a worker has room, and logs where those are for which an
+    /// order is sent at once.
     fn start_step(
         &mut self,
         waiting_step: &WaitingStep,
@@ -213,11 +211,17 @@
             return;
         };
         let step = waiting_step.step_id(job);
+        let placed = self.start_step_tasks(waiting_step, candidates, now);
+        self.log_placed(step, placed, now);
+    }
+
+    /// Logs to which workers start orders for tasks of a step were sent.
+    pub(super) fn log_placed(&mut self, step: StepId, tasks: Vec<PlacedTask>, now: Timestamp) {
+        let Some(job) = self.jobs.get(&step.job).filter(|_| !tasks.is_empty()) else {
+            return;
+        };
         let waited = now.since(job.arrived);
-        let tasks = self.start_step_tasks(waiting_step, candidates, now);
-        if !tasks.is_empty() {
-            self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
-        }
+        self.actions.push(Action::Log(LogEvent::Placed { step, tasks, waited }));
     }
 
     fn start_step_tasks(
@@ -257,6 +261,10 @@
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
             let in_place = self.candidate_in_place(id.task(index), step, candidates);
+            if in_place.is_some_and(|chosen| candidates[chosen].start_room == 0) {
+                self.held_back_starts += 1;
+                continue;
+            }
             let choose = || place::choose_candidate(candidates, step, id, count);
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
@@ -300,8 +308,9 @@
         now: Timestamp,
     ) -> Option<PlacedTask> {
         candidate.reserve(step);
-        let worker = candidate.worker.clone();
-        self.place_task(&worker, task, attempt, now)
+        let placed = self.place_task(&candidate.worker, task, attempt, now)?;
+        candidate.start_room = candidate.start_room.saturating_sub(1);
+        Some(placed)
     }
 
     /// Sends workers the pace of their best-effort tasks where it changed.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -62,6 +62,7 @@
 
 /// Share of a core of an owner behind a link.
 const LINKED_OWNER_CPU_SHARE: f64 = 0.12;
+
 /// The longest time for which an owner may give orders after another one has claimed the cell.
 pub const OWNER_TTL: Span = Span(3_000);
 
--- a/crates/standins/src/model/lease.rs
+++ b/crates/standins/src/model/lease.rs
@@ -69,10 +69,9 @@
 
     /// Ends the term. The same node claims the cell again, and reads the log over its link.
     fn end_expired_term(&mut self) {
-        self.kill_owner();
+        self.give_up();
         self.expired_terms += 1;
-        let log_bytes = self.log.bytes() as u64;
-        let delay_ms = CLAIM_DELAY.0 + self.receive_over_link(log_bytes).0;
+        let delay_ms = CLAIM_DELAY.0 + self.receive_over_link(self.log.bytes() as u64).0;
         self.send(delay_ms, Delivery::LogRead);
     }
 }
