--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -13,10 +13,11 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use indexmap::IndexMap;
+use rustix::time::{ClockId, clock_gettime};
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
@@ -232,6 +233,15 @@
     least_lease_left: Span,
 }
 
+/// Returns the processor time that this thread has taken, which other load on the machine does not
+/// extend.
+#[must_use]
+pub fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 /// Returns the cell configuration of a typical small deployment. Jobs are accepted however late they
 /// end, so that a test can overload a cell.
 #[must_use]
@@ -418,9 +428,9 @@
             return;
         };
         if !self.is_handing_over {
-            let started = Instant::now();
+            let started = processor_time();
             cell.tick(now, wall_ms);
-            let elapsed = started.elapsed();
+            let elapsed = processor_time().saturating_sub(started);
             self.tick_time += elapsed;
             self.longest_tick = self.longest_tick.max(elapsed);
         }
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -77,8 +77,7 @@
         self.max_starts_in_flight
     }
 
-    /// Returns the processing time of all ticks so far, and of the longest one, on the machine's
-    /// clock.
+    /// Returns the processor time of all ticks so far, and of the longest one.
     #[must_use]
     pub fn tick_times(&self) -> (Duration, Duration) {
         (self.tick_time, self.longest_tick)
--- a/crates/standins/tests/cells/cost.rs
+++ b/crates/standins/tests/cells/cost.rs
@@ -1,11 +1,11 @@
 //! Tests of the processor time that an owner takes. They compare times of one run with each other,
 //! since the speed of the machine is unknown.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use teaselgap_core::job::{JobId, Step};
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{Model, processor_time};
 
 use crate::fixtures::{job_spec, new_model, queue, queue_config, step};
 
@@ -15,9 +15,9 @@
     let cell = model.cell_mut().unwrap();
     let timed_tick = |_| {
         cell.set_queues(IndexMap::from([(queue(), queue_config())]));
-        let start = Instant::now();
+        let start = processor_time();
         cell.tick(now, wall_ms);
-        start.elapsed()
+        processor_time().saturating_sub(start)
     };
     (0..10).map(timed_tick).min().unwrap()
 }
