--- a/crates/core/src/job/cell/advise.rs
+++ b/crates/core/src/job/cell/advise.rs
@@ -17,15 +17,20 @@
 const MAX_ADVICE_REQUESTS_IN_FLIGHT: usize = 4;
 
 impl Cell {
+    /// Whether any queue uses advice.
+    pub(super) fn has_advice(&self) -> bool {
+        self.queues.values().any(|queue| queue.advice.is_some())
+    }
+
     /// Sends the advice requests that are due, in the order of the steps, up to the limit on
     /// requests in flight.
-    pub(super) fn ask_advice(
+    pub(super) fn ask_advice<'a>(
         &mut self,
-        waiting_steps: &[WaitingStep],
+        waiting_steps: impl Iterator<Item = &'a WaitingStep>,
         candidates: &[PlacementCandidate],
         now: Timestamp,
     ) {
-        if self.queues.values().all(|queue| queue.advice.is_none()) {
+        if !self.has_advice() {
             return;
         }
         let mut remaining =
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -23,9 +23,8 @@
 };
 use crate::{Span, Timestamp};
 
-/// A step of an occurrence that waits to start, with its rank.
+/// A step of an occurrence that waits to start.
 pub(super) struct WaitingStep {
-    rank: Rank,
     pub(super) job: JobId,
     occurrence_index: usize,
     step_index: usize,
@@ -70,14 +69,20 @@
         if candidates.is_empty() {
             return;
         }
-        let mut waiting = self.waiting_steps(now);
-        waiting.ready.sort_by_key(|waiting_step| (waiting_step.rank, waiting_step.job));
-        self.ask_advice(&waiting.ready, &candidates, now);
-        self.ask_advice(&waiting.upcoming, &candidates, now);
+        let WaitingSteps { ready, smallest_need, upcoming } = self.waiting_steps(now);
         let mut room = Room::of(&candidates);
-        for waiting_step in waiting.ready {
-            let may_fit = waiting.smallest_need.is_some_and(|need| room.may_fit(&need));
-            if !may_fit || candidates.iter().all(|candidate| candidate.free.memory_mb == 0) {
+        let may_any_fit = |room: &Room| smallest_need.is_some_and(|need| room.may_fit(&need));
+        // The order of steps matters only if one may start or advice may be requested for one.
+        if !may_any_fit(&room) && !self.has_advice() {
+            return;
+        }
+        let ready = self.sort_by_rank(ready, now);
+        self.ask_advice(ready.iter().map(|(_, waiting_step)| waiting_step), &candidates, now);
+        self.ask_advice(upcoming.iter(), &candidates, now);
+        for (rank, waiting_step) in ready {
+            if !may_any_fit(&room)
+                || candidates.iter().all(|candidate| candidate.free.memory_mb == 0)
+            {
                 break;
             }
             if !self.start_window.has_room() {
@@ -85,15 +90,33 @@
                 continue;
             }
             self.plan_work.steps += 1;
-            if self.pass_over(&waiting_step, &mut candidates, &mut room, now) {
+            if self.pass_over((rank.class, &waiting_step), &mut candidates, &mut room, now) {
                 continue;
             }
             self.plan_work.searches += 1;
-            self.start_step(&waiting_step, &mut candidates, now);
+            self.start_step((rank.class, &waiting_step), &mut candidates, now);
             room = Room::of(&candidates);
         }
     }
 
+    /// Ranks steps and returns them in the order in which they are to start.
+    fn sort_by_rank(&self, steps: Vec<WaitingStep>, now: Timestamp) -> Vec<(Rank, WaitingStep)> {
+        let wall_offset_ms = self.wall_offset_ms;
+        let rank = |waiting_step: &WaitingStep| {
+            let job = self.jobs.get(&waiting_step.job)?;
+            let queue = self.queues.get(&job.queue)?;
+            let expected = self.expected_times.get(&job.queue);
+            let context = RankContext { queue, expected, now, wall_offset_ms };
+            Some(order::rank(job, waiting_step.occurrence_index, &context))
+        };
+        let mut ranked: Vec<(Rank, WaitingStep)> = steps
+            .into_iter()
+            .filter_map(|waiting_step| Some((rank(&waiting_step)?, waiting_step)))
+            .collect();
+        ranked.sort_by_key(|(rank, waiting_step)| (*rank, waiting_step.job));
+        ranked
+    }
+
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
         let is_usable = |(_, worker): &(&WorkerId, &Worker)| Self::is_usable(worker, now);
         self.workers
@@ -129,8 +152,6 @@
     /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
     /// back.
     fn waiting_steps(&mut self, now: Timestamp) -> WaitingSteps {
-        let wall_offset_ms = self.wall_offset_ms;
-        let expected = &self.expected_times;
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
         for (id, job) in self.jobs.open() {
@@ -142,13 +163,10 @@
             let Some(queue) = queue else {
                 continue;
             };
-            let context =
-                RankContext { queue, expected: expected.get(&job.queue), now, wall_offset_ms };
             for (index, occurrence) in job.occurrences.iter().enumerate() {
                 if occurrence.is_done() {
                     continue;
                 }
-                let mut rank = None;
                 for (step_index, state) in occurrence.steps.iter().enumerate() {
                     let is_held = job.is_inherited && !is_logged(&job.spec.steps[step_index]);
                     if state.open_tasks == 0 || is_held {
@@ -156,9 +174,7 @@
                     }
                     if !occurrence.is_ready(&job.spec, step_index) {
                         if queue.advice.is_some() && occurrence.is_upcoming(&job.spec, step_index) {
-                            let rank = order::rank(job, index, &context);
                             let waiting_step = WaitingStep {
-                                rank,
                                 job: id,
                                 occurrence_index: index,
                                 step_index,
@@ -184,10 +200,8 @@
                         self.plan_due = true;
                         continue;
                     }
-                    let rank = *rank.get_or_insert_with(|| order::rank(job, index, &context));
                     waiting.note_need(&job.spec.steps[step_index].booked());
                     waiting.ready.push(WaitingStep {
-                        rank,
                         job: id,
                         occurrence_index: index,
                         step_index,
@@ -203,7 +217,7 @@
     /// order is sent at once.
     fn start_step(
         &mut self,
-        waiting_step: &WaitingStep,
+        (class, waiting_step): (RankClass, &WaitingStep),
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) {
@@ -211,7 +225,7 @@
             return;
         };
         let step = waiting_step.step_id(job);
-        let placed = self.start_step_tasks(waiting_step, candidates, now);
+        let placed = self.start_step_tasks((class, waiting_step), candidates, now);
         self.log_placed(step, placed, now);
     }
 
@@ -226,7 +240,7 @@
 
     fn start_step_tasks(
         &mut self,
-        waiting_step: &WaitingStep,
+        (class, waiting_step): (RankClass, &WaitingStep),
         candidates: &mut [PlacementCandidate],
         now: Timestamp,
     ) -> Vec<PlacedTask> {
@@ -269,7 +283,7 @@
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
                     self.held_back_starts += ready.len() - started;
-                } else if waiting_step.rank.class <= RankClass::OnTime {
+                } else if class <= RankClass::OnTime {
                     place::reserve_candidate(candidates, step, id, count);
                 }
                 return placed;
--- a/crates/core/src/job/cell/plan/room.rs
+++ b/crates/core/src/job/cell/plan/room.rs
@@ -46,7 +46,7 @@
     /// the step may fit.
     pub(super) fn pass_over(
         &self,
-        waiting_step: &WaitingStep,
+        (class, waiting_step): (RankClass, &WaitingStep),
         candidates: &mut [PlacementCandidate],
         room: &mut Room,
         now: Timestamp,
@@ -58,7 +58,7 @@
         if room.may_fit(&step.booked()) {
             return false;
         }
-        if room.can_reserve && !step.gang && waiting_step.rank.class <= RankClass::OnTime {
+        if room.can_reserve && !step.gang && class <= RankClass::OnTime {
             let id = waiting_step.step_id(job);
             self.disallow_without_ticket(id, candidates, now);
             place::reserve_candidate(candidates, step, id, |worker, id| {
