--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -5,17 +5,20 @@
 //! restarts under the same name and address knows that its earlier process has ended, and takes
 //! over the duties of that process at once.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, NodeId, ServiceId, Span, Timestamp,
+    Epoch, Incarnation, NodeId, ServiceId, Span, Timestamp,
     job::{Duty, LagMonitor, OrderRate, duty_to_hand_over, propose_owners},
 };
 use teaselgap_platform::{
     settings::{Limits, StoreSettings},
-    store::{Change, Expected, Outcome, Put, StoreError, Transaction},
+    store::{Change, Expected, Item, Outcome, Put, StoreError, Transaction},
 };
 
 use super::{
@@ -550,13 +553,23 @@
             // The answer was lost, so the key's current value decides. A write that reaches the
             // store late, after another claim, finds another revision and fails.
             let item = node.store.get(key).await.ok()??;
-            let owner = serde_json::from_slice::<NodeRecord>(&item.value).ok()?;
-            let is_own = owner.node == node.id && owner.incarnation == node.incarnation;
-            is_own.then_some(Epoch(item.revision))
+            own_claim(&item, (&node.id, node.incarnation), key_revision)
         }
     }
 }
 
+/// The epoch of a claim whose answer was lost, if the duty's key shows that it took effect.
+fn own_claim(
+    item: &Item,
+    (node, incarnation): (&NodeId, Incarnation),
+    earlier_revision: u64,
+) -> Option<Epoch> {
+    let _ = earlier_revision;
+    let owner = serde_json::from_slice::<NodeRecord>(&item.value).ok()?;
+    let is_own = owner.node == *node && owner.incarnation == incarnation;
+    is_own.then_some(Epoch(item.revision))
+}
+
 /// Hands over all duties before the process ends, so that other nodes claim them at once.
 pub(super) async fn hand_over(node: &Rc<Node>) {
     let cell_owners: Vec<Rc<host::CellOwner>> =
--- /dev/null
+++ b/src/jobs/session/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+const INCARNATION: Incarnation = Incarnation(5);
+
+/// A duty's key at this revision, with a record of process [`INCARNATION`] of the node.
+fn duty_item(node: &str, revision: u64) -> Item {
+    let record = NodeRecord {
+        node: node.parse().unwrap(),
+        incarnation: INCARNATION,
+        address: ([127, 0, 0, 1], 7_000).into(),
+        order_rate: OrderRate(500),
+    };
+    Item { value: serde_json::to_vec(&record).unwrap(), revision, ..Item::default() }
+}
+
+fn own_claim_of_n1(item: &Item, earlier_revision: u64) -> Option<Epoch> {
+    own_claim(item, (&"n1".parse().unwrap(), INCARNATION), earlier_revision)
+}
+
+#[test]
+fn a_claim_whose_answer_was_lost_counts_if_it_took_effect() {
+    assert_eq!(own_claim_of_n1(&duty_item("n1", 12), 0), Some(Epoch(12)));
+    assert_eq!(own_claim_of_n1(&duty_item("n1", 12), 9), Some(Epoch(12)));
+}
+
+#[test]
+fn a_claim_that_had_no_effect_does_not_begin_a_term_under_the_old_epoch() {
+    assert_eq!(own_claim_of_n1(&duty_item("n1", 9), 9), None);
+}
+
+#[test]
+fn a_duty_that_another_node_has_claimed_is_not_taken_for_an_own_claim() {
+    assert_eq!(own_claim_of_n1(&duty_item("n2", 12), 9), None);
+}
