A claim that had no effect begins no term

A process that gave a cell up and claims its key again, and loses the answer of a write without effect, took its own earlier record for the new claim and began a term under the old epoch, so that late orders of the earlier term were not fenced (a task could run twice). The key's revision must have changed since. a_claim_that_had_no_effect_does_not_begin_a_term_under_the_old_epoch failed before and passes.

--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -564,10 +564,11 @@
     (node, incarnation): (&NodeId, Incarnation),
     earlier_revision: u64,
 ) -> Option<Epoch> {
-    let _ = earlier_revision;
     let owner = serde_json::from_slice::<NodeRecord>(&item.value).ok()?;
+    // A key that this process had claimed before shows its record without any effect of this claim.
+    let is_new = item.revision != earlier_revision;
     let is_own = owner.node == *node && owner.incarnation == incarnation;
-    is_own.then_some(Epoch(item.revision))
+    (is_own && is_new).then_some(Epoch(item.revision))
 }
 
 /// Hands over all duties before the process ends, so that other nodes claim them at once.
