Failing test: a late copy of a write brings a deleted segment of the log back

A write of the log takes effect only if its key does not exist; since cleaning deletes segments, that no longer tells a first copy of the write that the network delivers late from the write itself. The segment then stays, and a later owner replays a job that has ended. left: Some(6), right: None.

--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -1,5 +1,8 @@
 //! The log of a cell in the platform's store.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cell::Cell as StdCell, rc::Rc, time::Duration};
 
 use slog::warn;
@@ -28,24 +31,50 @@
     OtherOwner,
 }
 
+/// The keys of a cell's log, as they are used in one term.
+#[derive(Clone, Debug)]
+struct LogKeys {
+    /// The prefix of all keys of the log.
+    prefix: String,
+    /// The key of the duty to own the cell.
+    duty: String,
+    epoch: Epoch,
+}
+
+impl LogKeys {
+    fn new(service: &ServiceId, epoch: Epoch) -> Self {
+        let duty = session::duty_key(&session::cell_duty(service));
+        Self { prefix: format!("{LOG_PREFIX}{service}/"), duty, epoch }
+    }
+
+    fn segment(&self, sequence: Sequence) -> String {
+        format!("{}{sequence:016x}", self.prefix)
+    }
+
+    fn transaction(&self, write: &LogWrite) -> Transaction {
+        let key = self.segment(write.sequence);
+        Transaction {
+            expected: vec![
+                Expected { key: self.duty.clone(), revision: self.epoch.0 },
+                Expected { key: key.clone(), revision: 0 },
+            ],
+            puts: vec![Put { key, value: write.value.clone(), lease: None }],
+            deletes: write.deletes.iter().map(|&sequence| self.segment(sequence)).collect(),
+        }
+    }
+}
+
 /// The log of a cell, as its owner reads and writes it during one term.
 pub(super) struct LogStore {
     node: Rc<Node>,
     service: ServiceId,
-    epoch: Epoch,
+    keys: LogKeys,
 }
 
 impl LogStore {
     pub(super) fn new(node: Rc<Node>, service: ServiceId, epoch: Epoch) -> Self {
-        Self { node, service, epoch }
-    }
-
-    fn prefix(&self) -> String {
-        format!("{LOG_PREFIX}{}/", self.service)
-    }
-
-    fn segment_key(&self, sequence: Sequence) -> String {
-        format!("{}{sequence:016x}", self.prefix())
+        let keys = LogKeys::new(&service, epoch);
+        Self { node, service, keys }
     }
 
     /// Reads the whole log. Returns `None` if the term ends first.
@@ -54,10 +83,9 @@
     /// to the log, and it has not begun to.
     pub(super) async fn read(&self, is_term_over: &StdCell<bool>) -> Option<RecoveredLog> {
         let page_timeout = store::page_timeout(self.node.settings.limits.link_mbps);
-        let prefix = self.prefix();
         let mut range = Range::default();
         while !is_term_over.get() {
-            match self.node.store.extend_range(&prefix, page_timeout, &mut range).await {
+            match self.node.store.extend_range(&self.keys.prefix, page_timeout, &mut range).await {
                 Ok(()) => return Some(self.parse(&range.items)),
                 Err(err) => {
                     warn!(self.node.log, "failed to read the log"; "cell" => %self.service,
@@ -82,27 +110,14 @@
         recovered
     }
 
-    fn transaction(&self, write: &LogWrite) -> Transaction {
-        let duty = session::duty_key(&session::cell_duty(&self.service));
-        let key = self.segment_key(write.sequence);
-        Transaction {
-            expected: vec![
-                Expected { key: duty, revision: self.epoch.0 },
-                Expected { key: key.clone(), revision: 0 },
-            ],
-            puts: vec![Put { key, value: write.value.clone(), lease: None }],
-            deletes: write.deletes.iter().map(|&sequence| self.segment_key(sequence)).collect(),
-        }
-    }
-
     /// Executes a write, retrying until the store has it.
     pub(super) async fn write(
         &self,
         write: &LogWrite,
         is_term_over: &StdCell<bool>,
     ) -> Result<(), WriteError> {
-        let key = self.segment_key(write.sequence);
-        let txn = self.transaction(write);
+        let key = self.keys.segment(write.sequence);
+        let txn = self.keys.transaction(write);
         while !is_term_over.get() {
             match self.node.store.transact(&txn).await {
                 Ok(Outcome::Done(_)) => return Ok(()),
--- /dev/null
+++ b/src/jobs/log_store/tests.rs
@@ -0,0 +1,70 @@
+use indexmap::IndexMap;
+
+use super::*;
+
+const EPOCH: Epoch = Epoch(3);
+
+/// The keys of a store with their revisions.
+struct MapStore {
+    revisions: IndexMap<String, u64>,
+    revision: u64,
+}
+
+impl MapStore {
+    /// Creates a store in which the duty is owned in term [`EPOCH`].
+    fn new(keys: &LogKeys) -> Self {
+        Self { revisions: IndexMap::from([(keys.duty.clone(), EPOCH.0)]), revision: EPOCH.0 }
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.revisions.get(key).copied().unwrap_or(0)
+    }
+
+    /// Applies a transaction if its conditions hold, and returns its revision.
+    fn transact(&mut self, txn: &Transaction) -> Option<u64> {
+        let holds = |expected: &Expected| self.revision_of(&expected.key) == expected.revision;
+        if !txn.expected.iter().all(holds) {
+            return None;
+        }
+        self.revision += 1;
+        for put in &txn.puts {
+            self.revisions.insert(put.key.clone(), self.revision);
+        }
+        for key in &txn.deletes {
+            self.revisions.shift_remove(key);
+        }
+        Some(self.revision)
+    }
+}
+
+fn keys() -> LogKeys {
+    LogKeys::new(&"drums".parse().unwrap(), EPOCH)
+}
+
+/// The write of a segment that deletes earlier ones.
+fn write(sequence: Sequence, deletes: &[Sequence]) -> LogWrite {
+    LogWrite { sequence, value: vec![b'x'], deletes: deletes.to_vec() }
+}
+
+#[test]
+fn a_late_copy_of_a_write_does_not_bring_a_deleted_segment_back() {
+    let keys = keys();
+    let mut store = MapStore::new(&keys);
+    let first = keys.transaction(&write(0, &[]));
+    store.transact(&first).unwrap();
+    store.transact(&keys.transaction(&write(1, &[0]))).unwrap();
+
+    let late_copy = store.transact(&first);
+
+    assert_eq!(late_copy, None);
+    assert_eq!(store.revision_of(&keys.segment(0)), 0);
+}
+
+#[test]
+fn a_write_of_an_earlier_term_has_no_effect() {
+    let keys = keys();
+    let mut store = MapStore::new(&keys);
+    let earlier = LogKeys { epoch: Epoch(EPOCH.0 - 1), ..keys };
+
+    assert_eq!(store.transact(&earlier.transaction(&write(0, &[]))), None);
+}
