A late copy of a write of the log has no effect

Since segments are deleted, 'the key does not exist' no longer shows that a write has not taken effect yet. Each write now changes one more key, the log's head, and expects the revision that the write before it gave to it. The transaction stays within the store's 32 entries (3 conditions, 2 writes, 24 deletions at most). a_late_copy_of_a_write_does_not_bring_a_deleted_segment_back failed before and passes; the head's revision is now part of its arguments.

--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -3,7 +3,7 @@
 //! At most one write is in flight. Records that are appended meanwhile go into the next one, so the
 //! write rate depends on the store's latency and not on the request rate. If the answer to a write
 //! is lost, the same write is retried until its outcome is known. It takes effect only once,
-//! because it creates its key only if the key does not exist.
+//! because it expects the log as the write before it left it.
 //!
 //! A segment is deleted by the write that makes the last copy of its live records durable, or by a
 //! later one. The newest segment is never deleted, so sequence numbers are never used again.
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -51,14 +51,25 @@
         format!("{}{sequence:016x}", self.prefix)
     }
 
-    fn transaction(&self, write: &LogWrite) -> Transaction {
+    /// The key that each write of the log changes. A write expects the revision that the write
+    /// before it gave to the key, so that a copy which reaches the store late has no effect, even
+    /// if its segment has been deleted since.
+    fn head(&self) -> String {
+        format!("{}head", self.prefix)
+    }
+
+    fn transaction(&self, write: &LogWrite, head_revision: u64) -> Transaction {
         let key = self.segment(write.sequence);
         Transaction {
             expected: vec![
                 Expected { key: self.duty.clone(), revision: self.epoch.0 },
+                Expected { key: self.head(), revision: head_revision },
                 Expected { key: key.clone(), revision: 0 },
             ],
-            puts: vec![Put { key, value: write.value.clone(), lease: None }],
+            puts: vec![
+                Put { key, value: write.value.clone(), lease: None },
+                Put { key: self.head(), value: write.sequence.to_string().into(), lease: None },
+            ],
             deletes: write.deletes.iter().map(|&sequence| self.segment(sequence)).collect(),
         }
     }
@@ -69,12 +80,14 @@
     node: Rc<Node>,
     service: ServiceId,
     keys: LogKeys,
+    /// The revision of the log's head; zero if nothing was ever written.
+    head_revision: StdCell<u64>,
 }
 
 impl LogStore {
     pub(super) fn new(node: Rc<Node>, service: ServiceId, epoch: Epoch) -> Self {
         let keys = LogKeys::new(&service, epoch);
-        Self { node, service, keys }
+        Self { node, service, keys, head_revision: StdCell::new(0) }
     }
 
     /// Reads the whole log. Returns `None` if the term ends first.
@@ -99,7 +112,12 @@
 
     fn parse(&self, items: &[Item]) -> RecoveredLog {
         let mut recovered = RecoveredLog::default();
-        for Item { key, value, .. } in items {
+        let head = self.keys.head();
+        for Item { key, value, revision, .. } in items {
+            if *key == head {
+                self.head_revision.set(*revision);
+                continue;
+            }
             let suffix = key.rsplit('/').next().unwrap_or_default();
             let sequence = Sequence::from_str_radix(suffix, 16).ok();
             let result = sequence.map(|sequence| recovered.add_segment(sequence, value));
@@ -117,15 +135,21 @@
         is_term_over: &StdCell<bool>,
     ) -> Result<(), WriteError> {
         let key = self.keys.segment(write.sequence);
-        let txn = self.keys.transaction(write);
+        let head = self.keys.head();
+        let txn = self.keys.transaction(write, self.head_revision.get());
         while !is_term_over.get() {
             match self.node.store.transact(&txn).await {
-                Ok(Outcome::Done(_)) => return Ok(()),
+                Ok(Outcome::Done(revision)) => {
+                    self.head_revision.set(revision);
+                    return Ok(());
+                }
                 // An earlier attempt of this write took effect although its answer was lost. Only
                 // the owner in this term can have written this value.
                 Ok(Outcome::Conflict(items))
                     if items.iter().any(|item| item.key == key && item.value == write.value) =>
                 {
+                    let revision_of = |item: &Item| (item.key == head).then_some(item.revision);
+                    self.head_revision.set(items.iter().find_map(revision_of).unwrap_or(0));
                     return Ok(());
                 }
                 Ok(Outcome::Conflict(_)) => return Err(WriteError::OtherOwner),
--- a/src/jobs/log_store/tests.rs
+++ b/src/jobs/log_store/tests.rs
@@ -50,9 +50,9 @@
 fn a_late_copy_of_a_write_does_not_bring_a_deleted_segment_back() {
     let keys = keys();
     let mut store = MapStore::new(&keys);
-    let first = keys.transaction(&write(0, &[]));
-    store.transact(&first).unwrap();
-    store.transact(&keys.transaction(&write(1, &[0]))).unwrap();
+    let first = keys.transaction(&write(0, &[]), 0);
+    let head_revision = store.transact(&first).unwrap();
+    store.transact(&keys.transaction(&write(1, &[0]), head_revision)).unwrap();
 
     let late_copy = store.transact(&first);
 
@@ -66,5 +66,5 @@
     let mut store = MapStore::new(&keys);
     let earlier = LogKeys { epoch: Epoch(EPOCH.0 - 1), ..keys };
 
-    assert_eq!(store.transact(&earlier.transaction(&write(0, &[]))), None);
+    assert_eq!(store.transact(&earlier.transaction(&write(0, &[]), 0)), None);
 }
