Failing test: the end of a lease is forgotten once a new one is set

Found by the review: between two looks of the control thread the store loses the lease, the node registers anew, and the terms under the old lease go on.

--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -97,3 +97,21 @@
         assert!(!renewer.take_expired());
     });
 }
+
+#[test]
+fn the_end_of_a_lease_is_reported_although_a_new_one_was_set() {
+    let (address, calls) = store("404 Not Found");
+
+    on_control_thread(address, Span(60_000), |renewer| {
+        calls.recv_timeout(CALL_TIMEOUT).unwrap();
+        let deadline = std::time::Instant::now() + CALL_TIMEOUT;
+        while renewer.lease().is_some() && std::time::Instant::now() < deadline {
+            std::thread::yield_now();
+        }
+        let valid_until = renewer.valid_until();
+        renewer.set(LEASE + 1, clock::now() + Span(400));
+
+        assert!(valid_until <= clock::now());
+        assert!(renewer.take_expired());
+    });
+}
