An owner acts on no lease that may have ended

(2) A cell's tick did not look at the lease: a control thread that was held up could give orders before it noticed; each tick now ends expired terms first. (3) keep_lease waited for up to two calls of 1.5 s about the registration before it looked at the lease; the check runs in a task of its own. (4) Since the lease is looked at every 50 ms, each look asked all nodes about an outage; they are asked every 300 ms at most. the_end_of_a_lease_is_reported_although_a_new_one_was_set failed before; (2) to (4) have no test of their own: they need a whole node.

--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -340,6 +340,8 @@
     /// Advances the cell to the current time and executes the actions that it requests. During a
     /// handover, only replies and log events are executed.
     fn tick(self: &Rc<Self>) {
+        // Other nodes may own the cell by now if this thread was held up.
+        session::end_expired_terms(&self.node);
         if self.is_term_over.get() {
             return;
         }
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -56,6 +56,17 @@
     has_expired: bool,
 }
 
+/// What the control thread has to know about the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeaseStatus {
+    /// The node has this lease, as far as it knows.
+    Held(u64),
+    /// The store has lost the lease.
+    Expired,
+    /// The node has no lease.
+    Missing,
+}
+
 /// Holds the node's lease and has it renewed.
 #[derive(Debug)]
 pub(super) struct LeaseRenewer {
@@ -94,7 +105,6 @@
         state.lease = Some(lease);
         state.valid_until = valid_until;
         state.store_reached_at = clock::now();
-        state.has_expired = false;
     }
 
     /// Takes the lease, which is renewed no more.
@@ -102,9 +112,13 @@
         self.lock().lease.take()
     }
 
-    /// Whether the store has lost a lease since the last call.
-    pub(super) fn take_expired(&self) -> bool {
-        std::mem::take(&mut self.lock().has_expired)
+    /// Returns the state of the lease; that it has expired is returned once.
+    pub(super) fn poll(&self) -> LeaseStatus {
+        let mut state = self.lock();
+        if std::mem::take(&mut state.has_expired) {
+            return LeaseStatus::Expired;
+        }
+        state.lease.map_or(LeaseStatus::Missing, LeaseStatus::Held)
     }
 
     /// The time until which the lease is certainly valid; zero before the first one.
@@ -173,6 +187,7 @@
         }
         Err(StoreError::NoLease) => {
             state.lease = None;
+            state.valid_until = state.valid_until.min(clock::now());
             state.has_expired = true;
         }
         Err(_) => {}
--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -93,8 +93,8 @@
         }
 
         assert_eq!(renewer.lease(), None);
-        assert!(renewer.take_expired());
-        assert!(!renewer.take_expired());
+        assert_eq!(renewer.poll(), LeaseStatus::Expired);
+        assert_eq!(renewer.poll(), LeaseStatus::Missing);
     });
 }
 
@@ -112,6 +112,7 @@
         renewer.set(LEASE + 1, clock::now() + Span(400));
 
         assert!(valid_until <= clock::now());
-        assert!(renewer.take_expired());
+        assert_eq!(renewer.poll(), LeaseStatus::Expired);
+        assert_eq!(renewer.poll(), LeaseStatus::Held(LEASE + 1));
     });
 }
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -23,7 +23,7 @@
 
 use super::{
     fleet, host,
-    lease::RenewalConfig,
+    lease::{LeaseStatus, RenewalConfig},
     members::{CONTROL_PREFIX, DUTY_PREFIX, MEMBER_PREFIX, NodeRecord},
     node::{FLEET_DUTY, Node},
 };
@@ -45,6 +45,12 @@
 /// How often the node looks whether its registration is still right.
 const REGISTRATION_CHECK_INTERVAL: Span = Span(500);
 
+/// A check of the registration that takes longer than this counts as lost.
+const MAX_REGISTRATION_CHECK: Span = Span(10_000);
+
+/// The shortest interval between two rounds of questions whether the store can be reached.
+const OUTAGE_QUESTION_INTERVAL: Span = Span(300);
+
 /// How long the control thread may make no progress before the lease is renewed no more.
 const MAX_CONTROL_STALL: Span = Span(3_000);
 
@@ -96,6 +102,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Session {
     registered_at: Timestamp,
+    /// When the registration is checked next.
+    next_registration_check: Timestamp,
+    /// When other nodes may be asked next whether they can't reach the store either.
+    next_outage_question: Timestamp,
     /// When this node sent the latest calls to other nodes whose answers confirmed an outage of the
     /// store.
     outage_confirmed_at: Timestamp,
@@ -166,37 +176,36 @@
 /// Registers the node whenever it has no lease, and ends its terms when its lease has ended.
 async fn keep_lease(node: &Rc<Node>) {
     let mut is_registered = true;
-    let mut next_check = Timestamp(0);
     loop {
-        if node.lease.take_expired() {
-            warn!(node.log, "lease expired");
-            end_all_terms(node, "the lease has expired");
-        }
-        let lease = node.lease.lease();
-        if node.is_draining() && lease.is_none() {
-            return;
-        }
-        let now = clock::now();
-        let result = match lease {
-            Some(lease) if now >= next_check && !node.is_draining() => {
-                next_check = now + REGISTRATION_CHECK_INTERVAL;
-                check_registration(node, lease).await
+        match node.lease.poll() {
+            LeaseStatus::Expired => {
+                warn!(node.log, "lease expired");
+                end_all_terms(node, "the lease has expired");
             }
-            Some(_) => Ok(()),
-            None => register(node).await,
-        };
-        if result.is_ok() != is_registered {
-            is_registered = result.is_ok();
-            match &result {
-                Ok(()) => info!(node.log, "registration succeeds again"),
-                Err(err) => warn!(node.log, "registration fails"; "error" => %err),
+            LeaseStatus::Held(lease) => start_registration_check(node, lease),
+            LeaseStatus::Missing if node.is_draining() => return,
+            LeaseStatus::Missing => {
+                let result = register(node).await;
+                log_registration(node, &result, &mut is_registered);
             }
         }
         tokio::time::sleep(LEASE_POLL_INTERVAL).await;
+        confirm_outage_if_due(node);
         end_expired_terms(node);
     }
 }
 
+fn log_registration(node: &Node, result: &Result<(), StoreError>, is_registered: &mut bool) {
+    if result.is_ok() == *is_registered {
+        return;
+    }
+    *is_registered = result.is_ok();
+    match result {
+        Ok(()) => info!(node.log, "registration succeeds again"),
+        Err(err) => warn!(node.log, "registration fails"; "error" => %err),
+    }
+}
+
 async fn register(node: &Rc<Node>) -> Result<(), StoreError> {
     let sent_at = clock::now();
     let (lease, granted_ttl) = node.store.grant(lease_ttl(node).to_std()).await?;
@@ -252,6 +261,28 @@
     write_member(node, lease).await
 }
 
+/// Checks the registration now and then, in a task of its own: the store may take long to answer,
+/// and the end of the lease must be noticed meanwhile.
+fn start_registration_check(node: &Rc<Node>, lease: u64) {
+    let now = clock::now();
+    {
+        let mut session = node.session.borrow_mut();
+        if now < session.next_registration_check || node.is_draining() {
+            return;
+        }
+        // Longer than a check may take.
+        session.next_registration_check = now + MAX_REGISTRATION_CHECK;
+    }
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        if let Err(err) = check_registration(&node, lease).await {
+            warn!(node.log, "registration fails"; "error" => %err);
+        }
+        node.session.borrow_mut().next_registration_check =
+            clock::now() + REGISTRATION_CHECK_INTERVAL;
+    });
+}
+
 /// Writes the registration again if the store has lost it or the order rate has changed.
 async fn check_registration(node: &Rc<Node>, lease: u64) -> Result<(), StoreError> {
     if is_registration_missing(node) {
@@ -264,23 +295,35 @@
 
 /// Ends all terms once other nodes may own the duties. A node that can't reach the store continues
 /// beyond the end of its lease only while other nodes confirm that they can't reach it either.
-fn end_expired_terms(node: &Rc<Node>) {
+pub(super) fn end_expired_terms(node: &Rc<Node>) {
     let valid_until = node.lease.valid_until();
     let outage_confirmed_at = node.session.borrow().outage_confirmed_at;
     let now = clock::now();
-    let is_idle = node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none();
-    if valid_until == Timestamp(0) || is_idle {
+    if valid_until == Timestamp(0) || has_no_duty(node) {
         return;
     }
-    // The other nodes are asked before the lease expires, so that their answers arrive in time.
-    if now + OUTAGE_CONFIRMATION_TTL > valid_until {
-        tokio::task::spawn_local(confirm_store_outage(Rc::clone(node)));
-    }
     if now > valid_until && now > outage_confirmed_at + OUTAGE_CONFIRMATION_TTL {
         end_all_terms(node, "the lease could not be renewed");
     }
 }
 
+fn has_no_duty(node: &Node) -> bool {
+    node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none()
+}
+
+/// Asks the other nodes whether the store is away, before the lease expires, so that their answers
+/// arrive in time.
+fn confirm_outage_if_due(node: &Rc<Node>) {
+    let valid_until = node.lease.valid_until();
+    let now = clock::now();
+    let is_close = valid_until != Timestamp(0) && now + OUTAGE_CONFIRMATION_TTL > valid_until;
+    if !is_close || has_no_duty(node) || now < node.session.borrow().next_outage_question {
+        return;
+    }
+    node.session.borrow_mut().next_outage_question = now + OUTAGE_QUESTION_INTERVAL;
+    tokio::task::spawn_local(confirm_store_outage(Rc::clone(node)));
+}
+
 /// Asks the other nodes when they last reached the store, and records an outage if none of those
 /// that answer can reach it. If no other node is registered, the outage counts as confirmed.
 async fn confirm_store_outage(node: Rc<Node>) {
