--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -1,5 +1,8 @@
 //! Reads the list of workers from the store for the cells that this node owns.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
@@ -16,10 +19,30 @@
 /// The longest time between two readings of the list.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The link rate that is assumed at least, in megabits per second.
+const MIN_LINK_MBPS: f64 = 0.1;
+
 /// How long, in milliseconds, the list counts as incomplete after a failed reading: entries that
 /// expired while the store was unreachable need this time to be written again.
 const REGISTRATION_GRACE_MS: u64 = 2_500;
 
+/// The time that so many bytes take on a link, in megabits per second.
+fn transfer_time(bytes: usize, link_mbps: f64) -> Duration {
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    let megabits = bytes as f64 * 8.0 / 1_000_000.0;
+    Duration::try_from_secs_f64(megabits / link_mbps.max(MIN_LINK_MBPS)).unwrap_or(POLL_INTERVAL)
+}
+
+/// How long to wait for the next reading if nothing triggers one.
+fn regular_pause(_list_bytes: usize, _link_mbps: f64) -> Duration {
+    POLL_INTERVAL
+}
+
+/// How long to wait for the next reading although one was triggered.
+fn shortest_pause(_list_bytes: usize, _link_mbps: f64) -> Duration {
+    Duration::ZERO
+}
+
 /// Reads the list at regular intervals while this node owns a cell, and passes it to the cells.
 pub(super) async fn run(node: Rc<Node>) {
     let mut failing_since = None;
