The list of workers takes a small share of the owner's link

An owner read the list of all workers (some 130 KB at 350 workers) every 500 ms, and at each tick of the fleet's owner that expected workers: 230 KB/s of the 1,250 KB/s that a small node's link carries, with a time limit of 1.5 s for a page of any size. The pause between two readings now follows from the size of the list and the rate of the link (a tenth regularly, a quarter if triggered), and a page may take as long as the link needs. reading_the_list_takes_a_small_share_of_a_slow_link failed before and passes. On a node with 200 Mbit/s nothing changes.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 use teaselgap_core::{ServiceId, job::WorkerEntry};
 use teaselgap_platform::{
-    store::{StoreError, WORKERS_PREFIX},
+    store::{self, Range, StoreError, WORKERS_PREFIX},
     worker,
 };
 
@@ -19,6 +19,12 @@
 /// The longest time between two readings of the list.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Regular readings take at most one part in this many of the link.
+const REGULAR_LINK_DIVISOR: u32 = 10;
+
+/// Triggered readings take at most one part in this many of the link.
+const TRIGGERED_LINK_DIVISOR: u32 = 4;
+
 /// The link rate that is assumed at least, in megabits per second.
 const MIN_LINK_MBPS: f64 = 0.1;
 
@@ -34,28 +40,35 @@
 }
 
 /// How long to wait for the next reading if nothing triggers one.
-fn regular_pause(_list_bytes: usize, _link_mbps: f64) -> Duration {
-    POLL_INTERVAL
+fn regular_pause(list_bytes: usize, link_mbps: f64) -> Duration {
+    let transfer = transfer_time(list_bytes, link_mbps);
+    POLL_INTERVAL.max(transfer * (REGULAR_LINK_DIVISOR - 1))
 }
 
 /// How long to wait for the next reading although one was triggered.
-fn shortest_pause(_list_bytes: usize, _link_mbps: f64) -> Duration {
-    Duration::ZERO
+fn shortest_pause(list_bytes: usize, link_mbps: f64) -> Duration {
+    transfer_time(list_bytes, link_mbps) * (TRIGGERED_LINK_DIVISOR - 1)
 }
 
 /// Reads the list at regular intervals while this node owns a cell, and passes it to the cells.
 pub(super) async fn run(node: Rc<Node>) {
     let mut failing_since = None;
     let mut complete_from = clock::now();
+    let link_mbps = node.settings.limits.link_mbps;
+    let mut list_bytes = 0;
     loop {
-        let wakeup = tokio::time::timeout(POLL_INTERVAL, node.roster_refresh.notified()).await;
+        let shortest = shortest_pause(list_bytes, link_mbps);
+        tokio::time::sleep(shortest).await;
+        let rest = regular_pause(list_bytes, link_mbps).saturating_sub(shortest);
+        let wakeup = tokio::time::timeout(rest, node.roster_refresh.notified()).await;
         // The interval is over or a new reading was triggered: the list is read in both cases.
         let _ = wakeup;
         if node.cell_owners.borrow().is_empty() {
             continue;
         }
         match read_workers(&node).await {
-            Ok(workers) => {
+            Ok((workers, bytes)) => {
+                list_bytes = bytes;
                 if let Some(since) = failing_since.take() {
                     info!(node.log, "list of workers readable again"; "since" => %since);
                     complete_from = clock::now() + teaselgap_core::Span(REGISTRATION_GRACE_MS);
@@ -76,16 +89,21 @@
     }
 }
 
-async fn read_workers(
-    node: &Rc<Node>,
-) -> Result<IndexMap<ServiceId, Vec<WorkerEntry>>, StoreError> {
-    let range = node.store.range(WORKERS_PREFIX, false).await?;
-    let mut workers: IndexMap<ServiceId, Vec<WorkerEntry>> = IndexMap::new();
+/// The workers of each service.
+type Workers = IndexMap<ServiceId, Vec<WorkerEntry>>;
+
+/// Reads the list of workers, and returns its size in bytes too.
+async fn read_workers(node: &Rc<Node>) -> Result<(Workers, usize), StoreError> {
+    let page_timeout = store::page_timeout(node.settings.limits.link_mbps);
+    let mut range = Range::default();
+    node.store.extend_range(WORKERS_PREFIX, page_timeout, &mut range).await?;
+    let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
+    let mut workers = Workers::new();
     for item in &range.items {
         // Entries in another format, such as those of other writers, are ignored.
         if let Some(entry) = worker::parse_entry(&item.key, &item.value) {
             workers.entry(entry.service.clone()).or_default().push(entry);
         }
     }
-    Ok(workers)
+    Ok((workers, bytes))
 }
