Split session.rs, roster.rs and the model of workers by concern

session.rs keeps the lease and the registration, duties.rs has the claims and handovers of duties; of cell/roster.rs the holds are in cell/holds.rs; of the model of workers the calls are in model/calls.rs.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod advise;
 mod clean;
 mod ends;
+mod holds;
 mod job_table;
 mod load;
 mod orders;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -10,92 +10,16 @@
         worker::{Logged, Run, RunState, UNANSWERED_START_LIFETIME, Worker},
     },
     Cell, DeferredEffect,
+    holds::MAX_HOLD_FAILURES,
 };
 use crate::{Span, Timestamp};
 
 /// How long a worker's entry may be missing from the store before the worker gets no new tasks.
 const MISSING_GRACE: Span = Span(2_000);
 
-/// How long a worker with runs may wait for a run to end before it answers a hold. It takes two
-/// answers to notice a run without progress.
-const HOLD_WAIT: Span = Span(400);
-
-/// The same for a worker that runs only long-running tasks.
-const LONG_RUNNING_HOLD_WAIT: Span = Span(1_000);
-
-/// A worker answers at least this many holds within the duration of a lease, however short that is.
-const MIN_HOLDS_PER_LEASE: u64 = 4;
-
-/// The shortest interval between two holds of one worker.
-const HOLD_INTERVAL: Span = Span(60);
-
-/// The interval between holds of a worker without runs.
-const IDLE_HOLD_INTERVAL: Span = Span(3_000);
-
-/// The delay before the next hold after one that was not answered.
-const FAILED_HOLD_DELAY: Span = Span(250);
-
 /// The longest time from the completion of a stop until the worker lists the end of the run.
 const END_LISTING_DELAY: Span = Span(50);
 
-/// The number of unanswered holds in a row after which a worker gets no new tasks.
-const MAX_HOLD_FAILURES: u32 = 2;
-
-/// The part of a lease, in percent, after which its renewal can't wait any more.
-const RENEWAL_DUE_PERCENT: u64 = 50;
-
-/// How urgent a hold that is due is; the most urgent comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum HoldUrgency {
-    /// The lease of a worker with runs needs a renewal.
-    Renews { due: Timestamp },
-    /// The worker gets no orders before it answers.
-    Adopts,
-    /// The hold only looks for ends or confirms them.
-    CanWait { due: Timestamp },
-}
-
-impl HoldUrgency {
-    fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
-        let renewed_at = worker.renewed_at.unwrap_or_default();
-        let renewal_due = renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
-        if !worker.is_adopted {
-            Self::Adopts
-        } else if now >= renewal_due && !worker.runs.is_empty() {
-            Self::Renews { due: renewal_due }
-        } else {
-            Self::CanWait { due: worker.next_hold }
-        }
-    }
-}
-
-/// Notes in the worker's state that a hold is sent, and returns it.
-fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
-    worker.holds_in_flight += 1;
-    worker.next_hold = now + HOLD_INTERVAL;
-    // An unanswered order may still be carried out. If the lease of a silent worker were renewed
-    // with each hold, it would never be known to have expired.
-    let lease_end = if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
-    worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
-    worker.renewing_since = lease_end.and(worker.renewing_since.or(Some(now)));
-    let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
-    let answers_at_once = worker.runs.is_empty()
-        || has_unconfirmed_ends
-        || worker.is_settling()
-        || !worker.is_adopted;
-    let wait = if answers_at_once {
-        Span(0)
-    } else if worker.has_only_long_running() {
-        LONG_RUNNING_HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
-    } else {
-        HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
-    };
-    // A worker that did not answer may have restarted. It then numbers its ends from the beginning,
-    // and the old number would confirm ends that have not been handled.
-    let last_seen = if worker.hold_failures == 0 { worker.ends_durable } else { 0 };
-    Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
-}
-
 impl Cell {
     /// Updates the workers from the list in the platform's store. A list that is not complete,
     /// because the store was unavailable, says nothing about workers that it lacks.
@@ -159,7 +83,7 @@
 
     /// Handles the restart of a worker under the same id. The runs that its previous instance listed
     /// have ended, but a start order may have reached the new instance or may still reach it.
-    fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
+    pub(super) fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
         let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
             return;
@@ -285,129 +209,8 @@
         }
     }
 
-    /// Sends the holds that are due. Renewals and adoptions never wait; all others share what the
-    /// link allows, the one that has been due the longest first.
-    pub(super) fn send_holds(&mut self, now: Timestamp) {
-        let lease = self.cfg.lease;
-        self.hold_budget.refill(now);
-        let mut due: Vec<(HoldUrgency, usize)> = self
-            .workers
-            .values()
-            .enumerate()
-            .filter(|(_, worker)| worker.is_hold_due(now))
-            .map(|(index, worker)| (HoldUrgency::of(worker, lease, now), index))
-            .collect();
-        due.sort_unstable();
-        for (urgency, index) in due {
-            if matches!(urgency, HoldUrgency::CanWait { .. }) && !self.hold_budget.has_room() {
-                return;
-            }
-            if let Some((id, worker)) = self.workers.get_index_mut(index) {
-                self.hold_budget.take(worker.runs.len());
-                self.actions.push(hold(id, worker, lease, now));
-            }
-        }
-    }
-
-    /// Handles the answer to a hold that was sent at `sent`; `None` if there was no answer.
-    pub fn on_hold_answer(
-        &mut self,
-        id: &WorkerId,
-        sent: Timestamp,
-        report: Option<HoldReport>,
-        now: Timestamp,
-    ) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.holds_in_flight = worker.holds_in_flight.saturating_sub(1);
-        let Some(report) = report else {
-            worker.hold_failures += 1;
-            worker.next_hold = now + FAILED_HOLD_DELAY;
-            if worker.hold_failures == MAX_HOLD_FAILURES {
-                let runs = worker.runs.len();
-                self.actions.push(Action::Log(LogEvent::Worker {
-                    worker: id.clone(),
-                    change: "silent",
-                    runs,
-                }));
-            }
-            return;
-        };
-        if worker.entry.started_wall_ms != report.started_wall_ms && report.started_wall_ms != 0 {
-            if worker.entry.started_wall_ms > report.started_wall_ms {
-                // The previous instance answered, and the entry of the new one overtook the answer.
-                worker.next_hold = now;
-                return;
-            }
-            let entry =
-                WorkerEntry { started_wall_ms: report.started_wall_ms, ..worker.entry.clone() };
-            self.on_worker_restart(id, entry, now);
-        }
-        self.on_hold_report(id, sent, &report, now);
-    }
-
-    fn on_hold_report(
-        &mut self,
-        id: &WorkerId,
-        sent: Timestamp,
-        report: &HoldReport,
-        now: Timestamp,
-    ) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let was_silent = worker.hold_failures >= MAX_HOLD_FAILURES;
-        let was_adopted = worker.is_adopted;
-        let had_failed_holds = worker.hold_failures > 0;
-        let is_newest = report.clock_ms >= worker.listed_clock_ms;
-        if is_newest {
-            worker.listed_clock_ms = report.clock_ms;
-            worker.record_clock(report.clock_ms, now);
-        }
-        worker.hold_failures = 0;
-        worker.last_heard = now;
-        worker.record_renewal(sent);
-        if !worker.is_adopted {
-            worker.is_adopted = true;
-            worker.adopted_at = now;
-        }
-        self.on_run_ends(id, &report.ends, now);
-        // A list that a newer one has overtaken does not show the current runs.
-        if is_newest {
-            for listed_run in &report.running {
-                self.on_listed_run(id, listed_run, now);
-            }
-            self.end_unlisted_runs(id, sent, report, now);
-            self.check_progress(id, now);
-        }
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.next_hold =
-            now + if worker.runs.is_empty() { IDLE_HOLD_INTERVAL } else { HOLD_INTERVAL };
-        if worker.ends_seen > worker.ends_durable {
-            worker.next_hold = now + HOLD_INTERVAL;
-        }
-        if !was_adopted || had_failed_holds {
-            // The lease can be renewed only now that the worker answers.
-            worker.next_hold = now;
-        }
-        let is_logged = worker.times_logged > 0;
-        if !was_adopted || was_silent {
-            let (worker, runs) = (id.clone(), worker.runs.len());
-            let change = if was_adopted { "answers again" } else { "adopted" };
-            self.actions.push(Action::Log(LogEvent::Worker { worker, change, runs }));
-            self.plan_due = true;
-        }
-        // The store also lists workers whose VM was moved, which never answer.
-        if !is_logged {
-            self.log_worker_used(id, now);
-        }
-    }
-
     /// Logs that a worker is used; it gets no orders before that record is durable.
-    fn log_worker_used(&mut self, id: &WorkerId, now: Timestamp) {
+    pub(super) fn log_worker_used(&mut self, id: &WorkerId, now: Timestamp) {
         self.log_worker(id, Logged::Used, now);
     }
 
@@ -459,7 +262,7 @@
     }
 
     /// Handles a run that a worker lists.
-    fn on_listed_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
+    pub(super) fn on_listed_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -551,7 +354,7 @@
     }
 
     /// Ends the runs that a worker's list would show if they still existed.
-    fn end_unlisted_runs(
+    pub(super) fn end_unlisted_runs(
         &mut self,
         id: &WorkerId,
         sent: Timestamp,
--- /dev/null
+++ b/crates/standins/src/model/calls.rs
@@ -0,0 +1,257 @@
+//! The calls of an owner to workers and to the advice service, and their delivery in virtual time.
+
+use teaselgap_core::{
+    Epoch, Span, Timestamp,
+    job::{Action, AdviceAnswer, AdviceRequest, StartOrder, StartOutcome, TaskId, WorkerId},
+};
+
+use super::{
+    ADVICE_LATENCY_MS, Call, Delivery, LATENCY_MS, Model, Reply, TICKET, TICKET_VALIDITY_MS,
+};
+
+impl Model {
+    pub(super) fn send(&mut self, delay_ms: u64, delivery: Delivery) {
+        self.next_delivery += 1;
+        self.deliveries.insert((self.now + Span(delay_ms), self.next_delivery), delivery);
+    }
+
+    /// Passes a message of the owner over its link, and returns how long that takes.
+    pub(super) fn send_over_link(&mut self, bytes: u64) -> Span {
+        let now = self.now;
+        self.link.as_mut().map_or(Span(0), |link| link.send(bytes, now))
+    }
+
+    /// Passes a message to the owner over its link, and returns how long that takes.
+    pub(super) fn receive_over_link(&mut self, bytes: u64) -> Span {
+        let now = self.now;
+        self.link.as_mut().map_or(Span(0), |link| link.receive(bytes, now))
+    }
+
+    pub(super) fn perform(&mut self, action: Action) {
+        match action {
+            Action::Reply(token, answer) => {
+                self.answers.insert(token, answer);
+            }
+            Action::Log(event) => self.log_events.push(event),
+            Action::Pace(..) => {}
+            Action::RequestAdvice(request) => self.request_advice(request),
+            Action::Start(worker, order) => {
+                self.starts_in_flight += 1;
+                self.max_starts_in_flight = self.max_starts_in_flight.max(self.starts_in_flight);
+                self.call(worker, Call::Start(order));
+            }
+            Action::Stop(worker, task, attempt) => self.call(worker, Call::Stop(task, attempt)),
+            Action::Hold { worker, lease_end, last_seen, wait } => {
+                let call = Call::Hold { lease_end, last_seen, wait, sent: self.now };
+                self.call(worker, call);
+            }
+        }
+    }
+
+    /// Sends a request to the advice service, which answers unless it is unavailable.
+    pub(super) fn request_advice(&mut self, request: AdviceRequest) {
+        let allowed =
+            request.workers.iter().filter(|&worker| self.allowed_workers.contains(worker));
+        let allowed = allowed.map(|worker| (worker.clone(), TICKET.into())).collect();
+        let answer = self
+            .is_advice_available
+            .then_some(AdviceAnswer { allowed, validity: Span(TICKET_VALIDITY_MS) });
+        self.advice_request_count += 1;
+        let (worker, epoch) = (request.workers[0].clone(), self.epoch);
+        let reply = Reply::Advice(request, answer);
+        self.send(ADVICE_LATENCY_MS, Delivery::ToCell { worker, epoch, reply });
+    }
+
+    pub(super) fn is_unreachable(&self, worker: &WorkerId) -> bool {
+        self.unreachable.get(worker).is_some_and(|until| self.now < *until)
+    }
+
+    /// Sends a call to a worker, subject to the injected faults.
+    pub(super) fn call(&mut self, worker: WorkerId, call: Call) {
+        let epoch = self.epoch;
+        if self.is_unreachable(&worker) {
+            self.schedule_timeout(worker, epoch, &call);
+            return;
+        }
+        let deadline = self.now + call.timeout();
+        let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
+        let mut answer_arrives = self.now + Span(delay_ms) < deadline;
+        if let (Call::Start(_), Some(faults)) = (&call, self.faults.get_mut(&worker)) {
+            if faults.late_orders > 0 {
+                faults.late_orders -= 1;
+                delay_ms = faults.late_ms;
+                answer_arrives = false;
+            } else if faults.lost_answers > 0 {
+                faults.lost_answers -= 1;
+                answer_arrives = false;
+            }
+        }
+        if !answer_arrives {
+            self.schedule_timeout(worker.clone(), epoch, &call);
+        }
+        let delivery = Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
+        self.send(delay_ms, delivery);
+    }
+
+    /// Schedules the reply that the owner gets when a call times out.
+    pub(super) fn schedule_timeout(&mut self, worker: WorkerId, epoch: Epoch, call: &Call) {
+        let delivery = Delivery::ToCell { worker, epoch, reply: call.timed_out() };
+        self.send(call.timeout().0, delivery);
+    }
+
+    /// Sends a worker's answer to the owner, which stops waiting for it at `deadline`.
+    pub(super) fn answer_call(
+        &mut self,
+        (worker, epoch): (WorkerId, Epoch),
+        (reply, timed_out): (Reply, Reply),
+        deadline: Timestamp,
+    ) {
+        if matches!(reply, Reply::Held(..)) {
+            self.hold_answer_bytes += reply.bytes();
+        }
+        let delay_ms = LATENCY_MS + self.receive_over_link(reply.bytes()).0;
+        if self.now + Span(delay_ms) <= deadline {
+            self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
+        } else {
+            let delay_ms = deadline.since(self.now).0;
+            self.send(delay_ms, Delivery::ToCell { worker, epoch, reply: timed_out });
+        }
+    }
+
+    pub(super) fn deliver(&mut self) {
+        while let Some(entry) = self.deliveries.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline } => {
+                    self.on_call((worker, epoch), call, answer_arrives, deadline);
+                }
+                Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
+                Delivery::SegmentWritten { epoch, sequence } => {
+                    let now = self.now;
+                    self.log.confirm();
+                    if let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) {
+                        cell.on_segment_written(sequence, now);
+                    }
+                }
+                Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
+                Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
+                Delivery::LogRead => self.take_over_again(0),
+            }
+        }
+    }
+
+    pub(super) fn on_call(
+        &mut self,
+        (id, epoch): (WorkerId, Epoch),
+        call: Call,
+        answer_arrives: bool,
+        deadline: Timestamp,
+    ) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        if worker.is_partitioned(now) {
+            if answer_arrives {
+                self.schedule_timeout(id, epoch, &call);
+            }
+            return;
+        }
+        let timed_out = call.timed_out();
+        let reply = match call {
+            Call::Start(order) => {
+                let outcome = worker.start(&order, epoch, now);
+                if outcome == StartOutcome::Started && worker.has_owner_contact() {
+                    self.record_start(&id, &order);
+                }
+                Reply::Started(order.task, order.attempt, outcome)
+            }
+            Call::Stop(task, attempt) => {
+                Reply::Stopped(task, attempt, worker.stop(task, attempt, epoch, now))
+            }
+            Call::PendingHold { started_wall_ms, sent, .. }
+                if started_wall_ms != worker.entry.started_wall_ms =>
+            {
+                // The connection was lost when the worker instance ended.
+                Reply::Held(sent, None)
+            }
+            Call::Hold { last_seen, wait, sent, .. }
+            | Call::PendingHold { last_seen, wait, sent, .. } => {
+                let lease_end = match call {
+                    Call::Hold { lease_end, .. } => lease_end,
+                    _ => None,
+                };
+                if let Some(delay_ms) = worker.remaining_wait(sent, wait, last_seen, now) {
+                    worker.extend_lease(lease_end, epoch, now);
+                    let started_wall_ms = worker.entry.started_wall_ms;
+                    let call = Call::PendingHold { last_seen, wait, sent, started_wall_ms };
+                    let worker = id;
+                    let pending =
+                        Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
+                    self.send(delay_ms, pending);
+                    return;
+                }
+                let hold_result = worker.hold(lease_end, last_seen, epoch, now);
+                let (report, done) =
+                    hold_result.map_or((None, Vec::new()), |(report, done)| (Some(report), done));
+                self.record_done(done);
+                Reply::Held(sent, report)
+            }
+        };
+        if answer_arrives {
+            self.answer_call((id, epoch), (reply, timed_out), deadline);
+        }
+    }
+
+    /// Records tasks that an owner has confirmed as done, each with the time of its end, and checks
+    /// that none of them has started since.
+    pub(super) fn record_done(&mut self, done: Vec<(TaskId, Timestamp)>) {
+        for (task, at) in done {
+            if self.last_starts.get(&task).is_some_and(|start| *start > at) {
+                self.violations.push(format!("{} {task} started after it was done", self.now));
+            }
+            self.confirmed_done.insert(task);
+        }
+    }
+
+    /// Records the start of a task, and checks that it is neither done nor running on another
+    /// worker.
+    pub(super) fn record_start(&mut self, id: &WorkerId, order: &StartOrder) {
+        let task = order.task;
+        *self.start_counts.entry(task).or_default() += 1;
+        self.last_starts.insert(task, self.now);
+        if self.confirmed_done.contains(&task) {
+            self.violations.push(format!("{} {task} started after it was done", self.now));
+        }
+        let elsewhere: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(other, worker)| *other != id && worker.is_running(task))
+            .map(|(other, _)| other.to_string())
+            .collect();
+        if !elsewhere.is_empty() {
+            let at = elsewhere.join(", ");
+            self.violations.push(format!("{} {task} runs at {id} and at {at}", self.now));
+        }
+    }
+
+    pub(super) fn on_reply(&mut self, id: &WorkerId, epoch: Epoch, reply: Reply) {
+        let now = self.now;
+        let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) else {
+            return;
+        };
+        match reply {
+            Reply::Started(task, attempt, outcome) => {
+                self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+                cell.on_start_answer(id, (task, attempt), outcome, now);
+            }
+            Reply::Stopped(task, attempt, confirmed) => {
+                cell.on_stop_answer(id, (task, attempt), confirmed, now);
+            }
+            Reply::Held(sent, report) => cell.on_hold_answer(id, sent, report, now),
+            Reply::Advice(request, answer) => cell.on_advice_answer(&request, answer.as_ref(), now),
+        }
+    }
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -20,6 +20,7 @@
 //! a channel of requests with the traffic thread.
 
 mod ask;
+mod duties;
 mod fleet;
 mod front;
 mod host;
--- a/src/jobs/session/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -1,3 +1,5 @@
+use teaselgap_core::job::OrderRate;
+
 use super::*;
 
 const INCARNATION: Incarnation = Incarnation(5);
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{
+    duties,
     node::{FLEET_DUTY, Node},
     session,
 };
@@ -325,7 +326,7 @@
     /// Writes a key on condition that this node still owns the fleet, retrying until the key is
     /// written or the term has ended.
     async fn write_key(&self, key: String, value: Vec<u8>) {
-        let duty = session::duty_key(FLEET_DUTY);
+        let duty = duties::duty_key(FLEET_DUTY);
         let txn = Transaction {
             expected: vec![Expected { key: duty, revision: self.epoch.0 }],
             puts: vec![Put { key, value, lease: None }],
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -14,7 +14,7 @@
     self, Expected, Item, Outcome, Put, Range, StoreError, Transaction,
 };
 
-use super::{node::Node, session};
+use super::{duties, node::Node};
 
 /// The prefix of the store keys that hold the logs of all cells.
 const LOG_PREFIX: &str = "teaselgap/log/";
@@ -43,7 +43,7 @@
 
 impl LogKeys {
     fn new(service: &ServiceId, epoch: Epoch) -> Self {
-        let duty = session::duty_key(&session::cell_duty(service));
+        let duty = duties::duty_key(&duties::cell_duty(service));
         Self { prefix: format!("{LOG_PREFIX}{service}/"), duty, epoch }
     }
 
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -24,7 +24,7 @@
 use xitca_web::{HttpServer, service::fn_service};
 
 use super::{
-    ask, fleet,
+    ask, duties, fleet,
     front::{self, SharedState},
     host::{CellOwner, EndedTerm},
     lease::LeaseRenewer,
@@ -120,7 +120,7 @@
 
     /// The address of the node that owns a cell, if it is another node.
     pub(super) fn owner_address(&self, cell: &ServiceId) -> Option<SocketAddr> {
-        self.members.borrow().owner_address(&session::cell_duty(cell), &self.id)
+        self.members.borrow().owner_address(&duties::cell_duty(cell), &self.id)
     }
 
     /// Whether this process is shutting down.
@@ -133,7 +133,7 @@
         let Some(config) = self.shared.config.load_full() else {
             return indexmap::IndexSet::new();
         };
-        let cells = config.queues.values().map(|queue| session::cell_duty(&queue.service));
+        let cells = config.queues.values().map(|queue| duties::cell_duty(&queue.service));
         std::iter::once(FLEET_DUTY.to_owned()).chain(cells).collect()
     }
 
