One figure for the cost of a start order

term.rs and flow.rs each had a processor time of an order (150 and 200 microseconds) and a conversion of megabits. Both use flow's now; the rates of nodes bound by their processor are a quarter lower (600 instead of 800 in the test of the scarcer resource), those bound by their link are as before.

--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -26,7 +26,7 @@
 const START_QUEUE_TIME: Span = Span(50);
 
 /// Processor time of a start order and its answer, in microseconds of a whole core.
-const START_CPU_US: u64 = 200;
+pub(super) const START_CPU_US: u64 = 200;
 
 /// How long the start orders that are in flight may occupy the processor.
 const START_CPU_TIME: Span = Span(100);
--- a/crates/core/src/job/term.rs
+++ b/crates/core/src/job/term.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use super::{LinkRate, flow::START_CPU_US};
 use crate::{Incarnation, NodeId};
 
 /// Start times of nodes are rounded down to a multiple of this, so that nodes that start together
@@ -32,12 +33,12 @@
 pub struct OrderRate(pub u64);
 
 impl OrderRate {
-    /// Returns the rate that a link, in bytes per second, and a processor, in thousandths of a
-    /// core, allow; the scarcer of the two decides.
+    /// Returns the rate that a link and a processor, in thousandths of a core, allow; the scarcer
+    /// of the two decides.
     #[must_use]
-    pub fn from_resources(link_bytes_per_s: u64, cpu_milli: u64) -> Self {
-        let by_link = link_bytes_per_s / ORDER_BYTES;
-        let by_cpu = cpu_milli * 1_000 / ORDER_CPU_US;
+    pub fn from_resources(link: LinkRate, cpu_milli: u64) -> Self {
+        let by_link = link.0 / ORDER_BYTES;
+        let by_cpu = cpu_milli * 1_000 / START_CPU_US;
         Self(by_link.min(by_cpu).max(1))
     }
 }
@@ -68,9 +69,6 @@
 /// the link in the busier direction.
 const ORDER_BYTES: u64 = 2_500;
 
-/// Processor time of the same, in microseconds of a standard core.
-const ORDER_CPU_US: u64 = 150;
-
 /// A lagging node counts with its order rate divided by this.
 const LAGGING_DIVISOR: u64 = 8;
 
