--- a/crates/standins/tests/cells/long_running.rs
+++ b/crates/standins/tests/cells/long_running.rs
@@ -125,6 +125,16 @@
     }
 }
 
+/// Begins the term of a new owner and returns how many of the job's two tasks have started in the
+/// time in which they must.
+fn tasks_started_by_next_owner(model: &mut Model) -> usize {
+    model.take_over();
+    model.run_for(START_MS);
+    let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) > 0).count();
+    model.run_for(10_000);
+    started
+}
+
 #[test]
 fn an_owner_that_dies_while_it_places_a_task_neither_loses_it_nor_runs_it_twice() {
     for offset_ms in 0..120 {
@@ -136,10 +146,7 @@
         let is_accepted = model.answer(token).is_some();
         model.run_for(300);
 
-        model.take_over();
-        model.run_for(START_MS);
-        let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) > 0).count();
-        model.run_for(10_000);
+        let started = tasks_started_by_next_owner(&mut model);
 
         assert!(!is_accepted || started == 2, "{started} started, killed after {offset_ms} ms");
         assert_eq!(model.violations(), [] as [&str; 0]);
@@ -221,10 +228,7 @@
 
         model.hand_over();
         let is_accepted = model.answer(token).is_some();
-        model.take_over();
-        model.run_for(START_MS);
-        let started = (0..2).filter(|&index| model.start_count(task_id(JOB, index)) > 0).count();
-        model.run_for(10_000);
+        let started = tasks_started_by_next_owner(&mut model);
 
         assert!(!is_accepted || started == 2, "{started} started, handed over at {offset_ms} ms");
         assert_eq!(model.violations(), [] as [&str; 0]);
--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -81,16 +81,21 @@
     });
 }
 
+/// Waits until a renewal has shown that the store has lost the lease.
+fn wait_for_loss(renewer: &LeaseRenewer, calls: &Receiver<()>) {
+    calls.recv_timeout(CALL_TIMEOUT).unwrap();
+    let deadline = std::time::Instant::now() + CALL_TIMEOUT;
+    while renewer.lease().is_some() && std::time::Instant::now() < deadline {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn a_lease_that_the_store_has_lost_is_reported_once() {
     let (address, calls) = store("404 Not Found");
 
     on_control_thread(address, Span(60_000), |renewer| {
-        calls.recv_timeout(CALL_TIMEOUT).unwrap();
-        let deadline = std::time::Instant::now() + CALL_TIMEOUT;
-        while renewer.lease().is_some() && std::time::Instant::now() < deadline {
-            std::thread::yield_now();
-        }
+        wait_for_loss(renewer, &calls);
 
         assert_eq!(renewer.lease(), None);
         assert_eq!(renewer.poll(), LeaseStatus::Expired);
@@ -103,11 +108,7 @@
     let (address, calls) = store("404 Not Found");
 
     on_control_thread(address, Span(60_000), |renewer| {
-        calls.recv_timeout(CALL_TIMEOUT).unwrap();
-        let deadline = std::time::Instant::now() + CALL_TIMEOUT;
-        while renewer.lease().is_some() && std::time::Instant::now() < deadline {
-            std::thread::yield_now();
-        }
+        wait_for_loss(renewer, &calls);
         let valid_until = renewer.valid_until();
         renewer.set(LEASE + 1, clock::now() + Span(400));
 
