--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -1,5 +1,8 @@
 //! The network link of the owner's node: a limited rate and a queue in each direction.
 
+#[cfg(test)]
+mod tests;
+
 use teaselgap_core::{Span, Timestamp, job::LinkRate};
 
 use super::{Call, Reply};
@@ -88,19 +91,3 @@
         small_message_bytes() + entries as u64 * LIST_ENTRY_BYTES
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_message_waits_for_those_before_it_in_its_direction() {
-        let mut link = Link::new(8);
-
-        let first = link.send(100_000, Timestamp(1_000));
-        let second = link.send(100_000, Timestamp(1_050));
-        let other_direction = link.receive(100_000, Timestamp(1_050));
-
-        assert_eq!((first, second, other_direction), (Span(100), Span(150), Span(100)));
-    }
-}
--- a/src/jobs/host/replies.rs
+++ b/src/jobs/host/replies.rs
@@ -1,5 +1,8 @@
 //! The requests for which the cell has not decided on an answer or has not made it durable.
 
+#[cfg(test)]
+mod tests;
+
 use indexmap::IndexMap;
 use teaselgap_core::job::Token;
 use tokio::sync::oneshot;
@@ -49,19 +52,3 @@
         self.channels.clear();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn requests_beyond_the_bound_are_not_added() {
-        let mut pending = PendingReplies::default();
-
-        for _ in 0..5_000 {
-            let _ = pending.insert(oneshot::channel().0);
-        }
-
-        assert!(pending.len() <= 1_000, "{}", pending.len());
-    }
-}
--- a/src/jobs/peer/timeout.rs
+++ b/src/jobs/peer/timeout.rs
@@ -1,5 +1,8 @@
 //! The time that a caller has left, as gRPC carries it between nodes.
 
+#[cfg(test)]
+mod tests;
+
 use teaselgap_core::Span;
 use tonic::metadata::MetadataMap;
 
@@ -25,22 +28,3 @@
     };
     Some(Span(millis))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_unit_is_converted_to_milliseconds() {
-        let texts = ["2S", "700m", "1500000u", "3000000n", "1M"];
-
-        let parsed = texts.map(parse_timeout);
-
-        assert_eq!(parsed, [2_000, 700, 1_500, 3, 60_000].map(|ms| Some(Span(ms))));
-    }
-
-    #[test]
-    fn a_malformed_timeout_is_ignored() {
-        assert_eq!(["", "m", "5", "xm", "5é"].map(parse_timeout), [None; 5]);
-    }
-}
--- a/src/store/governor.rs
+++ b/src/store/governor.rs
@@ -7,6 +7,9 @@
 //! breaker opens: calls fail at once, and only one at a time tries the store after a growing pause.
 //! The pause is jittered, so that the nodes don't all return to the store at the same time.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -253,36 +256,3 @@
         result
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Counts the tokens that can be taken within a time.
-    fn count_taken(priority: Priority, per_second: f64, seconds: u64) -> u32 {
-        let mut bucket = TokenBucket { per_second, tokens: 0.0, refilled: Timestamp(0) };
-        let mut taken = 0;
-        for ms in 0..seconds * 1_000 {
-            while bucket.try_take(priority, Timestamp(ms)).is_ok() {
-                taken += 1;
-            }
-        }
-        taken
-    }
-
-    #[test]
-    fn a_token_bucket_never_exceeds_its_rate() {
-        let taken = count_taken(Priority::Vital, 50.0, 10);
-
-        assert!((490..=500).contains(&taken), "{taken}");
-    }
-
-    #[test]
-    fn background_calls_leave_a_reserve_for_vital_calls() {
-        let mut bucket = TokenBucket { per_second: 40.0, tokens: 10.0, refilled: Timestamp(0) };
-
-        while bucket.try_take(Priority::Background, Timestamp(0)).is_ok() {}
-
-        assert!(bucket.try_take(Priority::Vital, Timestamp(0)).is_ok());
-    }
-}
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -1,5 +1,8 @@
 //! The layout of the keys in the store.
 
+#[cfg(test)]
+mod tests;
+
 use teaselgap_core::{
     CustomerId, RequestId, ServiceId, VmId,
     duty::{DutyId, NodeIncarnation},
@@ -129,28 +132,3 @@
     let hash = xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes());
     u32::try_from(hash % u64::from(partitions.max(1))).unwrap_or(0)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn control_keys_parse_to_the_ids_they_were_built_from() {
-        let keys = Keys::new("/t/");
-        let node_incarnation =
-            NodeIncarnation { node: "n1".parse().unwrap(), incarnation: "7".parse().unwrap() };
-        let duty: DutyId = "slots/shop".parse().unwrap();
-        let service: ServiceId = "previews".parse().unwrap();
-
-        let cases = [
-            (keys.head(), ControlKey::Head),
-            (keys.node(&node_incarnation), ControlKey::Node(node_incarnation)),
-            (keys.duty(&duty), ControlKey::Duty(duty)),
-            (keys.service(&service), ControlKey::Service(service)),
-        ];
-
-        for (key, expected) in cases {
-            assert_eq!(keys.parse_control(&key), Some(expected), "{key}");
-        }
-    }
-}
