Log what an owner refuses, what it waits for and how often it writes

The logs could not tell apart whether start orders are held back for want of answers or of link, how much of what arrives a cell refuses while its pool stays small, how often a write of the log was sent, and when the inherited jobs were released, after waiting for which workers.

owner load: starts_in_flight, accepted, refused; log write retried (tries, took_ms) for a write that was sent more than once; inherited jobs released (jobs, waited_ms, workers_adopted, workers_expired), once a term. Each is one line a second, a write or a term, so bounded.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -116,6 +116,8 @@
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
     /// has certainly expired.
     inherited_workers: IndexMap<WorkerId, Timestamp>,
+    /// How the wait for workers of earlier terms has gone so far.
+    inherited_wait: recover::InheritedWait,
     /// When every lease of earlier terms has certainly expired. Until then a worker that is not
     /// listed yet may still carry out orders of earlier terms.
     earlier_leases_expiry: Timestamp,
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -9,8 +9,8 @@
 
 use super::{
     super::{
-        JobEnd, JobId, JobSpec, LogWriter, Position, Record, Sequence, StoredSegment, TaskId,
-        TaskSnapshot, UnsettledWorker, WorkerId,
+        Action, JobEnd, JobId, JobSpec, LogEvent, LogWriter, Position, Record, Sequence,
+        StoredSegment, TaskId, TaskSnapshot, UnsettledWorker, WorkerId,
         record::EncodedRecord,
         task::{Job, Placement},
     },
@@ -44,6 +44,22 @@
     }
 }
 
+/// How the wait for workers of earlier terms has gone so far, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InheritedWait {
+    began: Timestamp,
+    /// Number of workers that were adopted.
+    adopted: usize,
+    /// Number of workers whose leases had certainly expired.
+    expired: usize,
+}
+
+impl InheritedWait {
+    fn new(began: Timestamp) -> Self {
+        Self { began, adopted: 0, expired: 0 }
+    }
+}
+
 /// How long a lease can last by this node's clock, in percent of its nominal duration, because the
 /// worker's clock may be slow.
 const LEASE_STRETCH_PERCENT: u64 = 103;
@@ -133,6 +149,7 @@
             durable_placements: Vec::new(),
             actions: Vec::new(),
             inherited_workers: IndexMap::new(),
+            inherited_wait: InheritedWait::new(now),
             earlier_leases_expiry: now,
             plan_due: true,
             start_window: super::StartWindow::new(cfg.flow),
@@ -290,15 +307,24 @@
     /// have expired.
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
-        let workers = &self.workers;
+        let (workers, wait) = (&self.workers, &mut self.inherited_wait);
         self.inherited_workers.retain(|id, expiry| {
-            now < *expiry && workers.get(id).is_none_or(|worker| !worker.is_adopted)
+            let is_adopted = workers.get(id).is_some_and(|worker| worker.is_adopted);
+            let is_expired = !is_adopted && now >= *expiry;
+            wait.adopted += usize::from(is_adopted);
+            wait.expired += usize::from(is_expired);
+            !is_adopted && !is_expired
         });
         self.plan_due |= self.inherited_workers.len() < before;
         if !self.inherited_workers.is_empty() {
             return;
         }
-        if before > 0 || self.jobs.open().any(|(_, job)| job.is_inherited) {
+        let inherited = self.jobs.open().filter(|(_, job)| job.is_inherited).count();
+        if before > 0 || inherited > 0 {
+            let InheritedWait { began, adopted, expired } = self.inherited_wait;
+            let waited = now.since(began);
+            let event = LogEvent::InheritedReleased { jobs: inherited, waited, adopted, expired };
+            self.actions.push(Action::Log(event));
             for job in self.jobs.open_mut() {
                 job.is_inherited = false;
             }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -257,6 +257,17 @@
         /// The time since the job arrived.
         after: Span,
     },
+    /// Nothing that the owner inherited waits for workers of earlier terms any more.
+    InheritedReleased {
+        /// Number of inherited jobs that are open.
+        jobs: usize,
+        /// The time since the term began.
+        waited: Span,
+        /// Number of workers that were adopted first.
+        adopted: usize,
+        /// Number of workers that were not adopted before their leases had certainly expired.
+        expired: usize,
+    },
     /// The owner's view of a worker changed.
     Worker {
         /// The worker.
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -14,7 +14,7 @@
     Epoch, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, FlowLimits,
-        LinkRate, Load, LogConfig, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        LinkRate, Load, LogConfig, LogEvent, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -274,6 +274,7 @@
                 self.with_cell(|cell| Reply::Pending(cell.queued_jobs(&request.queue)))
             }
             Operation::Submit(_) if self.is_store_unavailable(now) && !self.has_job(request) => {
+                self.meter.borrow_mut().record_refused();
                 let waited_ms = self.writing_since.get().map(|since| now.since(since).0);
                 info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
                     "reason" => "the store accepts no writes", "write_waits_ms" => waited_ms,
@@ -382,7 +383,14 @@
     fn execute(self: &Rc<Self>, action: Action) {
         match action {
             Action::Reply(token, answer) => self.reply(token, answer),
-            Action::Log(event) => self.log.write(&event),
+            Action::Log(event) => {
+                match event {
+                    LogEvent::Accepted { .. } => self.meter.borrow_mut().record_accepted(),
+                    LogEvent::Refused { .. } => self.meter.borrow_mut().record_refused(),
+                    _ => {}
+                }
+                self.log.write(&event);
+            }
             Action::Start(worker, order) => {
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -5,9 +5,9 @@
 
 use std::{cell::Cell as StdCell, rc::Rc, time::Duration};
 
-use slog::warn;
+use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, ServiceId,
+    Epoch, ServiceId, Timestamp,
     job::{LogWrite, RecoveredLog, Sequence},
 };
 use teaselgap_platform::store::{
@@ -15,6 +15,7 @@
 };
 
 use super::{duties, node::Node};
+use crate::clock;
 
 /// The prefix of the store keys that hold the logs of all cells.
 const LOG_PREFIX: &str = "teaselgap/log/";
@@ -137,10 +138,14 @@
         let key = self.keys.segment(write.sequence);
         let head = self.keys.head();
         let txn = self.keys.transaction(write, self.head_revision.get());
+        let started = clock::now();
+        let mut tries: u32 = 0;
         while !is_term_over.get() {
+            tries += 1;
             match self.node.store.transact(&txn).await {
                 Ok(Outcome::Done(revision)) => {
                     self.head_revision.set(revision);
+                    self.log_tries(tries, started);
                     return Ok(());
                 }
                 // An earlier attempt of this write took effect although its answer was lost. Only
@@ -150,6 +155,7 @@
                 {
                     let revision_of = |item: &Item| (item.key == head).then_some(item.revision);
                     self.head_revision.set(items.iter().find_map(revision_of).unwrap_or(0));
+                    self.log_tries(tries, started);
                     return Ok(());
                 }
                 Ok(Outcome::Conflict(_)) => return Err(WriteError::OtherOwner),
@@ -164,4 +170,13 @@
         }
         Err(WriteError::TermOver)
     }
+
+    /// Logs how often a write was sent, if not once.
+    fn log_tries(&self, tries: u32, started: Timestamp) {
+        if tries > 1 {
+            info!(self.node.log, "log write retried"; "cell" => %self.service,
+                "epoch" => self.keys.epoch.0, "tries" => tries,
+                "took_ms" => clock::now().since(started).0);
+        }
+    }
 }
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -57,6 +57,11 @@
                 info!(log, "job finished"; "job" => %job, "end" => ?end, "after_ms" => after.0,
                     "cell" => cell, "epoch" => epoch);
             }
+            LogEvent::InheritedReleased { jobs, waited, adopted, expired } => {
+                info!(log, "inherited jobs released"; "jobs" => jobs, "waited_ms" => waited.0,
+                    "workers_adopted" => adopted, "workers_expired" => expired, "cell" => cell,
+                    "epoch" => epoch);
+            }
             LogEvent::Worker { worker, change, runs } => {
                 info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
                     "cell" => cell, "epoch" => epoch);
@@ -96,7 +101,9 @@
     pub(super) fn write_load(&self, load: &OwnerLoad, write_age: Span, lease_validity: Span) {
         info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
             "oldest_call_ms" => load.oldest_call.0,
-            "held_back_starts" => load.held_back_starts, "starts" => load.starts,
+            "held_back_starts" => load.held_back_starts,
+            "starts_in_flight" => load.starts_in_flight, "starts" => load.starts,
+            "accepted" => load.accepted, "refused" => load.refused,
             "holds" => load.holds, "unanswered" => load.unanswered,
             "median_answer_ms" => load.median_answer.0,
             "longest_answer_ms" => load.longest_answer.0,
--- a/src/jobs/owner_load.rs
+++ b/src/jobs/owner_load.rs
@@ -40,6 +40,8 @@
     starts: u32,
     holds: u32,
     unanswered: u32,
+    accepted: u32,
+    refused: u32,
     /// How long the answers to starts and other orders took.
     answer_times: Vec<Span>,
     longest_tick: Duration,
@@ -54,12 +56,18 @@
     pub(crate) oldest_call: Span,
     /// Number of tasks that could start but wait until fewer start orders are in flight.
     pub(crate) held_back_starts: usize,
+    /// Number of start orders in flight.
+    pub(crate) starts_in_flight: usize,
     /// Number of start orders sent.
     pub(crate) starts: u32,
     /// Number of holds sent.
     pub(crate) holds: u32,
     /// Number of calls that ended without an answer.
     pub(crate) unanswered: u32,
+    /// Number of submissions accepted.
+    pub(crate) accepted: u32,
+    /// Number of submissions refused.
+    pub(crate) refused: u32,
     /// Median time to the answer of an order.
     pub(crate) median_answer: Span,
     /// Longest time to the answer of an order.
@@ -93,6 +101,16 @@
         }
     }
 
+    /// Counts a submission that was accepted.
+    pub(super) fn record_accepted(&mut self) {
+        self.second.accepted += 1;
+    }
+
+    /// Counts a submission that was refused.
+    pub(super) fn record_refused(&mut self) {
+        self.second.refused += 1;
+    }
+
     /// Counts a tick that took from `started` until now.
     pub(super) fn record_tick(&mut self, started: Instant) {
         self.second.longest_tick = self.second.longest_tick.max(started.elapsed());
@@ -103,14 +121,18 @@
         let mut second = std::mem::take(&mut self.second);
         second.answer_times.sort_unstable();
         let times = &second.answer_times;
+        let is_start = |(kind, _): &&(CallKind, Timestamp)| *kind == CallKind::Start;
         let oldest = self.in_flight.first_key_value().map(|(_, (_, sent))| now.since(*sent));
         OwnerLoad {
             calls_in_flight: self.in_flight.len(),
             oldest_call: oldest.unwrap_or_default(),
             held_back_starts: 0,
+            starts_in_flight: self.in_flight.values().filter(is_start).count(),
             starts: second.starts,
             holds: second.holds,
             unanswered: second.unanswered,
+            accepted: second.accepted,
+            refused: second.refused,
             median_answer: times.get(times.len() / 2).copied().unwrap_or_default(),
             longest_answer: times.last().copied().unwrap_or_default(),
             longest_tick: second.longest_tick,
--- a/src/jobs/owner_load/tests.rs
+++ b/src/jobs/owner_load/tests.rs
@@ -13,14 +13,21 @@
     meter.end(order, true, Timestamp(1_005));
     meter.end(slow, true, Timestamp(1_400));
     meter.end(lost, false, Timestamp(1_900));
+    meter.begin(CallKind::Start, Timestamp(1_950));
+    meter.record_accepted();
+    meter.record_refused();
+    meter.record_refused();
 
     let expected = OwnerLoad {
-        calls_in_flight: 1,
+        calls_in_flight: 2,
         oldest_call: Span(800),
         held_back_starts: 0,
-        starts: 2,
+        starts_in_flight: 1,
+        starts: 3,
         holds: 2,
         unanswered: 1,
+        accepted: 1,
+        refused: 2,
         median_answer: Span(5),
         longest_answer: Span(400),
         longest_tick: Duration::ZERO,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,7 +31,10 @@
     calls_in_flight: Gauge<u64>,
     oldest_call_ms: Gauge<u64>,
     held_back_starts: Gauge<u64>,
+    starts_in_flight: Gauge<u64>,
     starts: Gauge<u64>,
+    accepted: Gauge<u64>,
+    refused: Gauge<u64>,
     holds: Gauge<u64>,
     unanswered: Gauge<u64>,
     median_answer_ms: Gauge<u64>,
@@ -48,7 +51,13 @@
             calls_in_flight: gauge("teaselgap_owner_calls_in_flight", "Calls to workers."),
             oldest_call_ms: gauge("teaselgap_owner_oldest_call_ms", "Age of the oldest call."),
             held_back_starts: gauge("teaselgap_owner_held_back_starts", "Starts that wait."),
+            starts_in_flight: gauge(
+                "teaselgap_owner_starts_in_flight",
+                "Start orders without an outcome.",
+            ),
             starts: gauge("teaselgap_owner_starts", "Start orders sent in a second."),
+            accepted: gauge("teaselgap_owner_accepted", "Submissions accepted in a second."),
+            refused: gauge("teaselgap_owner_refused", "Submissions refused in a second."),
             holds: gauge("teaselgap_owner_holds", "Holds sent in a second."),
             unanswered: gauge("teaselgap_owner_unanswered", "Calls without an answer in a second."),
             median_answer_ms: gauge("teaselgap_owner_median_answer_ms", "Median time of orders."),
@@ -134,7 +143,10 @@
         gauges.calls_in_flight.record(load.calls_in_flight as u64, &labels);
         gauges.oldest_call_ms.record(load.oldest_call.0, &labels);
         gauges.held_back_starts.record(load.held_back_starts as u64, &labels);
+        gauges.starts_in_flight.record(load.starts_in_flight as u64, &labels);
         gauges.starts.record(u64::from(load.starts), &labels);
+        gauges.accepted.record(u64::from(load.accepted), &labels);
+        gauges.refused.record(u64::from(load.refused), &labels);
         gauges.holds.record(u64::from(load.holds), &labels);
         gauges.unanswered.record(u64::from(load.unanswered), &labels);
         gauges.median_answer_ms.record(load.median_answer.0, &labels);
