Refused jobs count as load, so that a small pool can grow

What callers saw: after a final fault the quotes of a burst were refused with 'it would end too late' for seconds while 134 to 152 VMs stood in the spare pool.

Cause: a cell reported only accepted jobs to the fleet's owner. A pool that is small when a burst comes makes the cell refuse; what was refused did not count as arriving, so the fleet wanted 55 VMs where the burst needed 600, and the cell went on refusing. The state needs no trouble to last. The forecast of the cell itself counted each try of a refused job as a new job, which made it refuse more. The same held for what was refused because the store accepts no writes.

Evidence: admission::refused_jobs_count_as_load_so_that_the_pool_can_grow and a_refused_job_that_is_submitted_again_counts_as_load_once failed before (36 of 120 jobs counted).

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod advise;
+mod arrivals;
 mod clean;
 mod ends;
 mod holds;
@@ -38,7 +39,7 @@
     pace::PaceTable,
     record::EncodedRecord,
     task::Job,
-    times::{self, ExpectedTimes},
+    times::ExpectedTimes,
     worker::{DrainMode, Logged, Worker},
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp};
@@ -128,10 +129,7 @@
     held_back_starts: usize,
     plan_work: work::PlanWork,
     pace_table: PaceTable,
-    /// The estimated processor time of jobs that arrived in this term, in thousandths of a
-    /// core-second, without long-running tasks.
-    arrived_milli_s: u64,
-    arrived_jobs: u64,
+    arrivals: arrivals::Arrivals,
     admission: admit::Admission,
     staged: StagedSubmissions,
     /// The actual and the estimated processor time of finished tasks, both in thousandths of a
@@ -296,7 +294,8 @@
         if self.staged.join(id, token) {
             return;
         }
-        if let Some(refusal) = self.check_admission(id, &queue, &spec, now) {
+        let is_new = self.count_arrival(id, &queue, &spec);
+        if let Some(refusal) = self.check_admission((id, is_new), &queue, &spec, now) {
             let Refusal { reason, wait, retry_after } = refusal;
             let waiting = self.waiting_jobs();
             let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
@@ -324,10 +323,6 @@
         let waiting = self.waiting_jobs();
         let event = LogEvent::Accepted { job: id, queue: queue.clone(), waiting };
         self.actions.push(Action::Log(event));
-        let expected = self.expected_times.get(&queue);
-        let work = times::total_work(&spec, expected) / 1_000;
-        self.arrived_milli_s += work;
-        self.arrived_jobs += u64::from(work > 0);
         let record =
             Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
         self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, arrived));
--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -248,7 +248,7 @@
     workers_join_until: Timestamp,
     /// Until when workers are announced.
     workers_announced_until: Timestamp,
-    /// The work of all jobs submitted in this term, also of refused ones.
+    /// The work of all jobs submitted in this term, also of refused ones, each counted once.
     submitted_work: MilliCoreMillis,
     /// The submitted work up to a time, the oldest first.
     arrivals: VecDeque<(Timestamp, MilliCoreMillis)>,
@@ -292,10 +292,11 @@
     }
 
     /// Decides whether a new job is refused. Long-running and scheduled jobs never are: their
-    /// callers do not wait for their end.
+    /// callers do not wait for their end. `is_new` tells whether the job is submitted for the first
+    /// time.
     pub(super) fn check_admission(
         &mut self,
-        id: JobId,
+        (id, is_new): (JobId, bool),
         queue: &QueueId,
         spec: &JobSpec,
         now: Timestamp,
@@ -313,7 +314,9 @@
         }
         self.refresh_backlog(now);
         let job = self.candidate(queue, spec, now)?;
-        self.admission.submitted_work += job.work;
+        if is_new {
+            self.admission.submitted_work += job.work;
+        }
         let capacity = self.forecast_capacity(now)?;
         let Some(wait) = refused_wait(&self.admission.backlog, capacity, job, now) else {
             self.admission.backlog.add(job.order, job.work);
--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -38,8 +38,8 @@
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
         let mut load = Load {
-            arrived_milli_s: self.arrived_milli_s,
-            arrived_jobs: self.arrived_jobs,
+            arrived_milli_s: self.arrivals.milli_s,
+            arrived_jobs: self.arrivals.jobs,
             correction_percent: self.correction_percent(),
             floor_workers: self.floor_workers(),
             spare: self.spare_workers(now),
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -297,8 +297,8 @@
     /// Processor capacity booked by long-running tasks, in thousandths of a core.
     #[serde(rename = "lasting_milli")]
     pub long_running_milli: u64,
-    /// Estimated processor time of the jobs that arrived since the term began, in thousandths of a
-    /// core-second.
+    /// Estimated processor time of the jobs that arrived since the term began, also of refused ones,
+    /// in thousandths of a core-second.
     pub arrived_milli_s: u64,
     /// Number of jobs counted in `arrived_milli_s`.
     #[serde(default)]
--- a/crates/standins/tests/cells/admission.rs
+++ b/crates/standins/tests/cells/admission.rs
@@ -246,3 +246,34 @@
 
     assert_eq!(model.answer(token), Some(Answer::Durable));
 }
+
+/// Guards against refusals that keep the pool small, and a small pool that keeps refusing.
+#[test]
+fn refused_jobs_count_as_load_so_that_the_pool_can_grow() {
+    let mut model = settled_model(4);
+    let before = model.cell().unwrap().load(model.now());
+
+    let jobs = submit_steadily(&mut model, 50, 6_000);
+    let after = model.cell().unwrap().load(model.now());
+
+    assert!(refusals(&model, &jobs).len() > jobs.len() / 4);
+    assert_eq!(after.arrived_jobs - before.arrived_jobs, jobs.len() as u64);
+}
+
+#[test]
+fn a_refused_job_that_is_submitted_again_counts_as_load_once() {
+    let mut model = settled_model(4);
+    let before = model.cell().unwrap().load(model.now());
+
+    let jobs = submit_steadily(&mut model, 50, 6_000);
+    let first_refused =
+        jobs.iter().find(|(_, token)| matches!(model.answer(*token), Some(Answer::Refused { .. })));
+    let (job, _) = *first_refused.expect("a refused job");
+    for _ in 0..10 {
+        model.submit(job, &queue(), whole_worker_job());
+        model.run_for(5);
+    }
+    let after = model.cell().unwrap().load(model.now());
+
+    assert_eq!(after.arrived_jobs - before.arrived_jobs, jobs.len() as u64);
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -273,7 +273,8 @@
             Operation::Pending => {
                 self.with_cell(|cell| Reply::Pending(cell.queued_jobs(&request.queue)))
             }
-            Operation::Submit(_) if self.is_store_unavailable(now) && !self.has_job(request) => {
+            Operation::Submit(spec) if self.is_store_unavailable(now) && !self.has_job(request) => {
+                self.with_cell(|cell| cell.count_arrival(request.job, &request.queue, spec));
                 self.meter.borrow_mut().record_refused();
                 let waited_ms = self.writing_since.get().map(|since| now.since(since).0);
                 info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
