A start order without an answer leaves the window once a later one is answered

What callers saw: with half of the orders unanswered after a final fault, all submissions were accepted and nearly all jobs ended too late; 4,000 to 5,300 tasks were held back while 184 to 246 workers had room.

Cause: an order kept its place in the window of start orders until its call timed out (600 ms), although the window bounds what queues on the node's link and processor. Orders to workers that don't answer thus held back the orders to all others: the class of fault is head-of-line blocking by an answer that does not come.

Change: when an order is answered, those sent more than 150 ms before it leave the window; they have passed the link. A late answer to such an order no longer shrinks the window.

Evidence: flow::workers_that_answer_no_start_orders_do_not_hold_back_the_others failed before (3,202 of 6,745 tasks done with a fifth of the workers not answering, bound a half), as did an_order_overtaken_by_the_answer_to_a_later_one_leaves_the_window (1 of 8 places) and a_late_answer_to_an_overtaken_order_does_not_shrink_the_window.

--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -2,12 +2,15 @@
 //! others that it times out.
 //!
 //! Start orders are bounded by a window: the bytes of those that have no outcome yet. The window
-//! shrinks while answers take long, for instance because the node owns several cells. Holds have a
-//! share of the link's rate.
+//! shrinks while answers take long, for instance because the node owns several cells. An order that
+//! gets no answer leaves the window once one that was sent later is answered: it has passed the
+//! link, and its worker is what keeps it waiting. Holds have a share of the link's rate.
 
 #[cfg(test)]
 mod tests;
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
 use super::{TaskId, WorkerId};
@@ -41,6 +44,9 @@
 /// Time to the answer of a start order above which the window shrinks.
 const SLOW_ANSWER: Span = Span(150);
 
+/// The most start orders without an outcome, for each that the window may contain.
+const MAX_UNANSWERED_FACTOR: usize = 4;
+
 /// The part of the window that remains after an answer that took long, in percent.
 const SHRINK_PERCENT: u64 = 75;
 
@@ -101,6 +107,8 @@
     worker: WorkerId,
     bytes: u64,
     sent: Timestamp,
+    /// Whether it has left the window without an outcome.
+    is_overtaken: bool,
 }
 
 /// The start orders of a cell that are in flight, and how many may be.
@@ -108,6 +116,10 @@
 pub(super) struct StartWindow {
     limits: FlowLimits,
     pending: IndexMap<(TaskId, u32), PendingStart>,
+    /// The orders that were not overtaken, and some that have an outcome; in the order of sending.
+    in_sending_order: VecDeque<(Timestamp, (TaskId, u32))>,
+    /// Number and bytes of the orders that were not overtaken.
+    window_starts: usize,
     pending_bytes: u64,
     pending_by_worker: IndexMap<WorkerId, u32>,
     /// The current limit on `pending_bytes`.
@@ -120,6 +132,8 @@
         Self {
             limits,
             pending: IndexMap::new(),
+            in_sending_order: VecDeque::new(),
+            window_starts: 0,
             pending_bytes: 0,
             pending_by_worker: IndexMap::new(),
             window_bytes: limits.max_start_bytes,
@@ -129,7 +143,9 @@
 
     /// Whether another start order may be sent.
     pub(super) fn has_room(&self) -> bool {
-        self.pending_bytes < self.window_bytes && self.pending.len() < self.limits.max_starts
+        self.pending_bytes < self.window_bytes
+            && self.window_starts < self.limits.max_starts
+            && self.pending.len() < self.limits.max_starts * MAX_UNANSWERED_FACTOR
     }
 
     /// Returns how many more start orders may be sent to a worker.
@@ -152,8 +168,10 @@
         now: Timestamp,
     ) {
         let bytes = CALL_BYTES + payload_bytes as u64;
-        let start = PendingStart { worker: worker.clone(), bytes, sent: now };
+        let start = PendingStart { worker: worker.clone(), bytes, sent: now, is_overtaken: false };
         if self.pending.insert(run, start).is_none() {
+            self.in_sending_order.push_back((now, run));
+            self.window_starts += 1;
             self.pending_bytes += bytes;
             *self.pending_by_worker.entry(worker.clone()).or_default() += 1;
         }
@@ -165,7 +183,9 @@
         let Some(start) = self.pending.swap_remove(&run) else {
             return;
         };
-        self.pending_bytes -= start.bytes;
+        if !start.is_overtaken {
+            self.leave_window(start.bytes);
+        }
         if let Some(pending) = self.pending_by_worker.get_mut(&start.worker) {
             *pending -= 1;
             if *pending == 0 {
@@ -173,7 +193,32 @@
             }
         }
         if is_answered {
-            self.adapt(&start, now);
+            self.overtake(start.sent);
+            if !start.is_overtaken {
+                self.adapt(&start, now);
+            }
+        }
+        let pending = &self.pending;
+        let has_outcome = |(_, run): &mut (Timestamp, (TaskId, u32))| !pending.contains_key(run);
+        while self.in_sending_order.pop_front_if(has_outcome).is_some() {}
+    }
+
+    fn leave_window(&mut self, bytes: u64) {
+        self.window_starts -= 1;
+        self.pending_bytes -= bytes;
+    }
+
+    /// Removes from the window the orders that were sent well before an answered one.
+    fn overtake(&mut self, answered_sent: Timestamp) {
+        let is_overtaken =
+            |(sent, _): &mut (Timestamp, (TaskId, u32))| *sent + SLOW_ANSWER < answered_sent;
+        while let Some((_, run)) = self.in_sending_order.pop_front_if(is_overtaken) {
+            let Some(start) = self.pending.get_mut(&run).filter(|start| !start.is_overtaken) else {
+                continue;
+            };
+            start.is_overtaken = true;
+            let bytes = start.bytes;
+            self.leave_window(bytes);
         }
     }
 
--- a/crates/core/src/job/flow/tests.rs
+++ b/crates/core/src/job/flow/tests.rs
@@ -14,12 +14,17 @@
 
 /// Sends orders to different workers until the window is full and returns their number.
 fn fill(window: &mut StartWindow, now: Timestamp) -> u64 {
-    let mut count = 0;
+    fill_from(window, 0, now)
+}
+
+/// Like [`fill`], with orders numbered from `first` on.
+fn fill_from(window: &mut StartWindow, first: u64, now: Timestamp) -> u64 {
+    let mut next = first;
     while window.has_room() {
-        window.begin(&format!("w{count}").as_str().into(), run(count), 0, now);
-        count += 1;
+        window.begin(&format!("w{next}").as_str().into(), run(next), 0, now);
+        next += 1;
     }
-    count
+    next - first
 }
 
 #[test]
@@ -51,6 +56,48 @@
     assert!(window.has_room());
 }
 
+#[test]
+fn an_order_overtaken_by_the_answer_to_a_later_one_leaves_the_window() {
+    let mut window = StartWindow::new(LIMITS);
+    let count = fill(&mut window, Timestamp(1_000));
+    window.end(run(0), true, Timestamp(1_004));
+    window.begin(&"other".into(), run(count), 0, Timestamp(1_200));
+
+    window.end(run(count), true, Timestamp(1_204));
+
+    // Seven orders without an answer are left; all of them were sent long before the answered one.
+    assert_eq!(fill_from(&mut window, count + 1, Timestamp(1_205)), 8);
+}
+
+#[test]
+fn orders_without_an_answer_are_bounded_also_outside_the_window() {
+    let mut window = StartWindow::new(LIMITS);
+    let mut next = 0;
+
+    for round in 0..100 {
+        let now = Timestamp(1_000 + round * 200);
+        next += fill_from(&mut window, next, now);
+        if !window.has_room() {
+            // Only the newest order is answered.
+            window.end(run(next.saturating_sub(1)), true, now);
+        }
+    }
+
+    assert!(next <= 100 + 400, "{next}");
+}
+
+#[test]
+fn a_late_answer_to_an_overtaken_order_does_not_shrink_the_window() {
+    let mut window = StartWindow::new(LIMITS);
+    window.begin(&"slow".into(), run(0), 0, Timestamp(1_000));
+    window.begin(&"quick".into(), run(1), 0, Timestamp(1_200));
+    window.end(run(1), true, Timestamp(1_202));
+
+    window.end(run(0), true, Timestamp(1_500));
+
+    assert_eq!(fill_from(&mut window, 2, Timestamp(1_501)), 8);
+}
+
 #[test]
 fn an_outcome_counts_once() {
     let mut window = StartWindow::new(LIMITS);
--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -4,7 +4,7 @@
     Span,
     job::{EndKind, JobId, LogEvent, Step},
 };
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, long_running_job, new_model_with_link, queue, step, task_id};
 
@@ -141,3 +141,25 @@
     assert!(model.least_lease_left() > Span(1_800), "{} left", model.least_lease_left());
     assert_eq!(lapsed_runs(&model), 0);
 }
+
+/// Returns how many tasks are done in a burst during which the first `faulty` workers answer no
+/// start order.
+fn tasks_done_in_burst(faulty: usize) -> usize {
+    let mut model = model_with_slow_link();
+    for number in 0..faulty {
+        let faults = WorkerFaults { lost_answers: u32::MAX, ..WorkerFaults::default() };
+        model.set_faults(&format!("w{number}"), faults);
+    }
+    run_burst(&mut model, 6, SMALL_PAYLOAD_BYTES);
+    model.end_count(EndKind::Done)
+}
+
+/// Guards against orders without an answer that hold back the orders to all other workers.
+#[test]
+fn workers_that_answer_no_start_orders_do_not_hold_back_the_others() {
+    let without_faults = tasks_done_in_burst(0);
+    let with_faults = tasks_done_in_burst(WORKERS / 5);
+
+    // Four fifths of the workers answer.
+    assert!(with_faults >= without_faults / 2, "{with_faults} of {without_faults}");
+}
