Calls to the store are sent again while no answer comes

What callers saw: after a final fault with a third of the store's answers lost, 170 to 590 submissions a second were refused with 'the store accepts no writes', others got 504, for as long as the trouble lasted.

Cause: one write of a cell's log is in flight at a time, and a write whose answer is lost was sent again only when its call timed out, after 1.5 s. A write takes 5 ms, so that nearly all of the time passed in waiting for answers that would never come. The same held, by reading, for renewals of the node's lease (four lost answers in a row, 0.56 s each, ended a term), claims, registrations, releases of a duty and the fleet's record, without which no VM is moved. The class of fault is head-of-line blocking by an answer that does not come, as in the window of start orders.

Change: a call with the same effect however often it is executed is sent again after a time computed from recent answers as in RFC 6298 (60 to 500 ms, doubled each time), over another connection, four copies at most; the first definite answer counts. A claim or a registration that conflicts with its own earlier copy has succeeded; an epoch in which this process has acted is never taken twice. owner load has store_repeats.

Evidence: repeat::tests::a_write_whose_answer_is_lost_is_done_before_the_call_times_out (the plain call takes its 1.5 s).

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -27,6 +27,7 @@
 mod pace;
 mod place;
 mod record;
+mod retransmit;
 mod spec;
 mod task;
 mod term;
@@ -52,6 +53,7 @@
         StartOrder, StartOutcome, Token,
     },
     record::{EndKind, JobEnd, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
+    retransmit::RetransmitTimer,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -147,8 +147,8 @@
 fn tasks_done_in_burst(faulty: usize) -> usize {
     let mut model = model_with_slow_link();
     for number in 0..faulty {
-        let faults = WorkerFaults { lost_answers: u32::MAX, ..WorkerFaults::default() };
-        model.set_faults(&format!("w{number}"), faults);
+        let silent = WorkerFaults { lost_answers: u32::MAX, ..WorkerFaults::default() };
+        model.set_faults(&format!("w{number}"), silent);
     }
     run_burst(&mut model, 6, SMALL_PAYLOAD_BYTES);
     model.end_count(EndKind::Done)
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -10,6 +10,7 @@
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
 //! | `host` | the owner of a cell: its log, its orders and its workers |
 //! | `owner_load` | what an owner has in flight, and how quickly it is answered |
+//! | `repeat` | calls to the store that are sent again while no answer comes |
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
@@ -33,6 +34,7 @@
 mod operator;
 mod owner_load;
 mod peer;
+mod repeat;
 mod roster;
 mod session;
 
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -240,7 +240,7 @@
         puts: Vec::new(),
         deletes: vec![key],
     };
-    if let Err(err) = node.store.transact(&txn).await {
+    if let Err(err) = node.repeater.transact(&node.store, &txn).await {
         // This node claims the duty again if its key is still there.
         warn!(node.log, "failed to release a duty"; "seat" => &duty, "error" => %err);
     }
@@ -280,18 +280,38 @@
         puts: vec![Put { key: key.to_owned(), value: own_record_json(node), lease: Some(lease) }],
         deletes: Vec::new(),
     };
-    match node.store.transact(&txn).await {
+    match node.repeater.transact(&node.store, &txn).await {
         Ok(Outcome::Done(revision)) => Some(Epoch(revision)),
-        Ok(Outcome::Conflict(_)) | Err(StoreError::Unavailable(_) | StoreError::NoLease) => None,
+        // An earlier copy of this claim may have taken effect without an answer.
+        Ok(Outcome::Conflict(items)) => {
+            let item = items.iter().find(|item| item.key == key)?;
+            let epoch = own_claim(item, (&node.id, node.incarnation), key_revision)?;
+            (!had_term(node, key, epoch)).then_some(epoch)
+        }
+        Err(StoreError::Unavailable(_) | StoreError::NoLease) => None,
         Err(StoreError::Uncertain(_) | StoreError::Compacted) => {
             // The answer was lost, so the key's current value decides. A write that reaches the
             // store late, after another claim, finds another revision and fails.
             let item = node.store.get(key).await.ok()??;
-            own_claim(&item, (&node.id, node.incarnation), key_revision)
+            let epoch = own_claim(&item, (&node.id, node.incarnation), key_revision)?;
+            (!had_term(node, key, epoch)).then_some(epoch)
         }
     }
 }
 
+/// Whether this process has acted as the owner of the duty with this key in the term of `epoch`.
+fn had_term(node: &Node, key: &str, epoch: Epoch) -> bool {
+    let fleet_epoch = node.fleet.borrow().as_ref().map(|fleet_owner| fleet_owner.epoch());
+    let is_cell = |service: &ServiceId| duty_key(&cell_duty(service)) == key;
+    let cell_owners = node.cell_owners.borrow();
+    let ended_terms = node.ended_terms.borrow();
+    let mut current = cell_owners.values().filter(|owner| is_cell(owner.service()));
+    let mut ended = ended_terms.iter().filter(|(service, _)| is_cell(service));
+    current.any(|owner| owner.epoch() == epoch)
+        || ended.any(|(_, term)| term.epoch() == epoch)
+        || (key == duty_key(FLEET_DUTY) && fleet_epoch == Some(epoch))
+}
+
 /// The epoch of a claim whose answer was lost, if the duty's key shows that it took effect.
 fn own_claim(
     item: &Item,
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -333,7 +333,7 @@
             deletes: Vec::new(),
         };
         while !self.is_term_over.get() {
-            match self.node.store.transact(&txn).await {
+            match self.node.repeater.transact(&self.node.store, &txn).await {
                 Ok(Outcome::Done(_)) => return,
                 Ok(Outcome::Conflict(_)) => {
                     self.end_term("the duty has another owner");
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -31,7 +31,7 @@
     ask::{CellRequest, Operation, Reply},
     log_store::{LogStore, WriteError},
     node::Node,
-    note::CellLog,
+    note::{CellLog, StoreState},
     owner_load::{CallKind, LoadMeter, OwnerLoad},
     peer::{BUSY_RETRY_AFTER, CellReport},
     session,
@@ -109,6 +109,12 @@
     orders_end: Timestamp,
 }
 
+impl EndedTerm {
+    pub(super) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+}
+
 /// Starts a term as the owner of a cell, whose key in the store this node has just claimed.
 /// `earlier_revision` is the key's revision before that; zero if there was no key.
 ///
@@ -240,7 +246,8 @@
         let load = OwnerLoad { held_back_starts, ..self.meter.borrow_mut().take_report(now) };
         let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
         let lease_validity = session::lease_validity(&self.node);
-        self.log.write_load(&load, write_age, lease_validity);
+        let repeats = self.node.repeater.repeats();
+        self.log.write_load(&load, &StoreState { write_age, repeats, lease_validity });
         let service = self.service.as_str();
         self.node.shared.metrics.record_owner_load(service, &load, write_age, lease_validity);
     }
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -20,6 +20,7 @@
     store::{Store, StoreError},
 };
 
+use super::repeat::Repeater;
 use crate::clock;
 
 /// How many times the lease is renewed within its time-to-live.
@@ -144,6 +145,7 @@
 
 async fn renew_repeatedly(cfg: RenewalConfig, state: Arc<Mutex<LeaseState>>, log: Logger) {
     let store = Store::new(cfg.store, Rc::new(Connections::default()));
+    let repeater = Repeater::default();
     let interval = Duration::from_millis(cfg.ttl.0 / RENEWALS_PER_TTL);
     let mut is_failing = false;
     loop {
@@ -157,7 +159,8 @@
             continue;
         };
         let sent_at = clock::now();
-        let result = store.renew(lease, interval).await;
+        // Counts from the first copy, which may be the only one that reaches the store.
+        let result = repeater.renew(&store, lease, interval).await;
         apply(&mut lock(&state), lease, &result, sent_at + cfg.ttl);
         if result.is_err() != is_failing {
             is_failing = result.is_err();
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -142,7 +142,7 @@
         let mut tries: u32 = 0;
         while !is_term_over.get() {
             tries += 1;
-            match self.node.store.transact(&txn).await {
+            match self.node.repeater.transact(&self.node.store, &txn).await {
                 Ok(Outcome::Done(revision)) => {
                     self.head_revision.set(revision);
                     self.log_tries(tries, started);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -31,6 +31,7 @@
     members::Members,
     operator,
     peer::{self, CellReport, DrainInstruction, NodeRequest, Peers},
+    repeat::Repeater,
     roster,
     session::{self, Session},
 };
@@ -92,6 +93,8 @@
     pub(super) peer_address: SocketAddr,
     pub(super) connections: Rc<Connections>,
     pub(super) store: Store,
+    /// Sends calls to the store again while no answer comes.
+    pub(super) repeater: Repeater,
     pub(super) shared: Arc<SharedState>,
     pub(super) peers: Peers,
     pub(super) lease: LeaseRenewer,
@@ -217,6 +220,7 @@
         incarnation,
         peer_address,
         store: Store::new(settings.store.address, Rc::clone(&connections)),
+        repeater: Repeater::default(),
         connections,
         shared,
         peers: Peers::default(),
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -11,6 +11,17 @@
 
 use super::{line_limit::LineLimit, owner_load::OwnerLoad};
 
+/// How an owner gets on with the store.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreState {
+    /// The age of the write of the log that is in flight; zero if there is none.
+    pub(super) write_age: Span,
+    /// The number of calls that this process has sent to the store again, in total.
+    pub(super) repeats: u64,
+    /// How much longer the node's lease is certainly valid.
+    pub(super) lease_validity: Span,
+}
+
 /// Writes the events of one term of a cell.
 #[derive(Debug)]
 pub(super) struct CellLog {
@@ -98,7 +109,7 @@
     }
 
     /// Writes the load of the last second.
-    pub(super) fn write_load(&self, load: &OwnerLoad, write_age: Span, lease_validity: Span) {
+    pub(super) fn write_load(&self, load: &OwnerLoad, store: &StoreState) {
         info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
             "oldest_call_ms" => load.oldest_call.0,
             "held_back_starts" => load.held_back_starts,
@@ -107,8 +118,9 @@
             "holds" => load.holds, "unanswered" => load.unanswered,
             "median_answer_ms" => load.median_answer.0,
             "longest_answer_ms" => load.longest_answer.0,
-            "longest_tick_us" => load.longest_tick.as_micros(), "write_age_ms" => write_age.0,
-            "lease_left_ms" => lease_validity.0, "cell" => self.cell.as_str(),
+            "longest_tick_us" => load.longest_tick.as_micros(), 
+            "write_age_ms" => store.write_age.0, "store_repeats" => store.repeats,
+            "lease_left_ms" => store.lease_validity.0, "cell" => self.cell.as_str(),
             "epoch" => self.epoch);
     }
 
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -15,7 +15,7 @@
 };
 use teaselgap_platform::{
     settings::{Limits, StoreSettings},
-    store::{Expected, Outcome, Put, StoreError, Transaction},
+    store::{Expected, Item, Outcome, Put, StoreError, Transaction},
 };
 
 use super::{
@@ -176,7 +176,7 @@
 
 async fn register(node: &Rc<Node>) -> Result<(), StoreError> {
     let sent_at = clock::now();
-    let (lease, granted_ttl) = node.store.grant(lease_ttl(node).to_std()).await?;
+    let (lease, granted_ttl) = node.repeater.grant(&node.store, lease_ttl(node).to_std()).await?;
     let granted_ttl = Span(u64::try_from(granted_ttl.as_millis()).unwrap_or(u64::MAX));
     write_member(node, lease).await?;
     node.lease.set(lease, sent_at + granted_ttl);
@@ -198,17 +198,25 @@
         puts: vec![Put { key, value, lease: Some(lease) }],
         deletes: Vec::new(),
     };
-    match node.store.transact(&txn).await? {
-        Outcome::Done(_) => {
+    match node.repeater.transact(&node.store, &txn).await? {
+        Outcome::Conflict(items) if !is_written(&items, &txn.puts) => {
+            Err(StoreError::Unavailable("the registration was changed concurrently".to_owned()))
+        }
+        Outcome::Done(_) | Outcome::Conflict(_) => {
             node.session.borrow_mut().registered_rate = record.order_rate;
             Ok(())
         }
-        Outcome::Conflict(_) => {
-            Err(StoreError::Unavailable("the registration was changed concurrently".to_owned()))
-        }
     }
 }
 
+/// Whether the items of a conflict show that an earlier copy of the writes took effect.
+fn is_written(items: &[Item], puts: &[Put]) -> bool {
+    let is_put = |item: &Item, put: &Put| {
+        item.key == put.key && item.value == put.value && Some(item.lease) == put.lease
+    };
+    puts.iter().all(|put| items.iter().any(|item| is_put(item, put)))
+}
+
 /// Whether the store has lost the node's registration. Only meaningful while the lease is valid.
 fn is_registration_missing(node: &Node) -> bool {
     let members = node.members.borrow();
