A task under which three workers have crashed is given up

Cause: ends 'failed' are counted, workers lost under a task were not.

Change: of the runs lost with a worker, those whose tasks lost the most workers before are suspected; among equals, those that no list of the worker had shown, because a run that was listed has survived its start. A loss counts as a crash once the worker has restarted or another instance runs at its address, and is dropped if the worker answers again. At three crashes the job fails; with three losses that are not explained the task pauses 10 s before each further start. Each loss is a record of the log, and placements of suspected tasks are logged before their orders, so that a new owner goes on counting, also for what was lost during the takeover. A suspected task goes where the fewest others run, and others avoid its worker.

Evidence: cells crashes::a_task_that_crashes_its_workers_is_given_up, crashes_under_a_task_are_remembered_when_the_owner_is_lost and tasks_that_run_beside_one_that_crashes_its_workers_are_not_given_up failed before (the job never ended; the model's workers return at their address as new instances). a_task_whose_workers_were_only_partitioned and a_rack_that_crashes guard against the opposite.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -52,7 +52,7 @@
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, PlacedTask, RunEnd, RunId,
         StartOrder, StartOutcome, Token,
     },
-    record::{EndKind, JobEnd, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
+    record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     retransmit::RetransmitTimer,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod advise;
 mod arrivals;
 mod clean;
+mod crashes;
 mod ends;
 mod holds;
 mod job_table;
@@ -23,7 +24,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 pub use self::admit::AdmissionPolicy;
 pub(super) use self::progress::WorkerSpeed;
@@ -140,6 +141,8 @@
     advice_requests_in_flight: usize,
     /// Workers that are to be drained, and how.
     drains: IndexMap<WorkerId, DrainMode>,
+    /// Open tasks that have lost workers.
+    suspects: IndexSet<TaskId>,
     /// Whether a complete list of workers has been read from the store in this term.
     has_worker_list: bool,
     /// The wall clock minus this node's clock, in milliseconds.
@@ -385,6 +388,7 @@
         self.jobs.close(id);
         self.record(record, now, Some(DeferredEffect::EndDurable(id)));
         for task in tasks {
+            self.clear_suspicion(task);
             self.stop_task(task, "job ended", now);
         }
         self.plan_due = true;
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -122,7 +122,9 @@
             Record::Tasks { job, .. } | Record::Finished { job, queue: None, .. } => {
                 self.track_job_bytes(*job, bytes);
             }
-            Record::Ended { task, .. } | Record::Placed { task, .. } => {
+            Record::Ended { task, .. }
+            | Record::Placed { task, .. }
+            | Record::RunLost { task, .. } => {
                 self.track_job_bytes(task.job, bytes);
             }
             Record::WorkerUsed { worker } => {
@@ -250,6 +252,8 @@
         failed_attempts: task.failed_attempts.clone(),
         checkpoint: task.checkpoint.clone(),
         worker: task.placement.as_ref().map(|placement| placement.worker.clone()),
+        address: task.placement.as_ref().and_then(|placement| placement.address),
+        lost_runs: task.lost_runs.clone(),
     }
 }
 
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -8,6 +8,7 @@
         task::Job, times,
     },
     Cell, DeferredEffect,
+    crashes::has_deadly_task,
 };
 use crate::{Span, Timestamp};
 
@@ -85,6 +86,7 @@
             if must_log {
                 self.log_step_done(task.step_id());
             }
+            self.clear_suspicion(task);
             // Other runs of the task, started after a lease had expired, are no longer needed.
             self.stop_task(task, "task already done", now);
         } else if is_gang {
@@ -259,14 +261,14 @@
     }
 
     /// Ends a job if all its tasks are done or it has failed.
-    fn finish_if_over(&mut self, id: JobId, now: Timestamp) {
+    pub(super) fn finish_if_over(&mut self, id: JobId, now: Timestamp) {
         let max_attempts = self.max_attempts(id);
         let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
             return;
         };
         if job.is_done() {
             self.finish_job(id, JobEnd::Succeeded, now);
-        } else if Self::has_failed(job, max_attempts) {
+        } else if Self::has_failed(job, max_attempts) || has_deadly_task(job) {
             self.finish_job(id, JobEnd::Failed, now);
         }
     }
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -172,6 +172,9 @@
             worker.is_adopted = true;
             worker.adopted_at = now;
         }
+        if !was_adopted {
+            self.forget_losses(id);
+        }
         self.on_run_ends(id, &report.ends, now);
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -43,7 +43,7 @@
         attempt: u32,
         now: Timestamp,
     ) -> Option<PlacedTask> {
-        let is_logged = self.step(task).map(is_logged)?;
+        let is_logged = self.step(task).map(is_logged)? || self.is_suspected(task);
         self.book_run(id, task, attempt, now);
         if !is_logged {
             return self.start_task(id, task, now);
@@ -69,10 +69,11 @@
         effect: DeferredEffect,
         now: Timestamp,
     ) {
-        let worker = id.clone();
-        self.record(Record::Placed { task, attempt, worker }, now, Some(effect));
-        let placement =
-            Placement { worker: id.clone(), position: self.log.appended(), failures: 0 };
+        let (worker, address) =
+            (id.clone(), self.workers.get(id).map(|worker| worker.entry.address));
+        self.record(Record::Placed { task, attempt, worker, address }, now, Some(effect));
+        let position = self.log.appended();
+        let placement = Placement { worker: id.clone(), address, position, failures: 0 };
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
             task.placement = Some(placement);
         }
@@ -160,7 +161,7 @@
         candidates: &[PlacementCandidate],
     ) -> Option<usize> {
         let state = self.jobs.get(&task.job)?.task(task)?;
-        let placement = state.placement.as_ref()?;
+        let placement = state.placement.as_ref().filter(|_| state.lost_runs.is_empty())?;
         if placement.failures >= MAX_FAILURES_IN_PLACE {
             return None;
         }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -119,6 +119,7 @@
 
     pub(super) fn placement_candidates(&self, now: Timestamp) -> Vec<PlacementCandidate> {
         let is_usable = |(_, worker): &(&WorkerId, &Worker)| Self::is_usable(worker, now);
+        let workers_of_suspects = self.workers_of_suspects();
         self.workers
             .iter()
             .filter(is_usable)
@@ -131,6 +132,8 @@
                 latency_sensitive_runs: totals.latency_sensitive,
                 best_effort_runs: totals.best_effort,
                 on_probation: worker.on_probation,
+                run_count: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
+                hosts_suspect: workers_of_suspects.contains(id),
                 start_room: self.start_window.room_at(id),
                 is_reserved: false,
                 is_disallowed: false,
@@ -279,7 +282,8 @@
                 self.held_back_starts += 1;
                 continue;
             }
-            let choose = || place::choose_candidate(candidates, step, id, count);
+            let is_suspected = self.is_suspected(id.task(index));
+            let choose = || place::choose_candidate(candidates, step, (id, is_suspected), count);
             let Some(chosen) = in_place.or_else(choose) else {
                 if place::waits_for_answers(candidates, step, id, count) {
                     self.held_back_starts += ready.len() - started;
@@ -322,6 +326,7 @@
         now: Timestamp,
     ) -> Option<PlacedTask> {
         candidate.reserve(step);
+        candidate.hosts_suspect |= self.is_suspected(task);
         let placed = self.place_task(&candidate.worker, task, attempt, now)?;
         candidate.start_room = candidate.start_room.saturating_sub(1);
         Some(placed)
--- a/crates/core/src/job/cell/plan/room/tests.rs
+++ b/crates/core/src/job/cell/plan/room/tests.rs
@@ -24,6 +24,8 @@
         latency_sensitive_runs: 0,
         best_effort_runs: 0,
         on_probation: false,
+        run_count: 0,
+        hosts_suspect: false,
         start_room: u32::MAX,
         is_reserved,
         is_disallowed: false,
@@ -38,7 +40,7 @@
     ) {
         let step = Step { count: 1, need, ..Step::default() };
 
-        let chosen = place::choose_candidate(&candidates, &step, STEP, |_, _| 0);
+        let chosen = place::choose_candidate(&candidates, &step, (STEP, false), |_, _| 0);
 
         prop_assert!(chosen.is_none() || Room::of(&candidates).may_fit(&need));
     }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -15,6 +15,7 @@
         task::{Job, Placement},
     },
     Cell, CellConfig,
+    crashes::has_deadly_task,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -117,7 +118,9 @@
         task.failures = snapshot.failures;
         task.failed_attempts.clone_from(&snapshot.failed_attempts);
         task.checkpoint.clone_from(&snapshot.checkpoint);
-        task.placement = snapshot.worker.clone().map(Placement::recovered);
+        let placement = |worker| Placement::recovered(worker, snapshot.address);
+        task.placement = snapshot.worker.clone().map(placement);
+        task.lost_runs.clone_from(&snapshot.lost_runs);
     }
 }
 
@@ -164,6 +167,7 @@
             expected_times: super::ExpectedTimes::default(),
             advice_requests_in_flight: 0,
             drains: IndexMap::new(),
+            suspects: IndexSet::new(),
             has_worker_list: false,
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
@@ -175,6 +179,7 @@
             cell.track_record(&record, position, bytes);
         }
         cell.jobs.close_ended();
+        cell.find_suspects();
         let is_handed_over = handed_over.is_some();
         let last_order =
             if is_handed_over { earlier_orders_end.min(now) } else { earlier_orders_end };
@@ -282,14 +287,20 @@
                 job.add_occurrences(task.occurrence.saturating_add(1));
                 Self::apply_end(job, (*task, *attempt), *how, checkpoint.as_deref());
             }
-            Record::Placed { task, attempt, worker } => {
+            Record::RunLost { task, lost } => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.add_occurrences(task.occurrence.saturating_add(1));
+                    super::crashes::replay_lost_run(job, *task, lost);
+                }
+            }
+            Record::Placed { task, attempt, worker, address } => {
                 let Some(job) = self.jobs.get_mut(&task.job) else {
                     return;
                 };
                 job.add_occurrences(task.occurrence.saturating_add(1));
                 if let Some(task) = job.task_mut(*task) {
                     task.attempt = task.attempt.max(*attempt);
-                    task.placement = Some(Placement::recovered(worker.clone()));
+                    task.placement = Some(Placement::recovered(worker.clone(), *address));
                 }
             }
             Record::WorkerUsed { worker } => {
@@ -306,15 +317,18 @@
     /// have expired.
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
+        let mut lost_workers = Vec::new();
         let (workers, wait) = (&self.workers, &mut self.inherited_wait);
         self.inherited_workers.retain(|id, expiry| {
             let is_adopted = workers.get(id).is_some_and(|worker| worker.is_adopted);
             let is_expired = !is_adopted && now >= *expiry;
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
+            lost_workers.extend(is_expired.then(|| id.clone()));
             !is_adopted && !is_expired
         });
         self.plan_due |= self.inherited_workers.len() < before;
+        self.suspect_inherited_tasks(&lost_workers, now);
         if !self.inherited_workers.is_empty() {
             return;
         }
@@ -342,7 +356,7 @@
             };
             if job.is_done() {
                 self.finish_job(id, JobEnd::Succeeded, now);
-            } else if Self::has_failed(job, max_attempts) {
+            } else if Self::has_failed(job, max_attempts) || has_deadly_task(job) {
                 self.finish_job(id, JobEnd::Failed, now);
             }
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -58,7 +58,8 @@
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
             Self::update_stays_until(&mut worker, now);
-            self.workers.insert(id, worker);
+            self.workers.insert(id.clone(), worker);
+            self.confirm_replaced(&id, now);
             return;
         };
         worker.missing_since = None;
@@ -102,6 +103,8 @@
             change: "restarted",
             runs: run_count,
         }));
+        self.confirm_restarted(id, now);
+        self.suspect_tasks(id, runs.iter(), true, now);
         for (task, run) in runs {
             if run.state == RunState::Planned {
                 self.withdraw_run(id, task);
@@ -203,7 +206,9 @@
             // gets no tasks until a new list shows its runs.
             worker.is_adopted = false;
             worker.next_hold = worker.next_hold.min(now);
-            for (task, run) in std::mem::take(&mut worker.runs) {
+            let runs = std::mem::take(&mut worker.runs);
+            self.suspect_tasks(&id, runs.iter(), false, now);
+            for (task, run) in runs {
                 self.end_unreported_run(&id, task, run.attempt, "lease expired", now);
             }
         }
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -106,7 +106,8 @@
         };
         self.disallow_without_ticket(id.step_id(), candidates, now);
         let count = |worker: &WorkerId, step| count_step_runs(&self.workers, worker, step);
-        let chosen = place::choose_candidate(candidates, step, id.step_id(), count);
+        let chosen =
+            place::choose_candidate(candidates, step, (id.step_id(), self.is_suspected(id)), count);
         if let Some(chosen) = chosen {
             candidates[chosen].reserve(step);
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -239,6 +239,15 @@
         /// How the cell knows this.
         reason: &'static str,
     },
+    /// A run was lost with its worker, or the worker is now known to have crashed.
+    RunLost {
+        /// The run.
+        run: RunId,
+        /// Number of workers that the task has lost.
+        losses: usize,
+        /// Whether the worker is known to have crashed.
+        is_crash: bool,
+    },
     /// A request to the advice service about a step was answered or failed.
     AdviceAnswered {
         /// The step.
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -2,7 +2,8 @@
 //!
 //! A task goes to the worker with the smallest booked share, which spreads a job's tasks so that
 //! the loss of a rack affects few of them. Workers on the rack with the task's data come first,
-//! because the task takes a multiple of the time elsewhere.
+//! because the task takes a multiple of the time elsewhere. A task under which workers were lost
+//! goes where the fewest others run, and others avoid its worker.
 
 #[cfg(test)]
 mod tests;
@@ -15,6 +16,7 @@
 const CANDIDATES_PER_RESERVATION: usize = 4;
 
 /// A worker that may receive tasks, with its free resources as of the current planning pass.
+#[expect(clippy::struct_excessive_bools, reason = "the flags are independent of each other")]
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
     pub(super) worker: WorkerId,
@@ -25,6 +27,10 @@
     pub(super) latency_sensitive_runs: u32,
     /// Number of runs of best-effort tasks.
     pub(super) best_effort_runs: u32,
+    /// Number of its runs.
+    pub(super) run_count: u32,
+    /// Whether it runs a task under which workers were lost.
+    pub(super) hosts_suspect: bool,
     /// Number of start orders that may be sent to it before it answers others.
     pub(super) start_room: u32,
     /// The worker was too slow and gets only one task at a time.
@@ -47,6 +53,7 @@
         if self.on_probation {
             self.free = Resources::default();
         }
+        self.run_count += 1;
         self.latency_sensitive_runs += u32::from(step.tail_target.is_some());
         self.best_effort_runs += u32::from(step.is_best_effort);
     }
@@ -83,11 +90,11 @@
 }
 
 /// Returns the index of the best candidate for one task of the step. `count` returns how many tasks
-/// of a step run on a worker.
+/// of a step run on a worker. `is_suspected` tells whether workers were lost under the task.
 pub(super) fn choose_candidate(
     candidates: &[PlacementCandidate],
     step: &Step,
-    id: StepId,
+    (id, is_suspected): (StepId, bool),
     count: impl Fn(&WorkerId, StepId) -> u32,
 ) -> Option<usize> {
     let allowed = |candidate: &PlacementCandidate| {
@@ -99,7 +106,9 @@
         // Best-effort tasks slow down latency-sensitive tasks on the same worker.
         let interference = if step.is_best_effort { candidate.latency_sensitive_runs } else { 0 }
             + if step.tail_target.is_some() { candidate.best_effort_runs } else { 0 };
-        (!near_data, interference, count(&candidate.worker, id), candidate.booked_share())
+        let others = if is_suspected { candidate.run_count } else { 0 };
+        let risk = (candidate.hosts_suspect, others);
+        (risk, !near_data, interference, count(&candidate.worker, id), candidate.booked_share())
     };
     candidates
         .iter()
--- a/crates/core/src/job/place/tests.rs
+++ b/crates/core/src/job/place/tests.rs
@@ -15,6 +15,8 @@
         latency_sensitive_runs: 0,
         best_effort_runs: 0,
         on_probation: false,
+        run_count: 0,
+        hosts_suspect: false,
         start_room: u32::MAX,
         is_reserved: false,
         is_disallowed: false,
@@ -36,7 +38,7 @@
         0
     };
 
-    let chosen = choose_candidate(&candidates, &step(), STEP, count);
+    let chosen = choose_candidate(&candidates, &step(), (STEP, false), count);
 
     assert_eq!(chosen, Some(100));
     assert!(counted.get() <= 2, "the runs on {} workers were counted", counted.get());
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -1,6 +1,6 @@
 //! The records of a cell's log, in their stored form.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +46,20 @@
     pub lapse_wall_ms: u64,
 }
 
+/// A run that was lost with its worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRun {
+    /// The number of the attempt.
+    pub attempt: u32,
+    /// The worker.
+    pub worker: WorkerId,
+    /// The worker's address, if it was known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
+    /// Whether the worker certainly crashed. It may have been cut off otherwise.
+    pub is_crash: bool,
+}
+
 /// The state of a task that is not done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskSnapshot {
@@ -65,6 +79,12 @@
     /// The worker of the latest [`Record::Placed`], if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub worker: Option<WorkerId>,
+    /// The address in the latest [`Record::Placed`], if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
+    /// The runs that were lost with their workers, as far as they are remembered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_runs: Vec<LostRun>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
@@ -145,8 +165,8 @@
         /// Tasks that are not done.
         open: Vec<TaskSnapshot>,
     },
-    /// A long-running task is placed on a worker. Its start orders go to no other worker until a
-    /// later record of this kind is durable.
+    /// A long-running or suspected task is placed on a worker. Its start orders go to no other
+    /// worker until a later record of this kind is durable.
     Placed {
         /// The task.
         task: TaskId,
@@ -154,6 +174,16 @@
         attempt: u32,
         /// The worker.
         worker: WorkerId,
+        /// The worker's address.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        address: Option<SocketAddr>,
+    },
+    /// A run was lost with its worker, or the worker is now known to have crashed.
+    RunLost {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        lost: LostRun,
     },
     /// From now on, the owner may send orders to this worker.
     WorkerUsed {
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -1,11 +1,12 @@
 //! The state of a job and its tasks, as kept by the owner of the cell.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use indexmap::IndexSet;
 
 use super::{
-    JobEnd, JobSpec, Position, StepId, TaskId, WorkerId, advice::StepAdvice, times::Samples,
+    JobEnd, JobSpec, LostRun, Position, StepId, TaskId, WorkerId, advice::StepAdvice,
+    times::Samples,
 };
 use crate::{QueueId, Timestamp};
 
@@ -31,12 +32,16 @@
     /// The worker that the log names for the task; `None` if its placements are not logged or it
     /// was never placed.
     pub(super) placement: Option<Placement>,
+    /// Runs that were lost with their workers.
+    pub(super) lost_runs: Vec<LostRun>,
 }
 
 /// The latest logged placement of a task.
 #[derive(Clone, Debug)]
 pub(super) struct Placement {
     pub(super) worker: WorkerId,
+    /// The worker's address, if the log has it.
+    pub(super) address: Option<SocketAddr>,
     /// The position of its record in the log, which may not be durable yet.
     pub(super) position: Position,
     /// How often the task failed there in this term.
@@ -47,13 +52,14 @@
     fn mark_done(&mut self) {
         self.is_done = true;
         self.checkpoint = None;
+        self.lost_runs.clear();
     }
 }
 
 impl Placement {
     /// Returns a placement that the log contained when the term began.
-    pub(super) fn recovered(worker: WorkerId) -> Self {
-        Self { worker, position: Position::default(), failures: 0 }
+    pub(super) fn recovered(worker: WorkerId, address: Option<SocketAddr>) -> Self {
+        Self { worker, address, position: Position::default(), failures: 0 }
     }
 }
 
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -53,6 +53,9 @@
 /// Time from a worker's last contact with the store until its entry is removed, in milliseconds.
 const WORKER_ENTRY_TTL_MS: u64 = 4_500;
 
+/// Time from a worker's crash until a new instance runs at its address, in milliseconds.
+const CRASH_DURATION_MS: u64 = 3_300;
+
 /// Response time of the advice service, in milliseconds.
 const ADVICE_LATENCY_MS: u64 = 60;
 
@@ -159,6 +162,8 @@
     },
     /// A new owner has read the log.
     LogRead,
+    /// A worker that crashed is followed by a new instance.
+    WorkerReturned(Box<ModelWorker>),
 }
 
 /// Faults of the next start orders to a worker; late orders come before lost answers.
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -2,11 +2,15 @@
 
 use teaselgap_core::{
     Epoch, Span, Timestamp,
-    job::{Action, AdviceAnswer, AdviceRequest, StartOrder, StartOutcome, TaskId, WorkerId},
+    job::{
+        Action, AdviceAnswer, AdviceRequest, StartOrder, StartOutcome, TaskId, WorkerEntry,
+        WorkerId,
+    },
 };
 
 use super::{
-    ADVICE_LATENCY_MS, Call, Delivery, LATENCY_MS, Model, Reply, TICKET, TICKET_VALIDITY_MS,
+    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, Delivery, LATENCY_MS, Model, ModelWorker, Reply,
+    TICKET, TICKET_VALIDITY_MS,
 };
 
 impl Model {
@@ -138,6 +142,9 @@
                 Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
                 Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
                 Delivery::LogRead => self.take_over_again(0),
+                Delivery::WorkerReturned(worker) => {
+                    self.workers.insert(worker.entry.id.clone(), *worker);
+                }
             }
         }
     }
@@ -166,6 +173,9 @@
                 if outcome == StartOutcome::Started && worker.has_owner_contact() {
                     self.record_start(&id, &order);
                 }
+                if outcome == StartOutcome::Started {
+                    self.crash_if_deadly(&id, order.task);
+                }
                 Reply::Started(order.task, order.attempt, outcome)
             }
             Call::Stop(task, attempt) => {
@@ -205,6 +215,18 @@
         }
     }
 
+    /// Crashes a worker if the task that it has just started is deadly for it.
+    fn crash_if_deadly(&mut self, id: &WorkerId, task: TaskId) {
+        let (now, wall_ms) = (self.now, self.wall_ms() + CRASH_DURATION_MS);
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.crashes_on(task)) else {
+            return;
+        };
+        let entry = WorkerEntry { started_wall_ms: wall_ms, ..worker.crash(now) };
+        let mut next = ModelWorker::new(entry);
+        next.task_time = worker.task_time;
+        self.send(CRASH_DURATION_MS, Delivery::WorkerReturned(Box::new(next)));
+    }
+
     /// Records tasks that an owner has confirmed as done, each with the time of its end, and checks
     /// that none of them has started since.
     pub(super) fn record_done(&mut self, done: Vec<(TaskId, Timestamp)>) {
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -9,7 +9,7 @@
 use teaselgap_core::{
     Epoch, Span, Timestamp,
     job::{
-        EndKind, HoldReport, ListedRun, Resources, RunEnd, StartOrder, StartOutcome, TaskId,
+        EndKind, HoldReport, JobId, ListedRun, Resources, RunEnd, StartOrder, StartOutcome, TaskId,
         WorkerEntry,
     },
 };
@@ -38,6 +38,9 @@
     FailsAfter(u64),
     /// A task makes no progress and runs until it is stopped.
     Stalls,
+    /// The worker crashes as soon as a task of this job starts, and returns at its address as a new
+    /// instance; other tasks are done after their estimated time.
+    CrashesOn(JobId),
 }
 
 /// A run that has not ended.
@@ -166,6 +169,20 @@
         };
     }
 
+    /// Crashes the worker, which never returns under its id. Returns the entry of the instance that
+    /// follows at its address.
+    pub(super) fn crash(&mut self, now: Timestamp) -> WorkerEntry {
+        self.runs.clear();
+        self.ends.clear();
+        self.partition_for(now, u64::MAX / 2);
+        WorkerEntry { id: format!("{}+", self.entry.id).as_str().into(), ..self.entry.clone() }
+    }
+
+    /// Whether starting the task crashes the worker.
+    pub(super) fn crashes_on(&self, task: TaskId) -> bool {
+        self.task_time == TaskTime::CrashesOn(task.job)
+    }
+
     /// Returns whether an owner has sent a hold or a stop to this worker instance. Before that,
     /// nothing makes it refuse an order that was sent to the previous instance.
     #[must_use]
@@ -294,7 +311,9 @@
         let scheduled_end = match self.task_time {
             _ if step.long_running => None,
             TaskTime::Stalls => None,
-            TaskTime::AsEstimated => Some((now + remaining_time, EndKind::Done)),
+            TaskTime::AsEstimated | TaskTime::CrashesOn(_) => {
+                Some((now + remaining_time, EndKind::Done))
+            }
             TaskTime::Percent(percent) => {
                 Some((now + Span(step.estimate.0 * percent / 100), EndKind::Done))
             }
--- /dev/null
+++ b/crates/standins/tests/cells/crashes.rs
@@ -0,0 +1,122 @@
+//! Tests of tasks that crash the workers that start them.
+
+use teaselgap_core::job::{JobEnd, JobId, JobState};
+use teaselgap_standins::model::{Model, TaskTime};
+
+use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
+
+/// The job whose task crashes each worker that starts it.
+const DEADLY: JobId = JobId(9_999);
+
+/// The most starts of such a task: it may not be started three times more once three workers have
+/// crashed under it.
+const MAX_STARTS: u32 = 5;
+
+const FAILED: Option<JobState> = Some(JobState::Ended(JobEnd::Failed));
+
+const SUCCEEDED: Option<JobState> = Some(JobState::Ended(JobEnd::Succeeded));
+
+/// Longer than it takes to give a deadly task up: three crashes, each noticed when a lease expires.
+const GIVE_UP_MS: u64 = 30_000;
+
+fn model_with_deadly_job(workers: usize) -> Model {
+    let mut model = new_model(workers);
+    for number in 0..workers {
+        model.worker_mut(&format!("w{number}")).task_time = TaskTime::CrashesOn(DEADLY);
+    }
+    model.submit(DEADLY, &queue(), job_spec(vec![step(1, 2_000, 800)]));
+    model
+}
+
+/// Submits a job of four tasks every 200 ms for this time. Returns the jobs.
+fn submit_steadily(model: &mut Model, duration_ms: u64) -> Vec<JobId> {
+    let jobs: Vec<JobId> = (0..duration_ms / 200).map(JobId).collect();
+    for job in &jobs {
+        model.submit(*job, &queue(), job_spec(vec![step(4, 2_000, 800)]));
+        model.run_for(200);
+    }
+    jobs
+}
+
+/// Guards against a task that is started again and again and crashes worker after worker.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    let mut model = model_with_deadly_job(12);
+
+    let is_given_up = model.run_until(GIVE_UP_MS, |model| state(model, DEADLY) == FAILED);
+    model.run_for(GIVE_UP_MS);
+
+    assert!(is_given_up);
+    let starts = model.start_count(task_id(DEADLY, 0));
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+#[test]
+fn tasks_that_run_beside_one_that_crashes_its_workers_are_not_given_up() {
+    let mut model = model_with_deadly_job(12);
+
+    let jobs = submit_steadily(&mut model, GIVE_UP_MS);
+    model.run_for(10_000);
+
+    assert_eq!(state(&model, DEADLY), FAILED);
+    for job in jobs {
+        assert_eq!(state(&model, job), SUCCEEDED, "{job}");
+    }
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+#[test]
+fn crashes_under_a_task_are_remembered_when_the_owner_is_lost() {
+    let mut model = model_with_deadly_job(12);
+
+    // The owner is lost again and again, each time some seconds after a crash was noticed.
+    for _ in 0..6 {
+        model.run_for(9_000);
+        model.kill_owner();
+        model.run_for(500);
+        model.take_over();
+    }
+    model.run_for(GIVE_UP_MS);
+
+    assert_eq!(state(&model, DEADLY), FAILED);
+    let starts = model.start_count(task_id(DEADLY, 0));
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+#[test]
+fn a_task_whose_workers_were_only_partitioned_is_not_given_up() {
+    let mut model = new_model(6);
+    let job = JobId(1);
+    model.submit(job, &queue(), job_spec(vec![step(1, 2_000, 20_000)]));
+
+    for _ in 0..4 {
+        model.run_for(2_000);
+        let now = model.now();
+        let running = model.workers().find(|worker| worker.run_count() > 0);
+        if let Some(id) = running.map(|worker| worker.entry.id.clone()) {
+            model.worker_mut(id.as_str()).partition_for(now, 9_000);
+        }
+        model.run_for(9_500);
+    }
+    let done = model.run_until(60_000, |model| state(model, job) == SUCCEEDED);
+
+    assert!(done);
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+#[test]
+fn a_rack_that_crashes_fails_no_job() {
+    let mut model = new_model(8);
+    let jobs = submit_steadily(&mut model, 1_000);
+
+    for _ in 0..2 {
+        let (now, wall_ms) = (model.now(), model.wall_ms());
+        for number in 0..4 {
+            model.worker_mut(&format!("w{number}")).restart(now, wall_ms);
+        }
+        model.run_for(700);
+    }
+    let all_done = |model: &Model| jobs.iter().all(|job| state(model, *job) == SUCCEEDED);
+
+    assert!(model.run_until(20_000, all_done));
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod availability;
 mod cost;
+mod crashes;
 mod faults;
 mod fixtures;
 mod flow;
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -60,6 +60,9 @@
             LogEvent::RunEndedUnreported { run, reason } => {
                 self.write_run("run ended without a report", run, reason);
             }
+            LogEvent::RunLost { run, losses, is_crash } => {
+                self.write_lost(run, *losses, *is_crash);
+            }
             LogEvent::AdviceAnswered { step, asked, allowed } => {
                 info!(log, "advised"; "step" => %step, "asked" => asked, "allowed" => allowed,
                     "epoch" => epoch);
@@ -101,6 +104,14 @@
         }
     }
 
+    fn write_lost(&self, run: &RunId, losses: usize, is_crash: bool) {
+        if self.limit.borrow_mut().admit("run lost") {
+            info!(self.log, "run lost"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "losses" => losses, "is_crash" => is_crash,
+                "epoch" => self.epoch);
+        }
+    }
+
     fn write_run(&self, kind: &'static str, run: &RunId, reason: &'static str) {
         if self.limit.borrow_mut().admit(kind) {
             info!(self.log, "{}", kind; "task" => %run.task, "attempt" => run.attempt,
