A task that started late is not stopped once it is at work

Cause: a start order without an answer is followed by stop orders until one is confirmed. If the start arrives late after all and the first stops are lost, the list shows a task at work, and the next stop ends it, however many others of its step are unavailable.

Change: a stop that only answers an unanswered start is withdrawn once the list shows the run and no stop was confirmed; any other reason for a stop makes it final. The work of other late tasks is kept as well.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -15,6 +15,9 @@
 /// The delay before a task may start again after a worker did not carry out its start order.
 const FAILED_START_DELAY: Span = Span(30);
 
+/// Why a run is stopped whose start order got no answer.
+pub(super) const START_UNANSWERED: &str = "start order unanswered";
+
 /// How long a worker that refused a start order gets no new tasks.
 const REFUSAL_EXCLUSION: Span = Span(300);
 
@@ -104,7 +107,7 @@
             // A long-running task that runs after all is worth the delay until the worker's list
             // shows it. If the list doesn't, the order is stopped then.
             if !run.is_long_running {
-                self.stop_run(id, task, "start order unanswered", now);
+                self.stop_run(id, task, START_UNANSWERED, now);
             }
             self.record_failure_in_place(id, task);
             return;
@@ -149,18 +152,38 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.stopping.is_none()) else {
+        let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
+        let is_revocable = reason == START_UNANSWERED;
+        if let Some(stop) = &mut run.stopping {
+            stop.is_revocable &= is_revocable;
+            return;
+        }
         if run.state == RunState::Planned {
             self.withdraw_run(id, task);
             return;
         }
-        run.stopping = Some(StopOrder { next: Some(now), confirmed: None });
+        run.stopping = Some(StopOrder { next: Some(now), confirmed: None, is_revocable });
         let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::Stopping { run: run_id, reason }));
     }
 
+    /// Lets a run go on that is listed although its start order got no answer, unless a stop was
+    /// confirmed or there is another reason for one.
+    pub(super) fn revoke_stop(&mut self, id: &WorkerId, task: TaskId) {
+        let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
+        let Some(run) = run else {
+            return;
+        };
+        let is_revocable = |stop: &mut StopOrder| stop.is_revocable && stop.confirmed.is_none();
+        if run.stopping.take_if(is_revocable).is_some() {
+            let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
+            let reason = "started after all";
+            self.actions.push(Action::Log(LogEvent::StopRevoked { run: run_id, reason }));
+        }
+    }
+
     /// Sends the stop orders that are due.
     pub(super) fn send_stops(&mut self, now: Timestamp) {
         for (id, worker) in &mut self.workers {
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -11,6 +11,7 @@
     },
     Cell, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
+    orders::START_UNANSWERED,
 };
 use crate::{Span, Timestamp};
 
@@ -282,6 +283,7 @@
             }
             run.is_listed = true;
             run.progress_percent = listed_run.progress_percent;
+            self.revoke_stop(id, listed_run.task);
             self.apply_listed_run(id, listed_run, now);
             return;
         }
@@ -409,7 +411,7 @@
             self.end_unreported_run(id, task, attempt, reason, now);
         }
         for task in missing {
-            self.stop_run(id, task, "start order unanswered", now);
+            self.stop_run(id, task, START_UNANSWERED, now);
         }
     }
 
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -225,6 +225,13 @@
         /// Why it is stopped.
         reason: &'static str,
     },
+    /// A run that was being stopped may go on.
+    StopRevoked {
+        /// The run.
+        run: RunId,
+        /// Why it may.
+        reason: &'static str,
+    },
     /// A start order was refused or got no answer.
     StartFailed {
         /// The run.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -125,6 +125,9 @@
     pub(super) next: Option<Timestamp>,
     /// When the worker confirmed the order.
     pub(super) confirmed: Option<Timestamp>,
+    /// Whether the run is stopped only because its start order got no answer. It may go on if it
+    /// turns out to have started.
+    pub(super) is_revocable: bool,
 }
 
 /// A reading of a worker's monotonic clock.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -166,7 +166,7 @@
     WorkerReturned(Box<ModelWorker>),
 }
 
-/// Faults of the next start orders to a worker; late orders come before lost answers.
+/// Faults of the next orders to a worker; late start orders come before lost answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerFaults {
     /// Number of start orders that the worker carries out but whose answers are lost.
@@ -175,6 +175,8 @@
     pub late_orders: u32,
     /// Time that a late order takes to reach the worker, in milliseconds.
     pub late_ms: u64,
+    /// Number of stop orders that have no effect and are not answered.
+    pub lost_stops: u32,
 }
 
 /// A cell with its workers, its log and the time.
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -77,6 +77,13 @@
             self.schedule_timeout(worker, epoch, &call);
             return;
         }
+        if let (Call::Stop(..), Some(faults)) = (&call, self.faults.get_mut(&worker))
+            && faults.lost_stops > 0
+        {
+            faults.lost_stops -= 1;
+            self.schedule_timeout(worker, epoch, &call);
+            return;
+        }
         let deadline = self.now + call.timeout();
         let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -102,3 +102,22 @@
     assert_eq!(started, 2);
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// Guards against a stop of a task that is at work because its start order was answered too late.
+#[test]
+fn a_long_running_task_that_started_late_is_not_stopped_once_it_is_at_work() {
+    let mut model = new_model(1);
+    let late =
+        WorkerFaults { late_orders: 1, late_ms: 1_500, lost_stops: 4, ..WorkerFaults::default() };
+    model.set_faults("w0", late);
+    model.submit(JobId(1), &queue(), long_running_job(1, 0));
+
+    // The order arrives after 1.5 s; until it has, the list of runs shows that it did not, and the
+    // stop orders of the next seconds are lost.
+    model.run_for(12_000);
+
+    let task = task_id(JobId(1), 0);
+    assert_eq!(model.start_count(task), 1);
+    assert!(model.workers().any(|worker| worker.is_running(task)));
+    assert_eq!(model.violations(), &[] as &[String]);
+}
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -56,6 +56,7 @@
                 info!(log, "step done"; "step" => %step, "runs" => runs, "epoch" => epoch);
             }
             LogEvent::Stopping { run, reason } => self.write_run("stopping run", run, reason),
+            LogEvent::StopRevoked { run, reason } => self.write_run("stop revoked", run, reason),
             LogEvent::StartFailed { run, reason } => self.write_run("start failed", run, reason),
             LogEvent::RunEndedUnreported { run, reason } => {
                 self.write_run("run ended without a report", run, reason);
