A late copy of the fleet's record does not replace a later one

Its only condition was the term, so a late copy of an older record replaced a newer one, and a next owner would not have waited for the orders that only the newer one lists. Sending calls again makes more such copies.

Change: a write expects the revision of the record before it. A conflict tells whether an earlier copy took effect, an older record arrived late, or another node owns the fleet.

Evidence: fleet::tests::a_late_copy_of_a_write_does_not_replace_a_later_record fails with the term as the only condition, as before.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -1,5 +1,8 @@
 //! The owner of the fleet: sends the orders about VMs while this node holds the fleet duty.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell as StdCell, RefCell},
     rc::Rc,
@@ -18,7 +21,7 @@
 use teaselgap_platform::{
     config,
     machines::VmClient,
-    store::{Expected, Outcome, Put, Transaction},
+    store::{Expected, Item, Outcome, Put, Transaction},
 };
 
 use super::{
@@ -60,6 +63,8 @@
     vm_client: VmClient,
     fleet: RefCell<Fleet>,
     is_term_over: StdCell<bool>,
+    /// The revision of the record in the store; zero if there is none.
+    record_revision: StdCell<u64>,
     /// Whether the record of earlier terms has been read.
     is_record_read: StdCell<bool>,
     /// Whether a record is being written to the store.
@@ -98,6 +103,7 @@
         vm_client,
         fleet: RefCell::new(fleet),
         is_term_over: StdCell::new(false),
+        record_revision: StdCell::new(0),
         is_record_read: StdCell::new(false),
         is_saving: StdCell::new(false),
         is_handing_over: StdCell::new(false),
@@ -150,14 +156,10 @@
         while !self.is_term_over.get() {
             match self.node.store.get(RECORD_KEY).await {
                 Ok(None) => return Some(FleetRecord::default()),
-                Ok(Some(item)) => match serde_json::from_slice(&item.value) {
-                    Ok(record) => return Some(record),
-                    Err(err) => {
-                        warn!(self.node.log, "fleet record unreadable; using an empty one";
-                            "error" => %err);
-                        return Some(FleetRecord::default());
-                    }
-                },
+                Ok(Some(item)) => {
+                    self.record_revision.set(item.revision);
+                    return Some(self.parse_record(&item));
+                }
                 Err(err) => {
                     warn!(self.node.log, "failed to read the fleet record"; "error" => %err);
                     tokio::time::sleep(RETRY_PAUSE).await;
@@ -167,6 +169,13 @@
         None
     }
 
+    fn parse_record(&self, item: &Item) -> FleetRecord {
+        serde_json::from_slice(&item.value).unwrap_or_else(|err| {
+            warn!(self.node.log, "fleet record unreadable; using an empty one"; "error" => %err);
+            FleetRecord::default()
+        })
+    }
+
     async fn refresh_vms(&self) {
         match self.vm_client.list().await {
             Ok(vms) => self.fleet.borrow_mut().set_vms(vms),
@@ -292,7 +301,7 @@
 
     async fn save_record(&self, record: &FleetRecord) {
         match serde_json::to_vec(record) {
-            Ok(value) => self.write_key(RECORD_KEY.to_owned(), value).await,
+            Ok(value) => self.write_record(value).await,
             Err(err) => {
                 warn!(self.node.log, "failed to serialize the fleet record"; "error" => %err);
             }
@@ -323,12 +332,36 @@
         self.fleet.borrow_mut().on_order_outcome(vm, outcome, clock::now());
     }
 
+    /// Writes the record, retrying until it is written or the term has ended.
+    async fn write_record(&self, value: Vec<u8>) {
+        while !self.is_term_over.get() {
+            let txn = record_transaction(self.epoch, self.record_revision.get(), value.clone());
+            match self.node.repeater.transact(&self.node.store, &txn).await {
+                Ok(Outcome::Done(revision)) => {
+                    self.record_revision.set(revision);
+                    return;
+                }
+                Ok(Outcome::Conflict(items)) => match conflict_of(&items, self.epoch, &value) {
+                    RecordConflict::Written(revision) => {
+                        self.record_revision.set(revision);
+                        return;
+                    }
+                    RecordConflict::EarlierRecord(revision) => self.record_revision.set(revision),
+                    RecordConflict::OtherOwner => {
+                        self.end_term("the duty has another owner");
+                        return;
+                    }
+                },
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
     /// Writes a key on condition that this node still owns the fleet, retrying until the key is
     /// written or the term has ended.
     async fn write_key(&self, key: String, value: Vec<u8>) {
-        let duty = duties::duty_key(FLEET_DUTY);
         let txn = Transaction {
-            expected: vec![Expected { key: duty, revision: self.epoch.0 }],
+            expected: vec![own_duty(self.epoch)],
             puts: vec![Put { key, value, lease: None }],
             deletes: Vec::new(),
         };
@@ -344,3 +377,41 @@
         }
     }
 }
+
+/// The condition that the fleet is owned in this term.
+fn own_duty(epoch: Epoch) -> Expected {
+    Expected { key: duties::duty_key(FLEET_DUTY), revision: epoch.0 }
+}
+
+/// The write of a record over the one at `revision`. A copy that reaches the store after a later
+/// record finds another revision and has no effect.
+fn record_transaction(epoch: Epoch, revision: u64, value: Vec<u8>) -> Transaction {
+    Transaction {
+        expected: vec![own_duty(epoch), Expected { key: RECORD_KEY.to_owned(), revision }],
+        puts: vec![Put { key: RECORD_KEY.to_owned(), value, lease: None }],
+        deletes: Vec::new(),
+    }
+}
+
+/// Why a record could not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordConflict {
+    /// An earlier copy of the write took effect, at this revision.
+    Written(u64),
+    /// An earlier write, whose answer was lost, took effect late, at this revision.
+    EarlierRecord(u64),
+    /// Another node owns the fleet.
+    OtherOwner,
+}
+
+/// Tells from the current items why a record of this value could not be written.
+fn conflict_of(items: &[Item], epoch: Epoch, value: &[u8]) -> RecordConflict {
+    let item_of = |key: &str| items.iter().find(|item| item.key == key);
+    if item_of(&own_duty(epoch).key).is_none_or(|item| item.revision != epoch.0) {
+        return RecordConflict::OtherOwner;
+    }
+    match item_of(RECORD_KEY) {
+        Some(item) if item.value == value => RecordConflict::Written(item.revision),
+        item => RecordConflict::EarlierRecord(item.map_or(0, |item| item.revision)),
+    }
+}
