An owner whose answers take long hands its cell over before its timers are late

What callers saw: with slow nodes and a slow store after a final fault, the owner of the previews' cell did not answer other nodes or wrote its log too late from second 39 on; it handed the cell over at 45.3.

Cause: a node counts as lagging once its timers are late. A slowed owner in a burst answers its timers for four seconds more while the median answer to its orders goes from 36 ms (38.4 s) to 173, 414, 551, 731 and 966 ms; its timers were late at 43.95. It then handed over only once its own smaller rate was registered, written and read back, by the same slow node, 1.4 s later.

Change: two reports in a row with a median answer of 300 ms or more count as lag; a full window of orders is answered within 100 to 200 ms. A node counts itself with its current order rate, registered or not.

Evidence: lag::tests::a_node_whose_answers_take_long_for_two_reports_lags and duties::tests:: a_node_that_lags_counts_with_its_current_order_rate_before_it_is_registered fail without the change (there was no such input).

--- a/crates/core/src/job/lag.rs
+++ b/crates/core/src/job/lag.rs
@@ -1,7 +1,9 @@
 //! Tells whether a node keeps up with its work.
 //!
 //! A node whose processor is slowed down or overloaded runs its timers late. A node that is paused
-//! once has a single late timer and keeps up afterwards; one that can't keep up has many.
+//! once has a single late timer and keeps up afterwards; one that can't keep up has many. Before its
+//! timers are late, the answers to the orders of an owner take longer than its limits on orders in
+//! flight allow for.
 
 #[cfg(test)]
 mod tests;
@@ -19,6 +21,13 @@
 /// Number of late timers among them from which on the node lags.
 const MIN_LATE_TIMERS: usize = 4;
 
+/// Median time to the answer of an order from which on answers take long. An owner that uses all of
+/// its window has its answers after a third of this.
+const SLOW_ANSWERS: Span = Span(300);
+
+/// Number of reports in a row with answers that take long from which on the node lags.
+const MIN_SLOW_REPORTS: u32 = 2;
+
 /// How long the node must have kept up before it no longer counts as lagging.
 const RECOVERY_TIME: Span = Span(4_000);
 
@@ -27,6 +36,8 @@
 pub struct LagMonitor {
     /// Whether each of the latest timers was late, the oldest first.
     timers: VecDeque<bool>,
+    /// Number of reports in a row with answers that took long.
+    slow_reports: u32,
     /// When the node last lagged.
     lagged_at: Option<Timestamp>,
 }
@@ -43,6 +54,14 @@
         }
     }
 
+    /// Records the median time that answers to an owner's orders took since the last report.
+    pub fn record_answers(&mut self, median: Span, now: Timestamp) {
+        self.slow_reports = if median >= SLOW_ANSWERS { self.slow_reports + 1 } else { 0 };
+        if self.slow_reports >= MIN_SLOW_REPORTS {
+            self.lagged_at = Some(now);
+        }
+    }
+
     /// Whether the node lags, or did so a short time ago.
     #[must_use]
     pub fn is_lagging(&self, now: Timestamp) -> bool {
--- a/crates/core/src/job/lag/tests.rs
+++ b/crates/core/src/job/lag/tests.rs
@@ -42,3 +42,32 @@
 
     assert!(monitor.is_lagging(now));
 }
+
+/// Guards against an owner that is slowed down in a burst and found late: its answers take long
+/// seconds before its timers do.
+#[test]
+fn a_node_whose_answers_take_long_for_two_reports_lags() {
+    let mut lag = LagMonitor::default();
+
+    lag.record_answers(Span(414), Timestamp(1_000));
+    let after_one = lag.is_lagging(Timestamp(1_000));
+    lag.record_answers(Span(551), Timestamp(2_000));
+
+    assert!(!after_one);
+    assert!(lag.is_lagging(Timestamp(2_000)));
+    assert!(!lag.is_lagging(Timestamp(7_000)));
+}
+
+#[test]
+fn a_node_that_uses_its_whole_window_of_orders_does_not_lag() {
+    let mut lag = LagMonitor::default();
+
+    for second in 1..20 {
+        lag.record_answers(Span(200), Timestamp(second * 1_000));
+    }
+    lag.record_answers(Span(600), Timestamp(21_000));
+    lag.record_answers(Span(120), Timestamp(22_000));
+    lag.record_answers(Span(600), Timestamp(23_000));
+
+    assert!(!lag.is_lagging(Timestamp(23_000)));
+}
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -156,6 +156,7 @@
 /// The duties that this node should claim now, each with the revision that its key must have.
 fn claimable_duties(node: &Rc<Node>) -> Vec<(Duty, u64)> {
     let now = clock::now();
+    let own_rate = current_order_rate(node);
     let mut session = node.session.borrow_mut();
     let session = &mut *session;
     let members = node.members.borrow();
@@ -179,7 +180,7 @@
         }
         owners.insert(duty.clone(), record.node.clone());
     }
-    let proposal = propose_owners(&duties, &owners, &members.candidates());
+    let proposal = propose_owners(&duties, &owners, &members.candidates((&node.id, own_rate)));
     session.free_since.retain(|duty, _| proposal.contains_key(duty));
     for (duty, candidates) in proposal {
         let since = *session.free_since.entry(duty.clone()).or_insert(now);
@@ -200,6 +201,7 @@
 /// The cell that this node should hand over now, if any; one at a time.
 fn cell_to_hand_over(node: &Rc<Node>) -> Option<Rc<host::CellOwner>> {
     let now = clock::now();
+    let own_rate = current_order_rate(node);
     let session = node.session.borrow();
     let is_store_reached = now < node.lease.store_reached_at() + STORE_REACHABLE_WINDOW;
     if node.is_draining() || !is_store_reached || !session.handing_over.is_empty() {
@@ -221,7 +223,8 @@
         .map(|owner| cell_duty(owner.service()))
         .filter(|duty| has_settled(duty) && owners.get(duty) == Some(&node.id))
         .collect();
-    let duty = duty_to_hand_over(&node.id, &movable, &owners, &members.candidates())?;
+    let candidates = members.candidates((&node.id, own_rate));
+    let duty = duty_to_hand_over(&node.id, &movable, &owners, &candidates)?;
     cell_owners.values().find(|owner| cell_duty(owner.service()) == duty).cloned()
 }
 
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -1,6 +1,9 @@
 use teaselgap_core::job::OrderRate;
 
-use super::*;
+use super::{
+    super::members::{MEMBER_PREFIX, Members},
+    *,
+};
 
 const INCARNATION: Incarnation = Incarnation(5);
 
@@ -34,3 +37,18 @@
 fn a_duty_that_another_node_has_claimed_is_not_taken_for_an_own_claim() {
     assert_eq!(own_claim_of_n1(&duty_item("n2", 12), 9), None);
 }
+
+#[test]
+fn a_node_that_lags_counts_with_its_current_order_rate_before_it_is_registered() {
+    let mut members = Members::default();
+    for name in ["n1", "n2"] {
+        let key = format!("{MEMBER_PREFIX}{name}");
+        members.apply_change(&key, Some(&duty_item(name, 1).value), 1);
+    }
+    let own: NodeId = "n1".parse().unwrap();
+
+    let candidates = members.candidates((&own, OrderRate(60)));
+
+    let rates: Vec<OrderRate> = candidates.values().map(|candidate| candidate.order_rate).collect();
+    assert_eq!(rates, [OrderRate(60), OrderRate(500)]);
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -246,6 +246,7 @@
         let load = OwnerLoad { held_back_starts, ..self.meter.borrow_mut().take_report(now) };
         let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
         let lease_validity = session::lease_validity(&self.node);
+        self.node.session.borrow_mut().lag.record_answers(load.median_answer, now);
         let repeats = self.node.repeater.repeats();
         self.log.write_load(&load, &StoreState { write_age, repeats, lease_validity });
         let service = self.service.as_str();
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -49,11 +49,12 @@
         (record.node != *own).then_some(record.address)
     }
 
-    /// The registered nodes, as candidates for duties.
-    pub(super) fn candidates(&self) -> IndexMap<NodeId, Candidate> {
+    /// The registered nodes, as candidates for duties. The `own` node counts with its current order
+    /// rate, which may not be registered yet.
+    pub(super) fn candidates(&self, own: (&NodeId, OrderRate)) -> IndexMap<NodeId, Candidate> {
         let candidate = |record: &NodeRecord| Candidate {
             incarnation: record.incarnation,
-            order_rate: record.order_rate,
+            order_rate: if record.node == *own.0 { own.1 } else { record.order_rate },
         };
         self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
     }
