Start orders are sent again while no answer comes

What callers saw: with half of the orders unanswered after a final fault, the queues' owners start 400 to 900 tasks a second for workers with room for twice that, and jobs of two steps of eight tasks take longer than three times their objective: a task whose order got no answer waits for the time-out (600 ms), a stop, its confirmation and a list, some 3 s, and each of its sixteen tasks does so with even odds.

Cause: the same as for the store: one lost answer costs a time-out and more, although the order can be repeated. An order with the same attempt is the same run: a worker answers 200 if it is there, and refuses one that is not higher than a run stopped or ended there.

Change: a start order is sent again after the time computed from recent answers, three copies at most. If one was answered as started, the run is settled; any other answer counts only if no copy is left that may still be executed. An open copy is remembered like an unanswered order, so that a restarted worker is told to refuse it.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -3,7 +3,7 @@
 use super::{
     super::{
         Action, LogEvent, PlacedTask, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
-        worker::{RunState, StopOrder, UNANSWERED_START_LIFETIME},
+        worker::{RunState, StopOrder},
     },
     Cell,
 };
@@ -71,11 +71,16 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        let has_unanswered_copy =
+            matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown);
+        if has_unanswered_copy {
+            worker.record_unanswered_start((task, attempt), now);
+        }
         let run = worker.runs.get_mut(&task).filter(|run| run.attempt == attempt);
         let Some(run) = run else {
             return;
         };
-        if outcome == StartOutcome::Started {
+        if matches!(outcome, StartOutcome::Started | StartOutcome::StartedRepeated) {
             run.expect_in_lists_after = now;
             if run.state != RunState::Running {
                 run.state = RunState::Running;
@@ -94,15 +99,15 @@
             StartOutcome::Refused(reason) => reason,
             StartOutcome::Outdated => "worker knows a later attempt",
             StartOutcome::NotAdvised => "no valid ticket",
-            StartOutcome::Started | StartOutcome::Unknown => "no answer",
+            StartOutcome::Started | StartOutcome::StartedRepeated | StartOutcome::Unknown => {
+                "no answer"
+            }
         };
         let run_id = RunId { task, attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::StartFailed { run: run_id, reason }));
         if outcome == StartOutcome::Unknown {
             run.state = RunState::Unsettled;
             run.expect_in_lists_after = now;
-            worker.unanswered_starts.retain(|(_, _, at)| now <= *at + UNANSWERED_START_LIFETIME);
-            worker.unanswered_starts.push((task, attempt, now));
             worker.next_hold = worker.next_hold.min(now);
             // A long-running task that runs after all is worth the delay until the worker's list
             // shows it. If the list doesn't, the order is stopped then.
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -131,6 +131,9 @@
 pub enum StartOutcome {
     /// The run has started or will start.
     Started,
+    /// Like [`StartOutcome::Started`], but another copy of the order got no answer and may reach the
+    /// worker later.
+    StartedRepeated,
     /// The run has not started and never will, for the given reason.
     Refused(&'static str),
     /// The run has not started, because the order carried no valid ticket.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -418,6 +418,16 @@
         (clock.at + Span(stretched) + EXPIRY_MARGIN).max(earliest)
     }
 
+    /// Records a start order of which a copy got no answer.
+    pub(super) fn record_unanswered_start(
+        &mut self,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) {
+        self.unanswered_starts.retain(|(_, _, at)| now <= *at + UNANSWERED_START_LIFETIME);
+        self.unanswered_starts.push((task, attempt, now));
+    }
+
     /// Records that a run ended on the worker.
     pub(super) fn record_ended_attempt(&mut self, task: TaskId, attempt: u32) {
         if self.ended_attempts.len() >= MAX_ENDED_ATTEMPTS {
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -50,6 +50,9 @@
 /// Timeout of a call to a worker, in milliseconds; a hold's wait time is added to it.
 const CALL_TIMEOUT_MS: u64 = 600;
 
+/// Time without an answer after which a start order is sent again, in milliseconds.
+const REPEAT_MS: u64 = 60;
+
 /// Time from a worker's last contact with the store until its entry is removed, in milliseconds.
 const WORKER_ENTRY_TTL_MS: u64 = 4_500;
 
@@ -78,6 +81,8 @@
 #[derive(Clone, Debug)]
 enum Call {
     Start(StartOrder),
+    /// A second copy of a start order that got no answer.
+    RepeatedStart(StartOrder),
     /// A stop order for a task's attempt.
     Stop(TaskId, u32),
     /// A hold that has not reached the worker yet.
@@ -100,7 +105,7 @@
     /// Returns how long the owner waits for the answer.
     fn timeout(&self) -> Span {
         match self {
-            Self::Start(_) | Self::Stop(..) => Span(CALL_TIMEOUT_MS),
+            Self::Start(_) | Self::RepeatedStart(_) | Self::Stop(..) => Span(CALL_TIMEOUT_MS),
             Self::Hold { wait, .. } | Self::PendingHold { wait, .. } => {
                 Span(CALL_TIMEOUT_MS + wait.0)
             }
@@ -110,7 +115,9 @@
     /// Returns the reply that the owner gets when the call times out.
     fn timed_out(&self) -> Reply {
         match self {
-            Self::Start(order) => Reply::Started(order.task, order.attempt, StartOutcome::Unknown),
+            Self::Start(order) | Self::RepeatedStart(order) => {
+                Reply::Started(order.task, order.attempt, StartOutcome::Unknown)
+            }
             Self::Stop(task, attempt) => Reply::Stopped(*task, *attempt, false),
             Self::Hold { sent, .. } | Self::PendingHold { sent, .. } => Reply::Held(*sent, None),
         }
@@ -162,6 +169,12 @@
     },
     /// A new owner has read the log.
     LogRead,
+    /// The owner in this term has waited long enough for the answer to a start order.
+    RepeatStart {
+        worker: WorkerId,
+        epoch: Epoch,
+        order: StartOrder,
+    },
     /// A worker that crashed is followed by a new instance.
     WorkerReturned(Box<ModelWorker>),
 }
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -9,8 +9,8 @@
 };
 
 use super::{
-    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, Delivery, LATENCY_MS, Model, ModelWorker, Reply,
-    TICKET, TICKET_VALIDITY_MS,
+    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, Delivery, LATENCY_MS, Model, ModelWorker,
+    REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS,
 };
 
 impl Model {
@@ -87,7 +87,8 @@
         let deadline = self.now + call.timeout();
         let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
-        if let (Call::Start(_), Some(faults)) = (&call, self.faults.get_mut(&worker)) {
+        let is_start = matches!(call, Call::Start(_) | Call::RepeatedStart(_));
+        if let Some(faults) = self.faults.get_mut(&worker).filter(|_| is_start) {
             if faults.late_orders > 0 {
                 faults.late_orders -= 1;
                 delay_ms = faults.late_ms;
@@ -97,8 +98,14 @@
                 answer_arrives = false;
             }
         }
-        if !answer_arrives {
-            self.schedule_timeout(worker.clone(), epoch, &call);
+        match &call {
+            Call::Start(order) if !answer_arrives => {
+                let order = order.clone();
+                let worker = worker.clone();
+                self.send(REPEAT_MS, Delivery::RepeatStart { worker, epoch, order });
+            }
+            _ if !answer_arrives => self.schedule_timeout(worker.clone(), epoch, &call),
+            _ => {}
         }
         let delivery = Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
         self.send(delay_ms, delivery);
@@ -149,6 +156,11 @@
                 Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
                 Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
                 Delivery::LogRead => self.take_over_again(0),
+                Delivery::RepeatStart { worker, epoch, order } => {
+                    if epoch == self.epoch && self.cell.is_some() {
+                        self.call(worker, Call::RepeatedStart(order));
+                    }
+                }
                 Delivery::WorkerReturned(worker) => {
                     self.workers.insert(worker.entry.id.clone(), *worker);
                 }
@@ -176,13 +188,14 @@
         let timed_out = call.timed_out();
         let reply = match call {
             Call::Start(order) => {
-                let outcome = worker.start(&order, epoch, now);
-                if outcome == StartOutcome::Started && worker.has_owner_contact() {
-                    self.record_start(&id, &order);
-                }
-                if outcome == StartOutcome::Started {
-                    self.crash_if_deadly(&id, order.task);
-                }
+                let outcome = self.start_at(&id, &order, epoch);
+                Reply::Started(order.task, order.attempt, outcome)
+            }
+            Call::RepeatedStart(order) => {
+                let outcome = match self.start_at(&id, &order, epoch) {
+                    StartOutcome::Started => StartOutcome::StartedRepeated,
+                    _ => StartOutcome::Unknown,
+                };
                 Reply::Started(order.task, order.attempt, outcome)
             }
             Call::Stop(task, attempt) => {
@@ -222,6 +235,24 @@
         }
     }
 
+    /// Executes a start order at a worker, and records the start if the run was not there before.
+    fn start_at(&mut self, id: &WorkerId, order: &StartOrder, epoch: Epoch) -> StartOutcome {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return StartOutcome::Unknown;
+        };
+        let was_running = worker.is_running(order.task);
+        let outcome = worker.start(order, epoch, now);
+        let is_new = outcome == StartOutcome::Started && !was_running;
+        if is_new && worker.has_owner_contact() {
+            self.record_start(id, order);
+        }
+        if is_new {
+            self.crash_if_deadly(id, order.task);
+        }
+        outcome
+    }
+
     /// Crashes a worker if the task that it has just started is deadly for it.
     fn crash_if_deadly(&mut self, id: &WorkerId, task: TaskId) {
         let (now, wall_ms) = (self.now, self.wall_ms() + CRASH_DURATION_MS);
--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -74,7 +74,7 @@
     /// Returns the size of the call.
     pub(super) fn bytes(&self) -> u64 {
         let payload = match self {
-            Self::Start(order) => order.spec.payload.len() as u64,
+            Self::Start(order) | Self::RepeatedStart(order) => order.spec.payload.len() as u64,
             Self::Stop(..) | Self::Hold { .. } | Self::PendingHold { .. } => 0,
         };
         small_message_bytes() + payload
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -509,3 +509,26 @@
     assert_eq!(model.start_count(task_id(JOB, 0)), 1);
     assert_eq!(model.cell().unwrap().drained_workers(), []);
 }
+
+/// Guards against a copy of a start order that arrives after another copy was answered and the
+/// worker has restarted.
+#[test]
+fn a_late_copy_of_an_answered_start_order_starts_nothing_in_the_next_worker_instance() {
+    for late_ms in [1_500, 3_000, 6_000] {
+        let mut model = new_model(2);
+        for id in ["w0", "w1"] {
+            let faults = WorkerFaults { late_orders: 1, late_ms, ..WorkerFaults::default() };
+            model.set_faults(id, faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(2, 1_000, 4_000)]));
+        model.run_for(1_000);
+        assert_eq!(model.start_count(task_id(JOB, 0)), 1);
+
+        let (now, wall_ms) = (model.now(), model.wall_ms());
+        model.worker_mut("w0").restart(now, wall_ms);
+        let done = model.run_until(25_000, |model| state(model, JOB) == SUCCEEDED);
+
+        assert!(done, "{late_ms}");
+        assert_eq!(model.violations(), &[] as &[String], "{late_ms}");
+    }
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -14,7 +14,8 @@
     Epoch, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, FlowLimits,
-        LinkRate, Load, LogConfig, LogEvent, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        LinkRate, Load, LogConfig, LogEvent, StartOrder, StartOutcome, TaskId, Token, WorkerEntry,
+        WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -34,6 +35,7 @@
     note::{CellLog, StoreState},
     owner_load::{CallKind, LoadMeter, OwnerLoad},
     peer::{BUSY_RETRY_AFTER, CellReport},
+    repeat::{MAX_ORDER_COPIES, Repeater},
     session,
 };
 use crate::clock;
@@ -72,6 +74,8 @@
     log_store: LogStore,
     started_at: Timestamp,
     worker_client: WorkerClient,
+    /// Sends start orders again while workers don't answer.
+    order_repeater: Repeater,
     cell: RefCell<Option<Cell>>,
     targets: RefCell<IndexMap<WorkerId, Target>>,
     pending_replies: RefCell<PendingReplies>,
@@ -139,6 +143,7 @@
         log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
+        order_repeater: Repeater::new(MAX_ORDER_COPIES),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
         pending_replies: RefCell::default(),
@@ -403,10 +408,9 @@
             Action::Start(worker, order) => {
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
-                    let call = owner.worker_client.start(&target, &order);
-                    let is_answered =
-                        |(outcome, _): &(StartOutcome, String)| *outcome != StartOutcome::Unknown;
-                    let (outcome, _) = owner.measured(CallKind::Start, call, is_answered).await;
+                    let call = owner.start(&target, &order);
+                    let is_answered = |outcome: &StartOutcome| *outcome != StartOutcome::Unknown;
+                    let outcome = owner.measured(CallKind::Start, call, is_answered).await;
                     let now = clock::now();
                     owner
                         .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
@@ -459,6 +463,19 @@
         true
     }
 
+    /// Orders a worker to start a task. Copies of the order are the same run, so at most one takes
+    /// effect while this instance of the worker lives.
+    async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome {
+        let call = async || self.worker_client.start(target, order).await.0;
+        let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
+        let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
+        let started = self.order_repeater.call(call, is_started, is_unknown).await;
+        match started.result {
+            StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
+            outcome => outcome,
+        }
+    }
+
     async fn ask_advice(&self, request: AdviceRequest) {
         let advice = match self.node.settings.advice {
             Some(address) => {
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -20,7 +20,7 @@
     store::{Store, StoreError},
 };
 
-use super::repeat::Repeater;
+use super::repeat::{MAX_STORE_COPIES, Repeater};
 use crate::clock;
 
 /// How many times the lease is renewed within its time-to-live.
@@ -145,7 +145,7 @@
 
 async fn renew_repeatedly(cfg: RenewalConfig, state: Arc<Mutex<LeaseState>>, log: Logger) {
     let store = Store::new(cfg.store, Rc::new(Connections::default()));
-    let repeater = Repeater::default();
+    let repeater = Repeater::new(MAX_STORE_COPIES);
     let interval = Duration::from_millis(cfg.ttl.0 / RENEWALS_PER_TTL);
     let mut is_failing = false;
     loop {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -31,7 +31,7 @@
     members::Members,
     operator,
     peer::{self, CellReport, DrainInstruction, NodeRequest, Peers},
-    repeat::Repeater,
+    repeat::{MAX_STORE_COPIES, Repeater},
     roster,
     session::{self, Session},
 };
@@ -220,7 +220,7 @@
         incarnation,
         peer_address,
         store: Store::new(settings.store.address, Rc::clone(&connections)),
-        repeater: Repeater::default(),
+        repeater: Repeater::new(MAX_STORE_COPIES),
         connections,
         shared,
         peers: Peers::default(),
--- a/src/jobs/repeat.rs
+++ b/src/jobs/repeat.rs
@@ -1,7 +1,7 @@
-//! Calls to the store that are sent again, over another connection, while no answer comes.
+//! Calls that are sent again, over another connection, while no answer comes.
 //!
 //! Only for calls that have the same effect however often, and however late, they are executed.
-//! A lost answer then costs as long as the store usually takes, and not the timeout of the call.
+//! A lost answer then costs as long as an answer usually takes, and not the timeout of the call.
 
 #[cfg(test)]
 mod tests;
@@ -17,18 +17,36 @@
 
 use crate::clock;
 
-/// The most copies of a call that are sent.
-const MAX_COPIES: u32 = 4;
+/// The most copies of a call that are sent to the store.
+pub(super) const MAX_STORE_COPIES: u32 = 4;
 
-/// Sends calls to the store again. Use it within one thread.
-#[derive(Debug, Default)]
+/// The most copies of an order that are sent to a worker. While workers don't answer, each copy
+/// holds a socket until it times out.
+pub(super) const MAX_ORDER_COPIES: u32 = 3;
+
+/// Sends calls to one kind of service again. Use it within one thread.
+#[derive(Debug)]
 pub(super) struct Repeater {
+    max_copies: u32,
     timer: RefCell<RetransmitTimer>,
     /// Number of copies beyond the first of each call.
     repeats: Cell<u64>,
 }
 
+/// The result of a call of which several copies may have been sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Repeated<T> {
+    pub(super) result: T,
+    /// Whether a copy that was sent has no result: it may be executed later.
+    pub(super) has_open_copy: bool,
+}
+
 impl Repeater {
+    /// Sends each call at most `max_copies` times.
+    pub(super) fn new(max_copies: u32) -> Self {
+        Self { max_copies, timer: RefCell::default(), repeats: Cell::new(0) }
+    }
+
     /// The number of times that a call was sent again.
     pub(super) fn repeats(&self) -> u64 {
         self.repeats.get()
@@ -41,7 +59,7 @@
         store: &Store,
         txn: &Transaction,
     ) -> Result<Outcome, StoreError> {
-        self.call(|| store.transact(txn)).await
+        self.call_store(|| store.transact(txn)).await
     }
 
     /// Requests a lease. Copies whose answers were lost leave leases behind, which expire.
@@ -50,7 +68,7 @@
         store: &Store,
         ttl: Duration,
     ) -> Result<(u64, Duration), StoreError> {
-        self.call(|| store.grant(ttl)).await
+        self.call_store(|| store.grant(ttl)).await
     }
 
     /// Renews a lease.
@@ -60,14 +78,33 @@
         lease: u64,
         timeout: Duration,
     ) -> Result<(), StoreError> {
-        self.call(|| store.renew(lease, timeout)).await
+        self.call_store(|| store.renew(lease, timeout)).await
     }
 
-    /// Sends copies of a call until one has a definite answer. The time between two copies doubles.
-    /// If all fail, the error tells whether one may have taken effect.
-    async fn call<T, F>(&self, call: impl Fn() -> F) -> Result<T, StoreError>
+    /// Sends copies of a call to the store until one has a definite answer. If all fail, the error
+    /// tells whether one may have taken effect.
+    async fn call_store<T, F>(&self, call: impl Fn() -> F) -> Result<T, StoreError>
     where
         F: Future<Output = Result<T, StoreError>>,
+    {
+        let is_definite = |result: &Result<T, StoreError>| {
+            !matches!(result, Err(StoreError::Unavailable(_) | StoreError::Uncertain(_)))
+        };
+        let is_uncertain =
+            |result: &Result<T, StoreError>| matches!(result, Err(StoreError::Uncertain(_)));
+        self.call(call, is_definite, is_uncertain).await.result
+    }
+
+    /// Sends copies of a call until one has a definite result. The time between two copies doubles.
+    /// If no copy has a definite result, an uncertain one stands for all.
+    pub(super) async fn call<T, F>(
+        &self,
+        call: impl Fn() -> F,
+        is_definite: impl Fn(&T) -> bool,
+        is_uncertain: impl Fn(&T) -> bool,
+    ) -> Repeated<T>
+    where
+        F: Future<Output = T>,
     {
         let timed = async || {
             let sent_at = clock::now();
@@ -78,20 +115,23 @@
         let mut sent = 1;
         let mut pause = self.timer.borrow().timeout();
         let mut next_copy_at = clock::now() + pause;
-        let mut failure = None;
+        let mut failure: Option<T> = None;
         loop {
-            let may_repeat = sent < MAX_COPIES;
             tokio::select! {
-                Some((sent_at, result)) = copies.next() => match result {
-                    Err(err @ (StoreError::Unavailable(_) | StoreError::Uncertain(_))) => {
-                        failure = Some(more_uncertain(failure, err));
-                    }
-                    definite => {
+                Some((sent_at, result)) = copies.next() => {
+                    if is_definite(&result) {
                         self.timer.borrow_mut().record(clock::now().since(sent_at));
-                        return definite;
+                        let has_uncertain = failure.as_ref().is_some_and(&is_uncertain);
+                        let has_open_copy = has_uncertain || !copies.is_empty();
+                        return Repeated { result, has_open_copy };
                     }
-                },
-                () = tokio::time::sleep(clock::until(next_copy_at)), if may_repeat => {
+                    let result = failure.take().filter(&is_uncertain).unwrap_or(result);
+                    if copies.is_empty() {
+                        return Repeated { result, has_open_copy: false };
+                    }
+                    failure = Some(result);
+                }
+                () = tokio::time::sleep(clock::until(next_copy_at)), if sent < self.max_copies => {
                     copies.push(timed());
                     sent += 1;
                     self.repeats.set(self.repeats.get() + 1);
@@ -99,20 +139,6 @@
                     next_copy_at = clock::now() + pause;
                 }
             }
-            if copies.is_empty()
-                && let Some(failure) = failure.take()
-            {
-                return Err(failure);
-            }
         }
     }
 }
-
-/// The error for copies of a call that have failed with these errors: if one of them may have taken
-/// effect, the call may have.
-fn more_uncertain(earlier: Option<StoreError>, err: StoreError) -> StoreError {
-    match earlier {
-        Some(earlier @ StoreError::Uncertain(_)) => earlier,
-        _ => err,
-    }
-}
--- a/src/jobs/repeat/tests.rs
+++ b/src/jobs/repeat/tests.rs
@@ -57,7 +57,7 @@
     let (store, _) = store(WRITTEN, &[0]);
     let started = Instant::now();
 
-    let result = run(Repeater::default().transact(&store, &Transaction::default()));
+    let result = run(Repeater::new(MAX_STORE_COPIES).transact(&store, &Transaction::default()));
 
     assert_eq!(result, Ok(Outcome::Done(5)));
     assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
@@ -67,17 +67,17 @@
 fn a_call_is_sent_a_bounded_number_of_times() {
     let (store, calls) = store(WRITTEN, &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
 
-    let result = run(Repeater::default().transact(&store, &Transaction::default()));
+    let result = run(Repeater::new(MAX_STORE_COPIES).transact(&store, &Transaction::default()));
 
     assert!(matches!(result, Err(StoreError::Uncertain(_))), "{result:?}");
-    assert_eq!(calls.load(SeqCst), MAX_COPIES);
+    assert_eq!(calls.load(SeqCst), MAX_STORE_COPIES);
 }
 
 #[test]
 fn a_refused_call_is_not_repeated() {
     let (store, calls) = store(BUSY, &[]);
 
-    let result = run(Repeater::default().transact(&store, &Transaction::default()));
+    let result = run(Repeater::new(MAX_STORE_COPIES).transact(&store, &Transaction::default()));
 
     assert!(matches!(result, Err(StoreError::Unavailable(_))), "{result:?}");
     assert_eq!(calls.load(SeqCst), 1);
@@ -87,7 +87,38 @@
 fn a_call_may_have_taken_effect_if_one_copy_was_lost_and_the_others_refused() {
     let (store, _) = store(BUSY, &[0]);
 
-    let result = run(Repeater::default().transact(&store, &Transaction::default()));
+    let result = run(Repeater::new(MAX_STORE_COPIES).transact(&store, &Transaction::default()));
 
     assert!(matches!(result, Err(StoreError::Uncertain(_))), "{result:?}");
 }
+
+/// Makes a call whose copies have these results, each after this many milliseconds.
+fn call_with_results(results: &[(u64, u32)]) -> Repeated<u32> {
+    let next = Cell::new(0);
+    let call = || {
+        let (ms, result) = results[next.replace(next.get() + 1)];
+        async move {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            result
+        }
+    };
+    let (is_definite, is_uncertain) = (|result: &u32| *result == 1, |result: &u32| *result == 0);
+    run(Repeater::new(MAX_ORDER_COPIES).call(call, is_definite, is_uncertain))
+}
+
+#[test]
+fn a_result_tells_whether_another_copy_may_be_executed_later() {
+    let only_copy = call_with_results(&[(1, 1)]);
+    let second_copy = call_with_results(&[(5_000, 0), (1, 1)]);
+
+    assert_eq!(only_copy, Repeated { result: 1, has_open_copy: false });
+    assert_eq!(second_copy, Repeated { result: 1, has_open_copy: true });
+}
+
+#[test]
+fn a_refusal_does_not_count_while_another_copy_may_be_executed() {
+    // The first copy gets no answer in its time; the second is refused, the third too.
+    let result = call_with_results(&[(900, 0), (1, 2), (1, 2)]);
+
+    assert_eq!(result, Repeated { result: 0, has_open_copy: false });
+}
