--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -1,8 +1,8 @@
 //! Workers that are lost with runs, and tasks that are given up because workers crash under them.
 //!
 //! A task may crash each worker that starts it. Of the runs that are lost with a worker, those whose
-//! tasks have lost the most workers before are suspected; among equals, those that no list of the
-//! worker has shown, because a run that was listed has survived its start. Whether the worker
+//! tasks have lost the most workers before are suspected; among equals, those that started last, as
+//! a run that the worker has listed has survived its start. Whether the worker
 //! crashed or was cut off shows later: a crashed one is followed by another instance at its
 //! address, one that was cut off answers again.
 //!
@@ -31,6 +31,27 @@
 /// The most lost runs that are remembered for a task.
 const MAX_LOST_RUNS: usize = 2 * MAX_CRASHES;
 
+/// What is known of the start of a lost run, the most suspicious last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StartEvidence {
+    /// A list has shown the run, so that it has survived its start.
+    Survived,
+    /// The start order may not have reached the worker.
+    Unanswered,
+    /// The worker answered the start order, and no list has shown the run.
+    JustStarted,
+}
+
+impl StartEvidence {
+    fn of(run: &Run) -> Self {
+        match run.state {
+            _ if run.is_listed => Self::Survived,
+            RunState::Running => Self::JustStarted,
+            RunState::Planned | RunState::Ordered | RunState::Unsettled => Self::Unanswered,
+        }
+    }
+}
+
 impl Task {
     /// Whether the task is to be given up because it crashes workers.
     pub(super) fn is_deadly(&self) -> bool {
@@ -106,7 +127,7 @@
     ) {
         let ordered = runs.filter(|(_, run)| run.state != RunState::Planned);
         let suspicion =
-            |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), !run.is_listed);
+            |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
         let ranked: Vec<_> =
             ordered.map(|(task, run)| (suspicion((task, run)), *task, run.attempt)).collect();
         let Some(strongest) = ranked.iter().map(|(suspicion, ..)| *suspicion).max() else {
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -228,6 +228,8 @@
     confirmed_done: BTreeSet<TaskId>,
     /// How many times each task has started.
     start_counts: IndexMap<TaskId, u32>,
+    /// How many workers have crashed while they ran each task.
+    crash_counts: IndexMap<TaskId, u32>,
     /// When each task last started.
     last_starts: IndexMap<TaskId, Timestamp>,
     log_events: Vec<LogEvent>,
@@ -337,6 +339,7 @@
             violations: Vec::new(),
             confirmed_done: BTreeSet::new(),
             start_counts: IndexMap::new(),
+            crash_counts: IndexMap::new(),
             last_starts: IndexMap::new(),
             log_events: Vec::new(),
             allowed_workers: BTreeSet::new(),
@@ -392,6 +395,12 @@
         self.start_counts.get(&task).copied().unwrap_or(0)
     }
 
+    /// Returns how many workers have crashed while they ran a task.
+    #[must_use]
+    pub fn crash_count(&self, task: TaskId) -> u32 {
+        self.crash_counts.get(&task).copied().unwrap_or(0)
+    }
+
     /// Returns the log events of all owners so far.
     #[must_use]
     pub fn log_events(&self) -> &[LogEvent] {
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -255,8 +255,12 @@
 
     /// Crashes a worker if the task that it has just started is deadly for it.
     fn crash_if_deadly(&mut self, id: &WorkerId, task: TaskId) {
+        if !self.workers.get(id).is_some_and(|worker| worker.crashes_on(task)) {
+            return;
+        }
+        self.count_crash(id);
         let (now, wall_ms) = (self.now, self.wall_ms() + CRASH_DURATION_MS);
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.crashes_on(task)) else {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let entry = WorkerEntry { started_wall_ms: wall_ms, ..worker.crash(now) };
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -5,7 +5,7 @@
 use super::{Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
-    job::{Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, Token},
+    job::{Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, Token, WorkerId},
 };
 
 impl Model {
@@ -23,6 +23,24 @@
         self.workers.values()
     }
 
+    /// Restarts a worker under its id.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the model has no worker of this id.
+    pub fn restart_worker(&mut self, id: &str) {
+        let (now, wall_ms) = (self.now, self.wall_ms());
+        self.count_crash(&id.into());
+        self.worker_mut(id).restart(now, wall_ms);
+    }
+
+    /// Counts the crash of a worker for each task that it runs.
+    pub(super) fn count_crash(&mut self, id: &WorkerId) {
+        for task in self.workers.get(id).into_iter().flat_map(ModelWorker::running_tasks) {
+            *self.crash_counts.entry(task).or_default() += 1;
+        }
+    }
+
     /// Sets the faults of the next start orders to a worker.
     pub fn set_faults(&mut self, id: &str, faults: WorkerFaults) {
         self.faults.insert(id.into(), faults);
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -196,6 +196,11 @@
         self.runs.contains_key(&task)
     }
 
+    /// Returns the tasks of the active runs.
+    pub(super) fn running_tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.runs.keys().copied()
+    }
+
     /// Returns the number of active runs.
     #[must_use]
     pub fn run_count(&self) -> usize {
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -532,3 +532,23 @@
         assert_eq!(model.violations(), &[] as &[String], "{late_ms}");
     }
 }
+
+/// Guards a worker that starts whatever it is told to start against more than its shrunken capacity.
+#[test]
+fn a_worker_whose_capacity_shrinks_gets_no_order_that_does_not_fit() {
+    let mut model = new_model(1);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 10_000, 3_000)]));
+    model.run_for(500);
+
+    model.worker_mut("w0").entry.capacity.cpu_milli = 16_000;
+    model.run_for(600);
+    model.submit(JobId(8), &queue(), job_spec(vec![step(1, 10_000, 300)]));
+    model.run_for(1_000);
+    let starts_while_full = model.start_count(task_id(JobId(8), 0));
+    let is_refused = |event: &LogEvent| matches!(event, LogEvent::StartFailed { .. });
+    let was_refused = model.log_events().iter().any(is_refused);
+    let done = model.run_until(5_000, |model| state(model, JobId(8)) == SUCCEEDED);
+
+    assert_eq!((starts_while_full, was_refused), (0, false));
+    assert!(done);
+}
