--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -8,7 +8,7 @@
 //! | `session` | the node's lease, and the duties that the node claims and owns |
 //! | `members` | the registered nodes and the owners of duties |
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
-//! | `host` | the owner of a cell: its log, its orders and its workers |
+//! | `host` | the owner of a cell: its term and its log (`requests`, `calls`, `replies`) |
 //! | `owner_load` | what an owner has in flight, and how quickly it is answered |
 //! | `repeat` | calls to the store that are sent again while no answer comes |
 //! | `roster` | the list of workers in the store |
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -1,6 +1,9 @@
-//! The owner of a cell: has the cell's log written, calls its workers and answers requests.
+//! The owner of a cell during one term: its start, its ticks, its log and its end. The requests of
+//! clients and the calls to workers are in modules of their own.
 
+mod calls;
 mod replies;
+mod requests;
 
 use std::{
     cell::{Cell as StdCell, RefCell},
@@ -9,32 +12,28 @@
 };
 
 use indexmap::IndexMap;
-use slog::{info, warn};
+use slog::info;
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, AdviceRequest, Answer, Cell, CellConfig, DrainMode, FlowLimits,
-        LinkRate, Load, LogConfig, LogEvent, StartOrder, StartOutcome, TaskId, Token, WorkerEntry,
-        WorkerId,
+        Action, AdmissionPolicy, Cell, CellConfig, DrainMode, FlowLimits, LinkRate, Load,
+        LogConfig, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
-    advice,
-    client::CallError,
     config::Config,
     settings::{Bounds, Limits},
-    worker::{HoldError, Target, WorkerClient},
+    worker::{Target, WorkerClient},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use self::replies::PendingReplies;
 use super::{
-    ask::{CellRequest, Operation, Reply},
     log_store::{LogStore, WriteError},
     node::Node,
     note::{CellLog, StoreState},
-    owner_load::{CallKind, LoadMeter, OwnerLoad},
-    peer::{BUSY_RETRY_AFTER, CellReport},
+    owner_load::{LoadMeter, OwnerLoad},
+    peer::CellReport,
     repeat::{MAX_ORDER_COPIES, Repeater},
     session,
 };
@@ -49,12 +48,6 @@
 /// The interval at which an owner writes its load, and how many log lines it left out.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a write to the store may be pending before the cell refuses new jobs at once.
-const STALLED_WRITE_TIMEOUT: Span = Span(400);
-
-/// How long a refused client should wait before it retries while the store accepts no writes.
-const STORE_RETRY_AFTER: Span = Span(1_000);
-
 /// How long a stopping node waits for a cell's last segments to be written.
 const FLUSH_TIMEOUT: Span = Span(1_500);
 
@@ -274,65 +267,6 @@
         self.with_cell(|cell| cell.update_workers(entries, is_complete, clock::now()));
     }
 
-    /// Passes a request to the cell. A query is answered at once, an accepted submission or
-    /// cancellation once it is durable.
-    pub(super) fn handle(&self, request: &CellRequest) -> oneshot::Receiver<Reply> {
-        let (reply, reply_rx) = oneshot::channel();
-        let now = clock::now();
-        let immediate = match &request.operation {
-            Operation::State => self
-                .with_cell(|cell| cell.job_state(request.job))
-                .map(|state| state.map_or(Reply::UnknownJob, Reply::State)),
-            Operation::Pending => {
-                self.with_cell(|cell| Reply::Pending(cell.queued_jobs(&request.queue)))
-            }
-            Operation::Submit(spec) if self.is_store_unavailable(now) && !self.has_job(request) => {
-                self.with_cell(|cell| cell.count_arrival(request.job, &request.queue, spec));
-                self.meter.borrow_mut().record_refused();
-                let waited_ms = self.writing_since.get().map(|since| now.since(since).0);
-                info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
-                    "reason" => "the store accepts no writes", "write_waits_ms" => waited_ms,
-                    "holds_lease" => session::holds_lease(&self.node),
-                    "retry_after_ms" => STORE_RETRY_AFTER.0, "epoch" => self.epoch.0);
-                Some(Reply::Refused { retry_after: STORE_RETRY_AFTER })
-            }
-            Operation::Submit(_) | Operation::Cancel => None,
-        };
-        if let Some(answer) = immediate {
-            // The caller may have stopped waiting.
-            let _ = reply.send(answer);
-            return reply_rx;
-        }
-        let token = match self.pending_replies.borrow_mut().insert(reply) {
-            Ok(token) => token,
-            Err(reply) => {
-                info!(self.node.log, "refused"; "job" => %request.job, "queue" => %request.queue,
-                    "reason" => "too many requests wait for the log",
-                    "retry_after_ms" => BUSY_RETRY_AFTER.0, "epoch" => self.epoch.0);
-                let _ = reply.send(Reply::Refused { retry_after: BUSY_RETRY_AFTER });
-                return reply_rx;
-            }
-        };
-        self.with_cell(|cell| match &request.operation {
-            Operation::Submit(spec) => {
-                let job_and_queue = (request.job, request.queue.clone());
-                cell.submit(token, job_and_queue, spec.clone(), (now, clock::wall_ms()));
-            }
-            _ => cell.cancel(token, request.job, now),
-        });
-        reply_rx
-    }
-
-    fn has_job(&self, request: &CellRequest) -> bool {
-        self.cell.borrow().as_ref().is_some_and(|cell| cell.has_job(request.job))
-    }
-
-    /// Whether a write has been pending for too long or this node's lease may have expired.
-    fn is_store_unavailable(&self, now: Timestamp) -> bool {
-        self.writing_since.get().is_some_and(|since| now > since + STALLED_WRITE_TIMEOUT)
-            || !session::holds_lease(&self.node)
-    }
-
     pub(super) fn set_drains(
         &self,
         drains: IndexMap<WorkerId, DrainMode>,
@@ -380,152 +314,6 @@
         self.meter.borrow_mut().record_tick(started);
     }
 
-    /// Sends a call, and counts it for the report of the load. `is_answered` tells whether the
-    /// call's result is a worker's answer.
-    async fn measured<T>(
-        &self,
-        kind: CallKind,
-        call: impl Future<Output = T>,
-        is_answered: impl FnOnce(&T) -> bool,
-    ) -> T {
-        let id = self.meter.borrow_mut().begin(kind, clock::now());
-        let result = call.await;
-        self.meter.borrow_mut().end(id, is_answered(&result), clock::now());
-        result
-    }
-
-    fn execute(self: &Rc<Self>, action: Action) {
-        match action {
-            Action::Reply(token, answer) => self.reply(token, answer),
-            Action::Log(event) => {
-                match event {
-                    LogEvent::Accepted { .. } => self.meter.borrow_mut().record_accepted(),
-                    LogEvent::Refused { .. } => self.meter.borrow_mut().record_refused(),
-                    _ => {}
-                }
-                self.log.write(&event);
-            }
-            Action::Start(worker, order) => {
-                let task = (order.task, order.attempt);
-                let is_sent = self.spawn_call(&worker, async move |owner, target| {
-                    let call = owner.start(&target, &order);
-                    let is_answered = |outcome: &StartOutcome| *outcome != StartOutcome::Unknown;
-                    let outcome = owner.measured(CallKind::Start, call, is_answered).await;
-                    let now = clock::now();
-                    owner
-                        .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
-                });
-                if !is_sent {
-                    let outcome = StartOutcome::Refused("worker without an address");
-                    let now = clock::now();
-                    self.with_cell(|cell| cell.on_start_answer(&worker, task, outcome, now));
-                }
-            }
-            Action::RequestAdvice(request) => {
-                let owner = Rc::clone(self);
-                tokio::task::spawn_local(async move { owner.ask_advice(request).await });
-            }
-            Action::Stop(worker, task, attempt) => {
-                self.spawn_call(&worker, async move |owner, target| {
-                    let call = owner.worker_client.stop(&target, task, attempt);
-                    let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
-                    let (run, now) = ((task, attempt), clock::now());
-                    owner
-                        .with_cell(|cell| cell.on_stop_answer(&target.worker, run, confirmed, now));
-                });
-            }
-            Action::Pace(worker, task, attempt, share) => {
-                self.spawn_call(&worker, async move |owner, target| {
-                    owner.pace(&target, (task, attempt), share).await;
-                });
-            }
-            Action::Hold { worker, lease_end, last_seen, wait } => {
-                self.spawn_call(&worker, async move |owner, target| {
-                    owner.hold(&target, lease_end, last_seen, wait).await;
-                });
-            }
-        }
-    }
-
-    /// Calls a worker in a task of its own. Returns whether the worker's address is known.
-    fn spawn_call(
-        self: &Rc<Self>,
-        worker: &WorkerId,
-        call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
-    ) -> bool {
-        let target = self.targets.borrow().get(worker).cloned();
-        let Some(target) = target else {
-            warn!(self.node.log, "call not sent: worker without an address"; "worker" => %worker);
-            return false;
-        };
-        let owner = Rc::clone(self);
-        tokio::task::spawn_local(async move { call(owner, target).await });
-        true
-    }
-
-    /// Orders a worker to start a task. Copies of the order are the same run, so at most one takes
-    /// effect while this instance of the worker lives.
-    async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome {
-        let call = async || self.worker_client.start(target, order).await.0;
-        let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
-        let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
-        let started = self.order_repeater.call(call, is_started, is_unknown).await;
-        match started.result {
-            StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
-            outcome => outcome,
-        }
-    }
-
-    async fn ask_advice(&self, request: AdviceRequest) {
-        let advice = match self.node.settings.advice {
-            Some(address) => {
-                advice::request_advice(&self.node.connections, address, &request).await
-            }
-            None => Err(CallError::NoEffect("no advice service in the settings".to_owned())),
-        };
-        if let Err(err) = &advice {
-            warn!(self.node.log, "advice request failed"; "step" => %request.step, "error" => %err,
-                "cell" => %self.service, "epoch" => self.epoch.0);
-        }
-        self.with_cell(|cell| cell.on_advice_answer(&request, advice.as_ref().ok(), clock::now()));
-    }
-
-    async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
-        let call = self.worker_client.pace(target, task, attempt, share);
-        if self.measured(CallKind::Order, call, |ok| *ok).await {
-            self.with_cell(|cell| cell.on_pace_answer(&target.worker, (task, attempt), share));
-        }
-    }
-
-    async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
-        let sent_at = clock::now();
-        let call = self.worker_client.hold(target, lease_end, last_seen, wait);
-        let is_answered =
-            |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
-        let result = self.measured(CallKind::Hold, call, is_answered).await;
-        if let Err(HoldError::Fenced) = result {
-            warn!(self.node.log, "fenced by a later owner"; "cell" => %self.service,
-                "worker" => %target.worker, "epoch" => self.epoch.0);
-            self.node
-                .cell_owners
-                .borrow_mut()
-                .retain(|_, owner| !std::ptr::eq(&raw const **owner, self));
-            self.end_term("a worker has seen a later owner");
-            return;
-        }
-        let now = clock::now();
-        self.with_cell(|cell| cell.on_hold_answer(&target.worker, sent_at, result.ok(), now));
-    }
-
-    fn reply(&self, token: Token, answer: Answer) {
-        let answer = match answer {
-            Answer::Durable => Reply::Durable,
-            Answer::Refused { retry_after } => Reply::Refused { retry_after },
-            Answer::Unknown => Reply::UnknownJob,
-        };
-        self.pending_replies.borrow_mut().answer(token, answer);
-    }
-
     /// Writes the segments that the cell has ready, one after the other, until the term ends.
     async fn write_log(self: Rc<Self>) {
         while !self.is_term_over.get() {
--- /dev/null
+++ b/src/jobs/host/calls.rs
@@ -0,0 +1,171 @@
+//! Carries out what a cell asks for: calls to workers and to the advice service, replies to requests
+//! and log lines.
+
+use std::rc::Rc;
+
+use slog::warn;
+use teaselgap_core::{
+    Span,
+    job::{
+        Action, AdviceRequest, Answer, LogEvent, StartOrder, StartOutcome, TaskId, Token, WorkerId,
+    },
+};
+use teaselgap_platform::{
+    advice,
+    client::CallError,
+    worker::{HoldError, Target},
+};
+
+use super::{
+    super::{ask::Reply, owner_load::CallKind},
+    CellOwner,
+};
+use crate::clock;
+
+impl CellOwner {
+    /// Sends a call, and counts it for the report of the load. `is_answered` tells whether the
+    /// call's result is a worker's answer.
+    async fn measured<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = T>,
+        is_answered: impl FnOnce(&T) -> bool,
+    ) -> T {
+        let id = self.meter.borrow_mut().begin(kind, clock::now());
+        let result = call.await;
+        self.meter.borrow_mut().end(id, is_answered(&result), clock::now());
+        result
+    }
+
+    pub(super) fn execute(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Reply(token, answer) => self.reply(token, answer),
+            Action::Log(event) => {
+                match event {
+                    LogEvent::Accepted { .. } => self.meter.borrow_mut().record_accepted(),
+                    LogEvent::Refused { .. } => self.meter.borrow_mut().record_refused(),
+                    _ => {}
+                }
+                self.log.write(&event);
+            }
+            Action::Start(worker, order) => {
+                let task = (order.task, order.attempt);
+                let is_sent = self.spawn_call(&worker, async move |owner, target| {
+                    let call = owner.start(&target, &order);
+                    let is_answered = |outcome: &StartOutcome| *outcome != StartOutcome::Unknown;
+                    let outcome = owner.measured(CallKind::Start, call, is_answered).await;
+                    let now = clock::now();
+                    owner
+                        .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
+                });
+                if !is_sent {
+                    let outcome = StartOutcome::Refused("worker without an address");
+                    let now = clock::now();
+                    self.with_cell(|cell| cell.on_start_answer(&worker, task, outcome, now));
+                }
+            }
+            Action::RequestAdvice(request) => {
+                let owner = Rc::clone(self);
+                tokio::task::spawn_local(async move { owner.ask_advice(request).await });
+            }
+            Action::Stop(worker, task, attempt) => {
+                self.spawn_call(&worker, async move |owner, target| {
+                    let call = owner.worker_client.stop(&target, task, attempt);
+                    let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
+                    let (run, now) = ((task, attempt), clock::now());
+                    owner
+                        .with_cell(|cell| cell.on_stop_answer(&target.worker, run, confirmed, now));
+                });
+            }
+            Action::Pace(worker, task, attempt, share) => {
+                self.spawn_call(&worker, async move |owner, target| {
+                    owner.pace(&target, (task, attempt), share).await;
+                });
+            }
+            Action::Hold { worker, lease_end, last_seen, wait } => {
+                self.spawn_call(&worker, async move |owner, target| {
+                    owner.hold(&target, lease_end, last_seen, wait).await;
+                });
+            }
+        }
+    }
+
+    /// Calls a worker in a task of its own. Returns whether the worker's address is known.
+    fn spawn_call(
+        self: &Rc<Self>,
+        worker: &WorkerId,
+        call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
+    ) -> bool {
+        let target = self.targets.borrow().get(worker).cloned();
+        let Some(target) = target else {
+            warn!(self.node.log, "call not sent: worker without an address"; "worker" => %worker);
+            return false;
+        };
+        let owner = Rc::clone(self);
+        tokio::task::spawn_local(async move { call(owner, target).await });
+        true
+    }
+
+    /// Orders a worker to start a task. Copies of the order are the same run, so at most one takes
+    /// effect while this instance of the worker lives.
+    async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome {
+        let call = async || self.worker_client.start(target, order).await.0;
+        let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
+        let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
+        let started = self.order_repeater.call(call, is_started, is_unknown).await;
+        match started.result {
+            StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
+            outcome => outcome,
+        }
+    }
+
+    async fn ask_advice(&self, request: AdviceRequest) {
+        let advice = match self.node.settings.advice {
+            Some(address) => {
+                advice::request_advice(&self.node.connections, address, &request).await
+            }
+            None => Err(CallError::NoEffect("no advice service in the settings".to_owned())),
+        };
+        if let Err(err) = &advice {
+            warn!(self.node.log, "advice request failed"; "step" => %request.step, "error" => %err,
+                "cell" => %self.service, "epoch" => self.epoch.0);
+        }
+        self.with_cell(|cell| cell.on_advice_answer(&request, advice.as_ref().ok(), clock::now()));
+    }
+
+    async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
+        let call = self.worker_client.pace(target, task, attempt, share);
+        if self.measured(CallKind::Order, call, |ok| *ok).await {
+            self.with_cell(|cell| cell.on_pace_answer(&target.worker, (task, attempt), share));
+        }
+    }
+
+    async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
+        let sent_at = clock::now();
+        let call = self.worker_client.hold(target, lease_end, last_seen, wait);
+        let is_answered =
+            |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
+        let result = self.measured(CallKind::Hold, call, is_answered).await;
+        if let Err(HoldError::Fenced) = result {
+            warn!(self.node.log, "fenced by a later owner"; "cell" => %self.service,
+                "worker" => %target.worker, "epoch" => self.epoch.0);
+            self.node
+                .cell_owners
+                .borrow_mut()
+                .retain(|_, owner| !std::ptr::eq(&raw const **owner, self));
+            self.end_term("a worker has seen a later owner");
+            return;
+        }
+        let now = clock::now();
+        self.with_cell(|cell| cell.on_hold_answer(&target.worker, sent_at, result.ok(), now));
+    }
+
+    fn reply(&self, token: Token, answer: Answer) {
+        let answer = match answer {
+            Answer::Durable => Reply::Durable,
+            Answer::Refused { retry_after } => Reply::Refused { retry_after },
+            Answer::Unknown => Reply::UnknownJob,
+        };
+        self.pending_replies.borrow_mut().answer(token, answer);
+    }
+}
--- a/src/jobs/host/replies.rs
+++ b/src/jobs/host/replies.rs
@@ -7,7 +7,7 @@
 use teaselgap_core::job::Token;
 use tokio::sync::oneshot;
 
-use super::Reply;
+use super::super::ask::Reply;
 
 /// The most requests that may be pending, as many as one write of the log can answer. Later ones
 /// would wait for a second write.
