A run with an open copy of its start order is not free when its worker restarts

Cause: a run that a list had shown was taken for ended when its worker restarted. With copies, the list shows that one was executed, not that all were.

Change: such a run stays unsettled until the new instance has confirmed a stop, as for an unanswered order.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -84,7 +84,8 @@
     }
 
     /// Handles the restart of a worker under the same id. The runs that its previous instance listed
-    /// have ended, but a start order may have reached the new instance or may still reach it.
+    /// have ended, but a start order, or another copy of one that was answered, may have reached the
+    /// new instance or may still reach it.
     pub(super) fn on_worker_restart(&mut self, id: &WorkerId, entry: WorkerEntry, now: Timestamp) {
         let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
@@ -106,10 +107,15 @@
         }));
         self.confirm_restarted(id, now);
         self.suspect_tasks(id, runs.iter(), true, now);
+        let has_open_copy = |task: TaskId, run: &Run| {
+            unanswered_starts.iter().any(|(other, attempt, at)| {
+                (*other, *attempt) == (task, run.attempt) && now <= *at + UNANSWERED_START_LIFETIME
+            })
+        };
         for (task, run) in runs {
             if run.state == RunState::Planned {
                 self.withdraw_run(id, task);
-            } else if run.is_listed {
+            } else if run.is_listed && !has_open_copy(task, &run) {
                 self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
             } else if let Some(worker) = self.workers.get_mut(id) {
                 let unsettled = Run {
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -514,22 +514,22 @@
 /// worker has restarted.
 #[test]
 fn a_late_copy_of_an_answered_start_order_starts_nothing_in_the_next_worker_instance() {
-    for late_ms in [1_500, 3_000, 6_000] {
+    // The copy arrives at various times after the new instance can be reached.
+    for (restart_ms, late_ms) in (0..40).map(|step| (1_200 + step * 7, 1_510 + step * 15)) {
         let mut model = new_model(2);
         for id in ["w0", "w1"] {
             let faults = WorkerFaults { late_orders: 1, late_ms, ..WorkerFaults::default() };
             model.set_faults(id, faults);
         }
         model.submit(JOB, &queue(), job_spec(vec![step(2, 1_000, 4_000)]));
-        model.run_for(1_000);
+        model.run_for(restart_ms);
         assert_eq!(model.start_count(task_id(JOB, 0)), 1);
 
-        let (now, wall_ms) = (model.now(), model.wall_ms());
-        model.worker_mut("w0").restart(now, wall_ms);
+        model.restart_worker("w0");
         let done = model.run_until(25_000, |model| state(model, JOB) == SUCCEEDED);
 
-        assert!(done, "{late_ms}");
-        assert_eq!(model.violations(), &[] as &[String], "{late_ms}");
+        assert!(done, "{restart_ms} {late_ms}");
+        assert_eq!(model.violations(), &[] as &[String], "{restart_ms} {late_ms}");
     }
 }
 
