A long-running task that is at work is not given up, however many workers crash

Change: a long-running run that is listed at full speed has survived its start; it is not suspected, and clears what was held against its task.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! A task may crash each worker that starts it. Of the runs that are lost with a worker, those whose
 //! tasks have lost the most workers before are suspected; among equals, those that started last, as
-//! a run that the worker has listed has survived its start. Whether the worker
+//! a run that the worker has listed has survived its start. A long-running task that is at work is
+//! not suspected, whatever happened before: its workers may crash as often as any others do. Whether the worker
 //! crashed or was cut off shows later: a crashed one is followed by another instance at its
 //! address, one that was cut off answers again.
 //!
@@ -111,9 +112,14 @@
         self.suspects = suspects;
     }
 
-    /// Forgets the suspicion against a task that is done or whose job has ended.
+    /// Forgets the suspicion against a task that is done or at work, or whose job has ended.
     pub(super) fn clear_suspicion(&mut self, id: TaskId) {
-        self.suspects.swap_remove(&id);
+        if !self.suspects.swap_remove(&id) {
+            return;
+        }
+        if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
+            task.lost_runs.clear();
+        }
     }
 
     /// Suspects tasks whose runs are lost with a worker. `has_crashed` is set if the worker is known
@@ -125,7 +131,8 @@
         has_crashed: bool,
         now: Timestamp,
     ) {
-        let ordered = runs.filter(|(_, run)| run.state != RunState::Planned);
+        let may_be_deadly = |run: &Run| run.state != RunState::Planned && !run.is_at_work();
+        let ordered = runs.filter(|(_, run)| may_be_deadly(run));
         let suspicion =
             |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
         let ranked: Vec<_> =
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -304,7 +304,7 @@
         let Some(step) = job.spec.steps.get(listed_run.task.step as usize) else {
             return;
         };
-        let target = step.tail_target;
+        let (target, is_long_running) = (step.tail_target, step.long_running);
         if let Some(task) = job.task_mut(listed_run.task) {
             task.unavailable_since = if listed_run.progress_percent >= 100 {
                 None
@@ -315,6 +315,9 @@
                 task.checkpoint = Some(std::sync::Arc::clone(checkpoint));
             }
         }
+        if is_long_running && listed_run.progress_percent >= 100 {
+            self.clear_suspicion(listed_run.task);
+        }
         if let Some(target) = target {
             self.pace_table.record_tail(
                 id,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -278,6 +278,11 @@
         self.measured_at = now;
     }
 
+    /// Whether it is the run of a long-running task, at work at full speed when last listed.
+    pub(super) fn is_at_work(&self) -> bool {
+        self.is_long_running && self.is_listed && self.progress_percent >= 100
+    }
+
     /// Whether the worker has the run and it is not being stopped.
     pub(super) fn is_settled(&self) -> bool {
         self.state == RunState::Running && self.stopping.is_none()
--- a/crates/standins/tests/cells/crashes.rs
+++ b/crates/standins/tests/cells/crashes.rs
@@ -3,7 +3,7 @@
 use teaselgap_core::job::{JobEnd, JobId, JobState};
 use teaselgap_standins::model::{Model, TaskTime};
 
-use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
 
 /// The job whose task crashes each worker that starts it.
 const DEADLY: JobId = JobId(9_999);
@@ -120,3 +120,23 @@
 
     assert!(model.run_until(20_000, all_done));
 }
+
+/// Guards a job that lasts against being given up for crashes that have nothing to do with it.
+#[test]
+fn a_long_running_task_that_is_at_work_is_not_given_up_however_many_workers_crash() {
+    let mut model = new_model(2);
+    let job = JobId(1);
+    model.submit(job, &queue(), long_running_job(1, 0));
+
+    for _ in 0..6 {
+        model.run_for(4_000);
+        let running = model.workers().find(|worker| worker.run_count() > 0);
+        let id = running.expect("a worker that runs the task").entry.id.clone();
+        model.restart_worker(id.as_str());
+    }
+    model.run_for(4_000);
+
+    assert_eq!(state(&model, job), Some(JobState::Running));
+    assert_eq!(model.crash_count(task_id(job, 0)), 6);
+    assert!(model.workers().any(|worker| worker.run_count() > 0));
+}
