No copy of a start order is sent once the term has ended

An owner sends no order after its term, on which the wait of the next owner rests. The copies of an order that was sent before went on for some 200 ms. No test: the loop of copies has one in repeat::tests.

--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -107,9 +107,14 @@
     }
 
     /// Orders a worker to start a task. Copies of the order are the same run, so at most one takes
-    /// effect while this instance of the worker lives.
+    /// effect while this instance of the worker lives. None is sent once the term has ended.
     async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome {
-        let call = async || self.worker_client.start(target, order).await.0;
+        let call = async || {
+            if self.is_term_over.get() {
+                return StartOutcome::Refused("the term is over");
+            }
+            self.worker_client.start(target, order).await.0
+        };
         let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
         let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
         let started = self.order_repeater.call(call, is_started, is_unknown).await;
