A run whose stop was revoked is not taken for ended while it is being stopped

Traced by reading and shown in the model.

What was seen: run 1 of a task ran from 13.420 to 13.569 s and was stopped, run 2 began elsewhere at 13.431.

A run that is being stopped is listed neither as running nor as ended, so the next list made the owner take it for ended, and the task started elsewhere while it was still stopping.

Change: a run with a revoked stop that is not listed any more counts as being stopped from then on, for the longest time that a stop takes.

The model's workers leave runs that are being stopped out of their lists, as the platform's do, and can carry stops out late; random.rs uses both.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -183,6 +183,7 @@
         };
         let is_revocable = |stop: &mut StopOrder| stop.is_revocable && stop.confirmed.is_none();
         if run.stopping.take_if(is_revocable).is_some() {
+            run.had_stop_order = true;
             let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
             let reason = "started after all";
             self.actions.push(Action::Log(LogEvent::StopRevoked { run: run_id, reason }));
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -7,7 +7,7 @@
     super::{
         Action, DrainMode, HoldReport, ListedRun, LogEvent, Record, RunId, TaskId, WorkerEntry,
         WorkerId,
-        worker::{Logged, Run, RunState, UNANSWERED_START_LIFETIME, Worker},
+        worker::{Logged, Run, RunState, StopOrder, UNANSWERED_START_LIFETIME, Worker},
     },
     Cell, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
@@ -387,6 +387,17 @@
         };
         // A run that is being stopped may be listed neither as running nor as ended for this long.
         let stop_limit = Span(self.cfg.stop_timeout.0 + END_LISTING_DELAY.0);
+        // A revoked stop was executed after all if such a run is not listed any more.
+        let is_gone = |task: &TaskId, run: &Run| {
+            let is_settled = run.is_settled() && sent > run.expect_in_lists_after;
+            is_settled && run.had_stop_order && !is_listed(task, run)
+        };
+        for (task, run) in &mut worker.runs {
+            if is_gone(task, run) {
+                let confirmed = Some(now);
+                run.stopping = Some(StopOrder { next: None, confirmed, is_revocable: false });
+            }
+        }
         let ended: Vec<(TaskId, u32, &'static str)> = worker
             .runs
             .iter()
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -101,6 +101,8 @@
     /// The order to stop the run, retried until the worker confirms it; `None` if the run is not
     /// being stopped.
     pub(super) stopping: Option<StopOrder>,
+    /// Whether an order to stop the run was revoked, which may still be executed.
+    pub(super) had_stop_order: bool,
     /// Progress in percent or, for a long-running task, the share of its full speed at which it
     /// works.
     pub(super) progress_percent: u64,
@@ -259,6 +261,7 @@
             started: now,
             expect_in_lists_after: now,
             stopping: None,
+            had_stop_order: false,
             progress_percent: 0,
             measured_at: now,
             measured_percent: 0,
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -186,6 +186,9 @@
     pub lost_answers: u32,
     /// Number of start orders that reach the worker late and are not answered.
     pub late_orders: u32,
+    /// Number of stop orders that reach the worker late and are not answered; they come after those
+    /// that are lost.
+    pub late_stops: u32,
     /// Time that a late order takes to reach the worker, in milliseconds.
     pub late_ms: u64,
     /// Number of stop orders that have no effect and are not answered.
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -87,6 +87,13 @@
         let deadline = self.now + call.timeout();
         let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
+        if let (Call::Stop(..), Some(faults)) = (&call, self.faults.get_mut(&worker))
+            && faults.late_stops > 0
+        {
+            faults.late_stops -= 1;
+            delay_ms = faults.late_ms;
+            answer_arrives = false;
+        }
         let is_start = matches!(call, Call::Start(_) | Call::RepeatedStart(_));
         if let Some(faults) = self.faults.get_mut(&worker).filter(|_| is_start) {
             if faults.late_orders > 0 {
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -398,7 +398,9 @@
         let confirmed = self.ends.iter().filter(|one| one.end.number <= last_seen);
         let done = confirmed.filter(is_done).map(|one| (one.end.task, one.at)).collect();
         self.ends.retain(|one| one.end.number > last_seen);
-        let running = self.runs.iter().map(|(&task, run)| ListedRun {
+        // A run that is being stopped is listed neither as running nor as ended.
+        let listed = self.runs.iter().filter(|(_, run)| run.stop_at.is_none());
+        let running = listed.map(|(&task, run)| ListedRun {
             task,
             attempt: run.attempt,
             checkpoint: None,
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -4,7 +4,7 @@
 use teaselgap_core::job::{DrainMode, EndKind, JobId, LogEvent, WorkerId};
 use teaselgap_standins::model::{Model, WorkerFaults};
 
-use crate::fixtures::{long_running_job, new_model, queue, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 const JOB: JobId = JobId(7);
 
@@ -121,3 +121,29 @@
     assert!(model.workers().any(|worker| worker.is_running(task)));
     assert_eq!(model.violations(), &[] as &[String]);
 }
+
+/// Guards against a task that starts elsewhere while its late run is being stopped: the list showed
+/// the run, and an earlier stop that arrived late ended it after all.
+#[test]
+fn a_task_that_started_late_and_is_stopped_after_all_runs_once_at_a_time() {
+    for late_ms in [900, 1_400, 1_900] {
+        let mut model = new_model(2);
+        let late =
+            WorkerFaults { late_orders: 2, late_ms, late_stops: 1, ..WorkerFaults::default() };
+        model.set_faults("w0", late);
+        model.submit(JobId(1), &queue(), job_spec(vec![step(1, 1_000, 2_000)]));
+        model.run_for(100);
+
+        // The ends of short tasks have the worker answer holds at once.
+        for number in 0..250 {
+            model.submit(JobId(100 + number), &queue(), job_spec(vec![step(4, 500, 60)]));
+            model.run_for(20);
+        }
+
+        let is_taken_for_ended = |event: &&LogEvent| {
+            matches!(event, LogEvent::RunEndedUnreported { reason: "run no longer listed", .. })
+        };
+        assert_eq!(model.log_events().iter().filter(is_taken_for_ended).count(), 0, "{late_ms}");
+        assert_eq!(model.violations(), &[] as &[String], "{late_ms}");
+    }
+}
--- a/crates/standins/tests/cells/random.rs
+++ b/crates/standins/tests/cells/random.rs
@@ -47,6 +47,7 @@
         late_orders: u32,
         late_ms: u64,
         lost_stops: u32,
+        late_stops: u32,
     },
     StoreOutage {
         ms: u64,
@@ -65,9 +66,16 @@
         (worker.clone(), 500_u64..9_000).prop_map(|(worker, ms)| Fault::Unreachable { worker, ms }),
         worker.clone().prop_map(|worker| Fault::WorkerRestart { worker }),
         worker.clone().prop_map(|worker| Fault::LongRunningFailures { worker }),
-        (worker, 0_u32..3, 0_u32..3, 1_000_u64..9_000, 0_u32..3).prop_map(
-            |(worker, lost_answers, late_orders, late_ms, lost_stops)| {
-                Fault::FaultyOrders { worker, lost_answers, late_orders, late_ms, lost_stops }
+        (worker, 0_u32..3, 0_u32..3, 1_000_u64..9_000, 0_u32..3, 0_u32..3).prop_map(
+            |(worker, lost_answers, late_orders, late_ms, lost_stops, late_stops)| {
+                Fault::FaultyOrders {
+                    worker,
+                    lost_answers,
+                    late_orders,
+                    late_ms,
+                    lost_stops,
+                    late_stops,
+                }
             }
         ),
         (500_u64..4_000).prop_map(|ms| Fault::StoreOutage { ms }),
@@ -99,12 +107,20 @@
             let now = model.now();
             model.worker_mut(&worker_id(worker)).fail_endless_runs(now);
         }
-        Fault::FaultyOrders { worker, lost_answers, late_orders, late_ms, lost_stops } => {
+        Fault::FaultyOrders {
+            worker,
+            lost_answers,
+            late_orders,
+            late_ms,
+            lost_stops,
+            late_stops,
+        } => {
             let faults = WorkerFaults {
                 lost_answers: *lost_answers,
                 late_orders: *late_orders,
                 late_ms: *late_ms,
                 lost_stops: *lost_stops,
+                late_stops: *late_stops,
             };
             model.set_faults(&worker_id(worker), faults);
         }
