Names say that a task crashes workers, not that it is deadly

Change: has_crashing_task, crashes_workers, may_have_crashed_it, crash_on_start, CRASHING_JOB. No change of behaviour.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -55,7 +55,7 @@
 
 impl Task {
     /// Whether the task is to be given up because it crashes workers.
-    pub(super) fn is_deadly(&self) -> bool {
+    pub(super) fn crashes_workers(&self) -> bool {
         self.lost_runs.iter().filter(|lost| lost.is_crash).count() >= MAX_CRASHES
     }
 
@@ -72,9 +72,9 @@
 }
 
 /// Whether a job has a task that is to be given up because it crashes workers.
-pub(super) fn has_deadly_task(job: &Job) -> bool {
+pub(super) fn has_crashing_task(job: &Job) -> bool {
     let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.flat_map(|step| &step.tasks).any(|task| !task.is_done && task.is_deadly())
+    steps.flat_map(|step| &step.tasks).any(|task| !task.is_done && task.crashes_workers())
 }
 
 /// Applies a [`Record::RunLost`].
@@ -131,8 +131,8 @@
         has_crashed: bool,
         now: Timestamp,
     ) {
-        let may_be_deadly = |run: &Run| run.state != RunState::Planned && !run.is_at_work();
-        let ordered = runs.filter(|(_, run)| may_be_deadly(run));
+        let may_have_crashed_it = |run: &Run| run.state != RunState::Planned && !run.is_at_work();
+        let ordered = runs.filter(|(_, run)| may_have_crashed_it(run));
         let suspicion =
             |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
         let ranked: Vec<_> =
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -8,7 +8,7 @@
         task::Job, times,
     },
     Cell, DeferredEffect,
-    crashes::has_deadly_task,
+    crashes::has_crashing_task,
 };
 use crate::{Span, Timestamp};
 
@@ -268,7 +268,7 @@
         };
         if job.is_done() {
             self.finish_job(id, JobEnd::Succeeded, now);
-        } else if Self::has_failed(job, max_attempts) || has_deadly_task(job) {
+        } else if Self::has_failed(job, max_attempts) || has_crashing_task(job) {
             self.finish_job(id, JobEnd::Failed, now);
         }
     }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -15,7 +15,7 @@
         task::{Job, Placement},
     },
     Cell, CellConfig,
-    crashes::has_deadly_task,
+    crashes::has_crashing_task,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -356,7 +356,7 @@
             };
             if job.is_done() {
                 self.finish_job(id, JobEnd::Succeeded, now);
-            } else if Self::has_failed(job, max_attempts) || has_deadly_task(job) {
+            } else if Self::has_failed(job, max_attempts) || has_crashing_task(job) {
                 self.finish_job(id, JobEnd::Failed, now);
             }
         }
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -255,13 +255,13 @@
             self.record_start(id, order);
         }
         if is_new {
-            self.crash_if_deadly(id, order.task);
+            self.crash_on_start(id, order.task);
         }
         outcome
     }
 
-    /// Crashes a worker if the task that it has just started is deadly for it.
-    fn crash_if_deadly(&mut self, id: &WorkerId, task: TaskId) {
+    /// Crashes a worker if it is set to crash when this task starts.
+    fn crash_on_start(&mut self, id: &WorkerId, task: TaskId) {
         if !self.workers.get(id).is_some_and(|worker| worker.crashes_on(task)) {
             return;
         }
--- a/crates/standins/tests/cells/crashes.rs
+++ b/crates/standins/tests/cells/crashes.rs
@@ -6,7 +6,7 @@
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
 
 /// The job whose task crashes each worker that starts it.
-const DEADLY: JobId = JobId(9_999);
+const CRASHING_JOB: JobId = JobId(9_999);
 
 /// The most starts of such a task: it may not be started three times more once three workers have
 /// crashed under it.
@@ -16,15 +16,15 @@
 
 const SUCCEEDED: Option<JobState> = Some(JobState::Ended(JobEnd::Succeeded));
 
-/// Longer than it takes to give a deadly task up: three crashes, each noticed when a lease expires.
+/// Longer than three crashes take, each of which is noticed when a lease expires.
 const GIVE_UP_MS: u64 = 30_000;
 
-fn model_with_deadly_job(workers: usize) -> Model {
+fn model_with_crashing_job(workers: usize) -> Model {
     let mut model = new_model(workers);
     for number in 0..workers {
-        model.worker_mut(&format!("w{number}")).task_time = TaskTime::CrashesOn(DEADLY);
+        model.worker_mut(&format!("w{number}")).task_time = TaskTime::CrashesOn(CRASHING_JOB);
     }
-    model.submit(DEADLY, &queue(), job_spec(vec![step(1, 2_000, 800)]));
+    model.submit(CRASHING_JOB, &queue(), job_spec(vec![step(1, 2_000, 800)]));
     model
 }
 
@@ -41,24 +41,24 @@
 /// Guards against a task that is started again and again and crashes worker after worker.
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
-    let mut model = model_with_deadly_job(12);
+    let mut model = model_with_crashing_job(12);
 
-    let is_given_up = model.run_until(GIVE_UP_MS, |model| state(model, DEADLY) == FAILED);
+    let is_given_up = model.run_until(GIVE_UP_MS, |model| state(model, CRASHING_JOB) == FAILED);
     model.run_for(GIVE_UP_MS);
 
     assert!(is_given_up);
-    let starts = model.start_count(task_id(DEADLY, 0));
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
     assert!(starts <= MAX_STARTS, "{starts} starts");
 }
 
 #[test]
 fn tasks_that_run_beside_one_that_crashes_its_workers_are_not_given_up() {
-    let mut model = model_with_deadly_job(12);
+    let mut model = model_with_crashing_job(12);
 
     let jobs = submit_steadily(&mut model, GIVE_UP_MS);
     model.run_for(10_000);
 
-    assert_eq!(state(&model, DEADLY), FAILED);
+    assert_eq!(state(&model, CRASHING_JOB), FAILED);
     for job in jobs {
         assert_eq!(state(&model, job), SUCCEEDED, "{job}");
     }
@@ -67,7 +67,7 @@
 
 #[test]
 fn crashes_under_a_task_are_remembered_when_the_owner_is_lost() {
-    let mut model = model_with_deadly_job(12);
+    let mut model = model_with_crashing_job(12);
 
     // The owner is lost again and again, each time some seconds after a crash was noticed.
     for _ in 0..6 {
@@ -78,8 +78,8 @@
     }
     model.run_for(GIVE_UP_MS);
 
-    assert_eq!(state(&model, DEADLY), FAILED);
-    let starts = model.start_count(task_id(DEADLY, 0));
+    assert_eq!(state(&model, CRASHING_JOB), FAILED);
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
     assert!(starts <= MAX_STARTS, "{starts} starts");
 }
 
