Losses that nothing explains leave room for crashes

Callers would have seen a job stay 'running' while its task crashed worker after worker.

Cause: six lost runs of a task are remembered, the first ones. After six losses without an explanation (workers that were cut off and never answered again) no crash was remembered any more. Change: a new loss replaces an unexplained one. Evidence: crashes::tests::crashes_count_however_many_losses_were_never_explained fails without the change. Fewer than three of the remembered ones are crashes, or the task would have been given up, so there is always one to replace.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -10,6 +10,9 @@
 //! Placements of suspected tasks are logged, so that the next owner knows which of them were lost
 //! with a worker during the takeover.
 
+#[cfg(test)]
+mod tests;
+
 use indexmap::IndexSet;
 
 use super::{
@@ -65,9 +68,12 @@
             known.is_crash |= lost.is_crash;
             return;
         }
-        if self.lost_runs.len() < MAX_LOST_RUNS {
-            self.lost_runs.push(lost);
+        if self.lost_runs.len() >= MAX_LOST_RUNS {
+            // Fewer than `MAX_CRASHES` are crashes, or the task would have been given up.
+            let unexplained = self.lost_runs.iter().position(|known| !known.is_crash);
+            self.lost_runs.remove(unexplained.unwrap_or(0));
         }
+        self.lost_runs.push(lost);
     }
 }
 
