Start orders and their copies are a module with tests; tests of copies wait for conditions

Cause: the loop of copies had tests, the order that uses it had none, because it was a method of the cell's owner. Two tests of the loop waited on the clock. Change: start_order.rs, with a server for tests that loses answers; repeat::tests use results that never come, or come once so many copies have been sent. The server is one for both. No change of behaviour. Evidence, each with the line in question taken out: a_start_order_whose_answer_is_lost_is_settled_by_its_second_copy fails without copies; no_copy_of_a_start_order_is_sent_once_the_term_has_ended fails without the check of the term.

--- a/crates/core/src/job/retransmit.rs
+++ b/crates/core/src/job/retransmit.rs
@@ -12,7 +12,7 @@
 /// The longest time after which a call is sent again for the first time.
 const MAX_TIMEOUT: Span = Span(500);
 
-/// The timeout before any answer has been measured.
+/// The timeout before the first answer.
 const INITIAL_TIMEOUT: Span = Span(200);
 
 /// The weight of a new measurement in the smoothed answer time is one in this many.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -10,7 +10,7 @@
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
 //! | `host` | the owner of a cell: its term and its log (`requests`, `calls`, `replies`) |
 //! | `owner_load` | what an owner has in flight, and how quickly it is answered |
-//! | `repeat` | calls to the store that are sent again while no answer comes |
+//! | `repeat`, `start_order` | calls to the store and start orders, sent again while no answer comes |
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
@@ -37,5 +37,8 @@
 mod repeat;
 mod roster;
 mod session;
+mod start_order;
+#[cfg(test)]
+mod test_server;
 
 pub(crate) use self::{node::serve, owner_load::OwnerLoad};
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -6,9 +6,7 @@
 use slog::warn;
 use teaselgap_core::{
     Span,
-    job::{
-        Action, AdviceRequest, Answer, LogEvent, StartOrder, StartOutcome, TaskId, Token, WorkerId,
-    },
+    job::{Action, AdviceRequest, Answer, LogEvent, StartOutcome, TaskId, Token, WorkerId},
 };
 use teaselgap_platform::{
     advice,
@@ -17,7 +15,7 @@
 };
 
 use super::{
-    super::{ask::Reply, owner_load::CallKind},
+    super::{ask::Reply, owner_load::CallKind, start_order},
     CellOwner,
 };
 use crate::clock;
@@ -51,7 +49,9 @@
             Action::Start(worker, order) => {
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
-                    let call = owner.start(&target, &order);
+                    let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
+                    let is_term_over = || owner.is_term_over.get();
+                    let call = start_order::send(repeater, client, (&target, &order), is_term_over);
                     let is_answered = |outcome: &StartOutcome| *outcome != StartOutcome::Unknown;
                     let outcome = owner.measured(CallKind::Start, call, is_answered).await;
                     let now = clock::now();
@@ -106,24 +106,6 @@
         true
     }
 
-    /// Orders a worker to start a task. Copies of the order are the same run, so at most one takes
-    /// effect while this instance of the worker lives. None is sent once the term has ended.
-    async fn start(&self, target: &Target, order: &StartOrder) -> StartOutcome {
-        let call = async || {
-            if self.is_term_over.get() {
-                return StartOutcome::Refused("the term is over");
-            }
-            self.worker_client.start(target, order).await.0
-        };
-        let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
-        let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
-        let started = self.order_repeater.call(call, is_started, is_unknown).await;
-        match started.result {
-            StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
-            outcome => outcome,
-        }
-    }
-
     async fn ask_advice(&self, request: AdviceRequest) {
         let advice = match self.node.settings.advice {
             Some(address) => {
--- a/src/jobs/repeat/tests.rs
+++ b/src/jobs/repeat/tests.rs
@@ -1,6 +1,4 @@
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
     rc::Rc,
     sync::{
         Arc,
@@ -10,35 +8,17 @@
 };
 
 use teaselgap_platform::client::Connections;
+use tokio::sync::Notify;
 
-use super::*;
-
-/// Answers the requests of a connection, except for those whose number is in `lost`. A connection
-/// on which an answer is lost returns nothing further.
-fn answer_requests(mut stream: TcpStream, answer: &str, calls: &AtomicU32, lost: &[u32]) {
-    let mut buf = [0; 4_096];
-    let mut is_silent = false;
-    while stream.read(&mut buf).is_ok_and(|count| count > 0) {
-        is_silent |= lost.contains(&calls.fetch_add(1, SeqCst));
-        if !is_silent && write!(stream, "{answer}").is_err() {
-            return;
-        }
-    }
-}
+use super::{
+    super::test_server::{run, serve},
+    *,
+};
 
 /// Starts a store that gives this answer to each call, except for the `lost` ones, numbered from
 /// zero. Returns a client for it, and the number of calls.
 fn store(answer: &'static str, lost: &'static [u32]) -> (Store, Arc<AtomicU32>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address: SocketAddr = listener.local_addr().unwrap();
-    let calls = Arc::new(AtomicU32::new(0));
-    let counted = Arc::clone(&calls);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let calls = Arc::clone(&counted);
-            std::thread::spawn(move || answer_requests(stream, answer, &calls, lost));
-        }
-    });
+    let (address, calls) = serve(answer, lost);
     (Store::new(address, Rc::new(Connections::default())), calls)
 }
 
@@ -46,11 +26,6 @@
 
 const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
-fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    runtime.block_on(test)
-}
-
 /// Guards against writes that wait for a lost answer until the call times out, after 1.5 s.
 #[test]
 fn a_write_whose_answer_is_lost_is_done_before_the_call_times_out() {
@@ -92,33 +67,60 @@
     assert!(matches!(result, Err(StoreError::Uncertain(_))), "{result:?}");
 }
 
-/// Makes a call whose copies have these results, each after this many milliseconds.
-fn call_with_results(results: &[(u64, u32)]) -> Repeated<u32> {
-    let next = Cell::new(0);
+/// What becomes of a copy of a call.
+#[derive(Clone, Copy)]
+enum CopyResult {
+    Now(u32),
+    Never,
+    /// The result comes once this many copies have been sent.
+    OnceSent(u32, u32),
+}
+
+/// A result that settles a call, one that leaves its effect open, and a refusal.
+const DEFINITE: u32 = 1;
+const UNCERTAIN: u32 = 0;
+const REFUSED: u32 = 2;
+
+/// Makes a call whose copies have these results.
+fn call_with_results(results: &[CopyResult]) -> Repeated<u32> {
+    let sent = Cell::new(0);
+    let is_sent = Notify::new();
     let call = || {
-        let (ms, result) = results[next.replace(next.get() + 1)];
+        let copy = results[sent.replace(sent.get() + 1) as usize];
+        is_sent.notify_waiters();
+        let (sent, is_sent) = (&sent, &is_sent);
         async move {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
-            result
+            match copy {
+                CopyResult::Now(result) => result,
+                CopyResult::Never => std::future::pending().await,
+                CopyResult::OnceSent(count, result) => {
+                    while sent.get() < count {
+                        is_sent.notified().await;
+                    }
+                    result
+                }
+            }
         }
     };
-    let (is_definite, is_uncertain) = (|result: &u32| *result == 1, |result: &u32| *result == 0);
+    let is_definite = |result: &u32| *result == DEFINITE;
+    let is_uncertain = |result: &u32| *result == UNCERTAIN;
     run(Repeater::new(MAX_ORDER_COPIES).call(call, is_definite, is_uncertain))
 }
 
 #[test]
 fn a_result_tells_whether_another_copy_may_be_executed_later() {
-    let only_copy = call_with_results(&[(1, 1)]);
-    let second_copy = call_with_results(&[(5_000, 0), (1, 1)]);
+    let only_copy = call_with_results(&[CopyResult::Now(DEFINITE)]);
+    let second_copy = call_with_results(&[CopyResult::Never, CopyResult::Now(DEFINITE)]);
 
-    assert_eq!(only_copy, Repeated { result: 1, has_open_copy: false });
-    assert_eq!(second_copy, Repeated { result: 1, has_open_copy: true });
+    assert_eq!(only_copy, Repeated { result: DEFINITE, has_open_copy: false });
+    assert_eq!(second_copy, Repeated { result: DEFINITE, has_open_copy: true });
 }
 
 #[test]
 fn a_refusal_does_not_count_while_another_copy_may_be_executed() {
-    // The first copy gets no answer in its time; the second is refused, the third too.
-    let result = call_with_results(&[(900, 0), (1, 2), (1, 2)]);
+    // The first copy gets no answer in its time, which ends after the others are refused.
+    let refused = CopyResult::Now(REFUSED);
+    let result = call_with_results(&[CopyResult::OnceSent(3, UNCERTAIN), refused, refused]);
 
-    assert_eq!(result, Repeated { result: 0, has_open_copy: false });
+    assert_eq!(result, Repeated { result: UNCERTAIN, has_open_copy: false });
 }
--- /dev/null
+++ b/src/jobs/start_order/tests.rs
@@ -0,0 +1,84 @@
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering::SeqCst},
+};
+
+use teaselgap_core::{
+    Epoch,
+    job::{JobId, TaskId},
+};
+use teaselgap_platform::client::Connections;
+
+use super::{
+    super::{
+        repeat::MAX_ORDER_COPIES,
+        test_server::{run, serve},
+    },
+    *,
+};
+
+const STARTED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"clock_ms\":1} ";
+
+const NO_ROOM: &str =
+    "HTTP/1.1 409 Conflict\r\ncontent-length: 30\r\n\r\n{\"clock_ms\":1,\"reason\":\"room\"}";
+
+fn order() -> StartOrder {
+    StartOrder {
+        task: TaskId { job: JobId(7), occurrence: 0, step: 0, index: 0 },
+        attempt: 1,
+        spec: Arc::default(),
+        lease_end: 6_000,
+        checkpoint: None,
+        ticket: None,
+    }
+}
+
+/// Sends a start order to the worker at this address during a term that has ended once
+/// `is_term_over` says so.
+fn send_to(address: SocketAddr, is_term_over: impl Fn() -> bool) -> StartOutcome {
+    let client = WorkerClient::new(Rc::new(Connections::default()), Epoch(3));
+    let target = Target { address, worker: "w0".into() };
+    let repeater = Repeater::new(MAX_ORDER_COPIES);
+    run(send(&repeater, &client, (&target, &order()), is_term_over))
+}
+
+/// Guards against tasks that wait for a time-out, a stop and a list when one answer is lost.
+#[test]
+fn a_start_order_whose_answer_is_lost_is_settled_by_its_second_copy() {
+    let (address, calls) = serve(STARTED, &[0]);
+
+    let outcome = send_to(address, || false);
+
+    assert_eq!(outcome, StartOutcome::StartedRepeated);
+    assert_eq!(calls.load(SeqCst), 2);
+}
+
+#[test]
+fn a_start_order_that_is_answered_is_sent_once() {
+    let (address, calls) = serve(STARTED, &[]);
+
+    assert_eq!(send_to(address, || false), StartOutcome::Started);
+    assert_eq!(calls.load(SeqCst), 1);
+}
+
+#[test]
+fn a_refusal_leaves_open_whether_an_unanswered_copy_starts_the_task() {
+    let (address, _) = serve(NO_ROOM, &[0]);
+
+    assert_eq!(send_to(address, || false), StartOutcome::Unknown);
+}
+
+/// Guards against copies of orders that reach workers after the owner's term.
+#[test]
+fn no_copy_of_a_start_order_is_sent_once_the_term_has_ended() {
+    let (address, calls) = serve(STARTED, &[0, 1, 2]);
+    let checks = Cell::new(0);
+
+    // The term ends after the first copy has been sent.
+    let outcome = send_to(address, || checks.replace(checks.get() + 1) > 0);
+
+    assert_eq!(outcome, StartOutcome::Unknown);
+    assert_eq!(calls.load(SeqCst), 1);
+}
