Admission rests on what the fleet can give a pool

Cause: while workers are announced, a cell counted on five times its current capacity, and nothing told it what the fleet can still give.

Change: the fleet's owner tells each cell with each instruction what its VMs and those on their way can do, the most that the pool can have and how long a VM takes to join (fleet/outlook.rs; pools that lack VMs at once do not count on the same ones). The forecast of a job's wait is a capacity over time (cell/capacity.rs). Without a recent outlook it is as before. Nothing is refused while nothing waits, or while three tenths of the workers' capacity are idle: then the backlog waits for something else, such as start orders. The message between nodes has one more field, which an older node ignores.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod advise;
 mod arrivals;
+mod capacity;
 mod clean;
 mod crashes;
 mod ends;
--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -3,14 +3,17 @@
 //! The forecast treats the workers as one large processor. It rests on:
 //!
 //! - the work that waits to start, by rank, from the expected times of its steps;
-//! - the most processor capacity that the cell's workers have had in this term, or several times
-//!   their current capacity while more workers are announced. A pool grows within seconds of the
-//!   start of a burst, so its current size says little;
-//! - the rate at which work has been submitted of late, unless the pool has been growing.
+//! - the processor capacity that the cell's workers have, and what the fleet can give the pool in
+//!   the next seconds (see [`super::capacity`]). A pool grows within seconds of the start of a
+//!   burst, so its current size says little;
+//! - the rate at which work has been submitted of late. Where the fleet says nothing, it does not
+//!   count while the pool grows.
 //!
 //! A wrong refusal costs the caller more than a late job. A job is therefore accepted if it can
 //! start in time at its rank, unless that makes a job overdue that was accepted before; and also if
-//! the capacity that arriving jobs leave over ends it before it is overdue. While the owner may not
+//! the capacity that arriving jobs leave over ends it before it is overdue. While nothing waits, each
+//! job is accepted: some worker is free, or will be soon. So it is while much of the workers'
+//! capacity is idle: then the backlog waits for something else, such as its start orders. While the owner may not
 //! know all workers yet, nothing is refused. Memory, labels and racks are left out, which makes the
 //! forecast too optimistic rather than too strict.
 
@@ -21,12 +24,13 @@
 
 use super::{
     super::{
-        JobId, JobSpec,
+        JobId, JobSpec, Outlook,
         order::{self, OVERDUE_FACTOR, RankClass, RankContext},
         task::Job,
         times,
     },
     Cell, QueueConfig,
+    capacity::{CapacityForecast, MilliCoreMillis},
 };
 use crate::{QueueId, Span, Timestamp};
 
@@ -49,9 +53,17 @@
 /// By how much a pool may grow while workers are announced.
 const MAX_GROWTH_FACTOR: u64 = 5;
 
+/// How long what the fleet said about its VMs is used. The fleet's owner says it several times a
+/// second.
+const OUTLOOK_VALIDITY: Span = Span(2_000);
+
 /// A pool with less than this part of its largest capacity is expected to grow again, in percent.
 const SMALL_POOL_PERCENT: u64 = 75;
 
+/// The idle part of the workers' capacity, in percent, from which on they are not what work waits
+/// for. At most a quarter is kept free for large tasks.
+const IDLE_PERCENT: u64 = 30;
+
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Span = Span(1_000);
 
@@ -68,9 +80,6 @@
     AcceptLate,
 }
 
-/// A processor time, in thousandths of a core times milliseconds.
-pub(super) type MilliCoreMillis = u64;
-
 /// The order in which jobs that can be on time start: by priority, then by their latest start.
 type StartOrder = (u32, Timestamp);
 
@@ -125,6 +134,11 @@
         }
     }
 
+    /// Whether nothing waits that is still worth something.
+    fn is_empty(&self) -> bool {
+        self.on_time.is_empty() && self.late.is_empty()
+    }
+
     fn sort(&mut self) {
         self.on_time.sort_unstable();
         self.late.sort_by_key(|late| late.order);
@@ -151,13 +165,18 @@
     }
 
     /// Whether work that starts before all late work would make a job overdue that isn't yet.
-    fn makes_overdue(&self, added: MilliCoreMillis, total_milli: u64, now: Timestamp) -> bool {
+    fn makes_overdue(
+        &self,
+        added: MilliCoreMillis,
+        capacity: CapacityForecast,
+        now: Timestamp,
+    ) -> bool {
         let mut ahead = self.on_time_work();
         self.late.iter().any(|late| {
-            let time_left = late.latest_useful_start.since(now).0;
-            let is_lost = ahead / total_milli > time_left;
-            let safe_time_left = time_left.saturating_sub(late.remaining.0);
-            let would_be_lost = (ahead + added) / total_milli > safe_time_left;
+            let time_left = late.latest_useful_start.since(now);
+            let is_lost = capacity.time_for(ahead) > time_left;
+            let safe_time_left = Span(time_left.0.saturating_sub(late.remaining.0));
+            let would_be_lost = capacity.time_for(ahead + added) > safe_time_left;
             ahead += late.work;
             would_be_lost && !is_lost
         })
@@ -180,43 +199,41 @@
     }
 }
 
-/// Capacities in thousandths of a core.
+/// What the forecast of a job's wait rests on, beside the backlog.
 #[derive(Clone, Copy, Debug)]
-struct Capacity {
+struct Supply {
     /// What the workers can do, without the long-running tasks.
-    total_milli: u64,
-    /// What the jobs that arrive need.
+    capacity: CapacityForecast,
+    /// What the jobs that arrive need, in thousandths of a core.
     arriving_milli: u64,
-    /// Whether workers may be joining, so that a backlog does not show that arrivals exceed what
-    /// the workers will do.
+    /// Whether workers may be joining that the forecast does not know of, so that a backlog does not
+    /// show that arrivals exceed what the workers will do.
     is_growing: bool,
 }
 
 /// Returns how long a new job would wait until its last task starts, if it is to be refused.
-fn refused_wait(
-    backlog: &Backlog,
-    capacity: Capacity,
-    job: Candidate,
-    now: Timestamp,
-) -> Option<Span> {
-    let wait = Span((backlog.work_ahead(job.order) + job.work) / capacity.total_milli);
-    let is_on_time = wait.0 * 100 <= job.slack().0 * MAX_WAIT_PERCENT;
+fn refused_wait(backlog: &Backlog, supply: Supply, job: Candidate, now: Timestamp) -> Option<Span> {
+    if backlog.is_empty() {
+        return None;
+    }
+    let wait = supply.capacity.time_for(backlog.work_ahead(job.order) + job.work);
+    let is_on_time = wait.0.saturating_mul(100) <= job.slack().0 * MAX_WAIT_PERCENT;
     let is_accepted = if is_on_time {
-        capacity.is_growing || !backlog.makes_overdue(job.work, capacity.total_milli, now)
+        supply.is_growing || !backlog.makes_overdue(job.work, supply.capacity, now)
     } else {
-        ends_before_overdue(backlog, capacity, job)
+        ends_before_overdue(backlog, supply, job)
     };
     (!is_accepted).then_some(wait)
 }
 
 /// Whether a job that is late ends before it is overdue. It starts after the jobs that can be on
 /// time, also after those that are still to arrive.
-fn ends_before_overdue(backlog: &Backlog, capacity: Capacity, job: Candidate) -> bool {
-    let arriving_milli = if capacity.is_growing { 0 } else { capacity.arriving_milli };
-    let spare_milli = capacity.total_milli.saturating_sub(arriving_milli);
+fn ends_before_overdue(backlog: &Backlog, supply: Supply, job: Candidate) -> bool {
+    let arriving_milli = if supply.is_growing { 0 } else { supply.arriving_milli };
+    let spare = supply.capacity.without(arriving_milli);
     let work = backlog.on_time_work() + backlog.late_work() + job.work;
-    work.checked_div(spare_milli)
-        .is_some_and(|wait_ms| wait_ms + job.critical_path.0 <= job.objective.0 * OVERDUE_FACTOR)
+    let end_ms = spare.time_for(work).0.saturating_add(job.critical_path.0);
+    end_ms <= job.objective.0 * OVERDUE_FACTOR
 }
 
 /// The estimated processor time of an occurrence's tasks that wait to start.
@@ -248,6 +265,8 @@
     workers_join_until: Timestamp,
     /// Until when workers are announced.
     workers_announced_until: Timestamp,
+    /// What the fleet can give the pool, and until when that is used.
+    outlook: Option<(Outlook, Timestamp)>,
     /// The work of all jobs submitted in this term, also of refused ones, each counted once.
     submitted_work: MilliCoreMillis,
     /// The submitted work up to a time, the oldest first.
@@ -263,6 +282,7 @@
             largest_capacity_milli: 0,
             workers_join_until: Timestamp(0),
             workers_announced_until: Timestamp(0),
+            outlook: None,
             submitted_work: 0,
             arrivals: VecDeque::new(),
             backlog: Backlog::default(),
@@ -291,6 +311,11 @@
         self.admission.workers_join_until = now + JOIN_TIME;
     }
 
+    /// Notes what the fleet can give the pool.
+    pub fn set_outlook(&mut self, outlook: Outlook, now: Timestamp) {
+        self.admission.outlook = Some((outlook, now + OUTLOOK_VALIDITY));
+    }
+
     /// Decides whether a new job is refused. Long-running and scheduled jobs never are: their
     /// callers do not wait for their end. `is_new` tells whether the job is submitted for the first
     /// time.
@@ -317,8 +342,12 @@
         if is_new {
             self.admission.submitted_work += job.work;
         }
-        let capacity = self.forecast_capacity(now)?;
-        let Some(wait) = refused_wait(&self.admission.backlog, capacity, job, now) else {
+        if self.has_idle_workers(now) {
+            self.admission.backlog.add(job.order, job.work);
+            return None;
+        }
+        let supply = self.forecast_supply(now)?;
+        let Some(wait) = refused_wait(&self.admission.backlog, supply, job, now) else {
             self.admission.backlog.add(job.order, job.work);
             return None;
         };
@@ -338,20 +367,44 @@
         Some(Candidate { order, work, critical_path, objective })
     }
 
-    /// The capacity that the forecast counts on; `None` while too little is known of the workers.
-    fn forecast_capacity(&self, now: Timestamp) -> Option<Capacity> {
+    /// What the forecast counts on; `None` while too little is known of the workers.
+    fn forecast_supply(&self, now: Timestamp) -> Option<Supply> {
         let admission = &self.admission;
         if now < admission.settled_at || !self.has_worker_list {
             return None;
         }
-        let mut total_milli = admission.largest_capacity_milli;
-        if now < admission.workers_announced_until {
-            total_milli = total_milli.max(self.usable_capacity_milli(now) * MAX_GROWTH_FACTOR);
-        }
-        let total_milli = total_milli.checked_sub(admission.backlog.long_running_milli)?;
+        let current_milli = self.usable_capacity_milli(now);
+        let outlook = admission.outlook.filter(|(_, valid_until)| now < *valid_until);
+        let (capacity, is_growing) = match outlook {
+            Some((outlook, _)) => (CapacityForecast::from_outlook(current_milli, outlook), false),
+            None => (self.capacity_without_outlook(current_milli, now), self.may_grow(now)),
+        };
+        let capacity = capacity.without(admission.backlog.long_running_milli);
         let arriving_milli = admission.arriving_milli();
-        let is_growing = now < admission.workers_join_until;
-        (total_milli > 0).then_some(Capacity { total_milli, arriving_milli, is_growing })
+        capacity.is_positive().then_some(Supply { capacity, arriving_milli, is_growing })
+    }
+
+    /// Whether so much of the workers' capacity is idle that a backlog waits for something else.
+    fn has_idle_workers(&self, now: Timestamp) -> bool {
+        let usable = self.workers.values().filter(|worker| Self::is_usable(worker, now));
+        let (capacity, booked) = usable.fold((0, 0), |(capacity, booked), worker| {
+            (capacity + worker.entry.capacity.cpu_milli, booked + worker.used().cpu_milli)
+        });
+        booked * 100 < capacity * (100 - IDLE_PERCENT)
+    }
+
+    /// Whether workers may be joining.
+    fn may_grow(&self, now: Timestamp) -> bool {
+        now < self.admission.workers_join_until
+    }
+
+    /// The capacity to count on if the fleet says nothing: the most that the workers have had in
+    /// this term, or several times what they have now while more are announced.
+    fn capacity_without_outlook(&self, current_milli: u64, now: Timestamp) -> CapacityForecast {
+        let is_announced = now < self.admission.workers_announced_until;
+        let growth = if is_announced { MAX_GROWTH_FACTOR } else { 1 };
+        let largest_milli = self.admission.largest_capacity_milli;
+        CapacityForecast::constant(largest_milli.max(current_milli * growth))
     }
 
     fn usable_capacity_milli(&self, now: Timestamp) -> u64 {
--- a/crates/core/src/job/cell/admit/tests.rs
+++ b/crates/core/src/job/cell/admit/tests.rs
@@ -5,8 +5,9 @@
 /// The capacity of four workers of 32 cores.
 const CAPACITY_MILLI: u64 = 128_000;
 
-fn capacity(arriving_milli: u64) -> Capacity {
-    Capacity { total_milli: CAPACITY_MILLI, arriving_milli, is_growing: false }
+fn supply(arriving_milli: u64) -> Supply {
+    let capacity = CapacityForecast::constant(CAPACITY_MILLI);
+    Supply { capacity, arriving_milli, is_growing: false }
 }
 
 /// A job that fills one of the workers for 800 ms and may take 1,880 ms.
@@ -28,28 +29,28 @@
 
 #[test]
 fn a_job_that_can_start_in_time_is_accepted() {
-    let wait = refused_wait(&backlog(Span(600)), capacity(CAPACITY_MILLI * 2), candidate(), NOW);
+    let wait = refused_wait(&backlog(Span(600)), supply(CAPACITY_MILLI * 2), candidate(), NOW);
 
     assert_eq!(wait, None);
 }
 
 #[test]
 fn a_job_that_is_late_is_refused_while_arriving_jobs_need_all_capacity() {
-    let wait = refused_wait(&backlog(Span(1_200)), capacity(CAPACITY_MILLI), candidate(), NOW);
+    let wait = refused_wait(&backlog(Span(1_200)), supply(CAPACITY_MILLI), candidate(), NOW);
 
     assert_eq!(wait, Some(Span(1_400)));
 }
 
 #[test]
 fn a_job_that_is_late_but_not_overdue_is_accepted() {
-    let wait = refused_wait(&backlog(Span(4_600)), capacity(0), candidate(), NOW);
+    let wait = refused_wait(&backlog(Span(4_600)), supply(0), candidate(), NOW);
 
     assert_eq!(wait, None);
 }
 
 #[test]
 fn a_job_that_would_be_overdue_is_refused() {
-    let wait = refused_wait(&backlog(Span(4_800)), capacity(0), candidate(), NOW);
+    let wait = refused_wait(&backlog(Span(4_800)), supply(0), candidate(), NOW);
 
     assert_eq!(wait, Some(Span(5_000)));
 }
@@ -60,7 +61,7 @@
     backlog.add((0, Timestamp(12_000)), CAPACITY_MILLI * 50_000);
     backlog.add((1, Timestamp(10_000)), CAPACITY_MILLI * 50_000);
 
-    assert_eq!(refused_wait(&backlog, capacity(CAPACITY_MILLI), candidate(), NOW), None);
+    assert_eq!(refused_wait(&backlog, supply(CAPACITY_MILLI), candidate(), NOW), None);
 }
 
 /// Adds a late job that must start within `time_left`.
@@ -75,7 +76,7 @@
 
 #[test]
 fn while_workers_are_joining_only_the_backlog_counts() {
-    let growing = Capacity { is_growing: true, ..capacity(CAPACITY_MILLI * 2) };
+    let growing = Supply { is_growing: true, ..supply(CAPACITY_MILLI * 2) };
     let mut late_backlog = backlog(Span(300));
     add_late_job(&mut late_backlog, Span(1_000));
 
@@ -89,7 +90,7 @@
     let mut backlog = backlog(Span(300));
     add_late_job(&mut backlog, Span(4_000));
 
-    assert_eq!(refused_wait(&backlog, capacity(CAPACITY_MILLI), candidate(), NOW), None);
+    assert_eq!(refused_wait(&backlog, supply(CAPACITY_MILLI), candidate(), NOW), None);
 }
 
 #[test]
@@ -97,7 +98,7 @@
     let mut backlog = backlog(Span(300));
     add_late_job(&mut backlog, Span(1_000));
 
-    let wait = refused_wait(&backlog, capacity(CAPACITY_MILLI), candidate(), NOW);
+    let wait = refused_wait(&backlog, supply(CAPACITY_MILLI), candidate(), NOW);
 
     assert_eq!(wait, Some(Span(500)));
 }
@@ -107,7 +108,7 @@
     let mut backlog = backlog(Span(300));
     add_late_job(&mut backlog, Span(200));
 
-    assert_eq!(refused_wait(&backlog, capacity(CAPACITY_MILLI), candidate(), NOW), None);
+    assert_eq!(refused_wait(&backlog, supply(CAPACITY_MILLI), candidate(), NOW), None);
 }
 
 #[test]
@@ -116,3 +117,12 @@
 
     assert_eq!(spans, [3_000, 4_000, 5_000, 6_000]);
 }
+
+#[test]
+fn a_job_is_accepted_while_nothing_waits() {
+    let huge_job = Candidate { work: CAPACITY_MILLI * 60_000, ..candidate() };
+
+    let wait = refused_wait(&Backlog::default(), supply(CAPACITY_MILLI * 2), huge_job, NOW);
+
+    assert_eq!(wait, None);
+}
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod outlook;
 mod size;
 #[cfg(test)]
 mod tests;
@@ -244,6 +245,10 @@
     wall_offset_ms: u64,
     /// Whether work has arrived at some pool.
     has_seen_work: bool,
+    /// Whether the pools lack more VMs than are free on standby.
+    is_short_of_vms: bool,
+    /// The most VMs that each pool can have.
+    most_vms: IndexMap<ServiceId, u64>,
     actions: Vec<FleetAction>,
 }
 
@@ -289,6 +294,8 @@
             expected_starts: Vec::new(),
             wall_offset_ms: wall_ms.saturating_sub(now.0),
             has_seen_work: false,
+            is_short_of_vms: false,
+            most_vms: IndexMap::new(),
             actions: Vec::new(),
         }
     }
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -20,7 +20,7 @@
 const MOVE_TIMEOUT: Span = Span(4_000);
 
 /// Time from the start of a VM in its new pool until its worker can run tasks.
-const WORKER_START_TIME: Span = Span(500);
+pub(super) const WORKER_START_TIME: Span = Span(500);
 
 /// Age beyond which a cell's report is ignored.
 const MAX_REPORT_AGE: Span = Span(1_500);
@@ -114,6 +114,7 @@
             return;
         };
         let mut sizes = self.pool_sizes(now);
+        self.update_outlooks(&sizes);
         for (pool, size) in &sizes {
             if self.logged_sizes.insert(pool.clone(), *size) != Some(*size) {
                 self.actions.push(FleetAction::LogPoolSize(pool.clone(), *size));
@@ -165,6 +166,19 @@
             && !self.absences.contains_key(vm_id)
     }
 
+    /// Standby VMs that no order is planned for.
+    pub(super) fn free_standby_vms(&self) -> impl Iterator<Item = (&VmId, &Vm)> + Clone {
+        self.vms.iter().filter(|(vm_id, vm)| {
+            let is_free =
+                !self.planned_orders.contains_key(*vm_id) && !self.absences.contains_key(*vm_id);
+            self.is_standby(vm) && vm.state == VmState::Up && is_free
+        })
+    }
+
+    pub(super) fn is_standby(&self, vm: &Vm) -> bool {
+        self.standby.contains(&vm.pool)
+    }
+
     /// Chooses a VM to move to a pool, and returns it with its current pool: a standby VM, or else
     /// a VM of the pool with the largest surplus.
     pub(super) fn choose_donor(
@@ -173,13 +187,7 @@
         sizes: &IndexMap<ServiceId, PoolSize>,
         now: Timestamp,
     ) -> Option<(VmId, ServiceId)> {
-        let standby_vm = self.vms.iter().find(|(vm_id, vm)| {
-            let is_up = vm.state == VmState::Up;
-            let is_free =
-                !self.planned_orders.contains_key(*vm_id) && !self.absences.contains_key(*vm_id);
-            is_up && is_free && self.standby.contains(&vm.pool)
-        });
-        if let Some((vm_id, vm)) = standby_vm {
+        if let Some((vm_id, vm)) = self.free_standby_vms().next() {
             return Some((vm_id.clone(), vm.pool.clone()));
         }
         let largest_surplus = sizes
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -298,6 +298,17 @@
     },
 }
 
+/// The processor capacity that the fleet can give the pool of a cell, in thousandths of a core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outlook {
+    /// What the VMs in the pool and those on their way to it can do.
+    pub coming_milli: u64,
+    /// What the pool can have at most.
+    pub most_milli: u64,
+    /// How long a VM takes to join the pool.
+    pub lead: Span,
+}
+
 /// Load of a cell, as reported to the fleet's owner.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Load {
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -184,6 +184,22 @@
     /// Workers that the store does not list yet are about to join.
     #[prost(bool, tag = "4")]
     pub expecting: bool,
+    /// What the fleet can give the pool, if the sender knows.
+    #[prost(message, optional, tag = "5")]
+    pub outlook: ::core::option::Option<Outlook>,
+}
+/// Processor capacities of a pool, in thousandths of a core.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Outlook {
+    /// Of the VMs in the pool and on their way to it.
+    #[prost(uint64, tag = "1")]
+    pub coming_milli: u64,
+    /// The most that the pool can have.
+    #[prost(uint64, tag = "2")]
+    pub most_milli: u64,
+    /// How long a VM takes to join the pool.
+    #[prost(uint64, tag = "3")]
+    pub lead_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DirectReply {
--- a/crates/standins/tests/cells/admission.rs
+++ b/crates/standins/tests/cells/admission.rs
@@ -4,12 +4,15 @@
 use teaselgap_core::{
     Span,
     job::{
-        AdmissionPolicy, Answer, CellConfig, DrainMode, JobId, JobSpec, LogEvent, Schedule, Token,
+        AdmissionPolicy, Answer, CellConfig, DrainMode, FlowLimits, JobId, JobSpec, LogEvent,
+        Outlook, Schedule, Token,
     },
 };
 use teaselgap_standins::model::{Model, TaskTime, cell_config};
 
-use crate::fixtures::{job_spec, long_running_job, queue, queue_config, service, step, worker};
+use crate::fixtures::{
+    WORKER_CPU_MILLI, job_spec, long_running_job, queue, queue_config, service, step, worker,
+};
 
 /// Time that a task of these tests takes, in milliseconds.
 const TASK_MS: u64 = 800;
@@ -277,3 +280,69 @@
 
     assert_eq!(after.arrived_jobs - before.arrived_jobs, jobs.len() as u64);
 }
+
+/// Processor capacity of this many workers, in thousandths of a core.
+fn capacity_of(workers: u64) -> u64 {
+    workers * WORKER_CPU_MILLI
+}
+
+/// Replays a burst for which the pool grows from three workers to ten, the most that the fleet can
+/// give, while twice as many jobs arrive as ten workers can do. More workers are announced all the
+/// time, as the fleet moves VMs in a burst.
+fn run_burst_of_growing_pool() -> Outcome {
+    let mut model = settled_model(10);
+    drain(&mut model, 3..10);
+    model.run_for(2_000);
+    let outlook =
+        Outlook { coming_milli: capacity_of(10), most_milli: capacity_of(10), lead: Span(2_000) };
+    let mut jobs = Vec::new();
+    for tick in 0..60 {
+        if tick == 10 {
+            drain(&mut model, 0..0);
+        }
+        let now = model.now();
+        let cell = model.cell_mut().unwrap();
+        cell.expect_workers(now);
+        cell.set_outlook(outlook, now);
+        jobs.extend(submit_steadily(&mut model, 40, 200));
+    }
+    let refused = refusals(&model, &jobs).len();
+    let accepted = jobs.len() - refused;
+    assert!(model.run_until(60_000, |model| completion_times(model).len() == accepted));
+    let times = completion_times(&model);
+    let on_time = times.iter().filter(|&&time| time <= OBJECTIVE_MS).count();
+    Outcome { refused, on_time, slowest_ms: times.into_iter().max().unwrap_or(0) }
+}
+
+#[test]
+fn in_a_burst_beyond_what_the_fleet_can_give_most_accepted_jobs_are_on_time() {
+    let outcome = run_burst_of_growing_pool();
+    let accepted = 300 - outcome.refused;
+
+    // Ten workers do 125 of the 300 jobs in the ten seconds for which all of them are there.
+    assert!(outcome.on_time * 2 > accepted, "{outcome:?}");
+    assert!(outcome.on_time * 2 > 125, "{outcome:?}");
+    assert!(outcome.slowest_ms <= OBJECTIVE_MS * OVERDUE_FACTOR, "{outcome:?}");
+}
+
+#[test]
+fn nothing_is_refused_while_start_orders_hold_the_backlog_back_and_workers_are_idle() {
+    let flow = FlowLimits { max_starts: 1, ..cell_config().flow };
+    let cfg = CellConfig { admission: AdmissionPolicy::ByForecast, flow, ..cell_config() };
+    let queues = IndexMap::from([(queue(), queue_config())]);
+    let mut model = Model::with_config(cfg, service(), queues, (0..4).map(worker).collect());
+    model.run_for(SETTLING_MS);
+
+    // More starts than one order at a time allows, but little work.
+    let tokens: Vec<Token> = (0..100)
+        .map(|number| {
+            let token = model.submit(JobId(number), &queue(), job_spec(vec![step(80, 4_000, 20)]));
+            model.run_for(200);
+            token
+        })
+        .collect();
+
+    let is_refused = |token: &&Token| matches!(model.answer(**token), Some(Answer::Refused { .. }));
+    assert_eq!(tokens.iter().filter(is_refused).count(), 0);
+    assert!(model.cell().unwrap().held_back_starts() > 0);
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -14,6 +14,7 @@
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
 //! | `peer` | calls between nodes |
+//! | `instruction` | what the fleet's owner tells a cell, and the cell's report |
 //! | `note`, `line_limit` | log events of a cell, and how many lines of a kind they may take |
 //!
 //! The control thread runs everything except HTTP for client accounts. It shares only the
@@ -25,6 +26,7 @@
 mod fleet;
 mod front;
 mod host;
+mod instruction;
 mod lease;
 mod line_limit;
 mod log_store;
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -26,6 +26,7 @@
 
 use super::{
     duties,
+    instruction::PoolInstruction,
     node::{FLEET_DUTY, Node},
     session,
 };
@@ -144,7 +145,7 @@
             }
             ticks = ticks.wrapping_add(1);
             self.apply_operator_input();
-            self.send_all_drains().await;
+            self.instruct_cells().await;
             if self.may_send_orders() {
                 self.tick();
             }
@@ -197,17 +198,22 @@
         }
     }
 
-    /// Tells each cell which workers to drain, and passes the cells' reports to the fleet.
+    /// Tells each cell which workers to drain and what VMs its pool can get, and passes the cells'
+    /// reports to the fleet.
     ///
     /// Pools and cells are named by their service: the workers in a service's pool belong to the
     /// cell of that name, if the service has a queue.
-    async fn send_all_drains(&self) {
+    async fn instruct_cells(&self) {
         let now = clock::now();
         let mut drain_requests = self.fleet.borrow().drain_requests(now);
         for cell in self.cells() {
             let drains = drain_requests.shift_remove(&cell).unwrap_or_default();
-            let expects_workers = self.fleet.borrow().expects_workers(&cell, now);
-            if let Some(report) = self.node.send_drains(&cell, drains, expects_workers).await {
+            let instruction = {
+                let fleet = self.fleet.borrow();
+                let expects_workers = fleet.expects_workers(&cell, now);
+                PoolInstruction { drains, expects_workers, outlook: fleet.outlook(&cell) }
+            };
+            if let Some(report) = self.node.instruct(&cell, instruction).await {
                 let now = clock::now();
                 self.fleet.borrow_mut().on_cell_report(&cell, report.load, report.drained, now);
             }
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -16,8 +16,8 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, Cell, CellConfig, DrainMode, FlowLimits, LinkRate, Load,
-        LogConfig, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, Cell, CellConfig, FlowLimits, LinkRate, Load, LogConfig,
+        WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -29,11 +29,11 @@
 
 use self::replies::PendingReplies;
 use super::{
+    instruction::{CellReport, PoolInstruction},
     log_store::{LogStore, WriteError},
     node::Node,
     note::{CellLog, StoreState},
     owner_load::{LoadMeter, OwnerLoad},
-    peer::CellReport,
     repeat::{MAX_ORDER_COPIES, Repeater},
     session,
 };
@@ -267,11 +267,9 @@
         self.with_cell(|cell| cell.update_workers(entries, is_complete, clock::now()));
     }
 
-    pub(super) fn set_drains(
-        &self,
-        drains: IndexMap<WorkerId, DrainMode>,
-        expects_workers: bool,
-    ) -> CellReport {
+    /// Passes what the fleet's owner says about the pool to the cell, and reports on the cell.
+    pub(super) fn instruct(&self, instruction: PoolInstruction) -> CellReport {
+        let PoolInstruction { drains, expects_workers, outlook } = instruction;
         if expects_workers {
             self.node.roster_refresh.notify_one();
         }
@@ -281,6 +279,9 @@
             if expects_workers {
                 cell.expect_workers(now);
             }
+            if let Some(outlook) = outlook {
+                cell.set_outlook(outlook, now);
+            }
             CellReport { drained: cell.drained_workers(), load: cell.load(now) }
         });
         report.unwrap_or_else(|| CellReport { drained: Vec::new(), load: Load::default() })
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -27,10 +27,11 @@
     ask, duties, fleet,
     front::{self, SharedState},
     host::{CellOwner, EndedTerm},
+    instruction::{CellReport, PoolInstruction},
     lease::LeaseRenewer,
     members::Members,
     operator,
-    peer::{self, CellReport, DrainInstruction, NodeRequest, Peers},
+    peer::{self, NodeRequest, Peers, PendingInstruction},
     repeat::{MAX_STORE_COPIES, Repeater},
     roster,
     session::{self, Session},
@@ -145,7 +146,7 @@
             NodeRequest::Cell(pending) => {
                 tokio::task::spawn_local(ask::answer_request(Rc::clone(self), pending));
             }
-            NodeRequest::Drain(instruction) => self.handle_drain_instruction(instruction),
+            NodeRequest::Instruct(pending) => self.handle_instruction(pending),
             NodeRequest::StoreAge(reply) => {
                 let reached_at = self.lease.store_reached_at();
                 // The caller may have stopped waiting.
@@ -154,26 +155,25 @@
         }
     }
 
-    fn handle_drain_instruction(&self, instruction: DrainInstruction) {
-        let DrainInstruction { cell, drains, expects_workers, reply } = instruction;
-        let report = self.cell_owner(&cell).map(|owner| owner.set_drains(drains, expects_workers));
+    fn handle_instruction(&self, pending: PendingInstruction) {
+        let PendingInstruction { cell, instruction, reply } = pending;
+        let report = self.cell_owner(&cell).map(|owner| owner.instruct(instruction));
         // The caller may have stopped waiting.
         let _ = reply.send(report);
     }
 
-    /// Tells the owner of a cell, at this or another node, which workers to drain. Returns `None`
-    /// if no owner can be reached.
-    pub(super) async fn send_drains(
+    /// Passes an instruction to the owner of a cell, at this or another node. Returns `None` if no
+    /// owner can be reached.
+    pub(super) async fn instruct(
         &self,
         cell: &ServiceId,
-        drains: IndexMap<teaselgap_core::job::WorkerId, teaselgap_core::job::DrainMode>,
-        expects_workers: bool,
+        instruction: PoolInstruction,
     ) -> Option<CellReport> {
         if let Some(owner) = self.cell_owner(cell) {
-            return Some(owner.set_drains(drains, expects_workers));
+            return Some(owner.instruct(instruction));
         }
         let address = self.owner_address(cell)?;
-        self.peers.send_drains(address, cell, &drains, expects_workers).await
+        self.peers.instruct(address, cell, &instruction).await
     }
 }
 
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -1,4 +1,4 @@
-//! Calls between nodes: requests to cells, drain instructions and the reachability of the store.
+//! Calls between nodes: requests to cells, instructions from the fleet's owner, and the reachability of the store.
 
 #[cfg(test)]
 mod tests;
@@ -9,10 +9,11 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     IdError, ServiceId, Span, Timestamp,
-    job::{DrainMode, JobEnd, JobId, JobState, Load, WorkerId},
+    job::{DrainMode, JobEnd, JobId, JobState, Outlook},
 };
 use teaselgap_proto::cell::{
-    AskReply, AskRequest, DirectReply, DirectRequest, StoreAgeReply, StoreAgeRequest,
+    AskReply, AskRequest, DirectReply, DirectRequest, Outlook as WireOutlook, StoreAgeReply,
+    StoreAgeRequest,
     ask_reply::{Outcome, State},
     ask_request::Verb as WireOperation,
     cell_client::CellClient,
@@ -31,7 +32,10 @@
     transport::{Channel, Endpoint, server::TcpIncoming},
 };
 
-use super::ask::{CellRequest, Operation, PendingRequest, Reply};
+use super::{
+    ask::{CellRequest, Operation, PendingRequest, Reply},
+    instruction::{CellReport, PoolInstruction},
+};
 use crate::clock;
 
 /// The longest wait for a connection to another node.
@@ -43,8 +47,8 @@
 /// The time allowed for a request of another node that states none, and the most allowed for any.
 const PEER_TIMEOUT: Span = Span(2_000);
 
-/// The longest wait for the answer to a drain instruction.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest wait for the answer to an instruction.
+const INSTRUCTION_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The most requests that may wait for the control thread. Even if it takes a millisecond for each,
 /// the last one is started well within a caller's time.
@@ -62,21 +66,12 @@
     mpsc::channel(MAX_QUEUED_REQUESTS)
 }
 
-/// Workers that the owner of a cell is to drain.
+/// An instruction for the cell of a service, and where its owner's report goes.
 #[derive(Debug)]
-pub(crate) struct DrainInstruction {
-    pub(crate) cell: ServiceId,
-    pub(crate) drains: IndexMap<WorkerId, DrainMode>,
-    /// Whether workers are about to join that the store does not list yet.
-    pub(crate) expects_workers: bool,
-    pub(crate) reply: oneshot::Sender<Option<CellReport>>,
-}
-
-/// The answer of a cell's owner to a drain instruction.
-#[derive(Clone, Debug)]
-pub(crate) struct CellReport {
-    pub(crate) drained: Vec<WorkerId>,
-    pub(crate) load: Load,
+pub(crate) struct PendingInstruction {
+    pub(super) cell: ServiceId,
+    pub(super) instruction: PoolInstruction,
+    pub(super) reply: oneshot::Sender<Option<CellReport>>,
 }
 
 /// The longest wait for another node to tell when it last reached the store.
@@ -86,7 +81,7 @@
 #[derive(Debug)]
 pub(crate) enum NodeRequest {
     Cell(PendingRequest),
-    Drain(DrainInstruction),
+    Instruct(PendingInstruction),
     /// Asks how long ago this node last reached the store.
     StoreAge(oneshot::Sender<Span>),
 }
@@ -171,23 +166,25 @@
         Some(Span(reply.get_ref().age_ms))
     }
 
-    /// Tells the owner of a cell, at `address`, which workers to drain. Returns `None` if the node
-    /// does not answer or does not own the cell.
-    pub(crate) async fn send_drains(
+    /// Passes an instruction to the owner of a cell at `address`. Returns `None` if the node does not
+    /// answer or does not own the cell.
+    pub(super) async fn instruct(
         &self,
         address: SocketAddr,
         cell: &ServiceId,
-        drains: &IndexMap<WorkerId, DrainMode>,
-        expects_workers: bool,
+        instruction: &PoolInstruction,
     ) -> Option<CellReport> {
         let mut client = self.get(address)?;
+        let drains = &instruction.drains;
         let req = DirectRequest {
             cell: cell.to_string(),
             vacate: drains.keys().map(ToString::to_string).collect(),
             urgent: drains.values().map(|mode| drain_mode_to_wire(*mode)).collect(),
-            expecting: expects_workers,
+            expecting: instruction.expects_workers,
+            outlook: instruction.outlook.map(outlook_to_wire),
         };
-        let Ok(Ok(reply)) = tokio::time::timeout(DRAIN_TIMEOUT, client.direct(req)).await else {
+        let reply = tokio::time::timeout(INSTRUCTION_TIMEOUT, client.direct(req)).await;
+        let Ok(Ok(reply)) = reply else {
             self.discard_client(address);
             return None;
         };
@@ -205,6 +202,22 @@
         .any(<dyn std::error::Error>::is::<tonic::ConnectError>)
 }
 
+fn outlook_to_wire(outlook: Outlook) -> WireOutlook {
+    WireOutlook {
+        coming_milli: outlook.coming_milli,
+        most_milli: outlook.most_milli,
+        lead_ms: outlook.lead.0,
+    }
+}
+
+fn outlook_from_wire(wire: WireOutlook) -> Outlook {
+    Outlook {
+        coming_milli: wire.coming_milli,
+        most_milli: wire.most_milli,
+        lead: Span(wire.lead_ms),
+    }
+}
+
 /// Encodes how to drain a worker as the number used between nodes.
 fn drain_mode_to_wire(mode: DrainMode) -> u32 {
     match mode {
@@ -366,8 +379,13 @@
         let drains = req.vacate.iter().map(|id| id.as_str().into()).zip(modes).collect();
         let cell = req.cell.parse().map_err(|err| invalid_id_status(&err))?;
         let (reply, reply_rx) = oneshot::channel();
-        let instruction = DrainInstruction { cell, drains, expects_workers: req.expecting, reply };
-        self.enqueue(NodeRequest::Drain(instruction))?;
+        let instruction = PoolInstruction {
+            drains,
+            expects_workers: req.expecting,
+            outlook: req.outlook.map(outlook_from_wire),
+        };
+        let pending = PendingInstruction { cell, instruction, reply };
+        self.enqueue(NodeRequest::Instruct(pending))?;
         let Some(report) = reply_rx.await.map_err(stopping_status)? else {
             return Ok(Response::new(DirectReply::default()));
         };
