A pool that can still grow much accepts jobs that would be late

Cause: with the fleet's outlook, jobs that could not be on time were refused from the first second of each burst, because the arrivals were compared with the capacity at once.

Change: as long as the pool has less than three quarters of what the fleet can give, arrivals do not count, as without an outlook.

A refusal costs its caller at least the time until it comes back.

--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -6,8 +6,7 @@
 //! - the processor capacity that the cell's workers have, and what the fleet can give the pool in
 //!   the next seconds (see [`super::capacity`]). A pool grows within seconds of the start of a
 //!   burst, so its current size says little;
-//! - the rate at which work has been submitted of late. Where the fleet says nothing, it does not
-//!   count while the pool grows.
+//! - the rate at which work has been submitted of late, unless the pool may still grow much.
 //!
 //! A wrong refusal costs the caller more than a late job. A job is therefore accepted if it can
 //! start in time at its rank, unless that makes a job overdue that was accepted before; and also if
@@ -57,7 +56,7 @@
 /// second.
 const OUTLOOK_VALIDITY: Span = Span(2_000);
 
-/// A pool with less than this part of its largest capacity is expected to grow again, in percent.
+/// A pool with less than this part of its largest capacity is expected to grow, in percent.
 const SMALL_POOL_PERCENT: u64 = 75;
 
 /// The idle part of the workers' capacity, in percent, from which on they are not what work waits
@@ -236,6 +235,11 @@
     end_ms <= job.objective.0 * OVERDUE_FACTOR
 }
 
+/// Whether a pool with this capacity is expected to grow, given the most that it can have.
+fn is_small(current_milli: u64, most_milli: u64) -> bool {
+    current_milli * 100 < most_milli * SMALL_POOL_PERCENT
+}
+
 /// The estimated processor time of an occurrence's tasks that wait to start.
 fn waiting_work(job: &Job, index: usize, expected: Option<Span>) -> MilliCoreMillis {
     let steps = job.occurrences[index].steps.iter().zip(&job.spec.steps);
@@ -376,7 +380,10 @@
         let current_milli = self.usable_capacity_milli(now);
         let outlook = admission.outlook.filter(|(_, valid_until)| now < *valid_until);
         let (capacity, is_growing) = match outlook {
-            Some((outlook, _)) => (CapacityForecast::from_outlook(current_milli, outlook), false),
+            Some((outlook, _)) => {
+                let may_grow = is_small(current_milli, outlook.most_milli);
+                (CapacityForecast::from_outlook(current_milli, outlook), may_grow)
+            }
             None => (self.capacity_without_outlook(current_milli, now), self.may_grow(now)),
         };
         let capacity = capacity.without(admission.backlog.long_running_milli);
@@ -417,7 +424,7 @@
         let current = self.usable_capacity_milli(now);
         let admission = &mut self.admission;
         admission.largest_capacity_milli = admission.largest_capacity_milli.max(current);
-        if current * 100 < admission.largest_capacity_milli * SMALL_POOL_PERCENT {
+        if is_small(current, admission.largest_capacity_milli) {
             admission.workers_join_until = now + JOIN_TIME;
         }
     }
