Maintenance waves keep out of peaks, and count as down only what is down for them

VMs that moved between pools counted as down for their wave. Orders of an earlier owner that may still take effect did not count. A node that started after the wave was requested reckoned with a later deadline.

Changes: how many VMs are away at once follows from the pending ones, the mean time of a drain as measured, and the time left. VMs that no pool needs go first; a VM drained for a move has its maintenance before it moves; the others are drained for what is missing, the ones with long-running tasks in time to wait for each other. The record names VMs with an order to begin maintenance, and the waves' deadlines. Each step is a log line 'wave step'.

--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -37,12 +37,14 @@
     /// The current load of the cell.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
+        let (spare, short_running_workers) = self.spare_workers(now);
         let mut load = Load {
             arrived_milli_s: self.arrivals.milli_s,
             arrived_jobs: self.arrivals.jobs,
             correction_percent: self.correction_percent(),
             floor_workers: self.floor_workers(),
-            spare: self.spare_workers(now),
+            spare,
+            short_running_workers,
             ..Load::default()
         };
         let mut demands = Vec::new();
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -162,8 +162,9 @@
     }
 
     /// Usable workers in the order in which they should be given up: those with the fewest
-    /// long-running tasks first, and among them those that become empty soonest.
-    pub(super) fn spare_workers(&self, now: Timestamp) -> Vec<WorkerId> {
+    /// long-running tasks first, and among them those that become empty soonest. Also returns how
+    /// many of them have no long-running tasks.
+    pub(super) fn spare_workers(&self, now: Timestamp) -> (Vec<WorkerId>, u32) {
         let mut workers: Vec<(usize, Span, &WorkerId)> = self
             .workers
             .iter()
@@ -176,7 +177,9 @@
             })
             .collect();
         workers.sort_unstable();
-        workers.into_iter().map(|(_, _, id)| id.clone()).collect()
+        let short_running = workers.iter().take_while(|(long_running, ..)| *long_running == 0);
+        let short_running = u32::try_from(short_running.count()).unwrap_or(u32::MAX);
+        (workers.into_iter().map(|(_, _, id)| id.clone()).collect(), short_running)
     }
 
     /// How long a worker that gets no new tasks takes to become empty, apart from long-running
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -88,6 +88,9 @@
     /// Waves in which the maintenance of every VM has begun.
     #[serde(default)]
     pub finished: IndexSet<u64>,
+    /// Deadlines of unfinished waves in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub deadlines: IndexMap<u64, u64>,
     /// Number of VMs that the operator gave each pool, counted before any were moved.
     #[serde(default)]
     pub given: IndexMap<ServiceId, u64>,
@@ -98,6 +101,9 @@
     /// here before an order about it is sent.
     #[serde(default)]
     pub ordered: IndexMap<VmId, u64>,
+    /// VMs of `ordered` whose order was to begin maintenance.
+    #[serde(default)]
+    pub maintained: IndexSet<VmId>,
     /// Whether `ordered` is complete: its writer records each VM before it sends an order about it.
     #[serde(default)]
     pub is_complete: bool,
@@ -126,6 +132,8 @@
     Save(Box<FleetRecord>, Vec<FleetOrder>),
     /// Log the current and the wanted size of a pool.
     LogPoolSize(ServiceId, PoolSize),
+    /// Log that more VMs are taken for a wave.
+    LogWaveStep(WaveStep),
     /// Report the progress of a wave to the operator.
     ReportWave {
         /// Number of the wave.
@@ -135,6 +143,29 @@
     },
 }
 
+/// A decision to take more VMs for a wave, and what it rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaveStep {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Number of its VMs whose maintenance has not begun.
+    pub pending: usize,
+    /// Number of these that run long-running tasks.
+    pub hard: usize,
+    /// Number of VMs that are being drained for it.
+    pub draining: usize,
+    /// Number of its VMs that are down, or may be because of an order.
+    pub down: usize,
+    /// Number of VMs that must be away at once for the wave to be in time.
+    pub pace: usize,
+    /// How long a VM is away.
+    pub round: Span,
+    /// The time left to begin the last maintenance.
+    pub time_left: Span,
+    /// Number of VMs that are taken next.
+    pub chosen: usize,
+}
+
 /// An order about a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetOrder {
@@ -170,6 +201,9 @@
 #[derive(Clone, Debug)]
 struct PlannedOrder {
     purpose: Purpose,
+    planned_at: Timestamp,
+    /// Whether the VM ran long-running tasks when the order was planned.
+    hosts_long_running: bool,
     /// Whether the order was sent and has no definite outcome yet.
     is_in_flight: bool,
     /// Time before which the order is not sent or retried.
@@ -195,14 +229,30 @@
 impl PlannedOrder {
     fn new(purpose: Purpose, now: Timestamp, timeout: Option<Span>) -> Self {
         let drain_deadline = timeout.map_or(Timestamp(u64::MAX), |timeout| now + timeout);
-        Self { purpose, is_in_flight: false, next_attempt: now, drain_deadline }
+        Self {
+            purpose,
+            planned_at: now,
+            hosts_long_running: false,
+            is_in_flight: false,
+            next_attempt: now,
+            drain_deadline,
+        }
     }
 }
 
-/// A period in which a VM counts as down, whatever state the platform lists.
+impl PlannedOrder {
+    /// Whether maintenance was ordered, and may begin at any time.
+    fn may_be_maintained(&self) -> bool {
+        self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
+    }
+}
+
+/// A period in which a VM counts as absent, whatever state the platform lists.
 #[derive(Clone, Debug)]
 struct Absence {
     until: Timestamp,
+    /// Whether it is down for maintenance.
+    is_maintenance: bool,
 }
 
 /// The owner's view of all VMs, and the orders that it plans.
@@ -247,6 +297,8 @@
     has_seen_work: bool,
     /// Whether the pools lack more VMs than are free on standby.
     is_short_of_vms: bool,
+    /// How long drains for maintenance have taken.
+    drain_times: wave::DrainTimes,
     /// The most VMs that each pool can have.
     most_vms: IndexMap<ServiceId, u64>,
     actions: Vec<FleetAction>,
@@ -295,6 +347,7 @@
             wall_offset_ms: wall_ms.saturating_sub(now.0),
             has_seen_work: false,
             is_short_of_vms: false,
+            drain_times: wave::DrainTimes::default(),
             most_vms: IndexMap::new(),
             actions: Vec::new(),
         }
@@ -333,6 +386,11 @@
     /// Adds the waves that the operator asks for; a known number is ignored.
     pub fn add_waves(&mut self, waves: Vec<Wave>) {
         for wave in waves {
+            if !self.record.finished.contains(&wave.number) {
+                let deadline_wall_ms = self.wall_offset_ms.saturating_add(wave.deadline.0);
+                let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
+                *recorded = deadline_wall_ms.min(*recorded);
+            }
             self.waves.entry(wave.number).or_insert(wave);
         }
     }
@@ -443,6 +501,8 @@
         let wall_ms = |at: &Timestamp| self.wall_offset_ms + at.0;
         self.record.ordered =
             self.ordered_at.iter().map(|(vm_id, at)| (vm_id.clone(), wall_ms(at))).collect();
+        let ordered_at = &self.ordered_at;
+        self.record.maintained.retain(|vm_id| ordered_at.contains_key(vm_id));
     }
 
     /// Returns the orders that are due and marks them as in flight.
@@ -461,17 +521,33 @@
             if now < planned.next_attempt || !(planned.is_in_flight || self.is_drained(&vm)) {
                 continue;
             }
+            let wave = match planned.purpose {
+                Purpose::Move(_) if !planned.is_in_flight => self.wave_before_move(&vm_id, now),
+                _ => None,
+            };
+            if let (Some(wave), Some(planned)) = (wave, self.planned_orders.get_mut(&vm_id)) {
+                planned.purpose = Purpose::Maintain(wave);
+            }
+            let planned = &self.planned_orders[&vm_id];
             let order = match planned.purpose.clone() {
                 Purpose::Maintain(number) => {
                     let max_down = self.waves.get(&number).map_or(0, |wave| wave.max_down as usize);
-                    if !planned.is_in_flight && self.down_count(number) >= max_down {
+                    if !planned.is_in_flight && self.down_count(number, now) >= max_down {
                         continue;
                     }
+                    self.record.maintained.insert(vm_id.clone());
                     FleetOrder::Maintain(vm_id.clone(), number)
                 }
-                Purpose::Move(pool) => FleetOrder::Move(vm_id.clone(), pool),
+                Purpose::Move(pool) => {
+                    self.record.maintained.shift_remove(&vm_id);
+                    FleetOrder::Move(vm_id.clone(), pool)
+                }
             };
             if let Some(planned) = self.planned_orders.get_mut(&vm_id) {
+                let is_maintenance = matches!(planned.purpose, Purpose::Maintain(_));
+                if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
+                    self.drain_times.record(now.since(planned.planned_at));
+                }
                 planned.is_in_flight = true;
                 planned.next_attempt = Timestamp(u64::MAX);
             }
@@ -491,6 +567,7 @@
             OrderOutcome::Accepted => {
                 let purpose = planned.purpose.clone();
                 self.planned_orders.shift_remove(vm_id);
+                let is_maintenance = matches!(purpose, Purpose::Maintain(_));
                 let duration = match purpose {
                     Purpose::Maintain(wave) => {
                         self.record.begun.entry(wave).or_default().insert(vm_id.clone());
@@ -505,10 +582,8 @@
                     self.expected_starts.push((vm.pool.clone(), now + duration));
                 }
                 // The list of VMs may be older than the order: the VM counts as down meanwhile.
-                self.absences.insert(
-                    vm_id.clone(),
-                    Absence { until: now + duration + ORDER_RETRY_INTERVAL },
-                );
+                let until = now + duration + ORDER_RETRY_INTERVAL;
+                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance });
                 if let Some((pool, Some(worker))) = former_location {
                     self.stopped_workers.insert(worker, (pool, now + self.cfg.worker_entry_ttl));
                 }
@@ -519,7 +594,8 @@
             }
             OrderOutcome::Invalid => {
                 self.planned_orders.shift_remove(vm_id);
-                self.absences.insert(vm_id.clone(), Absence { until: now + Span(2_000) });
+                let until = now + Span(2_000);
+                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance: false });
             }
             OrderOutcome::Unknown => planned.next_attempt = now + ORDER_RETRY_INTERVAL,
         }
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -187,7 +187,10 @@
         sizes: &IndexMap<ServiceId, PoolSize>,
         now: Timestamp,
     ) -> Option<(VmId, ServiceId)> {
-        if let Some((vm_id, vm)) = self.free_standby_vms().next() {
+        // A VM that is due for maintenance has it while it is on standby anyway.
+        let standby_vm =
+            self.free_standby_vms().min_by_key(|(vm_id, _)| self.is_due_for_maintenance(vm_id));
+        if let Some((vm_id, vm)) = standby_vm {
             return Some((vm_id.clone(), vm.pool.clone()));
         }
         let largest_surplus = sizes
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -8,7 +8,7 @@
     Span(ms)
 }
 
-fn config() -> FleetConfig {
+pub(super) fn config() -> FleetConfig {
     FleetConfig {
         takeover_pause: span(3_000),
         maintenance_duration: span(2_000),
@@ -17,11 +17,11 @@
     }
 }
 
-fn pool(name: &str) -> ServiceId {
+pub(super) fn pool(name: &str) -> ServiceId {
     name.parse().unwrap()
 }
 
-fn vm(number: usize, pool: &ServiceId) -> Vm {
+pub(super) fn vm(number: usize, pool: &ServiceId) -> Vm {
     Vm {
         id: format!("m{number}").parse().unwrap(),
         pool: pool.clone(),
@@ -32,11 +32,11 @@
     }
 }
 
-fn worker(number: usize) -> WorkerId {
+pub(super) fn worker(number: usize) -> WorkerId {
     format!("w{number}").as_str().into()
 }
 
-fn vm_id(number: usize) -> VmId {
+pub(super) fn vm_id(number: usize) -> VmId {
     format!("m{number}").parse().unwrap()
 }
 
@@ -67,7 +67,7 @@
 /// Work of each job that arrives, in core-seconds.
 const JOB_CORE_S: u64 = 4;
 
-fn load(required_cores: u64, arrived_core_s: u64) -> Load {
+pub(super) fn load(required_cores: u64, arrived_core_s: u64) -> Load {
     Load {
         capacity_milli: 4 * VM_CPU_MILLI,
         required_milli: required_cores * 1_000,
@@ -94,7 +94,7 @@
     actions.iter().flat_map(orders).collect()
 }
 
-fn maintained_vms(actions: &[FleetAction]) -> Vec<VmId> {
+pub(super) fn maintained_vms(actions: &[FleetAction]) -> Vec<VmId> {
     let maintained = |order: FleetOrder| match order {
         FleetOrder::Maintain(vm_id, _) => Some(vm_id),
         FleetOrder::Move(..) => None,
@@ -102,7 +102,7 @@
     orders(actions).into_iter().filter_map(maintained).collect()
 }
 
-fn moves(actions: &[FleetAction]) -> Vec<(VmId, ServiceId)> {
+pub(super) fn moves(actions: &[FleetAction]) -> Vec<(VmId, ServiceId)> {
     let moved = |order: FleetOrder| match order {
         FleetOrder::Move(vm_id, to) => Some((vm_id, to)),
         FleetOrder::Maintain(..) => None,
@@ -111,7 +111,7 @@
 }
 
 /// Returns the record that was saved last.
-fn saved(actions: &[FleetAction]) -> FleetRecord {
+pub(super) fn saved(actions: &[FleetAction]) -> FleetRecord {
     let record = |action: &FleetAction| match action {
         FleetAction::Save(record, _) => Some((**record).clone()),
         _ => None,
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -1,17 +1,72 @@
-//! Maintenance waves: each VM of a wave has its maintenance once, a few VMs at a time, standby VMs
-//! and VMs of the least loaded pools first.
+//! Maintenance waves: each VM of a wave has its maintenance once, standby VMs and VMs of the least
+//! loaded pools first.
+//!
+//! A wave competes with the queues for VMs. Draining one for the wave costs its pool more than the
+//! maintenance itself, so a wave takes VMs that are empty anyway, on standby or on their way from one
+//! pool to another, and drains only as many as it needs to be in time.
 
-use super::{CellReport, Fleet, FleetAction, PlannedOrder, Purpose, VmState, Wave};
-use crate::{Span, Timestamp, VmId};
+#[cfg(test)]
+mod tests;
+
+use indexmap::IndexMap;
+
+use super::{
+    CellReport, Fleet, FleetAction, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, VmState, Wave,
+    WaveStep,
+};
+use crate::{
+    Span, Timestamp, VmId,
+    job::{Load, WorkerId},
+};
 
 /// A wave is late, so that running tasks are stopped, if the time left is less than this percentage
 /// of the estimated time for its remaining VMs.
 const LATE_THRESHOLD_PERCENT: u64 = 130;
 
-/// Estimated time to drain a VM whose runs are not stopped.
+/// Time to drain a VM whose runs are not stopped, as long as few were drained.
 const DRAIN_ESTIMATE: Span = Span(3_000);
 
+/// Number of drains for which [`DRAIN_ESTIMATE`] counts beside those that were measured.
+const ESTIMATED_DRAINS: u64 = 8;
+
+/// How much faster than just in time a wave goes, in percent.
+const PACE_PERCENT: u64 = 110;
+
+/// The time before its deadline at which a wave is to be done, for VMs that take longer to drain
+/// than others.
+const SLOW_DRAIN_RESERVE: Span = Span(5_000);
+
+/// Returns the fewest VMs that must be away at once so that `pending` VMs, each away for `round`,
+/// have begun their maintenance in `time_left`.
+fn least_at_once(pending: usize, round: Span, time_left: Span) -> usize {
+    let time_left_ms = time_left.0.saturating_sub(SLOW_DRAIN_RESERVE.0).max(1);
+    let work_ms = (pending as u64).saturating_mul(round.0).saturating_mul(PACE_PERCENT) / 100;
+    usize::try_from(work_ms.div_ceil(time_left_ms)).unwrap_or(usize::MAX)
+}
+
 impl Fleet {
+    /// The time by which the maintenance of every VM of a wave must have begun. A node that started
+    /// after the wave was requested counts its duration from too late, so the earliest deadline that
+    /// any owner of the fleet knew counts.
+    fn deadline(&self, wave: &Wave) -> Timestamp {
+        let recorded = self.record.deadlines.get(&wave.number);
+        let recorded = recorded.map(|wall_ms| wall_ms.saturating_sub(self.wall_offset_ms));
+        recorded.map_or(wave.deadline, |deadline| wave.deadline.min(Timestamp(deadline)))
+    }
+
+    /// How long a VM that is not on standby is away: its drain and its maintenance.
+    fn round(&self, now: Timestamp) -> Span {
+        let is_drained_for_wave = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
+            matches!(planned.purpose, Purpose::Maintain(_))
+                && !planned.is_in_flight
+                && self.vms.get(*vm_id).is_some_and(|vm| !self.is_standby(vm))
+        };
+        let ongoing = self.planned_orders.iter().filter(is_drained_for_wave);
+        let ongoing_ms: u64 = ongoing.map(|(_, planned)| now.since(planned.planned_at).0).sum();
+        let drain = self.drain_times.estimate(Span(ongoing_ms));
+        Span(self.cfg.maintenance_duration.0 + drain.0)
+    }
+
     /// Whether a wave is expected to miss its deadline unless running tasks are stopped.
     pub(super) fn is_late(&self, wave: u64, now: Timestamp) -> bool {
         let Some(wave) = self.waves.get(&wave) else {
@@ -19,8 +74,8 @@
         };
         let pending_count = self.pending_vms(wave).count() as u64;
         let rounds = pending_count.div_ceil(u64::from(wave.max_down.max(1)));
-        let round_ms = self.cfg.maintenance_duration.0 + DRAIN_ESTIMATE.0;
-        now + Span(rounds * round_ms * LATE_THRESHOLD_PERCENT / 100) > wave.deadline
+        let round_ms = self.round(now).0;
+        now + Span(rounds * round_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
     }
 
     /// Returns the listed VMs of a wave whose maintenance has not begun.
@@ -39,53 +94,195 @@
         let pending: Vec<VmId> = self.pending_vms(wave).cloned().collect();
         if pending.is_empty() {
             self.record.finished.insert(number);
+            self.record.deadlines.shift_remove(&number);
         } else if self.record.finished.contains(&number) {
             return;
         }
         self.report_wave(number, pending.is_empty());
-        let max_down = self.waves.get(&number).map_or(0, |wave| wave.max_down as usize);
-        let planned_count = self
-            .planned_orders
-            .values()
-            .filter(|planned| planned.purpose == Purpose::Maintain(number))
-            .count();
-        // The next VMs are drained while others are still down, to lose no time in between.
+        let Some(wave) = self.waves.get(&number) else {
+            return;
+        };
+        let efforts = self.drain_efforts();
+        let (mut quota, step) = self.wave_quota(wave, &pending, &efforts, now);
         let mut candidates: Vec<VmId> = pending
             .into_iter()
-            .filter(|vm_id| self.is_free_for_maintenance(vm_id))
+            .filter(|vm_id| self.is_free_for_maintenance(vm_id, now))
             .filter(|vm_id| self.vms.get(vm_id).is_some_and(|vm| vm.state == VmState::Up))
             .collect();
-        candidates.sort_by_key(|vm_id| self.cost_of_absence(vm_id));
-        for vm_id in candidates.into_iter().take(max_down.saturating_sub(planned_count)) {
-            self.planned_orders
-                .insert(vm_id, PlannedOrder::new(Purpose::Maintain(number), now, None));
+        candidates.sort_by_cached_key(|vm_id| self.cost_of_absence(vm_id, &efforts));
+        let mut chosen = 0;
+        for vm_id in candidates {
+            let (kind, ..) = self.cost_of_absence(&vm_id, &efforts);
+            if quota.take(kind) {
+                chosen += 1;
+                let planned = PlannedOrder {
+                    hosts_long_running: kind == VmKind::HardToDrain,
+                    ..PlannedOrder::new(Purpose::Maintain(number), now, None)
+                };
+                self.planned_orders.insert(vm_id, planned);
+            }
+        }
+        if chosen > 0 {
+            self.actions.push(FleetAction::LogWaveStep(WaveStep { chosen, ..step }));
+        }
+    }
+
+    /// How many more VMs of a wave may be taken now, given those whose maintenance has not begun.
+    ///
+    /// VMs move between pools all the time and are empty then. Others are drained only while too few of
+    /// the wave are down for it to be in time, or if they run long-running tasks, because such VMs are
+    /// never moved.
+    fn wave_quota(
+        &self,
+        wave: &Wave,
+        pending: &[VmId],
+        efforts: &IndexMap<WorkerId, DrainEffort>,
+        now: Timestamp,
+    ) -> (WaveQuota, WaveStep) {
+        let is_of_wave =
+            |planned: &&PlannedOrder| planned.purpose == Purpose::Maintain(wave.number);
+        let planned = self.planned_orders.values().filter(is_of_wave);
+        let planned_count = planned.clone().count();
+        let draining = planned.filter(|planned| !planned.is_in_flight);
+        let hard_draining = draining.clone().filter(|planned| planned.hosts_long_running).count();
+        let draining = draining.count();
+        let down = self.down_count(wave.number, now);
+        let is_hard = |vm_id: &&VmId| {
+            !self.planned_orders.contains_key(*vm_id) && self.is_hard_to_drain(vm_id, efforts)
+        };
+        let hard_count = hard_draining + pending.iter().filter(is_hard).count();
+
+        let round = self.round(now);
+        let time_left = self.time_left(wave, now);
+        let down_pace = self.down_pace(wave, pending.len(), now);
+        let pace = least_at_once(pending.len(), round, time_left);
+        let hard_pace = least_at_once(hard_count, round, time_left);
+        // Drains make up for the share of the pace that VMs without a drain leave.
+        let missing = down_pace.saturating_sub(down);
+        let needed_drains = pace.saturating_sub(down_pace) * missing / down_pace.max(1);
+        let quota = WaveQuota {
+            // The next VMs are drained while others are still down, to lose no time in between.
+            total: (wave.max_down as usize).saturating_sub(planned_count),
+            drains: needed_drains.saturating_sub(draining),
+            hard_drains: hard_pace.saturating_sub(hard_draining),
+            unneeded: if self.is_short_of_vms {
+                down_pace.saturating_sub(down)
+            } else {
+                usize::MAX
+            },
+        };
+        let step = WaveStep {
+            wave: wave.number,
+            pending: pending.len(),
+            hard: hard_count,
+            draining,
+            down,
+            pace,
+            round,
+            time_left,
+            chosen: 0,
+        };
+        (quota, step)
+    }
+
+    /// The time left to begin the last maintenance of a wave.
+    fn time_left(&self, wave: &Wave, now: Timestamp) -> Span {
+        self.deadline(wave).since(now + self.cfg.maintenance_duration)
+    }
+
+    /// How many VMs of a wave must be down at once for it to be in time.
+    fn down_pace(&self, wave: &Wave, pending: usize, now: Timestamp) -> usize {
+        let down_time = Span(self.cfg.maintenance_duration.0 + ORDER_RETRY_INTERVAL.0);
+        least_at_once(pending, down_time, self.time_left(wave, now))
+    }
+
+    /// Returns the wave for which a VM that is drained for a move has its maintenance first, because
+    /// too few VMs of the wave are down.
+    pub(super) fn wave_before_move(&self, vm_id: &VmId, now: Timestamp) -> Option<u64> {
+        let takes_vm = |wave: &&Wave| {
+            let is_due = !self.record.finished.contains(&wave.number)
+                && self.pending_vms(wave).any(|pending| pending == vm_id);
+            is_due && {
+                let pace = self.down_pace(wave, self.pending_vms(wave).count(), now);
+                self.down_count(wave.number, now) < pace.min(wave.max_down as usize)
+            }
+        };
+        self.waves.values().find(takes_vm).map(|wave| wave.number)
+    }
+
+    fn is_hard_to_drain(&self, vm_id: &VmId, efforts: &IndexMap<WorkerId, DrainEffort>) -> bool {
+        let worker = self.vms.get(vm_id).and_then(|vm| vm.worker.as_ref());
+        let effort = worker.and_then(|worker| efforts.get(worker));
+        effort.is_some_and(|effort| effort.hosts_long_running)
+    }
+
+    /// Whether the maintenance of a VM is pending in a wave.
+    pub(super) fn is_due_for_maintenance(&self, vm_id: &VmId) -> bool {
+        self.waves.values().any(|wave| {
+            let begun = self.record.begun.get(&wave.number);
+            wave.vms.contains(vm_id) && begun.is_none_or(|begun| !begun.contains(vm_id))
+        })
+    }
+
+    /// Whether a VM is free on standby, or is being drained to go there.
+    fn is_unneeded(&self, vm_id: &VmId) -> bool {
+        let Some(vm) = self.vms.get(vm_id).filter(|vm| vm.state == VmState::Up) else {
+            return false;
+        };
+        match self.planned_orders.get(vm_id).map(|planned| &planned.purpose) {
+            Some(Purpose::Move(to)) => self.standby.contains(to),
+            Some(Purpose::Maintain(_)) => false,
+            None => self.is_standby(vm) && !self.absences.contains_key(vm_id),
         }
     }
 
     /// Whether the maintenance of a VM can be planned; it replaces a planned move that is not in
     /// flight.
-    fn is_free_for_maintenance(&self, vm_id: &VmId) -> bool {
+    fn is_free_for_maintenance(&self, vm_id: &VmId, now: Timestamp) -> bool {
         let is_replaceable = |planned: &PlannedOrder| {
             !planned.is_in_flight && matches!(planned.purpose, Purpose::Move(_))
         };
-        !self.absences.contains_key(vm_id)
+        let waits_for_predecessor = self.vm_not_before.get(vm_id).is_some_and(|from| now < *from);
+        !waits_for_predecessor
+            && !self.absences.contains_key(vm_id)
             && self.planned_orders.get(vm_id).is_none_or(is_replaceable)
     }
 
-    /// Returns a sort key for the choice of VMs: 0 for standby VMs, otherwise the load of the VM's
-    /// pool in relation to the pool's capacity.
-    pub(super) fn cost_of_absence(&self, vm_id: &VmId) -> u64 {
-        let Some(vm) = self.vms.get(vm_id) else {
-            return u64::MAX;
+    /// How each worker that its cell could give up would be drained.
+    fn drain_efforts(&self) -> IndexMap<WorkerId, DrainEffort> {
+        let effort_of = |(load, place): (&Load, usize)| {
+            let hosts_long_running = place >= load.short_running_workers as usize;
+            (load.spare[place].clone(), DrainEffort { hosts_long_running, place })
         };
-        if self.standby.contains(&vm.pool) {
-            return 0;
+        let loads = self.cell_reports.values().map(|report| &report.load);
+        let spare = loads.flat_map(|load| (0..load.spare.len()).map(move |place| (load, place)));
+        spare.map(effort_of).collect()
+    }
+
+    /// Returns a sort key for the choice of VMs: by kind, then the load of the VM's pool in relation
+    /// to the pool's capacity, then the order in which its cell would give up workers.
+    fn cost_of_absence(
+        &self,
+        vm_id: &VmId,
+        efforts: &IndexMap<WorkerId, DrainEffort>,
+    ) -> (VmKind, u64, usize) {
+        if self.is_unneeded(vm_id) {
+            return (VmKind::Unneeded, 0, 0);
+        }
+        let vm = self.vms.get(vm_id);
+        let report = vm.and_then(|vm| self.cell_reports.get(&vm.pool));
+        let load_permille = report.map_or(u64::MAX, |CellReport { load, .. }| {
+            let wanted_milli = load.booked_milli + load.waiting_milli;
+            wanted_milli.saturating_mul(1_000) / load.capacity_milli.max(1)
+        });
+        let effort = vm.and_then(|vm| efforts.get(vm.worker.as_ref()?));
+        match effort {
+            Some(effort) if effort.hosts_long_running => {
+                (VmKind::HardToDrain, load_permille, effort.place)
+            }
+            Some(effort) => (VmKind::InUse, load_permille, effort.place),
+            None => (VmKind::InUse, u64::MAX, 0),
         }
-        let Some(CellReport { load, .. }) = self.cell_reports.get(&vm.pool) else {
-            return u64::MAX - 1;
-        };
-        let wanted_milli = load.booked_milli + load.waiting_milli;
-        1 + wanted_milli * 1_000 / load.capacity_milli.max(1)
     }
 
     /// Reports the progress of a wave if it has changed.
@@ -95,8 +292,15 @@
         }
     }
 
-    /// Returns the number of VMs of a wave that are down, or may be because of an order.
-    pub(super) fn down_count(&self, number: u64) -> usize {
+    /// Whether maintenance of a VM that the previous owner ordered may still begin.
+    fn may_be_down_for_predecessor(&self, vm_id: &VmId, now: Timestamp) -> bool {
+        self.record.maintained.contains(vm_id)
+            && self.vm_not_before.get(vm_id).is_some_and(|from| now < *from)
+    }
+
+    /// Returns the number of VMs of a wave that are down, or may be because of an order of this
+    /// owner or of its predecessor.
+    pub(super) fn down_count(&self, number: u64, now: Timestamp) -> usize {
         let Some(wave) = self.waves.get(&number) else {
             return 0;
         };
@@ -105,9 +309,85 @@
             .filter(|vm_id| {
                 let listed = self.vms.get(*vm_id);
                 listed.is_some_and(|vm| vm.state == VmState::Maintenance)
-                    || self.absences.contains_key(*vm_id)
-                    || self.planned_orders.get(*vm_id).is_some_and(|planned| planned.is_in_flight)
+                    || self.absences.get(*vm_id).is_some_and(|absence| absence.is_maintenance)
+                    || self.planned_orders.get(*vm_id).is_some_and(PlannedOrder::may_be_maintained)
+                    || self.may_be_down_for_predecessor(vm_id, now)
             })
             .count()
     }
 }
+
+/// How long the drains of VMs for maintenance have taken in this term.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DrainTimes {
+    total: Span,
+    count: u64,
+}
+
+impl DrainTimes {
+    pub(super) fn record(&mut self, time: Span) {
+        self.total = Span(self.total.0.saturating_add(time.0));
+        self.count += 1;
+    }
+
+    /// The mean time of a drain. The time that unfinished drains have taken so far counts too, so
+    /// that the mean does not rest on the quick ones only.
+    fn estimate(&self, unfinished: Span) -> Span {
+        let estimated_ms = DRAIN_ESTIMATE.0 * ESTIMATED_DRAINS;
+        let total_ms = self.total.0.saturating_add(unfinished.0).saturating_add(estimated_ms);
+        Span(total_ms / (self.count + ESTIMATED_DRAINS))
+    }
+}
+
+/// What draining a worker takes.
+#[derive(Clone, Copy, Debug)]
+struct DrainEffort {
+    /// Whether it runs long-running tasks, which must be moved.
+    hosts_long_running: bool,
+    /// Its place in the order in which its cell would give up workers.
+    place: usize,
+}
+
+/// How many more VMs of a wave may be drained now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct WaveQuota {
+    /// The most that the wave allows.
+    total: usize,
+    /// How many VMs of pools may be drained.
+    drains: usize,
+    /// How many VMs with long-running tasks may be drained, even if `drains` is less.
+    hard_drains: usize,
+    /// How many VMs that need no drain may be taken.
+    unneeded: usize,
+}
+
+impl WaveQuota {
+    /// Takes a VM if the quota allows it.
+    fn take(&mut self, kind: VmKind) -> bool {
+        let quota = match kind {
+            VmKind::Unneeded => &mut self.unneeded,
+            VmKind::HardToDrain => &mut self.hard_drains,
+            VmKind::InUse => &mut self.drains,
+        };
+        if self.total == 0 || *quota == 0 {
+            return false;
+        }
+        *quota -= 1;
+        self.total -= 1;
+        if kind == VmKind::HardToDrain {
+            self.drains = self.drains.saturating_sub(1);
+        }
+        true
+    }
+}
+
+/// What taking a VM for a wave costs; the cheapest kind comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum VmKind {
+    /// No pool needs it.
+    Unneeded,
+    /// It runs long-running tasks. Their moves may have to wait for each other, so they begin early.
+    HardToDrain,
+    /// It runs other tasks or waits for some.
+    InUse,
+}
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -340,4 +340,7 @@
     pub correction_percent: u64,
     /// Usable workers in the order in which they should be given up.
     pub spare: Vec<WorkerId>,
+    /// Number of workers at the start of `spare` that run no long-running tasks.
+    #[serde(default)]
+    pub short_running_workers: u32,
 }
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -270,6 +270,13 @@
                 info!(self.node.log, "pool size"; "pool" => %pool, "has" => size.has,
                     "floor" => size.floor, "wants" => size.wants, "epoch" => self.epoch.0);
             }
+            FleetAction::LogWaveStep(step) => {
+                info!(self.node.log, "wave step"; "wave" => step.wave, "pending" => step.pending,
+                    "hard" => step.hard, "draining" => step.draining, "down" => step.down,
+                    "pace" => step.pace,
+                    "round_ms" => step.round.0, "time_left_ms" => step.time_left.0, "chosen" => step.chosen,
+                    "epoch" => self.epoch.0);
+            }
             FleetAction::ReportWave { wave, finished } => {
                 info!(self.node.log, "wave progress"; "wave" => wave, "finished" => finished);
                 let (key, value) = config::wave_status(wave, finished);
