An odd entry among workers or VMs leaves the others in use

Could happen here, each shown by a test that fails without the change: - one odd VM made the whole list of VMs unreadable, so that no maintenance and no move was ordered any more (VmClient::list; a property of the list, not of the process). Could not happen: nesting ends in a parse error at a depth of 128; no process ended in any test. One log line names the first unreadable entry and how many there are, whenever that number changes.

Conclusion: the sound entries stay in use. Waves, configuration and nodes' records were only read.

--- a/crates/core/src/job/cell/load.rs
+++ b/crates/core/src/job/cell/load.rs
@@ -17,10 +17,13 @@
 
 impl Cell {
     /// The number of workers that the long-running tasks need, plus one, so that any one worker can
-    /// be drained. Every worker is assumed to have the capacity of the one with the least memory.
-    /// The result is 1 if the cell has no workers.
+    /// be drained. Every worker is assumed to have the capacity of the one with the least memory. A
+    /// worker that has never answered may not exist, so it counts only while none has. The result is
+    /// 1 if the cell has no workers.
     fn floor_workers(&self) -> u32 {
-        let capacities = self.workers.values().map(|worker| worker.entry.capacity);
+        let has_answered = self.workers.values().any(|worker| worker.is_adopted);
+        let existing = self.workers.values().filter(|worker| worker.is_adopted == has_answered);
+        let capacities = existing.map(|worker| worker.entry.capacity);
         let Some(capacity) = capacities.min_by_key(|capacity| capacity.memory_mb) else {
             return 1;
         };
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -270,6 +270,8 @@
     /// Time of the latest order about each VM, or of the takeover if the previous owner sent it.
     ordered_at: IndexMap<VmId, Timestamp>,
     vms: IndexMap<VmId, Vm>,
+    /// Whether the platform's latest list has entries that could not be read.
+    has_unreadable_vms: bool,
     waves: IndexMap<u64, Wave>,
     /// Waves reported to the operator, and whether they were reported as finished.
     reported_waves: IndexMap<u64, bool>,
@@ -333,6 +335,7 @@
             vm_not_before,
             ordered_at,
             vms: IndexMap::new(),
+            has_unreadable_vms: false,
             waves: IndexMap::new(),
             reported_waves: IndexMap::new(),
             planned_orders: IndexMap::new(),
@@ -373,8 +376,10 @@
         self.standby = standby;
     }
 
-    /// Sets the VMs that the platform lists.
-    pub fn set_vms(&mut self, vms: Vec<Vm>) {
+    /// Sets the VMs that the platform lists. `has_unreadable_entries` tells whether the list has
+    /// others that could not be read.
+    pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool) {
+        self.has_unreadable_vms = has_unreadable_entries;
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         if self.record.given.is_empty() {
             for vm in self.vms.values() {
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -50,7 +50,7 @@
     let mut fleet = Fleet::new(config(), record, (Timestamp(1_000), 1_000));
     let (busy, spare) = (pool("desk"), pool("spare"));
     let vms = (0..4).map(|number| vm(number, &busy));
-    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect());
+    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect(), false);
     fleet.set_standby_pools(IndexSet::from([spare]));
     fleet
 }
@@ -59,7 +59,7 @@
 fn next_owner(record: FleetRecord, wall_ms: u64) -> Fleet {
     let mut next = Fleet::new(config(), record, (Timestamp(0), wall_ms));
     let spare = pool("spare");
-    next.set_vms((4..8).map(|number| vm(number, &spare)).collect());
+    next.set_vms((4..8).map(|number| vm(number, &spare)).collect(), false);
     next.set_standby_pools(IndexSet::from([spare]));
     next
 }
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -78,11 +78,13 @@
         now + Span(rounds * round_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
     }
 
-    /// Returns the listed VMs of a wave whose maintenance has not begun.
+    /// Returns the listed VMs of a wave whose maintenance has not begun. A VM that is missing from a
+    /// list with unreadable entries may be one of these.
     pub(super) fn pending_vms<'a>(&'a self, wave: &'a Wave) -> impl Iterator<Item = &'a VmId> {
         let begun = self.record.begun.get(&wave.number);
         wave.vms.iter().filter(move |vm_id| {
-            self.vms.contains_key(*vm_id) && begun.is_none_or(|begun| !begun.contains(*vm_id))
+            let is_listed = self.vms.contains_key(*vm_id) || self.has_unreadable_vms;
+            is_listed && begun.is_none_or(|begun| !begun.contains(*vm_id))
         })
     }
 
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -76,7 +76,7 @@
                 () => VmState::Up,
             };
         }
-        self.fleet.set_vms(self.vms.clone());
+        self.fleet.set_vms(self.vms.clone(), false);
         let drains = self.fleet.drain_requests(now).shift_remove(&pool("desk")).unwrap_or_default();
         self.draining_since.retain(|id, _| drains.contains_key(id));
         for id in drains.keys() {
@@ -167,7 +167,7 @@
     let mut fleet = Fleet::new(config(), record, (Timestamp(0), wall_ms));
     let (desk, spare) = (pool("desk"), pool("spare"));
     let vms = (0..4).map(|number| vm(number, &desk));
-    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect());
+    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect(), false);
     fleet.set_standby_pools(IndexSet::from([spare]));
     fleet
 }
@@ -255,6 +255,27 @@
     assert_eq!(next.deadline(&next.waves[&1]), Timestamp(10_000));
 }
 
+#[test]
+fn a_wave_is_not_done_while_its_vm_may_be_an_unreadable_entry_of_the_list() {
+    let mut fleet = fleet_with_record(complete_record(), 1_000);
+    let listed: Vec<Vm> = (0..4).map(|number| vm(number, &pool("desk"))).collect();
+    fleet.add_waves(vec![wave(9..10, 1, DEADLINE)]);
+    let is_done = |fleet: &mut Fleet| {
+        let done = FleetAction::ReportWave { wave: 1, finished: true };
+        fleet.take_actions().contains(&done)
+    };
+
+    fleet.set_vms(listed.clone(), true);
+    fleet.tick(Timestamp(100));
+    let while_unreadable = is_done(&mut fleet);
+    fleet.set_vms(listed, false);
+    fleet.tick(Timestamp(300));
+    let once_gone = is_done(&mut fleet);
+
+    assert!(!while_unreadable);
+    assert!(once_gone);
+}
+
 #[test]
 fn the_pace_follows_from_the_time_left() {
     let at_once =
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -26,6 +26,17 @@
 /// Maximum number of occurrences of a job.
 const MAX_OCCURRENCES: u32 = 100_000;
 
+/// Maximum estimate of a task's duration: a year.
+const MAX_ESTIMATE: Span = Span(365 * 24 * 3_600_000);
+
+/// Maximum processor time of a job by its estimates, in thousandths of a core times milliseconds. The
+/// sum over all jobs of a cell stays within 64 bits.
+const MAX_WORK: u64 = 1 << 50;
+
+/// More of any resource than a VM can have. Sums over all VMs and products with short durations stay
+/// within 64 bits.
+const MAX_AMOUNT: u64 = 1 << 30;
+
 /// Resources that a task needs or that a worker provides.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
@@ -39,6 +50,12 @@
 }
 
 impl Resources {
+    /// Whether a VM may have these resources.
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        self.cpu_milli <= MAX_AMOUNT && self.memory_mb <= MAX_AMOUNT && self.gpus <= MAX_AMOUNT
+    }
+
     /// Whether `available` suffices for these resources.
     #[must_use]
     pub fn fits(&self, available: &Self) -> bool {
@@ -163,6 +180,16 @@
 }
 
 impl Step {
+    /// Returns the processor time that the tasks take by their estimate, in thousandths of a core
+    /// times milliseconds; zero if they are long-running.
+    fn work(&self) -> u64 {
+        if self.long_running {
+            return 0;
+        }
+        let cpu_milli = self.need.cpu_milli.saturating_mul(u64::from(self.count));
+        cpu_milli.saturating_mul(self.estimate.0)
+    }
+
     /// Returns the resources that a run of a task books on its worker. A best-effort task books no
     /// processor capacity.
     #[must_use]
@@ -219,6 +246,12 @@
             if step.count == 0 {
                 return fail(format!("step {number}: a count of 0"));
             }
+            if !step.need.is_plausible() {
+                return fail(format!("step {number}: a task needs more than any VM can have"));
+            }
+            if step.estimate > MAX_ESTIMATE {
+                return fail(format!("step {number}: an estimate over {MAX_ESTIMATE}"));
+            }
             if let Some(after) = step.after.iter().find(|&&after| after as usize >= number) {
                 return fail(format!("step {number}: waits for step {after}, which isn't earlier"));
             }
@@ -227,6 +260,10 @@
         if tasks > MAX_TASKS {
             return fail(format!("steps: {tasks} tasks, over {MAX_TASKS}"));
         }
+        let work = self.steps.iter().fold(0_u64, |sum, step| sum.saturating_add(step.work()));
+        if work > MAX_WORK {
+            return fail("steps: more processor time than any fleet can give".to_owned());
+        }
         // Serialisation can't fail: the specification holds only values that JSON can represent.
         if serde_json::to_vec(self).is_ok_and(|json| json.len() > MAX_STORED_BYTES) {
             return fail(format!("over {MAX_STORED_BYTES} bytes in its stored form"));
--- a/crates/standins/tests/cells/turns.rs
+++ b/crates/standins/tests/cells/turns.rs
@@ -1,6 +1,8 @@
 //! Tests of placement under load: bursts that exceed the pool's capacity, drains and slow workers.
 
-use teaselgap_core::job::{DrainMode, EndKind, JobEnd, JobId, JobState, LogEvent, Step};
+use teaselgap_core::job::{
+    DrainMode, EndKind, JobEnd, JobId, JobState, LogEvent, Resources, Step, WorkerEntry,
+};
 use teaselgap_standins::model::{Model, TaskTime};
 
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step};
@@ -79,6 +81,29 @@
     assert_eq!(load.floor_workers, 3);
 }
 
+/// Guards against an entry of another writer in the list of workers.
+#[test]
+fn a_listed_worker_that_never_answers_does_not_change_how_many_workers_a_pool_needs() {
+    let mut model = new_model(4);
+    model.submit(JobId(1), &queue(), long_running_job(4, 1));
+    model.run_for(1_000);
+    let now = model.now();
+    let mut entries: Vec<WorkerEntry> =
+        model.workers().map(|worker| worker.entry.clone()).collect();
+    entries.push(WorkerEntry {
+        id: "odd".into(),
+        capacity: Resources::default(),
+        ..entries[0].clone()
+    });
+
+    let cell = model.cell_mut().unwrap();
+    let before = cell.load(now).floor_workers;
+    cell.update_workers(entries, true, now);
+    let after = cell.load(now).floor_workers;
+
+    assert_eq!((before, after), (2, 2));
+}
+
 #[test]
 fn a_drain_does_not_stop_a_long_running_task_that_fits_on_no_other_worker() {
     let mut model = new_model(2);
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -66,6 +66,8 @@
     is_term_over: StdCell<bool>,
     /// The revision of the record in the store; zero if there is none.
     record_revision: StdCell<u64>,
+    /// Number of entries of the latest VM list that could not be read.
+    unreadable_vms: StdCell<usize>,
     /// Whether the record of earlier terms has been read.
     is_record_read: StdCell<bool>,
     /// Whether a record is being written to the store.
@@ -105,6 +107,7 @@
         fleet: RefCell::new(fleet),
         is_term_over: StdCell::new(false),
         record_revision: StdCell::new(0),
+        unreadable_vms: StdCell::new(0),
         is_record_read: StdCell::new(false),
         is_saving: StdCell::new(false),
         is_handing_over: StdCell::new(false),
@@ -179,7 +182,13 @@
 
     async fn refresh_vms(&self) {
         match self.vm_client.list().await {
-            Ok(vms) => self.fleet.borrow_mut().set_vms(vms),
+            Ok(list) => {
+                if self.unreadable_vms.replace(list.unreadable) != list.unreadable {
+                    warn!(self.node.log, "VM list has unreadable entries";
+                        "unreadable" => list.unreadable, "vms" => list.vms.len());
+                }
+                self.fleet.borrow_mut().set_vms(list.vms, list.unreadable > 0);
+            }
             Err(err) => {
                 warn!(self.node.log, "failed to list VMs"; "error" => %err);
             }
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -9,8 +9,8 @@
 use slog::{info, warn};
 use teaselgap_core::{ServiceId, job::WorkerEntry};
 use teaselgap_platform::{
-    store::{self, Range, StoreError, WORKERS_PREFIX},
-    worker,
+    store::{self, Item, Range, StoreError, WORKERS_PREFIX},
+    worker::{self, EntryError},
 };
 
 use super::node::Node;
@@ -56,6 +56,7 @@
     let mut complete_from = clock::now();
     let link_mbps = node.settings.limits.link_mbps;
     let mut list_bytes = 0;
+    let mut unreadable_count = 0;
     loop {
         let shortest = shortest_pause(list_bytes, link_mbps);
         tokio::time::sleep(shortest).await;
@@ -67,8 +68,14 @@
             continue;
         }
         match read_workers(&node).await {
-            Ok((workers, bytes)) => {
+            Ok(WorkerList { workers, bytes, unreadable }) => {
                 list_bytes = bytes;
+                let count = unreadable.as_ref().map_or(0, |(_, count)| *count);
+                if let Some((first, _)) = unreadable.filter(|_| count != unreadable_count) {
+                    warn!(node.log, "list of workers has unreadable entries"; "entries" => count,
+                        "first" => first.key, "error" => %first.error);
+                }
+                unreadable_count = count;
                 if let Some(since) = failing_since.take() {
                     info!(node.log, "list of workers readable again"; "since" => %since);
                     complete_from = clock::now() + teaselgap_core::Span(REGISTRATION_GRACE_MS);
@@ -92,18 +99,44 @@
 /// The workers of each service.
 type Workers = IndexMap<ServiceId, Vec<WorkerEntry>>;
 
-/// Reads the list of workers, and returns its size in bytes too.
-async fn read_workers(node: &Rc<Node>) -> Result<(Workers, usize), StoreError> {
+/// The list of workers as it was read.
+struct WorkerList {
+    workers: Workers,
+    bytes: usize,
+    /// The first entry that could not be read, and how many there are.
+    unreadable: Option<(Unreadable, usize)>,
+}
+
+/// An entry that could not be read.
+struct Unreadable {
+    key: String,
+    error: EntryError,
+}
+
+/// Sorts the entries of the list by service, and leaves out those that can't be read, such as those
+/// of other writers.
+fn parse_workers(items: &[Item]) -> (Workers, Option<(Unreadable, usize)>) {
+    let mut workers = Workers::new();
+    let mut unreadable: Option<(Unreadable, usize)> = None;
+    for item in items {
+        match worker::parse_entry(&item.key, &item.value) {
+            Ok(Some(entry)) => workers.entry(entry.service.clone()).or_default().push(entry),
+            Ok(None) => {}
+            Err(error) => match &mut unreadable {
+                Some((_, count)) => *count += 1,
+                None => unreadable = Some((Unreadable { key: item.key.clone(), error }, 1)),
+            },
+        }
+    }
+    (workers, unreadable)
+}
+
+/// Reads the list of workers.
+async fn read_workers(node: &Rc<Node>) -> Result<WorkerList, StoreError> {
     let page_timeout = store::page_timeout(node.settings.limits.link_mbps);
     let mut range = Range::default();
     node.store.extend_range(WORKERS_PREFIX, page_timeout, &mut range).await?;
     let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
-    let mut workers = Workers::new();
-    for item in &range.items {
-        // Entries in another format, such as those of other writers, are ignored.
-        if let Some(entry) = worker::parse_entry(&item.key, &item.value) {
-            workers.entry(entry.service.clone()).or_default().push(entry);
-        }
-    }
-    Ok((workers, bytes))
+    let (workers, unreadable) = parse_workers(&range.items);
+    Ok(WorkerList { workers, bytes, unreadable })
 }
--- a/src/jobs/roster/tests.rs
+++ b/src/jobs/roster/tests.rs
@@ -15,3 +15,23 @@
     assert!(transfer * 10 <= transfer + regular_pause(LIST_BYTES, 10.0));
     assert!(transfer * 4 <= transfer + shortest_pause(LIST_BYTES, 10.0));
 }
+
+fn entry(key: &str, value: &str) -> Item {
+    Item { key: key.to_owned(), value: value.as_bytes().to_vec(), ..Item::default() }
+}
+
+#[test]
+fn odd_entries_leave_the_others_in_use_and_are_counted() {
+    let sound = |id: &str| {
+        let value = r#"{"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready"}"#;
+        entry(&format!("{WORKERS_PREFIX}{id}"), value)
+    };
+    let nested = "[".repeat(100_000);
+    let odd_port = r#"{"service":"s","address":"10.0.0.1:70000","zone":"a","state":"ready"}"#;
+    let items = [sound("i-1"), entry("x", &nested), entry("y", odd_port), sound("i-2")];
+
+    let (workers, unreadable) = parse_workers(&items);
+
+    assert_eq!(workers["s"].len(), 2);
+    assert!(unreadable.is_some_and(|(first, count)| first.key == "x" && count == 2));
+}
