--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -11,10 +11,10 @@
 //! A wrong refusal costs the caller more than a late job. A job is therefore accepted if it can
 //! start in time at its rank, unless that makes a job overdue that was accepted before; and also if
 //! the capacity that arriving jobs leave over ends it before it is overdue. While nothing waits, each
-//! job is accepted: some worker is free, or will be soon. So it is while much of the workers'
-//! capacity is idle: then the backlog waits for something else, such as its start orders. While the owner may not
-//! know all workers yet, nothing is refused. Memory, labels and racks are left out, which makes the
-//! forecast too optimistic rather than too strict.
+//! job is accepted: some worker is free, or will be soon. While much of the workers' capacity is
+//! idle, each is accepted too: the backlog then waits for something else, such as its start orders.
+//! While the owner may not know all workers yet, nothing is refused. Memory, labels and racks are
+//! left out, which makes the forecast too optimistic rather than too strict.
 
 #[cfg(test)]
 mod tests;
@@ -205,8 +205,8 @@
     capacity: CapacityForecast,
     /// What the jobs that arrive need, in thousandths of a core.
     arriving_milli: u64,
-    /// Whether workers may be joining that the forecast does not know of, so that a backlog does not
-    /// show that arrivals exceed what the workers will do.
+    /// Whether many workers may still join, so that a backlog does not show that arrivals exceed what
+    /// the workers will do.
     is_growing: bool,
 }
 
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -158,8 +158,8 @@
     pub down: usize,
     /// Number of VMs that must be away at once for the wave to be in time.
     pub pace: usize,
-    /// How long a VM is away.
-    pub round: Span,
+    /// How long a VM that is not on standby is away.
+    pub time_away: Span,
     /// The time left to begin the last maintenance.
     pub time_left: Span,
     /// Number of VMs that are taken next.
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -1,5 +1,4 @@
-//! Maintenance waves: each VM of a wave has its maintenance once, standby VMs and VMs of the least
-//! loaded pools first.
+//! Maintenance waves: each VM of a wave has its maintenance once, before the wave's deadline.
 //!
 //! A wave competes with the queues for VMs. Draining one for the wave costs its pool more than the
 //! maintenance itself, so a wave takes VMs that are empty anyway, on standby or on their way from one
@@ -36,11 +35,11 @@
 /// than others.
 const SLOW_DRAIN_RESERVE: Span = Span(5_000);
 
-/// Returns the fewest VMs that must be away at once so that `pending` VMs, each away for `round`,
-/// have begun their maintenance in `time_left`.
-fn least_at_once(pending: usize, round: Span, time_left: Span) -> usize {
+/// Returns the fewest VMs that must be away at once so that `pending` VMs, each of them away for
+/// `time_away`, have begun their maintenance in `time_left`.
+fn least_at_once(pending: usize, time_away: Span, time_left: Span) -> usize {
     let time_left_ms = time_left.0.saturating_sub(SLOW_DRAIN_RESERVE.0).max(1);
-    let work_ms = (pending as u64).saturating_mul(round.0).saturating_mul(PACE_PERCENT) / 100;
+    let work_ms = (pending as u64).saturating_mul(time_away.0).saturating_mul(PACE_PERCENT) / 100;
     usize::try_from(work_ms.div_ceil(time_left_ms)).unwrap_or(usize::MAX)
 }
 
@@ -54,16 +53,16 @@
         recorded.map_or(wave.deadline, |deadline| wave.deadline.min(Timestamp(deadline)))
     }
 
-    /// How long a VM that is not on standby is away: its drain and its maintenance.
-    fn round(&self, now: Timestamp) -> Span {
-        let is_drained_for_wave = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
+    /// How long a VM that is not on standby is away for a wave: its drain and its maintenance.
+    fn time_away(&self, now: Timestamp) -> Span {
+        let is_being_drained = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
             matches!(planned.purpose, Purpose::Maintain(_))
                 && !planned.is_in_flight
                 && self.vms.get(*vm_id).is_some_and(|vm| !self.is_standby(vm))
         };
-        let ongoing = self.planned_orders.iter().filter(is_drained_for_wave);
-        let ongoing_ms: u64 = ongoing.map(|(_, planned)| now.since(planned.planned_at).0).sum();
-        let drain = self.drain_times.estimate(Span(ongoing_ms));
+        let unfinished = self.planned_orders.iter().filter(is_being_drained);
+        let unfinished_ms = unfinished.map(|(_, planned)| now.since(planned.planned_at).0).sum();
+        let drain = self.drain_times.estimate(Span(unfinished_ms));
         Span(self.cfg.maintenance_duration.0 + drain.0)
     }
 
@@ -74,8 +73,8 @@
         };
         let pending_count = self.pending_vms(wave).count() as u64;
         let rounds = pending_count.div_ceil(u64::from(wave.max_down.max(1)));
-        let round_ms = self.round(now).0;
-        now + Span(rounds * round_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
+        let time_away_ms = self.time_away(now).0;
+        now + Span(rounds * time_away_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
     }
 
     /// Returns the listed VMs of a wave whose maintenance has not begun. A VM that is missing from a
@@ -154,11 +153,11 @@
         };
         let hard_count = hard_draining + pending.iter().filter(is_hard).count();
 
-        let round = self.round(now);
+        let time_away = self.time_away(now);
         let time_left = self.time_left(wave, now);
         let down_pace = self.down_pace(wave, pending.len(), now);
-        let pace = least_at_once(pending.len(), round, time_left);
-        let hard_pace = least_at_once(hard_count, round, time_left);
+        let pace = least_at_once(pending.len(), time_away, time_left);
+        let hard_pace = least_at_once(hard_count, time_away, time_left);
         // Drains make up for the share of the pace that VMs without a drain leave.
         let missing = down_pace.saturating_sub(down);
         let needed_drains = pace.saturating_sub(down_pace) * missing / down_pace.max(1);
@@ -180,7 +179,7 @@
             draining,
             down,
             pace,
-            round,
+            time_away,
             time_left,
             chosen: 0,
         };
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -283,7 +283,7 @@
                 info!(self.node.log, "wave step"; "wave" => step.wave, "pending" => step.pending,
                     "hard" => step.hard, "draining" => step.draining, "down" => step.down,
                     "pace" => step.pace,
-                    "round_ms" => step.round.0, "time_left_ms" => step.time_left.0, "chosen" => step.chosen,
+                    "away_ms" => step.time_away.0, "time_left_ms" => step.time_left.0, "chosen" => step.chosen,
                     "epoch" => self.epoch.0);
             }
             FleetAction::ReportWave { wave, finished } => {
