--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod orders;
 mod outlook;
 mod size;
 #[cfg(test)]
@@ -16,20 +17,18 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use self::size::{Arrivals, SmoothedNeed};
-pub use self::{size::PoolSize, turns::BurstHistory};
+use self::{
+    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose},
+    size::{Arrivals, SmoothedNeed},
+};
+pub use self::{
+    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderOutcome},
+    size::PoolSize,
+    turns::BurstHistory,
+};
 use super::{DrainMode, Load, Resources, WorkerId};
 use crate::{ServiceId, Span, Timestamp, VmId, ZoneId, job::WALL_CLOCK_MARGIN};
 
-/// How long to wait before retrying an order that got no answer or whose VM was busy.
-const ORDER_RETRY_INTERVAL: Span = Span(400);
-
-/// How much longer than the takeover pause a VM stays in [`FleetRecord::ordered`].
-const RECENT_ORDER_MARGIN: Span = Span(5_000);
-
-/// How long after its VM was recorded in [`FleetRecord::ordered`] an order may still be sent.
-pub const ORDER_SEND_WINDOW: Span = Span(1_000);
-
 /// How long before the expected start of a worker its cell is told to expect workers.
 const WORKER_START_LEAD: Span = Span(100);
 
@@ -166,52 +165,6 @@
     pub chosen: usize,
 }
 
-/// An order about a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FleetOrder {
-    /// Begin the maintenance of the VM for the wave with this number.
-    Maintain(VmId, u64),
-    /// Move the VM to this pool.
-    Move(VmId, ServiceId),
-}
-
-/// Outcome of an order to the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// The platform carries out the order, or has done so before.
-    Accepted,
-    /// The VM can't take the order now; it may be retried.
-    Busy,
-    /// The order is not valid for this VM.
-    Invalid,
-    /// The order may or may not be carried out.
-    Unknown,
-}
-
-/// Purpose of a planned order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Purpose {
-    /// Maintenance for the wave with this number.
-    Maintain(u64),
-    /// A move to this pool.
-    Move(ServiceId),
-}
-
-/// An order about a VM that the platform has not accepted yet.
-#[derive(Clone, Debug)]
-struct PlannedOrder {
-    purpose: Purpose,
-    planned_at: Timestamp,
-    /// Whether the VM ran long-running tasks when the order was planned.
-    hosts_long_running: bool,
-    /// Whether the order was sent and has no definite outcome yet.
-    is_in_flight: bool,
-    /// Time before which the order is not sent or retried.
-    next_attempt: Timestamp,
-    /// Time at which the order is dropped if its VM is not drained by then.
-    drain_deadline: Timestamp,
-}
-
 /// Latest report of a cell, and the need of its pool derived from its reports.
 #[derive(Clone, Debug, Default)]
 struct CellReport {
@@ -226,35 +179,6 @@
     surplus_since: Option<Timestamp>,
 }
 
-impl PlannedOrder {
-    fn new(purpose: Purpose, now: Timestamp, timeout: Option<Span>) -> Self {
-        let drain_deadline = timeout.map_or(Timestamp(u64::MAX), |timeout| now + timeout);
-        Self {
-            purpose,
-            planned_at: now,
-            hosts_long_running: false,
-            is_in_flight: false,
-            next_attempt: now,
-            drain_deadline,
-        }
-    }
-}
-
-impl PlannedOrder {
-    /// Whether maintenance was ordered, and may begin at any time.
-    fn may_be_maintained(&self) -> bool {
-        self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
-    }
-}
-
-/// A period in which a VM counts as absent, whatever state the platform lists.
-#[derive(Clone, Debug)]
-struct Absence {
-    until: Timestamp,
-    /// Whether it is down for maintenance.
-    is_maintenance: bool,
-}
-
 /// The owner's view of all VMs, and the orders that it plans.
 #[derive(Debug)]
 pub struct Fleet {
@@ -493,116 +417,4 @@
             self.actions.push(FleetAction::Save(Box::new(self.saved.clone()), orders));
         }
     }
-
-    fn is_drained(&self, vm: &Vm) -> bool {
-        self.standby.contains(&vm.pool)
-            || vm.worker.as_ref().is_none_or(|worker| self.drained_workers.contains(worker))
-    }
-
-    /// Rewrites [`FleetRecord::ordered`] from the times of the latest orders, and drops old ones.
-    fn record_recent_orders(&mut self, now: Timestamp) {
-        let retention = Span(self.cfg.takeover_pause.0 + RECENT_ORDER_MARGIN.0);
-        self.ordered_at.retain(|_, at| now <= *at + retention);
-        let wall_ms = |at: &Timestamp| self.wall_offset_ms + at.0;
-        self.record.ordered =
-            self.ordered_at.iter().map(|(vm_id, at)| (vm_id.clone(), wall_ms(at))).collect();
-        let ordered_at = &self.ordered_at;
-        self.record.maintained.retain(|vm_id| ordered_at.contains_key(vm_id));
-    }
-
-    /// Returns the orders that are due and marks them as in flight.
-    fn take_due_orders(&mut self, now: Timestamp) -> Vec<FleetOrder> {
-        let mut orders = Vec::new();
-        let vm_ids: Vec<VmId> = self.planned_orders.keys().cloned().collect();
-        for vm_id in vm_ids {
-            let Some(vm) = self.vms.get(&vm_id).cloned() else {
-                self.planned_orders.shift_remove(&vm_id);
-                continue;
-            };
-            if self.vm_not_before.get(&vm_id).is_some_and(|from| now < *from) {
-                continue;
-            }
-            let planned = &self.planned_orders[&vm_id];
-            if now < planned.next_attempt || !(planned.is_in_flight || self.is_drained(&vm)) {
-                continue;
-            }
-            let wave = match planned.purpose {
-                Purpose::Move(_) if !planned.is_in_flight => self.wave_before_move(&vm_id, now),
-                _ => None,
-            };
-            if let (Some(wave), Some(planned)) = (wave, self.planned_orders.get_mut(&vm_id)) {
-                planned.purpose = Purpose::Maintain(wave);
-            }
-            let planned = &self.planned_orders[&vm_id];
-            let order = match planned.purpose.clone() {
-                Purpose::Maintain(number) => {
-                    let max_down = self.waves.get(&number).map_or(0, |wave| wave.max_down as usize);
-                    if !planned.is_in_flight && self.down_count(number, now) >= max_down {
-                        continue;
-                    }
-                    self.record.maintained.insert(vm_id.clone());
-                    FleetOrder::Maintain(vm_id.clone(), number)
-                }
-                Purpose::Move(pool) => {
-                    self.record.maintained.shift_remove(&vm_id);
-                    FleetOrder::Move(vm_id.clone(), pool)
-                }
-            };
-            if let Some(planned) = self.planned_orders.get_mut(&vm_id) {
-                let is_maintenance = matches!(planned.purpose, Purpose::Maintain(_));
-                if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
-                    self.drain_times.record(now.since(planned.planned_at));
-                }
-                planned.is_in_flight = true;
-                planned.next_attempt = Timestamp(u64::MAX);
-            }
-            self.ordered_at.insert(vm_id.clone(), now);
-            orders.push(order);
-        }
-        orders
-    }
-
-    /// Handles the outcome of an order about a VM.
-    pub fn on_order_outcome(&mut self, vm_id: &VmId, outcome: OrderOutcome, now: Timestamp) {
-        let Some(planned) = self.planned_orders.get_mut(vm_id) else {
-            return;
-        };
-        let former_location = self.vms.get(vm_id).map(|vm| (vm.pool.clone(), vm.worker.clone()));
-        match outcome {
-            OrderOutcome::Accepted => {
-                let purpose = planned.purpose.clone();
-                self.planned_orders.shift_remove(vm_id);
-                let is_maintenance = matches!(purpose, Purpose::Maintain(_));
-                let duration = match purpose {
-                    Purpose::Maintain(wave) => {
-                        self.record.begun.entry(wave).or_default().insert(vm_id.clone());
-                        self.cfg.maintenance_duration
-                    }
-                    Purpose::Move(pool) => {
-                        self.record_move(vm_id, pool, now);
-                        self.cfg.move_duration
-                    }
-                };
-                if let Some(vm) = self.vms.get(vm_id) {
-                    self.expected_starts.push((vm.pool.clone(), now + duration));
-                }
-                // The list of VMs may be older than the order: the VM counts as down meanwhile.
-                let until = now + duration + ORDER_RETRY_INTERVAL;
-                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance });
-                if let Some((pool, Some(worker))) = former_location {
-                    self.stopped_workers.insert(worker, (pool, now + self.cfg.worker_entry_ttl));
-                }
-            }
-            OrderOutcome::Busy => {
-                planned.is_in_flight = false;
-                planned.next_attempt = now + ORDER_RETRY_INTERVAL;
-            }
-            OrderOutcome::Invalid => {
-                self.planned_orders.shift_remove(vm_id);
-                let until = now + Span(2_000);
-                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance: false });
-            }
-            OrderOutcome::Unknown => planned.next_attempt = now + ORDER_RETRY_INTERVAL,
-        }
-    }
 }
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -25,7 +25,7 @@
 /// Time to drain a VM whose runs are not stopped, as long as few were drained.
 const DRAIN_ESTIMATE: Span = Span(3_000);
 
-/// Number of drains for which [`DRAIN_ESTIMATE`] counts beside those that were measured.
+/// Weight of [`DRAIN_ESTIMATE`] in the mean time of a drain, as a number of drains.
 const ESTIMATED_DRAINS: u64 = 8;
 
 /// How much faster than just in time a wave goes, in percent.
