--- a/tools/regression/run.sh
+++ b/tools/regression/run.sh
@@ -27,7 +27,7 @@
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then
     continue
   fi
-  out=$("$bench" score "$kit/$site" --jobs 4 --why "Regression run of $name") || true
+  out=$("$bench" score "$kit/$site" --jobs 4 --why "Regression run of $name" 2>&1) || true
   score=$(sed -nE 's/^score on .*: ([0-9.]+)$/\1/p' <<<"$out")
   gate=$(sed -nE 's/^GATE (.*)/\1/p' <<<"$out")
   verdict=$(awk -v a="$before" -v b="${score:-0}" -v n="$noise" 'BEGIN { print (b < a - n) ? "fell" : "holds" }')
