review: case 1, more ends than one answer holds (TWICE)

Cause: a worker returns its unconfirmed ends 500 at a time; a run beyond them is in neither list, and the owner starts it again.

--- /dev/null
+++ b/review/standins/src/cases.rs
@@ -0,0 +1,160 @@
+//! The cases.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    deployment::{Deployment, Options},
+    record::Record,
+};
+
+pub enum Outcome {
+    Held,
+    Broken(Vec<String>),
+    /// The situation that the case is about did not come about.
+    NotPlayed(String),
+}
+
+/// Plays a case; `None` if it is not known or the deployment does not start.
+pub fn play(case: &str, has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    match case {
+        "many-ends" => many_ends(has_trouble),
+        "three-crashes" => three_crashes(has_trouble),
+        "stale-entry" => stale_entry(has_trouble),
+        _ => None,
+    }
+}
+
+fn job(count: u32, cpu: u64, run_ms: u64) -> String {
+    format!(
+        r#"{{"spec":"ms={run_ms} cpu={cpu}","phases":[{{"count":{count},"cpu":{cpu},"mem_mb":256,"estimate_ms":{run_ms}}}]}}"#
+    )
+}
+
+fn id(number: u64) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000 + number)
+}
+
+fn verdict(breaches: Vec<String>) -> Outcome {
+    if breaches.is_empty() { Outcome::Held } else { Outcome::Broken(breaches) }
+}
+
+/// The store is down for 4.5 s while the queue has much small work. Its workers list more ends than
+/// one answer holds.
+fn many_ends(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    const JOBS: u64 = 120;
+    let options =
+        Options { nodes: 3, workers: 2, worker_cpu: 64_000, target_latency_ms: 30_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let body = job(20, 500, 400);
+    let accepted = thread::scope(|scope| {
+        let deployment = &deployment;
+        let hand_in = |number| {
+            let body = &body;
+            scope.spawn(move || deployment.submit(&id(number), body))
+        };
+        let handles: Vec<_> = (0..JOBS).map(hand_in).collect();
+        handles.into_iter().filter_map(|handle| handle.join().ok()).filter(|ok| *ok).count()
+    });
+    record.note(format!("{accepted} of {JOBS} jobs are accepted"));
+    if has_trouble {
+        deployment.store.set_down(true);
+        record.note("the store is down");
+        let until = Instant::now() + Duration::from_millis(4_500);
+        while Instant::now() < until {
+            thread::sleep(Duration::from_millis(500));
+            let ends: Vec<usize> =
+                deployment.workers.iter().map(|worker| worker.unconfirmed_ends()).collect();
+            record.note(format!("ends that are not confirmed, by worker: {ends:?}"));
+        }
+        deployment.store.set_down(false);
+        record.note("the store is up");
+    }
+    for number in 0..JOBS {
+        deployment.await_end(&id(number), Duration::from_secs(30));
+    }
+    deployment.stop();
+    let breaches = record.twice();
+    Some((record, verdict(breaches)))
+}
+
+/// Three times, the worker on which a work unit runs crashes and starts again.
+fn three_crashes(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    let options =
+        Options { nodes: 3, workers: 9, worker_cpu: 64_000, target_latency_ms: 30_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let job_id = id(1);
+    if !deployment.submit(&job_id, &job(1, 3_500, 4_000)) {
+        deployment.stop();
+        return Some((record, Outcome::NotPlayed("the job was not accepted".to_owned())));
+    }
+    let crashes = if has_trouble { 3 } else { 0 };
+    for _ in 0..crashes {
+        let deadline = Instant::now() + Duration::from_secs(20);
+        let found = loop {
+            let found = deployment.workers.iter().find(|worker| worker.runs(&job_id));
+            if found.is_some() || Instant::now() >= deadline {
+                break found;
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        let Some(worker) = found else { break };
+        thread::sleep(Duration::from_millis(1_500));
+        worker.crash();
+        thread::sleep(Duration::from_millis(3_000));
+        worker.start(Duration::ZERO);
+    }
+    let end = deployment.await_end(&job_id, Duration::from_secs(30));
+    deployment.stop();
+    let failures = record.ends(&job_id, "failed");
+    record.note(format!("the job is shown as {end:?}; {failures} of its runs ended failed"));
+    let outcome = match end {
+        Some((200, state)) if state == "succeeded" => Outcome::Held,
+        Some((200, state)) if state == "failed" && failures == 0 => Outcome::Broken(vec![format!(
+            "{job_id} is shown as failed; no run of it has ended failed, and max_attempts is 4"
+        )]),
+        other => Outcome::NotPlayed(format!("the job's last state is {other:?}")),
+    };
+    Some((record, outcome))
+}
+
+/// A worker crashes and starts again under its id while the store is down. When the store is back,
+/// its entry is that of the worker's earlier life until the worker's next heartbeat.
+fn stale_entry(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    const JOBS: u64 = 6;
+    let options =
+        Options { nodes: 3, workers: 3, worker_cpu: 32_000, target_latency_ms: 30_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let jobs: Vec<String> = (0..JOBS).map(id).collect();
+    for job_id in &jobs {
+        if !deployment.submit(job_id, &job(8, 2_000, 6_000)) {
+            deployment.stop();
+            return Some((record, Outcome::NotPlayed("a job was not accepted".to_owned())));
+        }
+    }
+    if has_trouble {
+        let worker = &deployment.workers[0];
+        thread::sleep(Duration::from_millis(500));
+        deployment.store.set_down(true);
+        record.note("the store is down");
+        thread::sleep(Duration::from_millis(500));
+        worker.crash();
+        thread::sleep(Duration::from_millis(500));
+        worker.start(Duration::ZERO);
+        thread::sleep(Duration::from_millis(3_500));
+        deployment.store.set_down(false);
+        record.note("the store is up");
+    }
+    for job_id in &jobs {
+        deployment.await_end(job_id, Duration::from_secs(30));
+    }
+    deployment.stop();
+    let breaches = record.twice();
+    Some((record, verdict(breaches)))
+}
