--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -7,8 +7,9 @@
 };
 
 use crate::{
-    deployment::{Deployment, Options},
-    record::Record,
+    deployment::{Deployment, Options, config},
+    names::name,
+    record::{Event, Record},
 };
 
 pub enum Outcome {
@@ -23,6 +24,7 @@
     match case {
         "many-ends" => many_ends(has_trouble),
         "three-crashes" => three_crashes(has_trouble),
+        "dropped-route" => dropped_route(has_trouble),
         "stale-entry" => stale_entry(has_trouble),
         _ => None,
     }
@@ -46,8 +48,7 @@
 /// one answer holds.
 fn many_ends(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
     const JOBS: u64 = 120;
-    let options =
-        Options { nodes: 3, workers: 2, worker_cpu: 64_000, target_latency_ms: 30_000 };
+    let options = Options { nodes: 3, workers: 2, worker_cpu: 64_000 };
     let deployment = Deployment::start(&options)?;
     let record = Arc::clone(&deployment.record);
     let body = job(20, 500, 400);
@@ -84,8 +85,7 @@
 
 /// Three times, the worker on which a work unit runs crashes and starts again.
 fn three_crashes(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
-    let options =
-        Options { nodes: 3, workers: 9, worker_cpu: 64_000, target_latency_ms: 30_000 };
+    let options = Options { nodes: 3, workers: 9, worker_cpu: 64_000 };
     let deployment = Deployment::start(&options)?;
     let record = Arc::clone(&deployment.record);
     let job_id = id(1);
@@ -127,8 +127,7 @@
 /// its entry is that of the worker's earlier life until the worker's next heartbeat.
 fn stale_entry(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
     const JOBS: u64 = 6;
-    let options =
-        Options { nodes: 3, workers: 3, worker_cpu: 32_000, target_latency_ms: 30_000 };
+    let options = Options { nodes: 3, workers: 3, worker_cpu: 32_000 };
     let deployment = Deployment::start(&options)?;
     let record = Arc::clone(&deployment.record);
     let jobs: Vec<String> = (0..JOBS).map(id).collect();
@@ -158,3 +157,44 @@
     let breaches = record.twice();
     Some((record, verdict(breaches)))
 }
+
+/// A job with a step of one work unit of `first_ms`, and a second step after it.
+fn two_steps(first_ms: u64) -> String {
+    format!(
+        r#"{{"spec":"ms={first_ms} cpu=2000","phases":[{{"count":1,"cpu":2000,"mem_mb":256,"estimate_ms":{first_ms}}},{{"count":2,"cpu":2000,"mem_mb":256,"estimate_ms":{first_ms},"after":[0]}}]}}"#
+    )
+}
+
+/// The operator removes a route while a job of its queue runs.
+fn dropped_route(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    let options = Options { nodes: 3, workers: 3, worker_cpu: 32_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let job_id = id(1);
+    if !deployment.submit(&job_id, &two_steps(2_500)) {
+        return Some((record, Outcome::NotPlayed("the job was not accepted".to_owned())));
+    }
+    thread::sleep(Duration::from_millis(500));
+    if has_trouble {
+        deployment.store.write(name("config_key"), &config(2, false));
+        record.note("the operator's configuration 2 has no route to the queue any more");
+    }
+    thread::sleep(Duration::from_secs(20));
+    let state = deployment.await_end(&job_id, Duration::from_secs(1));
+    record.note(format!("the job's state: {state:?} (404 counts as no answer)"));
+    let second = format!("{job_id}.0.1.");
+    let is_start = |event: &Event| match event {
+        Event::Started { task, .. } => task.starts_with(&second),
+        _ => false,
+    };
+    let starts = record.events().iter().filter(|(_, event)| is_start(event)).count();
+    let outcome = if starts >= 2 {
+        Outcome::Held
+    } else {
+        Outcome::Broken(vec![format!(
+            "{job_id}: {starts} of 2 work units of the second step have started 17 s after the \
+             first step was done; all workers are idle"
+        )])
+    };
+    Some((record, outcome))
+}
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -2,8 +2,8 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    net::SocketAddr,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc,
@@ -17,6 +17,7 @@
     http::{self, Reply, Request, Server},
     json::{self, Json},
     names::name,
+    ports,
     record::Record,
     store::Store,
     worker::{Setup, Worker},
@@ -24,8 +25,11 @@
 
 pub const HOST: &str = "shop.example";
 pub const PREFIX: &str = "/jobs/";
+pub const OTHER_PREFIX: &str = "/other/";
 const SERVICE: &str = "shop";
 const HEARTBEAT_MS: u64 = 1_500;
+/// Long enough that no job is refused because it would end too late.
+const TARGET_LATENCY_MS: u64 = 30_000;
 const MAX_HOLD_MS: u64 = 10_000;
 const STOP_MS: u64 = 200;
 
@@ -48,23 +52,10 @@
     _servers: Vec<Server>,
 }
 
-fn any_port() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
-/// Returns that many free addresses.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).filter_map(|_| TcpListener::bind(any_port()).ok()).collect();
-    listeners.iter().filter_map(|listener| listener.local_addr().ok()).collect()
-}
-
 pub struct Options {
     pub nodes: usize,
     pub workers: usize,
     pub worker_cpu: u64,
-    /// `target_latency_ms` of the queue.
-    pub target_latency_ms: u64,
 }
 
 impl Deployment {
@@ -73,7 +64,7 @@
         let record = Arc::new(Record::new());
         let store = Arc::new(Store::new());
         let is_over = Arc::new(AtomicBool::new(false));
-        store.write(name("config_key"), &config(options.target_latency_ms));
+        store.write(name("config_key"), &config(1, true));
         let setup = |index| Setup {
             id: format!("i-{index:08x}"),
             service: SERVICE.to_owned(),
@@ -91,10 +82,12 @@
         }
         let platform = Arc::clone(&store);
         let store_server =
-            Server::start(any_port(), Arc::new(move |request| platform.handle(&request))).ok()?;
+            Server::start(ports::take()?, Arc::new(move |request| platform.handle(&request)))
+                .ok()?;
         let machines = machine_list(&workers);
         let machine_server =
-            Server::start(any_port(), Arc::new(move |request| list(&request, &machines))).ok()?;
+            Server::start(ports::take()?, Arc::new(move |request| list(&request, &machines)))
+                .ok()?;
         keep_ticking(&is_over, &store, &workers);
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
@@ -115,23 +108,24 @@
     }
 
     fn start_node(&mut self, index: usize, platform: (SocketAddr, SocketAddr)) -> Option<()> {
-        let [front, ready, control, peer] = free_addresses(4).try_into().ok()?;
+        let [front, ready, control, peer] =
+            [ports::take()?, ports::take()?, ports::take()?, ports::take()?];
         let node = format!("edge-z1-{index}");
         let path = self.folder.join(format!("{node}.toml"));
         fs::write(&path, settings(&node, [front, ready, control, peer], platform)).ok()?;
-        let log = fs::File::create(self.folder.join(format!("{node}.log"))).ok()?;
-        let child = Command::new("target/release/teaselgap")
-            .args(["serve", "--platform"])
-            .env("TEASELGAP_BOOT", &path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().ok()?)
-            .stderr(log)
-            .spawn()
-            .ok()?;
+        let child = self.spawn(&node, &path)?;
         self.nodes.push(Node { name: node, front, child });
         Some(())
     }
 
+    fn spawn(&self, node: &str, settings: &Path) -> Option<Child> {
+        let path = self.folder.join(format!("{node}.log"));
+        let log = fs::OpenOptions::new().create(true).append(true).open(path).ok()?;
+        let mut command = Command::new("target/release/teaselgap");
+        command.args(["serve", "--platform"]).env("TEASELGAP_BOOT", settings);
+        command.stdin(Stdio::null()).stdout(log.try_clone().ok()?).stderr(log).spawn().ok()
+    }
+
     /// Waits until every node answers a count of the queue.
     fn await_ready(&self) -> bool {
         let deadline = Instant::now() + Duration::from_secs(15);
@@ -279,26 +273,31 @@
     Reply::Answer(400, "{}".to_owned())
 }
 
-fn config(target_latency_ms: u64) -> String {
-    let route = json::object([
-        ("name", json::text("r-shop")),
-        ("host", json::text(HOST)),
-        ("prefix", json::text(PREFIX)),
-        ("kind", json::text("non_idempotent")),
-        ("timeout_ms", json::number(3_000)),
-        ("target_latency_ms", json::number(target_latency_ms)),
-        ("priority", json::number(0)),
-        ("service", json::text(SERVICE)),
-        ("max_attempts", json::number(4)),
-        ("stretch_factor", Json::Number(1.6)),
-    ]);
-    let service = json::object([
-        ("name", json::text(SERVICE)),
-        ("admission_control", Json::Bool(true)),
-    ]);
+/// Returns a configuration of two queues, or of the second one only.
+pub fn config(version: u64, has_first: bool) -> String {
+    let route = |name: &str, prefix: &str| {
+        json::object([
+            ("name", json::text(name)),
+            ("host", json::text(HOST)),
+            ("prefix", json::text(prefix)),
+            ("kind", json::text("non_idempotent")),
+            ("timeout_ms", json::number(3_000)),
+            ("target_latency_ms", json::number(TARGET_LATENCY_MS)),
+            ("priority", json::number(0)),
+            ("service", json::text(SERVICE)),
+            ("max_attempts", json::number(4)),
+            ("stretch_factor", Json::Number(1.6)),
+        ])
+    };
+    let mut routes = vec![route("r-other", OTHER_PREFIX)];
+    if has_first {
+        routes.insert(0, route("r-shop", PREFIX));
+    }
+    let service =
+        json::object([("name", json::text(SERVICE)), ("admission_control", Json::Bool(true))]);
     json::object([
-        ("version", json::number(1)),
-        ("routes", Json::List(vec![route])),
+        ("version", json::number(version)),
+        ("routes", Json::List(routes)),
         ("services", Json::List(vec![service])),
         ("limits", json::object([("max_body_bytes", json::number(262_144))])),
     ])
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod names;
+mod ports;
 mod record;
 mod store;
 mod worker;
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -13,15 +13,32 @@
 pub enum Event {
     Note(String),
     /// A worker has begun to run a work unit.
-    Started { life: Life, task: String, attempt: u64 },
+    Started {
+        life: Life,
+        task: String,
+        attempt: u64,
+    },
     /// A run has ended.
-    Ended { life: Life, task: String, attempt: u64, how: &'static str, number: u64 },
+    Ended {
+        life: Life,
+        task: String,
+        attempt: u64,
+        how: &'static str,
+        number: u64,
+    },
     /// A hold has confirmed the ends up to this number.
-    Confirmed { life: Life, last_seen: u64 },
+    Confirmed {
+        life: Life,
+        last_seen: u64,
+    },
     /// The lease of a worker has lapsed.
-    Lapsed { life: Life },
+    Lapsed {
+        life: Life,
+    },
     /// A worker has crashed.
-    Crashed { life: Life },
+    Crashed {
+        life: Life,
+    },
 }
 
 pub struct Record {
@@ -128,7 +145,10 @@
 
     /// How many runs of the job's work units have ended in this way.
     pub fn ends(&self, job: &str, kind: &str) -> usize {
-        let is_end = |event: &Event| matches!(event, Event::Ended { task, how, .. } if task.starts_with(job) && *how == kind);
+        let is_end = |event: &Event| match event {
+            Event::Ended { task, how, .. } => task.starts_with(job) && *how == kind,
+            _ => false,
+        };
         self.events().iter().filter(|(_, event)| is_end(event)).count()
     }
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -281,9 +281,9 @@
             })
             .collect();
         if rows.iter().any(|(key, revision)| revision_of(&state, key) != *revision) {
-            let items = rows.iter().filter_map(|(key, _)| {
-                state.items.get(key).map(|item| item_json(key, item))
-            });
+            let items = rows
+                .iter()
+                .filter_map(|(key, _)| state.items.get(key).map(|item| item_json(key, item)));
             return (412, json::object([("items", Json::List(items.collect()))]));
         }
         let leases = body.list("puts").iter().filter_map(|put| put.number("lease"));
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -11,6 +11,7 @@
     http::{Reply, Request, Server},
     json::{self, Json},
     names::name,
+    ports,
     record::{Event, Life, Record},
     store::Store,
 };
@@ -110,7 +111,7 @@
     /// Starts a new life. The first heartbeat comes after `first_heartbeat`.
     pub fn start(self: &Arc<Self>, first_heartbeat: Duration) {
         let mut address = self.address.lock().unwrap();
-        let wanted = address.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
+        let wanted = address.or_else(ports::take).expect("a free port");
         let worker = Arc::clone(self);
         {
             let mut state = self.state.lock().unwrap();
