review: case 4, a worker that is lost right after its restart (LOST)

Cause: a run that no list has shown yet becomes unsettled when its worker restarts, and holds its task back for 21 s if the new life ends before the stop is settled. Added: a script in which one of fourteen workers crashes, is back after 0.5 s and is lost 0.4 s later; case 2 now has one of eight workers crash, within the site's share; the case of the removed route is number 5.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the case and writes record.txt beside this script. Exits with 1 if the rule was broken, 0 if
+# it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review/release/review-standins
+if [ ! -x "$program" ] || [ ! -x target/release/teaselgap ]; then
+  echo "build the project and run review/build.sh first" >&2
+  exit 2
+fi
+exec "$program" dropped-route review/5/record.txt
--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -12,6 +12,12 @@
     record::{Event, Record},
 };
 
+/// `finish_s` of the site: how long after the end of the traffic jobs are asked for.
+const FINISH_MS: u64 = 14_000;
+
+/// How long a job may have nothing running then, while there is room for it.
+const MAX_IDLE_MS: u64 = 3_000;
+
 pub enum Outcome {
     Held,
     Broken(Vec<String>),
@@ -24,6 +30,7 @@
     match case {
         "many-ends" => many_ends(has_trouble),
         "three-crashes" => three_crashes(has_trouble),
+        "crash-loop" => crash_loop(has_trouble),
         "dropped-route" => dropped_route(has_trouble),
         "stale-entry" => stale_entry(has_trouble),
         _ => None,
@@ -95,15 +102,7 @@
     }
     let crashes = if has_trouble { 3 } else { 0 };
     for _ in 0..crashes {
-        let deadline = Instant::now() + Duration::from_secs(20);
-        let found = loop {
-            let found = deployment.workers.iter().find(|worker| worker.runs(&job_id));
-            if found.is_some() || Instant::now() >= deadline {
-                break found;
-            }
-            thread::sleep(Duration::from_millis(5));
-        };
-        let Some(worker) = found else { break };
+        let Some(worker) = deployment.await_run(&job_id, Duration::from_secs(20)) else { break };
         thread::sleep(Duration::from_millis(1_500));
         worker.crash();
         thread::sleep(Duration::from_millis(3_000));
@@ -126,8 +125,8 @@
 /// A worker crashes and starts again under its id while the store is down. When the store is back,
 /// its entry is that of the worker's earlier life until the worker's next heartbeat.
 fn stale_entry(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
-    const JOBS: u64 = 6;
-    let options = Options { nodes: 3, workers: 3, worker_cpu: 32_000 };
+    const JOBS: u64 = 14;
+    let options = Options { nodes: 3, workers: 8, worker_cpu: 16_000 };
     let deployment = Deployment::start(&options)?;
     let record = Arc::clone(&deployment.record);
     let jobs: Vec<String> = (0..JOBS).map(id).collect();
@@ -198,3 +197,39 @@
     };
     Some((record, outcome))
 }
+
+/// The worker on which a work unit has just started crashes, starts again, and is lost for good
+/// shortly after.
+fn crash_loop(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    let options = Options { nodes: 3, workers: 14, worker_cpu: 64_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let job_id = id(1);
+    if !deployment.submit(&job_id, &job(1, 3_500, 2_000)) {
+        return Some((record, Outcome::NotPlayed("the job was not accepted".to_owned())));
+    }
+    let traffic_ended = record.now_ms();
+    if has_trouble {
+        let worker = deployment.await_run(&job_id, Duration::from_secs(5))?;
+        worker.crash();
+        thread::sleep(Duration::from_millis(500));
+        worker.start(Duration::ZERO);
+        thread::sleep(Duration::from_millis(400));
+        worker.crash();
+    }
+    let end = deployment.await_end(&job_id, Duration::from_secs(50));
+    record.note(format!("the job's last state: {end:?}"));
+    let idle_ms = record.longest_idle_ms(&job_id, traffic_ended + FINISH_MS);
+    record.note(format!(
+        "from 14 s after the end of the traffic, nothing of it runs for {idle_ms} ms"
+    ));
+    let outcome = if idle_ms >= MAX_IDLE_MS {
+        Outcome::Broken(vec![format!(
+            "{job_id}: nothing runs for {idle_ms} ms, later than 14 s after the end of the \
+             traffic, while all other workers are idle"
+        )])
+    } else {
+        Outcome::Held
+    };
+    Some((record, outcome))
+}
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -164,6 +164,18 @@
         false
     }
 
+    /// Waits until a worker runs a work unit of the job, and returns that worker.
+    pub fn await_run(&self, job: &str, limit: Duration) -> Option<&Arc<Worker>> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let found = self.workers.iter().find(|worker| worker.runs(job));
+            if found.is_some() || Instant::now() >= deadline {
+                return found;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// The time that a case may still take.
     fn time_left(&self) -> Duration {
         Duration::from_millis(MAX_CASE_MS.saturating_sub(self.record.now_ms()))
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -143,6 +143,30 @@
         breaches
     }
 
+    /// The longest time after `from_ms` for which nothing of the job runs, until its last run has
+    /// ended or until now.
+    pub fn longest_idle_ms(&self, job: &str, from_ms: u64) -> u64 {
+        let mut runs: Vec<Life> = Vec::new();
+        let (mut idle_since, mut longest, mut is_done) = (Some(from_ms), 0, false);
+        for (at, event) in self.events() {
+            match event {
+                Event::Started { life, task, .. } if task.starts_with(job) => runs.push(life),
+                Event::Ended { life, task, how, .. } if task.starts_with(job) => {
+                    runs.retain(|other| *other != life);
+                    is_done |= how == "done";
+                }
+                Event::Crashed { life } => runs.retain(|other| *other != life),
+                _ => continue,
+            }
+            if let Some(since) = idle_since {
+                longest = longest.max(at.saturating_sub(since));
+            }
+            idle_since = (runs.is_empty() && !is_done).then_some(at.max(from_ms));
+        }
+        let rest = idle_since.map_or(0, |since| self.now_ms().saturating_sub(since));
+        longest.max(rest)
+    }
+
     /// How many runs of the job's work units have ended in this way.
     pub fn ends(&self, job: &str, kind: &str) -> usize {
         let is_end = |event: &Event| match event {
