--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
   echo "build the project and run review/build.sh first" >&2
   exit 2
 fi
-exec "$program" dropped-route review/5/record.txt
+exec "$program" crash-loop review/5/record.txt
--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -31,6 +31,7 @@
         "many-ends" => many_ends(has_trouble),
         "three-crashes" => three_crashes(has_trouble),
         "crash-loop" => crash_loop(has_trouble),
+        "late-copy" => late_copy(has_trouble),
         "dropped-route" => dropped_route(has_trouble),
         "stale-entry" => stale_entry(has_trouble),
         _ => None,
@@ -233,3 +234,29 @@
     };
     Some((record, outcome))
 }
+
+/// Two workers leave one start order each without an answer. A copy of the order begins the run, which
+/// is done when the workers crash. They carry the first order out as soon as they have started again.
+fn late_copy(has_trouble: bool) -> Option<(Arc<Record>, Outcome)> {
+    let options = Options { nodes: 3, workers: 15, worker_cpu: 64_000 };
+    let deployment = Deployment::start(&options)?;
+    let record = Arc::clone(&deployment.record);
+    let late_workers = &deployment.workers[..2];
+    if has_trouble {
+        late_workers.iter().for_each(|worker| worker.delay_next_start());
+    }
+    let job_id = id(1);
+    if !deployment.submit(&job_id, &job(40, 3_500, 500)) {
+        return Some((record, Outcome::NotPlayed("the job was not accepted".to_owned())));
+    }
+    if has_trouble {
+        thread::sleep(Duration::from_millis(1_600));
+        late_workers.iter().for_each(|worker| worker.crash());
+        thread::sleep(Duration::from_millis(500));
+        late_workers.iter().for_each(|worker| worker.start(Duration::ZERO));
+    }
+    deployment.await_end(&job_id, Duration::from_secs(30));
+    thread::sleep(Duration::from_secs(4));
+    let breaches = record.twice();
+    Some((record, verdict(breaches)))
+}
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -3,7 +3,11 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering::SeqCst},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -79,6 +83,8 @@
     store: Arc<Store>,
     server: Mutex<Option<Server>>,
     address: Mutex<Option<SocketAddr>>,
+    /// Whether the next start order is carried out late, without an answer.
+    delays_start: AtomicBool,
 }
 
 /// What a work unit takes: its run time and its `cpu`, from the job's text (`ms=400 cpu=500`).
@@ -101,6 +107,7 @@
             store,
             server: Mutex::default(),
             address: Mutex::default(),
+            delays_start: AtomicBool::new(false),
         })
     }
 
@@ -127,7 +134,7 @@
             let (id, born) = self.life(&state);
             self.record.note(format!("worker {id} is born at {born}"));
         }
-        let handler = Arc::new(move |request: Request| worker.handle(&request));
+        let handler = Arc::new(move |request: Request| worker.handle(request));
         let server = Server::start(wanted, handler).expect("a worker's address is free");
         *address = Some(server.address);
         *self.server.lock().unwrap() = Some(server);
@@ -243,7 +250,35 @@
         self.ended.notify_all();
     }
 
-    fn handle(&self, request: &Request) -> Reply {
+    /// Leaves the next start order without an answer. It is carried out when the worker has crashed
+    /// and started again.
+    pub fn delay_next_start(&self) {
+        self.delays_start.store(true, SeqCst);
+    }
+
+    fn handle(self: &Arc<Self>, request: Request) -> Reply {
+        if request.path != name("start") || !self.delays_start.swap(false, SeqCst) {
+            return self.carry_out(&request);
+        }
+        self.record.note(format!("worker {} holds back {}", self.setup.id, request.body));
+        let born = self.state.lock().unwrap().born;
+        let worker = Arc::clone(self);
+        thread::spawn(move || {
+            while worker.state.lock().unwrap().born == born {
+                thread::sleep(Duration::from_millis(5));
+            }
+            let answer = match worker.carry_out(&request) {
+                Reply::Answer(status, body) => format!("{status} {body}"),
+                Reply::Close => "not up".to_owned(),
+            };
+            worker.record.note(format!("worker {} carries it out: {answer}", worker.setup.id));
+        });
+        // Longer than any caller waits.
+        thread::sleep(Duration::from_secs(5));
+        Reply::Close
+    }
+
+    fn carry_out(&self, request: &Request) -> Reply {
         let wanted = request.header("teaselgap-expected-instance");
         if wanted.is_some_and(|wanted| wanted != self.setup.id) {
             return Reply::Answer(421, "{}".to_owned());
