An end that the owner has not seen is not confirmed on a worker's next instance (TWICE)

What callers saw: nothing yet; found while looking for paths that mix up instances of a worker. A task that is done could be started again.

Cause: each hold names the last durable end. A worker that has restarted between two holds numbers its ends from 1, and the old number makes it forget ends that the owner has not seen.

Change: the number is sent only while the newest list shows ends. No hold is added.

Evidence: an_end_on_an_instance_of_which_the_owner_does_not_know_is_not_confirmed_unseen fails before (a restart 3.2 s after the first job, tasks of 20 ms: both "started after it was done") and holds after.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -80,9 +80,11 @@
     } else {
         HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
     };
-    // A worker that did not answer may have restarted. It then numbers its ends from the beginning,
-    // and the old number would confirm ends that have not been handled.
-    let last_seen = if worker.hold_failures == 0 { worker.ends_durable } else { 0 };
+    // The worker may have restarted unnoticed. It then numbers its ends from the beginning, and the
+    // old number would confirm ends that have not been handled, so it is sent only where there is
+    // something to confirm.
+    let may_confirm = worker.hold_failures == 0 && worker.lists_ends;
+    let last_seen = if may_confirm { worker.ends_durable } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
 }
 
@@ -183,6 +185,9 @@
         self.on_run_ends(id, &report.ends, now);
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.lists_ends = !report.ends.is_empty();
+            }
             for listed_run in &report.running {
                 self.on_listed_run(id, listed_run, now);
             }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -188,6 +188,8 @@
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
     pub(super) ends_durable: u64,
+    /// Whether the newest list contained ends, which the worker lists until they are confirmed.
+    pub(super) lists_ends: bool,
     pub(super) runs: IndexMap<TaskId, Run>,
     /// Start orders that got no answer: task, attempt, and when the owner stopped waiting. A
     /// restarted worker doesn't know the stop orders that cancelled them, so those are sent again.
@@ -320,6 +322,7 @@
             late_start_expiry: Timestamp(0),
             ends_seen: 0,
             ends_durable: 0,
+            lists_ends: false,
             runs: IndexMap::new(),
             unanswered_starts: Vec::new(),
             holds_in_flight: 0,
--- a/crates/standins/tests/cells/instances.rs
+++ b/crates/standins/tests/cells/instances.rs
@@ -135,3 +135,26 @@
     assert!(done, "a task that needs no label waits for the entry");
     assert_eq!(model.start_count(task_id(JobId(1), 0)), 0);
 }
+
+/// Guards against a task that runs again after it was done, because a number by which the owner
+/// confirms ends of one instance made the next one forget an end that the owner had not seen.
+#[test]
+fn an_end_on_an_instance_of_which_the_owner_does_not_know_is_not_confirmed_unseen() {
+    for restart_ms in (0..3_000).step_by(100) {
+        for task_ms in [20, 100, 300] {
+            let mut model = new_model(1);
+            model.submit(JobId(1), &queue(), job_spec(vec![step(3, 4_000, 100)]));
+            model.run_for(3_000 + restart_ms);
+            model.keep_entry("w0", EARLIER_ENTRY_MS);
+            model.restart_worker("w0");
+            // The worker is back, and no hold has reached it yet.
+            model.run_for(310);
+
+            model.submit(JOB, &queue(), job_spec(vec![step(2, 4_000, task_ms)]));
+            let done = model.run_until(20_000, |model| state(model, JOB) == SUCCEEDED);
+
+            assert_eq!(model.violations(), [] as [&str; 0], "{restart_ms} {task_ms}");
+            assert!(done, "{restart_ms} {task_ms}");
+        }
+    }
+}
