--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -50,7 +50,7 @@
     log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, Outlook, PlacedTask,
-        RunEnd, RunId, StartOrder, StartOutcome, Token,
+        RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, Token,
     },
     record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     retransmit::RetransmitTimer,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -69,6 +69,9 @@
 pub struct CellConfig {
     /// The duration of a worker's lease, counted from the order that grants or renews it.
     pub lease: Span,
+    /// The longest lease that a worker grants, on its own clock. An order to an earlier instance of
+    /// a worker, whose clock had advanced further, is granted that much.
+    pub max_lease: Span,
     /// The longest time that a worker takes to stop a run.
     pub stop_timeout: Span,
     /// How long the state of an ended job is kept.
@@ -403,6 +406,7 @@
         self.release_inherited_jobs(now);
         self.note_capacity(now);
         self.refuse_stalled(now);
+        self.expire_orders(now);
         self.expire_runs(now);
         self.send_stops(now);
         self.log_drained_workers(now);
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -26,6 +26,7 @@
 fn config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
+        max_lease: Span(6_000),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         admission: AdmissionPolicy::AcceptLate,
--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -137,7 +137,10 @@
         has_crashed: bool,
         now: Timestamp,
     ) {
-        let may_have_crashed_it = |run: &Run| run.state != RunState::Planned && !run.is_at_work();
+        // One that has outlived a restart was suspected then.
+        let may_have_crashed_it = |run: &Run| {
+            run.state != RunState::Planned && !run.is_at_work() && !run.outlived_restart
+        };
         let ordered = runs.filter(|(_, run)| may_have_crashed_it(run));
         let suspicion =
             |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -67,6 +67,7 @@
     // with each hold, it would never be known to have expired.
     let lease_end = if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
     worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
+    worker.lease_sent = if lease_end.is_some() { now } else { worker.lease_sent };
     worker.renewing_since = lease_end.and(worker.renewing_since.or(Some(now)));
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
     let answers_at_once = worker.runs.is_empty()
@@ -108,6 +109,11 @@
             }
             if let Some((id, worker)) = self.workers.get_index_mut(index) {
                 self.hold_budget.take(worker.runs.len());
+                if !worker.is_adopted {
+                    // An instance refuses a start order to an earlier one only from its stop on.
+                    let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
+                    self.actions.extend(worker.take_stops().map(stop));
+                }
                 self.actions.push(hold(id, worker, lease, now));
             }
         }
@@ -131,6 +137,7 @@
                 return;
             }
             worker.hold_failures += 1;
+            worker.unanswered_hold = worker.unanswered_hold.max(sent);
             worker.next_hold = now + FAILED_HOLD_DELAY;
             if worker.hold_failures == MAX_HOLD_FAILURES {
                 let runs = worker.runs.len();
@@ -170,7 +177,7 @@
         let is_newest = report.clock_ms >= worker.listed_clock_ms;
         if is_newest {
             worker.listed_clock_ms = report.clock_ms;
-            worker.record_clock(report.clock_ms, now);
+            worker.record_clock(report.clock_ms, sent, now);
         }
         worker.hold_failures = 0;
         worker.last_heard = now;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -2,8 +2,9 @@
 
 use super::{
     super::{
-        Action, LogEvent, PlacedTask, RunId, StartOrder, StartOutcome, TaskId, WorkerId,
-        worker::{RunState, StopOrder},
+        Action, LogEvent, PlacedTask, RunId, StartAnswer, StartOrder, StartOutcome, TaskId,
+        WorkerId,
+        worker::{OpenOrder, RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
 };
@@ -58,14 +59,15 @@
         Some(PlacedTask { index: task.index, attempt, worker: id.clone(), free_cpu_milli })
     }
 
-    /// Handles the outcome of a start order.
+    /// Handles the answer to a start order.
     pub fn on_start_answer(
         &mut self,
         id: &WorkerId,
         (task, attempt): (TaskId, u32),
-        outcome: StartOutcome,
+        answer: impl Into<StartAnswer>,
         now: Timestamp,
     ) {
+        let StartAnswer { outcome, clock_ms, last_sent } = answer.into();
         self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
         self.plan_due |= self.held_back_starts > 0;
         let Some(worker) = self.workers.get_mut(id) else {
@@ -73,15 +75,20 @@
         };
         let has_unanswered_copy =
             matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown);
+        let open_until = last_sent.unwrap_or(now) + UNANSWERED_START_LIFETIME;
+        let order_expiry = if has_unanswered_copy { open_until } else { now };
         if has_unanswered_copy {
-            worker.record_unanswered_start((task, attempt), now);
+            worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
         }
+        let is_instance_known = clock_ms.is_some_and(|ms| worker.knows_instance_of(ms, now));
         let run = worker.runs.get_mut(&task).filter(|run| run.attempt == attempt);
         let Some(run) = run else {
             return;
         };
         if matches!(outcome, StartOutcome::Started | StartOutcome::StartedRepeated) {
             run.expect_in_lists_after = now;
+            run.order_expiry = order_expiry;
+            run.ends_with_instance |= is_instance_known;
             if run.state != RunState::Running {
                 run.state = RunState::Running;
             }
@@ -108,6 +115,7 @@
         if outcome == StartOutcome::Unknown {
             run.state = RunState::Unsettled;
             run.expect_in_lists_after = now;
+            run.order_expiry = order_expiry;
             worker.next_hold = worker.next_hold.min(now);
             // A long-running task that runs after all is worth the delay until the worker's list
             // shows it. If the list doesn't, the order is stopped then.
--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -54,6 +54,7 @@
         let cfg = CellConfig {
             flow: FlowLimits::new(LinkRate::from_mbps(100_000.0), 100.0),
             lease: Span(5_500),
+            max_lease: Span(6_000),
             stop_timeout: Span(500),
             status_retention: Span(120_000),
             log: LogConfig::default(),
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -209,6 +209,11 @@
         last_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
     }
 
+    /// How long any lease can last by this node's clock.
+    pub(super) fn longest_lease(&self) -> Span {
+        Span(self.cfg.max_lease.0 * LEASE_STRETCH_PERCENT / 100)
+    }
+
     /// Brings forward the assumed expiry of leases of earlier terms once the previous owner is
     /// known to have given its last order by `last_order`.
     pub fn on_predecessor_ended(&mut self, last_order: Timestamp) {
@@ -229,7 +234,8 @@
         // A worker without runs has no order of this term outstanding. One that was never adopted
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
-        let own = own.map(|worker| (&worker.entry.id, worker.lease_expiry()));
+        let longest_lease = self.longest_lease();
+        let own = own.map(|worker| (&worker.entry.id, worker.lease_expiry(longest_lease, now)));
         let pending = |(worker, expiry): (&WorkerId, Timestamp)| UnsettledWorker {
             worker: worker.clone(),
             lapse_wall_ms: wall_ms + expiry.since(now).0,
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -4,16 +4,55 @@
 //! order. Of two, the one about the instance that started later is newer. A statement about an
 //! earlier instance than the newest known one changes nothing; one about a later instance ends the
 //! earlier ones for good.
+//!
+//! What may outlive a restart is a start order of which a copy is open, or whose answer may have come
+//! from the new instance. Its run waits for a list of the newest instance that settles it, and no
+//! longer than until the order has expired and then the longest lease. That deadline follows from
+//! when the owner's calls were sent or answered, and from nothing that the worker does afterwards. If
+//! the newest known instance has confirmed that it refuses the order, and is silent and gone from the
+//! store when the order expires, no lease is waited for.
 
 use super::{
     super::{
         Action, LogEvent, TaskId, WorkerEntry, WorkerId,
-        worker::{Run, RunState, UNANSWERED_START_LIFETIME, Worker},
+        worker::{OpenOrder, Run, RunState, Worker},
     },
     Cell,
 };
 use crate::Timestamp;
 
+/// Why a run is stopped whose start order an earlier instance may have got.
+const MAY_START_AGAIN: &str = "start order may reach the new worker instance";
+
+/// What becomes of a run when its worker restarts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// No order was sent.
+    Withdrawn,
+    /// The run has ended with its instance.
+    Ended,
+    /// The order was answered, perhaps by the new instance, whose list shows whether the run is
+    /// there.
+    AwaitsList,
+    /// The new instance may have got the order, or may still get it.
+    MayStart,
+}
+
+impl Fate {
+    fn of(run: &Run, has_open_order: bool) -> Self {
+        // The new instance then started after the order had expired.
+        let has_expired = run.unlisted_since.is_some();
+        match run.state {
+            RunState::Planned => Self::Withdrawn,
+            RunState::Running if has_open_order => Self::MayStart,
+            RunState::Running if run.ends_with_instance => Self::Ended,
+            RunState::Running => Self::AwaitsList,
+            RunState::Unsettled if has_expired => Self::Ended,
+            RunState::Ordered | RunState::Unsettled => Self::MayStart,
+        }
+    }
+}
+
 impl Cell {
     /// Handles the restart of a worker under the same id. The runs that its previous instance listed
     /// have ended, but a start order, or another copy of one that was answered, may have reached the
@@ -27,73 +66,77 @@
         entry: Option<WorkerEntry>,
         now: Timestamp,
     ) {
-        let late_start_expiry = self.expiry_after(now + UNANSWERED_START_LIFETIME);
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
         let expiry = old.inherited_expiry;
         let entry = entry.unwrap_or_else(|| old.entry.clone());
         let new = Worker::new(entry, expiry, now);
-        let mut worker = Worker { started_wall_ms, late_start_expiry, ..new };
+        let mut worker = Worker { started_wall_ms, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
         worker.missing_since = old.missing_since;
+        worker.record_restart(old, now);
         Self::update_stays_until(&mut worker, now);
-        let Worker { runs, unanswered_starts, .. } = std::mem::replace(old, worker);
-        let run_count = runs.len();
+        let old = std::mem::replace(old, worker);
+        let Worker { runs, mut open_orders, lease_sent, .. } = old;
+        open_orders.retain(|order| now <= order.expiry);
         self.actions.push(Action::Log(LogEvent::Worker {
             worker: id.clone(),
             change: "restarted",
-            runs: run_count,
+            runs: runs.len(),
         }));
         self.confirm_restarted(id, now);
         self.suspect_tasks(id, runs.iter(), true, now);
-        let has_open_copy = |task: TaskId, run: &Run| {
-            unanswered_starts.iter().any(|(other, attempt, at)| {
-                (*other, *attempt) == (task, run.attempt) && now <= *at + UNANSWERED_START_LIFETIME
-            })
-        };
-        for (task, run) in runs {
-            if run.state == RunState::Planned {
-                self.withdraw_run(id, task);
-            } else if run.is_listed && !has_open_copy(task, &run) {
-                self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
-            } else if let Some(worker) = self.workers.get_mut(id) {
-                let unsettled = Run {
-                    state: RunState::Unsettled,
-                    stopping: None,
-                    expect_in_lists_after: now,
-                    ..run
-                };
-                worker.runs.insert(task, unsettled);
-                self.stop_run(id, task, "start order may reach the new worker instance", now);
+        for (task, mut run) in runs {
+            // A copy of the order of an earlier attempt starts the same task. The stop of this attempt
+            // makes the worker refuse it, too.
+            let of_task = open_orders.iter().filter(|order| order.task == task);
+            let open_order = of_task.max_by_key(|order| order.expiry);
+            match Fate::of(&run, open_order.is_some()) {
+                Fate::Withdrawn => self.withdraw_run(id, task),
+                Fate::Ended => {
+                    self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
+                }
+                Fate::AwaitsList => {
+                    run.outlive_restart(lease_sent, now);
+                    self.book_outlived(id, task, run);
+                }
+                Fate::MayStart => {
+                    run.outlive_restart(lease_sent, now);
+                    run.may_start_until(open_order.map_or(run.order_expiry, |order| order.expiry));
+                    run.expect_in_lists_after = now;
+                    self.book_outlived(id, task, run);
+                    self.stop_run(id, task, MAY_START_AGAIN, now);
+                }
             }
         }
-        self.stop_unanswered_starts(id, unanswered_starts, now);
+        self.refuse_open_orders(id, open_orders, now);
         self.plan_due = true;
     }
 
-    /// Makes the new instance of a worker refuse start orders that its previous instance did not
-    /// answer.
-    fn stop_unanswered_starts(
-        &mut self,
-        id: &WorkerId,
-        mut unanswered_starts: Vec<(TaskId, u32, Timestamp)>,
-        now: Timestamp,
-    ) {
-        unanswered_starts.retain(|(_, _, at)| now <= *at + UNANSWERED_START_LIFETIME);
-        for (task, attempt, _) in &unanswered_starts {
+    /// Books a run that may be on the new instance of a worker.
+    fn book_outlived(&mut self, id: &WorkerId, task: TaskId, run: Run) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.runs.insert(task, run);
+        }
+    }
+
+    /// Makes the new instance of a worker refuse the start orders of which copies are open.
+    fn refuse_open_orders(&mut self, id: &WorkerId, open_orders: Vec<OpenOrder>, now: Timestamp) {
+        for OpenOrder { task, attempt, expiry } in &open_orders {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker
-                    .runs
-                    .entry(*task)
-                    .or_insert_with(|| Run::unknown(*attempt, RunState::Unsettled, now));
-                self.stop_run(id, *task, "start order may reach the new worker instance", now);
+                worker.runs.entry(*task).or_insert_with(|| Run {
+                    outlived_restart: true,
+                    order_expiry: *expiry,
+                    ..Run::unknown(*attempt, RunState::Unsettled, now)
+                });
+                self.stop_run(id, *task, MAY_START_AGAIN, now);
             }
         }
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.unanswered_starts = unanswered_starts;
+            worker.open_orders = open_orders;
         }
     }
 }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -11,15 +11,12 @@
         WorkerId,
         worker::{Logged, Run, RunState, StopOrder, Worker},
     },
-    Cell, DeferredEffect,
+    Cell, CellConfig, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
     orders::START_UNANSWERED,
 };
 use crate::{Span, Timestamp};
 
-/// How long a worker's entry may be missing from the store before the worker gets no new tasks.
-const MISSING_GRACE: Span = Span(2_000);
-
 /// The longest time from the completion of a stop until the worker lists the end of the run.
 const END_LISTING_DELAY: Span = Span(50);
 
@@ -113,13 +110,16 @@
 
     /// Removes workers that are missing from the store and on which nothing can run any more.
     fn remove_gone_workers(&mut self, now: Timestamp) {
+        let longest_lease = self.longest_lease();
         let gone: Vec<WorkerId> = self
             .workers
             .values()
             .filter(|worker| {
                 worker.runs.is_empty()
-                    && worker.missing_since.is_some_and(|since| now > since + MISSING_GRACE)
-                    && (worker.is_adopted || now > worker.lease_expiry())
+                    && worker.is_gone(now)
+                    // Should it return, it must be told to refuse these.
+                    && !worker.has_open_orders(now)
+                    && (worker.is_adopted || now > worker.lease_expiry(longest_lease, now))
             })
             .map(|worker| worker.entry.id.clone())
             .collect();
@@ -134,12 +134,34 @@
         }
     }
 
+    /// How long a run that is being stopped may be listed neither as running nor as ended.
+    fn stop_limit(cfg: &CellConfig) -> Span {
+        Span(cfg.stop_timeout.0 + END_LISTING_DELAY.0)
+    }
+
+    /// Ends the runs that never started, and whose start orders have expired.
+    pub(super) fn expire_orders(&mut self, now: Timestamp) {
+        let stop_limit = Self::stop_limit(&self.cfg);
+        let mut expired = Vec::new();
+        for (id, worker) in &mut self.workers {
+            for (task, run) in worker.runs.extract_if(.., |_, run| run.has_expired(stop_limit, now))
+            {
+                expired.push((id.clone(), task, run.attempt));
+            }
+        }
+        for (id, task, attempt) in expired {
+            self.end_unreported_run(&id, task, attempt, "start order expired", now);
+        }
+    }
+
     /// Ends the runs of workers on which every lease has expired.
     pub(super) fn expire_runs(&mut self, now: Timestamp) {
+        let longest_lease = self.longest_lease();
         let expired: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.has_ordered_runs() && now > worker.lease_expiry())
+            .filter(|(_, worker)| worker.has_ordered_runs())
+            .filter(|(_, worker)| now > worker.lease_expiry(longest_lease, now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
@@ -221,11 +243,7 @@
         if let Some(run) =
             worker.runs.get_mut(&listed_run.task).filter(|run| run.attempt == listed_run.attempt)
         {
-            if run.state != RunState::Running {
-                run.state = RunState::Running;
-            }
-            run.is_listed = true;
-            run.progress_percent = listed_run.progress_percent;
+            run.on_listed(listed_run.progress_percent, now);
             self.revoke_stop(id, listed_run.task);
             self.apply_listed_run(id, listed_run, now);
             return;
@@ -292,10 +310,9 @@
             Some(step) => Run::new(listed_run.attempt, step, state, now),
             None => Run::unknown(listed_run.attempt, state, now),
         };
-        let (progress_percent, measured_percent) =
-            (listed_run.progress_percent, listed_run.progress_percent);
-        let (is_listed, skips_duration) = (true, true);
-        let run = Run { is_listed, progress_percent, measured_percent, skips_duration, ..run };
+        let (measured_percent, skips_duration) = (listed_run.progress_percent, true);
+        let mut run = Run { measured_percent, skips_duration, ..run };
+        run.on_listed(listed_run.progress_percent, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
         }
@@ -322,8 +339,7 @@
             is_running
                 || report.ends.iter().any(|end| end.task == *task && end.attempt >= run.attempt)
         };
-        // A run that is being stopped may be listed neither as running nor as ended for this long.
-        let stop_limit = Span(self.cfg.stop_timeout.0 + END_LISTING_DELAY.0);
+        let stop_limit = Self::stop_limit(&self.cfg);
         // A revoked stop was executed after all if such a run is not listed any more.
         let is_gone = |task: &TaskId, run: &Run| {
             let is_settled = run.is_settled() && sent > run.expect_in_lists_after;
@@ -335,6 +351,9 @@
                 run.stopping = Some(StopOrder { next: None, confirmed, is_revocable: false });
             }
         }
+        for (_, run) in worker.runs.iter_mut().filter(|(task, run)| !is_listed(task, run)) {
+            run.on_unlisted(sent);
+        }
         let ended: Vec<(TaskId, u32, &'static str)> = worker
             .runs
             .iter()
@@ -405,6 +424,6 @@
             && worker.hold_failures < MAX_HOLD_FAILURES
             && now >= worker.excluded_until
             && (!worker.on_probation || worker.has_only_long_running())
-            && worker.missing_since.is_none_or(|since| now <= since + MISSING_GRACE)
+            && !worker.is_gone(now)
     }
 }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{AdviceRequest, EndKind, JobEnd, JobId, JobSpec, StepId, TaskId, WorkerId};
-use crate::{QueueId, Span};
+use crate::{QueueId, Span, Timestamp};
 
 /// Identifies a pending request of a caller, so that the answer can be matched to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -144,6 +144,24 @@
     Unknown,
 }
 
+/// The answer to a start order, or its lack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartAnswer {
+    /// What is known of the run.
+    pub outcome: StartOutcome,
+    /// Reading of the worker's monotonic clock in milliseconds, which tells instances of the worker
+    /// apart; `None` if the answer had none.
+    pub clock_ms: Option<u64>,
+    /// When the last copy of the order was sent; `None` if that is not known.
+    pub last_sent: Option<Timestamp>,
+}
+
+impl From<StartOutcome> for StartAnswer {
+    fn from(outcome: StartOutcome) -> Self {
+        Self { outcome, clock_ms: None, last_sent: None }
+    }
+}
+
 /// Identifies a run: an attempt of a task on a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunId {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -1,5 +1,8 @@
 //! The state of a worker and its runs, as kept by the owner of the cell.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cmp::Ordering, net::SocketAddr, sync::Arc};
 
 use indexmap::IndexMap;
@@ -7,6 +10,9 @@
 use super::{Resources, Step, StepId, TaskId, WorkerId, cell::WorkerSpeed};
 use crate::{ServiceId, Span, Timestamp, ZoneId};
 
+/// How long a worker's entry may be missing from the store before the worker gets no new tasks.
+const MISSING_GRACE: Span = Span(2_000);
+
 /// A worker that has not answered for longer than this counts as silent.
 const SILENCE_TIMEOUT: Span = Span(2_500);
 
@@ -19,6 +25,9 @@
 /// Added to the computed expiry of a lease, to allow for the resolution of clocks.
 const EXPIRY_MARGIN: Span = Span(50);
 
+/// The least difference between two readings of clocks that says anything.
+const CLOCK_MARGIN: Span = Span(50);
+
 /// Number of failed runs in a row, with none done in between, after which a worker is excluded from
 /// placement for a while.
 const MAX_FAILURES_IN_A_ROW: u32 = 3;
@@ -26,7 +35,8 @@
 /// Maximum number of tasks whose last ended attempt is remembered for one worker.
 const MAX_ENDED_ATTEMPTS: usize = 512;
 
-/// Longest time after which a start order that got no answer may still take effect.
+/// Longest time after which a copy of a start order that got no answer may still take effect, counted
+/// from when it was sent.
 pub(super) const UNANSWERED_START_LIFETIME: Span = Span(15_000);
 
 /// Duration of a worker's first exclusion from placement; each further exclusion takes twice as
@@ -91,13 +101,26 @@
     /// Whether its task runs until the job is cancelled.
     pub(super) is_long_running: bool,
     pub(super) state: RunState,
-    /// Whether a list of the worker's runs has shown the run. Other answers don't name the instance
-    /// of the worker.
+    /// Whether a list of the worker's runs has shown the run.
     pub(super) is_listed: bool,
+    /// Whether the run, if it exists, is in the newest known instance of the worker or in an earlier
+    /// one, so that it ends with that instance.
+    pub(super) ends_with_instance: bool,
+    /// Whether the worker has restarted since the order was sent, so that the run may have got its
+    /// lease from an order to an earlier instance.
+    pub(super) outlived_restart: bool,
+    /// Time after which no copy of the start order takes effect any more. A restart does not change
+    /// it.
+    pub(super) order_expiry: Timestamp,
     pub(super) started: Timestamp,
     /// A list of runs that the owner requests after this time contains the run if the worker has
     /// it.
     pub(super) expect_in_lists_after: Timestamp,
+    /// When the latest hold was sent that may have renewed the lease of the run although it was meant
+    /// for an earlier instance.
+    pub(super) stray_renewal: Timestamp,
+    /// When the first list was asked for that lacked the run after its order had expired.
+    pub(super) unlisted_since: Option<Timestamp>,
     /// The order to stop the run, retried until the worker confirms it; `None` if the run is not
     /// being stopped.
     pub(super) stopping: Option<StopOrder>,
@@ -136,10 +159,30 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ClockReading {
     pub(super) worker_ms: u64,
+    /// When the owner asked for the reading, on this node's clock.
+    pub(super) asked: Timestamp,
     /// When the reading arrived, on this node's clock.
     pub(super) at: Timestamp,
 }
 
+impl ClockReading {
+    /// Whether an answer that has just arrived with this reading of the worker's clock comes from
+    /// the instance of this reading or from an earlier one. A later instance started after this
+    /// reading was asked for, so its clock can't show more than the time since then.
+    fn covers(&self, answered_ms: u64, now: Timestamp) -> bool {
+        answered_ms > now.since(self.asked).0 + CLOCK_MARGIN.0
+    }
+}
+
+/// A start order of which a copy got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct OpenOrder {
+    pub(super) task: TaskId,
+    pub(super) attempt: u32,
+    /// Time after which no copy takes effect any more.
+    pub(super) expiry: Timestamp,
+}
+
 /// The state of a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
@@ -179,11 +222,10 @@
     pub(super) ended_attempts: IndexMap<TaskId, u32>,
     /// The latest lease expiry sent to the worker, on its clock.
     pub(super) last_lease_end_sent: u64,
+    /// When the latest hold that renews the lease was sent.
+    pub(super) lease_sent: Timestamp,
     /// When every lease of earlier terms has certainly expired.
     pub(super) inherited_expiry: Timestamp,
-    /// When every lease has certainly expired that comes from orders which the previous instance of
-    /// the worker did not answer.
-    pub(super) late_start_expiry: Timestamp,
     /// The number of the last run end that was processed.
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
@@ -191,18 +233,22 @@
     /// Whether the newest list contained ends, which the worker lists until they are confirmed.
     pub(super) lists_ends: bool,
     pub(super) runs: IndexMap<TaskId, Run>,
-    /// Start orders that got no answer: task, attempt, and when the owner stopped waiting. A
-    /// restarted worker doesn't know the stop orders that cancelled them, so those are sent again.
-    pub(super) unanswered_starts: Vec<(TaskId, u32, Timestamp)>,
+    /// Start orders of which a copy got no answer. A restarted worker doesn't know the stop orders
+    /// that cancelled them, so those are sent again.
+    pub(super) open_orders: Vec<OpenOrder>,
     pub(super) holds_in_flight: u32,
     pub(super) next_hold: Timestamp,
     /// Number of holds in a row that got no answer.
     pub(super) hold_failures: u32,
+    /// When the latest hold that got no answer was sent.
+    pub(super) unanswered_hold: Timestamp,
     /// When the worker last answered a hold.
     pub(super) last_heard: Timestamp,
     /// How the worker is to be drained; `None` if it is not.
     pub(super) drain: Option<DrainMode>,
     pub(super) failures_in_a_row: u32,
+    /// Number of restarts since a run was last done.
+    pub(super) restarts_in_a_row: u32,
     /// Number of exclusions since a run was last done.
     pub(super) exclusions: u32,
     pub(super) excluded_until: Timestamp,
@@ -266,8 +312,13 @@
             is_long_running: false,
             state,
             is_listed: false,
+            ends_with_instance: false,
+            outlived_restart: false,
+            order_expiry: now,
             started: now,
             expect_in_lists_after: now,
+            stray_renewal: Timestamp(0),
+            unlisted_since: None,
             stopping: None,
             had_stop_order: false,
             progress_percent: 0,
@@ -284,6 +335,7 @@
     /// Records that the start order is sent.
     pub(super) fn order(&mut self, now: Timestamp) {
         self.state = RunState::Ordered;
+        self.order_expiry = now + UNANSWERED_START_LIFETIME;
         self.started = now;
         self.expect_in_lists_after = now;
         self.measured_at = now;
@@ -294,6 +346,56 @@
         self.is_long_running && self.is_listed && self.progress_percent >= 100
     }
 
+    /// Records that a list has shown the run.
+    pub(super) fn on_listed(&mut self, progress_percent: u64, now: Timestamp) {
+        self.state = RunState::Running;
+        self.is_listed = true;
+        self.ends_with_instance = true;
+        self.order_expiry = self.order_expiry.min(now);
+        self.unlisted_since = None;
+        self.progress_percent = progress_percent;
+    }
+
+    /// Records that the worker has restarted and that its new instance may have the run. It does not
+    /// know of any order to stop it, and may get the hold that was sent at `renewal`.
+    pub(super) fn outlive_restart(&mut self, renewal: Timestamp, now: Timestamp) {
+        self.outlived_restart = true;
+        self.stray_renewal = self.stray_renewal.max(renewal);
+        self.is_listed = false;
+        self.unlisted_since = None;
+        if let Some(stop) = &mut self.stopping {
+            (stop.next, stop.confirmed) = (Some(now), None);
+        }
+    }
+
+    /// Records that a copy of the start order may begin the run until `order_expiry`.
+    pub(super) fn may_start_until(&mut self, order_expiry: Timestamp) {
+        self.state = RunState::Unsettled;
+        self.order_expiry = order_expiry;
+        self.stopping = None;
+    }
+
+    /// Notes that a list lacks the run, asked for at `asked`.
+    pub(super) fn on_unlisted(&mut self, asked: Timestamp) {
+        if self.state == RunState::Unsettled && asked > self.order_expiry {
+            self.unlisted_since.get_or_insert(asked);
+        }
+    }
+
+    /// Whether the run is certainly not on this instance and never will be: its order had expired
+    /// when a list lacked it. If it was being stopped then, it has ended since.
+    pub(super) fn has_expired(&self, stop_limit: Span, now: Timestamp) -> bool {
+        let is_unsettled = self.state == RunState::Unsettled;
+        is_unsettled && self.unlisted_since.is_some_and(|asked| now > asked + stop_limit)
+    }
+
+    /// Whether no copy of the start order can begin the run in the instance that has confirmed its
+    /// stop, and no list has ever shown it.
+    fn is_closed(&self) -> bool {
+        let is_confirmed = self.stopping.is_some_and(|stop| stop.confirmed.is_some());
+        self.state == RunState::Unsettled && is_confirmed
+    }
+
     /// Whether the worker has the run and it is not being stopped.
     pub(super) fn is_settled(&self) -> bool {
         self.state == RunState::Running && self.stopping.is_none()
@@ -318,19 +420,21 @@
             listed_clock_ms: 0,
             ended_attempts: IndexMap::new(),
             last_lease_end_sent: 0,
+            lease_sent: Timestamp(0),
             inherited_expiry,
-            late_start_expiry: Timestamp(0),
             ends_seen: 0,
             ends_durable: 0,
             lists_ends: false,
             runs: IndexMap::new(),
-            unanswered_starts: Vec::new(),
+            open_orders: Vec::new(),
             holds_in_flight: 0,
             next_hold: now,
             hold_failures: 0,
+            unanswered_hold: Timestamp(0),
             last_heard: now,
             drain: None,
             failures_in_a_row: 0,
+            restarts_in_a_row: 0,
             exclusions: 0,
             excluded_until: Timestamp(0),
             speed: WorkerSpeed::default(),
@@ -446,14 +550,15 @@
         Some(clock.worker_ms + now.since(clock.at).0 + lease.0)
     }
 
-    /// Returns when every lease that was ever sent to the worker has certainly expired. For leases
-    /// of this term, this follows from the worker's clock; for those of earlier terms, from
-    /// `inherited_expiry`. An order that the worker has not answered may start a run later.
-    pub(super) fn lease_expiry(&self) -> Timestamp {
-        let is_unsettled = |run: &Run| run.state == RunState::Unsettled;
-        let has_unsettled_run = self.runs.values().any(is_unsettled);
-        let late = if has_unsettled_run { self.late_start_expiry } else { Timestamp(0) };
-        let earliest = late.max(self.inherited_expiry);
+    /// Returns when every run on the worker has certainly ended if the worker never answers again.
+    ///
+    /// For leases of this term, this follows from the worker's clock; for those of earlier terms, from
+    /// `inherited_expiry`; for those that a run may have got from an order to an earlier instance,
+    /// from the expiry of that order and the longest lease.
+    pub(super) fn lease_expiry(&self, longest_lease: Span, now: Timestamp) -> Timestamp {
+        let outlived = self.runs.values().filter(|run| run.outlived_restart);
+        let earlier_instances = outlived.map(|run| self.end_of_outlived(run, longest_lease, now));
+        let earliest = earlier_instances.max().unwrap_or_default().max(self.inherited_expiry);
         let Some(clock) = self.clock else {
             return earliest;
         };
@@ -462,14 +567,41 @@
         (clock.at + Span(stretched) + EXPIRY_MARGIN).max(earliest)
     }
 
+    /// Returns when a run that was ordered from an earlier instance has certainly ended.
+    fn end_of_outlived(&self, run: &Run, longest_lease: Span, now: Timestamp) -> Timestamp {
+        let is_silent = self.unanswered_hold > run.order_expiry;
+        if run.is_closed() && is_silent && self.is_gone(now) {
+            // The newest known instance refuses the order, and no other has shown itself.
+            return run.order_expiry;
+        }
+        run.order_expiry.max(run.stray_renewal) + longest_lease
+    }
+
+    /// Whether the worker's entry has been missing from the store for so long that it counts as gone.
+    pub(super) fn is_gone(&self, now: Timestamp) -> bool {
+        self.missing_since.is_some_and(|since| now > since + MISSING_GRACE)
+    }
+
+    /// Takes the stop orders that the worker has not confirmed, each with its task and attempt, even
+    /// if one is in flight.
+    pub(super) fn take_stops(&mut self) -> impl Iterator<Item = (TaskId, u32)> {
+        let unconfirmed = |run: &mut Run| {
+            let stop = run.stopping.as_mut().filter(|stop| stop.confirmed.is_none())?;
+            stop.next = None;
+            Some(run.attempt)
+        };
+        self.runs.iter_mut().filter_map(move |(task, run)| Some((*task, unconfirmed(run)?)))
+    }
+
     /// Records a start order of which a copy got no answer.
-    pub(super) fn record_unanswered_start(
-        &mut self,
-        (task, attempt): (TaskId, u32),
-        now: Timestamp,
-    ) {
-        self.unanswered_starts.retain(|(_, _, at)| now <= *at + UNANSWERED_START_LIFETIME);
-        self.unanswered_starts.push((task, attempt, now));
+    pub(super) fn record_open_order(&mut self, order: OpenOrder, now: Timestamp) {
+        self.open_orders.retain(|other| now <= other.expiry);
+        self.open_orders.push(order);
+    }
+
+    /// Whether a copy of a start order to the worker may still take effect.
+    pub(super) fn has_open_orders(&self, now: Timestamp) -> bool {
+        self.open_orders.iter().any(|order| now <= order.expiry)
     }
 
     /// Records that a run ended on the worker.
@@ -487,8 +619,14 @@
     }
 
     /// Records a reading of the worker's clock that has just arrived.
-    pub(super) fn record_clock(&mut self, worker_ms: u64, now: Timestamp) {
-        self.clock = Some(ClockReading { worker_ms, at: now });
+    pub(super) fn record_clock(&mut self, worker_ms: u64, asked: Timestamp, now: Timestamp) {
+        self.clock = Some(ClockReading { worker_ms, asked, at: now });
+    }
+
+    /// Whether an answer that has just arrived with this reading of the worker's clock certainly
+    /// comes from the newest known instance or from an earlier one.
+    pub(super) fn knows_instance_of(&self, answered_ms: u64, now: Timestamp) -> bool {
+        self.clock.is_some_and(|clock| clock.covers(answered_ms, now))
     }
 
     /// Records whether a run succeeded; excludes the worker for a while after too many failures in
@@ -496,6 +634,7 @@
     pub(super) fn record_outcome(&mut self, succeeded: bool, now: Timestamp) {
         if succeeded {
             self.failures_in_a_row = 0;
+            self.restarts_in_a_row = 0;
             self.exclusions = 0;
             return;
         }
@@ -507,6 +646,16 @@
         }
     }
 
+    /// Records that the worker has restarted, after `earlier` was known of it. It is excluded for a
+    /// while if it has restarted before and no run was done since.
+    pub(super) fn record_restart(&mut self, earlier: &Self, now: Timestamp) {
+        self.restarts_in_a_row = earlier.restarts_in_a_row + 1;
+        self.exclusions = earlier.exclusions;
+        if self.restarts_in_a_row > 1 {
+            self.exclude(now);
+        }
+    }
+
     /// Excludes the worker from placement for a while, longer each time.
     pub(super) fn exclude(&mut self, now: Timestamp) {
         let doublings = self.exclusions.min(MAX_EXCLUSION_DOUBLINGS);
--- /dev/null
+++ b/crates/core/src/job/worker/tests.rs
@@ -0,0 +1,109 @@
+use super::*;
+
+/// How long any lease can last.
+const LONGEST_LEASE: Span = Span(10_300);
+
+/// When the outcome of the start order became known.
+const ANSWERED: Timestamp = Timestamp(100_000);
+
+fn worker() -> Worker {
+    let entry = WorkerEntry {
+        id: "w0".into(),
+        started_wall_ms: 5,
+        service: "drums".parse().unwrap(),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        zone: "tartu".parse().unwrap(),
+        capacity: Resources::default(),
+        labels: Arc::new([]),
+        is_draining: false,
+        leaves_in: None,
+    };
+    Worker::new(entry, Timestamp(0), ANSWERED)
+}
+
+fn task() -> TaskId {
+    TaskId { job: super::super::JobId(7), occurrence: 0, step: 0, index: 0 }
+}
+
+/// Returns a worker whose order was not answered, and that has restarted this often since.
+fn worker_with_outlived_run(restarts: u64) -> Worker {
+    let mut worker = worker();
+    let mut run = Run::unknown(1, RunState::Unsettled, ANSWERED);
+    run.order_expiry = ANSWERED + UNANSWERED_START_LIFETIME;
+    for restart in 1..=restarts {
+        run.outlive_restart(Timestamp(0), ANSWERED + Span(restart * 1_000));
+    }
+    worker.runs.insert(task(), run);
+    worker
+}
+
+/// Guards against a wait that each restart begins anew.
+#[test]
+fn the_wait_for_an_open_order_does_not_depend_on_how_often_the_worker_restarts() {
+    let expiry = ANSWERED + UNANSWERED_START_LIFETIME + LONGEST_LEASE;
+
+    for restarts in 1..10 {
+        let worker = worker_with_outlived_run(restarts);
+
+        assert_eq!(worker.lease_expiry(LONGEST_LEASE, ANSWERED), expiry);
+    }
+}
+
+/// Guards a run that a stray renewal keeps alive against being started elsewhere meanwhile.
+#[test]
+fn a_renewal_that_may_have_reached_the_new_instance_extends_the_wait() {
+    let mut worker = worker_with_outlived_run(1);
+    let renewal = ANSWERED + Span(16_000);
+
+    worker.runs[&task()].outlive_restart(renewal, renewal);
+
+    assert_eq!(worker.lease_expiry(LONGEST_LEASE, renewal), renewal + LONGEST_LEASE);
+}
+
+/// When nothing more is known of a worker that has refused the order, is silent and has left the store.
+fn closed_wait(is_confirmed: bool, is_silent: bool, is_missing: bool) -> Timestamp {
+    let mut worker = worker_with_outlived_run(1);
+    let order_expiry = ANSWERED + UNANSWERED_START_LIFETIME;
+    let confirmed = is_confirmed.then_some(ANSWERED + Span(1_500));
+    worker.runs[&task()].stopping = Some(StopOrder { next: None, confirmed, is_revocable: false });
+    worker.unanswered_hold = if is_silent { order_expiry + Span(1) } else { order_expiry };
+    worker.missing_since = is_missing.then_some(ANSWERED + Span(6_000));
+    worker.lease_expiry(LONGEST_LEASE, order_expiry + Span(10))
+}
+
+#[test]
+fn the_wait_ends_with_the_order_only_if_the_worker_has_refused_it_is_silent_and_gone() {
+    let order_expiry = ANSWERED + UNANSWERED_START_LIFETIME;
+
+    assert_eq!(closed_wait(true, true, true), order_expiry);
+    for (confirmed, silent, missing) in
+        [(false, true, true), (true, false, true), (true, true, false)]
+    {
+        assert_eq!(closed_wait(confirmed, silent, missing), order_expiry + LONGEST_LEASE);
+    }
+}
+
+#[test]
+fn an_answer_is_ascribed_to_the_known_instance_only_if_no_later_one_can_have_given_it() {
+    let mut worker = worker();
+    // The instance had run for 60 s when the owner asked.
+    worker.record_clock(60_000, ANSWERED, ANSWERED + Span(3));
+
+    let now = ANSWERED + Span(2_000);
+
+    assert!(worker.knows_instance_of(62_000, now));
+    // A later instance started after the owner asked.
+    assert!(!worker.knows_instance_of(2_000, now));
+    assert!(!worker.knows_instance_of(0, now));
+}
+
+#[test]
+fn a_statement_is_newer_if_the_instance_that_it_names_started_later() {
+    let worker = worker();
+
+    assert_eq!(worker.compare_instance(4), Ordering::Less);
+    assert_eq!(worker.compare_instance(5), Ordering::Equal);
+    assert_eq!(worker.compare_instance(6), Ordering::Greater);
+    // It names none.
+    assert_eq!(worker.compare_instance(0), Ordering::Equal);
+}
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -24,7 +24,7 @@
     job::{
         Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
         FlowLimits, HoldReport, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
-        StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -116,7 +116,7 @@
     fn timed_out(&self) -> Reply {
         match self {
             Self::Start(order) | Self::RepeatedStart(order) => {
-                Reply::Started(order.task, order.attempt, StartOutcome::Unknown)
+                Reply::Started(order.task, order.attempt, StartOutcome::Unknown.into())
             }
             Self::Stop(task, attempt) => Reply::Stopped(*task, *attempt, false),
             Self::Hold { sent, .. } | Self::PendingHold { sent, .. } => Reply::Held(*sent, None),
@@ -127,7 +127,7 @@
 /// The result of a call to a worker, or of a request to the advice service.
 #[derive(Clone, Debug)]
 enum Reply {
-    Started(TaskId, u32, StartOutcome),
+    Started(TaskId, u32, StartAnswer),
     /// Whether the worker has confirmed the stop order for a task's attempt.
     Stopped(TaskId, u32, bool),
     /// The report of a hold sent at the given time; `None` if the hold failed.
@@ -238,6 +238,8 @@
     crash_counts: IndexMap<TaskId, u32>,
     /// When each task last started.
     last_starts: IndexMap<TaskId, Timestamp>,
+    /// The worker of the latest start order for each task.
+    last_orders: IndexMap<TaskId, WorkerId>,
     log_events: Vec<LogEvent>,
     /// Workers that the advice service allows.
     allowed_workers: BTreeSet<WorkerId>,
@@ -277,6 +279,7 @@
 pub fn cell_config() -> CellConfig {
     CellConfig {
         lease: Span(5_500),
+        max_lease: Span(worker::MAX_LEASE_MS),
         stop_timeout: Span(500),
         status_retention: Span(120_000),
         // Small, so that short tests clean the log too.
@@ -348,6 +351,7 @@
             start_counts: IndexMap::new(),
             crash_counts: IndexMap::new(),
             last_starts: IndexMap::new(),
+            last_orders: IndexMap::new(),
             log_events: Vec::new(),
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -3,8 +3,8 @@
 use teaselgap_core::{
     Epoch, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, StartOrder, StartOutcome, TaskId, WorkerEntry,
-        WorkerId,
+        Action, AdviceAnswer, AdviceRequest, StartAnswer, StartOrder, StartOutcome, TaskId,
+        WorkerEntry, WorkerId,
     },
 };
 
@@ -42,6 +42,7 @@
             Action::Start(worker, order) => {
                 self.starts_in_flight += 1;
                 self.max_starts_in_flight = self.max_starts_in_flight.max(self.starts_in_flight);
+                self.last_orders.insert(order.task, worker.clone());
                 self.call(worker, Call::Start(order));
             }
             Action::Stop(worker, task, attempt) => self.call(worker, Call::Stop(task, attempt)),
@@ -120,8 +121,11 @@
 
     /// Schedules the reply that the owner gets when a call times out.
     pub(super) fn schedule_timeout(&mut self, worker: WorkerId, epoch: Epoch, call: &Call) {
-        let delivery = Delivery::ToCell { worker, epoch, reply: call.timed_out() };
-        self.send(call.timeout().0, delivery);
+        let mut reply = call.timed_out();
+        if let Reply::Started(_, _, answer) = &mut reply {
+            answer.last_sent = Some(self.now);
+        }
+        self.send(call.timeout().0, Delivery::ToCell { worker, epoch, reply });
     }
 
     /// Sends a worker's answer to the owner, which stops waiting for it at `deadline`.
@@ -195,15 +199,25 @@
         let timed_out = call.timed_out();
         let reply = match call {
             Call::Start(order) => {
+                let clock_ms = Some(worker.clock(now));
                 let outcome = self.start_at(&id, &order, epoch);
-                Reply::Started(order.task, order.attempt, outcome)
+                Reply::Started(
+                    order.task,
+                    order.attempt,
+                    StartAnswer { outcome, clock_ms, last_sent: None },
+                )
             }
             Call::RepeatedStart(order) => {
+                let clock_ms = Some(worker.clock(now));
                 let outcome = match self.start_at(&id, &order, epoch) {
                     StartOutcome::Started => StartOutcome::StartedRepeated,
                     _ => StartOutcome::Unknown,
                 };
-                Reply::Started(order.task, order.attempt, outcome)
+                Reply::Started(
+                    order.task,
+                    order.attempt,
+                    StartAnswer { outcome, clock_ms, last_sent: None },
+                )
             }
             Call::Stop(task, attempt) => {
                 Reply::Stopped(task, attempt, worker.stop(task, attempt, epoch, now))
@@ -314,9 +328,9 @@
             return;
         };
         match reply {
-            Reply::Started(task, attempt, outcome) => {
+            Reply::Started(task, attempt, answer) => {
                 self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
-                cell.on_start_answer(id, (task, attempt), outcome, now);
+                cell.on_start_answer(id, (task, attempt), answer, now);
             }
             Reply::Stopped(task, attempt, confirmed) => {
                 cell.on_stop_answer(id, (task, attempt), confirmed, now);
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -5,7 +5,7 @@
 use super::{Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS, TICKET, WorkerFaults};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
-    job::{Action, Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, Token, WorkerId},
+    job::{Action, Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, TaskId, Token, WorkerId},
 };
 
 impl Model {
@@ -100,6 +100,12 @@
         self.worker_mut(id).lose(now);
     }
 
+    /// Returns the worker that the owner has ordered last to start a task.
+    #[must_use]
+    pub fn ordered_worker(&self, task: TaskId) -> Option<WorkerId> {
+        self.last_orders.get(&task).cloned()
+    }
+
     /// Returns how many terms ended because the owner could not renew its lease in time.
     #[must_use]
     pub fn expired_terms(&self) -> u32 {
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -15,7 +15,7 @@
 };
 
 /// The longest lease that a worker accepts, in milliseconds from now.
-const MAX_LEASE_MS: u64 = 6_000;
+pub(super) const MAX_LEASE_MS: u64 = 6_000;
 
 /// Time from a stop order until the run ends, in milliseconds.
 const STOP_DURATION_MS: u64 = 200;
@@ -131,7 +131,7 @@
     }
 
     /// Returns the reading of the worker's monotonic clock in milliseconds.
-    fn clock(&self, now: Timestamp) -> u64 {
+    pub(super) fn clock(&self, now: Timestamp) -> u64 {
         now.since(self.clock_start).0
     }
 
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -15,3 +15,4 @@
 mod store_outage;
 mod takeover;
 mod turns;
+mod waits;
--- /dev/null
+++ b/crates/standins/tests/cells/waits.rs
@@ -0,0 +1,332 @@
+//! Tests of how long a task waits for a worker that restarts, falls silent or leaves the store, and
+//! of the orders that must not take effect twice meanwhile.
+
+use proptest::prelude::*;
+use teaselgap_core::{
+    Span,
+    job::{JobEnd, JobId, JobState, TaskId, WorkerId},
+};
+use teaselgap_standins::model::{Model, WorkerFaults};
+
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
+
+const JOB: JobId = JobId(7);
+
+const SUCCEEDED: Option<JobState> = Some(JobState::Ended(JobEnd::Succeeded));
+
+/// Time from the submission of a job by which a task must run again, in milliseconds: the platform
+/// asks for its jobs 14 s after the end of the traffic and bears 3 s in which nothing runs.
+const RUNS_AGAIN_MS: u64 = 14_000 + 3_000;
+
+/// The longest time in which a task with room elsewhere may not run, in milliseconds.
+const MAX_IDLE_MS: u64 = 3_000;
+
+/// The longest time after which a late order takes effect, in milliseconds.
+const MAX_LATE_MS: u64 = 12_000;
+
+/// The longest time after which the owner counts on an unanswered order, in milliseconds.
+const ORDER_LIFETIME_MS: u64 = 15_000;
+
+/// The longest lease that a worker of the model grants, on a clock that may be slow, in milliseconds.
+const MAX_LEASE_MS: u64 = 6_000 * 103 / 100;
+
+/// Time until a call is given up, until the next one, and that a run takes to stop and its end to be
+/// listed, in milliseconds.
+const SETTLE_MS: u64 = 600 + 250 + 550;
+
+/// Time within which an owner plans, in milliseconds.
+const PLAN_MS: u64 = 100;
+
+/// Time from the restart of a worker until it can be reached, in milliseconds.
+const REACHABLE_MS: u64 = 350;
+
+fn task() -> TaskId {
+    task_id(JOB, 0)
+}
+
+/// Returns the workers on which the task runs.
+fn runs_at(model: &Model) -> Vec<WorkerId> {
+    let running = model.workers().filter(|worker| worker.is_running(task()));
+    running.map(|worker| worker.entry.id.clone()).collect()
+}
+
+/// Submits a job with one task, and returns the worker that has just begun it.
+fn start_task(model: &mut Model) -> WorkerId {
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 2_000)]));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+    runs_at(model).remove(0)
+}
+
+/// Restarts a worker that has been lost, and waits until it can be reached.
+fn bring_back(model: &mut Model, id: &WorkerId) {
+    model.restart_worker(id.as_str());
+    model.run_for(REACHABLE_MS);
+}
+
+/// Guards against a task that waits for a worker which is lost for good right after its restart.
+#[test]
+fn a_task_whose_worker_is_lost_right_after_its_restart_runs_again_at_once() {
+    for life_ms in (0..1_000).step_by(50) {
+        let mut model = new_model(14);
+        model.run_for(4_000);
+        let lost = start_task(&mut model);
+
+        // The answer to the start order arrives, and no list shows the run.
+        model.run_for(2);
+        model.lose_worker(lost.as_str());
+        model.run_for(500);
+        bring_back(&mut model, &lost);
+        model.run_for(life_ms);
+        model.lose_worker(lost.as_str());
+        let restarted = model.run_until(MAX_IDLE_MS, |model| model.start_count(task()) > 1);
+        let done = model.run_until(20_000, |model| state(model, JOB) == SUCCEEDED);
+
+        assert!(restarted, "{life_ms}");
+        assert!(done, "{life_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+}
+
+/// Guards against a wait that each restart of the worker begins anew.
+#[test]
+fn a_task_waits_no_longer_however_often_its_worker_restarts() {
+    const DARK_MS: u64 = 200;
+    for life_ms in (50..1_000).step_by(50) {
+        let mut model = new_model(14);
+        // No copy of the order is answered.
+        for id in 0..14 {
+            let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+            model.set_faults(&format!("w{id}"), faults);
+        }
+        let looping = start_task(&mut model);
+        let submitted = model.now();
+
+        let runs_again = |model: &Model| model.start_count(task()) > 1;
+        while !runs_again(&model) && model.now() <= submitted + Span(2 * RUNS_AGAIN_MS) {
+            model.lose_worker(looping.as_str());
+            model.run_until(DARK_MS, runs_again);
+            model.restart_worker(looping.as_str());
+            model.run_until(REACHABLE_MS + life_ms, runs_again);
+        }
+
+        // The order has expired, and the next instance that can be reached lists what it runs.
+        let cycle_ms = DARK_MS + REACHABLE_MS + life_ms;
+        let longest_wait_ms = ORDER_LIFETIME_MS + cycle_ms + SETTLE_MS + PLAN_MS;
+        let waited = model.now().since(submitted);
+        assert!(waited.0 <= longest_wait_ms, "{life_ms}: {waited}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+}
+
+/// Creates a model in which no copy of the order to the worker that runs the task was answered, and
+/// that worker was lost, was back for `life_ms` and is lost again. Returns the worker.
+fn lose_with_open_order(life_ms: u64) -> (Model, WorkerId) {
+    let mut model = new_model(14);
+    for id in 0..14 {
+        let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+        model.set_faults(&format!("w{id}"), faults);
+    }
+    let lost = start_task(&mut model);
+    model.lose_worker(lost.as_str());
+    model.run_for(500);
+    bring_back(&mut model, &lost);
+    model.run_for(life_ms);
+    model.lose_worker(lost.as_str());
+    (model, lost)
+}
+
+#[test]
+fn a_task_with_an_open_order_runs_again_in_time_once_its_worker_has_left_the_store() {
+    for life_ms in (400..1_500).step_by(100) {
+        let (mut model, _) = lose_with_open_order(life_ms);
+
+        let restarted = model.run_until(RUNS_AGAIN_MS, |model| model.start_count(task()) > 1);
+
+        assert!(restarted, "{life_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+}
+
+#[test]
+fn the_wait_for_a_silent_worker_that_stays_in_the_store_ends_with_the_longest_lease() {
+    for life_ms in (0..1_000).step_by(100) {
+        let (mut model, lost) = lose_with_open_order(life_ms);
+        // An entry that nobody renews stands for a worker that reaches only the store.
+        model.restart_worker(lost.as_str());
+        model.make_unreachable(lost.as_str(), 600_000);
+
+        let longest_wait = ORDER_LIFETIME_MS + MAX_LEASE_MS + 1_000;
+        let restarted = model.run_until(longest_wait, |model| model.start_count(task()) > 1);
+
+        assert!(restarted, "{life_ms}");
+    }
+}
+
+/// What happens to the worker that has got the task's order, for a time in milliseconds.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// The worker is lost and returns as another instance.
+    Loss(u64),
+    /// The worker can reach neither the owner nor the store.
+    Partition(u64),
+    /// The owner can't reach the worker, which can reach the store.
+    Unreachable(u64),
+    /// The store lists the worker's present entry, whatever the worker writes.
+    EarlierEntry(u64),
+    None(u64),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        3 => (50_u64..6_000).prop_map(Trouble::Loss),
+        1 => (200_u64..4_000).prop_map(Trouble::Partition),
+        1 => (200_u64..4_000).prop_map(Trouble::Unreachable),
+        1 => (200_u64..4_000).prop_map(Trouble::EarlierEntry),
+        2 => (20_u64..2_000).prop_map(Trouble::None),
+    ]
+}
+
+fn apply(model: &mut Model, id: &WorkerId, trouble: Trouble) {
+    match trouble {
+        Trouble::Loss(ms) => {
+            model.lose_worker(id.as_str());
+            model.run_for(ms);
+            model.restart_worker(id.as_str());
+        }
+        Trouble::Partition(ms) => {
+            let now = model.now();
+            model.worker_mut(id.as_str()).partition_for(now, ms);
+        }
+        Trouble::Unreachable(ms) => model.make_unreachable(id.as_str(), ms),
+        Trouble::EarlierEntry(ms) => model.keep_entry(id.as_str(), ms),
+        Trouble::None(ms) => model.run_for(ms),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
+
+    /// No copy of a start order that arrives late runs a task twice, in whatever instance of the
+    /// worker, and the task is done in the end.
+    #[test]
+    fn a_late_copy_runs_no_task_twice_whatever_becomes_of_its_worker(
+        late_ms in 100..MAX_LATE_MS,
+        late_orders in 1_u32..3,
+        task_ms in 100_u64..4_000,
+        troubles in prop::collection::vec((trouble(), 0_u64..1_500), 1..8),
+    ) {
+        let mut model = new_model(3);
+        for id in ["w0", "w1", "w2"] {
+            let faults = WorkerFaults { late_orders, late_ms, ..WorkerFaults::default() };
+            model.set_faults(id, faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, task_ms)]));
+        model.run_for(200);
+        let ordered = model.ordered_worker(task()).unwrap_or_else(|| "w0".into());
+
+        for (trouble, pause) in troubles {
+            apply(&mut model, &ordered, trouble);
+            model.run_for(pause);
+        }
+        model.lose_worker(ordered.as_str());
+        let done = model.run_until(60_000, |model| state(model, JOB) == SUCCEEDED);
+
+        prop_assert_eq!(model.violations(), [] as [&str; 0]);
+        prop_assert!(done || state(&model, JOB) == Some(JobState::Ended(JobEnd::Failed)));
+    }
+}
+
+/// Guards a task that lasts against a wait that begins anew with each restart of its worker.
+#[test]
+fn a_long_running_task_waits_no_longer_for_a_worker_lost_right_after_its_restart() {
+    let mut model = new_model(4);
+    model.run_for(4_000);
+    model.submit(JOB, &queue(), long_running_job(1, 0));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+    let lost = runs_at(&model).remove(0);
+    model.run_for(2);
+
+    model.lose_worker(lost.as_str());
+    model.run_for(500);
+    bring_back(&mut model, &lost);
+    model.run_for(100);
+    model.lose_worker(lost.as_str());
+    let restarted = model.run_until(MAX_IDLE_MS, |model| model.start_count(task()) > 1);
+
+    assert!(restarted);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+/// Guards a shorter wait for a worker that has left the store against a copy of the order that takes
+/// effect in the instance in which the worker returns.
+#[test]
+fn a_copy_that_arrives_when_a_lost_worker_returns_runs_no_task_twice() {
+    let mut waited_count = 0;
+    let lives = (0..300).step_by(50);
+    let cases = lives.flat_map(|life_ms| [3_000, 6_000, 9_000, 11_900].map(|late| (life_ms, late)));
+    for (life_ms, late_ms) in cases {
+        let mut model = new_model(14);
+        for id in 0..14 {
+            let faults = WorkerFaults { late_orders: 2, late_ms, ..WorkerFaults::default() };
+            model.set_faults(&format!("w{id}"), faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 4_000)]));
+        assert!(model.run_until(200, |model| model.ordered_worker(task()).is_some()));
+        let ordered_at = model.now();
+        let lost = model.ordered_worker(task()).expect("a worker");
+
+        model.run_for(700);
+        model.lose_worker(lost.as_str());
+        model.run_for(500);
+        bring_back(&mut model, &lost);
+        model.run_for(life_ms);
+        model.lose_worker(lost.as_str());
+        if model.start_count(task()) > 0 {
+            // The owner has made the instance refuse the order, and need not wait for it.
+            continue;
+        }
+        waited_count += 1;
+        model.run_for((ordered_at + Span(late_ms)).since(model.now()).0.saturating_sub(400));
+        model.restart_worker(lost.as_str());
+        let runs_twice = model.run_until(40_000, |model| runs_at(model).len() > 1);
+
+        assert!(!runs_twice, "{life_ms} {late_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms} {late_ms}");
+        assert_eq!(state(&model, JOB), SUCCEEDED, "{life_ms} {late_ms}");
+    }
+    assert!(waited_count >= 8, "{waited_count}");
+}
+
+/// Guards against a task that starts elsewhere at once, because its latest run ended with the worker's
+/// instance, while a copy of the order of an earlier attempt begins it on the next instance.
+#[test]
+fn a_copy_of_an_earlier_attempt_runs_no_task_twice() {
+    for back_ms in (0..200).step_by(10) {
+        let mut model = new_model(3);
+        for id in ["w0", "w1", "w2"] {
+            let faults = WorkerFaults { late_orders: 1, late_ms: 5_000, ..WorkerFaults::default() };
+            model.set_faults(id, faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 900)]));
+        assert!(model.run_until(200, |model| model.ordered_worker(task()).is_some()));
+        let arrival = model.now() + Span(5_000);
+        let worker = model.ordered_worker(task()).expect("a worker");
+        model.run_for(150);
+
+        // The first instance is lost with the order, the second refuses it and runs the task again.
+        model.lose_worker(worker.as_str());
+        model.run_for(1_500);
+        model.restart_worker(worker.as_str());
+        assert!(model.run_until(3_000, |model| !runs_at(model).is_empty()), "{back_ms}");
+        model.run_for(back_ms);
+        // The copy arrives when the third can be reached.
+        model.lose_worker(worker.as_str());
+        let time_left = arrival.since(model.now());
+        model.run_for(time_left.0.saturating_sub(REACHABLE_MS));
+        model.restart_worker(worker.as_str());
+        let runs_twice = model.run_until(20_000, |model| runs_at(model).len() > 1);
+
+        assert!(!runs_twice, "{back_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{back_ms}");
+    }
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -90,6 +90,7 @@
     let max_segment_bytes = defaults.max_segment_bytes.min(node.settings.store.value_bytes);
     CellConfig {
         lease: Span((max_hold_ms * LEASE_PERCENT / 100).min(MAX_WORKER_LEASE.0)),
+        max_lease: Span(max_hold_ms),
         stop_timeout: Span(stop_ms),
         status_retention,
         log: LogConfig { max_segment_bytes, ..defaults },
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -6,7 +6,9 @@
 use slog::warn;
 use teaselgap_core::{
     Span,
-    job::{Action, AdviceRequest, Answer, LogEvent, StartOutcome, TaskId, Token, WorkerId},
+    job::{
+        Action, AdviceRequest, Answer, LogEvent, StartAnswer, StartOutcome, TaskId, Token, WorkerId,
+    },
 };
 use teaselgap_platform::{
     advice,
@@ -52,11 +54,11 @@
                     let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
                     let is_term_over = || owner.is_term_over.get();
                     let call = start_order::send(repeater, client, (&target, &order), is_term_over);
-                    let is_answered = |outcome: &StartOutcome| *outcome != StartOutcome::Unknown;
-                    let outcome = owner.measured(CallKind::Start, call, is_answered).await;
+                    let is_answered =
+                        |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
+                    let answer = owner.measured(CallKind::Start, call, is_answered).await;
                     let now = clock::now();
-                    owner
-                        .with_cell(|cell| cell.on_start_answer(&target.worker, task, outcome, now));
+                    owner.with_cell(|cell| cell.on_start_answer(&target.worker, task, answer, now));
                 });
                 if !is_sent {
                     let outcome = StartOutcome::Refused("worker without an address");
--- a/src/jobs/start_order.rs
+++ b/src/jobs/start_order.rs
@@ -7,10 +7,13 @@
 #[cfg(test)]
 mod tests;
 
-use teaselgap_core::job::{StartOrder, StartOutcome};
+use std::cell::Cell;
+
+use teaselgap_core::job::{StartAnswer, StartOrder, StartOutcome};
 use teaselgap_platform::worker::{Target, WorkerClient};
 
 use super::repeat::Repeater;
+use crate::clock;
 
 /// Orders a worker to start a task. No copy is sent once the term has ended.
 pub(super) async fn send(
@@ -18,18 +21,21 @@
     client: &WorkerClient,
     (target, order): (&Target, &StartOrder),
     is_term_over: impl Fn() -> bool,
-) -> StartOutcome {
+) -> StartAnswer {
+    let last_sent = Cell::new(clock::now());
     let call = async || {
         if is_term_over() {
-            return StartOutcome::Refused("the term is over");
+            return StartOutcome::Refused("the term is over").into();
         }
+        last_sent.set(clock::now());
         client.start(target, order).await.0
     };
-    let is_started = |outcome: &StartOutcome| *outcome == StartOutcome::Started;
-    let is_unknown = |outcome: &StartOutcome| *outcome == StartOutcome::Unknown;
+    let is_started = |answer: &StartAnswer| answer.outcome == StartOutcome::Started;
+    let is_unknown = |answer: &StartAnswer| answer.outcome == StartOutcome::Unknown;
     let started = repeater.call(call, is_started, is_unknown).await;
-    match started.result {
+    let outcome = match started.result.outcome {
         StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
         outcome => outcome,
-    }
+    };
+    StartAnswer { outcome, last_sent: Some(last_sent.get()), ..started.result }
 }
--- a/src/jobs/start_order/tests.rs
+++ b/src/jobs/start_order/tests.rs
@@ -41,7 +41,7 @@
     let client = WorkerClient::new(Rc::new(Connections::default()), Epoch(3));
     let target = Target { address, worker: "w0".into() };
     let repeater = Repeater::new(MAX_ORDER_COPIES);
-    run(send(&repeater, &client, (&target, &order()), is_term_over))
+    run(send(&repeater, &client, (&target, &order()), is_term_over)).outcome
 }
 
 /// Guards against tasks that wait for a time-out, a stop and a list when one answer is lost.
