A stop that an earlier instance of a worker confirmed does not count for the next (TWICE)

What callers saw: nothing yet; found on the path of stops while looking for statements about instances. A task could start elsewhere while a copy of its order may begin it on the new instance.

Cause: the answer to a stop names no instance. One that was sent to the earlier instance and answered when the restart was already known settled the run on the new one.

Change: a confirmation counts only if the stop was sent after the owner knew of the newest instance.

Evidence: a_stop_that_an_earlier_instance_confirmed_does_not_count_for_the_next fails without the comparison and holds with it.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -216,18 +216,20 @@
         }
     }
 
-    /// Handles the outcome of a stop order. If the worker did not confirm it, the order is sent
-    /// again after a delay.
+    /// Handles the outcome of a stop order that was sent at `sent`. If the worker did not confirm it,
+    /// the order is sent again after a delay.
     pub fn on_stop_answer(
         &mut self,
         id: &WorkerId,
         (task, attempt): (TaskId, u32),
         is_confirmed: bool,
-        now: Timestamp,
+        (sent, now): (Timestamp, Timestamp),
     ) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        // An earlier instance may have confirmed an order that was sent before the restart was known.
+        let is_confirmed = is_confirmed && sent >= worker.known_since;
         let run = worker.runs.get_mut(&task).filter(|run| run.attempt == attempt);
         let Some(stop) = run.and_then(|run| run.stopping.as_mut()) else {
             return;
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -47,7 +47,7 @@
             RunState::Running if has_open_order => Self::MayStart,
             RunState::Running if run.ends_with_instance => Self::Ended,
             RunState::Running => Self::AwaitsList,
-            RunState::Unsettled if has_expired => Self::Ended,
+            RunState::Unsettled if has_expired && !has_open_order => Self::Ended,
             RunState::Ordered | RunState::Unsettled => Self::MayStart,
         }
     }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -84,7 +84,11 @@
     /// A second copy of a start order that got no answer.
     RepeatedStart(StartOrder),
     /// A stop order for a task's attempt.
-    Stop(TaskId, u32),
+    Stop {
+        task: TaskId,
+        attempt: u32,
+        sent: Timestamp,
+    },
     /// A hold that has not reached the worker yet.
     Hold {
         lease_end: Option<u64>,
@@ -105,7 +109,7 @@
     /// Returns how long the owner waits for the answer.
     fn timeout(&self) -> Span {
         match self {
-            Self::Start(_) | Self::RepeatedStart(_) | Self::Stop(..) => Span(CALL_TIMEOUT_MS),
+            Self::Start(_) | Self::RepeatedStart(_) | Self::Stop { .. } => Span(CALL_TIMEOUT_MS),
             Self::Hold { wait, .. } | Self::PendingHold { wait, .. } => {
                 Span(CALL_TIMEOUT_MS + wait.0)
             }
@@ -118,7 +122,7 @@
             Self::Start(order) | Self::RepeatedStart(order) => {
                 Reply::Started(order.task, order.attempt, StartOutcome::Unknown.into())
             }
-            Self::Stop(task, attempt) => Reply::Stopped(*task, *attempt, false),
+            Self::Stop { task, attempt, sent } => Reply::Stopped(*task, *attempt, false, *sent),
             Self::Hold { sent, .. } | Self::PendingHold { sent, .. } => Reply::Held(*sent, None),
         }
     }
@@ -128,8 +132,8 @@
 #[derive(Clone, Debug)]
 enum Reply {
     Started(TaskId, u32, StartAnswer),
-    /// Whether the worker has confirmed the stop order for a task's attempt.
-    Stopped(TaskId, u32, bool),
+    /// Whether the worker has confirmed the stop order for a task's attempt, sent at the given time.
+    Stopped(TaskId, u32, bool, Timestamp),
     /// The report of a hold sent at the given time; `None` if the hold failed.
     Held(Timestamp, Option<HoldReport>),
     /// The answer to a request for advice; `None` if the service did not answer.
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -45,7 +45,10 @@
                 self.last_orders.insert(order.task, worker.clone());
                 self.call(worker, Call::Start(order));
             }
-            Action::Stop(worker, task, attempt) => self.call(worker, Call::Stop(task, attempt)),
+            Action::Stop(worker, task, attempt) => {
+                let sent = self.now;
+                self.call(worker, Call::Stop { task, attempt, sent });
+            }
             Action::Hold { worker, lease_end, last_seen, wait } => {
                 let call = Call::Hold { lease_end, last_seen, wait, sent: self.now };
                 self.call(worker, call);
@@ -78,7 +81,7 @@
             self.schedule_timeout(worker, epoch, &call);
             return;
         }
-        if let (Call::Stop(..), Some(faults)) = (&call, self.faults.get_mut(&worker))
+        if let (Call::Stop { .. }, Some(faults)) = (&call, self.faults.get_mut(&worker))
             && faults.lost_stops > 0
         {
             faults.lost_stops -= 1;
@@ -88,7 +91,7 @@
         let deadline = self.now + call.timeout();
         let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
-        if let (Call::Stop(..), Some(faults)) = (&call, self.faults.get_mut(&worker))
+        if let (Call::Stop { .. }, Some(faults)) = (&call, self.faults.get_mut(&worker))
             && faults.late_stops > 0
         {
             faults.late_stops -= 1;
@@ -219,8 +222,9 @@
                     StartAnswer { outcome, clock_ms, last_sent: None },
                 )
             }
-            Call::Stop(task, attempt) => {
-                Reply::Stopped(task, attempt, worker.stop(task, attempt, epoch, now))
+            Call::Stop { task, attempt, sent } => {
+                let is_confirmed = worker.stop(task, attempt, epoch, now);
+                Reply::Stopped(task, attempt, is_confirmed, sent)
             }
             Call::PendingHold { started_wall_ms, sent, .. }
                 if started_wall_ms != worker.entry.started_wall_ms =>
@@ -332,8 +336,8 @@
                 self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
                 cell.on_start_answer(id, (task, attempt), answer, now);
             }
-            Reply::Stopped(task, attempt, confirmed) => {
-                cell.on_stop_answer(id, (task, attempt), confirmed, now);
+            Reply::Stopped(task, attempt, confirmed, sent) => {
+                cell.on_stop_answer(id, (task, attempt), confirmed, (sent, now));
             }
             Reply::Held(sent, report) => cell.on_hold_answer(id, sent, report, now),
             Reply::Advice(request, answer) => cell.on_advice_answer(&request, answer.as_ref(), now),
--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -75,7 +75,7 @@
     pub(super) fn bytes(&self) -> u64 {
         let payload = match self {
             Self::Start(order) | Self::RepeatedStart(order) => order.spec.payload.len() as u64,
-            Self::Stop(..) | Self::Hold { .. } | Self::PendingHold { .. } => 0,
+            Self::Stop { .. } | Self::Hold { .. } | Self::PendingHold { .. } => 0,
         };
         small_message_bytes() + payload
     }
--- a/crates/standins/tests/cells/instances.rs
+++ b/crates/standins/tests/cells/instances.rs
@@ -4,9 +4,9 @@
 use proptest::prelude::*;
 use teaselgap_core::{
     Span,
-    job::{HoldReport, JobEnd, JobId, JobState, LogEvent, Step, WorkerEntry},
+    job::{Action, HoldReport, JobEnd, JobId, JobState, LogEvent, Step, WorkerEntry},
 };
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, new_model, queue, state, step, task_id, worker};
 
@@ -158,3 +158,30 @@
         }
     }
 }
+
+/// Guards against a task that starts elsewhere while its order may reach the new instance of its
+/// worker, because an earlier instance had confirmed the stop.
+#[test]
+fn a_stop_that_an_earlier_instance_confirmed_does_not_count_for_the_next() {
+    let mut model = new_model(1);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 4_000)]));
+    model.run_for(200);
+    let (sent, known_since, listed) =
+        (model.now(), model.now() + Span(1), model.now() + Span(2_000));
+    model.run_for(1);
+    state_instance(&mut model, Source::Entry, 2);
+    let cell = model.cell_mut().expect("an owner");
+    cell.take_actions();
+
+    cell.on_stop_answer(&"w0".into(), (task_id(JOB, 0), 1), true, (sent, known_since));
+    let (running, ends) = (Vec::new(), Vec::new());
+    let report = HoldReport { clock_ms: 1_000, started_wall_ms: 2, running, ends };
+    cell.on_hold_answer(&"w0".into(), listed, Some(report), listed);
+    let actions = cell.take_actions();
+
+    let is_end =
+        |action: &Action| matches!(action, Action::Log(LogEvent::RunEndedUnreported { .. }));
+    assert!(!actions.iter().any(is_end));
+}
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -72,11 +72,13 @@
             }
             Action::Stop(worker, task, attempt) => {
                 self.spawn_call(&worker, async move |owner, target| {
+                    let sent_at = clock::now();
                     let call = owner.worker_client.stop(&target, task, attempt);
                     let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
-                    let (run, now) = ((task, attempt), clock::now());
-                    owner
-                        .with_cell(|cell| cell.on_stop_answer(&target.worker, run, confirmed, now));
+                    let (run, time) = ((task, attempt), (sent_at, clock::now()));
+                    owner.with_cell(|cell| {
+                        cell.on_stop_answer(&target.worker, run, confirmed, time);
+                    });
                 });
             }
             Action::Pace(worker, task, attempt, share) => {
