Logs: what a stop of a long-running task and an order about a VM rest on

A stop line had no count of who is away, nothing said that a worker leaves, and an order about a VM named neither its worker nor the age of the report that it is drained.

Change: `stopping run` has `others_away` and `may_be_away` for a long-running task; new `worker` change `leaving`; `move ordered` and `maintenance ordered` have `worker` and `report_age_ms`. The count moved to a module of its own; no decision is changed.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -42,7 +42,7 @@
     cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
-        OrderOutcome, PoolSize, Vm, VmState, Wave, WaveStep,
+        OrderBasis, OrderOutcome, PoolSize, Vm, VmState, Wave, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
@@ -50,7 +50,7 @@
     log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, Outlook, PlacedTask,
-        RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, Token,
+        RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
     },
     record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     retransmit::RetransmitTimer,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod advise;
 mod arrivals;
+mod availability;
 mod capacity;
 mod clean;
 mod crashes;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -162,6 +162,7 @@
         reason: &'static str,
         now: Timestamp,
     ) {
+        let step = self.step_availability(task, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -179,7 +180,7 @@
         }
         run.stopping = Some(StopOrder { next: Some(now), confirmed: None, is_revocable });
         let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Stopping { run: run_id, reason }));
+        self.actions.push(Action::Log(LogEvent::Stopping { run: run_id, reason, step }));
     }
 
     /// Lets a run go on that is listed although its start order got no answer, unless a stop was
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -68,8 +68,13 @@
             Ordering::Less => {}
             Ordering::Equal => {
                 worker.note_start(entry.started_wall_ms);
+                let begins_to_leave = entry.is_draining && !worker.entry.is_draining;
                 worker.entry = entry;
                 Self::update_stays_until(worker, now);
+                if begins_to_leave {
+                    let (change, runs) = ("leaving", worker.runs.len());
+                    self.actions.push(Action::Log(LogEvent::Worker { worker: id, change, runs }));
+                }
             }
             Ordering::Greater => {
                 let started_wall_ms = entry.started_wall_ms;
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -4,7 +4,6 @@
     super::{
         DrainMode, Step, TaskId, WorkerId,
         place::{self, PlacementCandidate},
-        task::Task,
         worker::{Run, Worker},
     },
     Cell,
@@ -16,10 +15,6 @@
 /// the time that a stop takes.
 const LEAVE_MARGIN: Span = Span(700);
 
-/// Added to the time that a worker takes to stop a run, for the worker's list of runs to show a
-/// stop that the previous owner ordered just before the worker was adopted.
-const EARLIER_STOP_MARGIN: Span = Span(700);
-
 /// The least time that a run is assumed to have left, in percent of its total time.
 const MIN_TIME_LEFT_PERCENT: u64 = 20;
 
@@ -37,7 +32,7 @@
             };
             let is_leaving = worker.entry.is_draining;
             let stops_without_room = is_leaving || worker.drain == Some(DrainMode::StopAll);
-            let may_stop = is_leaving || self.may_miss_one_more(task, now);
+            let may_stop = is_leaving || self.may_end(task, now);
             if may_stop
                 && (self.reserve_elsewhere(task, &mut candidates, now) || stops_without_room)
             {
@@ -114,53 +109,6 @@
         chosen.is_some()
     }
 
-    /// Whether a task may be stopped to drain its worker. A long-running one may be only while
-    /// fewer than `max_unavailable` other tasks of its step are unavailable.
-    fn may_miss_one_more(&self, id: TaskId, now: Timestamp) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return true;
-        };
-        let Some(step) = job.spec.steps.get(id.step as usize) else {
-            return true;
-        };
-        if !step.long_running {
-            return true;
-        }
-        let Some(occurrence) = job.occurrence(id.occurrence) else {
-            return true;
-        };
-        let unavailable = (0..)
-            .zip(&occurrence.steps[id.step as usize].tasks)
-            .filter(|&(index, task)| {
-                index != id.index && self.is_unavailable(task, TaskId { index, ..id }, now)
-            })
-            .count();
-        unavailable < step.max_unavailable.max(1) as usize
-    }
-
-    /// Whether a long-running task is not at work, is being stopped, or may be soon. A task on a
-    /// worker whose state is not certain counts as unavailable.
-    fn is_unavailable(&self, task: &Task, id: TaskId, now: Timestamp) -> bool {
-        task.unavailable_since.is_some()
-            || task.run_workers.is_empty()
-            || task.run_workers.iter().any(|worker| {
-                self.workers.get(worker).is_none_or(|worker| {
-                    self.is_uncertain(worker, now)
-                        || worker.runs.get(&id).is_none_or(|run| run.stopping.is_some())
-                })
-            })
-    }
-
-    /// Whether the runs on a worker may end soon although its latest list shows them at work: it
-    /// does not answer, its lease may expire, or the previous owner may have stopped them.
-    fn is_uncertain(&self, worker: &Worker, now: Timestamp) -> bool {
-        let earlier_stops_end =
-            worker.adopted_at + Span(self.cfg.stop_timeout.0 + EARLIER_STOP_MARGIN.0);
-        worker.is_unresponsive(now)
-            || !worker.has_safe_lease(self.cfg.lease, now)
-            || now < earlier_stops_end
-    }
-
     /// Usable workers in the order in which they should be given up: those with the fewest
     /// long-running tasks first, and among them those that become empty soonest. Also returns how
     /// many of them have no long-running tasks.
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -22,7 +22,7 @@
     size::{Arrivals, SmoothedNeed},
 };
 pub use self::{
-    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderOutcome},
+    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome},
     size::PoolSize,
     turns::BurstHistory,
 };
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -1,7 +1,7 @@
 //! Orders about single VMs: when they are due, and what follows from their outcomes.
 
 use super::{Fleet, Vm};
-use crate::{ServiceId, Span, Timestamp, VmId};
+use crate::{ServiceId, Span, Timestamp, VmId, job::WorkerId};
 
 /// How long to wait before retrying an order that got no answer or whose VM was busy.
 pub(super) const ORDER_RETRY_INTERVAL: Span = Span(400);
@@ -85,7 +85,27 @@
     pub(super) is_maintenance: bool,
 }
 
+/// What an order about a VM rests on, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderBasis {
+    /// The worker on the VM, if one is listed.
+    pub worker: Option<WorkerId>,
+    /// The age of the report of the worker's cell; `None` if there is none.
+    pub report_age: Option<Span>,
+}
+
 impl Fleet {
+    /// What an order about a VM rests on at `now`.
+    #[must_use]
+    pub fn order_basis(&self, vm_id: &VmId, now: Timestamp) -> OrderBasis {
+        let vm = self.vms.get(vm_id);
+        let report = vm.and_then(|vm| self.cell_reports.get(&vm.pool));
+        OrderBasis {
+            worker: vm.and_then(|vm| vm.worker.clone()),
+            report_age: report.map(|report| now.since(report.at)),
+        }
+    }
+
     fn is_drained(&self, vm: &Vm) -> bool {
         self.standby.contains(&vm.pool)
             || vm.worker.as_ref().is_none_or(|worker| self.drained_workers.contains(worker))
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -186,6 +186,23 @@
     pub free_cpu_milli: u64,
 }
 
+/// How many other tasks of a long-running task's step are away, by the owner's count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StepAvailability {
+    /// Number of others that are not at work, or may soon not be.
+    pub away: usize,
+    /// How many of the step's tasks may be away because of the owner's orders; at least one.
+    pub max_unavailable: u32,
+}
+
+impl StepAvailability {
+    /// Whether an order may end the task.
+    #[must_use]
+    pub fn may_miss_one_more(&self) -> bool {
+        self.away < self.max_unavailable as usize
+    }
+}
+
 /// A decision of the cell or a change of its state, written to the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -245,6 +262,8 @@
         run: RunId,
         /// Why it is stopped.
         reason: &'static str,
+        /// The other tasks of its step if the task is long-running.
+        step: Option<StepAvailability>,
     },
     /// A run that was being stopped may go on.
     StopRevoked {
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -15,7 +15,7 @@
     Epoch, ServiceId, Span, Timestamp, VmId,
     job::{
         Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load, ORDER_SEND_WINDOW,
-        OrderOutcome,
+        OrderBasis, OrderOutcome,
     },
 };
 use teaselgap_platform::{
@@ -305,16 +305,22 @@
             self.record_outcome(&vm, OrderOutcome::Busy);
             return;
         }
+        let (FleetOrder::Maintain(vm, _) | FleetOrder::Move(vm, _)) = &order;
+        let OrderBasis { worker, report_age } = self.fleet.borrow().order_basis(vm, clock::now());
+        let (worker, report_age_ms) =
+            (worker.as_ref().map(ToString::to_string), report_age.map(|age| age.0));
         match order {
             FleetOrder::Maintain(vm, wave) => {
                 let outcome = self.vm_client.start_maintenance(&vm, wave).await;
                 info!(self.node.log, "maintenance ordered"; "vm" => %vm, "wave" => wave,
+                    "worker" => worker, "report_age_ms" => report_age_ms,
                     "outcome" => ?outcome, "epoch" => self.epoch.0);
                 self.record_outcome(&vm, outcome);
             }
             FleetOrder::Move(vm, pool) => {
                 let outcome = self.vm_client.move_to_pool(&vm, &pool).await;
                 info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
+                    "worker" => worker, "report_age_ms" => report_age_ms,
                     "outcome" => ?outcome, "epoch" => self.epoch.0);
                 self.record_outcome(&vm, outcome);
             }
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, debug, info};
 use teaselgap_core::{
     Epoch, ServiceId, Span,
-    job::{EndKind, LogEvent, PlacedTask, RunId, StepId},
+    job::{EndKind, LogEvent, PlacedTask, RunId, StepAvailability, StepId},
 };
 
 use super::{line_limit::LineLimit, owner_load::OwnerLoad};
@@ -55,7 +55,12 @@
             LogEvent::StepDone { step, runs } => {
                 info!(log, "step done"; "step" => %step, "runs" => runs, "epoch" => epoch);
             }
-            LogEvent::Stopping { run, reason } => self.write_run("stopping run", run, reason),
+            LogEvent::Stopping { run, reason, step: None } => {
+                self.write_run("stopping run", run, reason);
+            }
+            LogEvent::Stopping { run, reason, step: Some(step) } => {
+                self.write_long_running_stop(run, reason, *step);
+            }
             LogEvent::StopRevoked { run, reason } => self.write_run("stop revoked", run, reason),
             LogEvent::StartFailed { run, reason } => self.write_run("start failed", run, reason),
             LogEvent::RunEndedUnreported { run, reason } => {
@@ -120,6 +125,15 @@
         }
     }
 
+    /// Writes the stop of a long-running task, with what the decision rests on.
+    fn write_long_running_stop(&self, run: &RunId, reason: &'static str, step: StepAvailability) {
+        if self.limit.borrow_mut().admit("stopping run") {
+            info!(self.log, "stopping run"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "reason" => reason, "others_away" => step.away,
+                "may_be_away" => step.max_unavailable, "epoch" => self.epoch);
+        }
+    }
+
     /// Writes the load of the last second.
     pub(super) fn write_load(&self, load: &OwnerLoad, store: &StoreState) {
         info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
