--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -442,3 +442,82 @@
 
     assert_eq!(maintained_vms(&next.take_actions()), [vm_id(4)]);
 }
+
+/// Returns a fleet that has sent the order to maintain the first VM, whose worker is drained, and the
+/// record that it has stored before.
+fn fleet_with_order() -> (Fleet, FleetRecord) {
+    let mut fleet = fleet();
+    fleet.add_waves(vec![wave(&[0], 1)]);
+    fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000));
+    fleet.tick(Timestamp(4_100));
+    fleet.on_cell_report(&pool("desk"), load(0, 0), vec![worker(0)], Timestamp(4_200));
+    fleet.tick(Timestamp(4_200));
+    let record = saved(&fleet.take_actions());
+    (fleet, record)
+}
+
+/// Returns the VMs of the busy pool, the first of which has this state and worker.
+fn desk_vms(state: VmState, worker: Option<WorkerId>) -> Vec<Vm> {
+    let first = Vm { state, worker, ..vm(0, &pool("desk")) };
+    std::iter::once(first).chain((1..4).map(|number| vm(number, &pool("desk")))).collect()
+}
+
+/// Issue 39: an order about a VM asked once whether its worker is drained, and never again.
+#[test]
+fn an_order_without_an_answer_is_not_sent_again_to_a_vm_with_another_worker() {
+    let (mut fleet, _) = fleet_with_order();
+    fleet.on_order_outcome(&vm_id(0), OrderOutcome::Unknown, Timestamp(5_700));
+
+    fleet.set_vms(desk_vms(VmState::Up, Some(worker(9))), false);
+    fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(6_200));
+    fleet.tick(Timestamp(6_200));
+    let at_work = maintained_vms(&fleet.take_actions());
+    fleet.on_cell_report(&pool("desk"), load(0, 0), vec![worker(9)], Timestamp(6_700));
+    fleet.tick(Timestamp(6_700));
+    let drained = maintained_vms(&fleet.take_actions());
+
+    assert_eq!(at_work, []);
+    assert_eq!(drained, [vm_id(0)]);
+}
+
+#[test]
+fn no_order_is_sent_about_a_vm_that_is_down_and_may_be_back_with_a_worker() {
+    let mut fleet = fleet();
+    fleet.add_waves(vec![wave(&[0], 1)]);
+    fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000));
+    fleet.tick(Timestamp(4_100));
+    fleet.set_vms(desk_vms(VmState::Down, None), false);
+
+    fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_300));
+    fleet.tick(Timestamp(4_300));
+
+    assert_eq!(maintained_vms(&fleet.take_actions()), []);
+}
+
+#[test]
+fn no_order_is_sent_on_an_old_report_of_the_cell() {
+    let mut fleet = fleet();
+    fleet.add_waves(vec![wave(&[0], 1)]);
+    fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000));
+    fleet.tick(Timestamp(4_100));
+    fleet.on_cell_report(&pool("desk"), load(0, 0), vec![worker(0)], Timestamp(4_200));
+
+    // The cell may have another owner by then.
+    fleet.tick(Timestamp(7_000));
+
+    assert_eq!(maintained_vms(&fleet.take_actions()), []);
+}
+
+#[test]
+fn a_new_owner_keeps_a_worker_drained_while_an_order_of_its_predecessor_may_stop_it() {
+    let (_, record) = fleet_with_order();
+    let mut next = Fleet::new(config(), record, (Timestamp(0), 5_000));
+    next.set_vms(desk_vms(VmState::Up, Some(worker(0))), false);
+
+    let early = next.drain_requests(Timestamp(100));
+    next.tick(Timestamp(5_000));
+    let late = next.drain_requests(Timestamp(5_000));
+
+    assert!(early.get(&pool("desk")).is_some_and(|drains| drains.contains_key(&worker(0))));
+    assert!(late.is_empty(), "{late:?}");
+}
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -3,8 +3,10 @@
 //! [`Model`] drives a [`Cell`] directly and carries out its actions as the platform would. A test
 //! can inject faults: workers that restart or are partitioned, start orders that arrive late or
 //! whose answers are lost, owners that crash. The model records every violation of the platform's
-//! guarantees, above all a task that runs twice at the same time. A day of load takes milliseconds.
+//! guarantees, above all a task that runs twice at the same time, and an order that ends a long-running
+//! task while too many others of its step are away. A day of load takes milliseconds.
 
+mod availability;
 mod calls;
 mod control;
 mod lease;
@@ -23,12 +25,12 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
-        FlowLimits, HoldReport, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
-        StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig,
+        Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
-use self::lease::OwnerLease;
+use self::{availability::AvailabilityWatch, lease::OwnerLease};
 pub use self::{
     link::Link,
     log::MAX_VALUE_BYTES,
@@ -236,6 +238,10 @@
     violations: Vec<String>,
     /// Tasks whose end as done an owner has confirmed to the worker.
     confirmed_done: BTreeSet<TaskId>,
+    /// Jobs that a client account has cancelled.
+    cancelled_jobs: BTreeSet<JobId>,
+    /// The long-running tasks that have been at work.
+    availability: AvailabilityWatch,
     /// How many times each task has started.
     start_counts: IndexMap<TaskId, u32>,
     /// How many workers have crashed while they ran each task.
@@ -352,6 +358,8 @@
             answers: IndexMap::new(),
             violations: Vec::new(),
             confirmed_done: BTreeSet::new(),
+            cancelled_jobs: BTreeSet::new(),
+            availability: AvailabilityWatch::default(),
             start_counts: IndexMap::new(),
             crash_counts: IndexMap::new(),
             last_starts: IndexMap::new(),
@@ -398,7 +406,8 @@
     }
 
     /// Returns the violations of the platform's guarantees that were seen so far: tasks that ran
-    /// twice at the same time or started after they were done.
+    /// twice at the same time or started after they were done, and long-running tasks that an order
+    /// ended while too many others of their step were away.
     #[must_use]
     pub fn violations(&self) -> &[String] {
         &self.violations
@@ -434,12 +443,30 @@
                     self.least_lease_left = self.least_lease_left.min(left);
                 }
             }
+            self.watch_availability();
             if self.now.0.is_multiple_of(TICK_MS) {
                 self.tick();
             }
         }
     }
 
+    /// Records which long-running tasks are at work, and checks the ends that orders have caused.
+    fn watch_availability(&mut self) {
+        let (now, cancelled_jobs) = (self.now, &self.cancelled_jobs);
+        let mut ends = Vec::new();
+        for worker in self.workers.values_mut() {
+            ends.extend(worker.take_ordered_ends());
+            for task in worker.tasks_at_work(now) {
+                self.availability.record_at_work(task, now);
+            }
+        }
+        for end in &mut ends {
+            end.is_allowed |= cancelled_jobs.contains(&end.task.job);
+        }
+        let violations = self.availability.record_ends(&ends, now);
+        self.violations.extend(violations);
+    }
+
     /// Advances the time until `condition` holds, by at most `timeout_ms`, and returns whether it
     /// holds.
     pub fn run_until(&mut self, timeout_ms: u64, condition: impl Fn(&Self) -> bool) -> bool {
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -223,7 +223,7 @@
                 )
             }
             Call::Stop { task, attempt, sent } => {
-                let is_confirmed = worker.stop(task, attempt, epoch, now);
+                let is_confirmed = worker.stop((task, attempt), epoch, (sent, now));
                 Reply::Stopped(task, attempt, is_confirmed, sent)
             }
             Call::PendingHold { started_wall_ms, sent, .. }
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -93,6 +93,13 @@
         self.log_events.extend(actions.into_iter().filter_map(event_of));
     }
 
+    /// Lets a worker announce that it leaves in `leaves_in_ms`. It goes on running what it runs.
+    pub fn announce_leave(&mut self, id: &str, leaves_in_ms: u64) {
+        let entry = &mut self.worker_mut(id).entry;
+        entry.is_draining = true;
+        entry.leaves_in = Some(Span(leaves_in_ms));
+    }
+
     /// Ends a worker with all its runs. It stays away until it is restarted.
     pub fn lose_worker(&mut self, id: &str) {
         let now = self.now;
@@ -254,6 +261,7 @@
     /// Cancels a job; [`Model::answer`] returns the answer once it has come.
     pub fn cancel(&mut self, id: JobId) -> Token {
         let token = self.new_token();
+        self.cancelled_jobs.insert(id);
         if let Some(cell) = &mut self.cell {
             cell.cancel(token, id, self.now);
         }
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use super::availability::OrderedEnd;
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, Span, Timestamp,
@@ -20,6 +21,9 @@
 /// Time from a stop order until the run ends, in milliseconds.
 const STOP_DURATION_MS: u64 = 200;
 
+/// An order that takes longer than this to reach the worker was held up, in milliseconds.
+const MAX_TRANSIT_MS: u64 = 100;
+
 /// Time that a long-running task takes to become ready, in milliseconds.
 const STARTUP_MS: u64 = 700;
 
@@ -58,6 +62,10 @@
     saves_checkpoints: bool,
     /// Progress at the start of the run, taken from its checkpoint, in percent.
     resumed_percent: u64,
+    /// How many tasks of its step may be away because of orders; `None` if it is not long-running.
+    max_unavailable: Option<u32>,
+    /// Whether the order to stop it was held up on its way.
+    is_stop_late: bool,
 }
 
 impl ModelRun {
@@ -105,6 +113,8 @@
     ends: Vec<ModelEnd>,
     next_end: u64,
     has_owner_contact: bool,
+    /// Runs of long-running tasks that an order ended while they were at work.
+    ordered_ends: Vec<OrderedEnd>,
     /// The ticket that a start order must carry, if any.
     pub(super) ticket: Option<&'static str>,
 }
@@ -126,6 +136,7 @@
             ends: Vec::new(),
             next_end: 1,
             has_owner_contact: false,
+            ordered_ends: Vec::new(),
             ticket: None,
         }
     }
@@ -265,11 +276,34 @@
             .collect();
         for (task, how) in ended {
             if let Some(run) = self.runs.shift_remove(&task) {
+                if how == EndKind::Stopped {
+                    self.ordered_ends.extend(self.ordered_end(task, &run, now));
+                }
                 self.end(task, &run, how, now);
             }
         }
     }
 
+    /// Returns what an order has ended if the run is one of a long-running task at work.
+    fn ordered_end(&self, task: TaskId, run: &ModelRun, now: Timestamp) -> Option<OrderedEnd> {
+        let max_unavailable = run.max_unavailable?;
+        let is_allowed = self.entry.is_draining || run.is_stop_late;
+        let end = OrderedEnd { task, max_unavailable, is_allowed };
+        (run.progress_percent(now) >= 100).then_some(end)
+    }
+
+    /// Takes the ends of runs of long-running tasks that orders ended while they were at work.
+    pub(super) fn take_ordered_ends(&mut self) -> Vec<OrderedEnd> {
+        std::mem::take(&mut self.ordered_ends)
+    }
+
+    /// Returns the long-running tasks that are at work.
+    pub(super) fn tasks_at_work(&self, now: Timestamp) -> impl Iterator<Item = TaskId> {
+        let is_at_work =
+            move |run: &ModelRun| run.max_unavailable.is_some() && run.progress_percent(now) >= 100;
+        self.runs.iter().filter(move |(_, run)| is_at_work(run)).map(|(task, _)| *task)
+    }
+
     /// Raises the fence to `epoch`, or returns false if a later term has already called.
     fn check_fence(&mut self, epoch: Epoch) -> bool {
         if epoch < self.fence {
@@ -341,18 +375,20 @@
             is_stalled,
             saves_checkpoints,
             resumed_percent,
+            max_unavailable: step.long_running.then_some(step.max_unavailable),
+            is_stop_late: false,
         };
         self.runs.insert(order.task, run);
         StartOutcome::Started
     }
 
-    /// Handles a stop order for attempts up to `attempt`; returns false if a later term has called.
+    /// Handles a stop order for attempts up to `attempt`, which was sent at `sent`; returns false if a
+    /// later term has called.
     pub(super) fn stop(
         &mut self,
-        task: TaskId,
-        attempt: u32,
+        (task, attempt): (TaskId, u32),
         epoch: Epoch,
-        now: Timestamp,
+        (sent, now): (Timestamp, Timestamp),
     ) -> bool {
         if !self.check_fence(epoch) {
             return false;
@@ -360,6 +396,7 @@
         self.has_owner_contact = true;
         match self.runs.get_mut(&task) {
             Some(run) if run.attempt <= attempt => {
+                run.is_stop_late |= run.stop_at.is_none() && now > sent + Span(MAX_TRANSIT_MS);
                 run.stop_at.get_or_insert(now + Span(STOP_DURATION_MS));
             }
             Some(_) => {}
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -147,3 +147,38 @@
         assert_eq!(model.violations(), &[] as &[String], "{late_ms}");
     }
 }
+
+/// Time that a worker stays after it has announced that it leaves, in milliseconds.
+const LEAVES_IN_MS: u64 = 3_000;
+
+/// Interval between two ticks of the owner, in milliseconds.
+const TICK_MS: u64 = 5;
+
+/// Time after which the owner has read the list of workers again, in milliseconds.
+const WORKER_LIST_MS: u64 = 500;
+
+/// Creates a model of `workers` workers, on which run twice as many tasks of a long-running step, of
+/// which `max_unavailable` may be unavailable.
+fn model_with_two_tasks_on_each_worker(workers: u32, max_unavailable: u32) -> Model {
+    let mut model = new_model(workers as usize);
+    model.submit(JOB, &queue(), long_running_job(2 * workers, max_unavailable));
+    model.run_for(5_000);
+    model
+}
+
+/// Issue 39: one worker was drained in the tick in which the owner learnt that eight others leave.
+#[test]
+fn no_task_is_stopped_for_a_drain_when_other_workers_of_its_step_leave() {
+    for offset_ms in (0..WORKER_LIST_MS).step_by(TICK_MS as usize) {
+        let mut model = model_with_two_tasks_on_each_worker(12, 4);
+        for number in 1..9 {
+            model.announce_leave(&format!("w{number}"), LEAVES_IN_MS);
+        }
+
+        model.run_for(offset_ms);
+        drain(&mut model, "w0");
+        model.run_for(3_000);
+
+        assert_eq!(model.violations(), &[] as &[String], "{offset_ms} ms");
+    }
+}
--- a/crates/standins/tests/cells/crashes.rs
+++ b/crates/standins/tests/cells/crashes.rs
@@ -1,6 +1,6 @@
 //! Tests of tasks that crash the workers that start them.
 
-use teaselgap_core::job::{JobEnd, JobId, JobState};
+use teaselgap_core::job::{JobEnd, JobId, JobState, TaskId};
 use teaselgap_standins::model::{Model, TaskTime};
 
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
@@ -140,3 +140,43 @@
     assert_eq!(model.crash_count(task_id(job, 0)), 6);
     assert!(model.workers().any(|worker| worker.run_count() > 0));
 }
+
+/// Runs until the task has started once more, and 100 ms longer.
+fn run_until_started(model: &mut Model, task: TaskId) {
+    let starts = model.start_count(task);
+    assert!(model.run_until(GIVE_UP_MS, |model| model.start_count(task) > starts));
+    model.run_for(100);
+}
+
+/// Issue 39: one unlucky task ended all others of its step.
+#[test]
+fn a_job_that_lasts_is_not_ended_for_workers_that_crash_as_one_of_its_tasks_starts() {
+    let mut model = new_model(6);
+    let (job, task) = (JobId(1), task_id(JobId(1), 0));
+    model.submit(job, &queue(), long_running_job(6, 1));
+    model.run_for(5_000);
+
+    for _ in 0..5 {
+        let worker = model.ordered_worker(task).expect("an order to start the task");
+        model.restart_worker(worker.as_str());
+        run_until_started(&mut model, task);
+    }
+    model.run_for(5_000);
+
+    assert_eq!(state(&model, job), Some(JobState::Running));
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+#[test]
+fn a_long_running_task_that_crashes_its_workers_is_not_started_again_and_again() {
+    let mut model = new_model(12);
+    for number in 0..12 {
+        model.worker_mut(&format!("w{number}")).task_time = TaskTime::CrashesOn(CRASHING_JOB);
+    }
+
+    model.submit(CRASHING_JOB, &queue(), long_running_job(1, 1));
+    model.run_for(6 * GIVE_UP_MS);
+
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
+    assert!((3..=MAX_STARTS).contains(&starts), "{starts} starts");
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -11,6 +11,7 @@
 mod instances;
 mod log;
 mod long_running;
+mod may_end;
 mod random;
 mod store_outage;
 mod takeover;
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -182,3 +182,31 @@
     assert!(started);
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// Time within which the fleet's owner tells a new owner of the cell which workers to drain, in
+/// milliseconds.
+const FLEET_DELAY_MS: u64 = 1_000;
+
+/// Issue 39: what one owner promised the fleet, the next one did not know.
+#[test]
+fn a_worker_that_was_reported_as_drained_gets_no_task_of_a_new_owner_unasked() {
+    let mut model = new_model(2);
+    let drains = || IndexMap::from([("w0".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains());
+    let is_drained = |model: &Model| model.cell().unwrap().drained_workers() == ["w0".into()];
+    assert!(model.run_until(5_000, is_drained));
+
+    model.kill_owner();
+    model.take_over();
+    model.run_for(FLEET_DELAY_MS);
+    model.submit(JOB, &queue(), job_spec(vec![step(4, 1_000, 3_000)]));
+    model.run_for(FLEET_DELAY_MS);
+    let unasked = model.workers().next().unwrap().run_count();
+    model.cell_mut().unwrap().set_drains(IndexMap::new());
+    model.submit(JobId(8), &queue(), job_spec(vec![step(4, 1_000, 3_000)]));
+    model.run_for(FLEET_DELAY_MS);
+    let asked = model.workers().next().unwrap().run_count();
+
+    assert_eq!(unasked, 0);
+    assert_ne!(asked, 0);
+}
