Tasks on workers that leave are ended by the same count as all others (AVAIL)

Cause: two ways of ending tasks, one of which did not count. The tasks of workers that leave by themselves were stopped without a question, in the loop in which a worker is drained for the fleet, after the drain was allowed.

Tasks on a leaving worker are stopped by the same count, until its notice runs out; then all are, but not while an order that was sent before the notice takes effect. So the orders under way are never more than the step allows, whichever of them takes effect first.

--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -15,6 +15,9 @@
 /// the time that a stop takes.
 const LEAVE_MARGIN: Span = Span(700);
 
+/// The same, however many long-running tasks are away.
+const LAST_LEAVE_MARGIN: Span = Span(300);
+
 /// The least time that a run is assumed to have left, in percent of its total time.
 const MIN_TIME_LEFT_PERCENT: u64 = 20;
 
@@ -30,10 +33,9 @@
             let Some(worker) = self.workers.get(&id) else {
                 continue;
             };
-            let is_leaving = worker.entry.is_draining;
-            let stops_without_room = is_leaving || worker.drain == Some(DrainMode::StopAll);
-            let may_stop = is_leaving || self.may_end(task, now);
-            if may_stop
+            let stops_without_room =
+                worker.entry.is_draining || worker.drain == Some(DrainMode::StopAll);
+            if self.may_stop_on(worker, task, now)
                 && (self.reserve_elsewhere(task, &mut candidates, now) || stops_without_room)
             {
                 self.stop_run(&id, task, reason, now);
@@ -41,13 +43,33 @@
         }
     }
 
+    /// Whether a run may be stopped to empty its worker.
+    fn may_stop_on(&self, worker: &Worker, task: TaskId, now: Timestamp) -> bool {
+        if !worker.entry.is_draining {
+            return self.may_end(task, now);
+        }
+        if self.is_leave_due(worker, LAST_LEAVE_MARGIN, now) {
+            return true;
+        }
+        if self.is_leave_due(worker, LEAVE_MARGIN, now) {
+            // An order that was sent before this worker's notice is given the time to take effect.
+            return !self.is_other_being_ended(task);
+        }
+        self.may_end_on_leaving(task, now)
+    }
+
+    /// Whether the runs of a leaving worker must be stopped now, so that they end in time.
+    fn is_leave_due(&self, worker: &Worker, margin: Span, now: Timestamp) -> bool {
+        let margin = Span(self.cfg.stop_timeout.0 + margin.0);
+        worker.stays_until.is_some_and(|deadline| now + margin >= deadline)
+    }
+
     /// Runs that must be stopped to empty their workers, each with the reason.
     fn runs_to_stop(&self, now: Timestamp) -> Vec<(WorkerId, TaskId, &'static str)> {
-        let margin = Span(self.cfg.stop_timeout.0 + LEAVE_MARGIN.0);
         let mut runs = Vec::new();
         let must_be_emptied = |worker: &Worker| worker.drain.is_some() || worker.entry.is_draining;
         for (id, worker) in self.workers.iter().filter(|(_, worker)| must_be_emptied(worker)) {
-            let is_leave_due = worker.stays_until.is_some_and(|deadline| now + margin >= deadline);
+            let is_leave_due = self.is_leave_due(worker, LEAVE_MARGIN, now);
             for (task, run) in worker.runs.iter().filter(|(_, run)| run.stopping.is_none()) {
                 let step = self.step(*task);
                 let is_long_running = step.is_some_and(|step| step.long_running);
