A run that the previous owner ordered to stop is not started elsewhere while it ends (TWICE)

What callers would see: a long-running task twice at the same time for up to the time of a stop, after a handover beside a drain.

Cause: a run that is being stopped is in no list, so a new owner took its task for one without a run. Found by the property may_end (rack crash, leaving workers, handover): '0.0.4 runs at w0 and at w4'.

Change: a task that the log places on a worker which has just been adopted, and of which the worker lists neither a run nor its end, waits for the time of a stop.

Tasks that are not long-running have no logged placement and are not covered.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -201,6 +201,9 @@
             self.end_unlisted_runs(id, sent, report, now);
             self.check_progress(id, now);
         }
+        if !was_adopted {
+            self.await_earlier_stops(id, now);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -143,6 +143,34 @@
         self.plan_due = true;
     }
 
+    /// Delays tasks that the log places on a worker which has just been adopted and lists neither a run
+    /// of theirs nor its end. The previous owner may have ordered the worker to stop it, and a run
+    /// that is being stopped is in no list.
+    pub(super) fn await_earlier_stops(&mut self, id: &WorkerId, now: Timestamp) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let may_be_ending = |id: TaskId, task: &Task| {
+            let placement = task.placement.as_ref();
+            placement.is_some_and(|placement| placement.is_inherited_on(&worker.entry.id))
+                && !task.is_done
+                && task.run_workers.is_empty()
+                && !worker.has_ended(id, task.attempt)
+        };
+        let logged = self.jobs.open().filter(|(_, job)| job.spec.steps.iter().any(is_logged));
+        let delayed: Vec<TaskId> = logged
+            .flat_map(|(job_id, job)| job.task_ids(job_id).into_iter().map(move |id| (id, job)))
+            .filter(|(id, job)| job.task(*id).is_some_and(|task| may_be_ending(*id, task)))
+            .map(|(id, _)| id)
+            .collect();
+        let not_before = now + Self::stop_limit(&self.cfg);
+        for id in delayed {
+            if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
+                task.not_before = task.not_before.max(not_before);
+            }
+        }
+    }
+
     /// Records that a run of a task failed on a worker or that its start order got no answer.
     pub(super) fn record_failure_in_place(&mut self, id: &WorkerId, task: TaskId) {
         let task = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task));
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -140,7 +140,7 @@
     }
 
     /// How long a run that is being stopped may be listed neither as running nor as ended.
-    fn stop_limit(cfg: &CellConfig) -> Span {
+    pub(super) fn stop_limit(cfg: &CellConfig) -> Span {
         Span(cfg.stop_timeout.0 + END_LISTING_DELAY.0)
     }
 
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -57,6 +57,11 @@
 }
 
 impl Placement {
+    /// Whether the log named this worker when the term began.
+    pub(super) fn is_inherited_on(&self, worker: &WorkerId) -> bool {
+        self.worker == *worker && self.position == Position::default()
+    }
+
     /// Returns a placement that the log contained when the term began.
     pub(super) fn recovered(worker: WorkerId, address: Option<SocketAddr>) -> Self {
         Self { worker, address, position: Position::default(), failures: 0 }
