A job with long-running tasks is not given up for workers that crash (AVAIL)

Cause: giving up a job ends every task of it, at work or not, without asking who is away; and a lasting task was suspected for each worker that was lost before a list had shown it at work, whatever it had done elsewhere.

Change: for a lasting task only the task itself is paused (5 s from the third crash on, within the 6 s after which the users count it as lost and 3 s more) and, after the fifth, suspended; its job goes on. A lasting task that has been at work in this term is not suspected at all. New line 'task paused'.

--- a/crates/core/src/job/cell/availability.rs
+++ b/crates/core/src/job/cell/availability.rs
@@ -32,7 +32,8 @@
     /// How many other tasks of a long-running task's step are away or may soon be. `None` if the task
     /// is not long-running or unknown.
     pub(super) fn step_availability(&self, id: TaskId, now: Timestamp) -> Option<StepAvailability> {
-        let is_away = |task: &Task, id| self.is_unavailable(task, id, now) || self.is_on_leaving(task);
+        let is_away =
+            |task: &Task, id| self.is_unavailable(task, id, now) || self.is_on_leaving(task);
         self.count_away(id, is_away)
     }
 
@@ -58,10 +59,7 @@
         let tasks = &job.occurrence(id.occurrence)?.steps[id.step as usize].tasks;
         let others = (0..).zip(tasks).filter(|(index, _)| *index != id.index);
         let away = others.filter(|(index, task)| is_away(task, TaskId { index: *index, ..id }));
-        Some(StepAvailability {
-            away: away.count(),
-            max_unavailable: step.max_unavailable.max(1),
-        })
+        Some(StepAvailability { away: away.count(), max_unavailable: step.max_unavailable.max(1) })
     }
 
     fn is_on_leaving(&self, task: &Task) -> bool {
--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -2,10 +2,14 @@
 //!
 //! A task may crash each worker that starts it. Of the runs that are lost with a worker, those whose
 //! tasks have lost the most workers before are suspected; among equals, those that started last, as
-//! a run that the worker has listed has survived its start. A long-running task that is at work is
-//! not suspected, whatever happened before: its workers may crash as often as any others do. Whether the worker
-//! crashed or was cut off shows later: a crashed one is followed by another instance at its
-//! address, one that was cut off answers again.
+//! a run that the worker has listed has survived its start. A long-running task that has been at
+//! work is not suspected, whatever happened before: its workers may crash as often as any others
+//! do. Whether the worker crashed or was cut off shows later: a crashed one is followed by another
+//! instance at its address, one that was cut off answers again.
+//!
+//! A job is given up for such a task. One with long-running tasks is not, since that would end all of
+//! its tasks that are at work: only the task itself is paused, and suspended after
+//! [`MAX_LONG_RUNNING_CRASHES`].
 //!
 //! Placements of suspected tasks are logged, so that the next owner knows which of them were lost
 //! with a worker during the takeover.
@@ -18,7 +22,7 @@
 use super::{
     super::{
         Action, LogEvent, LostRun, Record, RunId, TaskId, WorkerId,
-        task::{Job, Task},
+        task::{Job, SUSPENDED, Task},
         worker::{Run, RunState},
     },
     Cell,
@@ -32,6 +36,12 @@
 /// crashed, before it is started once more.
 const UNEXPLAINED_LOSS_PAUSE: Span = Span(10_000);
 
+/// The number of workers that crash under a long-running task before it is not started any more.
+const MAX_LONG_RUNNING_CRASHES: usize = MAX_CRASHES + 2;
+
+/// How long a long-running task that has lost [`MAX_CRASHES`] workers waits for its next start.
+const LONG_RUNNING_PAUSE: Span = Span(5_000);
+
 /// The most lost runs that are remembered for a task.
 const MAX_LOST_RUNS: usize = 2 * MAX_CRASHES;
 
@@ -57,9 +67,25 @@
 }
 
 impl Task {
+    fn crashes(&self) -> usize {
+        self.lost_runs.iter().filter(|lost| lost.is_crash).count()
+    }
+
     /// Whether the task is to be given up because it crashes workers.
-    pub(super) fn crashes_workers(&self) -> bool {
-        self.lost_runs.iter().filter(|lost| lost.is_crash).count() >= MAX_CRASHES
+    fn crashes_workers(&self) -> bool {
+        self.crashes() >= MAX_CRASHES
+    }
+
+    /// Delays the next start of a long-running task that crashes workers. Returns how long; `None` if
+    /// it is not delayed.
+    fn pause_after_crashes(&mut self, now: Timestamp) -> Option<Span> {
+        let pause = match self.crashes() {
+            ..MAX_CRASHES => return None,
+            MAX_CRASHES..MAX_LONG_RUNNING_CRASHES => LONG_RUNNING_PAUSE,
+            MAX_LONG_RUNNING_CRASHES.. => SUSPENDED.since(now),
+        };
+        self.not_before = self.not_before.max(now + pause);
+        Some(pause)
     }
 
     /// Remembers a lost run, or what has become known about it.
@@ -77,10 +103,14 @@
     }
 }
 
-/// Whether a job has a task that is to be given up because it crashes workers.
+/// Whether a job has a task for which the job is to be given up because it crashes workers.
 pub(super) fn has_crashing_task(job: &Job) -> bool {
-    let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.flat_map(|step| &step.tasks).any(|task| !task.is_done && task.crashes_workers())
+    let is_crashing = |task: &Task| !task.is_done && task.crashes_workers();
+    job.occurrences.iter().any(|occurrence| {
+        let steps = occurrence.steps.iter().zip(&job.spec.steps);
+        let mut steps = steps.filter(|(_, step)| !step.long_running);
+        steps.any(|(state, _)| state.tasks.iter().any(is_crashing))
+    })
 }
 
 /// Applies a [`Record::RunLost`].
@@ -108,13 +138,20 @@
     }
 
     /// Finds the suspected tasks in the log's state at the start of the term.
-    pub(super) fn find_suspects(&mut self) {
+    pub(super) fn find_suspects(&mut self, now: Timestamp) {
         let mut suspects = IndexSet::new();
         for (id, job) in self.jobs.open() {
             suspects.extend(job.task_ids(id).into_iter().filter(|task| {
                 job.task(*task).is_some_and(|task| !task.is_done && !task.lost_runs.is_empty())
             }));
         }
+        for id in &suspects {
+            let is_long_running = self.step(*id).is_some_and(|step| step.long_running);
+            let task = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(*id));
+            if let Some(task) = task.filter(|_| is_long_running) {
+                task.pause_after_crashes(now);
+            }
+        }
         self.suspects = suspects;
     }
 
@@ -141,7 +178,11 @@
         let may_have_crashed_it = |run: &Run| {
             run.state != RunState::Planned && !run.is_at_work() && !run.outlived_restart
         };
-        let ordered = runs.filter(|(_, run)| may_have_crashed_it(run));
+        let has_worked = |id: TaskId| {
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+            task.is_some_and(|task| task.has_worked)
+        };
+        let ordered = runs.filter(|(id, run)| may_have_crashed_it(run) && !has_worked(**id));
         let suspicion =
             |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
         let ranked: Vec<_> =
@@ -177,14 +218,20 @@
 
     /// Remembers a lost run durably, and gives its job up if too many workers crashed.
     fn record_lost_run(&mut self, id: TaskId, lost: LostRun, now: Timestamp) {
+        let is_long_running = self.step(id).is_some_and(|step| step.long_running);
         let job = self.jobs.get_mut(&id.job).filter(|job| job.end.is_none());
         let Some(task) = job.and_then(|job| job.task_mut(id)).filter(|task| !task.is_done) else {
             return;
         };
         task.remember_lost_run(lost.clone());
         let losses = task.lost_runs.len();
+        if is_long_running && let Some(pause) = task.pause_after_crashes(now) {
+            let crashes = task.crashes();
+            self.actions.push(Action::Log(LogEvent::TaskPaused { task: id, crashes, pause }));
+        }
         if losses >= MAX_CRASHES && !lost.is_crash {
-            task.not_before = task.not_before.max(now + UNEXPLAINED_LOSS_PAUSE);
+            let pause = if is_long_running { LONG_RUNNING_PAUSE } else { UNEXPLAINED_LOSS_PAUSE };
+            task.not_before = task.not_before.max(now + pause);
         }
         self.suspects.insert(id);
         let run = RunId { task: id, attempt: lost.attempt, worker: lost.worker.clone() };
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -14,7 +14,7 @@
         Action, JobId, LogEvent, PlacedTask, Resources, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
-        task::{Job, Task},
+        task::{Job, SUSPENDED, Task},
         worker::Worker,
     },
     Cell,
@@ -191,6 +191,7 @@
                     let is_waiting = |task: &&Task| {
                         !task.is_done
                             && task.run_workers.is_empty()
+                            && task.not_before < SUSPENDED
                             && !awaits_worker(task, inherited)
                     };
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -179,7 +179,7 @@
             cell.track_record(&record, position, bytes);
         }
         cell.jobs.close_ended();
-        cell.find_suspects();
+        cell.find_suspects(now);
         let is_handed_over = handed_over.is_some();
         let last_order =
             if is_handed_over { earlier_orders_end.min(now) } else { earlier_orders_end };
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -271,6 +271,7 @@
             } else {
                 task.unavailable_since.or(Some(now))
             };
+            task.has_worked |= is_long_running && listed_run.progress_percent >= 100;
             if let Some(checkpoint) = &listed_run.checkpoint {
                 task.checkpoint = Some(std::sync::Arc::clone(checkpoint));
             }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -10,6 +10,9 @@
 };
 use crate::{QueueId, Timestamp};
 
+/// The earliest next attempt of a task that is not started any more.
+pub(super) const SUSPENDED: Timestamp = Timestamp(u64::MAX);
+
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -29,6 +32,8 @@
     /// Since when the task has not worked at full speed; `None` while it does. Used for
     /// long-running tasks only.
     pub(super) unavailable_since: Option<Timestamp>,
+    /// Whether a list of this term has shown the task at work. Used for long-running tasks only.
+    pub(super) has_worked: bool,
     /// The worker that the log names for the task; `None` if its placements are not logged or it
     /// was never placed.
     pub(super) placement: Option<Placement>,
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -69,6 +69,10 @@
             LogEvent::RunLost { run, losses, is_crash } => {
                 self.write_lost(run, *losses, *is_crash);
             }
+            LogEvent::TaskPaused { task, crashes, pause } => {
+                info!(log, "task paused"; "task" => %task, "crashes" => crashes,
+                    "pause_ms" => pause.0, "cell" => cell, "epoch" => epoch);
+            }
             LogEvent::AdviceAnswered { step, asked, allowed } => {
                 info!(log, "advised"; "step" => %step, "asked" => asked, "allowed" => allowed,
                     "epoch" => epoch);
