An order about a VM asks before each copy whether the worker that is there now is drained (AVAIL)

What callers would see: tasks at work ended by a move or by maintenance of their VM.

Cause: the fleet asked once whether a worker is drained. It did not ask again before a copy of an order without an answer, whoever was on the VM by then; took a VM without a listed worker, also one that is down, for drained; believed a report of any age; and a later owner of the fleet had the cell use a worker again that an order of its predecessor could still stop.

Change: each copy needs a report of the last 1.5 s that names the worker listed now, on a VM that is up; a copy to a VM that is away already only asks for the outcome. The fleet's record names the workers of recent orders, and the next owner keeps them drained while such an order may take effect. An order is not dropped while a copy of it may. A move ends once the list shows the VM in its new pool.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -42,7 +42,7 @@
     cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
-        OrderBasis, OrderOutcome, PoolSize, Vm, VmState, Wave, WaveStep,
+        OrderBasis, OrderOutcome, OrderedWorker, PoolSize, Vm, VmState, Wave, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -22,7 +22,7 @@
     size::{Arrivals, SmoothedNeed},
 };
 pub use self::{
-    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome},
+    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker},
     size::PoolSize,
     turns::BurstHistory,
 };
@@ -100,6 +100,9 @@
     /// here before an order about it is sent.
     #[serde(default)]
     pub ordered: IndexMap<VmId, u64>,
+    /// The workers that the orders in `ordered` stop, by VM.
+    #[serde(default)]
+    pub ordered_workers: IndexMap<VmId, OrderedWorker>,
     /// VMs of `ordered` whose order was to begin maintenance.
     #[serde(default)]
     pub maintained: IndexSet<VmId>,
@@ -179,6 +182,19 @@
     surplus_since: Option<Timestamp>,
 }
 
+/// The workers that an order of the previous owner may still stop, each with its pool and the time
+/// until which it may.
+fn workers_of_predecessor(
+    record: &FleetRecord,
+    vm_not_before: &IndexMap<VmId, Timestamp>,
+) -> IndexMap<WorkerId, (ServiceId, Timestamp)> {
+    let ordered = record.ordered_workers.iter();
+    let ordered = ordered.filter_map(|(vm_id, ordered)| Some((ordered, vm_not_before.get(vm_id)?)));
+    ordered
+        .map(|(OrderedWorker { pool, worker }, until)| (worker.clone(), (pool.clone(), *until)))
+        .collect()
+}
+
 /// The owner's view of all VMs, and the orders that it plans.
 #[derive(Debug)]
 pub struct Fleet {
@@ -204,7 +220,8 @@
     /// whose order was invalid, for a short time.
     absences: IndexMap<VmId, Absence>,
     /// Workers stopped by an accepted order, with their former pool and the time until which the
-    /// store may still list them.
+    /// store may still list them; also those that an order of the previous owner may still stop, and
+    /// until when.
     stopped_workers: IndexMap<WorkerId, (ServiceId, Timestamp)>,
     /// Standby pools.
     standby: IndexSet<ServiceId>,
@@ -251,6 +268,7 @@
         });
         let vm_not_before: IndexMap<VmId, Timestamp> = vm_not_before.collect();
         let ordered_at = vm_not_before.keys().map(|vm_id| (vm_id.clone(), now)).collect();
+        let stopped_workers = workers_of_predecessor(&record, &vm_not_before);
         Self {
             cfg,
             saved: record.clone(),
@@ -264,7 +282,7 @@
             reported_waves: IndexMap::new(),
             planned_orders: IndexMap::new(),
             absences: IndexMap::new(),
-            stopped_workers: IndexMap::new(),
+            stopped_workers,
             standby: IndexSet::new(),
             cell_reports: IndexMap::new(),
             last_moved: IndexMap::new(),
@@ -305,6 +323,7 @@
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool) {
         self.has_unreadable_vms = has_unreadable_entries;
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        self.drop_finished_moves();
         if self.record.given.is_empty() {
             for vm in self.vms.values() {
                 *self.record.given.entry(vm.pool.clone()).or_default() += 1;
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -23,7 +23,7 @@
 pub(super) const WORKER_START_TIME: Span = Span(500);
 
 /// Age beyond which a cell's report is ignored.
-const MAX_REPORT_AGE: Span = Span(1_500);
+pub(super) const MAX_REPORT_AGE: Span = Span(1_500);
 
 impl Fleet {
     /// Records an accepted move: the VM counts towards its new pool before the platform lists it
@@ -40,7 +40,7 @@
     /// Cancels planned moves whose VM was not drained in time.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
         self.planned_orders
-            .retain(|_, planned| planned.is_in_flight || now < planned.drain_deadline);
+            .retain(|_, planned| planned.may_take_effect(now) || now < planned.drain_deadline);
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -1,6 +1,8 @@
 //! Orders about single VMs: when they are due, and what follows from their outcomes.
 
-use super::{Fleet, Vm};
+use serde::{Deserialize, Serialize};
+
+use super::{Fleet, Vm, VmState, balance::MAX_REPORT_AGE};
 use crate::{ServiceId, Span, Timestamp, VmId, job::WorkerId};
 
 /// How long to wait before retrying an order that got no answer or whose VM was busy.
@@ -52,6 +54,8 @@
     pub(super) hosts_long_running: bool,
     /// Whether the order was sent and has no definite outcome yet.
     pub(super) is_in_flight: bool,
+    /// Time until which a copy of the order that got no answer may take effect.
+    pub(super) open_until: Timestamp,
     /// Time before which the order is not sent or retried.
     pub(super) next_attempt: Timestamp,
     /// Time at which the order is dropped if its VM is not drained by then.
@@ -66,11 +70,17 @@
             planned_at: now,
             hosts_long_running: false,
             is_in_flight: false,
+            open_until: Timestamp(0),
             next_attempt: now,
             drain_deadline,
         }
     }
 
+    /// Whether a copy of the order may take effect at any time.
+    pub(super) fn may_take_effect(&self, now: Timestamp) -> bool {
+        self.is_in_flight || now < self.open_until
+    }
+
     /// Whether maintenance was ordered, and may begin at any time.
     pub(super) fn may_be_maintained(&self) -> bool {
         self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
@@ -85,6 +95,15 @@
     pub(super) is_maintenance: bool,
 }
 
+/// The worker that an order about a VM stops.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderedWorker {
+    /// The pool of its VM before the order.
+    pub pool: ServiceId,
+    /// The worker.
+    pub worker: WorkerId,
+}
+
 /// What an order about a VM rests on, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderBasis {
@@ -106,9 +125,34 @@
         }
     }
 
-    fn is_drained(&self, vm: &Vm) -> bool {
-        self.standby.contains(&vm.pool)
-            || vm.worker.as_ref().is_none_or(|worker| self.drained_workers.contains(worker))
+    /// Whether an order about a VM ends no task: its cell has just reported the worker that is on it
+    /// as drained. A VM without a listed worker may have one by now.
+    fn is_drained(&self, vm: &Vm, now: Timestamp) -> bool {
+        if self.standby.contains(&vm.pool) {
+            return true;
+        }
+        let report = self.cell_reports.get(&vm.pool);
+        let is_recent = report.is_some_and(|report| now <= report.at + MAX_REPORT_AGE);
+        let is_worker_drained =
+            vm.worker.as_ref().is_some_and(|worker| self.drained_workers.contains(worker));
+        vm.state == VmState::Up && is_recent && is_worker_drained
+    }
+
+    /// Whether an order about a VM may be sent now. Each copy asks anew, unless the VM is already
+    /// away, so that the copy only asks for the outcome of the one before.
+    fn may_send(&self, planned: &PlannedOrder, vm: &Vm, now: Timestamp) -> bool {
+        let is_away = matches!(vm.state, VmState::Moving | VmState::Maintenance);
+        (planned.is_in_flight && is_away) || self.is_drained(vm, now)
+    }
+
+    /// Drops the orders to move VMs that the platform now lists in their new pools.
+    pub(super) fn drop_finished_moves(&mut self) {
+        let vms = &self.vms;
+        self.planned_orders.retain(|vm_id, planned| {
+            let vm = vms.get(vm_id).filter(|vm| vm.state == VmState::Up);
+            let has_arrived = |vm: &Vm| planned.purpose == Purpose::Move(vm.pool.clone());
+            !(planned.is_in_flight && vm.is_some_and(has_arrived))
+        });
     }
 
     /// Rewrites [`super::FleetRecord::ordered`] from the times of the latest orders, and drops old ones.
@@ -120,6 +164,7 @@
             self.ordered_at.iter().map(|(vm_id, at)| (vm_id.clone(), wall_ms(at))).collect();
         let ordered_at = &self.ordered_at;
         self.record.maintained.retain(|vm_id| ordered_at.contains_key(vm_id));
+        self.record.ordered_workers.retain(|vm_id, _| ordered_at.contains_key(vm_id));
     }
 
     /// Returns the orders that are due and marks them as in flight.
@@ -135,7 +180,7 @@
                 continue;
             }
             let planned = &self.planned_orders[&vm_id];
-            if now < planned.next_attempt || !(planned.is_in_flight || self.is_drained(&vm)) {
+            if now < planned.next_attempt || !self.may_send(planned, &vm, now) {
                 continue;
             }
             let wave = match planned.purpose {
@@ -169,6 +214,10 @@
                 planned.next_attempt = Timestamp(u64::MAX);
             }
             self.ordered_at.insert(vm_id.clone(), now);
+            if let Some(worker) = vm.worker.filter(|_| !self.standby.contains(&vm.pool)) {
+                let ordered = OrderedWorker { pool: vm.pool, worker };
+                self.record.ordered_workers.insert(vm_id, ordered);
+            }
             orders.push(order);
         }
         orders
@@ -214,7 +263,10 @@
                 let until = now + Span(2_000);
                 self.absences.insert(vm_id.clone(), Absence { until, is_maintenance: false });
             }
-            OrderOutcome::Unknown => planned.next_attempt = now + ORDER_RETRY_INTERVAL,
+            OrderOutcome::Unknown => {
+                planned.next_attempt = now + ORDER_RETRY_INTERVAL;
+                planned.open_until = now + self.cfg.takeover_pause;
+            }
         }
     }
 }
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -169,7 +169,7 @@
 /// Issue 39: one worker was drained in the tick in which the owner learnt that eight others leave.
 #[test]
 fn no_task_is_stopped_for_a_drain_when_other_workers_of_its_step_leave() {
-    for offset_ms in (0..WORKER_LIST_MS).step_by(TICK_MS as usize) {
+    for offset_ms in (0..WORKER_LIST_MS / TICK_MS).map(|tick| tick * TICK_MS) {
         let mut model = model_with_two_tasks_on_each_worker(12, 4);
         for number in 1..9 {
             model.announce_leave(&format!("w{number}"), LEAVES_IN_MS);
