What one owner of a cell told the fleet binds the next one (AVAIL)

What callers would see: tasks at work ended by a move or by maintenance of their VM, after the cell changed its owner.

Cause: a worker that is reported as drained may be moved at any moment, but the next owner of the cell used it until the fleet spoke to it; an earlier owner of the fleet could take back what a later one had asked for; and a pool whose last queue was removed counted as one without tasks, though what lasts goes on there.

Change: the log's word that a worker is drained stays live, and a new owner uses such a worker only once the fleet's owner has spoken, or after 4 s of its silence. Instructions carry the fleet's epoch; lower ones are ignored, with a line. Cells that still have an owner are asked like those with a queue.

--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -16,6 +16,7 @@
     super::{
         JobEnd, JobId, Position, Record, TaskId, TaskSnapshot, WorkerId,
         task::{Job, Occurrence, StepState, Task},
+        worker::{Logged, Worker},
     },
     Cell,
 };
@@ -130,6 +131,10 @@
             Record::WorkerUsed { worker } => {
                 self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
             }
+            // Should the owner be lost, the next one must not use a worker that was drained.
+            Record::WorkerGone { worker } if self.drains.contains_key(worker) => {
+                self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
+            }
             Record::WorkerGone { worker } => self.live.remove(&LiveKey::Worker(worker.clone())),
             Record::HandedOver { .. } => {}
         }
@@ -188,8 +193,14 @@
     /// Returns the record of a worker that the next owner must know; `None` if no run of this or an
     /// earlier term can be alive on it.
     fn worker_record(&self, id: &WorkerId) -> Option<Record> {
-        let is_live = self.workers.contains_key(id) || self.inherited_workers.contains_key(id);
-        is_live.then(|| Record::WorkerUsed { worker: id.clone() })
+        let worker = id.clone();
+        let is_drained = |worker: &Worker| worker.logged == Logged::Gone;
+        match self.workers.get(id) {
+            Some(state) if is_drained(state) => Some(Record::WorkerGone { worker }),
+            Some(_) => Some(Record::WorkerUsed { worker }),
+            None if self.inherited_workers.contains_key(id) => Some(Record::WorkerUsed { worker }),
+            None => self.drains.contains_key(id).then_some(Record::WorkerGone { worker }),
+        }
     }
 }
 
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -9,7 +9,7 @@
 
 use super::{
     super::{
-        Action, JobEnd, JobId, JobSpec, LogEvent, LogWriter, Position, Record, Sequence,
+        Action, DrainMode, JobEnd, JobId, JobSpec, LogEvent, LogWriter, Position, Record, Sequence,
         StoredSegment, TaskId, TaskSnapshot, UnsettledWorker, WorkerId,
         record::EncodedRecord,
         task::{Job, Placement},
@@ -61,6 +61,11 @@
     }
 }
 
+/// How long a new owner waits for the fleet's owner to say which workers are drained. An order about a
+/// VM that rests on a report to the previous owner has taken effect by then: the report is believed
+/// for 1.5 s, the order is sent within 1 s, and its call takes 1.5 s at most.
+const FLEET_SILENCE: Span = Span(4_000);
+
 /// How long a lease can last by this node's clock, in percent of its nominal duration, because the
 /// worker's clock may be slow.
 const LEASE_STRETCH_PERCENT: u64 = 103;
@@ -167,6 +172,8 @@
             expected_times: super::ExpectedTimes::default(),
             advice_requests_in_flight: 0,
             drains: IndexMap::new(),
+            drains_expiry: Some(now + FLEET_SILENCE),
+            fleet_epoch: Epoch::default(),
             suspects: IndexSet::new(),
             has_worker_list: false,
             wall_offset_ms: wall_ms.saturating_sub(now.0),
@@ -311,9 +318,12 @@
             }
             Record::WorkerUsed { worker } => {
                 used_workers.insert(worker.clone());
+                self.drains.shift_remove(worker);
             }
             Record::WorkerGone { worker } => {
                 used_workers.shift_remove(worker);
+                // The fleet may have been told that it is drained, and may act on that.
+                self.drains.insert(worker.clone(), DrainMode::WaitForRuns);
             }
             Record::HandedOver { .. } => {}
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -15,7 +15,7 @@
     holds::MAX_HOLD_FAILURES,
     orders::START_UNANSWERED,
 };
-use crate::{Span, Timestamp};
+use crate::{Epoch, Span, Timestamp};
 
 /// The longest time from the completion of a stop until the worker lists the end of the run.
 const END_LISTING_DELAY: Span = Span(50);
@@ -403,9 +403,24 @@
             worker.drain = drains.get(id).copied();
         }
         self.drains = drains;
+        self.drains_expiry = None;
         self.plan_due = true;
     }
 
+    /// Whether the fleet's owner of this epoch may say which workers to drain. Once a later one has,
+    /// it may not.
+    pub fn accept_fleet(&mut self, epoch: Epoch) -> bool {
+        self.fleet_epoch = self.fleet_epoch.max(epoch);
+        epoch == self.fleet_epoch
+    }
+
+    /// Uses the workers that were drained in earlier terms if the fleet's owner is silent.
+    pub(super) fn expire_inherited_drains(&mut self, now: Timestamp) {
+        if self.drains_expiry.is_some_and(|expiry| now >= expiry) {
+            self.set_drains(IndexMap::new());
+        }
+    }
+
     /// The workers that are to be drained and have no runs left, according to the durable log. Once
     /// they are moved they no longer answer, and a later owner must not wait for them.
     #[must_use]
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -187,6 +187,9 @@
     /// What the fleet can give the pool, if the sender knows.
     #[prost(message, optional, tag = "5")]
     pub outlook: ::core::option::Option<Outlook>,
+    /// The epoch of the sender's term as the owner of the fleet.
+    #[prost(uint64, tag = "6")]
+    pub epoch: u64,
 }
 /// Processor capacities of a pool, in thousandths of a core.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use teaselgap_core::{
-    Span, Timestamp,
+    Epoch, Span, Timestamp,
     job::{DrainMode, JobId, Step, TaskId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
@@ -210,3 +210,28 @@
     assert_eq!(unasked, 0);
     assert_ne!(asked, 0);
 }
+
+#[test]
+fn a_worker_that_was_drained_is_used_again_if_the_fleet_stays_silent() {
+    let mut model = new_model(1);
+    let drains = IndexMap::from([("w0".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().unwrap().set_drains(drains);
+    model.run_for(1_000);
+    model.kill_owner();
+    model.take_over();
+
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 300)]));
+    let is_started = |model: &Model| model.start_count(task_id(JOB, 0)) > 0;
+
+    assert!(model.run_until(6_000, is_started));
+}
+
+#[test]
+fn an_earlier_owner_of_the_fleet_has_no_say_once_a_later_one_has_spoken() {
+    let mut model = new_model(1);
+    let cell = model.cell_mut().unwrap();
+
+    let accepted = [Epoch(3), Epoch(3), Epoch(5), Epoch(3)].map(|epoch| cell.accept_fleet(epoch));
+
+    assert_eq!(accepted, [true, true, true, false]);
+}
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -46,6 +46,11 @@
     format!("cell/{cell}")
 }
 
+/// The service whose cell a duty is to own; `None` for other duties.
+pub(super) fn cell_of_duty(duty: &str) -> Option<ServiceId> {
+    duty.strip_prefix("cell/")?.parse().ok()
+}
+
 /// The store key of a duty.
 pub(super) fn duty_key(duty: &str) -> String {
     format!("{DUTY_PREFIX}{duty}")
@@ -265,7 +270,7 @@
         node.session.borrow_mut().claimed_at.insert(duty.clone(), clock::now());
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
-        } else if let Some(Ok(cell)) = duty.strip_prefix("cell/").map(str::parse) {
+        } else if let Some(cell) = cell_of_duty(&duty) {
             host::start(&node, cell, epoch, key_revision);
         }
         node.roster_refresh.notify_one();
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
+use indexmap::IndexSet;
 use slog::{info, warn};
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp, VmId,
@@ -220,7 +220,12 @@
             let instruction = {
                 let fleet = self.fleet.borrow();
                 let expects_workers = fleet.expects_workers(&cell, now);
-                PoolInstruction { drains, expects_workers, outlook: fleet.outlook(&cell) }
+                PoolInstruction {
+                    epoch: self.epoch,
+                    drains,
+                    expects_workers,
+                    outlook: fleet.outlook(&cell),
+                }
             };
             if let Some(report) = self.node.instruct(&cell, instruction).await {
                 let now = clock::now();
@@ -234,12 +239,16 @@
         }
     }
 
+    /// The cells of all services with a queue, and those that still have an owner although the
+    /// service's last queue was removed: what lasts goes on there.
     fn cells(&self) -> Vec<ServiceId> {
         let Some(config) = self.node.shared.config.load_full() else {
             return Vec::new();
         };
-        let services = config.queues.values().map(|queue| (queue.service.clone(), ()));
-        services.collect::<IndexMap<_, ()>>().into_keys().collect()
+        let configured = config.queues.values().map(|queue| queue.service.clone());
+        let members = self.node.members.borrow();
+        let owned = members.owners.keys().filter_map(|duty| duties::cell_of_duty(duty));
+        configured.chain(owned).collect::<IndexSet<_>>().into_iter().collect()
     }
 
     /// Ticks the fleet and executes the resulting actions. Does nothing while a record is being
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -268,14 +268,18 @@
         self.with_cell(|cell| cell.update_workers(entries, is_complete, clock::now()));
     }
 
-    /// Passes what the fleet's owner says about the pool to the cell, and reports on the cell.
-    pub(super) fn instruct(&self, instruction: PoolInstruction) -> CellReport {
-        let PoolInstruction { drains, expects_workers, outlook } = instruction;
+    /// Passes what the fleet's owner says about the pool to the cell, and reports on the cell. Returns
+    /// `None` if the cell has not been recovered, or if a later owner of the fleet has spoken.
+    pub(super) fn instruct(&self, instruction: PoolInstruction) -> Option<CellReport> {
+        let PoolInstruction { epoch, drains, expects_workers, outlook } = instruction;
         if expects_workers {
             self.node.roster_refresh.notify_one();
         }
         let now = clock::now();
         let report = self.with_cell(|cell| {
+            if !cell.accept_fleet(epoch) {
+                return None;
+            }
             cell.set_drains(drains);
             if expects_workers {
                 cell.expect_workers(now);
@@ -283,9 +287,16 @@
             if let Some(outlook) = outlook {
                 cell.set_outlook(outlook, now);
             }
-            CellReport { drained: cell.drained_workers(), load: cell.load(now) }
+            Some(CellReport { drained: cell.drained_workers(), load: cell.load(now) })
         });
-        report.unwrap_or_else(|| CellReport { drained: Vec::new(), load: Load::default() })
+        let Some(report) = report else {
+            return Some(CellReport { drained: Vec::new(), load: Load::default() });
+        };
+        if report.is_none() {
+            info!(self.node.log, "instruction of an earlier fleet owner ignored";
+                "cell" => %self.service, "fleet_epoch" => epoch.0, "epoch" => self.epoch.0);
+        }
+        report
     }
 
     /// Advances the cell to the current time and executes the actions that it requests. During a
--- a/src/jobs/instruction.rs
+++ b/src/jobs/instruction.rs
@@ -1,11 +1,16 @@
 //! What the owner of the fleet tells the owner of a cell about its pool, and the answer.
 
 use indexmap::IndexMap;
-use teaselgap_core::job::{DrainMode, Load, Outlook, WorkerId};
+use teaselgap_core::{
+    Epoch,
+    job::{DrainMode, Load, Outlook, WorkerId},
+};
 
 /// What the owner of the fleet tells a cell, several times a second.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PoolInstruction {
+    /// The epoch of the fleet's owner. A cell takes no instruction of an earlier one than it has seen.
+    pub(super) epoch: Epoch,
     /// The workers that are to be drained; no others are.
     pub(super) drains: IndexMap<WorkerId, DrainMode>,
     /// Whether workers are about to join that the store does not list yet.
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -157,7 +157,7 @@
 
     fn handle_instruction(&self, pending: PendingInstruction) {
         let PendingInstruction { cell, instruction, reply } = pending;
-        let report = self.cell_owner(&cell).map(|owner| owner.instruct(instruction));
+        let report = self.cell_owner(&cell).and_then(|owner| owner.instruct(instruction));
         // The caller may have stopped waiting.
         let _ = reply.send(report);
     }
@@ -170,7 +170,7 @@
         instruction: PoolInstruction,
     ) -> Option<CellReport> {
         if let Some(owner) = self.cell_owner(cell) {
-            return Some(owner.instruct(instruction));
+            return owner.instruct(instruction);
         }
         let address = self.owner_address(cell)?;
         self.peers.instruct(address, cell, &instruction).await
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use teaselgap_core::{
-    IdError, ServiceId, Span, Timestamp,
+    Epoch, IdError, ServiceId, Span, Timestamp,
     job::{DrainMode, JobEnd, JobId, JobState, Outlook},
 };
 use teaselgap_proto::cell::{
@@ -182,6 +182,7 @@
             urgent: drains.values().map(|mode| drain_mode_to_wire(*mode)).collect(),
             expecting: instruction.expects_workers,
             outlook: instruction.outlook.map(outlook_to_wire),
+            epoch: instruction.epoch.0,
         };
         let reply = tokio::time::timeout(INSTRUCTION_TIMEOUT, client.direct(req)).await;
         let Ok(Ok(reply)) = reply else {
@@ -380,6 +381,7 @@
         let cell = req.cell.parse().map_err(|err| invalid_id_status(&err))?;
         let (reply, reply_rx) = oneshot::channel();
         let instruction = PoolInstruction {
+            epoch: Epoch(req.epoch),
             drains,
             expects_workers: req.expecting,
             outlook: req.outlook.map(outlook_from_wire),
