Each copy of a stop order asks who is away, and of two runs the one at work goes on (AVAIL)

What callers would see: a task ended while too many others of its step are away.

Cause: a stop that empties a worker was decided on once; its copies, and the first one, which goes out a tick later, asked nobody. A stop after a worker's restart went on although the new instance had the run at work. A listed run that is not needed was stopped also if it was at work and the owner's other run was not.

Change: send_stops asks the law for each copy; an order that was never sent is revoked, a later copy waits. A stop after a restart is revoked once a list shows the long-running task there. Of two runs the one that is not at work is stopped.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -7,6 +7,8 @@
         worker::{OpenOrder, RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
+    restarts::MAY_START_AGAIN,
+    vacate::{WORKER_DRAINED, WORKER_LEAVING},
 };
 use crate::{Span, Timestamp};
 
@@ -169,16 +171,19 @@
         let Some(run) = worker.runs.get_mut(&task) else {
             return;
         };
-        let is_revocable = reason == START_UNANSWERED;
+        let is_revocable =
+            reason == START_UNANSWERED || (reason == MAY_START_AGAIN && run.is_long_running);
+        let empties_worker = matches!(reason, WORKER_DRAINED | WORKER_LEAVING);
         if let Some(stop) = &mut run.stopping {
             stop.is_revocable &= is_revocable;
+            stop.empties_worker &= empties_worker;
             return;
         }
         if run.state == RunState::Planned {
             self.withdraw_run(id, task);
             return;
         }
-        run.stopping = Some(StopOrder { next: Some(now), confirmed: None, is_revocable });
+        run.stopping = Some(StopOrder { is_revocable, empties_worker, ..StopOrder::new(now) });
         let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::Stopping { run: run_id, reason, step }));
     }
@@ -199,24 +204,52 @@
         }
     }
 
-    /// Sends the stop orders that are due.
+    /// Sends the stop orders that are due. Each copy of one that empties a worker asks anew whether it
+    /// may end the task.
     pub(super) fn send_stops(&mut self, now: Timestamp) {
-        for (id, worker) in &mut self.workers {
-            if !worker.is_adopted {
+        for (id, task, empties_worker) in self.due_stops(now) {
+            if empties_worker && !self.may_stop_on(&id, task, now) {
+                self.hold_back_stop(&id, task, now);
                 continue;
             }
-            for (task, run) in &mut worker.runs {
-                let Some(stop) = &mut run.stopping else {
-                    continue;
-                };
-                if stop.confirmed.is_none() && stop.next.is_some_and(|next| now >= next) {
-                    stop.next = None;
-                    self.actions.push(Action::Stop(id.clone(), *task, run.attempt));
-                }
+            let run = self.workers.get_mut(&id).and_then(|worker| worker.runs.get_mut(&task));
+            if let Some((attempt, stop)) =
+                run.and_then(|run| Some((run.attempt, run.stopping.as_mut()?)))
+            {
+                (stop.next, stop.is_sent) = (None, true);
+                self.actions.push(Action::Stop(id, task, attempt));
             }
         }
     }
 
+    /// The runs whose stop orders are due, each with whether it is stopped only to empty its worker.
+    fn due_stops(&self, now: Timestamp) -> Vec<(WorkerId, TaskId, bool)> {
+        let mut due = Vec::new();
+        for (id, worker) in self.workers.iter().filter(|(_, worker)| worker.is_adopted) {
+            let stops = worker.runs.iter().filter_map(|(task, run)| Some((task, run.stopping?)));
+            let stops = stops.filter(|(_, stop)| {
+                stop.confirmed.is_none() && stop.next.is_some_and(|next| now >= next)
+            });
+            due.extend(stops.map(|(task, stop)| (id.clone(), *task, stop.empties_worker)));
+        }
+        due
+    }
+
+    /// Delays a stop order, or revokes it if no copy of it was sent: the task is drained later.
+    fn hold_back_stop(&mut self, id: &WorkerId, task: TaskId, now: Timestamp) {
+        let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
+        let Some(run) = run else {
+            return;
+        };
+        if run.stopping.take_if(|stop| !stop.is_sent).is_some() {
+            let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
+            let reason = "too many others are away";
+            self.actions.push(Action::Log(LogEvent::StopRevoked { run: run_id, reason }));
+        } else if let Some(stop) = &mut run.stopping {
+            stop.next = Some(now + STOP_RETRY_DELAY);
+        }
+    }
+
     /// Handles the outcome of a stop order that was sent at `sent`. If the worker did not confirm it,
     /// the order is sent again after a delay.
     pub fn on_stop_answer(
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -22,7 +22,7 @@
 use crate::Timestamp;
 
 /// Why a run is stopped whose start order an earlier instance may have got.
-const MAY_START_AGAIN: &str = "start order may reach the new worker instance";
+pub(super) const MAY_START_AGAIN: &str = "start order may reach the new worker instance";
 
 /// What becomes of a run when its worker restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -325,7 +325,27 @@
         // The list also shows whether the task is available.
         self.apply_listed_run(id, listed_run, now);
         if !is_needed {
-            self.stop_run(id, listed_run.task, "run not needed", now);
+            self.stop_unneeded_run(id, listed_run.task, now);
+        }
+    }
+
+    /// Stops a listed run that is not needed. If it is of a long-running task and at work, and the
+    /// runs that the owner has ordered elsewhere are not, those are stopped instead.
+    fn stop_unneeded_run(&mut self, id: &WorkerId, task: TaskId, now: Timestamp) {
+        let job = self.jobs.get(&task.job).filter(|job| job.end.is_none());
+        let state = job.and_then(|job| job.task(task));
+        let run_workers = state.map(|task| task.run_workers.clone()).unwrap_or_default();
+        let is_at_work = |worker: &WorkerId| {
+            let run = self.workers.get(worker).and_then(|worker| worker.runs.get(&task));
+            run.is_some_and(|run| run.is_at_work() && run.stopping.is_none())
+        };
+        let others: Vec<WorkerId> = run_workers.into_iter().filter(|other| other != id).collect();
+        if others.is_empty() || !is_at_work(id) || others.iter().any(is_at_work) {
+            self.stop_run(id, task, "run not needed", now);
+            return;
+        }
+        for other in others {
+            self.stop_run(&other, task, "another run is at work", now);
         }
     }
 
@@ -354,7 +374,7 @@
         for (task, run) in &mut worker.runs {
             if is_gone(task, run) {
                 let confirmed = Some(now);
-                run.stopping = Some(StopOrder { next: None, confirmed, is_revocable: false });
+                run.stopping = Some(StopOrder { next: None, confirmed, ..StopOrder::new(now) });
             }
         }
         for (_, run) in worker.runs.iter_mut().filter(|(task, run)| !is_listed(task, run)) {
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -11,6 +11,12 @@
 };
 use crate::{Span, Timestamp};
 
+/// Why a run is stopped whose worker has announced that it leaves.
+pub(super) const WORKER_LEAVING: &str = "worker leaving";
+
+/// Why a run is stopped whose worker is to be drained.
+pub(super) const WORKER_DRAINED: &str = "worker being drained";
+
 /// How long before the deadline of a leaving worker its remaining runs are stopped, in addition to
 /// the time that a stop takes.
 const LEAVE_MARGIN: Span = Span(700);
@@ -35,7 +41,7 @@
             };
             let stops_without_room =
                 worker.entry.is_draining || worker.drain == Some(DrainMode::StopAll);
-            if self.may_stop_on(worker, task, now)
+            if self.may_stop_on(&id, task, now)
                 && (self.reserve_elsewhere(task, &mut candidates, now) || stops_without_room)
             {
                 self.stop_run(&id, task, reason, now);
@@ -44,7 +50,10 @@
     }
 
     /// Whether a run may be stopped to empty its worker.
-    fn may_stop_on(&self, worker: &Worker, task: TaskId, now: Timestamp) -> bool {
+    pub(super) fn may_stop_on(&self, id: &WorkerId, task: TaskId, now: Timestamp) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
         if !worker.entry.is_draining {
             return self.may_end(task, now);
         }
@@ -76,7 +85,7 @@
                 let is_worth_stopping =
                     step.is_some_and(|step| self.is_worth_stopping(*task, step, run, now));
                 if worker.entry.is_draining && (is_leave_due || is_long_running) {
-                    runs.push((id.clone(), *task, "worker leaving"));
+                    runs.push((id.clone(), *task, WORKER_LEAVING));
                     continue;
                 }
                 let must_stop = match worker.drain {
@@ -86,7 +95,7 @@
                     Some(DrainMode::StopAll) => true,
                 };
                 if must_stop {
-                    runs.push((id.clone(), *task, "worker being drained"));
+                    runs.push((id.clone(), *task, WORKER_DRAINED));
                 }
             }
         }
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -153,6 +153,23 @@
     /// Whether the run is stopped only because its start order got no answer. It may go on if it
     /// turns out to have started.
     pub(super) is_revocable: bool,
+    /// Whether the run is stopped only to empty its worker, which may have to wait.
+    pub(super) empties_worker: bool,
+    /// Whether a copy of the order was sent.
+    pub(super) is_sent: bool,
+}
+
+impl StopOrder {
+    /// An order that is due now.
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            next: Some(now),
+            confirmed: None,
+            is_revocable: false,
+            empties_worker: false,
+            is_sent: false,
+        }
+    }
 }
 
 /// A reading of a worker's monotonic clock.
@@ -587,7 +604,7 @@
     pub(super) fn take_stops(&mut self) -> impl Iterator<Item = (TaskId, u32)> {
         let unconfirmed = |run: &mut Run| {
             let stop = run.stopping.as_mut().filter(|stop| stop.confirmed.is_none())?;
-            stop.next = None;
+            (stop.next, stop.is_sent) = (None, true);
             Some(run.attempt)
         };
         self.runs.iter_mut().filter_map(move |(task, run)| Some((*task, unconfirmed(run)?)))
--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -65,7 +65,8 @@
     let mut worker = worker_with_outlived_run(1);
     let order_expiry = ANSWERED + UNANSWERED_START_LIFETIME;
     let confirmed = is_confirmed.then_some(ANSWERED + Span(1_500));
-    worker.runs[&task()].stopping = Some(StopOrder { next: None, confirmed, is_revocable: false });
+    worker.runs[&task()].stopping =
+        Some(StopOrder { next: None, confirmed, ..StopOrder::new(Timestamp(0)) });
     worker.unanswered_hold = if is_silent { order_expiry + Span(1) } else { order_expiry };
     worker.missing_since = is_missing.then_some(ANSWERED + Span(6_000));
     worker.lease_expiry(LONGEST_LEASE, order_expiry + Span(10))
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -1,7 +1,9 @@
 //! Tests of when the owner stops a long-running task while others of its step may be unavailable.
 
 use indexmap::IndexMap;
-use teaselgap_core::job::{DrainMode, EndKind, JobId, LogEvent, WorkerId};
+use teaselgap_core::job::{
+    DrainMode, EndKind, HoldReport, JobId, ListedRun, LogEvent, TaskId, WorkerId,
+};
 use teaselgap_standins::model::{Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
@@ -182,3 +184,51 @@
         assert_eq!(model.violations(), &[] as &[String], "{offset_ms} ms");
     }
 }
+
+/// Guards against copies of a stop order that ask nobody: the first ones are lost, and another task
+/// has been ended when a later one arrives.
+#[test]
+fn a_copy_of_a_stop_order_ends_no_task_once_another_one_is_away() {
+    for offset_ms in (0..3_000).step_by(50) {
+        let mut model = model_with_two_tasks_on_each_worker(4, 1);
+        let faults = WorkerFaults { lost_stops: 4, ..WorkerFaults::default() };
+        model.set_faults("w0", faults);
+        drain(&mut model, "w0");
+
+        model.run_for(offset_ms);
+        model.announce_leave("w1", LEAVES_IN_MS);
+        model.run_for(LEAVES_IN_MS + 3_000);
+
+        assert_eq!(model.violations(), &[] as &[String], "{offset_ms} ms");
+    }
+}
+
+/// Lets the owner learn from a list that the first attempt of a task is on this worker, at work.
+fn list_at_work(model: &mut Model, worker: &str, task: TaskId) {
+    let now = model.now();
+    let run =
+        ListedRun { task, attempt: 1, checkpoint: None, progress_percent: 100, tail_ms_or_cpu: 0 };
+    let (clock_ms, started_wall_ms) = (now.0 + 1, 1);
+    let report = HoldReport { clock_ms, started_wall_ms, running: vec![run], ends: Vec::new() };
+    model.cell_mut().unwrap().on_hold_answer(&worker.into(), now, Some(report), now);
+}
+
+/// Guards against a stop of the run that works for the sake of one that does not.
+#[test]
+fn of_two_runs_of_a_task_the_one_at_work_goes_on() {
+    let mut model = new_model(2);
+    let task = task_id(JOB, 0);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    model.run_for(200);
+    let ordered = model.ordered_worker(task).unwrap();
+    let other = if ordered == "w0".into() { "w1" } else { "w0" };
+
+    list_at_work(&mut model, other, task);
+    model.run_for(20);
+
+    let stopped = model.log_events().iter().filter_map(|event| match event {
+        LogEvent::Stopping { run, .. } => Some(&run.worker),
+        _ => None,
+    });
+    assert_eq!(stopped.collect::<Vec<_>>(), [&ordered]);
+}
