--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    super::{ask::Reply, owner_load::CallKind, start_order},
+    super::{ask::Reply, owner_load::CallKind, session, start_order},
     CellOwner,
 };
 use crate::clock;
@@ -52,7 +52,7 @@
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
-                    let is_term_over = || owner.is_term_over.get();
+                    let is_term_over = || !owner.may_order();
                     let call = start_order::send(repeater, client, (&target, &order), is_term_over);
                     let is_answered =
                         |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
@@ -106,10 +106,21 @@
             return false;
         };
         let owner = Rc::clone(self);
-        tokio::task::spawn_local(async move { call(owner, target).await });
+        tokio::task::spawn_local(async move {
+            if owner.may_order() {
+                call(owner, target).await;
+            }
+        });
         true
     }
 
+    /// Whether orders may be sent at this moment. The process may have been paused since they were
+    /// decided on, or the cell may be being handed over.
+    fn may_order(&self) -> bool {
+        session::end_expired_terms(&self.node);
+        !self.is_term_over.get() && !self.is_handing_over.get()
+    }
+
     async fn ask_advice(&self, request: AdviceRequest) {
         let advice = match self.node.settings.advice {
             Some(address) => {
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -142,6 +142,8 @@
     }
 
     fn dispatch(self: &Rc<Self>, request: NodeRequest) {
+        // The request may have waited while the process was paused.
+        session::end_expired_terms(self);
         match request {
             NodeRequest::Cell(pending) => {
                 tokio::task::spawn_local(ask::answer_request(Rc::clone(self), pending));
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -5,6 +5,9 @@
 //! restarts under the same name and address knows that its earlier process has ended, and takes
 //! over the duties of that process at once.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
@@ -269,7 +272,8 @@
     update_order_rate(node, lease).await
 }
 
-/// Ends all terms once other nodes may own the duties. A node that can't reach the store continues
+/// Ends all terms once other nodes may own the duties. Whatever acts for an owner after it has waited
+/// asks first: the process may have been paused meanwhile. A node that can't reach the store continues
 /// beyond the end of its lease only while other nodes confirm that they can't reach it either.
 pub(super) fn end_expired_terms(node: &Rc<Node>) {
     let valid_until = node.lease.valid_until();
@@ -278,11 +282,21 @@
     if valid_until == Timestamp(0) || has_no_duty(node) {
         return;
     }
-    if now > valid_until && now > outage_confirmed_at + OUTAGE_CONFIRMATION_TTL {
+    if is_permission_over(valid_until, outage_confirmed_at, now) {
         end_all_terms(node, "the lease could not be renewed");
     }
 }
 
+/// Whether an owner may not act any more: its lease has expired, and the last confirmation that the
+/// store is away is too old.
+fn is_permission_over(
+    valid_until: Timestamp,
+    outage_confirmed_at: Timestamp,
+    now: Timestamp,
+) -> bool {
+    now > valid_until && now > outage_confirmed_at + OUTAGE_CONFIRMATION_TTL
+}
+
 fn has_no_duty(node: &Node) -> bool {
     node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none()
 }
