--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -184,8 +184,11 @@
         worker.record_renewal(sent);
         if !worker.is_adopted {
             worker.is_adopted = true;
+            worker.has_listed_all = false;
             worker.adopted_at = now;
         }
+        let lists_all_first = report.is_complete && !worker.has_listed_all;
+        worker.has_listed_all |= report.is_complete;
         if !was_adopted {
             self.forget_losses(id);
         }
@@ -198,10 +201,13 @@
             for listed_run in &report.running {
                 self.on_listed_run(id, listed_run, now);
             }
-            self.end_unlisted_runs(id, sent, report, now);
+            // What a list that is cut off lacks may have ended as done.
+            if report.is_complete {
+                self.end_unlisted_runs(id, sent, report, now);
+            }
             self.check_progress(id, now);
         }
-        if !was_adopted {
+        if lists_all_first {
             self.await_earlier_stops(id, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -96,6 +96,7 @@
                         started_wall_ms: 1,
                         running: Vec::new(),
                         ends: Vec::new(),
+                        is_complete: true,
                     };
                     self.cell.on_hold_answer(&worker, now, Some(report), now);
                 }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -329,15 +329,16 @@
         }
     }
 
-    /// Releases inherited jobs for planning once every inherited worker is adopted or its leases
-    /// have expired.
+    /// Releases inherited jobs for planning once every inherited worker is adopted and has listed all
+    /// its runs and ends, or its leases have expired.
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
         let mut lost_workers = Vec::new();
         let (workers, wait) = (&self.workers, &mut self.inherited_wait);
         self.inherited_workers.retain(|id, expiry| {
-            let is_adopted = workers.get(id).is_some_and(|worker| worker.is_adopted);
-            let is_expired = !is_adopted && now >= *expiry;
+            let worker = workers.get(id).filter(|worker| worker.is_adopted);
+            let is_expired = worker.is_none() && now >= *expiry;
+            let is_adopted = worker.is_some_and(|worker| worker.has_listed_all);
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
             lost_workers.extend(is_expired.then(|| id.clone()));
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -122,8 +122,11 @@
     pub started_wall_ms: u64,
     /// Runs on the worker that have not ended.
     pub running: Vec<ListedRun>,
-    /// Run ends that the owner has not confirmed yet.
+    /// Run ends that the owner has not confirmed yet, the earliest first.
     pub ends: Vec<RunEnd>,
+    /// Whether the lists name every run and every unconfirmed end. A worker lists a limited number of
+    /// ends at a time.
+    pub is_complete: bool,
 }
 
 /// A worker's answer to [`Action::Start`].
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -201,6 +201,7 @@
 }
 
 /// The state of a worker.
+#[expect(clippy::struct_excessive_bools, reason = "the flags are independent of each other")]
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
     /// The latest entry that counts. It may still be that of an earlier instance.
@@ -217,6 +218,8 @@
     /// Whether the worker has answered a hold in this term, and so has listed its runs and rejects
     /// orders of earlier terms. Reset when its leases expire.
     pub(super) is_adopted: bool,
+    /// Whether it has listed everything since it was adopted, so that what its lists lack has ended.
+    pub(super) has_listed_all: bool,
     /// When the worker was adopted; meaningful only if it is.
     pub(super) adopted_at: Timestamp,
     /// Since when each hold that was sent carried a renewal of the lease; `None` if the latest one
@@ -428,6 +431,7 @@
             missing_since: None,
             stays_until: None,
             is_adopted: false,
+            has_listed_all: false,
             adopted_at: now,
             renewing_since: None,
             renewed_at: None,
--- a/crates/standins/src/measure/cell.rs
+++ b/crates/standins/src/measure/cell.rs
@@ -332,6 +332,7 @@
             started_wall_ms: worker.entry.started_wall_ms,
             running: running.collect(),
             ends: worker.ends.clone(),
+            is_complete: true,
         };
         self.timed("on_hold_answer", |cell| {
             cell.on_hold_answer(id, hold.sent, Some(report), now);
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -27,6 +27,9 @@
 /// Time that a long-running task takes to become ready, in milliseconds.
 const STARTUP_MS: u64 = 700;
 
+/// The most ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Time that a worker is unreachable during a restart, in milliseconds.
 const RESTART_DURATION_MS: u64 = 300;
 
@@ -453,7 +456,8 @@
             clock_ms: self.clock(now),
             started_wall_ms: self.entry.started_wall_ms,
             running: running.collect(),
-            ends: self.ends.iter().map(|one| one.end.clone()).collect(),
+            ends: self.ends.iter().take(MAX_LISTED_ENDS).map(|one| one.end.clone()).collect(),
+            is_complete: self.ends.len() < MAX_LISTED_ENDS,
         };
         Some((report, done))
     }
--- a/crates/standins/tests/cells/availability.rs
+++ b/crates/standins/tests/cells/availability.rs
@@ -209,7 +209,13 @@
     let run =
         ListedRun { task, attempt: 1, checkpoint: None, progress_percent: 100, tail_ms_or_cpu: 0 };
     let (clock_ms, started_wall_ms) = (now.0 + 1, 1);
-    let report = HoldReport { clock_ms, started_wall_ms, running: vec![run], ends: Vec::new() };
+    let report = HoldReport {
+        clock_ms,
+        started_wall_ms,
+        running: vec![run],
+        ends: Vec::new(),
+        is_complete: true,
+    };
     model.cell_mut().unwrap().on_hold_answer(&worker.into(), now, Some(report), now);
 }
 
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -339,7 +339,7 @@
 /// Returns a worker's report at `clock_ms` of its clock, with an active run or a run end.
 fn hold_report(clock_ms: u64, running: Option<ListedRun>, end: Option<RunEnd>) -> HoldReport {
     let (running, ends) = (running.into_iter().collect(), end.into_iter().collect());
-    HoldReport { clock_ms, started_wall_ms: 1, running, ends }
+    HoldReport { clock_ms, started_wall_ms: 1, running, ends, is_complete: true }
 }
 
 #[test]
--- a/crates/standins/tests/cells/instances.rs
+++ b/crates/standins/tests/cells/instances.rs
@@ -79,8 +79,13 @@
 fn state_instance(model: &mut Model, source: Source, started_wall_ms: u64) {
     let now = model.now();
     let entry = WorkerEntry { started_wall_ms, ..worker(0).entry };
-    let report =
-        HoldReport { clock_ms: 1_000, started_wall_ms, running: Vec::new(), ends: Vec::new() };
+    let report = HoldReport {
+        clock_ms: 1_000,
+        started_wall_ms,
+        running: Vec::new(),
+        ends: Vec::new(),
+        is_complete: true,
+    };
     let cell = model.cell_mut().expect("an owner");
     match source {
         Source::Entry => cell.update_workers(vec![entry], true, now),
@@ -177,7 +182,8 @@
 
     cell.on_stop_answer(&"w0".into(), (task_id(JOB, 0), 1), true, (sent, known_since));
     let (running, ends) = (Vec::new(), Vec::new());
-    let report = HoldReport { clock_ms: 1_000, started_wall_ms: 2, running, ends };
+    let report =
+        HoldReport { clock_ms: 1_000, started_wall_ms: 2, running, ends, is_complete: true };
     cell.on_hold_answer(&"w0".into(), listed, Some(report), listed);
     let actions = cell.take_actions();
 
--- a/crates/standins/tests/cells/store_outage.rs
+++ b/crates/standins/tests/cells/store_outage.rs
@@ -1,6 +1,6 @@
 //! Tests of submissions while the store accepts no writes.
 
-use teaselgap_core::job::{Answer, JobId, JobState, Token};
+use teaselgap_core::job::{Answer, JobEnd, JobId, JobState, Token};
 use teaselgap_standins::model::Model;
 
 use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
@@ -101,3 +101,48 @@
         Some(JobState::Ended(teaselgap_core::job::JobEnd::Succeeded))
     );
 }
+
+/// Submits jobs of many short tasks, more than a worker lists ends of at a time.
+fn submit_many_short_tasks(model: &mut Model) -> Vec<JobId> {
+    let jobs: Vec<JobId> = (1..=60).map(JobId).collect();
+    for job in &jobs {
+        model.submit(*job, &queue(), job_spec(vec![step(20, 400, 300)]));
+    }
+    model.run_for(30);
+    jobs
+}
+
+/// Guards against tasks that are run again because a list of ends was cut off (review/1).
+#[test]
+fn a_task_whose_end_is_not_listed_yet_does_not_run_again() {
+    let mut model = new_model(1);
+    submit_many_short_tasks(&mut model);
+
+    model.set_store_available(false);
+    model.run_for(6_000);
+    model.set_store_available(true);
+    model.run_for(6_000);
+
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+#[test]
+fn a_new_owner_runs_no_task_again_whose_end_is_not_listed_yet() {
+    let mut model = new_model(1);
+    let jobs = submit_many_short_tasks(&mut model);
+    model.set_store_available(false);
+    model.run_for(5_000);
+
+    model.kill_owner();
+    model.run_for(500);
+    model.set_store_available(true);
+    model.take_over();
+    let all_done = |model: &Model| {
+        let succeeded = Some(JobState::Ended(JobEnd::Succeeded));
+        jobs.iter().all(|job| state(model, *job) == succeeded)
+    };
+    let is_done = model.run_until(60_000, all_done);
+
+    assert!(is_done);
+    assert_eq!(model.violations(), &[] as &[String]);
+}
