--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -161,8 +161,16 @@
 }
 
 impl Cell {
-    /// Replaces the settings of all queues.
-    pub fn set_queues(&mut self, queues: IndexMap<QueueId, QueueConfig>) {
+    /// Replaces the settings of all queues. A queue that is removed, or goes to another service, keeps
+    /// its settings here while accepted jobs of it are open: they still run to their ends.
+    pub fn set_queues(&mut self, mut queues: IndexMap<QueueId, QueueConfig>) {
+        let is_own = |queue: &QueueConfig| queue.service == self.service;
+        for (_, job) in self.jobs.open() {
+            let earlier = self.queues.get(&job.queue).filter(|queue| is_own(queue));
+            if let Some(earlier) = earlier.filter(|_| !queues.get(&job.queue).is_some_and(is_own)) {
+                queues.insert(job.queue.clone(), earlier.clone());
+            }
+        }
         self.queues = queues;
         self.plan_due = true;
     }
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -552,3 +552,18 @@
     assert_eq!((starts_while_full, was_refused), (0, false));
     assert!(done);
 }
+
+/// Guards against accepted jobs that stand still because the operator has removed their queue.
+#[test]
+fn an_accepted_job_runs_to_its_end_although_its_queue_is_removed() {
+    let mut model = new_model(2);
+    let second = Step { after: vec![0], ..step(2, 1_000, 300) };
+    model.submit(JobId(1), &queue(), job_spec(vec![step(2, 1_000, 500), second]));
+    model.run_for(200);
+
+    model.cell_mut().unwrap().set_queues(IndexMap::new());
+    model.cell_mut().unwrap().set_queues(IndexMap::new());
+    let is_done = model.run_until(5_000, |model| state(model, JobId(1)) == SUCCEEDED);
+
+    assert!(is_done);
+}
