--- a/crates/standins/tests/cells/may_end.rs
+++ b/crates/standins/tests/cells/may_end.rs
@@ -136,7 +136,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
     #[test]
     fn no_order_ends_a_task_at_work_while_too_many_others_are_away(
