--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -49,8 +49,8 @@
     lag::LagMonitor,
     log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
-        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, Outlook, PlacedTask,
-        RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
+        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, OtherInstance, Outlook,
+        PlacedTask, RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
     },
     record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     retransmit::RetransmitTimer,
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -149,7 +149,11 @@
             }
             return;
         };
-        match worker.compare_instance(report.started_wall_ms) {
+        let order = worker.compare_instance(report.started_wall_ms);
+        let named = (report.started_wall_ms, Some(report.clock_ms));
+        let event = worker.other_instance("answer", named, order, now);
+        self.actions.extend(event.map(LogEvent::OtherInstance).map(Action::Log));
+        match order {
             Ordering::Less => {
                 // An earlier instance answered, and the entry of a later one overtook the answer.
                 worker.next_hold = now + HOLD_INTERVAL;
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -8,7 +8,7 @@
 
 use super::{
     super::{
-        PlacedTask, Record, Step, StepId, TaskId, WorkerId,
+        Action, LogEvent, PlacedTask, Record, RunId, Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
         worker::{Run, RunState},
@@ -125,7 +125,19 @@
         if run.state != RunState::Planned {
             return None;
         }
-        if !Self::is_usable(worker, now) || !self.start_window.has_room_at(id) {
+        let withheld = if !Self::is_usable(worker, now) {
+            Some("worker can't be used")
+        } else if !self.start_window.has_room_at(id) {
+            Some("too many orders in flight")
+        } else {
+            None
+        };
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let other_runs =
+            state.map_or(0, |task| task.run_workers.iter().filter(|worker| *worker != id).count());
+        let run = RunId { task, attempt, worker: id.clone() };
+        self.actions.push(Action::Log(LogEvent::PlannedStart { run, other_runs, withheld }));
+        if withheld.is_some() {
             self.withdraw_run(id, task);
             return None;
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -63,7 +63,11 @@
             return;
         };
         worker.missing_since = None;
-        match worker.compare_instance(entry.started_wall_ms) {
+        let started_wall_ms = entry.started_wall_ms;
+        let order = worker.compare_instance(started_wall_ms);
+        let event = worker.other_instance("entry", (started_wall_ms, None), order, now);
+        self.actions.extend(event.map(LogEvent::OtherInstance).map(Action::Log));
+        match order {
             // The store lists an entry until its successor is written.
             Ordering::Less => {}
             Ordering::Equal => {
@@ -77,7 +81,6 @@
                 }
             }
             Ordering::Greater => {
-                let started_wall_ms = entry.started_wall_ms;
                 self.on_worker_restart(&id, started_wall_ms, Some(entry), now);
             }
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -206,6 +206,26 @@
     }
 }
 
+/// A statement about a worker that names another instance than the newest known one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OtherInstance {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether the worker's entry in the store or its answer says so.
+    pub source: &'static str,
+    /// When the named instance started by its own account, in milliseconds since the Unix epoch.
+    pub started_wall_ms: u64,
+    /// The same of the newest known instance.
+    pub known_started_wall_ms: u64,
+    /// The worker's monotonic clock in the answer, in milliseconds; `None` for an entry.
+    pub clock_ms: Option<u64>,
+    /// The latest reading of the newest known instance's monotonic clock, in milliseconds, and its
+    /// age.
+    pub known_clock: Option<(u64, Span)>,
+    /// Whether the named instance is an earlier or a later one.
+    pub verdict: &'static str,
+}
+
 /// A decision of the cell or a change of its state, written to the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -336,6 +356,17 @@
         /// Number of workers that were not adopted before their leases had certainly expired.
         expired: usize,
     },
+    /// A statement about a worker names another instance than the newest one that the owner knows of.
+    OtherInstance(OtherInstance),
+    /// The placement of a task has become durable, and its start order was sent or withheld.
+    PlannedStart {
+        /// The run.
+        run: RunId,
+        /// Number of other runs of the task that the owner knows of.
+        other_runs: usize,
+        /// Why the order was withheld; `None` if it was sent.
+        withheld: Option<&'static str>,
+    },
     /// The owner's view of a worker changed.
     Worker {
         /// The worker.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Resources, Step, StepId, TaskId, WorkerId, cell::WorkerSpeed};
+use super::{OtherInstance, Resources, Step, StepId, TaskId, WorkerId, cell::WorkerSpeed};
 use crate::{ServiceId, Span, Timestamp, ZoneId};
 
 /// How long a worker's entry may be missing from the store before the worker gets no new tasks.
@@ -472,6 +472,31 @@
         started_wall_ms.cmp(&self.started_wall_ms)
     }
 
+    /// What the log says of a statement that names another instance than the newest known one; `None`
+    /// if it names that one.
+    pub(super) fn other_instance(
+        &self,
+        source: &'static str,
+        (started_wall_ms, clock_ms): (u64, Option<u64>),
+        order: Ordering,
+        now: Timestamp,
+    ) -> Option<OtherInstance> {
+        let verdict = match order {
+            Ordering::Less => "earlier",
+            Ordering::Equal => return None,
+            Ordering::Greater => "later",
+        };
+        Some(OtherInstance {
+            worker: self.entry.id.clone(),
+            source,
+            started_wall_ms,
+            known_started_wall_ms: self.started_wall_ms,
+            clock_ms,
+            known_clock: self.clock.map(|clock| (clock.worker_ms, now.since(clock.at))),
+            verdict,
+        })
+    }
+
     /// Records the start of the newest instance if it was not stated before.
     pub(super) fn note_start(&mut self, started_wall_ms: u64) {
         if self.started_wall_ms == 0 {
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -6,7 +6,7 @@
 use slog::{Logger, debug, info};
 use teaselgap_core::{
     Epoch, ServiceId, Span,
-    job::{EndKind, LogEvent, PlacedTask, RunId, StepAvailability, StepId},
+    job::{EndKind, LogEvent, OtherInstance, PlacedTask, RunId, StepAvailability, StepId},
 };
 
 use super::{line_limit::LineLimit, owner_load::OwnerLoad};
@@ -86,6 +86,10 @@
                     "workers_adopted" => adopted, "workers_expired" => expired, "cell" => cell,
                     "epoch" => epoch);
             }
+            LogEvent::OtherInstance(statement) => self.write_other_instance(statement),
+            LogEvent::PlannedStart { run, other_runs, withheld } => {
+                self.write_planned_start(run, *other_runs, *withheld);
+            }
             LogEvent::Worker { worker, change, runs } => {
                 info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
                     "cell" => cell, "epoch" => epoch);
@@ -138,6 +142,29 @@
         }
     }
 
+    /// Writes what a statement about another instance of a worker was compared with.
+    fn write_other_instance(&self, statement: &OtherInstance) {
+        let OtherInstance { worker, source, started_wall_ms, known_started_wall_ms, .. } =
+            statement;
+        let (known_clock_ms, known_clock_age) = statement.known_clock.unzip();
+        if self.limit.borrow_mut().admit("other worker instance") {
+            info!(self.log, "other worker instance"; "worker" => %worker, "source" => source,
+                "started" => started_wall_ms, "known_started" => known_started_wall_ms,
+                "clock_ms" => statement.clock_ms, "known_clock_ms" => known_clock_ms,
+                "known_clock_age_ms" => known_clock_age.map(|age| age.0),
+                "verdict" => statement.verdict, "cell" => self.cell.as_str(),
+                "epoch" => self.epoch);
+        }
+    }
+
+    fn write_planned_start(&self, run: &RunId, other_runs: usize, withheld: Option<&'static str>) {
+        if self.limit.borrow_mut().admit("planned start") {
+            info!(self.log, "planned start"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "other_runs" => other_runs, "withheld" => withheld,
+                "epoch" => self.epoch);
+        }
+    }
+
     /// Writes the load of the last second.
     pub(super) fn write_load(&self, load: &OwnerLoad, store: &StoreState) {
         info!(self.log, "owner load"; "calls_in_flight" => load.calls_in_flight,
