Model: workers whose wall clocks step, late entries and answers that overtake each other

Change: a restart may name any time and take any time; a late write may put any earlier instance's entry back into the store, for as long after its end as a late call may act; the next answers of a worker can be held up each by its own time (those to start orders by less than the time to the copy). Waiting holds and connections are those of a true instance, whatever it is named. A test may count starts before the first call of an owner, and copies that left. Unless a test asks for it nothing changes.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -15,7 +15,7 @@
 mod worker;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -64,6 +64,9 @@
 /// Response time of the advice service, in milliseconds.
 const ADVICE_LATENCY_MS: u64 = 60;
 
+/// The longest time after which a call that got no answer is carried out, in milliseconds.
+const MAX_LATE_MS: u64 = 15_000;
+
 /// How long a ticket is valid, in milliseconds.
 const TICKET_VALIDITY_MS: u64 = 3_000;
 
@@ -98,12 +101,12 @@
         wait: Span,
         sent: Timestamp,
     },
-    /// A hold that waits at the worker instance started at `started_wall_ms` until a run ends.
+    /// A hold that waits at the worker instance of this number until a run ends.
     PendingHold {
         last_seen: u64,
         wait: Span,
         sent: Timestamp,
-        started_wall_ms: u64,
+        instance: u64,
     },
 }
 
@@ -201,6 +204,22 @@
     pub lost_stops: u32,
 }
 
+/// Which starts count for the checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CountedStarts {
+    /// Those that a worker instance carries out once an owner has called it.
+    AfterContact,
+    All,
+}
+
+/// An instance of a worker that has ended.
+#[derive(Clone, Debug)]
+struct EndedInstance {
+    /// Its last entry in the store.
+    entry: WorkerEntry,
+    ended: Timestamp,
+}
+
 /// A cell with its workers, its log and the time.
 #[derive(Debug)]
 pub struct Model {
@@ -223,6 +242,14 @@
     /// Entries that the store lists in place of what their workers have written since, each with
     /// the time until which it does.
     old_entries: IndexMap<WorkerId, (WorkerEntry, Timestamp)>,
+    /// The instances of each worker that have ended, the latest last.
+    ended_instances: IndexMap<WorkerId, Vec<EndedInstance>>,
+    /// How long the next answers of a worker take, in milliseconds.
+    answer_delays: IndexMap<WorkerId, VecDeque<u64>>,
+    /// How many second copies of start orders have left the owners.
+    sent_copies: u32,
+    /// Which starts count.
+    counted_starts: CountedStarts,
     log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
@@ -347,6 +374,10 @@
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
             old_entries: IndexMap::new(),
+            ended_instances: IndexMap::new(),
+            answer_delays: IndexMap::new(),
+            sent_copies: 0,
+            counted_starts: CountedStarts::AfterContact,
             log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -1,5 +1,7 @@
 //! The calls of an owner to workers and to the advice service, and their delivery in virtual time.
 
+use std::collections::VecDeque;
+
 use teaselgap_core::{
     Epoch, Span, Timestamp,
     job::{
@@ -9,8 +11,8 @@
 };
 
 use super::{
-    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, Delivery, LATENCY_MS, Model, ModelWorker,
-    REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS,
+    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, CountedStarts, Delivery, LATENCY_MS, Model,
+    ModelWorker, REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS,
 };
 
 impl Model {
@@ -77,6 +79,7 @@
     /// Sends a call to a worker, subject to the injected faults.
     pub(super) fn call(&mut self, worker: WorkerId, call: Call) {
         let epoch = self.epoch;
+        self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
         if self.is_unreachable(&worker) {
             self.schedule_timeout(worker, epoch, &call);
             return;
@@ -141,7 +144,8 @@
         if matches!(reply, Reply::Held(..)) {
             self.hold_answer_bytes += reply.bytes();
         }
-        let delay_ms = LATENCY_MS + self.receive_over_link(reply.bytes()).0;
+        let held_up_ms = self.take_answer_delay(&worker, &reply);
+        let delay_ms = LATENCY_MS + held_up_ms + self.receive_over_link(reply.bytes()).0;
         if self.now + Span(delay_ms) <= deadline {
             self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
         } else {
@@ -150,6 +154,17 @@
         }
     }
 
+    /// Returns how long the next answer of a worker is held up. The answer to a start order comes
+    /// before the owner sends a copy of it.
+    fn take_answer_delay(&mut self, worker: &WorkerId, reply: &Reply) -> u64 {
+        let delay_ms = self.answer_delays.get_mut(worker).and_then(VecDeque::pop_front);
+        let longest_ms = match reply {
+            Reply::Started(..) => REPEAT_MS - 2 * LATENCY_MS,
+            Reply::Stopped(..) | Reply::Held(..) | Reply::Advice(..) => u64::MAX,
+        };
+        delay_ms.unwrap_or(0).min(longest_ms)
+    }
+
     pub(super) fn deliver(&mut self) {
         while let Some(entry) = self.deliveries.first_entry() {
             if entry.key().0 > self.now {
@@ -226,9 +241,7 @@
                 let is_confirmed = worker.stop((task, attempt), epoch, (sent, now));
                 Reply::Stopped(task, attempt, is_confirmed, sent)
             }
-            Call::PendingHold { started_wall_ms, sent, .. }
-                if started_wall_ms != worker.entry.started_wall_ms =>
-            {
+            Call::PendingHold { instance, sent, .. } if instance != worker.instance() => {
                 // The connection was lost when the worker instance ended.
                 Reply::Held(sent, None)
             }
@@ -240,8 +253,8 @@
                 };
                 if let Some(delay_ms) = worker.remaining_wait(sent, wait, last_seen, now) {
                     worker.extend_lease(lease_end, epoch, now);
-                    let started_wall_ms = worker.entry.started_wall_ms;
-                    let call = Call::PendingHold { last_seen, wait, sent, started_wall_ms };
+                    let instance = worker.instance();
+                    let call = Call::PendingHold { last_seen, wait, sent, instance };
                     let worker = id;
                     let pending =
                         Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
@@ -269,7 +282,8 @@
         let was_running = worker.is_running(order.task);
         let outcome = worker.start(order, epoch, now);
         let is_new = outcome == StartOutcome::Started && !was_running;
-        if is_new && worker.has_owner_contact() {
+        let counts_all = self.counted_starts == CountedStarts::All;
+        if is_new && (counts_all || worker.has_owner_contact()) {
             self.record_start(id, order);
         }
         if is_new {
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::{Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS, TICKET, WorkerFaults};
+use super::{
+    CountedStarts, EndedInstance, MAX_LATE_MS, Model, ModelWorker, OWNER_TTL, OwnerLease, TICK_MS,
+    TICKET, WorkerFaults, worker::RESTART_DURATION_MS,
+};
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
     job::{Action, Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, TaskId, Token, WorkerId},
@@ -29,9 +32,68 @@
     ///
     /// Panics if the model has no worker of this id.
     pub fn restart_worker(&mut self, id: &str) {
-        let (now, wall_ms) = (self.now, self.wall_ms());
+        self.restart_worker_at(id, self.wall_ms(), RESTART_DURATION_MS);
+    }
+
+    /// Restarts a worker under its id, whose wall clock reads `started_wall_ms` when the new instance
+    /// starts. The worker can't be reached for `away_ms`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the model has no worker of this id.
+    pub fn restart_worker_at(&mut self, id: &str, started_wall_ms: u64, away_ms: u64) {
+        let now = self.now;
         self.count_crash(&id.into());
-        self.worker_mut(id).restart(now, wall_ms);
+        let worker = self.worker_mut(id);
+        let ended = EndedInstance { entry: worker.entry.clone(), ended: now };
+        worker.restart_in(now, started_wall_ms, away_ms);
+        self.ended_instances.entry(id.into()).or_default().push(ended);
+    }
+
+    /// Lets a late write put the entry of an earlier instance into the store, `instances_back` before
+    /// the living one, until the worker writes again after `duration_ms`. Returns false, and does
+    /// nothing, if there was none or if it ended so long ago that no write of it can be late.
+    pub fn write_earlier_entry(
+        &mut self,
+        id: &str,
+        instances_back: usize,
+        duration_ms: u64,
+    ) -> bool {
+        let ended = self.ended_instances.get(id).map_or(&[] as &[_], Vec::as_slice);
+        let position = ended.len().checked_sub(instances_back);
+        let Some(instance) = position.and_then(|position| ended.get(position)) else {
+            return false;
+        };
+        if self.now > instance.ended + Span(MAX_LATE_MS) {
+            return false;
+        }
+        let entry = (instance.entry.clone(), self.now + Span(duration_ms));
+        self.old_entries.insert(id.into(), entry);
+        true
+    }
+
+    /// Returns when the instances of a worker ended, the latest last.
+    #[must_use]
+    pub fn instance_ends(&self, id: &str) -> Vec<Timestamp> {
+        let ended = self.ended_instances.get(id).into_iter().flatten();
+        ended.map(|instance| instance.ended).collect()
+    }
+
+    /// Holds up the next answers of a worker, each for one of these times in milliseconds, so that
+    /// they may overtake each other.
+    pub fn delay_answers(&mut self, id: &str, delays_ms: impl IntoIterator<Item = u64>) {
+        self.answer_delays.entry(id.into()).or_default().extend(delays_ms);
+    }
+
+    /// Returns how many second copies of start orders have left the owners.
+    #[must_use]
+    pub fn sent_copies(&self) -> u32 {
+        self.sent_copies
+    }
+
+    /// Lets starts count that a worker carries out before an owner has called the instance.
+    pub fn count_every_start(&mut self) {
+        self.counted_starts = CountedStarts::All;
     }
 
     /// Counts the crash of a worker for each task that it runs.
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -31,7 +31,7 @@
 const MAX_LISTED_ENDS: usize = 500;
 
 /// Time that a worker is unreachable during a restart, in milliseconds.
-const RESTART_DURATION_MS: u64 = 300;
+pub(super) const RESTART_DURATION_MS: u64 = 300;
 
 /// How long the tasks on a worker run, and how they end. Long-running tasks never end by
 /// themselves.
@@ -102,6 +102,8 @@
     pub entry: WorkerEntry,
     /// How long tasks that start from now on run, and how they end.
     pub task_time: TaskTime,
+    /// The number of the worker instance, whatever it says of itself.
+    instance: u64,
     /// Zero of the worker instance's monotonic clock.
     clock_start: Timestamp,
     partitioned_until: Timestamp,
@@ -129,6 +131,7 @@
         Self {
             entry,
             task_time: TaskTime::AsEstimated,
+            instance: 0,
             clock_start: Timestamp(0),
             partitioned_until: Timestamp(0),
             partitioned_since: Timestamp(0),
@@ -168,14 +171,26 @@
         self.partitioned_until = now + Span(duration_ms);
     }
 
+    /// Returns the number of the worker instance.
+    pub(super) fn instance(&self) -> u64 {
+        self.instance
+    }
+
     /// Restarts the worker under the same id: the new worker instance has none of the old state.
     pub fn restart(&mut self, now: Timestamp, wall_ms: u64) {
+        self.restart_in(now, wall_ms, RESTART_DURATION_MS);
+    }
+
+    /// Like [`ModelWorker::restart`], but the new instance can't be reached for `away_ms`.
+    pub(super) fn restart_in(&mut self, now: Timestamp, wall_ms: u64, away_ms: u64) {
         let entry = WorkerEntry { started_wall_ms: wall_ms, ..self.entry.clone() };
         let (task_time, ticket) = (self.task_time, self.ticket);
-        let partitioned_until = now + Span(RESTART_DURATION_MS);
+        let instance = self.instance + 1;
+        let partitioned_until = now + Span(away_ms);
         *self = Self {
             task_time,
             ticket,
+            instance,
             clock_start: now,
             partitioned_since: now,
             partitioned_until,
