--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -13,6 +13,7 @@
 mod long_running;
 mod may_end;
 mod random;
+mod restarts;
 mod store_outage;
 mod takeover;
 mod turns;
