--- a/crates/standins/tests/cells/restarts.rs
+++ b/crates/standins/tests/cells/restarts.rs
@@ -2,6 +2,8 @@
 //! which an instance is named may lie before that of an earlier one or be the same, and of starts that
 //! were planned before a list showed a run of their task.
 
+mod property;
+
 use teaselgap_core::{
     Span, Timestamp,
     job::{HoldReport, JobEnd, JobId, JobState, ListedRun, LogEvent, TaskId, WorkerId},
