--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -94,9 +94,9 @@
     JobDurable(JobId),
     /// Marks the end of a job as durable.
     EndDurable(JobId),
-    /// Confirms run ends to a worker instance, which is named by its id and its start time, up to
-    /// the number of the last one.
-    ConfirmEnds(WorkerId, u64, u64),
+    /// Confirms run ends to a worker instance, given by the worker's id and by when the owner learned
+    /// of the instance, up to the number of the last one.
+    ConfirmEnds(WorkerId, Timestamp, u64),
     /// Marks what the log says about a worker as durable if this was the latest time that the worker
     /// was logged.
     WorkerLogged(WorkerId, u32, Logged),
@@ -254,11 +254,9 @@
                     job.is_end_durable = true;
                 }
             }
-            DeferredEffect::ConfirmEnds(id, started_wall_ms, number) => {
+            DeferredEffect::ConfirmEnds(id, known_since, number) => {
                 let worker = self.workers.get_mut(&id);
-                if let Some(worker) =
-                    worker.filter(|worker| worker.started_wall_ms == started_wall_ms)
-                {
+                if let Some(worker) = worker.filter(|worker| worker.known_since == known_since) {
                     worker.ends_durable = worker.ends_durable.max(number);
                     worker.next_hold = worker.next_hold.min(now);
                 }
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -28,7 +28,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let (ends_seen, started_wall_ms) = (worker.ends_seen, worker.started_wall_ms);
+        let (ends_seen, known_since) = (worker.ends_seen, worker.known_since);
         let Some(last) = ends.iter().map(|end| end.number).max().filter(|&last| last > ends_seen)
         else {
             return;
@@ -37,10 +37,7 @@
         for end in ends.iter().filter(|end| end.number > ends_seen) {
             self.on_run_end(id, end, now);
         }
-        self.defer_until_durable(
-            DeferredEffect::ConfirmEnds(id.clone(), started_wall_ms, last),
-            now,
-        );
+        self.defer_until_durable(DeferredEffect::ConfirmEnds(id.clone(), known_since, last), now);
         self.plan_due = true;
     }
 
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -1,10 +1,11 @@
 //! Holds: the calls that renew the lease of a worker, confirm run ends and get the worker's list of
 //! runs.
 
-use std::cmp::Ordering;
-
 use super::{
-    super::{Action, HoldReport, LogEvent, WorkerId, worker::Worker},
+    super::{
+        Action, HoldReport, LogEvent, WorkerId,
+        worker::{InstanceOrder, Worker},
+    },
     Cell,
 };
 use crate::{Span, Timestamp};
@@ -149,18 +150,22 @@
             }
             return;
         };
-        let order = worker.compare_instance(report.started_wall_ms);
         let named = (report.started_wall_ms, Some(report.clock_ms));
+        let order = worker.place_answer(report.started_wall_ms, report.clock_ms, (sent, now));
         let event = worker.other_instance("answer", named, order, now);
         self.actions.extend(event.map(LogEvent::OtherInstance).map(Action::Log));
         match order {
-            Ordering::Less => {
-                // An earlier instance answered, and the entry of a later one overtook the answer.
+            InstanceOrder::Earlier => {
+                // The answer or the entry of a later instance overtook this answer.
                 worker.next_hold = now + HOLD_INTERVAL;
                 return;
             }
-            Ordering::Equal => worker.note_start(report.started_wall_ms),
-            Ordering::Greater => self.on_worker_restart(id, report.started_wall_ms, None, now),
+            InstanceOrder::Open => {
+                worker.next_hold = now;
+                return;
+            }
+            InstanceOrder::Same => worker.on_newest_instance_answered(report.started_wall_ms, sent),
+            InstanceOrder::Later => self.on_worker_restart(id, report.started_wall_ms, None, now),
         }
         self.on_hold_report(id, sent, &report, now);
     }
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -70,9 +70,12 @@
             return;
         };
         let expiry = old.inherited_expiry;
-        let entry = entry.unwrap_or_else(|| old.entry.clone());
-        let new = Worker::new(entry, expiry, now);
-        let mut worker = Worker { started_wall_ms, ..new };
+        let instances = old.instances_before_next(started_wall_ms);
+        let open_entry = old.instances.open_entry.take().map(|open| open.entry);
+        let is_of_new = |entry: &WorkerEntry| entry.started_wall_ms == started_wall_ms;
+        let entry = entry.or(open_entry.filter(is_of_new));
+        let new = Worker::new(entry.unwrap_or_else(|| old.entry.clone()), expiry, now);
+        let mut worker = Worker { started_wall_ms, instances, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -1,15 +1,13 @@
 //! The workers of a cell: their entries in the store, the runs that they list, and when runs have
 //! certainly ended.
 
-use std::cmp::Ordering;
-
 use indexmap::IndexMap;
 
 use super::{
     super::{
         Action, DrainMode, HoldReport, ListedRun, LogEvent, Record, RunId, TaskId, WorkerEntry,
         WorkerId,
-        worker::{Logged, Run, RunState, StopOrder, Worker},
+        worker::{InstanceOrder, Logged, Run, RunState, StopOrder, Worker},
     },
     Cell, CellConfig, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
@@ -64,14 +62,14 @@
         };
         worker.missing_since = None;
         let started_wall_ms = entry.started_wall_ms;
-        let order = worker.compare_instance(started_wall_ms);
+        let order = worker.place_entry(started_wall_ms);
         let event = worker.other_instance("entry", (started_wall_ms, None), order, now);
         self.actions.extend(event.map(LogEvent::OtherInstance).map(Action::Log));
         match order {
             // The store lists an entry until its successor is written.
-            Ordering::Less => {}
-            Ordering::Equal => {
-                worker.note_start(entry.started_wall_ms);
+            InstanceOrder::Earlier => {}
+            InstanceOrder::Same => {
+                worker.on_own_entry(started_wall_ms, now);
                 let begins_to_leave = entry.is_draining && !worker.entry.is_draining;
                 worker.entry = entry;
                 Self::update_stays_until(worker, now);
@@ -80,9 +78,8 @@
                     self.actions.push(Action::Log(LogEvent::Worker { worker: id, change, runs }));
                 }
             }
-            Ordering::Greater => {
-                self.on_worker_restart(&id, started_wall_ms, Some(entry), now);
-            }
+            InstanceOrder::Open => worker.keep_open_entry(entry, now),
+            InstanceOrder::Later => self.on_worker_restart(&id, started_wall_ms, Some(entry), now),
         }
     }
 
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -1,12 +1,15 @@
 //! The state of a worker and its runs, as kept by the owner of the cell.
 
+mod instance;
 #[cfg(test)]
 mod tests;
 
-use std::{cmp::Ordering, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use indexmap::IndexMap;
 
+pub(super) use self::instance::InstanceOrder;
+use self::instance::Instances;
 use super::{OtherInstance, Resources, Step, StepId, TaskId, WorkerId, cell::WorkerSpeed};
 use crate::{ServiceId, Span, Timestamp, ZoneId};
 
@@ -182,15 +185,6 @@
     pub(super) at: Timestamp,
 }
 
-impl ClockReading {
-    /// Whether an answer that has just arrived with this reading of the worker's clock comes from
-    /// the instance of this reading or from an earlier one. A later instance started after this
-    /// reading was asked for, so its clock can't show more than the time since then.
-    fn covers(&self, answered_ms: u64, now: Timestamp) -> bool {
-        answered_ms > now.since(self.asked).0 + CLOCK_MARGIN.0
-    }
-}
-
 /// A start order of which a copy got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct OpenOrder {
@@ -206,9 +200,11 @@
 pub(super) struct Worker {
     /// The latest entry that counts. It may still be that of an earlier instance.
     pub(super) entry: WorkerEntry,
-    /// When the newest instance that the owner knows of started, in milliseconds since the Unix
-    /// epoch; zero if that was not stated.
+    /// When the newest instance that the owner knows of started by its own account, in milliseconds
+    /// since the Unix epoch; zero if that was not stated. It names the instance.
     pub(super) started_wall_ms: u64,
+    /// What is known of the other instances.
+    pub(super) instances: Instances,
     /// When the owner learned of that instance.
     pub(super) known_since: Timestamp,
     /// Since when its entry has been missing from the store.
@@ -426,6 +422,7 @@
     pub(super) fn new(entry: WorkerEntry, inherited_expiry: Timestamp, now: Timestamp) -> Self {
         Self {
             started_wall_ms: entry.started_wall_ms,
+            instances: Instances::default(),
             known_since: now,
             entry,
             missing_since: None,
@@ -463,51 +460,10 @@
         }
     }
 
-    /// Compares the instance that a statement names with the newest one that the owner knows of. A
-    /// statement that names none counts as one about the newest.
-    pub(super) fn compare_instance(&self, started_wall_ms: u64) -> Ordering {
-        if started_wall_ms == 0 || self.started_wall_ms == 0 {
-            return Ordering::Equal;
-        }
-        started_wall_ms.cmp(&self.started_wall_ms)
-    }
-
-    /// What the log says of a statement that names another instance than the newest known one; `None`
-    /// if it names that one.
-    pub(super) fn other_instance(
-        &self,
-        source: &'static str,
-        (started_wall_ms, clock_ms): (u64, Option<u64>),
-        order: Ordering,
-        now: Timestamp,
-    ) -> Option<OtherInstance> {
-        let verdict = match order {
-            Ordering::Less => "earlier",
-            Ordering::Equal => return None,
-            Ordering::Greater => "later",
-        };
-        Some(OtherInstance {
-            worker: self.entry.id.clone(),
-            source,
-            started_wall_ms,
-            known_started_wall_ms: self.started_wall_ms,
-            clock_ms,
-            known_clock: self.clock.map(|clock| (clock.worker_ms, now.since(clock.at))),
-            verdict,
-        })
-    }
-
-    /// Records the start of the newest instance if it was not stated before.
-    pub(super) fn note_start(&mut self, started_wall_ms: u64) {
-        if self.started_wall_ms == 0 {
-            self.started_wall_ms = started_wall_ms;
-        }
-    }
-
     /// The labels that certainly apply to the newest instance. A restart may change all but the
     /// rack, so those in the entry of an earlier instance don't count.
     pub(super) fn known_labels(&self) -> Arc<[String]> {
-        if self.compare_instance(self.entry.started_wall_ms) == Ordering::Equal {
+        if self.is_newest_instance(self.entry.started_wall_ms) {
             return Arc::clone(&self.entry.labels);
         }
         self.entry.labels.last().cloned().into_iter().collect()
@@ -669,12 +625,6 @@
         self.clock = Some(ClockReading { worker_ms, asked, at: now });
     }
 
-    /// Whether an answer that has just arrived with this reading of the worker's clock certainly
-    /// comes from the newest known instance or from an earlier one.
-    pub(super) fn knows_instance_of(&self, answered_ms: u64, now: Timestamp) -> bool {
-        self.clock.is_some_and(|clock| clock.covers(answered_ms, now))
-    }
-
     /// Records whether a run succeeded; excludes the worker for a while after too many failures in
     /// a row.
     pub(super) fn record_outcome(&mut self, succeeded: bool, now: Timestamp) {
--- /dev/null
+++ b/crates/core/src/job/worker/instance.rs
@@ -0,0 +1,218 @@
+//! Which instance of a worker a statement about it names, and which of two instances is the later one.
+//!
+//! The start time that a statement carries names an instance. It doesn't order instances, because it is
+//! of the wall clock, which may be set back. The order follows from the worker's monotonic clock, which
+//! starts anew with each instance, and from when the owner asked. An entry in the store says only that
+//! its instance has existed: it may have been written late, and stays until its successor is written.
+//! So the worker is asked, unless nothing that an earlier instance wrote can appear any more.
+
+#[cfg(test)]
+mod tests;
+
+use super::{CLOCK_MARGIN, ClockReading, OtherInstance, Worker, WorkerEntry};
+use crate::{Span, Timestamp};
+
+/// Maximum number of earlier instances of a worker that are remembered.
+const MAX_EARLIER_INSTANCES: usize = 8;
+
+/// Longest time after which a write to the store that got no answer may still be carried out.
+const LATE_WRITE_LIFETIME: Span = Span(10_000);
+
+/// How the instance that a statement names stands to the newest one that the owner knows of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::job) enum InstanceOrder {
+    /// It is that instance.
+    Same,
+    /// It came before; the statement changes nothing.
+    Earlier,
+    /// It came after, so the newest known one has ended.
+    Later,
+    /// The worker must be asked again.
+    Open,
+}
+
+impl InstanceOrder {
+    /// The name of the order in the log.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Same => "same",
+            Self::Earlier => "earlier",
+            Self::Later => "later",
+            Self::Open => "open",
+        }
+    }
+}
+
+/// An entry in the store that names an instance which may be earlier or later than the newest known
+/// one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::job) struct OpenEntry {
+    pub(in crate::job) entry: WorkerEntry,
+    /// When the owner first read it.
+    pub(in crate::job) read_at: Timestamp,
+}
+
+/// What the owner knows of the instances of a worker besides the newest one.
+#[derive(Clone, Debug, Default)]
+pub(in crate::job) struct Instances {
+    /// The start times of earlier instances, in milliseconds since the Unix epoch, the latest last.
+    earlier: Vec<u64>,
+    /// The latest entry that could not be placed.
+    pub(in crate::job) open_entry: Option<OpenEntry>,
+    /// Whether the store has listed the newest instance's own entry when no write of an earlier one
+    /// could be carried out any more. An entry that names another instance is of a later one then.
+    is_entry_settled: bool,
+}
+
+impl Instances {
+    fn add_earlier(&mut self, started_wall_ms: u64) {
+        self.earlier.retain(|earlier| *earlier != started_wall_ms);
+        if self.earlier.len() >= MAX_EARLIER_INSTANCES {
+            self.earlier.remove(0);
+        }
+        self.earlier.push(started_wall_ms);
+    }
+}
+
+impl ClockReading {
+    /// The latest time at which the instance of this reading may have started. Its clock may be slow,
+    /// never fast.
+    fn latest_start(&self) -> Timestamp {
+        Timestamp(self.at.0.saturating_sub(self.worker_ms))
+    }
+
+    /// Whether an answer that has just arrived with this reading of the worker's clock comes from
+    /// the instance of this reading or from an earlier one. A later instance started after this
+    /// reading was asked for, so its clock can't show more than the time since then.
+    fn covers(&self, answered_ms: u64, now: Timestamp) -> bool {
+        answered_ms > now.since(self.asked).0 + CLOCK_MARGIN.0
+    }
+}
+
+impl Worker {
+    /// Whether a statement names the newest known instance. One that names none counts as if it did.
+    pub(in crate::job) fn is_newest_instance(&self, started_wall_ms: u64) -> bool {
+        started_wall_ms == 0 || self.started_wall_ms == 0 || started_wall_ms == self.started_wall_ms
+    }
+
+    /// Places the instance that has answered a call sent at `sent`, with this reading of its clock.
+    pub(in crate::job) fn place_answer(
+        &self,
+        started_wall_ms: u64,
+        clock_ms: u64,
+        (sent, now): (Timestamp, Timestamp),
+    ) -> InstanceOrder {
+        let is_same_name = self.is_newest_instance(started_wall_ms);
+        let Some(known) = self.clock else {
+            // Only an entry has named the newest known instance, which may have ended since.
+            return match (is_same_name, sent >= self.known_since) {
+                (true, _) => InstanceOrder::Same,
+                (false, true) => InstanceOrder::Later,
+                (false, false) => InstanceOrder::Open,
+            };
+        };
+        if is_same_name {
+            // The clock of one instance never goes back, but two may have the same name.
+            let has_gone_back = sent > known.at && clock_ms < known.worker_ms;
+            return if has_gone_back { InstanceOrder::Later } else { InstanceOrder::Same };
+        }
+        let is_not_earlier = sent > known.latest_start();
+        let is_not_later = known.covers(clock_ms, now);
+        match (is_not_earlier, is_not_later) {
+            // Its clock goes on, so it has only changed its name.
+            (true, true) => InstanceOrder::Same,
+            (true, false) => InstanceOrder::Later,
+            (false, true) => InstanceOrder::Earlier,
+            (false, false) => InstanceOrder::Open,
+        }
+    }
+
+    /// Places the instance that an entry in the store names.
+    pub(in crate::job) fn place_entry(&self, started_wall_ms: u64) -> InstanceOrder {
+        if self.is_newest_instance(started_wall_ms) {
+            InstanceOrder::Same
+        } else if self.instances.earlier.contains(&started_wall_ms) {
+            InstanceOrder::Earlier
+        } else if self.instances.is_entry_settled {
+            InstanceOrder::Later
+        } else {
+            InstanceOrder::Open
+        }
+    }
+
+    /// Records that the newest known instance, which may have changed its name, has answered a call
+    /// sent at `sent`. An open entry that was read before is of an earlier instance.
+    pub(in crate::job) fn on_newest_instance_answered(
+        &mut self,
+        started_wall_ms: u64,
+        sent: Timestamp,
+    ) {
+        if started_wall_ms != 0 {
+            self.started_wall_ms = started_wall_ms;
+        }
+        let is_settled = |open: &mut OpenEntry| open.read_at <= sent;
+        if let Some(open) = self.instances.open_entry.take_if(is_settled) {
+            self.instances.add_earlier(open.entry.started_wall_ms);
+        }
+    }
+
+    /// Records that the store lists the newest known instance's own entry.
+    pub(in crate::job) fn on_own_entry(&mut self, started_wall_ms: u64, now: Timestamp) {
+        if self.started_wall_ms == 0 {
+            self.started_wall_ms = started_wall_ms;
+        }
+        let is_settled = |clock: ClockReading| now > clock.latest_start() + LATE_WRITE_LIFETIME;
+        self.instances.is_entry_settled |= self.clock.is_some_and(is_settled);
+    }
+
+    /// Keeps an entry that could not be placed until the worker answers, which is asked at once.
+    pub(in crate::job) fn keep_open_entry(&mut self, entry: WorkerEntry, now: Timestamp) {
+        let open = self.instances.open_entry.take();
+        let known = open.filter(|open| open.entry.started_wall_ms == entry.started_wall_ms);
+        if known.is_none() {
+            // Those in flight may have been lost with the earlier of the two instances.
+            self.holds_in_flight = 0;
+        }
+        let read_at = known.map_or(now, |open| open.read_at);
+        self.instances.open_entry = Some(OpenEntry { entry, read_at });
+        self.next_hold = self.next_hold.min(now);
+    }
+
+    /// What is known of the instances once a later one than this has been seen.
+    pub(in crate::job) fn instances_before_next(&self, next_start_wall_ms: u64) -> Instances {
+        let mut next =
+            Instances { earlier: self.instances.earlier.clone(), ..Instances::default() };
+        next.earlier.retain(|earlier| *earlier != next_start_wall_ms);
+        if self.started_wall_ms != 0 && self.started_wall_ms != next_start_wall_ms {
+            next.add_earlier(self.started_wall_ms);
+        }
+        next
+    }
+
+    /// Whether an answer that has just arrived with this reading of the worker's clock certainly
+    /// comes from the newest known instance or from an earlier one.
+    pub(in crate::job) fn knows_instance_of(&self, answered_ms: u64, now: Timestamp) -> bool {
+        self.clock.is_some_and(|clock| clock.covers(answered_ms, now))
+    }
+
+    /// What the log says of a statement that names another instance than the newest known one; `None`
+    /// if it names that one.
+    pub(in crate::job) fn other_instance(
+        &self,
+        source: &'static str,
+        (started_wall_ms, clock_ms): (u64, Option<u64>),
+        order: InstanceOrder,
+        now: Timestamp,
+    ) -> Option<OtherInstance> {
+        let is_other = order != InstanceOrder::Same || !self.is_newest_instance(started_wall_ms);
+        is_other.then(|| OtherInstance {
+            worker: self.entry.id.clone(),
+            source,
+            started_wall_ms,
+            known_started_wall_ms: self.started_wall_ms,
+            clock_ms,
+            known_clock: self.clock.map(|clock| (clock.worker_ms, now.since(clock.at))),
+            verdict: order.as_str(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/cells/instances/history.rs
@@ -0,0 +1,178 @@
+//! A property test: whatever the instances of a worker call themselves, and in whatever order entries
+//! and answers arrive, each counts as what it is.
+
+use proptest::prelude::*;
+use teaselgap_core::{Span, Timestamp, job::WorkerEntry};
+use teaselgap_standins::model::Model;
+
+use super::{report, restart_count};
+use crate::fixtures::{new_model, worker};
+
+/// The longest time after the end of an instance at which an entry of its may appear in the store.
+const LATE_WRITE_LIFETIME: Span = Span(10_000);
+
+/// What the second instance calls itself.
+const SECOND_NAME: u64 = 1_000;
+
+/// The shortest pause between two steps, in milliseconds.
+const PAUSE_MS: u64 = 60;
+
+/// What happens next, after a pause in milliseconds.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The worker restarts and calls its new instance this, unless one of its had that name.
+    Restart(u64),
+    /// The living instance answers at once.
+    Answer,
+    /// The last answer of this many instances ago arrives.
+    LateAnswer(usize),
+    /// The store lists the entry of this many instances ago.
+    Entry(usize),
+}
+
+fn step() -> impl Strategy<Value = (Step, u64)> {
+    let step = prop_oneof![
+        2 => (1_u64..1_000).prop_map(Step::Restart),
+        3 => Just(Step::Answer),
+        1 => (1_usize..4).prop_map(Step::LateAnswer),
+        3 => (0_usize..4).prop_map(Step::Entry),
+    ];
+    (step, PAUSE_MS..6_000)
+}
+
+/// An instance as it is in truth, on the owner's clock.
+#[derive(Clone, Copy, Debug)]
+struct Instance {
+    name: u64,
+    born: Timestamp,
+    ended: Option<Timestamp>,
+}
+
+/// What the owner may know by what it was told.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    /// The number of the newest instance.
+    newest: usize,
+    since: Timestamp,
+    /// When it started at the latest, if its clock was read.
+    latest_start: Option<Timestamp>,
+    /// Whether no entry of an earlier instance can appear any more.
+    is_settled: bool,
+}
+
+struct History {
+    model: Model,
+    now: Timestamp,
+    instances: Vec<Instance>,
+    known: Known,
+    restarts: usize,
+}
+
+impl History {
+    fn new() -> Self {
+        let model = new_model(1);
+        let now = model.now();
+        let name = worker(0).entry.started_wall_ms;
+        let first = Instance { name, born: Timestamp(0), ended: None };
+        let known = Known { newest: 0, since: now, latest_start: None, is_settled: false };
+        let mut history = Self { model, now, instances: vec![first], known, restarts: 0 };
+        // The owner has heard of the first instance for long. What it knows of the second one follows
+        // from what it is told here.
+        history.apply((Step::Restart(SECOND_NAME), PAUSE_MS));
+        history.apply((Step::Answer, PAUSE_MS));
+        history
+    }
+
+    fn living(&self) -> usize {
+        self.instances.len() - 1
+    }
+
+    fn advance(&mut self, number: usize, latest_start: Option<Timestamp>) {
+        self.known = Known { newest: number, since: self.now, latest_start, is_settled: false };
+        self.restarts += 1;
+    }
+
+    fn restart(&mut self, name: u64) {
+        if self.instances.iter().any(|instance| instance.name == name) {
+            return;
+        }
+        let living = self.living();
+        self.instances[living].ended = Some(self.now);
+        let born = self.now + Span(1);
+        self.instances.push(Instance { name, born, ended: None });
+    }
+
+    /// Passes an answer, which an instance gave at `sent` and which arrives now, to the owner.
+    fn answer(&mut self, number: usize, sent: Timestamp) {
+        let Instance { name, born, .. } = self.instances[number];
+        let clock = sent.since(born);
+        let cell = self.model.cell_mut().expect("an owner");
+        cell.on_hold_answer(&"w0".into(), sent, Some(report(name, clock.0)), self.now);
+        let latest_start = Timestamp(self.now.0 - clock.0);
+        let is_asked_since =
+            self.known.latest_start.map_or(sent >= self.known.since, |start| sent > start);
+        if number > self.known.newest && is_asked_since {
+            self.advance(number, Some(latest_start));
+        } else if number == self.known.newest {
+            let start = self.known.latest_start.get_or_insert(latest_start);
+            *start = if self.instances[number].ended.is_some() { latest_start } else { *start };
+        }
+    }
+
+    fn state_entry(&mut self, number: usize) {
+        let Instance { name, ended, .. } = self.instances[number];
+        if ended.is_some_and(|ended| self.now > ended + LATE_WRITE_LIFETIME) {
+            return;
+        }
+        let entry = WorkerEntry { started_wall_ms: name, ..worker(0).entry };
+        let cell = self.model.cell_mut().expect("an owner");
+        cell.update_workers(vec![entry], true, self.now);
+        if number > self.known.newest && self.known.is_settled {
+            self.advance(number, None);
+        } else if number == self.known.newest {
+            let is_late = |start: Timestamp| self.now > start + LATE_WRITE_LIFETIME;
+            self.known.is_settled |= self.known.latest_start.is_some_and(is_late);
+        }
+    }
+
+    fn apply(&mut self, (step, pause_ms): (Step, u64)) {
+        self.now = self.now + Span(pause_ms);
+        let living = self.living();
+        match step {
+            Step::Restart(name) => self.restart(name),
+            Step::Answer => {
+                let sent = self.now;
+                self.now = self.now + Span(1);
+                self.answer(living, sent);
+            }
+            Step::LateAnswer(back) => {
+                let number = living.saturating_sub(back);
+                if let Some(ended) = self.instances[number].ended {
+                    let sent = Timestamp(ended.0 - 1);
+                    self.answer(number, sent.max(self.instances[number].born));
+                }
+            }
+            Step::Entry(back) => self.state_entry(living.saturating_sub(back)),
+        }
+        let actions = self.model.cell_mut().expect("an owner").take_actions();
+        self.model.note_log_events(actions);
+    }
+}
+
+proptest! {
+    /// A worker counts as restarted exactly when an answer of a later instance arrives that was asked
+    /// for once the newest known one had certainly started, or an entry of a later one when none of an
+    /// earlier one can appear any more; never when a statement is about an earlier one.
+    #[test]
+    fn each_statement_counts_for_the_instance_that_made_it(
+        steps in prop::collection::vec(step(), 1..30),
+    ) {
+        let mut history = History::new();
+
+        for step in steps {
+            history.apply(step);
+
+            prop_assert_eq!(restart_count(&history.model), history.restarts, "{:?}", step);
+        }
+    }
+}
