--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -1,4 +1,8 @@
 //! Start and stop orders to workers, and the answers to them. No other module gives such orders.
+//!
+//! A start order, or a copy of one, leaves only while its run is booked and not being stopped, its task
+//! is open, and no other run of the task is booked that is not known to have ended. A run that a list
+//! shows goes before one that is only planned.
 
 use super::{
     super::{
@@ -25,6 +29,35 @@
 const REFUSAL_EXCLUSION: Span = Span(300);
 
 impl Cell {
+    /// Why a start order for a run, or a copy of one, must not leave now; `None` if it may.
+    fn start_objection(&self, id: &WorkerId, task: TaskId, attempt: u32) -> Option<&'static str> {
+        let worker = self.workers.get(id);
+        let run = worker.and_then(|worker| worker.runs.get(&task));
+        let Some(run) = run.filter(|run| run.attempt == attempt) else {
+            return Some("run is not booked");
+        };
+        let job = self.jobs.get(&task.job).filter(|job| job.end.is_none());
+        let Some(state) = job.and_then(|job| job.task(task)).filter(|task| !task.is_done) else {
+            return Some("task is over");
+        };
+        if run.stopping.is_some() {
+            Some("run is being stopped")
+        } else if state.run_workers.iter().any(|other| other != id) {
+            Some("another run may be alive")
+        } else {
+            None
+        }
+    }
+
+    /// Whether a start order that was given, or a copy of it, may be sent at this moment. A list may
+    /// have shown the run since, or it may have been given up.
+    #[must_use]
+    pub fn may_send_start(&self, id: &WorkerId, (task, attempt): (TaskId, u32)) -> bool {
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&task));
+        run.is_some_and(|run| run.state == RunState::Ordered)
+            && self.start_objection(id, task, attempt).is_none()
+    }
+
     /// Sends a worker the order to start a task, for which a run is booked there. Returns `None` if
     /// no order was sent.
     pub(super) fn start_task(
@@ -33,6 +66,13 @@
         task: TaskId,
         now: Timestamp,
     ) -> Option<PlacedTask> {
+        let attempt = self.workers.get(id)?.runs.get(&task)?.attempt;
+        if let Some(reason) = self.start_objection(id, task, attempt) {
+            let run = RunId { task, attempt, worker: id.clone() };
+            self.actions.push(Action::Log(LogEvent::StartFailed { run, reason }));
+            self.withdraw_run(id, task);
+            return None;
+        }
         let lease = self.cfg.lease;
         let worker = self.workers.get_mut(id)?;
         let Some(lease_end) = worker.lease_end(lease, now) else {
@@ -49,7 +89,6 @@
         let spec = std::sync::Arc::clone(&job.spec);
         let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
-        let attempt = run.attempt;
         let free_cpu_milli = (free + run.booked).cpu_milli;
         run.order(now);
         // The duration of a run that resumes from a checkpoint says nothing about a full run.
@@ -83,6 +122,10 @@
             worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
         }
         let is_instance_known = clock_ms.is_some_and(|ms| worker.knows_instance_of(ms, now));
+        if clock_ms.is_some_and(|ms| worker.clock.is_some_and(|clock| ms < clock.worker_ms)) {
+            // The worker seems to have restarted.
+            worker.next_hold = worker.next_hold.min(now);
+        }
         let run = worker.runs.get_mut(&task).filter(|run| run.attempt == attempt);
         let Some(run) = run else {
             return;
@@ -105,7 +148,7 @@
             return;
         }
         let reason = match outcome {
-            StartOutcome::Refused(reason) => reason,
+            StartOutcome::Refused(reason) | StartOutcome::NotSent(reason) => reason,
             StartOutcome::Outdated => "worker knows a later attempt",
             StartOutcome::NotAdvised => "no valid ticket",
             StartOutcome::Started | StartOutcome::StartedRepeated | StartOutcome::Unknown => {
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -79,6 +79,25 @@
         }
     }
 
+    /// Logs where a task whose placements are logged has been found to run, if the log names another
+    /// worker.
+    pub(super) fn log_adopted_run(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) {
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&task));
+        let goes_on = run.is_some_and(|run| run.stopping.is_none());
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let placement = state.and_then(|task| task.placement.as_ref());
+        let is_elsewhere = placement.is_some_and(|placement| placement.worker != *id);
+        if goes_on && is_elsewhere && self.step(task).is_some_and(is_logged) {
+            let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
+            self.log_placement(id, (task, attempt), effect, now);
+        }
+    }
+
     /// Adds a run for which no order has been sent.
     fn book_run(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// Notes that a run of an open task may be alive on a worker.
+    fn note_run_at(&mut self, id: &WorkerId, task: TaskId) {
+        let job = self.jobs.get_mut(&task.job).filter(|job| job.end.is_none());
+        let task = job.and_then(|job| job.task_mut(task)).filter(|task| !task.is_done);
+        if let Some(task) = task.filter(|task| !task.run_workers.contains(id)) {
+            task.run_workers.push(id.clone());
+        }
+    }
+
     /// Makes the new instance of a worker refuse the start orders of which copies are open.
     fn refuse_open_orders(&mut self, id: &WorkerId, open_orders: Vec<OpenOrder>, now: Timestamp) {
         for OpenOrder { task, attempt, expiry } in &open_orders {
@@ -135,6 +144,7 @@
                     order_expiry: *expiry,
                     ..Run::unknown(*attempt, RunState::Unsettled, now)
                 });
+                self.note_run_at(id, *task);
                 self.stop_run(id, *task, MAY_START_AGAIN, now);
             }
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -290,9 +290,21 @@
         }
     }
 
+    /// Withdraws the runs of a task for which no order has been sent.
+    fn withdraw_planned_runs(&mut self, task: TaskId) {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        for id in state.map(|task| task.run_workers.clone()).unwrap_or_default() {
+            let run = self.workers.get(&id).and_then(|worker| worker.runs.get(&task));
+            if run.is_some_and(|run| run.state == RunState::Planned) {
+                self.withdraw_run(&id, task);
+            }
+        }
+    }
+
     /// Adopts a listed run that this owner has not ordered or had given up; stops it if it is not
     /// needed.
     fn adopt_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
+        self.withdraw_planned_runs(listed_run.task);
         let is_needed = self.jobs.get(&listed_run.task.job).is_some_and(|job| {
             job.end.is_none()
                 && job
@@ -327,6 +339,7 @@
         if !is_needed {
             self.stop_unneeded_run(id, listed_run.task, now);
         }
+        self.log_adopted_run(id, (listed_run.task, listed_run.attempt), now);
     }
 
     /// Stops a listed run that is not needed. If it is of a long-running task and at work, and the
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -139,6 +139,8 @@
     StartedRepeated,
     /// The run has not started and never will, for the given reason.
     Refused(&'static str),
+    /// No copy of the order was sent, for the given reason.
+    NotSent(&'static str),
     /// The run has not started, because the order carried no valid ticket.
     NotAdvised,
     /// The run has not started, because the worker knows of a later attempt.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -405,6 +405,13 @@
         is_unsettled && self.unlisted_since.is_some_and(|asked| now > asked + stop_limit)
     }
 
+    /// Whether the run may be in another instance of the worker than the newest known one, whose clock
+    /// says nothing about its lease.
+    fn may_be_in_other_instance(&self) -> bool {
+        let is_answered = self.state == RunState::Running;
+        self.outlived_restart || (is_answered && !self.ends_with_instance)
+    }
+
     /// Whether no copy of the start order can begin the run in the instance that has confirmed its
     /// stop, and no list has ever shown it.
     fn is_closed(&self) -> bool {
@@ -558,9 +565,9 @@
     /// `inherited_expiry`; for those that a run may have got from an order to an earlier instance,
     /// from the expiry of that order and the longest lease.
     pub(super) fn lease_expiry(&self, longest_lease: Span, now: Timestamp) -> Timestamp {
-        let outlived = self.runs.values().filter(|run| run.outlived_restart);
-        let earlier_instances = outlived.map(|run| self.end_of_outlived(run, longest_lease, now));
-        let earliest = earlier_instances.max().unwrap_or_default().max(self.inherited_expiry);
+        let other_instances = self.runs.values().filter(|run| run.may_be_in_other_instance());
+        let ends = other_instances.map(|run| self.end_of_outlived(run, longest_lease, now));
+        let earliest = ends.max().unwrap_or_default().max(self.inherited_expiry);
         let Some(clock) = self.clock else {
             return earliest;
         };
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -52,8 +52,8 @@
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
-                    let is_term_over = || !owner.may_order();
-                    let call = start_order::send(repeater, client, (&target, &order), is_term_over);
+                    let objection = || owner.start_objection(&target.worker, task);
+                    let call = start_order::send(repeater, client, (&target, &order), objection);
                     let is_answered =
                         |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
                     let answer = owner.measured(CallKind::Start, call, is_answered).await;
@@ -121,6 +121,16 @@
         !self.is_term_over.get() && !self.is_handing_over.get()
     }
 
+    /// Why a start order, or a copy of it, must not be sent at this moment; `None` if it may.
+    fn start_objection(&self, worker: &WorkerId, run: (TaskId, u32)) -> Option<&'static str> {
+        if !self.may_order() {
+            return Some("the term is over");
+        }
+        let cell = self.cell.borrow();
+        let may_send = cell.as_ref().is_some_and(|cell| cell.may_send_start(worker, run));
+        (!may_send).then_some("the run is not wanted any more")
+    }
+
     async fn ask_advice(&self, request: AdviceRequest) {
         let advice = match self.node.settings.advice {
             Some(address) => {
--- a/src/jobs/start_order.rs
+++ b/src/jobs/start_order.rs
@@ -2,7 +2,7 @@
 //!
 //! Copies of an order are the same run: a worker that has it answers as if it had just started, and
 //! refuses an attempt that is not higher than one that ended or was stopped there. So at most one
-//! copy takes effect while an instance of the worker lives.
+//! copy takes effect while an instance of the worker lives. Each copy asks anew whether it may leave.
 
 #[cfg(test)]
 mod tests;
@@ -15,17 +15,17 @@
 use super::repeat::Repeater;
 use crate::clock;
 
-/// Orders a worker to start a task. No copy is sent once the term has ended.
+/// Orders a worker to start a task. `objection` says before each copy why it must not be sent, if so.
 pub(super) async fn send(
     repeater: &Repeater,
     client: &WorkerClient,
     (target, order): (&Target, &StartOrder),
-    is_term_over: impl Fn() -> bool,
+    objection: impl Fn() -> Option<&'static str>,
 ) -> StartAnswer {
     let last_sent = Cell::new(clock::now());
     let call = async || {
-        if is_term_over() {
-            return StartOutcome::Refused("the term is over").into();
+        if let Some(reason) = objection() {
+            return StartOutcome::NotSent(reason).into();
         }
         last_sent.set(clock::now());
         client.start(target, order).await.0
