tools/restarts: an entry is written late only after the later jobs are handed in

Change: two phases, the trouble and the late writes, with jobs handed in between; workers have room. A worker without runs ends the writes and not the case.

--- a/tools/restarts/src/cases.rs
+++ b/tools/restarts/src/cases.rs
@@ -20,7 +20,7 @@
 const ID_PREFIX: &str = "5c0e7a21";
 
 /// How many jobs are handed in after the trouble.
-const LATER_JOBS: u64 = 16;
+const LATER_JOBS: u64 = 8;
 
 /// How long after the last submission a job may still be open. The work takes 20 s at most, and jobs
 /// are asked for `finish_s` (14 s) after the end of the traffic.
@@ -48,27 +48,44 @@
 /// Every worker has room, and a run takes longer than a lease.
 const ROOMY: Load = Load { jobs: 24, run_ms: 9_000, worker_cpu: 16_000 };
 
+/// A case: the trouble, what the workers have to do, and how often an entry of before the trouble is
+/// written late.
+struct Case(Trouble, Load, u32);
+
+fn find(case: &str) -> Option<Case> {
+    Some(match case {
+        "late-entry" => Case(restart, ROOMY, 3),
+        "late-entry-outage" => Case(restart_in_outage, ROOMY, 3),
+        "clock-back" => Case(clock_back, ROOMY, 0),
+        "clock-back-owner" => Case(clock_back_owner, ROOMY, 0),
+        "same-start" => Case(same_start, FULL, 0),
+        "later-start" => Case(later_start, ROOMY, 1),
+        _ => return None,
+    })
+}
+
 /// Plays a case and returns the record with the breaches of rules; `None` if it could not run.
 pub fn play(case: &str, has_trouble: bool) -> Option<(Arc<Record>, Vec<String>)> {
-    let (trouble, load): (Trouble, Load) = match case {
-        "late-entry" => (late_entry, FULL),
-        "late-entry-outage" => (late_entry_outage, FULL),
-        "clock-back" => (clock_back, ROOMY),
-        "clock-back-owner" => (clock_back_owner, ROOMY),
-        "same-start" => (same_start, FULL),
-        "later-start" => (later_start, ROOMY),
-        _ => return None,
-    };
+    let Case(trouble, load, late_writes) = find(case)?;
     let options = Options { nodes: 3, workers: 8, worker_cpu: load.worker_cpu };
     let deployment = Deployment::start(&options)?;
-    let record = Arc::clone(&deployment.record);
+    let (record, worker) = (Arc::clone(&deployment.record), &deployment.workers[0]);
+    let jobs = load.jobs + LATER_JOBS;
     hand_in(&deployment, 0..load.jobs, load)?;
-    thread::sleep(Duration::from_millis(500));
+    pause(500);
+    let earlier_entry = deployment.store.read(&key(worker))?;
     if has_trouble {
         trouble(&deployment)?;
     }
-    let jobs = load.jobs + LATER_JOBS;
     hand_in(&deployment, load.jobs..jobs, load)?;
+    for _ in 0..if has_trouble { late_writes } else { 0 } {
+        if !await_runs(worker) {
+            break;
+        }
+        record.note(format!("worker {}: an earlier entry is written late", worker.setup.id));
+        deployment.store.write(&key(worker), &earlier_entry);
+        thread::sleep(HEARTBEAT);
+    }
     let mut breaches = open_jobs(&deployment, jobs, Instant::now() + FINISH);
     deployment.stop();
     breaches.extend(record.twice());
@@ -120,61 +137,37 @@
 }
 
 /// Waits until a worker runs something, and then until its runs are 0.3 s old.
-fn await_runs(worker: &Worker) -> Option<()> {
-    let deadline = Instant::now() + Duration::from_secs(12);
-    while !worker.runs(ID_PREFIX) {
-        if Instant::now() >= deadline {
-            return None;
-        }
+fn await_runs(worker: &Worker) -> bool {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !worker.runs(ID_PREFIX) && Instant::now() < deadline {
         pause(5);
     }
     pause(300);
-    Some(())
+    worker.runs(ID_PREFIX)
 }
 
-/// Writes an entry of an earlier life of a worker.
-fn write_late(deployment: &Deployment, worker: &Worker, entry: &str) {
-    deployment.record.note(format!("worker {}: an earlier entry is written late", worker.setup.id));
-    deployment.store.write(&key(worker), entry);
-}
-
-/// A worker starts again under its id. An entry of its earlier life is written late, three times;
-/// each stands until the worker's next heartbeat.
-fn late_entry(deployment: &Deployment) -> Option<()> {
-    let worker = &deployment.workers[0];
-    let earlier = deployment.store.read(&key(worker))?;
+/// A worker starts again under its id.
+fn restart(deployment: &Deployment) -> Option<()> {
+    let worker = deployment.workers.first()?;
     worker.crash();
     pause(400);
     worker.start(Duration::ZERO);
-    await_runs(worker)?;
-    for _ in 0..3 {
-        write_late(deployment, worker, &earlier);
-        thread::sleep(HEARTBEAT);
-    }
+    pause(100);
     Some(())
 }
 
 /// The store is down and all leases have expired when it is back, so that the cells are claimed
 /// anew. A worker has started again meanwhile; its entry is that of its earlier life until its next
-/// heartbeat, and is written once more after it.
-fn late_entry_outage(deployment: &Deployment) -> Option<()> {
-    let worker = &deployment.workers[0];
-    let earlier = deployment.store.read(&key(worker))?;
+/// heartbeat.
+fn restart_in_outage(deployment: &Deployment) -> Option<()> {
     deployment.store.set_down(true);
     deployment.record.note("the store is down");
     pause(500);
-    worker.crash();
-    pause(500);
-    worker.start(Duration::ZERO);
+    restart(deployment)?;
     pause(3_500);
     deployment.store.set_down(false);
     deployment.store.end_leases();
     deployment.record.note("the store is up, and all leases have expired");
-    await_runs(worker)?;
-    for _ in 0..2 {
-        write_late(deployment, worker, &earlier);
-        thread::sleep(HEARTBEAT);
-    }
     Some(())
 }
 
@@ -235,11 +228,9 @@
 }
 
 /// A worker starts again with its clock 20 s back, and the owner is killed, so that the next one has
-/// seen nothing of the earlier life. Then an entry of that life is written late: it names the later
-/// start.
+/// seen nothing of the earlier life. An entry of that life then names the later start.
 fn later_start(deployment: &Deployment) -> Option<()> {
     let worker = &deployment.workers[0];
-    let earlier = deployment.store.read(&key(worker))?;
     let epoch = nodes::epoch(deployment);
     worker.crash();
     nodes::kill_owner(deployment)?;
@@ -249,7 +240,5 @@
     while nodes::epoch(deployment) == epoch && Instant::now() < deadline {
         pause(20);
     }
-    await_runs(worker)?;
-    write_late(deployment, worker, &earlier);
     Some(())
 }
