--- a/tools/restarts/src/cases.rs
+++ b/tools/restarts/src/cases.rs
@@ -199,18 +199,10 @@
     Some(())
 }
 
-/// The same with one worker, whose second life's entry stands until the third life's heartbeat. The
-/// owner is killed meanwhile, so that the next one reads an entry of one life and gets answers of
-/// another.
+/// The same, and the owner is killed once it has sent start orders to the third lives.
 fn clock_back_owner(deployment: &Deployment) -> Option<()> {
-    let worker = &deployment.workers[0];
-    worker.crash();
-    pause(400);
-    worker.start(Duration::ZERO);
-    pause(400);
-    worker.crash();
-    pause(BLINK_MS);
-    start_back(deployment, worker, 2_000, 4 * HEARTBEAT);
+    clock_back(deployment)?;
+    hand_in(deployment, 100..108, ROOMY)?;
     nodes::kill_owner(deployment)
 }
 
