--- a/tools/restarts/src/cases.rs
+++ b/tools/restarts/src/cases.rs
@@ -179,7 +179,7 @@
 }
 
 /// Two workers crash and start again twice within 1.4 s, the second time with the clock 2 s back.
-fn clock_back(deployment: &Deployment) -> Option<()> {
+fn start_twice(deployment: &Deployment, last_heartbeat: Duration) -> Option<()> {
     let workers = deployment.workers.get(..2)?;
     for worker in workers {
         worker.crash();
@@ -194,14 +194,20 @@
     }
     pause(BLINK_MS);
     for worker in workers {
-        start_back(deployment, worker, 2_000, Duration::ZERO);
+        start_back(deployment, worker, 2_000, last_heartbeat);
     }
     Some(())
 }
 
-/// The same, and the owner is killed once it has sent start orders to the third lives.
+/// The third lives write their entries at once.
+fn clock_back(deployment: &Deployment) -> Option<()> {
+    start_twice(deployment, Duration::ZERO)
+}
+
+/// The owner is killed once it has sent start orders to the third lives, which write their entries
+/// late: the next owner reads entries of the second lives and gets answers of the third.
 fn clock_back_owner(deployment: &Deployment) -> Option<()> {
-    clock_back(deployment)?;
+    start_twice(deployment, 2 * HEARTBEAT)?;
     hand_in(deployment, 100..108, ROOMY)?;
     nodes::kill_owner(deployment)
 }
