A crash of a worker never ends a job: it delays the next start of its task

What callers saw: a job was shown as `failed` after three crashes of workers, although none of its runs had ended `failed`, the workers were idle and the next start would have done it.

Cause: three lost workers counted like `max_attempts` failed runs (`has_crashing_task`), and a task that lasts was suspended for good at five.

Change: nothing but ends `failed` makes a job fail. From the third lost worker on a task pauses for 2.5, 5 and then 10 s before each start, whether it lasts or not (`Task::paused_until`, apart from `not_before`, so that it can be taken back). Of such tasks one for each 20 workers (one at least) is tried at a time, until a list shows its run or for 5 s, so that many of them can't take the pool down. The whole rack lost in the same moment is not held against runs that were listed, for three racks. The log's format is unchanged.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -154,6 +154,8 @@
     fleet_epoch: Epoch,
     /// Open tasks that have lost workers.
     suspects: IndexSet<TaskId>,
+    /// Workers that were lost a moment ago.
+    lost_workers: Vec<crashes::LostWorker>,
     /// Whether a complete list of workers has been read from the store in this term.
     has_worker_list: bool,
     /// The wall clock minus this node's clock, in milliseconds.
--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -1,15 +1,16 @@
-//! Workers that are lost with runs, and tasks that are given up because workers crash under them.
+//! Workers that are lost with runs, and tasks that are paused because workers crash under them.
 //!
 //! A task may crash each worker that starts it. Of the runs that are lost with a worker, those whose
 //! tasks have lost the most workers before are suspected; among equals, those that started last, as
 //! a run that the worker has listed has survived its start. A long-running task that has been at
 //! work is not suspected, whatever happened before: its workers may crash as often as any others
-//! do. Whether the worker crashed or was cut off shows later: a crashed one is followed by another
-//! instance at its address, one that was cut off answers again.
+//! do. Nor is a task whose run was listed where a whole rack is lost in the same moment, for the first
+//! [`MAX_RACKS`] racks. Whether the worker crashed or was cut off shows later: a crashed one is
+//! followed by another instance at its address, one that was cut off answers again.
 //!
-//! A job is given up for such a task. One with long-running tasks is not, since that would end all of
-//! its tasks that are at work: only the task itself is paused, and suspended after
-//! [`MAX_LONG_RUNNING_CRASHES`].
+//! Crashes of workers never end a job: only ends `failed` count as attempts. From the loss of
+//! [`PAUSE_FROM`] workers on, a task pauses before each start, and few such tasks are tried at a
+//! time, so that those that do crash their workers take few of the pool's workers away.
 //!
 //! Placements of suspected tasks are logged, so that the next owner knows which of them were lost
 //! with a worker during the takeover.
@@ -17,33 +18,86 @@
 #[cfg(test)]
 mod tests;
 
+use std::{net::SocketAddr, sync::Arc};
+
 use indexmap::IndexSet;
 
 use super::{
     super::{
         Action, LogEvent, LostRun, Record, RunId, TaskId, WorkerId,
-        task::{Job, SUSPENDED, Task},
-        worker::{Run, RunState},
+        task::{Job, Task},
+        worker::{Run, RunState, Worker},
     },
     Cell,
 };
 use crate::{Span, Timestamp};
 
-/// The number of workers that crash under a task before the task is given up.
-const MAX_CRASHES: usize = 3;
+/// The number of workers that a task loses before it pauses.
+const PAUSE_FROM: usize = 3;
+
+/// How long a task pauses after the loss of [`PAUSE_FROM`] workers. Each further loss doubles it.
+const FIRST_PAUSE: Span = Span(2_500);
+
+/// The longest pause of a task. Even after it, a sound task starts again before the users ask for
+/// each accepted job (`finish_s`).
+const MAX_PAUSE: Span = Span(10_000);
+
+/// One task that pauses for lost workers may be tried at a time for each this many workers.
+const WORKERS_PER_TRIAL: usize = 20;
 
-/// How long a task that has lost [`MAX_CRASHES`] workers waits for them to show whether they
-/// crashed, before it is started once more.
-const UNEXPLAINED_LOSS_PAUSE: Span = Span(10_000);
+/// How long after its order a run that no list has shown counts as a trial. A worker that crashed is
+/// back, or replaced, by then.
+const TRIAL: Span = Span(5_000);
 
-/// The number of workers that crash under a long-running task before it is not started any more.
-const MAX_LONG_RUNNING_CRASHES: usize = MAX_CRASHES + 2;
+/// Workers of a rack whose losses are noticed within this time were lost in the same moment: those
+/// that restart are noticed by their next answer, the others when their leases expire. The loss of
+/// one without runs is not noticed; there, the time of its last answer counts.
+const SAME_MOMENT: Span = Span(2_000);
 
-/// How long a long-running task that has lost [`MAX_CRASHES`] workers waits for its next start.
-const LONG_RUNNING_PAUSE: Span = Span(5_000);
+/// The number of racks that may be lost under a task without being held against it. Several tasks that
+/// crash their workers together may look like a rack again and again.
+const MAX_RACKS: u32 = 3;
 
 /// The most lost runs that are remembered for a task.
-const MAX_LOST_RUNS: usize = 2 * MAX_CRASHES;
+const MAX_LOST_RUNS: usize = 2 * PAUSE_FROM;
+
+/// A worker that was lost a moment ago.
+#[derive(Clone, Debug)]
+pub(super) struct LostWorker {
+    address: SocketAddr,
+    labels: Arc<[String]>,
+    noticed: Timestamp,
+    /// When it last answered; `None` if another instance has answered since.
+    heard: Option<Timestamp>,
+    /// The tasks, with their attempts, that are suspected for it although they had survived their
+    /// starts.
+    suspected: Vec<(TaskId, u32)>,
+}
+
+impl LostWorker {
+    fn new(worker: &Worker, suspected: Vec<(TaskId, u32)>, now: Timestamp) -> Self {
+        Self {
+            address: worker.entry.address,
+            labels: Arc::clone(&worker.entry.labels),
+            noticed: now,
+            heard: worker.clock.map(|clock| clock.at),
+            suspected,
+        }
+    }
+
+    /// Whether the worker was lost, too, at this address or in the same moment.
+    fn is_lost_with(&self, worker: &Worker) -> bool {
+        let is_same_moment = |(heard, other): (Timestamp, Timestamp)| {
+            heard.since(other).max(other.since(heard)) <= SAME_MOMENT
+        };
+        let heard = self.heard.zip(worker.clock.map(|clock| clock.at));
+        self.address == worker.entry.address || heard.is_some_and(is_same_moment)
+    }
+
+    fn rack(&self) -> Option<&str> {
+        self.labels.last().map(String::as_str)
+    }
+}
 
 /// What is known of the start of a lost run, the most suspicious last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,26 +120,45 @@
     }
 }
 
+/// How long a task pauses before its next start after the loss of this many workers.
+fn pause_after(losses: usize) -> Span {
+    let Some(doublings) = losses.checked_sub(PAUSE_FROM) else {
+        return Span(0);
+    };
+    let factor = 1 << doublings.min(MAX_LOST_RUNS);
+    Span(FIRST_PAUSE.0 * factor).min(MAX_PAUSE)
+}
+
 impl Task {
     fn crashes(&self) -> usize {
         self.lost_runs.iter().filter(|lost| lost.is_crash).count()
     }
 
-    /// Whether the task is to be given up because it crashes workers.
-    fn crashes_workers(&self) -> bool {
-        self.crashes() >= MAX_CRASHES
+    /// Whether the task has lost so many workers that it pauses before each start and that few such
+    /// tasks are tried at a time.
+    pub(super) fn crashes_workers(&self) -> bool {
+        self.lost_runs.len() >= PAUSE_FROM
     }
 
-    /// Delays the next start of a long-running task that crashes workers. Returns how long; `None` if
-    /// it is not delayed.
-    fn pause_after_crashes(&mut self, now: Timestamp) -> Option<Span> {
-        let pause = match self.crashes() {
-            ..MAX_CRASHES => return None,
-            MAX_CRASHES..MAX_LONG_RUNNING_CRASHES => LONG_RUNNING_PAUSE,
-            MAX_LONG_RUNNING_CRASHES.. => SUSPENDED.since(now),
-        };
-        self.not_before = self.not_before.max(now + pause);
-        Some(pause)
+    /// Delays the next start after the loss of a worker. Returns how long; `None` if it is not
+    /// delayed.
+    fn pause_after_loss(&mut self, now: Timestamp) -> Option<Span> {
+        let pause = pause_after(self.lost_runs.len());
+        self.paused_until = self.paused_until.max(now + pause);
+        (pause > Span(0)).then_some(pause)
+    }
+
+    /// Holds lost runs no longer against the task.
+    fn forget_lost_runs(&mut self, is_groundless: impl Fn(&LostRun) -> bool) {
+        self.lost_runs.retain(|lost| !is_groundless(lost));
+        self.end_groundless_pause();
+    }
+
+    /// Ends the pause if too few lost workers are held against the task.
+    fn end_groundless_pause(&mut self) {
+        if !self.crashes_workers() {
+            self.paused_until = Timestamp::default();
+        }
     }
 
     /// Remembers a lost run, or what has become known about it.
@@ -95,7 +168,6 @@
             return;
         }
         if self.lost_runs.len() >= MAX_LOST_RUNS {
-            // Fewer than `MAX_CRASHES` are crashes, or the task would have been given up.
             let unexplained = self.lost_runs.iter().position(|known| !known.is_crash);
             self.lost_runs.remove(unexplained.unwrap_or(0));
         }
@@ -103,16 +175,6 @@
     }
 }
 
-/// Whether a job has a task for which the job is to be given up because it crashes workers.
-pub(super) fn has_crashing_task(job: &Job) -> bool {
-    let is_crashing = |task: &Task| !task.is_done && task.crashes_workers();
-    job.occurrences.iter().any(|occurrence| {
-        let steps = occurrence.steps.iter().zip(&job.spec.steps);
-        let mut steps = steps.filter(|(_, step)| !step.long_running);
-        steps.any(|(state, _)| state.tasks.iter().any(is_crashing))
-    })
-}
-
 /// Applies a [`Record::RunLost`].
 pub(super) fn replay_lost_run(job: &mut Job, id: TaskId, lost: &LostRun) {
     if let Some(task) = job.task_mut(id) {
@@ -146,10 +208,8 @@
             }));
         }
         for id in &suspects {
-            let is_long_running = self.step(*id).is_some_and(|step| step.long_running);
-            let task = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(*id));
-            if let Some(task) = task.filter(|_| is_long_running) {
-                task.pause_after_crashes(now);
+            if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(*id)) {
+                task.pause_after_loss(now);
             }
         }
         self.suspects = suspects;
@@ -162,9 +222,31 @@
         }
         if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
             task.lost_runs.clear();
+            task.end_groundless_pause();
         }
     }
 
+    /// Whether no further task that crashes workers may be started now, because others are tried.
+    pub(super) fn are_trials_used_up(&self, now: Timestamp) -> bool {
+        let is_trial = |worker: &WorkerId, id: &TaskId| {
+            let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
+            run.is_some_and(|run| !run.is_listed && now.since(run.started) < TRIAL)
+        };
+        let is_tried = |id: &&TaskId| {
+            let task = self.jobs.get(&id.job).and_then(|job| job.task(**id));
+            let task = task.filter(|task| task.crashes_workers());
+            task.is_some_and(|task| task.run_workers.iter().any(|worker| is_trial(worker, id)))
+        };
+        let trials = self.suspects.iter().filter(is_tried).count();
+        trials >= (self.workers.len() / WORKERS_PER_TRIAL).max(1)
+    }
+
+    /// Whether a task that crashes workers has to wait because others are tried.
+    pub(super) fn awaits_trial(&self, id: TaskId, now: Timestamp) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        task.is_some_and(Task::crashes_workers) && self.are_trials_used_up(now)
+    }
+
     /// Suspects tasks whose runs are lost with a worker. `has_crashed` is set if the worker is known
     /// to have restarted.
     pub(super) fn suspect_tasks<'a>(
@@ -174,6 +256,19 @@
         has_crashed: bool,
         now: Timestamp,
     ) {
+        let suspected = self.suspect_strongest(id, runs, has_crashed, now);
+        self.note_lost_worker(id, suspected, now);
+    }
+
+    /// Suspects the tasks whose runs are the most likely to have crashed the worker. Returns those,
+    /// with their attempts, whose runs had survived their starts.
+    fn suspect_strongest<'a>(
+        &mut self,
+        id: &WorkerId,
+        runs: impl Iterator<Item = (&'a TaskId, &'a Run)>,
+        has_crashed: bool,
+        now: Timestamp,
+    ) -> Vec<(TaskId, u32)> {
         // One that has outlived a restart was suspected then.
         let may_have_crashed_it = |run: &Run| {
             run.state != RunState::Planned && !run.is_at_work() && !run.outlived_restart
@@ -188,15 +283,56 @@
         let ranked: Vec<_> =
             ordered.map(|(task, run)| (suspicion((task, run)), *task, run.attempt)).collect();
         let Some(strongest) = ranked.iter().map(|(suspicion, ..)| *suspicion).max() else {
+            return Vec::new();
+        };
+        let suspected = ranked.into_iter().filter(|(suspicion, ..)| *suspicion == strongest);
+        let suspected: Vec<_> = suspected.map(|(_, task, attempt)| (task, attempt)).collect();
+        for run in &suspected {
+            self.suspect_task(*run, id, has_crashed, now);
+        }
+        let (_, evidence) = strongest;
+        if evidence == StartEvidence::Survived { suspected } else { Vec::new() }
+    }
+
+    /// Notes that a worker was lost, and clears the tasks that are suspected for it and for others
+    /// of its rack once the whole rack was lost in the same moment.
+    fn note_lost_worker(&mut self, id: &WorkerId, suspected: Vec<(TaskId, u32)>, now: Timestamp) {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
-        for (suspicion, task, attempt) in ranked {
-            if suspicion == strongest {
-                self.suspect_task((task, attempt), id, has_crashed, now);
-            }
+        let lost = LostWorker::new(worker, suspected, now);
+        self.lost_workers.retain(|earlier| now.since(earlier.noticed) <= SAME_MOMENT);
+        self.lost_workers.push(lost.clone());
+        let Some(rack) = lost.rack().filter(|rack| self.is_rack_lost(rack)) else {
+            return;
+        };
+        let of_rack = self.lost_workers.iter().filter(|lost| lost.rack() == Some(rack));
+        let cleared: Vec<_> = of_rack.flat_map(|lost| lost.suspected.iter().copied()).collect();
+        for (task, attempt) in cleared {
+            self.clear_of_rack(task, attempt);
+        }
+        self.drop_cleared_suspects();
+    }
+
+    /// Holds the loss of a rack under a run no longer against its task.
+    fn clear_of_rack(&mut self, id: TaskId, attempt: u32) {
+        let task = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id));
+        if let Some(task) = task.filter(|task| task.lost_racks < MAX_RACKS) {
+            task.lost_racks += 1;
+            task.forget_lost_runs(|lost| lost.attempt == attempt);
         }
     }
 
+    /// Whether all workers of a rack, two at least, were lost in the same moment.
+    fn is_rack_lost(&self, rack: &str) -> bool {
+        let of_rack = self.workers.values().filter(|worker| worker.entry.rack() == Some(rack));
+        let of_rack: Vec<&Worker> = of_rack.collect();
+        let addresses: IndexSet<_> = of_rack.iter().map(|worker| worker.entry.address).collect();
+        let is_lost =
+            |worker: &&Worker| self.lost_workers.iter().any(|lost| lost.is_lost_with(worker));
+        addresses.len() >= 2 && of_rack.iter().all(is_lost)
+    }
+
     fn suspect_task(
         &mut self,
         (task, attempt): (TaskId, u32),
@@ -216,29 +352,25 @@
         self.record_lost_run(task, LostRun { attempt, worker: id.clone(), address, is_crash }, now);
     }
 
-    /// Remembers a lost run durably, and gives its job up if too many workers crashed.
+    /// Remembers a lost run durably, and pauses its task if it has lost too many workers.
     fn record_lost_run(&mut self, id: TaskId, lost: LostRun, now: Timestamp) {
-        let is_long_running = self.step(id).is_some_and(|step| step.long_running);
         let job = self.jobs.get_mut(&id.job).filter(|job| job.end.is_none());
         let Some(task) = job.and_then(|job| job.task_mut(id)).filter(|task| !task.is_done) else {
             return;
         };
+        let is_known = task.lost_runs.iter().any(|known| known.attempt == lost.attempt);
         task.remember_lost_run(lost.clone());
-        let losses = task.lost_runs.len();
-        if is_long_running && let Some(pause) = task.pause_after_crashes(now) {
-            let crashes = task.crashes();
-            self.actions.push(Action::Log(LogEvent::TaskPaused { task: id, crashes, pause }));
-        }
-        if losses >= MAX_CRASHES && !lost.is_crash {
-            let pause = if is_long_running { LONG_RUNNING_PAUSE } else { UNEXPLAINED_LOSS_PAUSE };
-            task.not_before = task.not_before.max(now + pause);
-        }
+        let (losses, crashes) = (task.lost_runs.len(), task.crashes());
+        // What becomes known of a loss later does not pause its task again.
+        let pause = if is_known { None } else { task.pause_after_loss(now) };
         self.suspects.insert(id);
         let run = RunId { task: id, attempt: lost.attempt, worker: lost.worker.clone() };
         let is_crash = lost.is_crash;
         self.actions.push(Action::Log(LogEvent::RunLost { run, losses, is_crash }));
+        if let Some(pause) = pause {
+            self.actions.push(Action::Log(LogEvent::TaskPaused { task: id, crashes, pause }));
+        }
         self.record(Record::RunLost { task: id, lost }, now, None);
-        self.finish_if_over(id.job, now);
     }
 
     /// Notes that another worker instance runs at the address of lost ones, which have therefore
@@ -270,12 +402,18 @@
 
     /// Notes that a worker answers again as the same instance, so that it did not crash.
     pub(super) fn forget_losses(&mut self, id: &WorkerId) {
-        for suspect in &self.suspects {
-            let job = self.jobs.get_mut(&suspect.job);
-            if let Some(task) = job.and_then(|job| job.task_mut(*suspect)) {
-                task.lost_runs.retain(|lost| lost.worker != *id || lost.is_crash);
+        let suspects: Vec<TaskId> = self.suspects.iter().copied().collect();
+        for suspect in suspects {
+            let task = self.jobs.get_mut(&suspect.job).and_then(|job| job.task_mut(suspect));
+            if let Some(task) = task {
+                task.forget_lost_runs(|lost| lost.worker == *id && !lost.is_crash);
             }
         }
+        self.drop_cleared_suspects();
+    }
+
+    /// Drops the suspects against which no lost run is held any more.
+    fn drop_cleared_suspects(&mut self) {
         let jobs = &self.jobs;
         self.suspects.retain(|suspect| {
             let task = jobs.get(&suspect.job).and_then(|job| job.task(*suspect));
--- a/crates/core/src/job/cell/crashes/tests.rs
+++ b/crates/core/src/job/cell/crashes/tests.rs
@@ -28,6 +28,28 @@
 
     let task = task_with_lost_runs(unexplained.chain(crashes));
 
+    assert_eq!(task.crashes(), 3);
     assert!(task.crashes_workers());
     assert_eq!(task.lost_runs.len(), MAX_LOST_RUNS);
 }
+
+/// Guards both against a task that crashes a worker every few seconds and against one that is never
+/// started again.
+#[test]
+fn pauses_grow_with_each_lost_worker_up_to_a_bound() {
+    let pauses_ms = [0, 1, 2, 3, 4, 5, 6, 1_000].map(|losses| pause_after(losses).0);
+
+    assert_eq!(pauses_ms, [0, 0, 0, 2_500, 5_000, 10_000, 10_000, 10_000]);
+}
+
+#[test]
+fn a_pause_ends_once_the_losses_turn_out_to_be_groundless() {
+    let mut task = task_with_lost_runs((1..=3).map(|attempt| lost_run(attempt, false)));
+    let pause = task.pause_after_loss(Timestamp(1_000));
+
+    task.lost_runs.pop();
+    task.end_groundless_pause();
+
+    assert_eq!(pause, Some(FIRST_PAUSE));
+    assert_eq!(task.paused_until, Timestamp::default());
+}
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -8,7 +8,6 @@
         task::Job, times,
     },
     Cell, DeferredEffect,
-    crashes::has_crashing_task,
 };
 use crate::{Span, Timestamp};
 
@@ -265,7 +264,7 @@
         };
         if job.is_done() {
             self.finish_job(id, JobEnd::Succeeded, now);
-        } else if Self::has_failed(job, max_attempts) || has_crashing_task(job) {
+        } else if Self::has_failed(job, max_attempts) {
             self.finish_job(id, JobEnd::Failed, now);
         }
     }
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -14,7 +14,7 @@
         Action, JobId, LogEvent, PlacedTask, Resources, Step, StepId, TaskId, WorkerId,
         order::{self, Rank, RankClass, RankContext},
         place::{self, PlacementCandidate},
-        task::{Job, SUSPENDED, Task},
+        task::{Job, Task},
         worker::Worker,
     },
     Cell,
@@ -144,17 +144,20 @@
     fn is_startable(
         task: &Task,
         inherited: &IndexMap<WorkerId, Timestamp>,
+        are_trials_used_up: bool,
         now: Timestamp,
     ) -> bool {
         !task.is_done
             && task.run_workers.is_empty()
-            && now >= task.not_before
+            && now >= task.not_before.max(task.paused_until)
+            && !(are_trials_used_up && task.crashes_workers())
             && !awaits_worker(task, inherited)
     }
 
-    /// Collects the waiting steps; plans again at the next tick if only a retry delay holds a step
-    /// back.
+    /// Collects the waiting steps; plans again at the next tick if a delay, or that others are tried,
+    /// holds a step back.
     fn waiting_steps(&mut self, now: Timestamp) -> WaitingSteps {
+        let are_trials_used_up = self.are_trials_used_up(now);
         let inherited = &self.inherited_workers;
         let mut waiting = WaitingSteps::default();
         for (id, job) in self.jobs.open() {
@@ -191,13 +194,13 @@
                     let is_waiting = |task: &&Task| {
                         !task.is_done
                             && task.run_workers.is_empty()
-                            && task.not_before < SUSPENDED
                             && !awaits_worker(task, inherited)
                     };
                     if !state.tasks.iter().any(|task| is_waiting(&task)) {
                         continue;
                     }
-                    let is_startable = |task: &&Task| Self::is_startable(task, inherited, now);
+                    let is_startable =
+                        |task: &&Task| Self::is_startable(task, inherited, are_trials_used_up, now);
                     let startable_tasks = state.tasks.iter().filter(is_startable).count();
                     if startable_tasks == 0 {
                         // Every waiting task of the step is delayed: plan again at the next tick.
@@ -258,7 +261,10 @@
         let id = waiting_step.step_id(job);
         let tasks = &occurrence.steps[waiting_step.step_index].tasks;
         self.disallow_without_ticket(id, candidates, now);
-        let is_startable = |task: &Task| Self::is_startable(task, &self.inherited_workers, now);
+        let are_trials_used_up = self.are_trials_used_up(now);
+        let inherited = &self.inherited_workers;
+        let is_startable =
+            |task: &Task| Self::is_startable(task, inherited, are_trials_used_up, now);
         if step.gang {
             if tasks.iter().all(is_startable) {
                 let attempt = tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
@@ -276,6 +282,10 @@
                 self.held_back_starts += ready.len() - started;
                 return placed;
             }
+            if self.awaits_trial(id.task(index), now) {
+                self.plan_due = true;
+                continue;
+            }
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
             let in_place = self.candidate_in_place(id.task(index), step, candidates);
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -15,7 +15,6 @@
         task::{Job, Placement},
     },
     Cell, CellConfig,
-    crashes::has_crashing_task,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -175,6 +174,7 @@
             drains_expiry: Some(now + FLEET_SILENCE),
             fleet_epoch: Epoch::default(),
             suspects: IndexSet::new(),
+            lost_workers: Vec::new(),
             has_worker_list: false,
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
@@ -373,7 +373,7 @@
             };
             if job.is_done() {
                 self.finish_job(id, JobEnd::Succeeded, now);
-            } else if Self::has_failed(job, max_attempts) || has_crashing_task(job) {
+            } else if Self::has_failed(job, max_attempts) {
                 self.finish_job(id, JobEnd::Failed, now);
             }
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -320,13 +320,13 @@
         /// Whether the worker is known to have crashed.
         is_crash: bool,
     },
-    /// A long-running task that crashes its workers is not started for a while, or not any more.
+    /// A task that has lost several workers is not started for a while.
     TaskPaused {
         /// The task.
         task: TaskId,
         /// Number of workers that have crashed under it.
         crashes: usize,
-        /// How long it is not started; longer than any process lives if it is not any more.
+        /// How long it is not started.
         pause: Span,
     },
     /// A request to the advice service about a step was answered or failed.
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -10,9 +10,6 @@
 };
 use crate::{QueueId, Timestamp};
 
-/// The earliest next attempt of a task that is not started any more.
-pub(super) const SUSPENDED: Timestamp = Timestamp(u64::MAX);
-
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -27,6 +24,8 @@
     pub(super) run_workers: Vec<WorkerId>,
     /// Earliest time of the next attempt.
     pub(super) not_before: Timestamp,
+    /// Until when the task is not started because it has lost workers.
+    pub(super) paused_until: Timestamp,
     /// How often a run was stopped because its worker was too slow.
     pub(super) relocations: u32,
     /// Since when the task has not worked at full speed; `None` while it does. Used for
@@ -39,6 +38,8 @@
     pub(super) placement: Option<Placement>,
     /// Runs that were lost with their workers.
     pub(super) lost_runs: Vec<LostRun>,
+    /// How many racks were lost under the task in this term without being held against it.
+    pub(super) lost_racks: u32,
 }
 
 /// The latest logged placement of a task.
