Log what a lapse and an order about a VM rest on

A lease that lapses counts like a stop, and an order about a VM in the standby pool rests on the list of VMs alone; neither showed in the logs. The end of a run of a long-running task now names how many others of its step are away, how many may be, and the age of the last renewal that the worker confirmed. `move ordered` and `maintenance ordered` name the VM's pool and the age of the list, counted from when it was asked for.

--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -42,7 +42,7 @@
 
     fn on_run_end(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
         let RunEnd { task, attempt, kind, .. } = *end;
-        self.log_run_end(id, end);
+        self.log_run_end(id, end, now);
         let at_fault = self.is_worker_at_fault(id, task.job, kind);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_ended_attempt(task, attempt);
@@ -91,12 +91,16 @@
         self.finish_if_over(task.job, now);
     }
 
-    fn log_run_end(&mut self, id: &WorkerId, end: &RunEnd) {
+    fn log_run_end(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
         let RunEnd { task, attempt, kind, .. } = *end;
         let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
         let is_task_done = kind == EndKind::Done && step.is_none_or(|step| !step.long_running);
         let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::Ended { run, how: kind, is_task_done }));
+        let step = self.step_availability(task, now);
+        let renewed_at = self.workers.get(id).and_then(|worker| worker.renewed_at);
+        let renewed = renewed_at.map(|at| now.since(at));
+        let event = LogEvent::Ended { run, how: kind, is_task_done, step, renewed };
+        self.actions.push(Action::Log(event));
     }
 
     /// Logs that a step is done if it has no open tasks.
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -210,6 +210,8 @@
     /// Time of the latest order about each VM, or of the takeover if the previous owner sent it.
     ordered_at: IndexMap<VmId, Timestamp>,
     vms: IndexMap<VmId, Vm>,
+    /// When the platform's latest list was asked for.
+    vms_asked: Option<Timestamp>,
     /// Whether the platform's latest list has entries that could not be read.
     has_unreadable_vms: bool,
     waves: IndexMap<u64, Wave>,
@@ -277,6 +279,7 @@
             vm_not_before,
             ordered_at,
             vms: IndexMap::new(),
+            vms_asked: None,
             has_unreadable_vms: false,
             waves: IndexMap::new(),
             reported_waves: IndexMap::new(),
@@ -318,9 +321,10 @@
         self.standby = standby;
     }
 
-    /// Sets the VMs that the platform lists. `has_unreadable_entries` tells whether the list has
-    /// others that could not be read.
-    pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool) {
+    /// Sets the VMs that the platform lists, as it was asked at `asked`. `has_unreadable_entries` tells
+    /// whether the list has others that could not be read.
+    pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
+        self.vms_asked = Some(asked);
         self.has_unreadable_vms = has_unreadable_entries;
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         self.drop_finished_moves();
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -111,6 +111,10 @@
     pub worker: Option<WorkerId>,
     /// The age of the report of the worker's cell; `None` if there is none.
     pub report_age: Option<Span>,
+    /// The pool of the VM.
+    pub pool: Option<ServiceId>,
+    /// The age of the list of VMs, counted from when it was asked for.
+    pub list_age: Option<Span>,
 }
 
 impl Fleet {
@@ -122,6 +126,8 @@
         OrderBasis {
             worker: vm.and_then(|vm| vm.worker.clone()),
             report_age: report.map(|report| now.since(report.at)),
+            pool: vm.map(|vm| vm.pool.clone()),
+            list_age: self.vms_asked.map(|asked| now.since(asked)),
         }
     }
 
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -50,7 +50,11 @@
     let mut fleet = Fleet::new(config(), record, (Timestamp(1_000), 1_000));
     let (busy, spare) = (pool("desk"), pool("spare"));
     let vms = (0..4).map(|number| vm(number, &busy));
-    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect(), false);
+    fleet.set_vms(
+        vms.chain((4..8).map(|number| vm(number, &spare))).collect(),
+        false,
+        Timestamp(1_000),
+    );
     fleet.set_standby_pools(IndexSet::from([spare]));
     fleet
 }
@@ -59,7 +63,7 @@
 fn next_owner(record: FleetRecord, wall_ms: u64) -> Fleet {
     let mut next = Fleet::new(config(), record, (Timestamp(0), wall_ms));
     let spare = pool("spare");
-    next.set_vms((4..8).map(|number| vm(number, &spare)).collect(), false);
+    next.set_vms((4..8).map(|number| vm(number, &spare)).collect(), false, Timestamp(0));
     next.set_standby_pools(IndexSet::from([spare]));
     next
 }
@@ -468,7 +472,7 @@
     let (mut fleet, _) = fleet_with_order();
     fleet.on_order_outcome(&vm_id(0), OrderOutcome::Unknown, Timestamp(5_700));
 
-    fleet.set_vms(desk_vms(VmState::Up, Some(worker(9))), false);
+    fleet.set_vms(desk_vms(VmState::Up, Some(worker(9))), false, Timestamp(6_200));
     fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(6_200));
     fleet.tick(Timestamp(6_200));
     let at_work = maintained_vms(&fleet.take_actions());
@@ -486,7 +490,7 @@
     fleet.add_waves(vec![wave(&[0], 1)]);
     fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000));
     fleet.tick(Timestamp(4_100));
-    fleet.set_vms(desk_vms(VmState::Down, None), false);
+    fleet.set_vms(desk_vms(VmState::Down, None), false, Timestamp(4_200));
 
     fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_300));
     fleet.tick(Timestamp(4_300));
@@ -512,7 +516,7 @@
 fn a_new_owner_keeps_a_worker_drained_while_an_order_of_its_predecessor_may_stop_it() {
     let (_, record) = fleet_with_order();
     let mut next = Fleet::new(config(), record, (Timestamp(0), 5_000));
-    next.set_vms(desk_vms(VmState::Up, Some(worker(0))), false);
+    next.set_vms(desk_vms(VmState::Up, Some(worker(0))), false, Timestamp(0));
 
     let early = next.drain_requests(Timestamp(100));
     next.tick(Timestamp(5_000));
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -76,7 +76,7 @@
                 () => VmState::Up,
             };
         }
-        self.fleet.set_vms(self.vms.clone(), false);
+        self.fleet.set_vms(self.vms.clone(), false, now);
         let drains = self.fleet.drain_requests(now).shift_remove(&pool("desk")).unwrap_or_default();
         self.draining_since.retain(|id, _| drains.contains_key(id));
         for id in drains.keys() {
@@ -167,7 +167,11 @@
     let mut fleet = Fleet::new(config(), record, (Timestamp(0), wall_ms));
     let (desk, spare) = (pool("desk"), pool("spare"));
     let vms = (0..4).map(|number| vm(number, &desk));
-    fleet.set_vms(vms.chain((4..8).map(|number| vm(number, &spare))).collect(), false);
+    fleet.set_vms(
+        vms.chain((4..8).map(|number| vm(number, &spare))).collect(),
+        false,
+        Timestamp(0),
+    );
     fleet.set_standby_pools(IndexSet::from([spare]));
     fleet
 }
@@ -265,10 +269,10 @@
         fleet.take_actions().contains(&done)
     };
 
-    fleet.set_vms(listed.clone(), true);
+    fleet.set_vms(listed.clone(), true, Timestamp(100));
     fleet.tick(Timestamp(100));
     let while_unreadable = is_done(&mut fleet);
-    fleet.set_vms(listed, false);
+    fleet.set_vms(listed, false, Timestamp(200));
     fleet.tick(Timestamp(300));
     let once_gone = is_done(&mut fleet);
 
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -273,6 +273,10 @@
         how: EndKind,
         /// Whether the task is done, so that it will not start again.
         is_task_done: bool,
+        /// The other tasks of its step if the task is long-running.
+        step: Option<StepAvailability>,
+        /// The age of the latest renewal of the lease that the worker had confirmed, if any.
+        renewed: Option<Span>,
     },
     /// All tasks of a step are done.
     StepDone {
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -181,13 +181,14 @@
     }
 
     async fn refresh_vms(&self) {
+        let asked = clock::now();
         match self.vm_client.list().await {
             Ok(list) => {
                 if self.unreadable_vms.replace(list.unreadable) != list.unreadable {
                     warn!(self.node.log, "VM list has unreadable entries";
                         "unreadable" => list.unreadable, "vms" => list.vms.len());
                 }
-                self.fleet.borrow_mut().set_vms(list.vms, list.unreadable > 0);
+                self.fleet.borrow_mut().set_vms(list.vms, list.unreadable > 0, asked);
             }
             Err(err) => {
                 warn!(self.node.log, "failed to list VMs"; "error" => %err);
@@ -315,21 +316,24 @@
             return;
         }
         let (FleetOrder::Maintain(vm, _) | FleetOrder::Move(vm, _)) = &order;
-        let OrderBasis { worker, report_age } = self.fleet.borrow().order_basis(vm, clock::now());
-        let (worker, report_age_ms) =
-            (worker.as_ref().map(ToString::to_string), report_age.map(|age| age.0));
+        let OrderBasis { worker, report_age, pool: from, list_age } =
+            self.fleet.borrow().order_basis(vm, clock::now());
+        let (worker, from) = (worker.map(|id| id.to_string()), from.map(|pool| pool.to_string()));
+        let (report_age_ms, list_age_ms) = (report_age.map(|age| age.0), list_age.map(|age| age.0));
         match order {
             FleetOrder::Maintain(vm, wave) => {
                 let outcome = self.vm_client.start_maintenance(&vm, wave).await;
                 info!(self.node.log, "maintenance ordered"; "vm" => %vm, "wave" => wave,
-                    "worker" => worker, "report_age_ms" => report_age_ms,
+                    "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
+                    "list_age_ms" => list_age_ms,
                     "outcome" => ?outcome, "epoch" => self.epoch.0);
                 self.record_outcome(&vm, outcome);
             }
             FleetOrder::Move(vm, pool) => {
                 let outcome = self.vm_client.move_to_pool(&vm, &pool).await;
                 info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
-                    "worker" => worker, "report_age_ms" => report_age_ms,
+                    "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
+                    "list_age_ms" => list_age_ms,
                     "outcome" => ?outcome, "epoch" => self.epoch.0);
                 self.record_outcome(&vm, outcome);
             }
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -50,8 +50,11 @@
                     "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
             }
             LogEvent::Placed { step, tasks, waited } => self.write_placed(*step, tasks, *waited),
-            LogEvent::Ended { run, how, is_task_done: true } => self.write_task_done(run, *how),
-            LogEvent::Ended { run, how, is_task_done: false } => self.write_end(run, *how),
+            LogEvent::Ended { run, how, is_task_done: true, .. } => self.write_task_done(run, *how),
+            LogEvent::Ended { run, how, step: Some(step), renewed, .. } => {
+                self.write_long_running_end(run, *how, *step, *renewed);
+            }
+            LogEvent::Ended { run, how, .. } => self.write_end(run, *how),
             LogEvent::StepDone { step, runs } => {
                 info!(log, "step done"; "step" => %step, "runs" => runs, "epoch" => epoch);
             }
@@ -118,6 +121,23 @@
         }
     }
 
+    /// Writes the end of a run of a long-running task. One that has lapsed counts like one that was
+    /// stopped, so the line has what a stop's has.
+    fn write_long_running_end(
+        &self,
+        run: &RunId,
+        how: EndKind,
+        step: StepAvailability,
+        renewed: Option<Span>,
+    ) {
+        if self.limit.borrow_mut().admit("run ended") {
+            info!(self.log, "run ended"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "how" => ?how, "others_away" => step.away,
+                "may_be_away" => step.max_unavailable,
+                "renewed_ms_ago" => renewed.map(|age| age.0), "epoch" => self.epoch);
+        }
+    }
+
     fn write_lost(&self, run: &RunId, losses: usize, is_crash: bool) {
         if self.limit.borrow_mut().admit("run lost") {
             info!(self.log, "run lost"; "task" => %run.task, "attempt" => run.attempt,
