Failing test: a VM that was moved into a busy pool is maintained on the word of an older list

The list of VMs is read while orders are answered, so a list that was asked for before a move may arrive after the move was accepted, and stays if the next readings fail. It shows the VM on standby, and an order about such a VM asks no cell: it would end what runs there by then.

--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -525,3 +525,42 @@
     assert!(early.get(&pool("desk")).is_some_and(|drains| drains.contains_key(&worker(0))));
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Returns a fleet that has moved a standby VM to the busy pool, the VM, and when that was accepted.
+fn fleet_with_moved_vm() -> (Fleet, VmId, Timestamp) {
+    let mut fleet = fleet();
+    for step in 0..10_u64 {
+        let now = Timestamp(4_100 + step * 200);
+        fleet.on_cell_report(&pool("desk"), load(step * 40, step * step * 6), Vec::new(), now);
+        fleet.tick(now);
+        if let Some((moved, _)) = moves(&fleet.take_actions()).into_iter().next() {
+            fleet.on_order_outcome(&moved, OrderOutcome::Accepted, now);
+            return (fleet, moved, now);
+        }
+    }
+    panic!("no VM was moved");
+}
+
+/// Returns the VMs as they were given to the pools.
+fn given_vms() -> Vec<Vm> {
+    let vms = (0..8).map(|number| vm(number, &pool(if number < 4 { "desk" } else { "spare" })));
+    vms.collect()
+}
+
+/// Issue 42, by reading: an order about a VM on standby rested on a list of any age.
+#[test]
+fn a_vm_that_was_moved_since_the_list_was_asked_for_gets_no_order_unasked() {
+    let (mut fleet, moved, moved_at) = fleet_with_moved_vm();
+    fleet.set_vms(given_vms(), false, Timestamp(moved_at.0 - 50));
+    fleet.add_waves(vec![wave(&[4, 5, 6, 7], 4)]);
+
+    let with_old_list = moved_at + span(4_000);
+    fleet.tick(with_old_list);
+    let unasked = maintained_vms(&fleet.take_actions());
+    fleet.set_vms(given_vms(), false, with_old_list);
+    fleet.tick(with_old_list + span(100));
+    let listed_since = maintained_vms(&fleet.take_actions());
+
+    assert!(!unasked.contains(&moved), "{unasked:?}");
+    assert_eq!(unasked.len() + listed_since.len(), 4, "{unasked:?} {listed_since:?}");
+}
