A VM counts as on standby only by a list from after its latest order

An order about a VM on standby asks no cell, since nothing runs there. That the VM is on standby was taken from the latest list of VMs, whatever had been ordered since that list was asked for: a list that was on its way when a move was accepted, or that a new owner read before its predecessor's last order had taken effect, and after which no reading succeeded, let maintenance end what ran on the VM by then. Only orders move VMs, so a list shows where a VM is if it was asked for once the latest order about it had taken effect; until then the VM's cell is asked as for any other VM. A copy of an order that got no answer is sent as before, it only asks for the outcome.

Two older tests let a new owner order about a VM of its predecessor's on a list from the start of its term, which is the fault; they pass a new list now and check the same orders at the same times.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -209,6 +209,9 @@
     vm_not_before: IndexMap<VmId, Timestamp>,
     /// Time of the latest order about each VM, or of the takeover if the previous owner sent it.
     ordered_at: IndexMap<VmId, Timestamp>,
+    /// VMs whose latest order the platform's list may not show, and the time from which on a list must
+    /// be asked for to show it for certain.
+    unlisted_orders: IndexMap<VmId, Timestamp>,
     vms: IndexMap<VmId, Vm>,
     /// When the platform's latest list was asked for.
     vms_asked: Option<Timestamp>,
@@ -271,6 +274,7 @@
         let vm_not_before: IndexMap<VmId, Timestamp> = vm_not_before.collect();
         let ordered_at = vm_not_before.keys().map(|vm_id| (vm_id.clone(), now)).collect();
         let stopped_workers = workers_of_predecessor(&record, &vm_not_before);
+        let unlisted_orders = vm_not_before.clone();
         Self {
             cfg,
             saved: record.clone(),
@@ -278,6 +282,7 @@
             orders_not_before,
             vm_not_before,
             ordered_at,
+            unlisted_orders,
             vms: IndexMap::new(),
             vms_asked: None,
             has_unreadable_vms: false,
@@ -325,6 +330,7 @@
     /// whether the list has others that could not be read.
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
         self.vms_asked = Some(asked);
+        self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
         self.has_unreadable_vms = has_unreadable_entries;
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         self.drop_finished_moves();
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -131,10 +131,16 @@
         }
     }
 
-    /// Whether an order about a VM ends no task: its cell has just reported the worker that is on it
-    /// as drained. A VM without a listed worker may have one by now.
+    /// Whether a VM is certainly on standby. Only orders move VMs, so a list shows where a VM is if it
+    /// was asked for once the latest order about the VM had taken effect.
+    fn is_certainly_standby(&self, vm: &Vm) -> bool {
+        self.is_standby(vm) && !self.unlisted_orders.contains_key(&vm.id)
+    }
+
+    /// Whether an order about a VM ends no task: the VM is on standby, or its cell has just reported
+    /// the worker that is on it as drained. A VM without a listed worker may have one by now.
     fn is_drained(&self, vm: &Vm, now: Timestamp) -> bool {
-        if self.standby.contains(&vm.pool) {
+        if self.is_certainly_standby(vm) {
             return true;
         }
         let report = self.cell_reports.get(&vm.pool);
@@ -145,10 +151,11 @@
     }
 
     /// Whether an order about a VM may be sent now. Each copy asks anew, unless the VM is already
-    /// away, so that the copy only asks for the outcome of the one before.
+    /// away or was on standby, so that the copy only asks for the outcome of the one before.
     fn may_send(&self, planned: &PlannedOrder, vm: &Vm, now: Timestamp) -> bool {
         let is_away = matches!(vm.state, VmState::Moving | VmState::Maintenance);
-        (planned.is_in_flight && is_away) || self.is_drained(vm, now)
+        let asks_for_outcome = is_away || self.is_standby(vm);
+        (planned.is_in_flight && asks_for_outcome) || self.is_drained(vm, now)
     }
 
     /// Drops the orders to move VMs that the platform now lists in their new pools.
@@ -220,6 +227,7 @@
                 planned.next_attempt = Timestamp(u64::MAX);
             }
             self.ordered_at.insert(vm_id.clone(), now);
+            self.unlisted_orders.insert(vm_id.clone(), Timestamp(u64::MAX));
             if let Some(worker) = vm.worker.filter(|_| !self.standby.contains(&vm.pool)) {
                 let ordered = OrderedWorker { pool: vm.pool, worker };
                 self.record.ordered_workers.insert(vm_id, ordered);
@@ -229,8 +237,19 @@
         orders
     }
 
+    /// Records from when on a list of VMs shows the effect of an order whose outcome is known, and that
+    /// of the copies before it.
+    fn note_effect_end(&mut self, vm_id: &VmId, outcome: OrderOutcome, now: Timestamp) {
+        let is_open = outcome == OrderOutcome::Unknown;
+        let effect_end = if is_open { now + self.cfg.takeover_pause } else { now };
+        let planned = self.planned_orders.get(vm_id);
+        let open_until = planned.map_or(now, |planned| planned.open_until);
+        self.unlisted_orders.insert(vm_id.clone(), effect_end.max(open_until));
+    }
+
     /// Handles the outcome of an order about a VM.
     pub fn on_order_outcome(&mut self, vm_id: &VmId, outcome: OrderOutcome, now: Timestamp) {
+        self.note_effect_end(vm_id, outcome, now);
         let Some(planned) = self.planned_orders.get_mut(vm_id) else {
             return;
         };
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -62,12 +62,17 @@
 /// Returns the fleet of an owner whose term begins at zero of its own clock, with the standby VMs.
 fn next_owner(record: FleetRecord, wall_ms: u64) -> Fleet {
     let mut next = Fleet::new(config(), record, (Timestamp(0), wall_ms));
-    let spare = pool("spare");
-    next.set_vms((4..8).map(|number| vm(number, &spare)).collect(), false, Timestamp(0));
-    next.set_standby_pools(IndexSet::from([spare]));
+    list_standby_vms(&mut next, Timestamp(0));
+    next.set_standby_pools(IndexSet::from([pool("spare")]));
     next
 }
 
+/// Passes the list of VMs that was asked for at `asked`; all are on standby.
+fn list_standby_vms(fleet: &mut Fleet, asked: Timestamp) {
+    let vms = (4..8).map(|number| vm(number, &pool("spare")));
+    fleet.set_vms(vms.collect(), false, asked);
+}
+
 /// Work of each job that arrives, in core-seconds.
 const JOB_CORE_S: u64 = 4;
 
@@ -150,6 +155,7 @@
     next.add_waves(vec![wave(&[4, 5, 6], 3)]);
     next.tick(Timestamp(100));
     let at_once = next.take_actions();
+    list_standby_vms(&mut next, Timestamp(3_600));
     next.tick(Timestamp(3_600));
     let later = next.take_actions();
 
@@ -412,6 +418,7 @@
     let at_once = next.take_actions();
     next.tick(Timestamp(2_900));
     let early = next.take_actions();
+    list_standby_vms(&mut next, Timestamp(3_100));
     next.tick(Timestamp(3_100));
     let later = next.take_actions();
 
@@ -564,3 +571,23 @@
     assert!(!unasked.contains(&moved), "{unasked:?}");
     assert_eq!(unasked.len() + listed_since.len(), 4, "{unasked:?} {listed_since:?}");
 }
+
+/// Issue 42, by reading: a list from before the previous owner's last order had taken effect.
+#[test]
+fn a_vm_that_the_previous_owner_may_have_moved_waits_for_a_new_list() {
+    let mut first = fleet();
+    first.add_waves(vec![wave(&[4], 1)]);
+    first.tick(Timestamp(4_100));
+    let record = saved(&first.take_actions());
+    let mut next = next_owner(record, 7_000);
+    next.add_waves(vec![wave(&[4], 1)]);
+
+    next.tick(Timestamp(9_000));
+    let with_old_list = maintained_vms(&next.take_actions());
+    list_standby_vms(&mut next, Timestamp(9_000));
+    next.tick(Timestamp(9_100));
+    let with_new_list = maintained_vms(&next.take_actions());
+
+    assert_eq!(with_old_list, []);
+    assert_eq!(with_new_list, [vm_id(4)]);
+}
