Failing test: leases lapse while a cell is handed over over slow links

From the record of a handover on, an owner sends no holds, and the next one can renew no lease before it has read the log and heard each worker once. If the last write takes 1.4 s and reading 4 s, all 16 long-running tasks of the model lapse.

--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -249,11 +249,19 @@
 
     /// Lets the owner hand the cell over, and runs until the log is written and the owner ends.
     pub fn hand_over(&mut self) {
+        self.hand_over_writing_for(0);
+    }
+
+    /// Like [`Model::hand_over`], but the store accepts no write for the first `write_ms`.
+    pub fn hand_over_writing_for(&mut self, write_ms: u64) {
         let wall_ms = self.wall_ms();
         if let Some(cell) = &mut self.cell {
             cell.hand_over(self.now, wall_ms);
         }
         self.is_handing_over = true;
+        self.is_store_available &= write_ms == 0;
+        self.run_for(write_ms);
+        self.is_store_available |= write_ms > 0;
         while self.cell.as_ref().is_some_and(|cell| !cell.is_log_idle()) {
             self.run_for(TICK_MS);
         }
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -3,11 +3,13 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, Span, Timestamp,
-    job::{DrainMode, JobId, Step, TaskId},
+    job::{DrainMode, EndKind, JobId, Step, TaskId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
-use crate::fixtures::{idle_worker, job_spec, new_model, partition, queue, step, task_id};
+use crate::fixtures::{
+    idle_worker, job_spec, long_running_job, new_model, partition, queue, step, task_id,
+};
 
 const JOB: JobId = JobId(7);
 
@@ -235,3 +237,25 @@
 
     assert_eq!(accepted, [true, true, true, false]);
 }
+
+/// Time that the last write of an owner takes whose link is full, in milliseconds.
+const SLOW_WRITE_MS: u64 = 1_400;
+
+/// Time that reading the log takes an owner with a slow link, from its claim on, in milliseconds.
+const SLOW_READ_MS: u64 = 4_000;
+
+/// Issue 42: leases were renewed neither while a cell was handed over nor while the next owner read
+/// the log, and lapsed one after the other.
+#[test]
+fn no_lease_lapses_while_a_cell_is_handed_over_over_slow_links() {
+    let mut model = new_model(8);
+    model.submit(JOB, &queue(), long_running_job(16, 2));
+    model.run_for(5_000);
+
+    model.hand_over_writing_for(SLOW_WRITE_MS);
+    model.take_over_reading_for(SLOW_READ_MS);
+    model.run_for(5_000);
+
+    assert_eq!(model.end_count(EndKind::Lapsed), 0);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
