Leases are renewed while a cell is handed over

What callers saw: tasks of two lasting steps ended within 36 ms, while as many others of their steps were away as may be (AVAIL), at a change of the cell's owner.

Cause: from the record of its handover on an owner sent no holds. It may take 1.5 s to write that record, the claim takes up to a second, and the next owner renews no lease before it has read the log and heard each worker once. Over a slow link or beside a burst that is as long as a lease, and leases lapse one after the other, in the order of their last renewals.

Now an owner renews the leases of the workers that answer for up to 1.5 s after it has recorded its handover, and orders nothing. The record allows for it: the time that it names for such a worker is when a lease from the last possible renewal has expired. When a lease ends is fixed when its renewal is decided on, so one that is sent late changes nothing. What the answers list is left to the next owner, so that the log can be finished. Workers that don't answer are not renewed, and the next owner waits for them no longer than before.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -115,8 +115,9 @@
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
     live: clean::LiveIndex,
-    /// Whether the handover was recorded, after which the owner sends no more orders.
-    is_handed_over: bool,
+    /// Set once the handover was recorded, after which the owner sends no more orders and only renews
+    /// leases.
+    handover: Option<recover::Handover>,
     deferred_effects: VecDeque<(Position, DeferredEffect)>,
     /// Runs, given by worker, task and attempt, whose placements have just become durable.
     durable_placements: Vec<(WorkerId, TaskId, u32)>,
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -152,7 +152,7 @@
     pub(super) fn clean_log(&mut self, now: Timestamp) {
         // The next owner looks for the handover in the segments of the last term.
         let can_write = self.log.is_write_due(now) || self.log.is_idle();
-        if self.is_handed_over || !can_write {
+        if self.handover.is_some() || !can_write {
             return;
         }
         let mut copy_bytes = COPY_BYTES_PER_WRITE.min(self.log.room_bytes());
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -23,6 +23,9 @@
 /// The shortest interval between two holds of one worker.
 const HOLD_INTERVAL: Span = Span(60);
 
+/// The same while the cell is handed over.
+const HANDOVER_HOLD_INTERVAL: Span = Span(400);
+
 /// The interval between holds of a worker without runs.
 const IDLE_HOLD_INTERVAL: Span = Span(3_000);
 
@@ -61,7 +64,7 @@
 }
 
 /// Notes in the worker's state that a hold is sent, and returns it.
-fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
+pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
@@ -150,6 +153,10 @@
             }
             return;
         };
+        if self.handover.as_ref().is_some_and(|handover| handover.only_renews(sent)) {
+            worker.next_hold = now + HANDOVER_HOLD_INTERVAL;
+            return;
+        }
         let named = (report.started_wall_ms, Some(report.clock_ms));
         let order = worker.place_answer(report.started_wall_ms, report.clock_ms, (sent, now));
         let event = worker.other_instance("answer", named, order, now);
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -13,8 +13,9 @@
         StoredSegment, TaskId, TaskSnapshot, UnsettledWorker, WorkerId,
         record::EncodedRecord,
         task::{Job, Placement},
+        worker::Worker,
     },
-    Cell, CellConfig,
+    Cell, CellConfig, holds,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -65,6 +66,31 @@
 /// for 1.5 s, the order is sent within 1 s, and its call takes 1.5 s at most.
 const FLEET_SILENCE: Span = Span(4_000);
 
+/// How long an owner that hands its cell over renews leases. The next owner can renew none before it has
+/// read the log, so they should have almost their whole duration left when the term ends.
+const HANDOVER_RENEWALS: Span = Span(1_500);
+
+/// Added to the computed expiry of the last renewal, to allow for the resolution of clocks.
+const RENEWAL_MARGIN: Span = Span(50);
+
+/// What an owner still does once its handover is recorded.
+#[derive(Clone, Debug)]
+pub(super) struct Handover {
+    began: Timestamp,
+    /// The workers whose leases are renewed. The record allows for it.
+    renewed: IndexSet<WorkerId>,
+    /// The time from which on none is renewed.
+    until: Timestamp,
+}
+
+impl Handover {
+    /// Whether a hold that was sent at `sent` only renews a lease. What its answer lists is left to the
+    /// next owner, so that the log can be finished.
+    pub(super) fn only_renews(&self, sent: Timestamp) -> bool {
+        sent >= self.began
+    }
+}
+
 /// How long a lease can last by this node's clock, in percent of its nominal duration, because the
 /// worker's clock may be slow.
 const LEASE_STRETCH_PERCENT: u64 = 103;
@@ -151,7 +177,7 @@
             workers: IndexMap::new(),
             log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
             live: super::clean::LiveIndex::default(),
-            is_handed_over: false,
+            handover: None,
             deferred_effects: std::collections::VecDeque::new(),
             durable_placements: Vec::new(),
             actions: Vec::new(),
@@ -242,7 +268,14 @@
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
         let longest_lease = self.longest_lease();
-        let own = own.map(|worker| (&worker.entry.id, worker.lease_expiry(longest_lease, now)));
+        let handover = self.plan_handover(now);
+        let last_renewal_expiry = self.expiry_after(handover.until) + RENEWAL_MARGIN;
+        let own = own.map(|worker| {
+            let id = &worker.entry.id;
+            let expiry = worker.lease_expiry(longest_lease, now);
+            let is_renewed = handover.renewed.contains(id);
+            (id, if is_renewed { expiry.max(last_renewal_expiry) } else { expiry })
+        });
         let pending = |(worker, expiry): (&WorkerId, Timestamp)| UnsettledWorker {
             worker: worker.clone(),
             lapse_wall_ms: wall_ms + expiry.since(now).0,
@@ -253,7 +286,28 @@
         let inherited = inherited.filter(|(id, _)| !has_runs(id));
         let pending = own.chain(inherited).map(pending).collect();
         self.record(Record::HandedOver { pending }, now, None);
-        self.is_handed_over = true;
+        self.handover = Some(handover);
+    }
+
+    /// Decides whose leases are renewed during the handover: those of workers with runs that answer. The
+    /// next owner waits for the others no longer than it has to.
+    fn plan_handover(&self, now: Timestamp) -> Handover {
+        let answers = |worker: &&Worker| worker.is_adopted && worker.hold_failures == 0;
+        let with_runs = self.workers.values().filter(|worker| !worker.runs.is_empty());
+        let renewed = with_runs.filter(answers).map(|worker| worker.entry.id.clone()).collect();
+        Handover { began: now, renewed, until: now + HANDOVER_RENEWALS }
+    }
+
+    /// Sends the holds that are due during a handover, which renew leases and order nothing else.
+    pub fn renew_during_handover(&mut self, now: Timestamp) {
+        let Some(handover) = self.handover.as_ref().filter(|handover| now < handover.until) else {
+            return;
+        };
+        for id in &handover.renewed {
+            if let Some(worker) = self.workers.get_mut(id).filter(|one| one.is_hold_due(now)) {
+                self.actions.push(holds::hold(id, worker, self.cfg.lease, now));
+            }
+        }
     }
 
     fn replay(
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -80,6 +80,15 @@
     Log(LogEvent),
 }
 
+impl Action {
+    /// Whether an owner still carries it out after its handover is recorded: nothing is ordered any
+    /// more, but leases are renewed.
+    #[must_use]
+    pub fn is_allowed_during_handover(&self) -> bool {
+        matches!(self, Self::Reply(..) | Self::Log(_) | Self::Hold { .. })
+    }
+}
+
 /// An entry of a worker's list of runs that have not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedRun {
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -529,7 +529,9 @@
         let Some(cell) = &mut self.cell else {
             return;
         };
-        if !self.is_handing_over {
+        if self.is_handing_over {
+            cell.renew_during_handover(now);
+        } else {
             let started = processor_time();
             cell.tick(now, wall_ms);
             let elapsed = processor_time().saturating_sub(started);
@@ -542,7 +544,7 @@
         }
         let mut actions = cell.take_actions();
         if self.is_handing_over {
-            actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
+            actions.retain(Action::is_allowed_during_handover);
         }
         if self.is_store_available
             && let Some((epoch, write)) = self.pending_write.take()
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -300,7 +300,7 @@
     }
 
     /// Advances the cell to the current time and executes the actions that it requests. During a
-    /// handover, only replies and log events are executed.
+    /// handover, only replies, log events and renewals of leases are executed.
     fn tick(self: &Rc<Self>) {
         // Other nodes may own the cell by now if this thread was held up.
         session::end_expired_terms(&self.node);
@@ -313,13 +313,15 @@
             let Some(cell) = cell.as_mut() else {
                 return;
             };
-            if !self.is_handing_over.get() {
+            if self.is_handing_over.get() {
+                cell.renew_during_handover(clock::now());
+            } else {
                 cell.tick(clock::now(), clock::wall_ms());
             }
             cell.take_actions()
         };
         if self.is_handing_over.get() {
-            actions.retain(|action| matches!(action, Action::Reply(..) | Action::Log(_)));
+            actions.retain(Action::is_allowed_during_handover);
         }
         for action in actions {
             self.execute(action);
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -87,18 +87,29 @@
                 });
             }
             Action::Hold { worker, lease_end, last_seen, wait } => {
-                self.spawn_call(&worker, async move |owner, target| {
+                self.spawn_permitted(&worker, Self::may_renew, async move |owner, target| {
                     owner.hold(&target, lease_end, last_seen, wait).await;
                 });
             }
         }
     }
 
-    /// Calls a worker in a task of its own. Returns whether the worker's address is known.
+    /// Orders something of a worker in a task of its own. Returns whether the worker's address is known.
     fn spawn_call(
         self: &Rc<Self>,
         worker: &WorkerId,
         call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
+    ) -> bool {
+        self.spawn_permitted(worker, Self::may_order, call)
+    }
+
+    /// Calls a worker in a task of its own, if that is permitted at the moment of sending. Returns whether
+    /// the worker's address is known.
+    fn spawn_permitted(
+        self: &Rc<Self>,
+        worker: &WorkerId,
+        is_permitted: impl Fn(&Self) -> bool + 'static,
+        call: impl AsyncFnOnce(Rc<Self>, Target) + 'static,
     ) -> bool {
         let target = self.targets.borrow().get(worker).cloned();
         let Some(target) = target else {
@@ -107,7 +118,7 @@
         };
         let owner = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            if owner.may_order() {
+            if is_permitted(&owner) {
                 call(owner, target).await;
             }
         });
@@ -117,8 +128,14 @@
     /// Whether orders may be sent at this moment. The process may have been paused since they were
     /// decided on, or the cell may be being handed over.
     fn may_order(&self) -> bool {
+        self.may_renew() && !self.is_handing_over.get()
+    }
+
+    /// Whether leases may be renewed at this moment. When a lease ends was fixed when its renewal was
+    /// decided on, and the record of a handover allows for it.
+    fn may_renew(&self) -> bool {
         session::end_expired_terms(&self.node);
-        !self.is_term_over.get() && !self.is_handing_over.get()
+        !self.is_term_over.get()
     }
 
     /// Why a start order, or a copy of it, must not be sent at this moment; `None` if it may.
