Test: a task whose lease was renewed during a handover starts elsewhere only once it has lapsed

It passes with and without the allowance in the record of the handover: the margin for wall clocks covers the renewals that the model's timing leads to. It shows that nothing runs twice, not that the allowance is needed.

--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -259,3 +259,22 @@
     assert_eq!(model.end_count(EndKind::Lapsed), 0);
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// The record of a handover allows for the renewals that follow it.
+#[test]
+fn a_task_whose_lease_was_renewed_during_a_handover_starts_elsewhere_only_once_it_has_lapsed() {
+    for phase_ms in (0..1_000).step_by(50) {
+        let mut model = new_model(3);
+        model.submit(JOB, &queue(), long_running_job(6, 2));
+        model.run_for(5_000 + phase_ms);
+
+        model.hand_over_writing_for(SLOW_WRITE_MS);
+        partition(&mut model, &"w0".into());
+        model.take_over();
+        model.run_for(12_000);
+
+        let is_running = |index| model.workers().any(|one| one.is_running(task_id(JOB, index)));
+        assert!((0..6).all(is_running), "{phase_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{phase_ms}");
+    }
+}
