--- a/crates/standins/tests/cells/restarts.rs
+++ b/crates/standins/tests/cells/restarts.rs
@@ -6,7 +6,7 @@
 
 use teaselgap_core::{
     Span, Timestamp,
-    job::{HoldReport, JobEnd, JobId, JobState, ListedRun, LogEvent, TaskId, WorkerId},
+    job::{EndKind, HoldReport, JobEnd, JobId, JobState, ListedRun, LogEvent, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
@@ -34,6 +34,9 @@
 /// Time from a restart until the new instance can be reached, in milliseconds.
 const AWAY_MS: u64 = 300;
 
+/// The same for a worker that is back at once.
+const SHORT_AWAY_MS: u64 = 50;
+
 /// Time after which a hold that is not answered is repeated, in milliseconds.
 const UNHEARD_MS: u64 = 600 + 250;
 
@@ -183,6 +186,31 @@
     assert!(done, "{:?}", state(&model, JOB));
 }
 
+/// Guards against a task that runs again after it was done: the number by which the owner confirms ends
+/// of one instance made the next one forget an end that the owner had not seen. The hold that confirmed
+/// is lost with the first, and the next one leaves because an order was lost, too.
+#[test]
+fn the_number_of_an_end_of_one_instance_confirms_no_end_of_the_next() {
+    for restart_ms in (0..500).step_by(20) {
+        let mut model = new_model(1);
+        model.count_every_start();
+        model.submit(JobId(1), &queue(), job_spec(vec![step(1, 3_500, 5_000)]));
+        model.submit(JobId(2), &queue(), job_spec(vec![step(1, 3_500, 300)]));
+        model.run_until(SETTLE_MS, |model| model.end_count(EndKind::Done) == 1);
+        model.run_for(restart_ms);
+
+        model.keep_entry("w0", LATE_ENTRY_MS);
+        model.restart_worker_at("w0", model.wall_ms(), SHORT_AWAY_MS);
+        model.submit(JobId(3), &queue(), job_spec(vec![step(1, 3_500, 300)]));
+        model.run_for(SHORT_AWAY_MS);
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 200)]));
+        let done = model.run_until(MAX_WAIT_MS, is_done);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{restart_ms}");
+        assert!(done, "{restart_ms}");
+    }
+}
+
 /// Creates a model with a second owner, in which the first order to start a task is still on its way
 /// and a copy of it has begun the task. Returns the worker and when the order arrives.
 fn model_with_late_order() -> (Model, WorkerId, Timestamp) {
