Test that fails: two instances of one name are not told apart if the later one is heard later in its life

The same name counts as a restart only if the clock has gone back; after a short life, and some seconds in which the next one isn't heard, it hasn't. Its ends then count as those of the life before.

--- a/crates/standins/tests/cells/restarts.rs
+++ b/crates/standins/tests/cells/restarts.rs
@@ -37,6 +37,9 @@
 /// The same for a worker that is back at once.
 const SHORT_AWAY_MS: u64 = 50;
 
+/// How long an instance lives before it can be reached, in milliseconds: longer than the one before.
+const UNHEARD_LIFE_MS: u64 = 4_000;
+
 /// Time after which a hold that is not answered is repeated, in milliseconds.
 const UNHEARD_MS: u64 = 600 + 250;
 
@@ -186,6 +189,28 @@
     assert!(done, "{:?}", state(&model, JOB));
 }
 
+/// The clock of the later instance doesn't go back if it is heard later in its life than the one before;
+/// but it shows less than that one's would.
+#[test]
+fn an_instance_that_names_the_same_start_is_told_from_a_short_life_before() {
+    let mut model = new_model(1);
+    model.count_every_start();
+    model.restart_worker_at("w0", model.wall_ms(), SHORT_AWAY_MS);
+    model.run_for(2 * ENTRY_INTERVAL_MS);
+    model.submit(JobId(1), &queue(), job_spec(vec![step(1, 3_500, 100)]));
+    model.run_for(ENTRY_INTERVAL_MS);
+    let started_wall_ms = model.worker_mut("w0").entry.started_wall_ms;
+
+    model.restart_worker_at("w0", started_wall_ms, SHORT_AWAY_MS);
+    model.make_unreachable("w0", UNHEARD_LIFE_MS);
+    model.run_for(UNHEARD_LIFE_MS + SETTLE_MS);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 100)]));
+    let done = model.run_until(MAX_WAIT_MS, is_done);
+
+    assert_eq!(model.violations(), [] as [&str; 0]);
+    assert!(done, "{:?}", state(&model, JOB));
+}
+
 /// Guards against a task that runs again after it was done: the number by which the owner confirms ends
 /// of one instance made the next one forget an end that the owner had not seen. The hold that confirmed
 /// is lost with the first, and the next one leaves because an order was lost, too.
