--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -35,6 +35,10 @@
 /// The number of unanswered holds in a row after which a worker gets no new tasks.
 pub(super) const MAX_HOLD_FAILURES: u32 = 2;
 
+/// The age of a worker's latest answer up to which a hold may confirm ends although an order may have
+/// reached another instance. That would have to start, and to end a task, within this time.
+const CONFIRMATION_AGE: Span = Span(200);
+
 /// The part of a lease, in percent, after which its renewal can't wait any more.
 const RENEWAL_DUE_PERCENT: u64 = 50;
 
@@ -63,8 +67,23 @@
     }
 }
 
+/// Whether a hold may confirm ends. The worker may have restarted unnoticed. It then numbers its ends
+/// from the beginning, and a number of before would confirm ends that have not been handled. It has
+/// none if no order can have reached another instance than the known one, nor right after an answer.
+/// A hold that waited only for others confirms all the same, or an owner short of room never would.
+fn may_confirm_ends(worker: &Worker, now: Timestamp) -> bool {
+    let is_fresh = worker.clock.is_some_and(|clock| now <= clock.at + CONFIRMATION_AGE);
+    let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
+    let has_ends = worker.hold_failures == 0 && worker.lists_ends;
+    let may_have_restarted = worker.instances.open_entry.is_some();
+    has_ends
+        && !may_have_restarted
+        && (is_fresh || is_delayed || !worker.may_have_orders_elsewhere(now))
+}
+
 /// Notes in the worker's state that a hold is sent, and returns it.
 pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
+    let may_confirm = may_confirm_ends(worker, now);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
@@ -85,10 +104,6 @@
     } else {
         HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
     };
-    // The worker may have restarted unnoticed. It then numbers its ends from the beginning, and the
-    // old number would confirm ends that have not been handled, so it is sent only where there is
-    // something to confirm.
-    let may_confirm = worker.hold_failures == 0 && worker.lists_ends;
     let last_seen = if may_confirm { worker.ends_durable } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
 }
@@ -231,7 +246,7 @@
         };
         worker.next_hold =
             now + if worker.runs.is_empty() { IDLE_HOLD_INTERVAL } else { HOLD_INTERVAL };
-        if worker.ends_seen > worker.ends_durable {
+        if worker.ends_seen > worker.ends_durable || worker.lists_ends {
             worker.next_hold = now + HOLD_INTERVAL;
         }
         if !was_adopted || had_failed_holds {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -608,6 +608,12 @@
         self.open_orders.push(order);
     }
 
+    /// Whether a start order may have reached another instance than the newest known one.
+    pub(super) fn may_have_orders_elsewhere(&self, now: Timestamp) -> bool {
+        let is_open = |run: &Run| run.state != RunState::Planned && !run.ends_with_instance;
+        self.has_open_orders(now) || self.runs.values().any(is_open)
+    }
+
     /// Whether a copy of a start order to the worker may still take effect.
     pub(super) fn has_open_orders(&self, now: Timestamp) -> bool {
         self.open_orders.iter().any(|order| now <= order.expiry)
