--- a/crates/core/src/job/worker/instance.rs
+++ b/crates/core/src/job/worker/instance.rs
@@ -9,12 +9,15 @@
 #[cfg(test)]
 mod tests;
 
-use super::{CLOCK_MARGIN, ClockReading, OtherInstance, Worker, WorkerEntry};
+use super::{CLOCK_DRIFT_PERCENT, CLOCK_MARGIN, ClockReading, OtherInstance, Worker, WorkerEntry};
 use crate::{Span, Timestamp};
 
 /// Maximum number of earlier instances of a worker that are remembered.
 const MAX_EARLIER_INSTANCES: usize = 8;
 
+/// Percentage by which a worker's clock certainly is not slower than true time.
+const MAX_DRIFT_PERCENT: u64 = CLOCK_DRIFT_PERCENT + 1;
+
 /// Longest time after which a write to the store that got no answer may still be carried out.
 const LATE_WRITE_LIFETIME: Span = Span(10_000);
 
@@ -81,6 +84,12 @@
         Timestamp(self.at.0.saturating_sub(self.worker_ms))
     }
 
+    /// The least that the clock of the same instance shows at a later time, however slow it is.
+    fn least_at(&self, later: Timestamp) -> u64 {
+        let advanced = later.since(self.at).0 * (100 - MAX_DRIFT_PERCENT) / 100;
+        self.worker_ms.max((self.worker_ms + advanced).saturating_sub(CLOCK_MARGIN.0))
+    }
+
     /// Whether an answer that has just arrived with this reading of the worker's clock comes from
     /// the instance of this reading or from an earlier one. A later instance started after this
     /// reading was asked for, so its clock can't show more than the time since then.
@@ -112,9 +121,10 @@
             };
         };
         if is_same_name {
-            // The clock of one instance never goes back, but two may have the same name.
-            let has_gone_back = sent > known.at && clock_ms < known.worker_ms;
-            return if has_gone_back { InstanceOrder::Later } else { InstanceOrder::Same };
+            // Two may have the same name, but the clock of one goes on.
+            let is_asked_since = sent > known.at;
+            let has_restarted = is_asked_since && clock_ms < known.least_at(sent);
+            return if has_restarted { InstanceOrder::Later } else { InstanceOrder::Same };
         }
         let is_not_earlier = sent > known.latest_start();
         let is_not_later = known.covers(clock_ms, now);
