--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod fixtures;
 mod flow;
+mod given_up;
 mod instances;
 mod log;
 mod long_running;
