--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -106,6 +106,20 @@
     })
 }
 
+/// When every lease of a worker that the previous owner listed in its handover has certainly expired.
+/// The time that this takes is counted from now, after the handover, and not on two wall clocks.
+fn unsettled_expiry(
+    unsettled: &UnsettledWorker,
+    (now, wall_ms): (Timestamp, u64),
+    earlier_leases_expiry: Timestamp,
+) -> Timestamp {
+    let Some(lapse_in_ms) = unsettled.lapse_in_ms else {
+        let left = unsettled.lapse_wall_ms.saturating_sub(wall_ms);
+        return earlier_leases_expiry.min(now + Span(left + WALL_CLOCK_MARGIN.0));
+    };
+    now + Span(lapse_in_ms)
+}
+
 /// Converts a time in milliseconds since the Unix epoch to this node's clock.
 fn timestamp_of(wall_ms: u64, (now, wall_now_ms): (Timestamp, u64)) -> Timestamp {
     let age = wall_now_ms.saturating_sub(wall_ms);
@@ -221,14 +235,12 @@
         cell.inherited_workers = match handed_over {
             // The previous owner knew which workers had runs, and when their leases expire.
             Some(pending) => {
-                let left_ms =
-                    |unsettled: &UnsettledWorker| unsettled.lapse_wall_ms.saturating_sub(wall_ms);
                 let expiry_of = |unsettled: &UnsettledWorker| {
-                    now + Span(left_ms(unsettled) + WALL_CLOCK_MARGIN.0)
+                    unsettled_expiry(unsettled, (now, wall_ms), expiry)
                 };
                 pending
                     .iter()
-                    .map(|unsettled| (unsettled.worker.clone(), expiry.min(expiry_of(unsettled))))
+                    .map(|unsettled| (unsettled.worker.clone(), expiry_of(unsettled)))
                     .collect()
             }
             None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
@@ -269,21 +281,26 @@
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
         let longest_lease = self.longest_lease();
         let handover = self.plan_handover(now);
-        let last_renewal_expiry = self.expiry_after(handover.until) + RENEWAL_MARGIN;
         let own = own.map(|worker| {
             let id = &worker.entry.id;
             let expiry = worker.lease_expiry(longest_lease, now);
-            let is_renewed = handover.renewed.contains(id);
-            (id, if is_renewed { expiry.max(last_renewal_expiry) } else { expiry })
+            if !handover.renewed.contains(id) {
+                return (id, expiry, expiry);
+            }
+            let last_renewal_expiry = self.expiry_after(handover.until) + RENEWAL_MARGIN;
+            // The next owner counts from a time after the last renewal.
+            let renewal_expiry = self.expiry_after(now) + RENEWAL_MARGIN;
+            (id, expiry.max(last_renewal_expiry), expiry.max(renewal_expiry))
         });
-        let pending = |(worker, expiry): (&WorkerId, Timestamp)| UnsettledWorker {
-            worker: worker.clone(),
-            lapse_wall_ms: wall_ms + expiry.since(now).0,
+        let pending = |(worker, expiry, counted): (&WorkerId, Timestamp, Timestamp)| {
+            let lapse_in_ms = Some(counted.since(now).0);
+            let lapse_wall_ms = wall_ms + expiry.since(now).0;
+            UnsettledWorker { worker: worker.clone(), lapse_wall_ms, lapse_in_ms }
         };
         let has_runs =
             |id: &WorkerId| self.workers.get(id).is_some_and(|worker| !worker.runs.is_empty());
-        let inherited = self.inherited_workers.iter().map(|(id, expiry)| (id, *expiry));
-        let inherited = inherited.filter(|(id, _)| !has_runs(id));
+        let inherited = self.inherited_workers.iter().filter(|(id, _)| !has_runs(id));
+        let inherited = inherited.map(|(id, expiry)| (id, *expiry, *expiry));
         let pending = own.chain(inherited).map(pending).collect();
         self.record(Record::HandedOver { pending }, now, None);
         self.handover = Some(handover);
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -42,8 +42,13 @@
 pub struct UnsettledWorker {
     /// The worker.
     pub worker: WorkerId,
-    /// When every lease of the worker has certainly expired, in milliseconds since the Unix epoch.
+    /// When every lease of the worker has certainly expired, in milliseconds since the Unix epoch. Used
+    /// only for a handover that doesn't say how long that takes.
     pub lapse_wall_ms: u64,
+    /// How long leases last at most once the handover is over, in milliseconds. The next owner counts it
+    /// on its own clock, as owners' wall clocks may differ by any time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lapse_in_ms: Option<u64>,
 }
 
 /// A run that was lost with its worker.
