--- a/crates/core/src/job/worker/instance.rs
+++ b/crates/core/src/job/worker/instance.rs
@@ -4,7 +4,8 @@
 //! of the wall clock, which may be set back. The order follows from the worker's monotonic clock, which
 //! starts anew with each instance, and from when the owner asked. An entry in the store says only that
 //! its instance has existed: it may have been written late, and stays until its successor is written.
-//! So the worker is asked, unless nothing that an earlier instance wrote can appear any more.
+//! So the worker is asked. Only if it doesn't answer, and nothing that an earlier instance wrote can
+//! appear any more, the entry counts.
 
 #[cfg(test)]
 mod tests;
@@ -143,7 +144,7 @@
             InstanceOrder::Same
         } else if self.instances.earlier.contains(&started_wall_ms) {
             InstanceOrder::Earlier
-        } else if self.instances.is_entry_settled {
+        } else if self.instances.is_entry_settled && self.hold_failures > 0 {
             InstanceOrder::Later
         } else {
             InstanceOrder::Open
