--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -97,3 +97,21 @@
     assert!(!worker.knows_instance_of(2_000, now));
     assert!(!worker.knows_instance_of(0, now));
 }
+
+/// Guards a run that a next instance may have got, on a lease of its own clock, against being started
+/// elsewhere once the lease on the known instance's clock has ended.
+#[test]
+fn a_run_of_an_unknown_instance_is_not_bound_by_the_clock_of_the_known_one() {
+    let mut worker = worker();
+    worker.record_clock(60_000, ANSWERED, ANSWERED);
+    worker.last_lease_end_sent = 65_500;
+    let run = Run::unknown(1, RunState::Running, ANSWERED);
+    worker.runs.insert(task(), run);
+
+    let of_unknown = worker.lease_expiry(LONGEST_LEASE, ANSWERED);
+    worker.runs[&task()].ends_with_instance = true;
+    let of_known = worker.lease_expiry(LONGEST_LEASE, ANSWERED);
+
+    assert_eq!(of_unknown, ANSWERED + LONGEST_LEASE);
+    assert!(of_known < ANSWERED + Span(6_000));
+}
--- a/crates/standins/tests/cells/restarts.rs
+++ b/crates/standins/tests/cells/restarts.rs
@@ -6,7 +6,10 @@
 
 use teaselgap_core::{
     Span, Timestamp,
-    job::{EndKind, HoldReport, JobEnd, JobId, JobState, ListedRun, LogEvent, TaskId, WorkerId},
+    job::{
+        DrainMode, EndKind, HoldReport, JobEnd, JobId, JobState, ListedRun, LogEvent, TaskId,
+        WorkerId,
+    },
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
@@ -295,6 +298,24 @@
     assert_eq!(model.sent_copies(), 1);
 }
 
+#[test]
+fn no_copy_of_a_start_order_leaves_while_its_run_is_being_stopped() {
+    let mut model = new_model(1);
+    // The order is still on its way, and no stop is answered, so the run stays booked.
+    let late_ms = LATE_ORDER_MS;
+    let faults = WorkerFaults { late_orders: 1, late_ms, lost_stops: 9, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 3_000)]));
+    assert!(model.run_until(1_000, |model| model.ordered_worker(task()).is_some()));
+
+    let drains = [("w0".into(), DrainMode::StopAll)].into_iter().collect();
+    model.cell_mut().expect("an owner").set_drains(drains);
+    model.run_for(2 * REPEAT_MS);
+
+    assert!(is_stopping(&model));
+    assert_eq!(model.sent_copies(), 0);
+}
+
 #[test]
 fn no_copy_of_a_start_order_leaves_after_the_stop_of_its_run() {
     let (mut model, _) = model_with_unanswered_order();
