Logs tell by whose word an owner goes on, and what its successor waits for

Change: one bounded line each: `asked whether the store is away` (nodes, silent ones, least age of the store, lease left or past, whether the owner goes on), `earlier owners may give orders`, `worker` with `leases of earlier terms expired`, `run adopted`; `previous owner has ended` has the epoch and how long was waited. The rule by which an owner goes on moves to the core (job/permission.rs) with its two tests, word for word in what they check. No logic changes.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -25,6 +25,7 @@
 mod message;
 mod order;
 mod pace;
+mod permission;
 mod place;
 mod record;
 mod retransmit;
@@ -52,6 +53,7 @@
         Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, OtherInstance, Outlook,
         PlacedTask, RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
     },
+    permission::{PeerWord, Permission},
     record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
     retransmit::RetransmitTimer,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -416,6 +416,10 @@
             !is_adopted && !is_expired
         });
         self.plan_due |= self.inherited_workers.len() < before;
+        for worker in lost_workers.iter().cloned() {
+            let change = "leases of earlier terms expired";
+            self.actions.push(Action::Log(LogEvent::Worker { worker, change, runs: 0 }));
+        }
         self.suspect_inherited_tasks(&lost_workers, now);
         if !self.inherited_workers.is_empty() {
             return;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -334,6 +334,8 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
         }
+        let run = RunId { task: listed_run.task, attempt: listed_run.attempt, worker: id.clone() };
+        self.actions.push(Action::Log(LogEvent::RunAdopted { run, is_needed }));
         // The list also shows whether the task is available.
         self.apply_listed_run(id, listed_run, now);
         if !is_needed {
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -382,6 +382,13 @@
         /// Why the order was withheld; `None` if it was sent.
         withheld: Option<&'static str>,
     },
+    /// A list showed a run that this owner had not ordered, or had given up.
+    RunAdopted {
+        /// The run.
+        run: RunId,
+        /// Whether it goes on; otherwise it is stopped.
+        is_needed: bool,
+    },
     /// The owner's view of a worker changed.
     Worker {
         /// The worker.
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -128,6 +128,8 @@
     let own_term = own_term.filter(|term| term.epoch.0 == earlier_revision);
     let earlier_orders_end =
         own_term.map_or(claimed_at + session::owner_ttl(node), |term| term.orders_end);
+    info!(node.log, "earlier owners may give orders"; "cell" => %service, "epoch" => epoch.0,
+        "until_ms" => earlier_orders_end.since(claimed_at).0, "is_own_term" => own_term.is_some());
     let owner = Rc::new(CellOwner {
         node: Rc::clone(node),
         service: service.clone(),
@@ -364,7 +366,8 @@
         let now = clock::now();
         if now < self.earlier_orders_end.get() {
             self.earlier_orders_end.set(now);
-            info!(self.node.log, "previous owner has ended"; "cell" => %self.service);
+            info!(self.node.log, "previous owner has ended"; "cell" => %self.service,
+                "epoch" => self.epoch.0, "waited_ms" => now.since(self.started_at).0);
             self.with_cell(|cell| cell.on_predecessor_ended(now));
         }
     }
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -59,9 +59,10 @@
         self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
     }
 
-    pub(super) fn other_addresses(&self, own: &NodeId) -> Vec<SocketAddr> {
+    /// The other registered nodes and their addresses.
+    pub(super) fn other_addresses(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
         let others = self.nodes.values().filter(|record| record.node != *own);
-        others.map(|record| record.address).collect()
+        others.map(|record| (record.node.clone(), record.address)).collect()
     }
 
     /// Whether a later process has registered under the name and address of `predecessor`.
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -93,6 +93,10 @@
             LogEvent::PlannedStart { run, other_runs, withheld } => {
                 self.write_planned_start(run, *other_runs, *withheld);
             }
+            LogEvent::RunAdopted { run, is_needed } => {
+                let reason = if *is_needed { "goes on" } else { "not needed" };
+                self.write_run("run adopted", run, reason);
+            }
             LogEvent::Worker { worker, change, runs } => {
                 info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
                     "cell" => cell, "epoch" => epoch);
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -5,16 +5,13 @@
 //! restarts under the same name and address knows that its earlier process has ended, and takes
 //! over the duties of that process at once.
 
-#[cfg(test)]
-mod tests;
-
 use std::{rc::Rc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Span, Timestamp,
-    job::{Duty, LagMonitor, LinkRate, OrderRate},
+    NodeId, Span, Timestamp,
+    job::{Duty, LagMonitor, LinkRate, OrderRate, PeerWord, Permission},
 };
 use teaselgap_platform::{
     settings::{Limits, StoreSettings},
@@ -45,6 +42,9 @@
 /// The shortest interval between two rounds of questions whether the store can be reached.
 const OUTAGE_QUESTION_INTERVAL: Span = Span(300);
 
+/// The shortest interval between two log lines about such rounds.
+const OUTAGE_REPORT_INTERVAL: Span = Span(1_000);
+
 /// How long the control thread may make no progress before the lease is renewed no more.
 const MAX_CONTROL_STALL: Span = Span(3_000);
 
@@ -52,22 +52,12 @@
 /// duties, and how long its own registration may take to appear among the members.
 pub(super) const SETTLE_TIME: Span = Span(600);
 
-/// How long an owner whose lease has expired continues after other nodes last confirmed that they
-/// can't reach the store either. No node can claim its duties while the store is unreachable.
-const OUTAGE_CONFIRMATION_TTL: Span = Span(1_000);
-
 /// A node that last reached the store within this time counts as able to reach it.
 pub(super) const STORE_REACHABLE_WINDOW: Span = Span(900);
 
-/// The longest time for which an owner may continue after another node has claimed its duty.
-///
-/// The store drops the key of a duty only once the owner's lease has ended there, and an owner
-/// counts its lease from before it asked for it. It continues beyond that only while the other
-/// nodes confirm that the store is away. The node that claimed the duty denies that from its next
-/// renewal on, at the latest when its own lease would end; a confirmation counts for
-/// `OUTAGE_CONFIRMATION_TTL`. An owner that can't reach the claimant is not covered.
+/// The longest time for which an owner may give orders after another node has claimed its duty.
 pub(super) fn owner_ttl(node: &Node) -> Span {
-    Span(lease_ttl(node).0 + OUTAGE_CONFIRMATION_TTL.0)
+    Permission::orders_after_claim(lease_ttl(node))
 }
 
 /// The state of the node's registration and of the claims made under its lease.
@@ -78,9 +68,10 @@
     next_registration_check: Timestamp,
     /// When other nodes may be asked next whether they can't reach the store either.
     next_outage_question: Timestamp,
-    /// When this node sent the latest calls to other nodes whose answers confirmed an outage of the
-    /// store.
-    outage_confirmed_at: Timestamp,
+    /// What the questions to other nodes have brought.
+    permission: Permission,
+    /// When what they have brought may be logged next.
+    next_outage_report: Timestamp,
     /// Duties whose claim is in progress.
     pub(super) claiming: IndexSet<Duty>,
     /// When each free duty was first seen to be free.
@@ -277,26 +268,16 @@
 /// beyond the end of its lease only while other nodes confirm that they can't reach it either.
 pub(super) fn end_expired_terms(node: &Rc<Node>) {
     let valid_until = node.lease.valid_until();
-    let outage_confirmed_at = node.session.borrow().outage_confirmed_at;
     let now = clock::now();
     if valid_until == Timestamp(0) || has_no_duty(node) {
         return;
     }
-    if is_permission_over(valid_until, outage_confirmed_at, now) {
+    let is_over = node.session.borrow().permission.is_over(valid_until, now);
+    if is_over {
         end_all_terms(node, "the lease could not be renewed");
     }
 }
 
-/// Whether an owner may not act any more: its lease has expired, and the last confirmation that the
-/// store is away is too old.
-fn is_permission_over(
-    valid_until: Timestamp,
-    outage_confirmed_at: Timestamp,
-    now: Timestamp,
-) -> bool {
-    now > valid_until && now > outage_confirmed_at + OUTAGE_CONFIRMATION_TTL
-}
-
 fn has_no_duty(node: &Node) -> bool {
     node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none()
 }
@@ -306,7 +287,8 @@
 fn confirm_outage_if_due(node: &Rc<Node>) {
     let valid_until = node.lease.valid_until();
     let now = clock::now();
-    let is_close = valid_until != Timestamp(0) && now + OUTAGE_CONFIRMATION_TTL > valid_until;
+    let is_close = valid_until != Timestamp(0)
+        && node.session.borrow().permission.is_question_due(valid_until, now);
     if !is_close || has_no_duty(node) || now < node.session.borrow().next_outage_question {
         return;
     }
@@ -314,21 +296,51 @@
     tokio::task::spawn_local(confirm_store_outage(Rc::clone(node)));
 }
 
-/// Asks the other nodes when they last reached the store, and records an outage if none of those
-/// that answer can reach it. If no other node is registered, the outage counts as confirmed.
+/// Asks the other nodes when they last reached the store, and records what they say.
 async fn confirm_store_outage(node: Rc<Node>) {
     let asked_at = clock::now();
     let addresses = node.members.borrow().other_addresses(&node.id);
-    let ages = addresses.iter().map(|&address| node.peers.store_age(address));
-    let ages: Vec<Span> =
-        futures_util::future::join_all(ages).await.into_iter().flatten().collect();
-    let is_outage = ages.iter().all(|&age| age > STORE_REACHABLE_WINDOW);
-    if is_outage && (addresses.is_empty() || !ages.is_empty()) {
-        let mut session = node.session.borrow_mut();
-        session.outage_confirmed_at = session.outage_confirmed_at.max(asked_at);
+    let questions = addresses
+        .iter()
+        .map(async |(other, address)| (other.clone(), node.peers.store_age(*address).await));
+    let ages: Vec<(NodeId, Option<Span>)> = futures_util::future::join_all(questions).await;
+    let words: Vec<(NodeId, PeerWord)> =
+        ages.iter().map(|(other, age)| (other.clone(), peer_word(*age))).collect();
+    let is_confirmed = node.session.borrow_mut().permission.record_round(asked_at, &words);
+    report_outage_round(&node, &ages, is_confirmed);
+}
+
+/// What a node's answer says, which names how long ago it last reached the store; `None` if there was
+/// no answer.
+fn peer_word(age: Option<Span>) -> PeerWord {
+    match age {
+        Some(age) if age > STORE_REACHABLE_WINDOW => PeerWord::StoreAway,
+        Some(_) => PeerWord::Denial,
+        None => PeerWord::Silent,
     }
 }
 
+/// Logs, at most once a second, what the other nodes said and whether this one goes on by it.
+fn report_outage_round(node: &Node, ages: &[(NodeId, Option<Span>)], is_confirmed: bool) {
+    let (now, lease_end) = (clock::now(), node.lease.valid_until());
+    if now < node.session.borrow().next_outage_report {
+        return;
+    }
+    let is_over = {
+        let mut session = node.session.borrow_mut();
+        session.next_outage_report = now + OUTAGE_REPORT_INTERVAL;
+        session.permission.is_over(lease_end, now)
+    };
+    let silent = ages.iter().find(|(_, age)| age.is_none());
+    let least_age = ages.iter().filter_map(|(_, age)| *age).min();
+    info!(node.log, "asked whether the store is away"; "nodes" => ages.len(),
+        "silent" => ages.iter().filter(|(_, age)| age.is_none()).count(),
+        "first_silent" => silent.map(|(other, _)| other.as_str()),
+        "least_store_age_ms" => least_age.map(|age| age.0), "confirmed" => is_confirmed,
+        "lease_left_ms" => lease_end.since(now).0, "past_lease_ms" => now.since(lease_end).0,
+        "goes_on" => !is_over);
+}
+
 fn end_all_terms(node: &Rc<Node>, reason: &'static str) {
     let cell_owners: Vec<Rc<host::CellOwner>> =
         node.cell_owners.borrow_mut().drain(..).map(|(_, owner)| owner).collect();
