--- a/crates/core/src/job/permission/tests.rs
+++ b/crates/core/src/job/permission/tests.rs
@@ -4,6 +4,8 @@
 
 const LEASE_END: Timestamp = Timestamp(10_000);
 
+const LEASE_TTL: Span = Span(2_000);
+
 fn words(words: &[PeerWord]) -> Vec<(NodeId, PeerWord)> {
     let name = |index: usize| format!("n{index}").parse().expect("a name");
     words.iter().enumerate().map(|(index, word)| (name(index), *word)).collect()
@@ -11,7 +13,7 @@
 
 #[test]
 fn an_owner_may_act_until_its_lease_expires() {
-    let permission = Permission::default();
+    let permission = Permission::new(LEASE_TTL);
 
     assert!(!permission.is_over(LEASE_END, LEASE_END));
     assert!(permission.is_over(LEASE_END, LEASE_END + Span(1)));
@@ -20,7 +22,7 @@
 /// Guards against a process that was paused and goes on with what others allowed it before.
 #[test]
 fn a_confirmation_from_before_a_pause_allows_nothing_after_it() {
-    let mut permission = Permission::default();
+    let mut permission = Permission::new(LEASE_TTL);
     permission.record_round(LEASE_END, &words(&[PeerWord::StoreAway]));
 
     let soon = LEASE_END + CONFIRMATION_TTL;
@@ -30,8 +32,6 @@
     assert!(permission.is_over(LEASE_END, after_pause));
 }
 
-const LEASE_TTL: Span = Span(2_000);
-
 /// How often an owner asks.
 const INTERVAL_MS: u64 = 300;
 
@@ -39,7 +39,7 @@
 /// the other nodes say to a question sent at a time. Returns when the permission ends; `until` if it
 /// doesn't.
 fn ask_until(until: Timestamp, says: impl Fn(Timestamp) -> Vec<PeerWord>) -> Timestamp {
-    let mut permission = Permission::default();
+    let mut permission = Permission::new(LEASE_TTL);
     let mut now = Timestamp(LEASE_END.0 - 1_000);
     while now < until {
         permission.record_round(now, &words(&says(now)));
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -216,12 +216,27 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub load: ::prost::bytes::Bytes,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct StoreAgeRequest {}
+/// A duty that the caller holds, with the epoch of its term.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Term {
+    #[prost(string, tag = "1")]
+    pub duty: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StoreAgeRequest {
+    #[prost(message, repeated, tag = "1")]
+    pub terms: ::prost::alloc::vec::Vec<Term>,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StoreAgeReply {
+    /// Zero if the receiver may have claimed one of the duties.
     #[prost(uint64, tag = "1")]
     pub age_ms: u64,
+    /// Whether the receiver may have claimed one of the duties.
+    #[prost(bool, tag = "2")]
+    pub may_have_claimed: bool,
 }
 /// Generated client implementations.
 pub mod cell_client {
@@ -355,7 +370,8 @@
                 .insert(GrpcMethod::new("teaselgap.cell.Cell", "Direct"));
             self.inner.unary(req, path, codec).await
         }
-        /// How long ago the receiver last reached the platform's store.
+        /// How long ago the receiver last reached the platform's store, and whether it may have claimed one of
+        /// the caller's duties.
         pub async fn store_age(
             &mut self,
             request: impl tonic::IntoRequest<super::StoreAgeRequest>,
@@ -402,7 +418,8 @@
             &self,
             request: tonic::Request<super::DirectRequest>,
         ) -> std::result::Result<tonic::Response<super::DirectReply>, tonic::Status>;
-        /// How long ago the receiver last reached the platform's store.
+        /// How long ago the receiver last reached the platform's store, and whether it may have claimed one of
+        /// the caller's duties.
         async fn store_age(
             &self,
             request: tonic::Request<super::StoreAgeRequest>,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -34,6 +34,7 @@
 mod node;
 mod note;
 mod operator;
+mod outage;
 mod owner_load;
 mod peer;
 mod repeat;
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -38,6 +38,9 @@
 /// How often the node looks for duties that it should claim.
 const DUTY_POLL_INTERVAL: Span = Span(100);
 
+/// How long a claim that got no answer may still take effect.
+const OPEN_CLAIM_TIME: Span = Span(15_000);
+
 /// How long an owner keeps a cell before it may hand it over to a node that can carry more.
 const MIN_TENURE: Span = Span(3_000);
 
@@ -288,7 +291,14 @@
         puts: vec![Put { key: key.to_owned(), value: own_record_json(node), lease: Some(lease) }],
         deletes: Vec::new(),
     };
-    match node.repeater.transact(&node.store, &txn).await {
+    let duty = key.strip_prefix(DUTY_PREFIX).unwrap_or(key);
+    let expiry = clock::now() + OPEN_CLAIM_TIME;
+    node.session.borrow_mut().open_claims.insert(duty.to_owned(), expiry);
+    let result = node.repeater.transact(&node.store, &txn).await;
+    if !matches!(result, Err(StoreError::Uncertain(_) | StoreError::Compacted)) {
+        node.session.borrow_mut().open_claims.swap_remove(duty);
+    }
+    match result {
         Ok(Outcome::Done(revision)) => Some(Epoch(revision)),
         // An earlier copy of this claim may have taken effect without an answer.
         Ok(Outcome::Conflict(items)) => {
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -5,11 +5,17 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use teaselgap_core::{
-    Incarnation, NodeId,
+    Epoch, Incarnation, NodeId, Span, Timestamp,
     job::{Candidate, Duty, OrderRate},
 };
 use teaselgap_platform::store::Item;
 
+use crate::clock;
+
+/// How long a node that is no longer registered counts as one that may claim duties. It may only have
+/// lost its lease, and registers again as soon as it reaches the store.
+const FORMER_MEMBER_TIME: Span = Span(30_000);
+
 /// The prefix of the keys of members and duties. Each node watches all of them, so their values must
 /// be small.
 pub(super) const CONTROL_PREFIX: &str = "teaselgap/control/";
@@ -36,6 +42,8 @@
 pub(crate) struct Members {
     pub(super) nodes: IndexMap<NodeId, NodeRecord>,
     pub(super) owners: IndexMap<Duty, (NodeRecord, u64)>,
+    /// Nodes that are no longer registered, each with when it is forgotten.
+    former: IndexMap<NodeId, (SocketAddr, Timestamp)>,
     /// The last known owner of each duty before its key was deleted or this node claimed the duty.
     pub(super) predecessors: IndexMap<Duty, NodeRecord>,
     /// The revision up to which the store has been read.
@@ -59,10 +67,35 @@
         self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
     }
 
-    /// The other registered nodes and their addresses.
-    pub(super) fn other_addresses(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
-        let others = self.nodes.values().filter(|record| record.node != *own);
-        others.map(|record| (record.node.clone(), record.address)).collect()
+    /// The other nodes that may claim duties, with their addresses: those that are registered, and
+    /// those that were a moment ago.
+    pub(super) fn possible_claimants(
+        &self,
+        own: &NodeId,
+        now: Timestamp,
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let registered = self.nodes.values().map(|record| (&record.node, record.address));
+        let former = self.former.iter().filter(|(_, (_, forgotten))| now < *forgotten);
+        let former = former.map(|(node, (address, _))| (node, *address));
+        let all = registered.chain(former).filter(|(node, _)| *node != own);
+        all.map(|(node, address)| (node.clone(), address)).collect()
+    }
+
+    /// Whether the store has shown a later term of a duty than that of this epoch.
+    pub(super) fn has_later_term(&self, duty: &str, epoch: Epoch) -> bool {
+        self.owners.get(duty).is_some_and(|(_, revision)| *revision > epoch.0)
+    }
+
+    fn add_node(&mut self, node: NodeId, record: NodeRecord) {
+        self.former.swap_remove(&node);
+        self.nodes.insert(node, record);
+    }
+
+    fn remove_node(&mut self, node: &NodeId) {
+        if let Some(record) = self.nodes.swap_remove(node) {
+            let forgotten = clock::now() + FORMER_MEMBER_TIME;
+            self.former.insert(node.clone(), (record.address, forgotten));
+        }
     }
 
     /// Whether a later process has registered under the name and address of `predecessor`.
@@ -80,9 +113,9 @@
                 return;
             };
             match record {
-                Some(record) => self.nodes.insert(node, record),
-                None => self.nodes.swap_remove(&node),
-            };
+                Some(record) => self.add_node(node, record),
+                None => self.remove_node(&node),
+            }
         } else if let Some(duty) = key.strip_prefix(DUTY_PREFIX) {
             match record {
                 Some(record) => {
@@ -98,7 +131,10 @@
     }
 
     pub(super) fn replace_all(&mut self, items: &[Item], revision: u64) {
-        self.nodes.clear();
+        let nodes: Vec<NodeId> = self.nodes.keys().cloned().collect();
+        for node in nodes {
+            self.remove_node(&node);
+        }
         for (duty, (record, _)) in self.owners.drain(..) {
             self.predecessors.insert(duty, record);
         }
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -30,8 +30,8 @@
     instruction::{CellReport, PoolInstruction},
     lease::LeaseRenewer,
     members::Members,
-    operator,
-    peer::{self, NodeRequest, Peers, PendingInstruction},
+    operator, outage,
+    peer::{self, NodeRequest, Peers, PendingInstruction, PendingStoreAge},
     repeat::{MAX_STORE_COPIES, Repeater},
     roster,
     session::{self, Session},
@@ -149,10 +149,9 @@
                 tokio::task::spawn_local(ask::answer_request(Rc::clone(self), pending));
             }
             NodeRequest::Instruct(pending) => self.handle_instruction(pending),
-            NodeRequest::StoreAge(reply) => {
-                let reached_at = self.lease.store_reached_at();
+            NodeRequest::StoreAge(PendingStoreAge { terms, reply }) => {
                 // The caller may have stopped waiting.
-                let _ = reply.send(clock::now().since(reached_at));
+                let _ = reply.send(outage::store_word(self, &terms));
             }
         }
     }
@@ -227,7 +226,7 @@
         shared,
         peers: Peers::default(),
         lease,
-        session: RefCell::new(Session::default()),
+        session: RefCell::new(Session::new(&settings.store)),
         members: RefCell::new(Members::default()),
         cell_owners: RefCell::new(IndexMap::new()),
         ended_terms: RefCell::new(IndexMap::new()),
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -9,11 +9,11 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, IdError, ServiceId, Span, Timestamp,
-    job::{DrainMode, JobEnd, JobId, JobState, Outlook},
+    job::{DrainMode, Duty, JobEnd, JobId, JobState, Outlook},
 };
 use teaselgap_proto::cell::{
     AskReply, AskRequest, DirectReply, DirectRequest, Outlook as WireOutlook, StoreAgeReply,
-    StoreAgeRequest,
+    StoreAgeRequest, Term as WireTerm,
     ask_reply::{Outcome, State},
     ask_request::Verb as WireOperation,
     cell_client::CellClient,
@@ -77,13 +77,31 @@
 /// The longest wait for another node to tell when it last reached the store.
 const STORE_AGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A duty that a node holds, with the epoch of its term.
+pub(super) type Term = (Duty, Epoch);
+
+/// A node's word on the store and on the terms that it was asked about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct StoreWord {
+    /// How long ago the node last reached the store.
+    pub(super) age: Span,
+    /// Whether it may have claimed one of the duties.
+    pub(super) may_have_claimed: bool,
+}
+
+/// The question of another node, which holds these terms, whether this one can reach the store.
+#[derive(Debug)]
+pub(crate) struct PendingStoreAge {
+    pub(super) terms: Vec<Term>,
+    pub(super) reply: oneshot::Sender<StoreWord>,
+}
+
 /// A request of another node or of a client account to this node.
 #[derive(Debug)]
 pub(crate) enum NodeRequest {
     Cell(PendingRequest),
     Instruct(PendingInstruction),
-    /// Asks how long ago this node last reached the store.
-    StoreAge(oneshot::Sender<Span>),
+    StoreAge(PendingStoreAge),
 }
 
 /// Connections to other nodes, each opened when first used.
@@ -154,16 +172,19 @@
         }
     }
 
-    /// Asks the node at `address` how long ago it last reached the store. Returns `None` if it does
-    /// not answer.
-    pub(crate) async fn store_age(&self, address: SocketAddr) -> Option<Span> {
+    /// Asks the node at `address` how long ago it last reached the store, and whether it may have claimed
+    /// one of the duties of these terms. Returns `None` if it does not answer.
+    pub(super) async fn store_age(&self, address: SocketAddr, terms: &[Term]) -> Option<StoreWord> {
         let mut client = self.get(address)?;
-        let call = client.store_age(StoreAgeRequest {});
+        let to_wire = |(duty, epoch): &Term| WireTerm { duty: duty.clone(), epoch: epoch.0 };
+        let request = StoreAgeRequest { terms: terms.iter().map(to_wire).collect() };
+        let call = client.store_age(request);
         let Ok(Ok(reply)) = tokio::time::timeout(STORE_AGE_TIMEOUT, call).await else {
             self.discard_client(address);
             return None;
         };
-        Some(Span(reply.get_ref().age_ms))
+        let StoreAgeReply { age_ms, may_have_claimed } = *reply.get_ref();
+        Some(StoreWord { age: Span(age_ms), may_have_claimed })
     }
 
     /// Passes an instruction to the owner of a cell at `address`. Returns `None` if the node does not
@@ -366,12 +387,16 @@
 
     async fn store_age(
         &self,
-        _: Request<StoreAgeRequest>,
+        req: Request<StoreAgeRequest>,
     ) -> Result<Response<StoreAgeReply>, Status> {
+        let terms = req.into_inner().terms;
+        let terms = terms.into_iter().map(|term| (term.duty, Epoch(term.epoch))).collect();
         let (reply, reply_rx) = oneshot::channel();
-        self.enqueue(NodeRequest::StoreAge(reply))?;
-        let age_ms = reply_rx.await.map_err(stopping_status)?.0;
-        Ok(Response::new(StoreAgeReply { age_ms }))
+        self.enqueue(NodeRequest::StoreAge(PendingStoreAge { terms, reply }))?;
+        let StoreWord { age, may_have_claimed } = reply_rx.await.map_err(stopping_status)?;
+        // A node of an earlier version reads the age only.
+        let age_ms = if may_have_claimed { 0 } else { age.0 };
+        Ok(Response::new(StoreAgeReply { age_ms, may_have_claimed }))
     }
 
     async fn direct(&self, req: Request<DirectRequest>) -> Result<Response<DirectReply>, Status> {
--- a/src/jobs/peer/tests.rs
+++ b/src/jobs/peer/tests.rs
@@ -85,3 +85,24 @@
 
     assert!((300..1_000).contains(&refused), "{refused}");
 }
+
+#[tokio::test]
+async fn a_node_of_an_earlier_version_is_told_that_the_store_was_just_reached_after_a_claim() {
+    let (address, mut request_rx) = serve_peer().await;
+    let peers = Peers::default();
+    let terms = [("cell/drums".to_owned(), Epoch(9))];
+
+    let asked = peers.store_age(address, &terms);
+    let received = async {
+        let Some(NodeRequest::StoreAge(pending)) = request_rx.recv().await else {
+            panic!("no question about the store");
+        };
+        let word = StoreWord { age: Span(5_000), may_have_claimed: true };
+        pending.reply.send(word).expect("a caller that waits");
+        pending.terms
+    };
+    let (word, received) = tokio::join!(asked, received);
+
+    assert_eq!(word, Some(StoreWord { age: Span(0), may_have_claimed: true }));
+    assert_eq!(received, terms);
+}
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -10,8 +10,8 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    NodeId, Span, Timestamp,
-    job::{Duty, LagMonitor, LinkRate, OrderRate, PeerWord, Permission},
+    Span, Timestamp,
+    job::{Duty, LagMonitor, LinkRate, OrderRate, Permission},
 };
 use teaselgap_platform::{
     settings::{Limits, StoreSettings},
@@ -23,6 +23,7 @@
     lease::{LeaseStatus, RenewalConfig},
     members::{MEMBER_PREFIX, NodeRecord},
     node::Node,
+    outage::{self, OutageQuestions},
 };
 use crate::clock;
 
@@ -39,12 +40,6 @@
 /// A check of the registration that takes longer than this counts as lost.
 const MAX_REGISTRATION_CHECK: Span = Span(10_000);
 
-/// The shortest interval between two rounds of questions whether the store can be reached.
-const OUTAGE_QUESTION_INTERVAL: Span = Span(300);
-
-/// The shortest interval between two log lines about such rounds.
-const OUTAGE_REPORT_INTERVAL: Span = Span(1_000);
-
 /// How long the control thread may make no progress before the lease is renewed no more.
 const MAX_CONTROL_STALL: Span = Span(3_000);
 
@@ -66,14 +61,13 @@
     pub(super) registered_at: Timestamp,
     /// When the registration is checked next.
     next_registration_check: Timestamp,
-    /// When other nodes may be asked next whether they can't reach the store either.
-    next_outage_question: Timestamp,
-    /// What the questions to other nodes have brought.
-    permission: Permission,
-    /// When what they have brought may be logged next.
-    next_outage_report: Timestamp,
+    /// What the questions to other nodes whether they can reach the store have brought.
+    pub(super) outage: OutageQuestions,
     /// Duties whose claim is in progress.
     pub(super) claiming: IndexSet<Duty>,
+    /// Claims that may take effect although their outcomes are not known, each with when they no longer
+    /// can.
+    pub(super) open_claims: IndexMap<Duty, Timestamp>,
     /// When each free duty was first seen to be free.
     pub(super) free_since: IndexMap<Duty, Timestamp>,
     /// When this node claimed each of the duties that it owns.
@@ -86,6 +80,19 @@
     registered_rate: OrderRate,
 }
 
+impl Session {
+    /// Creates the state of a node that is not registered.
+    pub(super) fn new(store: &StoreSettings) -> Self {
+        Self { outage: OutageQuestions::new(ttl(store)), ..Self::default() }
+    }
+
+    /// Whether a claim of this duty may have taken effect, or may still do so.
+    pub(super) fn may_have_claimed(&self, duty: &str, now: Timestamp) -> bool {
+        let is_open = self.open_claims.get(duty).is_some_and(|expiry| now < *expiry);
+        is_open || self.claiming.contains(duty)
+    }
+}
+
 /// Keeps the lease, follows members and owners, and claims duties until the process ends.
 pub(super) async fn run(node: Rc<Node>) {
     tokio::task::spawn_local(duties::follow_members(Rc::clone(&node)));
@@ -152,7 +159,7 @@
             }
         }
         tokio::time::sleep(LEASE_POLL_INTERVAL).await;
-        confirm_outage_if_due(node);
+        outage::ask_if_due(node);
         end_expired_terms(node);
     }
 }
@@ -272,75 +279,16 @@
     if valid_until == Timestamp(0) || has_no_duty(node) {
         return;
     }
-    let is_over = node.session.borrow().permission.is_over(valid_until, now);
+    let is_over = node.session.borrow().outage.permission.is_over(valid_until, now);
     if is_over {
         end_all_terms(node, "the lease could not be renewed");
     }
 }
 
-fn has_no_duty(node: &Node) -> bool {
+pub(super) fn has_no_duty(node: &Node) -> bool {
     node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none()
 }
 
-/// Asks the other nodes whether the store is away, before the lease expires, so that their answers
-/// arrive in time.
-fn confirm_outage_if_due(node: &Rc<Node>) {
-    let valid_until = node.lease.valid_until();
-    let now = clock::now();
-    let is_close = valid_until != Timestamp(0)
-        && node.session.borrow().permission.is_question_due(valid_until, now);
-    if !is_close || has_no_duty(node) || now < node.session.borrow().next_outage_question {
-        return;
-    }
-    node.session.borrow_mut().next_outage_question = now + OUTAGE_QUESTION_INTERVAL;
-    tokio::task::spawn_local(confirm_store_outage(Rc::clone(node)));
-}
-
-/// Asks the other nodes when they last reached the store, and records what they say.
-async fn confirm_store_outage(node: Rc<Node>) {
-    let asked_at = clock::now();
-    let addresses = node.members.borrow().other_addresses(&node.id);
-    let questions = addresses
-        .iter()
-        .map(async |(other, address)| (other.clone(), node.peers.store_age(*address).await));
-    let ages: Vec<(NodeId, Option<Span>)> = futures_util::future::join_all(questions).await;
-    let words: Vec<(NodeId, PeerWord)> =
-        ages.iter().map(|(other, age)| (other.clone(), peer_word(*age))).collect();
-    let is_confirmed = node.session.borrow_mut().permission.record_round(asked_at, &words);
-    report_outage_round(&node, &ages, is_confirmed);
-}
-
-/// What a node's answer says, which names how long ago it last reached the store; `None` if there was
-/// no answer.
-fn peer_word(age: Option<Span>) -> PeerWord {
-    match age {
-        Some(age) if age > STORE_REACHABLE_WINDOW => PeerWord::StoreAway,
-        Some(_) => PeerWord::Denial,
-        None => PeerWord::Silent,
-    }
-}
-
-/// Logs, at most once a second, what the other nodes said and whether this one goes on by it.
-fn report_outage_round(node: &Node, ages: &[(NodeId, Option<Span>)], is_confirmed: bool) {
-    let (now, lease_end) = (clock::now(), node.lease.valid_until());
-    if now < node.session.borrow().next_outage_report {
-        return;
-    }
-    let is_over = {
-        let mut session = node.session.borrow_mut();
-        session.next_outage_report = now + OUTAGE_REPORT_INTERVAL;
-        session.permission.is_over(lease_end, now)
-    };
-    let silent = ages.iter().find(|(_, age)| age.is_none());
-    let least_age = ages.iter().filter_map(|(_, age)| *age).min();
-    info!(node.log, "asked whether the store is away"; "nodes" => ages.len(),
-        "silent" => ages.iter().filter(|(_, age)| age.is_none()).count(),
-        "first_silent" => silent.map(|(other, _)| other.as_str()),
-        "least_store_age_ms" => least_age.map(|age| age.0), "confirmed" => is_confirmed,
-        "lease_left_ms" => lease_end.since(now).0, "past_lease_ms" => now.since(lease_end).0,
-        "goes_on" => !is_over);
-}
-
 fn end_all_terms(node: &Rc<Node>, reason: &'static str) {
     let cell_owners: Vec<Rc<host::CellOwner>> =
         node.cell_owners.borrow_mut().drain(..).map(|(_, owner)| owner).collect();
