--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -260,7 +260,9 @@
 
 async fn claim_duty(node: Rc<Node>, duty: Duty, key_revision: u64) {
     let key = duty_key(&duty);
-    if let Some(epoch) = write_claim(&node, &key, key_revision).await {
+    let lease = node.lease.lease();
+    let epoch = write_claim(&node, &key, (key_revision, lease)).await;
+    if let Some(epoch) = epoch.filter(|epoch| is_claim_current(&node, &duty, (*epoch, lease))) {
         info!(node.log, "duty claimed"; "seat" => &duty, "epoch" => epoch.0,
             "earlier_revision" => key_revision);
         {
@@ -283,9 +285,31 @@
     session.free_since.swap_remove(&duty);
 }
 
-/// Writes the duty's key under this node's lease. Returns the epoch if this node owns the duty now.
-async fn write_claim(node: &Rc<Node>, key: &str, key_revision: u64) -> Option<Epoch> {
-    let lease = node.lease.lease()?;
+/// Whether the term of a claim may begin that was made under this lease. The process may have been
+/// paused meanwhile, so that the lease has expired, another one has replaced it, and other nodes have
+/// claimed the duty since.
+fn is_claim_current(node: &Node, duty: &Duty, (epoch, lease): (Epoch, Option<u64>)) -> bool {
+    let is_later_known = node.members.borrow().has_later_term(duty, epoch);
+    let is_current = depends_on(lease, node.lease.lease()) && !is_later_known;
+    if !is_current {
+        warn!(node.log, "claim not used"; "seat" => duty, "epoch" => epoch.0, "lease" => lease,
+            "newest_lease" => node.lease.lease(), "later_term_known" => is_later_known);
+    }
+    is_current
+}
+
+/// Whether a key that was written under the first lease depends on the node's present one.
+fn depends_on(written_under: Option<u64>, present: Option<u64>) -> bool {
+    written_under.is_some() && written_under == present
+}
+
+/// Writes the duty's key under this lease of the node. Returns the epoch if this node owns the duty now.
+async fn write_claim(
+    node: &Rc<Node>,
+    key: &str,
+    (key_revision, lease): (u64, Option<u64>),
+) -> Option<Epoch> {
+    let lease = lease?;
     let txn = Transaction {
         expected: vec![Expected { key: key.to_owned(), revision: key_revision }],
         puts: vec![Put { key: key.to_owned(), value: own_record_json(node), lease: Some(lease) }],
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -52,3 +52,12 @@
     let rates: Vec<OrderRate> = candidates.values().map(|candidate| candidate.order_rate).collect();
     assert_eq!(rates, [OrderRate(60), OrderRate(500)]);
 }
+
+/// After a pause the answer to a claim may come when the lease has been replaced.
+#[test]
+fn a_claim_under_an_expired_lease_begins_no_term_under_the_next_one() {
+    assert!(depends_on(Some(7), Some(7)));
+    assert!(!depends_on(Some(7), Some(8)));
+    assert!(!depends_on(Some(7), None));
+    assert!(!depends_on(None, None));
+}
