--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod link;
 mod log;
+mod owners;
 mod worker;
 
 use std::{
@@ -24,9 +25,9 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, EndKind,
-        FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig,
-        Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, FlowLimits,
+        HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
+        StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -34,6 +35,7 @@
 pub use self::{
     link::Link,
     log::MAX_VALUE_BYTES,
+    owners::{Afterlife, StrayOrders},
     worker::{ModelWorker, TaskTime},
 };
 
@@ -111,6 +113,10 @@
 }
 
 impl Call {
+    fn is_start(&self) -> bool {
+        matches!(self, Self::Start(_) | Self::RepeatedStart(_))
+    }
+
     /// Returns how long the owner waits for the answer.
     fn timeout(&self) -> Span {
         match self {
@@ -156,6 +162,8 @@
         call: Call,
         answer_arrives: bool,
         deadline: Timestamp,
+        /// The number of the worker instance that lived when the call was sent.
+        instance: u64,
     },
     ToCell {
         worker: WorkerId,
@@ -229,6 +237,10 @@
     queues: IndexMap<QueueId, QueueConfig>,
     /// The cell at its owner; `None` while no node owns it.
     cell: Option<Cell>,
+    /// Owners of earlier terms that still act.
+    earlier_owners: Vec<owners::EarlierOwner>,
+    /// Workers whose entries the store has lost, each with when the worker writes it again.
+    lapsed_entries: IndexMap<WorkerId, Timestamp>,
     /// Time until which owners of earlier terms than the current or latest one may have given
     /// orders.
     earlier_orders_end: Timestamp,
@@ -250,6 +262,7 @@
     sent_copies: u32,
     /// Which starts count.
     counted_starts: CountedStarts,
+    stray_orders: StrayOrders,
     log: log::LogStore,
     is_store_available: bool,
     /// During a handover the owner sends no more calls and only finishes writing its log.
@@ -367,6 +380,8 @@
             service,
             queues,
             cell: None,
+            earlier_owners: Vec::new(),
+            lapsed_entries: IndexMap::new(),
             earlier_orders_end: Timestamp(0),
             gave_up_at: Timestamp(0),
             epoch: Epoch(0),
@@ -378,6 +393,7 @@
             answer_delays: IndexMap::new(),
             sent_copies: 0,
             counted_starts: CountedStarts::AfterContact,
+            stray_orders: StrayOrders::All,
             log: log::LogStore::default(),
             is_store_available: true,
             is_handing_over: false,
@@ -512,12 +528,14 @@
     }
 
     fn tick(&mut self) {
+        self.tick_earlier_owners();
         self.keep_owner_lease();
         if self.now >= self.next_worker_list && self.is_store_available {
             self.next_worker_list = self.now + Span(WORKER_LIST_INTERVAL_MS);
             let now = self.now;
             let is_listed = |worker: &&ModelWorker| {
-                now <= worker.last_store_contact(now) + Span(WORKER_ENTRY_TTL_MS)
+                self.has_entry(&worker.entry.id)
+                    && now <= worker.last_store_contact(now) + Span(WORKER_ENTRY_TTL_MS)
             };
             let entries: Vec<WorkerEntry> =
                 self.workers.values().filter(is_listed).map(|one| self.listed_entry(one)).collect();
@@ -551,8 +569,9 @@
         {
             self.write_segment(epoch, write);
         }
+        let sender = self.present_sender();
         for action in actions {
-            self.perform(action);
+            self.perform(sender, action);
         }
     }
 
@@ -573,12 +592,4 @@
             self.pending_write = Some((epoch, write));
         }
     }
-
-    /// Returns how many run ends of a kind the owners have logged.
-    #[must_use]
-    pub fn end_count(&self, kind: EndKind) -> usize {
-        let is_kind =
-            |event: &&LogEvent| matches!(event, LogEvent::Ended { how, .. } if *how == kind);
-        self.log_events.iter().filter(is_kind).count()
-    }
 }
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -12,7 +12,7 @@
 
 use super::{
     ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, CountedStarts, Delivery, LATENCY_MS, Model,
-    ModelWorker, REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS,
+    ModelWorker, REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS, owners::Sender,
 };
 
 impl Model {
@@ -33,33 +33,33 @@
         self.link.as_mut().map_or(Span(0), |link| link.receive(bytes, now))
     }
 
-    pub(super) fn perform(&mut self, action: Action) {
+    pub(super) fn perform(&mut self, sender: Sender, action: Action) {
         match action {
             Action::Reply(token, answer) => {
                 self.answers.insert(token, answer);
             }
             Action::Log(event) => self.log_events.push(event),
             Action::Pace(..) => {}
-            Action::RequestAdvice(request) => self.request_advice(request),
+            Action::RequestAdvice(request) => self.request_advice(sender, request),
             Action::Start(worker, order) => {
-                self.starts_in_flight += 1;
+                self.starts_in_flight += usize::from(sender.epoch == self.epoch);
                 self.max_starts_in_flight = self.max_starts_in_flight.max(self.starts_in_flight);
                 self.last_orders.insert(order.task, worker.clone());
-                self.call(worker, Call::Start(order));
+                self.call(sender, worker, Call::Start(order));
             }
             Action::Stop(worker, task, attempt) => {
                 let sent = self.now;
-                self.call(worker, Call::Stop { task, attempt, sent });
+                self.call(sender, worker, Call::Stop { task, attempt, sent });
             }
             Action::Hold { worker, lease_end, last_seen, wait } => {
                 let call = Call::Hold { lease_end, last_seen, wait, sent: self.now };
-                self.call(worker, call);
+                self.call(sender, worker, call);
             }
         }
     }
 
     /// Sends a request to the advice service, which answers unless it is unavailable.
-    pub(super) fn request_advice(&mut self, request: AdviceRequest) {
+    pub(super) fn request_advice(&mut self, sender: Sender, request: AdviceRequest) {
         let allowed =
             request.workers.iter().filter(|&worker| self.allowed_workers.contains(worker));
         let allowed = allowed.map(|worker| (worker.clone(), TICKET.into())).collect();
@@ -67,7 +67,7 @@
             .is_advice_available
             .then_some(AdviceAnswer { allowed, validity: Span(TICKET_VALIDITY_MS) });
         self.advice_request_count += 1;
-        let (worker, epoch) = (request.workers[0].clone(), self.epoch);
+        let (worker, epoch) = (request.workers[0].clone(), sender.epoch);
         let reply = Reply::Advice(request, answer);
         self.send(ADVICE_LATENCY_MS, Delivery::ToCell { worker, epoch, reply });
     }
@@ -77,10 +77,10 @@
     }
 
     /// Sends a call to a worker, subject to the injected faults.
-    pub(super) fn call(&mut self, worker: WorkerId, call: Call) {
-        let epoch = self.epoch;
+    pub(super) fn call(&mut self, sender: Sender, worker: WorkerId, call: Call) {
+        let epoch = sender.epoch;
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
-        if self.is_unreachable(&worker) {
+        if epoch == self.epoch && self.is_unreachable(&worker) {
             self.schedule_timeout(worker, epoch, &call);
             return;
         }
@@ -92,7 +92,7 @@
             return;
         }
         let deadline = self.now + call.timeout();
-        let mut delay_ms = LATENCY_MS + self.send_over_link(call.bytes()).0;
+        let mut delay_ms = LATENCY_MS + sender.late_ms + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
         if let (Call::Stop { .. }, Some(faults)) = (&call, self.faults.get_mut(&worker))
             && faults.late_stops > 0
@@ -101,8 +101,7 @@
             delay_ms = faults.late_ms;
             answer_arrives = false;
         }
-        let is_start = matches!(call, Call::Start(_) | Call::RepeatedStart(_));
-        if let Some(faults) = self.faults.get_mut(&worker).filter(|_| is_start) {
+        if let Some(faults) = self.faults.get_mut(&worker).filter(|_| call.is_start()) {
             if faults.late_orders > 0 {
                 faults.late_orders -= 1;
                 delay_ms = faults.late_ms;
@@ -121,7 +120,9 @@
             _ if !answer_arrives => self.schedule_timeout(worker.clone(), epoch, &call),
             _ => {}
         }
-        let delivery = Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
+        let instance = self.workers.get(&worker).map_or(0, ModelWorker::instance);
+        let delivery =
+            Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline, instance };
         self.send(delay_ms, delivery);
     }
 
@@ -171,7 +172,13 @@
                 return;
             }
             match entry.remove() {
-                Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline } => {
+                Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline, instance } => {
+                    if call.is_start() && !self.may_deliver_start(&worker, epoch, instance) {
+                        if answer_arrives {
+                            self.schedule_timeout(worker, epoch, &call);
+                        }
+                        continue;
+                    }
                     self.on_call((worker, epoch), call, answer_arrives, deadline);
                 }
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
@@ -187,10 +194,10 @@
                 Delivery::LogRead => self.take_over_again(0),
                 Delivery::RepeatStart { worker, epoch, order } => {
                     let run = (order.task, order.attempt);
-                    let is_term_on = epoch == self.epoch;
-                    let cell = self.cell.as_ref().filter(|_| is_term_on);
-                    if cell.is_some_and(|cell| cell.may_send_start(&worker, run)) {
-                        self.call(worker, Call::RepeatedStart(order));
+                    let cell = self.cell_of(epoch);
+                    let may_send = cell.is_some_and(|cell| cell.may_send_start(&worker, run));
+                    if let Some(sender) = self.sender_of(epoch).filter(|_| may_send) {
+                        self.call(sender, worker, Call::RepeatedStart(order));
                     } else {
                         self.schedule_timeout(worker, epoch, &Call::Start(order));
                     }
@@ -261,12 +268,21 @@
                     let instance = worker.instance();
                     let call = Call::PendingHold { last_seen, wait, sent, instance };
                     let worker = id;
-                    let pending =
-                        Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline };
+                    let pending = Delivery::ToWorker {
+                        worker,
+                        epoch,
+                        call,
+                        answer_arrives,
+                        deadline,
+                        instance,
+                    };
                     self.send(delay_ms, pending);
                     return;
                 }
                 let hold_result = worker.hold(lease_end, last_seen, epoch, now);
+                if hold_result.is_none() && answer_arrives {
+                    self.end_earlier_owner(epoch);
+                }
                 let (report, done) =
                     hold_result.map_or((None, Vec::new()), |(report, done)| (Some(report), done));
                 self.record_done(done);
@@ -347,12 +363,19 @@
 
     pub(super) fn on_reply(&mut self, id: &WorkerId, epoch: Epoch, reply: Reply) {
         let now = self.now;
-        let Some(cell) = self.cell.as_mut().filter(|cell| cell.epoch() == epoch) else {
+        if let Some(until) = self.paused_until(epoch) {
+            let (worker, delay_ms) = (id.clone(), until.since(now).0);
+            self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
+            return;
+        }
+        if matches!(reply, Reply::Started(..)) && epoch == self.epoch {
+            self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+        }
+        let Some(cell) = self.cell_of(epoch) else {
             return;
         };
         match reply {
             Reply::Started(task, attempt, answer) => {
-                self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
                 cell.on_start_answer(id, (task, attempt), answer, now);
             }
             Reply::Stopped(task, attempt, confirmed, sent) => {
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -8,7 +8,10 @@
 };
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
-    job::{Action, Answer, Cell, FlowLimits, JobId, JobSpec, Sequence, TaskId, Token, WorkerId},
+    job::{
+        Action, Answer, Cell, EndKind, FlowLimits, JobId, JobSpec, LogEvent, Sequence, TaskId,
+        Token, WorkerId,
+    },
 };
 
 impl Model {
@@ -242,6 +245,14 @@
         is_pending || self.log.is_deletion_unconfirmed()
     }
 
+    /// Returns how many run ends of a kind the owners have logged.
+    #[must_use]
+    pub fn end_count(&self, kind: EndKind) -> usize {
+        let is_kind =
+            |event: &&LogEvent| matches!(event, LogEvent::Ended { how, .. } if *how == kind);
+        self.log_events.iter().filter(is_kind).count()
+    }
+
     /// Ends the owner without a handover.
     pub fn kill_owner(&mut self) {
         self.cell = None;
@@ -294,6 +305,7 @@
 
     fn claim(&mut self, earlier_orders_end: Timestamp, read_ms: u64) {
         self.epoch = Epoch(self.epoch.0 + 1);
+        self.limit_earlier_owners();
         self.earlier_orders_end = earlier_orders_end;
         self.run_for(read_ms);
         self.recover();
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -102,6 +102,8 @@
     pub entry: WorkerEntry,
     /// How long tasks that start from now on run, and how they end.
     pub task_time: TaskTime,
+    /// How fast the worker's clock goes, in percent of true time.
+    pub clock_percent: u64,
     /// The number of the worker instance, whatever it says of itself.
     instance: u64,
     /// Zero of the worker instance's monotonic clock.
@@ -131,6 +133,7 @@
         Self {
             entry,
             task_time: TaskTime::AsEstimated,
+            clock_percent: 100,
             instance: 0,
             clock_start: Timestamp(0),
             partitioned_until: Timestamp(0),
@@ -149,7 +152,7 @@
 
     /// Returns the reading of the worker's monotonic clock in milliseconds.
     pub(super) fn clock(&self, now: Timestamp) -> u64 {
-        now.since(self.clock_start).0
+        now.since(self.clock_start).0 * self.clock_percent / 100
     }
 
     /// Returns when the worker was last in contact with the store: when its partition began, or now
@@ -184,12 +187,13 @@
     /// Like [`ModelWorker::restart`], but the new instance can't be reached for `away_ms`.
     pub(super) fn restart_in(&mut self, now: Timestamp, wall_ms: u64, away_ms: u64) {
         let entry = WorkerEntry { started_wall_ms: wall_ms, ..self.entry.clone() };
-        let (task_time, ticket) = (self.task_time, self.ticket);
+        let (task_time, ticket, clock_percent) = (self.task_time, self.ticket, self.clock_percent);
         let instance = self.instance + 1;
         let partitioned_until = now + Span(away_ms);
         *self = Self {
             task_time,
             ticket,
+            clock_percent,
             instance,
             clock_start: now,
             partitioned_since: now,
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -13,6 +13,7 @@
 mod log;
 mod long_running;
 mod may_end;
+mod owners;
 mod random;
 mod restarts;
 mod store_outage;
