An order on an old reading of a slow clock no longer outlives the next owner's wait

A task ran twice: an order counted on a worker's clock having advanced as fast as the owner's since its latest reading. An idle worker is heard every 3 s, so with a clock that is 2 % slow the order lived up to 60 ms longer than the 103 % of a lease that the next owner counts, from a reading of 2.6 s on.

An order now counts on the least that the clock has advanced. The life of an order has one name, CellConfig::order_life (job/life.rs), from which deadlines, leases and waits follow.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -21,6 +21,7 @@
 mod flow;
 mod id;
 mod lag;
+mod life;
 mod log;
 mod message;
 mod order;
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -91,10 +91,6 @@
     }
 }
 
-/// How long a lease can last by this node's clock, in percent of its nominal duration, because the
-/// worker's clock may be slow.
-const LEASE_STRETCH_PERCENT: u64 = 103;
-
 /// The workers that the previous owner listed in its handover; `None` if its term did not end by
 /// handover. Run ends may follow the handover in the log, but no orders.
 fn find_handover(segments: &[StoredSegment]) -> Option<Vec<UnsettledWorker>> {
@@ -251,12 +247,12 @@
 
     /// When every lease has certainly expired if no order is given after `last_order`.
     pub(super) fn expiry_after(&self, last_order: Timestamp) -> Timestamp {
-        last_order + Span(self.cfg.lease.0 * LEASE_STRETCH_PERCENT / 100)
+        last_order + self.cfg.order_life()
     }
 
     /// How long any lease can last by this node's clock.
     pub(super) fn longest_lease(&self) -> Span {
-        Span(self.cfg.max_lease.0 * LEASE_STRETCH_PERCENT / 100)
+        self.cfg.longest_lease()
     }
 
     /// Brings forward the assumed expiry of leases of earlier terms once the previous owner is
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -10,7 +10,11 @@
 
 pub(super) use self::instance::InstanceOrder;
 use self::instance::Instances;
-use super::{OtherInstance, Resources, Step, StepId, TaskId, WorkerId, cell::WorkerSpeed};
+use super::{
+    OtherInstance, Resources, Step, StepId, TaskId, WorkerId,
+    cell::WorkerSpeed,
+    life::{self, CLOCK_DRIFT_PERCENT},
+};
 use crate::{ServiceId, Span, Timestamp, ZoneId};
 
 /// How long a worker's entry may be missing from the store before the worker gets no new tasks.
@@ -19,9 +23,6 @@
 /// A worker that has not answered for longer than this counts as silent.
 const SILENCE_TIMEOUT: Span = Span(2_500);
 
-/// Maximum percentage by which a worker's clock runs slower than true time.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
-
 /// The age of a lease, in percent of its duration, from which on it counts as about to expire.
 const MAX_LEASE_AGE_PERCENT: u64 = 66;
 
@@ -553,10 +554,10 @@
     }
 
     /// Returns when a lease that is granted now expires, on the worker's clock; `None` if the clock
-    /// is unknown.
+    /// is unknown. However old the reading of the clock is, the lease isn't longer than asked for.
     pub(super) fn lease_end(&self, lease: Span, now: Timestamp) -> Option<u64> {
         let clock = self.clock?;
-        Some(clock.worker_ms + now.since(clock.at).0 + lease.0)
+        Some(clock.worker_ms + life::least_advance(now.since(clock.at)).0 + lease.0)
     }
 
     /// Returns when every run on the worker has certainly ended if the worker never answers again.
