Leases are renewed in a handover only while nobody else can have claimed the cell

A task ran twice after a handover: its owner renewed leases for up to 1.5 s after the record, the next one counted from its own reading of the record. Cut off from the store in between, and going on because others said that the store was away, the old owner renewed a lease after that reading.

Cell::renew_during_handover now takes the time until which no other node can have claimed the cell, the end of the node's own lease, and renews nothing after it. Nobody waits longer than before; counting the 1.5 s in the record instead made owners wait longer than one lease (faults::after_a_handover_the_owner_waits_one_lease_for_a_partitioned_worker).

--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -284,7 +284,7 @@
                 return (id, expiry, expiry);
             }
             let last_renewal_expiry = self.expiry_after(handover.until) + RENEWAL_MARGIN;
-            // The next owner counts from a time after the last renewal.
+            // The next owner counts from a time after its claim, which no renewal follows.
             let renewal_expiry = self.expiry_after(now) + RENEWAL_MARGIN;
             (id, expiry.max(last_renewal_expiry), expiry.max(renewal_expiry))
         });
@@ -311,9 +311,12 @@
         Handover { began: now, renewed, until: now + HANDOVER_RENEWALS }
     }
 
-    /// Sends the holds that are due during a handover, which renew leases and order nothing else.
-    pub fn renew_during_handover(&mut self, now: Timestamp) {
-        let Some(handover) = self.handover.as_ref().filter(|handover| now < handover.until) else {
+    /// Sends the holds that are due during a handover, which renew leases and order nothing else. Until
+    /// `sole_until` no other node can have claimed the cell. None is sent after that: the next owner may
+    /// have read the record by then, and counts the leases from there.
+    pub fn renew_during_handover(&mut self, now: Timestamp, sole_until: Timestamp) {
+        let may_renew = |handover: &&Handover| now < handover.until && now < sole_until;
+        let Some(handover) = self.handover.as_ref().filter(may_renew) else {
             return;
         };
         for id in &handover.renewed {
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -548,7 +548,7 @@
             return;
         };
         if self.is_handing_over {
-            cell.renew_during_handover(now);
+            cell.renew_during_handover(now, Timestamp(u64::MAX));
         } else {
             let started = processor_time();
             cell.tick(now, wall_ms);
--- a/crates/standins/src/model/owners.rs
+++ b/crates/standins/src/model/owners.rs
@@ -43,6 +43,8 @@
     is_handing_over: bool,
     paused_until: Timestamp,
     permitted_until: Timestamp,
+    /// When the next owner claimed the cell, once it has.
+    sole_until: Timestamp,
     late_ms: u64,
 }
 
@@ -61,7 +63,7 @@
     /// Takes the actions that the owner decides on at `now`.
     fn decide(&mut self, (now, wall_ms): (Timestamp, u64)) -> Vec<Action> {
         if self.is_handing_over {
-            self.cell.renew_during_handover(now);
+            self.cell.renew_during_handover(now, self.sole_until);
         } else {
             self.cell.tick(now, wall_ms);
         }
@@ -86,6 +88,7 @@
             is_handing_over: self.is_handing_over,
             paused_until: self.now + Span(paused_ms),
             permitted_until: self.now + Span(acts_for_ms),
+            sole_until: Timestamp(u64::MAX),
             late_ms,
         };
         self.is_handing_over = false;
@@ -152,6 +155,7 @@
         let latest = self.now + OWNER_TTL;
         for owner in &mut self.earlier_owners {
             owner.permitted_until = owner.permitted_until.min(latest);
+            owner.sole_until = owner.sole_until.min(self.now);
         }
     }
 
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -316,7 +316,7 @@
                 return;
             };
             if self.is_handing_over.get() {
-                cell.renew_during_handover(clock::now());
+                cell.renew_during_handover(clock::now(), self.node.lease.valid_until());
             } else {
                 cell.tick(clock::now(), clock::wall_ms());
             }
