A lease is renewed only by an owner whose term the log shows

A task ran twice after a handover: an owner after it adopted the workers and renewed their leases, but could write nothing and was succeeded while it went on. The next one found the handover in the segments of the last term that has any, and counted the leases that it names.

A new owner now writes a segment at once, without records if it has none, and renews no lease before it is durable. The last term in the log is thus the last one that has granted a lease or given a start order (a worker gets none before its record is durable). Until then workers are heard, adopted and fenced as before; leases are renewed one write later, and by an owner that loses the store between its claim and that write not at all.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -232,7 +232,11 @@
     /// Marks the write with this sequence number as durable and applies the effects that waited
     /// for it.
     pub fn on_segment_written(&mut self, sequence: Sequence, now: Timestamp) {
+        let was_term_durable = self.log.is_term_durable();
         self.log.on_written(sequence);
+        if !was_term_durable {
+            self.begin_renewals(now);
+        }
         let durable = self.log.durable();
         while let Some((_, effect)) =
             self.deferred_effects.pop_front_if(|(position, _)| *position <= durable)
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -3,7 +3,7 @@
 
 use super::{
     super::{
-        Action, HoldReport, LogEvent, WorkerId,
+        Action, CellConfig, HoldReport, LogEvent, LogWriter, WorkerId,
         worker::{InstanceOrder, Worker},
     },
     Cell,
@@ -42,6 +42,30 @@
 /// The part of a lease, in percent, after which its renewal can't wait any more.
 const RENEWAL_DUE_PERCENT: u64 = 50;
 
+/// The same before an owner may renew leases.
+const FIRST_HOLD_WAIT: Span = Span(100);
+
+/// The lease that holds ask for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lease {
+    duration: Span,
+    /// Whether a segment of the owner's term is durable. Before that, the next owner couldn't know that
+    /// this one has renewed a lease.
+    is_granted: bool,
+}
+
+impl Lease {
+    pub(super) fn of(cfg: &CellConfig, log: &LogWriter) -> Self {
+        Self { duration: cfg.lease, is_granted: log.is_term_durable() }
+    }
+
+    /// The longest time that a hold may wait at a worker, which answers several within a lease.
+    fn max_wait(self) -> Span {
+        let wait = Span(self.duration.0 / MIN_HOLDS_PER_LEASE);
+        if self.is_granted { wait } else { wait.min(FIRST_HOLD_WAIT) }
+    }
+}
+
 /// How urgent a hold that is due is; the most urgent comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum HoldUrgency {
@@ -82,13 +106,14 @@
 }
 
 /// Notes in the worker's state that a hold is sent, and returns it.
-pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Span, now: Timestamp) -> Action {
+pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Lease, now: Timestamp) -> Action {
     let may_confirm = may_confirm_ends(worker, now);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
     // with each hold, it would never be known to have expired.
-    let lease_end = if worker.hold_failures == 0 { worker.lease_end(lease, now) } else { None };
+    let may_renew = lease.is_granted && worker.hold_failures == 0;
+    let lease_end = if may_renew { worker.lease_end(lease.duration, now) } else { None };
     worker.last_lease_end_sent = worker.last_lease_end_sent.max(lease_end.unwrap_or(0));
     worker.lease_sent = if lease_end.is_some() { now } else { worker.lease_sent };
     worker.renewing_since = lease_end.and(worker.renewing_since.or(Some(now)));
@@ -100,26 +125,33 @@
     let wait = if answers_at_once {
         Span(0)
     } else if worker.has_only_long_running() {
-        LONG_RUNNING_HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
+        LONG_RUNNING_HOLD_WAIT.min(lease.max_wait())
     } else {
-        HOLD_WAIT.min(Span(lease.0 / MIN_HOLDS_PER_LEASE))
+        HOLD_WAIT.min(lease.max_wait())
     };
     let last_seen = if may_confirm { worker.ends_durable } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
 }
 
 impl Cell {
+    /// Lets the leases of all workers that have answered be renewed at once, when that is first allowed.
+    pub(super) fn begin_renewals(&mut self, now: Timestamp) {
+        for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
+            worker.next_hold = worker.next_hold.min(now);
+        }
+    }
+
     /// Sends the holds that are due. Renewals and adoptions never wait; all others share what the
     /// link allows, the one that has been due the longest first.
     pub(super) fn send_holds(&mut self, now: Timestamp) {
-        let lease = self.cfg.lease;
+        let lease = Lease::of(&self.cfg, &self.log);
         self.hold_budget.refill(now);
         let mut due: Vec<(HoldUrgency, usize)> = self
             .workers
             .values()
             .enumerate()
             .filter(|(_, worker)| worker.is_hold_due(now))
-            .map(|(index, worker)| (HoldUrgency::of(worker, lease, now), index))
+            .map(|(index, worker)| (HoldUrgency::of(worker, lease.duration, now), index))
             .collect();
         due.sort_unstable();
         for (urgency, index) in due {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -15,7 +15,8 @@
         task::{Job, Placement},
         worker::Worker,
     },
-    Cell, CellConfig, holds,
+    Cell, CellConfig,
+    holds::{self, Lease},
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -92,7 +93,8 @@
 }
 
 /// The workers that the previous owner listed in its handover; `None` if its term did not end by
-/// handover. Run ends may follow the handover in the log, but no orders.
+/// handover. Run ends may follow the handover in the log, but no orders. An owner that has written
+/// nothing since has granted no lease either.
 fn find_handover(segments: &[StoredSegment]) -> Option<Vec<UnsettledWorker>> {
     let last = segments.last()?.epoch;
     let term = segments.iter().rev().take_while(|segment| segment.epoch == last);
@@ -242,6 +244,7 @@
             None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
         };
         cell.release_inherited_jobs(now);
+        cell.log.begin_term(now);
         cell
     }
 
@@ -321,7 +324,8 @@
         };
         for id in &handover.renewed {
             if let Some(worker) = self.workers.get_mut(id).filter(|one| one.is_hold_due(now)) {
-                self.actions.push(holds::hold(id, worker, self.cfg.lease, now));
+                let lease = Lease::of(&self.cfg, &self.log);
+                self.actions.push(holds::hold(id, worker, lease, now));
             }
         }
     }
--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -90,6 +90,8 @@
     /// Latest time at which the pending records and deletions are to be written.
     write_deadline: Option<Timestamp>,
     in_flight: Option<InFlightWrite>,
+    /// Whether a segment of this term is durable.
+    is_term_durable: bool,
     appended: Position,
     durable: Position,
     /// The segments that are not to be deleted, the oldest first.
@@ -123,6 +125,7 @@
             pending: VecDeque::new(),
             write_deadline: None,
             in_flight: None,
+            is_term_durable: false,
             appended: last,
             durable: last,
             stored_bytes: infos.iter().map(|segment| segment.bytes).sum(),
@@ -131,6 +134,17 @@
         }
     }
 
+    /// Makes a write due at once, with whatever records there are by then, so that the log shows the term.
+    pub(super) fn begin_term(&mut self, now: Timestamp) {
+        self.write_deadline = Some(now);
+    }
+
+    /// Whether the store has a segment of this term.
+    #[must_use]
+    pub(super) fn is_term_durable(&self) -> bool {
+        self.is_term_durable
+    }
+
     /// Appends a record and returns its position. The record is durable once [`LogWriter::durable`]
     /// has reached that position.
     pub(super) fn append(&mut self, record: EncodedRecord, now: Timestamp) -> Position {
@@ -256,6 +270,7 @@
     pub fn on_written(&mut self, sequence: Sequence) {
         if let Some(write) = self.in_flight.take_if(|write| write.sequence == sequence) {
             self.durable.0 += write.record_count;
+            self.is_term_durable = true;
             self.next_sequence = sequence + 1;
         }
     }
