--- /dev/null
+++ b/crates/standins/tests/cells/late_copies.rs
@@ -0,0 +1,110 @@
+//! Start orders that a worker carries out late, in an instance of which the owner hasn't heard.
+
+use indexmap::IndexMap;
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
+};
+use teaselgap_standins::model::{Model, WorkerFaults};
+
+use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
+
+const JOB: JobId = JobId(7);
+
+const SUCCEEDED: Option<JobState> = Some(JobState::Ended(JobEnd::Succeeded));
+
+/// When late orders are carried out, in milliseconds after they were sent.
+const LATE_MS: u64 = 8_000;
+
+/// Time from the restart of a worker until it can be reached, in milliseconds.
+const AWAY_MS: u64 = 300;
+
+/// How long a worker is down, in milliseconds: the owner has noticed it.
+const DOWN_MS: u64 = 4_000;
+
+/// The longest time between two calls to a worker that doesn't answer, in milliseconds.
+const CALL_INTERVAL_MS: u64 = 600 + 250;
+
+/// Time from the order to the end of all that it leads to, in milliseconds.
+const REST_MS: u64 = 30_000;
+
+fn task() -> TaskId {
+    task_id(JOB, 0)
+}
+
+/// Creates a model of two workers, the first `late_orders` orders to each of which are carried out after
+/// `late_ms`. Submits a job of one task, which lasts `task_ms`, and returns the worker that was ordered
+/// to start it, and when.
+fn order_late(late_orders: u32, late_ms: u64, task_ms: u64) -> (Model, WorkerId, Timestamp) {
+    let mut model = new_model(2);
+    for id in ["w0", "w1"] {
+        let faults = WorkerFaults { late_orders, late_ms, ..WorkerFaults::default() };
+        model.set_faults(id, faults);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, task_ms)]));
+    assert!(model.run_until(1_000, |model| model.ordered_worker(task()).is_some()));
+    let (worker, at) = (model.ordered_worker(task()).expect("an order"), model.now());
+    let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+    model.set_faults(other, WorkerFaults::default());
+    (model, worker, at)
+}
+
+/// Lets no further attempt start on a worker.
+fn use_no_more(model: &mut Model, worker: &WorkerId) {
+    let drains = IndexMap::from([(worker.clone(), DrainMode::WaitForRuns)]);
+    model.cell_mut().expect("an owner").set_drains(drains);
+}
+
+/// Lets a worker crash and return, so that its next instance can be reached at `reachable`.
+fn return_at(model: &mut Model, worker: &WorkerId, reachable: Timestamp) {
+    let left = reachable.since(model.now()).0;
+    model.run_for(left - DOWN_MS - AWAY_MS);
+    model.lose_worker(worker.as_str());
+    model.run_for(DOWN_MS);
+    model.restart_worker(worker.as_str());
+}
+
+/// A copy of the order was answered, and its run is done long before the worker crashes.
+#[test]
+fn a_copy_that_is_carried_out_in_the_next_instance_starts_no_task_whose_end_was_confirmed() {
+    let (mut model, worker, ordered) = order_late(1, LATE_MS, 500);
+    model.count_every_start();
+
+    return_at(&mut model, &worker, ordered + Span(LATE_MS));
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+/// No copy of the order was answered, the worker has confirmed its stop, and the next attempt is done
+/// elsewhere.
+#[test]
+fn a_copy_of_an_earlier_attempt_starts_no_task_whose_end_was_confirmed_by_another_worker() {
+    let (mut model, worker, ordered) = order_late(2, LATE_MS, 500);
+    model.count_every_start();
+    use_no_more(&mut model, &worker);
+
+    return_at(&mut model, &worker, ordered + Span(LATE_MS));
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+/// The next attempt runs elsewhere when the copies reach the next instance, right after its first call.
+/// Starts before that call don't count.
+#[test]
+fn a_stop_reaches_the_next_instance_no_later_than_its_first_hold() {
+    for late_ms in (LATE_MS..LATE_MS + CALL_INTERVAL_MS).step_by(5) {
+        let (mut model, worker, ordered) = order_late(2, late_ms, 12_000);
+        use_no_more(&mut model, &worker);
+
+        // The owner hears of the next instance by its answer.
+        model.keep_entry(worker.as_str(), REST_MS);
+        return_at(&mut model, &worker, ordered + Span(LATE_MS));
+        model.run_for(2 * CALL_INTERVAL_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+    }
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -10,6 +10,7 @@
 mod flow;
 mod given_up;
 mod instances;
+mod late_copies;
 mod log;
 mod long_running;
 mod may_end;
