The end of a task isn't confirmed while a copy of its start order may reach the worker's next life

Change: while a copy of the order of a task that is done on a worker is open, that end and the later ones of the worker aren't confirmed, for at most 15 s and 250 ends. The task counts as done at once. If the worker crashes, the end goes with it, and was never taken note of. A worker without runs is called each 250 ms, not 3 s, while an order to it is open.

--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         Action, EndKind, JobEnd, JobId, LogEvent, Record, RunEnd, RunId, StepId, TaskId, WorkerId,
-        task::Job, times,
+        task::Job, times, worker::HeldEnd,
     },
     Cell, DeferredEffect,
 };
@@ -43,6 +43,7 @@
     fn on_run_end(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
         let RunEnd { task, attempt, kind, .. } = *end;
         self.log_run_end(id, end, now);
+        self.hold_end_of_open_order(id, end, now);
         let at_fault = self.is_worker_at_fault(id, task.job, kind);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.record_ended_attempt(task, attempt);
@@ -91,6 +92,22 @@
         self.finish_if_over(task.job, now);
     }
 
+    /// Lets the end of a task as done wait while a copy of a start order of the task may be carried out
+    /// by a later instance of the worker.
+    fn hold_end_of_open_order(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
+        let RunEnd { task, kind, number, .. } = *end;
+        let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
+        if kind != EndKind::Done || step.is_some_and(|step| step.long_running) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let Some(until) = worker.open_until(task, now) {
+            worker.hold_end(HeldEnd { task, number, until });
+        }
+    }
+
     fn log_run_end(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
         let RunEnd { task, attempt, kind, .. } = *end;
         let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -29,6 +29,10 @@
 /// The interval between holds of a worker without runs.
 const IDLE_HOLD_INTERVAL: Span = Span(3_000);
 
+/// The same while a copy of a start order to it is open, which may begin its run in a later instance
+/// until that is called.
+const OPEN_ORDER_HOLD_INTERVAL: Span = Span(250);
+
 /// The delay before the next hold after one that was not answered.
 const FAILED_HOLD_DELAY: Span = Span(250);
 
@@ -105,6 +109,19 @@
         && (is_fresh || is_delayed || !worker.may_have_orders_elsewhere(now))
 }
 
+/// How long after an answer of a worker the next hold is sent.
+fn hold_interval(worker: &mut Worker, now: Timestamp) -> Span {
+    let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
+    let confirms = worker.lists_ends && worker.last_confirmable(now) == worker.ends_durable;
+    if !worker.runs.is_empty() || has_unconfirmed_ends || confirms {
+        HOLD_INTERVAL
+    } else if worker.has_open_orders(now) {
+        OPEN_ORDER_HOLD_INTERVAL
+    } else {
+        IDLE_HOLD_INTERVAL
+    }
+}
+
 /// Notes in the worker's state that a hold is sent, and returns it.
 pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Lease, now: Timestamp) -> Action {
     let may_confirm = may_confirm_ends(worker, now);
@@ -129,7 +146,7 @@
     } else {
         HOLD_WAIT.min(lease.max_wait())
     };
-    let last_seen = if may_confirm { worker.ends_durable } else { 0 };
+    let last_seen = if may_confirm { worker.last_confirmable(now) } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
 }
 
@@ -276,11 +293,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.next_hold =
-            now + if worker.runs.is_empty() { IDLE_HOLD_INTERVAL } else { HOLD_INTERVAL };
-        if worker.ends_seen > worker.ends_durable || worker.lists_ends {
-            worker.next_hold = now + HOLD_INTERVAL;
-        }
+        worker.next_hold = now + hold_interval(worker, now);
         if !was_adopted || had_failed_holds {
             // The lease can be renewed only now that the worker answers.
             worker.next_hold = now;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -120,6 +120,8 @@
         let order_expiry = if has_unanswered_copy { open_until } else { now };
         if has_unanswered_copy {
             worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
+        } else {
+            worker.release_ends(task, now);
         }
         let is_instance_known = clock_ms.is_some_and(|ms| worker.knows_instance_of(ms, now));
         if clock_ms.is_some_and(|ms| worker.clock.is_some_and(|clock| ms < clock.worker_ms)) {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -1,6 +1,7 @@
 //! The state of a worker and its runs, as kept by the owner of the cell.
 
 mod instance;
+mod open_orders;
 #[cfg(test)]
 mod tests;
 
@@ -8,8 +9,11 @@
 
 use indexmap::IndexMap;
 
-pub(super) use self::instance::InstanceOrder;
 use self::instance::Instances;
+pub(super) use self::{
+    instance::InstanceOrder,
+    open_orders::{HeldEnd, OpenOrder},
+};
 use super::{
     OtherInstance, Resources, Step, StepId, TaskId, WorkerId,
     cell::WorkerSpeed,
@@ -186,15 +190,6 @@
     pub(super) at: Timestamp,
 }
 
-/// A start order of which a copy got no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct OpenOrder {
-    pub(super) task: TaskId,
-    pub(super) attempt: u32,
-    /// Time after which no copy takes effect any more.
-    pub(super) expiry: Timestamp,
-}
-
 /// The state of a worker.
 #[expect(clippy::struct_excessive_bools, reason = "the flags are independent of each other")]
 #[derive(Clone, Debug)]
@@ -253,6 +248,8 @@
     /// Start orders of which a copy got no answer. A restarted worker doesn't know the stop orders
     /// that cancelled them, so those are sent again.
     pub(super) open_orders: Vec<OpenOrder>,
+    /// Ends that wait for the expiry of open orders before they are confirmed.
+    pub(super) held_ends: Vec<HeldEnd>,
     pub(super) holds_in_flight: u32,
     pub(super) next_hold: Timestamp,
     /// Number of holds in a row that got no answer.
@@ -453,6 +450,7 @@
             lists_ends: false,
             runs: IndexMap::new(),
             open_orders: Vec::new(),
+            held_ends: Vec::new(),
             holds_in_flight: 0,
             next_hold: now,
             hold_failures: 0,
@@ -603,23 +601,6 @@
         self.runs.iter_mut().filter_map(move |(task, run)| Some((*task, unconfirmed(run)?)))
     }
 
-    /// Records a start order of which a copy got no answer.
-    pub(super) fn record_open_order(&mut self, order: OpenOrder, now: Timestamp) {
-        self.open_orders.retain(|other| now <= other.expiry);
-        self.open_orders.push(order);
-    }
-
-    /// Whether a start order may have reached another instance than the newest known one.
-    pub(super) fn may_have_orders_elsewhere(&self, now: Timestamp) -> bool {
-        let is_open = |run: &Run| run.state != RunState::Planned && !run.ends_with_instance;
-        self.has_open_orders(now) || self.runs.values().any(is_open)
-    }
-
-    /// Whether a copy of a start order to the worker may still take effect.
-    pub(super) fn has_open_orders(&self, now: Timestamp) -> bool {
-        self.open_orders.iter().any(|order| now <= order.expiry)
-    }
-
     /// Records that a run ended on the worker.
     pub(super) fn record_ended_attempt(&mut self, task: TaskId, attempt: u32) {
         if self.ended_attempts.len() >= MAX_ENDED_ATTEMPTS {
