A worker that may have restarted hears the stops of open orders before its first hold

Change: while a worker doesn't answer, each hold to it is preceded by the stops of open orders of which no run is booked. Evidence: late_copies::a_stop_reaches_the_next_instance_no_later_than_its_first_hold, red before.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -177,11 +177,14 @@
             }
             if let Some((id, worker)) = self.workers.get_index_mut(index) {
                 self.hold_budget.take(worker.runs.len());
+                // An instance refuses a start order to an earlier one only from its stop on.
+                let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
                 if !worker.is_adopted {
-                    // An instance refuses a start order to an earlier one only from its stop on.
-                    let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
                     self.actions.extend(worker.take_stops().map(stop));
                 }
+                if !worker.is_adopted || worker.hold_failures > 0 {
+                    self.actions.extend(worker.abandoned_orders(now).map(stop));
+                }
                 self.actions.push(hold(id, worker, lease, now));
             }
         }
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -48,6 +48,17 @@
         self.open_orders.iter().any(|order| now <= order.expiry)
     }
 
+    /// The open start orders of which no run is booked any more, each with its task and attempt. A new
+    /// instance of the worker is to refuse them.
+    pub(in crate::job) fn abandoned_orders(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (TaskId, u32)> {
+        let is_abandoned =
+            move |order: &&OpenOrder| now <= order.expiry && !self.runs.contains_key(&order.task);
+        self.open_orders.iter().filter(is_abandoned).map(|order| (order.task, order.attempt))
+    }
+
     /// Until when a copy of a start order of the task may take effect on the worker; `None` if none
     /// can any more.
     pub(in crate::job) fn open_until(&self, task: TaskId, now: Timestamp) -> Option<Timestamp> {
