tools/owners: changes of owners under drawn trouble, with real processes

Change: a tool that plays 3 to 5 processes, 4 to 6 workers and a store behind links of their own, with trouble drawn from one seed; the workers judge.

--- /dev/null
+++ b/tools/owners/src/draw.rs
@@ -0,0 +1,381 @@
+//! The trouble of a play, as a function of its seed.
+
+use crate::{links::Way, store::Mode};
+
+/// A small generator (splitmix64), so that a seed gives the same play everywhere.
+#[derive(Clone)]
+pub struct Rng(u64);
+
+impl Rng {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x2545_f491_4f6c_dd1d).wrapping_add(0x9e37_79b9))
+    }
+
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// A number from `low` to `high`, both included.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.next() % (high - low + 1)
+    }
+
+    /// As `between`, with small numbers as likely as great ones.
+    fn spread(&mut self, low: u64, high: u64) -> u64 {
+        let top = self.between(low, high);
+        self.between(low, top)
+    }
+
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.between(1, 100) <= percent
+    }
+}
+
+/// A node, resolved when the trouble begins.
+#[derive(Clone, Copy, Debug)]
+pub enum Who {
+    Owner,
+    /// The node so many places after the owner.
+    Other(usize),
+}
+
+/// Where a link of a node leads.
+#[derive(Clone, Copy, Debug)]
+pub enum To {
+    /// The workers whose bits are set.
+    Workers(u64),
+    Node(Who),
+    Nodes,
+    Store,
+}
+
+/// One trouble. All times are in milliseconds.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Jobs of so many work units arrive.
+    Burst {
+        jobs: u64,
+        run_ms: u64,
+    },
+    Freeze {
+        who: Who,
+        ms: u64,
+    },
+    Kill {
+        who: Who,
+        down_ms: u64,
+    },
+    /// The node is killed and started at once, and again as soon as it has had this time.
+    KillTwice {
+        who: Who,
+        gap_ms: u64,
+    },
+    Stop {
+        who: Who,
+        down_ms: u64,
+    },
+    /// A link holds back what is under way, and delivers it afterwards.
+    Hold {
+        who: Who,
+        to: To,
+        way: Way,
+        ms: u64,
+    },
+    Slow {
+        who: Who,
+        to: To,
+        way: Way,
+        latency_ms: u64,
+        ms: u64,
+    },
+    /// The store treats a node in this way.
+    Store {
+        who: Who,
+        mode: Mode,
+        ms: u64,
+    },
+    /// The store is down for all. Leases pause, unless they expire then; the entries of the workers
+    /// whose bits are set expire, too.
+    Down {
+        ms: u64,
+        expires: bool,
+        entries: u64,
+    },
+    Crash {
+        worker: u64,
+        down_ms: u64,
+    },
+}
+
+pub struct Plan {
+    pub nodes: usize,
+    pub workers: usize,
+    /// Each act with the time at which it begins, in milliseconds from the beginning of the trouble.
+    pub acts: Vec<(u64, Act)>,
+}
+
+type Scene = fn(&mut Draw, u64);
+
+/// The scenes, each with how often it is drawn.
+const SCENES: [(&str, u64, Scene); 13] = [
+    ("freeze", 16, freeze),
+    ("kill", 8, kill),
+    ("stop", 6, stop),
+    ("links", 14, links),
+    ("store", 12, store),
+    ("down", 8, down),
+    ("flap", 6, flap),
+    ("crash", 8, crash),
+    ("split", 10, split),
+    ("handover", 6, handover),
+    ("chain", 6, chain),
+    ("sleeper", 10, sleeper),
+    ("lapse", 6, lapse),
+];
+
+impl Plan {
+    /// Draws a play whose trouble lasts `span_ms`; only the scene `aim`, if one is named.
+    pub fn draw(seed: u64, span_ms: u64, aim: Option<&str>) -> Self {
+        let mut rng = Rng::new(seed);
+        let nodes = rng.between(3, 5) as usize;
+        let workers = rng.between(4, 6) as usize;
+        let mut draw = Draw { rng, nodes: nodes as u64, workers: workers as u64, acts: Vec::new() };
+        let pace_ms = draw.rng.between(700, 2_200);
+        let mut at = 1_500;
+        // Trouble lasts for some seconds after it began.
+        while at + 4_000 < span_ms {
+            let scene = draw.scene(aim);
+            scene(&mut draw, at);
+            let pause = if aim.is_some() { 9_000 } else { 2 * pace_ms };
+            at += draw.rng.between(pause / 10, pause);
+        }
+        draw.acts.sort_by_key(|(at, _)| *at);
+        Self { nodes, workers, acts: draw.acts }
+    }
+}
+
+struct Draw {
+    rng: Rng,
+    nodes: u64,
+    workers: u64,
+    acts: Vec<(u64, Act)>,
+}
+
+impl Draw {
+    fn scene(&mut self, aim: Option<&str>) -> Scene {
+        let is_wanted = |name: &str| aim.is_none_or(|aim| aim == name);
+        let scenes = SCENES.iter().filter(|(name, ..)| is_wanted(name));
+        let all: u64 = scenes.clone().map(|(_, weight, _)| weight).sum();
+        let mut left = self.rng.between(1, all.max(1));
+        for (_, weight, scene) in scenes {
+            if left <= *weight {
+                return *scene;
+            }
+            left -= weight;
+        }
+        freeze
+    }
+
+    fn add(&mut self, at: u64, act: Act) {
+        self.acts.push((at, act));
+    }
+
+    /// The owner, more often than others.
+    fn who(&mut self) -> Who {
+        if self.rng.chance(65) { Who::Owner } else { self.other() }
+    }
+
+    fn other(&mut self) -> Who {
+        Who::Other(self.rng.between(1, self.nodes - 1) as usize)
+    }
+
+    /// Some workers, at least one.
+    fn some_workers(&mut self) -> u64 {
+        let all = (1 << self.workers) - 1;
+        self.rng.between(1, all)
+    }
+
+    fn way(&mut self) -> Way {
+        if self.rng.chance(60) { Way::Out } else { Way::Back }
+    }
+
+    fn away(&mut self) -> Mode {
+        [Mode::Refuse, Mode::Reset, Mode::Silent][self.rng.between(0, 2) as usize]
+    }
+
+    /// Work that arrives just before something, so that orders are under way.
+    fn burst(&mut self, at: u64) {
+        let jobs = self.rng.between(3, 12);
+        let run_ms = if self.rng.chance(50) { 600 } else { self.rng.between(4_000, 9_000) };
+        let early = self.rng.between(5, 120);
+        self.add(at - early, Act::Burst { jobs, run_ms });
+    }
+
+    /// Cuts both ways of a link.
+    fn cut(&mut self, at: u64, who: Who, to: To, ms: u64) {
+        for way in [Way::Out, Way::Back] {
+            self.add(at, Act::Hold { who, to, way, ms });
+        }
+    }
+}
+
+fn freeze(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (who, ms) = (draw.who(), draw.rng.spread(100, 12_000));
+    draw.add(at, Act::Freeze { who, ms });
+}
+
+fn kill(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let down_ms = if draw.rng.chance(50) { 0 } else { draw.rng.spread(50, 5_000) };
+    let who = draw.who();
+    draw.add(at, Act::Kill { who, down_ms });
+}
+
+fn stop(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (who, down_ms) = (draw.who(), draw.rng.spread(0, 3_000));
+    draw.add(at, Act::Stop { who, down_ms });
+}
+
+fn links(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let who = draw.who();
+    let to = match draw.rng.between(0, 9) {
+        0..=4 => To::Workers(draw.some_workers()),
+        5 => To::Nodes,
+        6 => To::Node(draw.other()),
+        _ => To::Store,
+    };
+    let ms = draw.rng.spread(200, 8_000);
+    match draw.rng.between(0, 2) {
+        0 => draw.cut(at, who, to, ms),
+        1 => {
+            let way = draw.way();
+            draw.add(at, Act::Hold { who, to, way, ms });
+        }
+        _ => {
+            let (way, latency_ms) = (draw.way(), draw.rng.spread(50, 3_000));
+            draw.add(at, Act::Slow { who, to, way, latency_ms, ms });
+        }
+    }
+}
+
+fn store(draw: &mut Draw, at: u64) {
+    let mode = match draw.rng.between(0, 5) {
+        0 => Mode::Mute,
+        1 => Mode::Late(draw.rng.spread(300, 4_000)),
+        _ => draw.away(),
+    };
+    let ms = draw.rng.spread(500, 9_000);
+    let is_for_many = draw.rng.chance(40);
+    for place in 0..draw.nodes {
+        let who = if place == 0 { Who::Owner } else { Who::Other(place as usize) };
+        if (place == 0 && draw.rng.chance(80)) || (place > 0 && is_for_many && draw.rng.chance(60))
+        {
+            draw.add(at, Act::Store { who, mode, ms });
+        }
+    }
+}
+
+fn down(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (ms, expires) = (draw.rng.spread(500, 9_000), draw.rng.chance(60));
+    let entries = if draw.rng.chance(50) { draw.some_workers() } else { 0 };
+    draw.add(at, Act::Down { ms, expires, entries });
+}
+
+/// The store is away for 1.5 s, back for 0.3 s, and away again.
+fn flap(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (rounds, mode) = (draw.rng.between(2, 4), draw.away());
+    let is_for_all = draw.rng.chance(60);
+    for place in 0..if is_for_all { draw.nodes } else { 1 } {
+        let who = if place == 0 { Who::Owner } else { Who::Other(place as usize) };
+        for round in 0..rounds {
+            draw.add(at + 1_800 * round, Act::Store { who, mode, ms: 1_500 });
+        }
+    }
+}
+
+fn crash(draw: &mut Draw, at: u64) {
+    let (worker, down_ms) = (draw.rng.between(0, draw.workers - 1), draw.rng.spread(50, 5_000));
+    draw.add(at, Act::Crash { worker, down_ms });
+}
+
+/// The owner and a node beside it reach the store no more, nor the other nodes; the owner still
+/// reaches workers that the others don't.
+fn split(draw: &mut Draw, at: u64) {
+    draw.burst(at + 200);
+    let (ms, mode) = (draw.rng.between(6_000, 14_000), draw.away());
+    let beside = draw.rng.between(1, draw.nodes - 1) as usize;
+    let lone = draw.some_workers();
+    for who in [Who::Owner, Who::Other(beside)] {
+        draw.add(at, Act::Store { who, mode, ms });
+    }
+    for place in (1..draw.nodes as usize).filter(|place| *place != beside) {
+        draw.cut(at, Who::Owner, To::Node(Who::Other(place)), ms);
+        draw.cut(at, Who::Other(place), To::Node(Who::Owner), ms);
+        let cut_ms = draw.rng.between(ms / 3, ms);
+        draw.cut(at, Who::Other(place), To::Workers(lone), cut_ms);
+    }
+    for burst in 1..ms / 1_000 {
+        draw.burst(at + burst * 1_000);
+    }
+}
+
+/// The owner is stopped in order while a link to some workers holds its orders.
+fn handover(draw: &mut Draw, at: u64) {
+    draw.burst(at + 150);
+    let (to, ms) = (To::Workers(draw.some_workers()), draw.rng.between(1_500, 4_000));
+    draw.add(at, Act::Hold { who: Who::Owner, to, way: Way::Out, ms });
+    let stop_at = at + draw.rng.between(160, 600);
+    draw.add(stop_at, Act::Stop { who: Who::Owner, down_ms: 500 });
+    if draw.rng.chance(50) {
+        let (begin, ms) = (draw.rng.between(1, 300), draw.rng.between(500, 5_000));
+        draw.add(stop_at + begin, Act::Freeze { who: Who::Owner, ms });
+    }
+}
+
+/// The owner is killed twice within a second, while an earlier owner may be frozen.
+fn chain(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let is_frozen = draw.rng.chance(60);
+    let ms = draw.rng.between(2_500, 9_000);
+    if is_frozen {
+        draw.add(at, Act::Freeze { who: Who::Owner, ms });
+    }
+    let kill_at = if is_frozen { at + draw.rng.between(2_200, 4_500) } else { at + 1 };
+    draw.burst(kill_at);
+    let gap_ms = draw.rng.between(100, 900);
+    draw.add(kill_at, Act::KillTwice { who: Who::Owner, gap_ms });
+}
+
+/// The owner is frozen in the middle of sending; the next one doesn't reach some of the workers.
+fn sleeper(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (ms, to) = (draw.rng.between(1_900, 9_000), To::Workers(draw.some_workers()));
+    for place in 1..draw.nodes as usize {
+        draw.cut(at, Who::Other(place), to, ms + 800);
+    }
+    draw.add(at, Act::Freeze { who: Who::Owner, ms });
+}
+
+/// Leases and entries end while the store is down; the owner loses its place on its return.
+fn lapse(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (ms, entries) = (draw.rng.between(2_000, 7_000), draw.some_workers());
+    draw.add(at, Act::Down { ms, expires: true, entries });
+    let cut_ms = ms + draw.rng.between(500, 4_000);
+    let to = To::Workers(entries);
+    if draw.rng.chance(50) {
+        draw.cut(at + 200, Who::Owner, to, cut_ms);
+    }
+    if draw.rng.chance(50) {
+        draw.add(at + draw.rng.clone().between(100, ms), Act::Freeze { who: Who::Owner, ms });
+    }
+}
--- /dev/null
+++ b/tools/owners/src/main.rs
@@ -0,0 +1,117 @@
+//! Plays changes of owners under drawn, overlapping trouble against the project's own processes, with
+//! the stand-ins of the review.
+//!
+//! Usage: `owners SEED MS RECORD`, from the folder of the project whose `target/release` is played.
+//! The trouble lasts `MS` milliseconds. Exits with 1 if a rule was broken, 0 if it held and 2 if
+//! nothing could be played or judged. `TROUBLE=0` leaves the trouble out, `AIM` names a scene that is
+//! drawn alone (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs.
+
+mod draw;
+mod judge;
+mod links;
+mod load;
+mod store;
+mod trouble;
+mod world;
+
+#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
+#[path = "../../../review/standins/src/base64.rs"]
+mod base64;
+#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
+#[path = "../../../review/standins/src/http.rs"]
+mod http;
+#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
+#[path = "../../../review/standins/src/json.rs"]
+mod json;
+#[path = "../../../review/standins/src/names.rs"]
+mod names;
+#[path = "../../../review/standins/src/ports.rs"]
+mod ports;
+#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
+#[path = "../../../review/standins/src/record.rs"]
+mod record;
+#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
+#[path = "../../../review/standins/src/worker.rs"]
+mod worker;
+
+use std::{process::ExitCode, sync::Arc, time::Duration};
+
+use draw::Plan;
+use load::Load;
+use record::Record;
+use world::World;
+
+/// How long after the trouble each accepted job may stay without progress.
+const CALM: Duration = Duration::from_secs(30);
+
+/// The longest pause of the thread that ends runs and leases for which its figures still hold.
+const MAX_STALL_MS: u64 = 250;
+
+/// What came of a play.
+enum Outcome {
+    Held,
+    Broken(Vec<String>),
+    /// Nothing was played, or the machine was too busy for a verdict.
+    NotPlayed(String),
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let mut number = || args.next().and_then(|text| text.parse::<u64>().ok());
+    let (Some(seed), Some(span_ms)) = (number(), number()) else {
+        eprintln!("usage: owners SEED MS RECORD");
+        return ExitCode::from(2);
+    };
+    let Some(path) = args.next() else {
+        eprintln!("usage: owners SEED MS RECORD");
+        return ExitCode::from(2);
+    };
+    let record = Arc::new(Record::new());
+    let (verdict, code) = match play(seed, span_ms, &record) {
+        Outcome::Held => ("no rule was broken".to_owned(), 0),
+        Outcome::NotPlayed(reason) => (format!("not played: {reason}"), 2),
+        Outcome::Broken(breaches) => {
+            (format!("rules were broken {} times:\n{}", breaches.len(), breaches.join("\n")), 1)
+        }
+    };
+    let text = record.to_text();
+    let effect = text.lines().rev().find(|line| line.contains("trouble that took effect"));
+    println!("seed {seed}: {verdict}\n{}", effect.unwrap_or_default().trim());
+    if std::fs::write(&path, format!("{text}\n{verdict}\n")).is_err() {
+        eprintln!("could not write {path}");
+        return ExitCode::from(2);
+    }
+    ExitCode::from(code)
+}
+
+fn play(seed: u64, span_ms: u64, record: &Arc<Record>) -> Outcome {
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let aim = std::env::var("AIM").ok();
+    let plan = Plan::draw(seed, span_ms, aim.as_deref());
+    record.note(format!("seed {seed}: {} nodes, {} workers", plan.nodes, plan.workers));
+    for (at, act) in &plan.acts {
+        record.note(format!("drawn for {at} ms: {act:?}"));
+    }
+    let Some(world) = World::start(&plan, Arc::clone(record)) else {
+        return Outcome::NotPlayed("the processes did not become ready".to_owned());
+    };
+    let world = Arc::new(world);
+    let load = Load::start(&world, seed);
+    if has_trouble {
+        trouble::play(&world, &load, &plan.acts);
+    }
+    trouble::wait_until(&world, span_ms);
+    let accepted = load.finish();
+    record.note(format!("calm from here; {} jobs are accepted", accepted.len()));
+    let mut breaches = judge::open_jobs(&world, &accepted, CALM);
+    record.note(world.effect());
+    breaches.extend(judge::twice(record));
+    match (breaches.is_empty(), world.longest_stall_ms()) {
+        (true, _) => Outcome::Held,
+        (false, ..=MAX_STALL_MS) => Outcome::Broken(breaches),
+        (false, stall) => Outcome::NotPlayed(format!(
+            "the stand-ins stood still for {stall} ms; otherwise:\n{}",
+            breaches.join("\n")
+        )),
+    }
+}
--- /dev/null
+++ b/tools/owners/src/trouble.rs
@@ -0,0 +1,172 @@
+//! Plays the trouble that was drawn.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    draw::{Act, To, Who},
+    links::{Link, Way},
+    load::Load,
+    names::name,
+    world::World,
+};
+
+fn pause(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// Waits until so many milliseconds after the beginning of the trouble.
+pub fn wait_until(world: &World, at_ms: u64) {
+    let due = world.began_ms() + at_ms;
+    pause(due.saturating_sub(world.record.now_ms()));
+}
+
+/// Plays all acts, each in a thread of its own, and returns when the last is over.
+pub fn play(world: &Arc<World>, load: &Arc<Load>, acts: &[(u64, Act)]) {
+    let mut threads = Vec::new();
+    for (at, act) in acts {
+        wait_until(world, *at);
+        let (world, load, act) = (Arc::clone(world), Arc::clone(load), act.clone());
+        threads.push(thread::spawn(move || carry_out(&world, &load, &act)));
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+    world.calm();
+    world.record.note("the trouble is over");
+}
+
+fn carry_out(world: &Arc<World>, load: &Arc<Load>, act: &Act) {
+    let index = |who: &Who| resolve(world, *who);
+    match act {
+        Act::Burst { jobs, run_ms } => load.burst(world, *jobs, *run_ms),
+        Act::Freeze { who, ms } => freeze(world, index(who), *ms),
+        Act::Kill { who, down_ms } => kill(world, index(who), *down_ms),
+        Act::KillTwice { who, gap_ms } => {
+            let node = index(who);
+            kill(world, node, 0);
+            pause(*gap_ms);
+            kill(world, node, 0);
+        }
+        Act::Stop { who, down_ms } => stop(world, index(who), *down_ms),
+        Act::Hold { who, to, way, ms } => {
+            let node = index(who);
+            world.record.note(format!("node {node} -> {to:?}, {way:?}: held for {ms} ms"));
+            let links = links(world, node, *to);
+            links.iter().for_each(|link| link.hold(*way, *ms));
+            pause(*ms);
+        }
+        Act::Slow { who, to, way, latency_ms, ms } => {
+            let node = index(who);
+            slow(world, &links(world, node, *to), (node, *way), *latency_ms, *ms);
+        }
+        Act::Store { who, mode, ms } => {
+            let node = index(who);
+            world.record.note(format!("the store is {mode:?} for node {node} for {ms} ms"));
+            world.store.set_mode(node, *mode, *ms);
+            pause(*ms);
+        }
+        Act::Down { ms, expires, entries } => down(world, *ms, *expires, *entries),
+        Act::Crash { worker, down_ms } => {
+            if let Some(worker) = world.workers.get(*worker as usize) {
+                worker.crash();
+                pause(*down_ms);
+                worker.start(Duration::ZERO);
+            }
+        }
+    }
+}
+
+fn resolve(world: &World, who: Who) -> usize {
+    let owner = world.store.owner();
+    match who {
+        Who::Owner => owner,
+        Who::Other(places) => (owner + places) % world.nodes.len(),
+    }
+}
+
+fn links(world: &World, node: usize, to: To) -> Vec<Arc<Link>> {
+    let node = &world.nodes[node];
+    match to {
+        To::Workers(bits) => {
+            let links = node.worker_links.iter().enumerate();
+            let links = links.filter(|(worker, _)| bits & (1 << worker) != 0);
+            links.map(|(_, link)| Arc::clone(link)).collect()
+        }
+        To::Node(who) => node.node_links[resolve(world, who)].iter().cloned().collect(),
+        To::Nodes => node.node_links.iter().flatten().cloned().collect(),
+        To::Store => vec![Arc::clone(&node.store_link)],
+    }
+}
+
+fn freeze(world: &World, node: usize, ms: u64) {
+    if world.signal(node, "-STOP") {
+        world.record.note(format!("node {node} is frozen for {ms} ms"));
+        pause(ms);
+        world.signal(node, "-CONT");
+        world.record.note(format!("node {node} goes on"));
+    }
+}
+
+fn kill(world: &World, node: usize, down_ms: u64) {
+    if world.kill(node) {
+        world.record.note(format!("node {node} is killed"));
+        pause(down_ms);
+        let _ = world.spawn(node);
+        world.record.note(format!("node {node} is started"));
+    }
+}
+
+fn stop(world: &World, node: usize, down_ms: u64) {
+    if world.signal(node, "-TERM") {
+        world.record.note(format!("node {node} is told to stop"));
+        world.await_exit(node);
+        world.record.note(format!("node {node} has stopped"));
+        pause(down_ms);
+        let _ = world.spawn(node);
+        world.record.note(format!("node {node} is started"));
+    }
+}
+
+fn slow(world: &World, links: &[Arc<Link>], (node, way): (usize, Way), latency_ms: u64, ms: u64) {
+    let note = format!("node {node}: {} links slow, {way:?}, {latency_ms} ms", links.len());
+    world.record.note(format!("{note}, for {ms} ms"));
+    links.iter().for_each(|link| link.set_latency(way, latency_ms));
+    pause(ms);
+    links.iter().for_each(|link| link.set_latency(way, 0));
+}
+
+fn down(world: &World, ms: u64, expires: bool, entries: u64) {
+    world.record.note(format!("the store is down for {ms} ms"));
+    world.store.set_down(true);
+    pause(ms);
+    world.store.set_down(false);
+    if expires {
+        world.store.end_leases();
+    }
+    let gone = world.workers.iter().enumerate();
+    let gone: Vec<&str> = gone
+        .filter(|(worker, _)| entries & (1 << worker) != 0)
+        .map(|(_, worker)| worker.setup.id.as_str())
+        .collect();
+    for worker in &gone {
+        world.store.remove(&format!("{}{worker}", name("workers")));
+    }
+    let leases = if expires { "all leases have expired" } else { "leases have paused" };
+    world.record.note(format!("the store is up; {leases}; entries that expired: {gone:?}"));
+}
+
+/// Waits until a condition holds, but no longer than the limit.
+pub fn await_until(limit: Duration, is_met: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while !is_met() {
+        if Instant::now() >= deadline {
+            return false;
+        }
+        pause(100);
+    }
+    true
+}
