--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -121,7 +121,7 @@
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 13] = [
+const SCENES: [(&str, u64, Scene); 15] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -135,6 +135,8 @@
     ("chain", 6, chain),
     ("sleeper", 10, sleeper),
     ("lapse", 6, lapse),
+    ("reborn", 6, reborn),
+    ("doubt", 6, doubt),
 ];
 
 impl Plan {
@@ -310,8 +312,9 @@
 /// The owner and a node beside it reach the store no more, nor the other nodes; the owner still
 /// reaches workers that the others don't.
 fn split(draw: &mut Draw, at: u64) {
-    draw.burst(at + 200);
-    let (ms, mode) = (draw.rng.between(6_000, 14_000), draw.away());
+    let run_ms = draw.rng.between(12_000, 18_000);
+    draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
+    let (ms, mode) = (draw.rng.between(8_000, 17_000), draw.away());
     let beside = draw.rng.between(1, draw.nodes - 1) as usize;
     let lone = draw.some_workers();
     for who in [Who::Owner, Who::Other(beside)] {
@@ -320,12 +323,9 @@
     for place in (1..draw.nodes as usize).filter(|place| *place != beside) {
         draw.cut(at, Who::Owner, To::Node(Who::Other(place)), ms);
         draw.cut(at, Who::Other(place), To::Node(Who::Owner), ms);
-        let cut_ms = draw.rng.between(ms / 3, ms);
+        let cut_ms = draw.rng.between(ms / 2, ms);
         draw.cut(at, Who::Other(place), To::Workers(lone), cut_ms);
     }
-    for burst in 1..ms / 1_000 {
-        draw.burst(at + burst * 1_000);
-    }
 }
 
 /// The owner is stopped in order while a link to some workers holds its orders.
@@ -379,3 +379,44 @@
         draw.add(at + draw.rng.clone().between(100, ms), Act::Freeze { who: Who::Owner, ms });
     }
 }
+
+/// A worker starts again, and its answers are held up so that the owner doesn't know; the owner's next
+/// orders reach the new life, and the next owner doesn't reach it.
+fn reborn(draw: &mut Draw, at: u64) {
+    let worker = draw.rng.between(0, draw.workers - 1);
+    let to = To::Workers(1 << worker);
+    draw.add(at, Act::Hold { who: Who::Owner, to, way: Way::Back, ms: 2_500 });
+    draw.add(at + 5, Act::Crash { worker, down_ms: draw.rng.clone().between(5, 60) });
+    let run_ms = draw.rng.between(8_000, 13_000);
+    draw.add(at + 100, Act::Burst { jobs: 12, run_ms });
+    let end_at = at + draw.rng.between(300, 700);
+    for place in 0..draw.nodes as usize {
+        let who = if place == 0 { Who::Owner } else { Who::Other(place) };
+        draw.cut(end_at, who, to, 12_000);
+    }
+    let act = match draw.rng.between(0, 2) {
+        0 => Act::Stop { who: Who::Owner, down_ms: 500 },
+        1 => Act::Kill { who: Who::Owner, down_ms: 0 },
+        _ => Act::KillTwice { who: Who::Owner, gap_ms: 400 },
+    };
+    draw.add(end_at + 1, act);
+}
+
+/// The store is down for all until leases have expired, so that the owner goes on by the word of the
+/// others; the next owner is killed as soon as it has claimed, and none reaches some of the workers.
+fn doubt(draw: &mut Draw, at: u64) {
+    let run_ms = draw.rng.between(12_000, 18_000);
+    draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
+    let (ms, lone) = (draw.rng.between(2_500, 6_000), draw.some_workers());
+    draw.add(at, Act::Down { ms, expires: true, entries: 0 });
+    let cut_at = at + ms / 2;
+    for place in 1..draw.nodes as usize {
+        draw.cut(cut_at, Who::Other(place), To::Workers(lone), 15_000);
+        draw.cut(cut_at, Who::Owner, To::Node(Who::Other(place)), ms);
+        draw.cut(cut_at, Who::Other(place), To::Node(Who::Owner), ms);
+    }
+    draw.add(at + ms - 1, Act::Store { who: Who::Owner, mode: Mode::Silent, ms: 9_000 });
+    let gap_ms = draw.rng.between(100, 600);
+    let kill_at = at + ms + draw.rng.between(60, 900);
+    draw.add(kill_at, Act::KillTwice { who: Who::Owner, gap_ms });
+}
--- a/tools/owners/src/load.rs
+++ b/tools/owners/src/load.rs
@@ -43,7 +43,7 @@
 
 fn lasting_job() -> String {
     format!(
-        r#"{{"spec":"ms={LASTING_MS} cpu=1000","phases":[{{"count":2,"cpu":1000,"mem_mb":256,"estimate_ms":1000,"long_running":true}}]}}"#
+        r#"{{"spec":"ms={LASTING_MS} cpu=1000","phases":[{{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":1000,"long_running":true}}]}}"#
     )
 }
 
@@ -66,7 +66,8 @@
                     let is_short = rng.chance(70);
                     let (low, high) = if is_short { (300, 1_000) } else { (4_000, 9_000) };
                     let body = job(rng.between(1, 3), rng.between(low, high));
-                    load.hand_in(&world, &body);
+                    let number = load.next_job.fetch_add(1, SeqCst);
+                    load.hand_in(&world, number, &body);
                     thread::sleep(Duration::from_millis(rng.between(200, 900)));
                 }
             });
@@ -77,7 +78,8 @@
 
     fn spawn(self: &Arc<Self>, world: &Arc<World>, body: String) {
         let (load, world) = (Arc::clone(self), Arc::clone(world));
-        let handle = thread::spawn(move || load.hand_in(&world, &body));
+        let number = self.next_job.fetch_add(1, SeqCst);
+        let handle = thread::spawn(move || load.hand_in(&world, number, &body));
         self.clients.lock().unwrap().push(handle);
     }
 
@@ -90,8 +92,7 @@
 
     /// Hands a job in: again at the next node after no answer, 502 or 504. A job that is refused
     /// with 429 or 503 never runs, and is forgotten.
-    fn hand_in(&self, world: &World, body: &str) {
-        let number = self.next_job.fetch_add(1, SeqCst);
+    fn hand_in(&self, world: &World, number: u64, body: &str) {
         let id = format!("5c0e7a21{number:08x}");
         for attempt in 0..MAX_TRIES {
             let node = &world.nodes[(number as usize + attempt) % world.nodes.len()];
