--- a/tools/owners/run.sh
+++ b/tools/owners/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Plays changes of owners under trouble drawn from SEED, for SECONDS (25 if not given), on the code in
-# PROJECT (this repository if unset), whose target/release must be built. Writes the record to RECORD
-# (target/owners/SEED.txt if unset). Exits with 1 if a rule was broken, 0 if it held and 2 if nothing
+# PROJECT (this repository if unset), whose PROGRAM (target/release/teaselgap if unset) must be built.
+# Writes the record to RECORD (target/owners/SEED.txt if unset). Exits with 1 if a rule was broken, 0 if it held and 2 if nothing
 # could be played or judged. TROUBLE=0 leaves the trouble out; AIM=SCENE draws that scene only (see
 # src/draw.rs); KEEP_LOGS=FOLDER keeps the processes' logs.
 cd "$(dirname "$0")/../.." || exit 2
@@ -13,8 +13,9 @@
 cargo build --quiet --release --offline --manifest-path tools/owners/Cargo.toml \
   --target-dir "$target" || exit 2
 cd "${PROJECT:-.}" || exit 2
-if [ ! -x target/release/teaselgap ]; then
-  echo "build the project first (deploy/system.toml)" >&2
+export PROGRAM=${PROGRAM:-target/release/teaselgap}
+if [ ! -x "$PROGRAM" ]; then
+  echo "build $PROGRAM first (deploy/system.toml)" >&2
   exit 2
 fi
 "$target/release/owners" "$seed" "$((seconds * 1000))" "$record" &
--- a/tools/owners/src/judge.rs
+++ b/tools/owners/src/judge.rs
@@ -5,28 +5,120 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::{load, record::Record, trouble, world::World};
+use crate::{
+    links::WorkerCall,
+    load,
+    record::{Event, Life, Record},
+    trouble,
+    world::World,
+};
 
 /// The most lines about one work unit.
 const MAX_LINES: usize = 60;
 
+/// The longest lease of a worker, in milliseconds (`max_hold_ms` of the settings).
+const MAX_HOLD_MS: u64 = 10_000;
+
+type Events = Vec<(u64, Event)>;
+
 /// The breaches of TWICE, each with what the record says about the work unit: the orders as they
 /// arrived (node, worker, fence number), their answers, and the runs.
-pub fn twice(record: &Record) -> Vec<String> {
-    let breaches = record.twice();
+pub fn twice(record: &Record, calls: &[WorkerCall]) -> Vec<String> {
+    let mut events = record.events();
+    events.extend(lapses(&events, calls));
+    events.sort_by_key(|(at, _)| *at);
     let text = record.to_text();
     let mut told = BTreeSet::new();
-    let tell = |breach: String| {
-        let task = breach.split(' ').nth(2).unwrap_or_default().to_owned();
-        let needle = format!("{task} ");
-        if !told.insert(task) {
-            return breach;
+    let tell = |(task, breach): (String, String)| {
+        if !told.insert(task.clone()) {
+            return format!("TWICE at {breach}");
         }
+        let needle = format!("{task} ");
         let lines = text.lines().filter(|line| line.contains(&needle)).take(MAX_LINES);
         let lines: Vec<String> = lines.map(|line| format!("    {}", line.trim())).collect();
         format!("TWICE at {breach}\n{}", lines.join("\n"))
     };
-    breaches.into_iter().map(tell).collect()
+    breaches(&events).into_iter().map(tell).collect()
+}
+
+/// The ends of leases of workers on which nothing runs then, which the workers don't record: an end
+/// that is noted later doesn't count.
+fn lapses(events: &Events, calls: &[WorkerCall]) -> Events {
+    let mut lapses = Vec::new();
+    let births = events.iter().filter_map(|(at, event)| match event {
+        Event::Note(note) => {
+            let (worker, born) = note.strip_prefix("worker ")?.split_once(" is born at ")?;
+            Some((*at, (worker.to_owned(), born.parse().ok()?)))
+        }
+        _ => None,
+    });
+    for (birth, life) in births {
+        let is_end = |event: &Event| matches!(event, Event::Crashed { life: one } if *one == life);
+        let death = events.iter().find(|(at, event)| *at >= birth && is_end(event));
+        let death = death.map_or(u64::MAX, |(at, _)| *at);
+        let (mut fence, mut lease_end) = (0, None);
+        let is_of_life =
+            |call: &&WorkerCall| call.worker == life.0 && (birth..death).contains(&call.at_ms);
+        for call in calls.iter().filter(is_of_life).filter(|call| call.deadline_ms > 0) {
+            if call.fence < fence {
+                continue;
+            }
+            fence = call.fence;
+            if let Some(end) = lease_end.filter(|end| *end < call.at_ms) {
+                lapses.push((end, Event::Lapsed { life: life.clone() }));
+            }
+            let wanted = (birth + call.deadline_ms).min(call.at_ms + MAX_HOLD_MS);
+            lease_end = Some(lease_end.unwrap_or(0).max(wanted));
+        }
+    }
+    lapses
+}
+
+/// As the review's record judges, with each breach's work unit.
+fn breaches(events: &Events) -> Vec<(String, String)> {
+    let mut breaches = Vec::new();
+    for (index, (at, event)) in events.iter().enumerate() {
+        let Event::Started { life, task, attempt } = event else { continue };
+        let mut tell = |what: String| {
+            let at = *at as f64 / 1_000.0;
+            let run = format!("{task} attempt {attempt} starts on {}", life.0);
+            breaches.push((task.clone(), format!("{at:.3} s: {run} {what}")));
+        };
+        let mut alive: Vec<(&Life, u64)> = Vec::new();
+        for (before_index, (_, before)) in events[..index].iter().enumerate() {
+            match before {
+                Event::Started { life, task: other, attempt } if other == task => {
+                    alive.push((life, *attempt));
+                }
+                Event::Ended { life, task: other, attempt, how, number } if other == task => {
+                    alive.retain(|run| *run != (life, *attempt));
+                    if *how == "done" && was_noted(&events[before_index..], life, *number) {
+                        tell(format!("after attempt {attempt} was done on {}", life.0));
+                    }
+                }
+                Event::Crashed { life } => alive.retain(|(other, _)| *other != life),
+                _ => {}
+            }
+        }
+        for (other, running) in alive {
+            tell(format!("while attempt {running} runs on {}", other.0));
+        }
+    }
+    breaches
+}
+
+/// Whether an end is taken note of by these later events before the worker's lease lapses.
+fn was_noted(later: &[(u64, Event)], life: &Life, number: u64) -> bool {
+    let decisive = later.iter().find_map(|(_, event)| match event {
+        Event::Confirmed { life: other, last_seen } if other == life && *last_seen >= number => {
+            Some(true)
+        }
+        Event::Lapsed { life: other } | Event::Crashed { life: other } if other == life => {
+            Some(false)
+        }
+        _ => None,
+    });
+    decisive.unwrap_or(false)
 }
 
 /// Waits until all these jobs are done or lasting, and names those for which nothing runs then (LOST).
--- a/tools/owners/src/judge/tests.rs
+++ b/tools/owners/src/judge/tests.rs
@@ -1,5 +1,8 @@
 use super::twice;
-use crate::record::{Event, Life, Record};
+use crate::{
+    links::WorkerCall,
+    record::{Event, Life, Record},
+};
 
 const TASK: &str = "5c0e7a2100000001.0.0.0";
 
@@ -25,7 +28,7 @@
 
     start(&record, 2, 2);
 
-    let breaches = twice(&record);
+    let breaches = twice(&record, &[]);
     assert_eq!(breaches.len(), 1);
     assert!(breaches[0].contains("starts on i-00000002 while attempt 1 runs on i-00000001"));
     assert!(breaches[0].contains("node 1 -> i-00000001: order"), "{}", breaches[0]);
@@ -41,7 +44,7 @@
 
     start(&record, 2, 2);
 
-    assert_eq!(twice(&record).len(), 1);
+    assert_eq!(twice(&record, &[]).len(), 1);
 }
 
 #[test]
@@ -55,5 +58,26 @@
 
     start(&record, 3, 3);
 
-    assert_eq!(twice(&record), Vec::<String>::new());
+    assert_eq!(twice(&record, &[]), Vec::<String>::new());
+}
+
+#[test]
+fn an_end_that_is_noted_after_the_lease_has_ended_does_not_count() {
+    let record = Record::new();
+    record.note("worker i-00000001 is born at 1");
+    start(&record, 1, 1);
+    end(&record, 1, 1);
+    std::thread::sleep(std::time::Duration::from_millis(40));
+    record.add(Event::Confirmed { life: life(1), last_seen: 1 });
+    start(&record, 2, 2);
+    let call = |at_ms, deadline_ms| {
+        let worker = "i-00000001".to_owned();
+        WorkerCall { at_ms, worker, fence: 7, deadline_ms, is_start: false }
+    };
+
+    let late = [call(0, 20), call(record.now_ms(), 9_000)];
+    let renewed = [call(0, 200), call(record.now_ms(), 9_000)];
+
+    assert_eq!(twice(&record, &late), Vec::<String>::new());
+    assert_eq!(twice(&record, &renewed).len(), 1);
 }
--- a/tools/owners/src/links.rs
+++ b/tools/owners/src/links.rs
@@ -30,13 +30,24 @@
     Back,
 }
 
+/// A start order, or a renewal of a lease, as it reached a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerCall {
+    pub at_ms: u64,
+    pub worker: String,
+    pub fence: u64,
+    /// On the worker's clock.
+    pub deadline_ms: u64,
+    pub is_start: bool,
+}
+
 /// What has passed a link.
 #[derive(Debug, Default)]
 pub struct Passed {
     pub late_bytes: AtomicU64,
     pub lost_bytes: AtomicU64,
-    /// The fence numbers of the start orders that arrived, with the time of each.
-    pub orders: Mutex<Vec<(u64, u64)>>,
+    /// The calls to workers that arrived.
+    pub calls: Mutex<Vec<WorkerCall>>,
 }
 
 /// A link: its connections are accepted at `address` and passed on to the target.
@@ -150,21 +161,29 @@
             }
             return;
         }
-        if head.split(' ').nth(1) != Some(name("start")) {
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let is_start = path == name("start");
+        if !is_start && path != name("hold") {
+            open.push_back(None);
+            return;
+        }
+        let call = Json::parse(body).unwrap_or(Json::Null);
+        let number = |field| call.number(field).unwrap_or(0);
+        let (fence, deadline_ms) = (number(name("fence")), number("deadline_ms"));
+        let worker = self.label.rsplit(' ').next().unwrap_or_default().to_owned();
+        let at_ms = self.record.now_ms();
+        let passed = WorkerCall { at_ms, worker, fence, deadline_ms, is_start };
+        self.passed.calls.lock().unwrap().push(passed);
+        if !is_start {
             open.push_back(None);
             return;
         }
-        let order = Json::parse(body).unwrap_or(Json::Null);
-        let number = |field| order.number(field).unwrap_or(0);
-        let (attempt, fence) = (number("attempt"), number(name("fence")));
-        let task = order.text("task").unwrap_or_default();
-        let text = format!("{task} attempt {attempt} fence {fence}");
+        let task = call.text("task").unwrap_or_default();
+        let text = format!("{task} attempt {} fence {fence}", number("attempt"));
         self.record.note(format!(
-            "{}: order {text} until {} on the worker's clock, {age} ms under way",
-            self.label,
-            number("deadline_ms")
+            "{}: order {text} until {deadline_ms} on the worker's clock, {age} ms under way",
+            self.label
         ));
-        self.passed.orders.lock().unwrap().push((self.record.now_ms(), fence));
         open.push_back(Some(text));
     }
 }
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -105,7 +105,7 @@
     record.note(format!("calm from here; {} jobs are accepted", accepted.len()));
     let mut breaches = judge::open_jobs(&world, &accepted, CALM);
     record.note(world.effect());
-    breaches.extend(judge::twice(record));
+    breaches.extend(judge::twice(record, &world.calls()));
     match (breaches.is_empty(), world.longest_stall_ms()) {
         (true, _) => Outcome::Held,
         (false, ..=MAX_STALL_MS) => Outcome::Broken(breaches),
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -18,7 +18,7 @@
     draw::Plan,
     http::{self, Reply, Request, Server},
     json::{self, Json},
-    links::{Link, Passed},
+    links::{Link, Passed, WorkerCall},
     names::name,
     ports,
     record::Record,
@@ -26,6 +26,9 @@
     worker::{Setup, Worker},
 };
 
+/// What is played, unless `PROGRAM` names another build.
+const PROGRAM: &str = "target/release/teaselgap";
+
 pub const HOST: &str = "shop.example";
 pub const PREFIX: &str = "/jobs/";
 const SERVICE: &str = "shop";
@@ -152,7 +155,8 @@
         }
         let path = self.folder.join(format!("{}.log", node.name));
         let log = fs::OpenOptions::new().create(true).append(true).open(path).ok()?;
-        let mut command = Command::new("target/release/teaselgap");
+        let program = std::env::var_os("PROGRAM").unwrap_or_else(|| PROGRAM.into());
+        let mut command = Command::new(program);
         command.args(["serve", "--platform"]);
         command.env("TEASELGAP_BOOT", self.folder.join(format!("{}.toml", node.name)));
         command.stdin(Stdio::null()).stdout(log.try_clone().ok()?).stderr(log);
@@ -250,12 +254,18 @@
         self.longest_stall_ms.load(SeqCst)
     }
 
+    /// The calls that reached workers.
+    pub fn calls(&self) -> Vec<WorkerCall> {
+        self.passed.calls.lock().unwrap().clone()
+    }
+
     /// Counts the trouble that took effect. Without a change of owner, a play shows nothing.
     pub fn effect(&self) -> String {
         let claims = self.store.claims();
-        let orders = self.passed.orders.lock().unwrap();
-        let is_late = |(at, fence): &&(u64, u64)| {
-            claims.iter().any(|claim| claim.at_ms < *at && claim.epoch > *fence)
+        let calls = self.calls();
+        let orders: Vec<&WorkerCall> = calls.iter().filter(|call| call.is_start).collect();
+        let is_late = |order: &&&WorkerCall| {
+            claims.iter().any(|claim| claim.at_ms < order.at_ms && claim.epoch > order.fence)
         };
         format!(
             "trouble that took effect: {} claims of the cell, {} of them by another node than \
