--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -121,7 +121,7 @@
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 15] = [
+const SCENES: [(&str, u64, Scene); 14] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -136,7 +136,6 @@
     ("sleeper", 10, sleeper),
     ("lapse", 6, lapse),
     ("reborn", 6, reborn),
-    ("doubt", 6, doubt),
 ];
 
 impl Plan {
@@ -309,22 +308,26 @@
     draw.add(at, Act::Crash { worker, down_ms });
 }
 
-/// The owner and a node beside it reach the store no more, nor the other nodes; the owner still
-/// reaches workers that the others don't.
+/// Some workers, the owner and a node beside it are cut off from all others and from the store.
 fn split(draw: &mut Draw, at: u64) {
     let run_ms = draw.rng.between(12_000, 18_000);
     draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
-    let (ms, mode) = (draw.rng.between(8_000, 17_000), draw.away());
+    let (ms, mode) = (draw.rng.between(6_000, 17_000), draw.away());
     let beside = draw.rng.between(1, draw.nodes - 1) as usize;
-    let lone = draw.some_workers();
-    for who in [Who::Owner, Who::Other(beside)] {
-        draw.add(at, Act::Store { who, mode, ms });
-    }
-    for place in (1..draw.nodes as usize).filter(|place| *place != beside) {
-        draw.cut(at, Who::Owner, To::Node(Who::Other(place)), ms);
-        draw.cut(at, Who::Other(place), To::Node(Who::Owner), ms);
-        let cut_ms = draw.rng.between(ms / 2, ms);
-        draw.cut(at, Who::Other(place), To::Workers(lone), cut_ms);
+    let all = (1 << draw.workers) - 1;
+    let near = draw.rng.between(1, all - 1);
+    for place in 0..draw.nodes as usize {
+        let is_near = place == 0 || place == beside;
+        let who = if place == 0 { Who::Owner } else { Who::Other(place) };
+        draw.cut(at, who, To::Workers(if is_near { all & !near } else { near }), ms);
+        if is_near {
+            draw.add(at, Act::Store { who, mode, ms });
+            continue;
+        }
+        for near_node in [Who::Owner, Who::Other(beside)] {
+            draw.cut(at, near_node, To::Node(who), ms);
+            draw.cut(at, who, To::Node(near_node), ms);
+        }
     }
 }
 
@@ -401,22 +404,3 @@
     };
     draw.add(end_at + 1, act);
 }
-
-/// The store is down for all until leases have expired, so that the owner goes on by the word of the
-/// others; the next owner is killed as soon as it has claimed, and none reaches some of the workers.
-fn doubt(draw: &mut Draw, at: u64) {
-    let run_ms = draw.rng.between(12_000, 18_000);
-    draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
-    let (ms, lone) = (draw.rng.between(2_500, 6_000), draw.some_workers());
-    draw.add(at, Act::Down { ms, expires: true, entries: 0 });
-    let cut_at = at + ms / 2;
-    for place in 1..draw.nodes as usize {
-        draw.cut(cut_at, Who::Other(place), To::Workers(lone), 15_000);
-        draw.cut(cut_at, Who::Owner, To::Node(Who::Other(place)), ms);
-        draw.cut(cut_at, Who::Other(place), To::Node(Who::Owner), ms);
-    }
-    draw.add(at + ms - 1, Act::Store { who: Who::Owner, mode: Mode::Silent, ms: 9_000 });
-    let gap_ms = draw.rng.between(100, 600);
-    let kill_at = at + ms + draw.rng.between(60, 900);
-    draw.add(kill_at, Act::KillTwice { who: Who::Owner, gap_ms });
-}
