--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -121,7 +121,7 @@
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 14] = [
+const SCENES: [(&str, u64, Scene); 15] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -130,7 +130,8 @@
     ("down", 8, down),
     ("flap", 6, flap),
     ("crash", 8, crash),
-    ("split", 10, split),
+    ("split", 5, split),
+    ("heir", 5, heir),
     ("handover", 6, handover),
     ("chain", 6, chain),
     ("sleeper", 10, sleeper),
@@ -310,18 +311,34 @@
 
 /// Some workers, the owner and a node beside it are cut off from all others and from the store.
 fn split(draw: &mut Draw, at: u64) {
+    part(draw, at, (6_000, 17_000), None);
+}
+
+/// As `split`, but the node beside the owner soon reaches the store again, and the next owner is killed
+/// and started at once when it has just claimed the cell.
+fn heir(draw: &mut Draw, at: u64) {
+    let word_ms = draw.rng.between(3_200, 4_000);
+    part(draw, at, (11_000, 15_000), Some(word_ms));
+    let kill_at = at + draw.rng.between(2_300, 2_800);
+    draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms: 0 });
+}
+
+/// Cuts off the owner for a time drawn from the range, and the node beside it from the store for
+/// `word_ms`, or as long.
+fn part(draw: &mut Draw, at: u64, (low, high): (u64, u64), word_ms: Option<u64>) {
     let run_ms = draw.rng.between(12_000, 18_000);
     draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
-    let (ms, mode) = (draw.rng.between(6_000, 17_000), draw.away());
+    let (ms, mode) = (draw.rng.between(low, high), draw.away());
     let beside = draw.rng.between(1, draw.nodes - 1) as usize;
     let all = (1 << draw.workers) - 1;
     let near = draw.rng.between(1, all - 1);
+    draw.add(at, Act::Store { who: Who::Owner, mode, ms });
+    draw.add(at, Act::Store { who: Who::Other(beside), mode, ms: word_ms.unwrap_or(ms) });
     for place in 0..draw.nodes as usize {
         let is_near = place == 0 || place == beside;
         let who = if place == 0 { Who::Owner } else { Who::Other(place) };
         draw.cut(at, who, To::Workers(if is_near { all & !near } else { near }), ms);
         if is_near {
-            draw.add(at, Act::Store { who, mode, ms });
             continue;
         }
         for near_node in [Who::Owner, Who::Other(beside)] {
--- a/tools/owners/src/judge.rs
+++ b/tools/owners/src/judge.rs
@@ -41,8 +41,8 @@
     breaches(&events).into_iter().map(tell).collect()
 }
 
-/// The ends of leases of workers on which nothing runs then, which the workers don't record: an end
-/// that is noted later doesn't count.
+/// The ends of leases, from the calls that arrived. The workers record none while nothing runs, after
+/// which an end that is noted doesn't count, and record the others late on a busy machine.
 fn lapses(events: &Events, calls: &[WorkerCall]) -> Events {
     let mut lapses = Vec::new();
     let births = events.iter().filter_map(|(at, event)| match event {
@@ -70,6 +70,8 @@
             let wanted = (birth + call.deadline_ms).min(call.at_ms + MAX_HOLD_MS);
             lease_end = Some(lease_end.unwrap_or(0).max(wanted));
         }
+        let end = lease_end.filter(|end| *end < death);
+        lapses.extend(end.map(|end| (end, Event::Lapsed { life })));
     }
     lapses
 }
@@ -96,7 +98,9 @@
                         tell(format!("after attempt {attempt} was done on {}", life.0));
                     }
                 }
-                Event::Crashed { life } => alive.retain(|(other, _)| *other != life),
+                Event::Crashed { life } | Event::Lapsed { life } => {
+                    alive.retain(|(other, _)| *other != life);
+                }
                 _ => {}
             }
         }
--- a/tools/owners/src/judge/tests.rs
+++ b/tools/owners/src/judge/tests.rs
@@ -81,3 +81,19 @@
     assert_eq!(twice(&record, &late), Vec::<String>::new());
     assert_eq!(twice(&record, &renewed).len(), 1);
 }
+
+#[test]
+fn a_run_whose_lease_has_ended_is_over() {
+    let record = Record::new();
+    record.note("worker i-00000001 is born at 1");
+    start(&record, 1, 1);
+    std::thread::sleep(std::time::Duration::from_millis(40));
+    start(&record, 2, 2);
+    let call = |deadline_ms| {
+        let worker = "i-00000001".to_owned();
+        WorkerCall { at_ms: 0, worker, fence: 7, deadline_ms, is_start: true }
+    };
+
+    assert_eq!(twice(&record, &[call(20)]), Vec::<String>::new());
+    assert_eq!(twice(&record, &[call(9_000)]).len(), 1);
+}
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -3,7 +3,7 @@
 //!
 //! Usage: `owners SEED MS RECORD`, from the folder of the project whose `target/release` is played.
 //! The trouble lasts `MS` milliseconds. Exits with 1 if a rule was broken, 0 if it held and 2 if
-//! nothing could be played or judged. `TROUBLE=0` leaves the trouble out, `AIM` names a scene that is
+//! nothing could be played. `TROUBLE=0` leaves the trouble out, `AIM` names a scene that is
 //! drawn alone (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs.
 
 mod draw;
@@ -44,14 +44,11 @@
 /// How long after the trouble each accepted job may stay without progress.
 const CALM: Duration = Duration::from_secs(30);
 
-/// The longest pause of the thread that ends runs and leases for which its figures still hold.
-const MAX_STALL_MS: u64 = 250;
-
 /// What came of a play.
 enum Outcome {
     Held,
     Broken(Vec<String>),
-    /// Nothing was played, or the machine was too busy for a verdict.
+    /// Nothing was played.
     NotPlayed(String),
 }
 
@@ -106,12 +103,5 @@
     let mut breaches = judge::open_jobs(&world, &accepted, CALM);
     record.note(world.effect());
     breaches.extend(judge::twice(record, &world.calls()));
-    match (breaches.is_empty(), world.longest_stall_ms()) {
-        (true, _) => Outcome::Held,
-        (false, ..=MAX_STALL_MS) => Outcome::Broken(breaches),
-        (false, stall) => Outcome::NotPlayed(format!(
-            "the stand-ins stood still for {stall} ms; otherwise:\n{}",
-            breaches.join("\n")
-        )),
-    }
+    if breaches.is_empty() { Outcome::Held } else { Outcome::Broken(breaches) }
 }
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -267,12 +267,14 @@
         let is_late = |order: &&&WorkerCall| {
             claims.iter().any(|claim| claim.at_ms < order.at_ms && claim.epoch > order.fence)
         };
+        let changes = claims.windows(2).filter(|pair| pair[0].node != pair[1].node).count();
+        let worth =
+            if claims.len() < 2 { "; without a change of owner, this shows nothing" } else { "" };
         format!(
-            "trouble that took effect: {} claims of the cell, {} of them by another node than \
-             before; {} of {} start orders arrived after a later claim; {} bytes late, {} lost; the \
-             stand-ins stood still for {} ms at most",
+            "trouble that took effect: {} claims of the cell, {changes} of them by another node \
+             than before; {} of {} start orders arrived after a later claim; {} bytes late, {} lost; the \
+             stand-ins stood still for {} ms at most{worth}",
             claims.len(),
-            claims.windows(2).filter(|pair| pair[0].node != pair[1].node).count(),
             orders.iter().filter(is_late).count(),
             orders.len(),
             self.passed.late_bytes.load(SeqCst),
