--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -121,7 +121,7 @@
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 15] = [
+const SCENES: [(&str, u64, Scene); 16] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -132,6 +132,7 @@
     ("crash", 8, crash),
     ("split", 5, split),
     ("heir", 5, heir),
+    ("alone", 5, alone),
     ("handover", 6, handover),
     ("chain", 6, chain),
     ("sleeper", 10, sleeper),
@@ -323,6 +324,25 @@
     draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms: 0 });
 }
 
+/// All leases expire while the store is down. The owner is back first, claims the cell, and loses the
+/// store before any other node has registered again; it and the others reach different workers.
+fn alone(draw: &mut Draw, at: u64) {
+    let run_ms = draw.rng.between(12_000, 18_000);
+    draw.add(at - 800, Act::Burst { jobs: 10, run_ms });
+    let (down_ms, ms) = (draw.rng.between(2_200, 3_500), draw.rng.between(11_000, 15_000));
+    draw.add(at, Act::Down { ms: down_ms, expires: true, entries: 0 });
+    let leave_at = at + down_ms + draw.rng.between(900, 1_500);
+    let (mode, back_ms) = (draw.away(), leave_at - at + draw.rng.between(50, 400));
+    let all = (1 << draw.workers) - 1;
+    let near = draw.rng.between(1, all - 1);
+    for place in 1..draw.nodes as usize {
+        draw.add(at, Act::Store { who: Who::Other(place), mode: Mode::Refuse, ms: back_ms });
+        draw.cut(leave_at, Who::Other(place), To::Workers(near), ms);
+    }
+    draw.add(leave_at, Act::Store { who: Who::Owner, mode, ms });
+    draw.cut(leave_at, Who::Owner, To::Workers(all & !near), ms);
+}
+
 /// Cuts off the owner for a time drawn from the range, and the node beside it from the store for
 /// `word_ms`, or as long.
 fn part(draw: &mut Draw, at: u64, (low, high): (u64, u64), word_ms: Option<u64>) {
