--- a/crates/core/src/job/permission.rs
+++ b/crates/core/src/job/permission.rs
@@ -7,6 +7,7 @@
 //! which it knows that nobody had claimed. A node that doesn't answer may have claimed since its last
 //! confirmation or, without one, since the last renewal of the lease was sent.
 //!
+//! An owner that knows no other node can't tell an outage from its own trouble, and ends with its lease.
 //! A node that has registered since the owner last read the list of members is not asked.
 
 #[cfg(test)]
@@ -73,8 +74,7 @@
             })
             .collect();
         let is_any = |wanted| words.iter().any(|(_, word)| *word == wanted);
-        let is_confirmed =
-            !is_any(PeerWord::Denial) && (words.is_empty() || is_any(PeerWord::StoreAway));
+        let is_confirmed = is_any(PeerWord::StoreAway) && !is_any(PeerWord::Denial);
         if is_confirmed {
             self.confirmed_at = self.confirmed_at.max(asked_at);
         }
--- a/crates/core/src/job/permission/tests.rs
+++ b/crates/core/src/job/permission/tests.rs
@@ -64,6 +64,14 @@
     assert!(end <= renewed + Permission::orders_after_claim(LEASE_TTL), "{end}");
 }
 
+/// Right after leases have expired, the first node that registers knows no other.
+#[test]
+fn an_owner_that_knows_no_other_node_does_not_confirm_an_outage_to_itself() {
+    let end = ask_until(LEASE_END + Span(20_000), |_| Vec::new());
+
+    assert_eq!(end, LEASE_END + Span(1));
+}
+
 #[test]
 fn an_owner_goes_on_for_as_long_as_all_others_confirm() {
     let until = LEASE_END + Span(20_000);
