A run that an earlier owner stops is taken for ended: test, and wider draw of overlapping owners

The property of overlapping owners now draws owners that are cut off while they give start orders, and tasks that wait for each other. It found that an ordinary task runs twice for as long as a stop takes, when its owner changes between the stop and the run's end.

--- a/crates/standins/tests/cells/owners.rs
+++ b/crates/standins/tests/cells/owners.rs
@@ -40,6 +40,13 @@
     (model, busy)
 }
 
+/// Runs until all records are durable, and no longer, so that the owner hasn't ordered anything since.
+fn run_until_durable(model: &mut Model) {
+    while !model.cell().is_some_and(Cell::is_log_idle) {
+        model.run_for(1);
+    }
+}
+
 /// Whether the task starts elsewhere in time, and never while it still runs on its first worker.
 fn assert_starts_once_more(model: &mut Model, case: &str) {
     let starts_again = model.run_until(LONG_MS, |model| model.start_count(task_id(JOB, 0)) > 1);
@@ -136,7 +143,7 @@
         let mut model = new_model(3);
         model.run_for(OWNER_TTL.0);
         model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 60_000)]));
-        model.run_until(SETTLED_MS, |model| model.cell().is_some_and(Cell::is_log_idle));
+        run_until_durable(&mut model);
         model.cut_off_owner(Afterlife { late_ms, ..PERMITTED });
         for id in ["w0", "w1"] {
             model.make_unreachable(id, 2 * LONG_MS);
@@ -192,6 +199,29 @@
     }
 }
 
+/// A run that is being stopped is in no list.
+#[test]
+fn a_run_that_an_earlier_owner_stops_is_not_taken_for_ended() {
+    for gap_ms in (2_200..2_600).step_by(10) {
+        let mut model = new_model(3);
+        model.run_for(OWNER_TTL.0);
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 60_000)]));
+        run_until_durable(&mut model);
+        // Its start order gets no answer in time, so it stops what that may have begun.
+        model.cut_off_owner(Afterlife { late_ms: 1_650, ..PERMITTED });
+        let ordered = model.ordered_worker(task_id(JOB, 0)).expect("a start order");
+        model.run_for(gap_ms);
+        // The next owner starts the task on another worker.
+        model.announce_leave(ordered.as_str(), 2 * LONG_MS);
+
+        model.take_over();
+
+        model.run_for(LONG_MS);
+        assert!(model.start_count(task_id(JOB, 0)) > 0, "{gap_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{gap_ms}");
+    }
+}
+
 /// Kills the owner, and returns how long its task waits after the restart of its node.
 fn wait_after_restart(model: &mut Model, busy: &WorkerId) -> Span {
     model.make_unreachable(busy.as_str(), 2 * LONG_MS);
--- a/crates/standins/tests/cells/owners/property.rs
+++ b/crates/standins/tests/cells/owners/property.rs
@@ -9,6 +9,7 @@
 };
 use teaselgap_standins::model::{Afterlife, Model, OWNER_TTL, StrayOrders};
 
+use super::run_until_durable;
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
 
 const WORKERS: usize = 4;
@@ -20,6 +21,10 @@
 /// Time until an owner has read the list of workers, and has written nothing yet, in milliseconds.
 const LIST_MS: u64 = 10;
 
+/// The processor need of a task, in thousandths of a core. Tasks have to wait for each other, so that an
+/// owner which is cut off still has some to start.
+const TASK_CPU_MILLI: u64 = 10_000;
+
 /// The longest estimated time of a task, in milliseconds.
 const MAX_TASK_MS: u64 = 14_000;
 
@@ -39,9 +44,12 @@
 /// milliseconds.
 const MAX_PAUSE_MS: u64 = 12_000;
 
+/// The longest time that all tasks of a play take in turn on its workers, in milliseconds.
+const MAX_WORK_MS: u64 = 10 * MAX_TASK_MS;
+
 /// The longest time from the end of all faults until every job is done, in milliseconds.
 const MAX_DONE_MS: u64 =
-    ORDER_LIFETIME_MS + MAX_LEASE_MS + 2 * OWNER_TTL.0 + MAX_PAUSE_MS + MAX_TASK_MS + 5_000;
+    ORDER_LIFETIME_MS + MAX_LEASE_MS + 2 * OWNER_TTL.0 + MAX_PAUSE_MS + MAX_WORK_MS + 5_000;
 
 /// How the owner of a cell changes.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +59,12 @@
         afterlife: Afterlife,
         gap_ms: u64,
     },
+    /// The same while it gives start orders for a new job. A worker may restart at the same moment.
+    CutOffStarting {
+        afterlife: Afterlife,
+        gap_ms: u64,
+        restarting: Option<usize>,
+    },
     /// It can't write to the store after its claim, and another one claims the cell.
     CutOffFromClaim {
         afterlife: Afterlife,
@@ -114,6 +128,11 @@
     let gap = || prop_oneof![0_u64..50, 50_u64..2_500];
     prop_oneof![
         4 => (afterlife(), gap()).prop_map(|(afterlife, gap_ms)| Change::CutOff { afterlife, gap_ms }),
+        4 => (afterlife(), gap(), prop::option::of(0..WORKERS)).prop_map(
+            |(afterlife, gap_ms, restarting)| {
+                Change::CutOffStarting { afterlife, gap_ms, restarting }
+            }
+        ),
         2 => (afterlife(), gap()).prop_map(
             |(afterlife, life_ms)| Change::CutOffFromClaim { afterlife, life_ms }
         ),
@@ -190,17 +209,21 @@
         Self { model, jobs }
     }
 
-    fn make(&mut self, number: u64, one: &Move) {
-        let id = JobId(number);
-        let spec = job_spec(vec![step(one.tasks, 4_000, one.task_ms)]);
-        let token = self.model.submit(id, &queue(), spec);
-        self.jobs.push(Submitted { id, tasks: one.tasks, token });
+    fn submit(&mut self, tasks: u32, task_ms: u64) {
+        let id = JobId(self.jobs.len() as u64);
+        let token =
+            self.model.submit(id, &queue(), job_spec(vec![step(tasks, TASK_CPU_MILLI, task_ms)]));
+        self.jobs.push(Submitted { id, tasks, token });
+    }
+
+    fn make(&mut self, one: &Move) {
+        self.submit(one.tasks, one.task_ms);
         self.model.run_for(one.pause_ms);
         for (worker, fault) in &one.faults {
             self.apply_fault(&worker_id(*worker), *fault);
         }
         for (change, life_ms) in &one.changes {
-            self.apply(*change);
+            self.apply(*change, one);
             self.model.run_for(*life_ms);
         }
     }
@@ -220,9 +243,21 @@
         }
     }
 
-    fn apply(&mut self, change: Change) {
+    fn apply(&mut self, change: Change, one: &Move) {
+        if matches!(change, Change::CutOffStarting { .. }) {
+            self.submit(one.tasks, one.task_ms);
+            run_until_durable(&mut self.model);
+        }
         let model = &mut self.model;
         match change {
+            Change::CutOffStarting { afterlife, gap_ms, restarting } => {
+                model.cut_off_owner(afterlife);
+                if let Some(worker) = restarting {
+                    model.restart_worker(&worker_id(worker));
+                }
+                model.run_for(gap_ms);
+                model.take_over();
+            }
             Change::CutOff { afterlife, gap_ms } => {
                 model.cut_off_owner(afterlife);
                 model.run_for(gap_ms);
@@ -282,8 +317,8 @@
     /// Plays all moves, and runs until every job is done, but no longer than that may take. Returns the
     /// jobs that are still open.
     fn play(&mut self, moves: &[Move]) -> Vec<JobId> {
-        for (number, one) in (1..).zip(moves) {
-            self.make(number, one);
+        for one in moves {
+            self.make(one);
         }
         self.model.run_for(MAX_FAULT_MS);
         let latest = self.model.now() + Span(MAX_DONE_MS);
