--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -141,7 +141,8 @@
 ];
 
 impl Plan {
-    /// Draws a play whose trouble lasts `span_ms`; only the scene `aim`, if one is named.
+    /// Draws a play whose trouble lasts `span_ms`; only the scenes `aim`, if any are
+    /// named, with commas between them.
     pub fn draw(seed: u64, span_ms: u64, aim: Option<&str>) -> Self {
         let mut rng = Rng::new(seed);
         let nodes = rng.between(3, 5) as usize;
@@ -153,7 +154,8 @@
         while at + 4_000 < span_ms {
             let scene = draw.scene(aim);
             scene(&mut draw, at);
-            let pause = if aim.is_some() { 9_000 } else { 2 * pace_ms };
+            let is_one = aim.is_some_and(|aim| !aim.contains(','));
+            let pause = if is_one { 9_000 } else { 2 * pace_ms };
             at += draw.rng.between(pause / 10, pause);
         }
         draw.acts.sort_by_key(|(at, _)| *at);
@@ -170,7 +172,7 @@
 
 impl Draw {
     fn scene(&mut self, aim: Option<&str>) -> Scene {
-        let is_wanted = |name: &str| aim.is_none_or(|aim| aim == name);
+        let is_wanted = |name: &str| aim.is_none_or(|aim| aim.split(',').any(|one| one == name));
         let scenes = SCENES.iter().filter(|(name, ..)| is_wanted(name));
         let all: u64 = scenes.clone().map(|(_, weight, _)| weight).sum();
         let mut left = self.rng.between(1, all.max(1));
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -3,8 +3,8 @@
 //!
 //! Usage: `owners SEED MS RECORD`, from the folder of the project whose `target/release` is played.
 //! The trouble lasts `MS` milliseconds. Exits with 1 if a rule was broken, 0 if it held and 2 if
-//! nothing could be played. `TROUBLE=0` leaves the trouble out, `AIM` names a scene that is
-//! drawn alone (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs.
+//! nothing could be played. `TROUBLE=0` leaves the trouble out, `AIM` names the only scenes
+//! that are drawn (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs.
 
 mod draw;
 mod judge;
