The log tells how long a lost run was alive

A run that is lost with its worker may have crashed it as it began, or have been at work for long. Each is logged alike until now. `run lost` tells for how long lists have proven the run alive, and how many others were beside it; the record of the loss keeps the first.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -99,6 +99,16 @@
     }
 }
 
+/// What is known of a run when its worker is lost.
+struct Loss {
+    /// Whether the worker is known to have restarted.
+    has_crashed: bool,
+    /// How long the run is known to have been alive.
+    alive: Span,
+    /// Number of other runs on the worker, if known.
+    beside: Option<usize>,
+}
+
 /// What is known of the start of a lost run, the most suspicious last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum StartEvidence {
@@ -165,6 +175,7 @@
     fn remember_lost_run(&mut self, lost: LostRun) {
         if let Some(known) = self.lost_runs.iter_mut().find(|known| known.attempt == lost.attempt) {
             known.is_crash |= lost.is_crash;
+            known.alive_ms = known.alive_ms.max(lost.alive_ms);
             return;
         }
         if self.lost_runs.len() >= MAX_LOST_RUNS {
@@ -277,18 +288,22 @@
             let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
             task.is_some_and(|task| task.has_worked)
         };
-        let ordered = runs.filter(|(id, run)| may_have_crashed_it(run) && !has_worked(**id));
+        let runs: Vec<_> = runs.collect();
+        let beside = runs.len().saturating_sub(1);
+        let ordered = runs.into_iter();
+        let ordered = ordered.filter(|(id, run)| may_have_crashed_it(run) && !has_worked(**id));
         let suspicion =
             |(task, run): (&TaskId, &Run)| (self.lost_runs(*task).len(), StartEvidence::of(run));
         let ranked: Vec<_> =
-            ordered.map(|(task, run)| (suspicion((task, run)), *task, run.attempt)).collect();
+            ordered.map(|(task, run)| (suspicion((task, run)), *task, run)).collect();
         let Some(strongest) = ranked.iter().map(|(suspicion, ..)| *suspicion).max() else {
             return Vec::new();
         };
-        let suspected = ranked.into_iter().filter(|(suspicion, ..)| *suspicion == strongest);
-        let suspected: Vec<_> = suspected.map(|(_, task, attempt)| (task, attempt)).collect();
-        for run in &suspected {
-            self.suspect_task(*run, id, has_crashed, now);
+        let mut suspected = Vec::new();
+        for (_, task, run) in ranked.into_iter().filter(|(suspicion, ..)| *suspicion == strongest) {
+            let loss = Loss { has_crashed, alive: run.alive, beside: Some(beside) };
+            self.suspect_task((task, run.attempt), id, &loss, now);
+            suspected.push((task, run.attempt));
         }
         let (_, evidence) = strongest;
         if evidence == StartEvidence::Survived { suspected } else { Vec::new() }
@@ -337,7 +352,7 @@
         &mut self,
         (task, attempt): (TaskId, u32),
         id: &WorkerId,
-        has_crashed: bool,
+        loss: &Loss,
         now: Timestamp,
     ) {
         let address = self.workers.get(id).map(|worker| worker.entry.address);
@@ -348,12 +363,20 @@
                 .values()
                 .any(|worker| worker.entry.address == address && worker.entry.id != *id)
         };
-        let is_crash = has_crashed || address.is_some_and(is_replaced);
-        self.record_lost_run(task, LostRun { attempt, worker: id.clone(), address, is_crash }, now);
+        let is_crash = loss.has_crashed || address.is_some_and(is_replaced);
+        let (worker, alive_ms) = (id.clone(), Some(loss.alive.0));
+        let lost = LostRun { attempt, worker, address, is_crash, alive_ms };
+        self.record_lost_run(task, lost, loss.beside, now);
     }
 
     /// Remembers a lost run durably, and pauses its task if it has lost too many workers.
-    fn record_lost_run(&mut self, id: TaskId, lost: LostRun, now: Timestamp) {
+    fn record_lost_run(
+        &mut self,
+        id: TaskId,
+        lost: LostRun,
+        beside: Option<usize>,
+        now: Timestamp,
+    ) {
         let job = self.jobs.get_mut(&id.job).filter(|job| job.end.is_none());
         let Some(task) = job.and_then(|job| job.task_mut(id)).filter(|task| !task.is_done) else {
             return;
@@ -365,8 +388,9 @@
         let pause = if is_known { None } else { task.pause_after_loss(now) };
         self.suspects.insert(id);
         let run = RunId { task: id, attempt: lost.attempt, worker: lost.worker.clone() };
-        let is_crash = lost.is_crash;
-        self.actions.push(Action::Log(LogEvent::RunLost { run, losses, is_crash }));
+        let (is_crash, alive_ms) = (lost.is_crash, lost.alive_ms);
+        let event = LogEvent::RunLost { run, losses, is_crash, alive_ms, beside };
+        self.actions.push(Action::Log(event));
         if let Some(pause) = pause {
             self.actions.push(Action::Log(LogEvent::TaskPaused { task: id, crashes, pause }));
         }
@@ -396,7 +420,7 @@
             crashed.extend(explained.map(|lost| (*id, lost.clone())));
         }
         for (task, lost) in crashed {
-            self.record_lost_run(task, LostRun { is_crash: true, ..lost }, now);
+            self.record_lost_run(task, LostRun { is_crash: true, ..lost }, None, now);
         }
     }
 
@@ -431,7 +455,8 @@
             let lost = placement.filter(|(_, placement)| lost_workers.contains(&placement.worker));
             if let Some((attempt, placement)) = lost {
                 let worker = placement.worker.clone();
-                self.suspect_task((id, attempt), &worker, false, now);
+                let loss = Loss { has_crashed: false, alive: Span(0), beside: None };
+                self.suspect_task((id, attempt), &worker, &loss, now);
             }
         }
     }
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -282,7 +282,7 @@
                 worker.lists_ends = !report.ends.is_empty();
             }
             for listed_run in &report.running {
-                self.on_listed_run(id, listed_run, now);
+                self.on_listed_run(id, listed_run, (sent, now));
             }
             // What a list that is cut off lacks may have ended as done.
             if report.is_complete {
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -133,6 +133,7 @@
             return;
         };
         if matches!(outcome, StartOutcome::Started | StartOutcome::StartedRepeated) {
+            run.on_begun(now);
             run.expect_in_lists_after = now;
             run.order_expiry = order_expiry;
             run.ends_with_instance |= is_instance_known;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -237,8 +237,13 @@
         }
     }
 
-    /// Handles a run that a worker lists.
-    pub(super) fn on_listed_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
+    /// Handles a run that a worker's list shows, asked for at `sent`.
+    pub(super) fn on_listed_run(
+        &mut self,
+        id: &WorkerId,
+        listed_run: &ListedRun,
+        (sent, now): (Timestamp, Timestamp),
+    ) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -248,12 +253,12 @@
         if let Some(run) =
             worker.runs.get_mut(&listed_run.task).filter(|run| run.attempt == listed_run.attempt)
         {
-            run.on_listed(listed_run.progress_percent, now);
+            run.on_listed(listed_run.progress_percent, (sent, now));
             self.revoke_stop(id, listed_run.task);
             self.apply_listed_run(id, listed_run, now);
             return;
         }
-        self.adopt_run(id, listed_run, now);
+        self.adopt_run(id, listed_run, (sent, now));
     }
 
     fn apply_listed_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
@@ -303,7 +308,12 @@
 
     /// Adopts a listed run that this owner has not ordered or had given up; stops it if it is not
     /// needed.
-    fn adopt_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
+    fn adopt_run(
+        &mut self,
+        id: &WorkerId,
+        listed_run: &ListedRun,
+        (sent, now): (Timestamp, Timestamp),
+    ) {
         self.withdraw_planned_runs(listed_run.task);
         let is_needed = self.jobs.get(&listed_run.task.job).is_some_and(|job| {
             job.end.is_none()
@@ -330,7 +340,7 @@
         };
         let (measured_percent, skips_duration) = (listed_run.progress_percent, true);
         let mut run = Run { measured_percent, skips_duration, ..run };
-        run.on_listed(listed_run.progress_percent, now);
+        run.on_listed(listed_run.progress_percent, (sent, now));
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -332,6 +332,10 @@
         losses: usize,
         /// Whether the worker is known to have crashed.
         is_crash: bool,
+        /// How long this run of the task or a later one is known to have been alive, in milliseconds.
+        alive_ms: Option<u64>,
+        /// Number of other runs on the worker; `None` where the loss was noted before.
+        beside: Option<usize>,
     },
     /// A task that has lost several workers is not started for a while.
     TaskPaused {
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -66,6 +66,10 @@
     pub address: Option<SocketAddr>,
     /// Whether the worker certainly crashed. It may have been cut off otherwise.
     pub is_crash: bool,
+    /// The longest time, in milliseconds, for which this run of the task or a later one is known to
+    /// have been alive. Records of earlier builds don't say it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub alive_ms: Option<u64>,
 }
 
 /// The state of a task that is not done.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -111,6 +111,12 @@
     pub(super) state: RunState,
     /// Whether a list of the worker's runs has shown the run.
     pub(super) is_listed: bool,
+    /// A time at which the run had certainly begun: when its order was answered or a list that shows
+    /// it arrived, whichever came first; `None` if it may not have begun.
+    pub(super) begun_by: Option<Timestamp>,
+    /// How long the run is known to have been alive, from `begun_by` until the latest list that shows
+    /// it was asked for.
+    pub(super) alive: Span,
     /// Whether the run, if it exists, is in the newest known instance of the worker or in an earlier
     /// one, so that it ends with that instance.
     pub(super) ends_with_instance: bool,
@@ -326,6 +332,8 @@
             is_long_running: false,
             state,
             is_listed: false,
+            begun_by: None,
+            alive: Span(0),
             ends_with_instance: false,
             outlived_restart: false,
             order_expiry: now,
@@ -360,8 +368,16 @@
         self.is_long_running && self.is_listed && self.progress_percent >= 100
     }
 
-    /// Records that a list has shown the run.
-    pub(super) fn on_listed(&mut self, progress_percent: u64, now: Timestamp) {
+    /// Records that the run has begun.
+    pub(super) fn on_begun(&mut self, now: Timestamp) {
+        self.begun_by.get_or_insert(now);
+    }
+
+    /// Records that a list has shown the run, asked for at `sent`.
+    pub(super) fn on_listed(&mut self, progress_percent: u64, (sent, now): (Timestamp, Timestamp)) {
+        self.on_begun(now);
+        let alive = self.begun_by.map_or(Span(0), |begun_by| sent.since(begun_by));
+        self.alive = self.alive.max(alive);
         self.state = RunState::Running;
         self.is_listed = true;
         self.ends_with_instance = true;
@@ -376,6 +392,8 @@
         self.outlived_restart = true;
         self.stray_renewal = self.stray_renewal.max(renewal);
         self.is_listed = false;
+        // The new instance would begin it anew.
+        (self.begun_by, self.alive) = (None, Span(0));
         self.unlisted_since = None;
         if let Some(stop) = &mut self.stopping {
             (stop.next, stop.confirmed) = (Some(now), None);
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -69,8 +69,8 @@
             LogEvent::RunEndedUnreported { run, reason } => {
                 self.write_run("run ended without a report", run, reason);
             }
-            LogEvent::RunLost { run, losses, is_crash } => {
-                self.write_lost(run, *losses, *is_crash);
+            LogEvent::RunLost { run, losses, is_crash, alive_ms, beside } => {
+                self.write_lost(run, (*losses, *is_crash), (*alive_ms, *beside));
             }
             LogEvent::TaskPaused { task, crashes, pause } => {
                 info!(log, "task paused"; "task" => %task, "crashes" => crashes,
@@ -142,11 +142,16 @@
         }
     }
 
-    fn write_lost(&self, run: &RunId, losses: usize, is_crash: bool) {
+    fn write_lost(
+        &self,
+        run: &RunId,
+        (losses, is_crash): (usize, bool),
+        (alive_ms, beside): (Option<u64>, Option<usize>),
+    ) {
         if self.limit.borrow_mut().admit("run lost") {
             info!(self.log, "run lost"; "task" => %run.task, "attempt" => run.attempt,
                 "worker" => %run.worker, "losses" => losses, "is_crash" => is_crash,
-                "epoch" => self.epoch);
+                "alive_ms" => alive_ms, "beside" => beside, "epoch" => self.epoch);
         }
     }
 
