--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod availability;
+mod budget;
 mod cost;
 mod crashes;
 mod faults;
