A task that crashes the workers that start it is given up after a trial of its own

Change: what tells such a task from a sound one is evidence. A run that is proven alive clears the task for good, also for later owners. After three such losses (two if the job is of an earlier term, where some may have gone unnoticed), the next start is a trial: on a worker that has answered within 300 ms and gets nothing else meanwhile, watched every 60 ms. A crash of the trial gives the task up, and so do two trials lost without a known cause. Crashes later than the start end no job.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -22,6 +22,7 @@
 mod restarts;
 mod roster;
 mod staged;
+mod trials;
 mod vacate;
 mod work;
 
@@ -430,6 +431,7 @@
         self.refuse_stalled(now);
         self.expire_orders(now);
         self.expire_runs(now);
+        self.give_up_deadly_tasks(now);
         self.send_stops(now);
         self.log_drained_workers(now);
         self.send_holds(now);
--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -8,9 +8,8 @@
 //! [`MAX_RACKS`] racks. Whether the worker crashed or was cut off shows later: a crashed one is
 //! followed by another instance at its address, one that was cut off answers again.
 //!
-//! Crashes of workers never end a job: only ends `failed` count as attempts. From the loss of
-//! [`PAUSE_FROM`] workers on, a task pauses before each start, and few such tasks are tried at a
-//! time, so that those that do crash their workers take few of the pool's workers away.
+//! From the loss of [`PAUSE_FROM`] workers on, a task pauses before each start. Whether it crashes the
+//! workers that start it, and is given up, is decided in [`trials`](super::trials).
 //!
 //! Placements of suspected tasks are logged, so that the next owner knows which of them were lost
 //! with a worker during the takeover.
@@ -29,6 +28,7 @@
         worker::{Run, RunState, Worker},
     },
     Cell,
+    trials::{SURVIVAL, is_at_start},
 };
 use crate::{Span, Timestamp};
 
@@ -42,13 +42,6 @@
 /// each accepted job (`finish_s`).
 const MAX_PAUSE: Span = Span(10_000);
 
-/// One task that pauses for lost workers may be tried at a time for each this many workers.
-const WORKERS_PER_TRIAL: usize = 20;
-
-/// How long after its order a run that no list has shown counts as a trial. A worker that crashed is
-/// back, or replaced, by then.
-const TRIAL: Span = Span(5_000);
-
 /// Workers of a rack whose losses are noticed within this time were lost in the same moment: those
 /// that restart are noticed by their next answer, the others when their leases expire. The loss of
 /// one without runs is not noticed; there, the time of its last answer counts.
@@ -58,8 +51,9 @@
 /// crash their workers together may look like a rack again and again.
 const MAX_RACKS: u32 = 3;
 
-/// The most lost runs that are remembered for a task.
-const MAX_LOST_RUNS: usize = 2 * PAUSE_FROM;
+/// The most lost runs that are remembered for a task: more than the crashes after which it is given
+/// up, and some that nothing has explained.
+const MAX_LOST_RUNS: usize = 4 * PAUSE_FROM;
 
 /// A worker that was lost a moment ago.
 #[derive(Clone, Debug)]
@@ -100,19 +94,19 @@
 }
 
 /// What is known of a run when its worker is lost.
-struct Loss {
+pub(super) struct Loss {
     /// Whether the worker is known to have restarted.
-    has_crashed: bool,
+    pub(super) has_crashed: bool,
     /// How long the run is known to have been alive.
-    alive: Span,
+    pub(super) alive: Span,
     /// Number of other runs on the worker, if known.
-    beside: Option<usize>,
+    pub(super) beside: Option<usize>,
 }
 
 /// What is known of the start of a lost run, the most suspicious last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum StartEvidence {
-    /// A list has shown the run, so that it has survived its start.
+    /// Lists have proven the run alive for long enough.
     Survived,
     /// The start order may not have reached the worker.
     Unanswered,
@@ -123,7 +117,7 @@
 impl StartEvidence {
     fn of(run: &Run) -> Self {
         match run.state {
-            _ if run.is_listed => Self::Survived,
+            _ if run.alive >= SURVIVAL => Self::Survived,
             RunState::Running => Self::JustStarted,
             RunState::Planned | RunState::Ordered | RunState::Unsettled => Self::Unanswered,
         }
@@ -153,7 +147,11 @@
     /// Delays the next start after the loss of a worker. Returns how long; `None` if it is not
     /// delayed.
     fn pause_after_loss(&mut self, now: Timestamp) -> Option<Span> {
-        let pause = pause_after(self.lost_runs.len());
+        let pause = match pause_after(self.lost_runs.len()) {
+            // What became of the worker shows within the pause.
+            _ if self.lost_runs.iter().any(|lost| lost.is_trial) => MAX_PAUSE,
+            pause => pause,
+        };
         self.paused_until = self.paused_until.max(now + pause);
         (pause > Span(0)).then_some(pause)
     }
@@ -179,8 +177,10 @@
             return;
         }
         if self.lost_runs.len() >= MAX_LOST_RUNS {
-            let unexplained = self.lost_runs.iter().position(|known| !known.is_crash);
-            self.lost_runs.remove(unexplained.unwrap_or(0));
+            let weight = |known: &&LostRun| (known.is_crash, is_at_start(known));
+            let least = self.lost_runs.iter().min_by_key(weight).map(|known| known.attempt);
+            let least = self.lost_runs.iter().position(|known| Some(known.attempt) == least);
+            self.lost_runs.remove(least.unwrap_or(0));
         }
         self.lost_runs.push(lost);
     }
@@ -194,7 +194,7 @@
 }
 
 impl Cell {
-    fn lost_runs(&self, id: TaskId) -> &[LostRun] {
+    pub(super) fn lost_runs(&self, id: TaskId) -> &[LostRun] {
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         task.map_or(&[], |task| &task.lost_runs)
     }
@@ -237,27 +237,6 @@
         }
     }
 
-    /// Whether no further task that crashes workers may be started now, because others are tried.
-    pub(super) fn are_trials_used_up(&self, now: Timestamp) -> bool {
-        let is_trial = |worker: &WorkerId, id: &TaskId| {
-            let run = self.workers.get(worker).and_then(|worker| worker.runs.get(id));
-            run.is_some_and(|run| !run.is_listed && now.since(run.started) < TRIAL)
-        };
-        let is_tried = |id: &&TaskId| {
-            let task = self.jobs.get(&id.job).and_then(|job| job.task(**id));
-            let task = task.filter(|task| task.crashes_workers());
-            task.is_some_and(|task| task.run_workers.iter().any(|worker| is_trial(worker, id)))
-        };
-        let trials = self.suspects.iter().filter(is_tried).count();
-        trials >= (self.workers.len() / WORKERS_PER_TRIAL).max(1)
-    }
-
-    /// Whether a task that crashes workers has to wait because others are tried.
-    pub(super) fn awaits_trial(&self, id: TaskId, now: Timestamp) -> bool {
-        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        task.is_some_and(Task::crashes_workers) && self.are_trials_used_up(now)
-    }
-
     /// Suspects tasks whose runs are lost with a worker. `has_crashed` is set if the worker is known
     /// to have restarted.
     pub(super) fn suspect_tasks<'a>(
@@ -300,7 +279,13 @@
             return Vec::new();
         };
         let mut suspected = Vec::new();
-        for (_, task, run) in ranked.into_iter().filter(|(suspicion, ..)| *suspicion == strongest) {
+        // One that has lost a worker at its start before counts even beside a stronger suspect.
+        let counts = |(suspicion, task, run): &((usize, StartEvidence), TaskId, &Run)| {
+            *suspicion == strongest
+                || (run.alive < SURVIVAL && self.lost_runs(*task).iter().any(is_at_start))
+        };
+        let counted: Vec<_> = ranked.into_iter().filter(counts).collect();
+        for (_, task, run) in counted {
             let loss = Loss { has_crashed, alive: run.alive, beside: Some(beside) };
             self.suspect_task((task, run.attempt), id, &loss, now);
             suspected.push((task, run.attempt));
@@ -348,11 +333,11 @@
         addresses.len() >= 2 && of_rack.iter().all(is_lost)
     }
 
-    fn suspect_task(
+    pub(super) fn suspect_task(
         &mut self,
         (task, attempt): (TaskId, u32),
         id: &WorkerId,
-        loss: &Loss,
+        circumstances: &Loss,
         now: Timestamp,
     ) {
         let address = self.workers.get(id).map(|worker| worker.entry.address);
@@ -363,14 +348,15 @@
                 .values()
                 .any(|worker| worker.entry.address == address && worker.entry.id != *id)
         };
-        let is_crash = loss.has_crashed || address.is_some_and(is_replaced);
-        let (worker, alive_ms) = (id.clone(), Some(loss.alive.0));
-        let lost = LostRun { attempt, worker, address, is_crash, alive_ms };
-        self.record_lost_run(task, lost, loss.beside, now);
+        let is_crash = circumstances.has_crashed || address.is_some_and(is_replaced);
+        let (worker, alive_ms) = (id.clone(), Some(circumstances.alive.0));
+        let is_trial = self.is_on_trial(task);
+        let lost = LostRun { attempt, worker, address, is_crash, alive_ms, is_trial };
+        self.record_lost_run(task, lost, circumstances.beside, now);
     }
 
     /// Remembers a lost run durably, and pauses its task if it has lost too many workers.
-    fn record_lost_run(
+    pub(super) fn record_lost_run(
         &mut self,
         id: TaskId,
         lost: LostRun,
@@ -381,7 +367,9 @@
         let Some(task) = job.and_then(|job| job.task_mut(id)).filter(|task| !task.is_done) else {
             return;
         };
-        let is_known = task.lost_runs.iter().any(|known| known.attempt == lost.attempt);
+        let known = task.lost_runs.iter().find(|known| known.attempt == lost.attempt);
+        let (is_known, is_news) =
+            (known.is_some(), known.is_none_or(|one| one.is_crash != lost.is_crash));
         task.remember_lost_run(lost.clone());
         let (losses, crashes) = (task.lost_runs.len(), task.crashes());
         // What becomes known of a loss later does not pause its task again.
@@ -390,7 +378,9 @@
         let run = RunId { task: id, attempt: lost.attempt, worker: lost.worker.clone() };
         let (is_crash, alive_ms) = (lost.is_crash, lost.alive_ms);
         let event = LogEvent::RunLost { run, losses, is_crash, alive_ms, beside };
-        self.actions.push(Action::Log(event));
+        if is_news {
+            self.actions.push(Action::Log(event));
+        }
         if let Some(pause) = pause {
             self.actions.push(Action::Log(LogEvent::TaskPaused { task: id, crashes, pause }));
         }
@@ -455,8 +445,7 @@
             let lost = placement.filter(|(_, placement)| lost_workers.contains(&placement.worker));
             if let Some((attempt, placement)) = lost {
                 let worker = placement.worker.clone();
-                let loss = Loss { has_crashed: false, alive: Span(0), beside: None };
-                self.suspect_task((id, attempt), &worker, &loss, now);
+                self.suspect_inherited_task((id, attempt), &worker, now);
             }
         }
     }
--- a/crates/core/src/job/cell/crashes/tests.rs
+++ b/crates/core/src/job/cell/crashes/tests.rs
@@ -1,7 +1,14 @@
 use super::*;
 
 fn lost_run(attempt: u32, is_crash: bool) -> LostRun {
-    LostRun { attempt, worker: "w0".into(), address: None, is_crash, alive_ms: Some(0) }
+    LostRun {
+        attempt,
+        worker: "w0".into(),
+        address: None,
+        is_crash,
+        alive_ms: Some(0),
+        is_trial: false,
+    }
 }
 
 fn task_with_lost_runs(lost_runs: impl IntoIterator<Item = LostRun>) -> Task {
--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -277,7 +277,7 @@
         })
     }
 
-    /// Ends a job if all its tasks are done or it has failed.
+    /// Ends a job if all its tasks are done, it has failed, or one of them crashes its workers.
     pub(super) fn finish_if_over(&mut self, id: JobId, now: Timestamp) {
         let max_attempts = self.max_attempts(id);
         let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
@@ -285,7 +285,7 @@
         };
         if job.is_done() {
             self.finish_job(id, JobEnd::Succeeded, now);
-        } else if Self::has_failed(job, max_attempts) {
+        } else if Self::has_failed(job, max_attempts) || Self::has_deadly_task(job) {
             self.finish_job(id, JobEnd::Failed, now);
         }
     }
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -138,6 +138,7 @@
     let answers_at_once = worker.runs.is_empty()
         || has_unconfirmed_ends
         || worker.is_settling()
+        || worker.is_watched(now)
         || !worker.is_adopted;
     let wait = if answers_at_once {
         Span(0)
@@ -292,6 +293,7 @@
         }
         if lists_all_first {
             self.await_earlier_stops(id, now);
+            self.suspect_unlisted_tasks(id, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -79,8 +79,9 @@
             self.withdraw_run(id, task);
             return None;
         };
-        // A worker without runs is rarely sent holds; its first run brings the next one forward.
-        if worker.runs.len() == 1 {
+        // A worker without runs is rarely sent holds; its first run brings the next one forward, and so
+        // does one that is watched.
+        if worker.runs.len() == 1 || worker.runs.get(&task)?.is_suspected {
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
         let free = worker.free();
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -100,6 +100,7 @@
 
     /// Adds a run for which no order has been sent.
     fn book_run(&mut self, id: &WorkerId, task: TaskId, attempt: u32, now: Timestamp) {
+        let is_suspected = self.is_suspected(task);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -115,7 +116,8 @@
         // The task counts as unavailable until its run works at full speed.
         task_state.unavailable_since.get_or_insert(now);
         let step = &spec.steps[task.step as usize];
-        worker.runs.insert(task, Run::new(attempt, step, RunState::Planned, now));
+        let run = Run { is_suspected, ..Run::new(attempt, step, RunState::Planned, now) };
+        worker.runs.insert(task, run);
     }
 
     /// Sends the start orders of the runs whose placements have just become durable, and logs them.
@@ -174,6 +176,32 @@
         self.plan_due = true;
     }
 
+    /// Suspects the tasks under which workers were lost before and which the log places on a worker of
+    /// an earlier term that has just listed neither a run of theirs nor its end. It may have restarted
+    /// since.
+    pub(super) fn suspect_unlisted_tasks(&mut self, id: &WorkerId, now: Timestamp) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let is_unlisted = |suspect: &&TaskId| {
+            let task = self.jobs.get(&suspect.job).and_then(|job| job.task(**suspect));
+            task.is_some_and(|task| {
+                let placement = task.placement.as_ref();
+                placement.is_some_and(|placement| placement.is_inherited_on(id))
+                    && !task.is_done
+                    && task.run_workers.is_empty()
+                    && !worker.has_ended(**suspect, task.attempt)
+            })
+        };
+        let unlisted: Vec<TaskId> = self.suspects.iter().filter(is_unlisted).copied().collect();
+        for suspect in unlisted {
+            let task = self.jobs.get(&suspect.job).and_then(|job| job.task(suspect));
+            if let Some(attempt) = task.map(|task| task.attempt) {
+                self.suspect_inherited_task((suspect, attempt), id, now);
+            }
+        }
+    }
+
     /// Delays tasks that the log places on a worker which has just been adopted and lists neither a run
     /// of theirs nor its end. The previous owner may have ordered the worker to stop it, and a run
     /// that is being stopped is in no list.
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -123,6 +123,7 @@
         self.workers
             .iter()
             .filter(is_usable)
+            .filter(|(_, worker)| !self.is_tried_on(worker, now))
             .map(|(id, worker)| (id, worker, worker.totals()))
             .map(|(id, worker, totals)| PlacementCandidate {
                 worker: id.clone(),
@@ -304,6 +305,13 @@
                 return placed;
             };
             let candidate = &mut candidates[chosen];
+            if is_suspected
+                && self.is_on_trial(id.task(index))
+                && !self.answers_now(&candidate.worker, now)
+            {
+                self.plan_due = true;
+                continue;
+            }
             placed.extend(self.reserve_and_start(candidate, step, id.task(index), attempt, now));
         }
         placed
@@ -338,6 +346,9 @@
     ) -> Option<PlacedTask> {
         candidate.reserve(step);
         candidate.hosts_suspect |= self.is_suspected(task);
+        if self.is_on_trial(task) {
+            candidate.free = Resources::default();
+        }
         let placed = self.place_task(&candidate.worker, task, attempt, now)?;
         candidate.start_room = candidate.start_room.saturating_sub(1);
         Some(placed)
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -146,6 +146,7 @@
     let mut job = Job::new(queue.clone(), spec, wall_ms, timestamp_of(wall_ms, time));
     job.is_durable = true;
     job.is_inherited = true;
+    job.is_of_earlier_term = true;
     job
 }
 
@@ -482,7 +483,7 @@
             };
             if job.is_done() {
                 self.finish_job(id, JobEnd::Succeeded, now);
-            } else if Self::has_failed(job, max_attempts) {
+            } else if Self::has_failed(job, max_attempts) || Self::has_deadly_task(job) {
                 self.finish_job(id, JobEnd::Failed, now);
             }
         }
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -12,6 +12,7 @@
     Cell, CellConfig, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
     orders::START_UNANSWERED,
+    trials::SURVIVAL,
 };
 use crate::{Epoch, Span, Timestamp};
 
@@ -254,6 +255,10 @@
             worker.runs.get_mut(&listed_run.task).filter(|run| run.attempt == listed_run.attempt)
         {
             run.on_listed(listed_run.progress_percent, (sent, now));
+            let alive = run.alive;
+            if alive >= SURVIVAL {
+                self.on_survived(listed_run.task, alive, now);
+            }
             self.revoke_stop(id, listed_run.task);
             self.apply_listed_run(id, listed_run, now);
             return;
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -70,6 +70,9 @@
     /// have been alive. Records of earlier builds don't say it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub alive_ms: Option<u64>,
+    /// Whether the run was a trial of a task that has lost workers at its start before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_trial: bool,
 }
 
 /// The state of a task that is not done.
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -151,6 +151,9 @@
     /// Whether the job was accepted in an earlier term and runs of that term may still be alive, so
     /// that none of its tasks may start, except for those whose placement is known.
     pub(super) is_inherited: bool,
+    /// Whether the job was accepted in an earlier term. The loss of a worker under one of its tasks may
+    /// then not have been noted, because the owner was lost with it.
+    pub(super) is_of_earlier_term: bool,
     /// Whether any of its tasks has started.
     pub(super) has_started: bool,
     /// The occurrences that have fallen due.
@@ -182,6 +185,7 @@
             arrived,
             is_durable: false,
             is_inherited: false,
+            is_of_earlier_term: false,
             has_started: false,
             occurrences: Vec::new(),
             due_occurrences: 0,
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -111,6 +111,8 @@
     pub(super) state: RunState,
     /// Whether a list of the worker's runs has shown the run.
     pub(super) is_listed: bool,
+    /// Whether workers were lost under its task before it was ordered.
+    pub(super) is_suspected: bool,
     /// A time at which the run had certainly begun: when its order was answered or a list that shows
     /// it arrived, whichever came first; `None` if it may not have begun.
     pub(super) begun_by: Option<Timestamp>,
@@ -332,6 +334,7 @@
             is_long_running: false,
             state,
             is_listed: false,
+            is_suspected: false,
             begun_by: None,
             alive: Span(0),
             ends_with_instance: false,
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -192,6 +192,8 @@
         epoch: Epoch,
         order: StartOrder,
     },
+    /// A task crashes the worker instance of this number on which it has started.
+    Crash(WorkerId, u64),
     /// A worker that crashed is followed by a new instance.
     WorkerReturned(Box<ModelWorker>),
 }
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -45,9 +45,11 @@
     FailsAfter(u64),
     /// A task makes no progress and runs until it is stopped.
     Stalls,
-    /// The worker crashes as soon as a task of this job starts, and returns at its address as a new
-    /// instance; other tasks are done after their estimated time.
+    /// The worker crashes as soon as a task of this job, or of one with a higher number, starts, and
+    /// returns at its address as a new instance; other tasks are done after their estimated time.
     CrashesOn(JobId),
+    /// The same, but the worker crashes this many milliseconds after the start.
+    CrashesAfter(JobId, u64),
 }
 
 /// A run that has not ended.
@@ -216,9 +218,13 @@
         self.partition_for(now, u64::MAX / 2);
     }
 
-    /// Whether starting the task crashes the worker.
-    pub(super) fn crashes_on(&self, task: TaskId) -> bool {
-        self.task_time == TaskTime::CrashesOn(task.job)
+    /// How many milliseconds after the start of the task the worker crashes; `None` if it doesn't.
+    pub(super) fn crash_delay_ms(&self, task: TaskId) -> Option<u64> {
+        match self.task_time {
+            TaskTime::CrashesOn(job) => (task.job >= job).then_some(0),
+            TaskTime::CrashesAfter(job, ms) => (task.job >= job).then_some(ms),
+            _ => None,
+        }
     }
 
     /// Returns whether an owner has sent a hold or a stop to this worker instance. Before that,
@@ -377,7 +383,7 @@
         let scheduled_end = match self.task_time {
             _ if step.long_running => None,
             TaskTime::Stalls => None,
-            TaskTime::AsEstimated | TaskTime::CrashesOn(_) => {
+            TaskTime::AsEstimated | TaskTime::CrashesOn(_) | TaskTime::CrashesAfter(..) => {
                 Some((now + remaining_time, EndKind::Done))
             }
             TaskTime::Percent(percent) => {
