A crash at a task's start counts also beside a task that has lost more workers

Cause: of the runs that are lost with a worker, only those whose tasks had lost the most workers before were held to account.

Change: each run that has not survived its start counts. A sound one that is hit so three times gets a trial of its own, which clears it. The longer pause after a lost trial ends with the evidence against that trial.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -28,7 +28,7 @@
         worker::{Run, RunState, Worker},
     },
     Cell,
-    trials::{SURVIVAL, is_at_start},
+    trials::{SURVIVAL, is_at_start, is_lost_trial},
 };
 use crate::{Span, Timestamp};
 
@@ -149,7 +149,7 @@
     fn pause_after_loss(&mut self, now: Timestamp) -> Option<Span> {
         let pause = match pause_after(self.lost_runs.len()) {
             // What became of the worker shows within the pause.
-            _ if self.lost_runs.iter().any(|lost| lost.is_trial) => MAX_PAUSE,
+            _ if self.lost_runs.iter().any(is_lost_trial) => MAX_PAUSE,
             pause => pause,
         };
         self.paused_until = self.paused_until.max(now + pause);
@@ -279,19 +279,19 @@
             return Vec::new();
         };
         let mut suspected = Vec::new();
-        // One that has lost a worker at its start before counts even beside a stronger suspect.
-        let counts = |(suspicion, task, run): &((usize, StartEvidence), TaskId, &Run)| {
-            *suspicion == strongest
-                || (run.alive < SURVIVAL && self.lost_runs(*task).iter().any(is_at_start))
-        };
-        let counted: Vec<_> = ranked.into_iter().filter(counts).collect();
-        for (_, task, run) in counted {
+        // One that has not survived its start counts even beside a stronger suspect: several that crash
+        // their workers often start together. A trial of its own clears a sound one.
+        let counted = ranked.into_iter().filter(|((losses, evidence), ..)| {
+            (*losses, *evidence) == strongest || *evidence != StartEvidence::Survived
+        });
+        for ((_, evidence), task, run) in counted {
             let loss = Loss { has_crashed, alive: run.alive, beside: Some(beside) };
             self.suspect_task((task, run.attempt), id, &loss, now);
-            suspected.push((task, run.attempt));
+            if evidence == StartEvidence::Survived {
+                suspected.push((task, run.attempt));
+            }
         }
-        let (_, evidence) = strongest;
-        if evidence == StartEvidence::Survived { suspected } else { Vec::new() }
+        suspected
     }
 
     /// Notes that a worker was lost, and clears the tasks that are suspected for it and for others
--- a/crates/core/src/job/cell/crashes/tests.rs
+++ b/crates/core/src/job/cell/crashes/tests.rs
@@ -49,6 +49,19 @@
     assert_eq!(pauses_ms, [0, 0, 0, 2_500, 5_000, 10_000, 10_000, 10_000]);
 }
 
+/// Guards a task that has survived its start against the pause after a trial without an outcome.
+#[test]
+fn only_a_lost_trial_that_was_not_shown_alive_makes_the_pause_longer() {
+    let trial =
+        |alive_ms| LostRun { alive_ms: Some(alive_ms), is_trial: true, ..lost_run(1, true) };
+
+    let lost = task_with_lost_runs([trial(0)]).pause_after_loss(Timestamp(1_000));
+    let survived = task_with_lost_runs([trial(SURVIVAL.0)]).pause_after_loss(Timestamp(1_000));
+
+    assert_eq!(lost, Some(MAX_PAUSE));
+    assert_eq!(survived, None);
+}
+
 #[test]
 fn a_pause_ends_once_the_losses_turn_out_to_be_groundless() {
     let mut task = task_with_lost_runs((1..=3).map(|attempt| lost_run(attempt, false)));
--- a/crates/core/src/job/cell/trials.rs
+++ b/crates/core/src/job/cell/trials.rs
@@ -63,6 +63,11 @@
     lost.alive_ms.is_some_and(|alive_ms| alive_ms < SURVIVAL.0)
 }
 
+/// Whether a trial was lost before it was known to have survived its start.
+pub(super) fn is_lost_trial(lost: &LostRun) -> bool {
+    lost.is_trial && is_at_start(lost)
+}
+
 impl Task {
     /// Whether the next start of the task is a trial. Silent workers count, too.
     fn is_on_trial(&self, is_of_earlier_term: bool) -> bool {
@@ -74,7 +79,7 @@
     fn is_deadly(&self) -> bool {
         let at_start = || self.lost_runs.iter().filter(|lost| is_at_start(lost));
         let crashes = at_start().filter(|lost| lost.is_crash).count();
-        let trials = || at_start().filter(|lost| lost.is_trial);
+        let trials = || self.lost_runs.iter().filter(|lost| is_lost_trial(lost));
         let has_crashed_trial = trials().any(|lost| lost.is_crash);
         crashes >= MIN_CRASHES && (has_crashed_trial || trials().count() >= MAX_LOST_TRIALS)
     }
--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -91,6 +91,27 @@
     }
 }
 
+/// Guards the count against tasks that start together again and again, of which some have lost more
+/// workers than others.
+#[test]
+fn each_of_many_tasks_that_crash_the_same_workers_is_counted() {
+    const JOBS: u64 = 8;
+    for workers in 2..6 {
+        let mut model = model_with_crashing(workers, single_task(800), 10);
+        for number in 1..JOBS {
+            model.run_for(1_900);
+            model.submit(JobId(CRASHING_JOB.0 + number), &queue(), single_task(800));
+        }
+
+        model.run_for(2 * LONG_MS);
+
+        for number in 0..JOBS {
+            let starts = model.start_count(task_id(JobId(CRASHING_JOB.0 + number), 0));
+            assert!((1..=5).contains(&starts), "{workers} workers, {number}: {starts} starts");
+        }
+    }
+}
+
 /// Guards a sound task whose trial's worker is gone for good: that says nothing about the task.
 #[test]
 fn a_task_is_tried_once_more_if_the_worker_of_its_trial_never_returns() {
