--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -214,6 +214,25 @@
     model.take_over();
 }
 
+/// Guards the count against crashes each of which is lost with the owner before it is noticed.
+#[test]
+fn three_crashes_that_no_owner_has_noticed_cost_no_start_too_many() {
+    let mut model = model_with_crashing(2, single_task(800), 0);
+
+    for (after_ms, change) in [
+        (2_513, OwnerChange::HandedOver),
+        (5_852, OwnerChange::Lost(500)),
+        (8_665, OwnerChange::Lost(500)),
+    ] {
+        model.run_for(after_ms);
+        change_owner(&mut model, change);
+    }
+    model.run_for(LONG_MS);
+
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
+    assert!((3..=5).contains(&starts), "{starts} starts");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
