A run that an earlier owner was stopping is no longer taken for ended

A task ran twice when its owner changed between a stop and the end of the run: a run that is being stopped is in no list, so the new owner found its worker without it and started the task elsewhere at once. Only tasks whose placements are logged waited for such stops.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -252,6 +252,8 @@
         report: &HoldReport,
         now: Timestamp,
     ) {
+        let stop_limit = Self::stop_limit(&self.cfg);
+        let is_inherited = self.inherited_workers.contains_key(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -269,10 +271,13 @@
         if !worker.is_adopted {
             worker.is_adopted = true;
             worker.has_listed_all = false;
+            worker.has_outlasted_stops = false;
             worker.adopted_at = now;
         }
         let lists_all_first = report.is_complete && !worker.has_listed_all;
         worker.has_listed_all |= report.is_complete;
+        let stops_end = worker.adopted_at + stop_limit;
+        worker.has_outlasted_stops |= report.is_complete && sent > stops_end;
         if !was_adopted {
             self.forget_losses(id);
         }
@@ -303,6 +308,10 @@
             // The lease can be renewed only now that the worker answers.
             worker.next_hold = now;
         }
+        if is_inherited && !worker.has_outlasted_stops {
+            worker.next_hold =
+                worker.next_hold.min(now.max(worker.adopted_at + stop_limit) + Span(1));
+        }
         let is_logged = worker.times_logged > 0;
         if !was_adopted || was_silent {
             let (worker, runs) = (id.clone(), worker.runs.len());
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -436,7 +436,7 @@
     }
 
     /// Releases inherited jobs for planning once every inherited worker is adopted and has listed all
-    /// its runs and ends, or its leases have expired.
+    /// its runs and ends after the stops of earlier owners, or its leases have expired.
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
         let mut lost_workers = Vec::new();
@@ -444,7 +444,7 @@
         self.inherited_workers.retain(|id, expiry| {
             let worker = workers.get(id).filter(|worker| worker.is_adopted);
             let is_expired = worker.is_none() && now >= *expiry;
-            let is_adopted = worker.is_some_and(|worker| worker.has_listed_all);
+            let is_adopted = worker.is_some_and(|worker| worker.has_outlasted_stops);
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
             lost_workers.extend(is_expired.then(|| id.clone()));
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -119,6 +119,9 @@
     pub(super) is_adopted: bool,
     /// Whether it has listed everything since it was adopted, so that what its lists lack has ended.
     pub(super) has_listed_all: bool,
+    /// Whether it has listed everything since every stop that an earlier owner ordered has taken effect. A
+    /// run that is being stopped is in no list.
+    pub(super) has_outlasted_stops: bool,
     /// When the worker was adopted; meaningful only if it is.
     pub(super) adopted_at: Timestamp,
     /// Since when each hold that was sent carried a renewal of the lease; `None` if the latest one
@@ -222,6 +225,7 @@
             stays_until: None,
             is_adopted: false,
             has_listed_all: false,
+            has_outlasted_stops: false,
             adopted_at: now,
             renewing_since: None,
             renewed_at: None,
