--- a/crates/standins/tests/cells/owners/property.rs
+++ b/crates/standins/tests/cells/owners/property.rs
@@ -21,6 +21,9 @@
 /// Time until an owner has read the list of workers, and has written nothing yet, in milliseconds.
 const LIST_MS: u64 = 10;
 
+/// Time within which an owner reads the clock of an idle worker again, in milliseconds.
+const REREAD_MS: u64 = 4_000;
+
 /// The processor need of a task, in thousandths of a core. Tasks have to wait for each other, so that an
 /// owner which is cut off still has some to start.
 const TASK_CPU_MILLI: u64 = 10_000;
@@ -203,6 +206,8 @@
         for (number, percent) in clock_percents.iter().enumerate() {
             model.worker_mut(&worker_id(number)).clock_percent = *percent;
         }
+        // The owner's readings of the clocks from before that are not those of slow clocks.
+        model.run_for(REREAD_MS);
         let spec = long_running_job(LONG_RUNNING_TASKS, LONG_RUNNING_TASKS);
         let token = model.submit(LONG_RUNNING_JOB, &queue(), spec);
         let jobs = vec![Submitted { id: LONG_RUNNING_JOB, tasks: LONG_RUNNING_TASKS, token }];
