A key that was claimed under an earlier lease begins no term (TWICE)

In a conflict, or after a lost answer, the key shows a claim of this process; it may be an earlier one, bound to a lease that has been replaced since.

Change: such a key counts only if its lease is the one of this claim.

--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -327,7 +327,7 @@
         Ok(Outcome::Done(revision)) => Some(Epoch(revision)),
         // An earlier copy of this claim may have taken effect without an answer.
         Ok(Outcome::Conflict(items)) => {
-            let item = items.iter().find(|item| item.key == key)?;
+            let item = items.iter().find(|item| item.key == key && item.lease == lease)?;
             let epoch = own_claim(item, (&node.id, node.incarnation), key_revision)?;
             (!had_term(node, key, epoch)).then_some(epoch)
         }
@@ -335,7 +335,7 @@
         Err(StoreError::Uncertain(_) | StoreError::Compacted) => {
             // The answer was lost, so the key's current value decides. A write that reaches the
             // store late, after another claim, finds another revision and fails.
-            let item = node.store.get(key).await.ok()??;
+            let item = node.store.get(key).await.ok()?.filter(|item| item.lease == lease)?;
             let epoch = own_claim(&item, (&node.id, node.incarnation), key_revision)?;
             (!had_term(node, key, epoch)).then_some(epoch)
         }
