--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -253,6 +253,8 @@
     faults: IndexMap<WorkerId, WorkerFaults>,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
+    /// The owners, by their epochs, that reach a worker no more.
+    cut_off_from: BTreeSet<(Epoch, WorkerId)>,
     /// Entries that the store lists in place of what their workers have written since, each with
     /// the time until which it does.
     old_entries: IndexMap<WorkerId, (WorkerEntry, Timestamp)>,
@@ -390,6 +392,7 @@
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             unreachable: IndexMap::new(),
+            cut_off_from: BTreeSet::new(),
             old_entries: IndexMap::new(),
             ended_instances: IndexMap::new(),
             answer_delays: IndexMap::new(),
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -80,7 +80,8 @@
     pub(super) fn call(&mut self, sender: Sender, worker: WorkerId, call: Call) {
         let epoch = sender.epoch;
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
-        if epoch == self.epoch && self.is_unreachable(&worker) {
+        let is_cut_off = self.cut_off_from.contains(&(epoch, worker.clone()));
+        if is_cut_off || epoch == self.epoch && self.is_unreachable(&worker) {
             self.schedule_timeout(worker, epoch, &call);
             return;
         }
--- a/crates/standins/src/model/owners.rs
+++ b/crates/standins/src/model/owners.rs
@@ -101,6 +101,12 @@
         self.earlier_owners.push(owner);
     }
 
+    /// Cuts the present owner off from a worker for good, also when a later one has the cell. Later owners
+    /// reach it.
+    pub fn cut_owner_off_from(&mut self, worker: &str) {
+        self.cut_off_from.insert((self.epoch, worker.into()));
+    }
+
     /// Lets the owner record its handover and cuts it off from the store before it can delete the key of
     /// its duty, and before it learns that the record is durable. Meanwhile it only renews leases.
     pub fn cut_off_owner_in_handover(&mut self, afterlife: Afterlife) {
--- a/crates/standins/tests/cells/late_copies.rs
+++ b/crates/standins/tests/cells/late_copies.rs
@@ -108,3 +108,33 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
     }
 }
+
+/// The answer to the second copy is lost, and a list shows its run before the owner stops waiting for
+/// both; the first copy is late.
+#[test]
+fn a_copy_is_not_taken_for_answered_because_a_list_shows_the_run_of_another() {
+    for task_ms in (50..1_500).step_by(50) {
+        let mut model = new_model(2);
+        for id in ["w0", "w1"] {
+            let faults = WorkerFaults {
+                late_orders: 1,
+                lost_answers: 1,
+                late_ms: LATE_MS,
+                ..WorkerFaults::default()
+            };
+            model.set_faults(id, faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, task_ms)]));
+        assert!(model.run_until(1_000, |model| model.ordered_worker(task()).is_some()));
+        let (worker, ordered) = (model.ordered_worker(task()).expect("an order"), model.now());
+        let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+        model.set_faults(other, WorkerFaults::default());
+        model.count_every_start();
+
+        return_at(&mut model, &worker, ordered + Span(LATE_MS));
+        model.run_for(REST_MS);
+
+        assert_eq!(state(&model, JOB), SUCCEEDED, "{task_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{task_ms}");
+    }
+}
--- a/crates/standins/tests/cells/owners.rs
+++ b/crates/standins/tests/cells/owners.rs
@@ -260,3 +260,27 @@
 
     assert!(waited <= longest_quick_wait(), "{waited}");
 }
+
+/// The next owner has adopted the worker and renews its leases; the earlier one knows of neither.
+#[test]
+fn a_lease_that_the_next_owner_renews_is_not_taken_for_expired_by_the_earlier_one() {
+    const OTHER_JOB: JobId = JobId(8);
+    for silent_ms in (2_000..5_300).step_by(100) {
+        let (mut model, busy) = model_with_run();
+        model.run_for(SETTLED_MS);
+        // The younger run is suspected when the worker is lost; only the other one may start at once.
+        model.submit(OTHER_JOB, &queue(), job_spec(vec![step(3, 500, 60_000)]));
+        model.run_for(SETTLED_MS);
+        model.cut_owner_off_from(busy.as_str());
+        model.run_for(silent_ms);
+        for other in ["w0", "w1", "w2"].iter().filter(|id| busy.as_str() != **id) {
+            model.make_unreachable(other, 2 * LONG_MS);
+        }
+        model.cut_off_owner(PERMITTED);
+
+        model.take_over();
+        model.run_for(OWNER_TTL.0);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{silent_ms}");
+    }
+}
--- a/crates/standins/tests/cells/owners/property.rs
+++ b/crates/standins/tests/cells/owners/property.rs
@@ -97,6 +97,8 @@
     Unreachable {
         ms: u64,
     },
+    /// The present owner can't reach the worker any more, later ones can.
+    CutFromOwner,
     Partition {
         ms: u64,
     },
@@ -154,6 +156,7 @@
     prop_oneof![
         1 => Just(WorkerFault::None),
         6 => (2_000..MAX_FAULT_MS).prop_map(|ms| WorkerFault::Unreachable { ms }),
+        3 => Just(WorkerFault::CutFromOwner),
         2 => ms().prop_map(|ms| WorkerFault::Partition { ms }),
         2 => (50_u64..1_500).prop_map(|away_ms| WorkerFault::Restart { away_ms }),
         1 => (500_u64..4_000).prop_map(|ms| WorkerFault::LapsedEntry { ms }),
@@ -239,6 +242,7 @@
         match fault {
             WorkerFault::None => {}
             WorkerFault::Unreachable { ms } => model.make_unreachable(worker, ms),
+            WorkerFault::CutFromOwner => model.cut_owner_off_from(worker),
             WorkerFault::Partition { ms } => model.worker_mut(worker).partition_for(now, ms),
             WorkerFault::Restart { away_ms } => {
                 let wall_ms = model.wall_ms();
