An owner takes no lease for expired that the next one may renew (TWICE)

An owner that can't renew its own lease may act for some seconds after another one has claimed the cell. That bounds what it sends, not what it concludes: a worker that it doesn't reach seems to have lost its lease, while the next owner has adopted it and renews it, and it starts the worker's tasks elsewhere. Class of fault: an expiry that holds only as long as nobody else can have extended it.

Change: the cell is told until when certainly no other node has claimed it (the end of the lease, or the earliest of the other nodes' latest confirmations), and takes no lease for expired that ends later. While all nodes confirm an outage of the store, that comes some 0.3 s later than before.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -126,6 +126,8 @@
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
     /// has certainly expired.
     inherited_workers: IndexMap<WorkerId, Timestamp>,
+    /// The time until which certainly no other owner has claimed the cell.
+    sole_until: Timestamp,
     /// The last term that the log shows besides this one.
     last_term: Option<recover::LoggedTerm>,
     /// How the wait for workers of earlier terms has gone so far.
@@ -220,6 +222,17 @@
         self.log.write_due()
     }
 
+    /// Sets the time until which certainly no other node has claimed the cell; the end of time at first.
+    /// Another owner may have renewed leases since, so that none counts as expired that ends later.
+    pub fn set_sole_until(&mut self, sole_until: Timestamp) {
+        self.sole_until = sole_until;
+    }
+
+    /// Whether a lease that ends at `expiry` has certainly expired.
+    fn has_lapsed(&self, expiry: Timestamp, now: Timestamp) -> bool {
+        now > expiry && expiry <= self.sole_until
+    }
+
     /// Whether the cell has a job with this id or a submission of it that has not been refused.
     #[must_use]
     pub fn has_job(&self, job: JobId) -> bool {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -213,6 +213,7 @@
             durable_placements: Vec::new(),
             actions: Vec::new(),
             inherited_workers: IndexMap::new(),
+            sole_until: Timestamp(u64::MAX),
             last_term,
             inherited_wait: InheritedWait::new(now),
             earlier_leases_expiry: now,
@@ -440,10 +441,11 @@
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
         let mut lost_workers = Vec::new();
+        let sole_until = self.sole_until;
         let (workers, wait) = (&self.workers, &mut self.inherited_wait);
         self.inherited_workers.retain(|id, expiry| {
             let worker = workers.get(id).filter(|worker| worker.is_adopted);
-            let is_expired = worker.is_none() && now >= *expiry;
+            let is_expired = worker.is_none() && now >= *expiry && *expiry <= sole_until;
             let is_adopted = worker.is_some_and(|worker| worker.has_outlasted_stops);
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -167,7 +167,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.has_ordered_runs())
-            .filter(|(_, worker)| now > worker.lease_expiry(longest_lease, now))
+            .filter(|(_, worker)| self.has_lapsed(worker.lease_expiry(longest_lease, now), now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- a/crates/core/src/job/permission.rs
+++ b/crates/core/src/job/permission.rs
@@ -89,6 +89,14 @@
         now > lease_end && !(is_confirmed && now < self.latest_orders(lease_end))
     }
 
+    /// The time until which certainly no other known node has claimed a duty: the end of the lease, or
+    /// the earliest of the latest confirmations.
+    #[must_use]
+    pub fn sole_until(&self, lease_end: Timestamp) -> Timestamp {
+        let confirmed = self.confirmed_by.values().min().copied().unwrap_or_default();
+        lease_end.max(confirmed)
+    }
+
     /// When a node that has claimed a duty may count on it that this owner gives no more orders; the
     /// end of time if there is no other node.
     fn latest_orders(&self, lease_end: Timestamp) -> Timestamp {
--- a/crates/core/src/job/permission/tests.rs
+++ b/crates/core/src/job/permission/tests.rs
@@ -96,6 +96,20 @@
     assert_eq!(end, until);
 }
 
+#[test]
+fn a_claim_is_ruled_out_until_the_earliest_of_the_latest_confirmations() {
+    let mut permission = Permission::new(LEASE_TTL);
+    assert_eq!(permission.sole_until(LEASE_END), LEASE_END);
+
+    permission.record_round(LEASE_END, &words(&[PeerWord::StoreAway, PeerWord::StoreAway]));
+    let later = LEASE_END + Span(300);
+    permission.record_round(later, &words(&[PeerWord::StoreAway, PeerWord::Silent]));
+    assert_eq!(permission.sole_until(LEASE_END), LEASE_END);
+
+    permission.record_round(later, &words(&[PeerWord::StoreAway, PeerWord::StoreAway]));
+    assert_eq!(permission.sole_until(LEASE_END), later);
+}
+
 /// What another node does: when it claims a duty, if it does, and when the owner can't reach it.
 #[derive(Clone, Debug)]
 struct Other {
--- a/crates/standins/src/model/owners.rs
+++ b/crates/standins/src/model/owners.rs
@@ -62,6 +62,7 @@
 
     /// Takes the actions that the owner decides on at `now`.
     fn decide(&mut self, (now, wall_ms): (Timestamp, u64)) -> Vec<Action> {
+        self.cell.set_sole_until(self.sole_until);
         if self.is_handing_over {
             self.cell.renew_during_handover(now, self.sole_until);
         } else {
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -314,6 +314,7 @@
             return;
         }
         let started = Instant::now();
+        let sole_until = session::sole_until(&self.node);
         let mut actions = {
             let mut cell = self.cell.borrow_mut();
             let Some(cell) = cell.as_mut() else {
@@ -322,6 +323,7 @@
             if self.is_handing_over.get() {
                 cell.renew_during_handover(clock::now(), self.node.lease.valid_until());
             } else {
+                cell.set_sole_until(sole_until);
                 cell.tick(clock::now(), clock::wall_ms());
             }
             cell.take_actions()
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -285,6 +285,11 @@
     }
 }
 
+/// The time until which certainly no other known node has claimed a duty of this one.
+pub(super) fn sole_until(node: &Node) -> Timestamp {
+    node.session.borrow().outage.permission.sole_until(node.lease.valid_until())
+}
+
 pub(super) fn has_no_duty(node: &Node) -> bool {
     node.cell_owners.borrow().is_empty() && node.fleet.borrow().is_none()
 }
