The end of a task waits also for a copy of its order that is still under way (TWICE)

What callers saw: a task starts again, in the next life of its worker, after its end was confirmed. Cause: one copy of the order is late, another one is carried out and its answer lost; a list shows the run, which counted as the answer to both. The end was confirmed while the owner still waited for the late copy. Class of fault: a statement about one copy is taken for one about all.

Change: the end of a task is held back also while the outcome of its order is not known to the owner; the outcome then tells whether a copy is open.

--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -5,7 +5,9 @@
 use super::{
     super::{
         Action, EndKind, JobEnd, JobId, LogEvent, Record, RunEnd, RunId, StepId, TaskId, WorkerId,
-        task::Job, times, worker::HeldEnd,
+        task::Job,
+        times,
+        worker::{HeldEnd, UNANSWERED_START_LIFETIME},
     },
     Cell, DeferredEffect,
 };
@@ -103,7 +105,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if let Some(until) = worker.open_until(task, now) {
+        // A list may show the run of one copy while another one is still waited for.
+        let run = worker.runs.get(&task).map(|run| (task, run.attempt));
+        let is_pending = run.is_some_and(|run| self.start_window.is_pending(run));
+        let pending = is_pending.then(|| now + UNANSWERED_START_LIFETIME);
+        if let Some(until) = worker.open_until(task, now).max(pending) {
             worker.hold_end(HeldEnd { task, number, until });
         }
     }
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -159,6 +159,11 @@
         self.has_room() && self.room_at(worker) > 0
     }
 
+    /// Whether the owner still waits for the outcome of a start order.
+    pub(super) fn is_pending(&self, run: (TaskId, u32)) -> bool {
+        self.pending.contains_key(&run)
+    }
+
     /// Adds a start order with a payload of this size.
     pub(super) fn begin(
         &mut self,
