--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -82,9 +82,10 @@
         all.map(|(node, address)| (node.clone(), address)).collect()
     }
 
-    /// Whether the store has shown a later term of a duty than that of this epoch.
+    /// Whether the store has shown a later term of a duty than that of this epoch, even if that is over.
     pub(super) fn has_later_term(&self, duty: &str, epoch: Epoch) -> bool {
-        self.owners.get(duty).is_some_and(|(_, revision)| *revision > epoch.0)
+        let shown = [self.owners.get(duty), self.predecessors.get(duty)];
+        shown.into_iter().flatten().any(|(_, revision)| *revision > epoch.0)
     }
 
     fn add_node(&mut self, node: NodeId, record: NodeRecord) {
--- a/src/jobs/outage/tests.rs
+++ b/src/jobs/outage/tests.rs
@@ -84,6 +84,18 @@
     assert!(later.is_empty(), "{later:?}");
 }
 
+/// The key of a duty is deleted when its owner hands it over or loses its lease.
+#[test]
+fn a_later_term_that_is_over_still_denies_an_earlier_one() {
+    let mut members = members(&["n1", "n2"]);
+    let key = format!("{DUTY_PREFIX}{DUTY}");
+    members.apply_change(&key, Some(&record("n2")), 12);
+
+    members.apply_change(&key, None, 13);
+
+    assert!(members.has_later_term(DUTY, Epoch(9)));
+}
+
 #[test]
 fn a_node_that_registers_again_is_asked_once() {
     let mut members = members(&["n1", "n2"]);
