--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -75,7 +75,10 @@
     let after = node.members.borrow().revision;
     if after == 0 {
         let range = node.store.range(CONTROL_PREFIX, false).await?;
-        node.members.borrow_mut().replace_all(&range.items, range.revision);
+        let mut members = node.members.borrow_mut();
+        members.replace_all(&range.items, range.revision);
+        members.record_reading(clock::now());
+        drop(members);
         check_own_duties(node);
         return Ok(());
     }
@@ -86,6 +89,7 @@
             members.apply_change(&key, value.as_deref(), revision);
         }
         members.revision = revision;
+        members.record_reading(clock::now());
     }
     check_own_duties(node);
     report_ended_predecessors(node);
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -42,8 +42,11 @@
 pub(crate) struct Members {
     pub(super) nodes: IndexMap<NodeId, NodeRecord>,
     pub(super) owners: IndexMap<Duty, (NodeRecord, u64)>,
-    /// Nodes that are no longer registered, each with when it is forgotten.
+    /// Nodes that are no longer registered, each with when it is forgotten. None is while the store can't
+    /// be read, which would show that it has registered again.
     former: IndexMap<NodeId, (SocketAddr, Timestamp)>,
+    /// When the store was last read.
+    read_at: Timestamp,
     /// The last known owner of each duty before its key was deleted or this node claimed the duty, and
     /// the revision of the key, which is the epoch of its term.
     pub(super) predecessors: IndexMap<Duty, (NodeRecord, u64)>,
@@ -70,18 +73,20 @@
 
     /// The other nodes that may claim duties, with their addresses: those that are registered, and
     /// those that were a moment ago.
-    pub(super) fn possible_claimants(
-        &self,
-        own: &NodeId,
-        now: Timestamp,
-    ) -> Vec<(NodeId, SocketAddr)> {
+    pub(super) fn possible_claimants(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
         let registered = self.nodes.values().map(|record| (&record.node, record.address));
-        let former = self.former.iter().filter(|(_, (_, forgotten))| now < *forgotten);
+        let is_known = |forgotten: &Timestamp| self.read_at < *forgotten;
+        let former = self.former.iter().filter(|(_, (_, forgotten))| is_known(forgotten));
         let former = former.map(|(node, (address, _))| (node, *address));
         let all = registered.chain(former).filter(|(node, _)| *node != own);
         all.map(|(node, address)| (node.clone(), address)).collect()
     }
 
+    /// Notes that the store was read at this time.
+    pub(super) fn record_reading(&mut self, now: Timestamp) {
+        self.read_at = now;
+    }
+
     /// Whether the store has shown a later term of a duty than that of this epoch, even if that is over.
     pub(super) fn has_later_term(&self, duty: &str, epoch: Epoch) -> bool {
         let shown = [self.owners.get(duty), self.predecessors.get(duty)];
--- a/src/jobs/outage.rs
+++ b/src/jobs/outage.rs
@@ -75,7 +75,7 @@
 async fn ask(node: Rc<Node>) {
     let asked_at = clock::now();
     let terms = held_terms(&node);
-    let others = node.members.borrow().possible_claimants(&node.id, asked_at);
+    let others = node.members.borrow().possible_claimants(&node.id);
     let questions = others.iter().map(async |(other, address)| {
         (other.clone(), node.peers.store_age(*address, &terms).await)
     });
--- a/src/jobs/outage/tests.rs
+++ b/src/jobs/outage/tests.rs
@@ -75,12 +75,25 @@
     let mut members = members(&["n1", "n2", "n3"]);
 
     members.replace_all(&[], 40);
-    let now = clock::now();
-    let asked = members.possible_claimants(&name("n1"), now);
-    let later = members.possible_claimants(&name("n1"), now + Span(60_000));
+    let asked = members.possible_claimants(&name("n1"));
 
     let names: Vec<&str> = asked.iter().map(|(node, _)| node.as_str()).collect();
     assert_eq!(names, ["n2", "n3"]);
+}
+
+/// A node that has lost its registration may register, and claim, while this one can't read the store.
+#[test]
+fn a_node_whose_registration_has_expired_is_forgotten_only_while_the_store_is_read() {
+    let mut members = members(&["n1", "n2"]);
+    members.replace_all(&[], 40);
+    let now = clock::now();
+
+    members.record_reading(now + Span(29_000));
+    let still_asked = members.possible_claimants(&name("n1"));
+    members.record_reading(now + Span(31_000));
+    let later = members.possible_claimants(&name("n1"));
+
+    assert_eq!(still_asked.len(), 1);
     assert!(later.is_empty(), "{later:?}");
 }
 
@@ -103,5 +116,5 @@
     members.apply_change(&format!("{MEMBER_PREFIX}n2"), None, 2);
     members.apply_change(&format!("{MEMBER_PREFIX}n2"), Some(&record("n2")), 3);
 
-    assert_eq!(members.possible_claimants(&name("n1"), clock::now()).len(), 1);
+    assert_eq!(members.possible_claimants(&name("n1")).len(), 1);
 }
