--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -103,5 +103,11 @@
     let mut breaches = judge::open_jobs(&world, &accepted, CALM);
     record.note(world.effect());
     breaches.extend(judge::twice(record, &world.calls()));
-    if breaches.is_empty() { Outcome::Held } else { Outcome::Broken(breaches) }
+    if !breaches.is_empty() {
+        return Outcome::Broken(breaches);
+    }
+    if has_trouble && !world.has_new_claim() {
+        return Outcome::NotPlayed("the owner has not changed".to_owned());
+    }
+    Outcome::Held
 }
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -259,6 +259,11 @@
         self.passed.calls.lock().unwrap().clone()
     }
 
+    /// Whether the cell was claimed again after the first claim. Without that a play shows nothing.
+    pub fn has_new_claim(&self) -> bool {
+        self.store.claims().len() > 1
+    }
+
     /// Counts the trouble that took effect. Without a change of owner, a play shows nothing.
     pub fn effect(&self) -> String {
         let claims = self.store.claims();
