--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -147,6 +147,9 @@
     } else {
         HOLD_WAIT.min(lease.max_wait())
     };
+    // A hold that waits longer delays the list for which inherited jobs wait.
+    let is_known = worker.has_outlasted_stops || !worker.is_adopted;
+    let wait = if is_known { wait } else { wait.min(worker.stops_end.since(now)) };
     let last_seen = if may_confirm { worker.last_confirmable(now) } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
 }
@@ -273,11 +276,11 @@
             worker.has_listed_all = false;
             worker.has_outlasted_stops = false;
             worker.adopted_at = now;
+            worker.stops_end = now + stop_limit;
         }
         let lists_all_first = report.is_complete && !worker.has_listed_all;
         worker.has_listed_all |= report.is_complete;
-        let stops_end = worker.adopted_at + stop_limit;
-        worker.has_outlasted_stops |= report.is_complete && sent > stops_end;
+        worker.has_outlasted_stops |= report.is_complete && sent > worker.stops_end;
         if !was_adopted {
             self.forget_losses(id);
         }
@@ -309,8 +312,7 @@
             worker.next_hold = now;
         }
         if is_inherited && !worker.has_outlasted_stops {
-            worker.next_hold =
-                worker.next_hold.min(now.max(worker.adopted_at + stop_limit) + Span(1));
+            worker.next_hold = worker.next_hold.min(now.max(worker.stops_end) + Span(1));
         }
         let is_logged = worker.times_logged > 0;
         if !was_adopted || was_silent {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -122,6 +122,8 @@
     /// Whether it has listed everything since every stop that an earlier owner ordered has taken effect. A
     /// run that is being stopped is in no list.
     pub(super) has_outlasted_stops: bool,
+    /// When every stop that an earlier owner ordered has taken effect; meaningful once it is adopted.
+    pub(super) stops_end: Timestamp,
     /// When the worker was adopted; meaningful only if it is.
     pub(super) adopted_at: Timestamp,
     /// Since when each hold that was sent carried a renewal of the lease; `None` if the latest one
@@ -226,6 +228,7 @@
             is_adopted: false,
             has_listed_all: false,
             has_outlasted_stops: false,
+            stops_end: now,
             adopted_at: now,
             renewing_since: None,
             renewed_at: None,
--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -278,3 +278,25 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{phase_ms}");
     }
 }
+
+/// Workers whose runs last answer holds late. Nothing inherited starts before each has listed its runs
+/// once more.
+#[test]
+fn a_new_owner_does_not_wait_for_holds_that_wait_for_ends() {
+    let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
+    model.submit(JobId(1), &queue(), long_running_job(3, 1));
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(1_100);
+    model.kill_owner();
+    model.run_for(500);
+
+    model.take_over();
+    let taken_over_at = model.now();
+    let started_at = second_step_start(&mut model);
+
+    let latest = taken_over_at + Span(cell_config().stop_timeout.0 + PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
