tools/owners: tests of the judge wait on the record's clock, not on a sleep

Cause: two tests slept for 40 ms, and one of them took a lease of 200 ms for one that lasts beyond what follows, so that a stall of the machine could fail it. Change: they wait until the record's clock has passed the end of the lease, and the lease that lasts is named from that clock; what is checked is the same. cargo test of the tool passes, three times; clippy and fmt are clean.

--- a/tools/owners/src/judge/tests.rs
+++ b/tools/owners/src/judge/tests.rs
@@ -21,6 +21,13 @@
     record.add(Event::Ended { life: life(worker), task, attempt, how: "done", number: 1 });
 }
 
+/// Waits until what happens next is recorded later than `ms` on the record's clock.
+fn wait_until_after(record: &Record, ms: u64) {
+    while record.now_ms() <= ms {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn two_runs_at_once_are_a_breach_that_names_orders_and_workers() {
     let record = Record::new();
@@ -67,7 +74,7 @@
     record.note("worker i-00000001 is born at 1");
     start(&record, 1, 1);
     end(&record, 1, 1);
-    std::thread::sleep(std::time::Duration::from_millis(40));
+    wait_until_after(&record, 20);
     record.add(Event::Confirmed { life: life(1), last_seen: 1 });
     start(&record, 2, 2);
     let call = |at_ms, deadline_ms| {
@@ -76,7 +83,7 @@
     };
 
     let late = [call(0, 20), call(record.now_ms(), 9_000)];
-    let renewed = [call(0, 200), call(record.now_ms(), 9_000)];
+    let renewed = [call(0, record.now_ms() + 1_000), call(record.now_ms(), 9_000)];
 
     assert_eq!(twice(&record, &late), Vec::<String>::new());
     assert_eq!(twice(&record, &renewed).len(), 1);
@@ -87,7 +94,7 @@
     let record = Record::new();
     record.note("worker i-00000001 is born at 1");
     start(&record, 1, 1);
-    std::thread::sleep(std::time::Duration::from_millis(40));
+    wait_until_after(&record, 20);
     start(&record, 2, 2);
     let call = |deadline_ms| {
         let worker = "i-00000001".to_owned();
