--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -35,6 +35,13 @@
             return;
         };
         worker.ends_seen = last;
+        // Ends from before this owner's first list may have been confirmed by an earlier one.
+        let has_read_all = ends_seen > 0 || worker.restarts_in_a_row > 0;
+        let first = ends.iter().map(|end| end.number).min().unwrap_or(last);
+        if has_read_all && first > ends_seen + 1 {
+            let event = LogEvent::EndsForgotten { worker: id.clone(), read: ends_seen, first };
+            self.actions.push(Action::Log(event));
+        }
         for end in ends.iter().filter(|end| end.number > ends_seen) {
             self.on_run_end(id, end, now);
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -393,6 +393,15 @@
         /// Whether it goes on; otherwise it is stopped.
         is_needed: bool,
     },
+    /// A worker has forgotten ends of runs that this owner has not read.
+    EndsForgotten {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the last end that the owner had read, zero at the start of the instance.
+        read: u64,
+        /// Number of the first end that the worker lists.
+        first: u64,
+    },
     /// The owner's view of a worker changed.
     Worker {
         /// The worker.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -198,7 +198,7 @@
     WorkerReturned(Box<ModelWorker>),
 }
 
-/// Faults of the next orders to a worker; late start orders come before lost answers.
+/// Faults of the next calls to a worker; late start orders come before lost answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerFaults {
     /// Number of start orders that the worker carries out but whose answers are lost.
@@ -208,7 +208,9 @@
     /// Number of stop orders that reach the worker late and are not answered; they come after those
     /// that are lost.
     pub late_stops: u32,
-    /// Time that a late order takes to reach the worker, in milliseconds.
+    /// Number of holds that confirm ends, reach the worker late and are not answered.
+    pub late_holds: u32,
+    /// Time that a late call takes to reach the worker, in milliseconds.
     pub late_ms: u64,
     /// Number of stop orders that have no effect and are not answered.
     pub lost_stops: u32,
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -95,12 +95,17 @@
         let deadline = self.now + call.timeout();
         let mut delay_ms = LATENCY_MS + sender.late_ms + self.send_over_link(call.bytes()).0;
         let mut answer_arrives = self.now + Span(delay_ms) < deadline;
-        if let (Call::Stop { .. }, Some(faults)) = (&call, self.faults.get_mut(&worker))
-            && faults.late_stops > 0
-        {
-            faults.late_stops -= 1;
-            delay_ms = faults.late_ms;
-            answer_arrives = false;
+        if let Some(faults) = self.faults.get_mut(&worker) {
+            let late = match &call {
+                Call::Stop { .. } => &mut faults.late_stops,
+                Call::Hold { last_seen: 1.., .. } => &mut faults.late_holds,
+                _ => &mut 0,
+            };
+            if *late > 0 {
+                *late -= 1;
+                delay_ms = faults.late_ms;
+                answer_arrives = false;
+            }
         }
         if let Some(faults) = self.faults.get_mut(&worker).filter(|_| call.is_start()) {
             if faults.late_orders > 0 {
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -12,6 +12,7 @@
 mod given_up;
 mod instances;
 mod late_copies;
+mod late_holds;
 mod log;
 mod long_running;
 mod may_end;
--- a/crates/standins/tests/cells/random.rs
+++ b/crates/standins/tests/cells/random.rs
@@ -118,6 +118,7 @@
                 late_ms: *late_ms,
                 lost_stops: *lost_stops,
                 late_stops: *late_stops,
+                late_holds: 0,
             };
             model.set_faults(&worker_id(worker), faults);
         }
--- a/crates/standins/tests/cells/restarts/property.rs
+++ b/crates/standins/tests/cells/restarts/property.rs
@@ -82,8 +82,15 @@
 fn faulty_orders() -> impl Strategy<Value = Fault> {
     (0_u32..3, 0_u32..3, 1_000_u64..9_000, 0_u32..2, 0_u32..2).prop_map(
         |(lost_answers, late_orders, late_ms, lost_stops, late_stops)| {
-            let faults =
-                WorkerFaults { lost_answers, late_orders, late_stops, late_ms, lost_stops };
+            let late_holds = 0;
+            let faults = WorkerFaults {
+                lost_answers,
+                late_orders,
+                late_stops,
+                late_holds,
+                late_ms,
+                lost_stops,
+            };
             Fault::FaultyOrders(faults)
         },
     )
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use slog::warn;
+use slog::{info, warn};
 use teaselgap_core::{
     Span,
     job::{
@@ -186,6 +186,13 @@
             return;
         }
         let now = clock::now();
+        if let Err(HoldError::Call(err)) = &result
+            && last_seen > 0
+        {
+            info!(self.node.log, "hold that confirms ends got no answer"; "worker" => %target.worker,
+                "last_seen" => last_seen, "after_ms" => now.since(sent_at).0, "error" => %err,
+                "cell" => %self.service, "epoch" => self.epoch.0);
+        }
         self.with_cell(|cell| cell.on_hold_answer(&target.worker, sent_at, result.ok(), now));
     }
 
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -3,7 +3,7 @@
 
 use std::cell::RefCell;
 
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use teaselgap_core::{
     Epoch, ServiceId, Span,
     job::{EndKind, LogEvent, OtherInstance, PlacedTask, RunId, StepAvailability, StepId},
@@ -97,6 +97,10 @@
                 let reason = if *is_needed { "goes on" } else { "not needed" };
                 self.write_run("run adopted", run, reason);
             }
+            LogEvent::EndsForgotten { worker, read, first } => {
+                warn!(log, "ends forgotten unread"; "worker" => %worker, "read" => read,
+                    "first" => first, "cell" => cell, "epoch" => epoch);
+            }
             LogEvent::Worker { worker, change, runs } => {
                 info!(log, "worker"; "worker" => %worker, "change" => change, "runs" => runs,
                     "cell" => cell, "epoch" => epoch);
