Model: scripted fates of calls, and a record of late ones

The model notes for each late call whether it was sent to an earlier instance, and whether the instance had been called in time by that term or a later one.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -9,6 +9,7 @@
 mod availability;
 mod calls;
 mod control;
+mod fates;
 mod lease;
 mod link;
 mod log;
@@ -33,6 +34,7 @@
 
 use self::{availability::AvailabilityWatch, lease::OwnerLease};
 pub use self::{
+    fates::{CallKind, Fate, LateCall},
     link::Link,
     log::MAX_VALUE_BYTES,
     owners::{Afterlife, StrayOrders},
@@ -253,6 +255,7 @@
     epoch: Epoch,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
+    fates: fates::Fates,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
     /// The owners, by their epochs, that reach a worker no more.
@@ -393,6 +396,7 @@
             epoch: Epoch(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
+            fates: fates::Fates::default(),
             unreachable: IndexMap::new(),
             cut_off_from: BTreeSet::new(),
             old_entries: IndexMap::new(),
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, CountedStarts, Delivery, LATENCY_MS, Model,
+    ADVICE_LATENCY_MS, CRASH_DURATION_MS, Call, CountedStarts, Delivery, Fate, LATENCY_MS, Model,
     ModelWorker, REPEAT_MS, Reply, TICKET, TICKET_VALIDITY_MS, owners::Sender,
 };
 
@@ -117,6 +117,11 @@
                 answer_arrives = false;
             }
         }
+        let fate = self.take_fate(&worker, &call);
+        answer_arrives &= matches!(fate, None | Some(Fate::Answered));
+        if let Some(Fate::Late(at)) = fate {
+            delay_ms = at.since(self.now).0;
+        }
         match &call {
             Call::Start(order) if !answer_arrives => {
                 let order = order.clone();
@@ -126,6 +131,9 @@
             _ if !answer_arrives => self.schedule_timeout(worker.clone(), epoch, &call),
             _ => {}
         }
+        if fate == Some(Fate::CallLost) {
+            return;
+        }
         let instance = self.workers.get(&worker).map_or(0, ModelWorker::instance);
         let delivery =
             Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline, instance };
@@ -185,6 +193,7 @@
                         }
                         continue;
                     }
+                    self.record_arrival(&worker, (epoch, &call), (instance, deadline));
                     self.on_call((worker, epoch), call, answer_arrives, deadline);
                 }
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
