--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod cost;
 mod crashes;
+mod every_call;
 mod faults;
 mod fixtures;
 mod flow;
