--- a/crates/standins/tests/cells/every_call.rs
+++ b/crates/standins/tests/cells/every_call.rs
@@ -5,4 +5,5 @@
 //! out seconds later in whichever life is up then. `EVERY_CALL=wide` plays a finer grid, by hand.
 
 mod history;
+mod holds;
 mod starts;
