--- a/crates/standins/tests/cells/every_call.rs
+++ b/crates/standins/tests/cells/every_call.rs
@@ -7,3 +7,4 @@
 mod history;
 mod holds;
 mod starts;
+mod stops;
