--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Cell`] holds one service's jobs and the workers that run them. One node at a time owns it.
 //! The revision of the owner's key in the platform's store is the epoch: the fencing token of each
-//! write to the cell's log and of each order to its workers. The cell is a pure state machine: its
+//! write to the cell's log and, with a generation, of each call to its workers ([`Fence`]). The cell is a pure state machine: its
 //! input is events and an explicit time, its output is [`Action`]s.
 //!
 //! Two rules keep a task from running twice:
@@ -17,6 +17,7 @@
 
 mod advice;
 mod cell;
+mod fence;
 mod fleet;
 mod flow;
 mod id;
@@ -42,6 +43,7 @@
 pub use self::{
     advice::{AdviceAnswer, AdviceConfig, AdviceRequest},
     cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
+    fence::{Fence, FencedCall},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
         OrderBasis, OrderOutcome, OrderedWorker, PoolSize, Vm, VmState, Wave, WaveStep,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -38,8 +38,9 @@
     staged::{StagedSubmissions, Submission},
 };
 use super::{
-    Action, AdviceConfig, Answer, FlowLimits, JobEnd, JobId, JobSpec, JobState, LogConfig,
-    LogEvent, LogWrite, LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
+    Action, AdviceConfig, Answer, Fence, FencedCall, FlowLimits, JobEnd, JobId, JobSpec, JobState,
+    LogConfig, LogEvent, LogWrite, LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
+    fence::Fences,
     flow::{HoldBudget, StartWindow},
     pace::PaceTable,
     record::EncodedRecord,
@@ -123,6 +124,7 @@
     /// Runs, given by worker, task and attempt, whose placements have just become durable.
     durable_placements: Vec<(WorkerId, TaskId, u32)>,
     actions: Vec<Action>,
+    fences: Fences,
     /// Workers of earlier terms that have not been adopted, each with the time at which its lease
     /// has certainly expired.
     inherited_workers: IndexMap<WorkerId, Timestamp>,
@@ -201,6 +203,17 @@
         self.held_back_starts
     }
 
+    /// The fencing token of a call to a worker, which must be sent at once.
+    pub fn fence_call(&mut self, id: &WorkerId, kind: FencedCall) -> Fence {
+        self.fences.of_call(id, kind)
+    }
+
+    /// Whether a later call of this owner to the worker has a higher fencing token.
+    #[must_use]
+    pub fn is_outranked(&self, id: &WorkerId, fence: Fence) -> bool {
+        self.fences.is_outranked(id, fence)
+    }
+
     /// Takes the actions that were added since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -202,6 +202,10 @@
         report: Option<HoldReport>,
         now: Timestamp,
     ) {
+        self.fences.on_hold_over(id);
+        if report.is_none() {
+            self.fences.outrank(id);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -248,6 +252,15 @@
         self.on_hold_report(id, sent, &report, now);
     }
 
+    /// Handles the refusal of a hold that a later call of this owner has outranked.
+    pub fn on_hold_outranked(&mut self, id: &WorkerId, now: Timestamp) {
+        self.fences.on_hold_over(id);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.holds_in_flight = worker.holds_in_flight.saturating_sub(1);
+            worker.next_hold = worker.next_hold.min(now);
+        }
+    }
+
     fn on_hold_report(
         &mut self,
         id: &WorkerId,
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -112,11 +112,14 @@
         let StartAnswer { outcome, clock_ms, last_sent } = answer.into();
         self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
         self.plan_due |= self.held_back_starts > 0;
+        let has_unanswered_copy =
+            matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown);
+        if has_unanswered_copy {
+            self.fences.outrank(id);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let has_unanswered_copy =
-            matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown);
         let open_until = last_sent.unwrap_or(now) + UNANSWERED_START_LIFETIME;
         let order_expiry = if has_unanswered_copy { open_until } else { now };
         if has_unanswered_copy {
@@ -155,6 +158,7 @@
             StartOutcome::Refused(reason) | StartOutcome::NotSent(reason) => reason,
             StartOutcome::Outdated => "worker knows a later attempt",
             StartOutcome::NotAdvised => "no valid ticket",
+            StartOutcome::Outranked => "outranked by a later call",
             StartOutcome::Started | StartOutcome::StartedRepeated | StartOutcome::Unknown => {
                 "no answer"
             }
@@ -306,6 +310,9 @@
         is_confirmed: bool,
         (sent, now): (Timestamp, Timestamp),
     ) {
+        if !is_confirmed {
+            self.fences.outrank(id);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -378,7 +378,17 @@
     }
 
     /// Handles a worker's confirmation of the pace of a task, in percent.
-    pub fn on_pace_answer(&mut self, id: &WorkerId, (task, attempt): (TaskId, u32), share: u64) {
+    pub fn on_pace_answer(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        share: u64,
+        is_confirmed: bool,
+    ) {
+        if !is_confirmed {
+            self.fences.outrank(id);
+            return;
+        }
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
         if let Some(run) = run.filter(|run| run.attempt == attempt) {
             run.confirmed_pace = share;
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -212,6 +212,7 @@
             deferred_effects: std::collections::VecDeque::new(),
             durable_placements: Vec::new(),
             actions: Vec::new(),
+            fences: super::Fences::new(epoch),
             inherited_workers: IndexMap::new(),
             sole_until: Timestamp(u64::MAX),
             last_term,
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -66,6 +66,7 @@
         entry: Option<WorkerEntry>,
         now: Timestamp,
     ) {
+        self.fences.outrank(id);
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -152,6 +152,8 @@
     NotSent(&'static str),
     /// The run has not started, because the order carried no valid ticket.
     NotAdvised,
+    /// The run has not started, because the worker has carried out a call with a higher fencing token.
+    Outranked,
     /// The run has not started, because the worker knows of a later attempt.
     Outdated,
     /// The worker's answer was lost: the run may start at any time, or never.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -26,9 +26,10 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, FlowLimits,
-        HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
-        StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, Fence,
+        FencedCall, FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite,
+        QueueConfig, Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry,
+        WorkerId,
     },
 };
 
@@ -115,6 +116,15 @@
 }
 
 impl Call {
+    /// Returns what the call outranks.
+    fn fenced(&self) -> FencedCall {
+        match self {
+            Self::Start(_) | Self::RepeatedStart(_) => FencedCall::Start,
+            Self::Stop { .. } => FencedCall::Run,
+            Self::Hold { .. } | Self::PendingHold { .. } => FencedCall::Hold,
+        }
+    }
+
     fn is_start(&self) -> bool {
         matches!(self, Self::Start(_) | Self::RepeatedStart(_))
     }
@@ -149,6 +159,8 @@
     Stopped(TaskId, u32, bool, Timestamp),
     /// The report of a hold sent at the given time; `None` if the hold failed.
     Held(Timestamp, Option<HoldReport>),
+    /// A call with a higher fencing token came before a hold.
+    Outranked,
     /// The answer to a request for advice; `None` if the service did not answer.
     Advice(AdviceRequest, Option<AdviceAnswer>),
 }
@@ -161,6 +173,7 @@
     ToWorker {
         worker: WorkerId,
         epoch: Epoch,
+        fence: Fence,
         call: Call,
         answer_arrives: bool,
         deadline: Timestamp,
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -5,7 +5,7 @@
 use teaselgap_core::{
     Epoch, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, StartAnswer, StartOrder, StartOutcome, TaskId,
+        Action, AdviceAnswer, AdviceRequest, Fence, StartAnswer, StartOrder, StartOutcome, TaskId,
         WorkerEntry, WorkerId,
     },
 };
@@ -79,6 +79,9 @@
     /// Sends a call to a worker, subject to the injected faults.
     pub(super) fn call(&mut self, sender: Sender, worker: WorkerId, call: Call) {
         let epoch = sender.epoch;
+        let owner = self.cell_of(epoch);
+        let fence =
+            owner.map_or(Fence::first_of(epoch), |owner| owner.fence_call(&worker, call.fenced()));
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
         let is_cut_off = self.cut_off_from.contains(&(epoch, worker.clone()));
         if is_cut_off || epoch == self.epoch && self.is_unreachable(&worker) {
@@ -136,7 +139,7 @@
         }
         let instance = self.workers.get(&worker).map_or(0, ModelWorker::instance);
         let delivery =
-            Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline, instance };
+            Delivery::ToWorker { worker, epoch, fence, call, answer_arrives, deadline, instance };
         self.send(delay_ms, delivery);
     }
 
@@ -175,7 +178,7 @@
         let delay_ms = self.answer_delays.get_mut(worker).and_then(VecDeque::pop_front);
         let longest_ms = match reply {
             Reply::Started(..) => REPEAT_MS - 2 * LATENCY_MS,
-            Reply::Stopped(..) | Reply::Held(..) | Reply::Advice(..) => u64::MAX,
+            Reply::Stopped(..) | Reply::Held(..) | Reply::Outranked | Reply::Advice(..) => u64::MAX,
         };
         delay_ms.unwrap_or(0).min(longest_ms)
     }
@@ -186,7 +189,15 @@
                 return;
             }
             match entry.remove() {
-                Delivery::ToWorker { worker, epoch, call, answer_arrives, deadline, instance } => {
+                Delivery::ToWorker {
+                    worker,
+                    epoch,
+                    fence,
+                    call,
+                    answer_arrives,
+                    deadline,
+                    instance,
+                } => {
                     if call.is_start() && !self.may_deliver_start(&worker, epoch, instance) {
                         if answer_arrives {
                             self.schedule_timeout(worker, epoch, &call);
@@ -194,7 +205,7 @@
                         continue;
                     }
                     self.record_arrival(&worker, (epoch, &call), (instance, deadline));
-                    self.on_call((worker, epoch), call, answer_arrives, deadline);
+                    self.on_call((worker, epoch, fence), call, answer_arrives, deadline);
                 }
                 Delivery::ToCell { worker, epoch, reply } => self.on_reply(&worker, epoch, reply),
                 Delivery::SegmentWritten { epoch, sequence } => {
@@ -232,7 +243,7 @@
 
     pub(super) fn on_call(
         &mut self,
-        (id, epoch): (WorkerId, Epoch),
+        (id, epoch, fence): (WorkerId, Epoch, Fence),
         call: Call,
         answer_arrives: bool,
         deadline: Timestamp,
@@ -251,7 +262,7 @@
         let reply = match call {
             Call::Start(order) => {
                 let clock_ms = Some(worker.clock(now));
-                let outcome = self.start_at(&id, &order, epoch);
+                let outcome = self.start_at(&id, &order, fence);
                 Reply::Started(
                     order.task,
                     order.attempt,
@@ -260,7 +271,7 @@
             }
             Call::RepeatedStart(order) => {
                 let clock_ms = Some(worker.clock(now));
-                let outcome = match self.start_at(&id, &order, epoch) {
+                let outcome = match self.start_at(&id, &order, fence) {
                     StartOutcome::Started => StartOutcome::StartedRepeated,
                     _ => StartOutcome::Unknown,
                 };
@@ -271,43 +282,35 @@
                 )
             }
             Call::Stop { task, attempt, sent } => {
-                let is_confirmed = worker.stop((task, attempt), epoch, (sent, now));
+                let is_confirmed = worker.stop((task, attempt), fence, (sent, now));
                 Reply::Stopped(task, attempt, is_confirmed, sent)
             }
             Call::PendingHold { instance, sent, .. } if instance != worker.instance() => {
                 // The connection was lost when the worker instance ended.
                 Reply::Held(sent, None)
             }
-            Call::Hold { last_seen, wait, sent, .. }
-            | Call::PendingHold { last_seen, wait, sent, .. } => {
-                let lease_end = match call {
-                    Call::Hold { lease_end, .. } => lease_end,
-                    _ => None,
+            Call::PendingHold { last_seen, wait, sent, .. } => {
+                let held = (last_seen, wait, sent);
+                let Some(reply) =
+                    self.answer_hold((id.clone(), epoch, fence), held, (answer_arrives, deadline))
+                else {
+                    return;
                 };
-                if let Some(delay_ms) = worker.remaining_wait(sent, wait, last_seen, now) {
-                    worker.extend_lease(lease_end, epoch, now);
-                    let instance = worker.instance();
-                    let call = Call::PendingHold { last_seen, wait, sent, instance };
-                    let worker = id;
-                    let pending = Delivery::ToWorker {
-                        worker,
-                        epoch,
-                        call,
-                        answer_arrives,
-                        deadline,
-                        instance,
-                    };
-                    self.send(delay_ms, pending);
+                reply
+            }
+            Call::Hold { lease_end, last_seen, wait, sent } => {
+                let Some(done) = worker.hold(lease_end, last_seen, fence, now) else {
+                    self.refuse_hold((id, epoch, fence), answer_arrives, deadline);
                     return;
-                }
-                let hold_result = worker.hold(lease_end, last_seen, epoch, now);
-                if hold_result.is_none() && answer_arrives {
-                    self.end_earlier_owner(epoch);
-                }
-                let (report, done) =
-                    hold_result.map_or((None, Vec::new()), |(report, done)| (Some(report), done));
+                };
                 self.record_done(done);
-                Reply::Held(sent, report)
+                let held = (last_seen, wait, sent);
+                let Some(reply) =
+                    self.answer_hold((id.clone(), epoch, fence), held, (answer_arrives, deadline))
+                else {
+                    return;
+                };
+                reply
             }
         };
         if answer_arrives {
@@ -315,14 +318,60 @@
         }
     }
 
+    /// Returns the answer to a hold that a worker has carried out; `None` if it waits for a run to end.
+    fn answer_hold(
+        &mut self,
+        (worker, epoch, fence): (WorkerId, Epoch, Fence),
+        (last_seen, wait, sent): (u64, Span, Timestamp),
+        (answer_arrives, deadline): (bool, Timestamp),
+    ) -> Option<Reply> {
+        let now = self.now;
+        let model = self.workers.get(&worker)?;
+        let Some(delay_ms) = model.remaining_wait(sent, wait, last_seen, now) else {
+            return Some(Reply::Held(sent, Some(model.report(now))));
+        };
+        let instance = model.instance();
+        let call = Call::PendingHold { last_seen, wait, sent, instance };
+        let pending =
+            Delivery::ToWorker { worker, epoch, fence, call, answer_arrives, deadline, instance };
+        self.send(delay_ms, pending);
+        None
+    }
+
+    /// Answers a hold of an owner whose later call, or that of a later owner, came before.
+    fn refuse_hold(
+        &mut self,
+        (id, epoch, fence): (WorkerId, Epoch, Fence),
+        answer_arrives: bool,
+        deadline: Timestamp,
+    ) {
+        if !answer_arrives {
+            return;
+        }
+        if self.cell_of(epoch).is_some_and(|cell| cell.is_outranked(&id, fence)) {
+            self.answer_call(
+                (id, epoch),
+                (Reply::Outranked, Reply::Held(self.now, None)),
+                deadline,
+            );
+        } else {
+            self.end_earlier_owner(epoch);
+            self.answer_call(
+                (id, epoch),
+                (Reply::Held(self.now, None), Reply::Held(self.now, None)),
+                deadline,
+            );
+        }
+    }
+
     /// Executes a start order at a worker, and records the start if the run was not there before.
-    fn start_at(&mut self, id: &WorkerId, order: &StartOrder, epoch: Epoch) -> StartOutcome {
+    fn start_at(&mut self, id: &WorkerId, order: &StartOrder, fence: Fence) -> StartOutcome {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else {
             return StartOutcome::Unknown;
         };
         let was_running = worker.is_running(order.task);
-        let outcome = worker.start(order, epoch, now);
+        let outcome = worker.start(order, fence, now);
         let is_new = outcome == StartOutcome::Started && !was_running;
         let counts_all = self.counted_starts == CountedStarts::All;
         if is_new && (counts_all || worker.has_owner_contact()) {
@@ -410,6 +459,7 @@
                 cell.on_stop_answer(id, (task, attempt), confirmed, (sent, now));
             }
             Reply::Held(sent, report) => cell.on_hold_answer(id, sent, report, now),
+            Reply::Outranked => cell.on_hold_outranked(id, now),
             Reply::Advice(request, answer) => cell.on_advice_answer(&request, answer.as_ref(), now),
         }
     }
--- a/crates/standins/src/model/owners.rs
+++ b/crates/standins/src/model/owners.rs
@@ -96,10 +96,11 @@
         self.pending_write = None;
         let time = (self.now, self.wall_ms());
         let sender = Sender { late_ms: late_ms + paused_ms, ..owner.sender() };
-        for action in owner.decide(time) {
+        let actions = owner.decide(time);
+        self.earlier_owners.push(owner);
+        for action in actions {
             self.perform(sender, action);
         }
-        self.earlier_owners.push(owner);
     }
 
     /// Cuts the present owner off from a worker for good, also when a later one has the cell. Later owners
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -8,10 +8,10 @@
 use super::availability::OrderedEnd;
 use indexmap::IndexMap;
 use teaselgap_core::{
-    Epoch, Span, Timestamp,
+    Span, Timestamp,
     job::{
-        EndKind, HoldReport, JobId, ListedRun, Resources, RunEnd, StartOrder, StartOutcome, TaskId,
-        WorkerEntry,
+        EndKind, Fence, HoldReport, JobId, ListedRun, Resources, RunEnd, StartOrder, StartOutcome,
+        TaskId, WorkerEntry,
     },
 };
 
@@ -112,8 +112,8 @@
     clock_start: Timestamp,
     partitioned_until: Timestamp,
     partitioned_since: Timestamp,
-    /// The highest epoch of a call so far; calls of a lower epoch are refused.
-    fence: Epoch,
+    /// The highest fencing token of a call so far; calls with a lower one are refused.
+    fence: Fence,
     /// Lease expiry by the worker's own clock, in milliseconds.
     lease_end: u64,
     runs: IndexMap<TaskId, ModelRun>,
@@ -140,7 +140,7 @@
             clock_start: Timestamp(0),
             partitioned_until: Timestamp(0),
             partitioned_since: Timestamp(0),
-            fence: Epoch(0),
+            fence: Fence::default(),
             lease_end: 0,
             runs: IndexMap::new(),
             closed_attempts: IndexMap::new(),
@@ -332,18 +332,18 @@
         self.runs.iter().filter(move |(_, run)| is_at_work(run)).map(|(task, _)| *task)
     }
 
-    /// Raises the fence to `epoch`, or returns false if a later term has already called.
-    fn check_fence(&mut self, epoch: Epoch) -> bool {
-        if epoch < self.fence {
+    /// Raises the fence, or returns false if it was higher already.
+    fn check_fence(&mut self, fence: Fence) -> bool {
+        if fence < self.fence {
             return false;
         }
-        self.fence = epoch;
+        self.fence = fence;
         true
     }
 
-    /// Extends the lease to at most [`MAX_LEASE_MS`] from now, unless a later term has called.
-    pub(super) fn extend_lease(&mut self, lease_end: Option<u64>, epoch: Epoch, now: Timestamp) {
-        if let Some(end) = lease_end.filter(|_| self.check_fence(epoch)) {
+    /// Extends the lease to at most [`MAX_LEASE_MS`] from now.
+    fn extend_lease(&mut self, lease_end: Option<u64>, now: Timestamp) {
+        if let Some(end) = lease_end {
             let latest_end = self.clock(now) + MAX_LEASE_MS;
             self.lease_end = self.lease_end.max(end.min(latest_end));
         }
@@ -353,11 +353,11 @@
     pub(super) fn start(
         &mut self,
         order: &StartOrder,
-        epoch: Epoch,
+        fence: Fence,
         now: Timestamp,
     ) -> StartOutcome {
-        if !self.check_fence(epoch) {
-            return StartOutcome::Refused("fence");
+        if !self.check_fence(fence) {
+            return StartOutcome::Outranked;
         }
         if order.lease_end <= self.clock(now) {
             return StartOutcome::Refused("late");
@@ -365,7 +365,7 @@
         if self.ticket.is_some() && order.ticket.as_deref() != self.ticket {
             return StartOutcome::NotAdvised;
         }
-        self.extend_lease(Some(order.lease_end), epoch, now);
+        self.extend_lease(Some(order.lease_end), now);
         if let Some(run) = self.runs.get(&order.task) {
             let is_same_attempt = run.attempt == order.attempt;
             return if is_same_attempt { StartOutcome::Started } else { StartOutcome::Outdated };
@@ -411,14 +411,14 @@
     }
 
     /// Handles a stop order for attempts up to `attempt`, which was sent at `sent`; returns false if a
-    /// later term has called.
+    /// call with a higher fencing token came before.
     pub(super) fn stop(
         &mut self,
         (task, attempt): (TaskId, u32),
-        epoch: Epoch,
+        fence: Fence,
         (sent, now): (Timestamp, Timestamp),
     ) -> bool {
-        if !self.check_fence(epoch) {
+        if !self.check_fence(fence) {
             return false;
         }
         self.has_owner_contact = true;
@@ -449,25 +449,30 @@
         if has_new_ends || now >= sent + wait { None } else { Some(1) }
     }
 
-    /// Renews the lease and removes the ends up to `last_seen`, which the owner confirms. Returns
-    /// the remaining ends and the active runs, and the tasks confirmed as done with the times of
-    /// their ends; `None` if a later term has called.
+    /// Renews the lease and removes the ends up to `last_seen`, which the owner confirms. Returns the
+    /// tasks confirmed as done with the times of their ends; `None` if a call with a higher fencing token
+    /// came before.
     pub(super) fn hold(
         &mut self,
         lease_end: Option<u64>,
         last_seen: u64,
-        epoch: Epoch,
+        fence: Fence,
         now: Timestamp,
-    ) -> Option<(HoldReport, Vec<(TaskId, Timestamp)>)> {
-        if !self.check_fence(epoch) {
+    ) -> Option<Vec<(TaskId, Timestamp)>> {
+        if !self.check_fence(fence) {
             return None;
         }
         self.has_owner_contact = true;
-        self.extend_lease(lease_end, epoch, now);
+        self.extend_lease(lease_end, now);
         let is_done = |one: &&ModelEnd| one.end.kind == EndKind::Done && !one.is_void;
         let confirmed = self.ends.iter().filter(|one| one.end.number <= last_seen);
         let done = confirmed.filter(is_done).map(|one| (one.end.task, one.at)).collect();
         self.ends.retain(|one| one.end.number > last_seen);
+        Some(done)
+    }
+
+    /// Returns the active runs and the ends that no owner has confirmed.
+    pub(super) fn report(&self, now: Timestamp) -> HoldReport {
         // A run that is being stopped is listed neither as running nor as ended.
         let listed = self.runs.iter().filter(|(_, run)| run.stop_at.is_none());
         let running = listed.map(|(&task, run)| ListedRun {
@@ -477,13 +482,12 @@
             progress_percent: run.progress_percent(now),
             tail_ms_or_cpu: 0,
         });
-        let report = HoldReport {
+        HoldReport {
             clock_ms: self.clock(now),
             started_wall_ms: self.entry.started_wall_ms,
             running: running.collect(),
             ends: self.ends.iter().take(MAX_LISTED_ENDS).map(|one| one.end.clone()).collect(),
             is_complete: self.ends.len() < MAX_LISTED_ENDS,
-        };
-        Some((report, done))
+        }
     }
 }
--- a/crates/standins/src/model/worker/tests.rs
+++ b/crates/standins/src/model/worker/tests.rs
@@ -15,7 +15,7 @@
     };
     let mut worker = ModelWorker::new(entry);
 
-    worker.extend_lease(Some(100_000), Epoch(1), Timestamp(1_000));
+    worker.extend_lease(Some(100_000), Timestamp(1_000));
 
     assert_eq!(worker.lease_end, 1_000 + MAX_LEASE_MS);
 }
--- a/crates/standins/tests/cells/every_call/history.rs
+++ b/crates/standins/tests/cells/every_call/history.rs
@@ -149,7 +149,9 @@
         broken.len()
     );
     println!("{summary}");
-    broken.iter().for_each(|one| println!("  {}: {:?}", one.case, one.faults));
+    for one in &broken {
+        println!("  {}: {:?}", one.case, one.faults);
+    }
 
     assert!(such > 0, "no such history");
     assert!(broken.is_empty(), "{summary}; the first: {first:#?}");
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -140,7 +140,7 @@
         meter: RefCell::default(),
         log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         started_at: clock::now(),
-        worker_client: WorkerClient::new(Rc::clone(&node.connections), epoch),
+        worker_client: WorkerClient::new(Rc::clone(&node.connections)),
         order_repeater: Repeater::new(MAX_ORDER_COPIES),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -7,7 +7,8 @@
 use teaselgap_core::{
     Span,
     job::{
-        Action, AdviceRequest, Answer, LogEvent, StartAnswer, StartOutcome, TaskId, Token, WorkerId,
+        Action, AdviceRequest, Answer, Fence, FencedCall, LogEvent, StartAnswer, StartOutcome,
+        TaskId, Token, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -52,8 +53,8 @@
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
-                    let objection = || owner.start_objection(&target.worker, task);
-                    let call = start_order::send(repeater, client, (&target, &order), objection);
+                    let permit = || owner.permit_start(&target.worker, task);
+                    let call = start_order::send(repeater, client, (&target, &order), permit);
                     let is_answered =
                         |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
                     let answer = owner.measured(CallKind::Start, call, is_answered).await;
@@ -73,7 +74,10 @@
             Action::Stop(worker, task, attempt) => {
                 self.spawn_call(&worker, async move |owner, target| {
                     let sent_at = clock::now();
-                    let call = owner.worker_client.stop(&target, task, attempt);
+                    let Some(fence) = owner.fence_call(&target.worker, FencedCall::Run) else {
+                        return;
+                    };
+                    let call = owner.worker_client.stop(&target, (task, attempt), fence);
                     let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
                     let (run, time) = ((task, attempt), (sent_at, clock::now()));
                     owner.with_cell(|cell| {
@@ -138,14 +142,31 @@
         !self.is_term_over.get()
     }
 
-    /// Why a start order, or a copy of it, must not be sent at this moment; `None` if it may.
-    fn start_objection(&self, worker: &WorkerId, run: (TaskId, u32)) -> Option<&'static str> {
+    /// The fencing token of a start order, or a copy of it, that is sent at this moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if it must not be sent.
+    fn permit_start(&self, worker: &WorkerId, run: (TaskId, u32)) -> Result<Fence, &'static str> {
         if !self.may_order() {
-            return Some("the term is over");
+            return Err("the term is over");
         }
+        let mut cell = self.cell.borrow_mut();
+        let cell = cell.as_mut().filter(|cell| cell.may_send_start(worker, run));
+        let cell = cell.ok_or("the run is not wanted any more")?;
+        Ok(cell.fence_call(worker, FencedCall::Start))
+    }
+
+    /// The fencing token of a call that is sent at this moment; `None` once the term has ended.
+    fn fence_call(&self, worker: &WorkerId, kind: FencedCall) -> Option<Fence> {
+        let mut cell = self.cell.borrow_mut();
+        cell.as_mut().map(|cell| cell.fence_call(worker, kind))
+    }
+
+    /// Whether this owner has sent the worker a call with a higher fencing token.
+    fn is_outranked(&self, worker: &WorkerId, fence: Fence) -> bool {
         let cell = self.cell.borrow();
-        let may_send = cell.as_ref().is_some_and(|cell| cell.may_send_start(worker, run));
-        (!may_send).then_some("the run is not wanted any more")
+        cell.as_ref().is_some_and(|cell| cell.is_outranked(worker, fence))
     }
 
     async fn ask_advice(&self, request: AdviceRequest) {
@@ -163,18 +184,29 @@
     }
 
     async fn pace(&self, target: &Target, (task, attempt): (TaskId, u32), share: u64) {
-        let call = self.worker_client.pace(target, task, attempt, share);
-        if self.measured(CallKind::Order, call, |ok| *ok).await {
-            self.with_cell(|cell| cell.on_pace_answer(&target.worker, (task, attempt), share));
-        }
+        let Some(fence) = self.fence_call(&target.worker, FencedCall::Run) else {
+            return;
+        };
+        let call = self.worker_client.pace(target, (task, attempt), share, fence);
+        let is_confirmed = self.measured(CallKind::Order, call, |ok| *ok).await;
+        self.with_cell(|cell| {
+            cell.on_pace_answer(&target.worker, (task, attempt), share, is_confirmed);
+        });
     }
 
     async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
         let sent_at = clock::now();
-        let call = self.worker_client.hold(target, lease_end, last_seen, wait);
+        let Some(fence) = self.fence_call(&target.worker, FencedCall::Hold) else {
+            return;
+        };
+        let call = self.worker_client.hold(target, lease_end, last_seen, wait, fence);
         let is_answered =
             |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
         let result = self.measured(CallKind::Hold, call, is_answered).await;
+        if matches!(result, Err(HoldError::Fenced)) && self.is_outranked(&target.worker, fence) {
+            self.with_cell(|cell| cell.on_hold_outranked(&target.worker, clock::now()));
+            return;
+        }
         if let Err(HoldError::Fenced) = result {
             warn!(self.node.log, "fenced by a later owner"; "cell" => %self.service,
                 "worker" => %target.worker, "epoch" => self.epoch.0);
@@ -190,7 +222,7 @@
             && last_seen > 0
         {
             info!(self.node.log, "hold that confirms ends got no answer"; "worker" => %target.worker,
-                "last_seen" => last_seen, "after_ms" => now.since(sent_at).0, "error" => %err,
+                "last_seen" => last_seen, "fence" => %fence, "after_ms" => now.since(sent_at).0, "error" => %err,
                 "cell" => %self.service, "epoch" => self.epoch.0);
         }
         self.with_cell(|cell| cell.on_hold_answer(&target.worker, sent_at, result.ok(), now));
--- a/src/jobs/start_order.rs
+++ b/src/jobs/start_order.rs
@@ -9,26 +9,28 @@
 
 use std::cell::Cell;
 
-use teaselgap_core::job::{StartAnswer, StartOrder, StartOutcome};
+use teaselgap_core::job::{Fence, StartAnswer, StartOrder, StartOutcome};
 use teaselgap_platform::worker::{Target, WorkerClient};
 
 use super::repeat::Repeater;
 use crate::clock;
 
-/// Orders a worker to start a task. `objection` says before each copy why it must not be sent, if so.
+/// Orders a worker to start a task. `permit` gives the fencing token of each copy, or says why it must not be
+/// sent.
 pub(super) async fn send(
     repeater: &Repeater,
     client: &WorkerClient,
     (target, order): (&Target, &StartOrder),
-    objection: impl Fn() -> Option<&'static str>,
+    permit: impl Fn() -> Result<Fence, &'static str>,
 ) -> StartAnswer {
     let last_sent = Cell::new(clock::now());
     let call = async || {
-        if let Some(reason) = objection() {
-            return StartOutcome::NotSent(reason).into();
-        }
+        let fence = match permit() {
+            Ok(fence) => fence,
+            Err(reason) => return StartOutcome::NotSent(reason).into(),
+        };
         last_sent.set(clock::now());
-        client.start(target, order).await.0
+        client.start(target, order, fence).await.0
     };
     let is_started = |answer: &StartAnswer| answer.outcome == StartOutcome::Started;
     let is_unknown = |answer: &StartAnswer| answer.outcome == StartOutcome::Unknown;
--- a/src/jobs/start_order/tests.rs
+++ b/src/jobs/start_order/tests.rs
@@ -7,7 +7,7 @@
 
 use teaselgap_core::{
     Epoch,
-    job::{JobId, TaskId},
+    job::{Fence, JobId, TaskId},
 };
 use teaselgap_platform::client::Connections;
 
@@ -37,10 +37,11 @@
 
 /// Sends a start order to the worker at this address, unless there is an objection.
 fn send_to(address: SocketAddr, objection: impl Fn() -> Option<&'static str>) -> StartOutcome {
-    let client = WorkerClient::new(Rc::new(Connections::default()), Epoch(3));
+    let client = WorkerClient::new(Rc::new(Connections::default()));
     let target = Target { address, worker: "w0".into() };
     let repeater = Repeater::new(MAX_ORDER_COPIES);
-    run(send(&repeater, &client, (&target, &order()), objection)).outcome
+    let permit = || objection().map_or(Ok(Fence::first_of(Epoch(3))), Err);
+    run(send(&repeater, &client, (&target, &order()), permit)).outcome
 }
 
 /// Guards against tasks that wait for a time-out, a stop and a list when one answer is lost.
