--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -152,6 +152,8 @@
     NotSent(&'static str),
     /// The run has not started, because the order carried no valid ticket.
     NotAdvised,
+    /// The run has not started, because the worker has carried out a call with a higher fencing token.
+    Outranked,
     /// The run has not started, because the worker knows of a later attempt.
     Outdated,
     /// The worker's answer was lost: the run may start at any time, or never.
@@ -393,6 +395,15 @@
         /// Whether it goes on; otherwise it is stopped.
         is_needed: bool,
     },
+    /// A worker has forgotten ends of runs that this owner has not read.
+    EndsForgotten {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of the last end that the owner had read, zero at the start of the instance.
+        read: u64,
+        /// Number of the first end that the worker lists.
+        first: u64,
+    },
     /// The owner's view of a worker changed.
     Worker {
         /// The worker.
