tests/it: callers print what became of unanswered requests

For a request that is not answered in any of its attempts, each attempt is now printed: id, time, node, time taken and the answer's status and body.

--- a/tests/it/support.rs
+++ b/tests/it/support.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::{Value, json};
@@ -86,6 +86,7 @@
 /// the same id at the next node.
 pub(crate) struct Load {
     log: Arc<Mutex<CallLog>>,
+    unanswered: Arc<Mutex<Vec<String>>>,
     stop: watch::Sender<bool>,
     entries: Arc<watch::Sender<Vec<SocketAddr>>>,
     tasks: Vec<JoinHandle<()>>,
@@ -95,21 +96,24 @@
     /// Starts the callers; `work` is the time that a worker takes for each request.
     pub(crate) fn start(entries: Vec<SocketAddr>, callers: usize, work: Duration) -> Self {
         let log = Arc::new(Mutex::new(CallLog::default()));
+        let unanswered = Arc::new(Mutex::new(Vec::new()));
         let stop = watch::Sender::new(false);
         let entries = Arc::new(watch::Sender::new(entries));
         let tasks = (0..callers).map(|caller| {
             let (log, entries) = (Arc::clone(&log), Arc::clone(&entries));
+            let unanswered = Arc::clone(&unanswered);
             let stopped = stop.subscribe();
             tokio::spawn(async move {
                 let mut n = 0;
                 while !*stopped.borrow() {
-                    send_request(caller, n, &entries, &log, work).await;
+                    let attempts = send_request(caller, n, &entries, &log, work).await;
+                    unanswered.lock().unwrap_or_else(PoisonError::into_inner).extend(attempts);
                     n += 1;
                 }
             })
         });
         let tasks = tasks.collect();
-        Self { log, stop, entries, tasks }
+        Self { log, unanswered, stop, entries, tasks }
     }
 
     /// Sets the nodes to which the callers send their next requests.
@@ -130,8 +134,10 @@
             .expect("the callers make progress");
     }
 
-    /// Stops the callers and compares their results with the run counts of the workers.
+    /// Stops the callers and compares their results with the run counts of the workers. Prints what
+    /// became of the first requests that were not answered.
     pub(crate) async fn finish(self, cluster: &Cluster) -> CallSummary {
+        const MAX_LINES: usize = 40;
         self.stop.send_replace(true);
         for task in self.tasks {
             task.await.expect("a caller task ends without a panic");
@@ -139,19 +145,24 @@
         wait_for("workers are idle", || async { cluster.run_counts().running == 0 })
             .await
             .expect("idle");
+        let unanswered = self.unanswered.lock().unwrap_or_else(PoisonError::into_inner);
+        for line in unanswered.iter().take(MAX_LINES) {
+            println!("{line}");
+        }
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         log.summarize(&cluster.run_counts(), |id| id.starts_with("order"))
     }
 }
 
-/// Sends the `n`-th request of a caller, with retries, and records each result.
+/// Sends the `n`-th request of a caller, with retries, and records each result. Returns a line for
+/// each attempt if none was answered.
 async fn send_request(
     caller: usize,
     n: usize,
     entries: &watch::Sender<Vec<SocketAddr>>,
     log: &Mutex<CallLog>,
     work: Duration,
-) {
+) -> Vec<String> {
     const MAX_ATTEMPTS: usize = 4;
     let mut request = match n % 2 {
         0 => order(&format!("order-{caller}-{n}")),
@@ -159,18 +170,31 @@
     };
     request.work = work;
     request.customer = format!("customer-{}", caller % 3);
+    let mut lines = Vec::new();
     for attempt in 0..MAX_ATTEMPTS {
         let entry = {
             let entries = entries.borrow();
             entries[(caller + n + attempt) % entries.len()]
         };
-        let (result, _) = call(entry, &request).await;
+        let sent_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis());
+        let started = Instant::now();
+        let (result, answer) = call(entry, &request).await;
         log.lock().unwrap_or_else(PoisonError::into_inner).record(&request.id, result);
         if result == CallResult::Answered || result == CallResult::MixedUp {
-            return;
+            return Vec::new();
         }
+        let answer = answer.map_or("no complete answer".to_owned(), |answer| {
+            let body = String::from_utf8_lossy(answer.body());
+            format!("{} {}", answer.status(), body.chars().take(400).collect::<String>())
+        });
+        lines.push(format!(
+            "{} sent at {sent_ms} to {entry}: {result:?} after {} ms: {answer}",
+            request.id,
+            started.elapsed().as_millis(),
+        ));
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    lines
 }
 
 /// Checks the guarantees that hold under every fault.
