Failing tests: an order refused during a change of owners can't be sent again

Callers were told `not-run` (503, not-recorded: "it may be sent again"); sent again with its id, the order ended as `unknown` (409, open-elsewhere) after its whole deadline, or was refused until the callers gave up.

The asking node takes the dropped reply for a refusal and concludes nothing. If the segment was written, which the store may tell of (by the watch: the next term) before it answers, the intent stays open at a node that is alive and will never send it; each later arrival waits for that node.

The store of the stand-ins gets `answer_latency_ms`, which delays the answers of writes but not the watches.

--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -37,6 +37,9 @@
     pub error_rate: f64,
     /// Probability that a write takes effect but its answer is lost, from 0 to 1.
     pub lost_answer_rate: f64,
+    /// Delay of the answer to a write that took effect, in milliseconds. Watches report the write
+    /// meanwhile.
+    pub answer_latency_ms: u64,
     /// Delay of each message of a watch, in milliseconds.
     pub watch_latency_ms: u64,
     /// Whether watches deliver each event twice.
@@ -52,6 +55,7 @@
             latency_ms: 0,
             error_rate: 0.0,
             lost_answer_rate: 0.0,
+            answer_latency_ms: 0,
             watch_latency_ms: 0,
             repeat_events: false,
             seed: 1,
--- a/crates/standins/src/store/service.rs
+++ b/crates/standins/src/store/service.rs
@@ -141,9 +141,15 @@
         Ok(())
     }
 
-    /// Injects the loss of a write's answer, after the write took effect.
-    fn inject_answer_loss(&self) -> Result<(), Status> {
-        let rate = self.shared.faults.borrow().lost_answer_rate;
+    /// Injects the delay and the loss of a write's answer, after the write took effect.
+    async fn inject_answer_faults(&self) -> Result<(), Status> {
+        let (rate, latency_ms) = {
+            let faults = self.shared.faults.borrow();
+            (faults.lost_answer_rate, faults.answer_latency_ms)
+        };
+        if latency_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(latency_ms)).await;
+        }
         if self.should_inject(rate) {
             return Err(Status::unknown("injected: the answer is lost"));
         }
@@ -253,7 +259,7 @@
             answer
         };
         if writes {
-            self.inject_answer_loss()?;
+            self.inject_answer_faults().await?;
         }
         Ok(Response::new(answer))
     }
--- a/tests/it/failures.rs
+++ b/tests/it/failures.rs
@@ -1,11 +1,13 @@
 //! Tests with nodes that are killed, paused, replaced or partitioned.
 
-use std::time::Duration;
+use std::{cell::Cell, net::SocketAddr, time::Duration};
 
 use teaselgap_standins::{
-    caller::{CallResult, call},
-    cluster::{Config, wait_for},
+    caller::{Call, CallResult, call},
+    cluster::{Cluster, Config, wait_for},
+    store::Faults,
 };
+use tokio::sync::watch;
 
 use crate::support::{Load, assert_guarantees, config, order, run_test, start_cluster};
 
@@ -61,7 +63,7 @@
 }
 
 /// Returns the index of a node that owns a journal partition.
-pub(crate) async fn find_journal_owner(cluster: &teaselgap_standins::cluster::Cluster) -> usize {
+pub(crate) async fn find_journal_owner(cluster: &Cluster) -> usize {
     for (i, node) in cluster.nodes.iter().enumerate() {
         let status = node.status().await;
         let duties = status["duties"].as_array().cloned().unwrap_or_default();
@@ -126,6 +128,139 @@
     });
 }
 
+/// A store that tells of a write at once, and answers it only after a while. Segments that are
+/// written as their partition is handed over are thus in the journal before their writer knows.
+fn slow_answers() -> Faults {
+    Faults { answer_latency_ms: 100, ..Faults::default() }
+}
+
+/// Sends orders to the nodes until `stop` is true. Returns those that were reported as not run.
+async fn send_orders(
+    caller: usize,
+    entries: Vec<SocketAddr>,
+    stop: watch::Receiver<bool>,
+) -> Vec<Call> {
+    let mut not_run = Vec::new();
+    for n in 0.. {
+        if *stop.borrow() {
+            break;
+        }
+        let request = order(&format!("order-{caller}-{n}"));
+        let (result, _) = call(entries[(caller + n) % entries.len()], &request).await;
+        if result == CallResult::NotRun {
+            not_run.push(request);
+        }
+    }
+    not_run
+}
+
+/// Changes the owners of the journal's partitions while orders are sent to `entries`, and asserts
+/// that each order that was reported as not run is answered when it is sent again.
+async fn assert_refused_orders_can_be_sent_again(
+    cluster: &mut Cluster,
+    entries: Vec<SocketAddr>,
+    change_owners: impl AsyncFnOnce(&mut Cluster),
+) {
+    const CALLERS: usize = 12;
+    cluster.store.set_faults(slow_answers());
+    let stop = watch::Sender::new(false);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(send_orders(caller, entries.clone(), stop.subscribe())))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    change_owners(cluster).await;
+    stop.send_replace(true);
+    let mut refused = Vec::new();
+    for caller in callers {
+        refused.extend(caller.await.expect("a caller task ends without a panic"));
+    }
+    cluster.store.set_faults(Faults::default());
+    let probe_count = Cell::new(0);
+    for &entry in &entries {
+        // Consecutive orders fall into different partitions.
+        wait_for("orders are recorded again", || async {
+            let mut answered = true;
+            for _ in 0..4 {
+                let n = probe_count.replace(probe_count.get() + 1);
+                let (result, _) = call(entry, &order(&format!("probe-{n}"))).await;
+                answered &= result == CallResult::Answered;
+            }
+            answered
+        })
+        .await
+        .expect("answered");
+    }
+
+    let again = refused.iter().enumerate().map(async |(i, request)| {
+        let last = Cell::new(CallResult::NotRun);
+        // A partition may change its owner once more, so an order may be refused once more.
+        wait_for("an order has a result", || async {
+            last.set(call(entries[i % entries.len()], request).await.0);
+            last.get() != CallResult::NotRun
+        })
+        .await
+        .expect("not refused for good");
+        (request.id.clone(), last.get())
+    });
+    let again = futures_util::future::join_all(again).await;
+
+    let left_open: Vec<_> =
+        again.iter().filter(|(_, result)| *result != CallResult::Answered).collect();
+    assert!(left_open.is_empty(), "{} of {}: {left_open:?}", left_open.len(), refused.len());
+    let runs = cluster.run_counts().runs;
+    let doubled: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(doubled.is_empty(), "{doubled:?}");
+}
+
+#[test]
+fn an_order_that_was_refused_as_its_owner_stopped_can_be_sent_again() {
+    run_test(async {
+        let mut cluster = start_cluster(config()).await;
+        let owner = find_journal_owner(&cluster).await;
+        let others = (0..3).filter(|&i| i != owner).map(|i| cluster.nodes[i].address).collect();
+
+        assert_refused_orders_can_be_sent_again(&mut cluster, others, async |cluster| {
+            let status = cluster.nodes[owner].stop().await.expect("the process exits");
+            assert_eq!(status, Some(0));
+        })
+        .await;
+    });
+}
+
+#[test]
+fn an_order_that_was_refused_as_its_owner_handed_over_can_be_sent_again() {
+    run_test(async {
+        let mut cluster = start_cluster(config()).await;
+        let owner = find_journal_owner(&cluster).await;
+        let others: Vec<_> =
+            (0..3).filter(|&i| i != owner).map(|i| cluster.nodes[i].address).collect();
+        let status = cluster.nodes[owner].stop().await.expect("the process exits");
+        assert_eq!(status, Some(0));
+        wait_for("the other nodes own all duties", || async {
+            let mut duties = 0;
+            for i in (0..3).filter(|&i| i != owner) {
+                let status = cluster.nodes[i].status().await;
+                duties += status["duties"].as_array().map_or(0, Vec::len);
+            }
+            duties == 4
+        })
+        .await
+        .expect("taken over");
+
+        // The other nodes hand over to the new one what the stopped one owned.
+        assert_refused_orders_can_be_sent_again(&mut cluster, others, async |cluster| {
+            cluster.replace_node(owner).await.expect("start a new node");
+            wait_for("the new node owns a journal partition", || async {
+                let duties = cluster.nodes[owner].status().await["duties"].to_string();
+                duties.contains("journal/")
+            })
+            .await
+            .expect("handed over");
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_node_whose_answers_to_peers_are_lost_breaks_no_guarantee() {
     run_test(async {
