--- a/src/journal.rs
+++ b/src/journal.rs
@@ -51,7 +51,8 @@
     }
 }
 
-/// A request to the journal's thread.
+/// A request to the journal's thread. If the reply to an intent is dropped, the intent must not be
+/// sent either, but may be in the journal.
 #[derive(Debug)]
 pub(crate) enum JournalRequest {
     /// Asks whether this node may send a caller's request that must run at most once.
@@ -65,6 +66,24 @@
     PeerAppend { partition: u32, records: Vec<Record>, reply: oneshot::Sender<bool> },
 }
 
+impl JournalRequest {
+    /// Refuses a request that certainly has had no effect.
+    fn refuse(self) {
+        // The sender of the request may have stopped waiting.
+        match self {
+            Self::SubmitIntent { reply, .. } | Self::PeerSubmitIntent { reply, .. } => {
+                let _ = reply.send(Verdict::Refused);
+            }
+            Self::PeerAppend { reply, .. } => {
+                let _ = reply.send(false);
+            }
+            Self::Append { reply, .. } => {
+                let _ = reply.map(|reply| reply.send(false));
+            }
+        }
+    }
+}
+
 /// While more bytes of records than this wait to become durable, the node enqueues no intents.
 pub(crate) const MAX_WAITING_BYTES: usize = 16 << 20;
 
--- a/src/journal/service/delivery.rs
+++ b/src/journal/service/delivery.rs
@@ -32,7 +32,7 @@
                         );
                     }
                     Some(owner) => self.submit_intent_to(&owner, partition, intent, reply),
-                    None => drop(reply),
+                    None => JournalRequest::SubmitIntent { intent, reply }.refuse(),
                 }
             }
             JournalRequest::PeerSubmitIntent { partition, .. }
--- a/src/journal/service/owned.rs
+++ b/src/journal/service/owned.rs
@@ -98,12 +98,12 @@
                 .owner(partition)
                 .filter(|owner| owner.node_incarnation == self.cfg.node_incarnation);
             let Some(owner) = local_owner else {
-                // This closes the channels of all waiters, which take it as a refusal.
-                self.owned_partitions.remove(&partition);
+                self.drop_partition(partition);
                 continue;
             };
             let known_epoch = self.owned_partitions.get(&partition).map(|owned| owned.epoch);
             if known_epoch != Some(owner.epoch) {
+                self.drop_partition(partition);
                 let new = OwnedPartition {
                     epoch: owner.epoch,
                     loaded: None,
@@ -115,6 +115,23 @@
         }
     }
 
+    /// Drops a partition whose term has ended. Intents without a verdict are concluded as not run:
+    /// the dropped reply keeps their submitters from sending them, but they may be in the journal
+    /// already, since this node may hear of the next term before the store answers its last write.
+    fn drop_partition(&mut self, partition: u32) {
+        let owned = self.owned_partitions.remove(&partition);
+        let Some(loaded) = owned.and_then(|owned| owned.loaded) else {
+            return;
+        };
+        for waiter in loaded.waiters.into_values() {
+            if let Waiter::Verdict(reply, intent) = waiter {
+                drop(reply);
+                let conclusion = Arc::new(Conclusion::not_run(&intent));
+                self.cfg.client.append(Record::Conclusion(conclusion));
+            }
+        }
+    }
+
     /// Reads a partition after a delay.
     fn recover(&self, partition: u32, epoch: Epoch, delay: Duration) {
         let (store, keys) = (Arc::clone(&self.cfg.store), self.cfg.keys.clone());
@@ -129,7 +146,7 @@
     /// Handles a request about a partition that this node should own.
     pub(super) fn handle_owned_request(&mut self, partition: u32, request: JournalRequest) {
         let Some(owned) = self.owned_partitions.get_mut(&partition) else {
-            // The sender takes the dropped reply as a refusal.
+            request.refuse();
             return;
         };
         let Some(loaded) = &mut owned.loaded else {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -105,7 +105,9 @@
             intent,
             reply,
         });
-        let verdict = rx.await.unwrap_or(Verdict::Refused);
+        // Without a verdict the intent may be in the journal. The error tells the caller to conclude
+        // it, which this node may not live to do.
+        let verdict = rx.await.map_err(|_| Status::unavailable("no verdict in this term"))?;
         let json_or_empty =
             |value: Result<Vec<u8>, serde_json::Error>| value.unwrap_or_default().into();
         // `detail` holds as JSON the node that submitted the open intent, or the recorded outcome.
