Failing test: a node that shuts down is given back the duties it hands over

Callers saw orders refused (not-recorded) throughout a planned stop, and at times for 2.0 to 2.7 s after it.

A leaving node hands its duties over before it tells anyone that it leaves. The next owner's view proposes it again (the same name, registered, alive), so the duty goes back at once, and so on until a tick of the leaving node happens to find it without duties.

--- a/tests/it/failures.rs
+++ b/tests/it/failures.rs
@@ -261,6 +261,35 @@
     });
 }
 
+#[test]
+fn a_node_that_is_stopped_is_given_none_of_its_duties_back() {
+    run_test(async {
+        let mut cluster = start_cluster(config()).await;
+        let owner = find_journal_owner(&cluster).await;
+        let name = cluster.nodes[owner].name.clone();
+        let other = (owner + 1) % 3;
+        let earlier = cluster.nodes[other].log_lines("new duty term").len();
+
+        let status = cluster.nodes[owner].stop().await.expect("the process exits");
+
+        assert_eq!(status, Some(0));
+        wait_for("the other nodes own all duties", || async {
+            let mut duties = 0;
+            for i in (0..3).filter(|&i| i != owner) {
+                let status = cluster.nodes[i].status().await;
+                duties += status["duties"].as_array().map_or(0, Vec::len);
+            }
+            duties == 4
+        })
+        .await
+        .expect("taken over");
+        let terms = cluster.nodes[other].log_lines("new duty term");
+        let given_back = format!("\"owner\":\"{name}\"");
+        let given_back = terms[earlier..].iter().filter(|line| line.contains(&given_back)).count();
+        assert_eq!(given_back, 0, "of {} terms since the stop", terms.len() - earlier);
+    });
+}
+
 #[test]
 fn a_node_whose_answers_to_peers_are_lost_breaks_no_guarantee() {
     run_test(async {
