control: a leaving node tells the others before it hands its duties over

A member that left is proposed for no duty, so the next owner keeps what it got. The members' other uses of this state (whom to probe, the count of nodes in the metrics) are as they were at the end of a stop. In larger clusters gossip tells the rest, so a duty may still go back there a few times; not measured.

--- a/src/control.rs
+++ b/src/control.rs
@@ -84,6 +84,8 @@
     DutiesWritten { duties: Vec<DutyId>, may_be_written: bool },
     /// A write of these VMs' records ended, whether or not it took effect.
     VmRecordsWritten(Vec<VmId>),
+    /// Other nodes were told that this one is shutting down.
+    LeaveAnnounced,
     /// The process asks for a graceful shutdown. The control task signals on this channel once the
     /// node owns no duty, has no peers or has waited for the lease's time to live.
     Leave(oneshot::Sender<()>),
@@ -353,6 +355,10 @@
             }
             Event::VmRecordsWritten(vms) => self.on_vm_record_write(&vms),
             Event::Leave(done) => self.leave(done, now),
+            Event::LeaveAnnounced => {
+                self.duties.leave();
+                self.plan_duties(now);
+            }
         }
     }
 
@@ -383,12 +389,14 @@
         self.finish_leaving(now);
     }
 
+    /// Starts a graceful shutdown. The duties are handed over once other nodes were told of it, since
+    /// a node that takes this one to stay would hand them back.
     fn leave(&mut self, done: oneshot::Sender<()>, now: Timestamp) {
         info!(self.log, "graceful shutdown started");
-        self.duties.leave();
         self.leaving = Some(done);
         self.leave_deadline = now + self.cfg.shared.settings.store.lease_ttl;
-        self.plan_duties(now);
+        self.members.leave();
+        self.announce_leaving();
     }
 
     /// Completes a graceful shutdown once this node owns no duty, has no peers or has waited until
@@ -402,8 +410,6 @@
         if owns_any && !alone && now < self.leave_deadline {
             return;
         }
-        self.members.leave();
-        self.announce_leaving();
         if let Some(done) = self.leaving.take() {
             // The receiver may have stopped waiting.
             let _ = done.send(());
--- a/src/control/probes.rs
+++ b/src/control/probes.rs
@@ -17,7 +17,7 @@
 const MAX_INDIRECT_PROBERS: usize = 2;
 
 /// Number of nodes that this one tells of its shutdown directly; gossip informs the others.
-const LEAVE_ANNOUNCEMENTS: usize = 3;
+const LEAVE_ANNOUNCEMENTS: usize = 16;
 
 /// Longest wait for a reply with another node's control items.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -223,13 +223,28 @@
         });
     }
 
-    /// Probes a few members so that they learn by gossip that this node left.
+    /// Probes members so that they learn by gossip that this node leaves. An event tells when they
+    /// have replied or the time for it has passed.
     pub(super) fn announce_leaving(&mut self) {
-        let targets: Vec<NodeId> =
-            self.members.peers().take(LEAVE_ANNOUNCEMENTS).map(|(node, _)| node.clone()).collect();
-        for target in targets {
-            self.probe_node(target);
-        }
+        let targets: Vec<(NodeId, SocketAddr)> = self
+            .members
+            .peers()
+            .take(LEAVE_ANNOUNCEMENTS)
+            .map(|(node, member)| (node.clone(), member.address))
+            .collect();
+        let timeout = self.cfg.shared.settings.cluster.probe_timeout.to_std();
+        let probes: Vec<_> = targets
+            .into_iter()
+            .map(|(node, address)| {
+                let (req, peers) = (self.probe_request(&node), Arc::clone(&self.peers));
+                async move { send_probe(&peers, address, req, timeout).await }
+            })
+            .collect();
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            futures_util::future::join_all(probes).await;
+            let _ = tx.send(Event::LeaveAnnounced);
+        });
     }
 }
 
