tools/owners: calls to workers that arrive seconds late, in whichever life is up then

A link now makes calls late that a scene chooses by a generator drawn from the seed: start orders, stops, holds with last_seen above 0 and holds with a lease only. The connection is closed towards the node without an answer, the worker doesn't get the call, and 2 to 12 s later it is delivered over a connection of its own, its answer thrown away. The judge gets the call when it arrives. MAX_HELD_MS is as it was.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -1,9 +1,13 @@
 //! The trouble of a play, as a function of its seed.
 
-use crate::{links::Way, store::Mode};
+use crate::{
+    late::{Kind, Lateness},
+    links::Way,
+    store::Mode,
+};
 
 /// A small generator (splitmix64), so that a seed gives the same play everywhere.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Rng(u64);
 
 impl Rng {
@@ -61,6 +65,12 @@
         jobs: u64,
         run_ms: u64,
     },
+    /// A job arrives whose work units, so many, only one worker may run.
+    Units {
+        worker: u64,
+        count: u64,
+        run_ms: u64,
+    },
     Freeze {
         who: Who,
         ms: u64,
@@ -109,6 +119,12 @@
         worker: u64,
         down_ms: u64,
     },
+    /// Calls of all nodes to the workers whose bits are set are late.
+    Late {
+        workers: u64,
+        lateness: Lateness,
+        ms: u64,
+    },
 }
 
 pub struct Plan {
@@ -116,12 +132,14 @@
     pub workers: usize,
     /// Each act with the time at which it begins, in milliseconds from the beginning of the trouble.
     pub acts: Vec<(u64, Act)>,
+    /// Whether a play shows something by its late calls alone, and nothing without them.
+    pub is_of_late_calls: bool,
 }
 
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 16] = [
+const SCENES: [(&str, u64, Scene); 19] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -138,8 +156,14 @@
     ("sleeper", 10, sleeper),
     ("lapse", 6, lapse),
     ("reborn", 6, reborn),
+    ("late", 8, late),
+    ("confirmed", 6, confirmed),
+    ("stray", 6, stray),
 ];
 
+/// The scenes that show something when a late call reaches a next life of its worker.
+const OF_LATE_CALLS: [&str; 3] = ["late", "confirmed", "stray"];
+
 impl Plan {
     /// Draws a play whose trouble lasts `span_ms`; only the scenes `aim`, if any are
     /// named, with commas between them.
@@ -159,7 +183,9 @@
             at += draw.rng.between(pause / 10, pause);
         }
         draw.acts.sort_by_key(|(at, _)| *at);
-        Self { nodes, workers, acts: draw.acts }
+        let is_of_late_calls =
+            aim.is_some_and(|aim| aim.split(',').all(|scene| OF_LATE_CALLS.contains(&scene)));
+        Self { nodes, workers, acts: draw.acts, is_of_late_calls }
     }
 }
 
@@ -443,3 +469,75 @@
     };
     draw.add(end_at + 1, act);
 }
+
+impl Draw {
+    /// Makes calls to these workers late, by a seed that is drawn here.
+    fn late(&mut self, at: u64, workers: u64, ms: u64, lateness: Lateness) {
+        let seed = self.rng.next();
+        self.add(at, Act::Late { workers, ms, lateness: Lateness { seed, ..lateness } });
+    }
+
+    /// A worker crashes and soon starts again under its id.
+    fn rebirth(&mut self, at: u64, worker: u64) {
+        let down_ms = self.rng.between(5, 150);
+        self.add(at, Act::Crash { worker, down_ms });
+    }
+
+    /// The owner can't reach a worker for a moment.
+    fn blink(&mut self, at: u64, worker: u64) {
+        let ms = self.rng.between(100, 900);
+        self.cut(at, Who::Owner, To::Workers(1 << worker), ms);
+    }
+}
+
+/// For some seconds a share of the calls to some workers is late; these crash and are soon back.
+fn late(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (workers, ms) = (draw.some_workers(), draw.rng.between(1_500, 4_000));
+    let delay_ms = (2_000, draw.rng.between(2_500, 12_000));
+    let percent = draw.rng.spread(5, 50);
+    let lateness = Lateness { kinds: Kind::ALL.to_vec(), percent, most: 1_000, delay_ms, seed: 0 };
+    draw.late(at, workers, ms, lateness);
+    let again = at + draw.rng.between(300, ms);
+    draw.burst(again);
+    for worker in (0..draw.workers).filter(|worker| workers & (1 << worker) != 0) {
+        if draw.rng.chance(70) {
+            let crash_at = at + draw.rng.between(400, ms + 1_500);
+            draw.rebirth(crash_at, worker);
+        }
+    }
+}
+
+/// A hold that confirms ends is carried out in its worker's next life (issue 48), just after work units have
+/// ended there of which the owner can't hear yet.
+fn confirmed(draw: &mut Draw, at: u64) {
+    let worker = draw.rng.between(0, draw.workers - 1);
+    draw.add(at, Act::Units { worker, count: 20, run_ms: 150 });
+    let (hold_at, most) = (at + draw.rng.between(400, 600), draw.rng.between(1, 3));
+    let late_ms = draw.rng.between(2_500, 4_500);
+    let (kinds, delay_ms) = (vec![Kind::Confirming], (late_ms, late_ms));
+    let lateness = Lateness { kinds, percent: 100, most, delay_ms, seed: 0 };
+    draw.late(hold_at, 1 << worker, 400, lateness);
+    draw.rebirth(hold_at + 400, worker);
+    let units_at = hold_at + late_ms - draw.rng.between(350, 600);
+    draw.add(units_at, Act::Units { worker, count: 16, run_ms: 200 });
+    draw.blink(units_at + 120, worker);
+}
+
+/// Start orders are carried out in their worker's next life, when the work units were done elsewhere.
+fn stray(draw: &mut Draw, at: u64) {
+    let worker = draw.rng.between(0, draw.workers - 1);
+    let (jobs, run_ms) = (draw.rng.between(6, 12), draw.rng.between(150, 600));
+    let longest = draw.rng.between(2_500, 9_000);
+    let kinds = if draw.rng.chance(60) { vec![Kind::Start] } else { vec![Kind::Start, Kind::Stop] };
+    let (percent, most) = (draw.rng.between(50, 100), draw.rng.between(2, 12));
+    let lateness = Lateness { kinds, percent, most, delay_ms: (2_000, longest), seed: 0 };
+    draw.late(at, 1 << worker, 900, lateness);
+    draw.add(at + 20, Act::Burst { jobs, run_ms });
+    let crash_at = at + draw.rng.between(200, 1_200);
+    draw.rebirth(crash_at, worker);
+    if draw.rng.chance(50) {
+        let blink_at = at + draw.rng.between(1_900, longest);
+        draw.blink(blink_at, worker);
+    }
+}
--- a/tools/owners/src/judge.rs
+++ b/tools/owners/src/judge.rs
@@ -6,6 +6,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
+    late,
     links::WorkerCall,
     load,
     record::{Event, Life, Record},
@@ -45,14 +46,7 @@
 /// which an end that is noted doesn't count, and record the others late on a busy machine.
 fn lapses(events: &Events, calls: &[WorkerCall]) -> Events {
     let mut lapses = Vec::new();
-    let births = events.iter().filter_map(|(at, event)| match event {
-        Event::Note(note) => {
-            let (worker, born) = note.strip_prefix("worker ")?.split_once(" is born at ")?;
-            Some((*at, (worker.to_owned(), born.parse().ok()?)))
-        }
-        _ => None,
-    });
-    for (birth, life) in births {
+    for (birth, life) in late::births(events) {
         let is_end = |event: &Event| matches!(event, Event::Crashed { life: one } if *one == life);
         let death = events.iter().find(|(at, event)| *at >= birth && is_end(event));
         let death = death.map_or(u64::MAX, |(at, _)| *at);
--- /dev/null
+++ b/tools/owners/src/late.rs
@@ -0,0 +1,144 @@
+//! Late calls: calls to workers that get no answer and arrive seconds later, in whichever life is up then.
+
+use std::sync::Mutex;
+
+use crate::{
+    draw::Rng,
+    json::Json,
+    names::name,
+    record::{Event, Life},
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Start,
+    Stop,
+    /// A hold with `last_seen` above 0.
+    Confirming,
+    /// A hold that only renews the lease.
+    Lease,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Start, Self::Stop, Self::Confirming, Self::Lease];
+
+    /// The kind of a call; `None` if it can't be late.
+    pub fn of(path: &str, call: &Json) -> Option<Self> {
+        let is_set = |field| call.number(field).unwrap_or(0) > 0;
+        if path == name("start") {
+            Some(Self::Start)
+        } else if path == name("stop") {
+            Some(Self::Stop)
+        } else if path != name("hold") {
+            None
+        } else if is_set("last_seen") {
+            Some(Self::Confirming)
+        } else {
+            is_set("deadline_ms").then_some(Self::Lease)
+        }
+    }
+
+    fn plural(self) -> &'static str {
+        match self {
+            Self::Start => "starts",
+            Self::Stop => "stops",
+            Self::Confirming => "holds with last_seen",
+            Self::Lease => "holds with a lease only",
+        }
+    }
+}
+
+/// Which calls are late, as drawn by a scene.
+#[derive(Clone, Debug)]
+pub struct Lateness {
+    pub kinds: Vec<Kind>,
+    pub percent: u64,
+    /// The most calls that are late.
+    pub most: u64,
+    /// The shortest and the longest time until a late call arrives, in milliseconds.
+    pub delay_ms: (u64, u64),
+    pub seed: u64,
+}
+
+/// Chooses the calls that are late, on all links of a scene.
+#[derive(Debug)]
+pub struct Chooser {
+    lateness: Lateness,
+    /// The generator, and how many more calls may be late.
+    state: Mutex<(Rng, u64)>,
+}
+
+impl Chooser {
+    pub fn new(lateness: &Lateness) -> Self {
+        let state = Mutex::new((Rng::new(lateness.seed), lateness.most));
+        Self { lateness: lateness.clone(), state }
+    }
+
+    /// How late a call of this kind is, in milliseconds; `None` if it isn't.
+    pub fn choose(&self, kind: Kind) -> Option<u64> {
+        if !self.lateness.kinds.contains(&kind) {
+            return None;
+        }
+        let (rng, left) = &mut *self.state.lock().unwrap();
+        if *left == 0 || !rng.chance(self.lateness.percent) {
+            return None;
+        }
+        *left -= 1;
+        Some(rng.between(self.lateness.delay_ms.0, self.lateness.delay_ms.1))
+    }
+}
+
+/// A late call that has arrived at a worker.
+#[derive(Clone, Debug)]
+pub struct LateCall {
+    pub kind: Kind,
+    pub worker: String,
+    pub sent_ms: u64,
+    pub arrived_ms: u64,
+    /// The status of its answer; 0 if there was none.
+    pub status: u16,
+}
+
+impl LateCall {
+    fn is_carried_out(&self) -> bool {
+        self.status == 200
+    }
+
+    fn is_in_later_life(&self, births: &[(u64, Life)]) -> bool {
+        let under_way = self.sent_ms..=self.arrived_ms;
+        births.iter().any(|(at, life)| life.0 == self.worker && under_way.contains(at))
+    }
+}
+
+/// The lives of the workers, each with when it began.
+pub fn births(events: &[(u64, Event)]) -> Vec<(u64, Life)> {
+    let birth = |(at, event): &(u64, Event)| {
+        let Event::Note(note) = event else { return None };
+        let (worker, born) = note.strip_prefix("worker ")?.split_once(" is born at ")?;
+        Some((*at, (worker.to_owned(), born.parse().ok()?)))
+    };
+    events.iter().filter_map(birth).collect()
+}
+
+/// How many late calls were carried out in a later life than the one they were sent to.
+pub fn count_in_later_lives(calls: &[LateCall], births: &[(u64, Life)]) -> usize {
+    let is_counted = |call: &&LateCall| call.is_carried_out() && call.is_in_later_life(births);
+    calls.iter().filter(is_counted).count()
+}
+
+/// Counts the late calls of each kind.
+pub fn summary(calls: &[LateCall], births: &[(u64, Life)]) -> String {
+    let count = |kind: Kind| {
+        let calls: Vec<LateCall> = calls.iter().filter(|call| call.kind == kind).cloned().collect();
+        let carried_out = calls.iter().filter(|call| call.is_carried_out()).count();
+        let later = count_in_later_lives(&calls, births);
+        format!("{carried_out} of {} {} ({later} in a later life)", calls.len(), kind.plural())
+    };
+    let counts = Kind::ALL.map(count).join(", ");
+    let worth = if count_in_later_lives(calls, births) == 0 {
+        "; none was carried out in a later life"
+    } else {
+        ""
+    };
+    format!("late calls carried out: {counts}{worth}")
+}
--- a/tools/owners/src/load.rs
+++ b/tools/owners/src/load.rs
@@ -41,6 +41,13 @@
     )
 }
 
+/// A job of work units that fill a quarter of a worker each, for one worker only.
+fn job_for(worker: &str, count: u64, run_ms: u64) -> String {
+    format!(
+        r#"{{"spec":"ms={run_ms} cpu=4000","phases":[{{"count":{count},"cpu":4000,"mem_mb":256,"estimate_ms":{run_ms},"constraints":"r-{worker}"}}]}}"#
+    )
+}
+
 fn lasting_job() -> String {
     format!(
         r#"{{"spec":"ms={LASTING_MS} cpu=1000","phases":[{{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":1000,"long_running":true}}]}}"#
@@ -90,6 +97,13 @@
         }
     }
 
+    /// Hands in a job that only one worker may run.
+    pub fn units(self: &Arc<Self>, world: &Arc<World>, worker: u64, count: u64, run_ms: u64) {
+        if let Some(worker) = world.workers.get(worker as usize) {
+            self.spawn(world, job_for(&worker.setup.id, count, run_ms));
+        }
+    }
+
     /// Hands a job in: again at the next node after no answer, 502 or 504. A job that is refused
     /// with 429 or 503 never runs, and is forgotten.
     fn hand_in(&self, world: &World, number: u64, body: &str) {
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -8,6 +8,7 @@
 
 mod draw;
 mod judge;
+mod late;
 mod links;
 mod load;
 mod store;
@@ -106,7 +107,10 @@
     if !breaches.is_empty() {
         return Outcome::Broken(breaches);
     }
-    if has_trouble && !world.has_new_claim() {
+    if has_trouble && plan.is_of_late_calls && !world.has_late_call_in_next_life() {
+        return Outcome::NotPlayed("no late call reached a next life".to_owned());
+    }
+    if has_trouble && !plan.is_of_late_calls && !world.has_new_claim() {
         return Outcome::NotPlayed("the owner has not changed".to_owned());
     }
     Outcome::Held
--- a/tools/owners/src/trouble.rs
+++ b/tools/owners/src/trouble.rs
@@ -8,12 +8,16 @@
 
 use crate::{
     draw::{Act, To, Who},
+    late::{Chooser, Lateness},
     links::{Link, Way},
     load::Load,
     names::name,
     world::World,
 };
 
+/// How long the answer to a late call may take, in milliseconds.
+const ANSWER_MS: u64 = 300;
+
 fn pause(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -43,6 +47,7 @@
     let index = |who: &Who| resolve(world, *who);
     match act {
         Act::Burst { jobs, run_ms } => load.burst(world, *jobs, *run_ms),
+        Act::Units { worker, count, run_ms } => load.units(world, *worker, *count, *run_ms),
         Act::Freeze { who, ms } => freeze(world, index(who), *ms),
         Act::Kill { who, down_ms } => kill(world, index(who), *down_ms),
         Act::KillTwice { who, gap_ms } => {
@@ -70,6 +75,7 @@
             pause(*ms);
         }
         Act::Down { ms, expires, entries } => down(world, *ms, *expires, *entries),
+        Act::Late { workers, lateness, ms } => late(world, *workers, lateness, *ms),
         Act::Crash { worker, down_ms } => {
             if let Some(worker) = world.workers.get(*worker as usize) {
                 worker.crash();
@@ -139,6 +145,23 @@
     links.iter().for_each(|link| link.set_latency(way, 0));
 }
 
+/// Makes calls late, and waits until all of them have arrived.
+fn late(world: &World, workers: u64, lateness: &Lateness, ms: u64) {
+    let Lateness { kinds, percent, most, delay_ms, .. } = lateness;
+    world.record.note(format!(
+        "{percent} % of the calls {kinds:?} to workers {workers:b}, at most {most}, are late by {delay_ms:?} ms, \
+         for {ms} ms"
+    ));
+    let chooser = Arc::new(Chooser::new(lateness));
+    let nodes = 0..world.nodes.len();
+    let links: Vec<Arc<Link>> =
+        nodes.flat_map(|node| links(world, node, To::Workers(workers))).collect();
+    links.iter().for_each(|link| link.set_chooser(&chooser));
+    pause(ms);
+    links.iter().for_each(|link| link.remove_chooser(&chooser));
+    pause(lateness.delay_ms.1 + ANSWER_MS);
+}
+
 fn down(world: &World, ms: u64, expires: bool, entries: u64) {
     world.record.note(format!("the store is down for {ms} ms"));
     world.store.set_down(true);
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -18,6 +18,7 @@
     draw::Plan,
     http::{self, Reply, Request, Server},
     json::{self, Json},
+    late,
     links::{Link, Passed, WorkerCall},
     names::name,
     ports,
@@ -264,6 +265,18 @@
         self.store.claims().len() > 1
     }
 
+    /// Whether a late call was carried out in a later life than the one it was sent to.
+    pub fn has_late_call_in_next_life(&self) -> bool {
+        let calls = self.passed.late_calls.lock().unwrap();
+        late::count_in_later_lives(&calls, &late::births(&self.record.events())) > 0
+    }
+
+    /// Counts the late calls of each kind.
+    fn late_effect(&self) -> String {
+        let calls = self.passed.late_calls.lock().unwrap();
+        late::summary(&calls, &late::births(&self.record.events()))
+    }
+
     /// Counts the trouble that took effect. Without a change of owner, a play shows nothing.
     pub fn effect(&self) -> String {
         let claims = self.store.claims();
@@ -273,18 +286,22 @@
             claims.iter().any(|claim| claim.at_ms < order.at_ms && claim.epoch > order.fence)
         };
         let changes = claims.windows(2).filter(|pair| pair[0].node != pair[1].node).count();
-        let worth =
-            if claims.len() < 2 { "; without a change of owner, this shows nothing" } else { "" };
+        let worth = if claims.len() < 2 && !self.has_late_call_in_next_life() {
+            "; without a change of owner, this shows nothing"
+        } else {
+            ""
+        };
         format!(
             "trouble that took effect: {} claims of the cell, {changes} of them by another node \
              than before; {} of {} start orders arrived after a later claim; {} bytes late, {} lost; the \
-             stand-ins stood still for {} ms at most{worth}",
+             stand-ins stood still for {} ms at most{worth}; {}",
             claims.len(),
             orders.iter().filter(is_late).count(),
             orders.len(),
             self.passed.late_bytes.load(SeqCst),
             self.passed.lost_bytes.load(SeqCst),
-            self.longest_stall_ms()
+            self.longest_stall_ms(),
+            self.late_effect()
         )
     }
 
@@ -330,7 +347,7 @@
 }
 
 /// The address that a worker's entry names, once it has written it.
-fn address(store: &Store, worker: &Worker) -> Option<SocketAddr> {
+pub fn address(store: &Store, worker: &Worker) -> Option<SocketAddr> {
     let key = format!("{}{}", name("workers"), worker.setup.id);
     let query = vec![("key".to_owned(), key)];
     let request =
