--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -511,17 +511,21 @@
 /// A hold that confirms ends is carried out in its worker's next life (issue 48), just after work units have
 /// ended there of which the owner can't hear yet.
 fn confirmed(draw: &mut Draw, at: u64) {
+    // At the beginning of a play, workers have been idle and are rarely called.
+    let at = at + 1_500;
     let worker = draw.rng.between(0, draw.workers - 1);
-    draw.add(at, Act::Units { worker, count: 20, run_ms: 150 });
-    let (hold_at, most) = (at + draw.rng.between(400, 600), draw.rng.between(1, 3));
+    draw.add(at, Act::Units { worker, count: 48, run_ms: 120 });
+    let (hold_at, most) = (at + draw.rng.between(900, 1_300), draw.rng.between(1, 3));
     let late_ms = draw.rng.between(2_500, 4_500);
     let (kinds, delay_ms) = (vec![Kind::Confirming], (late_ms, late_ms));
     let lateness = Lateness { kinds, percent: 100, most, delay_ms, seed: 0 };
-    draw.late(hold_at, 1 << worker, 400, lateness);
+    draw.late(hold_at, 1 << worker, 300, lateness);
     draw.rebirth(hold_at + 400, worker);
-    let units_at = hold_at + late_ms - draw.rng.between(350, 600);
-    draw.add(units_at, Act::Units { worker, count: 16, run_ms: 200 });
-    draw.blink(units_at + 120, worker);
+    let arrival_at = hold_at + late_ms;
+    let units_at = arrival_at - draw.rng.between(350, 900);
+    draw.add(units_at, Act::Units { worker, count: 24, run_ms: 150 });
+    let blink_at = arrival_at - draw.rng.between(50, 300);
+    draw.blink(blink_at, worker);
 }
 
 /// Start orders are carried out in their worker's next life, when the work units were done elsewhere.
--- a/tools/owners/src/links.rs
+++ b/tools/owners/src/links.rs
@@ -207,11 +207,12 @@
         };
         let arrived_ms = self.record.now_ms();
         self.note_call(call, arrived_ms);
+        self.record.note(late(&format!("{} ms after it was sent", arrived_ms - sent_ms)));
         let _ = stream.set_read_timeout(Some(LATE_ANSWER));
         let answer = stream.write_all(bytes).ok().and_then(|()| read_message(&mut stream));
         let status = answer.as_ref().map_or(0, Message::status);
         let answer = answer.map_or("no answer".to_owned(), |answer| answer.body);
-        self.record.note(late(&format!("after {} ms: {status} {answer}", arrived_ms - sent_ms)));
+        self.record.note(late(&format!("answer {status} {answer}")));
         let worker = self.worker();
         let call = LateCall { kind, worker, sent_ms, arrived_ms, status };
         self.passed.late_calls.lock().unwrap().push(call);
--- a/tools/owners/src/load.rs
+++ b/tools/owners/src/load.rs
@@ -41,10 +41,10 @@
     )
 }
 
-/// A job of work units that fill a quarter of a worker each, for one worker only.
+/// A job of work units that fill an eighth of a worker each, for one worker only.
 fn job_for(worker: &str, count: u64, run_ms: u64) -> String {
     format!(
-        r#"{{"spec":"ms={run_ms} cpu=4000","phases":[{{"count":{count},"cpu":4000,"mem_mb":256,"estimate_ms":{run_ms},"constraints":"r-{worker}"}}]}}"#
+        r#"{{"spec":"ms={run_ms} cpu=2000","phases":[{{"count":{count},"cpu":2000,"mem_mb":256,"estimate_ms":{run_ms},"constraints":"r-{worker}"}}]}}"#
     )
 }
 
