tools/owners: a late call that a later life refuses shows something, too

Counted by what was carried out the play would have shown nothing, and so would each play of a mended program.

--- a/tools/owners/src/late.rs
+++ b/tools/owners/src/late.rs
@@ -100,6 +100,10 @@
 }
 
 impl LateCall {
+    fn is_answered(&self) -> bool {
+        self.status != 0
+    }
+
     fn is_carried_out(&self) -> bool {
         self.status == 200
     }
@@ -120,25 +124,28 @@
     events.iter().filter_map(birth).collect()
 }
 
-/// How many late calls were carried out in a later life than the one they were sent to.
-pub fn count_in_later_lives(calls: &[LateCall], births: &[(u64, Life)]) -> usize {
-    let is_counted = |call: &&LateCall| call.is_carried_out() && call.is_in_later_life(births);
-    calls.iter().filter(is_counted).count()
+/// Whether a late call was answered in a later life than the one it was sent to, if only by a refusal.
+pub fn has_reached_later_life(calls: &[LateCall], births: &[(u64, Life)]) -> bool {
+    calls.iter().any(|call| call.is_answered() && call.is_in_later_life(births))
 }
 
-/// Counts the late calls of each kind.
+/// Counts the late calls of each kind that were carried out, and those of them that were in a later life
+/// than the one they were sent to.
 pub fn summary(calls: &[LateCall], births: &[(u64, Life)]) -> String {
     let count = |kind: Kind| {
-        let calls: Vec<LateCall> = calls.iter().filter(|call| call.kind == kind).cloned().collect();
-        let carried_out = calls.iter().filter(|call| call.is_carried_out()).count();
-        let later = count_in_later_lives(&calls, births);
-        format!("{carried_out} of {} {} ({later} in a later life)", calls.len(), kind.plural())
+        let is_later = |call: &&&LateCall| call.is_in_later_life(births);
+        let calls: Vec<&LateCall> = calls.iter().filter(|call| call.kind == kind).collect();
+        let later: Vec<&LateCall> = calls.iter().filter(is_later).copied().collect();
+        let (all, later) = (count_carried_out(&calls), count_carried_out(&later));
+        format!("{} {all} (in a later life {later})", kind.plural())
     };
     let counts = Kind::ALL.map(count).join(", ");
-    let worth = if count_in_later_lives(calls, births) == 0 {
-        "; none was carried out in a later life"
-    } else {
-        ""
-    };
+    let worth =
+        if has_reached_later_life(calls, births) { "" } else { "; none reached a later life" };
     format!("late calls carried out: {counts}{worth}")
 }
+
+fn count_carried_out(calls: &[&LateCall]) -> String {
+    let carried_out = calls.iter().filter(|call| call.is_carried_out()).count();
+    format!("{carried_out} of {}", calls.len())
+}
--- a/tools/owners/src/links/tests.rs
+++ b/tools/owners/src/links/tests.rs
@@ -67,8 +67,8 @@
         assert!(trouble::await_until(LIMIT, || !self.late_calls().is_empty()), "none has arrived");
     }
 
-    fn later_lives(&self) -> usize {
-        late::count_in_later_lives(&self.late_calls(), &late::births(&self.record.events()))
+    fn has_reached_later_life(&self) -> bool {
+        late::has_reached_later_life(&self.late_calls(), &late::births(&self.record.events()))
     }
 
     fn breaches(&self) -> Vec<String> {
@@ -197,13 +197,13 @@
     restart(&worker);
     assert_eq!(play.start(TASK, 20), Some(200));
     await_end(&worker);
-    assert_eq!(play.later_lives(), 0);
+    assert!(!play.has_reached_later_life());
 
     play.await_late_call();
     start_elsewhere(&play);
 
     assert_eq!(worker.unconfirmed_ends(), 0);
-    assert_eq!(play.later_lives(), 1);
+    assert!(play.has_reached_later_life());
     let breaches = play.breaches();
     assert_eq!(breaches.len(), 1);
     assert!(breaches[0].contains("after attempt 1 was done on i-00000001"), "{}", breaches[0]);
@@ -219,7 +219,7 @@
     play.await_late_call();
     start_elsewhere(&play);
 
-    assert_eq!(play.later_lives(), 1);
+    assert!(play.has_reached_later_life());
     let breaches = play.breaches();
     assert_eq!(breaches.len(), 1);
     assert!(breaches[0].contains("while attempt 1 runs on i-00000001"), "{}", breaches[0]);
@@ -257,14 +257,19 @@
         call(Kind::Start, (900, 1_100), 409),
         call(Kind::Start, (1_001, 1_100), 200),
         call(Kind::Confirming, (900, 999), 200),
+        call(Kind::Lease, (900, 1_100), 0),
     ];
     let births = [(1_000, (WORKER.to_owned(), 1)), (950, ("i-00000002".to_owned(), 2))];
 
     let text = late::summary(&calls, &births);
 
-    assert!(text.contains("2 of 3 starts (1 in a later life)"), "{text}");
-    assert!(text.contains("1 of 1 holds with last_seen (0 in a later life)"), "{text}");
-    assert!(text.contains("0 of 0 stops (0 in a later life)"), "{text}");
-    assert!(!text.contains("none was carried out"), "{text}");
-    assert!(late::summary(&calls[1..], &births).contains("none was carried out in a later life"));
+    assert!(text.contains("starts 2 of 3 (in a later life 1 of 2)"), "{text}");
+    assert!(text.contains("holds with last_seen 1 of 1 (in a later life 0 of 0)"), "{text}");
+    assert!(text.contains("holds with a lease only 0 of 1 (in a later life 0 of 1)"), "{text}");
+    assert!(text.contains("stops 0 of 0 (in a later life 0 of 0)"), "{text}");
+    assert!(!text.contains("none reached"), "{text}");
+    let refused = late::summary(&calls[1..], &births);
+    assert!(!refused.contains("none reached"), "a refusal there shows something, too: {refused}");
+    let text = late::summary(&calls[2..], &births);
+    assert!(text.contains("none reached a later life"), "{text}");
 }
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -265,10 +265,10 @@
         self.store.claims().len() > 1
     }
 
-    /// Whether a late call was carried out in a later life than the one it was sent to.
+    /// Whether a late call reached a later life than the one it was sent to.
     pub fn has_late_call_in_next_life(&self) -> bool {
         let calls = self.passed.late_calls.lock().unwrap();
-        late::count_in_later_lives(&calls, &late::births(&self.record.events())) > 0
+        late::has_reached_later_life(&calls, &late::births(&self.record.events()))
     }
 
     /// Counts the late calls of each kind.
