--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -139,7 +139,7 @@
 type Scene = fn(&mut Draw, u64);
 
 /// The scenes, each with how often it is drawn.
-const SCENES: [(&str, u64, Scene); 19] = [
+const SCENES: [(&str, u64, Scene); 16] = [
     ("freeze", 16, freeze),
     ("kill", 8, kill),
     ("stop", 6, stop),
@@ -156,13 +156,15 @@
     ("sleeper", 10, sleeper),
     ("lapse", 6, lapse),
     ("reborn", 6, reborn),
-    ("late", 8, late),
-    ("confirmed", 6, confirmed),
-    ("stray", 6, stray),
 ];
 
-/// The scenes that show something when a late call reaches a next life of its worker.
-const OF_LATE_CALLS: [&str; 3] = ["late", "confirmed", "stray"];
+/// The scenes that show something when a late call reaches a next life of its worker. Without an aim they
+/// come on top of what a seed draws from the others.
+const LATE_SCENES: [(&str, u64, Scene); 3] =
+    [("late", 8, late), ("confirmed", 6, confirmed), ("stray", 6, stray)];
+
+/// How many of a hundred seeds play a late scene, too, without an aim.
+const LATE_PERCENT: u64 = 50;
 
 impl Plan {
     /// Draws a play whose trouble lasts `span_ms`; only the scenes `aim`, if any are
@@ -182,9 +184,13 @@
             let pause = if is_one { 9_000 } else { 2 * pace_ms };
             at += draw.rng.between(pause / 10, pause);
         }
+        if aim.is_none() {
+            draw.rng = Rng::new(!seed);
+            draw.add_late_scene(span_ms);
+        }
         draw.acts.sort_by_key(|(at, _)| *at);
-        let is_of_late_calls =
-            aim.is_some_and(|aim| aim.split(',').all(|scene| OF_LATE_CALLS.contains(&scene)));
+        let is_late = |scene| LATE_SCENES.iter().any(|(name, ..)| *name == scene);
+        let is_of_late_calls = aim.is_some_and(|aim| aim.split(',').all(is_late));
         Self { nodes, workers, acts: draw.acts, is_of_late_calls }
     }
 }
@@ -198,9 +204,14 @@
 
 impl Draw {
     fn scene(&mut self, aim: Option<&str>) -> Scene {
-        let is_wanted = |name: &str| aim.is_none_or(|aim| aim.split(',').any(|one| one == name));
-        let scenes = SCENES.iter().filter(|(name, ..)| is_wanted(name));
-        let all: u64 = scenes.clone().map(|(_, weight, _)| weight).sum();
+        let Some(aim) = aim else { return self.pick(&SCENES) };
+        let scenes = SCENES.iter().chain(&LATE_SCENES);
+        let scenes = scenes.filter(|(name, ..)| aim.split(',').any(|one| one == *name));
+        self.pick(&scenes.copied().collect::<Vec<_>>())
+    }
+
+    fn pick(&mut self, scenes: &[(&str, u64, Scene)]) -> Scene {
+        let all: u64 = scenes.iter().map(|(_, weight, _)| weight).sum();
         let mut left = self.rng.between(1, all.max(1));
         for (_, weight, scene) in scenes {
             if left <= *weight {
@@ -211,6 +222,14 @@
         freeze
     }
 
+    fn add_late_scene(&mut self, span_ms: u64) {
+        if self.rng.chance(LATE_PERCENT) {
+            let at = self.rng.between(1_500, span_ms.saturating_sub(4_000).max(1_500));
+            let scene = self.pick(&LATE_SCENES);
+            scene(self, at);
+        }
+    }
+
     fn add(&mut self, at: u64, act: Act) {
         self.acts.push((at, act));
     }
