--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -1,5 +1,8 @@
 //! The trouble of a play, as a function of its seed.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{
     late::{Kind, Lateness},
     links::Way,
