--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -9,6 +9,7 @@
 mod availability;
 mod calls;
 mod control;
+mod fates;
 mod lease;
 mod link;
 mod log;
@@ -25,14 +26,16 @@
 use teaselgap_core::{
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
-        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, FlowLimits,
-        HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig, Sequence,
-        StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
+        Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, Fence,
+        FencedCall, FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite,
+        QueueConfig, Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry,
+        WorkerId,
     },
 };
 
 use self::{availability::AvailabilityWatch, lease::OwnerLease};
 pub use self::{
+    fates::{CallKind, Fate, LateCall},
     link::Link,
     log::MAX_VALUE_BYTES,
     owners::{Afterlife, StrayOrders},
@@ -113,6 +116,15 @@
 }
 
 impl Call {
+    /// Returns what the call outranks.
+    fn fenced(&self) -> FencedCall {
+        match self {
+            Self::Start(_) | Self::RepeatedStart(_) => FencedCall::Start,
+            Self::Stop { .. } => FencedCall::Run,
+            Self::Hold { .. } | Self::PendingHold { .. } => FencedCall::Hold,
+        }
+    }
+
     fn is_start(&self) -> bool {
         matches!(self, Self::Start(_) | Self::RepeatedStart(_))
     }
@@ -147,6 +159,8 @@
     Stopped(TaskId, u32, bool, Timestamp),
     /// The report of a hold sent at the given time; `None` if the hold failed.
     Held(Timestamp, Option<HoldReport>),
+    /// A call with a higher fencing token came before a hold.
+    Outranked,
     /// The answer to a request for advice; `None` if the service did not answer.
     Advice(AdviceRequest, Option<AdviceAnswer>),
 }
@@ -159,6 +173,7 @@
     ToWorker {
         worker: WorkerId,
         epoch: Epoch,
+        fence: Fence,
         call: Call,
         answer_arrives: bool,
         deadline: Timestamp,
@@ -253,6 +268,7 @@
     epoch: Epoch,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
+    fates: fates::Fates,
     /// Workers that the owner cannot reach, with the time until which that lasts.
     unreachable: IndexMap<WorkerId, Timestamp>,
     /// The owners, by their epochs, that reach a worker no more.
@@ -393,6 +409,7 @@
             epoch: Epoch(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
+            fates: fates::Fates::default(),
             unreachable: IndexMap::new(),
             cut_off_from: BTreeSet::new(),
             old_entries: IndexMap::new(),
