tools/owners: the epoch of a start order is the part of its fencing token above 24 bits

Since a token is the epoch and a generation of calls; effect() compared it with epochs, so no order would have counted as one that arrived after a later claim. Only a printed count, no verdict, depends on it.

--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -35,6 +35,9 @@
 const SERVICE: &str = "shop";
 const WORKER_CPU: u64 = 16_000;
 
+/// The bits of a fencing token below the epoch.
+const GENERATION_BITS: u32 = 24;
+
 /// How long a stopping process has before it is killed (`grace_s` of the settings).
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -283,7 +286,9 @@
         let calls = self.calls();
         let orders: Vec<&WorkerCall> = calls.iter().filter(|call| call.is_start).collect();
         let is_late = |order: &&&WorkerCall| {
-            claims.iter().any(|claim| claim.at_ms < order.at_ms && claim.epoch > order.fence)
+            claims.iter().any(|claim| {
+                claim.at_ms < order.at_ms && claim.epoch > order.fence >> GENERATION_BITS
+            })
         };
         let changes = claims.windows(2).filter(|pair| pair[0].node != pair[1].node).count();
         let worth = if claims.len() < 2 && !self.has_late_call_in_next_life() {
