--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -1,9 +1,16 @@
 //! The trouble of a play, as a function of its seed.
 
-use crate::{links::Way, store::Mode};
+#[cfg(test)]
+mod tests;
+
+use crate::{
+    late::{Kind, Lateness},
+    links::Way,
+    store::Mode,
+};
 
 /// A small generator (splitmix64), so that a seed gives the same play everywhere.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Rng(u64);
 
 impl Rng {
@@ -61,6 +68,12 @@
         jobs: u64,
         run_ms: u64,
     },
+    /// A job arrives whose work units, so many, only one worker may run.
+    Units {
+        worker: u64,
+        count: u64,
+        run_ms: u64,
+    },
     Freeze {
         who: Who,
         ms: u64,
@@ -109,6 +122,12 @@
         worker: u64,
         down_ms: u64,
     },
+    /// Calls of all nodes to the workers whose bits are set are late.
+    Late {
+        workers: u64,
+        lateness: Lateness,
+        ms: u64,
+    },
 }
 
 pub struct Plan {
@@ -116,6 +135,8 @@
     pub workers: usize,
     /// Each act with the time at which it begins, in milliseconds from the beginning of the trouble.
     pub acts: Vec<(u64, Act)>,
+    /// Whether a play shows something by its late calls alone, and nothing without them.
+    pub is_of_late_calls: bool,
 }
 
 type Scene = fn(&mut Draw, u64);
@@ -140,6 +161,14 @@
     ("reborn", 6, reborn),
 ];
 
+/// The scenes that show something when a late call reaches a next life of its worker. Without an aim they
+/// come on top of what a seed draws from the others.
+const LATE_SCENES: [(&str, u64, Scene); 3] =
+    [("late", 8, late), ("confirmed", 6, confirmed), ("stray", 6, stray)];
+
+/// How many of a hundred seeds play a late scene, too, without an aim.
+const LATE_PERCENT: u64 = 50;
+
 impl Plan {
     /// Draws a play whose trouble lasts `span_ms`; only the scenes `aim`, if any are
     /// named, with commas between them.
@@ -158,8 +187,14 @@
             let pause = if is_one { 9_000 } else { 2 * pace_ms };
             at += draw.rng.between(pause / 10, pause);
         }
+        if aim.is_none() {
+            draw.rng = Rng::new(!seed);
+            draw.add_late_scene(span_ms);
+        }
         draw.acts.sort_by_key(|(at, _)| *at);
-        Self { nodes, workers, acts: draw.acts }
+        let is_late = |scene| LATE_SCENES.iter().any(|(name, ..)| *name == scene);
+        let is_of_late_calls = aim.is_some_and(|aim| aim.split(',').all(is_late));
+        Self { nodes, workers, acts: draw.acts, is_of_late_calls }
     }
 }
 
@@ -172,9 +207,14 @@
 
 impl Draw {
     fn scene(&mut self, aim: Option<&str>) -> Scene {
-        let is_wanted = |name: &str| aim.is_none_or(|aim| aim.split(',').any(|one| one == name));
-        let scenes = SCENES.iter().filter(|(name, ..)| is_wanted(name));
-        let all: u64 = scenes.clone().map(|(_, weight, _)| weight).sum();
+        let Some(aim) = aim else { return self.pick(&SCENES) };
+        let scenes = SCENES.iter().chain(&LATE_SCENES);
+        let scenes = scenes.filter(|(name, ..)| aim.split(',').any(|one| one == *name));
+        self.pick(&scenes.copied().collect::<Vec<_>>())
+    }
+
+    fn pick(&mut self, scenes: &[(&str, u64, Scene)]) -> Scene {
+        let all: u64 = scenes.iter().map(|(_, weight, _)| weight).sum();
         let mut left = self.rng.between(1, all.max(1));
         for (_, weight, scene) in scenes {
             if left <= *weight {
@@ -185,6 +225,14 @@
         freeze
     }
 
+    fn add_late_scene(&mut self, span_ms: u64) {
+        if self.rng.chance(LATE_PERCENT) {
+            let at = self.rng.between(1_500, span_ms.saturating_sub(4_000).max(1_500));
+            let scene = self.pick(&LATE_SCENES);
+            scene(self, at);
+        }
+    }
+
     fn add(&mut self, at: u64, act: Act) {
         self.acts.push((at, act));
     }
@@ -443,3 +491,79 @@
     };
     draw.add(end_at + 1, act);
 }
+
+impl Draw {
+    /// Makes calls to these workers late, by a seed that is drawn here.
+    fn late(&mut self, at: u64, workers: u64, ms: u64, lateness: Lateness) {
+        let seed = self.rng.next();
+        self.add(at, Act::Late { workers, ms, lateness: Lateness { seed, ..lateness } });
+    }
+
+    /// A worker crashes and soon starts again under its id.
+    fn rebirth(&mut self, at: u64, worker: u64) {
+        let down_ms = self.rng.between(5, 150);
+        self.add(at, Act::Crash { worker, down_ms });
+    }
+
+    /// The owner can't reach a worker for a moment.
+    fn blink(&mut self, at: u64, worker: u64) {
+        let ms = self.rng.between(100, 900);
+        self.cut(at, Who::Owner, To::Workers(1 << worker), ms);
+    }
+}
+
+/// For some seconds a share of the calls to some workers is late; these crash and are soon back.
+fn late(draw: &mut Draw, at: u64) {
+    draw.burst(at);
+    let (workers, ms) = (draw.some_workers(), draw.rng.between(1_500, 4_000));
+    let delay_ms = (2_000, draw.rng.between(2_500, 12_000));
+    let percent = draw.rng.spread(5, 50);
+    let lateness = Lateness { kinds: Kind::ALL.to_vec(), percent, most: 1_000, delay_ms, seed: 0 };
+    draw.late(at, workers, ms, lateness);
+    let again = at + draw.rng.between(300, ms);
+    draw.burst(again);
+    for worker in (0..draw.workers).filter(|worker| workers & (1 << worker) != 0) {
+        if draw.rng.chance(70) {
+            let crash_at = at + draw.rng.between(400, ms + 1_500);
+            draw.rebirth(crash_at, worker);
+        }
+    }
+}
+
+/// A hold that confirms ends is carried out in its worker's next life (issue 48), just after work units have
+/// ended there of which the owner can't hear yet.
+fn confirmed(draw: &mut Draw, at: u64) {
+    // At the beginning of a play, workers have been idle and are rarely called.
+    let at = at + 1_500;
+    let worker = draw.rng.between(0, draw.workers - 1);
+    draw.add(at, Act::Units { worker, count: 48, run_ms: 120 });
+    let (hold_at, most) = (at + draw.rng.between(900, 1_300), draw.rng.between(1, 3));
+    let late_ms = draw.rng.between(2_500, 4_500);
+    let (kinds, delay_ms) = (vec![Kind::Confirming], (late_ms, late_ms));
+    let lateness = Lateness { kinds, percent: 100, most, delay_ms, seed: 0 };
+    draw.late(hold_at, 1 << worker, 300, lateness);
+    draw.rebirth(hold_at + 400, worker);
+    let arrival_at = hold_at + late_ms;
+    let units_at = arrival_at - draw.rng.between(350, 900);
+    draw.add(units_at, Act::Units { worker, count: 24, run_ms: 150 });
+    let blink_at = arrival_at - draw.rng.between(50, 300);
+    draw.blink(blink_at, worker);
+}
+
+/// Start orders are carried out in their worker's next life, when the work units were done elsewhere.
+fn stray(draw: &mut Draw, at: u64) {
+    let worker = draw.rng.between(0, draw.workers - 1);
+    let (jobs, run_ms) = (draw.rng.between(6, 12), draw.rng.between(150, 600));
+    let longest = draw.rng.between(2_500, 9_000);
+    let kinds = if draw.rng.chance(60) { vec![Kind::Start] } else { vec![Kind::Start, Kind::Stop] };
+    let (percent, most) = (draw.rng.between(50, 100), draw.rng.between(2, 12));
+    let lateness = Lateness { kinds, percent, most, delay_ms: (2_000, longest), seed: 0 };
+    draw.late(at, 1 << worker, 900, lateness);
+    draw.add(at + 20, Act::Burst { jobs, run_ms });
+    let crash_at = at + draw.rng.between(200, 1_200);
+    draw.rebirth(crash_at, worker);
+    if draw.rng.chance(50) {
+        let blink_at = at + draw.rng.between(1_900, longest);
+        draw.blink(blink_at, worker);
+    }
+}
