--- a/crates/standins/tests/cells/every_call.rs
+++ b/crates/standins/tests/cells/every_call.rs
@@ -6,5 +6,6 @@
 
 mod history;
 mod holds;
+mod pairs;
 mod starts;
 mod stops;
