--- a/crates/standins/tests/cells/every_call/pairs.rs
+++ b/crates/standins/tests/cells/every_call/pairs.rs
@@ -13,8 +13,8 @@
 
 const SECOND: JobId = JobId(8);
 
-/// Time from the first job to the second one, in milliseconds.
-const SECOND_JOB_MS: u64 = 250;
+/// Time from the first job to the second one, in milliseconds: the order leaves after the hold, and before it.
+const SECOND_JOB_MS: [u64; 2] = [250, 100];
 
 /// Time from the first job to the end of its worker, in milliseconds.
 const LOST_MS: u64 = 400;
@@ -28,11 +28,12 @@
 /// Time from the first job to a change of owners, in milliseconds.
 const OWNER_CHANGE_MS: u64 = 1_000;
 
-/// One worker. The first job's task is done and its end confirmed by a hold that is late; then both
-/// copies of the order for the second job's task are late, and the worker ends.
+/// One worker. The first job's task is done and its end confirmed by a hold that is late; both copies of
+/// the order for the second job's task are late, too, and the worker ends.
 #[derive(Debug)]
 struct History {
     owner_change: Option<OwnerChange>,
+    second_job_ms: u64,
     task_ms: u64,
     /// When the hold comes, after the run that the order begins has ended, in milliseconds.
     hold_after_ms: u64,
@@ -51,7 +52,7 @@
             model.run_for(left.0);
         };
         model.submit(FIRST, &queue(), job_spec(vec![step(1, 4_000, 150)]));
-        run_to(&mut model, SECOND_JOB_MS);
+        run_to(&mut model, self.second_job_ms);
         model.script_fates("w0", CallKind::Start, &[Fate::Late(start_until); 2]);
         model.submit(SECOND, &queue(), job_spec(vec![step(1, 4_000, self.task_ms)]));
         run_to(&mut model, LOST_MS);
@@ -72,11 +73,13 @@
 
 static PLAYED: LazyLock<Vec<Played>> = LazyLock::new(|| {
     let mut played = Vec::new();
-    for owner_change in [None, Some(OwnerChange::Killed), Some(OwnerChange::CutOff)] {
+    let owner_changes = [None, Some(OwnerChange::Killed), Some(OwnerChange::CutOff)];
+    let orders = SECOND_JOB_MS.map(|at_ms| owner_changes.map(|change| (at_ms, change)));
+    for (second_job_ms, owner_change) in orders.concat() {
         for task_ms in grid(&[50, 200], &[10, 50, 100, 200, 400]) {
             for hold_after_ms in grid(&[10, 1_000], &[0, 5, 10, 20, 50, 100, 200, 400, 800, 1_600])
             {
-                played.push(History { owner_change, task_ms, hold_after_ms }.play());
+                played.push(History { owner_change, second_job_ms, task_ms, hold_after_ms }.play());
             }
         }
     }
