Failing test: a start that was no trial gives a sound task up (LOST)

Callers see a job as failed none of whose runs has ended so. Two starts are lost under the first owner, the third is made (no trial in a job of its own term), the owner is lost, and the next one reckons from two losses. Once the worker restarts again, the loss is a crash, and the task counts as deadly.

--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -233,6 +233,36 @@
     assert!((3..=5).contains(&starts), "{starts} starts");
 }
 
+/// Guards a sound task against a start that its owner had not made as a trial, and that the next owner
+/// counts as one because its job is of an earlier term. The worker restarts once more as the next owner
+/// has heard it, which is how the next owner knows of a crash.
+#[test]
+fn a_start_that_was_not_made_as_a_trial_gives_no_task_up_after_a_change_of_owners() {
+    for (change, heard_ms) in changes_and_times() {
+        let mut model = new_model(6);
+        let job = JobId(1);
+        model.submit(job, &queue(), single_task(2_000));
+        crash_at_start(&mut model, job, 2);
+        assert!(starts_again(&mut model, job));
+        let worker = busy_worker(&model);
+
+        model.restart_worker(worker.as_str());
+        change_owner(&mut model, change);
+        model.run_for(heard_ms);
+        model.restart_worker(worker.as_str());
+        let done = model.run_until(LONG_MS, |model| state(model, job) == SUCCEEDED);
+
+        assert!(done, "{change:?}, {heard_ms}: {:?}", state(&model, job));
+        assert_eq!(model.violations(), &[] as &[String], "{change:?}, {heard_ms}");
+    }
+}
+
+/// Changes of owners, with the times after them until a worker restarts, in milliseconds.
+fn changes_and_times() -> impl Iterator<Item = (OwnerChange, u64)> {
+    let changes = [OwnerChange::Lost(500), OwnerChange::Lost(3_000), OwnerChange::HandedOver];
+    changes.into_iter().flat_map(|change| (100..2_000).step_by(100).map(move |ms| (change, ms)))
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
