A start is a trial only if it was made as one (LOST)

Callers saw a job as failed none of whose runs had ended so. Whether a lost start was a trial was decided when its loss was noticed: a start made before its task had lost enough workers, by an owner that was lost, counted as one under the next owner, which reckons from two losses instead of three.

Now the record of a placement says whether the start is a trial, so that later owners know it. Each start of a suspected task is such a record, also one at the worker that the log names already: its attempt was unknown to the next owner, and its loss uncounted. BUDGET: a loss is missed only with a change of owner, after which each start from the second noted loss on is made as a trial.

--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -74,12 +74,15 @@
 /// Returns placements of tasks of the long-running steps.
 fn placed() -> impl Strategy<Value = Record> {
     let job = (0..THINGS / 2).prop_map(|half| JobId(2 * half + 1));
-    (job, 0..TASKS, 1_u32..6, worker()).prop_map(|(job, index, attempt, worker)| Record::Placed {
-        address: None,
-        task: TaskId { job, occurrence: 0, step: 2, index },
-        attempt,
-        worker,
-    })
+    (job, 0..TASKS, 1_u32..6, worker(), any::<bool>()).prop_map(
+        |(job, index, attempt, worker, is_trial)| Record::Placed {
+            address: None,
+            task: TaskId { job, occurrence: 0, step: 2, index },
+            attempt,
+            worker,
+            is_trial,
+        },
+    )
 }
 
 fn worker() -> impl Strategy<Value = WorkerId> {
--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -350,7 +350,7 @@
         };
         let is_crash = circumstances.has_crashed || address.is_some_and(is_replaced);
         let (worker, alive_ms) = (id.clone(), Some(circumstances.alive.0));
-        let is_trial = self.is_on_trial(task);
+        let is_trial = self.was_trial(task, attempt);
         let lost = LostRun { attempt, worker, address, is_crash, alive_ms, is_trial };
         self.record_lost_run(task, lost, circumstances.beside, now);
     }
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -48,10 +48,14 @@
         if !is_logged {
             return self.start_task(id, task, now);
         }
+        if self.is_on_trial(task) {
+            self.note_trial(task, attempt);
+        }
         let effect = DeferredEffect::PlacementDurable(id.clone(), task, attempt);
         let task_state = self.jobs.get(&task.job)?.task(task)?;
         match &task_state.placement {
-            Some(placement) if placement.worker == *id => {
+            // Each start of a suspected task is a record, as each may be lost with its owner.
+            Some(placement) if placement.worker == *id && !self.is_suspected(task) => {
                 if placement.position <= self.log.durable() {
                     return self.start_task(id, task, now);
                 }
@@ -71,7 +75,9 @@
     ) {
         let (worker, address) =
             (id.clone(), self.workers.get(id).map(|worker| worker.entry.address));
-        self.record(Record::Placed { task, attempt, worker, address }, now, Some(effect));
+        let is_trial = self.was_trial(task, attempt);
+        let placed = Record::Placed { task, attempt, worker, address, is_trial };
+        self.record(placed, now, Some(effect));
         let position = self.log.appended();
         let placement = Placement { worker: id.clone(), address, position, failures: 0 };
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -180,6 +180,7 @@
         task.checkpoint.clone_from(&snapshot.checkpoint);
         let placement = |worker| Placement::recovered(worker, snapshot.address);
         task.placement = snapshot.worker.clone().map(placement);
+        task.trial = snapshot.trial;
         task.lost_runs.clone_from(&snapshot.lost_runs);
     }
 }
@@ -413,7 +414,7 @@
                     super::crashes::replay_lost_run(job, *task, lost);
                 }
             }
-            Record::Placed { task, attempt, worker, address } => {
+            Record::Placed { task, attempt, worker, address, is_trial } => {
                 let Some(job) = self.jobs.get_mut(&task.job) else {
                     return;
                 };
@@ -421,6 +422,7 @@
                 if let Some(task) = job.task_mut(*task) {
                     task.attempt = task.attempt.max(*attempt);
                     task.placement = Some(Placement::recovered(worker.clone(), *address));
+                    task.trial = if *is_trial { Some(*attempt) } else { task.trial };
                 }
             }
             Record::WorkerUsed { worker } => {
--- a/crates/core/src/job/cell/trials.rs
+++ b/crates/core/src/job/cell/trials.rs
@@ -8,7 +8,8 @@
 //!
 //! From the loss of [`TRIAL_FROM`] workers at its start on, each further start of a task is a trial:
 //! after its pause, on a worker that has just answered and gets nothing else meanwhile, and watched at
-//! once. While the outcome is unknown, the task pauses. It is given up, and its job has
+//! once. It is recorded as one before its order; a start that was not is none, whoever notices its loss.
+//! While the outcome is unknown, the task pauses. It is given up, and its job has
 //! failed, once a trial has crashed its worker, or once [`MAX_LOST_TRIALS`] were lost without a known
 //! cause. Crashes of workers that the task has survived never end its job.
 
@@ -164,6 +165,20 @@
         job.and_then(|job| Some(job.task(id)?.is_on_trial(job.is_of_earlier_term))) == Some(true)
     }
 
+    /// Notes that a start of a task is a trial. What becomes of a start that wasn't made as one doesn't
+    /// decide about its task, however many losses are known by then.
+    pub(super) fn note_trial(&mut self, id: TaskId, attempt: u32) {
+        if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
+            task.trial = Some(attempt);
+        }
+    }
+
+    /// Whether an attempt of a task was made as a trial, by this owner or by an earlier one.
+    pub(super) fn was_trial(&self, id: TaskId, attempt: u32) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        task.is_some_and(|task| task.trial == Some(attempt))
+    }
+
     /// Whether a worker must get nothing else because a trial is under way there.
     pub(super) fn is_tried_on(&self, worker: &Worker, now: Timestamp) -> bool {
         let is_tried = |(id, run): (&TaskId, &Run)| run.is_watched(now) && self.is_on_trial(*id);
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -70,7 +70,7 @@
     /// have been alive. Records of earlier builds don't say it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub alive_ms: Option<u64>,
-    /// Whether the run was a trial of a task that has lost workers at its start before.
+    /// Whether the start was made as a trial of a task that has lost workers at its start before.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_trial: bool,
 }
@@ -97,6 +97,9 @@
     /// The address in the latest [`Record::Placed`], if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub address: Option<SocketAddr>,
+    /// The latest attempt that was made as a trial, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<u32>,
     /// The runs that were lost with their workers, as far as they are remembered.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub lost_runs: Vec<LostRun>,
@@ -192,6 +195,10 @@
         /// The worker's address.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         address: Option<SocketAddr>,
+        /// Whether the start is a trial of a task that has lost workers at its start before. Earlier
+        /// builds don't say so, and no start of theirs counts as one.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        is_trial: bool,
     },
     /// A run was lost with its worker, or the worker is now known to have crashed.
     RunLost {
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -36,6 +36,8 @@
     /// The worker that the log names for the task; `None` if its placements are not logged or it
     /// was never placed.
     pub(super) placement: Option<Placement>,
+    /// The latest attempt that was made as a trial, if any.
+    pub(super) trial: Option<u32>,
     /// Runs that were lost with their workers.
     pub(super) lost_runs: Vec<LostRun>,
     /// How many racks were lost under the task in this term without being held against it.
