Failing test: a start whose order never left counts as lost with its worker (LOST)

A sound long-running job is shown as failed after one crash under its task and the crash of its trial.

--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -263,6 +263,44 @@
     changes.into_iter().flat_map(|change| (100..2_000).step_by(100).map(move |ms| (change, ms)))
 }
 
+/// Guards a sound task against a start that its owner planned as it handed over: the order never left,
+/// and the worker goes on. Found by `restarts::property` with seed 81.
+#[test]
+fn a_start_whose_order_never_left_counts_as_no_loss_of_its_worker() {
+    let mut model = new_model(4);
+    let job = JobId(1_000);
+    model.submit(job, &queue(), long_running_job(3, 3));
+    for (number, tasks, ms, pause_ms) in [(1, 2, 1_368, 381), (2, 1, 100, 123)] {
+        submit(&mut model, number, (tasks, ms), pause_ms);
+    }
+    model.delay_answers("w0", [139, 33, 0, 258, 449]);
+    submit(&mut model, 3, (3, 1_000), 864);
+
+    restart_at_once(&mut model, "w0", 644);
+    submit(&mut model, 4, (1, 117), 572);
+    restart_at_once(&mut model, "w1", 50);
+    submit(&mut model, 5, (1, 817), 765);
+    change_owner(&mut model, OwnerChange::HandedOver);
+    submit(&mut model, 6, (2, 772), 777);
+    restart_at_once(&mut model, "w0", 1_335);
+    model.run_for(LONG_MS);
+
+    assert_eq!(state(&model, job), Some(JobState::Running));
+    assert_eq!(model.violations(), &[] as &[String]);
+}
+
+/// Submits a job of this many tasks, each of which takes `ms`, and waits.
+fn submit(model: &mut Model, number: u64, (tasks, ms): (u32, u64), pause_ms: u64) {
+    model.submit(JobId(number), &queue(), job_spec(vec![step(tasks, 4_000, ms)]));
+    model.run_for(pause_ms);
+}
+
+/// Restarts a worker that can't be reached for this time.
+fn restart_at_once(model: &mut Model, id: &str, away_ms: u64) {
+    let wall_ms = model.wall_ms();
+    model.restart_worker_at(id, wall_ms, away_ms);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
