A suspected task starts on a worker that was too slow (LOST)

A job with a task that had lost a worker stayed open for ever; the log says 'worker can't be used' at each plan. A worker that was too slow gets one task at a time. The booked start itself counted as that one when its record was durable, so it was withdrawn, and the next plan chose the same worker.

Now the check leaves out the booked run.

--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -152,7 +152,7 @@
         if run.state != RunState::Planned {
             return None;
         }
-        let withheld = if !Self::is_usable(worker, now) {
+        let withheld = if !Self::is_usable_for(worker, task, now) {
             Some("worker can't be used")
         } else if !self.start_window.has_room_at(id) {
             Some("too many orders in flight")
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -487,6 +487,17 @@
 
     /// Whether a worker may get new tasks.
     pub(super) fn is_usable(worker: &Worker, now: Timestamp) -> bool {
+        Self::takes_tasks(worker, now) && (!worker.on_probation || worker.has_only_long_running())
+    }
+
+    /// Whether a worker may get a task that is booked there.
+    pub(super) fn is_usable_for(worker: &Worker, booked: TaskId, now: Timestamp) -> bool {
+        let is_only_one =
+            || worker.runs.iter().all(|(id, run)| *id == booked || run.is_long_running);
+        Self::takes_tasks(worker, now) && (!worker.on_probation || is_only_one())
+    }
+
+    fn takes_tasks(worker: &Worker, now: Timestamp) -> bool {
         worker.is_adopted
             && worker.logged == Logged::Used
             && worker.clock.is_some()
@@ -494,7 +505,6 @@
             && !worker.entry.is_draining
             && worker.hold_failures < MAX_HOLD_FAILURES
             && now >= worker.excluded_until
-            && (!worker.on_probation || worker.has_only_long_running())
             && !worker.is_gone(now)
     }
 }
--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -289,6 +289,30 @@
     assert_eq!(model.violations(), &[] as &[String]);
 }
 
+/// Guards a task that has lost a worker against a start that is withheld for ever, as it takes the one
+/// place of a worker that was too slow itself. Found by `restarts::property` with seed 61.
+#[test]
+fn a_task_that_has_lost_a_worker_starts_on_one_that_was_too_slow() {
+    let mut model = new_model(4);
+    let job = JobId(3);
+    model.submit(JobId(1_000), &queue(), long_running_job(3, 3));
+    submit(&mut model, 1, (2, 100), 630);
+    restart_at_once(&mut model, "w2", 50);
+    submit(&mut model, 2, (2, 100), 943);
+    restart_at_once(&mut model, "w1", 134);
+    submit(&mut model, job.0, (5, 429), 124);
+    model.make_unreachable("w3", 1_714);
+    submit(&mut model, 4, (3, 1_070), 1_018);
+    model.make_unreachable("w0", 4_131);
+    submit(&mut model, 5, (4, 677), 1_246);
+    let now = model.now();
+    model.worker_mut("w3").partition_for(now, 2_191);
+
+    let done = model.run_until(RESTART_MS, |model| state(model, job) == SUCCEEDED);
+
+    assert!(done, "{:?}", state(&model, job));
+}
+
 /// Submits a job of this many tasks, each of which takes `ms`, and waits.
 fn submit(model: &mut Model, number: u64, (tasks, ms): (u32, u64), pause_ms: u64) {
     model.submit(JobId(number), &queue(), job_spec(vec![step(tasks, 4_000, ms)]));
