A new owner tells a start that never left from a crash (LOST)

Callers saw a sound job as failed after two crashes. A new owner that adopts a worker of the log and finds neither the run that the log places there nor its end noted a loss at its start, whether the worker had restarted or not: a placement that was recorded as its owner handed over counted as a lost worker.

Now the record names the worker's instance that was known. While the same one answers, nothing is held against the task; if another does, the worker is known to have crashed. The latter is more evidence against a sound task than before, if its order never left and the worker restarted beside the change of owners; without it a loss of a crashing task counts as silence.

--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -264,6 +264,7 @@
         checkpoint: task.checkpoint.clone(),
         worker: task.placement.as_ref().map(|placement| placement.worker.clone()),
         address: task.placement.as_ref().and_then(|placement| placement.address),
+        instance: task.placement.as_ref().and_then(|placement| placement.instance),
         trial: task.trial,
         lost_runs: task.lost_runs.clone(),
     }
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -74,9 +74,11 @@
 /// Returns placements of tasks of the long-running steps.
 fn placed() -> impl Strategy<Value = Record> {
     let job = (0..THINGS / 2).prop_map(|half| JobId(2 * half + 1));
-    (job, 0..TASKS, 1_u32..6, worker(), any::<bool>()).prop_map(
-        |(job, index, attempt, worker, is_trial)| Record::Placed {
+    let instance = option::of(1_u64..6);
+    (job, 0..TASKS, 1_u32..6, worker(), instance, any::<bool>()).prop_map(
+        |(job, index, attempt, worker, instance, is_trial)| Record::Placed {
             address: None,
+            instance,
             task: TaskId { job, occurrence: 0, step: 2, index },
             attempt,
             worker,
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -11,7 +11,7 @@
         Action, LogEvent, PlacedTask, Record, RunId, Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
         task::{Placement, Task},
-        worker::{Run, RunState},
+        worker::{Run, RunState, Worker},
     },
     Cell, DeferredEffect,
     plan::count_step_runs,
@@ -76,10 +76,11 @@
         let (worker, address) =
             (id.clone(), self.workers.get(id).map(|worker| worker.entry.address));
         let is_trial = self.was_trial(task, attempt);
-        let placed = Record::Placed { task, attempt, worker, address, is_trial };
+        let instance = self.workers.get(id).and_then(Worker::instance);
+        let placed = Record::Placed { task, attempt, worker, address, instance, is_trial };
         self.record(placed, now, Some(effect));
         let position = self.log.appended();
-        let placement = Placement { worker: id.clone(), address, position, failures: 0 };
+        let placement = Placement { worker: id.clone(), address, instance, position, failures: 0 };
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
             task.placement = Some(placement);
         }
@@ -183,8 +184,8 @@
     }
 
     /// Suspects the tasks under which workers were lost before and which the log places on a worker of
-    /// an earlier term that has just listed neither a run of theirs nor its end. It may have restarted
-    /// since.
+    /// an earlier term that has just listed neither a run of theirs nor its end, unless it is still the
+    /// instance that the log names: it has not restarted since, and the order has not reached it.
     pub(super) fn suspect_unlisted_tasks(&mut self, id: &WorkerId, now: Timestamp) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -193,7 +194,11 @@
             let task = self.jobs.get(&suspect.job).and_then(|job| job.task(**suspect));
             task.is_some_and(|task| {
                 let placement = task.placement.as_ref();
-                placement.is_some_and(|placement| placement.is_inherited_on(id))
+                let may_be_lost = |placement: &Placement| {
+                    placement.is_inherited_on(id)
+                        && worker.has_restarted_since(placement) != Some(false)
+                };
+                placement.is_some_and(may_be_lost)
                     && !task.is_done
                     && task.run_workers.is_empty()
                     && !worker.has_ended(**suspect, task.attempt)
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -178,7 +178,7 @@
         task.failures = snapshot.failures;
         task.failed_attempts.clone_from(&snapshot.failed_attempts);
         task.checkpoint.clone_from(&snapshot.checkpoint);
-        let placement = |worker| Placement::recovered(worker, snapshot.address);
+        let placement = |worker| Placement::recovered(worker, snapshot.address, snapshot.instance);
         task.placement = snapshot.worker.clone().map(placement);
         task.trial = snapshot.trial;
         task.lost_runs.clone_from(&snapshot.lost_runs);
@@ -414,14 +414,15 @@
                     super::crashes::replay_lost_run(job, *task, lost);
                 }
             }
-            Record::Placed { task, attempt, worker, address, is_trial } => {
+            Record::Placed { task, attempt, worker, address, instance, is_trial } => {
                 let Some(job) = self.jobs.get_mut(&task.job) else {
                     return;
                 };
                 job.add_occurrences(task.occurrence.saturating_add(1));
                 if let Some(task) = job.task_mut(*task) {
                     task.attempt = task.attempt.max(*attempt);
-                    task.placement = Some(Placement::recovered(worker.clone(), *address));
+                    task.placement =
+                        Some(Placement::recovered(worker.clone(), *address, *instance));
                     task.trial = if *is_trial { Some(*attempt) } else { task.trial };
                 }
             }
--- a/crates/core/src/job/cell/trials.rs
+++ b/crates/core/src/job/cell/trials.rs
@@ -19,7 +19,7 @@
 use super::{
     super::{
         LostRun, TaskId, WorkerId,
-        task::{Job, Task},
+        task::{Job, Placement, Task},
         worker::{Run, Worker},
     },
     Cell,
@@ -94,6 +94,16 @@
 }
 
 impl Worker {
+    /// The name of the newest instance that the owner knows of.
+    pub(super) fn instance(&self) -> Option<u64> {
+        Some(self.started_wall_ms).filter(|started_wall_ms| *started_wall_ms != 0)
+    }
+
+    /// Whether it has restarted since a placement there; `None` if that isn't known.
+    pub(super) fn has_restarted_since(&self, placement: &Placement) -> Option<bool> {
+        Some(self.instance()? != placement.instance?)
+    }
+
     /// Whether it runs a suspected task that has not survived its start yet.
     pub(in crate::job) fn is_watched(&self, now: Timestamp) -> bool {
         self.runs.values().any(|run| run.is_watched(now))
@@ -143,10 +153,21 @@
     ) {
         let may_be_deadly = self.lost_runs(run.0).iter().any(is_at_start);
         let alive = if may_be_deadly { Span(0) } else { SURVIVAL };
-        let loss = Loss { has_crashed: false, alive, beside: None };
+        let has_crashed = self.has_restarted_since_placement(run.0, worker);
+        let loss = Loss { has_crashed, alive, beside: None };
         self.suspect_task(run, worker, &loss, now);
     }
 
+    /// Whether a worker is known to have restarted since the log placed a task there.
+    fn has_restarted_since_placement(&self, id: TaskId, worker: &WorkerId) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        let placement = task.and_then(|task| task.placement.as_ref());
+        let worker = self.workers.get(worker).filter(|worker| worker.is_adopted);
+        worker
+            .zip(placement)
+            .is_some_and(|(worker, placement)| worker.has_restarted_since(placement) == Some(true))
+    }
+
     /// Whether a worker has just answered. If not, it is asked at once.
     pub(super) fn answers_now(&mut self, id: &WorkerId, now: Timestamp) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -97,6 +97,9 @@
     /// The address in the latest [`Record::Placed`], if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub address: Option<SocketAddr>,
+    /// The worker's instance in the latest [`Record::Placed`], if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<u64>,
     /// The latest attempt that was made as a trial, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub trial: Option<u32>,
@@ -195,6 +198,10 @@
         /// The worker's address.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         address: Option<SocketAddr>,
+        /// The worker's instance that is known, named by when it started in milliseconds since the Unix
+        /// epoch.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        instance: Option<u64>,
         /// Whether the start is a trial of a task that has lost workers at its start before. Earlier
         /// builds don't say so, and no start of theirs counts as one.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -50,6 +50,8 @@
     pub(super) worker: WorkerId,
     /// The worker's address, if the log has it.
     pub(super) address: Option<SocketAddr>,
+    /// The name of the worker's instance that was known, if the log has it.
+    pub(super) instance: Option<u64>,
     /// The position of its record in the log, which may not be durable yet.
     pub(super) position: Position,
     /// How often the task failed there in this term.
@@ -71,8 +73,12 @@
     }
 
     /// Returns a placement that the log contained when the term began.
-    pub(super) fn recovered(worker: WorkerId, address: Option<SocketAddr>) -> Self {
-        Self { worker, address, position: Position::default(), failures: 0 }
+    pub(super) fn recovered(
+        worker: WorkerId,
+        address: Option<SocketAddr>,
+        instance: Option<u64>,
+    ) -> Self {
+        Self { worker, address, instance, position: Position::default(), failures: 0 }
     }
 }
 
