--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -330,3 +330,37 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{back_ms}");
     }
 }
+
+/// The first instance gets no order, the second refuses the copies of the first attempt and runs the
+/// next one, and the third begins the first attempt before its first call (seed 17 of the property).
+#[test]
+fn a_copy_of_an_earlier_attempt_runs_no_task_twice_after_the_lease_of_the_next_attempt() {
+    const LATE_MS: u64 = 10_500;
+    let mut model = new_model(2);
+    for id in ["w0", "w1"] {
+        let faults = WorkerFaults { late_orders: 2, late_ms: LATE_MS, ..WorkerFaults::default() };
+        model.set_faults(id, faults);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 8_000)]));
+    assert!(model.run_until(200, |model| model.ordered_worker(task()).is_some()));
+    let arrival = model.now() + Span(LATE_MS);
+    let worker = model.ordered_worker(task()).expect("a worker");
+    let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+    model.set_faults(other, WorkerFaults::default());
+    model.make_unreachable(other, 5_000);
+
+    model.run_for(700);
+    model.lose_worker(worker.as_str());
+    model.run_for(200);
+    bring_back(&mut model, &worker);
+    assert!(model.run_until(2_500, |model| !runs_at(model).is_empty()));
+    model.run_for(100);
+    model.lose_worker(worker.as_str());
+    model.run_for(arrival.since(model.now()).0 - REACHABLE_MS);
+    model.restart_worker(worker.as_str());
+    let runs_twice = model.run_until(40_000, |model| runs_at(model).len() > 1);
+
+    assert!(!runs_twice);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+}
