The attempt after a recorded loss has a higher number also under the next owner

A task that crashes its workers was started six times (five are allowed) where the owner was lost between the record of its first loss and the record of its next placement: the next owner numbers the next attempt like the lost one, and takes its loss for the one that it knows, so that it isn't counted.

Cause: a record of a lost run doesn't raise the task's attempt.

Evidence: the new test plays that history.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -186,9 +186,11 @@
     }
 }
 
-/// Applies a [`Record::RunLost`].
+/// Applies a [`Record::RunLost`]. The next attempt has a higher number, or its loss would be taken for
+/// this one.
 pub(super) fn replay_lost_run(job: &mut Job, id: TaskId, lost: &LostRun) {
     if let Some(task) = job.task_mut(id) {
+        task.attempt = task.attempt.max(lost.attempt);
         task.remember_lost_run(lost.clone());
     }
 }
--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -233,6 +233,29 @@
     assert!((3..=5).contains(&starts), "{starts} starts");
 }
 
+/// Guards the count against a first loss that is on record while no later attempt is: the next owner
+/// would give the next one the same number, and take its loss for the one that it knows.
+#[test]
+fn the_first_attempt_after_a_change_of_owner_is_not_taken_for_the_one_that_was_lost() {
+    let mut model = model_with_crashing(3, single_task(800), 0);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w2", faults);
+    for after_ms in [1_000, 8_665] {
+        model.run_for(after_ms);
+        change_owner(&mut model, OwnerChange::Lost(500));
+    }
+    let is_loss = |event: &LogEvent| matches!(event, LogEvent::RunLost { .. });
+    assert!(model.run_until(LONG_MS, |model| model.log_events().iter().any(is_loss)));
+
+    model.run_for(1_000);
+    change_owner(&mut model, OwnerChange::Lost(500));
+    model.run_for(LONG_MS);
+
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
+    assert!((3..=5).contains(&starts), "{starts} starts");
+    assert_eq!(state(&model, CRASHING_JOB), FAILED);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
