A task waits for an open start order on a silent worker until the order has expired

What callers saw: TWICE, 'runs at w0 and at w1'. A worker falls silent, its lease lapses on the known clock (7.8 s after the order in the model), the task starts elsewhere, and a copy of its order begins it in the worker's next life, of which the owner hasn't heard.

Cause: the lease says nothing of an order that got no answer, nor of a copy of an earlier attempt.

Now such a run stays booked until each copy for its task on that worker has expired (15 s after it was sent; a late call is carried out within 12 s). All other runs of the worker end with the lease as before, and the loss is noted then, for all of them. Not for long-running tasks: LOST counts their time at any time. Once another owner may have claimed the cell, such a run isn't given up any more.

Not closed: a worker's next life that gets the order right before it expires may run the task on for a lease; long-running tasks; the next owner doesn't know of open orders.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -160,9 +160,10 @@
         }
     }
 
-    /// Ends the runs of workers on which every lease has expired.
+    /// Ends the runs of workers on which every lease has expired, each once no copy of a start order for
+    /// its task is open there.
     pub(super) fn expire_runs(&mut self, now: Timestamp) {
-        let longest_lease = self.longest_lease();
+        let (longest_lease, sole_until) = (self.longest_lease(), self.sole_until);
         let expired: Vec<WorkerId> = self
             .workers
             .iter()
@@ -174,13 +175,21 @@
             let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
             };
+            let is_lost = |(_, run): &(&TaskId, &Run)| !run.awaits_order_expiry;
+            let lost = worker.runs.iter().filter(is_lost);
+            let lost: Vec<(TaskId, Run)> = lost.map(|(task, run)| (*task, run.clone())).collect();
+            let lapsed = worker.take_lapsed_runs(sole_until, now);
+            if lost.is_empty() && lapsed.is_empty() {
+                continue;
+            }
             // A late start may take resources that are then booked for another run, so the worker
             // gets no tasks until a new list shows its runs.
             worker.is_adopted = false;
             worker.next_hold = worker.next_hold.min(now);
-            let runs = std::mem::take(&mut worker.runs);
-            self.suspect_tasks(&id, runs.iter(), false, now);
-            for (task, run) in runs {
+            if !lost.is_empty() {
+                self.suspect_tasks(&id, lost.iter().map(|(task, run)| (task, run)), false, now);
+            }
+            for (task, run) in lapsed {
                 self.end_unreported_run(&id, task, run.attempt, "lease expired", now);
             }
         }
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -4,6 +4,8 @@
 //! it refuse the order. So the end of a task as done is not confirmed while a copy is open: an instance
 //! that crashes takes the ends that were not confirmed with it, and the task may run again.
 
+use indexmap::IndexMap;
+
 use super::{Run, RunState, Worker};
 use crate::{Timestamp, job::TaskId};
 
@@ -70,6 +72,28 @@
         expiries.filter(|expiry| now <= *expiry).max()
     }
 
+    /// Takes the runs that certainly have ended, now that every lease has lapsed. Those stay for whose
+    /// tasks a copy of a start order is open: the worker's next instance, of which the owner need not
+    /// hear in time, may begin the task until the copy has expired. Until `sole_until` no other owner may
+    /// have started it. A long-running task doesn't wait.
+    pub(in crate::job) fn take_lapsed_runs(
+        &mut self,
+        sole_until: Timestamp,
+        now: Timestamp,
+    ) -> IndexMap<TaskId, Run> {
+        let may_wait = |run: &Run| run.state != RunState::Planned && !run.is_long_running;
+        let is_open = |task| self.open_until(task, now).is_some();
+        let waiting = self.runs.iter().filter(|(task, run)| {
+            (may_wait(run) && is_open(**task)) || (run.awaits_order_expiry && now > sole_until)
+        });
+        let waiting: Vec<TaskId> = waiting.map(|(task, _)| *task).collect();
+        let lapsed = self.runs.extract_if(.., |task, _| !waiting.contains(task)).collect();
+        for run in self.runs.values_mut() {
+            run.awaits_order_expiry = true;
+        }
+        lapsed
+    }
+
     /// Lets an end wait, with all later ones.
     pub(in crate::job) fn hold_end(&mut self, end: HeldEnd) {
         self.held_ends.push(end);
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -46,6 +46,9 @@
     /// Whether the worker has restarted since the order was sent, so that the run may have got its
     /// lease from an order to an earlier instance.
     pub(in crate::job) outlived_restart: bool,
+    /// Whether its lease has lapsed, and a copy of a start order for its task is still open, in which
+    /// the worker's next instance may begin the task.
+    pub(in crate::job) awaits_order_expiry: bool,
     /// Time after which no copy of the start order takes effect any more. A restart does not change
     /// it.
     pub(in crate::job) order_expiry: Timestamp,
@@ -136,6 +139,7 @@
             alive: Span(0),
             ends_with_instance: false,
             outlived_restart: false,
+            awaits_order_expiry: false,
             order_expiry: now,
             started: now,
             expect_in_lists_after: now,
@@ -185,6 +189,7 @@
         self.state = RunState::Running;
         self.is_listed = true;
         self.ends_with_instance = true;
+        self.awaits_order_expiry = false;
         self.order_expiry = self.order_expiry.min(now);
         self.unlisted_since = None;
         self.progress_percent = progress_percent;
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -1,10 +1,11 @@
 //! Tests of how long a task waits for a worker that restarts, falls silent or leaves the store, and
 //! of the orders that must not take effect twice meanwhile.
 
+use indexmap::IndexMap;
 use proptest::prelude::*;
 use teaselgap_core::{
     Span,
-    job::{JobEnd, JobId, JobState, TaskId, WorkerId},
+    job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
@@ -364,3 +365,35 @@
     assert_eq!(model.violations(), [] as [&str; 0]);
     assert_eq!(state(&model, JOB), SUCCEEDED);
 }
+
+/// A silent worker has an answered run and one whose order got no answer: only the task of the latter
+/// waits until the order has expired.
+#[test]
+fn only_the_task_of_an_open_order_waits_longer_for_a_silent_worker_than_its_lease() {
+    const OTHER_JOB: JobId = JobId(8);
+    let other_task = task_id(OTHER_JOB, 0);
+    let mut model = new_model(2);
+    let drains = IndexMap::from([("w1".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().expect("an owner").set_drains(drains);
+    model.submit(OTHER_JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    model.run_for(500);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+    let ordered = model.now();
+    model.cell_mut().expect("an owner").set_drains(IndexMap::new());
+
+    let now = model.now();
+    model.worker_mut("w0").partition_for(now, 600_000);
+    assert!(model.run_until(60_000, |model| model.start_count(other_task) > 1));
+    let other_waited = model.now().since(ordered);
+    assert!(model.run_until(60_000, |model| model.start_count(task()) > 1));
+    let waited = model.now().since(ordered);
+
+    // The lease was last renewed before a call had failed.
+    assert!(other_waited.0 <= MAX_LEASE_MS + 2 * SETTLE_MS, "{other_waited}");
+    assert!(waited.0 <= ORDER_LIFETIME_MS + SETTLE_MS + PLAN_MS, "{waited}");
+    assert!(waited.0 > MAX_LATE_MS, "{waited}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
