--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -325,6 +325,29 @@
     model.restart_worker_at(id, wall_ms, away_ms);
 }
 
+/// Guards the count against a first loss that is on record while no later attempt is: the next owner
+/// would give the next one the same number, and take its loss for the one that it knows.
+#[test]
+fn the_first_attempt_after_a_change_of_owner_is_not_taken_for_the_one_that_was_lost() {
+    let mut model = model_with_crashing(3, single_task(800), 0);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w2", faults);
+    for after_ms in [1_000, 8_665] {
+        model.run_for(after_ms);
+        change_owner(&mut model, OwnerChange::Lost(500));
+    }
+    let is_loss = |event: &LogEvent| matches!(event, LogEvent::RunLost { .. });
+    assert!(model.run_until(LONG_MS, |model| model.log_events().iter().any(is_loss)));
+
+    model.run_for(1_000);
+    change_owner(&mut model, OwnerChange::Lost(500));
+    model.run_for(LONG_MS);
+
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
+    assert!((3..=5).contains(&starts), "{starts} starts");
+    assert_eq!(state(&model, CRASHING_JOB), FAILED);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -1,10 +1,11 @@
 //! Tests of how long a task waits for a worker that restarts, falls silent or leaves the store, and
 //! of the orders that must not take effect twice meanwhile.
 
+use indexmap::IndexMap;
 use proptest::prelude::*;
 use teaselgap_core::{
     Span,
-    job::{JobEnd, JobId, JobState, TaskId, WorkerId},
+    job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
@@ -330,3 +331,69 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{back_ms}");
     }
 }
+
+/// The first instance gets no order, the second refuses the copies of the first attempt and runs the
+/// next one, and the third begins the first attempt before its first call (seed 17 of the property).
+#[test]
+fn a_copy_of_an_earlier_attempt_runs_no_task_twice_after_the_lease_of_the_next_attempt() {
+    const LATE_MS: u64 = 10_500;
+    let mut model = new_model(2);
+    for id in ["w0", "w1"] {
+        let faults = WorkerFaults { late_orders: 2, late_ms: LATE_MS, ..WorkerFaults::default() };
+        model.set_faults(id, faults);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 8_000)]));
+    assert!(model.run_until(200, |model| model.ordered_worker(task()).is_some()));
+    let arrival = model.now() + Span(LATE_MS);
+    let worker = model.ordered_worker(task()).expect("a worker");
+    let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+    model.set_faults(other, WorkerFaults::default());
+    model.make_unreachable(other, 5_000);
+
+    model.run_for(700);
+    model.lose_worker(worker.as_str());
+    model.run_for(200);
+    bring_back(&mut model, &worker);
+    assert!(model.run_until(2_500, |model| !runs_at(model).is_empty()));
+    model.run_for(100);
+    model.lose_worker(worker.as_str());
+    model.run_for(arrival.since(model.now()).0 - REACHABLE_MS);
+    model.restart_worker(worker.as_str());
+    let runs_twice = model.run_until(40_000, |model| runs_at(model).len() > 1);
+
+    assert!(!runs_twice);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+}
+
+/// A silent worker has an answered run and one whose order got no answer: only the task of the latter
+/// waits until the order has expired.
+#[test]
+fn only_the_task_of_an_open_order_waits_longer_for_a_silent_worker_than_its_lease() {
+    const OTHER_JOB: JobId = JobId(8);
+    let other_task = task_id(OTHER_JOB, 0);
+    let mut model = new_model(2);
+    let drains = IndexMap::from([("w1".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().expect("an owner").set_drains(drains);
+    model.submit(OTHER_JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    model.run_for(500);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+    let ordered = model.now();
+    model.cell_mut().expect("an owner").set_drains(IndexMap::new());
+
+    let now = model.now();
+    model.worker_mut("w0").partition_for(now, 600_000);
+    assert!(model.run_until(60_000, |model| model.start_count(other_task) > 1));
+    let other_waited = model.now().since(ordered);
+    assert!(model.run_until(60_000, |model| model.start_count(task()) > 1));
+    let waited = model.now().since(ordered);
+
+    // The lease was last renewed before a call had failed.
+    assert!(other_waited.0 <= MAX_LEASE_MS + 2 * SETTLE_MS, "{other_waited}");
+    assert!(waited.0 <= ORDER_LIFETIME_MS + SETTLE_MS + PLAN_MS, "{waited}");
+    assert!(waited.0 > MAX_LATE_MS, "{waited}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
