--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -20,6 +20,7 @@
 mod owners;
 mod random;
 mod restarts;
+mod review_48;
 mod store_outage;
 mod takeover;
 mod turns;
