--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -203,7 +203,7 @@
         self.held_back_starts
     }
 
-    /// The fencing token of a call to a worker, which must be sent at once.
+    /// The fencing token of an order to a worker, which must be sent at once.
     pub fn fence_call(&mut self, id: &WorkerId, kind: FencedCall) -> Fence {
         self.fences.of_call(id, kind)
     }
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -3,7 +3,7 @@
 
 use super::{
     super::{
-        Action, CellConfig, HoldReport, LogEvent, LogWriter, WorkerId,
+        Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
         worker::{InstanceOrder, Worker},
     },
     Cell,
@@ -123,7 +123,12 @@
 }
 
 /// Notes in the worker's state that a hold is sent, and returns it.
-pub(super) fn hold(id: &WorkerId, worker: &mut Worker, lease: Lease, now: Timestamp) -> Action {
+pub(super) fn hold(
+    (id, worker): (&WorkerId, &mut Worker),
+    lease: Lease,
+    fence: Fence,
+    now: Timestamp,
+) -> Action {
     let may_confirm = may_confirm_ends(worker, now);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
@@ -151,7 +156,7 @@
     let is_known = worker.has_outlasted_stops || !worker.is_adopted;
     let wait = if is_known { wait } else { wait.min(worker.stops_end.since(now)) };
     let last_seen = if may_confirm { worker.last_confirmable(now) } else { 0 };
-    Action::Hold { worker: id.clone(), lease_end, last_seen, wait }
+    Action::Hold { worker: id.clone(), lease_end, last_seen, wait, fence }
 }
 
 impl Cell {
@@ -189,7 +194,8 @@
                 if !worker.is_adopted || worker.hold_failures > 0 {
                     self.actions.extend(worker.abandoned_orders(now).map(stop));
                 }
-                self.actions.push(hold(id, worker, lease, now));
+                let fence = self.fences.of_hold(id);
+                self.actions.push(hold((id, worker), lease, fence, now));
             }
         }
     }
@@ -252,7 +258,8 @@
         self.on_hold_report(id, sent, &report, now);
     }
 
-    /// Handles the refusal of a hold that a later call of this owner has outranked.
+    /// Handles a hold that a later call of this owner has outranked, so that the worker has refused it or it
+    /// wasn't sent.
     pub fn on_hold_outranked(&mut self, id: &WorkerId, now: Timestamp) {
         self.fences.on_hold_over(id);
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -360,7 +360,8 @@
         for id in &handover.renewed {
             if let Some(worker) = self.workers.get_mut(id).filter(|one| one.is_hold_due(now)) {
                 let lease = Lease::of(&self.cfg, &self.log);
-                self.actions.push(holds::hold(id, worker, lease, now));
+                let fence = self.fences.of_hold(id);
+                self.actions.push(holds::hold((id, worker), lease, fence, now));
             }
         }
     }
--- a/crates/core/src/job/fence.rs
+++ b/crates/core/src/job/fence.rs
@@ -72,8 +72,6 @@
 pub enum FencedCall {
     /// A start order, or a copy of one.
     Start,
-    /// A hold.
-    Hold,
     /// An order about a run that has begun.
     Run,
 }
@@ -109,22 +107,27 @@
         &mut self.latest[worker]
     }
 
-    /// Returns the token of a call that is sent at this moment.
+    /// Returns the token of an order that is sent at this moment.
     pub(super) fn of_call(&mut self, worker: &WorkerId, kind: FencedCall) -> Fence {
         let latest = self.latest(worker);
         match kind {
             FencedCall::Start if latest.holds_under_way > 0 && latest.hold == latest.fence => {
                 latest.fence = latest.fence.next();
             }
-            FencedCall::Hold => {
-                latest.hold = latest.fence;
-                latest.holds_under_way += 1;
-            }
             FencedCall::Start | FencedCall::Run => {}
         }
         latest.fence
     }
 
+    /// Returns the token of a hold that is decided on at this moment. What it renews and confirms is that
+    /// of the instance known now, so it must not be sent with a later token.
+    pub(super) fn of_hold(&mut self, worker: &WorkerId) -> Fence {
+        let latest = self.latest(worker);
+        latest.hold = latest.fence;
+        latest.holds_under_way += 1;
+        latest.fence
+    }
+
     /// Notes that a hold has got its answer, or will get none.
     pub(super) fn on_hold_over(&mut self, worker: &WorkerId) {
         let latest = self.latest(worker);
--- a/crates/core/src/job/fence/tests.rs
+++ b/crates/core/src/job/fence/tests.rs
@@ -12,7 +12,7 @@
 fn calls_have_one_token_while_all_are_answered() {
     let mut fences = fences();
 
-    let hold = fences.of_call(&worker(), FencedCall::Hold);
+    let hold = fences.of_hold(&worker());
     fences.on_hold_over(&worker());
     let start = fences.of_call(&worker(), FencedCall::Start);
     let stop = fences.of_call(&worker(), FencedCall::Run);
@@ -23,11 +23,11 @@
 #[test]
 fn a_call_outranks_one_of_before_that_got_no_answer() {
     let mut fences = fences();
-    let unanswered = fences.of_call(&worker(), FencedCall::Hold);
+    let unanswered = fences.of_hold(&worker());
 
     fences.on_hold_over(&worker());
     fences.outrank(&worker());
-    let next = fences.of_call(&worker(), FencedCall::Hold);
+    let next = fences.of_hold(&worker());
 
     assert!(next > unanswered);
     assert!(fences.is_outranked(&worker(), unanswered));
@@ -39,10 +39,10 @@
 #[test]
 fn a_start_order_outranks_each_hold_under_way() {
     let mut fences = fences();
-    let first_hold = fences.of_call(&worker(), FencedCall::Hold);
+    let first_hold = fences.of_hold(&worker());
     let first_start = fences.of_call(&worker(), FencedCall::Start);
     let second_start = fences.of_call(&worker(), FencedCall::Start);
-    let second_hold = fences.of_call(&worker(), FencedCall::Hold);
+    let second_hold = fences.of_hold(&worker());
     fences.on_hold_over(&worker());
 
     let third_start = fences.of_call(&worker(), FencedCall::Start);
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{AdviceRequest, EndKind, JobEnd, JobId, JobSpec, StepId, TaskId, WorkerId};
+use super::{AdviceRequest, EndKind, Fence, JobEnd, JobId, JobSpec, StepId, TaskId, WorkerId};
 use crate::{QueueId, Span, Timestamp};
 
 /// Identifies a pending request of a caller, so that the answer can be matched to it.
@@ -71,6 +71,9 @@
         last_seen: u64,
         /// How long the worker may delay its answer while no run ends.
         wait: Span,
+        /// The fencing token. If the owner has outranked it before the hold is sent, the worker may have
+        /// restarted since, and the hold must not be sent.
+        fence: Fence,
     },
     /// Limit a run, given by task and attempt, to a share of its speed, in percent.
     Pace(WorkerId, TaskId, u32, u64),
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -27,9 +27,8 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, AdviceAnswer, AdviceRequest, Answer, Cell, CellConfig, Fence,
-        FencedCall, FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite,
-        QueueConfig, Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry,
-        WorkerId,
+        FlowLimits, HoldReport, JobId, LinkRate, LogConfig, LogEvent, LogWrite, QueueConfig,
+        Sequence, StartAnswer, StartOrder, StartOutcome, TaskId, Token, WorkerEntry, WorkerId,
     },
 };
 
@@ -105,6 +104,7 @@
         last_seen: u64,
         wait: Span,
         sent: Timestamp,
+        fence: Fence,
     },
     /// A hold that waits at the worker instance of this number until a run ends.
     PendingHold {
@@ -116,15 +116,6 @@
 }
 
 impl Call {
-    /// Returns what the call outranks.
-    fn fenced(&self) -> FencedCall {
-        match self {
-            Self::Start(_) | Self::RepeatedStart(_) => FencedCall::Start,
-            Self::Stop { .. } => FencedCall::Run,
-            Self::Hold { .. } | Self::PendingHold { .. } => FencedCall::Hold,
-        }
-    }
-
     fn is_start(&self) -> bool {
         matches!(self, Self::Start(_) | Self::RepeatedStart(_))
     }
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -5,8 +5,8 @@
 use teaselgap_core::{
     Epoch, Span, Timestamp,
     job::{
-        Action, AdviceAnswer, AdviceRequest, Fence, StartAnswer, StartOrder, StartOutcome, TaskId,
-        WorkerEntry, WorkerId,
+        Action, AdviceAnswer, AdviceRequest, Fence, FencedCall, StartAnswer, StartOrder,
+        StartOutcome, TaskId, WorkerEntry, WorkerId,
     },
 };
 
@@ -51,8 +51,8 @@
                 let sent = self.now;
                 self.call(sender, worker, Call::Stop { task, attempt, sent });
             }
-            Action::Hold { worker, lease_end, last_seen, wait } => {
-                let call = Call::Hold { lease_end, last_seen, wait, sent: self.now };
+            Action::Hold { worker, lease_end, last_seen, wait, fence } => {
+                let call = Call::Hold { lease_end, last_seen, wait, sent: self.now, fence };
                 self.call(sender, worker, call);
             }
         }
@@ -76,12 +76,21 @@
         self.unreachable.get(worker).is_some_and(|until| self.now < *until)
     }
 
+    /// Returns the fencing token of a call that is sent now.
+    fn fence_of(&mut self, worker: &WorkerId, epoch: Epoch, call: &Call) -> Fence {
+        let kind = match call {
+            Call::Hold { fence, .. } => return *fence,
+            Call::Start(_) | Call::RepeatedStart(_) => FencedCall::Start,
+            Call::Stop { .. } | Call::PendingHold { .. } => FencedCall::Run,
+        };
+        let owner = self.cell_of(epoch);
+        owner.map_or(Fence::first_of(epoch), |owner| owner.fence_call(worker, kind))
+    }
+
     /// Sends a call to a worker, subject to the injected faults.
     pub(super) fn call(&mut self, sender: Sender, worker: WorkerId, call: Call) {
         let epoch = sender.epoch;
-        let owner = self.cell_of(epoch);
-        let fence =
-            owner.map_or(Fence::first_of(epoch), |owner| owner.fence_call(&worker, call.fenced()));
+        let fence = self.fence_of(&worker, epoch, &call);
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
         let is_cut_off = self.cut_off_from.contains(&(epoch, worker.clone()));
         if is_cut_off || epoch == self.epoch && self.is_unreachable(&worker) {
@@ -298,7 +307,7 @@
                 };
                 reply
             }
-            Call::Hold { lease_end, last_seen, wait, sent } => {
+            Call::Hold { lease_end, last_seen, wait, sent, .. } => {
                 let Some(done) = worker.hold(lease_end, last_seen, fence, now) else {
                     self.refuse_hold((id, epoch, fence), answer_arrives, deadline);
                     return;
--- a/crates/standins/tests/cells/review_48.rs
+++ b/crates/standins/tests/cells/review_48.rs
@@ -150,6 +150,7 @@
     lapsed: usize,
 }
 
+#[expect(clippy::too_many_lines, reason = "a play, one event after the other")]
 fn play(hold_ms: u64, (tasks, cpu_milli, ms): (u32, u64, u64)) -> Shown {
     let mut owner = ByHand::new();
     let id = worker(0).entry.id;
@@ -174,8 +175,7 @@
         for action in actions {
             count += 1;
             match action {
-                Action::Hold { lease_end, last_seen, .. } => {
-                    let fence = owner.cell.fence_call(&id, FencedCall::Hold);
+                Action::Hold { lease_end, last_seen, fence, .. } => {
                     events.insert(
                         (now + hold_ms, count),
                         Event::Hold { fence, lease_end, last_seen, sent: now },
@@ -313,6 +313,7 @@
 
 /// Plays a restart that becomes known between the moment when a hold is decided on and that when it leaves, if
 /// `leaves` is set. Returns for how long the run of the next life goes on after its task has started elsewhere.
+#[expect(clippy::too_many_lines, reason = "a play, one event after the other")]
 fn overlap_after_restart(leaves: bool) -> u64 {
     let (lease, max_lease) = (Span(LEASE_MS), Span(MAX_LEASE_MS));
     let mut owner = ByHand::with_config(CellConfig { lease, max_lease, ..cell_config() });
@@ -356,7 +357,6 @@
                     return end.saturating_sub(owner.now);
                 }
                 Action::Hold { worker: to, .. } if to != id => {
-                    owner.cell.fence_call(&to, FencedCall::Hold);
                     let answer = report(owner.clock(), OLD_LIFE);
                     owner.cell.on_hold_answer(&to, at, Some(answer), at);
                 }
@@ -401,9 +401,8 @@
                     let is_confirmed = born.is_some() && !is_cut_off;
                     owner.cell.on_stop_answer(&id, (task, attempt), is_confirmed, (at, at));
                 }
-                Action::Hold { lease_end: asked, .. } => {
+                Action::Hold { lease_end: asked, fence, .. } => {
                     if is_stopped && under_way.is_none() {
-                        owner.cell.fence_call(&id, FencedCall::Hold);
                         under_way = Some(at);
                         continue;
                     }
@@ -416,7 +415,11 @@
                             continue;
                         }
                     }
-                    let fence = owner.cell.fence_call(&id, FencedCall::Hold);
+                    // The host asks at the moment of sending.
+                    if owner.cell.is_outranked(&id, fence) {
+                        owner.cell.on_hold_outranked(&id, at);
+                        continue;
+                    }
                     let clock = born.map_or(owner.clock(), |born| owner.now - born);
                     if fence < seen || is_cut_off {
                         owner.cell.on_hold_answer(&id, at, None, at);
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -90,9 +90,9 @@
                     owner.pace(&target, (task, attempt), share).await;
                 });
             }
-            Action::Hold { worker, lease_end, last_seen, wait } => {
+            Action::Hold { worker, lease_end, last_seen, wait, fence } => {
                 self.spawn_permitted(&worker, Self::may_renew, async move |owner, target| {
-                    owner.hold(&target, lease_end, last_seen, wait).await;
+                    owner.hold(&target, (lease_end, last_seen, wait), fence).await;
                 });
             }
         }
@@ -194,11 +194,17 @@
         });
     }
 
-    async fn hold(&self, target: &Target, lease_end: Option<u64>, last_seen: u64, wait: Span) {
+    async fn hold(
+        &self,
+        target: &Target,
+        (lease_end, last_seen, wait): (Option<u64>, u64, Span),
+        fence: Fence,
+    ) {
         let sent_at = clock::now();
-        let Some(fence) = self.fence_call(&target.worker, FencedCall::Hold) else {
+        if self.is_outranked(&target.worker, fence) {
+            self.with_cell(|cell| cell.on_hold_outranked(&target.worker, sent_at));
             return;
-        };
+        }
         let call = self.worker_client.hold(target, lease_end, last_seen, wait, fence);
         let is_answered =
             |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
