--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -164,6 +164,7 @@
     pub(super) fn begin_renewals(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
             worker.next_hold = worker.next_hold.min(now);
+            worker.awaits_answer = true;
         }
     }
 
@@ -259,7 +260,8 @@
     }
 
     /// Handles a hold that a later call of this owner has outranked, so that the worker has refused it or it
-    /// wasn't sent.
+    /// wasn't sent. No start order follows that could outrank the next hold, until one is answered: a
+    /// refusal of that one is by a later owner.
     pub fn on_hold_outranked(&mut self, id: &WorkerId, now: Timestamp) {
         self.fences.on_hold_over(id);
         if let Some(worker) = self.workers.get_mut(id) {
@@ -289,6 +291,7 @@
             worker.record_clock(report.clock_ms, sent, now);
         }
         worker.hold_failures = 0;
+        worker.awaits_answer = false;
         worker.last_heard = now;
         worker.record_renewal(sent);
         if !worker.is_adopted {
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -53,7 +53,8 @@
     /// have shown the run since, or it may have been given up.
     #[must_use]
     pub fn may_send_start(&self, id: &WorkerId, (task, attempt): (TaskId, u32)) -> bool {
-        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&task));
+        let worker = self.workers.get(id).filter(|worker| !worker.awaits_answer);
+        let run = worker.and_then(|worker| worker.runs.get(&task));
         run.is_some_and(|run| run.state == RunState::Ordered)
             && self.start_objection(id, task, attempt).is_none()
     }
@@ -127,6 +128,10 @@
         } else {
             worker.release_ends(task, now);
         }
+        if outcome == StartOutcome::Outranked {
+            worker.awaits_answer = true;
+            worker.next_hold = worker.next_hold.min(now);
+        }
         let is_instance_known = clock_ms.is_some_and(|ms| worker.knows_instance_of(ms, now));
         if clock_ms.is_some_and(|ms| worker.clock.is_some_and(|clock| ms < clock.worker_ms)) {
             // The worker seems to have restarted.
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -511,6 +511,7 @@
             && worker.logged == Logged::Used
             && worker.clock.is_some()
             && worker.drain.is_none()
+            && !worker.awaits_answer
             && !worker.entry.is_draining
             && worker.hold_failures < MAX_HOLD_FAILURES
             && now >= worker.excluded_until
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -170,6 +170,8 @@
     pub(super) unanswered_hold: Timestamp,
     /// When the worker last answered a hold.
     pub(super) last_heard: Timestamp,
+    /// Whether it has refused a call that a later one has outranked, and answered no hold since.
+    pub(super) awaits_answer: bool,
     /// How the worker is to be drained; `None` if it is not.
     pub(super) drain: Option<DrainMode>,
     pub(super) failures_in_a_row: u32,
@@ -251,6 +253,7 @@
             hold_failures: 0,
             unanswered_hold: Timestamp(0),
             last_heard: now,
+            awaits_answer: false,
             drain: None,
             failures_in_a_row: 0,
             restarts_in_a_row: 0,
