--- a/crates/core/src/job/fence.rs
+++ b/crates/core/src/job/fence.rs
@@ -23,8 +23,8 @@
 use super::WorkerId;
 use crate::Epoch;
 
-/// The bits of a token that count the generations of calls within a term. A worker that outlasts them,
-/// months at a generation a second, gets no higher ones until the next term.
+/// The bits of a token that count the generations of calls within a term. At 16 generations a second, as
+/// many as holds, they last 12 days; then a worker gets no higher token until the next term.
 const GENERATION_BITS: u32 = 24;
 
 /// The last generation of a term.
