--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -259,10 +259,8 @@
         self.on_hold_report(id, sent, &report, now);
     }
 
-    /// Handles a hold that a later call of this owner has outranked, so that the worker has refused it or it
-    /// wasn't sent. No start order follows that could outrank the next hold, until one is answered: a
-    /// refusal of that one is by a later owner.
-    pub fn on_hold_outranked(&mut self, id: &WorkerId, now: Timestamp) {
+    /// Handles a hold that wasn't sent, because a later call of this owner has outranked it.
+    pub fn on_hold_not_sent(&mut self, id: &WorkerId, now: Timestamp) {
         self.fences.on_hold_over(id);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.holds_in_flight = worker.holds_in_flight.saturating_sub(1);
@@ -270,6 +268,15 @@
         }
     }
 
+    /// Handles the refusal of a hold that a later call of this owner has outranked. No start order follows
+    /// that could outrank the next hold, until one is answered: a refusal of that one is by a later owner.
+    pub fn on_hold_outranked(&mut self, id: &WorkerId, now: Timestamp) {
+        self.on_hold_not_sent(id, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.awaits_answer = true;
+        }
+    }
+
     fn on_hold_report(
         &mut self,
         id: &WorkerId,
--- a/crates/standins/tests/cells/review_48.rs
+++ b/crates/standins/tests/cells/review_48.rs
@@ -417,7 +417,7 @@
                     }
                     // The host asks at the moment of sending.
                     if owner.cell.is_outranked(&id, fence) {
-                        owner.cell.on_hold_outranked(&id, at);
+                        owner.cell.on_hold_not_sent(&id, at);
                         continue;
                     }
                     let clock = born.map_or(owner.clock(), |born| owner.now - born);
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -202,7 +202,7 @@
     ) {
         let sent_at = clock::now();
         if self.is_outranked(&target.worker, fence) {
-            self.with_cell(|cell| cell.on_hold_outranked(&target.worker, sent_at));
+            self.with_cell(|cell| cell.on_hold_not_sent(&target.worker, sent_at));
             return;
         }
         let call = self.worker_client.hold(target, lease_end, last_seen, wait, fence);
