--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -264,7 +264,7 @@
 }
 
 /// Guards a sound task against a start that its owner planned as it handed over: the order never left,
-/// and the worker goes on. Found by `restarts::property` with seed 81.
+/// and the worker goes on.
 #[test]
 fn a_start_whose_order_never_left_counts_as_no_loss_of_its_worker() {
     let mut model = new_model(4);
@@ -290,7 +290,7 @@
 }
 
 /// Guards a task that has lost a worker against a start that is withheld for ever, as it takes the one
-/// place of a worker that was too slow itself. Found by `restarts::property` with seed 61.
+/// place of a worker that was too slow itself.
 #[test]
 fn a_task_that_has_lost_a_worker_starts_on_one_that_was_too_slow() {
     let mut model = new_model(4);
--- a/crates/standins/tests/cells/late_holds.rs
+++ b/crates/standins/tests/cells/late_holds.rs
@@ -17,7 +17,7 @@
 /// Time from the submission of the second job until its worker can't be reached, in milliseconds.
 const CUT_AFTER_MS: u64 = 120;
 
-/// Guards against ends that a late hold confirms before any owner has read them (issue 48).
+/// Guards against ends that a late hold confirms before any owner has read them.
 #[test]
 fn a_late_hold_confirms_no_end_in_the_next_life_of_its_worker() {
     for late_ms in (2_500..=4_500).step_by(500) {
--- a/crates/standins/tests/cells/review_48.rs
+++ b/crates/standins/tests/cells/outranked.rs
@@ -31,7 +31,7 @@
 }
 
 /// Guards against an owner that takes the refusals of its holds by a later owner for those by its own start
-/// orders, and goes on for as long as it has tasks to start (issue 48).
+/// orders, and goes on for as long as it has tasks to start.
 #[test]
 fn an_owner_with_tasks_to_start_ends_once_a_worker_has_refused_it_for_a_later_one() {
     let mut spans = Vec::new();
@@ -281,7 +281,7 @@
 }
 
 /// Guards against holds that start orders outrank again and again, so that ends are not read and leases
-/// lapse (issue 48).
+/// lapse.
 #[test]
 fn start_orders_that_overtake_holds_keep_no_worker_from_answering() {
     let mut refusals = Vec::new();
@@ -297,12 +297,12 @@
     assert!(refusals.iter().all(|refusal| *refusal <= 2_500), "refused for {refusals:?}");
 }
 
-/// The leases of lampa-sched, in milliseconds: that of an owner, and the longest one of a worker.
+/// The lease that an owner grants, and the longest one of a worker, in milliseconds.
 const LEASE_MS: u64 = 6_000;
 const MAX_LEASE_MS: u64 = 10_000;
 
 /// Guards against a run that outlives what the owner knows of its lease, because a hold for the life before
-/// has prolonged it in the next one (issue 48, TWICE).
+/// has prolonged it in the next one.
 #[test]
 fn a_hold_that_was_decided_on_before_a_restart_was_known_prolongs_no_lease_of_the_next_life() {
     let without = overlap_after_restart(false);
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -333,7 +333,7 @@
 }
 
 /// The first instance gets no order, the second refuses the copies of the first attempt and runs the
-/// next one, and the third begins the first attempt before its first call (seed 17 of the property).
+/// next one, and the third begins the first attempt before its first call.
 #[test]
 fn a_copy_of_an_earlier_attempt_runs_no_task_twice_after_the_lease_of_the_next_attempt() {
     const LATE_MS: u64 = 10_500;
--- a/tests/it/failures.rs
+++ b/tests/it/failures.rs
@@ -1,6 +1,14 @@
 //! Tests with nodes that are killed, paused, replaced or partitioned.
 
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::SeqCst},
+    },
+    time::Duration,
+};
 
 use teaselgap_standins::{
     caller::{Call, CallResult, call},
@@ -134,10 +142,11 @@
     Faults { answer_latency_ms: 100, ..Faults::default() }
 }
 
-/// Sends orders to the nodes until `stop` is true. Returns those that were reported as not run.
+/// Sends orders to the nodes until `stop` is true, and counts those that are answered. Returns those that were reported as not run.
 async fn send_orders(
     caller: usize,
     entries: Vec<SocketAddr>,
+    answered: Arc<AtomicUsize>,
     stop: watch::Receiver<bool>,
 ) -> Vec<Call> {
     let mut not_run = Vec::new();
@@ -147,6 +156,7 @@
         }
         let request = order(&format!("order-{caller}-{n}"));
         let (result, _) = call(entries[(caller + n) % entries.len()], &request).await;
+        answered.fetch_add(usize::from(result == CallResult::Answered), SeqCst);
         if result == CallResult::NotRun {
             not_run.push(request);
         }
@@ -162,12 +172,20 @@
     change_owners: impl AsyncFnOnce(&mut Cluster),
 ) {
     const CALLERS: usize = 12;
+    /// Enough that each caller has orders under way all the time.
+    const MIN_ANSWERED: usize = 3 * CALLERS;
     cluster.store.set_faults(slow_answers());
     let stop = watch::Sender::new(false);
+    let answered = Arc::new(AtomicUsize::new(0));
     let callers: Vec<_> = (0..CALLERS)
-        .map(|caller| tokio::spawn(send_orders(caller, entries.clone(), stop.subscribe())))
+        .map(|caller| {
+            let answered = Arc::clone(&answered);
+            tokio::spawn(send_orders(caller, entries.clone(), answered, stop.subscribe()))
+        })
         .collect();
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    wait_for("orders are answered", || async { answered.load(SeqCst) >= MIN_ANSWERED })
+        .await
+        .expect("answered");
     change_owners(cluster).await;
     stop.send_replace(true);
     let mut refused = Vec::new();
--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -530,7 +530,7 @@
     }
 }
 
-/// A hold that confirms ends is carried out in its worker's next life (issue 48), just after work units have
+/// A hold that confirms ends is carried out in its worker's next life, just after work units have
 /// ended there of which the owner can't hear yet.
 fn confirmed(draw: &mut Draw, at: u64) {
     // At the beginning of a play, workers have been idle and are rarely called.
--- a/tools/owners/src/links.rs
+++ b/tools/owners/src/links.rs
@@ -56,6 +56,8 @@
 /// What has passed a link.
 #[derive(Debug, Default)]
 pub struct Passed {
+    /// Bytes of callers that links have read and dealt with.
+    pub read_bytes: AtomicU64,
     pub late_bytes: AtomicU64,
     pub lost_bytes: AtomicU64,
     /// The calls to workers that arrived.
@@ -175,6 +177,9 @@
             if to.write_all(&due).is_err() {
                 break;
             }
+            if way == Way::Out {
+                self.passed.read_bytes.fetch_add(count as u64, SeqCst);
+            }
         }
         let _ = self.await_delivery(way, self.record.now_ms());
         let _ = to.shutdown(Shutdown::Write);
--- a/tools/owners/src/links/tests.rs
+++ b/tools/owners/src/links/tests.rs
@@ -1,5 +1,5 @@
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering::SeqCst},
     time::Duration,
 };
 
@@ -179,7 +179,8 @@
     let head = format!("POST {} HTTP/1.1\r\nContent-Length: 13\r\n\r\n", name("stop"));
 
     stream.write_all(head.as_bytes()).unwrap();
-    std::thread::sleep(Duration::from_millis(100));
+    let read = || play.passed.read_bytes.load(SeqCst) as usize >= head.len();
+    assert!(trouble::await_until(LIMIT, read), "the first part isn't read");
     stream.write_all(br#"{"attempt":1}"#).unwrap();
 
     assert_eq!(stream.read(&mut [0; 16]).unwrap_or(0), 0);
