--- a/crates/standins/tests/cells/outranked.rs
+++ b/crates/standins/tests/cells/outranked.rs
@@ -34,7 +34,7 @@
 /// orders, and goes on for as long as it has tasks to start.
 #[test]
 fn an_owner_with_tasks_to_start_ends_once_a_worker_has_refused_it_for_a_later_one() {
-    let mut spans = Vec::new();
+    let (mut spans, mut refused) = (Vec::new(), 0);
     for (tasks, cut_ms) in [(100, 10), (400, 10), (400, 200), (1_000, 10), (1_000, 200)] {
         let mut model = new_model(1);
         model.run_for(OWNER_TTL.0);
@@ -60,8 +60,10 @@
             span.0
         );
         spans.push(span.0);
+        refused += refused_starts(&model);
     }
 
+    assert!(refused > 0, "nothing was refused");
     assert!(spans.iter().all(|span| *span <= NOTICE_MS), "{spans:?}");
 }
 
@@ -119,6 +121,45 @@
     }
 }
 
+/// Guards against an owner that holds its start orders back once the first segment of its term is durable,
+/// until each worker has answered another hold.
+#[test]
+fn the_first_durable_segment_of_a_term_holds_no_start_order_back() {
+    const WRITE_TURNS: u64 = 4;
+    let mut owner = ByHand::new();
+    let id = worker(0).entry.id;
+    owner.cell.update_workers(vec![worker(0).entry], true, Timestamp(owner.now));
+    let time = (Timestamp(owner.now), 1_700_000_000_000 + owner.now);
+    owner.cell.submit(Token(1), (JOB, queue()), job_spec(vec![step(1, 1_000, 300)]), time);
+    let mut writes = Vec::new();
+    let (mut is_durable, mut has_started) = (false, false);
+
+    for turn in 0..40 {
+        owner.now += 5;
+        let now = Timestamp(owner.now);
+        owner.cell.tick(now, 1_700_000_000_000 + owner.now);
+        writes.extend(owner.cell.take_write(now).map(|write| (turn + WRITE_TURNS, write.sequence)));
+        if let Some((_, sequence)) = writes.pop_if(|(at, _)| *at <= turn) {
+            owner.cell.on_segment_written(sequence, now);
+            is_durable = true;
+        }
+        for action in owner.cell.take_actions() {
+            match action {
+                // No hold after that is answered.
+                Action::Hold { .. } if !is_durable => {
+                    let answer = report(owner.clock(), OLD_LIFE);
+                    owner.cell.on_hold_answer(&id, now, Some(answer), now);
+                }
+                Action::Start(..) => has_started = true,
+                _ => {}
+            }
+        }
+    }
+
+    assert!(is_durable);
+    assert!(has_started);
+}
+
 enum Event {
     Hold { fence: Fence, lease_end: Option<u64>, last_seen: u64, sent: u64 },
     Start { fence: Fence, order: StartOrder },
@@ -284,15 +325,17 @@
 /// lapse.
 #[test]
 fn start_orders_that_overtake_holds_keep_no_worker_from_answering() {
-    let mut refusals = Vec::new();
+    let (mut refusals, mut refused) = (Vec::new(), 0);
     for hold_ms in [1, 3, 8, 20] {
         for tasks in [(400, 1_000, 300), (3_000, 100, 300), (6_000, 20, 300), (6_000, 20, 5_000)] {
             let shown = play(hold_ms, tasks);
             println!("holds take {hold_ms} ms, {tasks:?}: {shown:?}");
             assert_eq!(shown.lapsed, 0);
             refusals.push(shown.longest_refusal);
+            refused += shown.refused_holds;
         }
     }
+    assert!(refused > 0, "nothing was refused");
     // A worker counts as silent after 2,500 ms, and its lease is renewed after half of 5,500 ms.
     assert!(refusals.iter().all(|refusal| *refusal <= 2_500), "refused for {refusals:?}");
 }
