The first durable segment of a term holds no start orders back

 set awaits_answer in begin_renewals as well: once a term every adopted worker got no start until it had answered another hold, also where the link makes holds wait. Found by a second review, by reading.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -164,7 +164,6 @@
     pub(super) fn begin_renewals(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
             worker.next_hold = worker.next_hold.min(now);
-            worker.awaits_answer = true;
         }
     }
 
