Failing test: start orders wait while the hold after a refused one waits for a run to end

A hold over a new connection is overtaken by a start order over an open one, and refused. Since the worker gets no start until the next hold is answered, and that one may wait 400 ms there.

--- a/crates/standins/tests/cells/outranked.rs
+++ b/crates/standins/tests/cells/outranked.rs
@@ -160,6 +160,50 @@
     assert!(has_started);
 }
 
+/// Guards against start orders that wait as long as a hold may wait for a run to end.
+#[test]
+fn the_hold_after_a_refused_one_is_answered_at_once() {
+    let mut owner = ByHand::new();
+    let id = worker(0).entry.id;
+    owner.cell.update_workers(vec![worker(0).entry], true, Timestamp(owner.now));
+    let time = (Timestamp(owner.now), 1_700_000_000_000 + owner.now);
+    owner.cell.submit(Token(1), (JOB, queue()), job_spec(vec![step(1, 1_000, 60_000)]), time);
+    let mut running = Vec::new();
+    let (mut is_refused, mut next_wait) = (false, None);
+
+    for _ in 0..400 {
+        for action in owner.tick() {
+            let now = Timestamp(owner.now);
+            match action {
+                Action::Start(_, order) => {
+                    let run = (order.task, order.attempt);
+                    running.push(ListedRun {
+                        task: order.task,
+                        attempt: order.attempt,
+                        checkpoint: None,
+                        progress_percent: 1,
+                        tail_ms_or_cpu: 0,
+                    });
+                    owner.cell.on_start_answer(&id, run, StartOutcome::Started, now);
+                }
+                Action::Hold { wait, .. } if is_refused => next_wait = next_wait.or(Some(wait)),
+                Action::Hold { wait, .. } if wait > Span(0) => {
+                    is_refused = true;
+                    owner.cell.on_hold_outranked(&id, now);
+                }
+                Action::Hold { .. } => {
+                    let list =
+                        HoldReport { running: running.clone(), ..report(owner.clock(), OLD_LIFE) };
+                    owner.cell.on_hold_answer(&id, now, Some(list), now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    assert_eq!(next_wait, Some(Span(0)));
+}
+
 enum Event {
     Hold { fence: Fence, lease_end: Option<u64>, last_seen: u64, sent: u64 },
     Start { fence: Fence, order: StartOrder },
