The hold after a refused one is answered at once, so that start orders wait for a round trip only

Until a worker that refused an outranked call has answered a hold, it gets no start. That hold waits no longer for a run to end, waits for no room on the link, and is sent beside one that is waiting there.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -85,7 +85,7 @@
     fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
         let renewed_at = worker.renewed_at.unwrap_or_default();
         let renewal_due = renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
-        if !worker.is_adopted {
+        if !worker.is_adopted || worker.awaits_answer {
             Self::Adopts
         } else if now >= renewal_due && !worker.runs.is_empty() {
             Self::Renews { due: renewal_due }
@@ -144,6 +144,7 @@
         || has_unconfirmed_ends
         || worker.is_settling()
         || worker.is_watched(now)
+        || worker.awaits_answer
         || !worker.is_adopted;
     let wait = if answers_at_once {
         Span(0)
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -323,7 +323,7 @@
         // to end and must not delay the list that settles the order.
         match self.holds_in_flight {
             0 => true,
-            1 => self.is_settling(),
+            1 => self.is_settling() || self.awaits_answer,
             _ => false,
         }
     }
