--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -104,7 +104,7 @@
     /// Lets the end of a task as done wait while a copy of a start order of the task may be carried out
     /// by a later instance of the worker.
     fn hold_end_of_open_order(&mut self, id: &WorkerId, end: &RunEnd, now: Timestamp) {
-        let RunEnd { task, kind, number, .. } = *end;
+        let RunEnd { task, attempt, kind, number, .. } = *end;
         let step = self.jobs.get(&task.job).and_then(|job| job.spec.steps.get(task.step as usize));
         if kind != EndKind::Done || step.is_some_and(|step| step.long_running) {
             return;
@@ -118,6 +118,9 @@
         let pending = is_pending.then(|| now + UNANSWERED_START_LIFETIME);
         if let Some(until) = worker.open_until(task, now).max(pending) {
             worker.hold_end(HeldEnd { task, number, until });
+            let run = RunId { task, attempt, worker: id.clone() };
+            let event = LogEvent::EndWaits { run, number, left: until.since(now) };
+            self.actions.push(Action::Log(event));
         }
     }
 
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -125,6 +125,10 @@
         let order_expiry = if has_unanswered_copy { open_until } else { now };
         if has_unanswered_copy {
             worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
+            let run = RunId { task, attempt, worker: id.clone() };
+            let is_answered = outcome == StartOutcome::StartedRepeated;
+            let event = LogEvent::StartOpen { run, is_answered, left: order_expiry.since(now) };
+            self.actions.push(Action::Log(event));
         } else {
             worker.release_ends(task, now);
         }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -322,6 +322,24 @@
         /// Why it failed.
         reason: &'static str,
     },
+    /// A copy of a start order got no answer, and may be carried out by any instance of the worker.
+    StartOpen {
+        /// The run.
+        run: RunId,
+        /// Whether another copy was answered.
+        is_answered: bool,
+        /// How long the copy may still be carried out.
+        left: Span,
+    },
+    /// The end of a task as done is not confirmed, because a copy of its start order is open.
+    EndWaits {
+        /// The run.
+        run: RunId,
+        /// The number of the end.
+        number: u64,
+        /// How long it is not confirmed at most.
+        left: Span,
+    },
     /// A run is no longer alive, although the worker has not listed its end.
     RunEndedUnreported {
         /// The run.
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -66,6 +66,10 @@
             }
             LogEvent::StopRevoked { run, reason } => self.write_run("stop revoked", run, reason),
             LogEvent::StartFailed { run, reason } => self.write_run("start failed", run, reason),
+            LogEvent::StartOpen { run, is_answered, left } => {
+                self.write_start_open(run, *is_answered, *left);
+            }
+            LogEvent::EndWaits { run, number, left } => self.write_waiting_end(run, *number, *left),
             LogEvent::RunEndedUnreported { run, reason } => {
                 self.write_run("run ended without a report", run, reason);
             }
@@ -166,6 +170,22 @@
         }
     }
 
+    fn write_start_open(&self, run: &RunId, is_answered: bool, left: Span) {
+        if self.limit.borrow_mut().admit("start order open") {
+            info!(self.log, "start order open"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "is_answered" => is_answered, "left_ms" => left.0,
+                "epoch" => self.epoch);
+        }
+    }
+
+    fn write_waiting_end(&self, run: &RunId, number: u64, left: Span) {
+        if self.limit.borrow_mut().admit("end waits") {
+            info!(self.log, "end waits"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "number" => number, "left_ms" => left.0,
+                "epoch" => self.epoch);
+        }
+    }
+
     /// Writes the stop of a long-running task, with what the decision rests on.
     fn write_long_running_stop(&self, run: &RunId, reason: &'static str, step: StepAvailability) {
         if self.limit.borrow_mut().admit("stopping run") {
