--- a/crates/standins/tests/cells/late_copies.rs
+++ b/crates/standins/tests/cells/late_copies.rs
@@ -22,6 +22,9 @@
 /// How long a worker is down, in milliseconds: the owner has noticed it.
 const DOWN_MS: u64 = 4_000;
 
+/// Time within which a restarted worker confirms the stops of orders of before, in milliseconds.
+const REFUSED_MS: u64 = 2_000;
+
 /// The longest time between two calls to a worker that doesn't answer, in milliseconds.
 const CALL_INTERVAL_MS: u64 = 600 + 250;
 
@@ -92,6 +95,23 @@
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
 
+/// The second instance has refused the order, the next attempt is done elsewhere, and the copies reach the third one.
+#[test]
+fn an_order_that_a_second_instance_refused_starts_no_done_task_in_the_third() {
+    let (mut model, worker, ordered) = order_late(2, LATE_MS, 300);
+    model.count_every_start();
+    use_no_more(&mut model, &worker);
+    model.run_for(200);
+    model.restart_worker(worker.as_str());
+    model.run_for(REFUSED_MS);
+
+    return_at(&mut model, &worker, ordered + Span(LATE_MS));
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
 /// The next attempt runs elsewhere when the copies reach the next instance, right after its first call.
 /// Starts before that call don't count.
 #[test]
