A task with an open start order starts on no other worker until it has expired (TWICE)

Cause: a start order that got no answer may begin its run in any later instance of its worker, for 15 s. The stop that an instance confirms, and the token that it has seen, bind that instance only. The owner took the confirmed stop for proof and started the task elsewhere at once; the end there was confirmed, and the order came in an instance that nobody had called yet (docs/incidents/traces/owners-stray-50.txt).

Now the owner remembers for each task its open orders and their worker (Task::open_start), from the moment of sending until each copy is answered or 15 s are over, and one place says where the task may start (cell/start_scope.rs): on the same worker, where a crash takes the later run along and its end isn't confirmed meanwhile, or nowhere. A worker that leaves the repeated order unanswered, too, gets no third one, and one that has just restarted gets it only after a second, as each such order prolongs the wait. Long-running tasks and gangs don't wait, as before.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -22,6 +22,7 @@
 mod restarts;
 mod roster;
 mod staged;
+mod start_scope;
 mod trials;
 mod vacate;
 mod work;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -68,7 +68,11 @@
         now: Timestamp,
     ) -> Option<PlacedTask> {
         let attempt = self.workers.get(id)?.runs.get(&task)?.attempt;
-        if let Some(reason) = self.start_objection(id, task, attempt) {
+        let is_in_scope = self.start_scope(task, now).allows(id);
+        let objection = self
+            .start_objection(id, task, attempt)
+            .or((!is_in_scope).then_some("an order of before may still be carried out"));
+        if let Some(reason) = objection {
             let run = RunId { task, attempt, worker: id.clone() };
             self.actions.push(Action::Log(LogEvent::StartFailed { run, reason }));
             self.withdraw_run(id, task);
@@ -89,7 +93,11 @@
         let run = worker.runs.get_mut(&task)?;
         let job = self.jobs.get_mut(&task.job)?;
         let spec = std::sync::Arc::clone(&job.spec);
-        let checkpoint = job.task(task).and_then(|task| task.checkpoint.clone());
+        let state = job.task_mut(task);
+        let checkpoint = state.as_ref().and_then(|state| state.checkpoint.clone());
+        if let Some(state) = state {
+            state.begin_start((id, worker.known_since), attempt, now);
+        }
         let ticket = job.step_mut(task.step_id()).and_then(|step| step.advice.ticket(id, now));
         let free_cpu_milli = (free + run.booked).cpu_milli;
         run.order(now);
@@ -118,11 +126,15 @@
         if has_unanswered_copy {
             self.fences.outrank(id);
         }
+        let open_until = last_sent.unwrap_or(now) + UNANSWERED_START_LIFETIME;
+        let order_expiry = if has_unanswered_copy { open_until } else { now };
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
+            let open_until = has_unanswered_copy.then_some(open_until);
+            task.settle_start(attempt, open_until, outcome != StartOutcome::Unknown);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let open_until = last_sent.unwrap_or(now) + UNANSWERED_START_LIFETIME;
-        let order_expiry = if has_unanswered_copy { open_until } else { now };
         if has_unanswered_copy {
             worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
             let run = RunId { task, attempt, worker: id.clone() };
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -19,6 +19,7 @@
     },
     Cell,
     placement::{awaits_worker, is_logged},
+    start_scope::StartScope,
     work::PlanWork,
 };
 use crate::{Span, Timestamp};
@@ -289,7 +290,17 @@
             }
             let workers = &self.workers;
             let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
-            let in_place = self.candidate_in_place(id.task(index), step, candidates);
+            let in_place = match self.start_scope(id.task(index), now) {
+                StartScope::Anywhere => self.candidate_in_place(id.task(index), step, candidates),
+                scope => {
+                    let in_scope = scope.candidate((id, step), candidates, count);
+                    if in_scope.is_none() {
+                        self.plan_due = true;
+                        continue;
+                    }
+                    in_scope
+                }
+            };
             if in_place.is_some_and(|chosen| candidates[chosen].start_room == 0) {
                 self.held_back_starts += 1;
                 continue;
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -6,9 +6,17 @@
 
 use super::{
     JobEnd, JobSpec, LostRun, Position, StepId, TaskId, WorkerId, advice::StepAdvice,
-    times::Samples,
+    times::Samples, worker::UNANSWERED_START_LIFETIME,
 };
-use crate::{QueueId, Timestamp};
+use crate::{QueueId, Span, Timestamp};
+
+/// The number of start orders that a worker gets for a task after one that it left unanswered. Each prolongs
+/// the wait if it is left unanswered, too.
+const MAX_REPEATED_STARTS: u32 = 1;
+
+/// How long an instance of a worker must have been known before it gets a start order for a task of which an
+/// earlier instance has left one unanswered. A worker that restarts again and again would prolong the wait.
+const MIN_INSTANCE_AGE: Span = Span(1_000);
 
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +50,42 @@
     pub(super) lost_runs: Vec<LostRun>,
     /// How many racks were lost under the task in this term without being held against it.
     pub(super) lost_racks: u32,
+    /// The start orders of the task that may still be carried out.
+    pub(super) open_start: Option<OpenStart>,
+}
+
+/// The start orders of a task that any instance of their worker may still carry out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct OpenStart {
+    pub(super) worker: WorkerId,
+    /// When the owner learned of the worker's instance that was known when the latest order was sent.
+    known_since: Timestamp,
+    /// The latest attempt.
+    attempt: u32,
+    /// Time after which no copy of its order is carried out any more; `None` if each was answered.
+    until: Option<Timestamp>,
+    /// The same for the attempts before it.
+    earlier_until: Option<Timestamp>,
+    /// Number of orders in a row that got no answer.
+    unanswered: u32,
+}
+
+impl OpenStart {
+    fn until(&self) -> Option<Timestamp> {
+        self.until.max(self.earlier_until)
+    }
+
+    fn is_open(&self, now: Timestamp) -> bool {
+        self.until().is_some_and(|until| now <= until)
+    }
+
+    /// Whether the worker, of whose newest instance the owner learned at `known_since`, may get another
+    /// order for the task. It may leave that one unanswered, too, and more so if it has just restarted.
+    pub(super) fn may_repeat(&self, known_since: Timestamp, now: Timestamp) -> bool {
+        let is_same_instance = known_since == self.known_since;
+        let is_stable = is_same_instance || now >= known_since + MIN_INSTANCE_AGE;
+        is_stable && self.unanswered <= MAX_REPEATED_STARTS
+    }
 }
 
 /// The latest logged placement of a task.
@@ -59,6 +103,44 @@
 }
 
 impl Task {
+    /// The start orders that may still be carried out.
+    pub(super) fn open_start(&self, now: Timestamp) -> Option<&OpenStart> {
+        self.open_start.as_ref().filter(|open| open.is_open(now))
+    }
+
+    /// Notes that a start order is sent. It may be carried out until it is settled, or has expired.
+    pub(super) fn begin_start(
+        &mut self,
+        (worker, known_since): (&WorkerId, Timestamp),
+        attempt: u32,
+        now: Timestamp,
+    ) {
+        let earlier = self.open_start.take();
+        let earlier = earlier.filter(|open| open.worker == *worker && open.is_open(now));
+        self.open_start = Some(OpenStart {
+            worker: worker.clone(),
+            known_since,
+            attempt,
+            until: Some(now + UNANSWERED_START_LIFETIME),
+            earlier_until: earlier.as_ref().and_then(OpenStart::until),
+            unanswered: earlier.map_or(0, |open| open.unanswered),
+        });
+    }
+
+    /// Notes until when a copy of the order of an attempt may still be carried out; `None` if each that was
+    /// sent has been answered.
+    pub(super) fn settle_start(
+        &mut self,
+        attempt: u32,
+        until: Option<Timestamp>,
+        is_answered: bool,
+    ) {
+        if let Some(open) = self.open_start.as_mut().filter(|open| open.attempt == attempt) {
+            open.until = until;
+            open.unanswered = if is_answered { 0 } else { open.unanswered + 1 };
+        }
+    }
+
     fn mark_done(&mut self) {
         self.is_done = true;
         self.checkpoint = None;
