--- a/crates/standins/tests/cells/every_call/starts.rs
+++ b/crates/standins/tests/cells/every_call/starts.rs
@@ -195,6 +195,9 @@
     grid(&[[Late, Late], [AnswerLost, Late]], &wide)
 }
 
+/// Time after the order by which its owner knows that no more answers come, in milliseconds.
+const KNOWN_MS: u64 = 800;
+
 /// Each way in which the owner changes.
 fn owner_changes() -> Vec<Option<(OwnerChange, u64)>> {
     let times = grid(&[100], &[20, 100, 700, 1_500, 3_000]);
@@ -225,6 +228,15 @@
     played
 });
 
+/// The owner knew before its end which of its orders had no answer.
+static KNOWN_TO_EARLIER_OWNER: LazyLock<Vec<Played>> = LazyLock::new(|| {
+    let copies = [ANSWERED.to_vec(), unanswered()].concat();
+    let changes: Vec<_> = OwnerChange::ALL.map(|change| Some((change, KNOWN_MS))).into();
+    let mut played = play_all(&copies, &changes, SHORT_MS);
+    played.extend(play_all(&copies, &changes, ENDURING_MS));
+    played
+});
+
 #[test]
 fn a_copy_of_an_answered_order_starts_nothing_twice_before_the_first_call_of_a_life() {
     assert_holds(&OF_ANSWERED, Arrival::BeforeFirstCall);
@@ -264,3 +276,9 @@
 fn an_order_of_an_earlier_owner_starts_nothing_twice_after_the_first_call_of_a_life() {
     assert_holds(&OF_EARLIER_OWNER, Arrival::AfterFirstCall);
 }
+
+#[test]
+fn an_open_order_that_an_earlier_owner_knew_of_starts_nothing_twice_before_the_first_call_of_a_life()
+ {
+    assert_holds(&KNOWN_TO_EARLIER_OWNER, Arrival::BeforeFirstCall);
+}
