--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod ends;
 mod holds;
+mod inherited_starts;
 mod job_table;
 mod load;
 mod orders;
@@ -133,6 +134,9 @@
     sole_until: Timestamp,
     /// The last term that the log shows besides this one.
     last_term: Option<recover::LoggedTerm>,
+    /// Start orders of the last term that may still be carried out, by workers that the store has not
+    /// listed yet.
+    inherited_starts: inherited_starts::InheritedStarts,
     /// How the wait for workers of earlier terms has gone so far.
     inherited_wait: recover::InheritedWait,
     /// When every lease of earlier terms has certainly expired. Until then a worker that is not
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -42,6 +42,8 @@
 pub(super) enum LiveKey {
     Job(JobId),
     Worker(WorkerId),
+    /// The start orders of a task that a worker may still carry out.
+    OpenStart(TaskId, WorkerId),
 }
 
 /// The records of one live thing.
@@ -136,6 +138,13 @@
                 self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
             }
             Record::WorkerGone { worker } => self.live.remove(&LiveKey::Worker(worker.clone())),
+            // It is live for some seconds only, and noticed to be no more when it would be copied.
+            Record::StartOpen { task, worker, .. } => {
+                let key = LiveKey::OpenStart(*task, worker.clone());
+                if !self.live.records.contains_key(&key) {
+                    self.live.set(key, position, 0);
+                }
+            }
             Record::HandedOver { .. } => {}
         }
     }
@@ -181,6 +190,9 @@
         let records = match key {
             LiveKey::Job(id) => self.jobs.get(id).map(|job| job_records(*id, job)),
             LiveKey::Worker(id) => self.worker_record(id).map(|record| vec![record]),
+            LiveKey::OpenStart(task, worker) => {
+                self.open_start_record(*task, worker, now).map(|record| vec![record])
+            }
         };
         self.live.remove(key);
         let other_bytes = self.live.bytes;
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -91,6 +91,17 @@
     (0..THINGS).prop_map(|number| WorkerId::from(format!("w{number}").as_str()))
 }
 
+/// Returns start orders that are open for longer than the cleaning takes.
+fn start_open() -> impl Strategy<Value = Record> {
+    let task = (0..THINGS, 0..TASKS);
+    (task, 1_u32..6, worker(), 3_000_u64..15_000).prop_map(
+        |((job, index), attempt, worker, until_ms)| {
+            let task = TaskId { job: JobId(job), occurrence: 0, step: 0, index };
+            Record::StartOpen { task, attempt, worker, until_ms }
+        },
+    )
+}
+
 fn finished() -> impl Strategy<Value = Record> {
     let end = prop_oneof![Just(JobEnd::Succeeded), Just(JobEnd::Failed), Just(JobEnd::Cancelled)];
     let queue = option::of(Just("quotes".parse().unwrap()));
@@ -107,6 +118,7 @@
         3 => (0..THINGS).prop_map(accepted),
         24 => ended(),
         6 => placed(),
+        3 => start_open(),
         1 => finished(),
         2 => worker().prop_map(|worker| Record::WorkerUsed { worker }),
         1 => worker().prop_map(|worker| Record::WorkerGone { worker }),
@@ -137,7 +149,7 @@
 
 fn segment(sequence: u64, records: &[Record]) -> StoredSegment {
     let encoded: Vec<EncodedRecord> = records.iter().map(EncodedRecord::new).collect();
-    let value = record::encode_segment(Epoch(1), Span(0), &encoded);
+    let value = record::encode_segment(Epoch(1), Span(0), Timestamp(0), &encoded);
     StoredSegment::decode(sequence, &value).unwrap()
 }
 
@@ -177,8 +189,10 @@
 fn describe(cell: &Cell) -> Vec<String> {
     let jobs = cell.jobs.iter().map(|(id, job)| describe_job(*id, job));
     let workers = cell.inherited_workers.keys().map(WorkerId::to_string);
-    let mut lines: Vec<String> = jobs.chain(workers).collect();
+    let starts = cell.inherited_starts.tasks().map(|(worker, task)| format!("{task} at {worker}"));
+    let mut lines: Vec<String> = jobs.chain(workers).chain(starts).collect();
     lines.sort();
+    lines.dedup();
     lines
 }
 
--- /dev/null
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -0,0 +1,136 @@
+//! Start orders that may still be carried out when the owner changes.
+//!
+//! The owner records each order that it knows to be open, and at a handover those that are under way. The
+//! next owner treats them like its own. What a lost owner sent in its last moments is in no record.
+
+use indexmap::IndexMap;
+
+use super::{
+    super::{
+        Action, LogEvent, Record, RunId, StoredSegment, TaskId, WorkerId,
+        worker::{OpenOrder, RunState, UNANSWERED_START_LIFETIME},
+    },
+    Cell,
+};
+use crate::{Span, Timestamp};
+
+/// The time that certainly passed between the writes of two segments. Owners' clocks can't be compared.
+fn time_between((earlier, later): (&StoredSegment, &StoredSegment)) -> Span {
+    if earlier.epoch == later.epoch { later.written.since(earlier.written) } else { Span(0) }
+}
+
+/// The open start orders of earlier terms, by worker.
+#[derive(Clone, Debug, Default)]
+pub(super) struct InheritedStarts(IndexMap<WorkerId, Vec<OpenOrder>>);
+
+impl InheritedStarts {
+    /// Finds the orders that were open at the last write. The time that was left then is counted from now.
+    pub(super) fn find(segments: &[StoredSegment], now: Timestamp) -> Self {
+        let mut found = Self::default();
+        let total = segments.iter().zip(segments.iter().skip(1)).map(time_between);
+        let mut left_in_log: u64 = total.map(|time| time.0).sum();
+        let mut previous: Option<&StoredSegment> = None;
+        for segment in segments {
+            left_in_log -= previous.map_or(0, |previous| time_between((previous, segment)).0);
+            previous = Some(segment);
+            for record in &segment.records {
+                let Record::StartOpen { task, attempt, worker, until_ms } = record else {
+                    continue;
+                };
+                let left = Timestamp(*until_ms).since(segment.written).0;
+                let left = Span(left.saturating_sub(left_in_log)).min(UNANSWERED_START_LIFETIME);
+                if left.0 > 0 {
+                    let (task, attempt, expiry) = (*task, *attempt, now + left);
+                    let order = OpenOrder { task, attempt, expiry, is_inherited: true };
+                    found.0.entry(worker.clone()).or_default().push(order);
+                }
+            }
+        }
+        found
+    }
+
+    /// The tasks with open orders, each with the worker.
+    #[cfg(test)]
+    pub(super) fn tasks(&self) -> impl Iterator<Item = (&WorkerId, TaskId)> {
+        let of = |(worker, orders)| {
+            let orders: &Vec<OpenOrder> = orders;
+            orders.iter().map(move |order| (worker, order.task))
+        };
+        self.0.iter().flat_map(of)
+    }
+
+    /// Takes the orders to a worker.
+    pub(super) fn take(&mut self, worker: &WorkerId) -> Vec<OpenOrder> {
+        self.0.swap_remove(worker).unwrap_or_default()
+    }
+}
+
+impl Cell {
+    /// Notes that a copy of a start order got no answer, for this owner and the next.
+    pub(super) fn note_open_start(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        (until, is_answered): (Timestamp, bool),
+        now: Timestamp,
+    ) {
+        let run = RunId { task, attempt, worker: id.clone() };
+        let event = LogEvent::StartOpen { run, is_answered, left: until.since(now) };
+        self.actions.push(Action::Log(event));
+        if let Some(worker) = self.workers.get_mut(id) {
+            let order = OpenOrder { task, attempt, expiry: until, is_inherited: false };
+            worker.record_open_order(order, now);
+        }
+        // A long-running task waits for no order.
+        if self.handover.is_none() && !self.step(task).is_some_and(|step| step.long_running) {
+            let worker = id.clone();
+            self.record(Record::StartOpen { task, attempt, worker, until_ms: until.0 }, now, None);
+        }
+    }
+
+    /// Takes over the open orders of earlier terms.
+    pub(super) fn inherit_open_starts(&mut self, starts: InheritedStarts) {
+        for (id, orders) in &starts.0 {
+            for &OpenOrder { task, attempt, expiry, .. } in orders {
+                if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task))
+                {
+                    task.inherit_start(id, attempt, expiry);
+                }
+            }
+        }
+        self.inherited_starts = starts;
+    }
+
+    /// Records the orders that are under way, before the handover. Their answers come too late for that.
+    pub(super) fn record_unsettled_starts(&mut self, now: Timestamp) {
+        let mut unsettled = Vec::new();
+        for (id, worker) in &self.workers {
+            let ordered = worker.runs.iter().filter(|(_, run)| run.state == RunState::Ordered);
+            let short = ordered.filter(|(_, run)| !run.is_long_running);
+            unsettled.extend(short.map(|(task, run)| Record::StartOpen {
+                task: *task,
+                attempt: run.attempt,
+                worker: id.clone(),
+                until_ms: run.order_expiry.0,
+            }));
+        }
+        for record in unsettled {
+            self.record(record, now, None);
+        }
+    }
+
+    /// The record of the start orders of a task that a worker may still carry out; `None` if there is none.
+    pub(super) fn open_start_record(
+        &self,
+        task: TaskId,
+        worker: &WorkerId,
+        now: Timestamp,
+    ) -> Option<Record> {
+        let known = self.workers.get(worker).map(|worker| &worker.open_orders);
+        let orders = known.or_else(|| self.inherited_starts.0.get(worker))?;
+        let open = || orders.iter().filter(|order| order.task == task && now <= order.expiry);
+        let attempt = open().map(|order| order.attempt).max()?;
+        let until_ms = open().map(|order| order.expiry.0).max()?;
+        Some(Record::StartOpen { task, attempt, worker: worker.clone(), until_ms })
+    }
+}
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -8,7 +8,7 @@
     super::{
         Action, LogEvent, PlacedTask, RunId, StartAnswer, StartOrder, StartOutcome, TaskId,
         WorkerId,
-        worker::{OpenOrder, RunState, StopOrder, UNANSWERED_START_LIFETIME},
+        worker::{RunState, StopOrder, UNANSWERED_START_LIFETIME},
     },
     Cell,
     restarts::MAY_START_AGAIN,
@@ -132,16 +132,14 @@
             let open_until = has_unanswered_copy.then_some(open_until);
             task.settle_start(attempt, open_until, outcome != StartOutcome::Unknown);
         }
+        if has_unanswered_copy {
+            let is_answered = outcome == StartOutcome::StartedRepeated;
+            self.note_open_start(id, (task, attempt), (open_until, is_answered), now);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if has_unanswered_copy {
-            worker.record_open_order(OpenOrder { task, attempt, expiry: order_expiry }, now);
-            let run = RunId { task, attempt, worker: id.clone() };
-            let is_answered = outcome == StartOutcome::StartedRepeated;
-            let event = LogEvent::StartOpen { run, is_answered, left: order_expiry.since(now) };
-            self.actions.push(Action::Log(event));
-        } else {
+        if !has_unanswered_copy {
             worker.release_ends(task, now);
         }
         if outcome == StartOutcome::Outranked {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -17,6 +17,7 @@
     },
     Cell, CellConfig,
     holds::{self, Lease},
+    inherited_starts::InheritedStarts,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
@@ -217,6 +218,7 @@
             inherited_workers: IndexMap::new(),
             sole_until: Timestamp(u64::MAX),
             last_term,
+            inherited_starts: InheritedStarts::default(),
             inherited_wait: InheritedWait::new(now),
             earlier_leases_expiry: now,
             plan_due: true,
@@ -239,6 +241,7 @@
             has_worker_list: false,
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
+        let open_starts = InheritedStarts::find(&recovered.segments, now);
         let mut used_workers = IndexSet::new();
         let records = recovered.segments.into_iter().flat_map(|segment| segment.records);
         for (position, record) in (1..).map(Position).zip(records) {
@@ -267,6 +270,7 @@
             }
             None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
         };
+        cell.inherit_open_starts(open_starts);
         cell.release_inherited_jobs(now);
         cell.log.begin_term(last_order, now);
         cell
@@ -310,6 +314,7 @@
     /// have runs.
     pub fn hand_over(&mut self, now: Timestamp, wall_ms: u64) {
         self.append_staged(now);
+        self.record_unsettled_starts(now);
         // A worker without runs has no order of this term outstanding. One that was never adopted
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
@@ -437,7 +442,7 @@
                 // The fleet may have been told that it is drained, and may act on that.
                 self.drains.insert(worker.clone(), DrainMode::WaitForRuns);
             }
-            Record::HandedOver { .. } => {}
+            Record::StartOpen { .. } | Record::HandedOver { .. } => {}
         }
     }
 
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -138,7 +138,7 @@
 
     /// Makes the new instance of a worker refuse the start orders of which copies are open.
     fn refuse_open_orders(&mut self, id: &WorkerId, open_orders: Vec<OpenOrder>, now: Timestamp) {
-        for OpenOrder { task, attempt, expiry } in &open_orders {
+        for OpenOrder { task, attempt, expiry, .. } in &open_orders {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.runs.entry(*task).or_insert_with(|| Run {
                     outlived_restart: true,
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -56,6 +56,7 @@
             }));
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
+            worker.open_orders = self.inherited_starts.take(&id);
             Self::update_stays_until(&mut worker, now);
             self.workers.insert(id.clone(), worker);
             self.confirm_replaced(&id, now);
--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -265,7 +265,7 @@
         let last = Position(self.durable.0 + record_count);
         let sequence = self.next_sequence;
         let earlier_orders_left = self.earlier_orders_end.since(now);
-        let value = record::encode_segment(self.epoch, earlier_orders_left, &records);
+        let value = record::encode_segment(self.epoch, earlier_orders_left, now, &records);
         self.segments.push_back(SegmentInfo { sequence, bytes: value.len(), last });
         self.stored_bytes += value.len();
         self.in_flight = Some(InFlightWrite { sequence, record_count });
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{JobId, JobSpec, Sequence, TaskId, WorkerId};
-use crate::{Epoch, QueueId, Span};
+use crate::{Epoch, QueueId, Span, Timestamp};
 
 /// How a run of a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -207,6 +207,18 @@
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         is_trial: bool,
     },
+    /// A copy of a start order got no answer, and any instance of the worker may carry it out.
+    StartOpen {
+        /// The task.
+        task: TaskId,
+        /// The number of the attempt.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// Time after which it takes effect no more, in milliseconds of the clock that the segments of the
+        /// same term show.
+        until_ms: u64,
+    },
     /// A run was lost with its worker, or the worker is now known to have crashed.
     RunLost {
         /// The task.
@@ -255,19 +267,24 @@
     /// Missing if owners of earlier terms could give no more orders.
     #[serde(default)]
     earlier_orders_ms: u64,
+    /// Missing in segments of earlier versions.
+    #[serde(default)]
+    clock_ms: u64,
     records: Vec<Record>,
 }
 
 /// The size of a segment without records, whatever its epoch.
-pub(super) const EMPTY_SEGMENT_BYTES: usize = 112;
+pub(super) const EMPTY_SEGMENT_BYTES: usize = 144;
 
 /// Returns the stored form of a segment, which [`StoredSegment::decode`] reads.
 ///
 /// `earlier_orders_left` is how much longer owners of earlier terms than this one may give orders. The
-/// next owner counts it from its reading, on its own clock.
+/// next owner counts it from its reading, on its own clock. `now` is the time of the write, on the clock
+/// of the writing owner, which times in its records refer to.
 pub(super) fn encode_segment(
     epoch: Epoch,
     earlier_orders_left: Span,
+    now: Timestamp,
     records: &[EncodedRecord],
 ) -> Vec<u8> {
     let records_bytes: usize = records.iter().map(|record| record.len() + 1).sum();
@@ -277,6 +294,7 @@
         let left = format!(",\"earlier_orders_ms\":{}", earlier_orders_left.0);
         buf.extend_from_slice(left.as_bytes());
     }
+    buf.extend_from_slice(format!(",\"clock_ms\":{}", now.0).as_bytes());
     buf.extend_from_slice(b",\"records\":[");
     for (index, record) in records.iter().enumerate() {
         if index > 0 {
@@ -299,6 +317,8 @@
     pub epoch: Epoch,
     /// How much longer owners of earlier terms than that may give orders, from when it is read.
     pub earlier_orders_left: Span,
+    /// When it was written, on the clock of the owner that wrote it.
+    pub written: Timestamp,
     /// The records, in the order in which they were appended.
     pub records: Vec<Record>,
 }
@@ -310,8 +330,9 @@
     ///
     /// Returns an error if the value is not a valid segment.
     pub fn decode(sequence: Sequence, value: &[u8]) -> Result<Self, serde_json::Error> {
-        let Segment { epoch, earlier_orders_ms, records } = serde_json::from_slice(value)?;
-        let earlier_orders_left = Span(earlier_orders_ms);
-        Ok(Self { sequence, bytes: value.len(), epoch, earlier_orders_left, records })
+        let Segment { epoch, earlier_orders_ms, clock_ms, records } =
+            serde_json::from_slice(value)?;
+        let (earlier_orders_left, written) = (Span(earlier_orders_ms), Timestamp(clock_ms));
+        Ok(Self { sequence, bytes: value.len(), epoch, earlier_orders_left, written, records })
     }
 }
--- a/crates/core/src/job/record/tests.rs
+++ b/crates/core/src/job/record/tests.rs
@@ -2,11 +2,12 @@
 
 #[test]
 fn a_segment_shows_how_much_longer_earlier_owners_may_give_orders() {
-    let value = encode_segment(Epoch(7), Span(2_900), &[]);
+    let value = encode_segment(Epoch(7), Span(2_900), Timestamp(5_000), &[]);
 
     let segment = StoredSegment::decode(3, &value).unwrap();
 
     assert_eq!(segment.earlier_orders_left, Span(2_900));
+    assert_eq!(segment.written, Timestamp(5_000));
     assert_eq!((segment.epoch, segment.records), (Epoch(7), Vec::new()));
 }
 
@@ -19,7 +20,7 @@
 
 #[test]
 fn a_segment_without_records_is_no_larger_than_reckoned() {
-    let value = encode_segment(Epoch(u64::MAX), Span(u64::MAX), &[]);
+    let value = encode_segment(Epoch(u64::MAX), Span(u64::MAX), Timestamp(u64::MAX), &[]);
 
     assert!(value.len() <= EMPTY_SEGMENT_BYTES, "{}", value.len());
 }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -127,6 +127,20 @@
         });
     }
 
+    /// Notes a start order of an earlier owner that may be carried out until `until`.
+    pub(super) fn inherit_start(&mut self, worker: &WorkerId, attempt: u32, until: Timestamp) {
+        self.attempt = self.attempt.max(attempt);
+        let earlier = self.open_start.take().filter(|open| open.worker == *worker);
+        self.open_start = Some(OpenStart {
+            worker: worker.clone(),
+            known_since: Timestamp(0),
+            attempt,
+            until: Some(until),
+            earlier_until: earlier.as_ref().and_then(OpenStart::until),
+            unanswered: 1,
+        });
+    }
+
     /// Notes until when a copy of the order of an attempt may still be carried out; `None` if each that was
     /// sent has been answered.
     pub(super) fn settle_start(
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -20,6 +20,8 @@
     pub(in crate::job) attempt: u32,
     /// Time after which no copy takes effect any more.
     pub(in crate::job) expiry: Timestamp,
+    /// Whether an earlier owner sent it. Each instance that this owner has called refuses it.
+    pub(in crate::job) is_inherited: bool,
 }
 
 /// The end of a task as done, listed while a copy of a start order of the task was open.
@@ -50,14 +52,15 @@
         self.open_orders.iter().any(|order| now <= order.expiry)
     }
 
-    /// The open start orders of which no run is booked any more, each with its task and attempt. A new
-    /// instance of the worker is to refuse them.
+    /// The open start orders of this owner of which no run is booked any more, each with its task and
+    /// attempt. A new instance of the worker is to refuse them.
     pub(in crate::job) fn abandoned_orders(
         &self,
         now: Timestamp,
     ) -> impl Iterator<Item = (TaskId, u32)> {
-        let is_abandoned =
-            move |order: &&OpenOrder| now <= order.expiry && !self.runs.contains_key(&order.task);
+        let is_abandoned = move |order: &&OpenOrder| {
+            !order.is_inherited && now <= order.expiry && !self.runs.contains_key(&order.task)
+        };
         self.open_orders.iter().filter(is_abandoned).map(|order| (order.task, order.attempt))
     }
 
--- a/crates/standins/tests/cells/late_copies.rs
+++ b/crates/standins/tests/cells/late_copies.rs
@@ -25,6 +25,9 @@
 /// Time within which a restarted worker confirms the stops of orders of before, in milliseconds.
 const REFUSED_MS: u64 = 2_000;
 
+/// Time after which an owner knows which of its orders are open, in milliseconds.
+const KNOWN_MS: u64 = 800;
+
 /// The longest time between two calls to a worker that doesn't answer, in milliseconds.
 const CALL_INTERVAL_MS: u64 = 600 + 250;
 
@@ -158,3 +161,51 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{task_ms}");
     }
 }
+
+/// Loses the owner once it knows that the order is open. The next one must not use `drained`.
+fn change_owner(model: &mut Model, drained: &WorkerId) {
+    model.run_for(KNOWN_MS);
+    model.kill_owner();
+    model.take_over();
+    use_no_more(model, drained);
+}
+
+#[test]
+fn an_order_that_was_under_way_in_a_handover_starts_no_done_task_in_the_next_instance() {
+    let (mut model, worker, ordered) = order_late(2, LATE_MS, 500);
+    model.count_every_start();
+    model.hand_over();
+    model.take_over();
+    use_no_more(&mut model, &worker);
+
+    return_at(&mut model, &worker, ordered + Span(LATE_MS));
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn an_open_order_of_the_owner_before_the_last_starts_no_done_task_in_the_next_instance() {
+    let (mut model, worker, ordered) = order_late(2, LATE_MS, 500);
+    model.count_every_start();
+    change_owner(&mut model, &worker);
+    change_owner(&mut model, &worker);
+
+    return_at(&mut model, &worker, ordered + Span(LATE_MS));
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+#[test]
+fn a_run_goes_on_under_the_next_owner_although_a_copy_of_its_order_is_open() {
+    let (mut model, worker, _) = order_late(1, LATE_MS, 5_000);
+    change_owner(&mut model, &worker);
+
+    model.run_for(REST_MS);
+
+    assert_eq!(state(&model, JOB), SUCCEEDED);
+    assert_eq!(model.start_count(task()), 1);
+}
