--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -1,7 +1,8 @@
 //! Start orders that may still be carried out when the owner changes.
 //!
-//! The owner records each order that it knows to be open, and at a handover those that are under way. The
-//! next owner treats them like its own. What a lost owner sent in its last moments is in no record.
+//! The owner records each order that it sends again or knows to be open, and at a handover those that are
+//! under way. The next owner treats them like its own. What a lost owner sent in its last moments is in no
+//! record.
 
 use indexmap::IndexMap;
 
@@ -81,6 +82,27 @@
             let order = OpenOrder { task, attempt, expiry: until, is_inherited: false };
             worker.record_open_order(order, now);
         }
+        self.record_open_start(id, (task, attempt), until, now);
+    }
+
+    /// Notes that a start order is sent again, because it has got no answer yet. Should the owner be lost
+    /// now, the next one knows of it.
+    pub fn on_start_repeated(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) {
+        self.record_open_start(id, (task, attempt), now + UNANSWERED_START_LIFETIME, now);
+    }
+
+    fn record_open_start(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        until: Timestamp,
+        now: Timestamp,
+    ) {
         // A long-running task waits for no order.
         if self.handover.is_none() && !self.step(task).is_some_and(|step| step.long_running) {
             let worker = id.clone();
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -229,8 +229,12 @@
                 Delivery::LogRead => self.take_over_again(0),
                 Delivery::RepeatStart { worker, epoch, order } => {
                     let run = (order.task, order.attempt);
-                    let cell = self.cell_of(epoch);
-                    let may_send = cell.is_some_and(|cell| cell.may_send_start(&worker, run));
+                    let now = self.now;
+                    let cell = self.cell_of(epoch).filter(|cell| cell.may_send_start(&worker, run));
+                    let may_send = cell.is_some();
+                    if let Some(cell) = cell {
+                        cell.on_start_repeated(&worker, run, now);
+                    }
                     if let Some(sender) = self.sender_of(epoch).filter(|_| may_send) {
                         self.call(sender, worker, Call::RepeatedStart(order));
                     } else {
--- a/crates/standins/tests/cells/every_call/starts.rs
+++ b/crates/standins/tests/cells/every_call/starts.rs
@@ -198,6 +198,9 @@
 /// Time after the order by which its owner knows that no more answers come, in milliseconds.
 const KNOWN_MS: u64 = 800;
 
+/// Time after the order by which its owner has sent it again and written that, in milliseconds.
+const SENT_AGAIN_MS: u64 = 250;
+
 /// Each way in which the owner changes.
 fn owner_changes() -> Vec<Option<(OwnerChange, u64)>> {
     let times = grid(&[100], &[20, 100, 700, 1_500, 3_000]);
@@ -231,12 +234,20 @@
 /// The owner knew before its end which of its orders had no answer.
 static KNOWN_TO_EARLIER_OWNER: LazyLock<Vec<Played>> = LazyLock::new(|| {
     let copies = [ANSWERED.to_vec(), unanswered()].concat();
-    let changes: Vec<_> = OwnerChange::ALL.map(|change| Some((change, KNOWN_MS))).into();
-    let mut played = play_all(&copies, &changes, SHORT_MS);
-    played.extend(play_all(&copies, &changes, ENDURING_MS));
-    played
+    play_with_changes_at(KNOWN_MS, &copies)
 });
 
+/// The owner had sent them again before its end.
+static SENT_AGAIN_BY_EARLIER_OWNER: LazyLock<Vec<Played>> =
+    LazyLock::new(|| play_with_changes_at(SENT_AGAIN_MS, &unanswered()));
+
+fn play_with_changes_at(at_ms: u64, copies: &[[Course; 2]]) -> Vec<Played> {
+    let changes = OwnerChange::ALL.map(|change| Some((change, at_ms)));
+    let mut played = play_all(copies, &changes, SHORT_MS);
+    played.extend(play_all(copies, &changes, ENDURING_MS));
+    played
+}
+
 #[test]
 fn a_copy_of_an_answered_order_starts_nothing_twice_before_the_first_call_of_a_life() {
     assert_holds(&OF_ANSWERED, Arrival::BeforeFirstCall);
@@ -282,3 +293,9 @@
  {
     assert_holds(&KNOWN_TO_EARLIER_OWNER, Arrival::BeforeFirstCall);
 }
+
+#[test]
+fn an_order_that_an_earlier_owner_sent_again_starts_nothing_twice_before_the_first_call_of_a_life()
+{
+    assert_holds(&SENT_AGAIN_BY_EARLIER_OWNER, Arrival::BeforeFirstCall);
+}
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -1,7 +1,7 @@
 //! Carries out what a cell asks for: calls to workers and to the advice service, replies to requests
 //! and log lines.
 
-use std::rc::Rc;
+use std::{cell::Cell as StdCell, rc::Rc};
 
 use slog::{info, warn};
 use teaselgap_core::{
@@ -53,7 +53,18 @@
                 let task = (order.task, order.attempt);
                 let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     let (repeater, client) = (&owner.order_repeater, &owner.worker_client);
-                    let permit = || owner.permit_start(&target.worker, task);
+                    let sent = StdCell::new(0);
+                    let permit = || {
+                        let fence = owner.permit_start(&target.worker, task)?;
+                        // The copies after that hardly prolong the order's life.
+                        if sent.replace(sent.get() + 1) == 1 {
+                            let now = clock::now();
+                            owner.with_cell(|cell| {
+                                cell.on_start_repeated(&target.worker, task, now)
+                            });
+                        }
+                        Ok(fence)
+                    };
                     let call = start_order::send(repeater, client, (&target, &order), permit);
                     let is_answered =
                         |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
