--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -60,7 +60,7 @@
                         if sent.replace(sent.get() + 1) == 1 {
                             let now = clock::now();
                             owner.with_cell(|cell| {
-                                cell.on_start_repeated(&target.worker, task, now)
+                                cell.on_start_repeated(&target.worker, task, now);
                             });
                         }
                         Ok(fence)
