A task that has lost two workers at its start isn't bound to one (LOST)

What callers see: a sound job is shown as failed. Its task's order got no answer, the task stayed bound to that worker, which restarted three times within seconds; each time the start there counted as a crash at the task's start, the last one as a trial.

Evidence against a task rests on its being started on different workers; the same worker again and again says nothing of the task. Now such a task may be repeated on its worker after one loss at its start, and waits for the order's expiry from the second one on.

A first form, no repeat after any loss, failed waits::a_copy_of_an_earlier_attempt_runs_no_task_twice and ..._after_the_lease_...: a task that ran for 150 ms has to start again within 3 s.

--- a/crates/core/src/job/cell/start_scope.rs
+++ b/crates/core/src/job/cell/start_scope.rs
@@ -11,9 +11,14 @@
         place::{self, PlacementCandidate},
     },
     Cell,
+    trials::is_at_start,
 };
 use crate::Timestamp;
 
+/// The most losses at its start with which a task may be repeated on the same worker, whose further crashes
+/// would count against it.
+const MAX_LOSSES: usize = 1;
+
 /// Where a task may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StartScope<'a> {
@@ -57,10 +62,11 @@
             return StartScope::Anywhere;
         }
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        let Some(open) = task.and_then(|task| task.open_start(now)) else {
+        let Some((task, open)) = task.and_then(|task| Some((task, task.open_start(now)?))) else {
             return StartScope::Anywhere;
         };
-        let worker = self.workers.get(&open.worker);
+        let losses = task.lost_runs.iter().filter(|lost| is_at_start(lost)).count();
+        let worker = self.workers.get(&open.worker).filter(|_| losses <= MAX_LOSSES);
         if worker.is_some_and(|worker| open.may_repeat(worker.known_since, now)) {
             StartScope::On(&open.worker)
         } else {
