--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -4,6 +4,9 @@
 //! under way. The next owner treats them like its own. What a lost owner sent in its last moments is in no
 //! record.
 
+#[cfg(test)]
+mod tests;
+
 use indexmap::IndexMap;
 
 use super::{
@@ -112,12 +115,17 @@
 
     /// Takes over the open orders of earlier terms.
     pub(super) fn inherit_open_starts(&mut self, starts: InheritedStarts) {
-        for (id, orders) in &starts.0 {
-            for &OpenOrder { task, attempt, expiry, .. } in orders {
-                if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task))
-                {
-                    task.inherit_start(id, attempt, expiry);
-                }
+        let of_worker = |(id, orders)| {
+            let orders: &Vec<OpenOrder> = orders;
+            orders.iter().map(move |order| (order.attempt, id, order))
+        };
+        let mut orders: Vec<_> = starts.0.iter().flat_map(of_worker).collect();
+        // The time between two terms isn't known, so that more than the latest may count as open.
+        orders.sort_by_key(|(attempt, ..)| *attempt);
+        for (attempt, id, OpenOrder { task, expiry, .. }) in orders {
+            let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(*task));
+            if let Some(state) = state {
+                state.inherit_start(id, attempt, *expiry);
             }
         }
         self.inherited_starts = starts;
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -127,7 +127,8 @@
         });
     }
 
-    /// Notes a start order of an earlier owner that may be carried out until `until`.
+    /// Notes a start order of an earlier owner that may be carried out until `until`. Those of a task are noted
+    /// in the order of their attempts.
     pub(super) fn inherit_start(&mut self, worker: &WorkerId, attempt: u32, until: Timestamp) {
         self.attempt = self.attempt.max(attempt);
         let earlier = self.open_start.take().filter(|open| open.worker == *worker);
