Log: another worker instance is named with the latest lease expiry that was sent

Change: `other worker instance` has lease_end_sent_ms, on the clock of the instance known then, beside clock_ms, which the worker measures it by.

--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -238,6 +238,9 @@
     /// The latest reading of the newest known instance's monotonic clock, in milliseconds, and its
     /// age.
     pub known_clock: Option<(u64, Span)>,
+    /// The latest lease expiry that was sent to the worker, on the clock of the instance known then, in
+    /// milliseconds; zero if none was.
+    pub lease_end_sent_ms: u64,
     /// Whether the named instance is an earlier or a later one.
     pub verdict: &'static str,
 }
--- a/crates/core/src/job/worker/instance.rs
+++ b/crates/core/src/job/worker/instance.rs
@@ -223,6 +223,7 @@
             known_started_wall_ms: self.started_wall_ms,
             clock_ms,
             known_clock: self.clock.map(|clock| (clock.worker_ms, now.since(clock.at))),
+            lease_end_sent_ms: self.last_lease_end_sent,
             verdict: order.as_str(),
         })
     }
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -204,6 +204,7 @@
             info!(self.log, "other worker instance"; "worker" => %worker, "source" => source,
                 "started" => started_wall_ms, "known_started" => known_started_wall_ms,
                 "clock_ms" => statement.clock_ms, "known_clock_ms" => known_clock_ms,
+                "lease_end_sent_ms" => statement.lease_end_sent_ms,
                 "known_clock_age_ms" => known_clock_age.map(|age| age.0),
                 "verdict" => statement.verdict, "cell" => self.cell.as_str(),
                 "epoch" => self.epoch);
