--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -42,7 +42,7 @@
     link::Link,
     log::MAX_VALUE_BYTES,
     owners::{Afterlife, StrayOrders},
-    worker::{ModelWorker, TaskTime},
+    worker::{ClockDraw, ModelWorker, TaskTime},
 };
 
 /// One-way latency of a message, in milliseconds.
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -1,10 +1,14 @@
 //! A simulated worker.
 
+mod clock;
 #[cfg(test)]
 mod tests;
 
 use std::sync::Arc;
 
+pub use self::clock::ClockDraw;
+use self::clock::WorkerClock;
+
 use super::availability::OrderedEnd;
 use indexmap::IndexMap;
 use teaselgap_core::{
@@ -106,10 +110,13 @@
     pub task_time: TaskTime,
     /// How fast the worker's clock goes, in percent of true time.
     pub clock_percent: u64,
+    /// What the monotonic clock of the next instance shows first; drawn if `None`.
+    pub next_clock: Option<ClockDraw>,
+    /// The longest lease that the worker accepts, in milliseconds from now.
+    pub max_lease_ms: u64,
     /// The number of the worker instance, whatever it says of itself.
     instance: u64,
-    /// Zero of the worker instance's monotonic clock.
-    clock_start: Timestamp,
+    clock: WorkerClock,
     partitioned_until: Timestamp,
     partitioned_since: Timestamp,
     /// The highest fencing token of a call so far; calls with a lower one are refused.
@@ -132,12 +139,15 @@
     /// Creates a worker that has just started.
     #[must_use]
     pub fn new(entry: WorkerEntry) -> Self {
+        let clock = WorkerClock::first(&entry.id);
         Self {
             entry,
             task_time: TaskTime::AsEstimated,
             clock_percent: 100,
+            next_clock: None,
+            max_lease_ms: MAX_LEASE_MS,
             instance: 0,
-            clock_start: Timestamp(0),
+            clock,
             partitioned_until: Timestamp(0),
             partitioned_since: Timestamp(0),
             fence: Fence::default(),
@@ -153,8 +163,9 @@
     }
 
     /// Returns the reading of the worker's monotonic clock in milliseconds.
-    pub(super) fn clock(&self, now: Timestamp) -> u64 {
-        now.since(self.clock_start).0 * self.clock_percent / 100
+    #[must_use]
+    pub fn clock(&self, now: Timestamp) -> u64 {
+        self.clock.reading(self.clock_percent, now)
     }
 
     /// Returns when the worker was last in contact with the store: when its partition began, or now
@@ -191,13 +202,18 @@
         let entry = WorkerEntry { started_wall_ms: wall_ms, ..self.entry.clone() };
         let (task_time, ticket, clock_percent) = (self.task_time, self.ticket, self.clock_percent);
         let instance = self.instance + 1;
+        let draw = self.next_clock.unwrap_or_else(|| ClockDraw::of(&entry.id, instance));
+        let clock = WorkerClock::of_next_instance(draw, self.clock(now), now);
+        let (max_lease_ms, next_clock) = (self.max_lease_ms, self.next_clock);
         let partitioned_until = now + Span(away_ms);
         *self = Self {
             task_time,
             ticket,
             clock_percent,
             instance,
-            clock_start: now,
+            clock,
+            max_lease_ms,
+            next_clock,
             partitioned_since: now,
             partitioned_until,
             ..Self::new(entry)
@@ -341,10 +357,10 @@
         true
     }
 
-    /// Extends the lease to at most [`MAX_LEASE_MS`] from now.
+    /// Extends the lease, to at most its maximum from now.
     fn extend_lease(&mut self, lease_end: Option<u64>, now: Timestamp) {
         if let Some(end) = lease_end {
-            let latest_end = self.clock(now) + MAX_LEASE_MS;
+            let latest_end = self.clock(now) + self.max_lease_ms;
             self.lease_end = self.lease_end.max(end.min(latest_end));
         }
     }
--- a/crates/standins/tests/cells/instances.rs
+++ b/crates/standins/tests/cells/instances.rs
@@ -4,11 +4,12 @@
 mod history;
 mod truth;
 
+use proptest::prelude::*;
 use teaselgap_core::{
     Span,
     job::{Action, HoldReport, JobEnd, JobId, JobState, LogEvent, Step},
 };
-use teaselgap_standins::model::{Model, WorkerFaults};
+use teaselgap_standins::model::{ClockDraw, Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
 
@@ -20,6 +21,17 @@
 /// the store and the time to the worker's next heartbeat.
 const EARLIER_ENTRY_MS: u64 = 4_500;
 
+/// Draws where the clock of an instance starts.
+fn clock_draw() -> impl Strategy<Value = ClockDraw> {
+    prop_oneof![
+        (0_u64..9_000_000).prop_map(ClockDraw::Small),
+        (0_u64..9_000_000).prop_map(ClockDraw::Large),
+        (0_u64..9_000_000).prop_map(ClockDraw::Ahead),
+        (0_u64..9_000_000).prop_map(ClockDraw::Behind),
+        (0_u64..100).prop_map(ClockDraw::Inside),
+    ]
+}
+
 /// Returns how often the owners have taken a worker for restarted.
 fn restart_count(model: &Model) -> usize {
     let is_restart =
@@ -139,7 +151,7 @@
     cell.on_stop_answer(&"w0".into(), (task_id(JOB, 0), 1), true, (sent, known_since));
     let (running, ends) = (Vec::new(), Vec::new());
     let report =
-        HoldReport { clock_ms: 1_000, started_wall_ms: 2, running, ends, is_complete: true };
+        HoldReport { clock_ms: 2_001, started_wall_ms: 2, running, ends, is_complete: true };
     cell.on_hold_answer(&"w0".into(), listed, Some(report), listed);
     let actions = cell.take_actions();
 
--- a/crates/standins/tests/cells/instances/history.rs
+++ b/crates/standins/tests/cells/instances/history.rs
@@ -3,9 +3,9 @@
 
 use proptest::prelude::*;
 use teaselgap_core::{Span, Timestamp, job::WorkerEntry};
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{ClockDraw, Model};
 
-use super::{report, restart_count};
+use super::{clock_draw, report, restart_count};
 use crate::fixtures::{new_model, worker};
 
 /// The longest time after the end of an instance at which an entry of its may appear in the store.
@@ -20,8 +20,9 @@
 /// What happens next, after a pause in milliseconds.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// The worker restarts and calls its new instance this, unless one of its had that name.
-    Restart(u64),
+    /// The worker restarts and calls its new instance this, unless one of its had that name. Its clock
+    /// starts anywhere.
+    Restart(u64, ClockDraw),
     /// The living instance answers at once.
     Answer,
     /// The last answer of this many instances ago arrives.
@@ -34,7 +35,7 @@
 
 fn step() -> impl Strategy<Value = (Step, u64)> {
     let step = prop_oneof![
-        2 => (1_u64..1_000).prop_map(Step::Restart),
+        2 => (1_u64..1_000, clock_draw()).prop_map(|(name, clock)| Step::Restart(name, clock)),
         3 => Just(Step::Answer),
         1 => (1_usize..4).prop_map(Step::LateAnswer),
         1 => Just(Step::NoAnswer),
@@ -48,17 +49,25 @@
 struct Instance {
     name: u64,
     born: Timestamp,
+    /// What its clock showed then.
+    first_clock_ms: u64,
     ended: Option<Timestamp>,
 }
 
+impl Instance {
+    fn clock_ms(&self, at: Timestamp) -> u64 {
+        self.first_clock_ms + at.since(self.born).0
+    }
+}
+
 /// What the owner may know by what it was told.
 #[derive(Clone, Copy, Debug)]
 struct Known {
     /// The number of the newest instance.
     newest: usize,
     since: Timestamp,
-    /// When it started at the latest, if its clock was read.
-    latest_start: Option<Timestamp>,
+    /// When its first and its latest answer came, if any did.
+    heard: Option<(Timestamp, Timestamp)>,
     /// Whether no entry of an earlier instance can appear any more.
     is_settled: bool,
     /// Whether the latest hold got no answer.
@@ -78,18 +87,14 @@
         let model = new_model(1);
         let now = model.now();
         let name = worker(0).entry.started_wall_ms;
-        let first = Instance { name, born: Timestamp(0), ended: None };
-        let known = Known {
-            newest: 0,
-            since: now,
-            latest_start: None,
-            is_settled: false,
-            is_silent: false,
-        };
+        let first_clock_ms = worker(0).clock(Timestamp(0));
+        let first = Instance { name, born: Timestamp(0), first_clock_ms, ended: None };
+        let known =
+            Known { newest: 0, since: now, heard: None, is_settled: false, is_silent: false };
         let mut history = Self { model, now, instances: vec![first], known, restarts: 0 };
         // The owner has heard of the first instance for long. What it knows of the second one follows
         // from what it is told here.
-        history.apply((Step::Restart(SECOND_NAME), PAUSE_MS));
+        history.apply((Step::Restart(SECOND_NAME, ClockDraw::Small(0)), PAUSE_MS));
         history.apply((Step::Answer, PAUSE_MS));
         history
     }
@@ -98,37 +103,36 @@
         self.instances.len() - 1
     }
 
-    fn advance(&mut self, number: usize, latest_start: Option<Timestamp>) {
+    fn advance(&mut self, number: usize, heard: Option<(Timestamp, Timestamp)>) {
         let (since, is_settled, is_silent) = (self.now, false, false);
-        self.known = Known { newest: number, since, latest_start, is_settled, is_silent };
+        self.known = Known { newest: number, since, heard, is_settled, is_silent };
         self.restarts += 1;
     }
 
-    fn restart(&mut self, name: u64) {
+    fn restart(&mut self, name: u64, clock: ClockDraw) {
         if self.instances.iter().any(|instance| instance.name == name) {
             return;
         }
         let living = self.living();
         self.instances[living].ended = Some(self.now);
         let born = self.now + Span(1);
-        self.instances.push(Instance { name, born, ended: None });
+        let first_clock_ms = clock.first_reading(self.instances[living].clock_ms(self.now));
+        self.instances.push(Instance { name, born, first_clock_ms, ended: None });
     }
 
     /// Passes an answer, which an instance gave at `sent` and which arrives now, to the owner.
     fn answer(&mut self, number: usize, sent: Timestamp) {
-        let Instance { name, born, .. } = self.instances[number];
-        let clock = sent.since(born);
+        let instance = self.instances[number];
+        let answer = report(instance.name, instance.clock_ms(sent));
         let cell = self.model.cell_mut().expect("an owner");
-        cell.on_hold_answer(&"w0".into(), sent, Some(report(name, clock.0)), self.now);
-        let latest_start = Timestamp(self.now.0 - clock.0);
-        let is_asked_since =
-            self.known.latest_start.map_or(sent >= self.known.since, |start| sent > start);
+        cell.on_hold_answer(&"w0".into(), sent, Some(answer), self.now);
+        let heard = self.known.heard;
+        let is_asked_since = heard.map_or(sent >= self.known.since, |(_, latest)| sent > latest);
         if number > self.known.newest && is_asked_since {
-            self.advance(number, Some(latest_start));
+            self.advance(number, Some((self.now, self.now)));
         } else if number == self.known.newest {
             self.known.is_silent = false;
-            let start = self.known.latest_start.get_or_insert(latest_start);
-            *start = if self.instances[number].ended.is_some() { latest_start } else { *start };
+            self.known.heard = Some((heard.map_or(self.now, |(first, _)| first), self.now));
         }
     }
 
@@ -143,8 +147,8 @@
         if number > self.known.newest && self.known.is_settled && self.known.is_silent {
             self.advance(number, None);
         } else if number == self.known.newest {
-            let is_late = |start: Timestamp| self.now > start + LATE_WRITE_LIFETIME;
-            self.known.is_settled |= self.known.latest_start.is_some_and(is_late);
+            let is_late = |(first, _): (Timestamp, _)| self.now > first + LATE_WRITE_LIFETIME;
+            self.known.is_settled |= self.known.heard.is_some_and(is_late);
         }
     }
 
@@ -152,7 +156,7 @@
         self.now = self.now + Span(pause_ms);
         let living = self.living();
         match step {
-            Step::Restart(name) => self.restart(name),
+            Step::Restart(name, clock) => self.restart(name, clock),
             Step::Answer => {
                 let sent = self.now;
                 self.now = self.now + Span(1);
@@ -179,9 +183,9 @@
 
 proptest! {
     /// A worker counts as restarted exactly when an answer of a later instance arrives that was asked
-    /// for once the newest known one had certainly started, or an entry of a later one when none of an
-    /// earlier one can appear any more and the worker doesn't answer; never when a statement is about an
-    /// earlier one.
+    /// for after the latest answer of the newest known one had come, or an entry of a later one when none
+    /// of an earlier one can appear any more and the worker doesn't answer; never when a statement is
+    /// about an earlier one, wherever the clocks start.
     #[test]
     fn each_statement_counts_for_the_instance_that_made_it(
         steps in prop::collection::vec(step(), 1..30),
--- a/crates/standins/tests/cells/instances/truth.rs
+++ b/crates/standins/tests/cells/instances/truth.rs
@@ -7,9 +7,9 @@
     Timestamp,
     job::{EndKind, HoldReport, JobId, LogEvent, RunEnd, WorkerEntry},
 };
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{ClockDraw, Model};
 
-use super::restart_count;
+use super::{clock_draw, restart_count};
 use crate::fixtures::{new_model, task_id, worker};
 
 /// The longest time after which a write of an ended instance is carried out, in milliseconds.
@@ -29,10 +29,22 @@
     ended: u64,
     /// The time by which it is named, whatever its wall clock showed.
     name: u64,
+    /// What its clock shows when it is born.
+    first_clock_ms: u64,
     /// By how much its clock is slow, in percent.
     slow_percent: u64,
 }
 
+impl Instance {
+    fn clock_ms(&self, at: u64) -> u64 {
+        self.first_clock_ms + (at - self.born) * (100 - self.slow_percent) / 100
+    }
+}
+
+/// How long an instance lives, by how much its clock is slow, where that starts, and what the instance is
+/// named by.
+type Life = (u64, u64, ClockDraw, u64);
+
 /// What names an instance, and when that reaches the owner.
 #[derive(Clone, Copy, Debug)]
 struct Statement {
@@ -69,22 +81,26 @@
     )
 }
 
-/// Draws the lives of instances, with how long each lasts, by how much its clock is slow, and what it
-/// is named by: the names are in any order.
-fn lives() -> impl Strategy<Value = Vec<(u64, u64, u64)>> {
+/// Draws the lives of instances: the names are in any order, and the clocks start anywhere.
+fn lives() -> impl Strategy<Value = Vec<Life>> {
     let names: Vec<u64> = (2..8).collect();
-    let lives = prop::collection::vec((100_u64..4_000, 0_u64..3), 6);
+    let lives = prop::collection::vec((100_u64..4_000, 0_u64..3, clock_draw()), 6);
     (lives, Just(names).prop_shuffle()).prop_map(|(lives, names)| {
-        lives.into_iter().zip(names).map(|((ms, slow), name)| (ms, slow, name)).collect()
+        let name = |((ms, slow, clock), name)| (ms, slow, clock, name);
+        lives.into_iter().zip(names).map(name).collect()
     })
 }
 
-/// Returns the instances of the worker: the one that the owner knows at `known_at`, and those after it.
-fn instances(lives: &[(u64, u64, u64)], known_at: u64) -> Vec<Instance> {
+/// Returns the instances of the worker: the one that the owner knows at `known_at`, whose clock showed
+/// `first_clock_ms` at time zero, and those after it.
+fn instances(lives: &[Life], first_clock_ms: u64, known_at: u64) -> Vec<Instance> {
     let mut ended = known_at + lives[0].0;
-    let mut instances = vec![Instance { born: 0, ended, name: 1, slow_percent: 0 }];
-    for &(ms, slow_percent, name) in lives {
-        instances.push(Instance { born: ended, ended: ended + ms, name, slow_percent });
+    let mut instances = vec![Instance { born: 0, ended, name: 1, first_clock_ms, slow_percent: 0 }];
+    for &(ms, slow_percent, clock, name) in lives {
+        let last_clock_ms = instances.last().map_or(0, |last| last.clock_ms(ended));
+        let first_clock_ms = clock.first_reading(last_clock_ms);
+        let life = Instance { born: ended, ended: ended + ms, name, first_clock_ms, slow_percent };
+        instances.push(life);
         ended += ms;
     }
     instances
@@ -95,11 +111,11 @@
 fn statements(instances: &[Instance], draws: &[Draw], known_at: u64) -> Vec<Statement> {
     let statement = |draw: &Draw| {
         let number = draw.instance.index(instances.len());
-        let Instance { born, ended, slow_percent, .. } = instances[number];
+        let Instance { born, ended, .. } = instances[number];
         let earliest = born.max(known_at + 1);
         let given = earliest + (ended - earliest) * draw.given_permille / 1_000;
         let asked = given.saturating_sub(draw.asked_before_ms).max(earliest);
-        let clock_ms = (given - born) * (100 - slow_percent) / 100;
+        let clock_ms = instances[number].clock_ms(given);
         match draw.source {
             Source::Entry => {
                 Statement { instance: number, arrives: given + draw.write_ms, answer: None }
@@ -160,7 +176,8 @@
     ) {
         let mut model = new_model(1);
         let known_at = model.now().0;
-        let instances = instances(&lives, known_at);
+        let first_clock_ms = model.worker_mut("w0").clock(Timestamp(0));
+        let instances = instances(&lives, first_clock_ms, known_at);
         let (mut newest, mut heard_at) = (0, known_at);
 
         for statement in statements(&instances, &draws, known_at) {
