--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -106,6 +106,14 @@
         }
     }
 
+    /// Sets the longest lease that the workers accept, in milliseconds. The next owner knows of it.
+    pub fn set_longest_lease(&mut self, max_lease_ms: u64) {
+        self.cfg.max_lease = Span(max_lease_ms);
+        for worker in self.workers.values_mut() {
+            worker.max_lease_ms = max_lease_ms;
+        }
+    }
+
     /// Sets the faults of the next start orders to a worker.
     pub fn set_faults(&mut self, id: &str, faults: WorkerFaults) {
         self.faults.insert(id.into(), faults);
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -22,6 +22,7 @@
 mod random;
 mod restarts;
 mod store_outage;
+mod stray_leases;
 mod takeover;
 mod turns;
 mod waits;
--- /dev/null
+++ b/crates/standins/tests/cells/stray_leases.rs
@@ -0,0 +1,156 @@
+//! Tests of leases that a restarted worker gets from calls that were meant for its former instance. Each of
+//! these names a time of another clock, far ahead of the new one, so that it brings the longest lease.
+
+use teaselgap_core::job::{JobId, LogEvent};
+use teaselgap_standins::model::{ClockDraw, Model};
+
+use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+
+/// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
+const LONGEST_LEASE_MS: u64 = 10_000;
+
+/// Longer than the longest lease on the slowest clock, in milliseconds.
+const LONG_MS: u64 = 2 * LONGEST_LEASE_MS;
+
+/// Longer than the time until a new owner has adopted all workers, in milliseconds.
+const ADOPTED_MS: u64 = 6_000;
+
+/// How long the store lists the entry of before the restart at most, in milliseconds: longer than the time
+/// between two holds of an idle worker.
+const KEPT_ENTRY_MS: u64 = 3_500;
+
+const JOB: JobId = JobId(7);
+
+/// Time within which what waits for nothing else is planned and ordered, in milliseconds.
+const SETTLE_MS: u64 = 1_000;
+
+const TASKS: u32 = 4;
+
+/// Creates a model of two idle workers that accept long leases. The next instance of `w0` has a clock that is
+/// far behind.
+fn idle_model() -> Model {
+    let mut model = new_model(2);
+    model.count_every_start();
+    model.set_longest_lease(LONGEST_LEASE_MS);
+    model.worker_mut("w0").next_clock = Some(ClockDraw::Behind(1_000_000));
+    model.kill_owner();
+    model.take_over();
+    model.run_for(ADOPTED_MS);
+    model
+}
+
+/// What finds the new instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FoundBy {
+    Order,
+    Hold,
+}
+
+/// Restarts `w0`, which can be reached again at once, and lets long tasks start there.
+fn restart_with_tasks(model: &mut Model, found_by: FoundBy) {
+    let kept_ms = match found_by {
+        FoundBy::Order => 50,
+        FoundBy::Hold => KEPT_ENTRY_MS,
+    };
+    model.keep_entry("w0", kept_ms);
+    model.restart_worker_at("w0", model.wall_ms(), 10);
+    model.run_for(10);
+    if found_by == FoundBy::Hold {
+        assert!(model.run_until(KEPT_ENTRY_MS, has_restarted));
+        model.keep_entry("w0", 0);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(TASKS, 4_000, LONG_MS)]));
+}
+
+/// Whether an owner has taken a worker for restarted.
+fn has_restarted(model: &Model) -> bool {
+    let is_restart =
+        |event: &LogEvent| matches!(event, LogEvent::Worker { change: "restarted", .. });
+    model.log_events().iter().any(is_restart)
+}
+
+/// How many starts the tasks have had.
+fn starts(model: &Model) -> u32 {
+    (0..TASKS).map(|index| model.start_count(task_id(JOB, index))).sum()
+}
+
+fn histories<const N: usize>(times_ms: [u64; N]) -> impl Iterator<Item = (FoundBy, u64)> {
+    let found_by = [FoundBy::Order, FoundBy::Hold].into_iter();
+    found_by.flat_map(move |found_by| times_ms.map(|ms| (found_by, ms)))
+}
+
+/// Guards against a task that starts elsewhere while it runs on a worker that is cut off soon after its
+/// restart, under a lease that its owner doesn't know of.
+#[test]
+fn a_call_to_the_former_instance_that_finds_the_new_one_gives_it_the_longest_lease() {
+    let cuts = [20, 50, 100, 200, 400, 700, 1_000, 2_000, 4_000];
+    for (found_by, cut_ms) in histories(cuts) {
+        let mut model = idle_model();
+
+        restart_with_tasks(&mut model, found_by);
+        model.run_for(cut_ms);
+        model.make_unreachable("w0", 4 * LONG_MS);
+        model.run_for(LONG_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {cut_ms}");
+    }
+}
+
+/// Guards against a wait for the longest lease that has no end.
+#[test]
+fn a_task_on_a_worker_cut_off_after_its_restart_runs_again_after_the_longest_lease() {
+    for (found_by, cut_ms) in histories([400, 1_000]) {
+        let mut model = idle_model();
+
+        restart_with_tasks(&mut model, found_by);
+        model.run_for(cut_ms);
+        model.make_unreachable("w0", 8 * LONG_MS);
+        model.run_for(LONGEST_LEASE_MS * 103 / 100 + SETTLE_MS);
+
+        assert!(starts(&model) > TASKS, "{found_by:?} {cut_ms}: {}", starts(&model));
+        assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {cut_ms}");
+    }
+}
+
+/// Guards against a task that starts elsewhere while it runs, because the next owner reckons with the leases
+/// that owners ask for.
+#[test]
+fn the_next_owner_knows_which_workers_may_have_the_longest_lease() {
+    for (found_by, kill_ms) in histories([60, 100, 200, 400, 1_000, 2_000]) {
+        for cut_ms in [0, 300, 600, 2_000, 4_000] {
+            let mut model = idle_model();
+
+            restart_with_tasks(&mut model, found_by);
+            model.run_for(kill_ms);
+            model.kill_owner();
+            model.run_for(cut_ms);
+            model.make_unreachable("w0", 4 * LONG_MS);
+            model.run_for(200);
+            model.take_over();
+            model.run_for(LONG_MS);
+
+            assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {kill_ms} {cut_ms}");
+        }
+    }
+}
+
+/// The same if the next owner is heard by the worker before that is cut off.
+#[test]
+fn the_next_owner_knows_it_of_workers_that_it_has_adopted() {
+    for (found_by, kill_ms) in histories([60, 100, 200, 400, 1_000, 2_000]) {
+        for cut_ms in [50, 300, 600, 2_000] {
+            let mut model = idle_model();
+
+            restart_with_tasks(&mut model, found_by);
+            model.run_for(kill_ms);
+            model.kill_owner();
+            model.run_for(200);
+            model.take_over();
+            model.run_for(cut_ms);
+            model.make_unreachable("w0", 4 * LONG_MS);
+            model.run_for(LONG_MS);
+
+            assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {kill_ms} {cut_ms}");
+        }
+    }
+}
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// Guards against a task that waits longer than for the lease of its worker, of which the owner has only
+/// just heard, so that the entry of the next instance proves nothing.
+#[test]
+fn a_task_whose_worker_is_lost_right_after_its_restart_waits_for_its_lease_at_most() {
+    for life_ms in (0..500).step_by(50) {
+        let mut model = new_model(14);
+        model.run_for(4_000);
+        let lost = start_task(&mut model);
+
+        model.run_for(2);
+        model.lose_worker(lost.as_str());
+        model.run_for(500);
+        bring_back(&mut model, &lost);
+        model.run_for(life_ms);
+        model.lose_worker(lost.as_str());
+        let restarted = model.run_until(MAX_LEASE_MS, |model| model.start_count(task()) > 1);
+
+        assert!(restarted, "{life_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+}
+
 /// Guards against a wait that each restart of the worker begins anew.
 #[test]
 fn a_task_waits_no_longer_however_often_its_worker_restarts() {
