An owner reckons with the lease that a call to a former instance may have given the new one (TWICE)

What callers saw: two runs of one task at once; the first one's worker had restarted and was cut off soon after.

Cause: each call names the end of a lease on the clock of the instance it is meant for. One that reaches the next instance, the hold that finds it or a start order, gives it up to the longest lease; a lease is never shortened and applies to all runs. The owner reckoned with the lease that it had asked for since.

Change: the law has one place, worker/stray_lease.rs. Until an instance has answered a call that outranks those to others, each answer moves the end of what it may have got to the longest lease from then. So it is after a restart, and for a worker that left and returned in this term. While something says that another instance is up (an entry, an answer to an order out of the clock's range) no deadline is sent and nothing is started there; that ends with the next answer.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -288,10 +288,14 @@
         now: Timestamp,
     ) {
         let stop_limit = Self::stop_limit(&self.cfg);
+        let longest_lease = self.longest_lease();
         let is_inherited = self.inherited_workers.contains_key(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        // Each hold that is decided on once an instance is known outranks the calls to those before.
+        worker.stray_lease.on_answer(sent > worker.known_since, longest_lease, now);
+        worker.instance_doubt.take_if(|since| sent > *since);
         let was_silent = worker.hold_failures >= MAX_HOLD_FAILURES;
         let was_adopted = worker.is_adopted;
         let had_failed_holds = worker.hold_failures > 0;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -150,6 +150,7 @@
         let may_show = |ms| worker.may_show(ms, (asked, now));
         let is_of_other_instance = clock_ms.is_some_and(|ms| !may_show(ms));
         if is_of_other_instance {
+            worker.instance_doubt = Some(now);
             worker.next_hold = worker.next_hold.min(now);
         }
         let run = worker.runs.get_mut(&task).filter(|run| run.attempt == attempt);
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -15,7 +15,7 @@
 use super::{
     super::{
         Action, LogEvent, TaskId, WorkerEntry, WorkerId,
-        worker::{OpenOrder, Run, RunState, Worker},
+        worker::{OpenOrder, Run, RunState, StrayLease, Worker},
     },
     Cell,
 };
@@ -76,7 +76,8 @@
         let is_of_new = |entry: &WorkerEntry| entry.started_wall_ms == started_wall_ms;
         let entry = entry.or(open_entry.filter(is_of_new));
         let new = Worker::new(entry.unwrap_or_else(|| old.entry.clone()), expiry, now);
-        let mut worker = Worker { started_wall_ms, instances, ..new };
+        let stray_lease = StrayLease::open();
+        let mut worker = Worker { started_wall_ms, instances, stray_lease, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -7,7 +7,7 @@
     super::{
         Action, DrainMode, HoldReport, ListedRun, LogEvent, Record, RunId, TaskId, WorkerEntry,
         WorkerId,
-        worker::{InstanceOrder, Logged, Run, RunState, StopOrder, Worker},
+        worker::{InstanceOrder, Logged, Run, RunState, StopOrder, StrayLease, Worker},
     },
     Cell, CellConfig, DeferredEffect,
     holds::MAX_HOLD_FAILURES,
@@ -57,6 +57,10 @@
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
             worker.open_orders = self.inherited_starts.take(&id);
+            if self.fences.has_called(&id) {
+                // It was gone, and may be another instance than the one that was called.
+                worker.stray_lease = StrayLease::open();
+            }
             Self::update_stays_until(&mut worker, now);
             self.workers.insert(id.clone(), worker);
             self.confirm_replaced(&id, now);
@@ -513,6 +517,7 @@
             && worker.clock.is_some()
             && worker.drain.is_none()
             && !worker.awaits_answer
+            && !worker.may_have_restarted()
             && !worker.entry.is_draining
             && worker.hold_failures < MAX_HOLD_FAILURES
             && now >= worker.excluded_until
--- a/crates/core/src/job/fence.rs
+++ b/crates/core/src/job/fence.rs
@@ -140,6 +140,11 @@
         latest.fence = latest.fence.next();
     }
 
+    /// Whether a call to the worker was decided on in this term.
+    pub(super) fn has_called(&self, worker: &WorkerId) -> bool {
+        self.latest.contains_key(worker)
+    }
+
     /// Whether a later call to the worker had a higher token.
     pub(super) fn is_outranked(&self, worker: &WorkerId, fence: Fence) -> bool {
         self.latest.get(worker).is_some_and(|latest| fence < latest.fence)
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -3,6 +3,7 @@
 mod instance;
 mod open_orders;
 mod run;
+mod stray_lease;
 #[cfg(test)]
 mod tests;
 
@@ -15,6 +16,7 @@
     instance::InstanceOrder,
     open_orders::{HeldEnd, OpenOrder},
     run::{Run, RunState, StopOrder},
+    stray_lease::StrayLease,
 };
 use super::{
     OtherInstance, Resources, StepId, TaskId, WorkerId,
@@ -150,6 +152,11 @@
     pub(super) lease_sent: Timestamp,
     /// When every lease of earlier terms has certainly expired.
     pub(super) inherited_expiry: Timestamp,
+    /// What the newest known instance may have got from calls to others.
+    pub(super) stray_lease: StrayLease,
+    /// When an order was last answered by another instance than the known one; `None` once a hold that was
+    /// sent since is answered.
+    pub(super) instance_doubt: Option<Timestamp>,
     /// The number of the last run end that was processed.
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
@@ -242,6 +249,8 @@
             last_lease_end_sent: 0,
             lease_sent: Timestamp(0),
             inherited_expiry,
+            stray_lease: StrayLease::default(),
+            instance_doubt: None,
             ends_seen: 0,
             ends_durable: 0,
             lists_ends: false,
@@ -349,10 +358,16 @@
         }
     }
 
+    /// Whether something says that another instance than the known one is up, and no answer has settled it.
+    pub(super) fn may_have_restarted(&self) -> bool {
+        self.instance_doubt.is_some() || self.instances.open_entry.is_some()
+    }
+
     /// Returns when a lease that is granted now expires, on the worker's clock; `None` if the clock
-    /// is unknown. However old the reading of the clock is, the lease isn't longer than asked for.
+    /// is unknown, or may be that of an instance which has ended: another one would take any time for its
+    /// own. However old the reading of the clock is, the lease isn't longer than asked for.
     pub(super) fn lease_end(&self, lease: Span, now: Timestamp) -> Option<u64> {
-        let clock = self.clock?;
+        let clock = self.clock.filter(|_| !self.may_have_restarted())?;
         Some(clock.worker_ms + life::least_advance(now.since(clock.at)).0 + lease.0)
     }
 
@@ -360,7 +375,8 @@
     ///
     /// For leases of this term, this follows from the worker's clock; for those of earlier terms, from
     /// `inherited_expiry`; for those that a run may have got from an order to an earlier instance,
-    /// from the expiry of that order and the longest lease.
+    /// from the expiry of that order and the longest lease; for what the instance itself may have got
+    /// from a call to another one, from its `stray_lease`.
     pub(super) fn lease_expiry(&self, longest_lease: Span, now: Timestamp) -> Timestamp {
         let other_instances = self.runs.values().filter(|run| run.may_be_in_other_instance());
         let ends = other_instances.map(|run| match run.clock {
@@ -368,6 +384,7 @@
             None => self.end_of_outlived(run, longest_lease, now),
         });
         let earliest = ends.max().unwrap_or_default().max(self.inherited_expiry);
+        let earliest = earliest.max(self.stray_lease.expiry());
         self.clock.map_or(earliest, |clock| self.lease_end_by(clock).max(earliest))
     }
 
