--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -12,9 +12,11 @@
 mod crashes;
 mod ends;
 mod holds;
+mod inherited_leases;
 mod inherited_starts;
 mod job_table;
 mod load;
+mod log_time;
 mod orders;
 mod placement;
 mod plan;
@@ -137,6 +139,9 @@
     /// Start orders of the last term that may still be carried out, by workers that the store has not
     /// listed yet.
     inherited_starts: inherited_starts::InheritedStarts,
+    /// What the owners before have recorded of leases that workers may have got from calls to former
+    /// instances.
+    inherited_leases: inherited_leases::InheritedLeases,
     /// How the wait for workers of earlier terms has gone so far.
     inherited_wait: recover::InheritedWait,
     /// When every lease of earlier terms has certainly expired. Until then a worker that is not
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -18,7 +18,7 @@
         task::{Job, Occurrence, StepState, Task},
         worker::{Logged, Worker},
     },
-    Cell,
+    Cell, roster,
 };
 use crate::Timestamp;
 
@@ -130,7 +130,7 @@
             | Record::RunLost { task, .. } => {
                 self.track_job_bytes(task.job, bytes);
             }
-            Record::WorkerUsed { worker } => {
+            Record::WorkerUsed { worker, .. } => {
                 self.live.set(LiveKey::Worker(worker.clone()), position, bytes);
             }
             // Should the owner be lost, the next one must not use a worker that was drained.
@@ -189,7 +189,7 @@
     fn copy_forward(&mut self, key: &LiveKey, now: Timestamp) -> usize {
         let records = match key {
             LiveKey::Job(id) => self.jobs.get(id).map(|job| job_records(*id, job)),
-            LiveKey::Worker(id) => self.worker_record(id).map(|record| vec![record]),
+            LiveKey::Worker(id) => self.worker_record(id, now).map(|record| vec![record]),
             LiveKey::OpenStart(task, worker) => {
                 self.open_start_record(*task, worker, now).map(|record| vec![record])
             }
@@ -204,13 +204,15 @@
 
     /// Returns the record of a worker that the next owner must know; `None` if no run of this or an
     /// earlier term can be alive on it.
-    fn worker_record(&self, id: &WorkerId) -> Option<Record> {
+    fn worker_record(&self, id: &WorkerId, now: Timestamp) -> Option<Record> {
         let worker = id.clone();
         let is_drained = |worker: &Worker| worker.logged == Logged::Gone;
         match self.workers.get(id) {
             Some(state) if is_drained(state) => Some(Record::WorkerGone { worker }),
-            Some(_) => Some(Record::WorkerUsed { worker }),
-            None if self.inherited_workers.contains_key(id) => Some(Record::WorkerUsed { worker }),
+            Some(state) => Some(roster::used_record(state, now)),
+            None if self.inherited_workers.contains_key(id) => {
+                Some(self.inherited_leases.record(worker, now))
+            }
             None => self.drains.contains_key(id).then_some(Record::WorkerGone { worker }),
         }
     }
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -120,7 +120,13 @@
         6 => placed(),
         3 => start_open(),
         1 => finished(),
-        2 => worker().prop_map(|worker| Record::WorkerUsed { worker }),
+        2 => (worker(), prop::option::of(1_u64..9), prop::option::of(0_u64..40_000)).prop_map(
+            |(worker, instance, stray_until_ms)| Record::WorkerUsed {
+                worker,
+                instance,
+                stray_until_ms,
+            },
+        ),
         1 => worker().prop_map(|worker| Record::WorkerGone { worker }),
     ]
 }
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -4,7 +4,7 @@
 use super::{
     super::{
         Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
-        worker::{InstanceOrder, Worker},
+        worker::{InstanceOrder, Logged, Worker},
     },
     Cell,
 };
@@ -145,6 +145,7 @@
         || worker.is_settling()
         || worker.is_watched(now)
         || worker.awaits_answer
+        || worker.may_have_restarted()
         || !worker.is_adopted;
     let wait = if answers_at_once {
         Span(0)
@@ -293,8 +294,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        // Each hold that is decided on once an instance is known outranks the calls to those before.
-        worker.stray_lease.on_answer(sent > worker.known_since, longest_lease, now);
+        let name = report.started_wall_ms;
+        let has_new_lease = worker.stray_lease.on_answer(name, (sent, now), longest_lease);
         worker.instance_doubt.take_if(|since| sent > *since);
         let was_silent = worker.hold_failures >= MAX_HOLD_FAILURES;
         let was_adopted = worker.is_adopted;
@@ -351,7 +352,9 @@
         if is_inherited && !worker.has_outlasted_stops {
             worker.next_hold = worker.next_hold.min(now.max(worker.stops_end) + Span(1));
         }
+        // The next owner must know it before an order leaves. A worker that is drained gets none.
         let is_logged = worker.times_logged > 0;
+        let is_logged = is_logged && (!has_new_lease || worker.logged == Logged::Gone);
         if !was_adopted || was_silent {
             let (worker, runs) = (id.clone(), worker.runs.len());
             let change = if was_adopted { "answers again" } else { "adopted" };
--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -14,14 +14,9 @@
         Action, LogEvent, Record, RunId, StoredSegment, TaskId, WorkerId,
         worker::{OpenOrder, RunState, UNANSWERED_START_LIFETIME},
     },
-    Cell,
+    Cell, log_time,
 };
-use crate::{Span, Timestamp};
-
-/// The time that certainly passed between the writes of two segments. Owners' clocks can't be compared.
-fn time_between((earlier, later): (&StoredSegment, &StoredSegment)) -> Span {
-    if earlier.epoch == later.epoch { later.written.since(earlier.written) } else { Span(0) }
-}
+use crate::Timestamp;
 
 /// The open start orders of earlier terms, by worker.
 #[derive(Clone, Debug, Default)]
@@ -31,18 +26,13 @@
     /// Finds the orders that were open at the last write. The time that was left then is counted from now.
     pub(super) fn find(segments: &[StoredSegment], now: Timestamp) -> Self {
         let mut found = Self::default();
-        let total = segments.iter().zip(segments.iter().skip(1)).map(time_between);
-        let mut left_in_log: u64 = total.map(|time| time.0).sum();
-        let mut previous: Option<&StoredSegment> = None;
-        for segment in segments {
-            left_in_log -= previous.map_or(0, |previous| time_between((previous, segment)).0);
-            previous = Some(segment);
+        for (segment, passed) in log_time::with_time_passed(segments) {
             for record in &segment.records {
                 let Record::StartOpen { task, attempt, worker, until_ms } = record else {
                     continue;
                 };
-                let left = Timestamp(*until_ms).since(segment.written).0;
-                let left = Span(left.saturating_sub(left_in_log)).min(UNANSWERED_START_LIFETIME);
+                let left =
+                    log_time::left(*until_ms, segment, passed).min(UNANSWERED_START_LIFETIME);
                 if left.0 > 0 {
                     let (task, attempt, expiry) = (*task, *attempt, now + left);
                     let order = OpenOrder { task, attempt, expiry, is_inherited: true };
--- a/crates/core/src/job/cell/inherited_starts/tests.rs
+++ b/crates/core/src/job/cell/inherited_starts/tests.rs
@@ -10,7 +10,7 @@
     *,
 };
 use crate::{
-    Epoch,
+    Epoch, Span,
     job::{AdmissionPolicy, FlowLimits, LinkRate},
 };
 
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -17,6 +17,7 @@
     },
     Cell, CellConfig,
     holds::{self, Lease},
+    inherited_leases::InheritedLeases,
     inherited_starts::InheritedStarts,
 };
 use crate::{Epoch, QueueId, ServiceId, Span, Timestamp, job::WALL_CLOCK_MARGIN};
@@ -219,6 +220,7 @@
             sole_until: Timestamp(u64::MAX),
             last_term,
             inherited_starts: InheritedStarts::default(),
+            inherited_leases: InheritedLeases::find(&recovered.segments, now),
             inherited_wait: InheritedWait::new(now),
             earlier_leases_expiry: now,
             plan_due: true,
@@ -257,18 +259,13 @@
             .map_or(earlier_orders_end, |term| earlier_orders_end.min(term.earlier_orders_end));
         cell.earlier_leases_expiry = cell.expiry_after(last_order);
         let expiry = cell.earlier_leases_expiry;
-        cell.inherited_workers = match handed_over {
+        cell.inherited_workers = if let Some(pending) = handed_over {
             // The previous owner knew which workers had runs, and when their leases expire.
-            Some(pending) => {
-                let expiry_of = |unsettled: &UnsettledWorker| {
-                    unsettled_expiry(unsettled, (now, wall_ms), expiry)
-                };
-                pending
-                    .iter()
-                    .map(|unsettled| (unsettled.worker.clone(), expiry_of(unsettled)))
-                    .collect()
-            }
-            None => used_workers.into_iter().map(|worker| (worker, expiry)).collect(),
+            let expiry_of = |one: &UnsettledWorker| unsettled_expiry(one, (now, wall_ms), expiry);
+            pending.iter().map(|one| (one.worker.clone(), expiry_of(one))).collect()
+        } else {
+            let expiry_of = |worker: &WorkerId| expiry.max(cell.inherited_leases.expiry(worker));
+            used_workers.into_iter().map(|worker| (worker.clone(), expiry_of(&worker))).collect()
         };
         cell.inherit_open_starts(open_starts);
         cell.release_inherited_jobs(now);
@@ -301,8 +298,8 @@
         self.log.end_earlier_orders(last_order);
         let expiry = self.expiry_after(last_order);
         self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
-        for inherited in self.inherited_workers.values_mut() {
-            *inherited = (*inherited).min(expiry);
+        for (worker, inherited) in &mut self.inherited_workers {
+            *inherited = (*inherited).min(expiry.max(self.inherited_leases.expiry(worker)));
         }
         for worker in self.workers.values_mut() {
             worker.inherited_expiry = worker.inherited_expiry.min(expiry);
@@ -433,7 +430,7 @@
                     task.trial = if *is_trial { Some(*attempt) } else { task.trial };
                 }
             }
-            Record::WorkerUsed { worker } => {
+            Record::WorkerUsed { worker, .. } => {
                 used_workers.insert(worker.clone());
                 self.drains.shift_remove(worker);
             }
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -76,7 +76,7 @@
         let is_of_new = |entry: &WorkerEntry| entry.started_wall_ms == started_wall_ms;
         let entry = entry.or(open_entry.filter(is_of_new));
         let new = Worker::new(entry.unwrap_or_else(|| old.entry.clone()), expiry, now);
-        let stray_lease = StrayLease::open();
+        let stray_lease = StrayLease::open(now);
         let mut worker = Worker { started_wall_ms, instances, stray_lease, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -19,6 +19,17 @@
 /// The longest time from the completion of a stop until the worker lists the end of the run.
 const END_LISTING_DELAY: Span = Span(50);
 
+/// The record that a worker is used, with what the next owner must know of its leases.
+pub(super) fn used_record(worker: &Worker, now: Timestamp) -> Record {
+    let (name, lease) = (worker.started_wall_ms, worker.stray_lease);
+    let is_known = name != 0 && worker.clock.is_some() && lease.is_final();
+    Record::WorkerUsed {
+        worker: worker.entry.id.clone(),
+        instance: is_known.then_some(name),
+        stray_until_ms: Some(lease.expiry().0).filter(|until| *until > now.0),
+    }
+}
+
 impl Cell {
     /// Updates the workers from the list in the platform's store. A list that is not complete,
     /// because the store was unavailable, says nothing about workers that it lacks.
@@ -57,10 +68,7 @@
             let mut worker = Worker::new(entry, expiry, now);
             worker.drain = self.drains.get(&id).copied();
             worker.open_orders = self.inherited_starts.take(&id);
-            if self.fences.has_called(&id) {
-                // It was gone, and may be another instance than the one that was called.
-                worker.stray_lease = StrayLease::open();
-            }
+            worker.stray_lease = self.stray_lease_of(&id);
             Self::update_stays_until(&mut worker, now);
             self.workers.insert(id.clone(), worker);
             self.confirm_replaced(&id, now);
@@ -89,6 +97,17 @@
         }
     }
 
+    /// What a worker that the store lists, and of which nothing is known, may have got from calls to another
+    /// instance.
+    fn stray_lease_of(&self, id: &WorkerId) -> StrayLease {
+        if self.fences.has_called(id) {
+            // It was gone, and may be another instance than the one that was called. Calls to that one
+            // without an answer are outranked by each later one.
+            return StrayLease::open(Timestamp(0));
+        }
+        self.inherited_leases.get(id).unwrap_or(StrayLease::NONE)
+    }
+
     pub(super) fn update_stays_until(worker: &mut Worker, now: Timestamp) {
         if !worker.entry.is_draining {
             worker.stays_until = None;
@@ -214,10 +233,9 @@
         worker.logged = Logged::Nothing;
         worker.times_logged += 1;
         let effect = DeferredEffect::WorkerLogged(id.clone(), worker.times_logged, state);
-        let worker = id.clone();
         let record = match state {
-            Logged::Gone => Record::WorkerGone { worker },
-            Logged::Nothing | Logged::Used => Record::WorkerUsed { worker },
+            Logged::Gone => Record::WorkerGone { worker: id.clone() },
+            Logged::Nothing | Logged::Used => used_record(worker, now),
         };
         self.record(record, now, Some(effect));
     }
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -230,6 +230,14 @@
     WorkerUsed {
         /// The worker.
         worker: WorkerId,
+        /// The instance that carries out no call any more which was meant for another one, named by when it
+        /// started in milliseconds since the Unix epoch; `None` if none is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        instance: Option<u64>,
+        /// When each lease that it may have got from such a call has certainly expired, in milliseconds of
+        /// the clock that the segments of the same term show.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        stray_until_ms: Option<u64>,
     },
     /// The owner ended its term and sends no more orders.
     HandedOver {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -249,7 +249,7 @@
             last_lease_end_sent: 0,
             lease_sent: Timestamp(0),
             inherited_expiry,
-            stray_lease: StrayLease::default(),
+            stray_lease: StrayLease::NONE,
             instance_doubt: None,
             ends_seen: 0,
             ends_durable: 0,
@@ -329,10 +329,10 @@
             return false;
         }
         // While an order is unsettled, a second hold may be in flight: the first may wait for a run
-        // to end and must not delay the list that settles the order.
+        // to end and must not delay the list that settles the order, or the answer of a new instance.
         match self.holds_in_flight {
             0 => true,
-            1 => self.is_settling() || self.awaits_answer,
+            1 => self.is_settling() || self.awaits_answer || self.instance_doubt.is_some(),
             _ => false,
         }
     }
--- a/crates/core/src/job/worker/stray_lease.rs
+++ b/crates/core/src/job/worker/stray_lease.rs
@@ -5,21 +5,44 @@
 //! which it may be far ahead. So any of them may give it the longest lease, until it has carried out a call
 //! that outranks them all. A lease is never shortened, and applies to all runs.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{Span, Timestamp};
 
+/// The calls that were meant for other instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Calls {
+    /// None is carried out any more.
+    Outranked,
+    /// They are outranked in the instance of this name, as the owner before has recorded.
+    OutrankedIn(u64),
+    /// Those that were sent until this time may still be carried out.
+    Open(Timestamp),
+}
+
 /// What an instance may have got from calls to others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::job) struct StrayLease {
     /// When each such lease has certainly expired, as far as the calls are known to have been carried out.
     expiry: Timestamp,
-    /// Whether the instance may still carry out such a call.
-    is_open: bool,
+    calls: Calls,
 }
 
 impl StrayLease {
-    /// That of an instance which has carried out no call of this owner and later than those to others.
-    pub(in crate::job) fn open() -> Self {
-        Self { expiry: Timestamp(0), is_open: true }
+    /// That of a worker of which no other instance was called.
+    pub(in crate::job) const NONE: Self = Self { expiry: Timestamp(0), calls: Calls::Outranked };
+
+    /// That of an instance which may carry out calls to others that were sent until `sent_until`.
+    pub(in crate::job) fn open(sent_until: Timestamp) -> Self {
+        Self { expiry: Timestamp(0), calls: Calls::Open(sent_until) }
+    }
+
+    /// That of a worker of earlier terms, as the owner before has recorded it: which instance carries out
+    /// no call to others, and when what that may have got has expired.
+    pub(in crate::job) fn inherited(instance: Option<u64>, expiry: Timestamp) -> Self {
+        let calls = instance.map_or(Calls::Open(Timestamp(0)), Calls::OutrankedIn);
+        Self { expiry, calls }
     }
 
     /// When all such leases have certainly expired, as far as is known.
@@ -27,18 +50,32 @@
         self.expiry
     }
 
-    /// Notes that the instance has answered a call by `now`. If that outranks all calls to others, it carries
-    /// out none of them any more. Returns whether anything has changed.
+    /// Whether the instance that has answered certainly carries out no call to another one any more.
+    pub(in crate::job) fn is_final(self) -> bool {
+        self.calls == Calls::Outranked
+    }
+
+    /// Notes that the instance of this name has answered, by `now`, a hold that was sent at `sent`. Returns
+    /// whether what the next owner must know has changed.
     pub(in crate::job) fn on_answer(
         &mut self,
-        outranks_others: bool,
+        started_wall_ms: u64,
+        (sent, now): (Timestamp, Timestamp),
         longest_lease: Span,
-        now: Timestamp,
     ) -> bool {
-        if !self.is_open {
-            return false;
+        let outranks_all = match self.calls {
+            Calls::Outranked => return false,
+            Calls::OutrankedIn(known) if known == started_wall_ms => {
+                self.calls = Calls::Outranked;
+                return true;
+            }
+            Calls::OutrankedIn(_) => true,
+            Calls::Open(sent_until) => sent > sent_until,
+        };
+        self.expiry = now + longest_lease;
+        if outranks_all {
+            self.calls = Calls::Outranked;
         }
-        *self = Self { expiry: now + longest_lease, is_open: !outranks_others };
         true
     }
 }
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -349,6 +349,7 @@
     model.run_for(2_000);
     let worker = model.workers().find(|one| one.run_count() > 0).unwrap().entry.id.clone();
     let (now, id) = (model.now(), task_id(JOB, 0));
+    let clock_ms = model.worker_mut(worker.as_str()).clock(now);
     let listed_run = ListedRun {
         task: id,
         attempt: 1,
@@ -361,8 +362,10 @@
     let cell = model.cell_mut().unwrap();
     cell.take_actions();
 
-    cell.on_hold_answer(&worker, now, Some(hold_report(60_000, None, Some(end))), now);
-    cell.on_hold_answer(&worker, now, Some(hold_report(59_999, Some(listed_run), None)), now);
+    let latest = hold_report(clock_ms, None, Some(end));
+    let outdated = hold_report(clock_ms - 1, Some(listed_run), None);
+    cell.on_hold_answer(&worker, now, Some(latest), now);
+    cell.on_hold_answer(&worker, now, Some(outdated), now);
     cell.tick(now, now.0);
     let actions = cell.take_actions();
 
@@ -378,6 +381,7 @@
     model.submit(JOB, &queue(), long_running_job(1, 1));
     model.run_for(2_000);
     let (now, id) = (model.now() + Span(10), task_id(JOB, 0));
+    let clock_ms = model.worker_mut("w0").clock(now);
     let listed_run = ListedRun {
         task: id,
         attempt: 2,
@@ -390,10 +394,10 @@
     let cell = model.cell_mut().unwrap();
 
     // The worker lists no more than some of its ends, so that of the first attempt comes late.
-    cell.on_hold_answer(&"w0".into(), now, Some(hold_report(60_000, None, None)), now);
+    cell.on_hold_answer(&"w0".into(), now, Some(hold_report(clock_ms, None, None)), now);
     cell.tick(now, now.0);
     let first_actions = cell.take_actions();
-    let report = hold_report(60_001, Some(listed_run), Some(end));
+    let report = hold_report(clock_ms + 1, Some(listed_run), Some(end));
     cell.on_hold_answer(&"w0".into(), now, Some(report), now);
     cell.tick(now, now.0);
     let actions = cell.take_actions();
--- a/crates/standins/tests/cells/stray_leases.rs
+++ b/crates/standins/tests/cells/stray_leases.rs
@@ -112,24 +112,40 @@
     }
 }
 
+/// Plays a lost owner and a worker that is cut off from the next one before that has called it.
+fn lose_owner_and_worker((found_by, kill_ms): (FoundBy, u64), cut_ms: u64) {
+    let mut model = idle_model();
+
+    restart_with_tasks(&mut model, found_by);
+    model.run_for(kill_ms);
+    model.kill_owner();
+    model.run_for(cut_ms);
+    model.make_unreachable("w0", 4 * LONG_MS);
+    model.run_for(200);
+    model.take_over();
+    model.run_for(LONG_MS);
+
+    assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {kill_ms} {cut_ms}");
+}
+
 /// Guards against a task that starts elsewhere while it runs, because the next owner reckons with the leases
 /// that owners ask for.
 #[test]
 fn the_next_owner_knows_which_workers_may_have_the_longest_lease() {
-    for (found_by, kill_ms) in histories([60, 100, 200, 400, 1_000, 2_000]) {
+    for found in histories([100, 150, 200, 400, 1_000, 2_000]) {
         for cut_ms in [0, 300, 600, 2_000, 4_000] {
-            let mut model = idle_model();
-
-            restart_with_tasks(&mut model, found_by);
-            model.run_for(kill_ms);
-            model.kill_owner();
-            model.run_for(cut_ms);
-            model.make_unreachable("w0", 4 * LONG_MS);
-            model.run_for(200);
-            model.take_over();
-            model.run_for(LONG_MS);
+            lose_owner_and_worker(found, cut_ms);
+        }
+    }
+}
 
-            assert_eq!(model.violations(), [] as [&str; 0], "{found_by:?} {kill_ms} {cut_ms}");
+/// The same if the record of the new instance isn't durable when its owner is lost. No task starts there in
+/// its knowledge, but the orders that find the instance begin their runs.
+#[test]
+fn the_next_owner_knows_it_although_the_record_of_the_instance_was_lost() {
+    for kill_ms in [45, 60, 75] {
+        for cut_ms in [0, 100] {
+            lose_owner_and_worker((FoundBy::Order, kill_ms), cut_ms);
         }
     }
 }
