tools/owners: the clock of each life of a worker starts at a drawn value

The review's worker starts it at 0 in each life, as the owner supposes, so that no play with real processes could refute it.

Change: a worker's start draws where its clock starts, by the play's seed, the worker and the life, as in the model (small, large, ahead of or behind the last one, or just where that one goes on), and records it in one line. The server of that life takes deadlines to the review's clock and answers' readings from it. A server serves one life, so a call that comes late has the clock of the life that carries it out, and its deadline stays the number that was sent. The judge reckons leases on these clocks. CLOCKS=0 starts the clocks at 0.

--- a/tools/owners/src/judge.rs
+++ b/tools/owners/src/judge.rs
@@ -50,6 +50,7 @@
         let is_end = |event: &Event| matches!(event, Event::Crashed { life: one } if *one == life);
         let death = events.iter().find(|(at, event)| *at >= birth && is_end(event));
         let death = death.map_or(u64::MAX, |(at, _)| *at);
+        let first_ms = late::first_clock_ms(events, birth, &life.0);
         let (mut fence, mut lease_end) = (0, None);
         let is_of_life =
             |call: &&WorkerCall| call.worker == life.0 && (birth..death).contains(&call.at_ms);
@@ -61,7 +62,8 @@
             if let Some(end) = lease_end.filter(|end| *end < call.at_ms) {
                 lapses.push((end, Event::Lapsed { life: life.clone() }));
             }
-            let wanted = (birth + call.deadline_ms).min(call.at_ms + MAX_HOLD_MS);
+            let wanted =
+                (birth + call.deadline_ms.saturating_sub(first_ms)).min(call.at_ms + MAX_HOLD_MS);
             lease_end = Some(lease_end.unwrap_or(0).max(wanted));
         }
         let end = lease_end.filter(|end| *end < death);
--- a/tools/owners/src/late.rs
+++ b/tools/owners/src/late.rs
@@ -124,6 +124,19 @@
     events.iter().filter_map(birth).collect()
 }
 
+/// What the clock of a life shows first that began at `birth`, in milliseconds.
+pub fn first_clock_ms(events: &[(u64, Event)], birth: u64, worker: &str) -> u64 {
+    let first_ms = |event: &Event| {
+        let Event::Note(note) = event else { return None };
+        let (one, rest) =
+            note.strip_prefix("worker ")?.split_once(": its next clock starts at ")?;
+        let (ms, _) = rest.split_once(" ms")?;
+        ms.parse().ok().filter(|_| one == worker)
+    };
+    let before = events.iter().take_while(|(at, _)| *at <= birth);
+    before.filter_map(|(_, event)| first_ms(event)).last().unwrap_or(0)
+}
+
 /// Whether a late call was answered in a later life than the one it was sent to, if only by a refusal.
 pub fn has_reached_later_life(calls: &[LateCall], births: &[(u64, Life)]) -> bool {
     calls.iter().any(|call| call.is_answered() && call.is_in_later_life(births))
--- a/tools/owners/src/links/tests.rs
+++ b/tools/owners/src/links/tests.rs
@@ -1,3 +1,5 @@
+mod clocks;
+
 use std::{
     sync::{Arc, Mutex, atomic::Ordering::SeqCst},
     time::Duration,
@@ -5,6 +7,7 @@
 
 use super::{Link, Passed};
 use crate::{
+    clock::Clocks,
     http::{self, Reply, Request, Server},
     judge,
     late::{self, Chooser, Kind, LateCall, Lateness},
@@ -49,9 +52,14 @@
 
     /// Returns the status of the answer, if there is one.
     fn call(&self, what: &str, fields: &str) -> Option<u16> {
+        self.ask(what, fields).map(|(status, _)| status)
+    }
+
+    /// Returns the answer, if there is one.
+    fn ask(&self, what: &str, fields: &str) -> Option<(u16, String)> {
         let body = format!(r#"{{"{}":7,{fields}}}"#, name("fence"));
         let call = ("POST", name(what), "worker");
-        http::call(self.link.address, call, &body, Duration::from_secs(5)).map(|(status, _)| status)
+        http::call(self.link.address, call, &body, Duration::from_secs(5))
     }
 
     fn start(&self, task: &str, run_ms: u64) -> Option<u16> {
@@ -91,6 +99,10 @@
 
 /// A worker of the review's that runs what it is told to.
 fn runner() -> (Play, Arc<Worker>) {
+    runner_with(Clocks::AtZero)
+}
+
+fn runner_with(clocks: Clocks) -> (Play, Arc<Worker>) {
     let record = Arc::new(Record::new());
     let store = Arc::new(Store::new(1, &record));
     let setup = Setup {
@@ -102,7 +114,7 @@
         stop_ms: 200,
         heartbeat_ms: 1_500,
     };
-    let worker = Worker::new(setup, Arc::clone(&record), Arc::clone(&store));
+    let worker = Worker::with_clocks(clocks, setup, Arc::clone(&record), Arc::clone(&store));
     worker.start(Duration::ZERO);
     worker.tick();
     let address = world::address(&store, &worker).expect("an entry");
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -4,24 +4,25 @@
 //! Usage: `owners SEED MS RECORD`, from the folder of the project whose `target/release` is played.
 //! The trouble lasts `MS` milliseconds. Exits with 1 if a rule was broken, 0 if it held and 2 if
 //! nothing could be played. `TROUBLE=0` leaves the trouble out, `AIM` names the only scenes
-//! that are drawn (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs.
+//! that are drawn (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs. `CLOCKS=0` starts
+//! the clocks of workers at 0 in each life, and another number draws them by it instead of the seed.
 
+mod clock;
 mod draw;
+mod http;
 mod judge;
 mod late;
 mod links;
 mod load;
 mod store;
 mod trouble;
+mod worker;
 mod world;
 
 #[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
 #[path = "../../../review/standins/src/base64.rs"]
 mod base64;
 #[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
-#[path = "../../../review/standins/src/http.rs"]
-mod http;
-#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
 #[path = "../../../review/standins/src/json.rs"]
 mod json;
 #[path = "../../../review/standins/src/names.rs"]
@@ -31,12 +32,10 @@
 #[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
 #[path = "../../../review/standins/src/record.rs"]
 mod record;
-#[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
-#[path = "../../../review/standins/src/worker.rs"]
-mod worker;
 
 use std::{process::ExitCode, sync::Arc, time::Duration};
 
+use clock::Clocks;
 use draw::Plan;
 use load::Load;
 use record::Record;
@@ -86,6 +85,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let aim = std::env::var("AIM").ok();
     let plan = Plan::draw(seed, span_ms, aim.as_deref());
+    Clocks::choose(seed);
     record.note(format!("seed {seed}: {} nodes, {} workers", plan.nodes, plan.workers));
     for (at, act) in &plan.acts {
         record.note(format!("drawn for {at} ms: {act:?}"));
