--- a/crates/standins/tests/cells/every_call.rs
+++ b/crates/standins/tests/cells/every_call.rs
@@ -6,6 +6,7 @@
 
 mod history;
 mod holds;
+mod lasting;
 mod pairs;
 mod starts;
 mod stops;
--- a/crates/standins/tests/cells/every_call/history.rs
+++ b/crates/standins/tests/cells/every_call/history.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Timestamp,
-    job::{DrainMode, JobEnd, JobId, JobState, WorkerId},
+    job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{Afterlife, CallKind, Fate, Model};
 
@@ -94,14 +94,29 @@
 
 impl Played {
     /// Plays a history to its end and judges it.
-    pub(crate) fn to_end(case: &impl Debug, mut model: Model, jobs: &[JobId]) -> Self {
+    pub(crate) fn to_end(case: &impl Debug, model: Model, jobs: &[JobId]) -> Self {
         let are_done = |model: &Model| jobs.iter().all(|&job| state(model, job) == SUCCEEDED);
+        Self::until(case, model, are_done, "a job doesn't succeed")
+    }
+
+    /// Plays a history of a task that lasts until it runs, and judges it.
+    pub(crate) fn until_running(case: &impl Debug, model: Model, task: TaskId) -> Self {
+        let runs = |model: &Model| model.workers().any(|worker| worker.is_running(task));
+        Self::until(case, model, runs, "the task doesn't run again")
+    }
+
+    fn until(
+        case: &impl Debug,
+        mut model: Model,
+        is_over: impl Fn(&Model) -> bool,
+        fault: &str,
+    ) -> Self {
         model.run_for(REST_MS);
-        let succeed = model.run_until(LONG_MS, are_done);
+        let is_met = model.run_until(LONG_MS, is_over);
         model.run_for(REST_MS);
         let mut faults = model.violations().to_vec();
-        if !succeed {
-            faults.push("a job doesn't succeed".to_owned());
+        if !is_met {
+            faults.push(fault.to_owned());
         }
         let strays = model.late_calls().iter().filter(|call| call.is_of_earlier_life);
         let strays: Vec<_> = strays.map(|call| (call.kind, call.is_before_first_call)).collect();
