--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -338,7 +338,13 @@
     ) -> Vec<PlacedTask> {
         let workers = &self.workers;
         let count = |worker: &WorkerId, id| count_step_runs(workers, worker, id);
-        let gang_candidates = place::choose_gang(candidates, step, id, count);
+        let scopes: Vec<StartScope<'_>> =
+            (0..step.count).map(|index| self.start_scope(id.task(index), now)).collect();
+        let allows = |index: u32, worker: &WorkerId| scopes[index as usize].allows(worker);
+        let gang_candidates = place::choose_gang(candidates, step, id, count, allows);
+        let is_bound = scopes.iter().any(|scope| *scope != StartScope::Anywhere);
+        // Time alone releases it.
+        self.plan_due |= is_bound && gang_candidates.is_none();
         let mut placed = Vec::new();
         for (index, chosen) in (0..).zip(gang_candidates.into_iter().flatten()) {
             let candidate = &mut candidates[chosen];
--- a/crates/core/src/job/cell/start_scope.rs
+++ b/crates/core/src/job/cell/start_scope.rs
@@ -55,10 +55,10 @@
 }
 
 impl Cell {
-    /// Where a task may start now. A long-running one doesn't wait, as it must never be away for long, nor
-    /// does a gang, whose tasks start on several workers together.
+    /// Where a task may start now. A long-running one doesn't wait, as it must never be away for long: one
+    /// whose worker is lost for good would be away until the order has expired.
     pub(super) fn start_scope(&self, id: TaskId, now: Timestamp) -> StartScope<'_> {
-        if self.step(id).is_none_or(|step| step.long_running || step.gang) {
+        if self.step(id).is_none_or(|step| step.long_running) {
             return StartScope::Anywhere;
         }
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
--- a/crates/core/src/job/place.rs
+++ b/crates/core/src/job/place.rs
@@ -186,25 +186,27 @@
 
 /// Returns the index of a candidate for each task of a gang, or `None` if not all of them fit. The
 /// tasks share one rack if possible, the one with their data first; a step with `same_rack` is
-/// never spread over several racks.
+/// never spread over several racks. `allows` tells whether the task of an index may start on a worker.
 pub(super) fn choose_gang(
     candidates: &[PlacementCandidate],
     step: &Step,
     id: StepId,
     count: impl Fn(&WorkerId, StepId) -> u32,
+    allows: impl Fn(u32, &WorkerId) -> bool,
 ) -> Option<Vec<usize>> {
+    let tasks = by_freedom(candidates, step, &allows)?;
     let mut racks: Vec<Option<&str>> = candidates.iter().map(PlacementCandidate::rack).collect();
     racks.sort_unstable();
     racks.dedup();
     let data_rack = step.data_rack.as_deref();
     racks.sort_by_key(|&rack| data_rack.is_some() && rack != data_rack);
-    let on_rack = racks
-        .iter()
-        .find_map(|&rack| place_gang(candidates, step, id, &count, GangScope::Rack(rack)));
+    let on_rack = racks.iter().find_map(|&rack| {
+        place_gang(candidates, step, id, &tasks, &count, &allows, GangScope::Rack(rack))
+    });
     if on_rack.is_some() || step.same_rack {
         return on_rack;
     }
-    place_gang(candidates, step, id, &count, GangScope::All)
+    place_gang(candidates, step, id, &tasks, &count, &allows, GangScope::All)
 }
 
 /// The candidates that a gang may use.
@@ -214,33 +216,51 @@
     All,
 }
 
-/// Places all tasks of a gang on candidates within `scope`; returns `None` if they don't fit.
+/// The tasks of a gang, those first that may start on the fewest workers, or others could take their room;
+/// `None` if one may start on none.
+fn by_freedom(
+    candidates: &[PlacementCandidate],
+    step: &Step,
+    allows: &impl Fn(u32, &WorkerId) -> bool,
+) -> Option<Vec<u32>> {
+    let freedom = |task| candidates.iter().filter(|one| allows(task, &one.worker)).count();
+    let mut tasks: Vec<(usize, u32)> = (0..step.count).map(|task| (freedom(task), task)).collect();
+    tasks.sort_unstable();
+    let is_possible = tasks.first().is_none_or(|(freedom, _)| *freedom > 0);
+    is_possible.then(|| tasks.into_iter().map(|(_, task)| task).collect())
+}
+
+/// Places the tasks of a gang in this order on candidates within `scope`; returns `None` if they don't fit.
 fn place_gang(
     candidates: &[PlacementCandidate],
     step: &Step,
     id: StepId,
+    tasks: &[u32],
     count: &impl Fn(&WorkerId, StepId) -> u32,
+    allows: &impl Fn(u32, &WorkerId) -> bool,
     scope: GangScope<'_>,
 ) -> Option<Vec<usize>> {
+    let may_start = |task: u32, candidate: &PlacementCandidate| match scope {
+        GangScope::Rack(rack) => candidate.rack() == rack && allows(task, &candidate.worker),
+        GangScope::All => allows(task, &candidate.worker),
+    };
     let mut candidates_left: Vec<PlacementCandidate> = candidates.to_vec();
-    let mut placed: Vec<usize> = Vec::new();
-    for _ in 0..step.count {
+    let mut placed: Vec<(u32, usize)> = Vec::new();
+    for &task in tasks {
         let step_runs = |index: usize| {
-            let placed = placed.iter().filter(|&&other| other == index).count();
+            let placed = placed.iter().filter(|(_, other)| *other == index).count();
             count(&candidates[index].worker, id) + u32::try_from(placed).unwrap_or(u32::MAX)
         };
         let index = (0..candidates_left.len())
-            .filter(|&index| match scope {
-                GangScope::Rack(rack) => candidates_left[index].rack() == rack,
-                GangScope::All => true,
-            })
+            .filter(|&index| may_start(task, &candidates_left[index]))
             .filter(|&index| {
                 let candidate = &candidates_left[index];
                 may_hold(candidate, &candidate.free, step, || step_runs(index))
             })
             .min_by_key(|&index| candidates_left[index].booked_share())?;
         candidates_left[index].reserve(step);
-        placed.push(index);
+        placed.push((task, index));
     }
-    Some(placed)
+    placed.sort_unstable();
+    Some(placed.into_iter().map(|(_, index)| index).collect())
 }
