--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -6,7 +6,7 @@
         Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
         worker::{InstanceOrder, Logged, Worker},
     },
-    Cell,
+    Cell, roster,
 };
 use crate::{Span, Timestamp};
 
@@ -85,7 +85,7 @@
     fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
         let renewed_at = worker.renewed_at.unwrap_or_default();
         let renewal_due = renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
-        if !worker.is_adopted || worker.awaits_answer {
+        if !worker.is_adopted || worker.awaits_answer || worker.may_have_restarted() {
             Self::Adopts
         } else if now >= renewal_due && !worker.runs.is_empty() {
             Self::Renews { due: renewal_due }
@@ -103,9 +103,8 @@
     let is_fresh = worker.clock.is_some_and(|clock| now <= clock.at + CONFIRMATION_AGE);
     let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
     let has_ends = worker.hold_failures == 0 && worker.lists_ends;
-    let may_have_restarted = worker.instances.open_entry.is_some();
     has_ends
-        && !may_have_restarted
+        && !worker.may_have_restarted()
         && (is_fresh || is_delayed || !worker.may_have_orders_elsewhere(now))
 }
 
@@ -352,15 +351,20 @@
         if is_inherited && !worker.has_outlasted_stops {
             worker.next_hold = worker.next_hold.min(now.max(worker.stops_end) + Span(1));
         }
-        // The next owner must know it before an order leaves. A worker that is drained gets none.
         let is_logged = worker.times_logged > 0;
-        let is_logged = is_logged && (!has_new_lease || worker.logged == Logged::Gone);
+        // The store may be away, so a start doesn't wait for the record. A worker that is drained gets no
+        // orders before it is logged as used.
+        let must_record = is_logged && has_new_lease && worker.logged != Logged::Gone;
+        let record = must_record.then(|| roster::used_record(worker, now));
         if !was_adopted || was_silent {
             let (worker, runs) = (id.clone(), worker.runs.len());
             let change = if was_adopted { "answers again" } else { "adopted" };
             self.actions.push(Action::Log(LogEvent::Worker { worker, change, runs }));
             self.plan_due = true;
         }
+        if let Some(record) = record {
+            self.record(record, now, None);
+        }
         // The store also lists workers whose VM was moved, which never answer.
         if !is_logged {
             self.log_worker_used(id, now);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -404,7 +404,10 @@
         }
         // A hold for the known instance may have reached the other one, whose clock may show less.
         let renewal = if run.outlived_restart { run.stray_renewal } else { self.lease_sent };
-        run.order_expiry.max(renewal) + longest_lease
+        // So may each order that is still to be carried out.
+        let open = self.runs.values().filter(|run| run.is_unanswered()).map(|run| run.order_expiry);
+        let open = open.chain(self.open_orders.iter().map(|order| order.expiry)).max();
+        run.order_expiry.max(renewal).max(open.unwrap_or_default()) + longest_lease
     }
 
     /// Whether the worker's entry has been missing from the store for so long that it counts as gone.
--- a/crates/core/src/job/worker/instance.rs
+++ b/crates/core/src/job/worker/instance.rs
@@ -87,7 +87,7 @@
 impl ClockReading {
     /// Whether the clock of this reading's instance may show `other_ms` in an answer to a call that was
     /// sent at `sent` and answered by `now`. Each of the two readings was taken at any time between its
-    /// call and its answer, and the clock may be slow, never fast.
+    /// call and its answer, and the clock may be slow, never fast, nor stop. This node's clock is right.
     fn may_go_on_to(&self, other_ms: u64, (sent, now): (Timestamp, Timestamp)) -> bool {
         let slowest = |elapsed: Span| elapsed.0 * (100 - MAX_DRIFT_PERCENT) / 100;
         let least = (self.worker_ms + slowest(sent.since(self.at)))
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -68,9 +68,7 @@
     /// can any more.
     pub(in crate::job) fn open_until(&self, task: TaskId, now: Timestamp) -> Option<Timestamp> {
         let orders = self.open_orders.iter().filter(|order| order.task == task);
-        let is_unanswered =
-            |run: &&Run| matches!(run.state, RunState::Ordered | RunState::Unsettled);
-        let run = self.runs.get(&task).filter(is_unanswered);
+        let run = self.runs.get(&task).filter(|run| run.is_unanswered());
         let expiries = orders.map(|order| order.expiry).chain(run.map(|run| run.order_expiry));
         expiries.filter(|expiry| now <= *expiry).max()
     }
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -242,6 +242,11 @@
         self.outlived_restart || (is_answered && !self.ends_with_instance)
     }
 
+    /// Whether a copy of the start order may still be carried out.
+    pub(super) fn is_unanswered(&self) -> bool {
+        matches!(self.state, RunState::Ordered | RunState::Unsettled)
+    }
+
     /// Whether no copy of the start order can begin the run in the instance that has confirmed its
     /// stop, and no list has ever shown it.
     pub(super) fn is_closed(&self) -> bool {
--- a/crates/core/src/job/worker/stray_lease.rs
+++ b/crates/core/src/job/worker/stray_lease.rs
@@ -8,8 +8,12 @@
 #[cfg(test)]
 mod tests;
 
+use super::UNANSWERED_START_LIFETIME;
 use crate::{Span, Timestamp};
 
+/// Longest time after which a call that got no answer may still be carried out.
+const LATE_CALL_LIFETIME: Span = UNANSWERED_START_LIFETIME;
+
 /// The calls that were meant for other instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Calls {
@@ -72,8 +76,10 @@
             Calls::OutrankedIn(_) => true,
             Calls::Open(sent_until) => sent > sent_until,
         };
-        self.expiry = now + longest_lease;
-        if outranks_all {
+        if let (Calls::Open(sent_until), false) = (self.calls, outranks_all) {
+            self.expiry = sent_until + LATE_CALL_LIFETIME + longest_lease;
+        } else {
+            self.expiry = now + longest_lease;
             self.calls = Calls::Outranked;
         }
         true
--- a/crates/standins/tests/cells/stray_leases.rs
+++ b/crates/standins/tests/cells/stray_leases.rs
@@ -2,9 +2,9 @@
 //! these names a time of another clock, far ahead of the new one, so that it brings the longest lease.
 
 use teaselgap_core::job::{JobId, LogEvent};
-use teaselgap_standins::model::{ClockDraw, Model};
+use teaselgap_standins::model::{ClockDraw, Model, WorkerFaults};
 
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 /// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
 const LONGEST_LEASE_MS: u64 = 10_000;
@@ -96,6 +96,100 @@
     }
 }
 
+/// The same between the answer to the order that finds the instance and that to the hold that confirms it,
+/// wherever the new clock starts, with an answer lost and without.
+#[test]
+fn an_order_that_finds_the_new_instance_gives_it_the_longest_lease() {
+    let draws = [
+        ClockDraw::Behind(1_000_000),
+        ClockDraw::Ahead(1_000_000),
+        ClockDraw::Inside(5),
+        ClockDraw::Large(0),
+    ];
+    for (cut_ms, draw) in (30..60).flat_map(|cut_ms| draws.map(|draw| (cut_ms, draw))) {
+        for lost_answers in [0, 1] {
+            let mut model = idle_model();
+            model.worker_mut("w0").next_clock = Some(draw);
+            let faults = WorkerFaults { lost_answers, ..WorkerFaults::default() };
+            model.set_faults("w0", faults);
+
+            restart_with_tasks(&mut model, FoundBy::Order);
+            model.run_for(cut_ms);
+            model.make_unreachable("w0", 4 * LONG_MS);
+            model.run_for(LONG_MS + LONGEST_LEASE_MS);
+
+            assert_eq!(model.violations(), [] as [&str; 0], "{cut_ms} {draw:?} {lost_answers}");
+        }
+    }
+}
+
+/// The same if another order of the same token comes late, after the worker was cut off.
+#[test]
+fn a_late_order_gives_the_new_instance_that_another_one_has_found_the_longest_lease() {
+    for cut_ms in 30..60 {
+        for late_ms in [500, 2_000, 5_000, 9_000] {
+            let mut model = idle_model();
+            let faults = WorkerFaults { late_orders: 1, late_ms, ..WorkerFaults::default() };
+            model.set_faults("w0", faults);
+
+            restart_with_tasks(&mut model, FoundBy::Order);
+            model.run_for(cut_ms);
+            model.make_unreachable("w0", 4 * LONG_MS);
+            model.run_for(2 * LONG_MS);
+
+            assert_eq!(model.violations(), [] as [&str; 0], "{cut_ms} {late_ms}");
+        }
+    }
+}
+
+/// Guards against a task that starts elsewhere while it runs in an instance that its owner never hears, in which
+/// a late copy of its order has begun it.
+#[test]
+fn a_late_copy_of_an_order_gives_an_instance_that_nobody_hears_the_longest_lease() {
+    for late_ms in [1_000, 4_000, 6_000, 8_000, 10_000, 12_000, 14_000] {
+        let mut model = idle_model();
+        for id in ["w0", "w1"] {
+            let faults = WorkerFaults { late_orders: 2, late_ms, ..WorkerFaults::default() };
+            model.set_faults(id, faults);
+        }
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
+        let task = task_id(JOB, 0);
+        assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+        let worker = model.ordered_worker(task).unwrap();
+        let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+        model.set_faults(other, WorkerFaults::default());
+        model.run_for(100);
+
+        model.worker_mut(worker.as_str()).next_clock = Some(ClockDraw::Behind(1_000_000));
+        model.keep_entry(worker.as_str(), 3 * LONG_MS);
+        model.restart_worker_at(worker.as_str(), model.wall_ms(), 10);
+        model.make_unreachable(worker.as_str(), 3 * LONG_MS);
+        model.run_for(2 * LONG_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+    }
+}
+
+/// Guards against a restarted worker that gets no start while the store accepts no writes.
+#[test]
+fn a_task_that_lasts_runs_again_on_a_restarted_worker_while_the_store_is_away() {
+    let mut model = new_model(2);
+    model.run_for(12_000);
+    model.submit(JOB, &queue(), long_running_job(1, 1));
+    model.run_for(3_000);
+    model.set_store_available(false);
+    model.run_for(200);
+
+    for id in ["w0", "w1"] {
+        model.restart_worker(id);
+    }
+    let runs = |model: &Model| model.workers().any(|worker| worker.run_count() > 0);
+    let runs_again = model.run_until(8_000, runs);
+
+    assert!(runs_again);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
 /// Guards against a wait for the longest lease that has no end.
 #[test]
 fn a_task_on_a_worker_cut_off_after_its_restart_runs_again_after_the_longest_lease() {
