--- a/tools/restarts/run.sh
+++ b/tools/restarts/run.sh
@@ -2,7 +2,8 @@
 # Plays a case (see src/cases.rs) on the code in PROJECT (this repository if unset), whose
 # target/release must be built. Writes the record to RECORD (target/restarts/CASE.txt if unset).
 # Exits with 1 if a rule was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves
-# the disruption out; KEEP_LOGS=FOLDER keeps the processes' logs.
+# the disruption out; CLOCKS=0 starts each clock of a worker at 0, CLOCKS=N draws them by N (1 if unset);
+# KEEP_LOGS=FOLDER keeps the processes' logs.
 cd "$(dirname "$0")/../.." || exit 2
 case=${1:?usage: run.sh CASE}
 target=$PWD/target/restarts
