Tests of late orders play them in instances whose clocks take them for valid

Change: the tests of late calls let the next instance's clock start at 0, as it did before; properties go on to draw it, a small one so small that such orders are valid.

--- a/crates/standins/src/model/worker/clock.rs
+++ b/crates/standins/src/model/worker/clock.rs
@@ -8,7 +8,11 @@
 /// The least that a clock shows which starts at a large value, in milliseconds.
 const LARGE_MS: u64 = 1 << 40;
 
-/// The most by which a clock starts at a small value, or beside the clock before, in milliseconds.
+/// The most that a clock shows which starts at a small value, in milliseconds: so little that orders to the
+/// instance before aren't late by it.
+const SMALL_MS: u64 = 2_000;
+
+/// The most by which a clock starts beside the clock before, in milliseconds.
 const FAR_MS: u64 = 8_000_000;
 
 /// The most by which a clock starts beside one that it seems to continue, in milliseconds.
@@ -17,7 +21,7 @@
 /// Where the clock of an instance starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClockDraw {
-    /// At a value below some hours.
+    /// At a value of some seconds at most.
     Small(u64),
     /// At a value of many years.
     Large(u64),
@@ -36,7 +40,7 @@
         let drawn = mix(worker, instance);
         let far = drawn / 8 % FAR_MS;
         match drawn % 5 {
-            0 => Self::Small(far),
+            0 => Self::Small(far % SMALL_MS),
             1 => Self::Large(far),
             2 => Self::Ahead(far),
             3 => Self::Behind(far),
--- a/crates/standins/tests/cells/every_call/holds.rs
+++ b/crates/standins/tests/cells/every_call/holds.rs
@@ -7,7 +7,7 @@
 use super::history::{
     Arrival, LONG_MS, OLD_MS, OwnerChange, Played, assert_holds, grid, use_no_more,
 };
-use crate::fixtures::{job_spec, new_model, queue, step};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, step};
 
 const FIRST: JobId = JobId(7);
 
@@ -59,7 +59,7 @@
 
 impl ConfirmHistory {
     fn play(&self) -> Played {
-        let mut model = new_model(1);
+        let mut model = new_model_with_valid_late_orders(1);
         model.count_every_start();
         let begin = model.now();
         let late_until = begin + Span(SECOND_JOB_MS + self.arrives_after_ms);
@@ -121,7 +121,7 @@
 
 impl LeaseHistory {
     fn play(&self) -> Played {
-        let mut model = new_model(2);
+        let mut model = new_model_with_valid_late_orders(2);
         model.count_every_start();
         model.run_for(OLD_MS);
         use_no_more(&mut model, &"w1".into());
--- a/crates/standins/tests/cells/every_call/pairs.rs
+++ b/crates/standins/tests/cells/every_call/pairs.rs
@@ -7,7 +7,7 @@
 use teaselgap_standins::model::{CallKind, Fate, Model};
 
 use super::history::{Arrival, OwnerChange, Played, assert_holds, grid};
-use crate::fixtures::{job_spec, new_model, queue, step};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, step};
 
 const FIRST: JobId = JobId(7);
 
@@ -41,7 +41,7 @@
 
 impl History {
     fn play(&self) -> Played {
-        let mut model = new_model(1);
+        let mut model = new_model_with_valid_late_orders(1);
         model.count_every_start();
         let begin = model.now();
         let start_until = begin + Span(BACK_MS);
--- a/crates/standins/tests/cells/every_call/starts.rs
+++ b/crates/standins/tests/cells/every_call/starts.rs
@@ -11,7 +11,7 @@
 use super::history::{
     Arrival, Course, OLD_MS, OwnerChange, Played, assert_holds, grid, use_no_more,
 };
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, step, task_id};
 
 const JOB: JobId = JobId(7);
 
@@ -97,7 +97,7 @@
 impl History {
     fn play(&self) -> Played {
         let (down_ms, away_ms, back_ms) = self.restart.times();
-        let mut model = new_model(2);
+        let mut model = new_model_with_valid_late_orders(2);
         model.count_every_start();
         model.run_for(self.restart.age_ms());
         let late_until = model.now() + Span(back_ms + self.arrives_after_ms);
--- a/crates/standins/tests/cells/fixtures.rs
+++ b/crates/standins/tests/cells/fixtures.rs
@@ -8,7 +8,7 @@
         WorkerId,
     },
 };
-use teaselgap_standins::model::{Link, Model, ModelWorker};
+use teaselgap_standins::model::{ClockDraw, Link, Model, ModelWorker};
 
 /// Processor capacity of a worker, in thousandths of a core.
 pub(crate) const WORKER_CPU_MILLI: u64 = 32_000;
@@ -55,6 +55,16 @@
     new_model_with_config(workers, queue_config())
 }
 
+/// The same, with workers whose clocks start at 0 when they restart: an order to the instance before isn't
+/// late by such a clock, so that only its token can make it refused.
+pub(crate) fn new_model_with_valid_late_orders(workers: usize) -> Model {
+    let mut model = new_model(workers);
+    for number in 0..workers {
+        model.worker_mut(&format!("w{number}")).next_clock = Some(ClockDraw::Small(0));
+    }
+    model
+}
+
 /// Creates a model whose owner has adopted this many workers over a link of this rate.
 pub(crate) fn new_model_with_link(workers: usize, link_mbps: u64) -> Model {
     let queues = IndexMap::from([(queue(), queue_config())]);
--- a/crates/standins/tests/cells/given_up.rs
+++ b/crates/standins/tests/cells/given_up.rs
@@ -4,7 +4,7 @@
 use teaselgap_core::job::{JobId, TaskId};
 use teaselgap_standins::model::WorkerFaults;
 
-use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, state, step, task_id};
 
 const JOB: JobId = JobId(7);
 
@@ -16,7 +16,7 @@
 /// the next instance, of which the owner has not heard, is not bound by the clock of the one before.
 #[test]
 fn a_run_whose_order_got_no_answer_is_not_given_up_before_the_order_has_expired() {
-    let mut model = new_model(2);
+    let mut model = new_model_with_valid_late_orders(2);
     model.count_every_start();
     for id in ["w0", "w1"] {
         let faults = WorkerFaults { late_orders: 2, late_ms: 6_800, ..WorkerFaults::default() };
@@ -51,7 +51,7 @@
 /// its own.
 #[test]
 fn a_run_is_not_given_up_early_because_the_clocks_of_two_owners_differ() {
-    let mut model = new_model(2);
+    let mut model = new_model_with_valid_late_orders(2);
     model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
     model.run_for(1_000);
     let at = model.ordered_worker(task()).expect("an order");
--- a/crates/standins/tests/cells/late_copies.rs
+++ b/crates/standins/tests/cells/late_copies.rs
@@ -7,7 +7,7 @@
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
-use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, state, step, task_id};
 
 const JOB: JobId = JobId(7);
 
@@ -42,7 +42,7 @@
 /// `late_ms`. Submits a job of one task, which lasts `task_ms`, and returns the worker that was ordered
 /// to start it, and when.
 fn order_late(late_orders: u32, late_ms: u64, task_ms: u64) -> (Model, WorkerId, Timestamp) {
-    let mut model = new_model(2);
+    let mut model = new_model_with_valid_late_orders(2);
     for id in ["w0", "w1"] {
         let faults = WorkerFaults { late_orders, late_ms, ..WorkerFaults::default() };
         model.set_faults(id, faults);
@@ -137,7 +137,7 @@
 #[test]
 fn a_copy_is_not_taken_for_answered_because_a_list_shows_the_run_of_another() {
     for task_ms in (50..1_500).step_by(50) {
-        let mut model = new_model(2);
+        let mut model = new_model_with_valid_late_orders(2);
         for id in ["w0", "w1"] {
             let faults = WorkerFaults {
                 late_orders: 1,
--- a/crates/standins/tests/cells/late_holds.rs
+++ b/crates/standins/tests/cells/late_holds.rs
@@ -3,7 +3,7 @@
 use teaselgap_core::job::{JobEnd, JobId, JobState};
 use teaselgap_standins::model::WorkerFaults;
 
-use crate::fixtures::{job_spec, new_model, queue, state, step};
+use crate::fixtures::{job_spec, new_model_with_valid_late_orders, queue, state, step};
 
 const FIRST: JobId = JobId(7);
 
@@ -23,7 +23,7 @@
     for late_ms in (2_500..=4_500).step_by(500) {
         for early_ms in (350..=600).step_by(50) {
             for cut_ms in [100, 300, 900] {
-                let mut model = new_model(1);
+                let mut model = new_model_with_valid_late_orders(1);
                 model.count_every_start();
                 model.submit(FIRST, &queue(), job_spec(vec![step(20, 4_000, 150)]));
                 model.run_for(500);
--- a/crates/standins/tests/cells/outranked.rs
+++ b/crates/standins/tests/cells/outranked.rs
@@ -12,7 +12,9 @@
 };
 use teaselgap_standins::model::{Afterlife, Model, OWNER_TTL, cell_config};
 
-use crate::fixtures::{job_spec, new_model, queue, queue_config, service, step, worker};
+use crate::fixtures::{
+    job_spec, new_model_with_valid_late_orders, queue, queue_config, service, step, worker,
+};
 
 const JOB: JobId = JobId(7);
 
@@ -36,7 +38,7 @@
 fn an_owner_with_tasks_to_start_ends_once_a_worker_has_refused_it_for_a_later_one() {
     let (mut spans, mut refused) = (Vec::new(), 0);
     for (tasks, cut_ms) in [(100, 10), (400, 10), (400, 200), (1_000, 10), (1_000, 200)] {
-        let mut model = new_model(1);
+        let mut model = new_model_with_valid_late_orders(1);
         model.run_for(OWNER_TTL.0);
         model.submit(JOB, &queue(), job_spec(vec![step(tasks, 1_000, 300)]));
         model.run_for(cut_ms);
--- a/crates/standins/tests/cells/owners.rs
+++ b/crates/standins/tests/cells/owners.rs
@@ -10,7 +10,9 @@
 };
 use teaselgap_standins::model::{Afterlife, Model, OWNER_TTL, cell_config};
 
-use crate::fixtures::{busy_worker, job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{
+    busy_worker, job_spec, new_model_with_valid_late_orders, queue, step, task_id,
+};
 
 const JOB: JobId = JobId(7);
 
@@ -32,7 +34,7 @@
 /// Creates a model with a task that runs for longer than the test takes. Owners before the model's first
 /// one give no more orders.
 fn model_with_run() -> (Model, WorkerId) {
-    let mut model = new_model(3);
+    let mut model = new_model_with_valid_late_orders(3);
     model.run_for(OWNER_TTL.0);
     model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 60_000)]));
     model.run_for(SETTLED_MS);
@@ -140,7 +142,7 @@
 #[test]
 fn an_order_of_an_earlier_owner_that_is_late_is_not_carried_out_after_the_wait() {
     for late_ms in (0..9_000).step_by(500) {
-        let mut model = new_model(3);
+        let mut model = new_model_with_valid_late_orders(3);
         model.run_for(OWNER_TTL.0);
         model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 60_000)]));
         run_until_durable(&mut model);
@@ -176,7 +178,7 @@
 #[test]
 fn an_order_on_an_old_reading_of_a_slow_clock_does_not_outlast_the_wait() {
     for age_ms in (0..3_600).step_by(50) {
-        let mut model = new_model(2);
+        let mut model = new_model_with_valid_late_orders(2);
         for id in ["w0", "w1"] {
             model.worker_mut(id).clock_percent = 98;
         }
@@ -203,7 +205,7 @@
 #[test]
 fn a_run_that_an_earlier_owner_stops_is_not_taken_for_ended() {
     for gap_ms in (2_200..2_600).step_by(10) {
-        let mut model = new_model(3);
+        let mut model = new_model_with_valid_late_orders(3);
         model.run_for(OWNER_TTL.0);
         model.submit(JOB, &queue(), job_spec(vec![step(1, 4_000, 60_000)]));
         run_until_durable(&mut model);
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -9,7 +9,9 @@
 };
 use teaselgap_standins::model::{Model, WorkerFaults};
 
-use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
+use crate::fixtures::{
+    job_spec, long_running_job, new_model_with_valid_late_orders, queue, state, step, task_id,
+};
 
 const JOB: JobId = JobId(7);
 
@@ -76,7 +78,7 @@
 #[test]
 fn a_task_whose_worker_is_lost_right_after_its_restart_runs_again_at_once() {
     for life_ms in (0..1_000).step_by(50) {
-        let mut model = new_model(14);
+        let mut model = new_model_with_valid_late_orders(14);
         model.run_for(SETTLED_MS);
         let lost = start_task(&mut model);
 
@@ -101,7 +103,7 @@
 fn a_task_whose_worker_is_lost_right_after_its_restart_waits_for_its_lease_at_most() {
     // The owner doesn't hear the new instance, or would start the task there.
     for life_ms in (0..350).step_by(50) {
-        let mut model = new_model(14);
+        let mut model = new_model_with_valid_late_orders(14);
         model.run_for(4_000);
         let lost = start_task(&mut model);
 
@@ -123,7 +125,7 @@
 fn a_task_waits_no_longer_however_often_its_worker_restarts() {
     const DARK_MS: u64 = 200;
     for life_ms in (50..1_000).step_by(50) {
-        let mut model = new_model(14);
+        let mut model = new_model_with_valid_late_orders(14);
         // No copy of the order is answered.
         for id in 0..14 {
             let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
@@ -154,7 +156,7 @@
 /// Creates a model in which no copy of the order to the worker that runs the task was answered, and
 /// that worker was lost, was back for `life_ms` and is lost again. Returns the worker.
 fn lose_with_open_order(life_ms: u64) -> (Model, WorkerId) {
-    let mut model = new_model(14);
+    let mut model = new_model_with_valid_late_orders(14);
     for id in 0..14 {
         let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
         model.set_faults(&format!("w{id}"), faults);
@@ -248,7 +250,7 @@
         task_ms in 100_u64..4_000,
         troubles in prop::collection::vec((trouble(), 0_u64..1_500), 1..8),
     ) {
-        let mut model = new_model(3);
+        let mut model = new_model_with_valid_late_orders(3);
         for id in ["w0", "w1", "w2"] {
             let faults = WorkerFaults { late_orders, late_ms, ..WorkerFaults::default() };
             model.set_faults(id, faults);
@@ -272,7 +274,7 @@
 /// The same for a task that lasts, of whose order only the answer tells where it ran.
 #[test]
 fn a_long_running_task_whose_worker_is_lost_right_after_its_restart_waits_for_its_lease_at_most() {
-    let mut model = new_model(4);
+    let mut model = new_model_with_valid_late_orders(4);
     model.run_for(4_000);
     model.submit(JOB, &queue(), long_running_job(1, 0));
     assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
@@ -293,7 +295,7 @@
 /// Guards a task that lasts against a wait that begins anew with each restart of its worker.
 #[test]
 fn a_long_running_task_waits_no_longer_for_a_worker_lost_right_after_its_restart() {
-    let mut model = new_model(4);
+    let mut model = new_model_with_valid_late_orders(4);
     model.run_for(SETTLED_MS);
     model.submit(JOB, &queue(), long_running_job(1, 0));
     assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
@@ -319,7 +321,7 @@
     let lives = (0..300).step_by(50);
     let cases = lives.flat_map(|life_ms| [3_000, 6_000, 9_000, 11_900].map(|late| (life_ms, late)));
     for (life_ms, late_ms) in cases {
-        let mut model = new_model(14);
+        let mut model = new_model_with_valid_late_orders(14);
         for id in 0..14 {
             let faults = WorkerFaults { late_orders: 2, late_ms, ..WorkerFaults::default() };
             model.set_faults(&format!("w{id}"), faults);
@@ -356,7 +358,7 @@
 #[test]
 fn a_copy_of_an_earlier_attempt_runs_no_task_twice() {
     for back_ms in (0..200).step_by(10) {
-        let mut model = new_model(3);
+        let mut model = new_model_with_valid_late_orders(3);
         for id in ["w0", "w1", "w2"] {
             let faults = WorkerFaults { late_orders: 1, late_ms: 5_000, ..WorkerFaults::default() };
             model.set_faults(id, faults);
@@ -390,7 +392,7 @@
 #[test]
 fn a_copy_of_an_earlier_attempt_runs_no_task_twice_after_the_lease_of_the_next_attempt() {
     const LATE_MS: u64 = 10_500;
-    let mut model = new_model(2);
+    let mut model = new_model_with_valid_late_orders(2);
     for id in ["w0", "w1"] {
         let faults = WorkerFaults { late_orders: 2, late_ms: LATE_MS, ..WorkerFaults::default() };
         model.set_faults(id, faults);
@@ -425,7 +427,7 @@
 fn only_the_task_of_an_open_order_waits_longer_for_a_silent_worker_than_its_lease() {
     const OTHER_JOB: JobId = JobId(8);
     let other_task = task_id(OTHER_JOB, 0);
-    let mut model = new_model(2);
+    let mut model = new_model_with_valid_late_orders(2);
     let drains = IndexMap::from([("w1".into(), DrainMode::WaitForRuns)]);
     model.cell_mut().expect("an owner").set_drains(drains);
     model.submit(OTHER_JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
