tools/owners: a test of recorded clocks waits for the clock, not for a time

Cause: each_life_is_recorded_... slept for 20 ms so that the worker's clock goes on.

Change: it waits until the clock has gone on by as much. The checks are the same.

--- a/tools/owners/src/links/tests/clocks.rs
+++ b/tools/owners/src/links/tests/clocks.rs
@@ -80,7 +80,8 @@
 fn each_life_is_recorded_with_where_its_clock_starts() {
     let (play, worker) = runner_with(clocks(|draw| matches!(draw, Draw::Ahead(MARGIN_MS..))));
     let former = clock_ms(&play);
-    std::thread::sleep(Duration::from_millis(20));
+    let goes_on = || clock_ms(&play) >= former + 20;
+    assert!(trouble::await_until(Duration::from_secs(5), goes_on));
     let restarted = Instant::now();
 
     restart(&worker);
