--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -99,19 +99,25 @@
 /// from the beginning, and a number of before would confirm ends that have not been handled. It has
 /// none if no order can have reached another instance than the known one, nor right after an answer.
 /// A hold that waited only for others confirms all the same, or an owner short of room never would.
+///
+/// A hold that leaves after an unanswered start order has no lower token: both may be carried out in the next
+/// instance, the order first, whose end the hold would confirm there. So none confirms until then.
 fn may_confirm_ends(worker: &Worker, now: Timestamp) -> bool {
     let is_fresh = worker.clock.is_some_and(|clock| now <= clock.at + CONFIRMATION_AGE);
     let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
-    let has_ends = worker.hold_failures == 0 && worker.lists_ends;
+    let has_ends = worker.hold_failures == 0 && worker.listed_ends > 0;
     has_ends
         && !worker.may_have_restarted()
+        && !worker.holds_ends_back(now)
         && (is_fresh || is_delayed || !worker.may_have_orders_elsewhere(now))
 }
 
 /// How long after an answer of a worker the next hold is sent.
 fn hold_interval(worker: &mut Worker, now: Timestamp) -> Span {
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
-    let confirms = worker.lists_ends && worker.last_confirmable(now) == worker.ends_durable;
+    let confirms = worker.listed_ends > 0
+        && !worker.holds_ends_back(now)
+        && worker.last_confirmable(now) == worker.ends_durable;
     if !worker.runs.is_empty() || has_unconfirmed_ends || confirms {
         HOLD_INTERVAL
     } else if worker.has_open_orders(now) {
@@ -325,7 +331,7 @@
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.lists_ends = !report.ends.is_empty();
+                worker.listed_ends = u64::try_from(report.ends.len()).unwrap_or(u64::MAX);
             }
             for listed_run in &report.running {
                 self.on_listed_run(id, listed_run, (sent, now));
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -161,8 +161,8 @@
     pub(super) ends_seen: u64,
     /// The number of the last run end that is durable in the log.
     pub(super) ends_durable: u64,
-    /// Whether the newest list contained ends, which the worker lists until they are confirmed.
-    pub(super) lists_ends: bool,
+    /// Number of ends in the newest list. The worker lists them until they are confirmed.
+    pub(super) listed_ends: u64,
     pub(super) runs: IndexMap<TaskId, Run>,
     /// Start orders of which a copy got no answer. A restarted worker doesn't know the stop orders
     /// that cancelled them, so those are sent again.
@@ -253,7 +253,7 @@
             instance_doubt: None,
             ends_seen: 0,
             ends_durable: 0,
-            lists_ends: false,
+            listed_ends: 0,
             runs: IndexMap::new(),
             open_orders: Vec::new(),
             held_ends: Vec::new(),
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -52,6 +52,13 @@
         self.open_orders.iter().any(|order| now <= order.expiry)
     }
 
+    /// Whether no end may be confirmed, because a start order is under way or may still take effect without
+    /// an answer. A list that is nearly full confirms all the same.
+    pub(in crate::job) fn holds_ends_back(&self, now: Timestamp) -> bool {
+        let has_room = self.listed_ends < MAX_WAITING_ENDS;
+        has_room && (self.has_open_orders(now) || self.runs.values().any(Run::is_unanswered))
+    }
+
     /// The open start orders of this owner of which no run is booked any more, each with its task and
     /// attempt. A new instance of the worker is to refuse them.
     pub(in crate::job) fn abandoned_orders(
