One place says which ends a hold may confirm

Change: worker/confirmation.rs holds the laws and answers with a number, Worker::confirmable; no logic is changed. No file is added to job/cell.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -39,10 +39,6 @@
 /// The number of unanswered holds in a row after which a worker gets no new tasks.
 pub(super) const MAX_HOLD_FAILURES: u32 = 2;
 
-/// The age of a worker's latest answer up to which a hold may confirm ends although an order may have
-/// reached another instance. That would have to start, and to end a task, within this time.
-const CONFIRMATION_AGE: Span = Span(200);
-
 /// The part of a lease, in percent, after which its renewal can't wait any more.
 const RENEWAL_DUE_PERCENT: u64 = 50;
 
@@ -95,30 +91,10 @@
     }
 }
 
-/// Whether a hold may confirm ends. The worker may have restarted unnoticed. It then numbers its ends
-/// from the beginning, and a number of before would confirm ends that have not been handled. It has
-/// none if no order can have reached another instance than the known one, nor right after an answer.
-/// A hold that waited only for others confirms all the same, or an owner short of room never would.
-///
-/// A hold that leaves after an unanswered start order has no lower token: both may be carried out in the next
-/// instance, the order first, whose end the hold would confirm there. So none confirms until then.
-fn may_confirm_ends(worker: &Worker, now: Timestamp) -> bool {
-    let is_fresh = worker.clock.is_some_and(|clock| now <= clock.at + CONFIRMATION_AGE);
-    let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
-    let has_ends = worker.hold_failures == 0 && worker.listed_ends > 0;
-    has_ends
-        && !worker.may_have_restarted()
-        && !worker.holds_ends_back(now)
-        && (is_fresh || is_delayed || !worker.may_have_orders_elsewhere(now))
-}
-
 /// How long after an answer of a worker the next hold is sent.
 fn hold_interval(worker: &mut Worker, now: Timestamp) -> Span {
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
-    let confirms = worker.listed_ends > 0
-        && !worker.holds_ends_back(now)
-        && worker.last_confirmable(now) == worker.ends_durable;
-    if !worker.runs.is_empty() || has_unconfirmed_ends || confirms {
+    if !worker.runs.is_empty() || has_unconfirmed_ends || worker.has_confirmable_end(now) {
         HOLD_INTERVAL
     } else if worker.has_open_orders(now) {
         OPEN_ORDER_HOLD_INTERVAL
@@ -134,7 +110,8 @@
     fence: Fence,
     now: Timestamp,
 ) -> Action {
-    let may_confirm = may_confirm_ends(worker, now);
+    let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
+    let last_seen = worker.confirmable(is_delayed, now);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
@@ -162,7 +139,6 @@
     // A hold that waits longer delays the list for which inherited jobs wait.
     let is_known = worker.has_outlasted_stops || !worker.is_adopted;
     let wait = if is_known { wait } else { wait.min(worker.stops_end.since(now)) };
-    let last_seen = if may_confirm { worker.last_confirmable(now) } else { 0 };
     Action::Hold { worker: id.clone(), lease_end, last_seen, wait, fence }
 }
 
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -1,5 +1,6 @@
 //! The state of a worker and its runs, as kept by the owner of the cell.
 
+mod confirmation;
 mod instance;
 mod open_orders;
 mod run;
@@ -13,8 +14,9 @@
 
 use self::instance::Instances;
 pub(super) use self::{
+    confirmation::HeldEnd,
     instance::InstanceOrder,
-    open_orders::{HeldEnd, OpenOrder},
+    open_orders::OpenOrder,
     run::{Run, RunState, StopOrder},
     stray_lease::StrayLease,
 };
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -1,18 +1,13 @@
-//! Start orders of which a copy got no answer, and the ends that wait until these have expired.
+//! Start orders of which a copy got no answer.
 //!
 //! Such a copy may begin its run in a later instance of the worker, which knows nothing that would make
-//! it refuse the order. So the end of a task as done is not confirmed while a copy is open: an instance
-//! that crashes takes the ends that were not confirmed with it, and the task may run again.
+//! it refuse the order.
 
 use indexmap::IndexMap;
 
 use super::{Run, RunState, Worker};
 use crate::{Timestamp, job::TaskId};
 
-/// Maximum number of ends that wait on one worker. It lists them all in each answer, and a list that is
-/// cut off shows no newer ones.
-const MAX_WAITING_ENDS: u64 = 250;
-
 /// A start order of which a copy got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::job) struct OpenOrder {
@@ -24,16 +19,6 @@
     pub(in crate::job) is_inherited: bool,
 }
 
-/// The end of a task as done, listed while a copy of a start order of the task was open.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(in crate::job) struct HeldEnd {
-    pub(in crate::job) task: TaskId,
-    /// The number of the end.
-    pub(in crate::job) number: u64,
-    /// Time after which no copy takes effect any more.
-    pub(in crate::job) until: Timestamp,
-}
-
 impl Worker {
     /// Records a start order of which a copy got no answer.
     pub(in crate::job) fn record_open_order(&mut self, order: OpenOrder, now: Timestamp) {
@@ -52,13 +37,6 @@
         self.open_orders.iter().any(|order| now <= order.expiry)
     }
 
-    /// Whether no end may be confirmed, because a start order is under way or may still take effect without
-    /// an answer. A list that is nearly full confirms all the same.
-    pub(in crate::job) fn holds_ends_back(&self, now: Timestamp) -> bool {
-        let has_room = self.listed_ends < MAX_WAITING_ENDS;
-        has_room && (self.has_open_orders(now) || self.runs.values().any(Run::is_unanswered))
-    }
-
     /// The open start orders of this owner of which no run is booked any more, each with its task and
     /// attempt. A new instance of the worker is to refuse them.
     pub(in crate::job) fn abandoned_orders(
@@ -101,24 +79,4 @@
         }
         lapsed
     }
-
-    /// Lets an end wait, with all later ones.
-    pub(in crate::job) fn hold_end(&mut self, end: HeldEnd) {
-        self.held_ends.push(end);
-    }
-
-    /// Lets the ends of a task wait no longer, because each copy of its order was answered.
-    pub(in crate::job) fn release_ends(&mut self, task: TaskId, now: Timestamp) {
-        if self.open_until(task, now).is_none() {
-            self.held_ends.retain(|end| end.task != task);
-        }
-    }
-
-    /// The number of the last end that may be confirmed now.
-    pub(in crate::job) fn last_confirmable(&mut self, now: Timestamp) -> u64 {
-        self.held_ends.retain(|end| now <= end.until);
-        let first_held = self.held_ends.iter().map(|end| end.number).min();
-        let last = first_held.map_or(self.ends_durable, |held| self.ends_durable.min(held - 1));
-        if self.ends_seen > last + MAX_WAITING_ENDS { self.ends_durable } else { last }
-    }
 }
