tools/owners: AIM=recut restarts workers in place and soon cuts them off, again and again

Change: the scene `recut` (drawn only if named, so that other seeds draw what they drew): two or three workers restart, a short order finds each new life before a hold does, longer work arrives until the cut, in half of the plays the owner is killed 0.1 to 0.8 s before it. Most clocks start behind those of the life before. A play shows something if a run went on, on a restarted worker, when that was cut off; else it ends as not played. Scenes that never change the owner (crash) beside late calls or cuts are judged by those: AIM=crash,late could show nothing before.

--- a/tools/owners/src/clock.rs
+++ b/tools/owners/src/clock.rs
@@ -41,6 +41,8 @@
     AtZero,
     /// At values that are drawn by this seed.
     Drawn(u64),
+    /// The same, but most start behind the one before.
+    OftenBehind(u64),
 }
 
 impl Clocks {
@@ -53,9 +55,13 @@
     }
 
     /// Chooses those of the play, as `CLOCKS` or else the seed says.
-    pub fn choose(seed: u64) {
+    pub fn choose(seed: u64, is_often_behind: bool) {
         let text = std::env::var("CLOCKS").ok();
-        let _ = CLOCKS.set(Self::named(text.as_deref(), seed));
+        let clocks = match Self::named(text.as_deref(), seed) {
+            Self::Drawn(seed) if is_often_behind => Self::OftenBehind(seed),
+            clocks => clocks,
+        };
+        let _ = CLOCKS.set(clocks);
     }
 
     /// Those of the play.
@@ -68,6 +74,15 @@
         match self {
             Self::AtZero => Draw::Small(0),
             Self::Drawn(seed) => Draw::of(seed, worker, life),
+            Self::OftenBehind(seed) => {
+                let drawn = mix(!seed, worker, life);
+                match drawn % 4 {
+                    // Far enough on for the next ones to start behind it.
+                    _ if life == 0 => Draw::Small(FAR_MS + drawn / 4 % FAR_MS),
+                    0 => Draw::of(seed, worker, life),
+                    _ => Draw::Behind(drawn / 4 % FAR_MS),
+                }
+            }
         }
     }
 }
--- a/tools/owners/src/clock/tests.rs
+++ b/tools/owners/src/clock/tests.rs
@@ -81,3 +81,13 @@
     assert_eq!(Clocks::named(Some("9"), 5), Clocks::Drawn(9));
     assert_eq!(Clocks::AtZero.draw(WORKER, 3).clock(700), Clock::default());
 }
+
+#[test]
+fn most_lives_start_behind_the_one_before_if_that_is_chosen() {
+    let clocks = Clocks::OftenBehind(7);
+    let is_behind = |life: &u64| matches!(clocks.draw(WORKER, *life), Draw::Behind(_));
+
+    assert!(matches!(clocks.draw(WORKER, 0), Draw::Small(FAR_MS..)), "room for a start behind it");
+    let count = (1..201).filter(is_behind).count();
+    assert!((130..190).contains(&count), "{count} of 200");
+}
--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -68,6 +68,11 @@
         jobs: u64,
         run_ms: u64,
     },
+    /// As `Burst`, but the work units run for longer than their job says.
+    Long {
+        jobs: u64,
+        run_ms: u64,
+    },
     /// A job arrives whose work units, so many, only one worker may run.
     Units {
         worker: u64,
@@ -122,6 +127,24 @@
         worker: u64,
         down_ms: u64,
     },
+    /// The workers whose bits are set crash together and start again under their ids; their entries
+    /// are written this much later.
+    Restart {
+        workers: u64,
+        down_ms: u64,
+        entry_ms: u64,
+    },
+    /// The holds of all nodes for the workers whose bits are set are held back and arrive afterwards;
+    /// start orders are not.
+    Unheard {
+        workers: u64,
+        ms: u64,
+    },
+    /// No node reaches the workers whose bits are set.
+    Cut {
+        workers: u64,
+        ms: u64,
+    },
     /// Calls of all nodes to the workers whose bits are set are late.
     Late {
         workers: u64,
@@ -135,8 +158,22 @@
     pub workers: usize,
     /// Each act with the time at which it begins, in milliseconds from the beginning of the trouble.
     pub acts: Vec<(u64, Act)>,
-    /// Whether a play shows something by its late calls alone, and nothing without them.
-    pub is_of_late_calls: bool,
+    /// The longest lease of a worker, in milliseconds.
+    pub max_hold_ms: u64,
+    pub shows: Shows,
+    /// Whether restarted workers are cut off.
+    pub has_cuts: bool,
+}
+
+/// By what a play shows something. Without it, nothing was played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shows {
+    NewOwner,
+    /// A late call reached a later life than the one it was sent to.
+    LateCall,
+    /// A restarted worker was cut off while something ran on it.
+    CutRun,
+    LateCallOrCutRun,
 }
 
 type Scene = fn(&mut Draw, u64);
@@ -166,6 +203,22 @@
 const LATE_SCENES: [(&str, u64, Scene); 3] =
     [("late", 8, late), ("confirmed", 6, confirmed), ("stray", 6, stray)];
 
+/// The scenes that show something when restarted workers are cut off while something runs on them. They are
+/// drawn only if they are named.
+const CUT_SCENES: [(&str, u64, Scene); 1] = [("recut", 8, recut)];
+
+/// The scenes that never change the owner and show nothing by themselves.
+const BESIDE: [&str; 1] = ["crash"];
+
+/// The longest lease of a worker in the plays of all other scenes, in milliseconds.
+const MAX_HOLD_MS: u64 = 10_000;
+
+/// One barely above the lease that the owner asks for.
+const TIGHT_HOLD_MS: u64 = 6_000;
+
+/// How many workers more there are where some are cut off, so that the others have room for their work.
+const SPARE_WORKERS: usize = 3;
+
 /// How many of a hundred seeds play a late scene, too, without an aim.
 const LATE_PERCENT: u64 = 50;
 
@@ -176,7 +229,13 @@
         let mut rng = Rng::new(seed);
         let nodes = rng.between(3, 5) as usize;
         let workers = rng.between(4, 6) as usize;
-        let mut draw = Draw { rng, nodes: nodes as u64, workers: workers as u64, acts: Vec::new() };
+        let has_cuts = aim.is_some_and(|aim| aim.split(',').any(|scene| has(&CUT_SCENES, scene)));
+        let workers = if has_cuts { workers + SPARE_WORKERS } else { workers };
+        let (nodes, workers) = (nodes as u64, workers as u64);
+        let is_tight = has_cuts && Rng::new(!seed).chance(25);
+        let max_hold_ms = if is_tight { TIGHT_HOLD_MS } else { MAX_HOLD_MS };
+        let acts = Vec::new();
+        let mut draw = Draw { rng, nodes, workers, acts, span_ms, busy_until: 0, max_hold_ms };
         let pace_ms = draw.rng.between(700, 2_200);
         let mut at = 1_500;
         // Trouble lasts for some seconds after it began.
@@ -185,16 +244,45 @@
             scene(&mut draw, at);
             let is_one = aim.is_some_and(|aim| !aim.contains(','));
             let pause = if is_one { 9_000 } else { 2 * pace_ms };
-            at += draw.rng.between(pause / 10, pause);
+            at = (at + draw.rng.between(pause / 10, pause)).max(draw.busy_until);
         }
         if aim.is_none() {
             draw.rng = Rng::new(!seed);
             draw.add_late_scene(span_ms);
         }
         draw.acts.sort_by_key(|(at, _)| *at);
-        let is_late = |scene| LATE_SCENES.iter().any(|(name, ..)| *name == scene);
-        let is_of_late_calls = aim.is_some_and(|aim| aim.split(',').all(is_late));
-        Self { nodes, workers, acts: draw.acts, is_of_late_calls }
+        Self {
+            nodes: nodes as usize,
+            workers: workers as usize,
+            acts: draw.acts,
+            max_hold_ms,
+            shows: Shows::by(aim),
+            has_cuts,
+        }
+    }
+}
+
+fn has(scenes: &[(&str, u64, Scene)], scene: &str) -> bool {
+    scenes.iter().any(|(name, ..)| *name == scene)
+}
+
+impl Shows {
+    /// By what the scenes that are named show something: by a change of owner, unless all of them are of
+    /// other kinds.
+    fn by(aim: Option<&str>) -> Self {
+        let named =
+            |is_wanted: &dyn Fn(&str) -> bool| aim.is_some_and(|aim| aim.split(',').any(is_wanted));
+        let is_late = |scene: &str| has(&LATE_SCENES, scene);
+        let is_cut = |scene: &str| has(&CUT_SCENES, scene);
+        if named(&|scene| !is_late(scene) && !is_cut(scene) && !BESIDE.contains(&scene)) {
+            return Self::NewOwner;
+        }
+        match (named(&is_late), named(&is_cut)) {
+            (true, true) => Self::LateCallOrCutRun,
+            (true, false) => Self::LateCall,
+            (false, true) => Self::CutRun,
+            (false, false) => Self::NewOwner,
+        }
     }
 }
 
@@ -203,12 +291,18 @@
     nodes: u64,
     workers: u64,
     acts: Vec<(u64, Act)>,
+    /// How long the trouble lasts.
+    span_ms: u64,
+    /// Until when no other scene begins.
+    busy_until: u64,
+    /// The longest lease of a worker.
+    max_hold_ms: u64,
 }
 
 impl Draw {
     fn scene(&mut self, aim: Option<&str>) -> Scene {
         let Some(aim) = aim else { return self.pick(&SCENES) };
-        let scenes = SCENES.iter().chain(&LATE_SCENES);
+        let scenes = SCENES.iter().chain(&LATE_SCENES).chain(&CUT_SCENES);
         let scenes = scenes.filter(|(name, ..)| aim.split(',').any(|one| one == *name));
         self.pick(&scenes.copied().collect::<Vec<_>>())
     }
@@ -567,3 +661,66 @@
         draw.blink(blink_at, worker);
     }
 }
+
+/// Some workers restart in place together, are given work, and are cut off from all nodes some 2 s later
+/// for about 9 s, again and again. In half of the plays the owner is killed shortly before each cut.
+fn recut(draw: &mut Draw, at: u64) {
+    let workers = draw.restarting_workers();
+    let is_owner_lost = draw.rng.chance(50);
+    let mut at = at;
+    loop {
+        let cut_at = draw.restart_and_cut(at, workers);
+        if is_owner_lost {
+            let kill_at = cut_at - draw.rng.between(100, 800);
+            draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms: 500 });
+        }
+        at += draw.rng.between(13_500, 14_500);
+        if at + 4_000 >= draw.span_ms {
+            break;
+        }
+    }
+    draw.busy_until = at;
+}
+
+impl Draw {
+    /// Two workers or three.
+    fn restarting_workers(&mut self) -> u64 {
+        let mut workers = 0_u64;
+        let count = self.rng.between(2, 3);
+        while u64::from(workers.count_ones()) < count {
+            workers |= 1 << self.rng.between(0, self.workers - 1);
+        }
+        workers
+    }
+
+    /// One round of `recut`. Returns when the cut begins.
+    fn restart_and_cut(&mut self, at: u64, workers: u64) -> u64 {
+        let (down_ms, entry_ms) = (self.rng.between(50, 700), self.rng.between(0, 2_500));
+        self.add(at, Act::Restart { workers, down_ms, entry_ms });
+        let up_at = at + down_ms;
+        // A short order finds the new life, so that its run says nothing of the worker's later ones.
+        for worker in (0..self.workers).filter(|worker| workers & (1 << worker) != 0) {
+            let (short_at, run_ms) = (up_at + self.rng.between(10, 120), self.rng.between(20, 120));
+            self.add(short_at, Act::Units { worker, count: 1, run_ms });
+        }
+        let found_at = up_at + self.rng.between(300, 700);
+        self.add(at, Act::Unheard { workers, ms: found_at - at });
+        let longest = if self.is_tight() { 400 } else { 1_400 };
+        let cut_at = found_at + self.rng.between(longest / 2, longest);
+        for longest in [12_000, 12_000, 40_000] {
+            let (jobs, run_ms) = (self.rng.between(4, 6), self.rng.spread(5_000, longest));
+            let run_ms = if longest < 40_000 { run_ms.max(9_500) } else { run_ms };
+            let long_at = self.rng.between(found_at + 20, cut_at - 120);
+            self.add(long_at, Act::Long { jobs, run_ms });
+        }
+        let ms = self.rng.between(8_500, 9_500);
+        self.add(cut_at, Act::Cut { workers, ms });
+        cut_at
+    }
+
+    /// Whether leases are barely longer than the owner asks for. Then one that was given by the clock of the
+    /// life before outlasts the owner's own only if the cut comes soon after it.
+    fn is_tight(&self) -> bool {
+        self.max_hold_ms == TIGHT_HOLD_MS
+    }
+}
--- a/tools/owners/src/draw/tests.rs
+++ b/tools/owners/src/draw/tests.rs
@@ -1,4 +1,4 @@
-use super::{Act, LATE_SCENES, Plan};
+use super::{Act, LATE_SCENES, MAX_HOLD_MS, Plan, Shows, TIGHT_HOLD_MS};
 use crate::late::Kind;
 
 const SEEDS: std::ops::Range<u64> = 0..200;
@@ -22,7 +22,7 @@
     for (scene, ..) in LATE_SCENES {
         for seed in SEEDS {
             let plan = Plan::draw(seed, 12_000, Some(scene));
-            assert!(plan.is_of_late_calls);
+            assert_eq!(plan.shows, Shows::LateCall);
             assert!(!late_acts(&plan).is_empty(), "{scene} {seed}");
             for (at, act) in late_acts(&plan) {
                 let Act::Late { lateness, .. } = act else { continue };
@@ -71,7 +71,118 @@
 
     assert!((50..150).contains(&count), "{count} of 200");
     assert!(!SEEDS.into_iter().any(|seed| has_late_calls(seed, Some("split,reborn"))));
-    assert!(!Plan::draw(1, 20_000, Some("late,reborn")).is_of_late_calls);
+    assert_eq!(Plan::draw(1, 20_000, Some("late,reborn")).shows, Shows::NewOwner);
+}
+
+#[test]
+fn restarted_workers_are_cut_off_about_2_s_later_for_about_9_s_again_and_again() {
+    for seed in SEEDS {
+        let plan = Plan::draw(seed, 40_000, Some("recut"));
+        let restarts = plan.acts.iter().filter_map(|(at, act)| match act {
+            Act::Restart { workers, down_ms, .. } => Some((at + down_ms, *workers)),
+            _ => None,
+        });
+        let cuts = plan.acts.iter().filter_map(|(at, act)| match act {
+            Act::Cut { workers, ms } => Some((*at, *workers, *ms)),
+            _ => None,
+        });
+        let rounds: Vec<_> = restarts.zip(cuts).collect();
+        assert!((2..=3).contains(&rounds.len()), "{seed}: {:?}", plan.acts);
+        for ((up_at, restarted), (cut_at, cut_off, ms)) in &rounds {
+            assert_eq!(restarted, cut_off);
+            assert!((2..=3).contains(&restarted.count_ones()));
+            assert!(plan.workers >= restarted.count_ones() as usize + 4);
+            assert!((up_at + 400..=up_at + 2_200).contains(cut_at), "{seed}: {:?}", plan.acts);
+            assert!((8_500..=9_500).contains(ms));
+        }
+        for pair in rounds.windows(2) {
+            assert!(
+                pair[0].1.0 + pair[0].1.2 < pair[1].0.0,
+                "a restart while its worker is cut off"
+            );
+        }
+    }
+}
+
+#[test]
+fn long_work_arrives_before_each_cut_and_some_of_it_outlasts_each_lease() {
+    for seed in SEEDS {
+        let plan = Plan::draw(seed, 40_000, Some("recut"));
+        let cuts = plan.acts.iter().filter(|(_, act)| matches!(act, Act::Cut { .. }));
+        for (cut_at, _) in cuts {
+            let long = plan.acts.iter().filter_map(|(at, act)| match act {
+                Act::Long { run_ms, .. } if at < cut_at && at + 2_500 > *cut_at => Some(*run_ms),
+                _ => None,
+            });
+            let long: Vec<u64> = long.collect();
+            assert_eq!(long.len(), 3, "{seed}: {:?}", plan.acts);
+            assert!(long.iter().all(|ms| (5_000..=40_000).contains(ms)));
+            assert!(long.iter().filter(|ms| **ms >= 9_500).count() >= 2);
+        }
+    }
+}
+
+#[test]
+fn recut_is_drawn_with_and_without_a_lost_owner_and_with_both_longest_leases() {
+    let plans: Vec<Plan> = SEEDS.map(|seed| Plan::draw(seed, 6_000, Some("recut"))).collect();
+    let is_lost = |plan: &&Plan| plan.acts.iter().any(|(_, act)| matches!(act, Act::Kill { .. }));
+    let is_tight = |plan: &&Plan| plan.max_hold_ms == TIGHT_HOLD_MS;
+    let count = |is_lost_wanted, is_tight_wanted| {
+        let plans = plans.iter();
+        plans
+            .filter(|plan| (is_lost(plan), is_tight(plan)) == (is_lost_wanted, is_tight_wanted))
+            .count()
+    };
+
+    for (is_lost, is_tight) in [(false, false), (false, true), (true, false), (true, true)] {
+        assert!(
+            count(is_lost, is_tight) >= 10,
+            "{is_lost} {is_tight}: {}",
+            count(is_lost, is_tight)
+        );
+    }
+    for plan in plans.iter().filter(is_lost) {
+        let at = |is_wanted: fn(&Act) -> bool| {
+            plan.acts.iter().find(|(_, act)| is_wanted(act)).map(|(at, _)| *at).unwrap()
+        };
+        let kill_at = at(|act| matches!(act, Act::Kill { .. }));
+        let cut_at = at(|act| matches!(act, Act::Cut { .. }));
+        assert!(kill_at < cut_at && kill_at + 1_000 > cut_at, "{:?}", plan.acts);
+    }
+}
+
+#[test]
+fn other_scenes_are_drawn_without_cuts_and_with_the_longest_lease_of_before() {
+    for aim in [None, Some("split"), Some("crash,late"), Some("late,reborn")] {
+        for seed in SEEDS {
+            let plan = Plan::draw(seed, 20_000, aim);
+            assert!(!plan.has_cuts && plan.max_hold_ms == MAX_HOLD_MS);
+            let is_new =
+                |act: &Act| matches!(act, Act::Restart { .. } | Act::Cut { .. } | Act::Long { .. });
+            assert!(!plan.acts.iter().any(|(_, act)| is_new(act)));
+        }
+    }
+}
+
+#[test]
+fn a_play_is_judged_by_what_its_scenes_can_show() {
+    let expected = [
+        (None, Shows::NewOwner),
+        (Some("late"), Shows::LateCall),
+        (Some("late,stray"), Shows::LateCall),
+        (Some("crash,late"), Shows::LateCall),
+        (Some("recut"), Shows::CutRun),
+        (Some("crash,recut"), Shows::CutRun),
+        (Some("late,recut"), Shows::LateCallOrCutRun),
+        (Some("crash"), Shows::NewOwner),
+        (Some("late,split"), Shows::NewOwner),
+        (Some("recut,kill"), Shows::NewOwner),
+        (Some("no-scene,late"), Shows::NewOwner),
+    ];
+
+    for (aim, shows) in expected {
+        assert_eq!(Plan::draw(1, 6_000, aim).shows, shows, "{aim:?}");
+    }
 }
 
 #[test]
--- a/tools/owners/src/judge.rs
+++ b/tools/owners/src/judge.rs
@@ -17,16 +17,13 @@
 /// The most lines about one work unit.
 const MAX_LINES: usize = 60;
 
-/// The longest lease of a worker, in milliseconds (`max_hold_ms` of the settings).
-const MAX_HOLD_MS: u64 = 10_000;
-
 type Events = Vec<(u64, Event)>;
 
 /// The breaches of TWICE, each with what the record says about the work unit: the orders as they
 /// arrived (node, worker, fence number), their answers, and the runs.
-pub fn twice(record: &Record, calls: &[WorkerCall]) -> Vec<String> {
+pub fn twice(record: &Record, calls: &[WorkerCall], max_hold_ms: u64) -> Vec<String> {
     let mut events = record.events();
-    events.extend(lapses(&events, calls));
+    events.extend(lapses(&events, calls, max_hold_ms));
     events.sort_by_key(|(at, _)| *at);
     let text = record.to_text();
     let mut told = BTreeSet::new();
@@ -44,7 +41,7 @@
 
 /// The ends of leases, from the calls that arrived. The workers record none while nothing runs, after
 /// which an end that is noted doesn't count, and record the others late on a busy machine.
-fn lapses(events: &Events, calls: &[WorkerCall]) -> Events {
+fn lapses(events: &Events, calls: &[WorkerCall], max_hold_ms: u64) -> Events {
     let mut lapses = Vec::new();
     for (birth, life) in late::births(events) {
         let is_end = |event: &Event| matches!(event, Event::Crashed { life: one } if *one == life);
@@ -63,7 +60,7 @@
                 lapses.push((end, Event::Lapsed { life: life.clone() }));
             }
             let wanted =
-                (birth + call.deadline_ms.saturating_sub(first_ms)).min(call.at_ms + MAX_HOLD_MS);
+                (birth + call.deadline_ms.saturating_sub(first_ms)).min(call.at_ms + max_hold_ms);
             lease_end = Some(lease_end.unwrap_or(0).max(wanted));
         }
         let end = lease_end.filter(|end| *end < death);
@@ -121,6 +118,42 @@
     decisive.unwrap_or(false)
 }
 
+/// Workers that no node reached from a time on.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    pub at_ms: u64,
+    pub workers: Vec<String>,
+}
+
+/// How many runs on restarted workers, in a later life than the first one, went on when their worker was
+/// cut off.
+pub fn cut_runs(events: &Events, cuts: &[Cut]) -> usize {
+    let births = late::births(events);
+    let is_first = |life: &Life| {
+        births.iter().find(|(_, one)| one.0 == life.0).is_none_or(|(_, one)| one == life)
+    };
+    let is_cut = |index: usize, start_ms: u64, life: &Life, task: &str, attempt: u64| {
+        let is_end = |event: &Event| match event {
+            Event::Ended { life: one, task: other, attempt: number, .. } => {
+                one == life && other == task && *number == attempt
+            }
+            Event::Crashed { life: one } | Event::Lapsed { life: one } => one == life,
+            _ => false,
+        };
+        let end = events[index..].iter().find(|(_, event)| is_end(event));
+        let end_ms = end.map_or(u64::MAX, |(at, _)| *at);
+        cuts.iter()
+            .any(|cut| cut.workers.contains(&life.0) && (start_ms..end_ms).contains(&cut.at_ms))
+    };
+    let is_wanted = |(index, (at, event)): &(usize, &(u64, Event))| match event {
+        Event::Started { life, task, attempt } => {
+            !is_first(life) && is_cut(*index, *at, life, task, *attempt)
+        }
+        _ => false,
+    };
+    events.iter().enumerate().filter(is_wanted).count()
+}
+
 /// Waits until all these jobs are done or lasting, and names those for which nothing runs then (LOST).
 pub fn open_jobs(world: &World, jobs: &[String], limit: Duration) -> Vec<String> {
     let is_running = |id: &String| world.workers.iter().any(|worker| worker.runs(id));
--- a/tools/owners/src/links.rs
+++ b/tools/owners/src/links.rs
@@ -75,6 +75,8 @@
     chooser: Mutex<Option<Arc<Chooser>>>,
     /// Until when each way holds bytes back, in milliseconds of the record.
     held_until: [AtomicU64; 2],
+    /// Until when holds are held back, in milliseconds of the record.
+    holds_until: AtomicU64,
     /// How long each way takes for what one read returns, in milliseconds.
     latency_ms: [AtomicU64; 2],
     record: Arc<Record>,
@@ -99,6 +101,7 @@
             target,
             chooser: Mutex::default(),
             held_until: Default::default(),
+            holds_until: AtomicU64::default(),
             latency_ms: Default::default(),
             record: Arc::clone(record),
             passed: Arc::clone(passed),
@@ -117,6 +120,11 @@
         self.held_until[way as usize].fetch_max(self.record.now_ms() + ms, SeqCst);
     }
 
+    /// Holds back the holds for a worker for this long, and no other calls.
+    pub fn keep_holds(&self, ms: u64) {
+        self.holds_until.fetch_max(self.record.now_ms() + ms, SeqCst);
+    }
+
     pub fn set_latency(&self, way: Way, ms: u64) {
         self.latency_ms[way as usize].store(ms, SeqCst);
     }
@@ -167,11 +175,14 @@
                 if way == Way::Out && self.hold_up(&message) {
                     return close(&from, &to);
                 }
+                if way == Way::Out && message.is_hold() {
+                    self.await_holds();
+                }
                 self.note(way, &message, age, open);
                 due.extend_from_slice(&message.bytes[message.passed..]);
             }
             // A call can be late only as a whole.
-            if way == Way::Back || self.chooser.lock().unwrap().is_none() {
+            if way == Way::Back || !self.takes_whole_calls() {
                 due.extend_from_slice(unread.take_rest());
             }
             if to.write_all(&due).is_err() {
@@ -223,6 +234,21 @@
         self.passed.late_calls.lock().unwrap().push(call);
     }
 
+    fn keeps_holds(&self) -> bool {
+        self.record.now_ms() < self.holds_until.load(SeqCst)
+    }
+
+    fn await_holds(&self) {
+        while self.keeps_holds() {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Whether calls pass only when all of their bytes are there.
+    fn takes_whole_calls(&self) -> bool {
+        self.keeps_holds() || self.chooser.lock().unwrap().is_some()
+    }
+
     /// Waits while the way holds bytes back. Returns whether those read at this time arrive.
     fn await_delivery(&self, way: Way, read_at: u64) -> bool {
         let latency = self.latency_ms[way as usize].load(SeqCst);
@@ -341,6 +367,10 @@
 }
 
 impl Message {
+    fn is_hold(&self) -> bool {
+        self.head.split(' ').nth(1) == Some(name("hold"))
+    }
+
     fn status(&self) -> u16 {
         self.head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
--- a/tools/owners/src/links/tests.rs
+++ b/tools/owners/src/links/tests.rs
@@ -20,6 +20,9 @@
     world,
 };
 
+/// The longest lease of a worker, in milliseconds.
+const MAX_HOLD_MS: u64 = 10_000;
+
 const LIMIT: Duration = Duration::from_secs(10);
 
 const WORKER: &str = "i-00000001";
@@ -80,7 +83,7 @@
     }
 
     fn breaches(&self) -> Vec<String> {
-        judge::twice(&self.record, &self.passed.calls.lock().unwrap())
+        judge::twice(&self.record, &self.passed.calls.lock().unwrap(), MAX_HOLD_MS)
     }
 }
 
@@ -110,7 +113,7 @@
         service: "shop".to_owned(),
         cpu: 16_000,
         mem_mb: 1_024,
-        max_hold_ms: 10_000,
+        max_hold_ms: MAX_HOLD_MS,
         stop_ms: 200,
         heartbeat_ms: 1_500,
     };
@@ -182,6 +185,28 @@
     assert_eq!(play.call("stop", r#""attempt":1"#), Some(200));
 }
 
+#[test]
+fn holds_that_are_kept_arrive_later_than_a_start_that_is_sent_after_them() {
+    let (play, seen, _server) = keeper();
+    let play = Arc::new(play);
+    play.link.keep_holds(800);
+    let kept_until = play.record.now_ms() + 800;
+    let caller = Arc::clone(&play);
+    let hold =
+        std::thread::spawn(move || caller.call("hold", r#""last_seen":0,"deadline_ms":9000"#));
+    let is_read =
+        || play.passed.read_bytes.load(SeqCst) > 0 || play.record.now_ms() + 500 > kept_until;
+    assert!(trouble::await_until(LIMIT, is_read));
+
+    assert_eq!(play.start(TASK, 20), Some(200));
+
+    assert_eq!(hold.join().unwrap(), Some(200));
+    let calls = play.passed.calls.lock().unwrap().clone();
+    assert!(calls[0].is_start && !calls[1].is_start, "{calls:?}");
+    assert!(calls[1].at_ms + 5 >= kept_until, "the judge hears of it when it arrives");
+    assert!(seen.lock().unwrap()[0].contains(TASK));
+}
+
 #[test]
 fn a_call_that_is_sent_in_parts_is_late_as_a_whole() {
     use std::io::{Read as _, Write as _};
--- a/tools/owners/src/links/tests/clocks.rs
+++ b/tools/owners/src/links/tests/clocks.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Play, TASK, WORKER, await_end, restart, runner_with, start_elsewhere};
+use super::{MAX_HOLD_MS, Play, TASK, WORKER, await_end, restart, runner_with, start_elsewhere};
 use crate::{
     clock::{Clocks, Draw},
     json::Json,
@@ -117,5 +117,5 @@
         call.deadline_ms += 9_000;
         call
     });
-    assert_eq!(judge::twice(&play.record, &longer.collect::<Vec<_>>()).len(), 1);
+    assert_eq!(judge::twice(&play.record, &longer.collect::<Vec<_>>(), MAX_HOLD_MS).len(), 1);
 }
--- a/tools/owners/src/load.rs
+++ b/tools/owners/src/load.rs
@@ -17,7 +17,7 @@
 };
 
 /// How many clients hand jobs in one after the other.
-const CLIENTS: u64 = 3;
+pub const CLIENTS: u64 = 3;
 
 /// How often a client tries to hand one job in.
 const MAX_TRIES: usize = 8;
@@ -28,6 +28,9 @@
 /// Longer than any play, for work that lasts.
 const LASTING_MS: u64 = 3_600_000;
 
+/// What is said of work units that run for longer.
+const ESTIMATE_MS: u64 = 1_000;
+
 pub struct Load {
     next_job: AtomicU64,
     is_over: AtomicBool,
@@ -48,6 +51,13 @@
     )
 }
 
+/// As `job`, of work units that run for longer than it says.
+fn long_job(count: u64, run_ms: u64) -> String {
+    format!(
+        r#"{{"spec":"ms={run_ms} cpu=1000","phases":[{{"count":{count},"cpu":1000,"mem_mb":256,"estimate_ms":{ESTIMATE_MS}}}]}}"#
+    )
+}
+
 fn lasting_job() -> String {
     format!(
         r#"{{"spec":"ms={LASTING_MS} cpu=1000","phases":[{{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":1000,"long_running":true}}]}}"#
@@ -56,7 +66,7 @@
 
 impl Load {
     /// Starts the clients. Their jobs are a function of the seed; how many there are is not.
-    pub fn start(world: &Arc<World>, seed: u64) -> Arc<Self> {
+    pub fn start(world: &Arc<World>, seed: u64, clients: u64) -> Arc<Self> {
         let load = Arc::new(Self {
             next_job: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
@@ -64,7 +74,7 @@
             clients: Mutex::default(),
         });
         load.spawn(world, lasting_job());
-        for client in 0..CLIENTS {
+        for client in 0..clients {
             let (load, world) = (Arc::clone(&load), Arc::clone(world));
             let mut rng = Rng::new(seed ^ ((client + 1) << 32));
             let keeper = Arc::clone(&load);
@@ -97,6 +107,13 @@
         }
     }
 
+    /// As `burst`, of work units that run for longer than their job says.
+    pub fn long(self: &Arc<Self>, world: &Arc<World>, jobs: u64, run_ms: u64) {
+        for _ in 0..jobs {
+            self.spawn(world, long_job(2, run_ms));
+        }
+    }
+
     /// Hands in a job that only one worker may run.
     pub fn units(self: &Arc<Self>, world: &Arc<World>, worker: u64, count: u64, run_ms: u64) {
         if let Some(worker) = world.workers.get(worker as usize) {
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -4,7 +4,7 @@
 //! Usage: `owners SEED MS RECORD`, from the folder of the project whose `target/release` is played.
 //! The trouble lasts `MS` milliseconds. Exits with 1 if a rule was broken, 0 if it held and 2 if
 //! nothing could be played. `TROUBLE=0` leaves the trouble out, `AIM` names the only scenes
-//! that are drawn (see `draw`), and `KEEP_LOGS` names the folder for the processes' logs. `CLOCKS=0` starts
+//! that are drawn (see `draw`; `recut` only so), and `KEEP_LOGS` names the folder for the processes' logs. `CLOCKS=0` starts
 //! the clocks of workers at 0 in each life, and another number draws them by it instead of the seed.
 
 mod clock;
@@ -36,7 +36,7 @@
 use std::{process::ExitCode, sync::Arc, time::Duration};
 
 use clock::Clocks;
-use draw::Plan;
+use draw::{Plan, Shows};
 use load::Load;
 use record::Record;
 use world::World;
@@ -85,7 +85,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let aim = std::env::var("AIM").ok();
     let plan = Plan::draw(seed, span_ms, aim.as_deref());
-    Clocks::choose(seed);
+    Clocks::choose(seed, plan.has_cuts);
     record.note(format!("seed {seed}: {} nodes, {} workers", plan.nodes, plan.workers));
     for (at, act) in &plan.acts {
         record.note(format!("drawn for {at} ms: {act:?}"));
@@ -94,7 +94,9 @@
         return Outcome::NotPlayed("the processes did not become ready".to_owned());
     };
     let world = Arc::new(world);
-    let load = Load::start(&world, seed);
+    // The scenes with cuts say when work arrives.
+    let clients = if plan.has_cuts { 0 } else { load::CLIENTS };
+    let load = Load::start(&world, seed, clients);
     if has_trouble {
         trouble::play(&world, &load, &plan.acts);
     }
@@ -103,15 +105,27 @@
     record.note(format!("calm from here; {} jobs are accepted", accepted.len()));
     let mut breaches = judge::open_jobs(&world, &accepted, CALM);
     record.note(world.effect());
-    breaches.extend(judge::twice(record, &world.calls()));
+    breaches.extend(judge::twice(record, &world.calls(), plan.max_hold_ms));
     if !breaches.is_empty() {
         return Outcome::Broken(breaches);
     }
-    if has_trouble && plan.is_of_late_calls && !world.has_late_call_in_next_life() {
-        return Outcome::NotPlayed("no late call reached a next life".to_owned());
+    match missing(&world, plan.shows).filter(|_| has_trouble) {
+        Some(reason) => Outcome::NotPlayed(reason.to_owned()),
+        None => Outcome::Held,
     }
-    if has_trouble && !plan.is_of_late_calls && !world.has_new_claim() {
-        return Outcome::NotPlayed("the owner has not changed".to_owned());
-    }
-    Outcome::Held
+}
+
+/// What didn't take effect, if the play shows nothing without it.
+fn missing(world: &World, shows: Shows) -> Option<&'static str> {
+    let (has_late_call, has_cut_run) = (world.has_late_call_in_next_life(), world.cut_runs() > 0);
+    let (is_shown, reason) = match shows {
+        Shows::NewOwner => (world.has_new_claim(), "the owner has not changed"),
+        Shows::LateCall => (has_late_call, "no late call reached a next life"),
+        Shows::CutRun => (has_cut_run, "nothing ran on a restarted worker when it was cut off"),
+        Shows::LateCallOrCutRun => (
+            has_late_call || has_cut_run,
+            "no late call reached a next life, and nothing ran on a restarted worker when it was cut off",
+        ),
+    };
+    (!is_shown).then_some(reason)
 }
--- a/tools/owners/src/trouble.rs
+++ b/tools/owners/src/trouble.rs
@@ -12,6 +12,7 @@
     links::{Link, Way},
     load::Load,
     names::name,
+    worker::Worker,
     world::World,
 };
 
@@ -47,6 +48,7 @@
     let index = |who: &Who| resolve(world, *who);
     match act {
         Act::Burst { jobs, run_ms } => load.burst(world, *jobs, *run_ms),
+        Act::Long { jobs, run_ms } => load.long(world, *jobs, *run_ms),
         Act::Units { worker, count, run_ms } => load.units(world, *worker, *count, *run_ms),
         Act::Freeze { who, ms } => freeze(world, index(who), *ms),
         Act::Kill { who, down_ms } => kill(world, index(who), *down_ms),
@@ -83,9 +85,44 @@
                 worker.start(Duration::ZERO);
             }
         }
+        Act::Restart { workers, down_ms, entry_ms } => {
+            let restarting = chosen(world, *workers);
+            restarting.iter().for_each(|worker| worker.crash());
+            pause(*down_ms);
+            let entry = Duration::from_millis(*entry_ms);
+            restarting.iter().for_each(|worker| worker.start(entry));
+        }
+        Act::Unheard { workers, ms } => {
+            for node in 0..world.nodes.len() {
+                let links = links(world, node, To::Workers(*workers));
+                links.iter().for_each(|link| link.keep_holds(*ms));
+            }
+            pause(*ms);
+        }
+        Act::Cut { workers, ms } => cut(world, *workers, *ms),
     }
 }
 
+/// The workers whose bits are set.
+fn chosen(world: &World, bits: u64) -> Vec<&Arc<Worker>> {
+    let workers = world.workers.iter().enumerate();
+    workers.filter(|(worker, _)| bits & (1 << worker) != 0).map(|(_, worker)| worker).collect()
+}
+
+/// Cuts both ways of all links to some workers.
+fn cut(world: &World, workers: u64, ms: u64) {
+    let cut_off = chosen(world, workers).iter().map(|worker| worker.setup.id.clone()).collect();
+    world.record.note(format!("no node reaches {cut_off:?} for {ms} ms"));
+    world.note_cut(cut_off);
+    for node in 0..world.nodes.len() {
+        for link in links(world, node, To::Workers(workers)) {
+            link.hold(Way::Out, ms);
+            link.hold(Way::Back, ms);
+        }
+    }
+    pause(ms);
+}
+
 fn resolve(world: &World, who: Who) -> usize {
     let owner = world.store.owner();
     match who {
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -18,6 +18,7 @@
     draw::Plan,
     http::{self, Reply, Request, Server},
     json::{self, Json},
+    judge::{self, Cut},
     late,
     links::{Link, Passed, WorkerCall},
     names::name,
@@ -61,6 +62,9 @@
     folder: PathBuf,
     is_over: Arc<AtomicBool>,
     longest_stall_ms: Arc<AtomicU64>,
+    cuts: Mutex<Vec<Cut>>,
+    /// The longest lease of a worker, in milliseconds.
+    pub max_hold_ms: u64,
     /// When the processes were ready, in milliseconds of the record.
     began_ms: u64,
     _servers: Vec<Server>,
@@ -72,7 +76,8 @@
         let store = Arc::new(Store::new(plan.nodes, &record));
         store.write(name("config_key"), include_str!("../config.json").trim());
         let workers: Vec<Arc<Worker>> = (1..=plan.workers)
-            .map(|index| Worker::new(setup(index), Arc::clone(&record), Arc::clone(&store)))
+            .map(|index| setup(index, plan.max_hold_ms))
+            .map(|setup| Worker::new(setup, Arc::clone(&record), Arc::clone(&store)))
             .collect();
         for worker in &workers {
             worker.start(Duration::ZERO);
@@ -86,6 +91,8 @@
             folder: std::env::temp_dir().join(format!("owners-{}", std::process::id())),
             is_over: Arc::default(),
             longest_stall_ms: Arc::default(),
+            cuts: Mutex::default(),
+            max_hold_ms: plan.max_hold_ms,
             passed: Arc::default(),
             nodes: Vec::new(),
             began_ms: 0,
@@ -143,7 +150,7 @@
             let links = workers.chain(others).map(|(a, b)| (a.to_string(), b.to_string()));
             self.store.set_links(index, links.collect());
             let path = self.folder.join(format!("{}.toml", node.name));
-            fs::write(path, settings(&node, peers[index], machines)?).ok()?;
+            fs::write(path, settings(&node, peers[index], machines, self.max_hold_ms)?).ok()?;
             self.nodes.push(node);
             self._servers.push(server);
         }
@@ -274,6 +281,16 @@
         late::has_reached_later_life(&calls, &late::births(&self.record.events()))
     }
 
+    pub fn note_cut(&self, workers: Vec<String>) {
+        let at_ms = self.record.now_ms();
+        self.cuts.lock().unwrap().push(Cut { at_ms, workers });
+    }
+
+    /// How many runs on restarted workers went on when their worker was cut off.
+    pub fn cut_runs(&self) -> usize {
+        judge::cut_runs(&self.record.events(), &self.cuts.lock().unwrap())
+    }
+
     /// Counts the late calls of each kind.
     fn late_effect(&self) -> String {
         let calls = self.passed.late_calls.lock().unwrap();
@@ -291,7 +308,9 @@
             })
         };
         let changes = claims.windows(2).filter(|pair| pair[0].node != pair[1].node).count();
-        let worth = if claims.len() < 2 && !self.has_late_call_in_next_life() {
+        let cut_runs = self.cut_runs();
+        let is_without_owner = self.has_late_call_in_next_life() || cut_runs > 0;
+        let worth = if claims.len() < 2 && !is_without_owner {
             "; without a change of owner, this shows nothing"
         } else {
             ""
@@ -299,14 +318,16 @@
         format!(
             "trouble that took effect: {} claims of the cell, {changes} of them by another node \
              than before; {} of {} start orders arrived after a later claim; {} bytes late, {} lost; the \
-             stand-ins stood still for {} ms at most{worth}; {}",
+             stand-ins stood still for {} ms at most{worth}; {}; runs on restarted workers that were \
+             cut off: {cut_runs}, with leases of {} ms at most",
             claims.len(),
             orders.iter().filter(is_late).count(),
             orders.len(),
             self.passed.late_bytes.load(SeqCst),
             self.passed.lost_bytes.load(SeqCst),
             self.longest_stall_ms(),
-            self.late_effect()
+            self.late_effect(),
+            self.max_hold_ms
         )
     }
 
@@ -339,13 +360,13 @@
     }
 }
 
-fn setup(index: usize) -> Setup {
+fn setup(index: usize, max_hold_ms: u64) -> Setup {
     Setup {
         id: format!("i-{index:08x}"),
         service: SERVICE.to_owned(),
         cpu: WORKER_CPU,
         mem_mb: 131_072,
-        max_hold_ms: 10_000,
+        max_hold_ms,
         stop_ms: 200,
         heartbeat_ms: 1_500,
     }
@@ -367,7 +388,12 @@
     None
 }
 
-fn settings(node: &Node, peer: SocketAddr, machines: SocketAddr) -> Option<String> {
+fn settings(
+    node: &Node,
+    peer: SocketAddr,
+    machines: SocketAddr,
+    max_hold_ms: u64,
+) -> Option<String> {
     let (ready, control) = (ports::take()?, ports::take()?);
     let fields = [
         ("@node@", node.name.clone()),
@@ -375,6 +401,7 @@
         ("@front@", node.front.to_string()),
         ("@ready@", ready.to_string()),
         ("@control@", control.to_string()),
+        ("@max_hold@", max_hold_ms.to_string()),
         ("@store@", node.store_link.address.to_string()),
         ("@machines@", machines.to_string()),
     ];
