--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -703,14 +703,21 @@
             let (short_at, run_ms) = (up_at + self.rng.between(10, 120), self.rng.between(20, 120));
             self.add(short_at, Act::Units { worker, count: 1, run_ms });
         }
-        let found_at = up_at + self.rng.between(300, 700);
+        let (found, cut) =
+            if self.is_tight() { ((160, 300), (80, 180)) } else { ((300, 700), (700, 1_400)) };
+        let found_at = up_at + self.rng.between(found.0, found.1);
         self.add(at, Act::Unheard { workers, ms: found_at - at });
-        let longest = if self.is_tight() { 400 } else { 1_400 };
-        let cut_at = found_at + self.rng.between(longest / 2, longest);
+        let cut_at = found_at + self.rng.between(cut.0, cut.1);
+        // It takes some time until work that arrives is ordered.
+        let (from, to) = if self.is_tight() {
+            (found_at - 40, cut_at - 60)
+        } else {
+            (found_at + 20, cut_at - 120)
+        };
         for longest in [12_000, 12_000, 40_000] {
             let (jobs, run_ms) = (self.rng.between(4, 6), self.rng.spread(5_000, longest));
             let run_ms = if longest < 40_000 { run_ms.max(9_500) } else { run_ms };
-            let long_at = self.rng.between(found_at + 20, cut_at - 120);
+            let long_at = self.rng.between(from, to);
             self.add(long_at, Act::Long { jobs, run_ms });
         }
         let ms = self.rng.between(8_500, 9_500);
