Test: inherited jobs wait without a bound for a worker that is adopted and then cut off (KNOWN-RED)

Cause: release_inherited_jobs drops a worker once it has outlasted the stops of earlier owners, or, if it is not adopted, once its leases have expired. One that is adopted, has no runs and falls silent before that is neither; only expire_runs takes the adoption back, and it asks workers with ordered runs.

--- a/crates/standins/tests/cells/takeover.rs
+++ b/crates/standins/tests/cells/takeover.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, Span, Timestamp,
-    job::{DrainMode, EndKind, JobId, Step, TaskId},
+    job::{DrainMode, EndKind, JobId, LogEvent, Step, TaskId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
@@ -300,3 +300,29 @@
     assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// A worker without runs that has answered the next owner, and is cut off from it before all stops of earlier
+/// owners have ended there. The store goes on to list it.
+#[test]
+fn inherited_jobs_do_not_wait_for_ever_for_a_worker_that_is_adopted_and_then_cut_off() {
+    let mut model = new_model(3);
+    model.run_for(OWNER_TTL.0);
+    let second = Step { after: vec![0], ..step(1, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 1_000, 1_200), second]));
+    model.run_for(300);
+    let idle = idle_worker(&model);
+    model.kill_owner();
+    model.take_over();
+    let seen = model.log_events().len();
+    let id = idle.clone();
+    let is_adopted = move |event: &LogEvent| matches!(event, LogEvent::Worker { change: "adopted", worker, .. } if *worker == id);
+    assert!(model.run_until(6_000, |model| model.log_events()[seen..].iter().any(&is_adopted)));
+    let claimed_at = model.now();
+
+    model.cut_owner_off_from(idle.as_str());
+    let started_at = second_step_start(&mut model);
+
+    let latest = claimed_at + OWNER_TTL + longest_lease() + Span(PLAN_DELAY_MS);
+    assert!(started_at.is_some_and(|at| at <= latest), "{started_at:?}, not by {latest}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
