A list that shows a run doesn't let a hold confirm beside the order's other copy (TWICE)

What callers saw: a task that was done ran again, as in, if the first copy of its order is late, the second one is carried out without an answer, and a list shows the run before the order counts as unanswered.

Change: a hold confirms no end while a start order to its worker has no outcome (StartWindow::has_pending_at) or a copy is open. Runs that wait unsettled after their order has expired hold no end back any more.

--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -103,15 +103,16 @@
     }
 }
 
-/// Notes in the worker's state that a hold is sent, and returns it.
+/// Notes in the worker's state that a hold is sent, and returns it. `is_ordered` says whether a start order to the
+/// worker has no outcome yet.
 pub(super) fn hold(
     (id, worker): (&WorkerId, &mut Worker),
-    lease: Lease,
-    fence: Fence,
+    is_ordered: bool,
+    (lease, fence): (Lease, Fence),
     now: Timestamp,
 ) -> Action {
     let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
-    let last_seen = worker.confirmable(is_delayed, now);
+    let last_seen = worker.confirmable((is_delayed, is_ordered), now);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
@@ -178,7 +179,8 @@
                     self.actions.extend(worker.abandoned_orders(now).map(stop));
                 }
                 let fence = self.fences.of_hold(id);
-                self.actions.push(hold((id, worker), lease, fence, now));
+                let is_ordered = self.start_window.has_pending_at(id);
+                self.actions.push(hold((id, worker), is_ordered, (lease, fence), now));
             }
         }
     }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -377,7 +377,8 @@
             if let Some(worker) = self.workers.get_mut(id).filter(|one| one.is_hold_due(now)) {
                 let lease = Lease::of(&self.cfg, &self.log);
                 let fence = self.fences.of_hold(id);
-                self.actions.push(holds::hold((id, worker), lease, fence, now));
+                let is_ordered = self.start_window.has_pending_at(id);
+                self.actions.push(holds::hold((id, worker), is_ordered, (lease, fence), now));
             }
         }
     }
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -164,6 +164,11 @@
         self.pending.contains_key(&run)
     }
 
+    /// Whether any order to a worker has no outcome yet.
+    pub(super) fn has_pending_at(&self, worker: &WorkerId) -> bool {
+        self.pending_by_worker.contains_key(worker)
+    }
+
     /// Adds a start order with a payload of this size.
     pub(super) fn begin(
         &mut self,
--- a/crates/core/src/job/worker/confirmation.rs
+++ b/crates/core/src/job/worker/confirmation.rs
@@ -10,7 +10,7 @@
 //!   so that a later instance may carry out both, the order first.
 //! - Otherwise no end is confirmed if an order may have reached another instance, except right after an answer.
 
-use super::{Run, Worker};
+use super::Worker;
 use crate::{Span, Timestamp, job::TaskId};
 
 /// Maximum number of ends that wait on one worker. It lists them all in each answer, and a list that is
@@ -35,11 +35,15 @@
     /// The number of the last end that a hold which leaves now may confirm; zero if it may confirm none.
     ///
     /// A hold that `is_delayed`, because it had to wait for others, confirms although the latest answer is old,
-    /// or an owner short of room never would.
-    pub(in crate::job) fn confirmable(&mut self, is_delayed: bool, now: Timestamp) -> u64 {
+    /// or an owner short of room never would. `is_ordered` says whether a start order has no outcome yet.
+    pub(in crate::job) fn confirmable(
+        &mut self,
+        (is_delayed, is_ordered): (bool, bool),
+        now: Timestamp,
+    ) -> u64 {
         let is_fresh = self.clock.is_some_and(|clock| now <= clock.at + CONFIRMATION_AGE);
         let may_confirm = self.hold_failures == 0
-            && self.may_confirm_later(now)
+            && self.may_confirm_beside(is_ordered, now)
             && !self.may_have_restarted()
             && (is_fresh || is_delayed || !self.may_have_orders_elsewhere(now));
         if may_confirm { self.last_confirmable(now) } else { 0 }
@@ -47,15 +51,14 @@
 
     /// Whether the next hold is to confirm the last end that was read.
     pub(in crate::job) fn has_confirmable_end(&mut self, now: Timestamp) -> bool {
-        self.may_confirm_later(now) && self.last_confirmable(now) == self.ends_durable
+        self.may_confirm_beside(false, now) && self.last_confirmable(now) == self.ends_durable
     }
 
-    /// Whether the worker lists ends, and no unanswered order forbids to confirm them. A list that is nearly
-    /// full is confirmed all the same.
-    fn may_confirm_later(&self, now: Timestamp) -> bool {
-        let is_unanswered =
-            || self.has_open_orders(now) || self.runs.values().any(Run::is_unanswered);
-        self.listed_ends > 0 && (self.listed_ends >= MAX_WAITING_ENDS || !is_unanswered())
+    /// Whether the worker lists ends, and no unanswered order forbids to confirm them. A run that a list shows
+    /// says nothing of the other copies of its order. A list that is nearly full is confirmed all the same.
+    fn may_confirm_beside(&self, is_ordered: bool, now: Timestamp) -> bool {
+        let is_full = self.listed_ends >= MAX_WAITING_ENDS;
+        self.listed_ends > 0 && (is_full || !(is_ordered || self.has_open_orders(now)))
     }
 
     /// Lets an end wait, with all later ones.
