A task whose order got no answer waits for the longest lease of its silent worker

Cause: a late copy of a start order may begin its run in a next instance of the worker that nobody hears, and brings the longest lease, as it names a time of another clock. The task started elsewhere once the order had expired (15 s), while such a run went on for up to the longest lease.

Change: once a worker's leases have lapsed, a run stays booked until a copy of the task's order can neither be carried out nor have a lease left. It ends with the order, as before, if the worker has left the store, and at once if the worker answers. That is what end_of_outlived does already for a worker that is known to have restarted.

No check has changed.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -207,7 +207,7 @@
             let is_lost = |(_, run): &(&TaskId, &Run)| !run.awaits_order_expiry;
             let lost = worker.runs.iter().filter(is_lost);
             let lost: Vec<(TaskId, Run)> = lost.map(|(task, run)| (*task, run.clone())).collect();
-            let lapsed = worker.take_lapsed_runs(sole_until, now);
+            let lapsed = worker.take_lapsed_runs(longest_lease, sole_until, now);
             if lost.is_empty() && lapsed.is_empty() {
                 continue;
             }
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use super::{Run, RunState, Worker};
-use crate::{Timestamp, job::TaskId};
+use crate::{Span, Timestamp, job::TaskId};
 
 /// Maximum number of ends that wait on one worker. It lists them all in each answer, and a list that is
 /// cut off shows no newer ones.
@@ -67,23 +67,37 @@
     /// Until when a copy of a start order of the task may take effect on the worker; `None` if none
     /// can any more.
     pub(in crate::job) fn open_until(&self, task: TaskId, now: Timestamp) -> Option<Timestamp> {
+        self.last_order_expiry(task).filter(|expiry| now <= *expiry)
+    }
+
+    /// Time after which no copy of a start order of the task takes effect on the worker any more, as far as
+    /// orders are on record.
+    fn last_order_expiry(&self, task: TaskId) -> Option<Timestamp> {
         let orders = self.open_orders.iter().filter(|order| order.task == task);
         let run = self.runs.get(&task).filter(|run| run.is_unanswered());
-        let expiries = orders.map(|order| order.expiry).chain(run.map(|run| run.order_expiry));
-        expiries.filter(|expiry| now <= *expiry).max()
+        orders.map(|order| order.expiry).chain(run.map(|run| run.order_expiry)).max()
+    }
+
+    /// Whether a copy of a start order of the task may still take effect, or may have begun a run in an
+    /// instance that has never answered. Such a copy brings the longest lease, as it names a time of another
+    /// clock. Once the worker has left the store, no such instance is reckoned with.
+    fn may_run_late(&self, task: TaskId, longest_lease: Span, now: Timestamp) -> bool {
+        let lease = if self.is_gone(now) { Span(0) } else { longest_lease };
+        self.last_order_expiry(task).is_some_and(|expiry| now <= expiry + lease)
     }
 
     /// Takes the runs that certainly have ended, now that every lease has lapsed. Those stay for whose
     /// tasks a copy of a start order is open: the worker's next instance, of which the owner need not
-    /// hear in time, may begin the task until the copy has expired. Until `sole_until` no other owner may
-    /// have started it. A long-running task doesn't wait.
+    /// hear in time, may begin the task until the copy has expired, and goes on while its lease lasts. Until
+    /// `sole_until` no other owner may have started it. A long-running task doesn't wait.
     pub(in crate::job) fn take_lapsed_runs(
         &mut self,
+        longest_lease: Span,
         sole_until: Timestamp,
         now: Timestamp,
     ) -> IndexMap<TaskId, Run> {
         let may_wait = |run: &Run| run.state != RunState::Planned && !run.is_long_running;
-        let is_open = |task| self.open_until(task, now).is_some();
+        let is_open = |task| self.may_run_late(task, longest_lease, now);
         let waiting = self.runs.iter().filter(|(task, run)| {
             (may_wait(run) && is_open(**task)) || (run.awaits_order_expiry && now > sole_until)
         });
--- a/crates/standins/tests/cells/stray_leases.rs
+++ b/crates/standins/tests/cells/stray_leases.rs
@@ -1,7 +1,8 @@
 //! Tests of leases that a restarted worker gets from calls that were meant for its former instance. Each of
 //! these names a time of another clock, far ahead of the new one, so that it brings the longest lease.
 
-use teaselgap_core::job::{JobId, LogEvent};
+use indexmap::IndexMap;
+use teaselgap_core::job::{DrainMode, JobId, LogEvent};
 use teaselgap_standins::model::{ClockDraw, Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
@@ -24,6 +25,10 @@
 /// Time within which what waits for nothing else is planned and ordered, in milliseconds.
 const SETTLE_MS: u64 = 1_000;
 
+/// Time within which a worker confirms the stop of an order without an answer, and the run is given up, in
+/// milliseconds.
+const REFUSED_MS: u64 = 4_000;
+
 const TASKS: u32 = 4;
 
 /// Creates a model of two idle workers that accept long leases. The next instance of `w0` has a clock that is
@@ -142,31 +147,72 @@
     }
 }
 
+/// What becomes of a worker before its next instance begins, unheard, the task of a late copy of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unheard {
+    /// Nothing.
+    Listed,
+    /// It has refused the order and may get no other one, so that no run is booked there.
+    Drained,
+    /// It leaves the store.
+    Gone,
+}
+
+/// Restarts a worker that has answered no copy of the order of a task, and cuts it off. Both copies come late.
+fn begin_unheard(case: Unheard, late_ms: u64) {
+    let mut model = idle_model();
+    for id in ["w0", "w1"] {
+        let faults = WorkerFaults { late_orders: 2, late_ms, ..WorkerFaults::default() };
+        model.set_faults(id, faults);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
+    let task = task_id(JOB, 0);
+    assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+    let worker = model.ordered_worker(task).unwrap();
+    let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
+    model.set_faults(other, WorkerFaults::default());
+    if case == Unheard::Drained {
+        let drains = IndexMap::from([(worker.clone(), DrainMode::WaitForRuns)]);
+        model.cell_mut().expect("an owner").set_drains(drains);
+        model.run_for(REFUSED_MS);
+    }
+    model.run_for(100);
+
+    model.worker_mut(worker.as_str()).next_clock = Some(ClockDraw::Behind(1_000_000));
+    if case == Unheard::Gone {
+        model.lapse_entry(worker.as_str(), 3 * LONG_MS);
+    } else {
+        model.keep_entry(worker.as_str(), 3 * LONG_MS);
+    }
+    model.restart_worker_at(worker.as_str(), model.wall_ms(), 10);
+    model.make_unreachable(worker.as_str(), 3 * LONG_MS);
+    model.run_for(2 * LONG_MS);
+
+    assert_eq!(model.violations(), [] as [&str; 0], "{case:?} {late_ms}");
+}
+
 /// Guards against a task that starts elsewhere while it runs in an instance that its owner never hears, in which
 /// a late copy of its order has begun it.
 #[test]
 fn a_late_copy_of_an_order_gives_an_instance_that_nobody_hears_the_longest_lease() {
     for late_ms in [1_000, 4_000, 6_000, 8_000, 10_000, 12_000, 14_000] {
-        let mut model = idle_model();
-        for id in ["w0", "w1"] {
-            let faults = WorkerFaults { late_orders: 2, late_ms, ..WorkerFaults::default() };
-            model.set_faults(id, faults);
-        }
-        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
-        let task = task_id(JOB, 0);
-        assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
-        let worker = model.ordered_worker(task).unwrap();
-        let other = if worker.as_str() == "w0" { "w1" } else { "w0" };
-        model.set_faults(other, WorkerFaults::default());
-        model.run_for(100);
+        begin_unheard(Unheard::Listed, late_ms);
+    }
+}
 
-        model.worker_mut(worker.as_str()).next_clock = Some(ClockDraw::Behind(1_000_000));
-        model.keep_entry(worker.as_str(), 3 * LONG_MS);
-        model.restart_worker_at(worker.as_str(), model.wall_ms(), 10);
-        model.make_unreachable(worker.as_str(), 3 * LONG_MS);
-        model.run_for(2 * LONG_MS);
+/// The same if the instance of before has refused the order, so that no run is booked on the worker.
+#[test]
+fn a_late_copy_of_a_refused_order_gives_an_instance_that_nobody_hears_the_longest_lease() {
+    for late_ms in [6_000, 8_000, 10_000, 12_000, 14_000] {
+        begin_unheard(Unheard::Drained, late_ms);
+    }
+}
 
-        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+/// The same if the instance writes no entry, and that of the one before leaves the store.
+#[test]
+fn a_late_copy_of_an_order_gives_an_instance_that_the_store_never_lists_the_longest_lease() {
+    for late_ms in [1_000, 4_000, 6_000, 8_000, 10_000, 12_000, 14_000] {
+        begin_unheard(Unheard::Gone, late_ms);
     }
 }
 
