--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -7,7 +7,7 @@
     Span,
     job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
 };
-use teaselgap_standins::model::{Model, WorkerFaults};
+use teaselgap_standins::model::{CallKind, Fate, Model, WorkerFaults};
 
 use crate::fixtures::{
     job_spec, long_running_job, new_model_with_valid_late_orders, queue, state, step, task_id,
@@ -44,6 +44,12 @@
 /// listed, in milliseconds.
 const SETTLE_MS: u64 = 600 + 250 + 550;
 
+/// The longest time that a hold waits at a worker for a run to end, with its transit, in milliseconds.
+const HOLD_WAIT_MS: u64 = 400 + 50;
+
+/// Time from a start until the second copy of its order is answered, in milliseconds.
+const ANSWERED_AGAIN_MS: u64 = 150;
+
 /// Time within which an owner plans, in milliseconds.
 const PLAN_MS: u64 = 100;
 
@@ -452,3 +458,38 @@
     assert!(waited.0 > MAX_LATE_MS, "{waited}");
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// A silent worker has a run that its lists have shown, and one whose order was answered only at the second
+/// copy, by which instance is not known: only the latter's task waits for what another instance may do.
+#[test]
+fn a_listed_run_waits_for_the_lease_of_a_silent_worker_and_for_no_other_run() {
+    const OTHER_JOB: JobId = JobId(8);
+    let other_task = task_id(OTHER_JOB, 0);
+    let mut model = new_model_with_valid_late_orders(2);
+    let drains = IndexMap::from([("w1".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().expect("an owner").set_drains(drains);
+    model.submit(OTHER_JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    model.run_for(LISTED_MS);
+    for kind in [CallKind::Look, CallKind::Renew, CallKind::Confirm] {
+        model.script_fates("w0", kind, &[Fate::CallLost; 8]);
+    }
+    // The list that is on its way comes before the next order.
+    model.run_for(HOLD_WAIT_MS);
+    model.script_fates("w0", CallKind::Start, &[Fate::AnswerLost]);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+    let ordered = model.now();
+    model.cell_mut().expect("an owner").set_drains(IndexMap::new());
+    model.run_for(ANSWERED_AGAIN_MS);
+
+    let now = model.now();
+    model.worker_mut("w0").partition_for(now, 600_000);
+    assert!(model.run_until(60_000, |model| model.start_count(other_task) > 1));
+    let other_waited = model.now().since(ordered);
+    assert!(model.run_until(60_000, |model| model.start_count(task()) > 1));
+    let waited = model.now().since(ordered);
+
+    assert!(other_waited.0 <= MAX_LEASE_MS + 2 * SETTLE_MS, "{other_waited}");
+    assert!(waited.0 > MAX_LATE_MS + MAX_LEASE_MS, "{waited}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
