A run on a silent worker waits for its own lease, not for another run's

Worker i-c9dbc8fd6c is cut off at 33.0 s with 12 runs. Worker::lease_expiry is one time for all runs of a worker, so that the other 11 waited until 57.90 s, too, seven of them shown by lists.

Change: once the leases of the newest known instance have expired, each answered run ends whose own lease has, as its clock says, and for whose task no copy of an order is open. The others wait as before: those of which it isn't known whose lease they have, those that have outlived a restart, and those whose task has an open copy. No wait that a law names gets shorter.

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -184,26 +184,28 @@
         }
     }
 
-    /// Ends the runs of workers on which every lease has expired, each once no copy of a start order for
-    /// its task is open there.
+    /// Ends the runs of workers whose newest known instance has no lease any more, each once it can't be alive
+    /// in another instance and no copy of a start order for its task is open there.
     pub(super) fn expire_runs(&mut self, now: Timestamp) {
         let (longest_lease, sole_until) = (self.longest_lease(), self.sole_until);
-        let expired: Vec<WorkerId> = self
+        let expired: Vec<(WorkerId, bool)> = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.has_ordered_runs())
-            .filter(|(_, worker)| self.has_lapsed(worker.lease_expiry(longest_lease, now), now))
-            .map(|(id, _)| id.clone())
+            .filter(|(_, worker)| self.has_lapsed(worker.own_lease_expiry(), now))
+            .map(|(id, worker)| {
+                (id.clone(), self.has_lapsed(worker.lease_expiry(longest_lease, now), now))
+            })
             .collect();
-        for id in expired {
+        for (id, is_all_lapsed) in expired {
             let Some(worker) = self.workers.get_mut(&id) else {
                 continue;
             };
-            let is_lost = |(_, run): &(&TaskId, &Run)| !run.awaits_order_expiry;
+            let is_lost = |(_, run): &(&TaskId, &Run)| !run.awaits_release;
             let lost = worker.runs.iter().filter(is_lost);
             let lost: Vec<(TaskId, Run)> = lost.map(|(task, run)| (*task, run.clone())).collect();
-            let lapsed = worker.take_lapsed_runs(sole_until, now);
-            if lost.is_empty() && lapsed.is_empty() {
+            let lapsed = worker.take_lapsed_runs(is_all_lapsed, sole_until, now);
+            if lapsed.is_empty() && (lost.is_empty() || !is_all_lapsed) {
                 continue;
             }
             // A late start may take resources that are then booked for another run, so the worker
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -383,11 +383,29 @@
             Some(clock) => self.lease_end_by(clock),
             None => self.end_of_outlived(run, longest_lease, now),
         });
-        let earliest = ends.max().unwrap_or_default().max(self.inherited_expiry);
-        let earliest = earliest.max(self.stray_lease.expiry());
+        self.own_lease_expiry().max(ends.max().unwrap_or_default())
+    }
+
+    /// Returns when every run in the newest known instance has certainly ended if the worker never answers
+    /// again, whatever other instances may have.
+    pub(super) fn own_lease_expiry(&self) -> Timestamp {
+        let earliest = self.inherited_expiry.max(self.stray_lease.expiry());
         self.clock.map_or(earliest, |clock| self.lease_end_by(clock).max(earliest))
     }
 
+    /// Returns when a run has certainly ended if the worker never answers again, whatever other runs wait for;
+    /// `None` if it isn't known which instance's lease it has.
+    fn known_end(&self, run: &Run) -> Option<Timestamp> {
+        if run.state != RunState::Running || run.outlived_restart {
+            return None;
+        }
+        let own = self.own_lease_expiry();
+        if run.ends_with_instance {
+            return Some(own);
+        }
+        run.clock.map(|clock| self.lease_end_by(clock).max(own))
+    }
+
     /// Returns when the latest lease that was sent has certainly expired on the clock of this reading.
     fn lease_end_by(&self, clock: ClockReading) -> Timestamp {
         let remaining = self.last_lease_end_sent.saturating_sub(clock.worker_ms);
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -73,24 +73,34 @@
         expiries.filter(|expiry| now <= *expiry).max()
     }
 
-    /// Takes the runs that certainly have ended, now that every lease has lapsed. Those stay for whose
-    /// tasks a copy of a start order is open: the worker's next instance, of which the owner need not
-    /// hear in time, may begin the task until the copy has expired. Until `sole_until` no other owner may
-    /// have started it. A long-running task doesn't wait.
+    /// Takes the runs that certainly have ended, now that every lease of the newest known instance has lapsed;
+    /// unless `is_all_lapsed`, another one may still have a lease. Those stay for whose tasks a copy of a start
+    /// order is open: the worker's next instance, of which the owner need not hear in time, may begin the task
+    /// until the copy has expired. A long-running task doesn't wait for that once all have lapsed. Until
+    /// `sole_until` no other owner may have started it.
     pub(in crate::job) fn take_lapsed_runs(
         &mut self,
+        is_all_lapsed: bool,
         sole_until: Timestamp,
         now: Timestamp,
     ) -> IndexMap<TaskId, Run> {
         let may_wait = |run: &Run| run.state != RunState::Planned && !run.is_long_running;
         let is_open = |task| self.open_until(task, now).is_some();
+        let has_lapsed = |end: Timestamp| now > end && end <= sole_until;
+        let may_be_alive =
+            |task, run: &Run| is_open(task) || !self.known_end(run).is_some_and(has_lapsed);
         let waiting = self.runs.iter().filter(|(task, run)| {
-            (may_wait(run) && is_open(**task)) || (run.awaits_order_expiry && now > sole_until)
+            (may_wait(run) && is_open(**task))
+                || (run.awaits_release && now > sole_until)
+                || (!is_all_lapsed && may_be_alive(**task, run))
         });
         let waiting: Vec<TaskId> = waiting.map(|(task, _)| *task).collect();
-        let lapsed = self.runs.extract_if(.., |task, _| !waiting.contains(task)).collect();
-        for run in self.runs.values_mut() {
-            run.awaits_order_expiry = true;
+        let lapsed: IndexMap<_, _> =
+            self.runs.extract_if(.., |task, _| !waiting.contains(task)).collect();
+        if is_all_lapsed || !lapsed.is_empty() {
+            for run in self.runs.values_mut() {
+                run.awaits_release = true;
+            }
         }
         lapsed
     }
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -49,9 +49,9 @@
     /// Whether the worker has restarted since the order was sent, so that the run may have got its
     /// lease from an order to an earlier instance.
     pub(in crate::job) outlived_restart: bool,
-    /// Whether its lease has lapsed, and a copy of a start order for its task is still open, in which
-    /// the worker's next instance may begin the task.
-    pub(in crate::job) awaits_order_expiry: bool,
+    /// Whether the leases of the newest known instance have lapsed, and the task waits until the run has
+    /// certainly ended in others and none of them can begin the task any more.
+    pub(in crate::job) awaits_release: bool,
     /// Time after which no copy of the start order takes effect any more. A restart does not change
     /// it.
     pub(in crate::job) order_expiry: Timestamp,
@@ -143,7 +143,7 @@
             ends_with_instance: false,
             clock: None,
             outlived_restart: false,
-            awaits_order_expiry: false,
+            awaits_release: false,
             order_expiry: now,
             started: now,
             expect_in_lists_after: now,
@@ -193,7 +193,7 @@
         self.state = RunState::Running;
         self.is_listed = true;
         self.ends_with_instance = true;
-        self.awaits_order_expiry = false;
+        self.awaits_release = false;
         self.order_expiry = self.order_expiry.min(now);
         self.unlisted_since = None;
         self.progress_percent = progress_percent;
--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -132,3 +132,24 @@
     assert_eq!(of_unknown, ANSWERED + LONGEST_LEASE);
     assert!(of_known < ANSWERED + Span(6_000));
 }
+
+/// Guards against runs that wait for another one, of which it isn't known which instance has it.
+#[test]
+fn each_run_of_a_silent_worker_waits_for_its_own_lease() {
+    let mut worker = worker();
+    worker.record_clock(60_000, ANSWERED, ANSWERED);
+    worker.last_lease_end_sent = 65_500;
+    let clock = ClockReading { worker_ms: 60_000, asked: ANSWERED, at: ANSWERED };
+    let run = || Run::unknown(1, RunState::Running, ANSWERED);
+    let [listed, answered, unknown] = [0, 1, 2].map(|index| TaskId { index, ..task() });
+    worker.runs.insert(listed, Run { ends_with_instance: true, ..run() });
+    worker.runs.insert(answered, Run { clock: Some(clock), ..run() });
+    worker.runs.insert(unknown, run());
+    let lapsed_by = |now| worker.clone().take_lapsed_runs(false, Timestamp(u64::MAX), now);
+
+    let before = lapsed_by(worker.own_lease_expiry());
+    let after = lapsed_by(worker.own_lease_expiry() + Span(1));
+
+    assert!(before.is_empty());
+    assert_eq!(after.into_keys().collect::<Vec<_>>(), [listed, answered]);
+}
