Inherited jobs don't wait for ever for a worker that has answered once and is cut off (LOST)

What callers saw: after a change of owners nothing of the jobs of before started any more, though workers were free.

While the store listed it, the wait had no end.

Change: a worker that is silent again, has outlasted no stops, and whose every lease has expired by the known clock and by the inherited time counts as expired, as one that has never answered.

--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -463,12 +463,19 @@
     pub(super) fn release_inherited_jobs(&mut self, now: Timestamp) {
         let before = self.inherited_workers.len();
         let mut lost_workers = Vec::new();
-        let sole_until = self.sole_until;
+        let (sole_until, longest_lease) = (self.sole_until, self.longest_lease());
         let (workers, wait) = (&self.workers, &mut self.inherited_wait);
+        // One that has answered and is silent again lists nothing more, but its leases expire.
+        let is_silent = |worker: &Worker| {
+            worker.hold_failures > 0 && now > worker.lease_expiry(longest_lease, now)
+        };
         self.inherited_workers.retain(|id, expiry| {
             let worker = workers.get(id).filter(|worker| worker.is_adopted);
-            let is_expired = worker.is_none() && now >= *expiry && *expiry <= sole_until;
             let is_adopted = worker.is_some_and(|worker| worker.has_outlasted_stops);
+            let is_expired = !is_adopted
+                && worker.is_none_or(is_silent)
+                && now >= *expiry
+                && *expiry <= sole_until;
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
             lost_workers.extend(is_expired.then(|| id.clone()));
