--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -334,6 +334,9 @@
         let own = own.map(|worker| {
             let id = &worker.entry.id;
             let expiry = worker.lease_expiry(longest_lease, now);
+            // An order under way may find an instance that this owner has not called.
+            let is_ordered = self.start_window.has_pending_at(id);
+            let expiry = if is_ordered { expiry.max(now + longest_lease) } else { expiry };
             if !handover.renewed.contains(id) {
                 return (id, expiry, expiry);
             }
