tools/owners: a lost owner of AIM=recut is back before its lease ends, or long after

Its process came back after 0.5 s in each play and claimed the cell again, so that no other node became the owner. It now stays away for 6 s in half of them.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -671,8 +671,11 @@
     loop {
         let cut_at = draw.restart_and_cut(at, workers);
         if is_owner_lost {
-            let kill_at = cut_at - draw.rng.between(100, 800);
-            draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms: 500 });
+            let early = if draw.is_tight() { (10, 60) } else { (100, 800) };
+            let kill_at = cut_at - draw.rng.between(early.0, early.1);
+            // It is back before another node may claim the cell, or long after.
+            let down_ms = if draw.rng.chance(50) { 500 } else { 6_000 };
+            draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms });
         }
         at += draw.rng.between(13_500, 14_500);
         if at + 4_000 >= draw.span_ms {
