--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -11,6 +11,7 @@
 mod fixtures;
 mod flow;
 mod given_up;
+mod idle;
 mod instances;
 mod late_copies;
 mod late_holds;
