A task whose order a silent worker has refused waits for its longest lease, too

Cause: an instance that has refused a late copy, or confirmed its stop, binds no later one. If no run was booked there any more and the task couldn't start on that worker, it started elsewhere once the order had expired (15 s), while an instance that nobody hears ran on with the longest lease that the copy had brought.

Change: Cell::start_scope lets such a task start nowhere until the order's expiry and the longest lease, as long as the worker has answered nothing since the expiry and the store lists it. An answer ends the wait at once.

--- a/crates/core/src/job/cell/start_scope.rs
+++ b/crates/core/src/job/cell/start_scope.rs
@@ -3,12 +3,14 @@
 //! A start order that got no answer may begin its run in any instance of its worker, and a restarted one
 //! refuses nothing before its first call. On the same worker that does no harm: an instance that crashes
 //! takes the later run along, and its end, which isn't confirmed before the order has expired. A start
-//! elsewhere would be a second run, or be followed by one.
+//! elsewhere would be a second run, or be followed by one. Once the order has expired, an instance that it has
+//! found may run on, unheard, for the longest lease.
 
 use super::{
     super::{
         Step, StepId, TaskId, WorkerId,
         place::{self, PlacementCandidate},
+        task::{OpenStart, Task},
     },
     Cell,
     trials::is_at_start,
@@ -61,10 +63,12 @@
         if self.step(id).is_none_or(|step| step.long_running) {
             return StartScope::Anywhere;
         }
-        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
-        let Some((task, open)) = task.and_then(|task| Some((task, task.open_start(now)?))) else {
+        let Some(task) = self.jobs.get(&id.job).and_then(|job| job.task(id)) else {
             return StartScope::Anywhere;
         };
+        let Some(open) = task.open_start(now) else {
+            return self.scope_after_orders(task, now);
+        };
         let losses = task.lost_runs.iter().filter(|lost| is_at_start(lost)).count();
         let worker = self.workers.get(&open.worker).filter(|_| losses <= MAX_LOSSES);
         if worker.is_some_and(|worker| open.may_repeat(worker.known_since, now)) {
@@ -73,4 +77,17 @@
             StartScope::Nowhere
         }
     }
+
+    /// Where a task may start once no order of before can be carried out any more. An instance that has never
+    /// answered may still run what such an order has begun, if the store lists its worker.
+    fn scope_after_orders(&self, task: &Task, now: Timestamp) -> StartScope<'_> {
+        let is_unheard = |open: &OpenStart| {
+            let worker = self.workers.get(&open.worker).filter(|worker| !worker.is_gone(now));
+            worker.zip(open.until()).is_some_and(|(worker, until)| {
+                worker.last_heard <= until && now <= until + self.longest_lease()
+            })
+        };
+        let may_run = task.open_start.as_ref().is_some_and(is_unheard);
+        if may_run { StartScope::Nowhere } else { StartScope::Anywhere }
+    }
 }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -71,7 +71,8 @@
 }
 
 impl OpenStart {
-    fn until(&self) -> Option<Timestamp> {
+    /// Time after which no copy of any of the orders is carried out any more; `None` if each was answered.
+    pub(super) fn until(&self) -> Option<Timestamp> {
         self.until.max(self.earlier_until)
     }
 
