every_call::lasting: late copies that come within 4 s of their order

A worker that is drained and restarts within 3 s of a start order, or restarts twice, carries out a late copy before anybody has called its new life, while the task runs elsewhere.

The histories of the older tests are the same as before.

--- a/crates/standins/tests/cells/every_call/lasting.rs
+++ b/crates/standins/tests/cells/every_call/lasting.rs
@@ -31,6 +31,9 @@
 /// How long a gang runs that is complete, in milliseconds.
 const GANG_MS: u64 = 20_000;
 
+/// When a worker restarts for the first time that does so twice, in milliseconds after the order.
+const FIRST_RESTART_MS: u64 = 700;
+
 /// By how much an earlier clock the next life begins, in milliseconds: an order that names a time on the clock
 /// before is valid for long.
 const BEHIND_MS: u64 = 20_000;
@@ -67,10 +70,18 @@
     LostLater,
     /// It restarts at once, but it is cut off from all until its lease has ended.
     CutOff,
+    /// The worker is drained and restarts soon after it has confirmed the stop.
+    DrainedAndBack,
+    /// It restarts twice, and its owner hears the life between.
+    BackTwice,
 }
 
 impl Trouble {
-    const ALL: [Self; 4] = [Self::Drained, Self::LostAtOnce, Self::LostLater, Self::CutOff];
+    /// The next life can be reached 8 s after the order or later.
+    const LONG: [Self; 4] = [Self::Drained, Self::LostAtOnce, Self::LostLater, Self::CutOff];
+
+    /// It can be reached 3 s after the order, when a task that lasts may still wait.
+    const SHORT: [Self; 2] = [Self::DrainedAndBack, Self::BackTwice];
 
     /// When the worker crashes, when its next life begins, and for how long that one can't be reached, in
     /// milliseconds from the order.
@@ -80,9 +91,14 @@
             Self::LostAtOnce => (300, 11_700, AWAY_MS),
             Self::LostLater => (2_500, 11_700, AWAY_MS),
             Self::CutOff => (300, 300, 11_700),
+            Self::DrainedAndBack | Self::BackTwice => (2_500, 2_800, AWAY_MS),
         }
     }
 
+    fn is_drained(self) -> bool {
+        matches!(self, Self::Drained | Self::DrainedAndBack)
+    }
+
     /// For how long the store shows the entry of the earlier life, in milliseconds after the restart.
     fn hides_entry_for(self) -> u64 {
         if self == Self::CutOff { 4_600 } else { 0 }
@@ -121,6 +137,11 @@
             change.happen(&mut model, 0);
             self.drain(&mut model, &worker);
         }
+        if self.trouble == Trouble::BackTwice {
+            run_to(&mut model, FIRST_RESTART_MS);
+            let wall_ms = model.wall_ms();
+            model.restart_worker_at(worker.as_str(), wall_ms, 0);
+        }
         run_to(&mut model, lost_ms);
         if born_ms > lost_ms {
             model.lose_worker(worker.as_str());
@@ -153,7 +174,7 @@
     }
 
     fn drain(&self, model: &mut Model, worker: &WorkerId) {
-        if self.trouble == Trouble::Drained {
+        if self.trouble.is_drained() {
             use_no_more(model, worker);
         }
     }
@@ -185,12 +206,12 @@
 
 /// Plays all histories of a kind with these fates of the copies and these changes of owners.
 fn play_all(
-    kind: Kind,
+    (kind, troubles): (Kind, &[Trouble]),
     copies: &[[Course; 2]],
     owner_changes: &[Option<(OwnerChange, u64)>],
 ) -> Vec<Played> {
     let mut played = Vec::new();
-    for trouble in Trouble::ALL {
+    for &trouble in troubles {
         for arrives_after_ms in grid(&[0, 1_200], &[0, 90, 300, 600, 900, 1_200, 2_500]) {
             for &owner_change in owner_changes {
                 for &copies in copies {
@@ -217,27 +238,37 @@
 
 const ANSWERED: [[Course; 2]; 1] = [[Course::Late, Course::Answered]];
 
-fn of_earlier_owner(kind: Kind) -> Vec<Played> {
+fn of_earlier_owner(kind: Kind, troubles: &[Trouble]) -> Vec<Played> {
     let changes = OwnerChange::ALL.map(|change| Some((change, KNOWN_MS)));
-    play_all(kind, &[ANSWERED.to_vec(), unanswered()].concat(), &changes)
+    play_all((kind, troubles), &[ANSWERED.to_vec(), unanswered()].concat(), &changes)
 }
 
 static LASTING: LazyLock<Vec<Played>> =
-    LazyLock::new(|| play_all(Kind::Lasting, &unanswered(), &[None]));
+    LazyLock::new(|| play_all((Kind::Lasting, &Trouble::LONG), &unanswered(), &[None]));
 
 static ANSWERED_LASTING: LazyLock<Vec<Played>> =
-    LazyLock::new(|| play_all(Kind::Lasting, &ANSWERED, &[None]));
+    LazyLock::new(|| play_all((Kind::Lasting, &Trouble::LONG), &ANSWERED, &[None]));
 
 static LASTING_OF_EARLIER_OWNER: LazyLock<Vec<Played>> =
-    LazyLock::new(|| of_earlier_owner(Kind::Lasting));
+    LazyLock::new(|| of_earlier_owner(Kind::Lasting, &Trouble::LONG));
+
+static LASTING_SOON: LazyLock<Vec<Played>> =
+    LazyLock::new(|| play_all((Kind::Lasting, &Trouble::SHORT), &unanswered(), &[None]));
+
+static ANSWERED_LASTING_SOON: LazyLock<Vec<Played>> =
+    LazyLock::new(|| play_all((Kind::Lasting, &Trouble::SHORT), &ANSWERED, &[None]));
+
+static LASTING_SOON_OF_EARLIER_OWNER: LazyLock<Vec<Played>> =
+    LazyLock::new(|| of_earlier_owner(Kind::Lasting, &Trouble::SHORT));
 
-static GANG: LazyLock<Vec<Played>> = LazyLock::new(|| play_all(Kind::Gang, &unanswered(), &[None]));
+static GANG: LazyLock<Vec<Played>> =
+    LazyLock::new(|| play_all((Kind::Gang, &Trouble::LONG), &unanswered(), &[None]));
 
 static ANSWERED_GANG: LazyLock<Vec<Played>> =
-    LazyLock::new(|| play_all(Kind::Gang, &ANSWERED, &[None]));
+    LazyLock::new(|| play_all((Kind::Gang, &Trouble::LONG), &ANSWERED, &[None]));
 
 static GANG_OF_EARLIER_OWNER: LazyLock<Vec<Played>> =
-    LazyLock::new(|| of_earlier_owner(Kind::Gang));
+    LazyLock::new(|| of_earlier_owner(Kind::Gang, &Trouble::LONG));
 
 #[test]
 fn an_unanswered_order_makes_no_second_run_of_a_task_that_lasts_before_the_first_call_of_a_life() {
@@ -261,6 +292,21 @@
     assert_holds(&LASTING_OF_EARLIER_OWNER, Arrival::BeforeFirstCall);
 }
 
+#[test]
+fn an_unanswered_order_makes_no_second_run_of_a_task_that_lasts_while_it_may_wait() {
+    assert_holds(&LASTING_SOON, Arrival::BeforeFirstCall);
+}
+
+#[test]
+fn a_copy_of_an_answered_order_makes_no_second_run_of_a_task_that_lasts_while_it_may_wait() {
+    assert_holds(&ANSWERED_LASTING_SOON, Arrival::BeforeFirstCall);
+}
+
+#[test]
+fn an_open_order_of_an_earlier_owner_makes_no_second_run_of_a_task_that_lasts_while_it_may_wait() {
+    assert_holds(&LASTING_SOON_OF_EARLIER_OWNER, Arrival::BeforeFirstCall);
+}
+
 #[test]
 fn an_unanswered_order_makes_no_second_run_of_a_gang_member_before_the_first_call_of_a_life() {
     assert_holds(&GANG, Arrival::BeforeFirstCall);
