A task that lasts waits for an open start order for as long as LOST allows

Cause: a long-running task waited for no open order, so that it ran elsewhere while a next life of its worker, which nobody had called, could still carry out a late copy.

Change: the law of Cell::start_scope holds for it, too, until 6 s after a list last showed its run (from its booking, if none has), the time that LOST allows. The orders that are sent again or got no answer are recorded for the next owner, which waits 3 s from the beginning of its term.

Conclusion: closed for copies that come within 6 s of a run's last list (3 s of a new term).

--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -20,12 +20,15 @@
 
 /// The open start orders of earlier terms, by worker.
 #[derive(Clone, Debug, Default)]
-pub(super) struct InheritedStarts(IndexMap<WorkerId, Vec<OpenOrder>>);
+pub(super) struct InheritedStarts {
+    orders: IndexMap<WorkerId, Vec<OpenOrder>>,
+    found_at: Timestamp,
+}
 
 impl InheritedStarts {
     /// Finds the orders that were open at the last write. The time that was left then is counted from now.
     pub(super) fn find(segments: &[StoredSegment], now: Timestamp) -> Self {
-        let mut found = Self::default();
+        let mut found = Self { found_at: now, ..Self::default() };
         for (segment, passed) in log_time::with_time_passed(segments) {
             for record in &segment.records {
                 let Record::StartOpen { task, attempt, worker, until_ms } = record else {
@@ -36,7 +39,7 @@
                 if left.0 > 0 {
                     let (task, attempt, expiry) = (*task, *attempt, now + left);
                     let order = OpenOrder { task, attempt, expiry, is_inherited: true };
-                    found.0.entry(worker.clone()).or_default().push(order);
+                    found.orders.entry(worker.clone()).or_default().push(order);
                 }
             }
         }
@@ -50,12 +53,12 @@
             let orders: &Vec<OpenOrder> = orders;
             orders.iter().map(move |order| (worker, order.task))
         };
-        self.0.iter().flat_map(of)
+        self.orders.iter().flat_map(of)
     }
 
     /// Takes the orders to a worker.
     pub(super) fn take(&mut self, worker: &WorkerId) -> Vec<OpenOrder> {
-        self.0.swap_remove(worker).unwrap_or_default()
+        self.orders.swap_remove(worker).unwrap_or_default()
     }
 }
 
@@ -96,8 +99,7 @@
         until: Timestamp,
         now: Timestamp,
     ) {
-        // A long-running task waits for no order.
-        if self.handover.is_none() && !self.step(task).is_some_and(|step| step.long_running) {
+        if self.handover.is_none() {
             let worker = id.clone();
             self.record(Record::StartOpen { task, attempt, worker, until_ms: until.0 }, now, None);
         }
@@ -109,13 +111,13 @@
             let orders: &Vec<OpenOrder> = orders;
             orders.iter().map(move |order| (order.attempt, id, order))
         };
-        let mut orders: Vec<_> = starts.0.iter().flat_map(of_worker).collect();
+        let mut orders: Vec<_> = starts.orders.iter().flat_map(of_worker).collect();
         // The time between two terms isn't known, so that more than the latest may count as open.
         orders.sort_by_key(|(attempt, ..)| *attempt);
         for (attempt, id, OpenOrder { task, expiry, .. }) in orders {
             let state = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(*task));
             if let Some(state) = state {
-                state.inherit_start(id, attempt, *expiry);
+                state.inherit_start(id, attempt, (*expiry, starts.found_at));
             }
         }
         self.inherited_starts = starts;
@@ -126,6 +128,7 @@
         let mut unsettled = Vec::new();
         for (id, worker) in &self.workers {
             let ordered = worker.runs.iter().filter(|(_, run)| run.state == RunState::Ordered);
+            // A long-running task starts at once where a cell was handed over.
             let short = ordered.filter(|(_, run)| !run.is_long_running);
             unsettled.extend(short.map(|(task, run)| Record::StartOpen {
                 task: *task,
@@ -147,7 +150,7 @@
         now: Timestamp,
     ) -> Option<Record> {
         let known = self.workers.get(worker).map(|worker| &worker.open_orders);
-        let orders = known.or_else(|| self.inherited_starts.0.get(worker))?;
+        let orders = known.or_else(|| self.inherited_starts.orders.get(worker))?;
         let open = || orders.iter().filter(|order| order.task == task && now <= order.expiry);
         let attempt = open().map(|order| order.attempt).max()?;
         let until_ms = open().map(|order| order.expiry.0).max()?;
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -292,13 +292,18 @@
                 self.on_survived(listed_run.task, alive, now);
             }
             self.revoke_stop(id, listed_run.task);
-            self.apply_listed_run(id, listed_run, now);
+            self.apply_listed_run(id, listed_run, (sent, now));
             return;
         }
         self.adopt_run(id, listed_run, (sent, now));
     }
 
-    fn apply_listed_run(&mut self, id: &WorkerId, listed_run: &ListedRun, now: Timestamp) {
+    fn apply_listed_run(
+        &mut self,
+        id: &WorkerId,
+        listed_run: &ListedRun,
+        (sent, now): (Timestamp, Timestamp),
+    ) {
         let Some(job) = self.jobs.get_mut(&listed_run.task.job) else {
             return;
         };
@@ -308,6 +313,7 @@
         };
         let (target, is_long_running) = (step.tail_target, step.long_running);
         if let Some(task) = job.task_mut(listed_run.task) {
+            task.last_shown = task.last_shown.max(Some(sent));
             task.unavailable_since = if listed_run.progress_percent >= 100 {
                 None
             } else {
@@ -384,7 +390,7 @@
         let run = RunId { task: listed_run.task, attempt: listed_run.attempt, worker: id.clone() };
         self.actions.push(Action::Log(LogEvent::RunAdopted { run, is_needed }));
         // The list also shows whether the task is available.
-        self.apply_listed_run(id, listed_run, now);
+        self.apply_listed_run(id, listed_run, (sent, now));
         if !is_needed {
             self.stop_unneeded_run(id, listed_run.task, now);
         }
--- a/crates/core/src/job/cell/start_scope.rs
+++ b/crates/core/src/job/cell/start_scope.rs
@@ -55,16 +55,19 @@
 }
 
 impl Cell {
-    /// Where a task may start now. A long-running one doesn't wait, as it must never be away for long: one
-    /// whose worker is lost for good would be away until the order has expired.
+    /// Where a task may start now. A long-running one must never be away for long, so that it doesn't always wait
+    /// until the order has expired.
     pub(super) fn start_scope(&self, id: TaskId, now: Timestamp) -> StartScope<'_> {
-        if self.step(id).is_none_or(|step| step.long_running) {
+        let Some(step) = self.step(id) else {
             return StartScope::Anywhere;
-        }
+        };
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         let Some((task, open)) = task.and_then(|task| Some((task, task.open_start(now)?))) else {
             return StartScope::Anywhere;
         };
+        if step.long_running && task.lasting_wait_end().is_none_or(|end| now >= end) {
+            return StartScope::Anywhere;
+        }
         let losses = task.lost_runs.iter().filter(|lost| is_at_start(lost)).count();
         let worker = self.workers.get(&open.worker).filter(|_| losses <= MAX_LOSSES);
         if worker.is_some_and(|worker| open.may_repeat(worker.known_since, now)) {
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -18,6 +18,14 @@
 /// earlier instance has left one unanswered. A worker that restarts again and again would prolong the wait.
 const MIN_INSTANCE_AGE: Span = Span(1_000);
 
+/// For how long after its last run a long-running task waits for an open start order. The users allow it to be
+/// away for 6 s, and count it as lost 3 s later.
+const LASTING_WAIT: Span = Span(6_000);
+
+/// The same from the beginning of a term, if an earlier owner sent the order. A task counts as lost after 7 s
+/// without a fault, of which 3 s may pass before an owner is replaced; the last second is left for the start.
+const INHERITED_LASTING_WAIT: Span = Span(3_000);
+
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -39,6 +47,8 @@
     /// Since when the task has not worked at full speed; `None` while it does. Used for
     /// long-running tasks only.
     pub(super) unavailable_since: Option<Timestamp>,
+    /// When the latest list of this term was asked for that shows a run of the task.
+    pub(super) last_shown: Option<Timestamp>,
     /// Whether a list of this term has shown the task at work. Used for long-running tasks only.
     pub(super) has_worked: bool,
     /// The worker that the log names for the task; `None` if its placements are not logged or it
@@ -60,6 +70,8 @@
     pub(super) worker: WorkerId,
     /// When the owner learned of the worker's instance that was known when the latest order was sent.
     known_since: Timestamp,
+    /// When this owner found the latest order in the log; `None` if it sent that one.
+    inherited_at: Option<Timestamp>,
     /// The latest attempt.
     attempt: u32,
     /// Time after which no copy of its order is carried out any more; `None` if each was answered.
@@ -108,6 +120,15 @@
         self.open_start.as_ref().filter(|open| open.is_open(now))
     }
 
+    /// Until when a long-running task waits for its open start orders. Its last run may have ended as soon as a
+    /// list had shown it.
+    pub(super) fn lasting_wait_end(&self) -> Option<Timestamp> {
+        match self.open_start.as_ref()?.inherited_at {
+            Some(inherited_at) => Some(inherited_at + INHERITED_LASTING_WAIT),
+            None => Some(self.last_shown.or(self.unavailable_since)? + LASTING_WAIT),
+        }
+    }
+
     /// Notes that a start order is sent. It may be carried out until it is settled, or has expired.
     pub(super) fn begin_start(
         &mut self,
@@ -120,6 +141,7 @@
         self.open_start = Some(OpenStart {
             worker: worker.clone(),
             known_since,
+            inherited_at: None,
             attempt,
             until: Some(now + UNANSWERED_START_LIFETIME),
             earlier_until: earlier.as_ref().and_then(OpenStart::until),
@@ -129,12 +151,18 @@
 
     /// Notes a start order of an earlier owner that may be carried out until `until`. Those of a task are noted
     /// in the order of their attempts.
-    pub(super) fn inherit_start(&mut self, worker: &WorkerId, attempt: u32, until: Timestamp) {
+    pub(super) fn inherit_start(
+        &mut self,
+        worker: &WorkerId,
+        attempt: u32,
+        (until, now): (Timestamp, Timestamp),
+    ) {
         self.attempt = self.attempt.max(attempt);
         let earlier = self.open_start.take().filter(|open| open.worker == *worker);
         self.open_start = Some(OpenStart {
             worker: worker.clone(),
             known_since: Timestamp(0),
+            inherited_at: Some(now),
             attempt,
             until: Some(until),
             earlier_until: earlier.as_ref().and_then(OpenStart::until),
--- a/crates/standins/tests/cells/every_call/lasting.rs
+++ b/crates/standins/tests/cells/every_call/lasting.rs
@@ -8,7 +8,9 @@
 };
 use teaselgap_standins::model::{CallKind, ClockDraw, Model, TaskTime};
 
-use super::history::{Arrival, Course, OwnerChange, Played, assert_holds, grid, use_no_more};
+use super::history::{
+    Arrival, Course, LONG_MS, OwnerChange, Played, assert_holds, grid, use_no_more,
+};
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 const JOB: JobId = JobId(7);
@@ -328,3 +330,37 @@
  {
     assert_holds(&GANG_OF_EARLIER_OWNER, Arrival::BeforeFirstCall);
 }
+
+/// How long after its last run a task that lasts counts as lost, in milliseconds.
+const LOST_MS: u64 = 9_000;
+
+/// For how long a task is away whose worker is lost for good this time after the order.
+fn away_ms(copies: [Course; 2], lost_ms: u64) -> u64 {
+    let mut model = new_model(WORKERS);
+    let ordered = model.now();
+    let worker = first_worker(Kind::Lasting);
+    let fates = copies.map(|one| one.fate(ordered + Span(LONG_MS)));
+    model.script_fates(worker.as_str(), CallKind::Start, &fates);
+    submit(&mut model, Kind::Lasting);
+    let left = (ordered + Span(lost_ms)).since(model.now());
+    model.run_for(left.0);
+    model.lose_worker(worker.as_str());
+    let lost = model.now();
+    let runs = |model: &Model| model.workers().any(|worker| worker.is_running(task_id(JOB, 0)));
+    assert!(model.run_until(LONG_MS, runs), "{copies:?}, lost after {lost_ms} ms");
+    model.now().since(lost).0
+}
+
+#[test]
+fn a_task_that_lasts_is_not_lost_with_its_worker_while_an_order_is_open() {
+    let copies = [vec![[Course::CallLost, Course::Answered]], unanswered()].concat();
+    let mut away = Vec::new();
+    for lost_ms in (100..5_000).step_by(200) {
+        away.extend(copies.iter().map(|&copies| (away_ms(copies, lost_ms), copies, lost_ms)));
+    }
+
+    let longest = away.iter().max_by_key(|one| one.0).expect("a history");
+    let too_long = away.iter().filter(|one| one.0 > LOST_MS).count();
+    println!("away for up to {longest:?}, too long in {too_long} of {}", away.len());
+    assert_eq!(too_long, 0, "{longest:?}");
+}
