Lasting tasks that start together on an idle worker are listed at once

Cause: a start order brings the next hold of an idle worker forward only if one run is booked there. Tasks that last are booked until their placements are durable, so that of two that start at once neither did.

Change: the first order to a worker without ordered runs brings the next hold forward.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -86,7 +86,7 @@
         };
         // A worker without runs is rarely sent holds; its first run brings the next one forward, and so
         // does one that is watched.
-        if worker.runs.len() == 1 || worker.runs.get(&task)?.is_suspected {
+        if !worker.has_ordered_runs() || worker.runs.get(&task)?.is_suspected {
             worker.next_hold = worker.next_hold.min(now + Span(30));
         }
         let free = worker.free();
