--- a/src/store/governor/tests.rs
+++ b/src/store/governor/tests.rs
@@ -27,3 +27,63 @@
 
     assert!(bucket.try_take(Priority::Vital, Timestamp(0)).is_ok());
 }
+
+/// The longest time in which a change of configuration is in force on all nodes, in milliseconds.
+const CHANGE_IN_FORCE_MS: u64 = 8_000;
+
+/// When a call of this priority, which keeps to the waits that it is given, takes a token while
+/// vital calls take each one that they can.
+fn taken_beside_vital_calls(priority: Priority, per_second: f64) -> Option<u64> {
+    let mut bucket = TokenBucket::new(per_second);
+    let start = bucket.refilled.0;
+    let mut next_try = start;
+    for now in start..start + CHANGE_IN_FORCE_MS {
+        while bucket.try_take(Priority::Vital, Timestamp(now)).is_ok() {}
+        if now < next_try {
+            continue;
+        }
+        match bucket.try_take(priority, Timestamp(now)) {
+            Ok(()) => return Some(now - start),
+            Err(wait) => next_try = now + u64::try_from(wait.as_millis()).unwrap().max(1),
+        }
+    }
+    None
+}
+
+#[test]
+fn a_move_of_a_vm_is_written_while_intents_use_up_the_rate() {
+    for per_second in [2.0, 50.0, 300.0] {
+        let taken = taken_beside_vital_calls(Priority::Control, per_second);
+
+        assert!(taken.is_some(), "at {per_second} a second");
+    }
+}
+
+#[test]
+fn a_snapshot_of_the_journal_is_written_while_intents_use_up_the_rate() {
+    for per_second in [50.0, 300.0] {
+        let taken = taken_beside_vital_calls(Priority::Background, per_second);
+
+        assert!(taken.is_some(), "at {per_second} a second");
+    }
+}
+
+#[test]
+fn calls_of_low_priority_take_a_small_part_from_intents() {
+    const PER_SECOND: f64 = 100.0;
+    let mut bucket = TokenBucket::new(PER_SECOND);
+    let start = bucket.refilled.0;
+    let mut taken = [0_u32; 3];
+    for now in start..start + 10_000 {
+        for (i, priority) in
+            [Priority::Background, Priority::Control, Priority::Vital].into_iter().enumerate()
+        {
+            while bucket.try_take(priority, Timestamp(now)).is_ok() {
+                taken[i] += 1;
+            }
+        }
+    }
+
+    assert!(taken[2] >= 800, "{taken:?}");
+    assert!(taken[0] + taken[1] <= 200, "{taken:?}");
+}
