--- a/src/store/governor.rs
+++ b/src/store/governor.rs
@@ -3,9 +3,13 @@
 //!
 //! Reads and writes each have a token bucket that fills at the node's share of the rate. A call of
 //! low priority waits until the bucket is well filled, a vital one only until it holds one token,
-//! so that background work never delays an intent. After several failures in a row the circuit
-//! breaker opens: calls fail at once, and only one at a time tries the store after a growing pause.
-//! The pause is jittered, so that the nodes don't all return to the store at the same time.
+//! so that background work hardly delays an intent. As vital calls may use up the rate for as long
+//! as clients send requests, each lower priority is sure of a small part of it: after some calls
+//! have passed one that waits, the next token is kept for it.
+//!
+//! After several failures in a row the circuit breaker opens: calls fail at once, and only one at a
+//! time tries the store after a growing pause. The pause is jittered, so that the nodes don't all
+//! return to the store at the same time.
 
 #[cfg(test)]
 mod tests;
@@ -38,17 +42,44 @@
 /// The capacity of a token bucket, in seconds of its rate.
 const BURST_SECONDS: f64 = 0.25;
 
+/// Calls that may pass waiting calls of control before the next token is kept for one of them.
+const MAX_PASSED_CONTROL: u32 = 9;
+
+/// Calls that may pass waiting background calls before the next token is kept for one of them.
+const MAX_PASSED_BACKGROUND: u32 = 19;
+
+/// How much longer than asked a waiting call may take to try again before it counts as gone, in
+/// milliseconds.
+const RETRY_GRACE: Span = Span(250);
+
+/// The waiting calls of a priority below vital.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingCalls {
+    /// When the calls that wait have tried again at the latest; there are none after that.
+    retry_deadline: Timestamp,
+    /// Calls of other priorities that took a token since one of these had to wait.
+    passed: u32,
+}
+
 /// A token bucket; each call takes one token.
 #[derive(Debug)]
 struct TokenBucket {
     per_second: f64,
     tokens: f64,
     refilled: Timestamp,
+    control: WaitingCalls,
+    background: WaitingCalls,
 }
 
 impl TokenBucket {
     fn new(per_second: f64) -> Self {
-        Self { per_second, tokens: 1.0, refilled: clock::now() }
+        Self {
+            per_second,
+            tokens: 1.0,
+            refilled: clock::now(),
+            control: WaitingCalls::default(),
+            background: WaitingCalls::default(),
+        }
     }
 
     fn capacity(&self) -> f64 {
@@ -57,22 +88,66 @@
 
     /// Takes a token, or returns how long to wait before the next attempt.
     ///
-    /// The lower the priority, the more tokens the bucket must hold.
+    /// The lower the priority, the more tokens the bucket must hold, until enough calls have passed
+    /// this one.
     fn try_take(&mut self, priority: Priority, now: Timestamp) -> Result<(), Duration> {
         let elapsed = now.since(self.refilled).to_std().as_secs_f64();
         self.tokens = (self.tokens + elapsed * self.per_second).min(self.capacity());
         self.refilled = now;
-        let required = match priority {
-            Priority::Vital => 1.0,
-            Priority::Control => 1.0_f64.max(self.capacity() * 0.1),
-            Priority::Background => 1.0_f64.max(self.capacity() * 0.5),
-        };
+        let required = self.required_tokens(priority, now);
         if self.tokens >= required {
             self.tokens -= 1.0;
+            self.count_passed(priority, now);
             return Ok(());
         }
         let wait = Duration::from_secs_f64((required - self.tokens) / self.per_second);
-        Err(wait.max(Duration::from_millis(1)))
+        let wait = wait.max(Duration::from_millis(1));
+        if let Some(waiting) = self.waiting(priority) {
+            let wait = Span(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+            waiting.retry_deadline = waiting.retry_deadline.max(now + wait + RETRY_GRACE);
+        }
+        Err(wait)
+    }
+
+    /// The tokens that the bucket must hold for a call of this priority.
+    fn required_tokens(&self, priority: Priority, now: Timestamp) -> f64 {
+        let control_is_due = self.control.are_due(MAX_PASSED_CONTROL, now);
+        let background_is_due = self.background.are_due(MAX_PASSED_BACKGROUND, now);
+        let reserve = if control_is_due || background_is_due { 1.0 } else { 0.0 };
+        match priority {
+            Priority::Control if control_is_due => 1.0,
+            Priority::Background if background_is_due => 1.0,
+            Priority::Vital => 1.0 + reserve,
+            Priority::Control => (self.capacity() * 0.1).max(1.0 + reserve),
+            Priority::Background => (self.capacity() * 0.5).max(1.0 + reserve),
+        }
+    }
+
+    /// Counts a call that took a token.
+    fn count_passed(&mut self, priority: Priority, now: Timestamp) {
+        for other in [Priority::Control, Priority::Background] {
+            let Some(waiting) = self.waiting(other) else {
+                continue;
+            };
+            let passes = other != priority && now <= waiting.retry_deadline;
+            waiting.passed = if passes { waiting.passed + 1 } else { 0 };
+        }
+    }
+
+    /// The waiting calls of a priority; `None` for vital calls, which nothing passes for long.
+    fn waiting(&mut self, priority: Priority) -> Option<&mut WaitingCalls> {
+        match priority {
+            Priority::Control => Some(&mut self.control),
+            Priority::Background => Some(&mut self.background),
+            Priority::Vital => None,
+        }
+    }
+}
+
+impl WaitingCalls {
+    /// Whether the next token is kept for one of these calls.
+    fn are_due(self, max_passed: u32, now: Timestamp) -> bool {
+        self.passed >= max_passed && now <= self.retry_deadline
     }
 }
 
--- a/src/store/governor/tests.rs
+++ b/src/store/governor/tests.rs
@@ -1,8 +1,12 @@
 use super::*;
 
+fn bucket(per_second: f64, tokens: f64) -> TokenBucket {
+    TokenBucket { tokens, refilled: Timestamp(0), ..TokenBucket::new(per_second) }
+}
+
 /// Counts the tokens that can be taken within a time.
 fn count_taken(priority: Priority, per_second: f64, seconds: u64) -> u32 {
-    let mut bucket = TokenBucket { per_second, tokens: 0.0, refilled: Timestamp(0) };
+    let mut bucket = bucket(per_second, 0.0);
     let mut taken = 0;
     for ms in 0..seconds * 1_000 {
         while bucket.try_take(priority, Timestamp(ms)).is_ok() {
@@ -21,7 +25,7 @@
 
 #[test]
 fn background_calls_leave_a_reserve_for_vital_calls() {
-    let mut bucket = TokenBucket { per_second: 40.0, tokens: 10.0, refilled: Timestamp(0) };
+    let mut bucket = bucket(40.0, 10.0);
 
     while bucket.try_take(Priority::Background, Timestamp(0)).is_ok() {}
 
