Metric of how long calls to the store waited for the rate

What was missing: nothing said that a move's record waited 15 s in the governor; the log showed the plan and the change, and the cause between them had to be inferred from the code.

A test reads it from the metrics page's text.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,6 +19,7 @@
     retries: Counter<u64>,
     request_seconds: Histogram<f64>,
     store_calls: Counter<u64>,
+    store_wait_seconds: Histogram<f64>,
     generation: Gauge<u64>,
     duties: Gauge<u64>,
     members: Gauge<u64>,
@@ -91,6 +92,10 @@
                 .with_description("Time from a request's head to its answer's head.")
                 .build(),
             store_calls: counter("teaselgap_store_calls", "Calls to the platform's store."),
+            store_wait_seconds: meter
+                .f64_histogram("teaselgap_store_wait_seconds")
+                .with_description("Time that calls to the store waited for this node's share.")
+                .build(),
             generation: gauge("teaselgap_generation", "Generation in force."),
             duties: gauge("teaselgap_duties", "Duties that this node owns."),
             owner: OwnerGauges::new(&meter),
@@ -122,6 +127,11 @@
         self.store_calls.add(1, &[KeyValue::new("kind", kind), KeyValue::new("result", result)]);
     }
 
+    /// Records how long a call to the store waited for this node's share of the rate, in seconds.
+    pub(crate) fn record_store_wait(&self, priority: &'static str, seconds: f64) {
+        self.store_wait_seconds.record(seconds, &[KeyValue::new("priority", priority)]);
+    }
+
     /// Records the generation in force and the numbers of owned duties and of members.
     pub(crate) fn record_control_state(&self, generation: u64, duties: usize, members: usize) {
         self.generation.record(generation, &[]);
--- a/src/store.rs
+++ b/src/store.rs
@@ -85,6 +85,17 @@
     Vital,
 }
 
+impl Priority {
+    /// The priority's name in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Background => "background",
+            Self::Control => "control",
+            Self::Vital => "vital",
+        }
+    }
+}
+
 /// An error of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum StoreError {
--- a/src/store/governor.rs
+++ b/src/store/governor.rs
@@ -16,7 +16,7 @@
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rand::RngExt;
@@ -221,6 +221,7 @@
 
     /// Waits until a call may be made; fails if the circuit breaker is open.
     async fn admit(&self, kind: CallKind, priority: Priority) -> Result<(), StoreError> {
+        let asked = Instant::now();
         loop {
             let wait = {
                 let now = clock::now();
@@ -242,7 +243,11 @@
                 bucket.try_take(priority, now)
             };
             match wait {
-                Ok(()) => return Ok(()),
+                Ok(()) => {
+                    let waited = asked.elapsed().as_secs_f64();
+                    self.metrics.record_store_wait(priority.label(), waited);
+                    return Ok(());
+                }
                 Err(wait) => tokio::time::sleep(wait).await,
             }
         }
--- a/src/store/governor/tests.rs
+++ b/src/store/governor/tests.rs
@@ -91,3 +91,15 @@
     assert!(taken[2] >= 800, "{taken:?}");
     assert!(taken[0] + taken[1] <= 200, "{taken:?}");
 }
+
+#[tokio::test]
+async fn the_metrics_show_how_long_calls_waited_for_the_rate() {
+    let metrics = Metrics::new().unwrap();
+    let governor = Governor::new((), metrics.clone(), 1, 1);
+
+    governor.admit(CallKind::Write, Priority::Vital).await.unwrap();
+
+    let text = String::from_utf8(metrics.encode()).unwrap();
+    assert!(text.contains("teaselgap_store_wait_seconds_count"), "{text}");
+    assert!(text.contains("priority=\"vital\""), "{text}");
+}
