The metrics page shows what was recorded (it was empty)

Cause: the SDK's meter provider ends its readers when the last handle of it is dropped, and Metrics kept the instruments and the registry, not the provider.

Change: Metrics keeps the provider. src/metrics/tests.rs reads the text through a clone.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,8 @@
 //! The metrics of a node, which are read in the Prometheus text format.
 
+#[cfg(test)]
+mod tests;
+
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
@@ -14,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    /// Owns the reader that the registry collects from: once it is dropped, there are no metrics.
+    _provider: SdkMeterProvider,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -101,6 +106,7 @@
             owner: OwnerGauges::new(&meter),
             members: gauge("teaselgap_members", "Nodes that are alive or suspected."),
             registry,
+            _provider: provider,
         })
     }
 
