--- a/crates/standins/tests/cells/budget.rs
+++ b/crates/standins/tests/cells/budget.rs
@@ -348,6 +348,30 @@
     assert_eq!(state(&model, CRASHING_JOB), FAILED);
 }
 
+/// Guards the count against owners that are lost in the moment in which they note a loss or start the
+/// task: nothing of it is on record.
+#[test]
+fn owners_that_are_lost_as_they_start_a_task_cost_no_start_too_many() {
+    let mut model = model_with_crashing(2, single_task(800), 0);
+    let is_loss = |event: &LogEvent| matches!(event, LogEvent::RunLost { .. });
+    assert!(model.run_until(LONG_MS, |model| model.log_events().iter().any(is_loss)));
+    change_owner(&mut model, OwnerChange::Lost(500));
+    for _ in 0..2 {
+        let placed = |model: &Model| {
+            let is_placed = |event: &&LogEvent| matches!(event, LogEvent::Placed { .. });
+            model.log_events().iter().filter(is_placed).count()
+        };
+        let before = placed(&model);
+        assert!(model.run_until(LONG_MS, |model| placed(model) > before));
+        change_owner(&mut model, OwnerChange::Lost(500));
+    }
+
+    model.run_for(LONG_MS);
+
+    let starts = model.start_count(task_id(CRASHING_JOB, 0));
+    assert!((3..=5).contains(&starts), "{starts} starts");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
