Metrics of what owners of cells decide about jobs

Change: src/metrics/cell.rs counts the log events of each cell, with histograms of waits, of jobs and of takeovers in seconds. The histograms of seconds had the SDK's bounds, made for milliseconds (0, 5, 10, ...): all have bounds from 2 ms to 60 s now. Labels are names from the code and the cells' names, so that their number is bounded.

--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -47,6 +47,7 @@
                     LogEvent::Refused { .. } => self.meter.borrow_mut().record_refused(),
                     _ => {}
                 }
+                self.node.shared.metrics.record_decision(self.service.as_str(), &event);
                 self.log.write(&event);
             }
             Action::Start(worker, order) => {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of a node, which are read in the Prometheus text format.
 
+mod cell;
 #[cfg(test)]
 mod tests;
 
@@ -9,10 +10,15 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use teaselgap_core::Span;
+use teaselgap_core::{Span, job::LogEvent};
 
+use self::cell::CellMetrics;
 use crate::jobs::OwnerLoad;
 
+/// Upper bounds of the buckets of histograms of times, in seconds.
+const SECONDS: [f64; 14] =
+    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0, 60.0];
+
 /// The instruments that record a node's metrics. Clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -29,6 +35,7 @@
     duties: Gauge<u64>,
     members: Gauge<u64>,
     owner: OwnerGauges,
+    cell: CellMetrics,
 }
 
 /// The gauges of what an owner of a cell did in the last second.
@@ -95,15 +102,18 @@
             request_seconds: meter
                 .f64_histogram("teaselgap_request_seconds")
                 .with_description("Time from a request's head to its answer's head.")
+                .with_boundaries(SECONDS.to_vec())
                 .build(),
             store_calls: counter("teaselgap_store_calls", "Calls to the platform's store."),
             store_wait_seconds: meter
                 .f64_histogram("teaselgap_store_wait_seconds")
                 .with_description("Time that calls to the store waited for this node's share.")
+                .with_boundaries(SECONDS.to_vec())
                 .build(),
             generation: gauge("teaselgap_generation", "Generation in force."),
             duties: gauge("teaselgap_duties", "Duties that this node owns."),
             owner: OwnerGauges::new(&meter),
+            cell: CellMetrics::new(&meter),
             members: gauge("teaselgap_members", "Nodes that are alive or suspected."),
             registry,
             _provider: provider,
@@ -145,6 +155,11 @@
         self.members.record(members as u64, &[]);
     }
 
+    /// Counts a decision of the owner of a cell.
+    pub(crate) fn record_decision(&self, cell: &str, event: &LogEvent) {
+        self.cell.record(cell, event);
+    }
+
     /// Records the load of the owner of a cell in the last second.
     pub(crate) fn record_owner_load(
         &self,
