--- a/src/traffic/gate/tests.rs
+++ b/src/traffic/gate/tests.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 
+use teaselgap_core::route::{self, Policy};
+
 use super::*;
 
 fn gate() -> VmGate {
@@ -42,3 +44,49 @@
 
     assert_eq!(acquired, 5);
 }
+
+/// How often each VM is picked by a client that sends one request each 100 ms for 30 s, if all answer in
+/// 20 ms by now.
+fn picks_under_little_load(gates: &[VmGate], start: Timestamp) -> Vec<u32> {
+    const ANSWER_US: u64 = 20_000;
+    let mut picks = vec![0; gates.len()];
+    for n in 0..300 {
+        let now = start + Span(100 * n);
+        let candidates: Vec<_> = gates.iter().map(|gate| gate.candidate(Span(0), now)).collect();
+        let picked = route::pick(Policy::Weighted, &candidates, &mut rand::rng()).unwrap();
+        picks[picked] += 1;
+        gates[picked].record_attempt(true, ANSWER_US, now);
+    }
+    picks
+}
+
+#[test]
+fn a_vm_that_was_slow_once_is_tried_again_under_little_load() {
+    let gates = [gate(), gate()];
+    for (gate, took_us) in gates.iter().zip([200_000, 20_000]) {
+        gate.set_held(Slots(2));
+        gate.record_attempt(true, took_us, Timestamp(0));
+    }
+
+    let picks = picks_under_little_load(&gates, Timestamp(100));
+
+    assert!(picks[0] >= 2, "{picks:?}");
+}
+
+#[test]
+fn a_vm_that_stays_slow_gets_few_requests_under_little_load() {
+    let gates = [gate(), gate()];
+    for gate in &gates {
+        gate.set_held(Slots(2));
+    }
+    let mut slow = 0;
+    for n in 0..300 {
+        let now = Timestamp(100 * n);
+        let candidates: Vec<_> = gates.iter().map(|gate| gate.candidate(Span(0), now)).collect();
+        let picked = route::pick(Policy::Weighted, &candidates, &mut rand::rng()).unwrap();
+        slow += u32::from(picked == 0);
+        gates[picked].record_attempt(true, if picked == 0 { 200_000 } else { 20_000 }, now);
+    }
+
+    assert!(slow <= 6, "{slow}");
+}
