The mean latency of a VM counts for 10 s after its last answer

What clients saw: with little load, a VM that was slow once got no request, however quick it was by then, and one that had moved between pools kept the mean of its former pool.

Cause: the weighted policy picks the cheapest VM by its mean latency, which changes with its own answers only.

Change: the mean expires; a VM without one counts as quick (1 ms), as a new one does, and is measured again. The first answer after that starts a new mean.

--- a/src/traffic/gate.rs
+++ b/src/traffic/gate.rs
@@ -27,6 +27,10 @@
     pub(crate) rack: RackId,
 }
 
+/// How long after the last answer of a VM its mean latency counts. After that the VM is tried again, as
+/// it may be quicker by now.
+const LATENCY_VALIDITY: Span = Span(10_000);
+
 /// A connection to a backend server.
 pub(crate) type Connection = hyper::client::conn::http1::SendRequest<crate::backend::OutgoingBody>;
 
@@ -43,6 +47,8 @@
     leaving: AtomicBool,
     /// Exponential moving average of the latency of successful attempts; 0 before the first one.
     latency_us: AtomicU64,
+    /// Until when that average says how quick the VM is, in milliseconds of the monotonic clock.
+    latency_expiry_ms: AtomicU64,
     health: Mutex<Health>,
     idle: Mutex<Vec<Connection>>,
 }
@@ -79,6 +85,7 @@
             slots: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             latency_us: AtomicU64::new(0),
+            latency_expiry_ms: AtomicU64::new(0),
             health: Mutex::default(),
             idle: Mutex::default(),
         }
@@ -132,12 +139,19 @@
     pub(crate) fn record_attempt(&self, succeeded: bool, took_us: u64, now: Timestamp) {
         lock(&self.health).record(&eject::Config::default(), succeeded, now);
         if succeeded {
-            let mean = self.latency_us.load(Ordering::Relaxed);
+            let mean = self.mean_latency_us(now);
             let next = if mean == 0 { took_us } else { mean - mean / 8 + took_us / 8 };
             self.latency_us.store(next.max(1), Ordering::Relaxed);
+            self.latency_expiry_ms.store((now + LATENCY_VALIDITY).0, Ordering::Relaxed);
         }
     }
 
+    /// The mean latency of recent attempts, in microseconds; 0 if there were none.
+    fn mean_latency_us(&self, now: Timestamp) -> u64 {
+        let is_valid = now.0 < self.latency_expiry_ms.load(Ordering::Relaxed);
+        if is_valid { self.latency_us.load(Ordering::Relaxed) } else { 0 }
+    }
+
     /// Locks the VM's success rate and ejections, and returns them.
     pub(crate) fn health(&self) -> MutexGuard<'_, Health> {
         lock(&self.health)
@@ -155,7 +169,7 @@
         Candidate {
             held: Slots(held),
             in_use: Slots(in_use),
-            latency_us: self.latency_us.load(Ordering::Relaxed),
+            latency_us: self.mean_latency_us(now),
             success_rate: health.success_rate(),
             local: self.local,
             excluded: self.is_leaving() || health.is_ejected(now),
