--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -1,5 +1,6 @@
 //! The log of a cell in the platform's store.
 
+mod reader;
 #[cfg(test)]
 mod tests;
 
@@ -10,10 +11,10 @@
     Epoch, ServiceId, Timestamp,
     job::{LogWrite, RecoveredLog, Sequence},
 };
-use teaselgap_platform::store::{
-    self, Expected, Item, Outcome, Put, Range, StoreError, Transaction,
-};
+use teaselgap_platform::store::{Expected, Item, Outcome, Put, StoreError, Transaction};
 
+use self::reader::LogReader;
+pub(super) use self::reader::LogReading;
 use super::{duties, node::Node};
 use crate::clock;
 
@@ -96,14 +97,13 @@
     /// The pages fit together although they are no snapshot: only the owner in this term can write
     /// to the log, and it has not begun to.
     pub(super) async fn read(&self, is_term_over: &StdCell<bool>) -> Option<RecoveredLog> {
-        let page_timeout = store::page_timeout(self.node.settings.limits.link_mbps);
-        let mut range = Range::default();
+        let mut reader = LogReader::new(&self.keys.prefix, &self.node.log_reading);
         while !is_term_over.get() {
-            match self.node.store.extend_range(&self.keys.prefix, page_timeout, &mut range).await {
-                Ok(()) => return Some(self.parse(&range.items)),
+            match reader.read(&self.node.store).await {
+                Ok(()) => return Some(self.parse(reader.items())),
                 Err(err) => {
                     warn!(self.node.log, "failed to read the log"; "cell" => %self.service,
-                        "error" => %err, "segments_read" => range.items.len());
+                        "error" => %err, "segments_read" => reader.items().len());
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
--- /dev/null
+++ b/src/jobs/log_store/reader/tests.rs
@@ -0,0 +1,188 @@
+//! Reads of a log over a narrow link, against a store whose answers all pass one link, one after
+//! the other in the order in which the store gives them.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use indexmap::IndexMap;
+use slog::{Discard, Logger, o};
+use teaselgap_core::Span;
+use teaselgap_platform::{client::Connections, store::Store};
+use tokio::task::LocalSet;
+
+use super::{
+    super::super::lease::{LeaseRenewer, RenewalConfig},
+    *,
+};
+use crate::clock;
+
+/// The narrowest link of the users' deployments, in megabits per second.
+const LINK_MBPS: f64 = 2.0;
+
+/// Number and size of the segments of a log on such a link (`review/traces/small-twins.txt`).
+const SEGMENTS: u64 = 413;
+const SEGMENT_BYTES: usize = 557;
+
+/// The time-to-live of a node's lease.
+const LEASE_TTL: Span = Span(2_000);
+
+const LEASE: u64 = 7;
+
+/// The most items of a page.
+const PAGE_ITEMS: usize = 500;
+
+/// The keys of a store and the link over which it answers.
+struct LinkedStore {
+    values: IndexMap<String, Vec<u8>>,
+    link_free_at: Mutex<Instant>,
+    bytes_per_s: f64,
+    requests: Mutex<Vec<String>>,
+}
+
+impl LinkedStore {
+    fn new(values: IndexMap<String, Vec<u8>>, link_mbps: f64) -> Self {
+        Self {
+            values,
+            link_free_at: Mutex::new(Instant::now()),
+            bytes_per_s: link_mbps * 125_000.0,
+            requests: Mutex::default(),
+        }
+    }
+
+    fn item(key: &str, value: &[u8]) -> String {
+        let value = STANDARD.encode(value);
+        format!(r#"{{"key":"{key}","value":"{value}","revision":3,"created":3,"lease":0}}"#)
+    }
+
+    fn page(&self, prefix: &str, after: &str) -> String {
+        let is_wanted = |key: &&String| key.starts_with(prefix) && key.as_str() > after;
+        let keys: Vec<&String> = self.values.keys().filter(is_wanted).collect();
+        let items = keys.iter().take(PAGE_ITEMS).map(|key| Self::item(key, &self.values[*key]));
+        let items = items.collect::<Vec<_>>().join(",");
+        let has_more = keys.len() > PAGE_ITEMS;
+        format!(r#"{{"items":[{items}],"has_more":{has_more},"at_rev":9}}"#)
+    }
+
+    /// The status and the body of the answer to a request with this path.
+    fn answer(&self, path: &str) -> (&'static str, String) {
+        let query = path.split_once('?').map_or("", |(_, query)| query);
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let params: IndexMap<&str, String> =
+            pairs.map(|(name, value)| (name, decode(value))).collect();
+        if let Some(prefix) = params.get("prefix") {
+            let after = params.get("after").map_or("", String::as_str);
+            return ("200 OK", self.page(prefix, after));
+        }
+        let Some(key) = params.get("key") else {
+            return ("200 OK", "{}".to_owned());
+        };
+        let missing = ("404 Not Found", "{}".to_owned());
+        self.values.get(key).map_or(missing, |value| ("200 OK", Self::item(key, value)))
+    }
+
+    /// Waits until this many bytes have passed the link behind all that entered it before.
+    fn pass_link(&self, bytes: usize) {
+        #[expect(clippy::cast_precision_loss, reason = "the size of an answer")]
+        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let passed_at = {
+            let mut free_at = self.link_free_at.lock().unwrap();
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        std::thread::sleep(passed_at.saturating_duration_since(Instant::now()));
+    }
+
+    fn answer_requests(&self, mut stream: TcpStream) {
+        let mut buf = [0; 4_096];
+        while let Ok(count @ 1..) = stream.read(&mut buf) {
+            let request = String::from_utf8_lossy(&buf[..count]).into_owned();
+            let path = request.split(' ').nth(1).unwrap_or_default();
+            self.requests.lock().unwrap().push(path.to_owned());
+            let (status, body) = self.answer(path);
+            self.pass_link(body.len());
+            let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
+            if stream.write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn decode(text: &str) -> String {
+    percent_encoding::percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
+fn serve(store: LinkedStore) -> (SocketAddr, Arc<LinkedStore>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let store = Arc::new(store);
+    let served = Arc::clone(&store);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let store = Arc::clone(&served);
+            std::thread::spawn(move || store.answer_requests(stream));
+        }
+    });
+    (address, store)
+}
+
+/// The keys of a log with the segments from `first` on, each of this size.
+fn log(prefix: &str, first: u64, count: u64, bytes: usize) -> IndexMap<String, Vec<u8>> {
+    let segment = |number: u64| (format!("{prefix}{number:016x}"), vec![b's'; bytes]);
+    let head = (format!("{prefix}head"), (first + count - 1).to_string().into_bytes());
+    (first..first + count).map(segment).chain(std::iter::once(head)).collect()
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Starts to renew a lease at this store.
+fn renew(address: SocketAddr) -> LeaseRenewer {
+    let cfg = RenewalConfig { store: address, ttl: LEASE_TTL, max_stall: Span(60_000) };
+    let renewer = LeaseRenewer::start(cfg, Logger::root(Discard, o!())).unwrap();
+    renewer.record_progress();
+    renewer.set(LEASE, clock::now() + LEASE_TTL);
+    renewer
+}
+
+/// Until the lease runs out, if it does.
+async fn lapse(renewer: &LeaseRenewer) {
+    while clock::now() < renewer.valid_until() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against an owner that loses its lease while it reads the log, claims the cell again and
+/// reads the log anew, up to 15 times in a row.
+#[test]
+fn the_lease_is_renewed_while_the_logs_of_two_cells_pass_a_narrow_link() {
+    let mut values = log("teaselgap/log/a/", 900, SEGMENTS, SEGMENT_BYTES);
+    values.extend(log("teaselgap/log/b/", 15, SEGMENTS, SEGMENT_BYTES));
+    let (address, _) = serve(LinkedStore::new(values, LINK_MBPS));
+    let reading = LogReading::new(LINK_MBPS);
+
+    let lengths = run(async {
+        let store = Store::new(address, Rc::new(Connections::default()));
+        let renewer = renew(address);
+        let mut a = LogReader::new("teaselgap/log/a/", &reading);
+        let mut b = LogReader::new("teaselgap/log/b/", &reading);
+        let both = async {
+            tokio::try_join!(a.read(&store), b.read(&store)).unwrap();
+        };
+        tokio::select! {
+            () = both => Some((a.items().len(), b.items().len())),
+            () = lapse(&renewer) => None,
+        }
+    });
+
+    let keys = usize::try_from(SEGMENTS).unwrap() + 1;
+    assert_eq!(lengths, Some((keys, keys)), "the lease ran out, or keys are missing");
+}
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -29,6 +29,7 @@
     host::{CellOwner, EndedTerm},
     instruction::{CellReport, PoolInstruction},
     lease::LeaseRenewer,
+    log_store::LogReading,
     members::Members,
     operator, outage,
     peer::{self, NodeRequest, Peers, PendingInstruction, PendingStoreAge},
@@ -96,6 +97,7 @@
     pub(super) store: Store,
     /// Sends calls to the store again while no answer comes.
     pub(super) repeater: Repeater,
+    pub(super) log_reading: LogReading,
     pub(super) shared: Arc<SharedState>,
     pub(super) peers: Peers,
     pub(super) lease: LeaseRenewer,
@@ -222,6 +224,7 @@
         peer_address,
         store: Store::new(settings.store.address, Rc::clone(&connections)),
         repeater: Repeater::new(MAX_STORE_COPIES),
+        log_reading: LogReading::new(settings.limits.link_mbps),
         connections,
         shared,
         peers: Peers::default(),
