--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -66,7 +66,8 @@
     }
 
     /// Returns how many bytes pass the link in this time.
-    fn bytes_in(self, time: Span) -> u64 {
+    #[must_use]
+    pub fn bytes_in(self, time: Span) -> u64 {
         self.0 * time.0 / 1_000
     }
 }
--- a/src/jobs/log_store/reader/tests.rs
+++ b/src/jobs/log_store/reader/tests.rs
@@ -186,3 +186,61 @@
     let keys = usize::try_from(SEGMENTS).unwrap() + 1;
     assert_eq!(lengths, Some((keys, keys)), "the lease ran out, or keys are missing");
 }
+
+/// The numbers of the segments among these keys, which must be in their order and include the head.
+fn numbers(items: &[Item], prefix: &str) -> Vec<u64> {
+    assert!(items.is_sorted_by_key(|item| &item.key));
+    let suffixes = items.iter().map(|item| item.key.strip_prefix(prefix).unwrap());
+    let mut suffixes: Vec<&str> = suffixes.collect();
+    assert_eq!(suffixes.pop(), Some("head"));
+    suffixes.iter().map(|suffix| u64::from_str_radix(suffix, 16).unwrap()).collect()
+}
+
+/// Reads the log `log/` over a link of this rate. Returns what was read, and how many calls that took.
+fn read_log(values: IndexMap<String, Vec<u8>>, link_mbps: f64) -> (Vec<Item>, usize) {
+    let (address, store) = serve(LinkedStore::new(values, link_mbps));
+    let reading = LogReading::new(link_mbps);
+    let items = run(async {
+        let mut reader = LogReader::new("log/", &reading);
+        reader.read(&Store::new(address, Rc::new(Connections::default()))).await.unwrap();
+        reader.items().to_vec()
+    });
+    let requests = store.requests.lock().unwrap().len();
+    (items, requests)
+}
+
+#[test]
+fn a_log_is_read_whole_over_links_of_any_rate() {
+    for link_mbps in [2.0, 20.0, 1_000.0] {
+        let (items, _) = read_log(log("log/", 250, 300, 90), link_mbps);
+
+        assert_eq!(numbers(&items, "log/"), (250..550).collect::<Vec<u64>>(), "{link_mbps} Mbit/s");
+    }
+}
+
+#[test]
+fn a_wide_link_takes_one_call_for_a_log_of_one_page() {
+    let (_, calls) = read_log(log("log/", 250, 300, 90), 1_000.0);
+
+    assert_eq!(calls, 1);
+}
+
+#[test]
+fn a_log_that_was_never_written_is_empty() {
+    for link_mbps in [2.0, 1_000.0] {
+        let (items, _) = read_log(IndexMap::new(), link_mbps);
+
+        assert_eq!(items, []);
+    }
+}
+
+/// Earlier builds wrote no head.
+#[test]
+fn a_log_without_a_head_is_read_whole_over_a_narrow_link() {
+    let mut values = log("log/", 0, 30, 90);
+    values.shift_remove("log/head");
+
+    let (items, _) = read_log(values, 2.0);
+
+    assert_eq!(items.len(), 30);
+}
