--- a/crates/core/src/job/record/tests.rs
+++ b/crates/core/src/job/record/tests.rs
@@ -24,3 +24,21 @@
 
     assert!(value.len() <= EMPTY_SEGMENT_BYTES, "{}", value.len());
 }
+
+/// Owners of an earlier and a later build follow each other during a rolling restart.
+#[test]
+fn a_record_with_a_field_of_a_later_build_is_read_without_it() {
+    let record = Record::Accepted {
+        job: JobId(7),
+        queue: "quotes".parse().unwrap(),
+        spec: JobSpec::default(),
+        wall_ms: 1_000,
+    };
+    let mut stored = serde_json::to_value(&record).unwrap();
+    stored["accepted"]["field_of_a_later_build"] = serde_json::json!({"max_attempts": 3});
+    let value = format!(r#"{{"epoch":7,"records":[{stored}]}}"#);
+
+    let segment = StoredSegment::decode(3, value.as_bytes()).unwrap();
+
+    assert_eq!(segment.records, [record]);
+}
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::{
     CountedStarts, EndedInstance, MAX_LATE_WRITE_MS, Model, ModelWorker, OWNER_TTL, OwnerLease,
     TICK_MS, TICKET, WorkerFaults, worker::RESTART_DURATION_MS,
@@ -9,8 +11,8 @@
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
     job::{
-        Action, Answer, Cell, EndKind, FlowLimits, JobId, JobSpec, LogEvent, Sequence, TaskId,
-        Token, WorkerId,
+        Action, Answer, Cell, EndKind, FlowLimits, JobId, JobSpec, LogEvent, QueueConfig, Sequence,
+        TaskId, Token, WorkerId,
     },
 };
 
@@ -261,6 +263,14 @@
         self.log_events.iter().filter(is_kind).count()
     }
 
+    /// Changes the settings of all queues, for this owner and later ones.
+    pub fn set_queues(&mut self, queues: IndexMap<QueueId, QueueConfig>) {
+        self.queues = queues;
+        if let Some(cell) = &mut self.cell {
+            cell.set_queues(self.queues.clone());
+        }
+    }
+
     /// Ends the owner without a handover.
     pub fn kill_owner(&mut self) {
         self.cell = None;
--- a/crates/standins/tests/cells/faults.rs
+++ b/crates/standins/tests/cells/faults.rs
@@ -8,7 +8,7 @@
         LogEvent, RunEnd, Step,
     },
 };
-use teaselgap_standins::model::{ModelWorker, TaskTime, WorkerFaults};
+use teaselgap_standins::model::{Model, ModelWorker, TaskTime, WorkerFaults};
 
 use crate::fixtures::{job_spec, long_running_job, new_model, queue, state, step, task_id};
 
@@ -571,3 +571,52 @@
 
     assert!(is_done);
 }
+
+/// Submits a job of two steps, removes its queue while the first one runs, and lets `change_owner` replace
+/// the owner. Returns whether the job succeeds under the next owner, which has never seen the queue.
+fn succeeds_without_its_queue(change_owner: impl Fn(&mut Model)) -> bool {
+    let mut model = new_model(2);
+    let second = Step { after: vec![0], ..step(2, 1_000, 300) };
+    model.submit(JOB, &queue(), job_spec(vec![step(2, 1_000, 500), second]));
+    model.run_for(200);
+    model.set_queues(IndexMap::new());
+    change_owner(&mut model);
+
+    let is_done = model.run_until(20_000, |model| state(model, JOB) == SUCCEEDED);
+
+    assert_eq!(model.violations(), &[] as &[String]);
+    is_done
+}
+
+#[test]
+fn an_accepted_job_runs_to_its_end_although_its_queue_was_removed_before_the_owner_was_lost() {
+    let is_done = succeeds_without_its_queue(|model| {
+        model.kill_owner();
+        model.take_over();
+    });
+
+    assert!(is_done);
+}
+
+#[test]
+fn an_accepted_job_runs_to_its_end_although_its_queue_was_removed_before_the_handover() {
+    let is_done = succeeds_without_its_queue(|model| {
+        model.hand_over();
+        model.take_over();
+    });
+
+    assert!(is_done);
+}
+
+#[test]
+fn an_accepted_job_runs_to_its_end_although_its_queue_was_removed_before_two_owners_were_lost() {
+    let is_done = succeeds_without_its_queue(|model| {
+        for _ in 0..2 {
+            model.kill_owner();
+            model.take_over();
+            model.run_for(100);
+        }
+    });
+
+    assert!(is_done);
+}
