tools/owners: the scenes have files by concern

Cause: draw.rs had 665 lines: the generator, the acts, the plan and 19 scenes.

Change: nothing that is drawn. The generator is in draw/rng.rs, the acts in draw/act.rs, the scenes in draw/nodes.rs, draw/store.rs, draw/parted.rs, draw/workers.rs and draw/late_calls.rs; draw.rs keeps the plan, the tables of scenes, what a play shows, and what the scenes draw in common (243 lines).

--- a/tools/owners/run.sh
+++ b/tools/owners/run.sh
@@ -3,7 +3,7 @@
 # PROJECT (this repository if unset), whose PROGRAM (target/release/teaselgap if unset) must be built.
 # Writes the record to RECORD (target/owners/SEED.txt if unset). Exits with 1 if a rule was broken, 0 if
 # it held and 2 if nothing could be played. TROUBLE=0 leaves the trouble out; AIM=SCENE,SCENE draws these only
-# (see src/draw.rs; AIM=recut restarts workers and soon cuts them off); CLOCKS=0 starts each clock of a worker at 0, CLOCKS=N draws them by N; KEEP_LOGS=FOLDER keeps the processes' logs.
+# (see src/draw/; AIM=recut restarts workers and soon cuts them off); CLOCKS=0 starts each clock of a worker at 0, CLOCKS=N draws them by N; KEEP_LOGS=FOLDER keeps the processes' logs.
 cd "$(dirname "$0")/../.." || exit 2
 seed=${1:?usage: run.sh SEED [SECONDS]}
 seconds=${2:-25}
