tools/owners: AIM=recut cuts workers off, and loses their owner, when long work runs on one of them

The scene's fault, by the records and the nodes' logs: it takes for granted that a start order finds the new lives within 120 ms. The owner's second hold fails some 0.28 s after the crash, it takes the workers for silent, and no order goes there until a hold is answered; holds are held back for 184 and 593 ms after the workers are up, and the one that arrives then waits at the worker. The work that arrives before runs on the other workers. Nothing of it is the product's fault: a silent worker gets no work, and the next owner claims after the cut.

Change: AwaitWork, just before the owner is lost or else before the cut, waits until long work runs on one of the restarted workers, and hands in some for each of them if there is none, for 3.5 s at most (entries come after up to 2.5 s). All later acts are put off by as long; the wait is in the record.

New test recut_waits_for_work_... needs the new act and can't be built without it.

--- a/tools/owners/src/draw/act.rs
+++ b/tools/owners/src/draw/act.rs
@@ -94,6 +94,12 @@
         down_ms: u64,
         entry_ms: u64,
     },
+    /// Waits until long work runs on one of the workers whose bits are set, which get some if there is none,
+    /// but no longer than this. All acts after it are put off by as long.
+    AwaitWork {
+        workers: u64,
+        ms: u64,
+    },
     /// The holds of all nodes for the workers whose bits are set are held back and arrive afterwards;
     /// start orders are not.
     Unheard {
--- a/tools/owners/src/draw/recut.rs
+++ b/tools/owners/src/draw/recut.rs
@@ -2,6 +2,10 @@
 
 use super::{Act, Draw, TIGHT_HOLD_MS, Who};
 
+/// How long an owner may take to find workers that are up again, and to give them work, in milliseconds. Their
+/// entries come after up to 2.5 s.
+const FINDING_MS: u64 = 3_500;
+
 /// Some workers restart in place together, are given work, and are cut off from all nodes some 2 s later
 /// for about 9 s, again and again. In half of the plays the owner is killed shortly before each cut.
 pub(super) fn recut(draw: &mut Draw, at: u64) {
@@ -10,13 +14,16 @@
     let mut at = at;
     loop {
         let cut_at = draw.restart_and_cut(at, workers);
+        let mut lost_at = cut_at;
         if is_owner_lost {
             let early = if draw.is_tight() { (10, 60) } else { (100, 800) };
             let kill_at = cut_at - draw.rng.between(early.0, early.1);
             // It is back before another node may claim the cell, or long after.
             let down_ms = if draw.rng.chance(50) { 500 } else { 6_000 };
             draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms });
+            lost_at = kill_at;
         }
+        draw.add(lost_at - 1, Act::AwaitWork { workers, ms: FINDING_MS });
         at += draw.rng.between(13_500, 14_500);
         if at + 4_000 >= draw.span_ms {
             break;
--- a/tools/owners/src/draw/tests.rs
+++ b/tools/owners/src/draw/tests.rs
@@ -199,3 +199,26 @@
 
 const EXPECTED: &[&str] =
     &["1427 Burst", "1500 Freeze", "3680 Hold", "3765 Burst", "4065 Stop", "4162 Freeze"];
+
+#[test]
+fn recut_waits_for_work_on_the_restarted_workers_before_they_are_cut_off_or_the_owner_is_lost() {
+    for seed in SEEDS {
+        let plan = Plan::draw(seed, 40_000, Some("recut"));
+        let places = |is_wanted: fn(&Act) -> bool| -> Vec<usize> {
+            let acts = plan.acts.iter().enumerate();
+            acts.filter(|(_, (_, act))| is_wanted(act)).map(|(place, _)| place).collect()
+        };
+        let restarts = places(|act| matches!(act, Act::Restart { .. }));
+        let waits = places(|act| matches!(act, Act::AwaitWork { .. }));
+        let cuts = places(|act| matches!(act, Act::Cut { .. }));
+        assert_eq!((restarts.len(), waits.len()), (cuts.len(), cuts.len()), "{seed}");
+        for ((restart, wait), cut) in restarts.iter().zip(&waits).zip(&cuts) {
+            assert!(restart < wait && wait < cut, "{seed}: {:?}", plan.acts);
+            let lost =
+                (*restart..*cut).find(|place| matches!(plan.acts[*place].1, Act::Kill { .. }));
+            assert!(lost.is_none_or(|lost| *wait < lost), "{seed}: {:?}", plan.acts);
+            let Act::AwaitWork { workers, .. } = plan.acts[*wait].1 else { unreachable!() };
+            assert!(matches!(plan.acts[*cut].1, Act::Cut { workers: cut, .. } if cut == workers));
+        }
+    }
+}
--- a/tools/owners/src/load.rs
+++ b/tools/owners/src/load.rs
@@ -13,6 +13,7 @@
     draw::Rng,
     http,
     json::Json,
+    worker::Worker,
     world::{HOST, PREFIX, World},
 };
 
@@ -35,9 +36,15 @@
     next_job: AtomicU64,
     is_over: AtomicBool,
     accepted: Mutex<Vec<String>>,
+    /// The jobs whose work units run for long.
+    long: Mutex<Vec<String>>,
     clients: Mutex<Vec<thread::JoinHandle<()>>>,
 }
 
+fn job_id(number: u64) -> String {
+    format!("5c0e7a21{number:08x}")
+}
+
 fn job(count: u64, run_ms: u64) -> String {
     format!(
         r#"{{"spec":"ms={run_ms} cpu=1000","phases":[{{"count":{count},"cpu":1000,"mem_mb":256,"estimate_ms":{run_ms}}}]}}"#
@@ -58,6 +65,13 @@
     )
 }
 
+/// A job of one work unit that runs for longer than it says, for one worker only.
+fn long_job_for(worker: &str, run_ms: u64) -> String {
+    format!(
+        r#"{{"spec":"ms={run_ms} cpu=1000","phases":[{{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":{ESTIMATE_MS},"constraints":"r-{worker}"}}]}}"#
+    )
+}
+
 fn lasting_job() -> String {
     format!(
         r#"{{"spec":"ms={LASTING_MS} cpu=1000","phases":[{{"count":4,"cpu":1000,"mem_mb":256,"estimate_ms":1000,"long_running":true}}]}}"#
@@ -71,9 +85,10 @@
             next_job: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
             accepted: Mutex::default(),
+            long: Mutex::default(),
             clients: Mutex::default(),
         });
-        load.spawn(world, lasting_job());
+        load.spawn_long(world, lasting_job());
         for client in 0..clients {
             let (load, world) = (Arc::clone(&load), Arc::clone(world));
             let mut rng = Rng::new(seed ^ ((client + 1) << 32));
@@ -94,8 +109,18 @@
     }
 
     fn spawn(self: &Arc<Self>, world: &Arc<World>, body: String) {
-        let (load, world) = (Arc::clone(self), Arc::clone(world));
+        self.spawn_as(self.next_job.fetch_add(1, SeqCst), world, body);
+    }
+
+    /// As `spawn`, for a job whose work units run for long.
+    fn spawn_long(self: &Arc<Self>, world: &Arc<World>, body: String) {
         let number = self.next_job.fetch_add(1, SeqCst);
+        self.long.lock().unwrap().push(job_id(number));
+        self.spawn_as(number, world, body);
+    }
+
+    fn spawn_as(self: &Arc<Self>, number: u64, world: &Arc<World>, body: String) {
+        let (load, world) = (Arc::clone(self), Arc::clone(world));
         let handle = thread::spawn(move || load.hand_in(&world, number, &body));
         self.clients.lock().unwrap().push(handle);
     }
@@ -110,7 +135,7 @@
     /// As `burst`, of work units that run for longer than their job says.
     pub fn long(self: &Arc<Self>, world: &Arc<World>, jobs: u64, run_ms: u64) {
         for _ in 0..jobs {
-            self.spawn(world, long_job(2, run_ms));
+            self.spawn_long(world, long_job(2, run_ms));
         }
     }
 
@@ -121,10 +146,20 @@
         }
     }
 
+    /// Hands in a job of one work unit that only this worker may run, for longer than the job says.
+    pub fn long_unit(self: &Arc<Self>, world: &Arc<World>, worker: &Worker, run_ms: u64) {
+        self.spawn_long(world, long_job_for(&worker.setup.id, run_ms));
+    }
+
+    /// Whether work that lasts or is long runs on a worker.
+    pub fn has_long_run(&self, worker: &Worker) -> bool {
+        self.long.lock().unwrap().iter().any(|job| worker.runs(job))
+    }
+
     /// Hands a job in: again at the next node after no answer, 502 or 504. A job that is refused
     /// with 429 or 503 never runs, and is forgotten.
     fn hand_in(&self, world: &World, number: u64, body: &str) {
-        let id = format!("5c0e7a21{number:08x}");
+        let id = job_id(number);
         for attempt in 0..MAX_TRIES {
             let node = &world.nodes[(number as usize + attempt) % world.nodes.len()];
             let path = format!("{PREFIX}{id}");
--- a/tools/owners/src/trouble.rs
+++ b/tools/owners/src/trouble.rs
@@ -19,6 +19,9 @@
 /// How long the answer to a late call may take, in milliseconds.
 const ANSWER_MS: u64 = 300;
 
+/// How long the work runs that is handed in for workers that have none, in milliseconds.
+const AWAITED_RUN_MS: u64 = 9_500;
+
 fn pause(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -32,8 +35,13 @@
 /// Plays all acts, each in a thread of its own, and returns when the last is over.
 pub fn play(world: &Arc<World>, load: &Arc<Load>, acts: &[(u64, Act)]) {
     let mut threads = Vec::new();
+    let mut put_off_ms = 0;
     for (at, act) in acts {
-        wait_until(world, *at);
+        wait_until(world, at + put_off_ms);
+        if let Act::AwaitWork { workers, ms } = act {
+            put_off_ms += await_work(world, load, *workers, *ms);
+            continue;
+        }
         let (world, load, act) = (Arc::clone(world), Arc::clone(load), act.clone());
         threads.push(thread::spawn(move || carry_out(&world, &load, &act)));
     }
@@ -44,6 +52,27 @@
     world.record.note("the trouble is over");
 }
 
+/// Waits until long work runs on one of some workers. Returns how long that took, in milliseconds.
+fn await_work(world: &Arc<World>, load: &Arc<Load>, workers: u64, limit_ms: u64) -> u64 {
+    let chosen = chosen(world, workers);
+    let has_work = || chosen.iter().any(|worker| load.has_long_run(worker));
+    if has_work() {
+        return 0;
+    }
+    let began_ms = world.record.now_ms();
+    chosen.iter().for_each(|worker| load.long_unit(world, worker, AWAITED_RUN_MS));
+    let deadline = Instant::now() + Duration::from_millis(limit_ms);
+    while !has_work() && Instant::now() < deadline {
+        pause(1);
+    }
+    let waited_ms = world.record.now_ms() - began_ms;
+    world.record.note(format!(
+        "waited {waited_ms} ms for work on workers {workers:b}; it runs: {}",
+        has_work()
+    ));
+    waited_ms
+}
+
 fn carry_out(world: &Arc<World>, load: &Arc<Load>, act: &Act) {
     let index = |who: &Who| resolve(world, *who);
     match act {
@@ -100,6 +129,8 @@
             pause(*ms);
         }
         Act::Cut { workers, ms } => cut(world, *workers, *ms),
+        // Waited for before the acts that come later.
+        Act::AwaitWork { .. } => {}
     }
 }
 
