--- a/tools/owners/src/worker.rs
+++ b/tools/owners/src/worker.rs
@@ -3,6 +3,9 @@
 #[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
 #[path = "../../../review/standins/src/worker.rs"]
 mod base;
+#[cfg(test)]
+#[path = "worker/tests.rs"]
+mod tests;
 
 use std::{
     ops::Deref,
