tools/owners: a worker that crashes while it is down is up again when both crashes are over

Change: a worker counts the crashes that are not over, and starts when the last one is. A crash of a worker that is down ends no life.

--- a/tools/owners/src/worker.rs
+++ b/tools/owners/src/worker.rs
@@ -29,6 +29,8 @@
     current: Option<(Clock, Instant)>,
     /// What the clock of the last life showed at its end, in milliseconds.
     last_ms: u64,
+    /// How many crashes are not over yet.
+    crashes: u64,
 }
 
 pub struct Worker {
@@ -54,30 +56,34 @@
         Arc::new(Self { base, clocks, lives: Mutex::default(), record })
     }
 
-    /// Starts a new life, and records where its clock starts just before.
+    /// Starts a new life unless another crash is not over yet, and records where its clock starts just before.
     pub fn start(&self, first_heartbeat: Duration) {
-        let clock = self.next_clock();
+        let Some(clock) = self.next_clock() else { return };
         clock.start_life(|| self.base.start(first_heartbeat));
     }
 
-    fn next_clock(&self) -> Clock {
+    fn next_clock(&self) -> Option<Clock> {
         let id = &self.setup.id;
         let mut lives = self.lives.lock().unwrap();
+        lives.crashes = lives.crashes.saturating_sub(1);
+        if lives.crashes > 0 {
+            return None;
+        }
         let draw = self.clocks.draw(id, lives.count);
         let clock = draw.clock(lives.last_ms);
         lives.count += 1;
         lives.current = Some((clock, Instant::now()));
         self.record
             .note(format!("worker {id}: its next clock starts at {} ms, {draw:?}", clock.first_ms));
-        clock
+        Some(clock)
     }
 
-    /// Ends the life without a word.
+    /// Ends the life, if the worker is up, without a word.
     pub fn crash(&self) {
         let mut lives = self.lives.lock().unwrap();
-        if let Some((clock, started)) = lives.current.take() {
-            lives.last_ms = clock.first_ms + started.elapsed().as_millis() as u64;
-        }
+        lives.crashes += 1;
+        let Some((clock, started)) = lives.current.take() else { return };
+        lives.last_ms = clock.first_ms + started.elapsed().as_millis() as u64;
         drop(lives);
         self.base.crash();
     }
