--- a/crates/standins/tests/cells/restarts.rs
+++ b/crates/standins/tests/cells/restarts.rs
@@ -2,6 +2,7 @@
 //! which an instance is named may lie before that of an earlier one or be the same, and of starts that
 //! were planned before a list showed a run of their task.
 
+mod alike;
 mod property;
 
 use teaselgap_core::{
@@ -11,7 +12,7 @@
         WorkerId,
     },
 };
-use teaselgap_standins::model::{Model, WorkerFaults};
+use teaselgap_standins::model::{ClockDraw, Model, WorkerFaults};
 
 use crate::fixtures::{job_spec, new_model, queue, state, step, task_id};
 
