--- a/tools/restarts/src/main.rs
+++ b/tools/restarts/src/main.rs
@@ -42,7 +42,7 @@
         eprintln!("usage: restarts CASE RECORD");
         return ExitCode::from(2);
     };
-    clock::Clocks::choose(SEED);
+    clock::Clocks::choose(SEED, false);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let Some((record, breaches)) = cases::play(&case, has_trouble) else {
         eprintln!("the case could not run");
