--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -113,6 +113,7 @@
 ) -> Action {
     let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
     let last_seen = worker.confirmable((is_delayed, is_ordered), now);
+    worker.read_ends.name(last_seen);
     worker.holds_in_flight += 1;
     worker.next_hold = now + HOLD_INTERVAL;
     // An unanswered order may still be carried out. If the lease of a silent worker were renewed
@@ -224,7 +225,10 @@
             return;
         }
         let named = (report.started_wall_ms, Some(report.clock_ms));
-        let order = worker.place_answer(report.started_wall_ms, report.clock_ms, (sent, now));
+        let order = match worker.place_answer(named.0, report.clock_ms, (sent, now)) {
+            InstanceOrder::Same => worker.place_list(&report, sent),
+            other => other,
+        };
         let event = worker.other_instance("answer", named, order, now);
         self.actions.extend(event.map(LogEvent::OtherInstance).map(Action::Log));
         match order {
@@ -234,6 +238,10 @@
                 return;
             }
             InstanceOrder::Open => {
+                if worker.is_newest_instance(report.started_wall_ms) {
+                    // Until an answer tells, no end is confirmed: its number may be of another instance.
+                    worker.instance_doubt = Some(now);
+                }
                 worker.next_hold = now;
                 return;
             }
@@ -310,6 +318,7 @@
         if is_newest {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.listed_ends = u64::try_from(report.ends.len()).unwrap_or(u64::MAX);
+                worker.read_ends.read(report, (sent, now));
             }
             for listed_run in &report.running {
                 self.on_listed_run(id, listed_run, (sent, now));
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -15,7 +15,7 @@
 use super::{
     super::{
         Action, LogEvent, TaskId, WorkerEntry, WorkerId,
-        worker::{OpenOrder, Run, RunState, StrayLease, Worker},
+        worker::{ListedEnds, OpenOrder, Run, RunState, StrayLease, Worker},
     },
     Cell,
 };
@@ -31,23 +31,25 @@
     Withdrawn,
     /// The run has ended with its instance.
     Ended,
-    /// The order was answered, perhaps by the new instance, whose list shows whether the run is
-    /// there.
+    /// The order was answered, or the run listed, perhaps by the new instance, whose list shows whether the
+    /// run is there.
     AwaitsList,
     /// The new instance may have got the order, or may still get it.
     MayStart,
 }
 
 impl Fate {
-    fn of(run: &Run, has_open_order: bool) -> Self {
+    /// That of a run on a worker whose new instance may have its name, and may have been taken for the earlier
+    /// one when a list showed the run.
+    fn of(run: &Run, has_open_order: bool, is_namesake: bool) -> Self {
         // The new instance then started after the order had expired.
         let has_expired = run.unlisted_since.is_some();
         match run.state {
             RunState::Planned => Self::Withdrawn,
             RunState::Running if has_open_order => Self::MayStart,
-            RunState::Running if run.ends_with_instance => Self::Ended,
+            RunState::Running if run.ends_with_instance && !is_namesake => Self::Ended,
             RunState::Running => Self::AwaitsList,
-            RunState::Unsettled if has_expired && !has_open_order => Self::Ended,
+            RunState::Unsettled if has_expired && !has_open_order && !is_namesake => Self::Ended,
             RunState::Ordered | RunState::Unsettled => Self::MayStart,
         }
     }
@@ -71,13 +73,16 @@
             return;
         };
         let expiry = old.inherited_expiry;
+        let is_namesake = old.is_newest_instance(started_wall_ms);
         let instances = old.instances_before_next(started_wall_ms);
         let open_entry = old.instances.open_entry.take().map(|open| open.entry);
         let is_of_new = |entry: &WorkerEntry| entry.started_wall_ms == started_wall_ms;
         let entry = entry.or(open_entry.filter(is_of_new));
         let new = Worker::new(entry.unwrap_or_else(|| old.entry.clone()), expiry, now);
         let stray_lease = StrayLease::open(now);
-        let mut worker = Worker { started_wall_ms, instances, stray_lease, ..new };
+        let read_ends =
+            if is_namesake { ListedEnds::of_namesake(now) } else { ListedEnds::default() };
+        let mut worker = Worker { started_wall_ms, instances, stray_lease, read_ends, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
@@ -99,7 +104,7 @@
             // makes the worker refuse it, too.
             let of_task = open_orders.iter().filter(|order| order.task == task);
             let open_order = of_task.max_by_key(|order| order.expiry);
-            match Fate::of(&run, open_order.is_some()) {
+            match Fate::of(&run, open_order.is_some(), is_namesake) {
                 Fate::Withdrawn => self.withdraw_run(id, task),
                 Fate::Ended => {
                     self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -2,6 +2,7 @@
 
 mod confirmation;
 mod instance;
+mod listed_ends;
 mod open_orders;
 mod run;
 mod stray_lease;
@@ -16,6 +17,7 @@
 pub(super) use self::{
     confirmation::HeldEnd,
     instance::InstanceOrder,
+    listed_ends::ListedEnds,
     open_orders::OpenOrder,
     run::{Run, RunState, StopOrder},
     stray_lease::StrayLease,
@@ -165,6 +167,8 @@
     pub(super) ends_durable: u64,
     /// Number of ends in the newest list. The worker lists them until they are confirmed.
     pub(super) listed_ends: u64,
+    /// What the ends that were read prove about the instance.
+    pub(super) read_ends: ListedEnds,
     pub(super) runs: IndexMap<TaskId, Run>,
     /// Start orders of which a copy got no answer. A restarted worker doesn't know the stop orders
     /// that cancelled them, so those are sent again.
@@ -256,6 +260,7 @@
             ends_seen: 0,
             ends_durable: 0,
             listed_ends: 0,
+            read_ends: ListedEnds::default(),
             runs: IndexMap::new(),
             open_orders: Vec::new(),
             held_ends: Vec::new(),
--- a/crates/core/src/job/worker/instance.rs
+++ b/crates/core/src/job/worker/instance.rs
@@ -3,7 +3,8 @@
 //! The start time that a statement carries names an instance. It doesn't order instances, because it is
 //! of the wall clock, which may be set back. The worker's monotonic clock doesn't either: it starts anew
 //! with each instance, but nobody says where. One instance's clock goes on at its rate, so that a reading
-//! out of that range is of another one, whatever its name; a reading within it proves nothing.
+//! out of that range is of another one, whatever its name; a reading within it proves nothing. Two instances of
+//! one name may still be told apart by the ends that they list (`listed_ends.rs`).
 //!
 //! The order follows from calls alone: an answer that was asked for once the known instance had answered,
 //! and is not of it, is of a later one. If the calls overlap, the worker is asked again. An entry in the
