--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -26,4 +26,5 @@
 mod stray_leases;
 mod takeover;
 mod turns;
+mod unheard;
 mod waits;
--- /dev/null
+++ b/crates/standins/tests/cells/unheard.rs
@@ -0,0 +1,151 @@
+//! Tests of calls that come late in an instance of a worker which nobody hears, after other calls were sent or
+//! the store has listed it.
+
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{JobId, LogEvent, TaskId, WorkerId},
+};
+use teaselgap_standins::model::{CallKind, ClockDraw, Fate, Model};
+
+use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+
+/// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
+const LONGEST_LEASE_MS: u64 = 10_000;
+
+/// Longer than each wait for an order and a lease, in milliseconds.
+const LONG_MS: u64 = 40_000;
+
+/// Time for which the owner has heard of a worker when its entry counts, in milliseconds.
+const SETTLED_MS: u64 = 12_000;
+
+/// How long the owner counts on an unanswered call, in milliseconds.
+const CALL_LIFETIME_MS: u64 = 15_000;
+
+/// Time from an order to its last copy in the model, in milliseconds.
+const REPEAT_MS: u64 = 60;
+
+/// Time from the restart of a worker until it can be reached, in milliseconds.
+const REACHABLE_MS: u64 = 10;
+
+const JOB: JobId = JobId(7);
+const OTHER_JOB: JobId = JobId(8);
+
+/// Creates a model of two workers that accept long leases and have been heard for long. The next instance of each
+/// has a clock that is far behind.
+fn settled_model() -> Model {
+    let mut model = new_model(2);
+    model.count_every_start();
+    model.set_longest_lease(LONGEST_LEASE_MS);
+    for id in ["w0", "w1"] {
+        model.worker_mut(id).next_clock = Some(ClockDraw::Behind(1_000_000));
+    }
+    model.kill_owner();
+    model.take_over();
+    model.run_for(SETTLED_MS);
+    model
+}
+
+/// Orders a long task of whose order no copy is answered before it comes `late_ms` after it. Returns the worker
+/// and when the order was sent; the task runs there by its next attempt.
+fn start_beside_open_order(model: &mut Model, late_ms: u64) -> (WorkerId, Timestamp) {
+    let late = Fate::Late(model.now() + Span(late_ms));
+    for id in ["w0", "w1"] {
+        model.script_fates(id, CallKind::Start, &[late, late]);
+    }
+    let task = task_id(JOB, 0);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
+    assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+    let (ordered, worker) = (model.now(), model.ordered_worker(task).unwrap());
+    for id in ["w0", "w1"].into_iter().filter(|id| *id != worker.as_str()) {
+        model.drop_fates(id);
+    }
+    assert!(model.run_until(5_000, |model| runs_at(model, task).contains(&worker)));
+    (worker, ordered)
+}
+
+/// Returns the workers on which a task runs.
+fn runs_at(model: &Model, task: TaskId) -> Vec<WorkerId> {
+    let running = model.workers().filter(|worker| worker.is_running(task));
+    running.map(|worker| worker.entry.id.clone()).collect()
+}
+
+/// Runs until a moment.
+fn run_to(model: &mut Model, at: Timestamp) {
+    model.run_for(at.since(model.now()).0);
+}
+
+/// Restarts a worker in place, and cuts it off from the owner for good. The store lists the entry of before for
+/// `kept_ms`.
+fn restart_unheard(model: &mut Model, worker: &WorkerId, kept_ms: u64) {
+    model.keep_entry(worker.as_str(), kept_ms);
+    model.restart_worker_at(worker.as_str(), model.wall_ms(), REACHABLE_MS);
+    model.make_unreachable(worker.as_str(), 3 * LONG_MS);
+}
+
+fn has_restarted(model: &Model) -> bool {
+    let is_restart =
+        |event: &LogEvent| matches!(event, LogEvent::Worker { change: "restarted", .. });
+    model.log_events().iter().any(is_restart)
+}
+
+/// Whether an order of a job has got no answer.
+fn is_noted(model: &Model, job: JobId) -> bool {
+    let is_of_job =
+        |event: &LogEvent| matches!(event, LogEvent::StartOpen { run, .. } if run.task.job == job);
+    model.log_events().iter().any(is_of_job)
+}
+
+/// Guards against a task that starts elsewhere while a late copy of its order has begun it in an instance that
+/// nobody hears, because another order got no answer once this one had expired.
+#[test]
+fn an_expired_order_is_waited_for_although_a_later_one_is_noted() {
+    for noted_ms in [100, 200, 400, 550] {
+        let mut model = settled_model();
+        let late_ms = CALL_LIFETIME_MS - 100;
+        let (worker, ordered) = start_beside_open_order(&mut model, late_ms);
+        let expiry = ordered + Span(REPEAT_MS + CALL_LIFETIME_MS);
+
+        run_to(&mut model, Timestamp(expiry.0 + noted_ms - 600 - REPEAT_MS));
+        model.script_fates("w0", CallKind::Start, &[Fate::CallLost; 2]);
+        model.script_fates("w1", CallKind::Start, &[Fate::CallLost; 2]);
+        model.submit(OTHER_JOB, &queue(), job_spec(vec![step(8, 3_500, LONG_MS)]));
+        model.run_for(20);
+        restart_unheard(&mut model, &worker, 3 * LONG_MS);
+        run_to(&mut model, expiry);
+        let was_noted = is_noted(&model, OTHER_JOB);
+        model.run_for(LONG_MS);
+
+        assert!(!was_noted && is_noted(&model, OTHER_JOB), "{noted_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{noted_ms}");
+    }
+}
+
+/// The same if the store lists that instance only once the order has expired, so that the runs of the one before
+/// are known to have ended.
+#[test]
+fn an_expired_order_is_waited_for_although_its_worker_is_listed_as_restarted() {
+    let mut broken = Vec::new();
+    let mut listed = 0;
+    for before_ms in [200, 1_000, 2_000, 3_000] {
+        for after_ms in [100, 600, 1_200, 3_000] {
+            let mut model = settled_model();
+            let (worker, ordered) = start_beside_open_order(&mut model, CALL_LIFETIME_MS - 100);
+            let expiry = ordered + Span(REPEAT_MS + CALL_LIFETIME_MS);
+
+            run_to(&mut model, Timestamp(expiry.0 - 100 - before_ms));
+            restart_unheard(&mut model, &worker, before_ms + 100 + after_ms);
+            run_to(&mut model, expiry);
+            let was_known = has_restarted(&model);
+            model.run_for(LONG_MS);
+            listed += u32::from(!was_known && has_restarted(&model));
+
+            if !model.violations().is_empty() {
+                broken.push((before_ms, after_ms, model.violations().to_vec()));
+            }
+        }
+    }
+
+    println!("{} broken, {listed} listed after the expiry", broken.len());
+    assert!(listed > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
