--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -74,9 +74,10 @@
         let run = RunId { task, attempt, worker: id.clone() };
         let event = LogEvent::StartOpen { run, is_answered, left: until.since(now) };
         self.actions.push(Action::Log(event));
+        let longest_lease = self.longest_lease();
         if let Some(worker) = self.workers.get_mut(id) {
             let order = OpenOrder { task, attempt, expiry: until, is_inherited: false };
-            worker.record_open_order(order, now);
+            worker.record_open_order(order, longest_lease, now);
         }
         self.record_open_start(id, (task, attempt), until, now);
     }
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -67,6 +67,8 @@
         now: Timestamp,
     ) {
         self.fences.outrank(id);
+        let longest_lease = self.longest_lease();
+        let has_answered = entry.is_none();
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
@@ -84,9 +86,11 @@
         worker.missing_since = old.missing_since;
         worker.record_restart(old, now);
         Self::update_stays_until(&mut worker, now);
-        let old = std::mem::replace(old, worker);
-        let Worker { runs, mut open_orders, lease_sent, .. } = old;
-        open_orders.retain(|order| now <= order.expiry);
+        let mut old = std::mem::replace(old, worker);
+        let mut open_orders = old.take_orders_of_unheard(longest_lease, now);
+        // What an expired order has begun in an instance that has answered is in its list.
+        open_orders.retain(|order| !has_answered || now <= order.expiry);
+        let Worker { runs, lease_sent, .. } = old;
         self.actions.push(Action::Log(LogEvent::Worker {
             worker: id.clone(),
             change: "restarted",
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -21,9 +21,34 @@
 
 impl Worker {
     /// Records a start order of which a copy got no answer.
-    pub(in crate::job) fn record_open_order(&mut self, order: OpenOrder, now: Timestamp) {
-        self.open_orders.retain(|other| now <= other.expiry);
-        self.open_orders.push(order);
+    pub(in crate::job) fn record_open_order(
+        &mut self,
+        order: OpenOrder,
+        longest_lease: Span,
+        now: Timestamp,
+    ) {
+        let orders = std::mem::take(&mut self.open_orders);
+        let kept = orders.into_iter().filter(|other| self.may_matter(other, longest_lease, now));
+        self.open_orders = kept.chain([order]).collect();
+    }
+
+    /// Takes the start orders that an instance of which only an entry in the store tells may still carry out, or
+    /// whose run it may have.
+    pub(in crate::job) fn take_orders_of_unheard(
+        &mut self,
+        longest_lease: Span,
+        now: Timestamp,
+    ) -> Vec<OpenOrder> {
+        let mut orders = std::mem::take(&mut self.open_orders);
+        orders.retain(|order| self.may_matter(order, longest_lease, now));
+        orders
+    }
+
+    /// Whether a copy of the order may still take effect, or may have begun a run in an instance that has never
+    /// answered. An instance that follows one which was asked after the expiry gets no copy.
+    fn may_matter(&self, order: &OpenOrder, longest_lease: Span, now: Timestamp) -> bool {
+        let was_asked_since = self.clock.is_some_and(|clock| clock.asked > order.expiry);
+        now <= order.expiry + longest_lease && !was_asked_since
     }
 
     /// Whether a start order may have reached another instance than the newest known one.
