Tests: a late hold gives an instance that nobody hears a lease from its arrival (KNOWN-RED)

Cause, by reading until now: where an instance that isn't the known one may run something, the end of its lease is counted from when the last hold was sent (Worker::end_of_outlived), or from the last possible order of the owner before (Cell::unheard_expiry), and the longest lease, with its stretch of 3 % for a clock that may be 2 % slow. So a call has 1 % of the lease to arrive in, 0.1 s of 10 s. PROTOCOL.md says of a call without an answer that it "may also be executed seconds later, after newer calls", and that a longer lease "is shortened to that maximum", which a new instance does as it carries the call out: on its clock a time of the one before may lie far ahead. For the known instance the time of arrival makes no difference.

--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -5,7 +5,7 @@
     Span, Timestamp,
     job::{JobId, LogEvent, TaskId, WorkerId},
 };
-use teaselgap_standins::model::{CallKind, ClockDraw, Fate, Model};
+use teaselgap_standins::model::{CallKind, ClockDraw, Fate, LateCall, Model};
 
 use crate::fixtures::{job_spec, new_model, queue, step, task_id};
 
@@ -186,3 +186,90 @@
     assert!(listed > 0);
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Orders tasks on a worker that has been restarted without its owner's knowledge. The store lists the entry of
+/// before for `kept_ms`.
+fn order_on_restarted(model: &mut Model, kept_ms: u64) {
+    model.keep_entry("w0", kept_ms);
+    model.restart_worker_at("w0", model.wall_ms(), REACHABLE_MS);
+    model.run_for(REACHABLE_MS);
+    // The hold that follows the orders leaves before their answers arrive.
+    model.delay_answers("w0", [58; 8]);
+    let late = Fate::Late(model.now() + Span(8_000));
+    model.script_fates("w0", CallKind::Renew, &[late]);
+    model.submit(JOB, &queue(), job_spec(vec![step(4, 4_000, LONG_MS)]));
+}
+
+/// Returns how many calls of a kind `w0` has got late.
+fn late_calls(model: &Model, kind: CallKind) -> usize {
+    let is_late = |call: &&LateCall| call.worker.as_str() == "w0" && call.kind == kind;
+    model.late_calls().iter().filter(is_late).count()
+}
+
+/// Plays such orders, and a worker that is cut off from its owner as soon as it has answered them. Returns what was
+/// broken, and in how many histories the hold came late.
+fn cut_off_after_orders(kept_ms: u64) -> (Vec<(u64, Vec<String>)>, usize) {
+    let mut broken = Vec::new();
+    let mut late = 0;
+    for cut_ms in 40..80 {
+        let mut model = settled_model();
+
+        order_on_restarted(&mut model, kept_ms);
+        model.run_for(cut_ms);
+        model.make_unreachable("w0", 3 * LONG_MS);
+        model.run_for(LONG_MS);
+        late += late_calls(&model, CallKind::Renew);
+
+        if !model.violations().is_empty() {
+            broken.push((cut_ms, model.violations().to_vec()));
+        }
+    }
+    println!("{} broken, {late} late holds", broken.len());
+    (broken, late)
+}
+
+/// Guards against a task that starts elsewhere while it runs in an instance which has answered its order and was
+/// cut off at once, and whose lease a late hold to the one before has prolonged.
+#[test]
+fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_only() {
+    let (broken, late) = cut_off_after_orders(3 * LONG_MS);
+
+    assert!(late > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// The same if the store lists that instance.
+#[test]
+fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_and_is_listed() {
+    let (broken, late) = cut_off_after_orders(50);
+
+    assert!(late > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// The same if the owner is lost with that, and the next one never hears the worker.
+#[test]
+fn a_late_hold_of_a_lost_owner_prolongs_the_lease_of_an_instance_that_nobody_hears() {
+    let mut broken = Vec::new();
+    let mut late = 0;
+    for cut_ms in 40..80 {
+        let mut model = settled_model();
+
+        order_on_restarted(&mut model, 3 * LONG_MS);
+        model.run_for(cut_ms);
+        model.kill_owner();
+        model.make_unreachable("w0", 3 * LONG_MS);
+        model.run_for(200);
+        model.take_over();
+        model.run_for(LONG_MS);
+        late += late_calls(&model, CallKind::Renew);
+
+        if !model.violations().is_empty() {
+            broken.push((cut_ms, model.violations().to_vec()));
+        }
+    }
+
+    println!("{} broken, {late} late holds", broken.len());
+    assert!(late > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
