--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -207,7 +207,7 @@
                 return;
             }
             worker.hold_failures += 1;
-            worker.unanswered_hold = worker.unanswered_hold.max(sent);
+            worker.record_unanswered_hold(sent);
             worker.next_hold = now + FAILED_HOLD_DELAY;
             if worker.hold_failures == MAX_HOLD_FAILURES {
                 let runs = worker.runs.len();
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -90,7 +90,11 @@
         let mut open_orders = old.take_orders_of_unheard(longest_lease, now);
         // What an expired order has begun in an instance that has answered is in its list.
         open_orders.retain(|order| !has_answered || now <= order.expiry);
-        let Worker { runs, lease_sent, .. } = old;
+        if !has_answered {
+            // Holds under way are not heard of any more.
+            old.unanswered_renewal = Some(old.lease_sent);
+        }
+        let runs = std::mem::take(&mut old.runs);
         self.actions.push(Action::Log(LogEvent::Worker {
             worker: id.clone(),
             change: "restarted",
@@ -109,11 +113,11 @@
                     self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
                 }
                 Fate::AwaitsList => {
-                    run.outlive_restart(lease_sent, now);
+                    run.outlive_restart(old.last_renewal_of(&run), now);
                     self.book_outlived(id, task, run);
                 }
                 Fate::MayStart => {
-                    run.outlive_restart(lease_sent, now);
+                    run.outlive_restart(old.last_renewal_of(&run), now);
                     run.may_start_until(open_order.map_or(run.order_expiry, |order| order.expiry));
                     run.expect_in_lists_after = now;
                     self.book_outlived(id, task, run);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -12,7 +12,6 @@
 
 use indexmap::IndexMap;
 
-use self::instance::Instances;
 pub(super) use self::{
     confirmation::HeldEnd,
     instance::InstanceOrder,
@@ -20,6 +19,7 @@
     run::{Run, RunState, StopOrder},
     stray_lease::StrayLease,
 };
+use self::{instance::Instances, stray_lease::LATE_CALL_LIFETIME};
 use super::{
     OtherInstance, Resources, StepId, TaskId, WorkerId,
     cell::WorkerSpeed,
@@ -177,6 +177,8 @@
     pub(super) hold_failures: u32,
     /// When the latest hold that got no answer was sent.
     pub(super) unanswered_hold: Timestamp,
+    /// The same for holds that may have renewed the lease; `None` if each of those was answered.
+    pub(super) unanswered_renewal: Option<Timestamp>,
     /// When the worker last answered a hold.
     pub(super) last_heard: Timestamp,
     /// Whether it has refused a call that a later one has outranked, and answered no hold since.
@@ -263,6 +265,7 @@
             next_hold: now,
             hold_failures: 0,
             unanswered_hold: Timestamp(0),
+            unanswered_renewal: None,
             last_heard: now,
             awaits_answer: false,
             drain: None,
@@ -423,13 +426,30 @@
             return run.order_expiry;
         }
         // A hold for the known instance may have reached the other one, whose clock may show less.
-        let renewal = if run.outlived_restart { run.stray_renewal } else { self.lease_sent };
+        let renewal =
+            if run.outlived_restart { run.stray_renewal } else { self.last_renewal_of(run) };
         // So may each order that is still to be carried out.
         let open = self.runs.values().filter(|run| run.is_unanswered()).map(|run| run.order_expiry);
         let open = open.chain(self.open_orders.iter().map(|order| order.expiry)).max();
         run.order_expiry.max(renewal).max(open.unwrap_or_default()) + longest_lease
     }
 
+    /// Until when a hold may renew the lease of a run in another instance than the known one. A hold that got no
+    /// answer may come late, and that instance counts the lease from its arrival. The run's order outranks the holds
+    /// before it there; by the clock of its answer, if that is known, a hold brings no more than was asked for.
+    pub(super) fn last_renewal_of(&self, run: &Run) -> Timestamp {
+        let may_be_late = |sent: &Timestamp| run.clock.is_none() && *sent >= run.started;
+        let late = self.unanswered_renewal.filter(may_be_late);
+        self.lease_sent.max(late.map(|sent| sent + LATE_CALL_LIFETIME).unwrap_or_default())
+    }
+
+    /// Records that a hold which was sent at `sent` got no answer.
+    pub(super) fn record_unanswered_hold(&mut self, sent: Timestamp) {
+        self.unanswered_hold = self.unanswered_hold.max(sent);
+        let may_have_renewed = sent <= self.lease_sent;
+        self.unanswered_renewal = self.unanswered_renewal.max(may_have_renewed.then_some(sent));
+    }
+
     /// Whether the worker's entry has been missing from the store for so long that it counts as gone.
     pub(super) fn is_gone(&self, now: Timestamp) -> bool {
         self.missing_since.is_some_and(|since| now > since + MISSING_GRACE)
--- a/crates/core/src/job/worker/stray_lease.rs
+++ b/crates/core/src/job/worker/stray_lease.rs
@@ -12,7 +12,7 @@
 use crate::{Span, Timestamp};
 
 /// Longest time after which a call that got no answer may still be carried out.
-const LATE_CALL_LIFETIME: Span = UNANSWERED_START_LIFETIME;
+pub(super) const LATE_CALL_LIFETIME: Span = UNANSWERED_START_LIFETIME;
 
 /// The calls that were meant for other instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
