--- a/crates/core/src/job/cell/start_scope.rs
+++ b/crates/core/src/job/cell/start_scope.rs
@@ -85,12 +85,14 @@
     }
 
     /// Where a task may start once no order of before can be carried out any more. An instance that has never
-    /// answered may still run what such an order has begun, if the store lists its worker.
+    /// answered may still run what such an order has begun, if the store lists its worker and no answer was asked
+    /// for since.
     fn scope_after_orders(&self, task: &Task, now: Timestamp) -> StartScope<'_> {
         let is_unheard = |open: &OpenStart| {
             let worker = self.workers.get(&open.worker).filter(|worker| !worker.is_gone(now));
             worker.zip(open.until()).is_some_and(|(worker, until)| {
-                worker.last_heard <= until && now <= until + self.longest_lease()
+                let was_asked_since = worker.clock.is_some_and(|clock| clock.asked > until);
+                !was_asked_since && now <= until + self.longest_lease()
             })
         };
         let may_run = task.open_start.as_ref().is_some_and(is_unheard);
