--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -69,6 +69,8 @@
         now: Timestamp,
     ) {
         self.fences.outrank(id);
+        let longest_lease = self.longest_lease();
+        let has_answered = entry.is_none();
         let Some(old) = self.workers.get_mut(id) else {
             return;
         };
@@ -89,9 +91,15 @@
         worker.missing_since = old.missing_since;
         worker.record_restart(old, now);
         Self::update_stays_until(&mut worker, now);
-        let old = std::mem::replace(old, worker);
-        let Worker { runs, mut open_orders, lease_sent, .. } = old;
-        open_orders.retain(|order| now <= order.expiry);
+        let mut old = std::mem::replace(old, worker);
+        let mut open_orders = old.take_orders_of_unheard(longest_lease, now);
+        // What an expired order has begun in an instance that has answered is in its list.
+        open_orders.retain(|order| !has_answered || now <= order.expiry);
+        if !has_answered {
+            // Holds under way are not heard of any more.
+            old.unanswered_renewal = Some(old.lease_sent);
+        }
+        let runs = std::mem::take(&mut old.runs);
         self.actions.push(Action::Log(LogEvent::Worker {
             worker: id.clone(),
             change: "restarted",
@@ -110,11 +118,11 @@
                     self.end_unreported_run(id, task, run.attempt, "worker restarted", now);
                 }
                 Fate::AwaitsList => {
-                    run.outlive_restart(lease_sent, now);
+                    run.outlive_restart(old.last_renewal_of(&run), now);
                     self.book_outlived(id, task, run);
                 }
                 Fate::MayStart => {
-                    run.outlive_restart(lease_sent, now);
+                    run.outlive_restart(old.last_renewal_of(&run), now);
                     run.may_start_until(open_order.map_or(run.order_expiry, |order| order.expiry));
                     run.expect_in_lists_after = now;
                     self.book_outlived(id, task, run);
