Listed ends are found by their numbers, and only so many are kept

Cause: each list of a worker was compared with the ends read before by a search for each end, and while lists are cut off at 500 ends nothing was ever dropped.

Change: a map by number; beyond 2,000 kept ends those read before are dropped. What isn't kept proves nothing, so that no instance is told apart by it. Lists are placed as before.

--- a/crates/core/src/job/worker/listed_ends.rs
+++ b/crates/core/src/job/worker/listed_ends.rs
@@ -12,17 +12,22 @@
 #[cfg(test)]
 mod tests;
 
+use indexmap::{IndexMap, IndexSet};
+
 use super::{InstanceOrder, Worker};
 use crate::{
     Timestamp,
     job::{HoldReport, RunEnd, TaskId},
 };
 
+/// The most ends that are kept while lists are cut off, before those of a new list. What isn't kept proves nothing.
+const MAX_ENDS: usize = 2_000;
+
 /// The ends that an owner has read in the newest known instance of a worker, as far as they prove something.
 #[derive(Clone, Debug, Default)]
 pub(in crate::job) struct ListedEnds {
-    /// The number of each end that may be listed again, with its task and attempt.
-    ends: Vec<(u64, TaskId, u32)>,
+    /// The task and attempt of each end that may be listed again, by its number.
+    ends: IndexMap<u64, (TaskId, u32)>,
     /// The number up to which ends are forgotten: one of them was listed and is no more.
     forgotten: u64,
     /// When the latest list was read.
@@ -52,7 +57,6 @@
         report: &HoldReport,
         (sent, now): (Timestamp, Timestamp),
     ) {
-        let row = |end: &RunEnd| (end.number, end.task, end.attempt);
         let is_later = sent > self.read_at;
         self.read_at = now;
         if report.is_complete && is_later {
@@ -60,18 +64,19 @@
             self.forgotten = self.forgotten.max(vanished);
             self.ends.clear();
         }
-        let is_new = |end: &&RunEnd| self.ends.iter().all(|(number, ..)| *number != end.number);
-        let new: Vec<_> = report.ends.iter().filter(is_new).map(row).collect();
-        self.ends.extend(new);
+        if self.ends.len() > MAX_ENDS {
+            self.ends.clear();
+        }
+        for end in &report.ends {
+            self.ends.entry(end.number).or_insert((end.task, end.attempt));
+        }
     }
 
     /// Whether a list can't be of the instance whose ends were read before, if it was made after their lists.
     fn is_contradicted_by(&self, report: &HoldReport) -> bool {
         let is_against = |end: &RunEnd| {
-            let is_other = |&(number, task, attempt): &(u64, TaskId, u32)| {
-                number == end.number && (task, attempt) != (end.task, end.attempt)
-            };
-            end.number <= self.forgotten || self.ends.iter().any(is_other)
+            let known = self.ends.get(&end.number);
+            end.number <= self.forgotten || known.is_some_and(|of| *of != (end.task, end.attempt))
         };
         let lacks_unnamed = report.is_complete && self.vanished(report).any(|end| end > self.named);
         lacks_unnamed || report.ends.iter().any(is_against)
@@ -79,8 +84,8 @@
 
     /// The numbers of ends that were listed before, and that a list lacks.
     fn vanished(&self, report: &HoldReport) -> impl Iterator<Item = u64> {
-        let is_listed = |number: &u64| report.ends.iter().any(|end| end.number == *number);
-        self.ends.iter().map(|(number, ..)| *number).filter(move |number| !is_listed(number))
+        let listed: IndexSet<u64> = report.ends.iter().map(|end| end.number).collect();
+        self.ends.keys().copied().filter(move |number| !listed.contains(number))
     }
 }
 
