--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -57,7 +57,10 @@
         PlacedTask, RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
     },
     permission::{PeerWord, Permission},
-    record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
+    record::{
+        EndKind, JobEnd, LostRun, QueueSettings, Record, StoredSegment, TaskSnapshot,
+        UnsettledWorker,
+    },
     retransmit::RetransmitTimer,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
--- a/crates/core/src/job/advice.rs
+++ b/crates/core/src/job/advice.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 use super::{StepId, WorkerId, place::PlacementCandidate};
 use crate::{Span, Timestamp};
@@ -26,7 +27,7 @@
 const QUEUEING_ALLOWANCE: Span = Span(2_000);
 
 /// Response time of the advice service and validity of its answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceConfig {
     /// Time that the service needs for a request, whatever its size.
     pub decision_time: Span,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -43,7 +43,8 @@
 };
 use super::{
     Action, AdviceConfig, Answer, Fence, FencedCall, FlowLimits, JobEnd, JobId, JobSpec, JobState,
-    LogConfig, LogEvent, LogWrite, LogWriter, Position, Record, Sequence, TaskId, Token, WorkerId,
+    LogConfig, LogEvent, LogWrite, LogWriter, Position, QueueSettings, Record, Sequence, TaskId,
+    Token, WorkerId,
     fence::Fences,
     flow::{HoldBudget, StartWindow},
     pace::PaceTable,
@@ -117,6 +118,9 @@
     service: ServiceId,
     epoch: Epoch,
     queues: IndexMap<QueueId, QueueConfig>,
+    /// The settings of queues of inherited jobs, as the log names them last. Used only for those that the
+    /// configuration doesn't send here.
+    logged_queues: IndexMap<QueueId, QueueSettings>,
     jobs: job_table::JobTable,
     workers: IndexMap<WorkerId, Worker>,
     log: LogWriter,
@@ -186,15 +190,23 @@
     pub fn set_queues(&mut self, mut queues: IndexMap<QueueId, QueueConfig>) {
         let is_own = |queue: &QueueConfig| queue.service == self.service;
         for (_, job) in self.jobs.open() {
-            let earlier = self.queues.get(&job.queue).filter(|queue| is_own(queue));
-            if let Some(earlier) = earlier.filter(|_| !queues.get(&job.queue).is_some_and(is_own)) {
-                queues.insert(job.queue.clone(), earlier.clone());
+            if queues.get(&job.queue).is_some_and(is_own) {
+                continue;
+            }
+            if let Some(settings) = self.queue_settings(&job.queue) {
+                queues.insert(job.queue.clone(), settings.for_service(self.service.clone()));
             }
         }
         self.queues = queues;
         self.plan_due = true;
     }
 
+    /// The latest known settings of a queue whose jobs go, or went, to this cell.
+    fn queue_settings(&self, queue: &QueueId) -> Option<QueueSettings> {
+        let current = self.queues.get(queue).filter(|queue| queue.service == self.service);
+        current.map(QueueSettings::of).or_else(|| self.logged_queues.get(queue).copied())
+    }
+
     /// The epoch of the owner's term.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
@@ -389,8 +401,14 @@
         let waiting = self.waiting_jobs();
         let event = LogEvent::Accepted { job: id, queue: queue.clone(), waiting };
         self.actions.push(Action::Log(event));
-        let record =
-            Record::Accepted { job: id, queue: queue.clone(), spec: spec.clone(), wall_ms };
+        let settings = self.queue_settings(&queue);
+        let record = Record::Accepted {
+            job: id,
+            queue: queue.clone(),
+            spec: spec.clone(),
+            wall_ms,
+            settings,
+        };
         self.jobs.insert(id, Job::new(queue, spec.into(), wall_ms, arrived));
         self.record(record, arrived, Some(DeferredEffect::JobDurable(id)));
         for token in tokens {
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -14,7 +14,7 @@
 
 use super::{
     super::{
-        JobEnd, JobId, Position, Record, TaskId, TaskSnapshot, WorkerId,
+        JobEnd, JobId, Position, QueueSettings, Record, TaskId, TaskSnapshot, WorkerId,
         task::{Job, Occurrence, StepState, Task},
         worker::{Logged, Worker},
     },
@@ -188,7 +188,10 @@
     /// the size of the new records.
     fn copy_forward(&mut self, key: &LiveKey, now: Timestamp) -> usize {
         let records = match key {
-            LiveKey::Job(id) => self.jobs.get(id).map(|job| job_records(*id, job)),
+            LiveKey::Job(id) => self.jobs.get(id).map(|job| {
+                let settings = self.queue_settings(&job.queue);
+                job_records(*id, job, settings)
+            }),
             LiveKey::Worker(id) => self.worker_record(id, now).map(|record| vec![record]),
             LiveKey::OpenStart(task, worker) => {
                 self.open_start_record(*task, worker, now).map(|record| vec![record])
@@ -219,7 +222,7 @@
 }
 
 /// Returns the records that make up the state of a job.
-fn job_records(id: JobId, job: &Job) -> Vec<Record> {
+fn job_records(id: JobId, job: &Job, settings: Option<QueueSettings>) -> Vec<Record> {
     if let Some(end) = job.end {
         return vec![finished_record(id, job, end)];
     }
@@ -229,6 +232,7 @@
         queue: job.queue.clone(),
         spec: job.spec.clone(),
         wall_ms: job.arrived_wall_ms,
+        settings,
         has_started: job.has_started,
         due_occurrences: job.due_occurrences,
         open_occurrences: open.clone().map(|occurrence| occurrence.number).collect(),
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     Epoch, Span,
-    job::{AdmissionPolicy, FlowLimits, LinkRate, LogConfig},
+    job::{AdmissionPolicy, FlowLimits, LinkRate, LogConfig, QueueConfig},
 };
 
 const NOW: (Timestamp, u64) = (Timestamp(1_000_000), 1_700_000_000_000);
@@ -50,9 +50,22 @@
     }
 }
 
+/// Returns the settings of the queue of a job; each job has a queue of its own.
+fn queue_config(job: u64) -> QueueConfig {
+    QueueConfig {
+        service: "drums".parse().unwrap(),
+        max_attempts: 3,
+        stretch_percent: 160,
+        target_latency: Span(600 + job),
+        priority: 0,
+        advice: None,
+    }
+}
+
 fn accepted(id: u64) -> Record {
-    let queue = "quotes".parse().unwrap();
-    Record::Accepted { job: JobId(id), queue, spec: spec(id), wall_ms: NOW.1 - 30_000 }
+    let queue = format!("quotes-{id}").parse().unwrap();
+    let settings = Some(QueueSettings::of(&queue_config(id)));
+    Record::Accepted { job: JobId(id), queue, spec: spec(id), wall_ms: NOW.1 - 30_000, settings }
 }
 
 fn ended() -> impl Strategy<Value = Record> {
@@ -104,10 +117,9 @@
 
 fn finished() -> impl Strategy<Value = Record> {
     let end = prop_oneof![Just(JobEnd::Succeeded), Just(JobEnd::Failed), Just(JobEnd::Cancelled)];
-    let queue = option::of(Just("quotes".parse().unwrap()));
-    (0..THINGS, end, queue).prop_map(|(job, end, queue)| Record::Finished {
+    (0..THINGS, end, any::<bool>()).prop_map(|(job, end, has_queue)| Record::Finished {
         job: JobId(job),
-        queue,
+        queue: has_queue.then(|| format!("quotes-{job}").parse().unwrap()),
         end,
         wall_ms: NOW.1 - 500,
     })
@@ -191,12 +203,15 @@
     (occurrence.number, steps.map(describe_step).collect())
 }
 
-/// What a log says about jobs and workers, in an order that does not depend on the log's.
+/// What a log says about jobs, the queues of open ones and workers, in an order that does not depend on
+/// the log's.
 fn describe(cell: &Cell) -> Vec<String> {
     let jobs = cell.jobs.iter().map(|(id, job)| describe_job(*id, job));
     let workers = cell.inherited_workers.keys().map(WorkerId::to_string);
     let starts = cell.inherited_starts.tasks().map(|(worker, task)| format!("{task} at {worker}"));
-    let mut lines: Vec<String> = jobs.chain(workers).chain(starts).collect();
+    let open_queues = cell.jobs.open().map(|(_, job)| &job.queue);
+    let settings = open_queues.map(|queue| format!("{queue} {:?}", cell.queue_settings(queue)));
+    let mut lines: Vec<String> = jobs.chain(workers).chain(starts).chain(settings).collect();
     lines.sort();
     lines.dedup();
     lines
@@ -253,7 +268,7 @@
         task.checkpoint = Some("0123456789abcdef".into());
     }
 
-    let records = job_records(JobId(1), &job);
+    let records = job_records(JobId(1), &job, None);
 
     let sizes = records.iter().map(|record| EncodedRecord::new(record).len());
     assert!(sizes.max().unwrap() < LogConfig::default().max_segment_bytes / 4);
--- a/crates/core/src/job/cell/inherited_starts/tests.rs
+++ b/crates/core/src/job/cell/inherited_starts/tests.rs
@@ -33,7 +33,13 @@
 fn accepted() -> Record {
     let steps = vec![Step { count: 1, ..Step::default() }];
     let spec = JobSpec { payload: String::new(), steps, schedule: None };
-    Record::Accepted { job: TASK.job, queue: "quotes".parse().unwrap(), spec, wall_ms: NOW.1 }
+    Record::Accepted {
+        job: TASK.job,
+        queue: "quotes".parse().unwrap(),
+        spec,
+        wall_ms: NOW.1,
+        settings: None,
+    }
 }
 
 fn open(attempt: u32, worker: &str, until_ms: u64) -> Record {
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -9,8 +9,8 @@
 
 use super::{
     super::{
-        Action, DrainMode, JobEnd, JobId, JobSpec, LogEvent, LogWriter, Position, Record, Sequence,
-        StoredSegment, TaskId, TaskSnapshot, UnsettledWorker, WorkerId,
+        Action, DrainMode, JobEnd, JobId, JobSpec, LogEvent, LogWriter, Position, QueueSettings,
+        Record, Sequence, StoredSegment, TaskId, TaskSnapshot, UnsettledWorker, WorkerId,
         record::EncodedRecord,
         task::{Job, Placement},
         worker::Worker,
@@ -207,6 +207,7 @@
             service,
             epoch,
             queues: IndexMap::new(),
+            logged_queues: IndexMap::new(),
             jobs: super::job_table::JobTable::default(),
             workers: IndexMap::new(),
             log: LogWriter::new(cfg.log, epoch, recovered.next, &recovered.segments),
@@ -386,6 +387,12 @@
         }
     }
 
+    fn replay_settings(&mut self, queue: &QueueId, settings: Option<QueueSettings>) {
+        if let Some(settings) = settings {
+            self.logged_queues.insert(queue.clone(), settings);
+        }
+    }
+
     fn replay(
         &mut self,
         record: &Record,
@@ -393,12 +400,14 @@
         time: (Timestamp, u64),
     ) {
         match record {
-            Record::Accepted { job: id, queue, spec, wall_ms } => {
+            Record::Accepted { job: id, queue, spec, wall_ms, settings } => {
+                self.replay_settings(queue, *settings);
                 let mut job = inherited_job(queue, spec.clone().into(), *wall_ms, time);
                 job.add_due_occurrences(time.1);
                 self.jobs.insert(*id, job);
             }
-            Record::Job { job: id, queue, spec, wall_ms, .. } => {
+            Record::Job { job: id, queue, spec, wall_ms, settings, .. } => {
+                self.replay_settings(queue, *settings);
                 let new = || inherited_job(queue, Arc::clone(spec), *wall_ms, time);
                 let job = self.jobs.get_or_insert_with(*id, new);
                 replay_job(job, record);
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{JobId, JobSpec, Sequence, TaskId, WorkerId};
-use crate::{Epoch, QueueId, Span, Timestamp};
+use super::{AdviceConfig, JobId, JobSpec, QueueConfig, Sequence, TaskId, WorkerId};
+use crate::{Epoch, QueueId, ServiceId, Span, Timestamp};
 
 /// How a run of a task ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +40,38 @@
     Cancelled,
 }
 
+/// The settings of a job's queue. They last with the job: its queue may be removed before the cell
+/// changes owners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueSettings {
+    max_attempts: u32,
+    stretch_percent: u64,
+    target_latency: Span,
+    priority: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    advice: Option<AdviceConfig>,
+}
+
+impl QueueSettings {
+    pub(super) fn of(queue: &QueueConfig) -> Self {
+        let QueueConfig {
+            service: _,
+            max_attempts,
+            stretch_percent,
+            target_latency,
+            priority,
+            advice,
+        } = *queue;
+        Self { max_attempts, stretch_percent, target_latency, priority, advice }
+    }
+
+    /// Returns the settings of the queue while its jobs went to this service.
+    pub(super) fn for_service(&self, service: ServiceId) -> QueueConfig {
+        let Self { max_attempts, stretch_percent, target_latency, priority, advice } = *self;
+        QueueConfig { service, max_attempts, stretch_percent, target_latency, priority, advice }
+    }
+}
+
 /// A worker on which runs may still be alive when the cell is handed over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnsettledWorker {
@@ -127,6 +159,9 @@
         spec: JobSpec,
         /// When it arrived, in milliseconds since the Unix epoch.
         wall_ms: u64,
+        /// The settings of the queue at that time. Earlier builds don't record them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        settings: Option<QueueSettings>,
     },
     /// A job ended; what earlier records say about it is no longer needed.
     Finished {
@@ -166,6 +201,9 @@
         spec: Arc<JobSpec>,
         /// When it arrived, in milliseconds since the Unix epoch.
         wall_ms: u64,
+        /// The settings of the queue when the record was made. Earlier builds don't record them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        settings: Option<QueueSettings>,
         /// Whether any of its tasks has started.
         has_started: bool,
         /// How many occurrences have fallen due.
--- a/crates/core/src/job/record/tests.rs
+++ b/crates/core/src/job/record/tests.rs
@@ -33,6 +33,7 @@
         queue: "quotes".parse().unwrap(),
         spec: JobSpec::default(),
         wall_ms: 1_000,
+        settings: None,
     };
     let mut stored = serde_json::to_value(&record).unwrap();
     stored["accepted"]["field_of_a_later_build"] = serde_json::json!({"max_attempts": 3});
