--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -186,15 +186,17 @@
 
 impl Cell {
     /// Replaces the settings of all queues. A queue that is removed, or goes to another service, keeps
-    /// its settings here while accepted jobs of it are open: they still run to their ends.
+    /// its settings here while accepted jobs of it are open, or submissions may still be accepted: they
+    /// run to their ends.
     pub fn set_queues(&mut self, mut queues: IndexMap<QueueId, QueueConfig>) {
         let is_own = |queue: &QueueConfig| queue.service == self.service;
-        for (_, job) in self.jobs.open() {
-            if queues.get(&job.queue).is_some_and(is_own) {
+        let open_queues = self.jobs.open().map(|(_, job)| &job.queue);
+        for queue in open_queues.chain(self.staged.queues()) {
+            if queues.get(queue).is_some_and(is_own) {
                 continue;
             }
-            if let Some(settings) = self.queue_settings(&job.queue) {
-                queues.insert(job.queue.clone(), settings.for_service(self.service.clone()));
+            if let Some(settings) = self.queue_settings(queue) {
+                queues.insert(queue.clone(), settings.for_service(self.service.clone()));
             }
         }
         self.queues = queues;
--- a/crates/core/src/job/cell/staged.rs
+++ b/crates/core/src/job/cell/staged.rs
@@ -49,6 +49,11 @@
         self.submissions.contains_key(&job)
     }
 
+    /// The queues of the submissions.
+    pub(super) fn queues(&self) -> impl Iterator<Item = &QueueId> {
+        self.submissions.values().map(|(submission, _)| &submission.queue)
+    }
+
     pub(super) fn add(&mut self, job: JobId, token: Token, submission: Submission) {
         self.submissions.insert(job, (submission, vec![token]));
     }
