tools/owners: AIM=kept lets workers keep a confirmed number for ends to come

Change: variant.rs lets the server of a life act in a way that the pages leave open, for a whole play. KeptConfirmation: the highest number that a hold with a sufficient fence number has named is kept, and ends up to it are forgotten as they arise, which counts as noted. The scene kept lets a late hold that confirms be the first call that a next life carries out, before any end there; it restarts one worker and cuts it off for less than 1.3 s meanwhile. Never drawn without its name. A play in which the way had no effect counts as not played.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -3,6 +3,7 @@
 mod act;
 mod late_calls;
 mod nodes;
+mod open;
 mod parted;
 mod recut;
 mod rng;
@@ -18,12 +19,13 @@
 use self::{
     late_calls::{confirmed, late, stray},
     nodes::{chain, freeze, handover, kill, links, sleeper, stop},
+    open::kept,
     parted::{alone, heir, split},
     recut::recut,
     store::{down, flap, lapse, store},
     workers::{crash, reborn},
 };
-use crate::{links::Way, store::Mode};
+use crate::{links::Way, store::Mode, variant::Variant};
 
 pub struct Plan {
     pub nodes: usize,
@@ -35,6 +37,8 @@
     pub shows: Shows,
     /// Whether restarted workers are cut off.
     pub has_cuts: bool,
+    /// How workers act where the pages leave it open, if not as in other plays.
+    pub variant: Option<Variant>,
 }
 
 /// By what a play shows something. Without it, nothing was played.
@@ -79,6 +83,9 @@
 /// drawn only if they are named.
 const CUT_SCENES: [(&str, u64, Scene); 1] = [("recut", 8, recut)];
 
+/// The scenes in which workers act in ways that the pages leave open. They are drawn only if they are named.
+const OPEN_SCENES: [(&str, u64, Scene); 1] = [("kept", 6, kept)];
+
 /// The scenes that never change the owner and show nothing by themselves.
 const BESIDE: [&str; 1] = ["crash"];
 
@@ -130,6 +137,7 @@
             max_hold_ms,
             shows: Shows::by(aim),
             has_cuts,
+            variant: open::variant(aim),
         }
     }
 }
@@ -144,7 +152,7 @@
     fn by(aim: Option<&str>) -> Self {
         let named =
             |is_wanted: &dyn Fn(&str) -> bool| aim.is_some_and(|aim| aim.split(',').any(is_wanted));
-        let is_late = |scene: &str| has(&LATE_SCENES, scene);
+        let is_late = |scene: &str| has(&LATE_SCENES, scene) || scene == "kept";
         let is_cut = |scene: &str| has(&CUT_SCENES, scene);
         if named(&|scene| !is_late(scene) && !is_cut(scene) && !BESIDE.contains(&scene)) {
             return Self::NewOwner;
@@ -174,7 +182,7 @@
 impl Draw {
     fn scene(&mut self, aim: Option<&str>) -> Scene {
         let Some(aim) = aim else { return self.pick(&SCENES) };
-        let scenes = SCENES.iter().chain(&LATE_SCENES).chain(&CUT_SCENES);
+        let scenes = SCENES.iter().chain(&LATE_SCENES).chain(&CUT_SCENES).chain(&OPEN_SCENES);
         let scenes = scenes.filter(|(name, ..)| aim.split(',').any(|one| one == *name));
         self.pick(&scenes.copied().collect::<Vec<_>>())
     }
--- a/tools/owners/src/draw/late_calls.rs
+++ b/tools/owners/src/draw/late_calls.rs
@@ -61,13 +61,13 @@
 
 impl Draw {
     /// Makes calls to these workers late, by a seed that is drawn here.
-    fn late(&mut self, at: u64, workers: u64, ms: u64, lateness: Lateness) {
+    pub(super) fn late(&mut self, at: u64, workers: u64, ms: u64, lateness: Lateness) {
         let seed = self.rng.next();
         self.add(at, Act::Late { workers, ms, lateness: Lateness { seed, ..lateness } });
     }
 
     /// A worker crashes and soon starts again under its id.
-    fn rebirth(&mut self, at: u64, worker: u64) {
+    pub(super) fn rebirth(&mut self, at: u64, worker: u64) {
         let down_ms = self.rng.between(5, 150);
         self.add(at, Act::Crash { worker, down_ms });
     }
--- /dev/null
+++ b/tools/owners/src/draw/open.rs
@@ -0,0 +1,37 @@
+//! Ways in which workers may act that the users' pages leave open. They hold for a whole play.
+
+use super::{Act, Draw};
+use crate::{
+    late::{Kind, Lateness},
+    variant::Variant,
+};
+
+/// The variant that an aim names.
+pub(super) fn variant(aim: Option<&str>) -> Option<Variant> {
+    aim?.split(',').find_map(|scene| match scene {
+        "kept" => Some(Variant::KeptConfirmation),
+        _ => None,
+    })
+}
+
+/// A hold that confirms ends is the first call that is carried out in its worker's next life, before any end.
+/// Work units end there afterwards.
+pub(super) fn kept(draw: &mut Draw, at: u64) {
+    // At the beginning of a play, workers have been idle and are rarely called.
+    let at = at + 1_500;
+    let worker = draw.rng.between(0, draw.workers - 1);
+    draw.add(at, Act::Units { worker, count: 48, run_ms: 120 });
+    let (hold_at, most) = (at + draw.rng.between(700, 1_100), draw.rng.between(1, 3));
+    let late_ms = draw.rng.between(2_000, 3_000);
+    let (kinds, delay_ms) = (vec![Kind::Confirming], (late_ms, late_ms));
+    let lateness = Lateness { kinds, percent: 100, most, delay_ms, seed: 0 };
+    draw.late(hold_at, 1 << worker, 300, lateness);
+    let arrival_at = hold_at + late_ms;
+    let crash_at = arrival_at - draw.rng.between(200, 500);
+    let cut_at = crash_at - 20;
+    let until = arrival_at + draw.rng.between(350, 600);
+    draw.add(cut_at, Act::Cut { workers: 1 << worker, ms: until - cut_at });
+    draw.rebirth(crash_at, worker);
+    let units_at = until + draw.rng.between(100, 800);
+    draw.add(units_at, Act::Units { worker, count: 24, run_ms: 150 });
+}
--- a/tools/owners/src/draw/tests.rs
+++ b/tools/owners/src/draw/tests.rs
@@ -1,4 +1,4 @@
-use super::{Act, LATE_SCENES, MAX_HOLD_MS, Plan, Shows, TIGHT_HOLD_MS};
+use super::{Act, LATE_SCENES, MAX_HOLD_MS, OPEN_SCENES, Plan, Shows, TIGHT_HOLD_MS};
 use crate::late::Kind;
 
 const SEEDS: std::ops::Range<u64> = 0..200;
@@ -222,3 +222,34 @@
         }
     }
 }
+
+#[test]
+fn a_way_that_the_pages_leave_open_is_drawn_only_if_it_is_named() {
+    for seed in SEEDS {
+        for aim in [None, Some("split"), Some("crash,late"), Some("recut"), Some("confirmed")] {
+            assert_eq!(Plan::draw(seed, 20_000, aim).variant, None);
+        }
+        for (scene, ..) in OPEN_SCENES {
+            assert!(Plan::draw(seed, 20_000, Some(scene)).variant.is_some(), "{scene}");
+        }
+    }
+}
+
+#[test]
+fn a_kept_confirmation_arrives_as_the_first_call_of_a_next_life() {
+    for seed in SEEDS {
+        let plan = Plan::draw(seed, 8_000, Some("kept"));
+        for (at, act) in late_acts(&plan) {
+            let Act::Late { workers, lateness, ms } = act else { continue };
+            let arrival = (at + lateness.delay_ms.0, at + ms + lateness.delay_ms.1);
+            assert!(crashes(&plan, *workers, (at, arrival.0 - 150)), "{seed}: {:?}", plan.acts);
+            let is_cut = |(at, act): &(u64, Act)| match act {
+                Act::Cut { workers: cut, ms } => {
+                    cut == workers && *at < arrival.0 - 150 && at + ms >= arrival.1
+                }
+                _ => false,
+            };
+            assert!(plan.acts.iter().any(is_cut), "{seed}: {:?}", plan.acts);
+        }
+    }
+}
--- a/tools/owners/src/http.rs
+++ b/tools/owners/src/http.rs
@@ -12,13 +12,13 @@
 
 pub use base::{Handler, Reply, Request, call};
 
-use crate::clock::Clock;
+use crate::{clock::Clock, variant::Variant};
 
 pub struct Server(base::Server);
 
 impl Server {
     pub fn start(address: SocketAddr, handler: Handler) -> io::Result<Self> {
-        base::Server::start(address, Clock::of_server(handler)).map(Self)
+        base::Server::start(address, Clock::of_server(Variant::of_server(handler))).map(Self)
     }
 }
 
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -16,6 +16,7 @@
 mod load;
 mod store;
 mod trouble;
+mod variant;
 mod worker;
 mod world;
 
@@ -86,6 +87,10 @@
     let aim = std::env::var("AIM").ok();
     let plan = Plan::draw(seed, span_ms, aim.as_deref());
     Clocks::choose(seed, plan.has_cuts);
+    if let Some(variant) = plan.variant {
+        variant.choose();
+        record.note(format!("workers act in a way that the pages leave open: {variant:?}"));
+    }
     record.note(format!("seed {seed}: {} nodes, {} workers", plan.nodes, plan.workers));
     for (at, act) in &plan.acts {
         record.note(format!("drawn for {at} ms: {act:?}"));
@@ -109,6 +114,9 @@
     if !breaches.is_empty() {
         return Outcome::Broken(breaches);
     }
+    if plan.variant.is_some() && variant::effects() == 0 {
+        return Outcome::NotPlayed("the way that the pages leave open had no effect".to_owned());
+    }
     match missing(&world, plan.shows).filter(|_| has_trouble) {
         Some(reason) => Outcome::NotPlayed(reason.to_owned()),
         None => Outcome::Held,
--- /dev/null
+++ b/tools/owners/src/variant.rs
@@ -0,0 +1,141 @@
+//! Ways in which a worker may act that the users' pages leave open.
+
+#[cfg(test)]
+#[path = "variant/tests.rs"]
+mod tests;
+
+use std::sync::{
+    Arc, Mutex, OnceLock,
+    atomic::{AtomicU64, Ordering::SeqCst},
+};
+
+use crate::{
+    http::{Handler, Reply, Request},
+    json::{self, Json},
+    names::name,
+};
+
+/// That of a play.
+static CHOSEN: OnceLock<Variant> = OnceLock::new();
+
+/// On how many calls the chosen variant had an effect.
+static EFFECTS: AtomicU64 = AtomicU64::new(0);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// The number that a hold confirms is kept for the ends to come of its life, which are forgotten at once.
+    KeptConfirmation,
+}
+
+impl Variant {
+    /// Chooses the variant of the play.
+    pub fn choose(self) {
+        let _ = CHOSEN.set(self);
+    }
+
+    pub fn chosen() -> Option<Self> {
+        CHOSEN.get().copied()
+    }
+
+    /// A handler for a server that acts in the chosen way, if there is one.
+    pub fn of_server(handler: Handler) -> Handler {
+        let Some(variant) = Self::chosen() else { return handler };
+        variant.of_life(handler)
+    }
+
+    fn of_life(self, handler: Handler) -> Handler {
+        let state = Mutex::default();
+        let life = Life { variant: self, state, handler };
+        Arc::new(move |request| life.answer(request))
+    }
+}
+
+/// On how many calls the chosen variant had an effect.
+pub fn effects() -> u64 {
+    EFFECTS.load(SeqCst)
+}
+
+/// One life of a worker.
+struct Life {
+    variant: Variant,
+    state: Mutex<State>,
+    handler: Handler,
+}
+
+#[derive(Default)]
+struct State {
+    /// The highest fence number of a call.
+    fence: u64,
+    /// The highest number that a hold has confirmed.
+    kept: u64,
+}
+
+impl Life {
+    fn answer(&self, request: Request) -> Reply {
+        let has_lists = request.path == name("hold");
+        let request = match self.variant {
+            Variant::KeptConfirmation => self.keep_confirmation(request),
+        };
+        match (self.handler)(request) {
+            Reply::Answer(200, body) if has_lists => Reply::Answer(200, self.vary(body)),
+            reply => reply,
+        }
+    }
+
+    /// Keeps the number that a hold confirms, unless its fence number is too low, and lets the hold confirm
+    /// the highest one.
+    fn keep_confirmation(&self, request: Request) -> Request {
+        let Some(mut call) = Json::parse(&request.body) else { return request };
+        let mut state = self.state.lock().unwrap();
+        let fence = call.number(name("fence")).unwrap_or(0);
+        if fence < state.fence {
+            return request;
+        }
+        state.fence = fence;
+        if request.path != name("hold") {
+            return request;
+        }
+        let last_seen = call.number("last_seen").unwrap_or(0);
+        state.kept = state.kept.max(last_seen);
+        if state.kept > last_seen {
+            EFFECTS.fetch_add(1, SeqCst);
+            set(&mut call, "last_seen", json::number(state.kept));
+        }
+        Request { body: call.to_string(), ..request }
+    }
+
+    /// The answer to a hold as this life gives it.
+    fn vary(&self, body: String) -> String {
+        let Some(mut answer) = Json::parse(&body) else { return body };
+        let has_effect = match self.variant {
+            Variant::KeptConfirmation => self.forget_ends(&mut answer),
+        };
+        if has_effect {
+            EFFECTS.fetch_add(1, SeqCst);
+        }
+        answer.to_string()
+    }
+
+    fn forget_ends(&self, answer: &mut Json) -> bool {
+        let kept = self.state.lock().unwrap().kept;
+        let ends = answer.list("finished");
+        let number = |end: &Json| match end {
+            Json::List(row) => row.first().map_or(0, |number| match number {
+                Json::Number(number) => *number as u64,
+                _ => 0,
+            }),
+            _ => 0,
+        };
+        let left: Vec<Json> = ends.iter().filter(|end| number(end) > kept).cloned().collect();
+        let has_effect = left.len() < ends.len();
+        set(answer, "finished", Json::List(left));
+        has_effect
+    }
+}
+
+/// Sets a field of an object.
+fn set(object: &mut Json, field: &str, value: Json) {
+    let Json::Object(fields) = object else { return };
+    fields.retain(|(key, _)| key != field);
+    fields.push((field.to_owned(), value));
+}
--- /dev/null
+++ b/tools/owners/src/variant/tests.rs
@@ -0,0 +1,54 @@
+use std::sync::{Arc, Mutex};
+
+use super::{Variant, name};
+use crate::{
+    http::{Handler, Reply, Request},
+    json::Json,
+};
+
+/// A worker that answers each call with this body, and keeps the last call.
+fn worker(body: &'static str) -> (Handler, Arc<Mutex<String>>) {
+    let last_call = Arc::new(Mutex::new(String::new()));
+    let kept = Arc::clone(&last_call);
+    let handler: Handler = Arc::new(move |request: Request| {
+        *kept.lock().unwrap() = request.body;
+        Reply::Answer(200, body.to_owned())
+    });
+    (handler, last_call)
+}
+
+fn call(worker: &Handler, what: &str, body: &str) -> Json {
+    let path = name(what).to_owned();
+    let request = Request { path, query: Vec::new(), headers: Vec::new(), body: body.to_owned() };
+    match worker(request) {
+        Reply::Answer(200, body) => Json::parse(&body).expect("an object"),
+        _ => panic!("no answer"),
+    }
+}
+
+const ENDS: &str = r#"{"clock_ms":1000,"running":[],"finished":[[1,"a",1,"done",""],[2,"b",1,"done",""],[3,"c",1,"done",""]]}"#;
+
+#[test]
+fn a_kept_confirmation_swallows_later_ends_of_its_life() {
+    let (plain, last_call) = worker(ENDS);
+    let life = Variant::KeptConfirmation.of_life(plain);
+
+    call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
+    let answer = call(&life, "hold", r#"{"fencing_token":6,"last_seen":0}"#);
+
+    assert_eq!(answer.list("finished").len(), 1);
+    let sent = Json::parse(&last_call.lock().unwrap()).unwrap();
+    assert_eq!(sent.number("last_seen"), Some(2));
+}
+
+#[test]
+fn a_hold_with_a_lower_fence_number_confirms_nothing() {
+    let (plain, _) = worker(ENDS);
+    let life = Variant::KeptConfirmation.of_life(plain);
+
+    call(&life, "start", r#"{"fencing_token":7}"#);
+    call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
+    let answer = call(&life, "hold", r#"{"fencing_token":7,"last_seen":0}"#);
+
+    assert_eq!(answer.list("finished").len(), 3);
+}
--- a/tools/owners/src/world.rs
+++ b/tools/owners/src/world.rs
@@ -25,6 +25,7 @@
     ports,
     record::Record,
     store::{Mode, Store},
+    variant::{self, Variant},
     worker::{Setup, Worker},
 };
 
@@ -319,7 +320,7 @@
             "trouble that took effect: {} claims of the cell, {changes} of them by another node \
              than before; {} of {} start orders arrived after a later claim; {} bytes late, {} lost; the \
              stand-ins stood still for {} ms at most{worth}; {}; runs on restarted workers that were \
-             cut off: {cut_runs}, with leases of {} ms at most",
+             cut off: {cut_runs}, with leases of {} ms at most{}",
             claims.len(),
             orders.iter().filter(is_late).count(),
             orders.len(),
@@ -327,7 +328,11 @@
             self.passed.lost_bytes.load(SeqCst),
             self.longest_stall_ms(),
             self.late_effect(),
-            self.max_hold_ms
+            self.max_hold_ms,
+            Variant::chosen().map_or(String::new(), |variant| format!(
+                "; {variant:?} had an effect on {} calls",
+                variant::effects()
+            ))
         )
     }
 
