tools/owners: AIM=late_clock and AIM=old_lists play lists that lag behind their clock

Change: two ways more in variant.rs, each drawn only by its name, with an owner that is killed beside short work. LateClock: the clock is read 0 to 50..300 ms after the lists, both between arrival and answer. OldLists: the lists of an answer are those of an earlier one that is at most 100 to 400 ms old, so that they may be older than the call.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -19,7 +19,7 @@
 use self::{
     late_calls::{confirmed, late, stray},
     nodes::{chain, freeze, handover, kill, links, sleeper, stop},
-    open::kept,
+    open::{kept, lists},
     parted::{alone, heir, split},
     recut::recut,
     store::{down, flap, lapse, store},
@@ -84,7 +84,8 @@
 const CUT_SCENES: [(&str, u64, Scene); 1] = [("recut", 8, recut)];
 
 /// The scenes in which workers act in ways that the pages leave open. They are drawn only if they are named.
-const OPEN_SCENES: [(&str, u64, Scene); 1] = [("kept", 6, kept)];
+const OPEN_SCENES: [(&str, u64, Scene); 3] =
+    [("kept", 6, kept), ("late_clock", 6, lists), ("old_lists", 6, lists)];
 
 /// The scenes that never change the owner and show nothing by themselves.
 const BESIDE: [&str; 1] = ["crash"];
@@ -137,7 +138,7 @@
             max_hold_ms,
             shows: Shows::by(aim),
             has_cuts,
-            variant: open::variant(aim),
+            variant: open::variant(seed, aim),
         }
     }
 }
--- a/tools/owners/src/draw/open.rs
+++ b/tools/owners/src/draw/open.rs
@@ -1,15 +1,18 @@
 //! Ways in which workers may act that the users' pages leave open. They hold for a whole play.
 
-use super::{Act, Draw};
+use super::{Act, Draw, Rng, Who};
 use crate::{
     late::{Kind, Lateness},
     variant::Variant,
 };
 
-/// The variant that an aim names.
-pub(super) fn variant(aim: Option<&str>) -> Option<Variant> {
+/// The variant that an aim names, with figures that its seed draws.
+pub(super) fn variant(seed: u64, aim: Option<&str>) -> Option<Variant> {
+    let mut rng = Rng::new(!seed);
     aim?.split(',').find_map(|scene| match scene {
         "kept" => Some(Variant::KeptConfirmation),
+        "late_clock" => Some(Variant::LateClock { ms: rng.between(50, 300) }),
+        "old_lists" => Some(Variant::OldLists { ms: rng.between(100, 400) }),
         _ => None,
     })
 }
@@ -35,3 +38,10 @@
     let units_at = until + draw.rng.between(100, 800);
     draw.add(units_at, Act::Units { worker, count: 24, run_ms: 150 });
 }
+
+/// The owner is killed beside short work.
+pub(super) fn lists(draw: &mut Draw, at: u64) {
+    draw.add(at - 400, Act::Burst { jobs: 12, run_ms: 300 });
+    let down_ms = draw.rng.between(0, 3_000);
+    draw.add(at, Act::Kill { who: Who::Owner, down_ms });
+}
--- a/tools/owners/src/variant.rs
+++ b/tools/owners/src/variant.rs
@@ -4,12 +4,17 @@
 #[path = "variant/tests.rs"]
 mod tests;
 
-use std::sync::{
-    Arc, Mutex, OnceLock,
-    atomic::{AtomicU64, Ordering::SeqCst},
+use std::{
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicU64, Ordering::SeqCst},
+    },
+    thread,
+    time::{Duration, Instant},
 };
 
 use crate::{
+    draw::Rng,
     http::{Handler, Reply, Request},
     json::{self, Json},
     names::name,
@@ -18,6 +23,9 @@
 /// That of a play.
 static CHOSEN: OnceLock<Variant> = OnceLock::new();
 
+/// How many servers have been started.
+static LIVES: AtomicU64 = AtomicU64::new(0);
+
 /// On how many calls the chosen variant had an effect.
 static EFFECTS: AtomicU64 = AtomicU64::new(0);
 
@@ -25,6 +33,10 @@
 pub enum Variant {
     /// The number that a hold confirms is kept for the ends to come of its life, which are forgotten at once.
     KeptConfirmation,
+    /// The clock of an answer is read up to so many milliseconds later than its lists.
+    LateClock { ms: u64 },
+    /// The lists of an answer are up to so many milliseconds old, also older than the call.
+    OldLists { ms: u64 },
 }
 
 impl Variant {
@@ -40,11 +52,11 @@
     /// A handler for a server that acts in the chosen way, if there is one.
     pub fn of_server(handler: Handler) -> Handler {
         let Some(variant) = Self::chosen() else { return handler };
-        variant.of_life(handler)
+        variant.of_life(LIVES.fetch_add(1, SeqCst), handler)
     }
 
-    fn of_life(self, handler: Handler) -> Handler {
-        let state = Mutex::default();
+    fn of_life(self, number: u64, handler: Handler) -> Handler {
+        let state = Mutex::new(State::new(number));
         let life = Life { variant: self, state, handler };
         Arc::new(move |request| life.answer(request))
     }
@@ -62,12 +74,20 @@
     handler: Handler,
 }
 
-#[derive(Default)]
 struct State {
+    rng: Rng,
     /// The highest fence number of a call.
     fence: u64,
     /// The highest number that a hold has confirmed.
     kept: u64,
+    /// The lists of an answer, and when they were read.
+    lists: Option<(Instant, [Json; 2])>,
+}
+
+impl State {
+    fn new(seed: u64) -> Self {
+        Self { rng: Rng::new(seed), fence: 0, kept: 0, lists: None }
+    }
 }
 
 impl Life {
@@ -75,6 +95,7 @@
         let has_lists = request.path == name("hold");
         let request = match self.variant {
             Variant::KeptConfirmation => self.keep_confirmation(request),
+            _ => request,
         };
         match (self.handler)(request) {
             Reply::Answer(200, body) if has_lists => Reply::Answer(200, self.vary(body)),
@@ -109,6 +130,8 @@
         let Some(mut answer) = Json::parse(&body) else { return body };
         let has_effect = match self.variant {
             Variant::KeptConfirmation => self.forget_ends(&mut answer),
+            Variant::LateClock { ms } => self.read_clock_late(&mut answer, ms),
+            Variant::OldLists { ms } => self.show_old_lists(&mut answer, ms),
         };
         if has_effect {
             EFFECTS.fetch_add(1, SeqCst);
@@ -131,6 +154,28 @@
         set(answer, "finished", Json::List(left));
         has_effect
     }
+
+    fn read_clock_late(&self, answer: &mut Json, most_ms: u64) -> bool {
+        let late_ms = self.state.lock().unwrap().rng.between(0, most_ms);
+        thread::sleep(Duration::from_millis(late_ms));
+        let clock_ms = answer.number("clock_ms").unwrap_or(0);
+        set(answer, "clock_ms", json::number(clock_ms + late_ms));
+        late_ms > 0
+    }
+
+    fn show_old_lists(&self, answer: &mut Json, most_ms: u64) -> bool {
+        let lists = ["running", "finished"].map(|list| Json::List(answer.list(list).to_vec()));
+        let mut state = self.state.lock().unwrap();
+        let is_old_enough = |read: &Instant| read.elapsed() <= Duration::from_millis(most_ms);
+        if let Some((_, old)) = state.lists.as_ref().filter(|(read, _)| is_old_enough(read)) {
+            let has_effect = *old != lists;
+            set(answer, "running", old[0].clone());
+            set(answer, "finished", old[1].clone());
+            return has_effect;
+        }
+        state.lists = Some((Instant::now(), lists));
+        false
+    }
 }
 
 /// Sets a field of an object.
--- a/tools/owners/src/variant/tests.rs
+++ b/tools/owners/src/variant/tests.rs
@@ -1,4 +1,7 @@
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use super::{Variant, name};
 use crate::{
@@ -28,10 +31,13 @@
 
 const ENDS: &str = r#"{"clock_ms":1000,"running":[],"finished":[[1,"a",1,"done",""],[2,"b",1,"done",""],[3,"c",1,"done",""]]}"#;
 
+const RUNS: &str =
+    r#"{"clock_ms":1000,"running":[["a",1,"",0,100],["b",1,"",0,100]],"finished":[]}"#;
+
 #[test]
 fn a_kept_confirmation_swallows_later_ends_of_its_life() {
     let (plain, last_call) = worker(ENDS);
-    let life = Variant::KeptConfirmation.of_life(plain);
+    let life = Variant::KeptConfirmation.of_life(1, plain);
 
     call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
     let answer = call(&life, "hold", r#"{"fencing_token":6,"last_seen":0}"#);
@@ -44,7 +50,7 @@
 #[test]
 fn a_hold_with_a_lower_fence_number_confirms_nothing() {
     let (plain, _) = worker(ENDS);
-    let life = Variant::KeptConfirmation.of_life(plain);
+    let life = Variant::KeptConfirmation.of_life(1, plain);
 
     call(&life, "start", r#"{"fencing_token":7}"#);
     call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
@@ -52,3 +58,32 @@
 
     assert_eq!(answer.list("finished").len(), 3);
 }
+
+#[test]
+fn a_late_clock_is_read_before_the_answer() {
+    let (plain, _) = worker(RUNS);
+    let life = Variant::LateClock { ms: 40 }.of_life(1, plain);
+    for _ in 0..5 {
+        let asked = Instant::now();
+
+        let answer = call(&life, "hold", "{}");
+
+        let late_ms = answer.number("clock_ms").unwrap() - 1_000;
+        assert!(late_ms <= 40);
+        assert!(asked.elapsed() >= Duration::from_millis(late_ms));
+        assert_eq!(answer.list("running").len(), 2);
+    }
+}
+
+#[test]
+fn old_lists_are_those_of_an_earlier_answer() {
+    let bodies = Mutex::new(vec![RUNS, ENDS]);
+    let plain: Handler =
+        Arc::new(move |_| Reply::Answer(200, bodies.lock().unwrap().pop().unwrap().to_owned()));
+    let life = Variant::OldLists { ms: 60_000 }.of_life(1, plain);
+
+    assert_eq!(call(&life, "hold", "{}").list("finished").len(), 3);
+    let answer = call(&life, "hold", "{}");
+
+    assert_eq!((answer.list("finished").len(), answer.list("running").len()), (3, 0));
+}
