tools/owners: AIM=missing_run and AIM=missing_vm play lists that lack a row

Change: two ways more in variant.rs. MissingRun: 1 to 5 % of a worker's answers lack one of its runs. MissingVm: 20 to 60 % of the readings lack one VM. Each is drawn only by its name, with an owner that is killed beside short work.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -84,8 +84,13 @@
 const CUT_SCENES: [(&str, u64, Scene); 1] = [("recut", 8, recut)];
 
 /// The scenes in which workers act in ways that the pages leave open. They are drawn only if they are named.
-const OPEN_SCENES: [(&str, u64, Scene); 3] =
-    [("kept", 6, kept), ("late_clock", 6, lists), ("old_lists", 6, lists)];
+const OPEN_SCENES: [(&str, u64, Scene); 5] = [
+    ("kept", 6, kept),
+    ("late_clock", 6, lists),
+    ("old_lists", 6, lists),
+    ("missing_run", 6, lists),
+    ("missing_vm", 6, lists),
+];
 
 /// The scenes that never change the owner and show nothing by themselves.
 const BESIDE: [&str; 1] = ["crash"];
--- a/tools/owners/src/draw/open.rs
+++ b/tools/owners/src/draw/open.rs
@@ -13,6 +13,8 @@
         "kept" => Some(Variant::KeptConfirmation),
         "late_clock" => Some(Variant::LateClock { ms: rng.between(50, 300) }),
         "old_lists" => Some(Variant::OldLists { ms: rng.between(100, 400) }),
+        "missing_run" => Some(Variant::MissingRun { percent: rng.between(1, 5) }),
+        "missing_vm" => Some(Variant::MissingVm { percent: rng.between(20, 60) }),
         _ => None,
     })
 }
--- a/tools/owners/src/variant.rs
+++ b/tools/owners/src/variant.rs
@@ -1,4 +1,4 @@
-//! Ways in which a worker may act that the users' pages leave open.
+//! Ways in which a worker, or the list of VMs, may act that the users' pages leave open.
 
 #[cfg(test)]
 #[path = "variant/tests.rs"]
@@ -37,6 +37,10 @@
     LateClock { ms: u64 },
     /// The lists of an answer are up to so many milliseconds old, also older than the call.
     OldLists { ms: u64 },
+    /// So many of a hundred answers lack one of the runs that go on.
+    MissingRun { percent: u64 },
+    /// So many of a hundred readings of the VMs lack one of them.
+    MissingVm { percent: u64 },
 }
 
 impl Variant {
@@ -55,6 +59,14 @@
         variant.of_life(LIVES.fetch_add(1, SeqCst), handler)
     }
 
+    /// The call whose answers differ.
+    fn varied_call(self) -> &'static str {
+        match self {
+            Self::MissingVm { .. } => "machines",
+            _ => "hold",
+        }
+    }
+
     fn of_life(self, number: u64, handler: Handler) -> Handler {
         let state = Mutex::new(State::new(number));
         let life = Life { variant: self, state, handler };
@@ -67,7 +79,7 @@
     EFFECTS.load(SeqCst)
 }
 
-/// One life of a worker.
+/// One life of a worker, or another server.
 struct Life {
     variant: Variant,
     state: Mutex<State>,
@@ -92,7 +104,7 @@
 
 impl Life {
     fn answer(&self, request: Request) -> Reply {
-        let has_lists = request.path == name("hold");
+        let has_lists = request.path == name(self.variant.varied_call());
         let request = match self.variant {
             Variant::KeptConfirmation => self.keep_confirmation(request),
             _ => request,
@@ -132,6 +144,8 @@
             Variant::KeptConfirmation => self.forget_ends(&mut answer),
             Variant::LateClock { ms } => self.read_clock_late(&mut answer, ms),
             Variant::OldLists { ms } => self.show_old_lists(&mut answer, ms),
+            Variant::MissingRun { percent } => self.leave_out_row(&mut answer, "running", percent),
+            Variant::MissingVm { percent } => self.leave_out_row(&mut answer, "machines", percent),
         };
         if has_effect {
             EFFECTS.fetch_add(1, SeqCst);
@@ -176,6 +190,18 @@
         state.lists = Some((Instant::now(), lists));
         false
     }
+
+    fn leave_out_row(&self, answer: &mut Json, list: &str, percent: u64) -> bool {
+        let mut rows = answer.list(list).to_vec();
+        let mut state = self.state.lock().unwrap();
+        if rows.is_empty() || !state.rng.chance(percent) {
+            return false;
+        }
+        let place = state.rng.between(0, rows.len() as u64 - 1);
+        rows.remove(place as usize);
+        set(answer, list, Json::List(rows));
+        true
+    }
 }
 
 /// Sets a field of an object.
--- a/tools/owners/src/variant/tests.rs
+++ b/tools/owners/src/variant/tests.rs
@@ -87,3 +87,28 @@
 
     assert_eq!((answer.list("finished").len(), answer.list("running").len()), (3, 0));
 }
+
+#[test]
+fn some_readings_lack_one_vm_and_holds_stay() {
+    let (plain, _) =
+        worker(r#"{"machines":[{"id":"a"},{"id":"b"}],"running":[1,2],"finished":[]}"#);
+    let life = Variant::MissingVm { percent: 50 }.of_life(1, plain);
+
+    let counts: Vec<usize> =
+        (0..100).map(|_| call(&life, "machines", "").list("machines").len()).collect();
+
+    assert!(counts.contains(&1) && counts.contains(&2));
+    assert_eq!(call(&life, "hold", "{}").list("machines").len(), 2);
+}
+
+#[test]
+fn some_answers_lack_one_run() {
+    let (plain, _) = worker(RUNS);
+    let life = Variant::MissingRun { percent: 50 }.of_life(1, plain);
+
+    let counts: Vec<usize> =
+        (0..100).map(|_| call(&life, "hold", "{}").list("running").len()).collect();
+
+    assert!(counts.contains(&1) && counts.contains(&2));
+    assert!(counts.iter().all(|count| (1..=2).contains(count)));
+}
