--- a/tools/owners/src/variant/tests.rs
+++ b/tools/owners/src/variant/tests.rs
@@ -20,9 +20,15 @@
     (handler, last_call)
 }
 
+/// A body with the platform's name of the fence number.
+fn with_names(body: &str) -> String {
+    body.replace(r#""fence""#, &format!("\"{}\"", name("fence")))
+}
+
 fn call(worker: &Handler, what: &str, body: &str) -> Json {
     let path = name(what).to_owned();
-    let request = Request { path, query: Vec::new(), headers: Vec::new(), body: body.to_owned() };
+    let body = with_names(body);
+    let request = Request { path, query: Vec::new(), headers: Vec::new(), body };
     match worker(request) {
         Reply::Answer(200, body) => Json::parse(&body).expect("an object"),
         _ => panic!("no answer"),
@@ -39,8 +45,8 @@
     let (plain, last_call) = worker(ENDS);
     let life = Variant::KeptConfirmation.of_life(1, plain);
 
-    call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
-    let answer = call(&life, "hold", r#"{"fencing_token":6,"last_seen":0}"#);
+    call(&life, "hold", r#"{"fence":5,"last_seen":2}"#);
+    let answer = call(&life, "hold", r#"{"fence":6,"last_seen":0}"#);
 
     assert_eq!(answer.list("finished").len(), 1);
     let sent = Json::parse(&last_call.lock().unwrap()).unwrap();
@@ -52,9 +58,9 @@
     let (plain, _) = worker(ENDS);
     let life = Variant::KeptConfirmation.of_life(1, plain);
 
-    call(&life, "start", r#"{"fencing_token":7}"#);
-    call(&life, "hold", r#"{"fencing_token":5,"last_seen":2}"#);
-    let answer = call(&life, "hold", r#"{"fencing_token":7,"last_seen":0}"#);
+    call(&life, "start", r#"{"fence":7}"#);
+    call(&life, "hold", r#"{"fence":5,"last_seen":2}"#);
+    let answer = call(&life, "hold", r#"{"fence":7,"last_seen":0}"#);
 
     assert_eq!(answer.list("finished").len(), 3);
 }
