tools/owners: AIM=new_room restarts workers with less room than before

Change: NewRoom in variant.rs: later lives of a worker have 20 to 60 % of its processor capacity. Their entries say so, and they refuse starts beyond it with 409 room, which takes the lease as from any such start. Drawn only by its name.

A larger room and a worker that doesn't guard its room are not played; there each of these starts would be LIMIT, by reading.

--- a/tools/owners/src/draw.rs
+++ b/tools/owners/src/draw.rs
@@ -19,7 +19,7 @@
 use self::{
     late_calls::{confirmed, late, stray},
     nodes::{chain, freeze, handover, kill, links, sleeper, stop},
-    open::{kept, lists},
+    open::{kept, lists, new_room},
     parted::{alone, heir, split},
     recut::recut,
     store::{down, flap, lapse, store},
@@ -50,6 +50,8 @@
     /// A restarted worker was cut off while something ran on it.
     CutRun,
     LateCallOrCutRun,
+    /// The way in which the workers act had an effect.
+    Effect,
 }
 
 type Scene = fn(&mut Draw, u64);
@@ -84,12 +86,13 @@
 const CUT_SCENES: [(&str, u64, Scene); 1] = [("recut", 8, recut)];
 
 /// The scenes in which workers act in ways that the pages leave open. They are drawn only if they are named.
-const OPEN_SCENES: [(&str, u64, Scene); 5] = [
+const OPEN_SCENES: [(&str, u64, Scene); 6] = [
     ("kept", 6, kept),
     ("late_clock", 6, lists),
     ("old_lists", 6, lists),
     ("missing_run", 6, lists),
     ("missing_vm", 6, lists),
+    ("new_room", 6, new_room),
 ];
 
 /// The scenes that never change the owner and show nothing by themselves.
@@ -158,6 +161,9 @@
     fn by(aim: Option<&str>) -> Self {
         let named =
             |is_wanted: &dyn Fn(&str) -> bool| aim.is_some_and(|aim| aim.split(',').any(is_wanted));
+        if aim == Some("new_room") {
+            return Self::Effect;
+        }
         let is_late = |scene: &str| has(&LATE_SCENES, scene) || scene == "kept";
         let is_cut = |scene: &str| has(&CUT_SCENES, scene);
         if named(&|scene| !is_late(scene) && !is_cut(scene) && !BESIDE.contains(&scene)) {
--- a/tools/owners/src/draw/open.rs
+++ b/tools/owners/src/draw/open.rs
@@ -15,6 +15,7 @@
         "old_lists" => Some(Variant::OldLists { ms: rng.between(100, 400) }),
         "missing_run" => Some(Variant::MissingRun { percent: rng.between(1, 5) }),
         "missing_vm" => Some(Variant::MissingVm { percent: rng.between(20, 60) }),
+        "new_room" => Some(Variant::NewRoom { percent: rng.between(20, 60) }),
         _ => None,
     })
 }
@@ -47,3 +48,18 @@
     let down_ms = draw.rng.between(0, 3_000);
     draw.add(at, Act::Kill { who: Who::Owner, down_ms });
 }
+
+/// Some workers restart with less room than before, and write their entries later, while there is more work than
+/// they then have room for; the owner is killed in half of the rounds.
+pub(super) fn new_room(draw: &mut Draw, at: u64) {
+    let (workers, down_ms) = (draw.some_workers(), draw.rng.between(20, 200));
+    let entry_ms = draw.rng.between(0, 2_500);
+    draw.add(at, Act::Restart { workers, down_ms, entry_ms });
+    let work_at = at + down_ms + draw.rng.between(50, 400);
+    draw.add(work_at, Act::Burst { jobs: 40, run_ms: 2_000 });
+    if draw.rng.chance(50) {
+        let kill_at = work_at + draw.rng.between(50, 1_500);
+        let down_ms = draw.rng.between(0, 3_000);
+        draw.add(kill_at, Act::Kill { who: Who::Owner, down_ms });
+    }
+}
--- a/tools/owners/src/draw/tests.rs
+++ b/tools/owners/src/draw/tests.rs
@@ -178,6 +178,9 @@
         (Some("late,split"), Shows::NewOwner),
         (Some("recut,kill"), Shows::NewOwner),
         (Some("no-scene,late"), Shows::NewOwner),
+        (Some("kept"), Shows::LateCall),
+        (Some("late_clock"), Shows::NewOwner),
+        (Some("new_room"), Shows::Effect),
     ];
 
     for (aim, shows) in expected {
--- a/tools/owners/src/main.rs
+++ b/tools/owners/src/main.rs
@@ -126,7 +126,9 @@
 /// What didn't take effect, if the play shows nothing without it.
 fn missing(world: &World, shows: Shows) -> Option<&'static str> {
     let (has_late_call, has_cut_run) = (world.has_late_call_in_next_life(), world.cut_runs() > 0);
+    let has_effect = variant::effects() > 0;
     let (is_shown, reason) = match shows {
+        Shows::Effect => (has_effect, "the way that the pages leave open had no effect"),
         Shows::NewOwner => (world.has_new_claim(), "the owner has not changed"),
         Shows::LateCall => (has_late_call, "no late call reached a next life"),
         Shows::CutRun => (has_cut_run, "nothing ran on a restarted worker when it was cut off"),
--- a/tools/owners/src/store.rs
+++ b/tools/owners/src/store.rs
@@ -5,6 +5,7 @@
 mod base;
 
 use std::{
+    collections::BTreeMap,
     ops::Deref,
     sync::{Arc, Mutex, OnceLock},
     thread,
@@ -17,6 +18,7 @@
     json::{self, Json},
     names::name,
     record::Record,
+    variant::{self, Variant},
 };
 
 /// How much longer a write takes than a read, in milliseconds.
@@ -31,6 +33,15 @@
 /// The prefix of the keys of the cells' owners.
 const CELLS: &str = "teaselgap/control/seat/cell/";
 
+/// A worker's entry with this processor capacity.
+fn with_room(mut entry: Json, room: u64) -> Json {
+    if let Some(mut capacity) = entry.get("capacity").cloned() {
+        variant::set(&mut capacity, "cpu", json::number(room));
+        variant::set(&mut entry, "capacity", capacity);
+    }
+    entry
+}
+
 /// How the store treats a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -67,6 +78,8 @@
     views: Mutex<Vec<View>>,
     claims: Mutex<Vec<Claim>>,
     record: OnceLock<Arc<Record>>,
+    /// The processor capacity of the workers' lives, by the keys of their entries.
+    rooms: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Store {
@@ -76,9 +89,23 @@
             views: Mutex::new(vec![View::default(); nodes]),
             claims: Mutex::default(),
             record: OnceLock::from(Arc::clone(record)),
+            rooms: Mutex::default(),
         }
     }
 
+    /// Keeps the room of a worker's life, which its entries name from now on, and returns it.
+    pub fn start_life(&self, worker: &str, life: u64, first_room: u64) -> u64 {
+        let room = Variant::chosen().map_or(first_room, |variant| variant.room(life, first_room));
+        self.rooms.lock().unwrap().insert(format!("{}{worker}", name("workers")), room);
+        room
+    }
+
+    pub fn write(&self, key: &str, value: &str) -> bool {
+        let room = self.rooms.lock().unwrap().get(key).copied();
+        let entry = room.zip(Json::parse(value)).map(|(room, entry)| with_room(entry, room));
+        self.base.write(key, &entry.map_or(value.to_owned(), |entry| entry.to_string()))
+    }
+
     fn record(&self) -> &Record {
         self.record.wait()
     }
--- a/tools/owners/src/variant.rs
+++ b/tools/owners/src/variant.rs
@@ -5,6 +5,7 @@
 mod tests;
 
 use std::{
+    cell::Cell,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicU64, Ordering::SeqCst},
@@ -26,6 +27,11 @@
 /// How many servers have been started.
 static LIVES: AtomicU64 = AtomicU64::new(0);
 
+thread_local! {
+    /// The processor capacity of the life that this thread starts.
+    static ROOM: Cell<u64> = const { Cell::new(u64::MAX) };
+}
+
 /// On how many calls the chosen variant had an effect.
 static EFFECTS: AtomicU64 = AtomicU64::new(0);
 
@@ -41,6 +47,8 @@
     MissingRun { percent: u64 },
     /// So many of a hundred readings of the VMs lack one of them.
     MissingVm { percent: u64 },
+    /// A worker's later lives have so much of the processor capacity of its first one, and refuse starts beyond it.
+    NewRoom { percent: u64 },
 }
 
 impl Variant {
@@ -59,6 +67,21 @@
         variant.of_life(LIVES.fetch_add(1, SeqCst), handler)
     }
 
+    /// Starts a life of a worker: the server that `start` starts has this room.
+    pub fn start_life(room: u64, start: impl FnOnce()) {
+        ROOM.set(room);
+        start();
+        ROOM.set(u64::MAX);
+    }
+
+    /// The processor capacity of a life, if the first one has so much.
+    pub fn room(self, life: u64, first: u64) -> u64 {
+        match self {
+            Self::NewRoom { percent } if life > 0 => first * percent / 100,
+            _ => first,
+        }
+    }
+
     /// The call whose answers differ.
     fn varied_call(self) -> &'static str {
         match self {
@@ -69,7 +92,7 @@
 
     fn of_life(self, number: u64, handler: Handler) -> Handler {
         let state = Mutex::new(State::new(number));
-        let life = Life { variant: self, state, handler };
+        let life = Life { variant: self, room: ROOM.get(), state, handler };
         Arc::new(move |request| life.answer(request))
     }
 }
@@ -82,6 +105,8 @@
 /// One life of a worker, or another server.
 struct Life {
     variant: Variant,
+    /// The processor capacity.
+    room: u64,
     state: Mutex<State>,
     handler: Handler,
 }
@@ -109,6 +134,10 @@
             Variant::KeptConfirmation => self.keep_confirmation(request),
             _ => request,
         };
+        if let Some(refusal) = self.refuse_for_room(&request) {
+            EFFECTS.fetch_add(1, SeqCst);
+            return refusal;
+        }
         match (self.handler)(request) {
             Reply::Answer(200, body) if has_lists => Reply::Answer(200, self.vary(body)),
             reply => reply,
@@ -137,6 +166,43 @@
         Request { body: call.to_string(), ..request }
     }
 
+    /// Refuses a start that the new room has no place for. The lease is taken from it as from any.
+    fn refuse_for_room(&self, request: &Request) -> Option<Reply> {
+        if !matches!(self.variant, Variant::NewRoom { .. }) || request.path != name("start") {
+            return None;
+        }
+        let call = Json::parse(&request.body)?;
+        let Reply::Answer(200, lists) = self.hold_beside(request, &call, None) else { return None };
+        let lists = Json::parse(&lists)?;
+        let (task, attempt) = (call.text("task")?, call.number("attempt")?);
+        let runs: Vec<Run> = lists.list("running").iter().filter_map(Run::of).collect();
+        let is_there = runs.iter().any(|run| run.task == task && run.attempt == attempt);
+        let spec = call.text("spec").unwrap_or_default();
+        let need = spec.split(' ').find_map(|word| word.strip_prefix("cpu=")?.parse().ok());
+        let used: u64 = runs.iter().map(|run| run.cpu).sum();
+        if is_there || used + need.unwrap_or(0) <= self.room {
+            return None;
+        }
+        let Reply::Answer(200, lists) =
+            self.hold_beside(request, &call, call.number("deadline_ms"))
+        else {
+            return None;
+        };
+        let clock_ms = Json::parse(&lists)?.number("clock_ms")?;
+        let fields = [("clock_ms", json::number(clock_ms)), ("reason", json::text("room"))];
+        Some(Reply::Answer(409, json::object(fields).to_string()))
+    }
+
+    /// A hold with the fence number of a call, which confirms nothing.
+    fn hold_beside(&self, request: &Request, call: &Json, deadline_ms: Option<u64>) -> Reply {
+        let fence = json::number(call.number(name("fence")).unwrap_or(0));
+        let deadline = json::number(deadline_ms.unwrap_or(0));
+        let hold = json::object([(name("fence"), fence), ("deadline_ms", deadline)]);
+        let path = name("hold").to_owned();
+        let (query, headers) = (request.query.clone(), request.headers.clone());
+        (self.handler)(Request { path, query, headers, body: hold.to_string() })
+    }
+
     /// The answer to a hold as this life gives it.
     fn vary(&self, body: String) -> String {
         let Some(mut answer) = Json::parse(&body) else { return body };
@@ -146,6 +212,7 @@
             Variant::OldLists { ms } => self.show_old_lists(&mut answer, ms),
             Variant::MissingRun { percent } => self.leave_out_row(&mut answer, "running", percent),
             Variant::MissingVm { percent } => self.leave_out_row(&mut answer, "machines", percent),
+            Variant::NewRoom { .. } => false,
         };
         if has_effect {
             EFFECTS.fetch_add(1, SeqCst);
@@ -204,8 +271,27 @@
     }
 }
 
+/// A run in a list.
+struct Run {
+    task: String,
+    attempt: u64,
+    cpu: u64,
+}
+
+impl Run {
+    fn of(row: &Json) -> Option<Self> {
+        let Json::List(row) = row else { return None };
+        match row.as_slice() {
+            [Json::Text(task), Json::Number(attempt), .., Json::Number(cpu)] => {
+                Some(Self { task: task.clone(), attempt: *attempt as u64, cpu: *cpu as u64 })
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Sets a field of an object.
-fn set(object: &mut Json, field: &str, value: Json) {
+pub fn set(object: &mut Json, field: &str, value: Json) {
     let Json::Object(fields) = object else { return };
     fields.retain(|(key, _)| key != field);
     fields.push((field.to_owned(), value));
--- a/tools/owners/src/variant/tests.rs
+++ b/tools/owners/src/variant/tests.rs
@@ -118,3 +118,35 @@
     assert!(counts.contains(&1) && counts.contains(&2));
     assert!(counts.iter().all(|count| (1..=2).contains(count)));
 }
+
+#[test]
+fn a_life_with_less_room_refuses_starts_beyond_it() {
+    let (plain, last_call) = worker(
+        r#"{"clock_ms":1000,"running":[["a",1,"",0,1000],["b",1,"",0,2000]],"finished":[]}"#,
+    );
+    let mut life = None;
+    Variant::start_life(4_000, || {
+        life = Some(Variant::NewRoom { percent: 25 }.of_life(1, Arc::clone(&plain)));
+    });
+    let life = life.unwrap();
+    let start = |task: &str, cpu: u64| {
+        let body = format!(
+            r#"{{"task":"{task}","attempt":1,"spec":"ms=100 cpu={cpu}","fence":7,"deadline_ms":5000}}"#
+        );
+        let (path, body) = (name("start").to_owned(), with_names(&body));
+        match life(Request { path, query: Vec::new(), headers: Vec::new(), body }) {
+            Reply::Answer(status, body) => (status, Json::parse(&body).unwrap()),
+            Reply::Close => panic!("no answer"),
+        }
+    };
+
+    assert_eq!(start("c", 1_000).0, 200);
+    assert_eq!(start("a", 4_000).0, 200, "it is there");
+    let (status, refusal) = start("c", 1_001);
+
+    assert_eq!((status, refusal.text("reason")), (409, Some("room")));
+    let hold = Json::parse(&last_call.lock().unwrap()).unwrap();
+    assert_eq!(hold.number("deadline_ms"), Some(5_000), "the lease is taken from it");
+    assert_eq!(Variant::NewRoom { percent: 25 }.room(0, 16_000), 16_000);
+    assert_eq!(Variant::NewRoom { percent: 25 }.room(1, 16_000), 4_000);
+}
--- a/tools/owners/src/worker.rs
+++ b/tools/owners/src/worker.rs
@@ -19,6 +19,7 @@
     clock::{Clock, Clocks},
     record::Record,
     store::Store,
+    variant::Variant,
 };
 
 /// What is known of the clocks of the lives so far.
@@ -38,6 +39,7 @@
     clocks: Clocks,
     lives: Mutex<Lives>,
     record: Arc<Record>,
+    store: Arc<Store>,
 }
 
 impl Worker {
@@ -52,14 +54,16 @@
         record: Arc<Record>,
         store: Arc<Store>,
     ) -> Arc<Self> {
-        let base = base::Worker::new(setup, Arc::clone(&record), store);
-        Arc::new(Self { base, clocks, lives: Mutex::default(), record })
+        let base = base::Worker::new(setup, Arc::clone(&record), Arc::clone(&store));
+        Arc::new(Self { base, clocks, lives: Mutex::default(), record, store })
     }
 
     /// Starts a new life unless another crash is not over yet, and records where its clock starts just before.
     pub fn start(&self, first_heartbeat: Duration) {
         let Some(clock) = self.next_clock() else { return };
-        clock.start_life(|| self.base.start(first_heartbeat));
+        let life = self.lives.lock().unwrap().count - 1;
+        let room = self.store.start_life(&self.setup.id, life, self.setup.cpu);
+        Variant::start_life(room, || clock.start_life(|| self.base.start(first_heartbeat)));
     }
 
     fn next_clock(&self) -> Option<Clock> {
