The model's lives of one name may have clocks that go on

Cause: drawn clocks of a life that names the same start as the one before never went on where that one's ended, as the owner could not tell the two apart.

Change: it can since; the exception is gone from the model, so that restarts::property draws such lives, too.

--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -110,8 +110,7 @@
     pub task_time: TaskTime,
     /// How fast the worker's clock goes, in percent of true time.
     pub clock_percent: u64,
-    /// What the monotonic clock of the next instance shows first, also if it names the same start; drawn if
-    /// `None`.
+    /// What the monotonic clock of the next instance shows first; drawn if `None`.
     pub next_clock: Option<ClockDraw>,
     /// The longest lease that the worker accepts, in milliseconds from now.
     pub max_lease_ms: u64,
@@ -203,10 +202,7 @@
         let entry = WorkerEntry { started_wall_ms: wall_ms, ..self.entry.clone() };
         let (task_time, ticket, clock_percent) = (self.task_time, self.ticket, self.clock_percent);
         let instance = self.instance + 1;
-        let drawn = ClockDraw::of(&entry.id, instance);
-        let is_same_name = wall_ms == self.entry.started_wall_ms;
-        let drawn = if is_same_name { drawn.beside() } else { drawn };
-        let draw = self.next_clock.unwrap_or(drawn);
+        let draw = self.next_clock.unwrap_or_else(|| ClockDraw::of(&entry.id, instance));
         let clock = WorkerClock::of_next_instance(draw, self.clock(now), now);
         let (max_lease_ms, next_clock) = (self.max_lease_ms, self.next_clock);
         let partitioned_until = now + Span(away_ms);
--- a/crates/standins/src/model/worker/clock.rs
+++ b/crates/standins/src/model/worker/clock.rs
@@ -48,15 +48,6 @@
         }
     }
 
-    /// The same, but not where the clock of the instance before goes on. Nothing tells apart two instances
-    /// that name the same start and whose clocks are in one range.
-    pub(super) fn beside(self) -> Self {
-        match self {
-            Self::Inside(ms) => Self::Ahead(FAR_MS + ms),
-            other => other,
-        }
-    }
-
     /// What the clock shows first, in milliseconds, if that of the instance before showed `last_ms` at its
     /// end.
     #[must_use]
