--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -16,7 +16,12 @@
     },
     Cell, log_time,
 };
-use crate::Timestamp;
+use crate::{Span, Timestamp};
+
+/// A time that is certainly over now, by this much at least.
+fn before(now: Timestamp, ms: u64) -> Timestamp {
+    Timestamp(now.0.saturating_sub(ms.max(1)))
+}
 
 /// The open start orders of earlier terms, by worker.
 #[derive(Clone, Debug, Default)]
@@ -26,18 +31,25 @@
 }
 
 impl InheritedStarts {
-    /// Finds the orders that were open at the last write. The time that was left then is counted from now.
-    pub(super) fn find(segments: &[StoredSegment], now: Timestamp) -> Self {
+    /// Finds the orders that were open at the last write, or had expired by less than the longest lease, for which
+    /// an instance that nobody hears may run what they have begun. The time that was left then is counted from now.
+    pub(super) fn find(segments: &[StoredSegment], longest_lease: Span, now: Timestamp) -> Self {
         let mut found = Self { found_at: now, ..Self::default() };
         for (segment, passed) in log_time::with_time_passed(segments) {
             for record in &segment.records {
                 let Record::StartOpen { task, attempt, worker, until_ms } = record else {
                     continue;
                 };
-                let left =
-                    log_time::left(*until_ms, segment, passed).min(UNANSWERED_START_LIFETIME);
-                if left.0 > 0 {
-                    let (task, attempt, expiry) = (*task, *attempt, now + left);
+                let lease_until_ms = until_ms.saturating_add(longest_lease.0);
+                let lease_left = log_time::left(lease_until_ms, segment, passed);
+                let left = lease_left.0.checked_sub(longest_lease.0).filter(|left| *left > 0);
+                if lease_left.0 > 0 {
+                    let expiry = match left {
+                        Some(left) => now + Span(left).min(UNANSWERED_START_LIFETIME),
+                        // It had expired before that.
+                        None => before(now, longest_lease.0 - lease_left.0),
+                    };
+                    let (task, attempt) = (*task, *attempt);
                     let order = OpenOrder { task, attempt, expiry, is_inherited: true };
                     found.orders.entry(worker.clone()).or_default().push(order);
                 }
@@ -124,10 +136,19 @@
         self.inherited_starts = starts;
     }
 
-    /// Records the orders that are under way, before the handover. Their answers come too late for that.
+    /// Records the orders that are under way, before the handover, as their answers come too late for that, and those
+    /// that have expired and may matter all the same.
     pub(super) fn record_unsettled_starts(&mut self, now: Timestamp) {
+        let longest_lease = self.longest_lease();
         let mut unsettled = Vec::new();
         for (id, worker) in &self.workers {
+            let expired = worker.expired_orders(longest_lease, now);
+            unsettled.extend(expired.map(|order| Record::StartOpen {
+                task: order.task,
+                attempt: order.attempt,
+                worker: id.clone(),
+                until_ms: order.expiry.0,
+            }));
             let ordered = worker.runs.iter().filter(|(_, run)| run.state == RunState::Ordered);
             // A long-running task starts at once where a cell was handed over.
             let short = ordered.filter(|(_, run)| !run.is_long_running);
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -243,7 +243,7 @@
             has_worker_list: false,
             wall_offset_ms: wall_ms.saturating_sub(now.0),
         };
-        let open_starts = InheritedStarts::find(&recovered.segments, now);
+        let open_starts = InheritedStarts::find(&recovered.segments, cfg.longest_lease(), now);
         let mut used_workers = IndexSet::new();
         let records = recovered.segments.into_iter().flat_map(|segment| segment.records);
         for (position, record) in (1..).map(Position).zip(records) {
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -44,6 +44,17 @@
         orders
     }
 
+    /// The start orders that have expired, and of whose copies one may have begun a run in an instance that has never
+    /// answered.
+    pub(in crate::job) fn expired_orders(
+        &self,
+        longest_lease: Span,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &OpenOrder> {
+        let orders = self.open_orders.iter().filter(move |order| now > order.expiry);
+        orders.filter(move |order| self.may_matter(order, longest_lease, now))
+    }
+
     /// Whether a copy of the order may still take effect, or may have begun a run in an instance that has never
     /// answered. An instance that follows one which was asked after the expiry gets no copy.
     fn may_matter(&self, order: &OpenOrder, longest_lease: Span, now: Timestamp) -> bool {
