Tests: tasks that last and expired orders (KNOWN-RED); the first copy of an answered order comes late

Cause: keeps expired orders at a restart that only an entry tells of, also those of tasks that last.

Change: a test with LOST's bound of 9 s, and a guard: a run that was answered at the second copy of its order waits for the first one, which begins it anew in the worker's next instance. PROTOCOL.md: a call that receives no response "may also be executed seconds later, after newer calls", and after a crash a worker "runs nothing and has seen no fencing token", so that the copy is neither a repeat nor refused there.

--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -8,7 +8,7 @@
 };
 use teaselgap_standins::model::{CallKind, ClockDraw, Fate, LateCall, Model};
 
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 /// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
 const LONGEST_LEASE_MS: u64 = 10_000;
@@ -28,6 +28,9 @@
 /// Time from the restart of a worker until it can be reached, in milliseconds.
 const REACHABLE_MS: u64 = 10;
 
+/// How long a task that lasts may be away, in milliseconds: 6 s, and 3 s until that counts as lost.
+const LASTING_AWAY_MS: u64 = 9_000;
+
 const JOB: JobId = JobId(7);
 const OTHER_JOB: JobId = JobId(8);
 
@@ -368,3 +371,55 @@
     println!("{} broken of 3", broken.len());
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards a task that lasts against a wait for an order that has expired: it may not be away for that long.
+#[test]
+fn a_task_that_lasts_waits_for_no_expired_order_of_a_worker_that_is_listed_as_restarted() {
+    for after_ms in [100, 1_000] {
+        let mut model = settled_model();
+        for id in ["w0", "w1"] {
+            model.script_fates(id, CallKind::Start, &[Fate::CallLost; 2]);
+        }
+        let task = task_id(JOB, 0);
+        model.submit(JOB, &queue(), long_running_job(1, 1));
+        assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+        let (ordered, worker) = (model.now(), model.ordered_worker(task).unwrap());
+        for id in ["w0", "w1"].into_iter().filter(|id| *id != worker.as_str()) {
+            model.drop_fates(id);
+        }
+        assert!(model.run_until(5_000, |model| runs_at(model, task).contains(&worker)));
+        let expiry = ordered + Span(REPEAT_MS + CALL_LIFETIME_MS);
+
+        // No answer is asked for after the expiry.
+        run_to(&mut model, Timestamp(expiry.0 - 50));
+        restart_unheard(&mut model, &worker, 50 + after_ms);
+        let starts = model.start_count(task);
+        let runs_again = model.run_until(LASTING_AWAY_MS, |model| model.start_count(task) > starts);
+
+        assert!(runs_again, "{after_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{after_ms}");
+    }
+}
+
+/// A silent worker's run, answered only at the second copy of its order: the first one may still begin it in an
+/// instance that nobody hears.
+#[test]
+fn a_late_first_copy_begins_a_task_anew_that_the_second_one_has_started() {
+    for late_ms in [2_000, 6_000, 10_000, 14_000] {
+        let mut model = settled_model();
+        let late = Fate::Late(model.now() + Span(late_ms));
+        for id in ["w0", "w1"] {
+            model.script_fates(id, CallKind::Start, &[late]);
+        }
+        let task = task_id(JOB, 0);
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
+        assert!(model.run_until(1_000, |model| !runs_at(model, task).is_empty()));
+        let worker = runs_at(&model, task).remove(0);
+        model.run_for(1_000);
+
+        restart_unheard(&mut model, &worker, 3 * LONG_MS);
+        model.run_for(LONG_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+    }
+}
