A task that lasts doesn't wait for an expired order when its worker's restart is listed (LOST)

Change: a restart that only an entry tells of drops the expired orders of tasks that last, as before.

--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -88,8 +88,10 @@
         Self::update_stays_until(&mut worker, now);
         let mut old = std::mem::replace(old, worker);
         let mut open_orders = old.take_orders_of_unheard(longest_lease, now);
-        // What an expired order has begun in an instance that has answered is in its list.
-        open_orders.retain(|order| !has_answered || now <= order.expiry);
+        // What an expired order has begun in an instance that has answered is in its list. A long-running task may
+        // not wait for that.
+        let lasts = |task| self.step(task).is_some_and(|step| step.long_running);
+        open_orders.retain(|order| now <= order.expiry || !(has_answered || lasts(order.task)));
         if !has_answered {
             // Holds under way are not heard of any more.
             old.unanswered_renewal = Some(old.lease_sent);
