--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Span, Timestamp,
-    job::{DrainMode, JobId, LogEvent, TaskId, WorkerId},
+    job::{DrainMode, JobId, JobSpec, LogEvent, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{CallKind, ClockDraw, Fate, LateCall, Model};
 
@@ -193,7 +193,7 @@
 
 /// Orders tasks on a worker that has been restarted without its owner's knowledge. The store lists the entry of
 /// before for `kept_ms`.
-fn order_on_restarted(model: &mut Model, kept_ms: u64) {
+fn order_on_restarted(model: &mut Model, kept_ms: u64, spec: JobSpec) {
     model.keep_entry("w0", kept_ms);
     model.restart_worker_at("w0", model.wall_ms(), REACHABLE_MS);
     model.run_for(REACHABLE_MS);
@@ -201,7 +201,11 @@
     model.delay_answers("w0", [58; 8]);
     let late = Fate::Late(model.now() + Span(8_000));
     model.script_fates("w0", CallKind::Renew, &[late]);
-    model.submit(JOB, &queue(), job_spec(vec![step(4, 4_000, LONG_MS)]));
+    model.submit(JOB, &queue(), spec);
+}
+
+fn long_job() -> JobSpec {
+    job_spec(vec![step(4, 4_000, LONG_MS)])
 }
 
 /// Returns how many calls of a kind `w0` has got late.
@@ -218,7 +222,7 @@
     for cut_ms in 40..80 {
         let mut model = settled_model();
 
-        order_on_restarted(&mut model, kept_ms);
+        order_on_restarted(&mut model, kept_ms, long_job());
         model.run_for(cut_ms);
         model.make_unreachable("w0", 3 * LONG_MS);
         model.run_for(LONG_MS);
@@ -259,7 +263,7 @@
     for cut_ms in 40..80 {
         let mut model = settled_model();
 
-        order_on_restarted(&mut model, 3 * LONG_MS);
+        order_on_restarted(&mut model, 3 * LONG_MS, long_job());
         model.run_for(cut_ms);
         model.kill_owner();
         model.make_unreachable("w0", 3 * LONG_MS);
@@ -401,6 +405,32 @@
     }
 }
 
+/// Guards a task that lasts against a wait for a hold without an answer.
+#[test]
+fn a_task_that_lasts_waits_for_no_late_hold() {
+    let mut waited = Vec::new();
+    let mut late = 0;
+    for cut_ms in 75..130 {
+        let mut model = settled_model();
+
+        order_on_restarted(&mut model, 3 * LONG_MS, long_running_job(4, 4));
+        model.run_for(cut_ms);
+        model.make_unreachable("w0", 3 * LONG_MS);
+        let began = model.now();
+        let tasks = (0..4).map(|index| task_id(JOB, index));
+        let tasks: Vec<TaskId> =
+            tasks.filter(|task| runs_at(&model, *task).contains(&"w0".into())).collect();
+        let run_again = |model: &Model| tasks.iter().all(|task| model.start_count(*task) > 1);
+        assert!(model.run_until(LONG_MS, run_again), "{cut_ms}");
+        waited.push(model.now().since(began).0);
+        late += late_calls(&model, CallKind::Renew);
+    }
+
+    println!("{waited:?}, {late} late holds");
+    assert!(late > 0);
+    assert!(waited.iter().all(|ms| *ms <= LONGEST_LEASE_MS * 103 / 100 + 1_000), "{waited:?}");
+}
+
 /// A silent worker's run, answered only at the second copy of its order: the first one may still begin it in an
 /// instance that nobody hears.
 #[test]
