--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -436,9 +436,11 @@
 
     /// Until when a hold may renew the lease of a run in another instance than the known one. A hold that got no
     /// answer may come late, and that instance counts the lease from its arrival. The run's order outranks the holds
-    /// before it there; by the clock of its answer, if that is known, a hold brings no more than was asked for.
+    /// before it there; by the clock of its answer, if that is known, a hold brings no more than was asked for. A
+    /// long-running task may not wait for a late one.
     pub(super) fn last_renewal_of(&self, run: &Run) -> Timestamp {
-        let may_be_late = |sent: &Timestamp| run.clock.is_none() && *sent >= run.started;
+        let is_counted = run.clock.is_none() && !run.is_long_running;
+        let may_be_late = |sent: &Timestamp| is_counted && *sent >= run.started;
         let late = self.unanswered_renewal.filter(may_be_late);
         self.lease_sent.max(late.map(|sent| sent + LATE_CALL_LIFETIME).unwrap_or_default())
     }
