"Run ended without a report" says what was waited for

Change: with the reason "lease expired" the line has lease_over_ms, silent_ms and has_open_order (LeaseWait). No line more, and the limit of lines a second stays. The three are of the moment at which the run is taken for ended, so that the line's own time gives when the lease ended and since when the worker is silent.

The line of a real process was not looked at.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -53,8 +53,9 @@
     lag::LagMonitor,
     log::{LogConfig, LogWrite, LogWriter, Position, Sequence},
     message::{
-        Action, Answer, HoldReport, JobState, ListedRun, Load, LogEvent, OtherInstance, Outlook,
-        PlacedTask, RunEnd, RunId, StartAnswer, StartOrder, StartOutcome, StepAvailability, Token,
+        Action, Answer, HoldReport, JobState, LeaseWait, ListedRun, Load, LogEvent, OtherInstance,
+        Outlook, PlacedTask, RunEnd, RunId, StartAnswer, StartOrder, StartOutcome,
+        StepAvailability, Token,
     },
     permission::{PeerWord, Permission},
     record::{EndKind, JobEnd, LostRun, Record, StoredSegment, TaskSnapshot, UnsettledWorker},
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -5,8 +5,8 @@
 
 use super::{
     super::{
-        Action, DrainMode, HoldReport, ListedRun, LogEvent, Record, RunId, TaskId, WorkerEntry,
-        WorkerId,
+        Action, DrainMode, HoldReport, LeaseWait, ListedRun, LogEvent, Record, RunId, TaskId,
+        WorkerEntry, WorkerId,
         worker::{InstanceOrder, Logged, Run, RunState, StopOrder, StrayLease, Worker},
     },
     Cell, CellConfig, DeferredEffect,
@@ -130,9 +130,19 @@
         now: Timestamp,
     ) {
         let run = RunId { task, attempt, worker: id.clone() };
-        self.actions.push(Action::Log(LogEvent::RunEndedUnreported { run, reason }));
+        self.note_unreported_end(run, (reason, None), now);
+    }
+
+    fn note_unreported_end(
+        &mut self,
+        run: RunId,
+        (reason, wait): (&'static str, Option<LeaseWait>),
+        now: Timestamp,
+    ) {
+        let (task, id) = (run.task, run.worker.clone());
+        self.actions.push(Action::Log(LogEvent::RunEndedUnreported { run, reason, wait }));
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
-            task.run_workers.retain(|worker| worker != id);
+            task.run_workers.retain(|worker| *worker != id);
             task.unavailable_since.get_or_insert(now);
         }
         self.plan_due = true;
@@ -217,11 +227,16 @@
             // gets no tasks until a new list shows its runs.
             worker.is_adopted = false;
             worker.next_hold = worker.next_hold.min(now);
+            let wait = |(task, run): (TaskId, Run)| {
+                let wait = worker.lease_wait((task, &run), longest_lease, now);
+                (RunId { task, attempt: run.attempt, worker: id.clone() }, wait)
+            };
+            let lapsed: Vec<_> = lapsed.into_iter().map(wait).collect();
             if !lost.is_empty() {
                 self.suspect_tasks(&id, lost.iter().map(|(task, run)| (task, run)), false, now);
             }
-            for (task, run) in lapsed {
-                self.end_unreported_run(&id, task, run.attempt, "lease expired", now);
+            for (run, wait) in lapsed {
+                self.note_unreported_end(run, ("lease expired", Some(wait)), now);
             }
         }
     }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -245,6 +245,17 @@
     pub verdict: &'static str,
 }
 
+/// What a cell waited for before it took a run on a silent worker for ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseWait {
+    /// How long ago the run's lease was taken to have expired.
+    pub lease_over: Span,
+    /// How long ago the worker's latest answer came.
+    pub silent: Span,
+    /// Whether a copy of a start order of the task was waited for beyond that.
+    pub has_open_order: bool,
+}
+
 /// A decision of the cell or a change of its state, written to the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -349,6 +360,8 @@
         run: RunId,
         /// How the cell knows this.
         reason: &'static str,
+        /// What was waited for if its lease has expired; `None` if the cell knows it in another way.
+        wait: Option<LeaseWait>,
     },
     /// A run was lost with its worker, or the worker is now known to have crashed.
     RunLost {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -383,12 +383,20 @@
     /// from the expiry of that order and the longest lease; for what the instance itself may have got
     /// from a call to another one, from its `stray_lease`.
     pub(super) fn lease_expiry(&self, longest_lease: Span, now: Timestamp) -> Timestamp {
-        let other_instances = self.runs.values().filter(|run| run.may_be_in_other_instance());
-        let ends = other_instances.map(|run| match run.clock {
+        let ends = self.runs.values().map(|run| self.end_of_run(run, longest_lease, now));
+        self.own_lease_expiry().max(ends.max().unwrap_or_default())
+    }
+
+    /// Returns when a run has certainly ended if the worker never answers again and no copy of its order is open.
+    fn end_of_run(&self, run: &Run, longest_lease: Span, now: Timestamp) -> Timestamp {
+        let own = self.own_lease_expiry();
+        if !run.may_be_in_other_instance() {
+            return own;
+        }
+        own.max(match run.clock {
             Some(clock) => self.lease_end_by(clock),
             None => self.end_of_outlived(run, longest_lease, now),
-        });
-        self.own_lease_expiry().max(ends.max().unwrap_or_default())
+        })
     }
 
     /// Returns when every run in the newest known instance has certainly ended if the worker never answers
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -6,7 +6,10 @@
 use indexmap::IndexMap;
 
 use super::{Run, RunState, Worker};
-use crate::{Span, Timestamp, job::TaskId};
+use crate::{
+    Span, Timestamp,
+    job::{LeaseWait, TaskId},
+};
 
 /// A start order of which a copy got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,10 +106,33 @@
     /// instance that has never answered. Such a copy brings the longest lease, as it names a time of another
     /// clock. Once the worker has left the store, no such instance is reckoned with.
     fn may_run_late(&self, task: TaskId, longest_lease: Span, now: Timestamp) -> bool {
-        let lease = if self.is_gone(now) { Span(0) } else { longest_lease };
+        let lease = self.late_lease(longest_lease, now);
         self.last_order_expiry(task).is_some_and(|expiry| now <= expiry + lease)
     }
 
+    /// How long what a late copy has begun in an instance that has never answered counts as alive.
+    fn late_lease(&self, longest_lease: Span, now: Timestamp) -> Span {
+        if self.is_gone(now) { Span(0) } else { longest_lease }
+    }
+
+    /// What was waited for before a run that was taken is known to have ended.
+    pub(in crate::job) fn lease_wait(
+        &self,
+        (task, run): (TaskId, &Run),
+        longest_lease: Span,
+        now: Timestamp,
+    ) -> LeaseWait {
+        let end = self.end_of_run(run, longest_lease, now);
+        let own_order = run.is_unanswered().then_some(run.order_expiry);
+        let order = self.last_order_expiry(task).max(own_order);
+        let is_waited_for = |expiry| expiry + self.late_lease(longest_lease, now) > end;
+        LeaseWait {
+            lease_over: now.since(end),
+            silent: now.since(self.last_heard),
+            has_open_order: !run.is_long_running && order.is_some_and(is_waited_for),
+        }
+    }
+
     /// Takes the runs that certainly have ended, now that every lease of the newest known instance has lapsed;
     /// unless `is_all_lapsed`, another one may still have a lease. Those stay for whose tasks a copy of a start
     /// order is open: the worker's next instance, of which the owner need not hear in time, may begin the task
--- a/crates/standins/tests/cells/waits.rs
+++ b/crates/standins/tests/cells/waits.rs
@@ -4,8 +4,8 @@
 use indexmap::IndexMap;
 use proptest::prelude::*;
 use teaselgap_core::{
-    Span,
-    job::{DrainMode, JobEnd, JobId, JobState, TaskId, WorkerId},
+    Span, Timestamp,
+    job::{DrainMode, JobEnd, JobId, JobState, LeaseWait, LogEvent, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{CallKind, Fate, Model, WorkerFaults};
 
@@ -493,3 +493,47 @@
     assert!(waited.0 > MAX_LATE_MS + MAX_LEASE_MS, "{waited}");
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// What the log says was waited for before a run of the task was taken for ended.
+fn logged_wait(model: &Model, task: TaskId) -> Option<LeaseWait> {
+    model.log_events().iter().find_map(|event| match event {
+        LogEvent::RunEndedUnreported { run, wait, .. } if run.task == task => *wait,
+        _ => None,
+    })
+}
+
+/// A silent worker has a run that its lists have shown, and one whose order got no answer.
+#[test]
+fn the_log_says_what_the_end_of_a_run_on_a_silent_worker_has_waited_for() {
+    const OTHER_JOB: JobId = JobId(8);
+    let other_task = task_id(OTHER_JOB, 0);
+    let mut model = new_model_with_valid_late_orders(2);
+    let drains = IndexMap::from([("w1".into(), DrainMode::WaitForRuns)]);
+    model.cell_mut().expect("an owner").set_drains(drains);
+    model.submit(OTHER_JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    model.run_for(500);
+    let faults = WorkerFaults { lost_answers: 2, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, 12_000)]));
+    assert!(model.run_until(1_000, |model| !runs_at(model).is_empty()));
+
+    let silent_since = model.now();
+    model.worker_mut("w0").partition_for(silent_since, 600_000);
+    assert!(model.run_until(60_000, |model| logged_wait(model, other_task).is_some()));
+    let other_ended = model.now();
+    assert!(model.run_until(60_000, |model| logged_wait(model, task()).is_some()));
+    let ended = model.now();
+
+    let [other, wait] = [other_task, task()].map(|task| logged_wait(&model, task).unwrap());
+    let is_since_silence = |wait: LeaseWait, at: Timestamp| {
+        let silent = at.since(silent_since).0;
+        (silent..=silent + HOLD_WAIT_MS).contains(&wait.silent.0)
+    };
+    assert!(is_since_silence(other, other_ended), "{other:?}");
+    assert!(is_since_silence(wait, ended), "{wait:?}");
+    assert!(!other.has_open_order && wait.has_open_order, "{other:?} {wait:?}");
+    // Nothing but the order was waited for, once the lease of both had expired.
+    assert!(other.lease_over.0 <= PLAN_MS, "{other:?}");
+    let apart = ended.since(other_ended).0;
+    assert!((apart..=apart + PLAN_MS).contains(&wait.lease_over.0), "{wait:?} {apart}");
+}
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -6,7 +6,9 @@
 use slog::{Logger, debug, info, warn};
 use teaselgap_core::{
     Epoch, ServiceId, Span,
-    job::{EndKind, LogEvent, OtherInstance, PlacedTask, RunId, StepAvailability, StepId},
+    job::{
+        EndKind, LeaseWait, LogEvent, OtherInstance, PlacedTask, RunId, StepAvailability, StepId,
+    },
 };
 
 use super::{line_limit::LineLimit, owner_load::OwnerLoad};
@@ -70,8 +72,8 @@
                 self.write_start_open(run, *is_answered, *left);
             }
             LogEvent::EndWaits { run, number, left } => self.write_waiting_end(run, *number, *left),
-            LogEvent::RunEndedUnreported { run, reason } => {
-                self.write_run("run ended without a report", run, reason);
+            LogEvent::RunEndedUnreported { run, reason, wait } => {
+                self.write_unreported_end(run, reason, *wait);
             }
             LogEvent::RunLost { run, losses, is_crash, alive_ms, beside } => {
                 self.write_lost(run, (*losses, *is_crash), (*alive_ms, *beside));
@@ -170,6 +172,16 @@
         }
     }
 
+    fn write_unreported_end(&self, run: &RunId, reason: &'static str, wait: Option<LeaseWait>) {
+        if self.limit.borrow_mut().admit("run ended without a report") {
+            info!(self.log, "run ended without a report"; "task" => %run.task,
+                "attempt" => run.attempt, "worker" => %run.worker, "reason" => reason,
+                "lease_over_ms" => wait.map(|wait| wait.lease_over.0),
+                "silent_ms" => wait.map(|wait| wait.silent.0),
+                "has_open_order" => wait.map(|wait| wait.has_open_order), "epoch" => self.epoch);
+        }
+    }
+
     fn write_start_open(&self, run: &RunId, is_answered: bool, left: Span) {
         if self.limit.borrow_mut().admit("start order open") {
             info!(self.log, "start order open"; "task" => %run.task, "attempt" => run.attempt,
