--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -4,11 +4,11 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Span, Timestamp,
-    job::{DrainMode, JobId, LogEvent, TaskId, WorkerId},
+    job::{DrainMode, JobId, JobSpec, LogEvent, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{CallKind, ClockDraw, Fate, LateCall, Model};
 
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 /// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
 const LONGEST_LEASE_MS: u64 = 10_000;
@@ -28,6 +28,9 @@
 /// Time from the restart of a worker until it can be reached, in milliseconds.
 const REACHABLE_MS: u64 = 10;
 
+/// How long a task that lasts may be away, in milliseconds: 6 s, and 3 s until that counts as lost.
+const LASTING_AWAY_MS: u64 = 9_000;
+
 const JOB: JobId = JobId(7);
 const OTHER_JOB: JobId = JobId(8);
 
@@ -190,7 +193,7 @@
 
 /// Orders tasks on a worker that has been restarted without its owner's knowledge. The store lists the entry of
 /// before for `kept_ms`.
-fn order_on_restarted(model: &mut Model, kept_ms: u64) {
+fn order_on_restarted(model: &mut Model, kept_ms: u64, spec: JobSpec) {
     model.keep_entry("w0", kept_ms);
     model.restart_worker_at("w0", model.wall_ms(), REACHABLE_MS);
     model.run_for(REACHABLE_MS);
@@ -198,7 +201,11 @@
     model.delay_answers("w0", [58; 8]);
     let late = Fate::Late(model.now() + Span(8_000));
     model.script_fates("w0", CallKind::Renew, &[late]);
-    model.submit(JOB, &queue(), job_spec(vec![step(4, 4_000, LONG_MS)]));
+    model.submit(JOB, &queue(), spec);
+}
+
+fn long_job() -> JobSpec {
+    job_spec(vec![step(4, 4_000, LONG_MS)])
 }
 
 /// Returns how many calls of a kind `w0` has got late.
@@ -215,7 +222,7 @@
     for cut_ms in 40..80 {
         let mut model = settled_model();
 
-        order_on_restarted(&mut model, kept_ms);
+        order_on_restarted(&mut model, kept_ms, long_job());
         model.run_for(cut_ms);
         model.make_unreachable("w0", 3 * LONG_MS);
         model.run_for(LONG_MS);
@@ -256,7 +263,7 @@
     for cut_ms in 40..80 {
         let mut model = settled_model();
 
-        order_on_restarted(&mut model, 3 * LONG_MS);
+        order_on_restarted(&mut model, 3 * LONG_MS, long_job());
         model.run_for(cut_ms);
         model.kill_owner();
         model.make_unreachable("w0", 3 * LONG_MS);
@@ -368,3 +375,81 @@
     println!("{} broken of 3", broken.len());
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Guards a task that lasts against a wait for an order that has expired: it may not be away for that long.
+#[test]
+fn a_task_that_lasts_waits_for_no_expired_order_of_a_worker_that_is_listed_as_restarted() {
+    for after_ms in [100, 1_000] {
+        let mut model = settled_model();
+        for id in ["w0", "w1"] {
+            model.script_fates(id, CallKind::Start, &[Fate::CallLost; 2]);
+        }
+        let task = task_id(JOB, 0);
+        model.submit(JOB, &queue(), long_running_job(1, 1));
+        assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+        let (ordered, worker) = (model.now(), model.ordered_worker(task).unwrap());
+        for id in ["w0", "w1"].into_iter().filter(|id| *id != worker.as_str()) {
+            model.drop_fates(id);
+        }
+        assert!(model.run_until(5_000, |model| runs_at(model, task).contains(&worker)));
+        let expiry = ordered + Span(REPEAT_MS + CALL_LIFETIME_MS);
+
+        // No answer is asked for after the expiry.
+        run_to(&mut model, Timestamp(expiry.0 - 50));
+        restart_unheard(&mut model, &worker, 50 + after_ms);
+        let starts = model.start_count(task);
+        let runs_again = model.run_until(LASTING_AWAY_MS, |model| model.start_count(task) > starts);
+
+        assert!(runs_again, "{after_ms}");
+        assert_eq!(model.violations(), [] as [&str; 0], "{after_ms}");
+    }
+}
+
+/// Guards a task that lasts against a wait for a hold without an answer.
+#[test]
+fn a_task_that_lasts_waits_for_no_late_hold() {
+    let mut waited = Vec::new();
+    let mut late = 0;
+    for cut_ms in 75..130 {
+        let mut model = settled_model();
+
+        order_on_restarted(&mut model, 3 * LONG_MS, long_running_job(4, 4));
+        model.run_for(cut_ms);
+        model.make_unreachable("w0", 3 * LONG_MS);
+        let began = model.now();
+        let tasks = (0..4).map(|index| task_id(JOB, index));
+        let tasks: Vec<TaskId> =
+            tasks.filter(|task| runs_at(&model, *task).contains(&"w0".into())).collect();
+        let run_again = |model: &Model| tasks.iter().all(|task| model.start_count(*task) > 1);
+        assert!(model.run_until(LONG_MS, run_again), "{cut_ms}");
+        waited.push(model.now().since(began).0);
+        late += late_calls(&model, CallKind::Renew);
+    }
+
+    println!("{waited:?}, {late} late holds");
+    assert!(late > 0);
+    assert!(waited.iter().all(|ms| *ms <= LONGEST_LEASE_MS * 103 / 100 + 1_000), "{waited:?}");
+}
+
+/// A silent worker's run, answered only at the second copy of its order: the first one may still begin it in an
+/// instance that nobody hears.
+#[test]
+fn a_late_first_copy_begins_a_task_anew_that_the_second_one_has_started() {
+    for late_ms in [2_000, 6_000, 10_000, 14_000] {
+        let mut model = settled_model();
+        let late = Fate::Late(model.now() + Span(late_ms));
+        for id in ["w0", "w1"] {
+            model.script_fates(id, CallKind::Start, &[late]);
+        }
+        let task = task_id(JOB, 0);
+        model.submit(JOB, &queue(), job_spec(vec![step(1, 3_500, LONG_MS)]));
+        assert!(model.run_until(1_000, |model| !runs_at(model, task).is_empty()));
+        let worker = runs_at(&model, task).remove(0);
+        model.run_for(1_000);
+
+        restart_unheard(&mut model, &worker, 3 * LONG_MS);
+        model.run_for(LONG_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+    }
+}
