Tests: a hold that leaves 1 ms after it was decided on is not counted as a renewal (KNOWN-RED)

Cause: Worker::record_unanswered_hold takes an unanswered hold for one that may have renewed the lease if `sent <= lease_sent`. lease_sent is the time at which the latest renewal was decided on; `sent` is the time at which the hold left, which CellOwner::hold reads in a task of its own. They are the same only if both fall into one millisecond; the model gave both the same time, so that no test saw it.

Change: the model can let holds leave some time after they were decided on; a test of the worker alone and one in virtual time.

Conclusion: the fault that closes in the model is open in the product whenever a ms passes between the two. How often that is was not measured. A fix may keep the last time at which a hold with a lease was decided on or left; no fix here.

--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -156,3 +156,21 @@
     assert!(before.is_empty());
     assert_eq!(after.into_keys().collect::<Vec<_>>(), [listed, answered]);
 }
+
+/// Guards against a task that starts elsewhere although a late hold renews the lease of its run: a hold leaves after
+/// it was decided on, and `sent` is when it left.
+#[test]
+fn a_late_hold_counts_as_a_renewal_although_it_left_after_it_was_decided_on() {
+    for delay in [Span(0), Span(1), Span(40)] {
+        let mut worker = worker();
+        worker.record_clock(60_000, ANSWERED, ANSWERED);
+        worker.runs.insert(task(), Run::unknown(1, RunState::Running, ANSWERED));
+        worker.lease_sent = ANSWERED + Span(100);
+        let sent = worker.lease_sent + delay;
+
+        worker.record_unanswered_hold(sent);
+
+        let expiry = worker.lease_expiry(LONGEST_LEASE, sent + Span(1_000));
+        assert!(expiry >= sent + LATE_CALL_LIFETIME + LONGEST_LEASE, "{expiry} after {delay}");
+    }
+}
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -172,6 +172,8 @@
     next_delivery: u64,
     next_token: u64,
     next_worker_list: Timestamp,
+    /// How long after it was decided on a hold leaves.
+    sending_delay: Span,
     /// Answers to client requests.
     answers: IndexMap<Token, Answer>,
     violations: Vec<String>,
@@ -303,6 +305,7 @@
             next_delivery: 0,
             next_token: 0,
             next_worker_list: Timestamp(0),
+            sending_delay: Span(0),
             answers: IndexMap::new(),
             violations: Vec::new(),
             confirmed_done: BTreeSet::new(),
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -52,7 +52,8 @@
                 self.call(sender, worker, Call::Stop { task, attempt, sent });
             }
             Action::Hold { worker, lease_end, last_seen, wait, fence } => {
-                let call = Call::Hold { lease_end, last_seen, wait, sent: self.now, fence };
+                let sent = self.now + self.sending_delay;
+                let call = Call::Hold { lease_end, last_seen, wait, sent, fence };
                 self.call(sender, worker, call);
             }
         }
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -90,6 +90,11 @@
         self.answer_delays.entry(id.into()).or_default().extend(delays_ms);
     }
 
+    /// Lets holds leave so long after they were decided on, in milliseconds, as they do on a busy node.
+    pub fn set_sending_delay(&mut self, delay_ms: u64) {
+        self.sending_delay = Span(delay_ms);
+    }
+
     /// Returns how many second copies of start orders have left the owners.
     #[must_use]
     pub fn sent_copies(&self) -> u32 {
--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -207,13 +207,14 @@
     model.late_calls().iter().filter(is_late).count()
 }
 
-/// Plays such orders, and a worker that is cut off from its owner as soon as it has answered them. Returns what was
-/// broken, and in how many histories the hold came late.
-fn cut_off_after_orders(kept_ms: u64) -> (Vec<(u64, Vec<String>)>, usize) {
+/// Plays such orders, and a worker that is cut off from its owner as soon as it has answered them. Each hold leaves
+/// `sending_ms` after it was decided on. Returns what was broken, and in how many histories the hold came late.
+fn cut_off_after_orders(kept_ms: u64, sending_ms: u64) -> (Vec<(u64, Vec<String>)>, usize) {
     let mut broken = Vec::new();
     let mut late = 0;
     for cut_ms in 40..80 {
         let mut model = settled_model();
+        model.set_sending_delay(sending_ms);
 
         order_on_restarted(&mut model, kept_ms);
         model.run_for(cut_ms);
@@ -233,7 +234,7 @@
 /// cut off at once, and whose lease a late hold to the one before has prolonged.
 #[test]
 fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_only() {
-    let (broken, late) = cut_off_after_orders(3 * LONG_MS);
+    let (broken, late) = cut_off_after_orders(3 * LONG_MS, 0);
 
     assert!(late > 0);
     assert!(broken.is_empty(), "{broken:?}");
@@ -242,7 +243,16 @@
 /// The same if the store lists that instance.
 #[test]
 fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_and_is_listed() {
-    let (broken, late) = cut_off_after_orders(50);
+    let (broken, late) = cut_off_after_orders(50, 0);
+
+    assert!(late > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// The same if each hold leaves 1 ms after it was decided on, as it may on any node: it is sent by a task of its own.
+#[test]
+fn a_late_hold_that_left_after_it_was_decided_on_prolongs_a_lease_all_the_same() {
+    let (broken, late) = cut_off_after_orders(3 * LONG_MS, 1);
 
     assert!(late > 0);
     assert!(broken.is_empty(), "{broken:?}");
