--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -8,7 +8,7 @@
 };
 use teaselgap_standins::model::{CallKind, ClockDraw, Fate, LateCall, Model};
 
-use crate::fixtures::{job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{job_spec, long_running_job, new_model, queue, step, task_id};
 
 /// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
 const LONGEST_LEASE_MS: u64 = 10_000;
@@ -378,3 +378,47 @@
     println!("{} broken of 3", broken.len());
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// How long after its last run a task that lasts counts as lost, in milliseconds.
+const LOST_MS: u64 = 9_000;
+
+/// For how long a task that lasts is away whose order's copy was lost and has expired, and whose worker restarts
+/// `after_ms` after that, is never heard again, and is listed `kept_ms` later.
+fn lasting_away_ms(after_ms: u64, kept_ms: u64) -> u64 {
+    let mut model = settled_model();
+    let task = task_id(JOB, 0);
+    for id in ["w0", "w1"] {
+        model.script_fates(id, CallKind::Start, &[Fate::CallLost; 2]);
+    }
+    model.submit(JOB, &queue(), long_running_job(1, 0));
+    assert!(model.run_until(5_000, |model| model.ordered_worker(task).is_some()));
+    let ordered = model.now();
+    for id in ["w0", "w1"] {
+        model.drop_fates(id);
+    }
+    assert!(model.run_until(CALL_LIFETIME_MS, |model| !runs_at(model, task).is_empty()));
+    run_to(&mut model, ordered + Span(REPEAT_MS + CALL_LIFETIME_MS + after_ms));
+    let [worker] = runs_at(&model, task).try_into().expect("one run");
+
+    restart_unheard(&mut model, &worker, kept_ms);
+    let lost = model.now();
+    assert!(model.run_until(LONG_MS, |model| !runs_at(model, task).is_empty()));
+    model.now().since(lost).0
+}
+
+/// Guards against a task that lasts and waits for what an expired order may have begun.
+#[test]
+fn a_task_that_lasts_is_not_lost_although_its_worker_is_listed_as_restarted_after_its_order_expired()
+ {
+    let mut away = Vec::new();
+    for after_ms in [100, 1_000, 3_000, 6_000, 9_000] {
+        away.extend(
+            [100, 600, 3_000]
+                .map(|kept_ms| (lasting_away_ms(after_ms, kept_ms), after_ms, kept_ms)),
+        );
+    }
+
+    let too_long = away.iter().filter(|one| one.0 > LOST_MS).count();
+    println!("too long in {too_long} of {}: {away:?}", away.len());
+    assert_eq!(too_long, 0, "{away:?}");
+}
