--- a/crates/standins/tests/cells/unheard.rs
+++ b/crates/standins/tests/cells/unheard.rs
@@ -214,13 +214,14 @@
     model.late_calls().iter().filter(is_late).count()
 }
 
-/// Plays such orders, and a worker that is cut off from its owner as soon as it has answered them. Returns what was
-/// broken, and in how many histories the hold came late.
-fn cut_off_after_orders(kept_ms: u64) -> (Vec<(u64, Vec<String>)>, usize) {
+/// Plays such orders, and a worker that is cut off from its owner as soon as it has answered them. Each hold leaves
+/// `sending_ms` after it was decided on. Returns what was broken, and in how many histories the hold came late.
+fn cut_off_after_orders(kept_ms: u64, sending_ms: u64) -> (Vec<(u64, Vec<String>)>, usize) {
     let mut broken = Vec::new();
     let mut late = 0;
     for cut_ms in 40..80 {
         let mut model = settled_model();
+        model.set_sending_delay(sending_ms);
 
         order_on_restarted(&mut model, kept_ms, long_job());
         model.run_for(cut_ms);
@@ -240,7 +241,7 @@
 /// cut off at once, and whose lease a late hold to the one before has prolonged.
 #[test]
 fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_only() {
-    let (broken, late) = cut_off_after_orders(3 * LONG_MS);
+    let (broken, late) = cut_off_after_orders(3 * LONG_MS, 0);
 
     assert!(late > 0);
     assert!(broken.is_empty(), "{broken:?}");
@@ -249,7 +250,16 @@
 /// The same if the store lists that instance.
 #[test]
 fn a_late_hold_prolongs_the_lease_of_an_instance_that_has_answered_an_order_and_is_listed() {
-    let (broken, late) = cut_off_after_orders(50);
+    let (broken, late) = cut_off_after_orders(50, 0);
+
+    assert!(late > 0);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// The same if each hold leaves 1 ms after it was decided on, as it may on any node: it is sent by a task of its own.
+#[test]
+fn a_late_hold_that_left_after_it_was_decided_on_prolongs_a_lease_all_the_same() {
+    let (broken, late) = cut_off_after_orders(3 * LONG_MS, 1);
 
     assert!(late > 0);
     assert!(broken.is_empty(), "{broken:?}");
@@ -453,3 +463,47 @@
         assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
     }
 }
+
+/// How long after its last run a task that lasts counts as lost, in milliseconds.
+const LOST_MS: u64 = 9_000;
+
+/// For how long a task that lasts is away whose order's copy was lost and has expired, and whose worker restarts
+/// `after_ms` after that, is never heard again, and is listed `kept_ms` later.
+fn lasting_away_ms(after_ms: u64, kept_ms: u64) -> u64 {
+    let mut model = settled_model();
+    let task = task_id(JOB, 0);
+    for id in ["w0", "w1"] {
+        model.script_fates(id, CallKind::Start, &[Fate::CallLost; 2]);
+    }
+    model.submit(JOB, &queue(), long_running_job(1, 0));
+    assert!(model.run_until(5_000, |model| model.ordered_worker(task).is_some()));
+    let ordered = model.now();
+    for id in ["w0", "w1"] {
+        model.drop_fates(id);
+    }
+    assert!(model.run_until(CALL_LIFETIME_MS, |model| !runs_at(model, task).is_empty()));
+    run_to(&mut model, ordered + Span(REPEAT_MS + CALL_LIFETIME_MS + after_ms));
+    let [worker] = runs_at(&model, task).try_into().expect("one run");
+
+    restart_unheard(&mut model, &worker, kept_ms);
+    let lost = model.now();
+    assert!(model.run_until(LONG_MS, |model| !runs_at(model, task).is_empty()));
+    model.now().since(lost).0
+}
+
+/// Guards against a task that lasts and waits for what an expired order may have begun.
+#[test]
+fn a_task_that_lasts_is_not_lost_although_its_worker_is_listed_as_restarted_after_its_order_expired()
+ {
+    let mut away = Vec::new();
+    for after_ms in [100, 1_000, 3_000, 6_000, 9_000] {
+        away.extend(
+            [100, 600, 3_000]
+                .map(|kept_ms| (lasting_away_ms(after_ms, kept_ms), after_ms, kept_ms)),
+        );
+    }
+
+    let too_long = away.iter().filter(|one| one.0 > LOST_MS).count();
+    println!("too long in {too_long} of {}: {away:?}", away.len());
+    assert_eq!(too_long, 0, "{away:?}");
+}
