--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -254,6 +254,14 @@
         self.on_hold_report(id, sent, &report, now);
     }
 
+    /// Notes that a hold that may renew the lease leaves now. It was decided on earlier, perhaps much earlier on a
+    /// busy node.
+    pub fn on_renewal_left(&mut self, id: &WorkerId, now: Timestamp) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.renewal_left = worker.renewal_left.max(now);
+        }
+    }
+
     /// Handles a hold that wasn't sent, because a later call of this owner has outranked it.
     pub fn on_hold_not_sent(&mut self, id: &WorkerId, now: Timestamp) {
         self.fences.on_hold_over(id);
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -99,7 +99,7 @@
         open_orders.retain(|order| now <= order.expiry || !(has_answered || lasts(order.task)));
         if !has_answered {
             // Holds under way are not heard of any more.
-            old.unanswered_renewal = Some(old.lease_sent);
+            old.unanswered_renewal = Some(old.renewal_left);
         }
         let runs = std::mem::take(&mut old.runs);
         self.actions.push(Action::Log(LogEvent::Worker {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -183,6 +183,8 @@
     pub(super) unanswered_hold: Timestamp,
     /// The same for holds that may have renewed the lease; `None` if each of those was answered.
     pub(super) unanswered_renewal: Option<Timestamp>,
+    /// When the latest hold that may renew the lease left, which is after it was decided on.
+    pub(super) renewal_left: Timestamp,
     /// When the worker last answered a hold.
     pub(super) last_heard: Timestamp,
     /// Whether it has refused a call that a later one has outranked, and answered no hold since.
@@ -271,6 +273,7 @@
             hold_failures: 0,
             unanswered_hold: Timestamp(0),
             unanswered_renewal: None,
+            renewal_left: Timestamp(0),
             last_heard: now,
             awaits_answer: false,
             drain: None,
@@ -458,10 +461,10 @@
         self.lease_sent.max(late.map(|sent| sent + LATE_CALL_LIFETIME).unwrap_or_default())
     }
 
-    /// Records that a hold which was sent at `sent` got no answer.
+    /// Records that a hold which left at `sent` got no answer.
     pub(super) fn record_unanswered_hold(&mut self, sent: Timestamp) {
         self.unanswered_hold = self.unanswered_hold.max(sent);
-        let may_have_renewed = sent <= self.lease_sent;
+        let may_have_renewed = sent <= self.renewal_left;
         self.unanswered_renewal = self.unanswered_renewal.max(may_have_renewed.then_some(sent));
     }
 
--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -167,6 +167,7 @@
         worker.runs.insert(task(), Run::unknown(1, RunState::Running, ANSWERED));
         worker.lease_sent = ANSWERED + Span(100);
         let sent = worker.lease_sent + delay;
+        worker.renewal_left = sent;
 
         worker.record_unanswered_hold(sent);
 
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -53,6 +53,9 @@
             }
             Action::Hold { worker, lease_end, last_seen, wait, fence } => {
                 let sent = self.now + self.sending_delay;
+                if let (Some(_), Some(cell)) = (lease_end, self.cell_of(sender.epoch)) {
+                    cell.on_renewal_left(&worker, sent);
+                }
                 let call = Call::Hold { lease_end, last_seen, wait, sent, fence };
                 self.call(sender, worker, call);
             }
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -217,6 +217,11 @@
             self.with_cell(|cell| cell.on_hold_not_sent(&target.worker, sent_at));
             return;
         }
+        if lease_end.is_some()
+            && let Some(cell) = self.cell.borrow_mut().as_mut()
+        {
+            cell.on_renewal_left(&target.worker, sent_at);
+        }
         let call = self.worker_client.hold(target, lease_end, last_seen, wait, fence);
         let is_answered =
             |result: &Result<_, HoldError>| !matches!(result, Err(HoldError::Call(_)));
