Test: the lease runs out while a log of small and large segments is read over a narrow link (KNOWN-RED)

Cause: PagePlan takes the mean size of the segments read so far for that of the next group. Where segments of a burst of records (up to 128 KiB each, LogConfig::max_segment_bytes) lie below small ones, a group of 16 of them is one answer of the store, up to its 1 MB, and the renewals of the lease wait behind it. The property test of the plan bounds the pages of logs of one size only.

How uneven the logs of the users' sites are was not measured.

--- a/src/jobs/log_store/reader/tests.rs
+++ b/src/jobs/log_store/reader/tests.rs
@@ -187,6 +187,31 @@
     assert_eq!(lengths, Some((keys, keys)), "the lease ran out, or keys are missing");
 }
 
+/// Guards against the same where a burst of records has left large segments among small ones: the pages are planned by
+/// the mean size of the segments read so far.
+#[test]
+fn the_lease_is_renewed_while_a_log_of_small_and_large_segments_passes_a_narrow_link() {
+    const LARGE_BYTES: usize = 40_000;
+    let large = log("log/", 0x100, 16, LARGE_BYTES);
+    let mut values = log("log/", 0x110, 48, SEGMENT_BYTES);
+    values.extend(large.into_iter().filter(|(key, _)| key != "log/head"));
+    values.sort_unstable_keys();
+    let (address, _) = serve(LinkedStore::new(values, LINK_MBPS));
+    let reading = LogReading::new(LINK_MBPS);
+
+    let count = run(async {
+        let store = Store::new(address, Rc::new(Connections::default()));
+        let renewer = renew(address);
+        let mut reader = LogReader::new("log/", &reading);
+        tokio::select! {
+            result = reader.read(&store) => Some(result.map(|()| reader.items().len())),
+            () = lapse(&renewer) => None,
+        }
+    });
+
+    assert_eq!(count, Some(Ok(65)), "the lease ran out, or keys are missing");
+}
+
 /// The numbers of the segments among these keys, which must be in their order and include the head.
 fn numbers(items: &[Item], prefix: &str) -> Vec<u64> {
     assert!(items.is_sorted_by_key(|item| &item.key));
