Test: a VM that hangs gets more requests once its mean latency has expired (KNOWN-RED)

Cause: since the mean latency of a VM expires 10 s after its last answer, and a VM without one counts as quick (1 ms). One that has been asked and has answered nothing since is taken for as quick as a new one, up to the square root of its pool's latency in ms times as many slots in use.

Change: the test, in virtual time: two VMs that answered in 200 ms, one of which hangs; one request each 100 ms for 30 s.

Attempts that fail, and timeouts, are not played: they lower the success rate, which counts as before.

Conclusion: an expired mean might count for VMs without open attempts only.

--- a/src/traffic/gate/tests.rs
+++ b/src/traffic/gate/tests.rs
@@ -90,3 +90,29 @@
 
     assert!(slow <= 6, "{slow}");
 }
+
+/// Guards against a VM that seems quick because it has answered nothing for long.
+#[test]
+fn a_vm_that_hangs_gets_no_more_requests_once_its_mean_latency_has_expired() {
+    const ANSWER_US: u64 = 200_000;
+    let gates = [gate(), gate()];
+    for gate in &gates {
+        gate.set_held(Slots(50));
+        gate.record_attempt(true, ANSWER_US, Timestamp(0));
+    }
+    // Those to the first VM get no answer, so that they keep their slots.
+    let mut hung = [0; 3];
+    for n in 0..300 {
+        let now = Timestamp(100 * n);
+        let candidates: Vec<_> = gates.iter().map(|gate| gate.candidate(Span(0), now)).collect();
+        let picked = route::pick(Policy::Weighted, &candidates, &mut rand::rng()).unwrap();
+        if picked == 0 {
+            assert!(gates[0].acquire());
+            hung[usize::try_from(now.0 / 10_000).unwrap()] += 1;
+        } else {
+            gates[1].record_attempt(true, ANSWER_US, now);
+        }
+    }
+
+    assert!(hung[1] + hung[2] <= hung[0], "{hung:?}");
+}
