Test: a call that has to leave a token to a waiting one uses up the circuit breaker's try (KNOWN-RED)

Cause: Governor::admit sets the next pause (1 s) before it asks for a token. A call that has to wait for one finds the circuit breaker open when it asks again, and fails without having tried the store.

Conclusion: an outage may last 1 s longer for this node; the first pause of 100 ms fills the bucket by a token only from 10 calls a second on. No starvation of vital calls was found otherwise: at most one token is kept, and a call that is gone holds it for its wait and 250 ms (by reading).

--- a/src/store/governor/tests.rs
+++ b/src/store/governor/tests.rs
@@ -103,3 +103,23 @@
     assert!(text.contains("teaselgap_store_wait_seconds_count"), "{text}");
     assert!(text.contains("priority=\"vital\""), "{text}");
 }
+
+/// Guards against a circuit breaker that stays open for another pause because the call that is to try the store has
+/// to leave a token to a waiting call.
+#[tokio::test]
+async fn the_call_that_tries_the_store_after_a_pause_tries_it_although_a_token_is_kept() {
+    let governor = Governor::new((), Metrics::new().unwrap(), 10, 10);
+    {
+        let now = clock::now();
+        let mut state = governor.state();
+        state.circuit = CircuitBreaker { failures: MAX_FAILURES, open_until: Some(now) };
+        state.writes.tokens = 1.0;
+        state.writes.refilled = now;
+        state.writes.control =
+            WaitingCalls { retry_deadline: now + RETRY_GRACE, passed: MAX_PASSED_CONTROL };
+    }
+
+    let admitted = governor.admit(CallKind::Write, Priority::Vital).await;
+
+    assert!(admitted.is_ok(), "{admitted:?}");
+}
