--- a/src/traffic/gate.rs
+++ b/src/traffic/gate.rs
@@ -169,7 +169,11 @@
         Candidate {
             held: Slots(held),
             in_use: Slots(in_use),
-            latency_us: self.mean_latency_us(now),
+            // One that is being asked has no more than the measurement before.
+            latency_us: match in_use {
+                0 => self.mean_latency_us(now),
+                _ => self.latency_us.load(Ordering::Relaxed),
+            },
             success_rate: health.success_rate(),
             local: self.local,
             excluded: self.is_leaving() || health.is_ejected(now),
