Only a call that has a token uses up the circuit breaker's try

Had it to wait for one, it found the circuit breaker open and failed without a try, and an outage lasted a second longer for the node.

Change: the pause is set as the token is taken.

--- a/src/store/governor.rs
+++ b/src/store/governor.rs
@@ -226,21 +226,20 @@
             let wait = {
                 let now = clock::now();
                 let mut state = self.state();
-                if let Some(open_until) = state.circuit.open_until {
-                    if now < open_until {
-                        return Err(StoreError::Unavailable(
-                            "the circuit breaker is open".to_owned(),
-                        ));
-                    }
-                    // This call tries the store. The others fail until it succeeds or the new pause
-                    // ends.
-                    state.circuit.open_until = Some(now + Span(MAX_PAUSE_MS));
+                if state.circuit.open_until.is_some_and(|open_until| now < open_until) {
+                    return Err(StoreError::Unavailable("the circuit breaker is open".to_owned()));
                 }
                 let bucket = match kind {
                     CallKind::Read => &mut state.reads,
                     CallKind::Write => &mut state.writes,
                 };
-                bucket.try_take(priority, now)
+                let taken = bucket.try_take(priority, now);
+                if taken.is_ok() && state.circuit.open_until.is_some() {
+                    // This call tries the store. The others fail until it succeeds or the new pause
+                    // ends.
+                    state.circuit.open_until = Some(now + Span(MAX_PAUSE_MS));
+                }
+                taken
             };
             match wait {
                 Ok(()) => {
