Test: one instance of a worker is never taken for two by the ends that it lists

A guard for, asked for by a review: a false restart would suspect sound tasks and exclude the worker.

Change: a property test of ListedEnds and Worker::place_list in virtual time. One instance ends runs and carries out holds; its owner decides on holds, sends them later or never, hears answers in any order or not at all, and reads as Cell::on_hold_answer does; lists are cut off at four ends, the first or the last ones, and steps may share a millisecond. Calls that later ones have outranked are carried out all the same, which a worker wouldn't do. No answer is placed as of a later instance, and a hold that leaves last is of the same one.

--- a/crates/core/src/job/worker/listed_ends/tests.rs
+++ b/crates/core/src/job/worker/listed_ends/tests.rs
@@ -1,3 +1,5 @@
+use proptest::prelude::*;
+
 use super::{
     super::{InstanceOrder::*, Worker, tests::worker},
     *,
@@ -142,3 +144,145 @@
     assert_eq!(worker.place_list(&all(&[(1, 7)]), ASKED_SINCE), Same);
     assert_eq!(worker.place_list(&all(&[]), ASKED_SINCE), Same);
 }
+
+/// The most ends in a list of the worker that is played.
+const PAGE: usize = 4;
+
+/// How far a hold has come.
+#[derive(Clone, Debug)]
+enum Stage {
+    Decided,
+    Sent(Timestamp),
+    Answered(Timestamp, HoldReport),
+}
+
+/// One instance of a worker, and its owner with the holds under way.
+struct Play {
+    now: Timestamp,
+    worker: Worker,
+    last_end: u64,
+    forgotten: u64,
+    last_read: u64,
+    /// Whether a list that is cut off names the last ends; otherwise it names the first ones. The pages don't say which.
+    lists_last: bool,
+    holds: Vec<(u64, Stage)>,
+}
+
+/// What happens next in a play; the numbers say to which hold, or how far.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Wait(u64),
+    End,
+    Decide(u64),
+    Send(usize),
+    CarryOut(usize),
+    Hear(usize),
+    Lose(usize),
+}
+
+impl Play {
+    fn new(lists_last: bool) -> Self {
+        let (now, worker) = (Timestamp(1_000), worker());
+        Self { now, worker, last_end: 0, forgotten: 0, last_read: 0, lists_last, holds: Vec::new() }
+    }
+
+    /// The list of the worker now. Its clock shows whole milliseconds.
+    fn list(&self) -> HoldReport {
+        let mut ends: Vec<_> = (self.forgotten + 1..=self.last_end).map(|end| (end, end)).collect();
+        if self.lists_last {
+            ends.drain(..ends.len().saturating_sub(PAGE));
+        }
+        ends.truncate(PAGE);
+        HoldReport { clock_ms: self.now.0, ..list(&ends, ends.len() < PAGE) }
+    }
+
+    /// Handles an answer as `Cell::on_hold_answer` does, and returns how the worker is placed.
+    fn hear(&mut self, sent: Timestamp, report: &HoldReport) -> InstanceOrder {
+        let order = self.worker.place_list(report, sent);
+        if order == Same && report.clock_ms >= self.worker.listed_clock_ms {
+            self.worker.listed_clock_ms = report.clock_ms;
+            self.worker.read_ends.read(report, (sent, self.now));
+            self.last_read =
+                report.ends.iter().map(|end| end.number).max().unwrap_or(0).max(self.last_read);
+        }
+        order
+    }
+
+    /// Takes a step, if it can be taken now. Returns how the worker is placed if an answer is heard.
+    fn step(&mut self, step: Step) -> Option<InstanceOrder> {
+        let pick = |index: usize, holds: &[_]| index.checked_rem(holds.len());
+        match step {
+            Step::Wait(ms) => self.now = self.now + crate::Span(ms),
+            Step::End => self.last_end += 1,
+            Step::Decide(back) => {
+                let named = self.last_read.saturating_sub(back);
+                self.worker.read_ends.name(named);
+                self.holds.push((named, Stage::Decided));
+            }
+            Step::Send(index) => {
+                let index = pick(index, &self.holds)?;
+                if matches!(self.holds[index].1, Stage::Decided) {
+                    self.holds[index].1 = Stage::Sent(self.now);
+                }
+            }
+            Step::CarryOut(index) => {
+                let index = pick(index, &self.holds)?;
+                let (named, Stage::Sent(sent)) = self.holds[index].clone() else { return None };
+                self.forgotten = self.forgotten.max(named.min(self.last_end));
+                self.holds[index].1 = Stage::Answered(sent, self.list());
+            }
+            Step::Hear(index) => {
+                let index = pick(index, &self.holds)?;
+                let (_, Stage::Answered(sent, report)) = self.holds[index].clone() else {
+                    return None;
+                };
+                self.holds.remove(index);
+                return Some(self.hear(sent, &report));
+            }
+            // It is never sent, or its answer is lost.
+            Step::Lose(index) => {
+                let index = pick(index, &self.holds)?;
+                if !matches!(self.holds[index].1, Stage::Sent(_)) {
+                    self.holds.remove(index);
+                }
+            }
+        }
+        None
+    }
+}
+
+fn play_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..3_u64).prop_map(Step::Wait),
+        3 => Just(Step::End),
+        4 => (0..3_u64).prop_map(Step::Decide),
+        5 => (0..8_usize).prop_map(Step::Send),
+        5 => (0..8_usize).prop_map(Step::CarryOut),
+        5 => (0..8_usize).prop_map(Step::Hear),
+        1 => (0..8_usize).prop_map(Step::Lose),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+
+    /// Guards against one instance that is taken for two, whatever holds overtake each other, wait at the owner, are
+    /// carried out late, or are lost, and however many fall into one millisecond. A hold that leaves next tells.
+    #[test]
+    fn one_instance_is_never_taken_for_two(
+        lists_last in any::<bool>(),
+        steps in proptest::collection::vec(play_step(), 1..120),
+    ) {
+        let mut play = Play::new(lists_last);
+        for step in steps {
+            let order = play.step(step);
+            prop_assert_ne!(order, Some(Later), "{:?}", step);
+        }
+
+        play.step(Step::Wait(1));
+        let sent = play.now;
+        let report = play.list();
+
+        prop_assert_eq!(play.hear(sent, &report), Same);
+    }
+}
