tools/restarts builds beside the variants of tools/owners

Change: the tool has a variant module of its own, in which nothing is chosen, and its store names the first room.

--- a/tools/restarts/src/main.rs
+++ b/tools/restarts/src/main.rs
@@ -12,6 +12,7 @@
 mod nodes;
 mod record;
 mod store;
+mod variant;
 
 #[allow(clippy::all, clippy::pedantic, dead_code, reason = "the code of the review stays as it is")]
 #[path = "../../../review/standins/src/base64.rs"]
--- a/tools/restarts/src/store.rs
+++ b/tools/restarts/src/store.rs
@@ -45,6 +45,11 @@
         String::from_utf8(base64::decode(item.text("value")?)).ok()
     }
 
+    /// The room of a worker's life, which is that of its first one.
+    pub fn start_life(&self, _worker: &str, _life: u64, first_room: u64) -> u64 {
+        first_room
+    }
+
     /// Ends all leases, as if they had expired while the store was down.
     pub fn end_leases(&self) {
         let granted = self.ask(name("grant").to_owned(), Vec::new(), r#"{"ttl_ms":1000}"#);
