--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -1,12 +1,17 @@
 //! Tests of an owner whose link is slower than what a burst asks it to send.
 
 use teaselgap_core::{
-    Span,
-    job::{EndKind, JobId, LogEvent, Step},
+    Epoch, Span, Timestamp,
+    job::{
+        Action, Cell, CellConfig, EndKind, FlowLimits, HoldReport, JobId, LinkRate, LogEvent,
+        RecoveredLog, RunEnd, Step,
+    },
 };
-use teaselgap_standins::model::{Model, WorkerFaults};
+use teaselgap_standins::model::{Model, WorkerFaults, cell_config};
 
-use crate::fixtures::{job_spec, long_running_job, new_model_with_link, queue, step, task_id};
+use crate::fixtures::{
+    job_spec, long_running_job, new_model_with_link, queue, service, step, task_id, worker,
+};
 
 /// Number of workers in the pool.
 const WORKERS: usize = 100;
@@ -163,3 +168,58 @@
     // Four fifths of the workers answer.
     assert!(with_faults >= without_faults / 2, "{with_faults} of {without_faults}");
 }
+
+/// Guards against holds whose answers fill a narrow link: a worker lists an end again with each answer until the
+/// end is confirmed, which may wait for 15 s.
+#[test]
+fn ends_that_are_listed_again_count_in_the_share_of_the_link_that_holds_have() {
+    const LISTED_ENDS: u64 = 30;
+    const LINK_BYTES_PER_S: u64 = 250_000;
+    const SECONDS: u64 = 10;
+    let end = |number| RunEnd {
+        number,
+        task: task_id(JobId(1), 0),
+        attempt: 1,
+        kind: EndKind::Done,
+        checkpoint: None,
+    };
+    let list = HoldReport {
+        clock_ms: 400_000,
+        started_wall_ms: 1,
+        running: Vec::new(),
+        ends: (1..=LISTED_ENDS).map(end).collect(),
+        is_complete: true,
+    };
+    // A head of 400 bytes and 50 bytes for each entry.
+    let answer_bytes = 400 + 50 * LISTED_ENDS;
+    let flow = FlowLimits::new(LinkRate(LINK_BYTES_PER_S), 1.0);
+    let begin = (Timestamp(10_000), 1_700_000_010_000);
+    let (log, epoch) = (RecoveredLog::default(), Epoch(3));
+    let cfg = CellConfig { flow, ..cell_config() };
+    let mut cell = Cell::new(cfg, (service(), epoch), log, begin.0, begin);
+    let entries = (0..WORKERS).map(|number| worker(number).entry).collect();
+    cell.update_workers(entries, true, begin.0);
+
+    let mut answers = 0;
+    for tick in 1..=SECONDS * 200 {
+        let now = begin.0 + Span(tick * 5);
+        cell.tick(now, begin.1 + tick * 5);
+        if let Some(write) = cell.take_write(now) {
+            cell.on_segment_written(write.sequence, now);
+        }
+        for action in cell.take_actions() {
+            if let Action::Hold { worker, .. } = action {
+                let report = HoldReport { clock_ms: list.clock_ms + tick * 5, ..list.clone() };
+                cell.on_hold_answer(&worker, now, Some(report), now);
+                answers += 1;
+            }
+        }
+    }
+
+    // Adoptions don't wait: one hold of each worker, and one more while its list isn't known.
+    let adoptions = 2 * WORKERS as u64;
+    let share = LINK_BYTES_PER_S * 40 / 100 * SECONDS;
+    assert!(answers > adoptions, "{answers} answers");
+    let bytes = (answers - adoptions) * answer_bytes;
+    assert!(bytes <= share, "{bytes} bytes, {share} allowed");
+}
