--- a/crates/core/src/job/worker/listed_ends.rs
+++ b/crates/core/src/job/worker/listed_ends.rs
@@ -34,15 +34,15 @@
     read_at: Timestamp,
     /// The highest number that a call has named.
     named: u64,
-    /// When the instance was told from another one of its name. Whatever was asked for until then may be of
-    /// either.
-    told_at: Option<Timestamp>,
+    /// When the instance was found to be another one than that of its name before. Whatever was asked for until
+    /// then may be of either.
+    found_at: Option<Timestamp>,
 }
 
 impl ListedEnds {
-    /// Those of an instance of the same name as the one before, which was told from that one now.
+    /// Those of an instance of the same name as the one before, which was found now.
     pub(in crate::job) fn of_namesake(now: Timestamp) -> Self {
-        Self { told_at: Some(now), ..Self::default() }
+        Self { found_at: Some(now), ..Self::default() }
     }
 
     /// Notes that a call names this number.
@@ -94,7 +94,7 @@
     /// from the newest known one, by the ends that it lists.
     pub(in crate::job) fn place_list(&self, report: &HoldReport, sent: Timestamp) -> InstanceOrder {
         let read = &self.read_ends;
-        if read.told_at.is_some_and(|told_at| sent <= told_at) {
+        if read.found_at.is_some_and(|found_at| sent <= found_at) {
             InstanceOrder::Open
         } else if !read.is_contradicted_by(report) {
             InstanceOrder::Same
