--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -21,6 +21,7 @@
 mod outranked;
 mod owners;
 mod random;
+mod removed_queues;
 mod restarts;
 mod store_outage;
 mod stray_leases;
