An owner can say for how long it accepts no jobs of a queue, and nodes then refuse them themselves

Cause: callers that an owner refuses come back at any node, and each request that is passed on takes the owner's link. Change: a refusal may carry the time for which no job of the queue will be accepted (AskReply.closed_ms). A node that was refused so refuses further jobs of that queue itself for that time, 2 s at most, with a Retry-After from what is left of it, spread as before (job/retry_after.rs). Questions, cancellations, lasting and scheduled jobs are passed on. No owner says it yet.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -31,6 +31,7 @@
 mod place;
 mod record;
 mod retransmit;
+mod retry_after;
 mod spec;
 mod task;
 mod term;
@@ -63,6 +64,7 @@
         UnsettledWorker,
     },
     retransmit::RetransmitTimer,
+    retry_after::retry_after,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -376,11 +376,11 @@
         }
         let is_new = self.count_arrival(id, &queue, &spec);
         if let Some(refusal) = self.check_admission((id, is_new), &queue, &spec, now) {
-            let Refusal { reason, wait, retry_after } = refusal;
+            let Refusal { reason, wait, retry_after, closed } = refusal;
             let waiting = self.waiting_jobs();
             let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
             self.actions.push(Action::Log(event));
-            self.actions.push(Action::Reply(token, Answer::Refused { retry_after }));
+            self.actions.push(Action::Reply(token, Answer::Refused { retry_after, closed }));
             return;
         }
         let submission = Submission { queue, spec, arrived: now, arrived_wall_ms: wall_ms };
--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -25,6 +25,7 @@
     super::{
         JobId, JobSpec, Outlook,
         order::{self, OVERDUE_FACTOR, RankClass, RankContext},
+        retry_after,
         task::Job,
         times,
     },
@@ -63,9 +64,6 @@
 /// for. At most a quarter is kept free for large tasks.
 const IDLE_PERCENT: u64 = 30;
 
-/// The shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Span = Span(1_000);
-
 /// The part of the time until a job's latest start that its forecast wait may take, in percent.
 /// Workers are never as busy as the forecast assumes.
 const MAX_WAIT_PERCENT: u64 = 80;
@@ -89,6 +87,8 @@
     /// How long the job would wait until its last task starts.
     pub(super) wait: Span,
     pub(super) retry_after: Span,
+    /// For how long no job of the queue will be accepted; zero if others may be.
+    pub(super) closed: Span,
 }
 
 /// The work of a job that can no longer be on time, but can still end before it is overdue.
@@ -252,13 +252,6 @@
         .sum()
 }
 
-/// When a refused caller should come back: once the backlog has fallen by `excess`, spread by the
-/// job's id so that not all callers come back in the same second.
-fn retry_after(job: JobId, excess: Span) -> Span {
-    let seconds = excess.max(MIN_RETRY_AFTER).0.div_ceil(1_000);
-    Span((seconds + job.0 % (seconds + 1)) * 1_000)
-}
-
 /// What the forecast has measured in this term.
 #[derive(Clone, Debug)]
 pub(super) struct Admission {
@@ -334,9 +327,9 @@
             return None;
         }
         if self.waiting_jobs() >= MAX_WAITING_JOBS {
-            let retry_after = retry_after(id, MIN_RETRY_AFTER);
+            let retry_after = retry_after(id, Span(0));
             let reason = "too many jobs wait";
-            return Some(Refusal { reason, wait: Span(0), retry_after });
+            return Some(Refusal { reason, wait: Span(0), retry_after, closed: Span(0) });
         }
         if self.cfg.admission == AdmissionPolicy::AcceptLate {
             return None;
@@ -356,7 +349,7 @@
             return None;
         };
         let retry_after = retry_after(id, Span(wait.0.saturating_sub(job.slack().0)));
-        Some(Refusal { reason: "it would end too late", wait, retry_after })
+        Some(Refusal { reason: "it would end too late", wait, retry_after, closed: Span(0) })
     }
 
     /// Describes a new job for the forecast; `None` if its queue is unknown.
--- a/crates/core/src/job/cell/staged.rs
+++ b/crates/core/src/job/cell/staged.rs
@@ -114,7 +114,8 @@
         let event = LogEvent::Refused { job, queue, waiting, reason, wait, retry_after };
         self.actions.push(Action::Log(event));
         let refusals = tokens.into_iter();
-        let refusals = refusals.map(|token| Action::Reply(token, Answer::Refused { retry_after }));
+        let answer = Answer::Refused { retry_after, closed: Span(0) };
+        let refusals = refusals.map(|token| Action::Reply(token, answer));
         self.actions.extend(refusals);
     }
 }
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -18,6 +18,8 @@
     Refused {
         /// How long the caller should wait before it submits the job again.
         retry_after: Span,
+        /// For how long no job of the queue will be accepted; zero if others may be.
+        closed: Span,
     },
     /// There is no job with this id.
     Unknown,
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -71,6 +71,9 @@
     /// When to come back after a refusal.
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
+    /// After a refusal: for how long no job of the queue will be accepted; 0 if others may be.
+    #[prost(uint64, tag = "5")]
+    pub closed_ms: u64,
 }
 /// Nested message and enum types in `AskReply`.
 pub mod ask_reply {
--- a/crates/standins/tests/cells/admission.rs
+++ b/crates/standins/tests/cells/admission.rs
@@ -66,7 +66,7 @@
 
 fn refusals(model: &Model, jobs: &[(JobId, Token)]) -> Vec<Span> {
     let refusal = |token: Token| match model.answer(token) {
-        Some(Answer::Refused { retry_after }) => Some(retry_after),
+        Some(Answer::Refused { retry_after, .. }) => Some(retry_after),
         _ => None,
     };
     jobs.iter().filter_map(|(_, token)| refusal(*token)).collect()
--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -1,5 +1,6 @@
 //! Requests to a cell, and how they reach the node that owns it.
 
+mod closed;
 mod inquiry;
 
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 };
 use tokio::sync::oneshot;
 
+pub(super) use self::closed::ClosedQueues;
 use self::inquiry::{Inquiry, NextStep};
 use super::node::Node;
 use crate::clock;
@@ -49,6 +51,11 @@
     Refused {
         retry_after: Span,
     },
+    /// The job was not accepted, and no other of its queue will be for some time.
+    Closed {
+        retry_after: Span,
+        time: Span,
+    },
     State(JobState),
     /// The number of accepted jobs of the queue that have not started.
     Pending(u64),
@@ -61,6 +68,16 @@
     Uncertain,
 }
 
+impl Reply {
+    /// The reply as a caller gets it, which says only when to come back.
+    fn without_time(self) -> Self {
+        match self {
+            Self::Closed { retry_after, .. } => Self::Refused { retry_after },
+            other => other,
+        }
+    }
+}
+
 /// A request with the channel for its answer.
 #[derive(Debug)]
 pub(crate) struct PendingRequest {
@@ -117,6 +134,9 @@
 
 /// Asks the cell's owner, at this node or another one, retrying until the request can be answered.
 async fn ask_owner(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
+    if let Some(refusal) = refuse_if_closed(node, request) {
+        return refusal;
+    }
     let mut inquiry = Inquiry::new(&request.operation, clock::now(), deadline);
     loop {
         let reply = ask_once(node, request, inquiry.deadline).await;
@@ -133,13 +153,26 @@
 /// Asks the cell's owner once, at this node or another one.
 async fn ask_once(node: &Rc<Node>, request: &CellRequest, deadline: Timestamp) -> Reply {
     if node.cell_owner(&request.cell).is_some() {
-        return ask_local_cell(node, request, deadline).await;
+        return ask_local_cell(node, request, deadline).await.without_time();
     }
     let Some(address) = node.owner_address(&request.cell) else {
         return reply_without_owner(node, request);
     };
     let limit = deadline.min(clock::now() + FORWARD_TIMEOUT);
-    node.peers.forward(address, request, limit).await
+    let reply = node.peers.forward(address, request, limit).await;
+    if let Reply::Closed { time, .. } = reply {
+        let closed = (address, &request.queue);
+        node.closed_queues.borrow_mut().close(closed, time, clock::now());
+    }
+    reply.without_time()
+}
+
+/// Refuses a job of a queue of which the owner, at another node, has said that it accepts none for a while. The
+/// refusal speaks for this request only; an earlier one for the same job may have been accepted.
+fn refuse_if_closed(node: &Node, request: &CellRequest) -> Option<Reply> {
+    let owner = node.owner_address(&request.cell)?;
+    let retry_after = node.closed_queues.borrow().refused_for(owner, request, clock::now())?;
+    Some(refuse(node, request, "the owner of the cell accepts no jobs for a while", retry_after))
 }
 
 /// Logs a refusal that no owner has decided on; an owner logs its own.
--- a/src/jobs/front.rs
+++ b/src/jobs/front.rs
@@ -239,7 +239,7 @@
     const JSON: &str = "application/json";
     match reply {
         Reply::Durable => no_body(StatusCode::OK),
-        Reply::Refused { retry_after } => {
+        Reply::Refused { retry_after } | Reply::Closed { retry_after, .. } => {
             refusal_response(StatusCode::SERVICE_UNAVAILABLE, retry_after)
         }
         Reply::State(state) => content_response(StatusCode::OK, JSON, ingress::state_body(state)),
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -254,7 +254,8 @@
     fn reply(&self, token: Token, answer: Answer) {
         let answer = match answer {
             Answer::Durable => Reply::Durable,
-            Answer::Refused { retry_after } => Reply::Refused { retry_after },
+            Answer::Refused { retry_after, closed: Span(0) } => Reply::Refused { retry_after },
+            Answer::Refused { retry_after, closed } => Reply::Closed { retry_after, time: closed },
             Answer::Unknown => Reply::UnknownJob,
         };
         self.pending_replies.borrow_mut().answer(token, answer);
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -100,6 +100,8 @@
     pub(super) log_reading: LogReading,
     pub(super) shared: Arc<SharedState>,
     pub(super) peers: Peers,
+    /// What owners of cells at other nodes have said of their queues.
+    pub(super) closed_queues: RefCell<ask::ClosedQueues>,
     pub(super) lease: LeaseRenewer,
     pub(super) session: RefCell<Session>,
     pub(super) members: RefCell<Members>,
@@ -228,6 +230,7 @@
         connections,
         shared,
         peers: Peers::default(),
+        closed_queues: RefCell::default(),
         lease,
         session: RefCell::new(Session::new(&settings.store)),
         members: RefCell::new(Members::default()),
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -280,7 +280,7 @@
     match reply.outcome() {
         Outcome::NotOwner => Reply::NotOwner,
         Outcome::Durable => Reply::Durable,
-        Outcome::Refused => Reply::Refused { retry_after: Span(reply.retry_after_ms) },
+        Outcome::Refused => refusal_from_wire(reply),
         Outcome::UnknownJob => Reply::UnknownJob,
         Outcome::Known if matches!(operation, Operation::Pending) => Reply::Pending(reply.pending),
         Outcome::Known => Reply::State(match reply.state() {
@@ -293,6 +293,14 @@
     }
 }
 
+fn refusal_from_wire(reply: &AskReply) -> Reply {
+    let retry_after = Span(reply.retry_after_ms);
+    match Span(reply.closed_ms) {
+        Span(0) => Reply::Refused { retry_after },
+        time => Reply::Closed { retry_after, time },
+    }
+}
+
 fn reply_to_wire(reply: Reply) -> Result<AskReply, Status> {
     let mut wire = AskReply::default();
     match reply {
@@ -301,6 +309,11 @@
             wire.set_outcome(Outcome::Refused);
             wire.retry_after_ms = retry_after.0;
         }
+        Reply::Closed { retry_after, time } => {
+            wire.set_outcome(Outcome::Refused);
+            wire.retry_after_ms = retry_after.0;
+            wire.closed_ms = time.0;
+        }
         Reply::UnknownJob => wire.set_outcome(Outcome::UnknownJob),
         Reply::NotOwner => wire.set_outcome(Outcome::NotOwner),
         Reply::Pending(pending) => {
--- a/src/jobs/peer/tests.rs
+++ b/src/jobs/peer/tests.rs
@@ -1,4 +1,4 @@
-use teaselgap_core::QueueId;
+use teaselgap_core::{QueueId, job::JobSpec};
 
 use super::*;
 
@@ -106,3 +106,15 @@
     assert_eq!(word, Some(StoreWord { age: Span(0), may_have_claimed: true }));
     assert_eq!(received, terms);
 }
+
+#[test]
+fn for_how_long_a_queue_is_closed_reaches_the_node_that_asked() {
+    let closed = Reply::Closed { retry_after: Span(3_000), time: Span(700) };
+    let refused = Reply::Refused { retry_after: Span(3_000) };
+    let submission = Operation::Submit(JobSpec::default());
+
+    for reply in [closed, refused] {
+        let wire = reply_to_wire(reply).unwrap();
+        assert_eq!(reply_from_wire(&submission, &wire), reply);
+    }
+}
