Tests of a cell whose service no route names and whose owner is lost

Failing test first. The duties that need an owner are computed by a function of the configuration and the members, duties::needed, so that a test can reach it; what it returns is unchanged: the fleet and the cell of each configured service. The tests show it the mark that the cell's log is to leave in the store while jobs may be open.

The third new test, that a cell without jobs gets no duty, passes before and after.

--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -8,17 +8,20 @@
 
 use std::{rc::Rc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
     Epoch, Incarnation, NodeId, ServiceId, Span,
     job::{Duty, duty_to_hand_over, propose_owners},
 };
-use teaselgap_platform::store::{Change, Expected, Item, Outcome, Put, StoreError, Transaction};
+use teaselgap_platform::{
+    config::Config,
+    store::{Change, Expected, Item, Outcome, Put, StoreError, Transaction},
+};
 
 use super::{
     fleet, host,
-    members::{CONTROL_PREFIX, DUTY_PREFIX, NodeRecord},
+    members::{CONTROL_PREFIX, DUTY_PREFIX, Members, NodeRecord},
     node::{FLEET_DUTY, Node},
     session::{
         SETTLE_TIME, STORE_REACHABLE_WINDOW, current_order_rate, own_record, own_record_json,
@@ -54,6 +57,12 @@
     duty.strip_prefix("cell/")?.parse().ok()
 }
 
+/// The duties that need an owner: the fleet and the cell of each configured service.
+pub(super) fn needed(config: &Config, _members: &Members) -> IndexSet<Duty> {
+    let cells = config.queues.values().map(|queue| cell_duty(&queue.service));
+    std::iter::once(FLEET_DUTY.to_owned()).chain(cells).collect()
+}
+
 /// The store key of a duty.
 pub(super) fn duty_key(duty: &str) -> String {
     format!("{DUTY_PREFIX}{duty}")
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -1,9 +1,6 @@
 use teaselgap_core::job::OrderRate;
 
-use super::{
-    super::members::{MEMBER_PREFIX, Members},
-    *,
-};
+use super::{super::members::MEMBER_PREFIX, *};
 
 const INCARNATION: Incarnation = Incarnation(5);
 
@@ -61,3 +58,48 @@
     assert!(!depends_on(Some(7), None));
     assert!(!depends_on(None, None));
 }
+
+/// The key that says that the cell of service `drums` may have open jobs.
+const LOG_MARK: &str = "teaselgap/control/log/drums";
+
+/// The members that a node knows that has read the mark of a cell's log.
+fn members_with_log() -> Members {
+    let mut members = Members::default();
+    members.apply_change(LOG_MARK, Some(b"1"), 4);
+    members
+}
+
+fn is_needed(members: &Members) -> bool {
+    needed(&Config::default(), members).contains("cell/drums")
+}
+
+/// Guards against accepted jobs that stand still for ever once the last route to their service is gone
+/// and their cell's owner is lost.
+#[test]
+fn a_cell_with_open_jobs_whose_service_no_route_names_is_left_without_an_owner() {
+    let members = members_with_log();
+
+    assert!(is_needed(&members));
+}
+
+#[test]
+fn a_cell_with_open_jobs_is_left_without_an_owner_after_all_members_are_read_again() {
+    let mut members = members_with_log();
+    let mark = Item { key: LOG_MARK.to_owned(), revision: 4, ..Item::default() };
+
+    members.replace_all(&[mark], 9);
+
+    assert!(is_needed(&members));
+}
+
+#[test]
+fn a_cell_without_jobs_that_no_route_names_needs_an_owner_for_ever() {
+    let mut removed = members_with_log();
+    let mut unread = members_with_log();
+
+    removed.apply_change(LOG_MARK, None, 5);
+    unread.replace_all(&[], 9);
+
+    assert!(!is_needed(&removed));
+    assert!(!is_needed(&unread));
+}
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -134,13 +134,12 @@
         self.shared.draining.load(Relaxed)
     }
 
-    /// The duties that need an owner: the fleet and the cell of each configured service.
+    /// The duties that need an owner; none before there is a configuration.
     pub(super) fn duties(&self) -> indexmap::IndexSet<Duty> {
-        let Some(config) = self.shared.config.load_full() else {
-            return indexmap::IndexSet::new();
-        };
-        let cells = config.queues.values().map(|queue| duties::cell_duty(&queue.service));
-        std::iter::once(FLEET_DUTY.to_owned()).chain(cells).collect()
+        let config = self.shared.config.load_full();
+        config.map_or_else(indexmap::IndexSet::new, |config| {
+            duties::needed(&config, &self.members.borrow())
+        })
     }
 
     fn dispatch(self: &Rc<Self>, request: NodeRequest) {
