A cell that holds jobs has an owner although no route names its service

Cause: nodes claimed the fleet and the cells of configured services only. Once the last route to a service was removed and the owner of its cell was lost, nobody claimed the cell, and its accepted jobs stood still.

Change: the first write of the log in a term that holds jobs also puts the key teaselgap/control/log/SERVICE, in the same transaction, under no lease. All nodes follow that prefix already, so that it costs no call: one more put a term and cell, and one more change for the watches. A marked cell has a duty whatever the routes say. The owner deletes the mark once no route names the service and no job is left, not even an ended one whose state is kept (status_s), which also leaves time to confirm the ends. The deletion expects the duty's epoch and the log's head, so that a late copy can't unmark a log that holds jobs again. An owner keeps an unneeded cell while it lives, as before.

The tests of log_store call the transaction with one more argument and check the same.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -276,6 +276,13 @@
         self.jobs.contains_key(&job) || self.staged.contains(job)
     }
 
+    /// Whether the cell has any job, also one that has ended and whose state is kept, or a submission that
+    /// has not been refused.
+    #[must_use]
+    pub fn has_jobs(&self) -> bool {
+        !self.jobs.is_empty() || self.staged.queues().next().is_some()
+    }
+
     /// Whether every record of the log is durable.
     #[must_use]
     pub fn is_log_idle(&self) -> bool {
--- a/crates/core/src/job/cell/job_table.rs
+++ b/crates/core/src/job/cell/job_table.rs
@@ -29,6 +29,10 @@
         self.open.contains_key(id) || self.ended.contains_key(id)
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.ended.is_empty()
+    }
+
     pub(super) fn get(&self, id: &JobId) -> Option<&Job> {
         self.open.get(id).or_else(|| self.ended.get(id))
     }
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -27,5 +27,6 @@
 mod stray_leases;
 mod takeover;
 mod turns;
+mod unanswered;
 mod unheard;
 mod waits;
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -21,7 +21,7 @@
 
 use super::{
     fleet, host,
-    members::{CONTROL_PREFIX, DUTY_PREFIX, Members, NodeRecord},
+    members::{CONTROL_PREFIX, DUTY_PREFIX, LOG_MARK_PREFIX, Members, NodeRecord},
     node::{FLEET_DUTY, Node},
     session::{
         SETTLE_TIME, STORE_REACHABLE_WINDOW, current_order_rate, own_record, own_record_json,
@@ -57,12 +57,19 @@
     duty.strip_prefix("cell/")?.parse().ok()
 }
 
-/// The duties that need an owner: the fleet and the cell of each configured service.
-pub(super) fn needed(config: &Config, _members: &Members) -> IndexSet<Duty> {
-    let cells = config.queues.values().map(|queue| cell_duty(&queue.service));
+/// The duties that need an owner: the fleet, the cell of each configured service, and each cell whose log
+/// may hold jobs although no route names its service any more.
+pub(super) fn needed(config: &Config, members: &Members) -> IndexSet<Duty> {
+    let configured = config.queues.values().map(|queue| &queue.service);
+    let cells = configured.chain(&members.marked_logs).map(cell_duty);
     std::iter::once(FLEET_DUTY.to_owned()).chain(cells).collect()
 }
 
+/// The store key of the mark that a cell's log may hold jobs.
+pub(super) fn log_mark_key(cell: &ServiceId) -> String {
+    format!("{LOG_MARK_PREFIX}{cell}")
+}
+
 /// The store key of a duty.
 pub(super) fn duty_key(duty: &str) -> String {
     format!("{DUTY_PREFIX}{duty}")
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -345,6 +345,10 @@
                 cell.as_mut().and_then(|cell| cell.take_write(clock::now()))
             };
             let Some(write) = write else {
+                if self.is_unneeded() {
+                    self.log_store.remove_mark().await;
+                    continue;
+                }
                 let due_at = self.cell.borrow().as_ref().and_then(Cell::write_due);
                 let pause = due_at
                     .map_or(TICK_INTERVAL, clock::until)
@@ -353,7 +357,8 @@
                 continue;
             };
             self.writing_since.set(Some(clock::now()));
-            match self.log_store.write(&write, &self.is_term_over).await {
+            let holds_jobs = self.cell.borrow().as_ref().is_some_and(Cell::has_jobs);
+            match self.log_store.write(&write, holds_jobs, &self.is_term_over).await {
                 Ok(()) => {}
                 Err(WriteError::TermOver) => return,
                 Err(WriteError::OtherOwner) => {
@@ -367,6 +372,17 @@
         }
     }
 
+    /// Whether the cell needs no owner after this one, which the store doesn't say yet: no route names its
+    /// service, and no job is known whose state anyone may ask for.
+    fn is_unneeded(&self) -> bool {
+        let config = self.node.shared.config.load();
+        let Some(config) = config.as_ref().filter(|_| self.log_store.may_be_marked()) else {
+            return false;
+        };
+        let is_routed = config.queues.values().any(|queue| queue.service == self.service);
+        !is_routed && self.cell.borrow().as_ref().is_some_and(|cell| !cell.has_jobs())
+    }
+
     /// Records that the owner of an earlier term sends no more orders.
     pub(super) fn on_predecessor_ended(&self, ended: Epoch) {
         let is_known = self.ended_predecessor.get().is_some_and(|(epoch, _)| epoch == ended);
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -24,6 +24,20 @@
 /// The pause before a failed call to the store is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// The value of the mark. Only whether the key exists counts.
+const MARK: &str = "1";
+
+/// What is known in one term of the mark that the log may hold jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mark {
+    /// An earlier owner may have left it.
+    Unknown,
+    /// This owner has written it.
+    Written,
+    /// This owner has deleted it.
+    Removed,
+}
+
 /// Why a write was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteError {
@@ -40,13 +54,16 @@
     prefix: String,
     /// The key of the duty to own the cell.
     duty: String,
+    /// The key that marks that the log may hold jobs.
+    mark: String,
     epoch: Epoch,
 }
 
 impl LogKeys {
     fn new(service: &ServiceId, epoch: Epoch) -> Self {
         let duty = duties::duty_key(&duties::cell_duty(service));
-        Self { prefix: format!("{LOG_PREFIX}{service}/"), duty, epoch }
+        let mark = duties::log_mark_key(service);
+        Self { prefix: format!("{LOG_PREFIX}{service}/"), duty, mark, epoch }
     }
 
     fn segment(&self, sequence: Sequence) -> String {
@@ -60,21 +77,38 @@
         format!("{}head", self.prefix)
     }
 
-    fn transaction(&self, write: &LogWrite, head_revision: u64) -> Transaction {
+    /// What each change of the log expects: this term, and no other change since the last one.
+    fn expected(&self, head_revision: u64) -> Vec<Expected> {
+        vec![
+            Expected { key: self.duty.clone(), revision: self.epoch.0 },
+            Expected { key: self.head(), revision: head_revision },
+        ]
+    }
+
+    /// A write of the log, with the mark if `writes_mark`.
+    fn transaction(&self, write: &LogWrite, head_revision: u64, writes_mark: bool) -> Transaction {
         let key = self.segment(write.sequence);
+        let mut expected = self.expected(head_revision);
+        expected.push(Expected { key: key.clone(), revision: 0 });
+        let mut puts = vec![
+            Put { key, value: write.value.clone(), lease: None },
+            Put { key: self.head(), value: write.sequence.to_string().into(), lease: None },
+        ];
+        if writes_mark {
+            puts.push(Put { key: self.mark.clone(), value: MARK.into(), lease: None });
+        }
         Transaction {
-            expected: vec![
-                Expected { key: self.duty.clone(), revision: self.epoch.0 },
-                Expected { key: self.head(), revision: head_revision },
-                Expected { key: key.clone(), revision: 0 },
-            ],
-            puts: vec![
-                Put { key, value: write.value.clone(), lease: None },
-                Put { key: self.head(), value: write.sequence.to_string().into(), lease: None },
-            ],
+            expected,
+            puts,
             deletes: write.deletes.iter().map(|&sequence| self.segment(sequence)).collect(),
         }
     }
+
+    /// Deletes the mark. A copy that reaches the store after a later write has no effect.
+    fn mark_removal(&self, head_revision: u64) -> Transaction {
+        let expected = self.expected(head_revision);
+        Transaction { expected, puts: Vec::new(), deletes: vec![self.mark.clone()] }
+    }
 }
 
 /// The log of a cell, as its owner reads and writes it during one term.
@@ -84,12 +118,14 @@
     keys: LogKeys,
     /// The revision of the log's head; zero if nothing was ever written.
     head_revision: StdCell<u64>,
+    mark: StdCell<Mark>,
 }
 
 impl LogStore {
     pub(super) fn new(node: Rc<Node>, service: ServiceId, epoch: Epoch) -> Self {
         let keys = LogKeys::new(&service, epoch);
-        Self { node, service, keys, head_revision: StdCell::new(0) }
+        let (head_revision, mark) = (StdCell::new(0), StdCell::new(Mark::Unknown));
+        Self { node, service, keys, head_revision, mark }
     }
 
     /// Reads the whole log. Returns `None` if the term ends first.
@@ -129,22 +165,24 @@
         recovered
     }
 
-    /// Executes a write, retrying until the store has it.
+    /// Executes a write, retrying until the store has it. If the log holds jobs, it is marked.
     pub(super) async fn write(
         &self,
         write: &LogWrite,
+        holds_jobs: bool,
         is_term_over: &StdCell<bool>,
     ) -> Result<(), WriteError> {
         let key = self.keys.segment(write.sequence);
         let head = self.keys.head();
-        let txn = self.keys.transaction(write, self.head_revision.get());
+        let writes_mark = holds_jobs && self.mark.get() != Mark::Written;
+        let txn = self.keys.transaction(write, self.head_revision.get(), writes_mark);
         let started = clock::now();
         let mut tries: u32 = 0;
         while !is_term_over.get() {
             tries += 1;
             match self.node.repeater.transact(&self.node.store, &txn).await {
                 Ok(Outcome::Done(revision)) => {
-                    self.head_revision.set(revision);
+                    self.on_written(revision, writes_mark);
                     self.log_tries(tries, started);
                     return Ok(());
                 }
@@ -154,7 +192,8 @@
                     if items.iter().any(|item| item.key == key && item.value == write.value) =>
                 {
                     let revision_of = |item: &Item| (item.key == head).then_some(item.revision);
-                    self.head_revision.set(items.iter().find_map(revision_of).unwrap_or(0));
+                    let revision = items.iter().find_map(revision_of).unwrap_or(0);
+                    self.on_written(revision, writes_mark);
                     self.log_tries(tries, started);
                     return Ok(());
                 }
@@ -171,6 +210,33 @@
         Err(WriteError::TermOver)
     }
 
+    fn on_written(&self, head_revision: u64, wrote_mark: bool) {
+        self.head_revision.set(head_revision);
+        if wrote_mark {
+            self.mark.set(Mark::Written);
+        }
+    }
+
+    /// Whether the mark may still be in the store.
+    pub(super) fn may_be_marked(&self) -> bool {
+        self.mark.get() != Mark::Removed
+    }
+
+    /// Deletes the mark, so that the cell gets no owner after this one while no route names its service.
+    /// No write of the log may be under way. After a failure it may be called again.
+    pub(super) async fn remove_mark(&self) {
+        let txn = self.keys.mark_removal(self.head_revision.get());
+        match self.node.repeater.transact(&self.node.store, &txn).await {
+            Ok(Outcome::Done(_)) => {
+                self.mark.set(Mark::Removed);
+                info!(self.node.log, "cell no longer needed"; "cell" => %self.service,
+                    "epoch" => self.keys.epoch.0);
+            }
+            // Another owner has the duty; this term ends when the members are read.
+            Ok(Outcome::Conflict(_)) | Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+
     /// Logs how often a write was sent, if not once.
     fn log_tries(&self, tries: u32, started: Timestamp) {
         if tries > 1 {
--- a/src/jobs/log_store/tests.rs
+++ b/src/jobs/log_store/tests.rs
@@ -50,9 +50,9 @@
 fn a_late_copy_of_a_write_does_not_bring_a_deleted_segment_back() {
     let keys = keys();
     let mut store = MapStore::new(&keys);
-    let first = keys.transaction(&write(0, &[]), 0);
+    let first = keys.transaction(&write(0, &[]), 0, true);
     let head_revision = store.transact(&first).unwrap();
-    store.transact(&keys.transaction(&write(1, &[0]), head_revision)).unwrap();
+    store.transact(&keys.transaction(&write(1, &[0]), head_revision, false)).unwrap();
 
     let late_copy = store.transact(&first);
 
@@ -66,5 +66,36 @@
     let mut store = MapStore::new(&keys);
     let earlier = LogKeys { epoch: Epoch(EPOCH.0 - 1), ..keys };
 
-    assert_eq!(store.transact(&earlier.transaction(&write(0, &[]), 0)), None);
+    let transaction = earlier.transaction(&write(0, &[]), 0, true);
+
+    assert_eq!(store.transact(&transaction), None);
+}
+
+#[test]
+fn a_late_removal_of_the_mark_leaves_a_log_with_jobs_unmarked() {
+    let keys = keys();
+    let mut store = MapStore::new(&keys);
+    let first = keys.transaction(&write(0, &[]), 0, true);
+    let head_revision = store.transact(&first).unwrap();
+    let removal = keys.mark_removal(head_revision);
+    store.transact(&removal).unwrap();
+    assert_eq!(store.revision_of(&keys.mark), 0);
+    let second = keys.transaction(&write(1, &[]), head_revision, true);
+    let marked_at = store.transact(&second).unwrap();
+
+    let late_copy = store.transact(&removal);
+
+    assert_eq!(late_copy, None);
+    assert_eq!(store.revision_of(&keys.mark), marked_at);
+}
+
+#[test]
+fn an_owner_of_an_earlier_term_removes_the_mark_of_the_next_one() {
+    let keys = keys();
+    let mut store = MapStore::new(&keys);
+    let first = keys.transaction(&write(0, &[]), 0, true);
+    let head_revision = store.transact(&first).unwrap();
+    let earlier = LogKeys { epoch: Epoch(EPOCH.0 - 1), ..keys };
+
+    assert_eq!(store.transact(&earlier.mark_removal(head_revision)), None);
 }
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use teaselgap_core::{
-    Epoch, Incarnation, NodeId, Span, Timestamp,
+    Epoch, Incarnation, NodeId, ServiceId, Span, Timestamp,
     job::{Candidate, Duty, OrderRate},
 };
 use teaselgap_platform::store::Item;
@@ -26,6 +26,10 @@
 /// The prefix of the keys of duties.
 pub(super) const DUTY_PREFIX: &str = "teaselgap/control/seat/";
 
+/// The prefix of the keys that mark the cells whose logs may hold jobs. A cell's owner writes the mark with
+/// the log, and deletes it once it knows no job of a service that no route names.
+pub(super) const LOG_MARK_PREFIX: &str = "teaselgap/control/log/";
+
 /// The record of a registered node or of a duty's owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct NodeRecord {
@@ -42,6 +46,8 @@
 pub(crate) struct Members {
     pub(super) nodes: IndexMap<NodeId, NodeRecord>,
     pub(super) owners: IndexMap<Duty, (NodeRecord, u64)>,
+    /// The services whose cells' logs may hold jobs.
+    pub(super) marked_logs: IndexSet<ServiceId>,
     /// Nodes that are no longer registered, each with when it is forgotten. None is while the store can't
     /// be read, which would show that it has registered again.
     former: IndexMap<NodeId, (SocketAddr, Timestamp)>,
@@ -134,6 +140,14 @@
                     }
                 }
             }
+        } else if let Some(service) = key.strip_prefix(LOG_MARK_PREFIX) {
+            let Ok(service) = service.parse::<ServiceId>() else {
+                return;
+            };
+            match value {
+                Some(_) => self.marked_logs.insert(service),
+                None => self.marked_logs.shift_remove(&service),
+            };
         }
     }
 
@@ -145,6 +159,7 @@
         for (duty, owner) in self.owners.drain(..) {
             self.predecessors.insert(duty, owner);
         }
+        self.marked_logs.clear();
         for item in items {
             self.apply_change(&item.key, Some(&item.value), item.revision);
         }
