--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -517,6 +517,21 @@
         self.plan_due = true;
     }
 
+    /// Takes from the fleet's owner of this epoch which workers to drain and how. Returns `false`, without
+    /// any effect, if a later owner of the fleet has spoken.
+    pub fn instruct(
+        &mut self,
+        epoch: Epoch,
+        drains: IndexMap<WorkerId, DrainMode>,
+        _now: Timestamp,
+    ) -> bool {
+        let is_accepted = self.accept_fleet(epoch);
+        if is_accepted {
+            self.set_drains(drains);
+        }
+        is_accepted
+    }
+
     /// Whether the fleet's owner of this epoch may say which workers to drain. Once a later one has,
     /// it may not.
     pub fn accept_fleet(&mut self, epoch: Epoch) -> bool {
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -283,10 +283,9 @@
         }
         let now = clock::now();
         let report = self.with_cell(|cell| {
-            if !cell.accept_fleet(epoch) {
+            if !cell.instruct(epoch, drains, now) {
                 return None;
             }
-            cell.set_drains(drains);
             if expects_workers {
                 cell.expect_workers(now);
             }
