Drains end once no owner of the fleet is heard for 6 s

Cause: a cell kept the workers drained that the fleet's owner had named last until it named others. If that owner, or each later one, was lost or couldn't reach the cell, they got no task any more; only drains inherited with the log had an end (FLEET_SILENCE).

Change: Cell::instruct stores when the drains end, 6 s after the instruction. By then no order can rest on the report that answered it: it is under way for 0.8 s at most, believed for 1.5 s, its order is sent within 1 s, and the call takes 1.5 s, 4.8 s in all. Each instruction, which comes every 0.2 s, renews it. The deadline is a Timestamp in the cell, as before.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -170,7 +170,7 @@
     /// Workers that are to be drained, and how. Until the fleet's owner has told this owner, those that
     /// the log says were given up.
     drains: IndexMap<WorkerId, DrainMode>,
-    /// When what the log says about drained workers counts no longer, if the fleet's owner is silent.
+    /// When the drains count no longer, if the fleet's owner is silent.
     drains_expiry: Option<Timestamp>,
     /// The highest epoch of a fleet's owner that has told which workers to drain.
     fleet_epoch: Epoch,
@@ -488,7 +488,7 @@
     /// and plans.
     pub fn tick(&mut self, now: Timestamp, wall_ms: u64) {
         self.wall_offset_ms = wall_ms.saturating_sub(now.0);
-        self.expire_inherited_drains(now);
+        self.expire_drains(now);
         self.release_inherited_jobs(now);
         self.note_capacity(now);
         self.refuse_stalled(now);
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -19,6 +19,11 @@
 /// The longest time from the completion of a stop until the worker lists the end of the run.
 const END_LISTING_DELAY: Span = Span(50);
 
+/// How long drains last without a word of the fleet's owner. An order about a VM that rests on the last
+/// report has taken effect by then: the report is under way for 0.8 s and believed for 1.5 s, the order
+/// is sent within 1 s, and its call takes 1.5 s at most.
+const FLEET_ABSENCE: Span = Span(6_000);
+
 /// The record that a worker is used, with what the next owner must know of its leases.
 pub(super) fn used_record(worker: &Worker, now: Timestamp) -> Record {
     let (name, lease) = (worker.started_wall_ms, worker.stray_lease);
@@ -507,7 +512,8 @@
         }
     }
 
-    /// Sets which workers are to be drained and how; all others may be used.
+    /// Sets which workers are to be drained and how, for as long as nothing else is said; all others may
+    /// be used.
     pub fn set_drains(&mut self, drains: IndexMap<WorkerId, DrainMode>) {
         for (id, worker) in &mut self.workers {
             worker.drain = drains.get(id).copied();
@@ -518,16 +524,18 @@
     }
 
     /// Takes from the fleet's owner of this epoch which workers to drain and how. Returns `false`, without
-    /// any effect, if a later owner of the fleet has spoken.
+    /// any effect, if a later owner of the fleet has spoken. The drains end if no owner of the fleet is
+    /// heard again for so long that no order can rest on a report to this one.
     pub fn instruct(
         &mut self,
         epoch: Epoch,
         drains: IndexMap<WorkerId, DrainMode>,
-        _now: Timestamp,
+        now: Timestamp,
     ) -> bool {
         let is_accepted = self.accept_fleet(epoch);
         if is_accepted {
             self.set_drains(drains);
+            self.drains_expiry = Some(now + FLEET_ABSENCE);
         }
         is_accepted
     }
@@ -539,8 +547,8 @@
         epoch == self.fleet_epoch
     }
 
-    /// Uses the workers that were drained in earlier terms if the fleet's owner is silent.
-    pub(super) fn expire_inherited_drains(&mut self, now: Timestamp) {
+    /// Uses the workers that are drained if the fleet's owner is silent.
+    pub(super) fn expire_drains(&mut self, now: Timestamp) {
         if self.drains_expiry.is_some_and(|expiry| now >= expiry) {
             self.set_drains(IndexMap::new());
         }
