Tests of moves without an answer and of workers that never drain

Failing tests first, of the fleet in virtual time. A platform that answers no order keeps the worker of a move drained although its pool needs it again; a worker that never drains keeps one of the places of its wave (with a maximum of one no other VM has its maintenance), and the age of its drain makes the wave seem late, so that runs on other VMs are stopped.

One more new test, a platform that answers one call in three, passes before.

--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -1,5 +1,8 @@
 //! Orders about single VMs: when they are due, and what follows from their outcomes.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Fleet, Vm, VmState, balance::MAX_REPORT_AGE};
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -32,6 +32,8 @@
     draining_since: IndexMap<WorkerId, Timestamp>,
     /// When the maintenance of each VM began.
     begun_at: IndexMap<VmId, Timestamp>,
+    /// The workers that never drain.
+    silent: IndexSet<WorkerId>,
     most_down: usize,
     most_away: usize,
 }
@@ -53,6 +55,7 @@
             joins_at: IndexMap::new(),
             draining_since: IndexMap::new(),
             begun_at: IndexMap::new(),
+            silent: IndexSet::new(),
             most_down: 0,
             most_away: 0,
         }
@@ -82,7 +85,9 @@
         for id in drains.keys() {
             self.draining_since.entry(id.clone()).or_insert(now);
         }
-        let is_drained = |(_, since): &(&WorkerId, &Timestamp)| now >= **since + DRAIN;
+        let is_drained = |(id, since): &(&WorkerId, &Timestamp)| {
+            !self.silent.contains(*id) && now >= **since + DRAIN
+        };
         let drained: Vec<WorkerId> =
             self.draining_since.iter().filter(is_drained).map(|(id, _)| id.clone()).collect();
         let in_use = self.vms.iter().filter(|vm| vm.pool == pool("desk"));
@@ -290,3 +295,35 @@
     assert!(at_once(20_000) > 2 * at_once(50_000));
     assert!(at_once(0) >= 100);
 }
+
+/// Guards against a wave that stands still because a worker never answers its cell, so that no order about
+/// its VM may be sent.
+#[test]
+fn a_worker_that_never_drains_holds_back_the_other_vms_of_its_wave() {
+    let mut replay = Replay::new(10, 0, 640);
+    replay.silent = IndexSet::from([worker(0)]);
+    replay.fleet.add_waves(vec![wave(0..10, 1, Timestamp(94_000))]);
+
+    replay.run_until(Timestamp(94_000));
+
+    assert_eq!(replay.in_time(Timestamp(94_000)), 9);
+    assert_eq!(replay.most_down, 1);
+}
+
+/// Guards against tasks that are stopped for a wave which has time enough, because some VMs don't drain.
+#[test]
+fn workers_that_never_drain_make_their_wave_seem_late() {
+    let deadline = Timestamp(304_000);
+    let mut replay = Replay::new(40, 0, 2_560);
+    replay.silent = (0..3).map(worker).collect();
+    replay.fleet.add_waves(vec![wave(0..40, 4, deadline)]);
+    let mut was_late = false;
+
+    while replay.now < Timestamp(204_000) {
+        replay.tick();
+        replay.now = replay.now + TICK;
+        was_late |= replay.fleet.is_late(1, replay.now);
+    }
+
+    assert!(!was_late);
+}
