A VM that never drains holds back no other VM of its wave

Cause: a planned maintenance had no deadline, so that a VM whose worker never answers (its entry stays in the store, and its cell never reports it as drained) kept one of the wave's places for ever. With a maximum of one no other VM had its maintenance. The age of that drain also counted in the mean time of a drain, so that the wave seemed late and runs on other VMs were stopped.

Change: each planned order has a deadline for its drain, for maintenance 10 s. Beyond it the VM stays to be drained, but counts neither as one of the wave's places nor with more than these 10 s in the mean. No more VMs are down than the wave allows: that is checked before each order, as before. While a pool's cell is silent and VMs of it are overdue no more of that pool are taken, as all would be drained at once later. A VM that has its maintenance on the way of a move gets the same deadline if the platform is busy; before it was dropped.

Two more tests: a silent cell's pool loses no more than the wave's maximum, and holds back no VM of another pool.

--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -39,8 +39,10 @@
 
     /// Cancels planned moves whose VM was not drained in time.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
-        self.planned_orders
-            .retain(|_, planned| planned.may_take_effect(now) || now < planned.drain_deadline);
+        let is_move = |planned: &PlannedOrder| matches!(planned.purpose, Purpose::Move(_));
+        self.planned_orders.retain(|_, planned| {
+            !is_move(planned) || planned.may_take_effect(now) || now < planned.drain_deadline
+        });
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
@@ -128,9 +130,8 @@
                 if let Some(size) = sizes.get_mut(&from) {
                     size.has -= 1;
                 }
-                let timeout = Some(MOVE_TIMEOUT);
-                self.planned_orders
-                    .insert(vm_id, PlannedOrder::new(Purpose::Move(pool.clone()), now, timeout));
+                let purpose = Purpose::Move(pool.clone());
+                self.planned_orders.insert(vm_id, PlannedOrder::new(purpose, now, MOVE_TIMEOUT));
             }
         }
         // Until work arrives, the operator's split is the best estimate of where it will arrive.
@@ -236,8 +237,7 @@
                     break;
                 };
                 let purpose = Purpose::Move(standby.clone());
-                self.planned_orders
-                    .insert(vm_id, PlannedOrder::new(purpose, now, Some(MOVE_TIMEOUT)));
+                self.planned_orders.insert(vm_id, PlannedOrder::new(purpose, now, MOVE_TIMEOUT));
             }
         }
     }
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Fleet, Vm, VmState, balance::MAX_REPORT_AGE};
+use super::{Fleet, Vm, VmState, balance::MAX_REPORT_AGE, wave::WAVE_DRAIN_TIME};
 use crate::{ServiceId, Span, Timestamp, VmId, job::WorkerId};
 
 /// How long to wait before retrying an order that got no answer or whose VM was busy.
@@ -61,13 +61,13 @@
     pub(super) open_until: Timestamp,
     /// Time before which the order is not sent or retried.
     pub(super) next_attempt: Timestamp,
-    /// Time at which the order is dropped if its VM is not drained by then.
+    /// Time at which a move is dropped if its VM is not drained by then, and from which on a drain for
+    /// maintenance holds back no other VM.
     pub(super) drain_deadline: Timestamp,
 }
 
 impl PlannedOrder {
-    pub(super) fn new(purpose: Purpose, now: Timestamp, timeout: Option<Span>) -> Self {
-        let drain_deadline = timeout.map_or(Timestamp(u64::MAX), |timeout| now + timeout);
+    pub(super) fn new(purpose: Purpose, now: Timestamp, drain_time: Span) -> Self {
         Self {
             purpose,
             planned_at: now,
@@ -75,7 +75,7 @@
             is_in_flight: false,
             open_until: Timestamp(0),
             next_attempt: now,
-            drain_deadline,
+            drain_deadline: now + drain_time,
         }
     }
 
@@ -84,6 +84,11 @@
         self.is_in_flight || now < self.open_until
     }
 
+    /// Whether the VM was to be drained by now and no order about it has been sent.
+    pub(super) fn is_overdue(&self, now: Timestamp) -> bool {
+        !self.is_in_flight && now >= self.drain_deadline
+    }
+
     /// Whether maintenance was ordered, and may begin at any time.
     pub(super) fn may_be_maintained(&self) -> bool {
         self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
@@ -205,6 +210,7 @@
             };
             if let (Some(wave), Some(planned)) = (wave, self.planned_orders.get_mut(&vm_id)) {
                 planned.purpose = Purpose::Maintain(wave);
+                planned.drain_deadline = now + WAVE_DRAIN_TIME;
             }
             let planned = &self.planned_orders[&vm_id];
             let order = match planned.purpose.clone() {
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -11,7 +11,7 @@
 
 use super::{
     CellReport, Fleet, FleetAction, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, VmState, Wave,
-    WaveStep,
+    WaveStep, balance::MAX_REPORT_AGE,
 };
 use crate::{
     Span, Timestamp, VmId,
@@ -25,6 +25,9 @@
 /// Time to drain a VM whose runs are not stopped, as long as few were drained.
 const DRAIN_ESTIMATE: Span = Span(3_000);
 
+/// How long the drain of a VM may take before the next VM of its wave is taken, too.
+pub(super) const WAVE_DRAIN_TIME: Span = Span(10_000);
+
 /// Weight of [`DRAIN_ESTIMATE`] in the mean time of a drain, as a number of drains.
 const ESTIMATED_DRAINS: u64 = 8;
 
@@ -61,7 +64,10 @@
                 && self.vms.get(*vm_id).is_some_and(|vm| !self.is_standby(vm))
         };
         let unfinished = self.planned_orders.iter().filter(is_being_drained);
-        let unfinished_ms = unfinished.map(|(_, planned)| now.since(planned.planned_at).0).sum();
+        // One that never ends says nothing of the others.
+        let age_ms =
+            |planned: &PlannedOrder| now.min(planned.drain_deadline).since(planned.planned_at).0;
+        let unfinished_ms = unfinished.map(|(_, planned)| age_ms(planned)).sum();
         let drain = self.drain_times.estimate(Span(unfinished_ms));
         Span(self.cfg.maintenance_duration.0 + drain.0)
     }
@@ -109,6 +115,7 @@
             .into_iter()
             .filter(|vm_id| self.is_free_for_maintenance(vm_id, now))
             .filter(|vm_id| self.vms.get(vm_id).is_some_and(|vm| vm.state == VmState::Up))
+            .filter(|vm_id| !self.is_drained_in_vain(vm_id, now))
             .collect();
         candidates.sort_by_cached_key(|vm_id| self.cost_of_absence(vm_id, &efforts));
         let mut chosen = 0;
@@ -118,7 +125,7 @@
                 chosen += 1;
                 let planned = PlannedOrder {
                     hosts_long_running: kind == VmKind::HardToDrain,
-                    ..PlannedOrder::new(Purpose::Maintain(number), now, None)
+                    ..PlannedOrder::new(Purpose::Maintain(number), now, WAVE_DRAIN_TIME)
                 };
                 self.planned_orders.insert(vm_id, planned);
             }
@@ -128,6 +135,20 @@
         }
     }
 
+    /// Whether VMs of the same pool are drained and their cell is silent. Were more of them taken, all
+    /// would be drained at once when it is heard again.
+    fn is_drained_in_vain(&self, vm_id: &VmId, now: Timestamp) -> bool {
+        let Some(pool) = self.vms.get(vm_id).map(|vm| &vm.pool) else {
+            return false;
+        };
+        let is_overdue = |(vm_id, planned): (&VmId, &PlannedOrder)| {
+            planned.is_overdue(now) && self.vms.get(vm_id).is_some_and(|vm| vm.pool == *pool)
+        };
+        let is_recent = |report: &CellReport| now <= report.at + MAX_REPORT_AGE;
+        !self.cell_reports.get(pool).is_some_and(is_recent)
+            && self.planned_orders.iter().any(is_overdue)
+    }
+
     /// How many more VMs of a wave may be taken now, given those whose maintenance has not begun.
     ///
     /// VMs move between pools all the time and are empty then. Others are drained only while too few of
@@ -140,8 +161,10 @@
         efforts: &IndexMap<WorkerId, DrainEffort>,
         now: Timestamp,
     ) -> (WaveQuota, WaveStep) {
-        let is_of_wave =
-            |planned: &&PlannedOrder| planned.purpose == Purpose::Maintain(wave.number);
+        // A drain that may never end holds back no other VM.
+        let is_of_wave = |planned: &&PlannedOrder| {
+            planned.purpose == Purpose::Maintain(wave.number) && !planned.is_overdue(now)
+        };
         let planned = self.planned_orders.values().filter(is_of_wave);
         let planned_count = planned.clone().count();
         let draining = planned.filter(|planned| !planned.is_in_flight);
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -34,6 +34,8 @@
     begun_at: IndexMap<VmId, Timestamp>,
     /// The workers that never drain.
     silent: IndexSet<WorkerId>,
+    /// Whether the cell of the pool reports nothing.
+    is_cell_silent: bool,
     most_down: usize,
     most_away: usize,
 }
@@ -56,6 +58,7 @@
             draining_since: IndexMap::new(),
             begun_at: IndexMap::new(),
             silent: IndexSet::new(),
+            is_cell_silent: false,
             most_down: 0,
             most_away: 0,
         }
@@ -101,7 +104,9 @@
             capacity_milli,
             ..load(self.required_cores, 1)
         };
-        self.fleet.on_cell_report(&pool("desk"), report, drained, now);
+        if !self.is_cell_silent {
+            self.fleet.on_cell_report(&pool("desk"), report, drained, now);
+        }
         self.fleet.tick(now);
         let actions = self.fleet.take_actions();
         for (vm_id, to) in moves(&actions) {
@@ -327,3 +332,27 @@
 
     assert!(!was_late);
 }
+
+/// Guards against a pool whose VMs are all drained at once when its cell is heard again.
+#[test]
+fn a_wave_takes_ever_more_vms_of_a_pool_whose_cell_is_silent() {
+    let mut replay = Replay::new(10, 0, 640);
+    replay.fleet.add_waves(vec![wave(0..10, 2, Timestamp(94_000))]);
+    replay.is_cell_silent = true;
+
+    replay.run_until(Timestamp(64_000));
+
+    assert!(replay.most_away <= 2, "{}", replay.most_away);
+}
+
+/// Guards against a wave that stands still because the cell of one pool is silent for ever.
+#[test]
+fn a_silent_cell_holds_back_the_vms_of_other_pools() {
+    let mut replay = Replay::new(10, 4, 640);
+    replay.fleet.add_waves(vec![wave(0..14, 1, Timestamp(94_000))]);
+    replay.is_cell_silent = true;
+
+    replay.run_until(Timestamp(94_000));
+
+    assert_eq!(replay.in_time(Timestamp(94_000)), 4);
+}
