A move of a VM that the platform doesn't answer is given up after 10 s

Cause: a move that was sent once stayed planned until the platform gave a definite outcome, and its worker was to be drained meanwhile. While the platform is silent, a pool whose need rises lacked the VMs that were to leave it.

Change: the first copy of a move sets the time, 10 s later, after which no other copy is sent. The move is dropped once the last copy can take effect no more (takeover_pause), and its VM is used again. Where it is then is what the next list shows; as before, no order about it rests on a list that was asked for earlier. Maintenance isn't given up: the wave would take the same VM again at once.

--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -37,12 +37,9 @@
         }
     }
 
-    /// Cancels planned moves whose VM was not drained in time.
+    /// Cancels planned moves whose VM was not drained in time, or that the platform doesn't answer.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
-        let is_move = |planned: &PlannedOrder| matches!(planned.purpose, Purpose::Move(_));
-        self.planned_orders.retain(|_, planned| {
-            !is_move(planned) || planned.may_take_effect(now) || now < planned.drain_deadline
-        });
+        self.planned_orders.retain(|_, planned| !planned.is_move_over(now));
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -11,6 +11,9 @@
 /// How long to wait before retrying an order that got no answer or whose VM was busy.
 pub(super) const ORDER_RETRY_INTERVAL: Span = Span(400);
 
+/// How long a move is sent again while the platform doesn't answer.
+const MOVE_ANSWER_TIME: Span = Span(10_000);
+
 /// How much longer than the takeover pause a VM stays in [`super::FleetRecord::ordered`].
 const RECENT_ORDER_MARGIN: Span = Span(5_000);
 
@@ -64,6 +67,8 @@
     /// Time at which a move is dropped if its VM is not drained by then, and from which on a drain for
     /// maintenance holds back no other VM.
     pub(super) drain_deadline: Timestamp,
+    /// Time from which on a move that got no answer is not sent again.
+    pub(super) answer_deadline: Timestamp,
 }
 
 impl PlannedOrder {
@@ -76,12 +81,21 @@
             open_until: Timestamp(0),
             next_attempt: now,
             drain_deadline: now + drain_time,
+            answer_deadline: Timestamp(u64::MAX),
         }
     }
 
-    /// Whether a copy of the order may take effect at any time.
-    pub(super) fn may_take_effect(&self, now: Timestamp) -> bool {
-        self.is_in_flight || now < self.open_until
+    /// Whether a copy of the order was just sent and its outcome is still to come.
+    fn is_being_sent(&self) -> bool {
+        self.is_in_flight && self.next_attempt == Timestamp(u64::MAX)
+    }
+
+    /// Whether the order is a move that can be dropped: its VM was not drained in time, or the platform
+    /// has not answered in time, and no copy of it can take effect any more.
+    pub(super) fn is_move_over(&self, now: Timestamp) -> bool {
+        let deadline = if self.is_in_flight { self.answer_deadline } else { self.drain_deadline };
+        let is_open = self.is_being_sent() || now < self.open_until;
+        matches!(self.purpose, Purpose::Move(_)) && !is_open && now >= deadline
     }
 
     /// Whether the VM was to be drained by now and no order about it has been sent.
@@ -163,6 +177,9 @@
     fn may_send(&self, planned: &PlannedOrder, vm: &Vm, now: Timestamp) -> bool {
         let is_away = matches!(vm.state, VmState::Moving | VmState::Maintenance);
         let asks_for_outcome = is_away || self.is_standby(vm);
+        if matches!(planned.purpose, Purpose::Move(_)) && now >= planned.answer_deadline {
+            return false;
+        }
         (planned.is_in_flight && asks_for_outcome) || self.is_drained(vm, now)
     }
 
@@ -232,6 +249,9 @@
                 if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
                     self.drain_times.record(now.since(planned.planned_at));
                 }
+                if !planned.is_in_flight {
+                    planned.answer_deadline = now + MOVE_ANSWER_TIME;
+                }
                 planned.is_in_flight = true;
                 planned.next_attempt = Timestamp(u64::MAX);
             }
@@ -290,6 +310,7 @@
             }
             OrderOutcome::Busy => {
                 planned.is_in_flight = false;
+                planned.answer_deadline = Timestamp(u64::MAX);
                 planned.next_attempt = now + ORDER_RETRY_INTERVAL;
             }
             OrderOutcome::Invalid => {
