Test of a page of a cell's log that gets no answer

Failing test first. Over 2 Mbit/s each page may take 14 s, which is what the largest page of the store takes (store::page_timeout), though the pages of a narrow link are of 25 KB. One that gets no answer also keeps one of the two turns that all cells of the node share.

--- a/src/jobs/log_store/reader/tests.rs
+++ b/src/jobs/log_store/reader/tests.rs
@@ -43,6 +43,8 @@
     link_free_at: Mutex<Instant>,
     bytes_per_s: f64,
     requests: Mutex<Vec<String>>,
+    /// The number of the request that gets no answer, counted from 1; none if zero.
+    lost_request: usize,
 }
 
 impl LinkedStore {
@@ -52,6 +54,7 @@
             link_free_at: Mutex::new(Instant::now()),
             bytes_per_s: link_mbps * 125_000.0,
             requests: Mutex::default(),
+            lost_request: 0,
         }
     }
 
@@ -103,7 +106,14 @@
         while let Ok(count @ 1..) = stream.read(&mut buf) {
             let request = String::from_utf8_lossy(&buf[..count]).into_owned();
             let path = request.split(' ').nth(1).unwrap_or_default();
-            self.requests.lock().unwrap().push(path.to_owned());
+            let number = {
+                let mut requests = self.requests.lock().unwrap();
+                requests.push(path.to_owned());
+                requests.len()
+            };
+            if number == self.lost_request {
+                continue;
+            }
             let (status, body) = self.answer(path);
             self.pass_link(body.len());
             let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
@@ -269,3 +279,25 @@
 
     assert_eq!(items.len(), 30);
 }
+
+/// Guards against a cell without an owner for as long as the largest page takes on a narrow link, because
+/// one small page of its log got no answer.
+#[test]
+fn a_page_without_an_answer_holds_up_the_reading_for_as_long_as_the_largest_page_takes() {
+    let values = log("log/", 250, 300, 90);
+    let store = LinkedStore { lost_request: 3, ..LinkedStore::new(values, LINK_MBPS) };
+    let (address, _) = serve(store);
+    let reading = LogReading::new(LINK_MBPS);
+
+    let items = run(async {
+        let store = Store::new(address, Rc::new(Connections::default()));
+        let mut reader = LogReader::new("log/", &reading);
+        let whole = async {
+            while reader.read(&store).await.is_err() {}
+            reader.items().len()
+        };
+        tokio::time::timeout(Duration::from_secs(6), whole).await
+    });
+
+    assert_eq!(items.ok(), Some(301));
+}
