--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -37,10 +37,9 @@
         }
     }
 
-    /// Cancels planned moves whose VM was not drained in time.
+    /// Cancels planned moves whose VM was not drained in time, or that the platform doesn't answer.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
-        self.planned_orders
-            .retain(|_, planned| planned.may_take_effect(now) || now < planned.drain_deadline);
+        self.planned_orders.retain(|_, planned| !planned.is_move_over(now));
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
@@ -128,9 +127,8 @@
                 if let Some(size) = sizes.get_mut(&from) {
                     size.has -= 1;
                 }
-                let timeout = Some(MOVE_TIMEOUT);
-                self.planned_orders
-                    .insert(vm_id, PlannedOrder::new(Purpose::Move(pool.clone()), now, timeout));
+                let purpose = Purpose::Move(pool.clone());
+                self.planned_orders.insert(vm_id, PlannedOrder::new(purpose, now, MOVE_TIMEOUT));
             }
         }
         // Until work arrives, the operator's split is the best estimate of where it will arrive.
@@ -236,8 +234,7 @@
                     break;
                 };
                 let purpose = Purpose::Move(standby.clone());
-                self.planned_orders
-                    .insert(vm_id, PlannedOrder::new(purpose, now, Some(MOVE_TIMEOUT)));
+                self.planned_orders.insert(vm_id, PlannedOrder::new(purpose, now, MOVE_TIMEOUT));
             }
         }
     }
