--- a/crates/core/src/job/cell/ends.rs
+++ b/crates/core/src/job/cell/ends.rs
@@ -24,6 +24,19 @@
 const TASK_CPU_WINDOW_MILLI_S: u64 = 4_000_000;
 
 impl Cell {
+    /// The number of the last end of a run that was read of a worker.
+    #[must_use]
+    pub fn last_end_read(&self, id: &WorkerId) -> u64 {
+        self.workers.get(id).map_or(0, |worker| worker.ends_seen)
+    }
+
+    /// The number of ends that are not confirmed before copies of their start orders have expired.
+    #[must_use]
+    pub fn waiting_ends(&self, now: Timestamp) -> usize {
+        let ends = self.workers.values().flat_map(|worker| &worker.held_ends);
+        ends.filter(|end| now <= end.until).count()
+    }
+
     /// Handles the ends that a worker lists; ends that were handled before are skipped.
     pub(super) fn on_run_ends(&mut self, id: &WorkerId, ends: &[RunEnd], now: Timestamp) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -4,6 +4,7 @@
 use super::{
     super::{
         Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
+        flow::HoldBudget,
         worker::{InstanceOrder, Logged, Worker},
     },
     Cell, roster,
@@ -145,6 +146,13 @@
 }
 
 impl Cell {
+    /// Estimates the bytes on the wire of a call to a worker, or of its answer, with a payload of this size and this
+    /// many entries in its lists.
+    #[must_use]
+    pub fn message_bytes(payload_bytes: usize, entries: usize) -> u64 {
+        HoldBudget::message_bytes(payload_bytes, entries)
+    }
+
     /// Lets the leases of all workers that have answered be renewed at once, when that is first allowed.
     pub(super) fn begin_renewals(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -277,9 +277,15 @@
         self.bytes > 0
     }
 
+    /// Estimates the bytes on the wire of a call or of an answer with a payload of this size and this many entries
+    /// in its lists.
+    pub(super) fn message_bytes(payload_bytes: usize, entries: usize) -> u64 {
+        CALL_BYTES + payload_bytes as u64 + entries as u64 * LIST_ENTRY_BYTES
+    }
+
     /// Takes the bytes of a hold whose answer lists this many runs and ends.
     pub(super) fn take(&mut self, entries: usize) {
-        let bytes = CALL_BYTES + entries as u64 * LIST_ENTRY_BYTES;
+        let bytes = Self::message_bytes(0, entries);
         self.bytes = self.bytes.saturating_sub_unsigned(bytes);
     }
 }
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -247,8 +247,11 @@
     /// Writes the load of the last second to the log and the metrics.
     fn report_load(&self) {
         let now = clock::now();
-        let held_back_starts = self.cell.borrow().as_ref().map_or(0, Cell::held_back_starts);
-        let load = OwnerLoad { held_back_starts, ..self.meter.borrow_mut().take_report(now) };
+        let mut load = self.meter.borrow_mut().take_report(now);
+        if let Some(cell) = self.cell.borrow().as_ref() {
+            load.held_back_starts = cell.held_back_starts();
+            load.waiting_ends = cell.waiting_ends(now);
+        }
         let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
         let lease_validity = session::lease_validity(&self.node);
         self.node.session.borrow_mut().lag.record_answers(load.median_answer, now);
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -7,8 +7,8 @@
 use teaselgap_core::{
     Span,
     job::{
-        Action, AdviceRequest, Answer, Fence, FencedCall, LogEvent, StartAnswer, StartOutcome,
-        TaskId, Token, WorkerId,
+        Action, AdviceRequest, Answer, Cell, Fence, FencedCall, HoldReport, LogEvent, StartAnswer,
+        StartOutcome, TaskId, Token, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -18,7 +18,11 @@
 };
 
 use super::{
-    super::{ask::Reply, owner_load::CallKind, session, start_order},
+    super::{
+        ask::Reply,
+        owner_load::{CallKind, ListTotals},
+        session, start_order,
+    },
     CellOwner,
 };
 use crate::clock;
@@ -57,8 +61,11 @@
                     let sent = StdCell::new(0);
                     let permit = || {
                         let fence = owner.permit_start(&target.worker, task)?;
+                        let earlier_copies = sent.replace(sent.get() + 1);
+                        let bytes = Cell::message_bytes(order.spec.payload.len(), 0);
+                        owner.meter.borrow_mut().record_start_copy(earlier_copies == 0, bytes);
                         // The copies after that hardly prolong the order's life.
-                        if sent.replace(sent.get() + 1) == 1 {
+                        if earlier_copies == 1 {
                             let now = clock::now();
                             owner.with_cell(|cell| {
                                 cell.on_start_repeated(&target.worker, task, now);
@@ -90,7 +97,7 @@
                         return;
                     };
                     let call = owner.worker_client.stop(&target, (task, attempt), fence);
-                    let confirmed = owner.measured(CallKind::Order, call, |ok| *ok).await;
+                    let confirmed = owner.measured(CallKind::Stop, call, |ok| *ok).await;
                     let (run, time) = ((task, attempt), (sent_at, clock::now()));
                     owner.with_cell(|cell| {
                         cell.on_stop_answer(&target.worker, run, confirmed, time);
@@ -240,6 +247,9 @@
             self.end_term("a worker has seen a later owner");
             return;
         }
+        if let Ok(report) = &result {
+            self.record_lists(&target.worker, report);
+        }
         let now = clock::now();
         if let Err(HoldError::Call(err)) = &result
             && last_seen > 0
@@ -251,6 +261,19 @@
         self.with_cell(|cell| cell.on_hold_answer(&target.worker, sent_at, result.ok(), now));
     }
 
+    /// Counts what an answer to a hold lists, before the cell reads it.
+    fn record_lists(&self, worker: &WorkerId, report: &HoldReport) {
+        let last_read = self.cell.borrow().as_ref().map_or(0, |cell| cell.last_end_read(worker));
+        let known_ends = report.ends.iter().filter(|end| end.number <= last_read).count();
+        let (runs, ends) = (report.running.len(), report.ends.len());
+        self.meter.borrow_mut().record_lists(ListTotals {
+            runs: runs as u64,
+            ends: ends as u64,
+            known_ends: known_ends as u64,
+            bytes: Cell::message_bytes(0, runs + ends),
+        });
+    }
+
     fn reply(&self, token: Token, answer: Answer) {
         let answer = match answer {
             Answer::Durable => Reply::Durable,
--- a/src/jobs/owner_load.rs
+++ b/src/jobs/owner_load.rs
@@ -13,8 +13,10 @@
 /// A kind of call to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallKind {
-    /// An order about one run that the worker answers at once.
+    /// An order about one run, other than its start and its stop, that the worker answers at once.
     Order,
+    /// An order to stop a run.
+    Stop,
     /// An order to start a task.
     Start,
     /// A hold, whose answer the worker may delay.
@@ -38,8 +40,13 @@
 #[derive(Debug, Default)]
 struct Second {
     starts: u32,
+    repeated_starts: u32,
+    start_bytes: u64,
+    stops: u32,
     holds: u32,
     unanswered: u32,
+    unanswered_holds: u32,
+    lists: ListTotals,
     accepted: u32,
     refused: u32,
     /// How long the answers to starts and other orders took.
@@ -47,6 +54,19 @@
     longest_tick: Duration,
 }
 
+/// What answers to holds have listed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ListTotals {
+    /// Runs that have not ended.
+    pub(crate) runs: u64,
+    /// Ends of runs.
+    pub(crate) ends: u64,
+    /// Those of them that an earlier answer had listed.
+    pub(crate) known_ends: u64,
+    /// The estimated size of the answers.
+    pub(crate) bytes: u64,
+}
+
 /// The load of an owner in one second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct OwnerLoad {
@@ -60,10 +80,22 @@
     pub(crate) starts_in_flight: usize,
     /// Number of start orders sent.
     pub(crate) starts: u32,
+    /// Number of copies of start orders sent, beyond the first of each.
+    pub(crate) repeated_starts: u32,
+    /// Estimated size of the start orders sent, with all copies.
+    pub(crate) start_bytes: u64,
+    /// Number of stop orders sent.
+    pub(crate) stops: u32,
     /// Number of holds sent.
     pub(crate) holds: u32,
     /// Number of calls that ended without an answer.
     pub(crate) unanswered: u32,
+    /// Number of holds that ended without an answer.
+    pub(crate) unanswered_holds: u32,
+    /// What the answers to holds have listed.
+    pub(crate) lists: ListTotals,
+    /// Number of ends that are not confirmed before copies of their start orders have expired.
+    pub(crate) waiting_ends: usize,
     /// Number of submissions accepted.
     pub(crate) accepted: u32,
     /// Number of submissions refused.
@@ -81,6 +113,7 @@
     pub(super) fn begin(&mut self, kind: CallKind, now: Timestamp) -> CallId {
         match kind {
             CallKind::Start => self.second.starts += 1,
+            CallKind::Stop => self.second.stops += 1,
             CallKind::Hold => self.second.holds += 1,
             CallKind::Order => {}
         }
@@ -96,11 +129,27 @@
             return;
         };
         self.second.unanswered += u32::from(!is_answered);
+        self.second.unanswered_holds += u32::from(!is_answered && kind == CallKind::Hold);
         if is_answered && kind != CallKind::Hold {
             self.second.answer_times.push(now.since(sent));
         }
     }
 
+    /// Counts a copy of a start order that is sent.
+    pub(super) fn record_start_copy(&mut self, is_first: bool, bytes: u64) {
+        self.second.repeated_starts += u32::from(!is_first);
+        self.second.start_bytes += bytes;
+    }
+
+    /// Counts what the answer to a hold has listed.
+    pub(super) fn record_lists(&mut self, lists: ListTotals) {
+        let totals = &mut self.second.lists;
+        totals.runs += lists.runs;
+        totals.ends += lists.ends;
+        totals.known_ends += lists.known_ends;
+        totals.bytes += lists.bytes;
+    }
+
     /// Counts a submission that was accepted.
     pub(super) fn record_accepted(&mut self) {
         self.second.accepted += 1;
@@ -129,8 +178,14 @@
             held_back_starts: 0,
             starts_in_flight: self.in_flight.values().filter(is_start).count(),
             starts: second.starts,
+            repeated_starts: second.repeated_starts,
+            start_bytes: second.start_bytes,
+            stops: second.stops,
             holds: second.holds,
             unanswered: second.unanswered,
+            unanswered_holds: second.unanswered_holds,
+            lists: second.lists,
+            waiting_ends: 0,
             accepted: second.accepted,
             refused: second.refused,
             median_answer: times.get(times.len() / 2).copied().unwrap_or_default(),
--- a/src/jobs/owner_load/tests.rs
+++ b/src/jobs/owner_load/tests.rs
@@ -6,14 +6,20 @@
     let quick = meter.begin(CallKind::Start, Timestamp(1_000));
     let slow = meter.begin(CallKind::Start, Timestamp(1_000));
     let order = meter.begin(CallKind::Order, Timestamp(1_000));
+    let stop = meter.begin(CallKind::Stop, Timestamp(1_000));
     let lost = meter.begin(CallKind::Hold, Timestamp(1_100));
     meter.begin(CallKind::Hold, Timestamp(1_200));
 
     meter.end(quick, true, Timestamp(1_003));
     meter.end(order, true, Timestamp(1_005));
+    meter.end(stop, false, Timestamp(1_300));
     meter.end(slow, true, Timestamp(1_400));
     meter.end(lost, false, Timestamp(1_900));
     meter.begin(CallKind::Start, Timestamp(1_950));
+    meter.record_start_copy(true, 450);
+    meter.record_start_copy(false, 450);
+    meter.record_lists(ListTotals { runs: 2, ends: 3, known_ends: 1, bytes: 650 });
+    meter.record_lists(ListTotals { runs: 1, ends: 3, known_ends: 3, bytes: 600 });
     meter.record_accepted();
     meter.record_refused();
     meter.record_refused();
@@ -24,8 +30,14 @@
         held_back_starts: 0,
         starts_in_flight: 1,
         starts: 3,
+        repeated_starts: 1,
+        start_bytes: 900,
+        stops: 1,
         holds: 2,
-        unanswered: 1,
+        unanswered: 2,
+        unanswered_holds: 1,
+        lists: ListTotals { runs: 3, ends: 6, known_ends: 4, bytes: 1_250 },
+        waiting_ends: 0,
         accepted: 1,
         refused: 2,
         median_answer: Span(5),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,15 @@
     refused: Gauge<u64>,
     holds: Gauge<u64>,
     unanswered: Gauge<u64>,
+    repeated_starts: Gauge<u64>,
+    start_bytes: Gauge<u64>,
+    stops: Gauge<u64>,
+    unanswered_holds: Gauge<u64>,
+    listed_runs: Gauge<u64>,
+    listed_ends: Gauge<u64>,
+    known_ends: Gauge<u64>,
+    hold_answer_bytes: Gauge<u64>,
+    waiting_ends: Gauge<u64>,
     median_answer_ms: Gauge<u64>,
     longest_answer_ms: Gauge<u64>,
     longest_tick_us: Gauge<u64>,
@@ -73,6 +82,27 @@
             refused: gauge("teaselgap_owner_refused", "Submissions refused in a second."),
             holds: gauge("teaselgap_owner_holds", "Holds sent in a second."),
             unanswered: gauge("teaselgap_owner_unanswered", "Calls without an answer in a second."),
+            repeated_starts: gauge(
+                "teaselgap_owner_repeated_starts",
+                "Copies of start orders sent again in a second.",
+            ),
+            start_bytes: gauge("teaselgap_owner_start_bytes", "Bytes of start orders in a second."),
+            stops: gauge("teaselgap_owner_stops", "Stop orders sent in a second."),
+            unanswered_holds: gauge(
+                "teaselgap_owner_unanswered_holds",
+                "Holds without an answer in a second.",
+            ),
+            listed_runs: gauge("teaselgap_owner_listed_runs", "Runs listed in a second."),
+            listed_ends: gauge("teaselgap_owner_listed_ends", "Ends listed in a second."),
+            known_ends: gauge("teaselgap_owner_known_ends", "Ends listed again in a second."),
+            hold_answer_bytes: gauge(
+                "teaselgap_owner_hold_answer_bytes",
+                "Bytes of answers to holds in a second.",
+            ),
+            waiting_ends: gauge(
+                "teaselgap_owner_waiting_ends",
+                "Ends that wait for copies of their orders.",
+            ),
             median_answer_ms: gauge("teaselgap_owner_median_answer_ms", "Median time of orders."),
             longest_answer_ms: gauge("teaselgap_owner_longest_answer_ms", "Longest of orders."),
             longest_tick_us: gauge("teaselgap_owner_longest_tick_us", "Time of the longest tick."),
@@ -180,6 +210,15 @@
         gauges.refused.record(u64::from(load.refused), &labels);
         gauges.holds.record(u64::from(load.holds), &labels);
         gauges.unanswered.record(u64::from(load.unanswered), &labels);
+        gauges.repeated_starts.record(u64::from(load.repeated_starts), &labels);
+        gauges.start_bytes.record(load.start_bytes, &labels);
+        gauges.stops.record(u64::from(load.stops), &labels);
+        gauges.unanswered_holds.record(u64::from(load.unanswered_holds), &labels);
+        gauges.listed_runs.record(load.lists.runs, &labels);
+        gauges.listed_ends.record(load.lists.ends, &labels);
+        gauges.known_ends.record(load.lists.known_ends, &labels);
+        gauges.hold_answer_bytes.record(load.lists.bytes, &labels);
+        gauges.waiting_ends.record(load.waiting_ends as u64, &labels);
         gauges.median_answer_ms.record(load.median_answer.0, &labels);
         gauges.longest_answer_ms.record(load.longest_answer.0, &labels);
         gauges.longest_tick_us.record(micros, &labels);
