--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -178,7 +178,8 @@
                 return;
             }
             if let Some((id, worker)) = self.workers.get_index_mut(index) {
-                self.hold_budget.take(worker.runs.len());
+                let listed_ends = usize::try_from(worker.listed_ends).unwrap_or(usize::MAX);
+                self.hold_budget.take(worker.runs.len().saturating_add(listed_ends));
                 // An instance refuses a start order to an earlier one only from its stop on.
                 let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
                 if !worker.is_adopted {
