--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -39,7 +39,7 @@
 };
 pub use self::{
     fates::{CallKind, Fate, LateCall},
-    link::Link,
+    link::{CallTraffic, Link, Traffic},
     log::MAX_VALUE_BYTES,
     owners::{Afterlife, StrayOrders},
     worker::{ClockDraw, ModelWorker, TaskTime},
@@ -209,8 +209,8 @@
     /// Processing time of all ticks of the owners, on the machine's clock.
     tick_time: Duration,
     longest_tick: Duration,
-    /// Bytes of the answers to holds.
-    hold_answer_bytes: u64,
+    /// What the calls to workers have taken on the owners' links.
+    traffic: Traffic,
     /// The least time that was left of the lease of a worker with runs.
     least_lease_left: Span,
 }
@@ -326,7 +326,7 @@
             max_starts_in_flight: 0,
             tick_time: Duration::ZERO,
             longest_tick: Duration::ZERO,
-            hold_answer_bytes: 0,
+            traffic: Traffic::default(),
             least_lease_left: Span(u64::MAX),
         };
         model.take_over();
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -96,6 +96,7 @@
         let epoch = sender.epoch;
         let fence = self.fence_of(&worker, epoch, &call);
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
+        self.traffic.record_call(&call);
         let is_cut_off = self.cut_off_from.contains(&(epoch, worker.clone()));
         if is_cut_off || epoch == self.epoch && self.is_unreachable(&worker) {
             self.schedule_timeout(worker, epoch, &call);
@@ -172,9 +173,7 @@
         (reply, timed_out): (Reply, Reply),
         deadline: Timestamp,
     ) {
-        if matches!(reply, Reply::Held(..)) {
-            self.hold_answer_bytes += reply.bytes();
-        }
+        self.traffic.record_answer(&reply);
         let held_up_ms = self.take_answer_delay(&worker, &reply);
         let delay_ms = LATENCY_MS + held_up_ms + self.receive_over_link(reply.bytes()).0;
         if self.now + Span(delay_ms) <= deadline {
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -6,7 +6,7 @@
 
 use super::{
     CountedStarts, EndedInstance, MAX_LATE_WRITE_MS, Model, ModelWorker, OWNER_TTL, OwnerLease,
-    TICK_MS, TICKET, WorkerFaults, worker::RESTART_DURATION_MS,
+    TICK_MS, TICKET, Traffic, WorkerFaults, worker::RESTART_DURATION_MS,
 };
 use teaselgap_core::{
     Epoch, QueueId, Span, Timestamp,
@@ -220,7 +220,13 @@
     /// Returns the bytes of the answers to holds so far.
     #[must_use]
     pub fn hold_answer_bytes(&self) -> u64 {
-        self.hold_answer_bytes
+        self.traffic.holds.answer_bytes
+    }
+
+    /// Returns what the calls to workers have taken on the owners' links so far.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.traffic
     }
 
     /// Returns the least time that was left of the lease of a worker with runs so far.
--- a/crates/standins/src/model/link.rs
+++ b/crates/standins/src/model/link.rs
@@ -18,6 +18,62 @@
 
 const MICROS_PER_MILLI: u64 = 1_000;
 
+/// What the calls of one kind and their answers have taken on the owner's link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallTraffic {
+    /// Number of calls that were sent.
+    pub calls: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// The bytes of their answers.
+    pub answer_bytes: u64,
+}
+
+/// What the calls of owners to workers have taken on their links.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Start orders with all copies.
+    pub starts: CallTraffic,
+    /// Stop orders.
+    pub stops: CallTraffic,
+    /// Holds.
+    pub holds: CallTraffic,
+}
+
+impl Traffic {
+    /// Returns the bytes that owners have sent.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        self.starts.sent_bytes + self.stops.sent_bytes + self.holds.sent_bytes
+    }
+
+    /// Returns the bytes that owners have received.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.starts.answer_bytes + self.stops.answer_bytes + self.holds.answer_bytes
+    }
+
+    pub(super) fn record_call(&mut self, call: &Call) {
+        let traffic = match call {
+            Call::Start(_) | Call::RepeatedStart(_) => &mut self.starts,
+            Call::Stop { .. } => &mut self.stops,
+            Call::Hold { .. } | Call::PendingHold { .. } => &mut self.holds,
+        };
+        traffic.calls += 1;
+        traffic.sent_bytes += call.bytes();
+    }
+
+    pub(super) fn record_answer(&mut self, reply: &Reply) {
+        let traffic = match reply {
+            Reply::Started(..) => &mut self.starts,
+            Reply::Stopped(..) => &mut self.stops,
+            Reply::Held(..) | Reply::Outranked => &mut self.holds,
+            Reply::Advice(..) => return,
+        };
+        traffic.answer_bytes += reply.bytes();
+    }
+}
+
 /// A link on which messages wait for those before them.
 #[derive(Clone, Copy, Debug)]
 pub struct Link {
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -15,6 +15,7 @@
 mod instances;
 mod late_copies;
 mod late_holds;
+mod link_bytes;
 mod log;
 mod long_running;
 mod may_end;
