--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -34,7 +34,7 @@
     node::Node,
     note::{CellLog, StoreState},
     owner_load::{LoadMeter, OwnerLoad},
-    repeat::{MAX_ORDER_COPIES, Repeater},
+    repeat::Repeater,
     session,
 };
 use crate::clock;
@@ -141,7 +141,7 @@
         log_store: LogStore::new(Rc::clone(node), service.clone(), epoch),
         started_at: clock::now(),
         worker_client: WorkerClient::new(Rc::clone(&node.connections)),
-        order_repeater: Repeater::new(MAX_ORDER_COPIES),
+        order_repeater: Repeater::for_orders(),
         cell: RefCell::new(None),
         targets: RefCell::new(IndexMap::new()),
         pending_replies: RefCell::default(),
--- a/src/jobs/repeat.rs
+++ b/src/jobs/repeat.rs
@@ -47,6 +47,11 @@
         Self { max_copies, timer: RefCell::default(), repeats: Cell::new(0) }
     }
 
+    /// Sends start orders to workers again.
+    pub(super) fn for_orders() -> Self {
+        Self::new(MAX_ORDER_COPIES)
+    }
+
     /// The number of times that a call was sent again.
     pub(super) fn repeats(&self) -> u64 {
         self.repeats.get()
--- a/src/jobs/repeat/tests.rs
+++ b/src/jobs/repeat/tests.rs
@@ -124,3 +124,55 @@
 
     assert_eq!(result, Repeated { result: UNCERTAIN, has_open_copy: false });
 }
+
+/// Number of orders that are sent at once to a link that passes one each [`LINK_STEP`].
+const QUEUED_ORDERS: u32 = 40;
+
+/// Time that an order takes on a narrow link.
+const LINK_STEP: Duration = Duration::from_millis(10);
+
+/// Sends orders at once, each answered after the number of steps that its place in the link's queue says; the first copy
+/// of the one at `lost` gets no answer. Returns how many copies beyond the first were sent.
+fn copies_of_queued_orders(lost: Option<u32>) -> u64 {
+    let repeater = Repeater::for_orders();
+    let order = async |place: u32| {
+        let copies = Cell::new(0);
+        let call = || {
+            let is_lost = copies.replace(copies.get() + 1) == 0 && lost == Some(place);
+            async move {
+                if is_lost {
+                    std::future::pending::<()>().await;
+                }
+                tokio::time::sleep(LINK_STEP * place).await;
+                DEFINITE
+            }
+        };
+        let is_definite = |result: &u32| *result == DEFINITE;
+        repeater.call(call, is_definite, |result| *result == UNCERTAIN).await
+    };
+    run(async {
+        for _ in 0..8 {
+            order(1).await;
+        }
+        let queued: FuturesUnordered<_> = (1..=QUEUED_ORDERS).map(&order).collect();
+        queued.collect::<Vec<_>>().await;
+    });
+    repeater.repeats()
+}
+
+/// Guards against second copies of orders that wait in this node's own link: each makes the link slower, and the end of its
+/// task wait for 15 s.
+#[test]
+fn orders_that_wait_in_the_link_are_hardly_sent_again() {
+    let copies = copies_of_queued_orders(None);
+
+    // A busy machine may stop this test for longer than answers are apart.
+    assert!(copies <= u64::from(QUEUED_ORDERS) / 4, "{copies} copies of {QUEUED_ORDERS} orders");
+}
+
+#[test]
+fn an_order_that_is_lost_among_others_is_sent_again() {
+    let copies = copies_of_queued_orders(Some(3));
+
+    assert!(copies >= 1, "{copies} copies");
+}
