--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -4,6 +4,7 @@
 use super::{
     super::{
         Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
+        flow::HoldBudget,
         worker::{InstanceOrder, Logged, Worker},
     },
     Cell, roster,
@@ -145,6 +146,13 @@
 }
 
 impl Cell {
+    /// Estimates the bytes on the wire of a call to a worker, or of its answer, with a payload of this size and this
+    /// many entries in its lists.
+    #[must_use]
+    pub fn message_bytes(payload_bytes: usize, entries: usize) -> u64 {
+        HoldBudget::message_bytes(payload_bytes, entries)
+    }
+
     /// Lets the leases of all workers that have answered be renewed at once, when that is first allowed.
     pub(super) fn begin_renewals(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
@@ -170,7 +178,8 @@
                 return;
             }
             if let Some((id, worker)) = self.workers.get_index_mut(index) {
-                self.hold_budget.take(worker.runs.len());
+                let listed_ends = usize::try_from(worker.listed_ends).unwrap_or(usize::MAX);
+                self.hold_budget.take(worker.runs.len().saturating_add(listed_ends));
                 // An instance refuses a start order to an earlier one only from its stop on.
                 let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
                 if !worker.is_adopted {
