Test: one worker that restarts again and again holds back every inherited job for ever

A new owner waits for each worker of earlier terms until it has answered once more after the stops of earlier owners have ended, or is silent and its leases have expired. Each restart begins both anew, so that neither comes if the worker answers once in each life.

--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -23,6 +23,7 @@
 mod random;
 mod removed_queues;
 mod restarts;
+mod silence;
 mod store_outage;
 mod stray_leases;
 mod takeover;
