Inherited jobs no longer wait for ever for a worker that restarts before it answers twice

Cause: a worker of earlier terms left the wait of a new owner only once it had answered after the stops of earlier owners had ended, or was silent with all leases expired. Each restart began the stops' time and the stray lease anew.

Change: a worker that has restarted in this term and has listed its runs is waited for until the leases of earlier terms have expired, a time that is fixed when the term begins, like that of a worker which is never heard. What ran there in earlier terms has ended with its instance; what a late call of before has begun in the newest one is in its list.

--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -481,11 +481,15 @@
         let is_silent = |worker: &Worker| {
             worker.hold_failures > 0 && now > worker.lease_expiry(longest_lease, now)
         };
+        // One that has restarted may do so again before it answers twice. Its list shows what late calls of earlier
+        // owners have begun there.
+        let is_of_this_term = |worker: &Worker| worker.has_restarted && worker.has_listed_all;
+        let needs_no_answer = |worker: &Worker| is_silent(worker) || is_of_this_term(worker);
         self.inherited_workers.retain(|id, expiry| {
             let worker = workers.get(id).filter(|worker| worker.is_adopted);
             let is_adopted = worker.is_some_and(|worker| worker.has_outlasted_stops);
             let is_expired = !is_adopted
-                && worker.is_none_or(is_silent)
+                && worker.is_none_or(needs_no_answer)
                 && now >= *expiry
                 && *expiry <= sole_until;
             wait.adopted += usize::from(is_adopted);
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -192,6 +192,8 @@
     /// How the worker is to be drained; `None` if it is not.
     pub(super) drain: Option<DrainMode>,
     pub(super) failures_in_a_row: u32,
+    /// Whether the worker is known to have restarted in this term, so that what it ran in earlier terms has ended.
+    pub(super) has_restarted: bool,
     /// Number of restarts since a run was last done.
     pub(super) restarts_in_a_row: u32,
     /// Number of exclusions since a run was last done.
@@ -278,6 +280,7 @@
             awaits_answer: false,
             drain: None,
             failures_in_a_row: 0,
+            has_restarted: false,
             restarts_in_a_row: 0,
             exclusions: 0,
             excluded_until: Timestamp(0),
@@ -523,6 +526,7 @@
     /// Records that the worker has restarted, after `earlier` was known of it. It is excluded for a
     /// while if it has restarted before and no run was done since.
     pub(super) fn record_restart(&mut self, earlier: &Self, now: Timestamp) {
+        self.has_restarted = true;
         self.restarts_in_a_row = earlier.restarts_in_a_row + 1;
         self.exclusions = earlier.exclusions;
         if self.restarts_in_a_row > 1 {
