Test: a task that lasts waits for its former worker as long as that one restarts

A new owner that adopts the worker of a logged placement and finds neither run nor end there delays the task until the stops of earlier owners have ended. It does so again for each instance that it adopts.

--- a/crates/standins/tests/cells/silence.rs
+++ b/crates/standins/tests/cells/silence.rs
@@ -7,7 +7,9 @@
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
-use crate::fixtures::{idle_worker, job_spec, new_model, queue, step, task_id};
+use crate::fixtures::{
+    busy_worker, idle_worker, job_spec, long_running_job, new_model, queue, step, task_id,
+};
 
 const JOB: JobId = JobId(7);
 
@@ -69,3 +71,33 @@
     }
     assert_eq!(held_back, [] as [u64; 0], "lives in ms");
 }
+
+/// Guards against a task that lasts and whose delay begins anew with each restart of the worker on which it ran
+/// in an earlier term.
+#[test]
+fn a_task_that_lasts_does_not_wait_for_its_worker_of_before_that_restarts_again_and_again() {
+    let mut held_back = Vec::new();
+    for life_ms in (50..2_000).step_by(50) {
+        let mut model = new_model(3);
+        model.run_for(OWNER_TTL.0);
+        model.submit(JOB, &queue(), long_running_job(1, 0));
+        model.run_for(2_000);
+        let former = busy_worker(&model);
+        model.kill_owner();
+        model.take_over();
+        let latest = model.now() + inherited_bound();
+
+        let runs_elsewhere = |model: &Model| {
+            model.workers().any(|one| one.entry.id != former && one.is_running(task_id(JOB, 0)))
+        };
+        while !runs_elsewhere(&model) && model.now() < latest {
+            let wall_ms = model.wall_ms();
+            model.restart_worker_at(former.as_str(), wall_ms, AWAY_MS);
+            model.run_until(AWAY_MS + life_ms, runs_elsewhere);
+        }
+
+        held_back.extend((!runs_elsewhere(&model)).then_some(life_ms));
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+    assert_eq!(held_back, [] as [u64; 0], "lives in ms");
+}
