The line of a claimed duty says how much its node carries beside the largest one

Cause: the users' record names an owner on a small node; no log line says whether a larger one was up.

--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -284,8 +284,11 @@
     let lease = node.lease.lease();
     let epoch = write_claim(&node, &key, (key_revision, lease)).await;
     if let Some(epoch) = epoch.filter(|epoch| is_claim_current(&node, &duty, (*epoch, lease))) {
+        let own_rate = current_order_rate(&node);
+        let largest_rate = node.members.borrow().largest_order_rate((&node.id, own_rate));
         info!(node.log, "duty claimed"; "seat" => &duty, "epoch" => epoch.0,
-            "earlier_revision" => key_revision);
+            "earlier_revision" => key_revision, "order_rate" => %own_rate,
+            "largest_order_rate" => %largest_rate);
         {
             let mut members = node.members.borrow_mut();
             let previous = members.owners.insert(duty.clone(), (own_record(&node), epoch.0));
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -77,6 +77,12 @@
         self.nodes.iter().map(|(node, record)| (node.clone(), candidate(record))).collect()
     }
 
+    /// The most that any node can carry which may claim duties, this one among them.
+    pub(super) fn largest_order_rate(&self, own: (&NodeId, OrderRate)) -> OrderRate {
+        let rates = self.candidates(own).into_values().map(|candidate| candidate.order_rate);
+        rates.max().unwrap_or_default().max(own.1)
+    }
+
     /// The other nodes that may claim duties, with their addresses: those that are registered, and
     /// those that were a moment ago.
     pub(super) fn possible_claimants(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
