--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -34,9 +34,19 @@
 /// until that is called.
 const OPEN_ORDER_HOLD_INTERVAL: Span = Span(250);
 
-/// The delay before the next hold after one that was not answered.
+/// The shortest delay before the next hold after one that was not answered.
 const FAILED_HOLD_DELAY: Span = Span(250);
 
+/// The longest one. A worker that is back after a long silence is asked within this time.
+const MAX_FAILED_HOLD_DELAY: Span = Span(1_000);
+
+/// The delay after an unanswered hold is one in this many of the worker's silence.
+const SILENCE_DIVISOR: u64 = 8;
+
+/// A worker that has answered none of several holds for longer than this shares what the link allows for such
+/// workers. Until then it is asked at once, as it may have been cut off for a moment.
+const LONG_SILENCE: Span = Span(2_500);
+
 /// The number of unanswered holds in a row after which a worker gets no new tasks.
 pub(super) const MAX_HOLD_FAILURES: u32 = 2;
 
@@ -74,6 +84,8 @@
     Renews { due: Timestamp },
     /// The worker gets no orders before it answers.
     Adopts,
+    /// The worker has long been silent. One that may have restarted comes first.
+    Seeks { is_same_instance: bool, due: Timestamp },
     /// The hold only looks for ends or confirms them.
     CanWait { due: Timestamp },
 }
@@ -82,7 +94,10 @@
     fn of(worker: &Worker, lease: Span, now: Timestamp) -> Self {
         let renewed_at = worker.renewed_at.unwrap_or_default();
         let renewal_due = renewed_at + Span(lease.0 * RENEWAL_DUE_PERCENT / 100);
-        if !worker.is_adopted || worker.awaits_answer || worker.may_have_restarted() {
+        if is_long_silent(worker, now) {
+            let is_same_instance = !worker.may_have_restarted();
+            Self::Seeks { is_same_instance, due: worker.next_hold }
+        } else if !worker.is_adopted || worker.awaits_answer || worker.may_have_restarted() {
             Self::Adopts
         } else if now >= renewal_due && !worker.runs.is_empty() {
             Self::Renews { due: renewal_due }
@@ -92,6 +107,17 @@
     }
 }
 
+/// Whether several holds of a worker got no answer, and none did for long.
+pub(super) fn is_long_silent(worker: &Worker, now: Timestamp) -> bool {
+    worker.hold_failures >= MAX_HOLD_FAILURES && now > worker.last_heard + LONG_SILENCE
+}
+
+/// How long after an unanswered hold the next one is sent.
+fn failed_hold_delay(worker: &Worker, now: Timestamp) -> Span {
+    let delay = now.since(worker.last_heard).0 / SILENCE_DIVISOR;
+    Span(delay.clamp(FAILED_HOLD_DELAY.0, MAX_FAILED_HOLD_DELAY.0))
+}
+
 /// How long after an answer of a worker the next hold is sent.
 fn hold_interval(worker: &mut Worker, now: Timestamp) -> Span {
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
@@ -161,7 +187,8 @@
     }
 
     /// Sends the holds that are due. Renewals and adoptions never wait; all others share what the
-    /// link allows, the one that has been due the longest first.
+    /// link allows, the one that has been due the longest first. Workers that have long been silent have
+    /// a share of their own.
     pub(super) fn send_holds(&mut self, now: Timestamp) {
         let lease = Lease::of(&self.cfg, &self.log);
         self.hold_budget.refill(now);
@@ -177,15 +204,25 @@
             if matches!(urgency, HoldUrgency::CanWait { .. }) && !self.hold_budget.has_room() {
                 return;
             }
+            let is_silent = matches!(urgency, HoldUrgency::Seeks { .. });
+            if is_silent && !self.hold_budget.has_room_for_silent() {
+                continue;
+            }
             if let Some((id, worker)) = self.workers.get_index_mut(index) {
                 let listed_ends = usize::try_from(worker.listed_ends).unwrap_or(usize::MAX);
-                self.hold_budget.take(worker.runs.len().saturating_add(listed_ends));
-                // An instance refuses a start order to an earlier one only from its stop on.
+                if is_silent {
+                    self.hold_budget.take_for_silent();
+                } else {
+                    self.hold_budget.take(worker.runs.len().saturating_add(listed_ends));
+                }
+                // An instance refuses a start order to an earlier one only from its stop on, or from a hold on that
+                // outranks the order. Workers that have long been silent get only that: their stops would take
+                // many times the link of their holds.
                 let stop = |(task, attempt)| Action::Stop(id.clone(), task, attempt);
-                if !worker.is_adopted {
+                if !worker.is_adopted && !is_silent {
                     self.actions.extend(worker.take_stops().map(stop));
                 }
-                if !worker.is_adopted || worker.hold_failures > 0 {
+                if (!worker.is_adopted || worker.hold_failures > 0) && !is_silent {
                     self.actions.extend(worker.abandoned_orders(now).map(stop));
                 }
                 let fence = self.fences.of_hold(id);
@@ -218,7 +255,7 @@
             }
             worker.hold_failures += 1;
             worker.record_unanswered_hold(sent);
-            worker.next_hold = now + FAILED_HOLD_DELAY;
+            worker.next_hold = now + failed_hold_delay(worker, now);
             if worker.hold_failures == MAX_HOLD_FAILURES {
                 let runs = worker.runs.len();
                 self.actions.push(Action::Log(LogEvent::Worker {
@@ -306,6 +343,9 @@
         let has_new_lease = worker.stray_lease.on_answer(name, (sent, now), longest_lease);
         worker.instance_doubt.take_if(|since| sent > *since);
         let was_silent = worker.hold_failures >= MAX_HOLD_FAILURES;
+        if is_long_silent(worker, now) {
+            self.hold_budget.take(report.running.len() + report.ends.len());
+        }
         let was_adopted = worker.is_adopted;
         let had_failed_holds = worker.hold_failures > 0;
         let is_newest = report.clock_ms >= worker.listed_clock_ms;
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -8,7 +8,7 @@
     super::{
         Action, LogEvent, PlacedTask, RunId, StartAnswer, StartOrder, StartOutcome, TaskId,
         WorkerId,
-        worker::{ClockReading, RunState, StopOrder, UNANSWERED_START_LIFETIME},
+        worker::{ClockReading, RunState, StopOrder, UNANSWERED_START_LIFETIME, Worker},
     },
     Cell,
     restarts::MAY_START_AGAIN,
@@ -295,10 +295,13 @@
         }
     }
 
-    /// The runs whose stop orders are due, each with whether it is stopped only to empty its worker.
+    /// The runs whose stop orders are due, each with whether it is stopped only to empty its worker. Workers that have
+    /// long been silent get theirs once they are heard: their leases aren't renewed.
     fn due_stops(&self, now: Timestamp) -> Vec<(WorkerId, TaskId, bool)> {
         let mut due = Vec::new();
-        for (id, worker) in self.workers.iter().filter(|(_, worker)| worker.is_adopted) {
+        let is_asked =
+            |worker: &Worker| worker.is_adopted && !super::holds::is_long_silent(worker, now);
+        for (id, worker) in self.workers.iter().filter(|(_, worker)| is_asked(worker)) {
             let stops = worker.runs.iter().filter_map(|(task, run)| Some((task, run.stopping?)));
             let stops = stops.filter(|(_, stop)| {
                 stop.confirmed.is_none() && stop.next.is_some_and(|next| now >= next)
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -25,6 +25,9 @@
 /// The share of the link that holds and their answers may use, in percent.
 const HOLD_PERCENT: u64 = 40;
 
+/// The part of that which holds of workers that don't answer may use besides.
+const SILENT_HOLD_DIVISOR: u64 = 4;
+
 /// How long holds may be sent at the full rate of the link after a pause.
 const HOLD_BURST: Span = Span(20);
 
@@ -255,20 +258,30 @@
     max_bytes: i64,
     /// Negative after holds that could not wait.
     bytes: i64,
+    /// The bytes of calls that may be sent to workers that don't answer.
+    silent_bytes: i64,
     refilled_at: Timestamp,
 }
 
 impl HoldBudget {
     pub(super) fn new(limits: FlowLimits, now: Timestamp) -> Self {
         let max_bytes = i64::try_from(limits.max_hold_burst_bytes).unwrap_or(i64::MAX);
-        Self { rate: limits.hold_rate, max_bytes, bytes: max_bytes, refilled_at: now }
+        Self {
+            rate: limits.hold_rate,
+            max_bytes,
+            bytes: max_bytes,
+            silent_bytes: max_bytes,
+            refilled_at: now,
+        }
     }
 
     /// Adds what may be requested for the time since the last call.
     pub(super) fn refill(&mut self, now: Timestamp) {
         let bytes = self.rate.bytes_in(now.since(self.refilled_at));
+        let silent_bytes = i64::try_from(bytes / SILENT_HOLD_DIVISOR).unwrap_or(i64::MAX);
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         self.bytes = self.bytes.saturating_add(bytes).min(self.max_bytes);
+        self.silent_bytes = self.silent_bytes.saturating_add(silent_bytes).min(self.max_bytes);
         self.refilled_at = now;
     }
 
@@ -277,6 +290,16 @@
         self.bytes > 0
     }
 
+    /// Whether a hold of a worker that doesn't answer may be sent.
+    pub(super) fn has_room_for_silent(&self) -> bool {
+        self.silent_bytes > 0
+    }
+
+    /// Takes the bytes of a hold of a worker that doesn't answer.
+    pub(super) fn take_for_silent(&mut self) {
+        self.silent_bytes = self.silent_bytes.saturating_sub_unsigned(CALL_BYTES);
+    }
+
     /// Estimates the bytes on the wire of a call or of an answer with a payload of this size and this many entries
     /// in its lists.
     pub(super) fn message_bytes(payload_bytes: usize, entries: usize) -> u64 {
