A task that lasts no longer waits for its former worker as long as that one restarts

Cause: the delay for stops of earlier owners (Cell::await_earlier_stops) was counted anew from each adoption of the worker that the log names.

Change: for a worker that has restarted in this term it ends with its leases of earlier terms at the latest, a time that is fixed when the term begins.

--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -215,7 +215,8 @@
 
     /// Delays tasks that the log places on a worker which has just been adopted and lists neither a run
     /// of theirs nor its end. The previous owner may have ordered the worker to stop it, and a run
-    /// that is being stopped is in no list.
+    /// that is being stopped is in no list. Restarts of the worker don't delay them beyond the expiry of its
+    /// leases of earlier terms.
     pub(super) fn await_earlier_stops(&mut self, id: &WorkerId, now: Timestamp) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -233,7 +234,10 @@
             .filter(|(id, job)| job.task(*id).is_some_and(|task| may_be_ending(*id, task)))
             .map(|(id, _)| id)
             .collect();
-        let not_before = now + Self::stop_limit(&self.cfg);
+        let stops_end = now + Self::stop_limit(&self.cfg);
+        let inherited_expiry = self.inherited_workers.get(id).copied().unwrap_or(now);
+        let not_before =
+            if worker.has_restarted { stops_end.min(inherited_expiry) } else { stops_end };
         for id in delayed {
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
                 task.not_before = task.not_before.max(not_before);
