A small page of a cell's log that gets no answer is asked for again after 3 s

Cause: the pages that a narrow link is given, of 100 ms on the link each, had the timeout of the store's largest page: 14 s at 2 Mbit/s, 4 s at 10. One lost answer left the cell without an owner for as long, and kept one of the two turns that all cells of the node share.

Change: such a page has 3 s. The time doubles with each failure, up to the former one, so that a page of large segments passes. Logs that are read in the store's own pages keep the timeout for these.

--- a/src/jobs/log_store/reader.rs
+++ b/src/jobs/log_store/reader.rs
@@ -25,6 +25,10 @@
 /// requested at once, which is less than its interval.
 const PAGE_TIME: Span = Span(100);
 
+/// How long the store may take for a page that passes the link in [`PAGE_TIME`]. It is doubled while
+/// pages fail, as one of large segments takes longer.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How many pages are requested at once, so that a second one passes the link while the store
 /// answers.
 const PAGES_AT_ONCE: usize = 2;
@@ -35,8 +39,8 @@
 /// What all readings of logs at this node share.
 #[derive(Debug)]
 pub(in crate::jobs) struct LogReading {
-    /// The timeout for one page.
-    page_timeout: Duration,
+    /// The timeout for the largest page of the store.
+    max_page_timeout: Duration,
     /// How many bytes pass the link in [`PAGE_TIME`].
     max_page_bytes: u64,
     /// The pages that may be requested now.
@@ -47,7 +51,7 @@
     /// Creates the state of a node with a link of this rate, in megabits per second.
     pub(in crate::jobs) fn new(link_mbps: f64) -> Self {
         Self {
-            page_timeout: store::page_timeout(link_mbps),
+            max_page_timeout: store::page_timeout(link_mbps),
             max_page_bytes: LinkRate::from_mbps(link_mbps).bytes_in(PAGE_TIME),
             turns: Semaphore::new(PAGES_AT_ONCE),
         }
@@ -65,13 +69,16 @@
     reading: &'a LogReading,
     /// How the log is read in small pages; `None` if it is read in the store's own.
     plan: Option<PagePlan>,
+    /// The timeout for one of these pages.
+    page_timeout: Duration,
     range: Range,
 }
 
 impl<'a> LogReader<'a> {
     /// Creates the reader of the log whose keys have this prefix.
     pub(super) fn new(prefix: &'a str, reading: &'a LogReading) -> Self {
-        Self { prefix, reading, plan: None, range: Range::default() }
+        let page_timeout = PAGE_TIMEOUT.min(reading.max_page_timeout);
+        Self { prefix, reading, plan: None, page_timeout, range: Range::default() }
     }
 
     /// Reads what is left of the log.
@@ -83,13 +90,14 @@
             let result = self.read_pages(store, &mut plan).await;
             if result.is_err() {
                 plan.reopen();
+                self.page_timeout = (self.page_timeout * 2).min(self.reading.max_page_timeout);
                 self.plan = Some(plan);
                 return result;
             }
             self.range.items.sort_unstable_by(|a, b| a.key.cmp(&b.key));
             return Ok(());
         }
-        store.extend_range(self.prefix, self.reading.page_timeout, &mut self.range).await
+        store.extend_range(self.prefix, self.reading.max_page_timeout, &mut self.range).await
     }
 
     /// Reads the log's head and plans the pages. Returns `None` if there is no head, or if it doesn't
@@ -103,13 +111,13 @@
     }
 
     async fn read_pages(&mut self, store: &Store, plan: &mut PagePlan) -> Result<(), StoreError> {
-        let (prefix, reading) = (self.prefix, self.reading);
+        let (prefix, reading, timeout) = (self.prefix, self.reading, self.page_timeout);
         let mut pages = FuturesUnordered::new();
         loop {
             while pages.len() < PAGES_AT_ONCE
                 && let Some(group) = plan.next_group()
             {
-                pages.push(read_group(store, reading, prefix, group));
+                pages.push(read_group(store, (reading, timeout), prefix, group));
             }
             let Some(page) = pages.next().await else {
                 return Ok(());
@@ -139,13 +147,13 @@
 
 async fn read_group(
     store: &Store,
-    reading: &LogReading,
+    (reading, timeout): (&LogReading, Duration),
     log_prefix: &str,
     group: Group,
 ) -> Result<(Group, Vec<Item>), StoreError> {
     // The semaphore is never closed.
     let _turn = reading.turns.acquire().await.ok();
     let mut range = Range::default();
-    store.extend_range(&group.key_prefix(log_prefix), reading.page_timeout, &mut range).await?;
+    store.extend_range(&group.key_prefix(log_prefix), timeout, &mut range).await?;
     Ok((group, range.items))
 }
