Test of a list of workers that gets no answer

Failing test first. The reading of the list gets a reader of its own, ListReader, which a test can give a store that loses an answer; the timeout is unchanged: that of the store's largest page, 14 s at 2 Mbit/s. Meanwhile the node reads no other list, so that a cell that it has just claimed has no workers.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 use teaselgap_core::{ServiceId, job::WorkerEntry};
 use teaselgap_platform::{
-    store::{self, Item, Range, StoreError, WORKERS_PREFIX},
+    store::{self, Item, Range, Store, StoreError, WORKERS_PREFIX},
     worker::{self, EntryError},
 };
 
@@ -60,6 +60,7 @@
     let mut complete_from = clock::now();
     let link_mbps = node.settings.limits.link_mbps;
     let mut list_bytes = 0;
+    let mut reader = ListReader::new(link_mbps);
     let mut unreadable_count = 0;
     loop {
         let shortest = shortest_pause(list_bytes, link_mbps);
@@ -71,7 +72,7 @@
         if node.cell_owners.borrow().is_empty() {
             continue;
         }
-        match read_workers(&node).await {
+        match reader.read(&node.store).await {
             Ok(WorkerList { workers, bytes, unreadable }) => {
                 list_bytes = bytes;
                 let count = unreadable.as_ref().map_or(0, |(_, count)| *count);
@@ -140,12 +141,23 @@
     (workers, unreadable)
 }
 
-/// Reads the list of workers.
-async fn read_workers(node: &Rc<Node>) -> Result<WorkerList, StoreError> {
-    let page_timeout = store::page_timeout(node.settings.limits.link_mbps);
-    let mut range = Range::default();
-    node.store.extend_range(WORKERS_PREFIX, page_timeout, &mut range).await?;
-    let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
-    let (workers, unreadable) = parse_workers(&range.items, clock::wall_ms());
-    Ok(WorkerList { workers, bytes, unreadable })
+/// Reads the list of workers from the store.
+struct ListReader {
+    /// How long the store may take for a page of the list.
+    page_timeout: Duration,
+}
+
+impl ListReader {
+    /// Creates the reader of a node with a link of this rate, in megabits per second.
+    fn new(link_mbps: f64) -> Self {
+        Self { page_timeout: store::page_timeout(link_mbps) }
+    }
+
+    async fn read(&mut self, store: &Store) -> Result<WorkerList, StoreError> {
+        let mut range = Range::default();
+        store.extend_range(WORKERS_PREFIX, self.page_timeout, &mut range).await?;
+        let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
+        let (workers, unreadable) = parse_workers(&range.items, clock::wall_ms());
+        Ok(WorkerList { workers, bytes, unreadable })
+    }
 }
--- a/src/jobs/roster/tests.rs
+++ b/src/jobs/roster/tests.rs
@@ -1,4 +1,6 @@
-use super::*;
+use teaselgap_platform::client::Connections;
+
+use super::{super::test_server, *};
 
 const WALL_MS: u64 = 1_700_000_000_000;
 
@@ -56,3 +58,21 @@
     assert_eq!(workers["s"].iter().map(|one| one.id.as_str()).collect::<Vec<_>>(), ["i-2"]);
     assert!(unreadable.is_some_and(|(first, count)| first.key.ends_with("i-1") && count == 1));
 }
+
+/// Guards against a cell without workers for as long as the largest page takes on a narrow link, because
+/// one answer of the store is lost.
+#[test]
+fn a_list_without_an_answer_holds_up_the_next_one_for_as_long_as_the_largest_page_takes() {
+    const EMPTY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 42\r\n\r\n{\"items\":[],\"has_more\":false,\"at_rev\":123}";
+    let (address, calls) = test_server::serve(EMPTY, &[0]);
+
+    let is_read = test_server::run(async {
+        let store = Store::new(address, Rc::new(Connections::default()));
+        let mut reader = ListReader::new(2.0);
+        let until_read = async { while reader.read(&store).await.is_err() {} };
+        tokio::time::timeout(Duration::from_secs(6), until_read).await.is_ok()
+    });
+
+    assert!(is_read);
+    assert_eq!(calls.load(std::sync::atomic::Ordering::SeqCst), 2);
+}
