A list of workers that gets no answer is asked for again after some 3 s

Cause: each page of the list had the timeout of the store's largest page, 14 s at 2 Mbit/s and 4 s at 10. The node reads one list at a time, so that one lost answer left a cell that it had just claimed without workers for as long.

Change: a page has 3 s and four times what the latest list takes on the link, up to the former timeout. ReadTimeout doubles that while pages get no answer, as the list may have grown, and begins anew after the longest time, so that a store which is back after a silence is heard soon. The reader of the log uses it, too.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -37,6 +37,7 @@
 mod outage;
 mod owner_load;
 mod peer;
+mod read_timeout;
 mod repeat;
 mod roster;
 mod session;
--- a/src/jobs/log_store/reader.rs
+++ b/src/jobs/log_store/reader.rs
@@ -20,13 +20,13 @@
 use tokio::sync::Semaphore;
 
 use self::pages::{Group, PagePlan};
+use crate::jobs::read_timeout::ReadTimeout;
 
 /// How long a page may take on the link. A renewal of the lease waits for at most the pages that are
 /// requested at once, which is less than its interval.
 const PAGE_TIME: Span = Span(100);
 
-/// How long the store may take for a page that passes the link in [`PAGE_TIME`]. It is doubled while
-/// pages fail, as one of large segments takes longer.
+/// How long the store may take at first for a page that is to pass the link in [`PAGE_TIME`].
 const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How many pages are requested at once, so that a second one passes the link while the store
@@ -70,14 +70,14 @@
     /// How the log is read in small pages; `None` if it is read in the store's own.
     plan: Option<PagePlan>,
     /// The timeout for one of these pages.
-    page_timeout: Duration,
+    page_timeout: ReadTimeout,
     range: Range,
 }
 
 impl<'a> LogReader<'a> {
     /// Creates the reader of the log whose keys have this prefix.
     pub(super) fn new(prefix: &'a str, reading: &'a LogReading) -> Self {
-        let page_timeout = PAGE_TIMEOUT.min(reading.max_page_timeout);
+        let page_timeout = ReadTimeout::new(PAGE_TIMEOUT, reading.max_page_timeout);
         Self { prefix, reading, plan: None, page_timeout, range: Range::default() }
     }
 
@@ -88,9 +88,9 @@
         }
         if let Some(mut plan) = self.plan.take() {
             let result = self.read_pages(store, &mut plan).await;
-            if result.is_err() {
+            if let Err(err) = &result {
                 plan.reopen();
-                self.page_timeout = (self.page_timeout * 2).min(self.reading.max_page_timeout);
+                self.page_timeout.record_failure(err);
                 self.plan = Some(plan);
                 return result;
             }
@@ -111,7 +111,7 @@
     }
 
     async fn read_pages(&mut self, store: &Store, plan: &mut PagePlan) -> Result<(), StoreError> {
-        let (prefix, reading, timeout) = (self.prefix, self.reading, self.page_timeout);
+        let (prefix, reading, timeout) = (self.prefix, self.reading, self.page_timeout.current());
         let mut pages = FuturesUnordered::new();
         loop {
             while pages.len() < PAGES_AT_ONCE
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -13,7 +13,7 @@
     worker::{self, EntryError},
 };
 
-use super::node::Node;
+use super::{node::Node, read_timeout::ReadTimeout};
 use crate::clock;
 
 /// The longest time between two readings of the list.
@@ -28,6 +28,13 @@
 /// The link rate that is assumed at least, in megabits per second.
 const MIN_LINK_MBPS: f64 = 0.1;
 
+/// How long the store may take for a page of the list, beside the time that the list takes on the link.
+const LIST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How many times as long as the latest list takes on the link a page may take, as the link has other
+/// traffic and values are written in base64.
+const LIST_TIME_FACTOR: u32 = 4;
+
 /// How long, in milliseconds, the list counts as incomplete after a failed reading: entries that
 /// expired while the store was unreachable need this time to be written again.
 const REGISTRATION_GRACE_MS: u64 = 2_500;
@@ -54,6 +61,12 @@
     transfer_time(list_bytes, link_mbps) * (TRIGGERED_LINK_DIVISOR - 1)
 }
 
+/// How long the store may take for a page of a list that had this size when it was read last.
+fn list_timeout(list_bytes: usize, link_mbps: f64) -> ReadTimeout {
+    let usual = LIST_TIMEOUT + transfer_time(list_bytes, link_mbps) * LIST_TIME_FACTOR;
+    ReadTimeout::new(usual, store::page_timeout(link_mbps))
+}
+
 /// Reads the list at regular intervals while this node owns a cell, and passes it to the cells.
 pub(super) async fn run(node: Rc<Node>) {
     let mut failing_since = None;
@@ -143,20 +156,25 @@
 
 /// Reads the list of workers from the store.
 struct ListReader {
-    /// How long the store may take for a page of the list.
-    page_timeout: Duration,
+    link_mbps: f64,
+    page_timeout: ReadTimeout,
 }
 
 impl ListReader {
     /// Creates the reader of a node with a link of this rate, in megabits per second.
     fn new(link_mbps: f64) -> Self {
-        Self { page_timeout: store::page_timeout(link_mbps) }
+        Self { link_mbps, page_timeout: list_timeout(0, link_mbps) }
     }
 
     async fn read(&mut self, store: &Store) -> Result<WorkerList, StoreError> {
         let mut range = Range::default();
-        store.extend_range(WORKERS_PREFIX, self.page_timeout, &mut range).await?;
+        let timeout = self.page_timeout.current();
+        if let Err(err) = store.extend_range(WORKERS_PREFIX, timeout, &mut range).await {
+            self.page_timeout.record_failure(&err);
+            return Err(err);
+        }
         let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
+        self.page_timeout = list_timeout(bytes, self.link_mbps);
         let (workers, unreadable) = parse_workers(&range.items, clock::wall_ms());
         Ok(WorkerList { workers, bytes, unreadable })
     }
--- a/src/jobs/roster/tests.rs
+++ b/src/jobs/roster/tests.rs
@@ -76,3 +76,17 @@
     assert!(is_read);
     assert_eq!(calls.load(std::sync::atomic::Ordering::SeqCst), 2);
 }
+
+/// Guards against a list that is never read because it takes longer on the link than a short one.
+#[test]
+fn a_long_list_is_given_up_before_it_has_passed_a_slow_link() {
+    let long_list_bytes = 400_000;
+
+    for link_mbps in [2.0, 10.0, 1_000.0] {
+        let transfer = transfer_time(long_list_bytes, link_mbps);
+        let timeout = list_timeout(long_list_bytes, link_mbps).current();
+
+        assert!(timeout >= LIST_TIMEOUT.min(store::page_timeout(link_mbps)));
+        assert!(timeout >= (transfer * 4).min(store::page_timeout(link_mbps)), "{link_mbps}");
+    }
+}
