--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -114,6 +114,37 @@
 }
 
 impl Node {
+    /// Creates the state of a process that knows no other node and owns nothing.
+    pub(super) fn new(
+        (id, incarnation, peer_address): (NodeId, Incarnation, SocketAddr),
+        settings: Settings,
+        shared: Arc<SharedState>,
+        lease: LeaseRenewer,
+    ) -> Self {
+        let connections = Rc::new(Connections::default());
+        Self {
+            log: shared.log.clone(),
+            id,
+            incarnation,
+            peer_address,
+            store: Store::new(settings.store.address, Rc::clone(&connections)),
+            repeater: Repeater::new(MAX_STORE_COPIES),
+            log_reading: LogReading::new(settings.limits.link_mbps),
+            connections,
+            shared,
+            peers: Peers::default(),
+            lease,
+            session: RefCell::new(Session::new(&settings.store)),
+            members: RefCell::new(Members::default()),
+            cell_owners: RefCell::new(IndexMap::new()),
+            ended_terms: RefCell::new(IndexMap::new()),
+            fleet: RefCell::new(None),
+            operator: RefCell::new(operator::OperatorState::default()),
+            roster_refresh: Notify::new(),
+            settings,
+        }
+    }
+
     /// The owner of a service's cell, if it is at this node and has read the cell's log.
     pub(super) fn cell_owner(&self, cell: &ServiceId) -> Option<Rc<CellOwner>> {
         self.cell_owners.borrow().get(cell).filter(|owner| owner.is_serving()).cloned()
@@ -214,29 +245,8 @@
         "version" => env!("CARGO_PKG_VERSION"));
     let stop_front = serve_http(&shared, listeners)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let connections = Rc::new(Connections::default());
     let lease = LeaseRenewer::start(session::renewal_config(&settings.store), log.clone())?;
-    let node = Rc::new(Node {
-        log: log.clone(),
-        id,
-        incarnation,
-        peer_address,
-        store: Store::new(settings.store.address, Rc::clone(&connections)),
-        repeater: Repeater::new(MAX_STORE_COPIES),
-        log_reading: LogReading::new(settings.limits.link_mbps),
-        connections,
-        shared,
-        peers: Peers::default(),
-        lease,
-        session: RefCell::new(Session::new(&settings.store)),
-        members: RefCell::new(Members::default()),
-        cell_owners: RefCell::new(IndexMap::new()),
-        ended_terms: RefCell::new(IndexMap::new()),
-        fleet: RefCell::new(None),
-        operator: RefCell::new(operator::OperatorState::default()),
-        roster_refresh: Notify::new(),
-        settings,
-    });
+    let node = Rc::new(Node::new((id, incarnation, peer_address), settings, shared, lease));
     let local = LocalSet::new();
     let result = local.block_on(&runtime, run(node, peer_listener, requests, request_rx));
     stop_front();
