The owner of the fleet instructs all cells at once

Cause: it waited for the answer of one cell after the other, up to 0.8 s each. A node that doesn't answer and owns two cells or more made the reports of all pools older than the 1.5 s for which they are believed, so that no order about any VM was sent; with eight its cycle took longer than the 6 s after which cells give up their drains.

Change: the cells are instructed at the same time, so that a round takes 0.8 s at most, and each report counts from when it came.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -9,13 +9,14 @@
     time::Duration,
 };
 
-use indexmap::IndexSet;
+use futures_util::future::join_all;
+use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp, VmId,
     job::{
-        Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load, ORDER_SEND_WINDOW,
-        OrderBasis, OrderOutcome,
+        DrainMode, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load,
+        ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -216,23 +217,12 @@
     async fn instruct_cells(&self) {
         let now = clock::now();
         let mut drain_requests = self.fleet.borrow().drain_requests(now);
-        for cell in self.cells() {
+        let instructed = self.cells().into_iter().map(|cell| {
             let drains = drain_requests.shift_remove(&cell).unwrap_or_default();
-            let instruction = {
-                let fleet = self.fleet.borrow();
-                let expects_workers = fleet.expects_workers(&cell, now);
-                PoolInstruction {
-                    epoch: self.epoch,
-                    drains,
-                    expects_workers,
-                    outlook: fleet.outlook(&cell),
-                }
-            };
-            if let Some(report) = self.node.instruct(&cell, instruction).await {
-                let now = clock::now();
-                self.fleet.borrow_mut().on_cell_report(&cell, report.load, report.drained, now);
-            }
-        }
+            self.instruct_cell(cell, drains)
+        });
+        // A cell that doesn't answer must not make the reports of the others old.
+        join_all(instructed.collect::<Vec<_>>()).await;
         // No tasks run in pools without a queue, so their workers count as drained.
         for (pool, drains) in drain_requests {
             let drained = drains.into_keys().collect();
@@ -240,6 +230,22 @@
         }
     }
 
+    async fn instruct_cell(&self, cell: ServiceId, drains: IndexMap<WorkerId, DrainMode>) {
+        let instruction = {
+            let fleet = self.fleet.borrow();
+            PoolInstruction {
+                epoch: self.epoch,
+                drains,
+                expects_workers: fleet.expects_workers(&cell, clock::now()),
+                outlook: fleet.outlook(&cell),
+            }
+        };
+        if let Some(report) = self.node.instruct(&cell, instruction).await {
+            let now = clock::now();
+            self.fleet.borrow_mut().on_cell_report(&cell, report.load, report.drained, now);
+        }
+    }
+
     /// The cells of all services with a queue, and those that still have an owner although the
     /// service's last queue was removed: what lasts goes on there.
     fn cells(&self) -> Vec<ServiceId> {
--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -1,6 +1,5 @@
 use std::{net::SocketAddr, sync::Arc};
 
-use indexmap::IndexMap;
 use slog::{Discard, Logger, o};
 use teaselgap_core::{Incarnation, job::QueueConfig};
 use teaselgap_platform::{client::Connections, config::Config, settings};
