--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -259,9 +259,22 @@
         service: ServiceId,
         queues: IndexMap<QueueId, QueueConfig>,
         workers: Vec<ModelWorker>,
+    ) -> Self {
+        Self::with_link_and_config(link, cell_config(), service, queues, workers)
+    }
+
+    /// Creates a cell like [`Model::with_link`], of this configuration except for the limits that follow
+    /// from the link.
+    #[must_use]
+    pub fn with_link_and_config(
+        link: Link,
+        cfg: CellConfig,
+        service: ServiceId,
+        queues: IndexMap<QueueId, QueueConfig>,
+        workers: Vec<ModelWorker>,
     ) -> Self {
         let flow = FlowLimits::new(link.rate(), LINKED_OWNER_CPU_SHARE);
-        let cfg = CellConfig { flow, ..cell_config() };
+        let cfg = CellConfig { flow, ..cfg };
         let mut model = Self::with_config(cfg, service, queues, workers);
         model.link = Some(link);
         model
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -18,6 +18,7 @@
 mod log;
 mod long_running;
 mod may_end;
+mod order_rate;
 mod outranked;
 mod owners;
 mod random;
