--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -26,6 +26,7 @@
 mod log;
 mod message;
 mod order;
+mod order_rate;
 mod pace;
 mod permission;
 mod place;
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -497,6 +497,7 @@
         if self.plan_due {
             self.plan(now);
         }
+        self.start_window.note_waiting(self.held_back_starts > 0, now);
         self.remove_expired_jobs(now);
     }
 
--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -1,6 +1,13 @@
 //! Admission by forecast: refuses a job that would end only when that is worth nothing any more.
 //!
-//! The forecast treats the workers as one large processor. It rests on:
+//! Two things can make jobs wait: the processors of the workers, and the start orders that the owner
+//! gets done. A job is refused if the forecast of either says so. That of the orders counts the
+//! waiting tasks and rests on the rate that the owner has measured. It holds from the beginning of a
+//! term, as it needs no knowledge of the workers, but leaves out tasks of earlier terms that may be
+//! running. As work that can be on time goes first, overdue work may wait for long; no job is
+//! accepted while the orders for all that waits take too long.
+//!
+//! The forecast of the processors treats the workers as one large processor. It rests on:
 //!
 //! - the work that waits to start, by rank, from the expected times of its steps;
 //! - the processor capacity that the cell's workers have, and what the fleet can give the pool in
@@ -12,19 +19,21 @@
 //! start in time at its rank, unless that makes a job overdue that was accepted before; and also if
 //! the capacity that arriving jobs leave over ends it before it is overdue. While nothing waits, each
 //! job is accepted: some worker is free, or will be soon. While much of the workers' capacity is
-//! idle, each is accepted too: the backlog then waits for something else, such as its start orders.
-//! While the owner may not know all workers yet, nothing is refused. Memory, labels and racks are
+//! idle, they refuse none: the backlog then waits for something else, such as its start orders.
+//! While the owner may not know all workers yet, they refuse none either. Memory, labels and racks are
 //! left out, which makes the forecast too optimistic rather than too strict.
 
+mod forecast;
 #[cfg(test)]
 mod tests;
 
 use std::collections::VecDeque;
 
+use self::forecast::{Backlog, Candidate, Supply, Work, refused_wait};
 use super::{
     super::{
-        JobId, JobSpec, Outlook,
-        order::{self, OVERDUE_FACTOR, RankClass, RankContext},
+        JobId, JobSpec, Outlook, Step,
+        order::{self, RankClass, RankContext},
         task::Job,
         times,
     },
@@ -63,13 +72,15 @@
 /// for. At most a quarter is kept free for large tasks.
 const IDLE_PERCENT: u64 = 30;
 
+/// How long the start orders of all waiting tasks may take; beyond that no job is accepted.
+const MAX_ORDER_BACKLOG: Span = Span(6_000);
+
+/// The amount of an order in the forecast.
+const ORDER_WORK: Work = 1_000;
+
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Span = Span(1_000);
 
-/// The part of the time until a job's latest start that its forecast wait may take, in percent.
-/// Workers are never as busy as the forecast assumes.
-const MAX_WAIT_PERCENT: u64 = 80;
-
 /// Whether a cell refuses jobs that would end too late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionPolicy {
@@ -79,9 +90,6 @@
     AcceptLate,
 }
 
-/// The order in which jobs that can be on time start: by priority, then by their latest start.
-type StartOrder = (u32, Timestamp);
-
 /// Why a job is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Refusal {
@@ -91,150 +99,6 @@
     pub(super) retry_after: Span,
 }
 
-/// The work of a job that can no longer be on time, but can still end before it is overdue.
-#[derive(Clone, Copy, Debug)]
-struct LateWork {
-    order: StartOrder,
-    latest_useful_start: Timestamp,
-    /// The time that the open steps still need.
-    remaining: Span,
-    work: MilliCoreMillis,
-}
-
-/// The work of a cell that has not started, without jobs that are overdue. All of it is in the order
-/// in which it starts; the late work starts after that which can be on time.
-#[derive(Clone, Debug, Default)]
-struct Backlog {
-    on_time: Vec<(StartOrder, MilliCoreMillis)>,
-    late: Vec<LateWork>,
-    /// The capacity that long-running tasks book, in thousandths of a core.
-    long_running_milli: u64,
-}
-
-impl Backlog {
-    /// Adds an occurrence of an open job, not in the order in which it starts.
-    fn add_occurrence(&mut self, job: &Job, index: usize, context: &RankContext<'_>) {
-        self.long_running_milli += job.long_running_milli();
-        let work = waiting_work(job, index, context.expected);
-        if work == 0 {
-            return;
-        }
-        let rank = order::rank(job, index, context);
-        let order = (rank.priority, rank.sort_time);
-        match rank.class {
-            RankClass::OnTime => self.on_time.push((order, work)),
-            RankClass::Late => self.late.push(LateWork {
-                order,
-                latest_useful_start: order::latest_useful_start(job, index, context),
-                remaining: context.remaining(job, index),
-                work,
-            }),
-            RankClass::LongRunning | RankClass::Overdue => {}
-        }
-    }
-
-    /// Whether nothing waits that is still worth something.
-    fn is_empty(&self) -> bool {
-        self.on_time.is_empty() && self.late.is_empty()
-    }
-
-    fn sort(&mut self) {
-        self.on_time.sort_unstable();
-        self.late.sort_by_key(|late| late.order);
-    }
-
-    /// Adds a new job in its place.
-    fn add(&mut self, order: StartOrder, work: MilliCoreMillis) {
-        let index = self.on_time.partition_point(|(other, _)| *other <= order);
-        self.on_time.insert(index, (order, work));
-    }
-
-    /// The work that starts before a new job that can be on time.
-    fn work_ahead(&self, order: StartOrder) -> MilliCoreMillis {
-        let ahead = self.on_time.iter().take_while(|(other, _)| *other <= order);
-        ahead.map(|(_, work)| work).sum()
-    }
-
-    fn on_time_work(&self) -> MilliCoreMillis {
-        self.on_time.iter().map(|(_, work)| work).sum()
-    }
-
-    fn late_work(&self) -> MilliCoreMillis {
-        self.late.iter().map(|late| late.work).sum()
-    }
-
-    /// Whether work that starts before all late work would make a job overdue that isn't yet.
-    fn makes_overdue(
-        &self,
-        added: MilliCoreMillis,
-        capacity: CapacityForecast,
-        now: Timestamp,
-    ) -> bool {
-        let mut ahead = self.on_time_work();
-        self.late.iter().any(|late| {
-            let time_left = late.latest_useful_start.since(now);
-            let is_lost = capacity.time_for(ahead) > time_left;
-            let safe_time_left = Span(time_left.0.saturating_sub(late.remaining.0));
-            let would_be_lost = capacity.time_for(ahead + added) > safe_time_left;
-            ahead += late.work;
-            would_be_lost && !is_lost
-        })
-    }
-}
-
-/// A new job as the forecast sees it.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    order: StartOrder,
-    work: MilliCoreMillis,
-    critical_path: Span,
-    objective: Span,
-}
-
-impl Candidate {
-    /// How long the job may wait until it starts and still be on time.
-    fn slack(&self) -> Span {
-        Span(self.objective.0.saturating_sub(self.critical_path.0))
-    }
-}
-
-/// What the forecast of a job's wait rests on, beside the backlog.
-#[derive(Clone, Copy, Debug)]
-struct Supply {
-    /// What the workers can do, without the long-running tasks.
-    capacity: CapacityForecast,
-    /// What the jobs that arrive need, in thousandths of a core.
-    arriving_milli: u64,
-    /// Whether many workers may still join, so that a backlog does not show that arrivals exceed what
-    /// the workers will do.
-    is_growing: bool,
-}
-
-/// Returns how long a new job would wait until its last task starts, if it is to be refused.
-fn refused_wait(backlog: &Backlog, supply: Supply, job: Candidate, now: Timestamp) -> Option<Span> {
-    if backlog.is_empty() {
-        return None;
-    }
-    let wait = supply.capacity.time_for(backlog.work_ahead(job.order) + job.work);
-    let is_on_time = wait.0.saturating_mul(100) <= job.slack().0 * MAX_WAIT_PERCENT;
-    let is_accepted = if is_on_time {
-        supply.is_growing || !backlog.makes_overdue(job.work, supply.capacity, now)
-    } else {
-        ends_before_overdue(backlog, supply, job)
-    };
-    (!is_accepted).then_some(wait)
-}
-
-/// Whether a job that is late ends before it is overdue. It starts after the jobs that can be on
-/// time, also after those that are still to arrive.
-fn ends_before_overdue(backlog: &Backlog, supply: Supply, job: Candidate) -> bool {
-    let arriving_milli = if supply.is_growing { 0 } else { supply.arriving_milli };
-    let spare = supply.capacity.without(arriving_milli);
-    let work = backlog.on_time_work() + backlog.late_work() + job.work;
-    let end_ms = spare.time_for(work).0.saturating_add(job.critical_path.0);
-    end_ms <= job.objective.0 * OVERDUE_FACTOR
-}
-
 /// Whether a pool with this capacity is expected to grow, given the most that it can have.
 fn is_small(current_milli: u64, most_milli: u64) -> bool {
     current_milli * 100 < most_milli * SMALL_POOL_PERCENT
@@ -252,6 +116,38 @@
         .sum()
 }
 
+/// Which start orders of a job the forecast counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CountedSteps {
+    /// Those of all steps. The later ones compete with the jobs that are accepted now.
+    All,
+    /// Those of steps that wait for no other. As long as the owner keeps up with the orders, the
+    /// later ones don't wait when their time comes.
+    Ready,
+}
+
+/// The start orders that an occurrence's tasks still need. Those of a job of an earlier term may be
+/// running, unless it has been released.
+fn waiting_orders(job: &Job, index: usize, counted: CountedSteps) -> Work {
+    if job.is_inherited {
+        return 0;
+    }
+    let occurrence = &job.occurrences[index];
+    let is_counted = |step: usize| {
+        occurrence.steps[step].open_tasks > 0
+            && (counted == CountedSteps::All || occurrence.is_ready(&job.spec, step))
+    };
+    let steps = occurrence.steps.iter().enumerate().filter(|(step, _)| is_counted(*step));
+    steps.map(|(_, state)| state.waiting_tasks() * ORDER_WORK).sum()
+}
+
+/// The start orders that a new job needs.
+fn total_orders(spec: &JobSpec, counted: CountedSteps) -> Work {
+    let is_counted = |step: &&Step| counted == CountedSteps::All || step.after.is_empty();
+    let steps = spec.steps.iter().filter(is_counted);
+    steps.map(|step| u64::from(step.count) * ORDER_WORK).sum()
+}
+
 /// When a refused caller should come back: once the backlog has fallen by `excess`, spread by the
 /// job's id so that not all callers come back in the same second.
 fn retry_after(job: JobId, excess: Span) -> Span {
@@ -259,6 +155,38 @@
     Span((seconds + job.0 % (seconds + 1)) * 1_000)
 }
 
+/// What is asked of one resource.
+#[derive(Clone, Debug, Default)]
+struct Demand {
+    backlog: Backlog,
+    /// The work of all jobs submitted in this term, also of refused ones, each counted once.
+    submitted: Work,
+    /// The submitted work up to a time, the oldest first.
+    arrivals: VecDeque<(Timestamp, Work)>,
+}
+
+impl Demand {
+    fn record_arrivals(&mut self, now: Timestamp) {
+        self.arrivals.push_back((now, self.submitted));
+        while self.arrivals.get(1).is_some_and(|(at, _)| *at + ARRIVAL_WINDOW <= now) {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// What the work submitted within the window needs, in thousandths of a core or in orders a
+    /// second.
+    fn arriving_milli(&self) -> u64 {
+        let before = self.arrivals.front().map_or(self.submitted, |(_, work)| *work);
+        (self.submitted - before) / ARRIVAL_WINDOW.0
+    }
+
+    fn replace_backlog(&mut self, mut backlog: Backlog, now: Timestamp) {
+        backlog.sort();
+        self.backlog = backlog;
+        self.record_arrivals(now);
+    }
+}
+
 /// What the forecast has measured in this term.
 #[derive(Clone, Debug)]
 pub(super) struct Admission {
@@ -271,11 +199,10 @@
     workers_announced_until: Timestamp,
     /// What the fleet can give the pool, and until when that is used.
     outlook: Option<(Outlook, Timestamp)>,
-    /// The work of all jobs submitted in this term, also of refused ones, each counted once.
-    submitted_work: MilliCoreMillis,
-    /// The submitted work up to a time, the oldest first.
-    arrivals: VecDeque<(Timestamp, MilliCoreMillis)>,
-    backlog: Backlog,
+    processors: Demand,
+    orders: Demand,
+    /// The capacity that long-running tasks book, in thousandths of a core.
+    long_running_milli: u64,
     backlog_valid_until: Timestamp,
 }
 
@@ -287,25 +214,12 @@
             workers_join_until: Timestamp(0),
             workers_announced_until: Timestamp(0),
             outlook: None,
-            submitted_work: 0,
-            arrivals: VecDeque::new(),
-            backlog: Backlog::default(),
+            processors: Demand::default(),
+            orders: Demand::default(),
+            long_running_milli: 0,
             backlog_valid_until: Timestamp(0),
         }
     }
-
-    fn record_arrivals(&mut self, now: Timestamp) {
-        self.arrivals.push_back((now, self.submitted_work));
-        while self.arrivals.get(1).is_some_and(|(at, _)| *at + ARRIVAL_WINDOW <= now) {
-            self.arrivals.pop_front();
-        }
-    }
-
-    /// The capacity that the work submitted within the window needs, in thousandths of a core.
-    fn arriving_milli(&self) -> u64 {
-        let before = self.arrivals.front().map_or(self.submitted_work, |(_, work)| *work);
-        (self.submitted_work - before) / ARRIVAL_WINDOW.0
-    }
 }
 
 impl Cell {
@@ -343,22 +257,49 @@
         }
         self.refresh_backlog(now);
         let job = self.candidate(queue, spec, now)?;
+        let orders = Candidate { work: total_orders(spec, self.counted_steps(now)), ..job };
         if is_new {
-            self.admission.submitted_work += job.work;
+            self.admission.processors.submitted += job.work;
+            self.admission.orders.submitted += total_orders(spec, CountedSteps::All);
         }
+        let refusals =
+            [self.refused_by_orders(id, orders, now), self.refused_by_processors(id, job, now)];
+        let refusal = refusals.into_iter().flatten().max_by_key(|refusal| refusal.wait);
+        if refusal.is_none() {
+            self.admission.processors.backlog.add(job.order, job.work);
+            self.admission.orders.backlog.add(orders.order, orders.work);
+        }
+        refusal
+    }
+
+    /// The refusal of a job for which there is not enough processor capacity, if any.
+    fn refused_by_processors(&self, id: JobId, job: Candidate, now: Timestamp) -> Option<Refusal> {
         if self.has_idle_workers(now) {
-            self.admission.backlog.add(job.order, job.work);
             return None;
         }
         let supply = self.forecast_supply(now)?;
-        let Some(wait) = refused_wait(&self.admission.backlog, supply, job, now) else {
-            self.admission.backlog.add(job.order, job.work);
-            return None;
-        };
+        let wait = refused_wait(&self.admission.processors.backlog, supply, job, now)?;
         let retry_after = retry_after(id, Span(wait.0.saturating_sub(job.slack().0)));
         Some(Refusal { reason: "it would end too late", wait, retry_after })
     }
 
+    /// The refusal of a job that would wait too long for its start orders, if any.
+    fn refused_by_orders(&self, id: JobId, job: Candidate, now: Timestamp) -> Option<Refusal> {
+        let Demand { backlog, .. } = &self.admission.orders;
+        let capacity = CapacityForecast::constant(self.start_window.order_rate(now).0);
+        let arriving_milli = self.admission.orders.arriving_milli();
+        let supply = Supply { capacity, arriving_milli, is_growing: false };
+        let total = capacity.time_for(backlog.total_work());
+        let (wait, excess) = if total > MAX_ORDER_BACKLOG {
+            (total, Span(total.0 - MAX_ORDER_BACKLOG.0))
+        } else {
+            let wait = refused_wait(backlog, supply, job, now)?;
+            (wait, Span(wait.0.saturating_sub(job.slack().0)))
+        };
+        let retry_after = retry_after(id, excess);
+        Some(Refusal { reason: "start orders can't keep up", wait, retry_after })
+    }
+
     /// Describes a new job for the forecast; `None` if its queue is unknown.
     fn candidate(&self, id: &QueueId, spec: &JobSpec, now: Timestamp) -> Option<Candidate> {
         let queue: &QueueConfig = self.queues.get(id)?;
@@ -386,8 +327,8 @@
             }
             None => (self.capacity_without_outlook(current_milli, now), self.may_grow(now)),
         };
-        let capacity = capacity.without(admission.backlog.long_running_milli);
-        let arriving_milli = admission.arriving_milli();
+        let capacity = capacity.without(admission.long_running_milli);
+        let arriving_milli = admission.processors.arriving_milli();
         capacity.is_positive().then_some(Supply { capacity, arriving_milli, is_growing })
     }
 
@@ -433,14 +374,20 @@
         if now < self.admission.backlog_valid_until {
             return;
         }
-        self.admission.backlog = self.measure_backlog(now);
+        self.measure_backlog(now);
         self.admission.backlog_valid_until = now + BACKLOG_VALIDITY;
-        self.admission.record_arrivals(now);
     }
 
-    fn measure_backlog(&self, now: Timestamp) -> Backlog {
+    fn counted_steps(&self, now: Timestamp) -> CountedSteps {
+        let has_kept_up = !self.start_window.is_rate_measured(now);
+        if has_kept_up { CountedSteps::Ready } else { CountedSteps::All }
+    }
+
+    fn measure_backlog(&mut self, now: Timestamp) {
         let wall_offset_ms = self.wall_offset_ms;
-        let mut backlog = Backlog::default();
+        let (mut processors, mut orders) = (Backlog::default(), Backlog::default());
+        let mut long_running_milli = 0;
+        let counted = self.counted_steps(now);
         for (_, job) in self.jobs.open() {
             let Some(queue) = self.queues.get(&job.queue) else {
                 continue;
@@ -448,10 +395,26 @@
             let expected = self.expected_times.get(&job.queue);
             let context = RankContext { queue, expected, now, wall_offset_ms };
             for index in 0..job.occurrences.len() {
-                backlog.add_occurrence(job, index, &context);
+                long_running_milli += job.long_running_milli();
+                let (work, order_work) =
+                    (waiting_work(job, index, expected), waiting_orders(job, index, counted));
+                if work == 0 && order_work == 0 {
+                    continue;
+                }
+                let rank = order::rank(job, index, &context);
+                // Processors are free for overdue work only when nothing else waits for them, and
+                // long-running tasks keep theirs.
+                if work > 0 && matches!(rank.class, RankClass::OnTime | RankClass::Late) {
+                    processors.add_occurrence((rank, work), (job, index), &context);
+                }
+                if order_work > 0 {
+                    orders.add_occurrence((rank, order_work), (job, index), &context);
+                }
             }
         }
-        backlog.sort();
-        backlog
+        let admission = &mut self.admission;
+        admission.long_running_milli = long_running_milli;
+        admission.processors.replace_backlog(processors, now);
+        admission.orders.replace_backlog(orders, now);
     }
 }
--- a/crates/core/src/job/cell/admit/tests.rs
+++ b/crates/core/src/job/cell/admit/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{forecast::LateWork, *};
 
 const NOW: Timestamp = Timestamp(10_000);
 
--- a/crates/core/src/job/flow.rs
+++ b/crates/core/src/job/flow.rs
@@ -13,7 +13,7 @@
 
 use indexmap::IndexMap;
 
-use super::{TaskId, WorkerId};
+use super::{OrderRate, TaskId, WorkerId, order_rate::OrderMeter};
 use crate::{Span, Timestamp};
 
 /// Bytes on the wire of a call to a worker without its payload, with all headers.
@@ -83,6 +83,8 @@
     pub hold_rate: LinkRate,
     /// The most bytes of answers to holds that are requested at once.
     pub max_hold_burst_bytes: u64,
+    /// The start orders that the node is expected to get done in a second.
+    pub order_rate: OrderRate,
 }
 
 impl FlowLimits {
@@ -98,6 +100,7 @@
             max_starts: max_starts.max(1),
             hold_rate: LinkRate(link.0 * HOLD_PERCENT / 100),
             max_hold_burst_bytes: link.bytes_in(HOLD_BURST).max(CALL_BYTES),
+            order_rate: OrderRate::from_resources(link, cpu_milli),
         }
     }
 }
@@ -126,6 +129,7 @@
     /// The current limit on `pending_bytes`.
     window_bytes: u64,
     shrunk_at: Timestamp,
+    meter: OrderMeter,
 }
 
 impl StartWindow {
@@ -139,6 +143,7 @@
             pending_by_worker: IndexMap::new(),
             window_bytes: limits.max_start_bytes,
             shrunk_at: Timestamp(0),
+            meter: OrderMeter::new(limits.order_rate),
         }
     }
 
@@ -204,6 +209,7 @@
             }
         }
         if is_answered {
+            self.meter.count_answer();
             self.overtake(start.sent);
             if !start.is_overtaken {
                 self.adapt(&start, now);
@@ -214,6 +220,22 @@
         while self.in_sending_order.pop_front_if(has_outcome).is_some() {}
     }
 
+    /// Notes whether tasks that could start wait until fewer orders are in flight.
+    pub(super) fn note_waiting(&mut self, is_waited_for: bool, now: Timestamp) {
+        let is_full = !self.has_room();
+        self.meter.note(is_waited_for && is_full, now);
+    }
+
+    /// The rate at which start orders are expected to be done.
+    pub(super) fn order_rate(&self, now: Timestamp) -> OrderRate {
+        self.meter.rate(now)
+    }
+
+    /// Whether that rate was measured while starts were held back lately.
+    pub(super) fn is_rate_measured(&self, now: Timestamp) -> bool {
+        self.meter.is_measured(now)
+    }
+
     fn leave_window(&mut self, bytes: u64) {
         self.window_starts -= 1;
         self.pending_bytes -= bytes;
--- a/crates/core/src/job/flow/tests.rs
+++ b/crates/core/src/job/flow/tests.rs
@@ -6,6 +6,7 @@
     max_starts: 100,
     hold_rate: LinkRate(10 * CALL_BYTES),
     max_hold_burst_bytes: 2 * CALL_BYTES,
+    order_rate: OrderRate(100),
 };
 
 fn run(number: u64) -> (TaskId, u32) {
