--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -378,7 +378,16 @@
         if let Some(refusal) = self.check_admission((id, is_new), &queue, &spec, now) {
             let Refusal { reason, wait, retry_after } = refusal;
             let waiting = self.waiting_jobs();
-            let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
+            let order_rate = Some(self.start_window.order_rate(now));
+            let event = LogEvent::Refused {
+                job: id,
+                queue,
+                waiting,
+                reason,
+                wait,
+                retry_after,
+                order_rate,
+            };
             self.actions.push(Action::Log(event));
             self.actions.push(Action::Reply(token, Answer::Refused { retry_after }));
             return;
--- a/crates/core/src/job/cell/staged.rs
+++ b/crates/core/src/job/cell/staged.rs
@@ -111,7 +111,9 @@
         reason: &'static str,
     ) {
         let (waiting, retry_after) = (self.waiting_jobs(), STALL_RETRY_AFTER);
-        let event = LogEvent::Refused { job, queue, waiting, reason, wait, retry_after };
+        let order_rate = None;
+        let event =
+            LogEvent::Refused { job, queue, waiting, reason, wait, retry_after, order_rate };
         self.actions.push(Action::Log(event));
         let refusals = tokens.into_iter();
         let refusals = refusals.map(|token| Action::Reply(token, Answer::Refused { retry_after }));
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{AdviceRequest, EndKind, Fence, JobEnd, JobId, JobSpec, StepId, TaskId, WorkerId};
+use super::{
+    AdviceRequest, EndKind, Fence, JobEnd, JobId, JobSpec, OrderRate, StepId, TaskId, WorkerId,
+};
 use crate::{QueueId, Span, Timestamp};
 
 /// Identifies a pending request of a caller, so that the answer can be matched to it.
@@ -283,6 +285,8 @@
         wait: Span,
         /// How long the client account should wait before it submits the job again.
         retry_after: Span,
+        /// The rate of start orders that the owner counts on; `None` if the job was accepted first.
+        order_rate: Option<OrderRate>,
     },
     /// Tasks of a step were placed on workers.
     Placed {
--- a/crates/standins/tests/cells/order_rate.rs
+++ b/crates/standins/tests/cells/order_rate.rs
@@ -4,8 +4,8 @@
 use teaselgap_core::{
     Span,
     job::{
-        AdmissionPolicy, Answer, CellConfig, EndKind, FlowLimits, JobId, JobSpec, LogEvent, Step,
-        Token,
+        AdmissionPolicy, Answer, CellConfig, EndKind, FlowLimits, JobId, JobSpec, LogEvent,
+        OrderRate, Step, Token,
     },
 };
 use teaselgap_standins::model::{Link, Model, cell_config};
@@ -223,6 +223,33 @@
     assert!(refused_at_once >= 20, "{refused_at_once} of 40");
 }
 
+/// Guards against lines from which the cause of a refusal doesn't show.
+#[test]
+fn a_refusal_for_a_narrow_link_names_the_start_orders_and_their_rate() {
+    let mut model = settled_model(AdmissionPolicy::ByForecast, NARROW_MBPS);
+
+    submit_steadily(&mut model, &two_step_job(), BURST_JOBS_PER_S, 6);
+
+    let refusals: Vec<(&str, Span, Option<OrderRate>)> = model
+        .log_events()
+        .iter()
+        .filter_map(|event| match event {
+            LogEvent::Refused { reason, wait, order_rate, .. } => {
+                Some((*reason, *wait, *order_rate))
+            }
+            _ => None,
+        })
+        .collect();
+    // No more than the link carries of these orders and nothing else.
+    let most = OrderRate(250_000 / (PAYLOAD_BYTES as u64 + 350));
+    assert!(!refusals.is_empty());
+    for (reason, wait, order_rate) in refusals {
+        assert_eq!(reason, "start orders can't keep up");
+        assert!(wait > Span(0));
+        assert!(order_rate.is_some_and(|rate| rate <= most), "{order_rate:?}");
+    }
+}
+
 #[test]
 fn nothing_is_refused_that_a_narrow_link_carries() {
     let mut model = settled_model(AdmissionPolicy::ByForecast, NARROW_MBPS);
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -46,10 +46,11 @@
                 info!(log, "accepted"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
                     "cell" => cell, "epoch" => epoch);
             }
-            LogEvent::Refused { job, queue, waiting, reason, wait, retry_after } => {
+            LogEvent::Refused { job, queue, waiting, reason, wait, retry_after, order_rate } => {
                 info!(log, "refused"; "job" => %job, "queue" => %queue, "waiting_jobs" => waiting,
                     "reason" => reason, "wait_ms" => wait.0,
-                    "retry_after_ms" => retry_after.0, "cell" => cell, "epoch" => epoch);
+                    "retry_after_ms" => retry_after.0,
+                    "orders_per_s" => order_rate.map(|rate| rate.0), "cell" => cell, "epoch" => epoch);
             }
             LogEvent::Placed { step, tasks, waited } => self.write_placed(*step, tasks, *waited),
             LogEvent::Ended { run, how, is_task_done: true, .. } => self.write_task_done(run, *how),
