--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -385,7 +385,16 @@
         if let Some(refusal) = self.check_admission((id, is_new), &queue, &spec, now) {
             let Refusal { reason, wait, retry_after, closed } = refusal;
             let waiting = self.waiting_jobs();
-            let event = LogEvent::Refused { job: id, queue, waiting, reason, wait, retry_after };
+            let order_rate = Some(self.start_window.order_rate(now));
+            let event = LogEvent::Refused {
+                job: id,
+                queue,
+                waiting,
+                reason,
+                wait,
+                retry_after,
+                order_rate,
+            };
             self.actions.push(Action::Log(event));
             self.actions.push(Action::Reply(token, Answer::Refused { retry_after, closed }));
             return;
@@ -504,6 +513,7 @@
         if self.plan_due {
             self.plan(now);
         }
+        self.start_window.note_waiting(self.held_back_starts > 0, now);
         self.remove_expired_jobs(now);
     }
 
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -19,6 +19,7 @@
 mod log;
 mod long_running;
 mod may_end;
+mod order_rate;
 mod outranked;
 mod owners;
 mod random;
