--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -62,7 +62,7 @@
         EndKind, JobEnd, LostRun, QueueSettings, Record, StoredSegment, TaskSnapshot,
         UnsettledWorker,
     },
-    retransmit::RetransmitTimer,
+    retransmit::{AnswerOrder, RetransmitTimer},
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
     worker::{DrainMode, WorkerEntry},
--- a/crates/core/src/job/retransmit.rs
+++ b/crates/core/src/job/retransmit.rs
@@ -1,10 +1,10 @@
 //! When a call that has not been answered is sent again, computed from how long answers take as in
-//! RFC 6298.
+//! RFC 6298, and whether it waits in this node's own link, where a copy would only wait behind it.
 
 #[cfg(test)]
 mod tests;
 
-use crate::Span;
+use crate::{Span, Timestamp};
 
 /// The shortest time after which a call is sent again.
 const MIN_TIMEOUT: Span = Span(60);
@@ -24,6 +24,40 @@
 /// How many times its variation is added to the smoothed answer time.
 const VARIATION_FACTOR: u64 = 4;
 
+/// How much later than a call another one must have been sent for its answer to overtake the call's. Calls to different
+/// services go over different connections, which a link serves in turn.
+const REORDERING: Span = Span(20);
+
+/// While the latest answer is younger than this, answers are coming over the link.
+const LINK_PROGRESS: Span = Span(60);
+
+/// Tells calls that may be lost from those that wait in a link, which passes calls and their answers in the order of
+/// sending.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerOrder {
+    /// When the last one of the calls that were answered was sent.
+    newest_answered: Timestamp,
+    /// When the latest answer came.
+    last_answer: Timestamp,
+}
+
+impl AnswerOrder {
+    /// Records the answer to a call that was sent at `sent`.
+    pub fn record(&mut self, sent: Timestamp, now: Timestamp) {
+        self.newest_answered = self.newest_answered.max(sent);
+        self.last_answer = self.last_answer.max(now);
+    }
+
+    /// Whether a call that was sent at `sent` probably waits in the link: answers are coming, none of them to a call
+    /// that was sent after it. It isn't waited for longer than the longest timeout.
+    #[must_use]
+    pub fn may_wait_in_link(&self, sent: Timestamp, now: Timestamp) -> bool {
+        let is_overtaken = self.newest_answered >= sent + REORDERING;
+        let has_progress = now < self.last_answer + LINK_PROGRESS;
+        !is_overtaken && has_progress && now < sent + MAX_TIMEOUT
+    }
+}
+
 /// Measures how long a service takes to answer.
 ///
 /// Each copy of a call is answered on a connection of its own, so that the time to its answer is
--- a/src/jobs/repeat.rs
+++ b/src/jobs/repeat.rs
@@ -12,7 +12,10 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use teaselgap_core::{Span, job::RetransmitTimer};
+use teaselgap_core::{
+    Span, Timestamp,
+    job::{AnswerOrder, RetransmitTimer},
+};
 use teaselgap_platform::store::{Outcome, Store, StoreError, Transaction};
 
 use crate::clock;
@@ -24,11 +27,16 @@
 /// holds a socket until it times out.
 pub(super) const MAX_ORDER_COPIES: u32 = 3;
 
+/// How often a call whose copy waits for the link is looked at again.
+const LINK_CHECK_INTERVAL: Span = Span(10);
+
 /// Sends calls to one kind of service again. Use it within one thread.
 #[derive(Debug)]
 pub(super) struct Repeater {
     max_copies: u32,
     timer: RefCell<RetransmitTimer>,
+    /// For calls that may fill this node's link: in which order they are answered.
+    answer_order: Option<RefCell<AnswerOrder>>,
     /// Number of copies beyond the first of each call.
     repeats: Cell<u64>,
 }
@@ -44,12 +52,27 @@
 impl Repeater {
     /// Sends each call at most `max_copies` times.
     pub(super) fn new(max_copies: u32) -> Self {
-        Self { max_copies, timer: RefCell::default(), repeats: Cell::new(0) }
+        Self { max_copies, timer: RefCell::default(), answer_order: None, repeats: Cell::new(0) }
     }
 
-    /// Sends start orders to workers again.
+    /// Sends start orders to workers again, but not while they probably wait in this node's link.
     pub(super) fn for_orders() -> Self {
-        Self::new(MAX_ORDER_COPIES)
+        Self { answer_order: Some(RefCell::default()), ..Self::new(MAX_ORDER_COPIES) }
+    }
+
+    /// Whether a call that was sent at `sent` probably waits in this node's link.
+    fn may_wait_in_link(&self, sent: Timestamp) -> bool {
+        let order = self.answer_order.as_ref();
+        order.is_some_and(|order| order.borrow().may_wait_in_link(sent, clock::now()))
+    }
+
+    /// Records how long an answer took.
+    fn record(&self, sent: Timestamp) {
+        let now = clock::now();
+        self.timer.borrow_mut().record(now.since(sent));
+        if let Some(order) = &self.answer_order {
+            order.borrow_mut().record(sent, now);
+        }
     }
 
     /// The number of times that a call was sent again.
@@ -119,13 +142,14 @@
         copies.push(timed());
         let mut sent = 1;
         let mut pause = self.timer.borrow().timeout();
-        let mut next_copy_at = clock::now() + pause;
+        let mut last_sent = clock::now();
+        let mut next_copy_at = last_sent + pause;
         let mut failure: Option<T> = None;
         loop {
             tokio::select! {
                 Some((sent_at, result)) = copies.next() => {
                     if is_definite(&result) {
-                        self.timer.borrow_mut().record(clock::now().since(sent_at));
+                        self.record(sent_at);
                         let has_uncertain = failure.as_ref().is_some_and(&is_uncertain);
                         let has_open_copy = has_uncertain || !copies.is_empty();
                         return Repeated { result, has_open_copy };
@@ -137,11 +161,16 @@
                     failure = Some(result);
                 }
                 () = tokio::time::sleep(clock::until(next_copy_at)), if sent < self.max_copies => {
+                    if self.may_wait_in_link(last_sent) {
+                        next_copy_at = clock::now() + LINK_CHECK_INTERVAL;
+                        continue;
+                    }
                     copies.push(timed());
                     sent += 1;
                     self.repeats.set(self.repeats.get() + 1);
                     pause = Span(pause.0 * 2);
-                    next_copy_at = clock::now() + pause;
+                    last_sent = clock::now();
+                    next_copy_at = last_sent + pause;
                 }
             }
         }
