--- a/crates/standins/tests/cells/link_bytes.rs
+++ b/crates/standins/tests/cells/link_bytes.rs
@@ -1,6 +1,6 @@
 //! Tests of how many bytes an owner's calls to workers take on its link.
 
-use teaselgap_core::job::{JobId, LogEvent, WorkerId};
+use teaselgap_core::job::{EndKind, JobId, LogEvent, WorkerId};
 use teaselgap_standins::model::Model;
 
 use crate::fixtures::{job_spec, new_model_with_link, queue, step};
@@ -14,6 +14,9 @@
 /// The bytes that it carries in a second, in each direction.
 const LINK_BYTES_PER_S: u64 = 250_000;
 
+/// Size of a payload that every start order of a job carries.
+const PAYLOAD_BYTES: usize = 100;
+
 /// Time after which each worker that doesn't answer is known to be silent, in milliseconds.
 const SILENT_MS: u64 = 6_000;
 
@@ -91,3 +94,60 @@
         assert!(is_back, "after {cut_ms} ms");
     }
 }
+
+/// What one task has taken on the owner's link.
+#[derive(Clone, Copy, Debug)]
+struct BytesPerTask {
+    sent: u64,
+    received: u64,
+    /// Tasks done in a second.
+    tasks_per_s: u64,
+}
+
+/// Returns what the tasks that end in these seconds take on a link of this rate, while `jobs_per_s` jobs of
+/// eight tasks of 640 ms are submitted each second.
+fn bytes_per_task(link_mbps: u64, jobs_per_s: u64, seconds: u64) -> BytesPerTask {
+    let mut model = new_model_with_link(WORKERS, link_mbps);
+    let (traffic, done) = (model.traffic(), model.end_count(EndKind::Done));
+    let mut submitted_ms = 0;
+    for number in 0..jobs_per_s * seconds {
+        let mut spec = job_spec(vec![step(8, 3_200, 640)]);
+        spec.payload = "x".repeat(PAYLOAD_BYTES);
+        model.submit(JobId(number), &queue(), spec);
+        let next_ms = (number + 1) * 1_000 / jobs_per_s;
+        model.run_for(next_ms - submitted_ms);
+        submitted_ms = next_ms;
+    }
+    let tasks = (model.end_count(EndKind::Done) - done) as u64;
+    let (sent, received) = (model.traffic().sent_bytes(), model.traffic().received_bytes());
+    BytesPerTask {
+        sent: (sent - traffic.sent_bytes()) / tasks.max(1),
+        received: (received - traffic.received_bytes()) / tasks.max(1),
+        tasks_per_s: tasks / seconds,
+    }
+}
+
+/// Guards against calls that bring nothing: whatever a task takes beyond its order, its answer and its share of few
+/// lists lowers the number of tasks that a node with a narrow link can own.
+#[test]
+fn a_task_takes_few_bytes_of_a_calm_link_from_its_order_to_its_confirmed_end() {
+    let bytes = bytes_per_task(LINK_MBPS, 2, 10);
+
+    println!("{LINK_MBPS} Mbit/s, calm: {bytes:?}");
+    assert!(bytes.sent.max(bytes.received) <= 2_500, "{bytes:?}");
+    assert!(bytes.tasks_per_s >= 14, "{bytes:?}");
+}
+
+/// The same while more is asked for than the link, or the pool, carries. The lists of a worker then serve more tasks.
+#[test]
+fn a_task_takes_few_bytes_of_a_link_in_a_burst() {
+    let cases = [(2, 100, 900, 200), (4, 200, 900, 450), (10, 250, 1_000, 1_000)];
+    for (link_mbps, jobs_per_s, most_bytes, least_tasks_per_s) in cases {
+        let bytes = bytes_per_task(link_mbps, jobs_per_s, 6);
+
+        println!("{link_mbps} Mbit/s, {} tasks a second asked: {bytes:?}", 8 * jobs_per_s);
+        let is_bounded = bytes.sent.max(bytes.received) <= most_bytes;
+        assert!(is_bounded, "{link_mbps} Mbit/s: {bytes:?}");
+        assert!(bytes.tasks_per_s >= least_tasks_per_s, "{link_mbps} Mbit/s: {bytes:?}");
+    }
+}
