--- a/crates/standins/tests/cells/link_bytes.rs
+++ b/crates/standins/tests/cells/link_bytes.rs
@@ -1,9 +1,9 @@
 //! Tests of how many bytes an owner's calls to workers take on its link.
 
 use teaselgap_core::job::{EndKind, JobId, LogEvent, WorkerId};
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{Model, WorkerFaults};
 
-use crate::fixtures::{job_spec, new_model_with_link, queue, step};
+use crate::fixtures::{job_spec, long_running_job, new_model_with_link, queue, step};
 
 /// Number of workers in the pool.
 const WORKERS: usize = 100;
@@ -151,3 +151,25 @@
         assert!(bytes.tasks_per_s >= least_tasks_per_s, "{link_mbps} Mbit/s: {bytes:?}");
     }
 }
+
+/// Guards against a worker that lists the same ends again and again while they wait for a copy of an order.
+#[test]
+fn a_long_list_that_brings_nothing_new_takes_little_of_a_narrow_link() {
+    const LASTING_JOB: JobId = JobId(1 << 32);
+    const SHORT_TASKS: u32 = 80;
+    let mut model = new_model_with_link(1, LINK_MBPS);
+    model.submit(LASTING_JOB, &queue(), long_running_job(1, 0));
+    model.run_for(1_000);
+    model.set_faults("w0", WorkerFaults { lost_answers: 1, ..WorkerFaults::default() });
+    model.submit(JobId(1), &queue(), job_spec(vec![step(SHORT_TASKS, 1_600, 100)]));
+    model.run_for(2_000);
+    let before = model.traffic().holds.answer_bytes;
+
+    model.run_for(5_000);
+
+    let bytes = model.traffic().holds.answer_bytes - before;
+    let allowed = LINK_BYTES_PER_S * 5 / 10;
+    assert_eq!(model.end_count(EndKind::Done), SHORT_TASKS as usize);
+    assert!(bytes > 5 * 50 * u64::from(SHORT_TASKS), "{bytes} bytes: the ends don't wait");
+    assert!(bytes <= allowed, "{bytes} bytes, {allowed} allowed");
+}
