--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -64,7 +64,7 @@
         EndKind, JobEnd, LostRun, QueueSettings, Record, StoredSegment, TaskSnapshot,
         UnsettledWorker,
     },
-    retransmit::RetransmitTimer,
+    retransmit::{AnswerOrder, RetransmitTimer},
     retry_after::retry_after,
     spec::{JobSpec, Resources, Schedule, SpecError, Step},
     term::{Candidate, Duty, OrderRate, duty_to_hand_over, propose_owners},
