Tests of claims, handovers and registrations that the store doesn't answer

The state of a process for tests is in test_node, from the tests of the fleet's owner.

No code outside tests is changed.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -43,6 +43,8 @@
 mod session;
 mod start_order;
 #[cfg(test)]
+mod test_node;
+#[cfg(test)]
 mod test_server;
 
 pub(crate) use self::{node::serve, owner_load::OwnerLoad};
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -1,6 +1,13 @@
 use teaselgap_core::job::OrderRate;
 
-use super::{super::members::MEMBER_PREFIX, *};
+use super::{
+    super::{
+        members::MEMBER_PREFIX,
+        test_node::{node, silent_address},
+        test_server,
+    },
+    *,
+};
 
 const INCARNATION: Incarnation = Incarnation(5);
 
@@ -103,3 +110,73 @@
     assert!(!is_needed(&removed));
     assert!(!is_needed(&unread));
 }
+
+/// The lease under which a test claims duties.
+const LEASE: u64 = 5;
+
+/// A node with a store at this address and a lease that lasts longer than the test.
+fn node_with_lease(store: std::net::SocketAddr) -> Rc<Node> {
+    let node = node(&[], store);
+    node.lease.set(LEASE, clock::now() + Span(60_000));
+    node
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    test_server::run(async { tokio::task::LocalSet::new().run_until(test).await })
+}
+
+/// Guards against a duty that nobody at this node claims any more because a claim of it got no answer.
+#[test]
+fn a_claim_that_the_store_never_answers_blocks_its_duty_for_ever() {
+    let duty: Duty = "cell/drums".to_owned();
+
+    let (is_over, is_open, is_open_later) = run(async {
+        let node = node_with_lease(silent_address());
+        node.session.borrow_mut().claiming.insert(duty.clone());
+        let claim = claim_duty(Rc::clone(&node), duty.clone(), 0);
+        let is_over = tokio::time::timeout(Duration::from_secs(10), claim).await.is_ok();
+        let session = node.session.borrow();
+        assert!(!session.claiming.contains(&duty));
+        let now = clock::now();
+        let is_open = session.may_have_claimed(&duty, now);
+        (is_over, is_open, session.may_have_claimed(&duty, now + OPEN_CLAIM_TIME))
+    });
+
+    assert!(is_over);
+    assert!(is_open);
+    assert!(!is_open_later);
+}
+
+/// Guards against a cell without an owner because answers of the store are lost.
+#[test]
+fn a_claim_of_which_one_copy_in_three_is_answered_begins_no_term() {
+    const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"revision\":9}";
+    let (store, _) = test_server::serve(DONE, &[0, 1, 3, 4]);
+
+    let epoch = run(async {
+        let node = node_with_lease(store);
+        claim_duty(Rc::clone(&node), "cell/drums".to_owned(), 0).await;
+        let owners = node.cell_owners.borrow();
+        owners.get("drums").map(|owner| owner.epoch())
+    });
+
+    assert_eq!(epoch, Some(Epoch(9)));
+}
+
+/// Guards against a node that hands no cell over any more because the store didn't answer once.
+#[test]
+fn a_handover_that_the_store_never_answers_blocks_all_others() {
+    let cell: ServiceId = "drums".parse().unwrap();
+
+    let is_over = run(async {
+        let node = node_with_lease(silent_address());
+        host::start(&node, cell.clone(), Epoch(9), 0);
+        let owner = Rc::clone(&node.cell_owners.borrow()["drums"]);
+        node.session.borrow_mut().handing_over.insert(cell_duty(&cell));
+        let handover = hand_over_cell(Rc::clone(&node), owner);
+        let is_over = tokio::time::timeout(Duration::from_secs(10), handover).await.is_ok();
+        is_over && node.session.borrow().handing_over.is_empty()
+    });
+
+    assert!(is_over);
+}
--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -1,16 +1,14 @@
-use std::{net::SocketAddr, sync::Arc};
-
-use slog::{Discard, Logger, o};
-use teaselgap_core::{Incarnation, job::QueueConfig};
-use teaselgap_platform::{client::Connections, config::Config, settings};
+use teaselgap_core::Incarnation;
+use teaselgap_platform::client::Connections;
 
 use super::{
     super::{
-        front::SharedState, lease::LeaseRenewer, members::NodeRecord, peer, session, test_server,
+        members::NodeRecord,
+        test_node::{node, silent_address},
+        test_server,
     },
     *,
 };
-use crate::metrics::Metrics;
 
 const EPOCH: Epoch = Epoch(3);
 
@@ -66,43 +64,6 @@
     assert_eq!(conflict_of(&[], EPOCH, b"second"), RecordConflict::OtherOwner);
 }
 
-/// An address at which calls arrive and get no answer.
-fn silent_address() -> SocketAddr {
-    let (address, _) = test_server::serve("", &[]);
-    address
-}
-
-/// A node that owns nothing, in a deployment with a queue for each of these services.
-fn node(services: &[ServiceId]) -> Rc<Node> {
-    let address = silent_address();
-    let text = format!(
-        "node_name = \"n1\"\nip = \"127.0.0.1\"\nzone = \"a\"\n[listen]\n[bounds]\n[platform]\naddress = \"{address}\"\n"
-    );
-    let settings = settings::parse(&text).unwrap();
-    let log = Logger::root(Discard, o!());
-    let queue = |service: &ServiceId| QueueConfig {
-        service: service.clone(),
-        max_attempts: 3,
-        stretch_percent: 160,
-        target_latency: Span(600),
-        priority: 0,
-        advice: None,
-    };
-    let queues = services.iter().map(|service| (service.as_str().parse().unwrap(), queue(service)));
-    let config = Config { queues: queues.collect(), ..Config::default() };
-    let shared = Arc::new(SharedState {
-        config: arc_swap::ArcSwapOption::from_pointee(config),
-        draining: false.into(),
-        in_flight: 0.into(),
-        requests: peer::request_channel().0,
-        metrics: Metrics::new().unwrap(),
-        log: log.clone(),
-    });
-    let lease = LeaseRenewer::start(session::renewal_config(&settings.store), log).unwrap();
-    let own = ("n1".parse().unwrap(), Incarnation(1), address);
-    Rc::new(Node::new(own, settings, shared, lease))
-}
-
 /// Makes another node, at an address where nobody answers, the owner of these cells.
 fn give_to_silent_node(node: &Node, services: &[ServiceId]) {
     let record = NodeRecord {
@@ -143,7 +104,7 @@
         ["a", "b", "c", "d"].iter().map(|name| name.parse().unwrap()).collect();
 
     let is_done = test_server::run(async {
-        let node = node(&services);
+        let node = node(&services, silent_address());
         give_to_silent_node(&node, &services);
         let owner = fleet_owner(&node);
         let limit = Duration::from_millis(1_500);
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -5,6 +5,9 @@
 //! restarts under the same name and address knows that its earlier process has ended, and takes
 //! over the duties of that process at once.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
