Test of a node without a VM API that claims the fleet

Failing test first. Without a VM API no owner of the fleet begins, so that the node takes its own key for one that it claimed before its term ended, and claims it again each 100 ms.

--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -147,10 +147,12 @@
     assert!(!is_open_later);
 }
 
+/// The answer of a store that executes a transaction at revision 9.
+const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"revision\":9}";
+
 /// Guards against a cell without an owner because answers of the store are lost.
 #[test]
 fn a_claim_of_which_one_copy_in_three_is_answered_begins_no_term() {
-    const DONE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"revision\":9}";
     let (store, _) = test_server::serve(DONE, &[0, 1, 3, 4]);
 
     let epoch = run(async {
@@ -180,3 +182,19 @@
 
     assert!(is_over);
 }
+
+/// Guards against a write of the store each 100 ms for a duty that nobody acts for: the node in these tests
+/// has no VM API.
+#[test]
+fn a_node_without_a_vm_api_claims_the_fleet_again_and_again() {
+    let (store, _) = test_server::serve(DONE, &[]);
+
+    let claimable = run(async {
+        let node = node_with_lease(store);
+        node.members.borrow_mut().revision = 9;
+        claim_duty(Rc::clone(&node), FLEET_DUTY.to_owned(), 0).await;
+        claimable_duties(&node)
+    });
+
+    assert_eq!(claimable, []);
+}
