The fleet is no duty of nodes without a VM API

Cause: such a node claimed the fleet, began no term and took the key for one that it had claimed before its term ended, so that it wrote a claim at each look for duties, every 100 ms.

Change: the duties of a node lack the fleet if its settings name no VM API.

--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -165,12 +165,17 @@
         self.shared.draining.load(Relaxed)
     }
 
-    /// The duties that need an owner; none before there is a configuration.
+    /// The duties that need an owner; none before there is a configuration. Nobody can own the fleet
+    /// without a VM API.
     pub(super) fn duties(&self) -> indexmap::IndexSet<Duty> {
-        let config = self.shared.config.load_full();
-        config.map_or_else(indexmap::IndexSet::new, |config| {
-            duties::needed(&config, &self.members.borrow())
-        })
+        let Some(config) = self.shared.config.load_full() else {
+            return indexmap::IndexSet::new();
+        };
+        let mut duties = duties::needed(&config, &self.members.borrow());
+        if self.settings.vm_api.is_none() {
+            duties.shift_remove(FLEET_DUTY);
+        }
+        duties
     }
 
     fn dispatch(self: &Rc<Self>, request: NodeRequest) {
