A stopping node waits for the logs of all its cells at once

Cause: it waited for one after the other, up to 1.5 s each. With four cells and a silent store that and the other steps are 7.5 s and more, beyond a grace period of 6 s, so that SIGKILL could come before the requests of clients were answered.

Change: all cells flush at the same time, so that it is 1.5 s whatever their number.

--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -10,6 +10,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
@@ -329,9 +330,8 @@
     if let Some(fleet_owner) = fleet_owner {
         fleet_owner.hand_over().await;
     }
-    for owner in &cell_owners {
-        owner.flush().await;
-    }
+    // A silent store is waited for once, whatever the number of cells.
+    join_all(cell_owners.iter().map(|owner| owner.flush())).await;
     end_all_terms(node, "the node is stopping");
     let lease = node.lease.take();
     if let Some(lease) = lease
