Nodes pass on no jobs of a queue whose owner can't keep up with its start orders

Cause: refused callers come back at once and at every node; on 2 Mbit/s an owner got 127 to 136 refused submissions a second beside 26 start orders, and lost its term, as the renewals of its lease timed out behind them. Change: a refusal for want of start orders closes the queue for the time until a job could be on time again, 0.5 s at least; the nodes that were refused so refuse further jobs of the queue themselves until then (2 s at most). Refusals for want of workers close nothing.

--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -76,6 +76,10 @@
 /// How long the start orders of all waiting tasks may take; beyond that no job is accepted.
 const MAX_ORDER_BACKLOG: Span = Span(6_000);
 
+/// The shortest time for which other nodes keep jobs of a queue to themselves, so that refused callers hardly
+/// take the link that the orders need.
+const MIN_CLOSED_TIME: Span = Span(500);
+
 /// The amount of an order in the forecast.
 const ORDER_WORK: Work = 1_000;
 
@@ -95,7 +99,7 @@
     /// How long the job would wait until its last task starts.
     pub(super) wait: Span,
     pub(super) retry_after: Span,
-    /// For how long no job of the queue will be accepted; zero if others may be.
+    /// For how long other nodes should refuse jobs of the queue themselves; zero if they should ask.
     pub(super) closed: Span,
 }
 
@@ -289,8 +293,8 @@
             let wait = refused_wait(backlog, supply, job, now)?;
             (wait, Span(wait.0.saturating_sub(job.slack().0)))
         };
-        let retry_after = retry_after(id, excess);
-        Some(Refusal { reason: "start orders can't keep up", wait, retry_after, closed: Span(0) })
+        let (retry_after, closed) = (retry_after(id, excess), excess.max(MIN_CLOSED_TIME));
+        Some(Refusal { reason: "start orders can't keep up", wait, retry_after, closed })
     }
 
     /// Describes a new job for the forecast; `None` if its queue is unknown.
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -20,7 +20,7 @@
     Refused {
         /// How long the caller should wait before it submits the job again.
         retry_after: Span,
-        /// For how long no job of the queue will be accepted; zero if others may be.
+        /// For how long other nodes should refuse jobs of the queue themselves; zero if they should ask.
         closed: Span,
     },
     /// There is no job with this id.
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -71,7 +71,7 @@
     /// When to come back after a refusal.
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
-    /// After a refusal: for how long no job of the queue will be accepted; 0 if others may be.
+    /// After a refusal: for how long the caller should pass no job of the queue on; 0 if it may.
     #[prost(uint64, tag = "5")]
     pub closed_ms: u64,
 }
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod availability;
 mod budget;
+mod closed_queues;
 mod cost;
 mod crashes;
 mod every_call;
--- a/src/jobs/ask.rs
+++ b/src/jobs/ask.rs
@@ -51,7 +51,7 @@
     Refused {
         retry_after: Span,
     },
-    /// The job was not accepted, and no other of its queue will be for some time.
+    /// The job was not accepted, and the node that asked should refuse others of its queue for some time.
     Closed {
         retry_after: Span,
         time: Span,
@@ -167,12 +167,12 @@
     reply.without_time()
 }
 
-/// Refuses a job of a queue of which the owner, at another node, has said that it accepts none for a while. The
+/// Refuses a job of a queue whose owner, at another node, has asked to pass none on for a while. The
 /// refusal speaks for this request only; an earlier one for the same job may have been accepted.
 fn refuse_if_closed(node: &Node, request: &CellRequest) -> Option<Reply> {
     let owner = node.owner_address(&request.cell)?;
     let retry_after = node.closed_queues.borrow().refused_for(owner, request, clock::now())?;
-    Some(refuse(node, request, "the owner of the cell accepts no jobs for a while", retry_after))
+    Some(refuse(node, request, "the owner of the cell can't keep up", retry_after))
 }
 
 /// Logs a refusal that no owner has decided on; an owner logs its own.
--- a/src/jobs/ask/closed.rs
+++ b/src/jobs/ask/closed.rs
@@ -1,4 +1,4 @@
-//! Queues that accept no jobs for a while, by the word of their cell's owner.
+//! Queues of which a node passes on no jobs for a while, because their cell's owner can't keep up.
 //!
 //! Callers that an owner refuses come back, at any node. Each request that a node passes on takes a part of the owner's
 //! link, on which start orders and renewals of leases wait. While an owner can't keep up with its start orders, the
@@ -26,13 +26,13 @@
     until: IndexMap<(SocketAddr, QueueId), Timestamp>,
 }
 
-/// Whether an owner may refuse a job like this while it can't keep up. Others are always accepted.
+/// Whether an owner that can't keep up refuses a job like this. Others are always accepted.
 fn may_be_refused(spec: &JobSpec) -> bool {
     !spec.is_long_running() && spec.schedule.is_none()
 }
 
 impl ClosedQueues {
-    /// Notes that the owner at `owner` accepts no more jobs of a queue for a while.
+    /// Notes that the owner at `owner` wants no more jobs of a queue for a while.
     pub(super) fn close(
         &mut self,
         (owner, queue): (SocketAddr, &QueueId),
@@ -45,7 +45,7 @@
         *known = (*known).max(until);
     }
 
-    /// When the caller of this request should come back, if the owner at `owner` would certainly refuse it.
+    /// When the caller of this request should come back, if it isn't to be passed on to the owner at `owner`.
     pub(super) fn refused_for(
         &self,
         owner: SocketAddr,
