--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -3,7 +3,7 @@
 
 use super::{
     super::{
-        Action, CellConfig, Fence, HoldReport, LogEvent, LogWriter, WorkerId,
+        Action, CellConfig, Fence, HoldReport, LinkRate, LogEvent, LogWriter, WorkerId,
         flow::HoldBudget,
         worker::{InstanceOrder, Logged, Worker},
     },
@@ -34,6 +34,10 @@
 /// until that is called.
 const OPEN_ORDER_HOLD_INTERVAL: Span = Span(250);
 
+/// A worker whose list of ends brings nothing new takes at most one in this many parts of what holds have, if it is
+/// asked each [`OPEN_ORDER_HOLD_INTERVAL`] at least: it answers at once while ends wait, however long a hold could wait.
+const KNOWN_LIST_DIVISOR: u64 = 16;
+
 /// The shortest delay before the next hold after one that was not answered.
 const FAILED_HOLD_DELAY: Span = Span(250);
 
@@ -118,10 +122,25 @@
     Span(delay.clamp(FAILED_HOLD_DELAY.0, MAX_FAILED_HOLD_DELAY.0))
 }
 
+/// How long after an answer that brings nothing new the next one may be asked for: the longer the list, and the
+/// narrower the link, the later.
+fn known_list_interval(worker: &Worker, hold_rate: LinkRate) -> Span {
+    let entries = worker.runs.len() + usize::try_from(worker.listed_ends).unwrap_or_default();
+    let bytes = HoldBudget::message_bytes(0, entries);
+    let ms = bytes * 1_000 * KNOWN_LIST_DIVISOR / hold_rate.0.max(1);
+    Span(ms.clamp(HOLD_INTERVAL.0, OPEN_ORDER_HOLD_INTERVAL.0))
+}
+
 /// How long after an answer of a worker the next hold is sent.
-fn hold_interval(worker: &mut Worker, now: Timestamp) -> Span {
+fn hold_interval(worker: &mut Worker, hold_rate: LinkRate, now: Timestamp) -> Span {
     let has_unconfirmed_ends = worker.ends_seen > worker.ends_durable;
-    if !worker.runs.is_empty() || has_unconfirmed_ends || worker.has_confirmable_end(now) {
+    let is_awaited = has_unconfirmed_ends
+        || worker.has_confirmable_end(now)
+        || worker.is_settling()
+        || worker.is_watched(now);
+    if worker.listed_ends > 0 && !worker.runs.is_empty() && !is_awaited {
+        known_list_interval(worker, hold_rate)
+    } else if !worker.runs.is_empty() || has_unconfirmed_ends || worker.has_confirmable_end(now) {
         HOLD_INTERVAL
     } else if worker.has_open_orders(now) {
         OPEN_ORDER_HOLD_INTERVAL
@@ -335,6 +354,7 @@
     ) {
         let stop_limit = Self::stop_limit(&self.cfg);
         let longest_lease = self.longest_lease();
+        let hold_rate = self.cfg.flow.hold_rate;
         let is_inherited = self.inherited_workers.contains_key(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -393,7 +413,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.next_hold = now + hold_interval(worker, now);
+        worker.next_hold = now + hold_interval(worker, hold_rate, now);
         if !was_adopted || had_failed_holds {
             // The lease can be renewed only now that the worker answers.
             worker.next_hold = now;
