Tests of the mark of a cell's log against a store that executes transactions

The owner of a cell, a store by TCP: no mark before the first job, the mark with the job's acceptance, still there once no route names the service, gone after the job's end and status_s.

No code outside tests is changed.

--- a/src/jobs/log_store/tests.rs
+++ b/src/jobs/log_store/tests.rs
@@ -1,3 +1,5 @@
+mod mark;
+
 use indexmap::IndexMap;
 
 use super::*;
@@ -99,3 +101,14 @@
 
     assert_eq!(store.transact(&earlier.mark_removal(head_revision)), None);
 }
+
+/// Guards against a write that the store refuses for ever: it takes 32 entries, and a write deletes up to
+/// 24 segments.
+#[test]
+fn a_write_with_the_mark_has_more_entries_than_the_store_takes() {
+    let deletes: Vec<Sequence> = (0..24).collect();
+
+    let txn = keys().transaction(&write(30, &deletes), 5, true);
+
+    assert!(txn.expected.len() + txn.puts.len() + txn.deletes.len() <= 32);
+}
