--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -3,7 +3,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::*;
-use crate::job::{FleetOrder, FleetRecord, OrderOutcome, Vm, fleet::tests as fixtures};
+use crate::job::{
+    FleetConfig, FleetOrder, FleetRecord, OrderOutcome, Vm, fleet::tests as fixtures,
+};
 
 use fixtures::{config, load, maintained_vms, moves, pool, saved, vm, vm_id, worker};
 
@@ -36,6 +38,7 @@
     silent: IndexSet<WorkerId>,
     /// Whether the cell of the pool reports nothing.
     is_cell_silent: bool,
+    maintenance: Span,
     most_down: usize,
     most_away: usize,
 }
@@ -59,6 +62,7 @@
             begun_at: IndexMap::new(),
             silent: IndexSet::new(),
             is_cell_silent: false,
+            maintenance: config().maintenance_duration,
             most_down: 0,
             most_away: 0,
         }
@@ -116,7 +120,7 @@
         }
         for vm_id in maintained_vms(&actions) {
             self.fleet.on_order_outcome(&vm_id, OrderOutcome::Accepted, now);
-            self.back_at.insert(vm_id.clone(), now + Span(2_000));
+            self.back_at.insert(vm_id.clone(), now + self.maintenance);
             self.begun_at.insert(vm_id, now);
         }
         self.most_down = self.most_down.max(self.back_at.len());
@@ -356,3 +360,20 @@
 
     assert_eq!(replay.in_time(Timestamp(94_000)), 4);
 }
+
+/// Guards against a pool that loses more and more VMs to a wave whose maintenance takes long: those that
+/// are drained and wait for a place are no reason to drain others.
+#[test]
+fn vms_that_wait_for_their_turn_make_a_wave_drain_ever_more() {
+    let maintenance = Span(40_000);
+    let cfg = FleetConfig { maintenance_duration: maintenance, ..config() };
+    let mut replay = Replay::new(40, 0, 2_560);
+    replay.fleet = Fleet::new(cfg, FleetRecord::default(), (Timestamp(1_000), 1_000));
+    replay.maintenance = maintenance;
+    replay.fleet.add_waves(vec![wave(0..40, 2, Timestamp(204_000))]);
+
+    replay.run_until(Timestamp(124_000));
+
+    assert!(replay.most_away <= 4, "{}", replay.most_away);
+    assert_eq!(replay.most_down, 2);
+}
