A drained VM that waits for its turn in a wave is not overdue

Cause: since a VM that was to be drained 10 s ago counts as none of the wave's places, also if it is drained and waits until fewer VMs are down.

Change: only a VM that is not drained is overdue (Fleet::is_overdue).

--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -98,11 +98,6 @@
         matches!(self.purpose, Purpose::Move(_)) && !is_open && now >= deadline
     }
 
-    /// Whether the VM was to be drained by now and no order about it has been sent.
-    pub(super) fn is_overdue(&self, now: Timestamp) -> bool {
-        !self.is_in_flight && now >= self.drain_deadline
-    }
-
     /// Whether maintenance was ordered, and may begin at any time.
     pub(super) fn may_be_maintained(&self) -> bool {
         self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
@@ -172,6 +167,13 @@
         vm.state == VmState::Up && is_recent && is_worker_drained
     }
 
+    /// Whether a VM was to be drained by now, and is not. One that is drained may wait for its turn.
+    pub(super) fn is_overdue(&self, vm_id: &VmId, planned: &PlannedOrder, now: Timestamp) -> bool {
+        let is_drained = |vm: &Vm| self.is_drained(vm, now);
+        let is_late = !planned.is_in_flight && now >= planned.drain_deadline;
+        is_late && !self.vms.get(vm_id).is_some_and(is_drained)
+    }
+
     /// Whether an order about a VM may be sent now. Each copy asks anew, unless the VM is already
     /// away or was on standby, so that the copy only asks for the outcome of the one before.
     fn may_send(&self, planned: &PlannedOrder, vm: &Vm, now: Timestamp) -> bool {
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -142,7 +142,8 @@
             return false;
         };
         let is_overdue = |(vm_id, planned): (&VmId, &PlannedOrder)| {
-            planned.is_overdue(now) && self.vms.get(vm_id).is_some_and(|vm| vm.pool == *pool)
+            self.is_overdue(vm_id, planned, now)
+                && self.vms.get(vm_id).is_some_and(|vm| vm.pool == *pool)
         };
         let is_recent = |report: &CellReport| now <= report.at + MAX_REPORT_AGE;
         !self.cell_reports.get(pool).is_some_and(is_recent)
@@ -162,10 +163,11 @@
         now: Timestamp,
     ) -> (WaveQuota, WaveStep) {
         // A drain that may never end holds back no other VM.
-        let is_of_wave = |planned: &&PlannedOrder| {
-            planned.purpose == Purpose::Maintain(wave.number) && !planned.is_overdue(now)
+        let is_of_wave = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
+            planned.purpose == Purpose::Maintain(wave.number)
+                && !self.is_overdue(vm_id, planned, now)
         };
-        let planned = self.planned_orders.values().filter(is_of_wave);
+        let planned = self.planned_orders.iter().filter(is_of_wave).map(|(_, planned)| planned);
         let planned_count = planned.clone().count();
         let draining = planned.filter(|planned| !planned.is_in_flight);
         let hard_draining = draining.clone().filter(|planned| planned.hosts_long_running).count();
