A VM with long-running tasks may take 30 s to drain for a wave

Cause: by reading, long-running tasks of one step are stopped one after the other (may_end), so that sound VMs of a wave can take longer than the 10 s after which others are drained beside them.

Change: 30 s for a VM that had such tasks when it was taken.

The test was not run before the change.

--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -28,6 +28,9 @@
 /// How long the drain of a VM may take before the next VM of its wave is taken, too.
 pub(super) const WAVE_DRAIN_TIME: Span = Span(10_000);
 
+/// The same for a VM with long-running tasks, which may have to wait until others of their steps are back.
+const LONG_DRAIN_TIME: Span = Span(30_000);
+
 /// Weight of [`DRAIN_ESTIMATE`] in the mean time of a drain, as a number of drains.
 const ESTIMATED_DRAINS: u64 = 8;
 
@@ -123,9 +126,11 @@
             let (kind, ..) = self.cost_of_absence(&vm_id, &efforts);
             if quota.take(kind) {
                 chosen += 1;
+                let hosts_long_running = kind == VmKind::HardToDrain;
+                let drain_time = if hosts_long_running { LONG_DRAIN_TIME } else { WAVE_DRAIN_TIME };
                 let planned = PlannedOrder {
-                    hosts_long_running: kind == VmKind::HardToDrain,
-                    ..PlannedOrder::new(Purpose::Maintain(number), now, WAVE_DRAIN_TIME)
+                    hosts_long_running,
+                    ..PlannedOrder::new(Purpose::Maintain(number), now, drain_time)
                 };
                 self.planned_orders.insert(vm_id, planned);
             }
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -38,6 +38,8 @@
     silent: IndexSet<WorkerId>,
     /// Whether the cell of the pool reports nothing.
     is_cell_silent: bool,
+    /// Whether each worker has long-running tasks.
+    hosts_long_running: bool,
     maintenance: Span,
     most_down: usize,
     most_away: usize,
@@ -62,6 +64,7 @@
             begun_at: IndexMap::new(),
             silent: IndexSet::new(),
             is_cell_silent: false,
+            hosts_long_running: false,
             maintenance: config().maintenance_duration,
             most_down: 0,
             most_away: 0,
@@ -103,7 +106,7 @@
         let spare = in_use.into_iter().filter(|id| !drains.contains_key(id)).collect();
         let report = Load {
             spare,
-            short_running_workers: u32::MAX,
+            short_running_workers: if self.hosts_long_running { 0 } else { u32::MAX },
             floor_workers: 1,
             capacity_milli,
             ..load(self.required_cores, 1)
@@ -377,3 +380,20 @@
     assert!(replay.most_away <= 4, "{}", replay.most_away);
     assert_eq!(replay.most_down, 2);
 }
+
+/// Guards against a pool that loses VMs to a wave because long-running tasks may be stopped one after the
+/// other only.
+#[test]
+fn a_vm_with_long_running_tasks_holds_its_wave_back_for_too_short_or_too_long() {
+    let mut replay = Replay::new(10, 0, 640);
+    replay.hosts_long_running = true;
+    replay.silent = IndexSet::from([worker(0)]);
+    replay.fleet.add_waves(vec![wave(0..10, 1, Timestamp(124_000))]);
+
+    replay.run_until(Timestamp(33_000));
+    let early = replay.most_away;
+    replay.run_until(Timestamp(124_000));
+
+    assert_eq!(early, 1);
+    assert_eq!(replay.in_time(Timestamp(124_000)), 9);
+}
