--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -28,6 +28,9 @@
 /// How long the drain of a VM may take before the next VM of its wave is taken, too.
 pub(super) const WAVE_DRAIN_TIME: Span = Span(10_000);
 
+/// The same for a VM with long-running tasks, which may have to wait until others of their steps are back.
+const LONG_DRAIN_TIME: Span = Span(30_000);
+
 /// Weight of [`DRAIN_ESTIMATE`] in the mean time of a drain, as a number of drains.
 const ESTIMATED_DRAINS: u64 = 8;
 
@@ -123,9 +126,11 @@
             let (kind, ..) = self.cost_of_absence(&vm_id, &efforts);
             if quota.take(kind) {
                 chosen += 1;
+                let hosts_long_running = kind == VmKind::HardToDrain;
+                let drain_time = if hosts_long_running { LONG_DRAIN_TIME } else { WAVE_DRAIN_TIME };
                 let planned = PlannedOrder {
-                    hosts_long_running: kind == VmKind::HardToDrain,
-                    ..PlannedOrder::new(Purpose::Maintain(number), now, WAVE_DRAIN_TIME)
+                    hosts_long_running,
+                    ..PlannedOrder::new(Purpose::Maintain(number), now, drain_time)
                 };
                 self.planned_orders.insert(vm_id, planned);
             }
@@ -142,7 +147,8 @@
             return false;
         };
         let is_overdue = |(vm_id, planned): (&VmId, &PlannedOrder)| {
-            planned.is_overdue(now) && self.vms.get(vm_id).is_some_and(|vm| vm.pool == *pool)
+            self.is_overdue(vm_id, planned, now)
+                && self.vms.get(vm_id).is_some_and(|vm| vm.pool == *pool)
         };
         let is_recent = |report: &CellReport| now <= report.at + MAX_REPORT_AGE;
         !self.cell_reports.get(pool).is_some_and(is_recent)
@@ -162,10 +168,11 @@
         now: Timestamp,
     ) -> (WaveQuota, WaveStep) {
         // A drain that may never end holds back no other VM.
-        let is_of_wave = |planned: &&PlannedOrder| {
-            planned.purpose == Purpose::Maintain(wave.number) && !planned.is_overdue(now)
+        let is_of_wave = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
+            planned.purpose == Purpose::Maintain(wave.number)
+                && !self.is_overdue(vm_id, planned, now)
         };
-        let planned = self.planned_orders.values().filter(is_of_wave);
+        let planned = self.planned_orders.iter().filter(is_of_wave).map(|(_, planned)| planned);
         let planned_count = planned.clone().count();
         let draining = planned.filter(|planned| !planned.is_in_flight);
         let hard_draining = draining.clone().filter(|planned| planned.hosts_long_running).count();
