--- a/crates/standins/src/model/fates.rs
+++ b/crates/standins/src/model/fates.rs
@@ -59,6 +59,28 @@
     /// For each worker the latest instance that got a call in time, and the highest term of such a call.
     first_calls: BTreeMap<WorkerId, (u64, Epoch)>,
     late_calls: Vec<LateCall>,
+    /// The workers that answer only some of their calls.
+    rare_answers: BTreeMap<WorkerId, RareAnswers>,
+}
+
+/// How rarely a worker answers: one call in `one_in`.
+#[derive(Debug)]
+struct RareAnswers {
+    one_in: u32,
+    /// Number of calls since the latest one that was answered.
+    unanswered: u32,
+}
+
+impl RareAnswers {
+    /// Counts a call that is carried out, and returns whether it is answered.
+    fn answers_next(&mut self) -> bool {
+        self.unanswered += 1;
+        let is_answered = self.unanswered >= self.one_in;
+        if is_answered {
+            self.unanswered = 0;
+        }
+        is_answered
+    }
 }
 
 impl Call {
@@ -88,6 +110,13 @@
         self.fates.scripted.retain(|(id, _), _| id.as_str() != worker);
     }
 
+    /// Lets a worker carry out all calls and answer only one of `one_in`, whatever they ask for. With 0 or 1 it
+    /// answers each.
+    pub fn answer_one_in(&mut self, worker: &str, one_in: u32) {
+        let rare = RareAnswers { one_in, unanswered: 0 };
+        self.fates.rare_answers.insert(worker.into(), rare);
+    }
+
     /// Returns the calls that workers got late so far.
     #[must_use]
     pub fn late_calls(&self) -> &[LateCall] {
@@ -96,8 +125,15 @@
 
     /// Takes the scripted fate of a call that is being sent.
     pub(super) fn take_fate(&mut self, worker: &WorkerId, call: &Call) -> Option<Fate> {
-        let queue = self.fates.scripted.get_mut(&(worker.clone(), call.kind()))?;
-        queue.pop_front()
+        let queue = self.fates.scripted.get_mut(&(worker.clone(), call.kind()));
+        let scripted = queue.and_then(VecDeque::pop_front);
+        scripted.or_else(|| self.draw_rare_answer(worker))
+    }
+
+    /// The fate of a call to a worker that answers only some of its calls; `None` for other workers.
+    fn draw_rare_answer(&mut self, worker: &WorkerId) -> Option<Fate> {
+        let rare = self.fates.rare_answers.get_mut(worker)?;
+        Some(if rare.answers_next() { Fate::Answered } else { Fate::AnswerLost })
     }
 
     /// Records that a call to the instance of this number, whose sender stops waiting at `deadline`, has
--- a/crates/standins/tests/cells/silence.rs
+++ b/crates/standins/tests/cells/silence.rs
@@ -3,12 +3,12 @@
 
 use teaselgap_core::{
     Span, Timestamp,
-    job::{JobId, Step, TaskId, WorkerId},
+    job::{JobEnd, JobId, JobState, Step, TaskId, WorkerId},
 };
 use teaselgap_standins::model::{Model, OWNER_TTL, cell_config};
 
 use crate::fixtures::{
-    busy_worker, idle_worker, job_spec, long_running_job, new_model, queue, step, task_id,
+    busy_worker, idle_worker, job_spec, long_running_job, new_model, queue, state, step, task_id,
 };
 
 const JOB: JobId = JobId(7);
@@ -22,7 +22,12 @@
 /// The longest time from a claim until each inherited job may start: the owner before gives its last orders,
 /// and what they have begun ends with the longest lease on a slow clock.
 fn inherited_bound() -> Span {
-    Span(OWNER_TTL.0 + cell_config().max_lease.0 * 103 / 100 + PLAN_DELAY_MS)
+    Span(OWNER_TTL.0 + longest_lease().0 + PLAN_DELAY_MS)
+}
+
+/// The longest lease that a worker grants, on a clock that may be slow.
+fn longest_lease() -> Span {
+    Span(cell_config().max_lease.0 * 103 / 100)
 }
 
 /// The task that starts once the first step of the job is done.
@@ -101,3 +106,57 @@
     }
     assert_eq!(held_back, [] as [u64; 0], "lives in ms");
 }
+
+/// The same for a worker that carries out all calls and answers one in three. The answers that count are the
+/// first one and one that was asked for once the stops of earlier owners had ended.
+#[test]
+fn inherited_jobs_wait_no_longer_for_a_worker_that_answers_one_call_in_three() {
+    let (mut model, idle) = model_without_owner();
+    model.take_over();
+    let latest = model.now() + inherited_bound();
+
+    model.answer_one_in(idle.as_str(), 3);
+    let has_started = model.run_until(30_000, |model| model.start_count(second_task()) > 0);
+
+    assert!(has_started);
+    assert!(model.now() <= latest, "{}, not by {latest}", model.now());
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+/// A worker that never answers the next owner, and whose entry the store lists for ever.
+#[test]
+fn inherited_jobs_do_not_wait_for_ever_for_a_silent_worker_that_stays_in_the_store() {
+    let (mut model, idle) = model_without_owner();
+    model.make_unreachable(idle.as_str(), 600_000);
+    model.take_over();
+    let latest = model.now() + inherited_bound();
+
+    let has_started = model.run_until(30_000, |model| model.start_count(second_task()) > 0);
+
+    assert!(has_started);
+    assert!(model.now() <= latest, "{}, not by {latest}", model.now());
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
+/// Time within which each task starts on workers that answer one call in three: nine calls, each with its time
+/// limit and the delay before the next one, in milliseconds.
+const RARE_ANSWERS_MS: u64 = 9 * (600 + 250);
+
+/// Guards against a start order whose outcome is never known, as the worker answers now and then.
+#[test]
+fn tasks_of_workers_that_answer_one_call_in_three_end_in_time() {
+    let mut model = new_model(3);
+    for id in ["w0", "w1", "w2"] {
+        model.answer_one_in(id, 3);
+    }
+    model.submit(JOB, &queue(), job_spec(vec![step(6, 1_000, 300)]));
+
+    let started = |model: &Model| (0..6).all(|index| model.start_count(task_id(JOB, index)) > 0);
+    let is_started = model.run_until(RARE_ANSWERS_MS, started);
+    let is_done = model
+        .run_until(60_000, |model| state(model, JOB) == Some(JobState::Ended(JobEnd::Succeeded)));
+
+    assert!(is_started);
+    assert!(is_done);
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
