Test: over drawn histories no task waits for an answer that never comes

A bound for all waits of the owner of a cell at once: owners that are lost, return or hand over, workers that fall silent, stay listed, leave, answer one call in three or restart again and again; tasks that last and short ones, with room on two workers that answer. From the end of a task's last run, the latest claim, or the time at which what an order without an outcome has begun has ended (15 s and the longest lease), to the next run: 9.48 s at most. An order under way when its owner ends, in its last second, counts as one without an outcome. Tasks that pause for lost workers are left out.

It asserts no rule but the bound: TWICE is left to owners:: and random::.

--- a/crates/standins/tests/cells/silence.rs
+++ b/crates/standins/tests/cells/silence.rs
@@ -1,6 +1,8 @@
 //! Tests of waits of the owner of a cell that only an answer could end, against workers that never answer,
 //! answer one call in three, or restart before they answer twice.
 
+mod histories;
+
 use teaselgap_core::{
     Span, Timestamp,
     job::{JobEnd, JobId, JobState, Step, TaskId, WorkerId},
