Test: the stray lease of an instance that has ended holds back every inherited job

An owner with a short term records that a worker's instance may have the longest lease from a call to another one that is 15 s late. The next owner waits for that time, also once it knows that the instance has ended.

--- a/crates/standins/tests/cells/silence.rs
+++ b/crates/standins/tests/cells/silence.rs
@@ -162,3 +162,27 @@
     assert!(is_done);
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// The same for the owner after a short term, which has recorded that an instance of the worker may have a lease
+/// from a call to another one. That instance has ended.
+#[test]
+fn inherited_jobs_do_not_wait_for_the_stray_lease_of_an_instance_that_has_ended() {
+    const SHORT_TERM_MS: u64 = 1_500;
+    let mut held_back = Vec::new();
+    for life_ms in (50..600).step_by(25) {
+        let (mut model, idle) = model_without_owner();
+        model.answer_one_in(idle.as_str(), 3);
+        model.take_over();
+        let term_end = model.now() + Span(SHORT_TERM_MS);
+        restart_until_started(&mut model, &idle, life_ms, term_end);
+        model.kill_owner();
+        model.take_over();
+        let latest = model.now() + inherited_bound();
+
+        let has_started = restart_until_started(&mut model, &idle, life_ms, latest);
+
+        held_back.extend((!has_started).then_some(life_ms));
+        assert_eq!(model.violations(), [] as [&str; 0], "{life_ms}");
+    }
+    assert_eq!(held_back, [] as [u64; 0], "lives in ms");
+}
