--- a/crates/core/src/job/cell/admit/forecast.rs
+++ b/crates/core/src/job/cell/admit/forecast.rs
@@ -53,7 +53,7 @@
     ) {
         let order = (rank.priority, rank.sort_time);
         match rank.class {
-            RankClass::LongRunning => self.first += work,
+            RankClass::LongRunning | RankClass::Interrupted => self.first += work,
             RankClass::OnTime => self.on_time.push((order, work)),
             RankClass::Late => self.late.push(LateWork {
                 order,
--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -1,5 +1,6 @@
 //! Planning: which tasks start on which workers, and at what pace best-effort tasks run.
 
+mod chosen;
 mod room;
 #[cfg(test)]
 mod tests;
@@ -8,7 +9,7 @@
 
 use indexmap::IndexMap;
 
-use self::room::Room;
+use self::{chosen::ChosenTasks, room::Room};
 use super::{
     super::{
         Action, JobId, LogEvent, PlacedTask, Resources, Step, StepId, TaskId, WorkerId,
@@ -30,6 +31,8 @@
     occurrence_index: usize,
     step_index: usize,
     startable_tasks: usize,
+    /// Which of the step's tasks are meant.
+    chosen: ChosenTasks,
 }
 
 impl WaitingStep {
@@ -108,7 +111,11 @@
             let queue = self.queues.get(&job.queue)?;
             let expected = self.expected_times.get(&job.queue);
             let context = RankContext { queue, expected, now, wall_offset_ms };
-            Some(order::rank(job, waiting_step.occurrence_index, &context))
+            let rank = order::rank(job, waiting_step.occurrence_index, &context);
+            Some(match waiting_step.chosen {
+                ChosenTasks::Interrupted => rank.of_interrupted(),
+                ChosenTasks::All => rank,
+            })
         };
         let mut ranked: Vec<(Rank, WaitingStep)> = steps
             .into_iter()
@@ -187,6 +194,7 @@
                                 occurrence_index: index,
                                 step_index,
                                 startable_tasks: 0,
+                                chosen: ChosenTasks::All,
                             };
                             waiting.upcoming.push(waiting_step);
                         }
@@ -209,13 +217,22 @@
                         self.plan_due = true;
                         continue;
                     }
-                    waiting.note_need(&job.spec.steps[step_index].booked());
-                    waiting.ready.push(WaitingStep {
-                        job: id,
-                        occurrence_index: index,
-                        step_index,
-                        startable_tasks,
-                    });
+                    let step = &job.spec.steps[step_index];
+                    waiting.note_need(&step.booked());
+                    let is_interrupted =
+                        |task: &&Task| is_startable(task) && chosen::is_interrupted(task);
+                    let interrupted_tasks = state.tasks.iter().filter(is_interrupted).count();
+                    for (chosen, startable_tasks) in
+                        ChosenTasks::split(step, startable_tasks, interrupted_tasks)
+                    {
+                        waiting.ready.push(WaitingStep {
+                            job: id,
+                            occurrence_index: index,
+                            step_index,
+                            startable_tasks,
+                            chosen,
+                        });
+                    }
                 }
             }
         }
@@ -276,7 +293,7 @@
         }
         let ready: Vec<(u32, u32)> = (0..)
             .zip(tasks)
-            .filter(|(_, task)| is_startable(task))
+            .filter(|(_, task)| is_startable(task) && waiting_step.chosen.contains(task))
             .map(|(index, task)| (index, task.attempt + 1))
             .collect();
         for (started, (index, attempt)) in ready.iter().copied().enumerate() {
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -2,7 +2,8 @@
 //!
 //! During a burst, more work arrives for several seconds than the pool can run. Starting it in the
 //! order of arrival would make every job late. So jobs that can still meet their latency objective
-//! come first, ordered by how soon they must start; jobs that have missed it come after them.
+//! come first, ordered by how soon they must start; jobs that have missed it come after them. Tasks that
+//! last, and those that lost their runs, go before all of these.
 
 use super::{Step, task::Job, times};
 use crate::{Span, Timestamp, job::QueueConfig};
@@ -16,6 +17,8 @@
 pub(super) enum RankClass {
     /// The job is long-running and earns for as long as its tasks work.
     LongRunning,
+    /// The tasks had been ordered before and have lost their runs.
+    Interrupted,
     /// The job can still meet its objective.
     OnTime,
     /// The job can no longer meet its objective, but finishing it still earns something.
@@ -34,6 +37,13 @@
     pub(super) sort_time: Timestamp,
 }
 
+impl Rank {
+    /// The rank of tasks of the step that were interrupted.
+    pub(super) fn of_interrupted(self) -> Self {
+        Self { class: self.class.min(RankClass::Interrupted), ..self }
+    }
+}
+
 /// The input to ranking beside the job.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RankContext<'a> {
