--- a/crates/standins/tests/cells/order_rate.rs
+++ b/crates/standins/tests/cells/order_rate.rs
@@ -341,6 +341,28 @@
     assert!(in_burst <= without_burst + 500, "{in_burst} ms, without a burst {without_burst}");
 }
 
+/// Guards against starts that wait for their records and then find the window of orders full.
+#[test]
+fn tasks_of_several_lost_workers_start_again_soon_in_a_burst_beyond_a_narrow_link() {
+    const TASKS: u32 = 80;
+    let mut model = settled_model(AdmissionPolicy::ByForecast, NARROW_MBPS);
+    model.submit(EARLIER_JOB, &queue(), job_spec(vec![step(TASKS, 3_200, 60_000)]));
+    model.run_for(3_000);
+    submit_steadily(&mut model, &two_step_job(), BURST_JOBS_PER_S, 4);
+    let tasks = (0..TASKS).map(|index| task_id(EARLIER_JOB, index));
+    let hosts = ["w0", "w9", "w18", "w27"];
+    let lost: Vec<_> = tasks
+        .filter(|task| hosts.iter().any(|host| model.worker_mut(host).is_running(*task)))
+        .collect();
+
+    hosts.iter().for_each(|host| model.restart_worker(host));
+    submit_steadily(&mut model, &two_step_job(), BURST_JOBS_PER_S, 4);
+
+    assert!(lost.len() >= 4, "{lost:?}");
+    let waiting = lost.iter().filter(|task| model.start_count(**task) < 2).count();
+    assert_eq!(waiting, 0, "of {}", lost.len());
+}
+
 /// A job of many short tasks, of which the workers could do many at once.
 fn many_task_job() -> JobSpec {
     job_spec(vec![step(80, 4_000, 20)])
