--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -503,6 +503,7 @@
         self.open_occurrences(wall_ms);
         self.drain_workers(now);
         self.pace(now);
+        self.start_placed_tasks(now);
         if self.plan_due {
             self.plan(now);
         }
--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -127,10 +127,15 @@
         worker.runs.insert(task, run);
     }
 
-    /// Sends the start orders of the runs whose placements have just become durable, and logs them.
+    /// Sends the start orders of the runs whose placements have become durable, and logs them. Those for
+    /// which too many orders are in flight go first once there is room.
     pub(super) fn start_placed_tasks(&mut self, now: Timestamp) {
         let mut placed: IndexMap<StepId, Vec<PlacedTask>> = IndexMap::new();
         for (id, task, attempt) in std::mem::take(&mut self.durable_placements) {
+            if self.waits_for_window(&id, (task, attempt), now) {
+                self.durable_placements.push((id, task, attempt));
+                continue;
+            }
             if let Some(placed_task) = self.start_placed_task(&id, (task, attempt), now) {
                 placed.entry(task.step_id()).or_default().push(placed_task);
             }
@@ -140,6 +145,21 @@
         }
     }
 
+    /// Whether the order of a planned run waits only until fewer orders to all workers are in flight.
+    fn waits_for_window(
+        &self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) -> bool {
+        let is_planned = |worker: &Worker| {
+            let run = worker.runs.get(&task).filter(|run| run.attempt == attempt);
+            run.is_some_and(|run| run.state == RunState::Planned)
+                && Self::is_usable_for(worker, task, now)
+        };
+        !self.start_window.has_room() && self.workers.get(id).is_some_and(is_planned)
+    }
+
     /// Sends the start order of a run whose placement is durable. If the worker can't be used any
     /// more, or too many start orders are in flight, the task is planned again.
     fn start_placed_task(
--- a/crates/standins/tests/cells/order_rate.rs
+++ b/crates/standins/tests/cells/order_rate.rs
@@ -355,7 +355,9 @@
         .filter(|task| hosts.iter().any(|host| model.worker_mut(host).is_running(*task)))
         .collect();
 
-    hosts.iter().for_each(|host| model.restart_worker(host));
+    for host in hosts {
+        model.restart_worker(host);
+    }
     submit_steadily(&mut model, &two_step_job(), BURST_JOBS_PER_S, 4);
 
     assert!(lost.len() >= 4, "{lost:?}");
