Inherited jobs no longer wait for the stray lease of an instance that has ended

Cause: the fixed deadline of an inherited worker is prolonged by the stray lease on record (15 s and the longest lease at most), also once the worker is known to have restarted, so that the instance with that lease has ended.

Change: for a worker that has restarted in this term and has listed its runs, the deadline is that of the leases which earlier owners gave (Worker::inherited_expiry). The delay for stops of earlier owners ends there, too.

--- a/crates/core/src/job/cell/placement.rs
+++ b/crates/core/src/job/cell/placement.rs
@@ -235,9 +235,8 @@
             .map(|(id, _)| id)
             .collect();
         let stops_end = now + Self::stop_limit(&self.cfg);
-        let inherited_expiry = self.inherited_workers.get(id).copied().unwrap_or(now);
         let not_before =
-            if worker.has_restarted { stops_end.min(inherited_expiry) } else { stops_end };
+            if worker.has_restarted { stops_end.min(worker.inherited_expiry) } else { stops_end };
         for id in delayed {
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) {
                 task.not_before = task.not_before.max(not_before);
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -488,10 +488,13 @@
         self.inherited_workers.retain(|id, expiry| {
             let worker = workers.get(id).filter(|worker| worker.is_adopted);
             let is_adopted = worker.is_some_and(|worker| worker.has_outlasted_stops);
+            // The stray lease on record was that of an instance which has ended.
+            let restarted = worker.filter(|worker| is_of_this_term(worker));
+            let deadline = restarted.map_or(*expiry, |one| one.inherited_expiry.min(*expiry));
             let is_expired = !is_adopted
                 && worker.is_none_or(needs_no_answer)
-                && now >= *expiry
-                && *expiry <= sole_until;
+                && now >= deadline
+                && deadline <= sole_until;
             wait.adopted += usize::from(is_adopted);
             wait.expired += usize::from(is_expired);
             lost_workers.extend(is_expired.then(|| id.clone()));
