Test: after a handover a silent worker that had restarted holds back every inherited job

Four tasks of a job that was just accepted have no order 9.5 s after the claim.

Not mended: by reading, the next owner waits for the stray lease that the handover's record has for the worker, which may be alive with it.

--- a/crates/standins/tests/cells/silence/histories.rs
+++ b/crates/standins/tests/cells/silence/histories.rs
@@ -294,3 +294,24 @@
         prop_assert_eq!(watch.late, [] as [&str; 0]);
     }
 }
+
+/// An owner that hands over while a worker is silent that has restarted several times.
+#[test]
+fn inherited_jobs_do_not_wait_after_a_handover_for_a_silent_worker_that_has_restarted() {
+    let mut watch = Watch::new();
+    watch.run_for(500);
+    let troubles = [
+        (Trouble::Restarts(2, 50, 3_071), 0),
+        (Trouble::StaysListed(2), 917),
+        (Trouble::HandsOver, 0),
+    ];
+
+    for (trouble, pause_ms) in troubles {
+        watch.submit_short(3_300);
+        watch.run_for(pause_ms);
+        watch.apply(trouble);
+    }
+    watch.run_for(END_MS);
+
+    assert_eq!(watch.late, [] as [&str; 0]);
+}
