Tests: refusals for start orders that nobody could give, a lost mark, a pool drained by a wave

Tasks that no worker can run count in the backlog of start orders; a job that is refused for its own size closes its queue at other nodes; the owner takes a mark for written whose removal got no answer; a wave takes further VMs for as long as drains don't end.

--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -397,3 +397,16 @@
     assert_eq!(early, 1);
     assert_eq!(replay.in_time(Timestamp(124_000)), 9);
 }
+
+/// Guards against a pool that loses all its workers to a wave because none of them drains: a worker that is to
+/// drain takes no more tasks, and none of them gets its maintenance.
+#[test]
+fn workers_that_never_drain_make_a_wave_drain_all_of_their_pool() {
+    let mut replay = Replay::new(10, 0, 640);
+    replay.silent = (0..10).map(worker).collect();
+    replay.fleet.add_waves(vec![wave(0..10, 2, Timestamp(94_000))]);
+
+    replay.run_until(Timestamp(94_000));
+
+    assert!(replay.most_away < 10, "{} of 10 away, 2 at most may be down", replay.most_away);
+}
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -21,6 +21,7 @@
 mod long_running;
 mod may_end;
 mod order_rate;
+mod order_refusals;
 mod outranked;
 mod owners;
 mod random;
--- a/src/jobs/log_store/tests/mark.rs
+++ b/src/jobs/log_store/tests/mark.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
@@ -33,6 +36,8 @@
 #[derive(Debug, Default)]
 struct KeyStore {
     keys: Mutex<IndexMap<String, (String, u64)>>,
+    /// Whether transactions that only delete are executed and get no answer.
+    loses_answers_to_deletes: AtomicBool,
 }
 
 impl KeyStore {
@@ -83,7 +88,13 @@
             reader.read_exact(&mut body)?;
             // The only calls here that change something are transactions.
             let (status, answer) = if first.starts_with("POST") {
-                self.transact(&serde_json::from_slice(&body)?)
+                let txn: Value = serde_json::from_slice(&body)?;
+                let answer = self.transact(&txn);
+                let only_deletes = txn["puts"].as_array().is_none_or(Vec::is_empty);
+                if only_deletes && self.loses_answers_to_deletes.load(Relaxed) {
+                    return Ok(());
+                }
+                answer
             } else {
                 // The log is read once, while it is empty.
                 ("200 OK", json!({}))
@@ -165,3 +176,35 @@
 
     assert_eq!(seen, ([Reply::Durable, Reply::Durable], [false, true, true, true]));
 }
+
+/// Guards against a job that is accepted without a mark, because the answer to the mark's removal was lost: the
+/// owner takes the mark for written, and no write of the log brings it back.
+#[test]
+fn a_job_that_comes_after_an_unanswered_removal_of_the_mark_is_not_marked() {
+    let cell = "drums".parse().unwrap();
+    let (address, store) = serve();
+    let duty = duties::duty_key(&duties::cell_duty(&cell));
+    store.keys.lock().unwrap().insert(duty, (String::new(), EPOCH.0));
+    let mark = duties::log_mark_key(&cell);
+    let mut node = test_node::node(std::slice::from_ref(&cell), address);
+    std::rc::Rc::get_mut(&mut node).expect("the only one").settings.bounds.status_s = STATUS_S;
+    node.lease.set(5, crate::clock::now() + Span(60_000));
+    let routes = node.shared.config.load_full();
+
+    let seen = test_server::run(LocalSet::new().run_until(async {
+        host::start(&node, cell.clone(), EPOCH, 0);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let accepted = ask(&node, submission()).await;
+        store.loses_answers_to_deletes.store(true, Relaxed);
+        node.shared.config.store(Some(Arc::new(Config::default())));
+        let cancelled = ask(&node, Operation::Cancel).await;
+        let is_removed = becomes(&store, &mark, false).await;
+        // The route is back, and a job with it.
+        node.shared.config.store(routes);
+        let accepted_again = ask(&node, submission()).await;
+        let is_marked = becomes(&store, &mark, true).await;
+        ([accepted, cancelled, accepted_again], [is_removed, is_marked])
+    }));
+
+    assert_eq!(seen, ([Reply::Durable, Reply::Durable, Reply::Durable], [true, true]));
+}
