A cell whose mark was deleted without an answer is marked again with its next job

Cause: the deletion of a mark that got no answer left the owner in the belief that the mark was there, so that the next write with jobs didn't write it. Had the route gone again and the owner been lost, nobody would have claimed the cell. Change: the state of the mark is unknown then; a late copy of the deletion expects the head's former revision.

--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -30,7 +30,7 @@
 /// What is known in one term of the mark that the log may hold jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mark {
-    /// An earlier owner may have left it.
+    /// An earlier owner may have left it, or its deletion got no answer.
     Unknown,
     /// This owner has written it.
     Written,
@@ -233,7 +233,13 @@
                     "epoch" => self.keys.epoch.0);
             }
             // Another owner has the duty; this term ends when the members are read.
-            Ok(Outcome::Conflict(_)) | Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            Ok(Outcome::Conflict(_)) => tokio::time::sleep(RETRY_PAUSE).await,
+            // It may have been deleted, so that the next write with jobs has to write it again. A late copy of the
+            // deletion has no effect after that write, which changes the head.
+            Err(_) => {
+                self.mark.set(Mark::Unknown);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
         }
     }
 
