A wave drains no more VMs in vain than it may take at once

Cause: drains that don't end in time left the count of the wave's places without a bound, so that it drained one VM after the other. Change: as many of them as may be down at once don't count; all further ones do.

--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -167,13 +167,18 @@
         efforts: &IndexMap<WorkerId, DrainEffort>,
         now: Timestamp,
     ) -> (WaveQuota, WaveStep) {
-        // A drain that may never end holds back no other VM.
-        let is_of_wave = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
-            planned.purpose == Purpose::Maintain(wave.number)
-                && !self.is_overdue(vm_id, planned, now)
+        let is_of_wave =
+            |planned: &&PlannedOrder| planned.purpose == Purpose::Maintain(wave.number);
+        let is_overdue = |(vm_id, planned): &(&VmId, &PlannedOrder)| {
+            is_of_wave(planned) && self.is_overdue(vm_id, planned, now)
         };
-        let planned = self.planned_orders.iter().filter(is_of_wave).map(|(_, planned)| planned);
-        let planned_count = planned.clone().count();
+        let planned = self.planned_orders.iter().filter(|(_, planned)| is_of_wave(planned));
+        let planned = planned.filter(|entry| !is_overdue(entry)).map(|(_, planned)| planned);
+        // A drain that may never end holds back no other VM. Were there no bound, the whole pool would be drained
+        // in vain, one VM after the other.
+        let overdue = self.planned_orders.iter().filter(is_overdue).count();
+        let max_down = wave.max_down as usize;
+        let planned_count = planned.clone().count() + overdue.saturating_sub(max_down);
         let draining = planned.filter(|planned| !planned.is_in_flight);
         let hard_draining = draining.clone().filter(|planned| planned.hosts_long_running).count();
         let draining = draining.count();
@@ -193,7 +198,7 @@
         let needed_drains = pace.saturating_sub(down_pace) * missing / down_pace.max(1);
         let quota = WaveQuota {
             // The next VMs are drained while others are still down, to lose no time in between.
-            total: (wave.max_down as usize).saturating_sub(planned_count),
+            total: max_down.saturating_sub(planned_count),
             drains: needed_drains.saturating_sub(draining),
             hard_drains: hard_pace.saturating_sub(hard_draining),
             unneeded: if self.is_short_of_vms {
