Drains outlast a late order of a fleet's owner that is gone

Cause: drains ended 6 s after the last word of the fleet's owner, but an order that got no answer may be carried out within 3 s after its call (takeover_pause): 7.8 s (review, by reading).

--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -21,8 +21,9 @@
 
 /// How long drains last without a word of the fleet's owner. An order about a VM that rests on the last
 /// report has taken effect by then: the report is under way for 0.8 s and believed for 1.5 s, the order
-/// is sent within 1 s, and its call takes 1.5 s at most.
-const FLEET_ABSENCE: Span = Span(6_000);
+/// is sent within 1 s, its call takes 1.5 s at most, and one without an answer is carried out within 3 s
+/// after that, as the fleet's owner reckons, too.
+const FLEET_ABSENCE: Span = Span(9_000);
 
 /// The record that a worker is used, with what the next owner must know of its leases.
 pub(super) fn used_record(worker: &Worker, now: Timestamp) -> Record {
