Only tasks that wait for start orders keep jobs from being accepted

Cause: the bound on queued start orders counted tasks that no worker can run, or that wait for room, so that 600 of them closed an idle cell on 2 Mbit/s for all ordinary jobs; and a job that was refused for its own size closed its queue for all others. Change: start orders refuse a job only while planning holds some back, or has not seen what was accepted. A refusal closes the queue for other nodes only if what waits ahead of the job takes at least as many orders as the job itself.

--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -198,6 +198,8 @@
     outlook: Option<(Outlook, Timestamp)>,
     processors: Demand,
     orders: Demand,
+    /// The start orders of accepted jobs that planning has not seen yet.
+    unplanned_orders: Work,
     /// The capacity that long-running tasks book, in thousandths of a core.
     long_running_milli: u64,
     backlog_valid_until: Timestamp,
@@ -213,6 +215,7 @@
             outlook: None,
             processors: Demand::default(),
             orders: Demand::default(),
+            unplanned_orders: 0,
             long_running_milli: 0,
             backlog_valid_until: Timestamp(0),
         }
@@ -265,6 +268,7 @@
         if refusal.is_none() {
             self.admission.processors.backlog.add(job.order, job.work);
             self.admission.orders.backlog.add(orders.order, orders.work);
+            self.admission.unplanned_orders += orders.work;
         }
         refusal
     }
@@ -280,12 +284,21 @@
         Some(Refusal { reason: "it would end too late", wait, retry_after, closed: Span(0) })
     }
 
+    /// Whether tasks wait for start orders in flight: planning held some back, or has not seen all of them yet.
+    /// Tasks that only wait for room on workers keep no job from being accepted.
+    fn holds_back_orders(&self) -> bool {
+        self.held_back_starts > 0 || self.admission.unplanned_orders > 0
+    }
+
     /// The refusal of a job that would wait too long for its start orders, if any.
     fn refused_by_orders(&self, id: JobId, job: Candidate, now: Timestamp) -> Option<Refusal> {
         let Demand { backlog, .. } = &self.admission.orders;
         let capacity = CapacityForecast::constant(self.start_window.order_rate(now).0);
         let arriving_milli = self.admission.orders.arriving_milli();
         let supply = Supply { capacity, arriving_milli, is_growing: false };
+        if !self.holds_back_orders() {
+            return None;
+        }
         let total = capacity.time_for(backlog.total_work());
         let (wait, excess) = if total > MAX_ORDER_BACKLOG {
             (total, Span(total.0 - MAX_ORDER_BACKLOG.0))
@@ -293,7 +306,10 @@
             let wait = refused_wait(backlog, supply, job, now)?;
             (wait, Span(wait.0.saturating_sub(job.slack().0)))
         };
-        let (retry_after, closed) = (retry_after(id, excess), excess.max(MIN_CLOSED_TIME));
+        // A job that is refused for its own size says nothing about others.
+        let is_for_others = backlog.work_ahead(job.order) >= job.work;
+        let closed = if is_for_others { excess.max(MIN_CLOSED_TIME) } else { Span(0) };
+        let retry_after = retry_after(id, excess);
         Some(Refusal { reason: "start orders can't keep up", wait, retry_after, closed })
     }
 
@@ -383,7 +399,7 @@
     fn measure_backlog(&mut self, now: Timestamp) {
         let wall_offset_ms = self.wall_offset_ms;
         let (mut processors, mut orders) = (Backlog::default(), Backlog::default());
-        let mut long_running_milli = 0;
+        let (mut long_running_milli, mut unplanned_orders) = (0, 0);
         let counted = self.counted_steps(now);
         for (_, job) in self.jobs.open() {
             let Some(queue) = self.queues.get(&job.queue) else {
@@ -404,6 +420,7 @@
                 if work > 0 && matches!(rank.class, RankClass::OnTime | RankClass::Late) {
                     processors.add_occurrence((rank, work), (job, index), &context);
                 }
+                unplanned_orders += if job.is_durable { 0 } else { order_work };
                 if order_work > 0 {
                     orders.add_occurrence((rank, order_work), (job, index), &context);
                 }
@@ -411,6 +428,7 @@
         }
         let admission = &mut self.admission;
         admission.long_running_milli = long_running_milli;
+        admission.unplanned_orders = unplanned_orders;
         admission.processors.replace_backlog(processors, now);
         admission.orders.replace_backlog(orders, now);
     }
--- a/crates/core/src/job/cell/admit/forecast.rs
+++ b/crates/core/src/job/cell/admit/forecast.rs
@@ -82,7 +82,7 @@
     }
 
     /// The work that starts before a new job that can be on time.
-    fn work_ahead(&self, order: StartOrder) -> Work {
+    pub(super) fn work_ahead(&self, order: StartOrder) -> Work {
         let ahead = self.on_time.iter().take_while(|(other, _)| *other <= order);
         self.first + ahead.map(|(_, work)| work).sum::<Work>()
     }
