Start orders refuse a job only if clearing those held back takes 150 ms

Change: below MIN_ORDER_BACKLOG, 150 ms of orders at the measured rate, nothing is refused for want of start orders.

--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -76,6 +76,10 @@
 /// How long the start orders of all waiting tasks may take; beyond that no job is accepted.
 const MAX_ORDER_BACKLOG: Span = Span(6_000);
 
+/// How long the start orders that are held back must take at least for a job to be refused. Fewer come with
+/// each batch of jobs and are gone by the next one.
+const MIN_ORDER_BACKLOG: Span = Span(150);
+
 /// The shortest time for which other nodes keep jobs of a queue to themselves, so that refused callers hardly
 /// take the link that the orders need.
 const MIN_CLOSED_TIME: Span = Span(500);
@@ -284,10 +288,11 @@
         Some(Refusal { reason: "it would end too late", wait, retry_after, closed: Span(0) })
     }
 
-    /// Whether tasks wait for start orders in flight: planning held some back, or has not seen all of them yet.
-    /// Tasks that only wait for room on workers keep no job from being accepted.
-    fn holds_back_orders(&self) -> bool {
-        self.held_back_starts > 0 || self.admission.unplanned_orders > 0
+    /// The start orders that wait for others and for nothing else: those that planning held back, and those of
+    /// jobs that it has not seen yet. Tasks that wait for room on workers keep no job from being accepted.
+    fn held_back_orders(&self) -> Work {
+        let held_back = u64::try_from(self.held_back_starts).unwrap_or(u64::MAX);
+        held_back.saturating_mul(ORDER_WORK).saturating_add(self.admission.unplanned_orders)
     }
 
     /// The refusal of a job that would wait too long for its start orders, if any.
@@ -296,7 +301,7 @@
         let capacity = CapacityForecast::constant(self.start_window.order_rate(now).0);
         let arriving_milli = self.admission.orders.arriving_milli();
         let supply = Supply { capacity, arriving_milli, is_growing: false };
-        if !self.holds_back_orders() {
+        if capacity.time_for(self.held_back_orders()) < MIN_ORDER_BACKLOG {
             return None;
         }
         let total = capacity.time_for(backlog.total_work());
