--- a/crates/core/src/job/cell/admit.rs
+++ b/crates/core/src/job/cell/admit.rs
@@ -5,7 +5,8 @@
 //! waiting tasks and rests on the rate that the owner has measured. It holds from the beginning of a
 //! term, as it needs no knowledge of the workers, but leaves out tasks of earlier terms that may be
 //! running. As work that can be on time goes first, overdue work may wait for long; no job is
-//! accepted while the orders for all that waits take too long.
+//! accepted while the orders for all that waits take too long. Tasks that wait for room on workers don't
+//! wait for orders: nothing is refused for those unless planning holds some back.
 //!
 //! The forecast of the processors treats the workers as one large processor. It rests on:
 //!
