--- a/src/jobs/log_store/tests/mark.rs
+++ b/src/jobs/log_store/tests/mark.rs
@@ -193,7 +193,7 @@
 
     let seen = test_server::run(LocalSet::new().run_until(async {
         host::start(&node, cell.clone(), EPOCH, 0);
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(test_node::serves(&node, std::slice::from_ref(&cell)).await);
         let accepted = ask(&node, submission()).await;
         store.loses_answers_to_deletes.store(true, Relaxed);
         node.shared.config.store(Some(Arc::new(Config::default())));
--- a/src/jobs/session/tests.rs
+++ b/src/jobs/session/tests.rs
@@ -11,7 +11,7 @@
 
 use super::{
     super::{
-        test_node::{node, silent_address},
+        test_node::{node, serves, silent_address},
         test_server,
     },
     *,
@@ -66,8 +66,7 @@
             for service in &services {
                 host::start(&node, service.clone(), Epoch(9), 0);
             }
-            tokio::time::sleep(Duration::from_millis(500)).await;
-            let was_serving = services.iter().all(|service| node.cell_owner(service).is_some());
+            let was_serving = serves(&node, &services).await;
             is_silent.store(true, SeqCst);
             let handover = tokio::time::timeout(Duration::from_secs(4), hand_over(&node));
             (was_serving, handover.await.is_ok())
--- a/src/jobs/test_node.rs
+++ b/src/jobs/test_node.rs
@@ -1,6 +1,6 @@
 //! The state of a process for tests.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use slog::{Discard, Logger, o};
 use teaselgap_core::{Incarnation, ServiceId, Span, job::QueueConfig};
@@ -54,3 +54,14 @@
     let own = ("n1".parse().unwrap(), Incarnation(1), store);
     Rc::new(Node::new(own, settings, shared, lease))
 }
+
+/// Waits for up to three seconds until the node serves the cells of all these services.
+pub(super) async fn serves(node: &Node, services: &[ServiceId]) -> bool {
+    for _ in 0..300 {
+        if services.iter().all(|service| node.cell_owner(service).is_some()) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
