Logs tell which plan an answer about a VM meets, and what a wave's report rests on

Cause: the users saw a wave that is said to be done with a VM whose maintenance had not begun. Two hypotheses (an answer is entered as what is planned by then; a VM that the list lacks counts as done) leave the same lines. Change: `move ordered` and `maintenance ordered` have `took_ms` and `planned` (what is planned about the VM as the answer comes); `wave progress` has `vms`, `begun`, `unlisted` and `list_age_ms`; a new line for each VM of a wave that leaves the list or is back in it. No decision changes. The test of unreadable entries matches the report by its pattern, as the report has a new field.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -142,7 +142,39 @@
         wave: u64,
         /// Whether the maintenance of all its VMs has begun.
         finished: bool,
+        /// What the report rests on.
+        basis: WaveBasis,
     },
+    /// Log that a VM of a wave has left the platform's list, or is back in it.
+    LogListing(ListingChange),
+}
+
+/// What the report of a wave's progress rests on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaveBasis {
+    /// Number of the wave's VMs.
+    pub vms: usize,
+    /// Number of these whose maintenance has begun.
+    pub begun: usize,
+    /// Number of the others that the platform's latest list lacks.
+    pub unlisted: usize,
+    /// The age of that list, counted from when it was asked for.
+    pub list_age: Option<Span>,
+}
+
+/// A VM of a wave that has left the platform's list, or is back in it, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListingChange {
+    /// The VM.
+    pub vm: VmId,
+    /// Number of the wave.
+    pub wave: u64,
+    /// Whether the VM is listed now.
+    pub is_listed: bool,
+    /// Whether its maintenance for the wave has begun.
+    pub has_begun: bool,
+    /// Number of VMs in the list.
+    pub listed: usize,
 }
 
 /// A decision to take more VMs for a wave, and what it rests on.
@@ -332,7 +364,9 @@
         self.vms_asked = Some(asked);
         self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
         self.has_unreadable_vms = has_unreadable_entries;
-        self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        let vms: IndexMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        self.log_listing_changes(&vms);
+        self.vms = vms;
         self.drop_finished_moves();
         if self.record.given.is_empty() {
             for vm in self.vms.values() {
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -29,6 +29,15 @@
     Move(VmId, ServiceId),
 }
 
+impl FleetOrder {
+    /// The VM that the order is about.
+    #[must_use]
+    pub fn vm(&self) -> &VmId {
+        let (Self::Maintain(vm_id, _) | Self::Move(vm_id, _)) = self;
+        vm_id
+    }
+}
+
 /// Outcome of an order to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -148,6 +157,16 @@
         }
     }
 
+    /// The order about a VM that is planned now, sent or not.
+    #[must_use]
+    pub fn planned_order(&self, vm_id: &VmId) -> Option<FleetOrder> {
+        let planned = self.planned_orders.get(vm_id)?;
+        Some(match &planned.purpose {
+            Purpose::Maintain(wave) => FleetOrder::Maintain(vm_id.clone(), *wave),
+            Purpose::Move(pool) => FleetOrder::Move(vm_id.clone(), pool.clone()),
+        })
+    }
+
     /// Whether a VM is certainly on standby. Only orders move VMs, so a list shows where a VM is if it
     /// was asked for once the latest order about the VM had taken effect.
     fn is_certainly_standby(&self, vm: &Vm) -> bool {
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    CellReport, Fleet, FleetAction, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, VmState, Wave,
-    WaveStep, balance::MAX_REPORT_AGE,
+    CellReport, Fleet, FleetAction, ListingChange, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, Vm,
+    VmState, Wave, WaveBasis, WaveStep, balance::MAX_REPORT_AGE,
 };
 use crate::{
     Span, Timestamp, VmId,
@@ -108,7 +108,7 @@
         } else if self.record.finished.contains(&number) {
             return;
         }
-        self.report_wave(number, pending.is_empty());
+        self.report_wave(number, pending.is_empty(), now);
         let Some(wave) = self.waves.get(&number) else {
             return;
         };
@@ -322,12 +322,51 @@
     }
 
     /// Reports the progress of a wave if it has changed.
-    pub(super) fn report_wave(&mut self, wave: u64, finished: bool) {
+    pub(super) fn report_wave(&mut self, wave: u64, finished: bool, now: Timestamp) {
         if self.reported_waves.insert(wave, finished) != Some(finished) {
-            self.actions.push(FleetAction::ReportWave { wave, finished });
+            let basis = self.wave_basis(wave, now);
+            self.actions.push(FleetAction::ReportWave { wave, finished, basis });
         }
     }
 
+    /// What a report of a wave's progress rests on at `now`.
+    fn wave_basis(&self, number: u64, now: Timestamp) -> WaveBasis {
+        let Some(wave) = self.waves.get(&number) else {
+            return WaveBasis::default();
+        };
+        let begun = self.record.begun.get(&number);
+        let has_begun = |vm_id: &&VmId| begun.is_some_and(|begun| begun.contains(*vm_id));
+        let open = wave.vms.iter().filter(|vm_id| !has_begun(vm_id));
+        WaveBasis {
+            vms: wave.vms.len(),
+            begun: wave.vms.iter().filter(has_begun).count(),
+            unlisted: open.filter(|vm_id| !self.vms.contains_key(*vm_id)).count(),
+            list_age: self.vms_asked.map(|asked| now.since(asked)),
+        }
+    }
+
+    /// Logs which VMs of waves are in only one of the platform's latest list and `new`, the next one.
+    pub(super) fn log_listing_changes(&mut self, new: &IndexMap<VmId, Vm>) {
+        let change_of = |wave: &Wave, vm_id: &VmId| {
+            let begun = self.record.begun.get(&wave.number);
+            ListingChange {
+                vm: vm_id.clone(),
+                wave: wave.number,
+                is_listed: new.contains_key(vm_id),
+                has_begun: begun.is_some_and(|begun| begun.contains(vm_id)),
+                listed: new.len(),
+            }
+        };
+        let vms_of_waves =
+            self.waves.values().flat_map(|wave| wave.vms.iter().map(move |vm_id| (wave, vm_id)));
+        let differing = vms_of_waves
+            .filter(|(_, vm_id)| self.vms.contains_key(*vm_id) != new.contains_key(*vm_id));
+        let changes: Vec<FleetAction> = differing
+            .map(|(wave, vm_id)| FleetAction::LogListing(change_of(wave, vm_id)))
+            .collect();
+        self.actions.extend(changes);
+    }
+
     /// Whether maintenance of a VM that the previous owner ordered may still begin.
     fn may_be_down_for_predecessor(&self, vm_id: &VmId, now: Timestamp) -> bool {
         self.record.maintained.contains(vm_id)
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -282,8 +282,10 @@
     let listed: Vec<Vm> = (0..4).map(|number| vm(number, &pool("desk"))).collect();
     fleet.add_waves(vec![wave(9..10, 1, DEADLINE)]);
     let is_done = |fleet: &mut Fleet| {
-        let done = FleetAction::ReportWave { wave: 1, finished: true };
-        fleet.take_actions().contains(&done)
+        let is_done = |action: &FleetAction| {
+            matches!(action, FleetAction::ReportWave { wave: 1, finished: true, .. })
+        };
+        fleet.take_actions().iter().any(is_done)
     };
 
     fleet.set_vms(listed.clone(), true, Timestamp(100));
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -302,8 +302,15 @@
                     "away_ms" => step.time_away.0, "time_left_ms" => step.time_left.0, "chosen" => step.chosen,
                     "epoch" => self.epoch.0);
             }
-            FleetAction::ReportWave { wave, finished } => {
-                info!(self.node.log, "wave progress"; "wave" => wave, "finished" => finished);
+            FleetAction::LogListing(change) => {
+                info!(self.node.log, "VM of a wave listed or not"; "vm" => %change.vm, "wave" => change.wave,
+                    "is_listed" => change.is_listed, "has_begun" => change.has_begun,
+                    "listed" => change.listed, "epoch" => self.epoch.0);
+            }
+            FleetAction::ReportWave { wave, finished, basis } => {
+                info!(self.node.log, "wave progress"; "wave" => wave, "finished" => finished,
+                    "vms" => basis.vms, "begun" => basis.begun, "unlisted" => basis.unlisted,
+                    "list_age_ms" => basis.list_age.map(|age| age.0), "epoch" => self.epoch.0);
                 let (key, value) = config::wave_status(wave, finished);
                 self.write_key(key, value).await;
             }
@@ -317,31 +324,34 @@
     /// by a busy VM, so it may be retried.
     async fn send_order(&self, order: FleetOrder, deadline: Timestamp) {
         if !self.may_send_orders() || clock::now() > deadline {
-            let (FleetOrder::Maintain(vm, _) | FleetOrder::Move(vm, _)) = order;
-            self.record_outcome(&vm, OrderOutcome::Busy);
+            self.record_outcome(order.vm(), OrderOutcome::Busy);
             return;
         }
-        let (FleetOrder::Maintain(vm, _) | FleetOrder::Move(vm, _)) = &order;
+        let vm = order.vm();
         let OrderBasis { worker, report_age, pool: from, list_age } =
             self.fleet.borrow().order_basis(vm, clock::now());
         let (worker, from) = (worker.map(|id| id.to_string()), from.map(|pool| pool.to_string()));
+        let sent = clock::now();
+        let planned = || planned_text(self.fleet.borrow().planned_order(order.vm()));
         let (report_age_ms, list_age_ms) = (report_age.map(|age| age.0), list_age.map(|age| age.0));
-        match order {
+        match &order {
             FleetOrder::Maintain(vm, wave) => {
-                let outcome = self.vm_client.start_maintenance(&vm, wave).await;
+                let outcome = self.vm_client.start_maintenance(vm, *wave).await;
                 info!(self.node.log, "maintenance ordered"; "vm" => %vm, "wave" => wave,
                     "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
                     "list_age_ms" => list_age_ms,
-                    "outcome" => ?outcome, "epoch" => self.epoch.0);
-                self.record_outcome(&vm, outcome);
+                    "outcome" => ?outcome, "took_ms" => clock::now().since(sent).0,
+                    "planned" => planned(), "epoch" => self.epoch.0);
+                self.record_outcome(vm, outcome);
             }
             FleetOrder::Move(vm, pool) => {
-                let outcome = self.vm_client.move_to_pool(&vm, &pool).await;
+                let outcome = self.vm_client.move_to_pool(vm, pool).await;
                 info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
                     "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
                     "list_age_ms" => list_age_ms,
-                    "outcome" => ?outcome, "epoch" => self.epoch.0);
-                self.record_outcome(&vm, outcome);
+                    "outcome" => ?outcome, "took_ms" => clock::now().since(sent).0,
+                    "planned" => planned(), "epoch" => self.epoch.0);
+                self.record_outcome(vm, outcome);
             }
         }
     }
@@ -425,6 +435,15 @@
     }
 }
 
+/// An order about a VM as the log names it.
+fn planned_text(order: Option<FleetOrder>) -> String {
+    match order {
+        Some(FleetOrder::Maintain(_, wave)) => format!("maintenance for wave {wave}"),
+        Some(FleetOrder::Move(_, pool)) => format!("move to {pool}"),
+        None => "nothing".to_owned(),
+    }
+}
+
 /// The condition that the fleet is owned in this term.
 fn own_duty(epoch: Epoch) -> Expected {
     Expected { key: duties::duty_key(FLEET_DUTY), revision: epoch.0 }
