Tests of the answers about VMs that meet another plan fail, as listed

The same class: what is known of a copy of an order is kept in the plan, so that a list, a refusal or a new plan forgets it. Change: twelve failing tests in fleet/orders, and one that passes and guards against a wave that waits for the answer to a finished move. The fixture of the list of VMs is a function now, and `orders` of fleet/tests.rs is shared; no assertion of an existing test changes.

--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -4,8 +4,8 @@
 
 use super::*;
 use crate::job::{
-    FleetRecord, Load,
-    fleet::tests::{config, load, moves, pool, vm, worker},
+    FleetAction, FleetRecord, Load, Wave,
+    fleet::tests::{config, load, maintained_vms, moves, orders, pool, vm, vm_id, worker},
 };
 
 /// The interval between two ticks of the fleet.
@@ -48,15 +48,17 @@
 
 /// A fleet of two VMs of an idle pool, of which it needs one, and one on standby.
 fn fleet() -> Fleet {
-    let spare = pool("spare");
     let record = FleetRecord { is_complete: true, ..FleetRecord::default() };
     let mut fleet = Fleet::new(config(), record, (Timestamp(1_000), 1_000));
-    let vms = vec![vm(0, &pool("desk")), vm(1, &pool("desk")), vm(2, &spare)];
-    fleet.set_vms(vms, false, Timestamp(1_000));
-    fleet.set_standby_pools(IndexSet::from([spare]));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_000));
+    fleet.set_standby_pools(IndexSet::from([pool("spare")]));
     fleet
 }
 
+fn fleet_vms() -> Vec<Vm> {
+    vec![vm(0, &pool("desk")), vm(1, &pool("desk")), vm(2, &pool("spare"))]
+}
+
 /// Lets the pool's cell report for this time, and drain whatever it is asked to. `is_busy` tells whether it
 /// needs both VMs.
 fn run(fleet: &mut Fleet, answers: &mut Answers, (from, to): (u64, u64), is_busy: bool) {
@@ -102,3 +104,262 @@
     assert_eq!(answers.sent, 3);
     assert!(answers.open.is_empty());
 }
+
+/// Answers an order.
+fn answer(fleet: &mut Fleet, order: &FleetOrder, outcome: OrderOutcome, now: Timestamp) {
+    fleet.on_order_outcome(order.vm(), outcome, now);
+}
+
+/// Plans an order about a VM.
+fn plan(fleet: &mut Fleet, number: usize, purpose: Purpose, now: Timestamp) {
+    fleet.planned_orders.insert(vm_id(number), PlannedOrder::new(purpose, now, Span(4_000)));
+}
+
+/// Lets the cell of the pool report these workers as drained, and returns the orders that are sent then.
+fn sent_once_drained(fleet: &mut Fleet, drained: &[usize], now: Timestamp) -> Vec<FleetOrder> {
+    let drained = drained.iter().map(|&number| worker(number)).collect();
+    let idle = Load { floor_workers: 0, ..load(0, 0) };
+    fleet.on_cell_report(&pool("desk"), idle, drained, now);
+    fleet.tick(now);
+    orders(&fleet.take_actions())
+}
+
+/// The VMs that orders are about.
+fn vms_of(orders: &[FleetOrder]) -> Vec<VmId> {
+    orders.iter().map(|order| order.vm().clone()).collect()
+}
+
+fn wave(vms: &[usize], max_down: u32) -> Wave {
+    let vms = vms.iter().map(|&number| vm_id(number)).collect();
+    Wave { number: 1, vms, max_down, deadline: Timestamp(10_000) }
+}
+
+/// The list of VMs once the one on standby is in the pool.
+fn vms_after_move() -> Vec<Vm> {
+    (0..3).map(|number| vm(number, &pool("desk"))).collect()
+}
+
+/// Returns a fleet that has sent the order to move the VM on standby to the pool at 1,000 ms, and the order.
+fn fleet_with_sent_move() -> (Fleet, FleetOrder) {
+    let mut fleet = fleet();
+    plan(&mut fleet, 2, Purpose::Move(pool("desk")), Timestamp(1_000));
+    let mut sent = sent_once_drained(&mut fleet, &[], Timestamp(1_000));
+    assert_eq!(vms_of(&sent), [vm_id(2)]);
+    (fleet, sent.remove(0))
+}
+
+/// Returns a fleet that has sent the order to maintain the first of these VMs at 1,000 ms, and the order. The
+/// others of the wave, of which one may be down at once, are drained and wait for their turn.
+fn fleet_with_sent_maintenance(vms: &[usize]) -> (Fleet, FleetOrder) {
+    let mut fleet = fleet();
+    fleet.add_waves(vec![wave(vms, 1)]);
+    for &number in vms {
+        plan(&mut fleet, number, Purpose::Maintain(1), Timestamp(1_000));
+    }
+    let mut sent = sent_once_drained(&mut fleet, vms, Timestamp(1_000));
+    assert_eq!(vms_of(&sent), [vm_id(vms[0])]);
+    (fleet, sent.remove(0))
+}
+
+/// Whether the actions report the wave as finished.
+fn is_reported_as_finished(actions: &[FleetAction]) -> bool {
+    let is_finished =
+        |action: &FleetAction| matches!(action, FleetAction::ReportWave { finished: true, .. });
+    actions.iter().any(is_finished)
+}
+
+/// Issue 62.
+#[test]
+fn the_answer_to_a_finished_move_counts_as_maintenance_that_was_never_ordered() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[2], 1)]);
+    let sent = sent_once_drained(&mut fleet, &[], Timestamp(3_010));
+    assert_eq!(sent, []);
+    let is_planned = fleet.planned_orders.contains_key(&vm_id(2));
+    assert!(is_planned);
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(3_050));
+    let idle = Load { floor_workers: 0, ..load(0, 0) };
+    fleet.on_cell_report(&pool("desk"), idle, vec![worker(2)], Timestamp(3_200));
+    fleet.tick(Timestamp(3_200));
+    let actions = fleet.take_actions();
+
+    assert!(!is_reported_as_finished(&actions));
+    assert_eq!(maintained_vms(&actions), [vm_id(2)]);
+}
+
+#[test]
+fn the_answer_to_a_finished_move_counts_as_a_vm_that_is_down_for_a_wave() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[1, 2], 1)]);
+    plan(&mut fleet, 1, Purpose::Maintain(1), Timestamp(3_000));
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_000));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(3_050));
+    let sent = sent_once_drained(&mut fleet, &[1], Timestamp(3_200));
+
+    assert_eq!(vms_of(&sent), [vm_id(1)]);
+}
+
+#[test]
+fn the_refusal_of_an_old_move_ends_the_doubt_about_maintenance_under_way() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[1, 2], 1)]);
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_000));
+    plan(&mut fleet, 1, Purpose::Maintain(1), Timestamp(3_000));
+    let first = sent_once_drained(&mut fleet, &[1, 2], Timestamp(3_200));
+
+    answer(&mut fleet, &order, OrderOutcome::Busy, Timestamp(3_250));
+    let second = sent_once_drained(&mut fleet, &[1, 2], Timestamp(3_400));
+
+    assert_eq!(vms_of(&first), [vm_id(2)]);
+    assert_eq!(vms_of(&second), []);
+}
+
+#[test]
+fn an_old_move_without_an_answer_sends_maintenance_again_that_is_under_way() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[2], 1)]);
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_000));
+    let first = sent_once_drained(&mut fleet, &[2], Timestamp(3_200));
+
+    answer(&mut fleet, &order, OrderOutcome::Unknown, Timestamp(3_250));
+    let second = sent_once_drained(&mut fleet, &[2], Timestamp(3_800));
+
+    assert_eq!(vms_of(&first), [vm_id(2)]);
+    assert_eq!(vms_of(&second), []);
+}
+
+/// 0008, Open 3.
+#[test]
+fn maintenance_without_an_answer_does_not_count_as_down_once_its_next_copy_is_refused() {
+    let (mut fleet, first) = fleet_with_sent_maintenance(&[0, 1]);
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    let again = sent_once_drained(&mut fleet, &[0, 1], Timestamp(3_000));
+    assert_eq!(vms_of(&again), [vm_id(0)]);
+
+    answer(&mut fleet, &again[0], OrderOutcome::Busy, Timestamp(3_100));
+    let meanwhile = sent_once_drained(&mut fleet, &[0, 1], Timestamp(3_300));
+    // The first copy may take effect until 5,500 ms, and no list has been asked for since then.
+    let before_list = sent_once_drained(&mut fleet, &[1], Timestamp(5_600));
+    fleet.set_vms(fleet_vms(), false, Timestamp(5_700));
+    let after_list = sent_once_drained(&mut fleet, &[1], Timestamp(5_800));
+
+    assert_eq!(vms_of(&meanwhile), []);
+    assert_eq!(vms_of(&before_list), []);
+    assert_eq!(vms_of(&after_list), [vm_id(1)]);
+}
+
+#[test]
+fn a_vm_that_one_list_lacks_does_not_count_as_down_though_its_maintenance_is_under_way() {
+    let (mut fleet, _) = fleet_with_sent_maintenance(&[0, 1]);
+
+    fleet.set_vms(fleet_vms()[1..].to_vec(), false, Timestamp(1_200));
+    let sent = sent_once_drained(&mut fleet, &[0, 1], Timestamp(1_200));
+
+    assert_eq!(vms_of(&sent), []);
+}
+
+#[test]
+fn accepted_maintenance_of_a_vm_that_one_list_lacked_is_ordered_again() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0]);
+    fleet.set_vms(fleet_vms()[1..].to_vec(), true, Timestamp(1_200));
+    let unlisted = sent_once_drained(&mut fleet, &[0, 1], Timestamp(1_200));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_300));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_400));
+    let listed = sent_once_drained(&mut fleet, &[0, 1], Timestamp(1_600));
+    let back = sent_once_drained(&mut fleet, &[0, 1], Timestamp(3_800));
+
+    assert_eq!(vms_of(&unlisted), []);
+    assert_eq!(vms_of(&listed), []);
+    assert_eq!(vms_of(&back), []);
+    assert!(fleet.record.begun[&1].contains(&vm_id(0)));
+}
+
+#[test]
+fn maintenance_is_ordered_while_a_copy_of_a_dropped_move_may_still_move_its_vm() {
+    let (mut fleet, first) = fleet_with_sent_move();
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    let again = sent_once_drained(&mut fleet, &[], Timestamp(3_000));
+    answer(&mut fleet, &again[0], OrderOutcome::Busy, Timestamp(3_100));
+    fleet.add_waves(vec![wave(&[2], 1)]);
+    // A list from before the end of the doubt, and one from after it.
+    fleet.set_vms(fleet_vms(), false, Timestamp(3_300));
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_300));
+    fleet.drained_workers.insert(worker(2));
+    fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(3_300));
+
+    let early = sent_once_drained(&mut fleet, &[], Timestamp(3_400));
+    fleet.set_vms(fleet_vms(), false, Timestamp(5_600));
+    let late = sent_once_drained(&mut fleet, &[], Timestamp(5_700));
+
+    assert_eq!(vms_of(&early), []);
+    assert_eq!(vms_of(&late), [vm_id(2)]);
+}
+
+#[test]
+fn a_wave_under_a_slow_api_waits_for_the_answer_to_a_finished_move() {
+    let (mut fleet, _) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[2], 1)]);
+    sent_once_drained(&mut fleet, &[], Timestamp(3_010));
+
+    let sent = sent_once_drained(&mut fleet, &[2], Timestamp(3_200));
+
+    assert_eq!(vms_of(&sent), [vm_id(2)]);
+}
+
+#[test]
+fn a_list_that_was_asked_for_before_a_move_was_sent_ends_it() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(900));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_100));
+
+    answer(&mut fleet, &order, OrderOutcome::Busy, Timestamp(1_200));
+    let again = sent_once_drained(&mut fleet, &[], Timestamp(1_700));
+
+    assert_eq!(vms_of(&again), [vm_id(2)]);
+}
+
+#[test]
+fn a_worker_is_not_drained_while_an_order_may_stop_it_as_one_list_lacks_its_vm() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0, 1]);
+    let all = fleet_vms();
+    fleet.set_vms(all[1..].to_vec(), false, Timestamp(1_200));
+    fleet.tick(Timestamp(1_200));
+    let unlisted = is_drained(&fleet, Timestamp(1_250));
+    answer(&mut fleet, &order, OrderOutcome::Unknown, Timestamp(2_500));
+    let unanswered = is_drained(&fleet, Timestamp(5_400));
+    fleet.tick(Timestamp(5_600));
+    let closed = is_drained(&fleet, Timestamp(5_600));
+
+    assert!(unlisted);
+    assert!(unanswered);
+    assert!(!closed);
+}
+
+#[test]
+fn a_handover_leaves_out_a_vm_whose_order_may_still_take_effect() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0, 1]);
+    answer(&mut fleet, &order, OrderOutcome::Unknown, Timestamp(2_500));
+
+    // The order may take effect until 5,500 ms, more than 3,000 ms after it was sent.
+    let record = fleet.handover_record(Timestamp(4_500), 4_500);
+
+    assert!(record.ordered.contains_key(&vm_id(0)));
+    assert_eq!(record.ordered[&vm_id(0)], 2_500);
+}
+
+#[test]
+fn a_handover_leaves_out_a_vm_whose_order_has_no_answer_yet() {
+    let (fleet, _) = fleet_with_sent_maintenance(&[0, 1]);
+
+    let record = fleet.handover_record(Timestamp(4_500), 4_500);
+
+    assert_eq!(record.ordered.get(&vm_id(0)), Some(&4_500));
+}
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -95,7 +95,7 @@
     Wave { number: 1, vms, max_down, deadline: Timestamp(60_000) }
 }
 
-fn orders(actions: &[FleetAction]) -> Vec<FleetOrder> {
+pub(super) fn orders(actions: &[FleetAction]) -> Vec<FleetOrder> {
     let orders = |action: &FleetAction| match action {
         FleetAction::Save(_, orders) => orders.clone(),
         _ => Vec::new(),
