The answer to an order about a VM counts for that order, not for what is planned by then

Cause: Fleet::on_order_outcome was told the VM and the outcome. The late answer to a finished move was entered as the maintenance that a wave planned meanwhile: begun without an order, a wave reported as finished, a VM counted as down; a late refusal or silence changed the plan. Change: FleetOrder is one copy of an order, with a number of its own, and the answer is passed with it. Each copy without a definite answer is kept (orders/copies.rs) with the plan that it was sent for, the pool and the worker that it stops. An answer changes the plan only if the copy was sent for it. Otherwise accepted maintenance counts as begun, an accepted move as an absence only until a list asked for since shows the VM in its pool; refusals close the copy, silence keeps it open for the takeover pause. A second answer has no effect. A wave that takes over a planned move makes a new plan. Log lines have `order` and `counts_for_plan`. Existing tests pass the order instead of the VM; that the orders are the expected ones is asserted where the VM's id said so before. Three tests are new without having been seen to fail on the old interface: a second answer, a move accepted while its VM is unlisted, the text of a number.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -18,11 +18,14 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose},
+    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, SentCopies},
     size::{Arrivals, SmoothedNeed},
 };
 pub use self::{
-    orders::{FleetOrder, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker},
+    orders::{
+        FleetOrder, FleetRequest, ORDER_SEND_WINDOW, OrderBasis, OrderNumber, OrderOutcome,
+        OrderedWorker,
+    },
     size::PoolSize,
     turns::BurstHistory,
 };
@@ -253,6 +256,7 @@
     /// Waves reported to the operator, and whether they were reported as finished.
     reported_waves: IndexMap<u64, bool>,
     planned_orders: IndexMap<VmId, PlannedOrder>,
+    sent_copies: SentCopies,
     /// VMs whose order was accepted, for as long as the platform's list may not show it, and VMs
     /// whose order was invalid, for a short time.
     absences: IndexMap<VmId, Absence>,
@@ -321,6 +325,7 @@
             waves: IndexMap::new(),
             reported_waves: IndexMap::new(),
             planned_orders: IndexMap::new(),
+            sent_copies: SentCopies::default(),
             absences: IndexMap::new(),
             stopped_workers,
             standby: IndexSet::new(),
@@ -459,6 +464,7 @@
 
     /// Plans orders and emits the orders that are due at `now`.
     pub fn tick(&mut self, now: Timestamp) {
+        self.sent_copies.forget_closed(now);
         self.absences.retain(|_, absence| now < absence.until);
         self.stopped_workers.retain(|_, (_, until)| now < *until);
         self.expected_starts.retain(|(_, at)| now < *at + WORKER_LISTING_DELAY);
--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -39,7 +39,8 @@
 
     /// Cancels planned moves whose VM was not drained in time, or that the platform doesn't answer.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
-        self.planned_orders.retain(|_, planned| !planned.is_move_over(now));
+        let copies = &self.sent_copies;
+        self.planned_orders.retain(|_, planned| !planned.is_move_over(copies, now));
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -1,10 +1,14 @@
 //! Orders about single VMs: when they are due, and what follows from their outcomes.
 
+mod copies;
 #[cfg(test)]
 mod tests;
 
 use serde::{Deserialize, Serialize};
 
+pub(super) use self::copies::SentCopies;
+use self::copies::SentCopy;
+pub use self::copies::{FleetOrder, FleetRequest, OrderNumber};
 use super::{Fleet, Vm, VmState, balance::MAX_REPORT_AGE, wave::WAVE_DRAIN_TIME};
 use crate::{ServiceId, Span, Timestamp, VmId, job::WorkerId};
 
@@ -20,24 +24,6 @@
 /// How long after its VM was recorded in [`super::FleetRecord::ordered`] an order may still be sent.
 pub const ORDER_SEND_WINDOW: Span = Span(1_000);
 
-/// An order about a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FleetOrder {
-    /// Begin the maintenance of the VM for the wave with this number.
-    Maintain(VmId, u64),
-    /// Move the VM to this pool.
-    Move(VmId, ServiceId),
-}
-
-impl FleetOrder {
-    /// The VM that the order is about.
-    #[must_use]
-    pub fn vm(&self) -> &VmId {
-        let (Self::Maintain(vm_id, _) | Self::Move(vm_id, _)) = self;
-        vm_id
-    }
-}
-
 /// Outcome of an order to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -52,13 +38,7 @@
 }
 
 /// Purpose of a planned order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Purpose {
-    /// Maintenance for the wave with this number.
-    Maintain(u64),
-    /// A move to this pool.
-    Move(ServiceId),
-}
+pub(super) type Purpose = FleetRequest;
 
 /// An order about a VM that the platform has not accepted yet.
 #[derive(Clone, Debug)]
@@ -69,8 +49,8 @@
     pub(super) hosts_long_running: bool,
     /// Whether the order was sent and has no definite outcome yet.
     pub(super) is_in_flight: bool,
-    /// Time until which a copy of the order that got no answer may take effect.
-    pub(super) open_until: Timestamp,
+    /// The first copy that was sent for this plan, by which its copies know it.
+    pub(super) first_copy: Option<OrderNumber>,
     /// Time before which the order is not sent or retried.
     pub(super) next_attempt: Timestamp,
     /// Time at which a move is dropped if its VM is not drained by then, and from which on a drain for
@@ -87,24 +67,19 @@
             planned_at: now,
             hosts_long_running: false,
             is_in_flight: false,
-            open_until: Timestamp(0),
+            first_copy: None,
             next_attempt: now,
             drain_deadline: now + drain_time,
             answer_deadline: Timestamp(u64::MAX),
         }
     }
 
-    /// Whether a copy of the order was just sent and its outcome is still to come.
-    fn is_being_sent(&self) -> bool {
-        self.is_in_flight && self.next_attempt == Timestamp(u64::MAX)
-    }
-
     /// Whether the order is a move that can be dropped: its VM was not drained in time, or the platform
     /// has not answered in time, and no copy of it can take effect any more.
-    pub(super) fn is_move_over(&self, now: Timestamp) -> bool {
+    pub(super) fn is_move_over(&self, copies: &SentCopies, now: Timestamp) -> bool {
         let deadline = if self.is_in_flight { self.answer_deadline } else { self.drain_deadline };
-        let is_open = self.is_being_sent() || now < self.open_until;
-        matches!(self.purpose, Purpose::Move(_)) && !is_open && now >= deadline
+        let is_move = matches!(self.purpose, Purpose::Move(_));
+        is_move && now >= deadline && !copies.has_open_copy(self, now)
     }
 
     /// Whether maintenance was ordered, and may begin at any time.
@@ -157,14 +132,23 @@
         }
     }
 
-    /// The order about a VM that is planned now, sent or not.
+    /// What is planned about a VM now, sent or not.
     #[must_use]
-    pub fn planned_order(&self, vm_id: &VmId) -> Option<FleetOrder> {
-        let planned = self.planned_orders.get(vm_id)?;
-        Some(match &planned.purpose {
-            Purpose::Maintain(wave) => FleetOrder::Maintain(vm_id.clone(), *wave),
-            Purpose::Move(pool) => FleetOrder::Move(vm_id.clone(), pool.clone()),
-        })
+    pub fn planned_request(&self, vm_id: &VmId) -> Option<&FleetRequest> {
+        self.planned_orders.get(vm_id).map(|planned| &planned.purpose)
+    }
+
+    /// Whether the answer to an order counts for what is planned about its VM now, because it was sent
+    /// for that plan.
+    #[must_use]
+    pub fn counts_for_plan(&self, order: &FleetOrder) -> bool {
+        let copy = self.sent_copies.unanswered(order.number());
+        copy.is_some_and(|copy| self.is_planned(copy))
+    }
+
+    /// Whether what a copy was sent for is still planned.
+    fn is_planned(&self, copy: &SentCopy) -> bool {
+        self.planned_orders.get(&copy.vm).is_some_and(|planned| copy.is_of(planned))
     }
 
     /// Whether a VM is certainly on standby. Only orders move VMs, so a list shows where a VM is if it
@@ -247,25 +231,34 @@
                 _ => None,
             };
             if let (Some(wave), Some(planned)) = (wave, self.planned_orders.get_mut(&vm_id)) {
-                planned.purpose = Purpose::Maintain(wave);
-                planned.drain_deadline = now + WAVE_DRAIN_TIME;
+                // The answers to copies of the move say nothing of the maintenance.
+                *planned = PlannedOrder {
+                    planned_at: planned.planned_at,
+                    ..PlannedOrder::new(Purpose::Maintain(wave), now, WAVE_DRAIN_TIME)
+                };
             }
             let planned = &self.planned_orders[&vm_id];
-            let order = match planned.purpose.clone() {
+            match &planned.purpose {
                 Purpose::Maintain(number) => {
-                    let max_down = self.waves.get(&number).map_or(0, |wave| wave.max_down as usize);
-                    if !planned.is_in_flight && self.down_count(number, now) >= max_down {
+                    let max_down = self.waves.get(number).map_or(0, |wave| wave.max_down as usize);
+                    if !planned.is_in_flight && self.down_count(*number, now) >= max_down {
                         continue;
                     }
                     self.record.maintained.insert(vm_id.clone());
-                    FleetOrder::Maintain(vm_id.clone(), number)
                 }
-                Purpose::Move(pool) => {
+                Purpose::Move(_) => {
                     self.record.maintained.shift_remove(&vm_id);
-                    FleetOrder::Move(vm_id.clone(), pool)
                 }
-            };
+            }
             if let Some(planned) = self.planned_orders.get_mut(&vm_id) {
+                let order = self.sent_copies.send(
+                    (vm_id.clone(), planned.purpose.clone()),
+                    planned.first_copy,
+                    (vm.pool.clone(), vm.worker.clone()),
+                    now,
+                );
+                planned.first_copy.get_or_insert(order.number());
+                orders.push(order);
                 let is_maintenance = matches!(planned.purpose, Purpose::Maintain(_));
                 if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
                     self.drain_times.record(now.since(planned.planned_at));
@@ -282,67 +275,98 @@
                 let ordered = OrderedWorker { pool: vm.pool, worker };
                 self.record.ordered_workers.insert(vm_id, ordered);
             }
-            orders.push(order);
         }
         orders
     }
 
-    /// Records from when on a list of VMs shows the effect of an order whose outcome is known, and that
-    /// of the copies before it.
-    fn note_effect_end(&mut self, vm_id: &VmId, outcome: OrderOutcome, now: Timestamp) {
-        let is_open = outcome == OrderOutcome::Unknown;
-        let effect_end = if is_open { now + self.cfg.takeover_pause } else { now };
-        let planned = self.planned_orders.get(vm_id);
-        let open_until = planned.map_or(now, |planned| planned.open_until);
-        self.unlisted_orders.insert(vm_id.clone(), effect_end.max(open_until));
+    /// Whether a list that was asked for after `since` shows a VM in a pool.
+    fn has_arrived(&self, vm_id: &VmId, pool: &ServiceId, since: Timestamp) -> bool {
+        let is_listed_there = |vm: &Vm| vm.pool == *pool && vm.state != VmState::Moving;
+        self.vms_asked.is_some_and(|asked| asked > since)
+            && self.vms.get(vm_id).is_some_and(is_listed_there)
     }
 
-    /// Handles the outcome of an order about a VM.
-    pub fn on_order_outcome(&mut self, vm_id: &VmId, outcome: OrderOutcome, now: Timestamp) {
-        self.note_effect_end(vm_id, outcome, now);
-        let Some(planned) = self.planned_orders.get_mut(vm_id) else {
+    /// Handles the outcome of a copy of an order. It changes what is planned about the VM only if the copy
+    /// was sent for that plan; otherwise it only says what is known of the VM. A second outcome of the same
+    /// copy has no effect.
+    pub fn on_order_outcome(&mut self, order: FleetOrder, outcome: OrderOutcome, now: Timestamp) {
+        let Some((number, copy)) = self.sent_copies.take_answered(order) else {
             return;
         };
-        let former_location = self.vms.get(vm_id).map(|vm| (vm.pool.clone(), vm.worker.clone()));
+        let vm_id = copy.vm.clone();
+        let planned = self.planned_orders.get_mut(&vm_id).filter(|planned| copy.is_of(planned));
         match outcome {
-            OrderOutcome::Accepted => {
-                let purpose = planned.purpose.clone();
-                self.planned_orders.shift_remove(vm_id);
-                let is_maintenance = matches!(purpose, Purpose::Maintain(_));
-                let duration = match purpose {
-                    Purpose::Maintain(wave) => {
-                        self.record.begun.entry(wave).or_default().insert(vm_id.clone());
-                        self.cfg.maintenance_duration
-                    }
-                    Purpose::Move(pool) => {
-                        self.record_move(vm_id, pool, now);
-                        self.cfg.move_duration
-                    }
-                };
-                if let Some(vm) = self.vms.get(vm_id) {
-                    self.expected_starts.push((vm.pool.clone(), now + duration));
-                }
-                // The list of VMs may be older than the order: the VM counts as down meanwhile.
-                let until = now + duration + ORDER_RETRY_INTERVAL;
-                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance });
-                if let Some((pool, Some(worker))) = former_location {
-                    self.stopped_workers.insert(worker, (pool, now + self.cfg.worker_entry_ttl));
-                }
-            }
+            OrderOutcome::Accepted => self.on_accepted_order(copy, now),
             OrderOutcome::Busy => {
-                planned.is_in_flight = false;
-                planned.answer_deadline = Timestamp(u64::MAX);
-                planned.next_attempt = now + ORDER_RETRY_INTERVAL;
+                if let Some(planned) = planned {
+                    planned.is_in_flight = false;
+                    planned.answer_deadline = Timestamp(u64::MAX);
+                    planned.next_attempt = now + ORDER_RETRY_INTERVAL;
+                }
             }
             OrderOutcome::Invalid => {
-                self.planned_orders.shift_remove(vm_id);
-                let until = now + Span(2_000);
-                self.absences.insert(vm_id.clone(), Absence { until, is_maintenance: false });
+                if planned.is_some() {
+                    self.planned_orders.shift_remove(&vm_id);
+                    let absence = Absence { until: now + Span(2_000), is_maintenance: false };
+                    self.absences.insert(vm_id.clone(), absence);
+                }
             }
             OrderOutcome::Unknown => {
-                planned.next_attempt = now + ORDER_RETRY_INTERVAL;
-                planned.open_until = now + self.cfg.takeover_pause;
+                if let Some(planned) = planned {
+                    planned.next_attempt = now + ORDER_RETRY_INTERVAL;
+                }
+                self.sent_copies.keep_open(number, copy, now + self.cfg.takeover_pause);
             }
         }
+        // From then on a list of VMs shows the effect of all copies about the VM.
+        let effect_end = self.sent_copies.effect_end(&vm_id, now);
+        self.unlisted_orders.insert(vm_id, effect_end);
+    }
+
+    /// Records that the platform carries out an order, or has done so before.
+    fn on_accepted_order(&mut self, copy: SentCopy, now: Timestamp) {
+        if self.is_planned(&copy) {
+            self.planned_orders.shift_remove(&copy.vm);
+        }
+        let SentCopy { vm: vm_id, request, pool: former_pool, worker, sent_at, .. } = copy;
+        if let Some(worker) = worker {
+            let stopped = (former_pool.clone(), now + self.cfg.worker_entry_ttl);
+            self.stopped_workers.insert(worker, stopped);
+        }
+        match request {
+            FleetRequest::Maintain(wave) => {
+                let is_same = |planned: &PlannedOrder| planned.purpose == request;
+                if self.planned_orders.get(&vm_id).is_some_and(is_same) {
+                    self.planned_orders.shift_remove(&vm_id);
+                }
+                self.sent_copies.close_all(&vm_id, &request);
+                self.record.begun.entry(wave).or_default().insert(vm_id.clone());
+                self.expect_worker(vm_id, former_pool, true, now);
+            }
+            FleetRequest::Move(pool) => {
+                if self.has_arrived(&vm_id, &pool, sent_at) {
+                    self.last_moved.insert(vm_id, now);
+                } else {
+                    self.record_move(&vm_id, pool.clone(), now);
+                    self.expect_worker(vm_id, pool, false, now);
+                }
+            }
+        }
+    }
+
+    /// Counts a VM whose order was accepted as absent until a new worker is expected in this pool. The
+    /// list of VMs may be older than the order.
+    fn expect_worker(
+        &mut self,
+        vm_id: VmId,
+        pool: ServiceId,
+        is_maintenance: bool,
+        now: Timestamp,
+    ) {
+        let duration =
+            if is_maintenance { self.cfg.maintenance_duration } else { self.cfg.move_duration };
+        self.expected_starts.push((pool, now + duration));
+        let until = now + duration + ORDER_RETRY_INTERVAL;
+        self.absences.insert(vm_id, Absence { until, is_maintenance });
     }
 }
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -1,11 +1,11 @@
 //! Orders about VMs to which the platform gives no answer, or few.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 
 use super::*;
 use crate::job::{
     FleetAction, FleetRecord, Load, Wave,
-    fleet::tests::{config, load, maintained_vms, moves, orders, pool, vm, vm_id, worker},
+    fleet::tests::{config, load, maintained_vms, orders, pool, vm, vm_id, vms_of, worker},
 };
 
 /// The interval between two ticks of the fleet.
@@ -20,27 +20,28 @@
     answered: u32,
     sent: u32,
     /// Calls without an answer, each with when that is known.
-    open: IndexMap<VmId, Timestamp>,
+    open: Vec<(FleetOrder, Timestamp)>,
 }
 
 impl Answers {
     fn new(answered: u32) -> Self {
-        Self { answered, sent: 0, open: IndexMap::new() }
+        Self { answered, sent: 0, open: Vec::new() }
     }
 
     fn answer(&mut self, fleet: &mut Fleet, now: Timestamp) {
         let open = std::mem::take(&mut self.open);
-        let (over, open): (IndexMap<_, _>, _) = open.into_iter().partition(|(_, at)| now >= *at);
+        let (over, open): (Vec<_>, _) = open.into_iter().partition(|(_, at)| now >= *at);
         self.open = open;
-        for vm_id in over.keys() {
-            fleet.on_order_outcome(vm_id, OrderOutcome::Unknown, now);
+        for (order, _) in over {
+            fleet.on_order_outcome(order, OrderOutcome::Unknown, now);
         }
-        for (vm_id, _) in moves(&fleet.take_actions()) {
+        for order in orders(&fleet.take_actions()) {
+            assert!(matches!(order.request(), FleetRequest::Move(_)));
             self.sent += 1;
             if self.sent == self.answered {
-                fleet.on_order_outcome(&vm_id, OrderOutcome::Accepted, now);
+                fleet.on_order_outcome(order, OrderOutcome::Accepted, now);
             } else {
-                self.open.insert(vm_id, now + CALL_TIMEOUT);
+                self.open.push((order, now + CALL_TIMEOUT));
             }
         }
     }
@@ -107,7 +108,7 @@
 
 /// Answers an order.
 fn answer(fleet: &mut Fleet, order: &FleetOrder, outcome: OrderOutcome, now: Timestamp) {
-    fleet.on_order_outcome(order.vm(), outcome, now);
+    fleet.on_order_outcome(order.clone(), outcome, now);
 }
 
 /// Plans an order about a VM.
@@ -124,11 +125,6 @@
     orders(&fleet.take_actions())
 }
 
-/// The VMs that orders are about.
-fn vms_of(orders: &[FleetOrder]) -> Vec<VmId> {
-    orders.iter().map(|order| order.vm().clone()).collect()
-}
-
 fn wave(vms: &[usize], max_down: u32) -> Wave {
     let vms = vms.iter().map(|&number| vm_id(number)).collect();
     Wave { number: 1, vms, max_down, deadline: Timestamp(10_000) }
@@ -363,3 +359,41 @@
 
     assert_eq!(record.ordered.get(&vm_id(0)), Some(&4_500));
 }
+
+#[test]
+fn a_second_answer_to_an_order_counts() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0]);
+
+    answer(&mut fleet, &order, OrderOutcome::Busy, Timestamp(1_100));
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_200));
+
+    assert!(fleet.record.begun.is_empty());
+    assert!(fleet.planned_orders.contains_key(&vm_id(0)));
+}
+
+#[test]
+fn a_vm_that_one_list_lacked_as_its_move_was_accepted_counts_as_present() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(fleet_vms()[..2].to_vec(), false, Timestamp(1_200));
+    let unlisted = sent_once_drained(&mut fleet, &[], Timestamp(1_200));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_300));
+    fleet.add_waves(vec![wave(&[2], 1)]);
+    // The list is from before the move.
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_250));
+    let listed = sent_once_drained(&mut fleet, &[], Timestamp(1_400));
+
+    assert_eq!(vms_of(&unlisted), []);
+    assert_eq!(vms_of(&listed), []);
+    assert!(fleet.absences.contains_key(&vm_id(2)));
+    assert!(!fleet.planned_orders.contains_key(&vm_id(2)));
+}
+
+#[test]
+fn the_number_of_an_order_can_be_read_from_its_text() {
+    let (_, order) = fleet_with_sent_move();
+
+    let number: OrderNumber = order.number().to_string().parse().unwrap();
+
+    assert_eq!(number, order.number());
+}
--- a/crates/core/src/job/fleet/tests.rs
+++ b/crates/core/src/job/fleet/tests.rs
@@ -103,18 +103,27 @@
     actions.iter().flat_map(orders).collect()
 }
 
+/// The order that the actions send, if there is one and no other.
+fn only_order(actions: &[FleetAction]) -> FleetOrder {
+    let mut orders = orders(actions);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    orders.remove(0)
+}
+
+/// The VMs that orders are about.
+pub(super) fn vms_of(orders: &[FleetOrder]) -> Vec<VmId> {
+    orders.iter().map(|order| order.vm().clone()).collect()
+}
+
 pub(super) fn maintained_vms(actions: &[FleetAction]) -> Vec<VmId> {
-    let maintained = |order: FleetOrder| match order {
-        FleetOrder::Maintain(vm_id, _) => Some(vm_id),
-        FleetOrder::Move(..) => None,
-    };
-    orders(actions).into_iter().filter_map(maintained).collect()
+    let is_maintenance = |order: &FleetOrder| matches!(order.request(), FleetRequest::Maintain(_));
+    vms_of(&orders(actions).into_iter().filter(is_maintenance).collect::<Vec<_>>())
 }
 
 pub(super) fn moves(actions: &[FleetAction]) -> Vec<(VmId, ServiceId)> {
-    let moved = |order: FleetOrder| match order {
-        FleetOrder::Move(vm_id, to) => Some((vm_id, to)),
-        FleetOrder::Maintain(..) => None,
+    let moved = |order: FleetOrder| match order.request() {
+        FleetRequest::Move(to) => Some((order.vm().clone(), to.clone())),
+        FleetRequest::Maintain(_) => None,
     };
     orders(actions).into_iter().filter_map(moved).collect()
 }
@@ -147,8 +156,11 @@
     let mut first = fleet();
     first.add_waves(vec![wave(&[4, 5], 2)]);
     first.tick(Timestamp(4_100));
-    first.on_order_outcome(&vm_id(4), OrderOutcome::Busy, Timestamp(4_110));
-    first.on_order_outcome(&vm_id(5), OrderOutcome::Busy, Timestamp(4_110));
+    let sent = orders(&first.take_actions());
+    assert_eq!(vms_of(&sent), [vm_id(4), vm_id(5)]);
+    for order in sent {
+        first.on_order_outcome(order, OrderOutcome::Busy, Timestamp(4_110));
+    }
     let record = first.handover_record(Timestamp(4_200), 4_200);
 
     let mut next = next_owner(record, 4_300);
@@ -187,9 +199,9 @@
     fleet.add_waves(vec![wave(&[4, 5, 6, 7], 2)]);
 
     fleet.tick(Timestamp(4_100));
-    let first = maintained_vms(&fleet.take_actions());
-    for vm_id in &first {
-        fleet.on_order_outcome(vm_id, OrderOutcome::Accepted, Timestamp(4_110));
+    let first = orders(&fleet.take_actions());
+    for order in first.clone() {
+        fleet.on_order_outcome(order, OrderOutcome::Accepted, Timestamp(4_110));
     }
     fleet.tick(Timestamp(4_300));
     let meanwhile = maintained_vms(&fleet.take_actions());
@@ -205,8 +217,9 @@
     fleet.add_waves(vec![wave(&[4, 5], 1)]);
 
     fleet.tick(Timestamp(4_100));
-    let first = maintained_vms(&fleet.take_actions());
-    fleet.on_order_outcome(&first[0], OrderOutcome::Unknown, Timestamp(5_600));
+    let actions = fleet.take_actions();
+    let first = maintained_vms(&actions);
+    fleet.on_order_outcome(only_order(&actions), OrderOutcome::Unknown, Timestamp(5_600));
     fleet.tick(Timestamp(6_100));
     let again = maintained_vms(&fleet.take_actions());
 
@@ -222,8 +235,10 @@
     fleet.tick(Timestamp(4_100));
     fleet.on_cell_report(&pool("desk"), load(0, 0), vec![worker(0)], Timestamp(4_200));
     fleet.tick(Timestamp(4_200));
+    let order = only_order(&fleet.take_actions());
+    assert_eq!(*order.vm(), vm_id(0));
 
-    fleet.on_order_outcome(&vm_id(0), OrderOutcome::Accepted, Timestamp(4_210));
+    fleet.on_order_outcome(order, OrderOutcome::Accepted, Timestamp(4_210));
     fleet.tick(Timestamp(8_000));
     let listed = fleet.drain_requests(Timestamp(8_000));
 
@@ -260,10 +275,10 @@
             fleet.drain_requests(now).values().flat_map(|one| one.keys().cloned()).collect();
         fleet.on_cell_report(&pool("desk"), load(0, 1), drained, now);
         fleet.tick(now);
-        for (vm_id, to) in moves(&fleet.take_actions()) {
-            assert_eq!(to, pool("spare"));
-            fleet.on_order_outcome(&vm_id, OrderOutcome::Accepted, now);
-            moved_to_standby.insert(vm_id);
+        for order in orders(&fleet.take_actions()) {
+            assert_eq!(*order.request(), FleetRequest::Move(pool("spare")));
+            moved_to_standby.insert(order.vm().clone());
+            fleet.on_order_outcome(order, OrderOutcome::Accepted, now);
         }
     }
 
@@ -456,15 +471,15 @@
 
 /// Returns a fleet that has sent the order to maintain the first VM, whose worker is drained, and the
 /// record that it has stored before.
-fn fleet_with_order() -> (Fleet, FleetRecord) {
+fn fleet_with_order() -> (Fleet, FleetRecord, FleetOrder) {
     let mut fleet = fleet();
     fleet.add_waves(vec![wave(&[0], 1)]);
     fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(4_000));
     fleet.tick(Timestamp(4_100));
     fleet.on_cell_report(&pool("desk"), load(0, 0), vec![worker(0)], Timestamp(4_200));
     fleet.tick(Timestamp(4_200));
-    let record = saved(&fleet.take_actions());
-    (fleet, record)
+    let actions = fleet.take_actions();
+    (fleet, saved(&actions), only_order(&actions))
 }
 
 /// Returns the VMs of the busy pool, the first of which has this state and worker.
@@ -476,8 +491,8 @@
 /// Issue 39: an order about a VM asked once whether its worker is drained, and never again.
 #[test]
 fn an_order_without_an_answer_is_not_sent_again_to_a_vm_with_another_worker() {
-    let (mut fleet, _) = fleet_with_order();
-    fleet.on_order_outcome(&vm_id(0), OrderOutcome::Unknown, Timestamp(5_700));
+    let (mut fleet, _, order) = fleet_with_order();
+    fleet.on_order_outcome(order, OrderOutcome::Unknown, Timestamp(5_700));
 
     fleet.set_vms(desk_vms(VmState::Up, Some(worker(9))), false, Timestamp(6_200));
     fleet.on_cell_report(&pool("desk"), load(0, 0), Vec::new(), Timestamp(6_200));
@@ -521,7 +536,7 @@
 
 #[test]
 fn a_new_owner_keeps_a_worker_drained_while_an_order_of_its_predecessor_may_stop_it() {
-    let (_, record) = fleet_with_order();
+    let (_, record, _) = fleet_with_order();
     let mut next = Fleet::new(config(), record, (Timestamp(0), 5_000));
     next.set_vms(desk_vms(VmState::Up, Some(worker(0))), false, Timestamp(0));
 
@@ -540,8 +555,10 @@
         let now = Timestamp(4_100 + step * 200);
         fleet.on_cell_report(&pool("desk"), load(step * 40, step * step * 6), Vec::new(), now);
         fleet.tick(now);
-        if let Some((moved, _)) = moves(&fleet.take_actions()).into_iter().next() {
-            fleet.on_order_outcome(&moved, OrderOutcome::Accepted, now);
+        let is_move = |order: &FleetOrder| matches!(order.request(), FleetRequest::Move(_));
+        if let Some(order) = orders(&fleet.take_actions()).into_iter().find(is_move) {
+            let moved = order.vm().clone();
+            fleet.on_order_outcome(order, OrderOutcome::Accepted, now);
             return (fleet, moved, now);
         }
     }
--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -4,10 +4,10 @@
 
 use super::*;
 use crate::job::{
-    FleetConfig, FleetOrder, FleetRecord, OrderOutcome, Vm, fleet::tests as fixtures,
+    FleetConfig, FleetRecord, FleetRequest, OrderOutcome, Vm, fleet::tests as fixtures,
 };
 
-use fixtures::{config, load, maintained_vms, moves, pool, saved, vm, vm_id, worker};
+use fixtures::{config, load, maintained_vms, moves, orders, pool, saved, vm, vm_id, worker};
 
 /// How long a VM of a pool takes to drain in these tests.
 const DRAIN: Span = Span(3_000);
@@ -116,13 +116,14 @@
         }
         self.fleet.tick(now);
         let actions = self.fleet.take_actions();
+        for order in orders(&actions) {
+            self.fleet.on_order_outcome(order, OrderOutcome::Accepted, now);
+        }
         for (vm_id, to) in moves(&actions) {
-            self.fleet.on_order_outcome(&vm_id, OrderOutcome::Accepted, now);
             self.joins_at.insert(vm_id.clone(), now + Span(1_500));
             self.vms.iter_mut().filter(|vm| vm.id == vm_id).for_each(|vm| vm.pool = to.clone());
         }
         for vm_id in maintained_vms(&actions) {
-            self.fleet.on_order_outcome(&vm_id, OrderOutcome::Accepted, now);
             self.back_at.insert(vm_id.clone(), now + self.maintenance);
             self.begun_at.insert(vm_id, now);
         }
@@ -223,9 +224,11 @@
     fleet.on_cell_report(&pool("desk"), arrived(1), Vec::new(), Timestamp(50));
     fleet.on_cell_report(&pool("desk"), arrived(900), Vec::new(), Timestamp(90));
     fleet.tick(Timestamp(100));
-    let moved = moves(&fleet.take_actions());
-    for (vm_id, _) in &moved {
-        fleet.on_order_outcome(vm_id, OrderOutcome::Accepted, Timestamp(120));
+    let actions = fleet.take_actions();
+    let moved = moves(&actions);
+    assert_eq!(moved.len(), orders(&actions).len());
+    for order in orders(&actions) {
+        fleet.on_order_outcome(order, OrderOutcome::Accepted, Timestamp(120));
     }
     fleet.add_waves(vec![wave(0..8, 1, Timestamp(8_000))]);
 
@@ -259,7 +262,8 @@
     let orders = fleet.take_due_orders(Timestamp(2_600));
 
     assert_eq!(chosen.len(), 2);
-    assert_eq!(orders[0], FleetOrder::Maintain(vm_id(chosen[0]), 1));
+    assert_eq!(*orders[0].vm(), vm_id(chosen[0]));
+    assert_eq!(*orders[0].request(), FleetRequest::Maintain(1));
 }
 
 #[test]
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -11,11 +11,11 @@
 
 use futures_util::future::join_all;
 use indexmap::{IndexMap, IndexSet};
-use slog::{info, warn};
+use slog::{info, o, warn};
 use teaselgap_core::{
-    Epoch, ServiceId, Span, Timestamp, VmId,
+    Epoch, ServiceId, Span, Timestamp,
     job::{
-        DrainMode, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load,
+        DrainMode, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, FleetRequest, Load,
         ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, WorkerId,
     },
 };
@@ -324,35 +324,41 @@
     /// by a busy VM, so it may be retried.
     async fn send_order(&self, order: FleetOrder, deadline: Timestamp) {
         if !self.may_send_orders() || clock::now() > deadline {
-            self.record_outcome(order.vm(), OrderOutcome::Busy);
+            self.fleet.borrow_mut().on_order_outcome(order, OrderOutcome::Busy, clock::now());
             return;
         }
         let vm = order.vm();
-        let OrderBasis { worker, report_age, pool: from, list_age } =
-            self.fleet.borrow().order_basis(vm, clock::now());
-        let (worker, from) = (worker.map(|id| id.to_string()), from.map(|pool| pool.to_string()));
+        let basis = self.fleet.borrow().order_basis(vm, clock::now());
         let sent = clock::now();
-        let planned = || planned_text(self.fleet.borrow().planned_order(order.vm()));
-        let (report_age_ms, list_age_ms) = (report_age.map(|age| age.0), list_age.map(|age| age.0));
-        match &order {
-            FleetOrder::Maintain(vm, wave) => {
-                let outcome = self.vm_client.start_maintenance(vm, *wave).await;
-                info!(self.node.log, "maintenance ordered"; "vm" => %vm, "wave" => wave,
-                    "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
-                    "list_age_ms" => list_age_ms,
-                    "outcome" => ?outcome, "took_ms" => clock::now().since(sent).0,
-                    "planned" => planned(), "epoch" => self.epoch.0);
-                self.record_outcome(vm, outcome);
-            }
-            FleetOrder::Move(vm, pool) => {
-                let outcome = self.vm_client.move_to_pool(vm, pool).await;
-                info!(self.node.log, "move ordered"; "vm" => %vm, "to" => %pool,
-                    "worker" => worker, "from" => from, "report_age_ms" => report_age_ms,
-                    "list_age_ms" => list_age_ms,
-                    "outcome" => ?outcome, "took_ms" => clock::now().since(sent).0,
-                    "planned" => planned(), "epoch" => self.epoch.0);
-                self.record_outcome(vm, outcome);
-            }
+        let outcome = match order.request() {
+            FleetRequest::Maintain(wave) => self.vm_client.start_maintenance(vm, *wave).await,
+            FleetRequest::Move(pool) => self.vm_client.move_to_pool(vm, pool).await,
+        };
+        self.log_outcome(&order, basis, outcome, sent);
+        self.fleet.borrow_mut().on_order_outcome(order, outcome, clock::now());
+    }
+
+    /// Logs what the platform answered to an order that was sent at `sent`.
+    fn log_outcome(
+        &self,
+        order: &FleetOrder,
+        basis: OrderBasis,
+        outcome: OrderOutcome,
+        sent: Timestamp,
+    ) {
+        let fleet = self.fleet.borrow();
+        let fields = o!("order" => order.number().to_string(), "vm" => order.vm().to_string(),
+            "worker" => basis.worker.map(|id| id.to_string()),
+            "from" => basis.pool.map(|pool| pool.to_string()),
+            "report_age_ms" => basis.report_age.map(|age| age.0),
+            "list_age_ms" => basis.list_age.map(|age| age.0),
+            "outcome" => format!("{outcome:?}"), "took_ms" => clock::now().since(sent).0,
+            "planned" => planned_text(fleet.planned_request(order.vm())),
+            "counts_for_plan" => fleet.counts_for_plan(order), "epoch" => self.epoch.0);
+        let log = self.node.log.new(fields);
+        match order.request() {
+            FleetRequest::Maintain(wave) => info!(log, "maintenance ordered"; "wave" => wave),
+            FleetRequest::Move(pool) => info!(log, "move ordered"; "to" => %pool),
         }
     }
 
@@ -385,10 +391,6 @@
         }
     }
 
-    fn record_outcome(&self, vm: &VmId, outcome: OrderOutcome) {
-        self.fleet.borrow_mut().on_order_outcome(vm, outcome, clock::now());
-    }
-
     /// Writes the record, retrying until it is written or the term has ended.
     async fn write_record(&self, value: Vec<u8>) {
         while !self.is_term_over.get() {
@@ -435,11 +437,11 @@
     }
 }
 
-/// An order about a VM as the log names it.
-fn planned_text(order: Option<FleetOrder>) -> String {
-    match order {
-        Some(FleetOrder::Maintain(_, wave)) => format!("maintenance for wave {wave}"),
-        Some(FleetOrder::Move(_, pool)) => format!("move to {pool}"),
+/// What is planned about a VM as the log names it.
+fn planned_text(request: Option<&FleetRequest>) -> String {
+    match request {
+        Some(FleetRequest::Maintain(wave)) => format!("maintenance for wave {wave}"),
+        Some(FleetRequest::Move(pool)) => format!("move to {pool}"),
         None => "nothing".to_owned(),
     }
 }
