A VM counts as down for a wave while any copy of its maintenance may take effect

Cause: the doubt was kept in the plan (`is_in_flight`): a refusal of the second copy ended it for the first one, and a list that lacked the VM dropped it with the plan. Change: down_count asks the copies. Another copy about a VM that counts as down anyway isn't held back by the maximum. Of the copies of a plan that can't take effect any more only the last is kept.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -464,7 +464,7 @@
 
     /// Plans orders and emits the orders that are due at `now`.
     pub fn tick(&mut self, now: Timestamp) {
-        self.sent_copies.forget_closed(now);
+        self.sent_copies.forget_closed(&self.unlisted_orders, now);
         self.absences.retain(|_, absence| now < absence.until);
         self.stopped_workers.retain(|_, (_, until)| now < *until);
         self.expected_starts.retain(|(_, at)| now < *at + WORKER_LISTING_DELAY);
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -82,7 +82,7 @@
         is_move && now >= deadline && !copies.has_open_copy(self, now)
     }
 
-    /// Whether maintenance was ordered, and may begin at any time.
+    /// Whether maintenance was ordered, and has no definite outcome yet.
     pub(super) fn may_be_maintained(&self) -> bool {
         self.is_in_flight && matches!(self.purpose, Purpose::Maintain(_))
     }
@@ -241,7 +241,7 @@
             match &planned.purpose {
                 Purpose::Maintain(number) => {
                     let max_down = self.waves.get(number).map_or(0, |wave| wave.max_down as usize);
-                    if !planned.is_in_flight && self.down_count(*number, now) >= max_down {
+                    if !self.may_be_down(&vm_id, now) && self.down_count(*number, now) >= max_down {
                         continue;
                     }
                     self.record.maintained.insert(vm_id.clone());
--- a/crates/core/src/job/fleet/orders/copies.rs
+++ b/crates/core/src/job/fleet/orders/copies.rs
@@ -105,13 +105,17 @@
         now < self.open_until()
     }
 
+    fn is_maintenance(&self) -> bool {
+        matches!(self.request, FleetRequest::Maintain(_))
+    }
+
     /// Whether the copy was sent for this plan.
     pub(super) fn is_of(&self, planned: &PlannedOrder) -> bool {
         planned.first_copy == Some(self.plan)
     }
 }
 
-/// The copies of this term without a definite answer.
+/// The copies of this term without a definite answer, as long as they matter.
 #[derive(Debug, Default)]
 pub(in crate::job::fleet) struct SentCopies {
     /// The number of copies sent in this term.
@@ -128,6 +132,9 @@
         (pool, worker): (ServiceId, Option<WorkerId>),
         now: Timestamp,
     ) -> FleetOrder {
+        if let Some(plan) = plan {
+            self.forget_all_closed_but_last(plan, now);
+        }
         self.sent += 1;
         let number = OrderNumber(self.sent);
         let copy = SentCopy {
@@ -181,8 +188,29 @@
         self.copies.retain(|_, copy| copy.vm != *vm_id || copy.request != *request);
     }
 
-    /// Forgets the copies that can't take effect any more.
-    pub(in crate::job::fleet) fn forget_closed(&mut self, now: Timestamp) {
-        self.copies.retain(|_, copy| copy.is_open(now));
+    /// Whether maintenance of a VM was ordered without a definite answer, so that it may be down.
+    pub(in crate::job::fleet) fn may_be_maintained(&self, vm_id: &VmId) -> bool {
+        self.of_vm(vm_id).any(SentCopy::is_maintenance)
+    }
+
+    /// Forgets the copies that can't take effect any more. Maintenance may have begun at the last moment, so
+    /// its copies are kept until a list shows the VM for certain; `unlisted` are the VMs of which none does.
+    pub(in crate::job::fleet) fn forget_closed(
+        &mut self,
+        unlisted: &IndexMap<VmId, Timestamp>,
+        now: Timestamp,
+    ) {
+        self.copies.retain(|_, copy| {
+            copy.is_open(now) || (copy.is_maintenance() && unlisted.contains_key(&copy.vm))
+        });
+    }
+
+    /// Forgets the copies of a plan that can't take effect any more, but for the last one: while the
+    /// platform is silent, a copy is added with each attempt.
+    fn forget_all_closed_but_last(&mut self, plan: OrderNumber, now: Timestamp) {
+        let is_closed = |copy: &SentCopy| copy.plan == plan && !copy.is_open(now);
+        let closed = self.copies.iter().filter(|(_, copy)| is_closed(copy));
+        let last = closed.map(|(number, _)| *number).max();
+        self.copies.retain(|number, copy| !is_closed(copy) || Some(*number) == last);
     }
 }
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -373,22 +373,22 @@
             && self.vm_not_before.get(vm_id).is_some_and(|from| now < *from)
     }
 
-    /// Returns the number of VMs of a wave that are down, or may be because of an order of this
-    /// owner or of its predecessor.
+    /// Whether a VM is down for maintenance, or may be because of an order of this owner or of its
+    /// predecessor.
+    pub(super) fn may_be_down(&self, vm_id: &VmId, now: Timestamp) -> bool {
+        self.vms.get(vm_id).is_some_and(|vm| vm.state == VmState::Maintenance)
+            || self.absences.get(vm_id).is_some_and(|absence| absence.is_maintenance)
+            || self.planned_orders.get(vm_id).is_some_and(PlannedOrder::may_be_maintained)
+            || self.sent_copies.may_be_maintained(vm_id)
+            || self.may_be_down_for_predecessor(vm_id, now)
+    }
+
+    /// Returns the number of VMs of a wave that are down for maintenance, or may be.
     pub(super) fn down_count(&self, number: u64, now: Timestamp) -> usize {
         let Some(wave) = self.waves.get(&number) else {
             return 0;
         };
-        wave.vms
-            .iter()
-            .filter(|vm_id| {
-                let listed = self.vms.get(*vm_id);
-                listed.is_some_and(|vm| vm.state == VmState::Maintenance)
-                    || self.absences.get(*vm_id).is_some_and(|absence| absence.is_maintenance)
-                    || self.planned_orders.get(*vm_id).is_some_and(PlannedOrder::may_be_maintained)
-                    || self.may_be_down_for_predecessor(vm_id, now)
-            })
-            .count()
+        wave.vms.iter().filter(|vm_id| self.may_be_down(vm_id, now)).count()
     }
 }
 
