No order about a VM is sent while another plan's order about it may still change it

Cause: a plan that was dropped or replaced took the doubt about its copies with it, so that maintenance was ordered while a lost copy could still move the VM, and a VM was moved on while a copy of the move before could move it back. Change: take_due_orders asks the copies of other plans about the VM. A move doesn't hold back maintenance once a list asked for after its sending shows the VM in its pool, so that waves under a slow API wait no longer than before. Moves choose VMs without an open order first.

--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -163,6 +163,7 @@
             && is_settled
             && !self.planned_orders.contains_key(vm_id)
             && !self.absences.contains_key(vm_id)
+            && !self.has_open_order(vm_id, now)
     }
 
     /// Standby VMs that no order is planned for.
@@ -186,9 +187,11 @@
         sizes: &IndexMap<ServiceId, PoolSize>,
         now: Timestamp,
     ) -> Option<(VmId, ServiceId)> {
-        // A VM that is due for maintenance has it while it is on standby anyway.
-        let standby_vm =
-            self.free_standby_vms().min_by_key(|(vm_id, _)| self.is_due_for_maintenance(vm_id));
+        // A VM that is due for maintenance has it while it is on standby anyway. One with an open order may
+        // have to wait for it.
+        let standby_vm = self.free_standby_vms().min_by_key(|(vm_id, _)| {
+            (self.has_open_order(vm_id, now), self.is_due_for_maintenance(vm_id))
+        });
         if let Some((vm_id, vm)) = standby_vm {
             return Some((vm_id.clone(), vm.pool.clone()));
         }
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -188,6 +188,26 @@
         (planned.is_in_flight && asks_for_outcome) || self.is_drained(vm, now)
     }
 
+    /// Whether a copy that was sent for another plan about the VM may still change what this order finds or
+    /// leaves. One whose VM is listed in the pool that it asks for only asks for what is done.
+    fn is_held_back(&self, vm_id: &VmId, planned: &PlannedOrder, now: Timestamp) -> bool {
+        let others = self.sent_copies.of_vm(vm_id).filter(|copy| !copy.is_of(planned));
+        others.filter(|copy| copy.is_open(now)).any(|copy| {
+            match (&copy.request, &planned.purpose) {
+                (FleetRequest::Move(to), Purpose::Maintain(_)) => {
+                    !self.has_arrived(vm_id, to, copy.sent_at)
+                }
+                (FleetRequest::Move(to), Purpose::Move(pool)) => to != pool,
+                (FleetRequest::Maintain(_), _) => true,
+            }
+        })
+    }
+
+    /// Whether an order about a VM may still take effect, so that a move of the VM may have to wait.
+    pub(super) fn has_open_order(&self, vm_id: &VmId, now: Timestamp) -> bool {
+        self.sent_copies.of_vm(vm_id).any(|copy| copy.is_open(now))
+    }
+
     /// Drops the orders to move VMs that the platform now lists in their new pools.
     pub(super) fn drop_finished_moves(&mut self) {
         let vms = &self.vms;
@@ -238,6 +258,9 @@
                 };
             }
             let planned = &self.planned_orders[&vm_id];
+            if self.is_held_back(&vm_id, planned, now) {
+                continue;
+            }
             match &planned.purpose {
                 Purpose::Maintain(number) => {
                     let max_down = self.waves.get(number).map_or(0, |wave| wave.max_down as usize);
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -298,6 +298,22 @@
     assert_eq!(vms_of(&late), [vm_id(2)]);
 }
 
+#[test]
+fn a_vm_is_moved_on_while_a_copy_of_its_last_move_may_move_it_back() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    plan(&mut fleet, 2, Purpose::Move(pool("spare")), Timestamp(3_010));
+
+    let early = sent_once_drained(&mut fleet, &[2], Timestamp(3_200));
+    answer(&mut fleet, &order, OrderOutcome::Unknown, Timestamp(3_300));
+    let open = sent_once_drained(&mut fleet, &[2], Timestamp(6_200));
+    let closed = sent_once_drained(&mut fleet, &[2], Timestamp(6_400));
+
+    assert_eq!(vms_of(&early), []);
+    assert_eq!(vms_of(&open), []);
+    assert_eq!(vms_of(&closed), [vm_id(2)]);
+}
+
 #[test]
 fn a_wave_under_a_slow_api_waits_for_the_answer_to_a_finished_move() {
     let (mut fleet, _) = fleet_with_sent_move();
