--- a/crates/core/src/job/fleet/balance.rs
+++ b/crates/core/src/job/fleet/balance.rs
@@ -39,7 +39,8 @@
 
     /// Cancels planned moves whose VM was not drained in time, or that the platform doesn't answer.
     pub(super) fn cancel_overdue_moves(&mut self, now: Timestamp) {
-        self.planned_orders.retain(|_, planned| !planned.is_move_over(now));
+        let copies = &self.sent_copies;
+        self.planned_orders.retain(|_, planned| !planned.is_move_over(copies, now));
     }
 
     /// Returns the number of VMs that a pool has or will have. VMs that are down, or have a planned
@@ -162,6 +163,7 @@
             && is_settled
             && !self.planned_orders.contains_key(vm_id)
             && !self.absences.contains_key(vm_id)
+            && !self.has_open_order(vm_id, now)
     }
 
     /// Standby VMs that no order is planned for.
@@ -185,9 +187,11 @@
         sizes: &IndexMap<ServiceId, PoolSize>,
         now: Timestamp,
     ) -> Option<(VmId, ServiceId)> {
-        // A VM that is due for maintenance has it while it is on standby anyway.
-        let standby_vm =
-            self.free_standby_vms().min_by_key(|(vm_id, _)| self.is_due_for_maintenance(vm_id));
+        // A VM that is due for maintenance has it while it is on standby anyway. One with an open order may
+        // have to wait for it.
+        let standby_vm = self.free_standby_vms().min_by_key(|(vm_id, _)| {
+            (self.has_open_order(vm_id, now), self.is_due_for_maintenance(vm_id))
+        });
         if let Some((vm_id, vm)) = standby_vm {
             return Some((vm_id.clone(), vm.pool.clone()));
         }
