--- a/crates/standins/tests/fleet/judge.rs
+++ b/crates/standins/tests/fleet/judge.rs
@@ -114,8 +114,8 @@
 
     pub(crate) fn on_answer(&mut self, order: &FleetOrder, fleet: &Fleet) {
         let (vm, request) = parts(order);
-        let planned = fleet.planned_order(&vm);
-        if planned.is_some_and(|planned| parts(&planned).1 != request) {
+        let planned = fleet.planned_request(&vm);
+        if planned.is_some_and(|planned| *planned != request) {
             self.reached.other_plans += 1;
         }
     }
--- a/crates/standins/tests/fleet/orders.rs
+++ b/crates/standins/tests/fleet/orders.rs
@@ -1,25 +1,16 @@
-//! The only place that takes an order of the fleet apart, and that enters its outcome.
+//! The only place that enters the outcome of an order, and what an order asks for.
 
 use teaselgap_core::{
-    ServiceId, Timestamp, VmId,
+    Timestamp,
     job::{Fleet, FleetOrder, OrderOutcome},
 };
 
-/// What an order asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Request {
-    /// Maintenance for the wave with this number.
-    Maintain(u64),
-    /// A move to this pool.
-    Move(ServiceId),
-}
+use teaselgap_core::VmId;
+pub(crate) use teaselgap_core::job::FleetRequest as Request;
 
 /// The VM that an order is about, and what it asks for.
 pub(crate) fn parts(order: &FleetOrder) -> (VmId, Request) {
-    match order {
-        FleetOrder::Maintain(vm, wave) => (vm.clone(), Request::Maintain(*wave)),
-        FleetOrder::Move(vm, pool) => (vm.clone(), Request::Move(pool.clone())),
-    }
+    (order.vm().clone(), order.request().clone())
 }
 
 /// Passes the outcome of an order to the fleet.
@@ -29,6 +20,5 @@
     outcome: OrderOutcome,
     now: Timestamp,
 ) {
-    let (vm, _) = parts(order);
-    fleet.on_order_outcome(&vm, outcome, now);
+    fleet.on_order_outcome(order.clone(), outcome, now);
 }
