--- a/crates/core/src/job/fleet/wave/tests.rs
+++ b/crates/core/src/job/fleet/wave/tests.rs
@@ -1,5 +1,7 @@
 //! Waves beside load: how many VMs are taken and when, over one or several owners.
 
+mod listing;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::*;
@@ -276,29 +278,6 @@
     assert_eq!(next.deadline(&next.waves[&1]), Timestamp(10_000));
 }
 
-#[test]
-fn a_wave_is_not_done_while_its_vm_may_be_an_unreadable_entry_of_the_list() {
-    let mut fleet = fleet_with_record(complete_record(), 1_000);
-    let listed: Vec<Vm> = (0..4).map(|number| vm(number, &pool("desk"))).collect();
-    fleet.add_waves(vec![wave(9..10, 1, DEADLINE)]);
-    let is_done = |fleet: &mut Fleet| {
-        let is_done = |action: &FleetAction| {
-            matches!(action, FleetAction::ReportWave { wave: 1, finished: true, .. })
-        };
-        fleet.take_actions().iter().any(is_done)
-    };
-
-    fleet.set_vms(listed.clone(), true, Timestamp(100));
-    fleet.tick(Timestamp(100));
-    let while_unreadable = is_done(&mut fleet);
-    fleet.set_vms(listed, false, Timestamp(200));
-    fleet.tick(Timestamp(300));
-    let once_gone = is_done(&mut fleet);
-
-    assert!(!while_unreadable);
-    assert!(once_gone);
-}
-
 #[test]
 fn the_pace_follows_from_the_time_left() {
     let at_once =
