A wave is done only once the VMs that lists lack count as gone

Change: a VM that isn't listed and hasn't begun holds its wave until it counts as gone: three lists in a row lack it, the last one asked for 5 s or more after the first (fleet/listing.rs; the time is stored as a point in time). A list in which it is listed, an empty list or one with unreadable entries starts this anew; lists from before the owner had read the wave don't count. What is reckoned for the pace counts listed VMs only, also while entries are unreadable, when missing VMs counted until now. By the tests, a wave whose last VM is gone is reported as done 5 to 5.6 s after the first list without it, with lists 0.6 s apart.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod listing;
 mod orders;
 mod outlook;
 mod size;
@@ -18,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
+    listing::ListHistory,
     orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose},
     size::{Arrivals, SmoothedNeed},
 };
@@ -247,8 +249,8 @@
     vms: IndexMap<VmId, Vm>,
     /// When the platform's latest list was asked for.
     vms_asked: Option<Timestamp>,
-    /// Whether the platform's latest list has entries that could not be read.
-    has_unreadable_vms: bool,
+    /// What the lists of this term tell of VMs that the latest one lacks.
+    list_history: ListHistory,
     waves: IndexMap<u64, Wave>,
     /// Waves reported to the operator, and whether they were reported as finished.
     reported_waves: IndexMap<u64, bool>,
@@ -317,7 +319,7 @@
             unlisted_orders,
             vms: IndexMap::new(),
             vms_asked: None,
-            has_unreadable_vms: false,
+            list_history: ListHistory::default(),
             waves: IndexMap::new(),
             reported_waves: IndexMap::new(),
             planned_orders: IndexMap::new(),
@@ -363,9 +365,9 @@
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
         self.vms_asked = Some(asked);
         self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
-        self.has_unreadable_vms = has_unreadable_entries;
         let vms: IndexMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         self.log_listing_changes(&vms);
+        self.list_history.add(&self.vms, &vms, has_unreadable_entries, asked);
         self.vms = vms;
         self.drop_finished_moves();
         if self.record.given.is_empty() {
@@ -383,7 +385,10 @@
                 let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
                 *recorded = deadline_wall_ms.min(*recorded);
             }
-            self.waves.entry(wave.number).or_insert(wave);
+            if !self.waves.contains_key(&wave.number) {
+                self.await_vms(&wave);
+                self.waves.insert(wave.number, wave);
+            }
         }
     }
 
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -86,12 +86,12 @@
         now + Span(rounds * time_away_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
     }
 
-    /// Returns the listed VMs of a wave whose maintenance has not begun. A VM that is missing from a
-    /// list with unreadable entries may be one of these.
+    /// Returns the listed VMs of a wave whose maintenance has not begun: the others can't be ordered, so
+    /// the pace of the wave doesn't rest on them.
     pub(super) fn pending_vms<'a>(&'a self, wave: &'a Wave) -> impl Iterator<Item = &'a VmId> {
         let begun = self.record.begun.get(&wave.number);
         wave.vms.iter().filter(move |vm_id| {
-            let is_listed = self.vms.contains_key(*vm_id) || self.has_unreadable_vms;
+            let is_listed = self.vms.contains_key(*vm_id);
             is_listed && begun.is_none_or(|begun| !begun.contains(*vm_id))
         })
     }
@@ -102,13 +102,15 @@
             return;
         };
         let pending: Vec<VmId> = self.pending_vms(wave).cloned().collect();
-        if pending.is_empty() {
+        let was_finished = self.record.finished.contains(&number);
+        let is_finished = pending.is_empty() && (was_finished || !self.awaits_vm(wave));
+        if is_finished {
             self.record.finished.insert(number);
             self.record.deadlines.shift_remove(&number);
-        } else if self.record.finished.contains(&number) {
+        } else if was_finished {
             return;
         }
-        self.report_wave(number, pending.is_empty(), now);
+        self.report_wave(number, is_finished, now);
         let Some(wave) = self.waves.get(&number) else {
             return;
         };
