--- a/crates/core/src/job/fleet/wave/tests/listing.rs
+++ b/crates/core/src/job/fleet/wave/tests/listing.rs
@@ -20,13 +20,19 @@
 impl Lists {
     /// A fleet that has seen one list with all VMs, and a wave.
     fn new(record: FleetRecord, wave: Wave) -> Self {
-        let fleet = Fleet::new(config(), record, (Timestamp(0), 1_000));
-        let mut lists = Self { fleet, now: Timestamp(0), is_finished: None };
+        let mut lists = Self::at_start(record, 1_000);
         lists.show(&[0, 1, 2, 3], false);
         lists.fleet.add_waves(vec![wave]);
         lists
     }
 
+    /// A fleet at the start of an owner's term, which has seen no list. The owner's clock begins at zero, and at
+    /// `wall_ms` of the wall clock.
+    fn at_start(record: FleetRecord, wall_ms: u64) -> Self {
+        let fleet = Fleet::new(config(), record, (Timestamp(0), wall_ms));
+        Self { fleet, now: Timestamp(0), is_finished: None }
+    }
+
     /// Shows a list with these VMs, `LIST` after the one before; returns what is emitted then.
     fn show(&mut self, vms: &[usize], has_unreadable_entries: bool) -> Vec<FleetAction> {
         self.show_after(LIST, vms, has_unreadable_entries)
@@ -203,3 +209,74 @@
     assert_eq!(step(&[0, 1], false, wave(0..20, 4, tight)), alone);
     assert_eq!(step(&[0, 1], true, wave(0..20, 4, tight)), alone);
 }
+
+/// The record of an owner that took the wave of VM 0 for done, as the VM counted as gone.
+fn record_of_done_wave() -> FleetRecord {
+    let mut lists = Lists::new(complete_record(), wave_of_one());
+    for _ in 0..100 {
+        let actions = lists.show(&[1, 2, 3], false);
+        if lists.is_done() {
+            return saved(&actions);
+        }
+    }
+    panic!("not done after 100 lists");
+}
+
+#[test]
+fn a_wave_stays_done_although_a_vm_that_has_not_begun_is_listed_again() {
+    let mut lists = Lists::new(complete_record(), wave_of_one());
+    lists.lists_until_done();
+
+    let actions = lists.show(&[0, 1, 2, 3], false);
+
+    assert_eq!(lists.is_finished, Some(false));
+    assert_eq!(saved(&actions).finished, IndexSet::new());
+    assert!(lists.fleet.drain_requests(lists.now)[&pool("desk")].contains_key(&worker(0)));
+}
+
+#[test]
+fn a_wave_that_an_earlier_owner_took_for_done_stays_done_although_a_vm_has_not_begun() {
+    let mut next = Lists::new(record_of_done_wave(), wave_of_one());
+
+    next.show(&[0, 1, 2, 3], false);
+
+    assert_eq!(next.is_finished, Some(false));
+    assert!(next.fleet.drain_requests(next.now)[&pool("desk")].contains_key(&worker(0)));
+}
+
+#[test]
+fn a_wave_that_an_earlier_owner_took_for_done_runs_again_as_its_vm_is_still_missing() {
+    let mut next = Lists::at_start(record_of_done_wave(), 11_000);
+    next.fleet.add_waves(vec![wave_of_one()]);
+
+    next.show(&[1, 2, 3], false);
+
+    assert_eq!(next.is_finished, Some(true));
+}
+
+#[test]
+fn a_wave_that_goes_on_has_lost_the_deadline_that_an_earlier_owner_knew() {
+    // The next owner started ten seconds later, and reads the wave as if it were new.
+    let mut next = Lists::at_start(record_of_done_wave(), 11_000);
+    next.fleet.add_waves(vec![wave_of_one()]);
+
+    next.show(&[0, 1, 2, 3], false);
+
+    assert_eq!(next.is_finished, Some(false));
+    assert_eq!(next.fleet.deadline(&next.fleet.waves[&1]), Timestamp(24_000));
+}
+
+/// Builds before dropped the deadline of a wave that was done.
+#[test]
+fn a_done_wave_in_the_record_of_a_build_before_stays_done_or_has_no_deadline() {
+    let record = r#"{"begun":{"2":["m9"]},"finished":[1],"is_complete":true}"#;
+    let record: FleetRecord = serde_json::from_str(record).unwrap();
+    let mut next = Lists::at_start(record, 11_000);
+    next.fleet.add_waves(vec![wave_of_one()]);
+
+    let actions = next.show(&[0, 1, 2, 3], false);
+
+    assert_eq!(next.is_finished, Some(false));
+    assert_eq!(next.fleet.deadline(&next.fleet.waves[&1]), DEADLINE);
+    assert_eq!(saved(&actions).deadlines, IndexMap::from([(1, 11_000 + DEADLINE.0)]));
+}
