A wave that was taken for done goes on if a VM that has not begun is listed

Change: advance_wave examines a finished wave anew: if a listed VM has not begun, it is no longer recorded as finished, says so (`wave goes on`, once for each time that it was taken for done, with the number of such VMs and one of them), is reported as running and takes VMs as before. The record's format is the same. A finished wave whose VMs are merely missing stays finished. Tests: two of the red tests asked for a drain, which a wave that is in time with VMs on their way needn't plan; they now ask for the order itself, of a VM on standby, in the tick that shows the VM. The tests failed before they got there.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -48,8 +48,8 @@
     fence::{Fence, FencedCall},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ListingChange,
-        ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker, PoolSize, Vm, VmState, Wave,
-        WaveBasis, WaveStep,
+        ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker, PoolSize, ReopenedWave, Vm,
+        VmState, Wave, WaveBasis, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -86,10 +86,11 @@
     /// VMs whose maintenance has begun, by wave.
     #[serde(default)]
     pub begun: IndexMap<u64, IndexSet<VmId>>,
-    /// Waves in which the maintenance of every VM has begun.
+    /// Waves in which each VM has begun its maintenance or counts as gone. One of these goes on if a
+    /// VM that has not begun is listed again.
     #[serde(default)]
     pub finished: IndexSet<u64>,
-    /// Deadlines of unfinished waves in milliseconds since the Unix epoch.
+    /// Deadlines of waves in milliseconds since the Unix epoch, also of finished ones, which may go on.
     #[serde(default)]
     pub deadlines: IndexMap<u64, u64>,
     /// Number of VMs that the operator gave each pool, counted before any were moved.
@@ -149,6 +150,8 @@
     },
     /// Log that a VM of a wave has left the platform's list, or is back in it.
     LogListing(ListingChange),
+    /// Log that a wave that was taken for done goes on.
+    LogReopenedWave(ReopenedWave),
 }
 
 /// What the report of a wave's progress rests on, for the log.
@@ -179,6 +182,17 @@
     pub listed: usize,
 }
 
+/// A wave that was taken for done and goes on, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReopenedWave {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Number of its listed VMs whose maintenance has not begun.
+    pub pending: usize,
+    /// One of these.
+    pub vm: Option<VmId>,
+}
+
 /// A decision to take more VMs for a wave, and what it rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaveStep {
@@ -380,11 +394,9 @@
     /// Adds the waves that the operator asks for; a known number is ignored.
     pub fn add_waves(&mut self, waves: Vec<Wave>) {
         for wave in waves {
-            if !self.record.finished.contains(&wave.number) {
-                let deadline_wall_ms = self.wall_offset_ms.saturating_add(wave.deadline.0);
-                let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
-                *recorded = deadline_wall_ms.min(*recorded);
-            }
+            let deadline_wall_ms = self.wall_offset_ms.saturating_add(wave.deadline.0);
+            let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
+            *recorded = deadline_wall_ms.min(*recorded);
             if !self.waves.contains_key(&wave.number) {
                 self.await_vms(&wave);
                 self.waves.insert(wave.number, wave);
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    CellReport, Fleet, FleetAction, ListingChange, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, Vm,
-    VmState, Wave, WaveBasis, WaveStep, balance::MAX_REPORT_AGE,
+    CellReport, Fleet, FleetAction, ListingChange, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose,
+    ReopenedWave, Vm, VmState, Wave, WaveBasis, WaveStep, balance::MAX_REPORT_AGE,
 };
 use crate::{
     Span, Timestamp, VmId,
@@ -106,9 +106,8 @@
         let is_finished = pending.is_empty() && (was_finished || !self.awaits_vm(wave));
         if is_finished {
             self.record.finished.insert(number);
-            self.record.deadlines.shift_remove(&number);
         } else if was_finished {
-            return;
+            self.reopen_wave(number, &pending);
         }
         self.report_wave(number, is_finished, now);
         let Some(wave) = self.waves.get(&number) else {
@@ -142,6 +141,14 @@
         }
     }
 
+    /// Goes on with a wave that was taken for done, as these listed VMs of it have not begun.
+    fn reopen_wave(&mut self, number: u64, pending: &[VmId]) {
+        self.record.finished.shift_remove(&number);
+        let reopened =
+            ReopenedWave { wave: number, pending: pending.len(), vm: pending.first().cloned() };
+        self.actions.push(FleetAction::LogReopenedWave(reopened));
+    }
+
     /// Whether VMs of the same pool are drained and their cell is silent. Were more of them taken, all
     /// would be drained at once when it is heard again.
     fn is_drained_in_vain(&self, vm_id: &VmId, now: Timestamp) -> bool {
--- a/crates/core/src/job/fleet/wave/tests/listing.rs
+++ b/crates/core/src/job/fleet/wave/tests/listing.rs
@@ -226,22 +226,24 @@
 fn a_wave_stays_done_although_a_vm_that_has_not_begun_is_listed_again() {
     let mut lists = Lists::new(complete_record(), wave_of_one());
     lists.lists_until_done();
+    lists.fleet.set_standby_pools(IndexSet::from([pool("desk")]));
 
     let actions = lists.show(&[0, 1, 2, 3], false);
 
     assert_eq!(lists.is_finished, Some(false));
     assert_eq!(saved(&actions).finished, IndexSet::new());
-    assert!(lists.fleet.drain_requests(lists.now)[&pool("desk")].contains_key(&worker(0)));
+    assert_eq!(maintained_vms(&actions), [vm_id(0)]);
 }
 
 #[test]
 fn a_wave_that_an_earlier_owner_took_for_done_stays_done_although_a_vm_has_not_begun() {
     let mut next = Lists::new(record_of_done_wave(), wave_of_one());
+    next.fleet.set_standby_pools(IndexSet::from([pool("desk")]));
 
-    next.show(&[0, 1, 2, 3], false);
+    let actions = next.show(&[0, 1, 2, 3], false);
 
     assert_eq!(next.is_finished, Some(false));
-    assert!(next.fleet.drain_requests(next.now)[&pool("desk")].contains_key(&worker(0)));
+    assert_eq!(maintained_vms(&actions), [vm_id(0)]);
 }
 
 #[test]
@@ -280,3 +282,22 @@
     assert_eq!(next.fleet.deadline(&next.fleet.waves[&1]), DEADLINE);
     assert_eq!(saved(&actions).deadlines, IndexMap::from([(1, 11_000 + DEADLINE.0)]));
 }
+
+#[test]
+fn a_wave_that_goes_on_says_so_once() {
+    let mut lists = Lists::new(complete_record(), wave_of_one());
+    lists.lists_until_done();
+
+    let mut actions = Vec::new();
+    for _ in 0..20 {
+        actions.extend(lists.show(&[0, 1, 2, 3], false));
+        actions.extend(lists.show(&[1, 2, 3], false));
+    }
+
+    let said = |action: FleetAction| match action {
+        FleetAction::LogReopenedWave(reopened) => Some(reopened),
+        _ => None,
+    };
+    let said: Vec<ReopenedWave> = actions.into_iter().filter_map(said).collect();
+    assert_eq!(said, [ReopenedWave { wave: 1, pending: 1, vm: Some(vm_id(0)) }]);
+}
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -307,6 +307,11 @@
                     "is_listed" => change.is_listed, "has_begun" => change.has_begun,
                     "listed" => change.listed, "epoch" => self.epoch.0);
             }
+            FleetAction::LogReopenedWave(reopened) => {
+                let vm = reopened.vm.map(|vm| vm.to_string());
+                warn!(self.node.log, "wave goes on"; "wave" => reopened.wave, "pending" => reopened.pending,
+                    "vm" => vm, "epoch" => self.epoch.0);
+            }
             FleetAction::ReportWave { wave, finished, basis } => {
                 info!(self.node.log, "wave progress"; "wave" => wave, "finished" => finished,
                     "vms" => basis.vms, "begun" => basis.begun, "unlisted" => basis.unlisted,
