--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -1,3 +1,5 @@
+mod status;
+
 use teaselgap_core::Incarnation;
 use teaselgap_platform::client::Connections;
 
