The state of a wave in the store ends in its latest one

Change: src/jobs/fleet/wave_states.rs writes one state after the other, always the latest one of a wave, conditional on the key's revision as for the record: the first write of a term finds what earlier owners wrote by its conflict, and leaves it if it is the same. Tests: RecordConflict is called WriteConflict and its EarlierRecord OtherValue, as it serves both kinds of keys; the tests of the record follow by name only, and the fixture of an owner has the new field.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -2,6 +2,7 @@
 
 #[cfg(test)]
 mod tests;
+mod wave_states;
 
 use std::{
     cell::{Cell as StdCell, RefCell},
@@ -20,11 +21,11 @@
     },
 };
 use teaselgap_platform::{
-    config,
     machines::VmClient,
     store::{Expected, Item, Outcome, Put, Transaction},
 };
 
+use self::wave_states::WaveStates;
 use super::{
     duties,
     instruction::PoolInstruction,
@@ -75,6 +76,7 @@
     is_saving: StdCell<bool>,
     /// Whether the term is being handed over; no orders are sent any more.
     is_handing_over: StdCell<bool>,
+    wave_states: RefCell<WaveStates>,
 }
 
 fn fleet_config(node: &Node) -> FleetConfig {
@@ -112,6 +114,7 @@
         is_record_read: StdCell::new(false),
         is_saving: StdCell::new(false),
         is_handing_over: StdCell::new(false),
+        wave_states: RefCell::default(),
     });
     *node.fleet.borrow_mut() = Some(Rc::clone(&owner));
     tokio::task::spawn_local(owner.run());
@@ -316,8 +319,7 @@
                 info!(self.node.log, "wave progress"; "wave" => wave, "finished" => finished,
                     "vms" => basis.vms, "begun" => basis.begun, "unlisted" => basis.unlisted,
                     "list_age_ms" => basis.list_age.map(|age| age.0), "epoch" => self.epoch.0);
-                let (key, value) = config::wave_status(wave, finished);
-                self.write_key(key, value).await;
+                self.write_wave_state(wave, finished).await;
             }
         }
     }
@@ -404,12 +406,12 @@
                     return;
                 }
                 Ok(Outcome::Conflict(items)) => match conflict_of(&items, self.epoch, &value) {
-                    RecordConflict::Written(revision) => {
+                    WriteConflict::Written(revision) => {
                         self.record_revision.set(revision);
                         return;
                     }
-                    RecordConflict::EarlierRecord(revision) => self.record_revision.set(revision),
-                    RecordConflict::OtherOwner => {
+                    WriteConflict::OtherValue(revision) => self.record_revision.set(revision),
+                    WriteConflict::OtherOwner => {
                         self.end_term("the duty has another owner");
                         return;
                     }
@@ -418,26 +420,6 @@
             }
         }
     }
-
-    /// Writes a key on condition that this node still owns the fleet, retrying until the key is
-    /// written or the term has ended.
-    async fn write_key(&self, key: String, value: Vec<u8>) {
-        let txn = Transaction {
-            expected: vec![own_duty(self.epoch)],
-            puts: vec![Put { key, value, lease: None }],
-            deletes: Vec::new(),
-        };
-        while !self.is_term_over.get() {
-            match self.node.repeater.transact(&self.node.store, &txn).await {
-                Ok(Outcome::Done(_)) => return,
-                Ok(Outcome::Conflict(_)) => {
-                    self.end_term("the duty has another owner");
-                    return;
-                }
-                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
-            }
-        }
-    }
 }
 
 /// An order about a VM as the log names it.
@@ -454,35 +436,43 @@
     Expected { key: duties::duty_key(FLEET_DUTY), revision: epoch.0 }
 }
 
-/// The write of a record over the one at `revision`. A copy that reaches the store after a later
-/// record finds another revision and has no effect.
-fn record_transaction(epoch: Epoch, revision: u64, value: Vec<u8>) -> Transaction {
+/// The write of a key over its value at `revision`, which is zero if there is none. A copy that reaches
+/// the store after a later write of the key finds another revision and has no effect.
+fn owned_write(epoch: Epoch, key: &str, revision: u64, value: Vec<u8>) -> Transaction {
     Transaction {
-        expected: vec![own_duty(epoch), Expected { key: RECORD_KEY.to_owned(), revision }],
-        puts: vec![Put { key: RECORD_KEY.to_owned(), value, lease: None }],
+        expected: vec![own_duty(epoch), Expected { key: key.to_owned(), revision }],
+        puts: vec![Put { key: key.to_owned(), value, lease: None }],
         deletes: Vec::new(),
     }
 }
 
-/// Why a record could not be written.
+fn record_transaction(epoch: Epoch, revision: u64, value: Vec<u8>) -> Transaction {
+    owned_write(epoch, RECORD_KEY, revision, value)
+}
+
+/// Why a key could not be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RecordConflict {
-    /// An earlier copy of the write took effect, at this revision.
+enum WriteConflict {
+    /// It has this value already, at this revision, as a rule by an earlier copy of the write.
     Written(u64),
-    /// An earlier write, whose answer was lost, took effect late, at this revision.
-    EarlierRecord(u64),
+    /// It has another value, at this revision, as a rule by an earlier write whose answer was lost.
+    OtherValue(u64),
     /// Another node owns the fleet.
     OtherOwner,
 }
 
-/// Tells from the current items why a record of this value could not be written.
-fn conflict_of(items: &[Item], epoch: Epoch, value: &[u8]) -> RecordConflict {
+/// Tells from the current items why a key could not be written with this value.
+fn conflict_on(items: &[Item], epoch: Epoch, key: &str, value: &[u8]) -> WriteConflict {
     let item_of = |key: &str| items.iter().find(|item| item.key == key);
     if item_of(&own_duty(epoch).key).is_none_or(|item| item.revision != epoch.0) {
-        return RecordConflict::OtherOwner;
+        return WriteConflict::OtherOwner;
     }
-    match item_of(RECORD_KEY) {
-        Some(item) if item.value == value => RecordConflict::Written(item.revision),
-        item => RecordConflict::EarlierRecord(item.map_or(0, |item| item.revision)),
+    match item_of(key) {
+        Some(item) if item.value == value => WriteConflict::Written(item.revision),
+        item => WriteConflict::OtherValue(item.map_or(0, |item| item.revision)),
     }
 }
+
+fn conflict_of(items: &[Item], epoch: Epoch, value: &[u8]) -> WriteConflict {
+    conflict_on(items, epoch, RECORD_KEY, value)
+}
--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -46,14 +46,14 @@
 fn a_record_whose_earlier_copy_took_effect_is_written() {
     let conflict = conflict_of(&items(6, b"first"), EPOCH, b"first");
 
-    assert_eq!(conflict, RecordConflict::Written(6));
+    assert_eq!(conflict, WriteConflict::Written(6));
 }
 
 #[test]
 fn a_record_is_written_over_an_earlier_one_that_took_effect_late() {
     let conflict = conflict_of(&items(6, b"first"), EPOCH, b"second");
 
-    assert_eq!(conflict, RecordConflict::EarlierRecord(6));
+    assert_eq!(conflict, WriteConflict::OtherValue(6));
     assert!(takes_effect(&record_transaction(EPOCH, 6, b"second".to_vec()), &items(6, b"first")));
 }
 
@@ -62,8 +62,8 @@
     let mut others = items(6, b"first");
     others[0].revision = EPOCH.0 + 1;
 
-    assert_eq!(conflict_of(&others, EPOCH, b"second"), RecordConflict::OtherOwner);
-    assert_eq!(conflict_of(&[], EPOCH, b"second"), RecordConflict::OtherOwner);
+    assert_eq!(conflict_of(&others, EPOCH, b"second"), WriteConflict::OtherOwner);
+    assert_eq!(conflict_of(&[], EPOCH, b"second"), WriteConflict::OtherOwner);
 }
 
 /// Makes another node, at an address where nobody answers, the owner of these cells.
@@ -95,6 +95,7 @@
         is_record_read: StdCell::new(true),
         is_saving: StdCell::new(false),
         is_handing_over: StdCell::new(false),
+        wave_states: RefCell::default(),
     }
 }
 
--- a/src/jobs/fleet/tests/status.rs
+++ b/src/jobs/fleet/tests/status.rs
@@ -10,6 +10,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use teaselgap_core::job::WaveBasis;
+use teaselgap_platform::config;
 
 use super::*;
 
