--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -49,7 +49,7 @@
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, FleetRequest,
         ListingChange, ORDER_SEND_WINDOW, OrderBasis, OrderNumber, OrderOutcome, OrderedWorker,
-        PoolSize, Vm, VmState, Wave, WaveBasis, WaveStep,
+        PoolSize, ReopenedWave, Vm, VmState, Wave, WaveBasis, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod listing;
 mod orders;
 mod outlook;
 mod size;
@@ -18,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
+    listing::ListHistory,
     orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, SentCopies},
     size::{Arrivals, SmoothedNeed},
 };
@@ -87,10 +89,11 @@
     /// VMs whose maintenance has begun, by wave.
     #[serde(default)]
     pub begun: IndexMap<u64, IndexSet<VmId>>,
-    /// Waves in which the maintenance of every VM has begun.
+    /// Waves in which each VM has begun its maintenance or counts as gone. One of these goes on if a
+    /// VM that has not begun is listed again.
     #[serde(default)]
     pub finished: IndexSet<u64>,
-    /// Deadlines of unfinished waves in milliseconds since the Unix epoch.
+    /// Deadlines of waves in milliseconds since the Unix epoch, also of finished ones, which may go on.
     #[serde(default)]
     pub deadlines: IndexMap<u64, u64>,
     /// Number of VMs that the operator gave each pool, counted before any were moved.
@@ -150,6 +153,8 @@
     },
     /// Log that a VM of a wave has left the platform's list, or is back in it.
     LogListing(ListingChange),
+    /// Log that a wave that was taken for done goes on.
+    LogReopenedWave(ReopenedWave),
 }
 
 /// What the report of a wave's progress rests on, for the log.
@@ -180,6 +185,17 @@
     pub listed: usize,
 }
 
+/// A wave that was taken for done and goes on, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReopenedWave {
+    /// Number of the wave.
+    pub wave: u64,
+    /// Number of its listed VMs whose maintenance has not begun.
+    pub pending: usize,
+    /// One of these.
+    pub vm: Option<VmId>,
+}
+
 /// A decision to take more VMs for a wave, and what it rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaveStep {
@@ -250,8 +266,8 @@
     vms: IndexMap<VmId, Vm>,
     /// When the platform's latest list was asked for.
     vms_asked: Option<Timestamp>,
-    /// Whether the platform's latest list has entries that could not be read.
-    has_unreadable_vms: bool,
+    /// What the lists of this term tell of VMs that the latest one lacks.
+    list_history: ListHistory,
     waves: IndexMap<u64, Wave>,
     /// Waves reported to the operator, and whether they were reported as finished.
     reported_waves: IndexMap<u64, bool>,
@@ -321,7 +337,7 @@
             unlisted_orders,
             vms: IndexMap::new(),
             vms_asked: None,
-            has_unreadable_vms: false,
+            list_history: ListHistory::default(),
             waves: IndexMap::new(),
             reported_waves: IndexMap::new(),
             planned_orders: IndexMap::new(),
@@ -368,9 +384,9 @@
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
         self.vms_asked = Some(asked);
         self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
-        self.has_unreadable_vms = has_unreadable_entries;
         let vms: IndexMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         self.log_listing_changes(&vms);
+        self.list_history.add(&self.vms, &vms, has_unreadable_entries, asked);
         self.vms = vms;
         self.drop_finished_moves();
         if self.record.given.is_empty() {
@@ -383,12 +399,13 @@
     /// Adds the waves that the operator asks for; a known number is ignored.
     pub fn add_waves(&mut self, waves: Vec<Wave>) {
         for wave in waves {
-            if !self.record.finished.contains(&wave.number) {
-                let deadline_wall_ms = self.wall_offset_ms.saturating_add(wave.deadline.0);
-                let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
-                *recorded = deadline_wall_ms.min(*recorded);
+            let deadline_wall_ms = self.wall_offset_ms.saturating_add(wave.deadline.0);
+            let recorded = self.record.deadlines.entry(wave.number).or_insert(deadline_wall_ms);
+            *recorded = deadline_wall_ms.min(*recorded);
+            if !self.waves.contains_key(&wave.number) {
+                self.await_vms(&wave);
+                self.waves.insert(wave.number, wave);
             }
-            self.waves.entry(wave.number).or_insert(wave);
         }
     }
 
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    CellReport, Fleet, FleetAction, ListingChange, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, Vm,
-    VmState, Wave, WaveBasis, WaveStep, balance::MAX_REPORT_AGE,
+    CellReport, Fleet, FleetAction, ListingChange, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose,
+    ReopenedWave, Vm, VmState, Wave, WaveBasis, WaveStep, balance::MAX_REPORT_AGE,
 };
 use crate::{
     Span, Timestamp, VmId,
@@ -86,12 +86,12 @@
         now + Span(rounds * time_away_ms * LATE_THRESHOLD_PERCENT / 100) > self.deadline(wave)
     }
 
-    /// Returns the listed VMs of a wave whose maintenance has not begun. A VM that is missing from a
-    /// list with unreadable entries may be one of these.
+    /// Returns the listed VMs of a wave whose maintenance has not begun: the others can't be ordered, so
+    /// the pace of the wave doesn't rest on them.
     pub(super) fn pending_vms<'a>(&'a self, wave: &'a Wave) -> impl Iterator<Item = &'a VmId> {
         let begun = self.record.begun.get(&wave.number);
         wave.vms.iter().filter(move |vm_id| {
-            let is_listed = self.vms.contains_key(*vm_id) || self.has_unreadable_vms;
+            let is_listed = self.vms.contains_key(*vm_id);
             is_listed && begun.is_none_or(|begun| !begun.contains(*vm_id))
         })
     }
@@ -102,13 +102,14 @@
             return;
         };
         let pending: Vec<VmId> = self.pending_vms(wave).cloned().collect();
-        if pending.is_empty() {
+        let was_finished = self.record.finished.contains(&number);
+        let is_finished = pending.is_empty() && (was_finished || !self.awaits_vm(wave));
+        if is_finished {
             self.record.finished.insert(number);
-            self.record.deadlines.shift_remove(&number);
-        } else if self.record.finished.contains(&number) {
-            return;
+        } else if was_finished {
+            self.reopen_wave(number, &pending);
         }
-        self.report_wave(number, pending.is_empty(), now);
+        self.report_wave(number, is_finished, now);
         let Some(wave) = self.waves.get(&number) else {
             return;
         };
@@ -140,6 +141,14 @@
         }
     }
 
+    /// Goes on with a wave that was taken for done, as these listed VMs of it have not begun.
+    fn reopen_wave(&mut self, number: u64, pending: &[VmId]) {
+        self.record.finished.shift_remove(&number);
+        let reopened =
+            ReopenedWave { wave: number, pending: pending.len(), vm: pending.first().cloned() };
+        self.actions.push(FleetAction::LogReopenedWave(reopened));
+    }
+
     /// Whether VMs of the same pool are drained and their cell is silent. Were more of them taken, all
     /// would be drained at once when it is heard again.
     fn is_drained_in_vain(&self, vm_id: &VmId, now: Timestamp) -> bool {
