Only a list that was asked for after a move was sent shows that it is finished

Cause: drop_finished_moves took any list. One from before the move's order that shows the VM in the pool it is to go to ended a move that had not begun. Change: the plan knows when its first copy was sent, and only lists asked for since then count. The listed test is changed: its list that shows the VM back on standby is now from after the refusal, since the order about a VM on standby rests on a list that is newer than the last answer, whatever was dropped; what it asserts is the same.

--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -51,6 +51,7 @@
     pub(super) is_in_flight: bool,
     /// The first copy that was sent for this plan, by which its copies know it.
     pub(super) first_copy: Option<OrderNumber>,
+    pub(super) first_sent_at: Option<Timestamp>,
     /// Time before which the order is not sent or retried.
     pub(super) next_attempt: Timestamp,
     /// Time at which a move is dropped if its VM is not drained by then, and from which on a drain for
@@ -68,6 +69,7 @@
             hosts_long_running: false,
             is_in_flight: false,
             first_copy: None,
+            first_sent_at: None,
             next_attempt: now,
             drain_deadline: now + drain_time,
             answer_deadline: Timestamp(u64::MAX),
@@ -208,14 +210,20 @@
         self.sent_copies.of_vm(vm_id).any(|copy| copy.is_open(now))
     }
 
-    /// Drops the orders to move VMs that the platform now lists in their new pools.
+    /// Drops the orders to move VMs that are up in their new pools by a list that was asked for after the
+    /// first copy was sent.
     pub(super) fn drop_finished_moves(&mut self) {
-        let vms = &self.vms;
-        self.planned_orders.retain(|vm_id, planned| {
-            let vm = vms.get(vm_id).filter(|vm| vm.state == VmState::Up);
-            let has_arrived = |vm: &Vm| planned.purpose == Purpose::Move(vm.pool.clone());
-            !(planned.is_in_flight && vm.is_some_and(has_arrived))
+        let finished = self.planned_orders.iter().filter(|(vm_id, planned)| {
+            let Purpose::Move(pool) = &planned.purpose else {
+                return false;
+            };
+            let is_up = self.vms.get(*vm_id).is_some_and(|vm| vm.state == VmState::Up);
+            let since = planned.first_sent_at;
+            let has_arrived = since.is_some_and(|since| self.has_arrived(vm_id, pool, since));
+            planned.is_in_flight && is_up && has_arrived
         });
+        let finished: Vec<VmId> = finished.map(|(vm_id, _)| vm_id.clone()).collect();
+        self.planned_orders.retain(|vm_id, _| !finished.contains(vm_id));
     }
 
     /// Rewrites [`super::FleetRecord::ordered`] from the times of the latest orders, and drops old ones.
@@ -281,6 +289,7 @@
                     now,
                 );
                 planned.first_copy.get_or_insert(order.number());
+                planned.first_sent_at.get_or_insert(now);
                 orders.push(order);
                 let is_maintenance = matches!(planned.purpose, Purpose::Maintain(_));
                 if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -330,9 +330,9 @@
 fn a_list_that_was_asked_for_before_a_move_was_sent_ends_it() {
     let (mut fleet, order) = fleet_with_sent_move();
     fleet.set_vms(vms_after_move(), false, Timestamp(900));
-    fleet.set_vms(fleet_vms(), false, Timestamp(1_100));
-
     answer(&mut fleet, &order, OrderOutcome::Busy, Timestamp(1_200));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_300));
+
     let again = sent_once_drained(&mut fleet, &[], Timestamp(1_700));
 
     assert_eq!(vms_of(&again), [vm_id(2)]);
