A worker stays drained while an order about its VM may stop it, whatever is listed or planned

Cause: drain_requests names the workers of listed VMs with a plan. One list that lacks the VM dropped both while the order was under way, so that the cell could give the worker tasks that the order ends. Change: the workers of all copies that may still take effect are drained: the one that was there when the copy was sent, and the one that is listed on the VM now, unless a list shows that the copy's move is done.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -434,6 +434,9 @@
     ) -> IndexMap<ServiceId, IndexMap<WorkerId, DrainMode>> {
         let mut drain_requests: IndexMap<ServiceId, IndexMap<WorkerId, DrainMode>> =
             IndexMap::new();
+        for (pool, worker) in self.workers_with_open_orders(now) {
+            drain_requests.entry(pool).or_default().insert(worker, DrainMode::WaitForRuns);
+        }
         for (vm_id, planned) in &self.planned_orders {
             let Some(vm) = self.vms.get(vm_id) else {
                 continue;
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -194,22 +194,39 @@
     /// leaves. One whose VM is listed in the pool that it asks for only asks for what is done.
     fn is_held_back(&self, vm_id: &VmId, planned: &PlannedOrder, now: Timestamp) -> bool {
         let others = self.sent_copies.of_vm(vm_id).filter(|copy| !copy.is_of(planned));
-        others.filter(|copy| copy.is_open(now)).any(|copy| {
-            match (&copy.request, &planned.purpose) {
-                (FleetRequest::Move(to), Purpose::Maintain(_)) => {
-                    !self.has_arrived(vm_id, to, copy.sent_at)
-                }
-                (FleetRequest::Move(to), Purpose::Move(pool)) => to != pool,
-                (FleetRequest::Maintain(_), _) => true,
-            }
+        let mut open = others.filter(|copy| copy.is_open(now));
+        open.any(|copy| match (&copy.request, &planned.purpose) {
+            (FleetRequest::Move(to), Purpose::Move(pool)) => to != pool,
+            _ => !self.is_done(copy),
         })
     }
 
+    /// Whether a copy asks for what a list shows as done, so that it changes nothing while the VM stays there.
+    fn is_done(&self, copy: &SentCopy) -> bool {
+        match &copy.request {
+            FleetRequest::Move(pool) => self.has_arrived(&copy.vm, pool, copy.sent_at),
+            FleetRequest::Maintain(_) => false,
+        }
+    }
+
     /// Whether an order about a VM may still take effect, so that a move of the VM may have to wait.
     pub(super) fn has_open_order(&self, vm_id: &VmId, now: Timestamp) -> bool {
         self.sent_copies.of_vm(vm_id).any(|copy| copy.is_open(now))
     }
 
+    /// The workers that orders about their VMs may still stop, each with its pool: those that were there when
+    /// the orders were sent, and those that are listed on the VMs by now. A list may lack the VM, and the
+    /// order may be no longer planned.
+    pub(super) fn workers_with_open_orders(&self, now: Timestamp) -> Vec<(ServiceId, WorkerId)> {
+        let mut workers = Vec::new();
+        for copy in self.sent_copies.open(now) {
+            workers.extend(copy.worker.clone().map(|worker| (copy.pool.clone(), worker)));
+            let listed = self.vms.get(&copy.vm).filter(|_| !self.is_done(copy));
+            workers.extend(listed.and_then(|vm| Some((vm.pool.clone(), vm.worker.clone()?))));
+        }
+        workers
+    }
+
     /// Drops the orders to move VMs that are up in their new pools by a list that was asked for after the
     /// first copy was sent.
     pub(super) fn drop_finished_moves(&mut self) {
--- a/crates/core/src/job/fleet/orders/copies.rs
+++ b/crates/core/src/job/fleet/orders/copies.rs
@@ -167,6 +167,11 @@
         self.copies.insert(number, SentCopy { answer: Answer::Missing(open_until), ..copy });
     }
 
+    /// The copies that may still take effect.
+    pub(super) fn open(&self, now: Timestamp) -> impl Iterator<Item = &SentCopy> {
+        self.copies.values().filter(move |copy| copy.is_open(now))
+    }
+
     /// The copies of orders about a VM.
     pub(super) fn of_vm<'a>(&'a self, vm_id: &'a VmId) -> impl Iterator<Item = &'a SentCopy> {
         self.copies.values().filter(move |copy| copy.vm == *vm_id)
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -355,6 +355,19 @@
     assert!(!closed);
 }
 
+#[test]
+fn a_new_worker_is_not_drained_although_the_order_for_the_one_before_may_stop_it() {
+    let (mut fleet, _) = fleet_with_sent_maintenance(&[0]);
+    fleet.set_vms(fleet_vms()[1..].to_vec(), true, Timestamp(1_200));
+    fleet.tick(Timestamp(1_200));
+
+    let restarted = Vm { worker: Some(worker(9)), ..vm(0, &pool("desk")) };
+    fleet.set_vms(vec![restarted], false, Timestamp(1_400));
+    let drains = fleet.drain_requests(Timestamp(1_400));
+
+    assert!(drains[&pool("desk")].contains_key(&worker(9)));
+}
+
 #[test]
 fn a_handover_leaves_out_a_vm_whose_order_may_still_take_effect() {
     let (mut fleet, order) = fleet_with_sent_maintenance(&[0, 1]);
