The record at a handover names each VM whose order may still take effect

Cause: the handover kept the VMs whose order was sent within the takeover pause, while an order without an answer may take effect for that pause after the answer failed to come, and one whose call is out for longer. The next owner ordered others, or the VM itself, without a wait. Change: the time on record is that of the sending, or that at which no answer had come; an order whose answer is to come counts as of now. The format of the record is the same.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -242,7 +242,8 @@
     /// VMs that the previous owner may have sent an order about, and the time before which no order
     /// about them is sent.
     vm_not_before: IndexMap<VmId, Timestamp>,
-    /// Time of the latest order about each VM, or of the takeover if the previous owner sent it.
+    /// Time of the latest order about each VM, or when it was known to get no answer, or of the takeover if
+    /// the previous owner sent it.
     ordered_at: IndexMap<VmId, Timestamp>,
     /// VMs whose latest order the platform's list may not show, and the time from which on a list must
     /// be asked for to show it for certain.
@@ -346,7 +347,10 @@
     /// Returns the record to store at handover; the owner must send no orders after this call.
     #[must_use]
     pub fn handover_record(&self, now: Timestamp, wall_ms: u64) -> FleetRecord {
-        let recent = self.ordered_at.iter().map(|(vm_id, at)| (vm_id, now.since(*at).0));
+        let age_ms = |vm_id: &VmId, at: &Timestamp| {
+            if self.sent_copies.awaits_answer(vm_id) { 0 } else { now.since(*at).0 }
+        };
+        let recent = self.ordered_at.iter().map(|(vm_id, at)| (vm_id, age_ms(vm_id, at)));
         let recent = recent.filter(|(_, age)| *age <= self.cfg.takeover_pause.0);
         let ordered =
             recent.map(|(vm_id, age)| (vm_id.clone(), wall_ms.saturating_sub(age))).collect();
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -246,7 +246,8 @@
     /// Rewrites [`super::FleetRecord::ordered`] from the times of the latest orders, and drops old ones.
     pub(super) fn record_recent_orders(&mut self, now: Timestamp) {
         let retention = Span(self.cfg.takeover_pause.0 + RECENT_ORDER_MARGIN.0);
-        self.ordered_at.retain(|_, at| now <= *at + retention);
+        let copies = &self.sent_copies;
+        self.ordered_at.retain(|vm_id, at| now <= *at + retention || copies.awaits_answer(vm_id));
         let wall_ms = |at: &Timestamp| self.wall_offset_ms + at.0;
         self.record.ordered =
             self.ordered_at.iter().map(|(vm_id, at)| (vm_id.clone(), wall_ms(at))).collect();
@@ -365,6 +366,8 @@
                     planned.next_attempt = now + ORDER_RETRY_INTERVAL;
                 }
                 self.sent_copies.keep_open(number, copy, now + self.cfg.takeover_pause);
+                // The next owner counts the takeover pause from this time on, too.
+                self.ordered_at.insert(vm_id.clone(), now);
             }
         }
         // From then on a list of VMs shows the effect of all copies about the VM.
--- a/crates/core/src/job/fleet/orders/copies.rs
+++ b/crates/core/src/job/fleet/orders/copies.rs
@@ -177,6 +177,11 @@
         self.copies.values().filter(move |copy| copy.vm == *vm_id)
     }
 
+    /// Whether the answer to an order about a VM is to come.
+    pub(in crate::job::fleet) fn awaits_answer(&self, vm_id: &VmId) -> bool {
+        self.of_vm(vm_id).any(|copy| copy.answer == Answer::ToCome)
+    }
+
     /// Whether a copy that was sent for this plan may still take effect.
     pub(super) fn has_open_copy(&self, planned: &PlannedOrder, now: Timestamp) -> bool {
         self.copies.values().any(|copy| copy.is_of(planned) && copy.is_open(now))
