--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -51,6 +51,7 @@
     pub(super) is_in_flight: bool,
     /// The first copy that was sent for this plan, by which its copies know it.
     pub(super) first_copy: Option<OrderNumber>,
+    pub(super) first_sent_at: Option<Timestamp>,
     /// Time before which the order is not sent or retried.
     pub(super) next_attempt: Timestamp,
     /// Time at which a move is dropped if its VM is not drained by then, and from which on a drain for
@@ -68,6 +69,7 @@
             hosts_long_running: false,
             is_in_flight: false,
             first_copy: None,
+            first_sent_at: None,
             next_attempt: now,
             drain_deadline: now + drain_time,
             answer_deadline: Timestamp(u64::MAX),
@@ -192,36 +194,60 @@
     /// leaves. One whose VM is listed in the pool that it asks for only asks for what is done.
     fn is_held_back(&self, vm_id: &VmId, planned: &PlannedOrder, now: Timestamp) -> bool {
         let others = self.sent_copies.of_vm(vm_id).filter(|copy| !copy.is_of(planned));
-        others.filter(|copy| copy.is_open(now)).any(|copy| {
-            match (&copy.request, &planned.purpose) {
-                (FleetRequest::Move(to), Purpose::Maintain(_)) => {
-                    !self.has_arrived(vm_id, to, copy.sent_at)
-                }
-                (FleetRequest::Move(to), Purpose::Move(pool)) => to != pool,
-                (FleetRequest::Maintain(_), _) => true,
-            }
+        let mut open = others.filter(|copy| copy.is_open(now));
+        open.any(|copy| match (&copy.request, &planned.purpose) {
+            (FleetRequest::Move(to), Purpose::Move(pool)) => to != pool,
+            _ => !self.is_done(copy),
         })
     }
 
+    /// Whether a copy asks for what a list shows as done, so that it changes nothing while the VM stays there.
+    fn is_done(&self, copy: &SentCopy) -> bool {
+        match &copy.request {
+            FleetRequest::Move(pool) => self.has_arrived(&copy.vm, pool, copy.sent_at),
+            FleetRequest::Maintain(_) => false,
+        }
+    }
+
     /// Whether an order about a VM may still take effect, so that a move of the VM may have to wait.
     pub(super) fn has_open_order(&self, vm_id: &VmId, now: Timestamp) -> bool {
         self.sent_copies.of_vm(vm_id).any(|copy| copy.is_open(now))
     }
 
-    /// Drops the orders to move VMs that the platform now lists in their new pools.
+    /// The workers that orders about their VMs may still stop, each with its pool: those that were there when
+    /// the orders were sent, and those that are listed on the VMs by now. A list may lack the VM, and the
+    /// order may be no longer planned.
+    pub(super) fn workers_with_open_orders(&self, now: Timestamp) -> Vec<(ServiceId, WorkerId)> {
+        let mut workers = Vec::new();
+        for copy in self.sent_copies.open(now) {
+            workers.extend(copy.worker.clone().map(|worker| (copy.pool.clone(), worker)));
+            let listed = self.vms.get(&copy.vm).filter(|_| !self.is_done(copy));
+            workers.extend(listed.and_then(|vm| Some((vm.pool.clone(), vm.worker.clone()?))));
+        }
+        workers
+    }
+
+    /// Drops the orders to move VMs that are up in their new pools by a list that was asked for after the
+    /// first copy was sent.
     pub(super) fn drop_finished_moves(&mut self) {
-        let vms = &self.vms;
-        self.planned_orders.retain(|vm_id, planned| {
-            let vm = vms.get(vm_id).filter(|vm| vm.state == VmState::Up);
-            let has_arrived = |vm: &Vm| planned.purpose == Purpose::Move(vm.pool.clone());
-            !(planned.is_in_flight && vm.is_some_and(has_arrived))
+        let finished = self.planned_orders.iter().filter(|(vm_id, planned)| {
+            let Purpose::Move(pool) = &planned.purpose else {
+                return false;
+            };
+            let is_up = self.vms.get(*vm_id).is_some_and(|vm| vm.state == VmState::Up);
+            let since = planned.first_sent_at;
+            let has_arrived = since.is_some_and(|since| self.has_arrived(vm_id, pool, since));
+            planned.is_in_flight && is_up && has_arrived
         });
+        let finished: Vec<VmId> = finished.map(|(vm_id, _)| vm_id.clone()).collect();
+        self.planned_orders.retain(|vm_id, _| !finished.contains(vm_id));
     }
 
     /// Rewrites [`super::FleetRecord::ordered`] from the times of the latest orders, and drops old ones.
     pub(super) fn record_recent_orders(&mut self, now: Timestamp) {
         let retention = Span(self.cfg.takeover_pause.0 + RECENT_ORDER_MARGIN.0);
-        self.ordered_at.retain(|_, at| now <= *at + retention);
+        let copies = &self.sent_copies;
+        self.ordered_at.retain(|vm_id, at| now <= *at + retention || copies.awaits_answer(vm_id));
         let wall_ms = |at: &Timestamp| self.wall_offset_ms + at.0;
         self.record.ordered =
             self.ordered_at.iter().map(|(vm_id, at)| (vm_id.clone(), wall_ms(at))).collect();
@@ -281,6 +307,7 @@
                     now,
                 );
                 planned.first_copy.get_or_insert(order.number());
+                planned.first_sent_at.get_or_insert(now);
                 orders.push(order);
                 let is_maintenance = matches!(planned.purpose, Purpose::Maintain(_));
                 if is_maintenance && !planned.is_in_flight && !self.standby.contains(&vm.pool) {
@@ -339,6 +366,8 @@
                     planned.next_attempt = now + ORDER_RETRY_INTERVAL;
                 }
                 self.sent_copies.keep_open(number, copy, now + self.cfg.takeover_pause);
+                // The next owner counts the takeover pause from this time on, too.
+                self.ordered_at.insert(vm_id.clone(), now);
             }
         }
         // From then on a list of VMs shows the effect of all copies about the VM.
