--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -47,9 +47,9 @@
     cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
     fence::{Fence, FencedCall},
     fleet::{
-        BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ListingChange,
-        ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker, PoolSize, Vm, VmState, Wave,
-        WaveBasis, WaveStep,
+        BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, InstructionNumber,
+        ListingChange, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker, PoolSize, Vm,
+        VmState, Wave, WaveBasis, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod drains;
 mod orders;
 mod outlook;
 mod size;
@@ -17,15 +18,16 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use self::{
-    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose},
-    size::{Arrivals, SmoothedNeed},
-};
 pub use self::{
+    drains::InstructionNumber,
     orders::{FleetOrder, ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, OrderedWorker},
     size::PoolSize,
     turns::BurstHistory,
 };
+use self::{
+    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose},
+    size::{Arrivals, SmoothedNeed},
+};
 use super::{DrainMode, Load, Resources, WorkerId};
 use crate::{ServiceId, Span, Timestamp, VmId, ZoneId, job::WALL_CLOCK_MARGIN};
 
@@ -267,6 +269,8 @@
     last_moved: IndexMap<VmId, Timestamp>,
     /// Workers that their cells reported as drained.
     drained_workers: IndexSet<WorkerId>,
+    /// What the cells were asked to drain.
+    asked_drains: drains::AskedDrains,
     /// Size of each pool as it was last logged.
     logged_sizes: IndexMap<ServiceId, PoolSize>,
     /// Pools and expected start times of the workers on VMs whose order was accepted.
@@ -327,6 +331,7 @@
             cell_reports: IndexMap::new(),
             last_moved: IndexMap::new(),
             drained_workers: IndexSet::new(),
+            asked_drains: drains::AskedDrains::default(),
             logged_sizes: IndexMap::new(),
             expected_starts: Vec::new(),
             wall_offset_ms: wall_ms.saturating_sub(now.0),
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -231,18 +231,20 @@
     }
 
     async fn instruct_cell(&self, cell: ServiceId, drains: IndexMap<WorkerId, DrainMode>) {
-        let instruction = {
-            let fleet = self.fleet.borrow();
-            PoolInstruction {
+        let (number, instruction) = {
+            let mut fleet = self.fleet.borrow_mut();
+            let number = fleet.on_instruction(&cell, &drains);
+            let instruction = PoolInstruction {
                 epoch: self.epoch,
                 drains,
                 expects_workers: fleet.expects_workers(&cell, clock::now()),
                 outlook: fleet.outlook(&cell),
-            }
+            };
+            (number, instruction)
         };
         if let Some(report) = self.node.instruct(&cell, instruction).await {
-            let now = clock::now();
-            self.fleet.borrow_mut().on_cell_report(&cell, report.load, report.drained, now);
+            let (report, now) = ((report.load, report.drained), clock::now());
+            self.fleet.borrow_mut().on_instruction_answered(&cell, number, report, now);
         }
     }
 
