No VM is ordered away on a report from before its cell was told to use the worker

Cause: Fleet::drained_workers was one set of all cells' reports, each of which counted for 1.5 s whatever its cell was told since. A plan that was dropped (a list lacks its VM, a busy move is given up) let the cell use the worker again; if the answer to that was lost and the VM was planned anew, the order rested on the old report. The set was not kept by cell either: the former cell's report counted for the same worker in its new pool, until that pool's cell had reported again.

Change: the drained workers are kept with the report of their cell. A worker counts as drained only if each instruction to the cell since the one that the report answers has asked for it; a pool that had no cell must be asked first. on_cell_report is private now, as each report answers an instruction.

The test of a pool that has got a cell is new with this commit.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -208,6 +208,9 @@
     load: Load,
     /// Time of the report.
     at: Timestamp,
+    /// Workers that are drained according to the report, and that each instruction since has asked to
+    /// drain.
+    drained: IndexSet<WorkerId>,
     arrivals: Arrivals,
     need: SmoothedNeed,
     /// Processor capacity that the pool needs, in thousandths of a core.
@@ -267,8 +270,6 @@
     cell_reports: IndexMap<ServiceId, CellReport>,
     /// Time of the last move of each VM.
     last_moved: IndexMap<VmId, Timestamp>,
-    /// Workers that their cells reported as drained.
-    drained_workers: IndexSet<WorkerId>,
     /// What the cells were asked to drain.
     asked_drains: drains::AskedDrains,
     /// Size of each pool as it was last logged.
@@ -330,7 +331,6 @@
             standby: IndexSet::new(),
             cell_reports: IndexMap::new(),
             last_moved: IndexMap::new(),
-            drained_workers: IndexSet::new(),
             asked_drains: drains::AskedDrains::default(),
             logged_sizes: IndexMap::new(),
             expected_starts: Vec::new(),
@@ -393,7 +393,7 @@
     }
 
     /// Records the load of a cell and the drained workers among those it was asked to drain.
-    pub fn on_cell_report(
+    fn on_cell_report(
         &mut self,
         pool: &ServiceId,
         load: Load,
@@ -416,14 +416,7 @@
         }
         report.load = load;
         report.at = now;
-        let pool_workers: IndexSet<WorkerId> = self
-            .vms
-            .values()
-            .filter(|vm| vm.pool == *pool)
-            .filter_map(|vm| vm.worker.clone())
-            .collect();
-        self.drained_workers.retain(|worker| !pool_workers.contains(worker));
-        self.drained_workers.extend(drained);
+        report.drained = drained.into_iter().collect();
     }
 
     /// Returns the workers that each cell must drain.
--- a/crates/core/src/job/fleet/drains/tests.rs
+++ b/crates/core/src/job/fleet/drains/tests.rs
@@ -122,3 +122,20 @@
 
     assert_eq!(ordered, []);
 }
+
+/// Guards against an order that ends tasks: the queue that a pool was given may have begun some there.
+#[test]
+fn a_pool_that_has_got_a_cell_is_asked_before_its_workers_count_as_drained() {
+    let mut fleet = fleet();
+    fleet.tick(Timestamp(1_100));
+    let drains = IndexMap::from([(worker(0), DrainMode::WaitForRuns)]);
+    fleet.on_pool_without_cell(&pool("desk"), drains, Timestamp(1_100));
+    let (first, _) = instruct(&mut fleet, "desk", Timestamp(1_300));
+
+    let before_answer = orders_at(&mut fleet, Timestamp(1_300));
+    answer(&mut fleet, "desk", first, Timestamp(1_400));
+    let after_answer = orders_at(&mut fleet, Timestamp(1_400));
+
+    assert_eq!(before_answer, []);
+    assert_eq!(after_answer, [vm_id(0)]);
+}
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -180,10 +180,10 @@
             return true;
         }
         let report = self.cell_reports.get(&vm.pool);
-        let is_recent = report.is_some_and(|report| now <= report.at + MAX_REPORT_AGE);
-        let is_worker_drained =
-            vm.worker.as_ref().is_some_and(|worker| self.drained_workers.contains(worker));
-        vm.state == VmState::Up && is_recent && is_worker_drained
+        let is_reported = report.zip(vm.worker.as_ref()).is_some_and(|(report, worker)| {
+            now <= report.at + MAX_REPORT_AGE && report.drained.contains(worker)
+        });
+        vm.state == VmState::Up && is_reported
     }
 
     /// Whether a VM was to be drained by now, and is not. One that is drained may wait for its turn.
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -15,8 +15,8 @@
 use teaselgap_core::{
     Epoch, ServiceId, Span, Timestamp, VmId,
     job::{
-        DrainMode, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load,
-        ORDER_SEND_WINDOW, OrderBasis, OrderOutcome, WorkerId,
+        DrainMode, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, ORDER_SEND_WINDOW,
+        OrderBasis, OrderOutcome, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -225,8 +225,7 @@
         join_all(instructed.collect::<Vec<_>>()).await;
         // No tasks run in pools without a queue, so their workers count as drained.
         for (pool, drains) in drain_requests {
-            let drained = drains.into_keys().collect();
-            self.fleet.borrow_mut().on_cell_report(&pool, Load::default(), drained, now);
+            self.fleet.borrow_mut().on_pool_without_cell(&pool, drains, now);
         }
     }
 
