--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -5,8 +5,8 @@
 
 use super::{
     super::{
-        Action, DrainMode, HoldReport, LeaseWait, ListedRun, LogEvent, Record, RunId, TaskId,
-        WorkerEntry, WorkerId,
+        Action, DrainMode, HoldReport, InstructionNumber, LeaseWait, ListedRun, LogEvent, Record,
+        RunId, TaskId, WorkerEntry, WorkerId,
         worker::{InstanceOrder, Logged, Run, RunState, StopOrder, StrayLease, Worker},
     },
     Cell, CellConfig, DeferredEffect,
@@ -529,7 +529,7 @@
     /// heard again for so long that no order can rest on a report to this one.
     pub fn instruct(
         &mut self,
-        epoch: Epoch,
+        (epoch, _number): (Epoch, InstructionNumber),
         drains: IndexMap<WorkerId, DrainMode>,
         now: Timestamp,
     ) -> bool {
--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -193,6 +193,9 @@
     /// The epoch of the sender's term as the owner of the fleet.
     #[prost(uint64, tag = "6")]
     pub epoch: u64,
+    /// The number of the instruction, which rises within the term; 0 if the sender numbers none.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
 }
 /// Processor capacities of a pool, in thousandths of a core.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -235,6 +235,7 @@
             let number = fleet.on_instruction(&cell, &drains);
             let instruction = PoolInstruction {
                 epoch: self.epoch,
+                number,
                 drains,
                 expects_workers: fleet.expects_workers(&cell, clock::now()),
                 outlook: fleet.outlook(&cell),
--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -1,4 +1,7 @@
-use teaselgap_core::Incarnation;
+use teaselgap_core::{
+    Incarnation,
+    job::{Load, Resources, Vm, VmState, Wave},
+};
 use teaselgap_platform::client::Connections;
 
 use super::{
@@ -113,3 +116,81 @@
 
     assert!(is_done);
 }
+
+/// Whether maintenance of the only VM, whose worker is in the pool of `service`, is ordered once the cells
+/// have been told to drain the worker.
+async fn orders_maintenance(node: &Rc<Node>, service: &ServiceId) -> bool {
+    let owner = fleet_owner(node);
+    let now = clock::now();
+    let record = FleetRecord { is_complete: true, ..FleetRecord::default() };
+    *owner.fleet.borrow_mut() = Fleet::new(fleet_config(node), record, (now, clock::wall_ms()));
+    let vm = Vm {
+        id: "m0".parse().unwrap(),
+        pool: service.clone(),
+        state: VmState::Up,
+        zone: "a".parse().unwrap(),
+        capacity: Resources { cpu_milli: 8_000, memory_mb: 16_384, gpus: 0 },
+        worker: Some("w0".into()),
+    };
+    let vms = IndexSet::from([vm.id.clone()]);
+    let deadline = now + Span(60_000);
+    {
+        let mut fleet = owner.fleet.borrow_mut();
+        fleet.set_vms(vec![vm], false, now);
+        fleet.add_waves(vec![Wave { number: 1, vms, max_down: 1, deadline }]);
+        let load = Load { spare: vec!["w0".into()], ..Load::default() };
+        let number = fleet.on_instruction(service, &IndexMap::new());
+        fleet.on_instruction_answered(service, number, (load, Vec::new()), now);
+        fleet.tick(now);
+        fleet.take_actions();
+        assert!(fleet.drain_requests(now).contains_key(service));
+    }
+    owner.instruct_cells().await;
+    let mut fleet = owner.fleet.borrow_mut();
+    fleet.tick(clock::now());
+    let orders =
+        |action: &FleetAction| matches!(action, FleetAction::Save(_, orders) if !orders.is_empty());
+    fleet.take_actions().iter().any(orders)
+}
+
+#[test]
+fn maintenance_in_a_pool_without_a_cell_needs_no_report() {
+    let service: ServiceId = "a".parse().unwrap();
+
+    let is_ordered = test_server::run(async {
+        let node = node(&[], silent_address());
+        orders_maintenance(&node, &service).await
+    });
+
+    assert!(is_ordered);
+}
+
+/// Guards against maintenance that ends tasks: the last queue of a service was removed, what lasts goes on,
+/// and its cell has no owner for a moment.
+#[test]
+fn workers_do_not_count_as_drained_while_the_cell_of_a_removed_queue_has_no_owner() {
+    let service: ServiceId = "a".parse().unwrap();
+
+    let is_ordered = test_server::run(async {
+        let node = node(&[], silent_address());
+        node.members.borrow_mut().marked_logs.insert(service.clone());
+        orders_maintenance(&node, &service).await
+    });
+
+    assert!(!is_ordered);
+}
+
+/// Guards against maintenance that ends tasks: without a configuration, no queue of a service is known.
+#[test]
+fn workers_do_not_count_as_drained_while_no_configuration_is_known() {
+    let service: ServiceId = "a".parse().unwrap();
+
+    let is_ordered = test_server::run(async {
+        let node = node(std::slice::from_ref(&service), silent_address());
+        give_to_silent_node(&node, std::slice::from_ref(&service));
+        node.shared.config.store(None);
+        orders_maintenance(&node, &service).await
+    });
+
+    assert!(!is_ordered);
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -278,15 +278,15 @@
     }
 
     /// Passes what the fleet's owner says about the pool to the cell, and reports on the cell. Returns
-    /// `None` if the cell has not been recovered, or if a later owner of the fleet has spoken.
+    /// `None` if the cell has not been recovered, or if a later instruction has come.
     pub(super) fn instruct(&self, instruction: PoolInstruction) -> Option<CellReport> {
-        let PoolInstruction { epoch, drains, expects_workers, outlook } = instruction;
+        let PoolInstruction { epoch, number, drains, expects_workers, outlook } = instruction;
         if expects_workers {
             self.node.roster_refresh.notify_one();
         }
         let now = clock::now();
         let report = self.with_cell(|cell| {
-            if !cell.instruct(epoch, drains, now) {
+            if !cell.instruct((epoch, number), drains, now) {
                 return None;
             }
             if expects_workers {
@@ -301,8 +301,9 @@
             return Some(CellReport { drained: Vec::new(), load: Load::default() });
         };
         if report.is_none() {
-            info!(self.node.log, "instruction of an earlier fleet owner ignored";
-                "cell" => %self.service, "fleet_epoch" => epoch.0, "epoch" => self.epoch.0);
+            info!(self.node.log, "outdated instruction of the fleet's owner ignored";
+                "cell" => %self.service, "fleet_epoch" => epoch.0, "number" => number.0,
+                "epoch" => self.epoch.0);
         }
         report
     }
--- a/src/jobs/instruction.rs
+++ b/src/jobs/instruction.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch,
-    job::{DrainMode, Load, Outlook, WorkerId},
+    job::{DrainMode, InstructionNumber, Load, Outlook, WorkerId},
 };
 
 /// What the owner of the fleet tells a cell, several times a second.
@@ -11,6 +11,8 @@
 pub(super) struct PoolInstruction {
     /// The epoch of the fleet's owner. A cell takes no instruction of an earlier one than it has seen.
     pub(super) epoch: Epoch,
+    /// The number of the instruction within the term.
+    pub(super) number: InstructionNumber,
     /// The workers that are to be drained; no others are.
     pub(super) drains: IndexMap<WorkerId, DrainMode>,
     /// Whether workers are about to join that the store does not list yet.
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, IdError, ServiceId, Span, Timestamp,
-    job::{DrainMode, Duty, JobEnd, JobId, JobState, Outlook},
+    job::{DrainMode, Duty, InstructionNumber, JobEnd, JobId, JobState, Outlook},
 };
 use teaselgap_proto::cell::{
     AskReply, AskRequest, DirectReply, DirectRequest, Outlook as WireOutlook, StoreAgeReply,
@@ -204,6 +204,7 @@
             expecting: instruction.expects_workers,
             outlook: instruction.outlook.map(outlook_to_wire),
             epoch: instruction.epoch.0,
+            number: instruction.number.0,
         };
         let reply = tokio::time::timeout(INSTRUCTION_TIMEOUT, client.direct(req)).await;
         let Ok(Ok(reply)) = reply else {
@@ -420,6 +421,7 @@
         let (reply, reply_rx) = oneshot::channel();
         let instruction = PoolInstruction {
             epoch: Epoch(req.epoch),
+            number: InstructionNumber(req.number),
             drains,
             expects_workers: req.expecting,
             outlook: req.outlook.map(outlook_from_wire),
