A late instruction of the fleet's owner ends no drain that a later one asks for

Cause: Cell::instruct compared epochs only. A delayed instruction (its connection was given up after 0.8 s) replaced the drains of a later one of the same owner, and the cell began tasks on a worker that it had reported as drained; the order that rests on that report ends them.

Change: within an epoch, an instruction with a lower number than the last one is ignored and answered like one of an earlier owner.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -46,6 +46,7 @@
     LogConfig, LogEvent, LogWrite, LogWriter, Position, QueueSettings, Record, Sequence, TaskId,
     Token, WorkerId,
     fence::Fences,
+    fleet::InstructionNumber,
     flow::{HoldBudget, StartWindow},
     pace::PaceTable,
     record::EncodedRecord,
@@ -174,6 +175,8 @@
     drains_expiry: Option<Timestamp>,
     /// The highest epoch of a fleet's owner that has told which workers to drain.
     fleet_epoch: Epoch,
+    /// The number of that owner's last instruction.
+    last_instruction: InstructionNumber,
     /// Open tasks that have lost workers.
     suspects: IndexSet<TaskId>,
     /// Workers that were lost a moment ago.
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -239,6 +239,7 @@
             drains: IndexMap::new(),
             drains_expiry: Some(now + FLEET_SILENCE),
             fleet_epoch: Epoch::default(),
+            last_instruction: super::InstructionNumber::default(),
             suspects: IndexSet::new(),
             lost_workers: Vec::new(),
             has_worker_list: false,
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -525,20 +525,22 @@
     }
 
     /// Takes from the fleet's owner of this epoch which workers to drain and how. Returns `false`, without
-    /// any effect, if a later owner of the fleet has spoken. The drains end if no owner of the fleet is
+    /// any effect, if a later instruction has come, of this owner or of a later one. The drains end if no owner of the fleet is
     /// heard again for so long that no order can rest on a report to this one.
     pub fn instruct(
         &mut self,
-        (epoch, _number): (Epoch, InstructionNumber),
+        (epoch, number): (Epoch, InstructionNumber),
         drains: IndexMap<WorkerId, DrainMode>,
         now: Timestamp,
     ) -> bool {
-        let is_accepted = self.accept_fleet(epoch);
-        if is_accepted {
-            self.set_drains(drains);
-            self.drains_expiry = Some(now + FLEET_ABSENCE);
+        let is_overtaken = epoch == self.fleet_epoch && number < self.last_instruction;
+        if is_overtaken || !self.accept_fleet(epoch) {
+            return false;
         }
-        is_accepted
+        self.last_instruction = number;
+        self.set_drains(drains);
+        self.drains_expiry = Some(now + FLEET_ABSENCE);
+        true
     }
 
     /// Whether the fleet's owner of this epoch may say which workers to drain. Once a later one has,
