No worker counts as drained because its cell has no owner, or no configuration was read

Cause: the fleet counts the workers of a pool without a cell as drained. A cell was one with a queue in the configuration or an owner in the list of duties: absence from both was taken for a pool in which nothing runs. If a service's last queue was removed, what lasts goes on under the mark of its log, and between two owners of the cell, or with no configuration, its tasks were ended undrained.

Change: a cell whose log is marked counts, as it does for who claims duties; without a configuration no cell is instructed and nothing is concluded.

No existing test changed.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -215,15 +215,18 @@
     /// Pools and cells are named by their service: the workers in a service's pool belong to the
     /// cell of that name, if the service has a queue.
     async fn instruct_cells(&self) {
+        let Some(cells) = self.cells() else {
+            return;
+        };
         let now = clock::now();
         let mut drain_requests = self.fleet.borrow().drain_requests(now);
-        let instructed = self.cells().into_iter().map(|cell| {
+        let instructed = cells.into_iter().map(|cell| {
             let drains = drain_requests.shift_remove(&cell).unwrap_or_default();
             self.instruct_cell(cell, drains)
         });
         // A cell that doesn't answer must not make the reports of the others old.
         join_all(instructed.collect::<Vec<_>>()).await;
-        // No tasks run in pools without a queue, so their workers count as drained.
+        // No tasks run in pools without a cell, so their workers count as drained.
         for (pool, drains) in drain_requests {
             self.fleet.borrow_mut().on_pool_without_cell(&pool, drains, now);
         }
@@ -248,16 +251,16 @@
         }
     }
 
-    /// The cells of all services with a queue, and those that still have an owner although the
-    /// service's last queue was removed: what lasts goes on there.
-    fn cells(&self) -> Vec<ServiceId> {
-        let Some(config) = self.node.shared.config.load_full() else {
-            return Vec::new();
-        };
+    /// The cells of all services with a queue, and those that still have an owner, or jobs in the log,
+    /// although the service's last queue was removed: what lasts goes on there, also while the cell has no
+    /// owner. Returns `None` as long as no configuration is known.
+    fn cells(&self) -> Option<IndexSet<ServiceId>> {
+        let config = self.node.shared.config.load_full()?;
         let configured = config.queues.values().map(|queue| queue.service.clone());
         let members = self.node.members.borrow();
         let owned = members.owners.keys().filter_map(|duty| duties::cell_of_duty(duty));
-        configured.chain(owned).collect::<IndexSet<_>>().into_iter().collect()
+        let marked = members.marked_logs.iter().cloned();
+        Some(configured.chain(owned).chain(marked).collect())
     }
 
     /// Ticks the fleet and executes the resulting actions. Does nothing while a record is being
