Test of two paces of a task under way at once

Cause: a changed share of a best-effort task's speed leaves 300 ms after the one before, whose call may take 600 ms. Both have one fencing token, so the worker may carry out the first one last while their answers come in order: the share that the cell takes for confirmed isn't in force, and no later call corrects it.

--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -8,7 +8,10 @@
     },
     *,
 };
-use crate::Epoch;
+use crate::{
+    Epoch,
+    job::worker::{Run, RunState},
+};
 
 const WORKERS: usize = 20;
 
@@ -168,3 +171,41 @@
 
     assert!(work.steps <= 1, "{} steps were considered", work.steps);
 }
+
+/// The shares that the cell asks for at `now`, as a latency-sensitive task on the worker shows this tail
+/// latency, in percent of its target.
+fn paces(cell: &mut Cell, tail_percent: u64, now: Timestamp) -> Vec<u64> {
+    let (worker, sensitive) = (WorkerId::from("w0"), task(JobId(99)));
+    cell.pace_table.record_tail(&worker, sensitive, Span(100), tail_percent, now);
+    cell.pace(now);
+    let share = |action| match action {
+        Action::Pace(_, _, _, share) => Some(share),
+        _ => None,
+    };
+    cell.take_actions().into_iter().filter_map(share).collect()
+}
+
+fn task(job: JobId) -> TaskId {
+    TaskId { job, occurrence: 0, step: 0, index: 0 }
+}
+
+/// Guards against a task that stays slow: of two paces under way, the worker may carry out the first one last,
+/// while the answers come in the order of the calls.
+#[test]
+fn a_pace_leaves_only_once_the_one_before_is_answered() {
+    let mut fixture = Fixture::new();
+    let (cell, id) = (&mut fixture.cell, WorkerId::from("w0"));
+    let start = fixture.now;
+    let step = Step { is_best_effort: true, ..spec().steps[0].clone() };
+    let run = Run::new(1, &step, RunState::Running, start);
+    cell.workers[&id].runs.insert(task(JobId(1)), run);
+
+    let halved = paces(cell, 100, start + Span(600));
+    let while_under_way = paces(cell, 100, start + Span(1_200));
+    cell.on_pace_answer(&id, (task(JobId(1)), 1), 50, false);
+    let after_no_answer = paces(cell, 100, start + Span(1_800));
+
+    assert_eq!(halved, [50]);
+    assert_eq!(while_under_way, Vec::<u64>::new());
+    assert_eq!(after_no_answer, [12]);
+}
