Tests of paces whose answers are missing or another owner's

Cause: the share of speed in force is taken for the last one that was confirmed, and for 100 % of a run that this owner finds. After a pace without an answer, which the worker may have carried out, or after one of an earlier owner, the task stays slow once nothing beside it needs the room any more.

--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -1,8 +1,8 @@
 use super::{
     super::{
         super::{
-            AdmissionPolicy, FlowLimits, HoldReport, JobSpec, LinkRate, LogConfig, Resources,
-            StartOutcome, Token, WorkerEntry,
+            AdmissionPolicy, FlowLimits, HoldReport, JobSpec, LinkRate, ListedRun, LogConfig,
+            Resources, StartOutcome, Token, WorkerEntry,
         },
         CellConfig, QueueConfig, RecoveredLog,
     },
@@ -83,6 +83,15 @@
         fixture
     }
 
+    /// Creates a cell whose first worker runs a best-effort task that this cell has started.
+    fn with_best_effort_run() -> Self {
+        let mut fixture = Self::new();
+        let step = Step { is_best_effort: true, ..spec().steps[0].clone() };
+        let run = Run::new(1, &step, RunState::Running, fixture.now);
+        fixture.cell.workers[&WorkerId::from("w0")].runs.insert(task(JobId(1)), run);
+        fixture
+    }
+
     /// Writes the log, ticks, and answers all orders.
     fn advance(&mut self) {
         self.now = self.now + Span(100);
@@ -172,17 +181,22 @@
     assert!(work.steps <= 1, "{} steps were considered", work.steps);
 }
 
+/// The shares that the cell asks for.
+fn asked_shares(cell: &mut Cell) -> Vec<u64> {
+    let share = |action| match action {
+        Action::Pace(_, _, _, share) => Some(share),
+        _ => None,
+    };
+    cell.take_actions().into_iter().filter_map(share).collect()
+}
+
 /// The shares that the cell asks for at `now`, as a latency-sensitive task on the worker shows this tail
 /// latency, in percent of its target.
 fn paces(cell: &mut Cell, tail_percent: u64, now: Timestamp) -> Vec<u64> {
     let (worker, sensitive) = (WorkerId::from("w0"), task(JobId(99)));
     cell.pace_table.record_tail(&worker, sensitive, Span(100), tail_percent, now);
     cell.pace(now);
-    let share = |action| match action {
-        Action::Pace(_, _, _, share) => Some(share),
-        _ => None,
-    };
-    cell.take_actions().into_iter().filter_map(share).collect()
+    asked_shares(cell)
 }
 
 fn task(job: JobId) -> TaskId {
@@ -193,12 +207,8 @@
 /// while the answers come in the order of the calls.
 #[test]
 fn a_pace_leaves_only_once_the_one_before_is_answered() {
-    let mut fixture = Fixture::new();
-    let (cell, id) = (&mut fixture.cell, WorkerId::from("w0"));
-    let start = fixture.now;
-    let step = Step { is_best_effort: true, ..spec().steps[0].clone() };
-    let run = Run::new(1, &step, RunState::Running, start);
-    cell.workers[&id].runs.insert(task(JobId(1)), run);
+    let mut fixture = Fixture::with_best_effort_run();
+    let (cell, id, start) = (&mut fixture.cell, WorkerId::from("w0"), fixture.now);
 
     let halved = paces(cell, 100, start + Span(600));
     let while_under_way = paces(cell, 100, start + Span(1_200));
@@ -209,3 +219,43 @@
     assert_eq!(while_under_way, Vec::<u64>::new());
     assert_eq!(after_no_answer, [12]);
 }
+
+/// Guards against a task that stays slow: a pace without an answer may have been carried out, and the full
+/// speed was the last that was confirmed.
+#[test]
+fn the_full_speed_is_asked_for_after_a_pace_without_an_answer() {
+    let mut fixture = Fixture::with_best_effort_run();
+    let (cell, id, start) = (&mut fixture.cell, WorkerId::from("w0"), fixture.now);
+    let halved = paces(cell, 100, start + Span(600));
+    cell.on_pace_answer(&id, (task(JobId(1)), 1), 50, false);
+
+    // No reading is recent any more.
+    cell.pace(start + Span(4_000));
+    let later = asked_shares(cell);
+
+    assert_eq!((halved, later), (vec![50], vec![100]));
+}
+
+/// Guards against a task that stays slow: an earlier owner may have paced what this one finds.
+#[test]
+fn the_full_speed_is_asked_for_of_a_run_of_an_earlier_owner() {
+    let mut fixture = Fixture::new();
+    let best_effort = Step { is_best_effort: true, ..spec().steps[0].clone() };
+    let time = (fixture.now, WALL_MS + fixture.now.0);
+    let id = (JobId(7), "quotes".parse().unwrap());
+    let spec = JobSpec { steps: vec![Step { count: 1, ..best_effort }], ..spec() };
+    fixture.cell.submit(Token(7), id, spec, time);
+    let listed = ListedRun {
+        task: task(JobId(7)),
+        attempt: 1,
+        checkpoint: None,
+        progress_percent: 0,
+        tail_ms_or_cpu: 0,
+    };
+    let now = fixture.now + Span(50);
+
+    fixture.cell.adopt_run(&"w0".into(), &listed, (fixture.now, now));
+    fixture.cell.pace(now);
+
+    assert_eq!(asked_shares(&mut fixture.cell), [100]);
+}
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -379,7 +379,7 @@
 
     /// Adopts a listed run that this owner has not ordered or had given up; stops it if it is not
     /// needed.
-    fn adopt_run(
+    pub(super) fn adopt_run(
         &mut self,
         id: &WorkerId,
         listed_run: &ListedRun,
