A task's speed is set by one call at a time

Cause: a changed share left 300 ms after the one before, whose call may take 600 ms. Both had one fencing token, so that the worker could carry out the first one last, and the confirmed share was not the one in force.

Change: the next share leaves once the call before has its outcome; a call that can't be sent has one, too. One that gets no answer raises the token, so that it can't be carried out after the next.

No existing test changed.

--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -402,16 +402,19 @@
                 if run.is_best_effort
                     && is_running
                     && run.confirmed_pace != share
+                    && !run.is_pace_under_way
                     && now >= run.next_pace_at
                 {
                     run.next_pace_at = now + Span(300);
+                    run.is_pace_under_way = true;
                     self.actions.push(Action::Pace(id.clone(), *task, run.attempt, share));
                 }
             }
         }
     }
 
-    /// Handles a worker's confirmation of the pace of a task, in percent.
+    /// Handles the outcome of a call that sets the pace of a task, in percent. Each such call has one, also if
+    /// it could not be sent.
     pub fn on_pace_answer(
         &mut self,
         id: &WorkerId,
@@ -421,10 +424,13 @@
     ) {
         if !is_confirmed {
             self.fences.outrank(id);
-            return;
         }
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
-        if let Some(run) = run.filter(|run| run.attempt == attempt) {
+        let Some(run) = run.filter(|run| run.attempt == attempt) else {
+            return;
+        };
+        run.is_pace_under_way = false;
+        if is_confirmed {
             run.confirmed_pace = share;
         }
     }
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -84,6 +84,9 @@
     pub(in crate::job) confirmed_pace: u64,
     /// Earliest time at which its share may be sent again.
     pub(in crate::job) next_pace_at: Timestamp,
+    /// Whether a call that sets its share has no outcome yet. The worker may carry out two calls in another
+    /// order than that of their answers.
+    pub(in crate::job) is_pace_under_way: bool,
 }
 
 /// The state of an order to stop a run.
@@ -157,6 +160,7 @@
             skips_duration: false,
             confirmed_pace: 100,
             next_pace_at: now,
+            is_pace_under_way: false,
         }
     }
 }
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -105,9 +105,14 @@
                 });
             }
             Action::Pace(worker, task, attempt, share) => {
-                self.spawn_call(&worker, async move |owner, target| {
+                let is_sent = self.spawn_call(&worker, async move |owner, target| {
                     owner.pace(&target, (task, attempt), share).await;
                 });
+                if !is_sent {
+                    self.with_cell(|cell| {
+                        cell.on_pace_answer(&worker, (task, attempt), share, false);
+                    });
+                }
             }
             Action::Hold { worker, lease_end, last_seen, wait, fence } => {
                 self.spawn_permitted(&worker, Self::may_renew, async move |owner, target| {
