A task gets its full speed back after a pace without an answer, and under a new owner

Cause: the share in force was taken for the last confirmed one, and for 100 % of a run that this owner found. A pace without an answer may have been carried out, and an earlier owner may have set one; as soon as nothing beside the task needed the room, 100 % seemed to be in force, no call was sent and the task stayed slow.

Change: without an answer, and for an adopted run, the share in force is not known, and the one that applies is sent. Price: one call for each best-effort run at a change of owner.

No existing test changed.

--- a/crates/core/src/job/cell/plan.rs
+++ b/crates/core/src/job/cell/plan.rs
@@ -401,7 +401,7 @@
                 let is_running = run.state == super::super::worker::RunState::Running;
                 if run.is_best_effort
                     && is_running
-                    && run.confirmed_pace != share
+                    && run.confirmed_pace != Some(share)
                     && !run.is_pace_under_way
                     && now >= run.next_pace_at
                 {
@@ -430,9 +430,7 @@
             return;
         };
         run.is_pace_under_way = false;
-        if is_confirmed {
-            run.confirmed_pace = share;
-        }
+        run.confirmed_pace = is_confirmed.then_some(share);
     }
 }
 
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -410,7 +410,7 @@
             None => Run::unknown(listed_run.attempt, state, now),
         };
         let (measured_percent, skips_duration) = (listed_run.progress_percent, true);
-        let mut run = Run { measured_percent, skips_duration, ..run };
+        let mut run = Run { measured_percent, skips_duration, confirmed_pace: None, ..run };
         run.on_listed(listed_run.progress_percent, (sent, now));
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -79,9 +79,9 @@
     /// Whether no total duration is to be recorded any more: it was recorded already, or the run
     /// can't show it.
     pub(in crate::job) skips_duration: bool,
-    /// The share of its speed that the worker last confirmed, in percent; used for best-effort
-    /// tasks only.
-    pub(in crate::job) confirmed_pace: u64,
+    /// The share of its speed that is in force, in percent; `None` if a call without an answer or an
+    /// earlier owner may have set another one. Used for best-effort tasks only.
+    pub(in crate::job) confirmed_pace: Option<u64>,
     /// Earliest time at which its share may be sent again.
     pub(in crate::job) next_pace_at: Timestamp,
     /// Whether a call that sets its share has no outcome yet. The worker may carry out two calls in another
@@ -158,7 +158,7 @@
             measured_at: now,
             measured_percent: 0,
             skips_duration: false,
-            confirmed_pace: 100,
+            confirmed_pace: Some(100),
             next_pace_at: now,
             is_pace_under_way: false,
         }
