Test of workers that count as gone by one list

Cause: a worker counts as gone 2 s after the first complete list that lacks it, whether or not one has been read since. If entries expire in a short outage that no reading notices, one list lacks all workers, and a longer outage begins, no task starts until the store is back, and waits for workers that seem gone end early.

--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -259,3 +259,24 @@
 
     assert_eq!(asked_shares(&mut fixture.cell), [100]);
 }
+
+/// Guards against tasks that wait through a long outage of the store: the last list before it lacked entries
+/// that had expired in a short one.
+#[test]
+fn workers_that_one_list_lacked_are_used_until_a_later_one_lacks_them_too() {
+    let mut fixture = Fixture::new();
+    let usable = |fixture: &Fixture| {
+        let is_usable = |worker: &&Worker| Cell::is_usable(worker, fixture.now);
+        fixture.cell.workers.values().filter(is_usable).count()
+    };
+    fixture.cell.update_workers(Vec::new(), true, fixture.now);
+
+    fixture.now = fixture.now + Span(10_000);
+    let after_one_list = usable(&fixture);
+    fixture.cell.update_workers(Vec::new(), false, fixture.now);
+    let after_incomplete_list = usable(&fixture);
+    fixture.cell.update_workers(Vec::new(), true, fixture.now);
+    let after_later_list = usable(&fixture);
+
+    assert_eq!((after_one_list, after_incomplete_list, after_later_list), (WORKERS, WORKERS, 0));
+}
