--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -48,8 +48,8 @@
     fence::{Fence, FencedCall},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, FleetRequest,
-        ListingChange, ORDER_SEND_WINDOW, OrderBasis, OrderNumber, OrderOutcome, OrderedWorker,
-        PoolSize, ReopenedWave, Vm, VmState, Wave, WaveBasis, WaveStep,
+        InstructionNumber, ListingChange, ORDER_SEND_WINDOW, OrderBasis, OrderNumber, OrderOutcome,
+        OrderedWorker, PoolSize, ReopenedWave, Vm, VmState, Wave, WaveBasis, WaveStep,
     },
     flow::{FlowLimits, LinkRate},
     id::{JobId, JobIdError, StepId, TaskId, WorkerId},
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -5,8 +5,8 @@
 
 use super::{
     super::{
-        Action, DrainMode, HoldReport, LeaseWait, ListedRun, LogEvent, Record, RunId, TaskId,
-        WorkerEntry, WorkerId,
+        Action, DrainMode, HoldReport, InstructionNumber, LeaseWait, ListedRun, LogEvent, Record,
+        RunId, TaskId, WorkerEntry, WorkerId,
         worker::{InstanceOrder, Logged, Run, RunState, StopOrder, StrayLease, Worker},
     },
     Cell, CellConfig, DeferredEffect,
@@ -379,7 +379,7 @@
 
     /// Adopts a listed run that this owner has not ordered or had given up; stops it if it is not
     /// needed.
-    fn adopt_run(
+    pub(super) fn adopt_run(
         &mut self,
         id: &WorkerId,
         listed_run: &ListedRun,
@@ -410,7 +410,7 @@
             None => Run::unknown(listed_run.attempt, state, now),
         };
         let (measured_percent, skips_duration) = (listed_run.progress_percent, true);
-        let mut run = Run { measured_percent, skips_duration, ..run };
+        let mut run = Run { measured_percent, skips_duration, confirmed_pace: None, ..run };
         run.on_listed(listed_run.progress_percent, (sent, now));
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed_run.task, run);
@@ -525,20 +525,22 @@
     }
 
     /// Takes from the fleet's owner of this epoch which workers to drain and how. Returns `false`, without
-    /// any effect, if a later owner of the fleet has spoken. The drains end if no owner of the fleet is
+    /// any effect, if a later instruction has come, of this owner or of a later one. The drains end if no owner of the fleet is
     /// heard again for so long that no order can rest on a report to this one.
     pub fn instruct(
         &mut self,
-        epoch: Epoch,
+        (epoch, number): (Epoch, InstructionNumber),
         drains: IndexMap<WorkerId, DrainMode>,
         now: Timestamp,
     ) -> bool {
-        let is_accepted = self.accept_fleet(epoch);
-        if is_accepted {
-            self.set_drains(drains);
-            self.drains_expiry = Some(now + FLEET_ABSENCE);
+        let is_overtaken = epoch == self.fleet_epoch && number < self.last_instruction;
+        if is_overtaken || !self.accept_fleet(epoch) {
+            return false;
         }
-        is_accepted
+        self.last_instruction = number;
+        self.set_drains(drains);
+        self.drains_expiry = Some(now + FLEET_ABSENCE);
+        true
     }
 
     /// Whether the fleet's owner of this epoch may say which workers to drain. Once a later one has,
--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -6,6 +6,7 @@
 //! about a VM while an order that its predecessor sent about the same VM may still take effect.
 
 mod balance;
+mod drains;
 mod listing;
 mod orders;
 mod outlook;
@@ -18,12 +19,8 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use self::{
-    listing::ListHistory,
-    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, SentCopies},
-    size::{Arrivals, SmoothedNeed},
-};
 pub use self::{
+    drains::InstructionNumber,
     orders::{
         FleetOrder, FleetRequest, ORDER_SEND_WINDOW, OrderBasis, OrderNumber, OrderOutcome,
         OrderedWorker,
@@ -31,6 +28,11 @@
     size::PoolSize,
     turns::BurstHistory,
 };
+use self::{
+    listing::ListHistory,
+    orders::{Absence, ORDER_RETRY_INTERVAL, PlannedOrder, Purpose, SentCopies},
+    size::{Arrivals, SmoothedNeed},
+};
 use super::{DrainMode, Load, Resources, WorkerId};
 use crate::{ServiceId, Span, Timestamp, VmId, ZoneId, job::WALL_CLOCK_MARGIN};
 
@@ -225,6 +227,9 @@
     load: Load,
     /// Time of the report.
     at: Timestamp,
+    /// Workers that are drained according to the report, and that each instruction since has asked to
+    /// drain.
+    drained: IndexSet<WorkerId>,
     arrivals: Arrivals,
     need: SmoothedNeed,
     /// Processor capacity that the pool needs, in thousandths of a core.
@@ -286,8 +291,8 @@
     cell_reports: IndexMap<ServiceId, CellReport>,
     /// Time of the last move of each VM.
     last_moved: IndexMap<VmId, Timestamp>,
-    /// Workers that their cells reported as drained.
-    drained_workers: IndexSet<WorkerId>,
+    /// What the cells were asked to drain.
+    asked_drains: drains::AskedDrains,
     /// Size of each pool as it was last logged.
     logged_sizes: IndexMap<ServiceId, PoolSize>,
     /// Pools and expected start times of the workers on VMs whose order was accepted.
@@ -348,7 +353,7 @@
             standby: IndexSet::new(),
             cell_reports: IndexMap::new(),
             last_moved: IndexMap::new(),
-            drained_workers: IndexSet::new(),
+            asked_drains: drains::AskedDrains::default(),
             logged_sizes: IndexMap::new(),
             expected_starts: Vec::new(),
             wall_offset_ms: wall_ms.saturating_sub(now.0),
@@ -414,7 +419,7 @@
     }
 
     /// Records the load of a cell and the drained workers among those it was asked to drain.
-    pub fn on_cell_report(
+    fn on_cell_report(
         &mut self,
         pool: &ServiceId,
         load: Load,
@@ -437,14 +442,7 @@
         }
         report.load = load;
         report.at = now;
-        let pool_workers: IndexSet<WorkerId> = self
-            .vms
-            .values()
-            .filter(|vm| vm.pool == *pool)
-            .filter_map(|vm| vm.worker.clone())
-            .collect();
-        self.drained_workers.retain(|worker| !pool_workers.contains(worker));
-        self.drained_workers.extend(drained);
+        report.drained = drained.into_iter().collect();
     }
 
     /// Returns the workers that each cell must drain.
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -287,7 +287,6 @@
     // A list from before the end of the doubt, and one from after it.
     fleet.set_vms(fleet_vms(), false, Timestamp(3_300));
     plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_300));
-    fleet.drained_workers.insert(worker(2));
     fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(3_300));
 
     let early = sent_once_drained(&mut fleet, &[], Timestamp(3_400));
--- a/crates/standins/tests/fleet/owner.rs
+++ b/crates/standins/tests/fleet/owner.rs
@@ -4,8 +4,8 @@
 use teaselgap_core::{
     ServiceId, Span, Timestamp,
     job::{
-        Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, Load, ORDER_SEND_WINDOW,
-        OrderOutcome, Wave, WorkerId,
+        Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, InstructionNumber, Load,
+        ORDER_SEND_WINDOW, OrderOutcome, Wave, WorkerId,
     },
 };
 
@@ -38,6 +38,7 @@
 /// An instruction to a cell.
 #[derive(Debug)]
 struct Instruction {
+    number: InstructionNumber,
     cell: ServiceId,
     drains: Drains,
     arrives: Option<Timestamp>,
@@ -158,15 +159,17 @@
         let mut drains = self.fleet.drain_requests(now);
         let is_late = world.troubles.contains(&Trouble::LateReports);
         let is_silent = world.troubles.contains(&Trouble::SilentCells);
-        let draw = &mut self.draw;
+        let (draw, fleet) = (&mut self.draw, &mut self.fleet);
         let instructions = world.cells.names().into_iter().map(|cell| {
             let most = if is_late { INSTRUCTION_TIMEOUT.0 / 2 } else { 10 };
             let arrives = now + draw.span(1, most);
             let answered = arrives + draw.span(1, most);
             let arrives = (!is_silent || draw.happens(50)).then_some(arrives);
             let answered = (!is_silent || draw.happens(30)).then_some(answered);
+            let drains = drains.shift_remove(&cell).unwrap_or_default();
             Instruction {
-                drains: drains.shift_remove(&cell).unwrap_or_default(),
+                number: fleet.on_instruction(&cell, &drains),
+                drains,
                 cell,
                 arrives,
                 answered: answered.filter(|_| arrives.is_some()),
@@ -187,7 +190,7 @@
         now: Timestamp,
     ) -> Phase {
         instructions.retain_mut(|instruction| {
-            let Instruction { cell, drains, arrives, answered, ends, report } = instruction;
+            let Instruction { number, cell, drains, arrives, answered, ends, report } = instruction;
             if arrives.is_some_and(|at| at <= now) {
                 *arrives = None;
                 *report = Some(world.cells.instruct(cell, self.epoch, drains.clone(), now));
@@ -195,7 +198,7 @@
             if answered.is_some_and(|at| at <= now)
                 && let Some((load, drained)) = report.take()
             {
-                self.fleet.on_cell_report(cell, load, drained, now);
+                self.fleet.on_instruction_answered(cell, *number, (load, drained), now);
                 return false;
             }
             now < *ends
@@ -204,8 +207,7 @@
             return Phase::Instructs(instructions, others, started);
         }
         for (pool, drains) in others {
-            let drained = drains.into_keys().collect();
-            self.fleet.on_cell_report(&pool, Load::default(), drained, started);
+            self.fleet.on_pool_without_cell(&pool, drains, started);
         }
         self.tick(world, now);
         Phase::Pauses(now + TICK_INTERVAL)
