--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -418,6 +418,40 @@
     assert!(!fleet.planned_orders.contains_key(&vm_id(2)));
 }
 
+#[test]
+fn an_accepted_move_of_a_vm_that_one_list_lacked_is_ordered_again() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(fleet_vms()[..2].to_vec(), false, Timestamp(1_200));
+    let unlisted = sent_once_drained(&mut fleet, &[], Timestamp(1_200));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_250));
+    plan(&mut fleet, 2, Purpose::Move(pool("desk")), Timestamp(1_260));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_300));
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    let arrived = sent_once_drained(&mut fleet, &[2], Timestamp(3_010));
+
+    assert_eq!(vms_of(&unlisted), []);
+    assert_eq!(vms_of(&arrived), []);
+}
+
+#[test]
+fn a_vm_down_for_maintenance_counts_as_moving_once_its_last_move_is_accepted() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[1, 2], 1)]);
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_000));
+    plan(&mut fleet, 1, Purpose::Maintain(1), Timestamp(3_000));
+    let first = sent_once_drained(&mut fleet, &[1, 2], Timestamp(3_200));
+    assert_eq!(vms_of(&first), [vm_id(2)]);
+    answer(&mut fleet, &first[0], OrderOutcome::Accepted, Timestamp(3_250));
+    fleet.set_vms(fleet_vms()[..2].to_vec(), false, Timestamp(3_300));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(3_350));
+    let second = sent_once_drained(&mut fleet, &[1], Timestamp(3_400));
+
+    assert_eq!(vms_of(&second), []);
+}
+
 #[test]
 fn the_number_of_an_order_can_be_read_from_its_text() {
     let (_, order) = fleet_with_sent_move();
