A late accepted move leaves no like plan and no gap in the count of VMs that are down

Cause: on_accepted_order dropped the plan of the same maintenance, but not of the same move, and its absence replaced one for maintenance. Change: a plan that asks for what is accepted is dropped, whatever it is; a move's absence doesn't replace that of maintenance.

--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -377,7 +377,8 @@
 
     /// Records that the platform carries out an order, or has done so before.
     fn on_accepted_order(&mut self, copy: SentCopy, now: Timestamp) {
-        if self.is_planned(&copy) {
+        // An order of a later plan that asks for the same has nothing left to ask for.
+        if self.planned_request(&copy.vm) == Some(&copy.request) {
             self.planned_orders.shift_remove(&copy.vm);
         }
         let SentCopy { vm: vm_id, request, pool: former_pool, worker, sent_at, .. } = copy;
@@ -387,10 +388,6 @@
         }
         match request {
             FleetRequest::Maintain(wave) => {
-                let is_same = |planned: &PlannedOrder| planned.purpose == request;
-                if self.planned_orders.get(&vm_id).is_some_and(is_same) {
-                    self.planned_orders.shift_remove(&vm_id);
-                }
                 self.sent_copies.close_all(&vm_id, &request);
                 self.record.begun.entry(wave).or_default().insert(vm_id.clone());
                 self.expect_worker(vm_id, former_pool, true, now);
@@ -419,6 +416,11 @@
             if is_maintenance { self.cfg.maintenance_duration } else { self.cfg.move_duration };
         self.expected_starts.push((pool, now + duration));
         let until = now + duration + ORDER_RETRY_INTERVAL;
-        self.absences.insert(vm_id, Absence { until, is_maintenance });
+        // A VM that is down for maintenance stays so, whatever an earlier order has done.
+        let is_down_at = |absence: &Absence| absence.is_maintenance && now < absence.until;
+        let is_down = self.absences.get(&vm_id).is_some_and(is_down_at);
+        if is_maintenance || !is_down {
+            self.absences.insert(vm_id, Absence { until, is_maintenance });
+        }
     }
 }
