--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -314,6 +314,26 @@
     assert_eq!(vms_of(&closed), [vm_id(2)]);
 }
 
+#[test]
+fn a_wave_that_takes_over_a_move_takes_its_open_copy_for_one_of_the_maintenance() {
+    let (mut fleet, first) = fleet_with_sent_move();
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    let again = sent_once_drained(&mut fleet, &[], Timestamp(3_000));
+    answer(&mut fleet, &again[0], OrderOutcome::Busy, Timestamp(3_100));
+    // No list is asked for until the doubt ends, so that the VM needs a report to count as drained.
+    fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(3_600));
+    fleet.waves.insert(1, wave(&[2], 1));
+
+    let early = fleet.take_due_orders(Timestamp(3_600));
+    let is_taken_over = fleet.planned_orders[&vm_id(2)].purpose == Purpose::Maintain(1);
+    fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(5_500));
+    let late = fleet.take_due_orders(Timestamp(5_500));
+
+    assert_eq!(early, []);
+    assert!(is_taken_over);
+    assert_eq!(vms_of(&late), [vm_id(2)]);
+}
+
 #[test]
 fn a_wave_under_a_slow_api_waits_for_the_answer_to_a_finished_move() {
     let (mut fleet, _) = fleet_with_sent_move();
