--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -313,6 +313,26 @@
     assert_eq!(vms_of(&closed), [vm_id(2)]);
 }
 
+#[test]
+fn a_wave_that_takes_over_a_move_takes_its_open_copy_for_one_of_the_maintenance() {
+    let (mut fleet, first) = fleet_with_sent_move();
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    let again = sent_once_drained(&mut fleet, &[], Timestamp(3_000));
+    answer(&mut fleet, &again[0], OrderOutcome::Busy, Timestamp(3_100));
+    // No list is asked for until the doubt ends, so that the VM needs a report to count as drained.
+    fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(3_600));
+    fleet.waves.insert(1, wave(&[2], 1));
+
+    let early = fleet.take_due_orders(Timestamp(3_600));
+    let is_taken_over = fleet.planned_orders[&vm_id(2)].purpose == Purpose::Maintain(1);
+    fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(5_500));
+    let late = fleet.take_due_orders(Timestamp(5_500));
+
+    assert_eq!(early, []);
+    assert!(is_taken_over);
+    assert_eq!(vms_of(&late), [vm_id(2)]);
+}
+
 #[test]
 fn a_wave_under_a_slow_api_waits_for_the_answer_to_a_finished_move() {
     let (mut fleet, _) = fleet_with_sent_move();
@@ -417,6 +437,40 @@
     assert!(!fleet.planned_orders.contains_key(&vm_id(2)));
 }
 
+#[test]
+fn an_accepted_move_of_a_vm_that_one_list_lacked_is_ordered_again() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(fleet_vms()[..2].to_vec(), false, Timestamp(1_200));
+    let unlisted = sent_once_drained(&mut fleet, &[], Timestamp(1_200));
+    fleet.set_vms(fleet_vms(), false, Timestamp(1_250));
+    plan(&mut fleet, 2, Purpose::Move(pool("desk")), Timestamp(1_260));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_300));
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    let arrived = sent_once_drained(&mut fleet, &[2], Timestamp(3_010));
+
+    assert_eq!(vms_of(&unlisted), []);
+    assert_eq!(vms_of(&arrived), []);
+}
+
+#[test]
+fn a_vm_down_for_maintenance_counts_as_moving_once_its_last_move_is_accepted() {
+    let (mut fleet, order) = fleet_with_sent_move();
+    fleet.set_vms(vms_after_move(), false, Timestamp(3_000));
+    fleet.add_waves(vec![wave(&[1, 2], 1)]);
+    plan(&mut fleet, 2, Purpose::Maintain(1), Timestamp(3_000));
+    plan(&mut fleet, 1, Purpose::Maintain(1), Timestamp(3_000));
+    let first = sent_once_drained(&mut fleet, &[1, 2], Timestamp(3_200));
+    assert_eq!(vms_of(&first), [vm_id(2)]);
+    answer(&mut fleet, &first[0], OrderOutcome::Accepted, Timestamp(3_250));
+    fleet.set_vms(fleet_vms()[..2].to_vec(), false, Timestamp(3_300));
+
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(3_350));
+    let second = sent_once_drained(&mut fleet, &[1], Timestamp(3_400));
+
+    assert_eq!(vms_of(&second), []);
+}
+
 #[test]
 fn the_number_of_an_order_can_be_read_from_its_text() {
     let (_, order) = fleet_with_sent_move();
