--- a/crates/core/src/job/fleet/wave/tests/listing.rs
+++ b/crates/core/src/job/fleet/wave/tests/listing.rs
@@ -1,5 +1,7 @@
 //! Waves whose VMs are missing from lists of the platform.
 
+use proptest::prelude::*;
+
 use super::*;
 
 /// Waits for VMs that lists lack: the fewest lists, and the least time from the first to the last.
@@ -301,3 +303,78 @@
     let said: Vec<ReopenedWave> = actions.into_iter().filter_map(said).collect();
     assert_eq!(said, [ReopenedWave { wave: 1, pending: 1, vm: Some(vm_id(0)) }]);
 }
+
+/// A list in a drawn history, and the pause before it.
+#[derive(Clone, Copy, Debug)]
+struct DrawnList {
+    pause: Span,
+    /// Whether it shows VM 0, the only one of the wave.
+    shows_vm: bool,
+    is_empty: bool,
+    has_unreadable_entries: bool,
+}
+
+impl DrawnList {
+    fn lacks_vm(&self) -> bool {
+        !self.shows_vm && !self.is_empty && !self.has_unreadable_entries
+    }
+
+    fn lists_vm(&self) -> bool {
+        self.shows_vm && !self.is_empty
+    }
+}
+
+fn drawn_list() -> impl Strategy<Value = DrawnList> {
+    let parts = (100..7_000_u64, 0..100_u32, 0..100_u32, 0..100_u32);
+    parts.prop_map(|(pause_ms, shown, empty, unreadable)| DrawnList {
+        pause: Span(pause_ms),
+        shows_vm: shown < 15,
+        is_empty: empty < 5,
+        has_unreadable_entries: unreadable < 5,
+    })
+}
+
+/// Whether the latest of these lists, each with the time when it was asked for, show that VM 0 is gone.
+fn is_gone_by(lists: &[(Timestamp, DrawnList)]) -> bool {
+    let row = lists.iter().rev().take_while(|(_, list)| list.lacks_vm());
+    let asked: Vec<Timestamp> = row.map(|(asked, _)| *asked).collect();
+    match (asked.first(), asked.last()) {
+        (Some(last), Some(first)) => {
+            asked.len() as u64 >= FEWEST_LISTS && last.since(*first) >= LEAST_TIME
+        }
+        _ => false,
+    }
+}
+
+proptest! {
+    /// What is reported after each list, beside what the whole history of lists says.
+    #[test]
+    fn lists_drawn_at_random_end_a_wave_too_early_or_too_late(
+        before in prop::collection::vec(drawn_list(), 0..12),
+        after in prop::collection::vec(drawn_list(), 1..60),
+    ) {
+        let mut lists = Lists::at_start(complete_record(), 1_000);
+        let show = |lists: &mut Lists, list: &DrawnList| {
+            let vms: &[usize] = match () {
+                () if list.is_empty => &[],
+                () if list.shows_vm => &[0, 1, 2, 3],
+                () => &[1, 2, 3],
+            };
+            lists.show_after(list.pause, vms, list.has_unreadable_entries);
+        };
+        for list in &before {
+            show(&mut lists, list);
+        }
+        lists.fleet.add_waves(vec![wave_of_one()]);
+
+        let mut history = Vec::new();
+        let mut is_done = false;
+        for list in &after {
+            show(&mut lists, list);
+            history.push((lists.now, *list));
+
+            is_done = (is_done || is_gone_by(&history)) && !list.lists_vm();
+            prop_assert_eq!(lists.is_done(), is_done, "after {} lists", history.len());
+        }
+    }
+}
