--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -479,3 +479,31 @@
 
     assert_eq!(number, order.number());
 }
+
+/// The list names the worker that the maintenance has ended, and its cell, which has no such worker any more,
+/// takes it for drained.
+#[test]
+fn an_order_rests_on_a_list_that_is_older_than_the_last_order_about_its_vm() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0]);
+    answer(&mut fleet, &order, OrderOutcome::Accepted, Timestamp(1_100));
+    fleet.add_waves(vec![Wave { number: 2, ..wave(&[0], 1) }]);
+    plan(&mut fleet, 0, Purpose::Maintain(2), Timestamp(3_600));
+
+    let on_old_list = sent_once_drained(&mut fleet, &[0], Timestamp(3_800));
+    fleet.set_vms(fleet_vms(), false, Timestamp(4_000));
+    let on_new_list = sent_once_drained(&mut fleet, &[0], Timestamp(4_100));
+
+    assert_eq!(vms_of(&on_old_list), []);
+    assert_eq!(vms_of(&on_new_list), [vm_id(0)]);
+}
+
+/// A refusal changes nothing about the VM, so that no list has to show it.
+#[test]
+fn a_refused_order_waits_for_a_new_list() {
+    let (mut fleet, order) = fleet_with_sent_maintenance(&[0]);
+    answer(&mut fleet, &order, OrderOutcome::Busy, Timestamp(1_100));
+
+    let again = sent_once_drained(&mut fleet, &[0], Timestamp(1_600));
+
+    assert_eq!(vms_of(&again), [vm_id(0)]);
+}
