An order about a VM rests only on a list that shows what the orders before it have done

Cause: after maintenance or a move only a fixed time (Absence) kept the VM out of further plans. If lists fail or are slow for longer, the list names the worker that the order ended, the cell no longer has it and reports it as drained, and the next order ends the tasks of the new worker. Change: the first copy of an order waits for a list that was asked for once the VM's accepted orders were answered and its open copies closed; a list that shows a move as done suffices, also before its answer. A refusal needs no list.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -269,6 +269,9 @@
     /// VMs whose latest order the platform's list may not show, and the time from which on a list must
     /// be asked for to show it for certain.
     unlisted_orders: IndexMap<VmId, Timestamp>,
+    /// VMs that an order has changed, or may have if it was the previous owner's, and the time from which on a
+    /// list must be asked for to show that.
+    changed_vms: IndexMap<VmId, Timestamp>,
     vms: IndexMap<VmId, Vm>,
     /// When the platform's latest list was asked for.
     vms_asked: Option<Timestamp>,
@@ -333,6 +336,7 @@
         let ordered_at = vm_not_before.keys().map(|vm_id| (vm_id.clone(), now)).collect();
         let stopped_workers = workers_of_predecessor(&record, &vm_not_before);
         let unlisted_orders = vm_not_before.clone();
+        let changed_vms = vm_not_before.clone();
         Self {
             cfg,
             saved: record.clone(),
@@ -341,6 +345,7 @@
             vm_not_before,
             ordered_at,
             unlisted_orders,
+            changed_vms,
             vms: IndexMap::new(),
             vms_asked: None,
             list_history: ListHistory::default(),
@@ -393,6 +398,7 @@
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
         self.vms_asked = Some(asked);
         self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
+        self.changed_vms.retain(|_, listed_from| asked < *listed_from);
         let vms: IndexMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         self.log_listing_changes(&vms);
         self.list_history.add(&self.vms, &vms, has_unreadable_entries, asked);
--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -190,6 +190,15 @@
         (planned.is_in_flight && asks_for_outcome) || self.is_drained(vm, now)
     }
 
+    /// Whether the latest list shows what the orders about a VM have done, and thus the worker that is on it. A
+    /// list that shows a move as done does so before the answer comes.
+    fn is_shown(&self, vm_id: &VmId) -> bool {
+        let is_shown = |copy: &SentCopy| {
+            self.is_done(copy) || self.vms_asked.is_some_and(|asked| asked >= copy.open_until())
+        };
+        !self.changed_vms.contains_key(vm_id) && self.sent_copies.of_vm(vm_id).all(is_shown)
+    }
+
     /// Whether a copy that was sent for another plan about the VM may still change what this order finds or
     /// leaves. One whose VM is listed in the pool that it asks for only asks for what is done.
     fn is_held_back(&self, vm_id: &VmId, planned: &PlannedOrder, now: Timestamp) -> bool {
@@ -284,7 +293,9 @@
                 };
             }
             let planned = &self.planned_orders[&vm_id];
-            if self.is_held_back(&vm_id, planned, now) {
+            // Copies of one order change nothing beyond what the first of them did.
+            let may_rest_on_list = planned.is_in_flight || self.is_shown(&vm_id);
+            if !may_rest_on_list || self.is_held_back(&vm_id, planned, now) {
                 continue;
             }
             match &planned.purpose {
@@ -390,6 +401,7 @@
             FleetRequest::Maintain(wave) => {
                 self.sent_copies.close_all(&vm_id, &request);
                 self.record.begun.entry(wave).or_default().insert(vm_id.clone());
+                self.changed_vms.insert(vm_id.clone(), now);
                 self.expect_worker(vm_id, former_pool, true, now);
             }
             FleetRequest::Move(pool) => {
@@ -397,6 +409,7 @@
                     self.last_moved.insert(vm_id, now);
                 } else {
                     self.record_move(&vm_id, pool.clone(), now);
+                    self.changed_vms.insert(vm_id.clone(), now);
                     self.expect_worker(vm_id, pool, false, now);
                 }
             }
--- a/crates/core/src/job/fleet/orders/copies.rs
+++ b/crates/core/src/job/fleet/orders/copies.rs
@@ -93,7 +93,7 @@
 
 impl SentCopy {
     /// The time from which on the copy can't take effect any more.
-    fn open_until(&self) -> Timestamp {
+    pub(super) fn open_until(&self) -> Timestamp {
         match self.answer {
             Answer::ToCome => Timestamp(u64::MAX),
             Answer::Missing(open_until) => open_until,
@@ -203,16 +203,14 @@
         self.of_vm(vm_id).any(SentCopy::is_maintenance)
     }
 
-    /// Forgets the copies that can't take effect any more. Maintenance may have begun at the last moment, so
-    /// its copies are kept until a list shows the VM for certain; `unlisted` are the VMs of which none does.
+    /// Forgets the copies that can't take effect any more. One may have done so at the last moment, so they are
+    /// kept until a list shows the VM for certain; `unlisted` are the VMs of which none does.
     pub(in crate::job::fleet) fn forget_closed(
         &mut self,
         unlisted: &IndexMap<VmId, Timestamp>,
         now: Timestamp,
     ) {
-        self.copies.retain(|_, copy| {
-            copy.is_open(now) || (copy.is_maintenance() && unlisted.contains_key(&copy.vm))
-        });
+        self.copies.retain(|_, copy| copy.is_open(now) || unlisted.contains_key(&copy.vm));
     }
 
     /// Forgets the copies of a plan that can't take effect any more, but for the last one: while the
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -326,11 +326,14 @@
     let early = fleet.take_due_orders(Timestamp(3_600));
     let is_taken_over = fleet.planned_orders[&vm_id(2)].purpose == Purpose::Maintain(1);
     fleet.on_cell_report(&pool("spare"), Load::default(), vec![worker(2)], Timestamp(5_500));
-    let late = fleet.take_due_orders(Timestamp(5_500));
+    let on_old_list = fleet.take_due_orders(Timestamp(5_500));
+    fleet.set_vms(fleet_vms(), false, Timestamp(5_500));
+    let on_new_list = fleet.take_due_orders(Timestamp(5_500));
 
     assert_eq!(early, []);
     assert!(is_taken_over);
-    assert_eq!(vms_of(&late), [vm_id(2)]);
+    assert_eq!(on_old_list, []);
+    assert_eq!(vms_of(&on_new_list), [vm_id(2)]);
 }
 
 #[test]
