Maintenance that an earlier owner ordered counts as down until a list shows its VM

Cause: the order of the earlier owner counted until the takeover pause ended, while the latest list had been read before the order took effect: another VM of the wave was ordered beside it (LIMIT).

--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -376,10 +376,13 @@
         self.actions.extend(changes);
     }
 
-    /// Whether maintenance of a VM that the previous owner ordered may still begin.
-    fn may_be_down_for_predecessor(&self, vm_id: &VmId, now: Timestamp) -> bool {
+    /// Whether maintenance of a VM that the previous owner ordered may still begin, or may have begun since the
+    /// latest list was asked for.
+    fn may_be_down_for_predecessor(&self, vm_id: &VmId) -> bool {
+        let is_unlisted =
+            |from: &Timestamp| self.vms_asked.is_none_or(|asked| asked < *from);
         self.record.maintained.contains(vm_id)
-            && self.vm_not_before.get(vm_id).is_some_and(|from| now < *from)
+            && self.vm_not_before.get(vm_id).is_some_and(is_unlisted)
     }
 
     /// Whether a VM is down for maintenance, or may be because of an order of this owner or of its
@@ -389,7 +392,7 @@
             || self.absences.get(vm_id).is_some_and(|absence| absence.is_maintenance)
             || self.planned_orders.get(vm_id).is_some_and(PlannedOrder::may_be_maintained)
             || self.sent_copies.may_be_maintained(vm_id)
-            || self.may_be_down_for_predecessor(vm_id, now)
+            || self.may_be_down_for_predecessor(vm_id)
     }
 
     /// Returns the number of VMs of a wave that are down for maintenance, or may be.
