--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -379,8 +379,7 @@
     /// Whether maintenance of a VM that the previous owner ordered may still begin, or may have begun since the
     /// latest list was asked for.
     fn may_be_down_for_predecessor(&self, vm_id: &VmId) -> bool {
-        let is_unlisted =
-            |from: &Timestamp| self.vms_asked.is_none_or(|asked| asked < *from);
+        let is_unlisted = |from: &Timestamp| self.vms_asked.is_none_or(|asked| asked < *from);
         self.record.maintained.contains(vm_id)
             && self.vm_not_before.get(vm_id).is_some_and(is_unlisted)
     }
