--- a/crates/standins/tests/fleet/cell.rs
+++ b/crates/standins/tests/fleet/cell.rs
@@ -87,8 +87,8 @@
             if cell.drains_expiry <= now {
                 cell.drains.clear();
             }
-            let of_pool = platform.machines.values().filter(|machine| machine.vm.pool == *name);
-            cell.workers = of_pool.filter_map(|machine| machine.vm.worker.clone()).collect();
+            let of_pool = platform.vms.values().filter(|present| present.vm.pool == *name);
+            cell.workers = of_pool.filter_map(|present| present.vm.worker.clone()).collect();
             let chance = if cell.is_in_burst { 60 } else { 10 };
             for worker in &cell.workers {
                 let is_free = !cell.drains.contains_key(worker) && !self.runs.contains_key(worker);
--- a/crates/standins/tests/fleet/history.rs
+++ b/crates/standins/tests/fleet/history.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use teaselgap_core::{ServiceId, Span, VmId};
 
-/// The time in which trouble begins, in milliseconds.
+/// The time within which all events and troubles of a history begin, in milliseconds.
 const TROUBLED_MS: u64 = 20_000;
 
 /// The longest time for which a VM may be missing from the platform's lists, in milliseconds.
--- a/crates/standins/tests/fleet/judge.rs
+++ b/crates/standins/tests/fleet/judge.rs
@@ -77,7 +77,7 @@
         platform: &'a Platform,
     ) -> impl Iterator<Item = &'a VmId> {
         let begun = |id: &VmId| self.begun.contains(&(wave.number, id.clone()));
-        wave.vms.iter().filter(move |id| platform.machines.contains_key(*id) && !begun(id))
+        wave.vms.iter().filter(move |id| platform.vms.contains_key(*id) && !begun(id))
     }
 
     pub(crate) fn on_effect(
@@ -100,8 +100,8 @@
         };
         self.begun.insert((number, vm.clone()));
         let is_down = |id: &&VmId| {
-            platform.machines.get(*id).is_some_and(|machine| {
-                machine.vm.state == VmState::Maintenance && machine.wave == Some(number)
+            platform.vms.get(*id).is_some_and(|present| {
+                present.vm.state == VmState::Maintenance && present.wave == Some(number)
             })
         };
         for wave in waves.iter().filter(|wave| wave.number == number) {
@@ -127,7 +127,7 @@
         self.told.insert(number, finished);
         for wave in waves.iter().filter(|wave| finished && wave.number == number) {
             let open = self.open(wave, platform);
-            let since = open.map(|id| (id.clone(), platform.machines[id].since));
+            let since = open.map(|id| (id.clone(), platform.vms[id].since));
             let settled: Vec<_> = since.filter(|(_, at)| *at + LISTED_FOR <= now).collect();
             let suspects = settled.into_iter().map(|(id, since)| (number, id, since, now));
             self.suspects.extend(suspects);
@@ -159,7 +159,7 @@
     /// Ends the history and returns all faults.
     pub(crate) fn finish(mut self, waves: &[Wave], platform: &Platform) -> Vec<(Rule, String)> {
         for (wave, id, since, at) in std::mem::take(&mut self.suspects) {
-            let stays = platform.machines.get(&id).is_some_and(|machine| machine.since == since);
+            let stays = platform.vms.get(&id).is_some_and(|present| present.since == since);
             if stays {
                 let fault =
                     format!("wave {wave} is said to be done at {}; {id} hasn't begun", at.0);
--- a/crates/standins/tests/fleet/platform.rs
+++ b/crates/standins/tests/fleet/platform.rs
@@ -31,7 +31,7 @@
 
 /// A VM as it is.
 #[derive(Clone, Debug)]
-pub(crate) struct Machine {
+pub(crate) struct PlatformVm {
     pub(crate) vm: Vm,
     /// Since when the platform has had it.
     pub(crate) since: Timestamp,
@@ -90,7 +90,7 @@
 /// The platform's VMs, and the calls on their way to it and back.
 #[derive(Debug)]
 pub(crate) struct Platform {
-    pub(crate) machines: IndexMap<VmId, Machine>,
+    pub(crate) vms: IndexMap<VmId, PlatformVm>,
     /// All VMs that have ever been there, in the order of the lists.
     order: IndexSet<VmId>,
     begun: IndexSet<(u64, VmId)>,
@@ -107,7 +107,7 @@
 impl Platform {
     pub(crate) fn new(is_fencing: bool, draw: Draw) -> Self {
         Self {
-            machines: IndexMap::new(),
+            vms: IndexMap::new(),
             order: IndexSet::new(),
             begun: IndexSet::new(),
             sent: Vec::new(),
@@ -132,16 +132,16 @@
 
     /// Adds a VM, unless it is there.
     pub(crate) fn join(&mut self, id: &VmId, to: ServiceId, now: Timestamp) {
-        if self.machines.contains_key(id) {
+        if self.vms.contains_key(id) {
             return;
         }
         let worker = self.new_worker(&to);
         let capacity = Resources { cpu_milli: VM_CPU_MILLI, memory_mb: 131_072, gpus: 0 };
         let zone = "tartu".parse().unwrap();
         let vm = Vm { id: id.clone(), pool: to, state: VmState::Up, zone, capacity, worker };
-        let machine = Machine { vm, since: now, until: now, wave: None, token: 0 };
+        let present = PlatformVm { vm, since: now, until: now, wave: None, token: 0 };
         self.order.insert(id.clone());
-        self.machines.insert(id.clone(), machine);
+        self.vms.insert(id.clone(), present);
     }
 
     /// Takes a VM away, and returns its worker. Orders under way to it end with it: no owner could know that the VM which
@@ -150,18 +150,18 @@
         for sent in self.sent.iter_mut().filter(|sent| sent.order.vm() == id) {
             sent.executed_at = now;
         }
-        self.machines.shift_remove(id)?.vm.worker
+        self.vms.shift_remove(id)?.vm.worker
     }
 
     /// Lets a VM that is up crash, and returns its worker.
     pub(crate) fn crash(&mut self, id: &VmId, until: Timestamp) -> Option<WorkerId> {
-        let machine = self.machines.get_mut(id)?;
-        if machine.vm.state != VmState::Up {
+        let present = self.vms.get_mut(id)?;
+        if present.vm.state != VmState::Up {
             return None;
         }
-        machine.vm.state = VmState::Down;
-        machine.until = until;
-        machine.vm.worker.take()
+        present.vm.state = VmState::Down;
+        present.until = until;
+        present.vm.worker.take()
     }
 
     /// Takes an order, and returns the number of the call.
@@ -202,20 +202,20 @@
 
     /// Carries out what is due, and returns the answers that arrive.
     pub(crate) fn step(&mut self, now: Timestamp) -> Vec<Answer> {
-        let ended = |machine: &Machine| machine.vm.state != VmState::Up && machine.until <= now;
+        let ended = |present: &PlatformVm| present.vm.state != VmState::Up && present.until <= now;
         let ended: Vec<VmId> = self
-            .machines
+            .vms
             .iter()
-            .filter(|(_, machine)| ended(machine))
+            .filter(|(_, present)| ended(present))
             .map(|(id, _)| id.clone())
             .collect();
         for id in ended {
-            let to = self.machines[&id].vm.pool.clone();
+            let to = self.vms[&id].vm.pool.clone();
             let worker = self.new_worker(&to);
-            let machine = &mut self.machines[&id];
-            machine.vm.state = VmState::Up;
-            machine.vm.worker = worker;
-            machine.wave = None;
+            let present = &mut self.vms[&id];
+            present.vm.state = VmState::Up;
+            present.vm.worker = worker;
+            present.wave = None;
         }
         let (due, sent): (Vec<_>, Vec<_>) = std::mem::take(&mut self.sent)
             .into_iter()
@@ -239,35 +239,35 @@
     /// or `wave`"; "The call also returns 200 if the operation is already done".
     fn execute(&mut self, sent: &Sent, now: Timestamp) -> OrderOutcome {
         let (id, request) = parts(&sent.order);
-        let Some(machine) = self.machines.get_mut(&id) else {
+        let Some(present) = self.vms.get_mut(&id) else {
             return OrderOutcome::Invalid;
         };
-        if self.is_fencing && sent.token < machine.token {
+        if self.is_fencing && sent.token < present.token {
             return OrderOutcome::Busy;
         }
-        machine.token = machine.token.max(sent.token);
+        present.token = present.token.max(sent.token);
         let is_done = match &request {
-            Request::Move(to) => machine.vm.pool == *to,
+            Request::Move(to) => present.vm.pool == *to,
             Request::Maintain(wave) => self.begun.contains(&(*wave, id.clone())),
         };
         if is_done {
             return OrderOutcome::Accepted;
         }
-        if machine.vm.state != VmState::Up {
+        if present.vm.state != VmState::Up {
             return OrderOutcome::Busy;
         }
-        let worker = machine.vm.worker.take();
+        let worker = present.vm.worker.take();
         match &request {
             Request::Move(to) => {
-                machine.vm.pool = to.clone();
-                machine.vm.state = VmState::Moving;
-                machine.until = now + MOVE;
+                present.vm.pool = to.clone();
+                present.vm.state = VmState::Moving;
+                present.until = now + MOVE;
             }
             Request::Maintain(wave) => {
                 self.begun.insert((*wave, id.clone()));
-                machine.wave = Some(*wave);
-                machine.vm.state = VmState::Maintenance;
-                machine.until = now + MAINTENANCE;
+                present.wave = Some(*wave);
+                present.vm.state = VmState::Maintenance;
+                present.until = now + MAINTENANCE;
             }
         }
         self.effects.push(Effect { vm: id, request, worker });
@@ -319,13 +319,13 @@
             let on_page = on_page.filter(|(place, _)| place * pages / self.order.len() == page);
             for (_, id) in on_page {
                 let number = id.as_str()[1..].parse().unwrap_or(0);
-                let Some(machine) = self.machines.get(id).filter(|_| !is_missing(number)) else {
+                let Some(present) = self.vms.get(id).filter(|_| !is_missing(number)) else {
                     continue;
                 };
                 if self.troubles.contains(&Trouble::UnreadableEntries) && self.draw.happens(20) {
                     list.has_unreadable = true;
                 } else {
-                    list.vms.push(machine.vm.clone());
+                    list.vms.push(present.vm.clone());
                 }
             }
         }
