--- a/crates/standins/tests/fleet/history.rs
+++ b/crates/standins/tests/fleet/history.rs
@@ -164,11 +164,16 @@
 }
 
 impl History {
-    /// When the last wave is asked for and has its deadline, and all trouble is over.
+    /// When the last wave is asked for, and all trouble is over.
     pub(crate) fn quiet_from(&self) -> Span {
         let ends = self.troubles.iter().map(|(at, length, _)| at.0 + length.0);
+        Span(ends.max().unwrap_or_default().max(TROUBLED_MS + LONGEST_AWAY_MS))
+    }
+
+    /// The last deadline of a wave.
+    pub(crate) fn last_deadline(&self) -> Span {
         let deadlines = self.waves.iter().map(|(at, wave)| at.0 + wave.duration.0);
-        Span(ends.chain(deadlines).max().unwrap_or_default().max(TROUBLED_MS + LONGEST_AWAY_MS))
+        Span(deadlines.max().unwrap_or_default())
     }
 }
 
--- a/crates/standins/tests/fleet/play.rs
+++ b/crates/standins/tests/fleet/play.rs
@@ -96,7 +96,7 @@
         returns: Vec::new(),
     };
     let quiet = history.quiet_from();
-    let end = START + quiet + longest_end(history);
+    let end = START + quiet.max(history.last_deadline()) + longest_end(history);
     let mut now = START;
     while now < end && !(now > START + quiet && play.judge.all_done(&play.waves)) {
         play.step(now);
