--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -510,3 +510,49 @@
 
     assert_eq!(vms_of(&again), [vm_id(0)]);
 }
+
+/// A refusal changes nothing about the VM, and each copy asks for the same, so that the next one need not wait until
+/// the first, which got no answer, can't take effect any more.
+#[test]
+fn maintenance_waits_for_the_end_of_its_own_unanswered_copy_once_another_is_refused() {
+    let (mut fleet, first) = fleet_with_sent_maintenance(&[0]);
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    let again = sent_once_drained(&mut fleet, &[0], Timestamp(3_000));
+    answer(&mut fleet, &again[0], OrderOutcome::Busy, Timestamp(3_100));
+    fleet.set_vms(fleet_vms(), false, Timestamp(3_400));
+
+    let third = sent_once_drained(&mut fleet, &[0], Timestamp(3_600));
+
+    assert_eq!(vms_of(&third), [vm_id(0)]);
+}
+
+/// Guards against more VMs down than the wave allows: the maintenance may begin at the last moment, and no list shows
+/// the VM for a while.
+#[test]
+fn a_vm_that_lists_lack_does_not_count_as_down_once_its_unanswered_maintenance_is_over() {
+    let (mut fleet, first) = fleet_with_sent_maintenance(&[0, 1]);
+    fleet.set_vms(fleet_vms()[1..].to_vec(), false, Timestamp(1_200));
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+
+    // The order may take effect until 5,500 ms, and the VM is down for 2,000 ms then.
+    fleet.set_vms(fleet_vms()[1..].to_vec(), false, Timestamp(5_600));
+    let sent = sent_once_drained(&mut fleet, &[1], Timestamp(5_700));
+
+    assert_eq!(vms_of(&sent), []);
+}
+
+/// Guards against an order that ends tasks: the VM has another worker than when the previous owner sent the order.
+#[test]
+fn a_worker_is_not_drained_that_has_begun_while_an_order_of_the_previous_owner_may_stop_it() {
+    let (fleet, _) = fleet_with_sent_maintenance(&[0]);
+    let record = fleet.record.clone();
+
+    let mut next = Fleet::new(config(), record, (Timestamp(2_000), 2_000));
+    let restarted = Vm { worker: Some(worker(9)), ..vm(0, &pool("desk")) };
+    next.set_vms(vec![restarted], false, Timestamp(2_000));
+    next.tick(Timestamp(2_100));
+    let drains = next.drain_requests(Timestamp(2_100));
+
+    assert!(drains[&pool("desk")].contains_key(&worker(0)));
+    assert!(drains[&pool("desk")].contains_key(&worker(9)));
+}
