--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -301,7 +301,7 @@
             match &planned.purpose {
                 Purpose::Maintain(number) => {
                     let max_down = self.waves.get(number).map_or(0, |wave| wave.max_down as usize);
-                    if !self.may_be_down(&vm_id, now) && self.down_count(*number, now) >= max_down {
+                    if !self.may_be_down(&vm_id) && self.down_count(*number) >= max_down {
                         continue;
                     }
                     self.record.maintained.insert(vm_id.clone());
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -191,7 +191,7 @@
         let draining = planned.filter(|planned| !planned.is_in_flight);
         let hard_draining = draining.clone().filter(|planned| planned.hosts_long_running).count();
         let draining = draining.count();
-        let down = self.down_count(wave.number, now);
+        let down = self.down_count(wave.number);
         let is_hard = |vm_id: &&VmId| {
             !self.planned_orders.contains_key(*vm_id) && self.is_hard_to_drain(vm_id, efforts)
         };
@@ -249,7 +249,7 @@
                 && self.pending_vms(wave).any(|pending| pending == vm_id);
             is_due && {
                 let pace = self.down_pace(wave, self.pending_vms(wave).count(), now);
-                self.down_count(wave.number, now) < pace.min(wave.max_down as usize)
+                self.down_count(wave.number) < pace.min(wave.max_down as usize)
             }
         };
         self.waves.values().find(takes_vm).map(|wave| wave.number)
@@ -386,7 +386,7 @@
 
     /// Whether a VM is down for maintenance, or may be because of an order of this owner or of its
     /// predecessor.
-    pub(super) fn may_be_down(&self, vm_id: &VmId, now: Timestamp) -> bool {
+    pub(super) fn may_be_down(&self, vm_id: &VmId) -> bool {
         self.vms.get(vm_id).is_some_and(|vm| vm.state == VmState::Maintenance)
             || self.absences.get(vm_id).is_some_and(|absence| absence.is_maintenance)
             || self.planned_orders.get(vm_id).is_some_and(PlannedOrder::may_be_maintained)
@@ -395,11 +395,11 @@
     }
 
     /// Returns the number of VMs of a wave that are down for maintenance, or may be.
-    pub(super) fn down_count(&self, number: u64, now: Timestamp) -> usize {
+    pub(super) fn down_count(&self, number: u64) -> usize {
         let Some(wave) = self.waves.get(&number) else {
             return 0;
         };
-        wave.vms.iter().filter(|vm_id| self.may_be_down(vm_id, now)).count()
+        wave.vms.iter().filter(|vm_id| self.may_be_down(vm_id)).count()
     }
 }
 
