A refused copy of an order about a VM doesn't make the next one wait for the end of the others

Cause: is_shown held an order that was refused (429, reset, a record written late) until a list asked for after lease_ms beyond the last copy without an answer, also where that copy was of the same plan. Copies of one plan ask for the same, and the VM still has to be reported as drained.

--- a/crates/core/src/job/fleet/orders.rs
+++ b/crates/core/src/job/fleet/orders.rs
@@ -191,12 +191,14 @@
     }
 
     /// Whether the latest list shows what the orders about a VM have done, and thus the worker that is on it. A
-    /// list that shows a move as done does so before the answer comes.
-    fn is_shown(&self, vm_id: &VmId) -> bool {
+    /// list that shows a move as done does so before the answer comes. Copies of this plan ask for nothing else than
+    /// the next one, also if one of them was refused.
+    fn is_shown(&self, vm_id: &VmId, planned: &PlannedOrder) -> bool {
         let is_shown = |copy: &SentCopy| {
             self.is_done(copy) || self.vms_asked.is_some_and(|asked| asked >= copy.open_until())
         };
-        !self.changed_vms.contains_key(vm_id) && self.sent_copies.of_vm(vm_id).all(is_shown)
+        let mut others = self.sent_copies.of_vm(vm_id).filter(|copy| !copy.is_of(planned));
+        !self.changed_vms.contains_key(vm_id) && others.all(is_shown)
     }
 
     /// Whether a copy that was sent for another plan about the VM may still change what this order finds or
@@ -294,7 +296,7 @@
             }
             let planned = &self.planned_orders[&vm_id];
             // Copies of one order change nothing beyond what the first of them did.
-            let may_rest_on_list = planned.is_in_flight || self.is_shown(&vm_id);
+            let may_rest_on_list = planned.is_in_flight || self.is_shown(&vm_id, planned);
             if !may_rest_on_list || self.is_held_back(&vm_id, planned, now) {
                 continue;
             }
