A worker counts as gone only once a later list lacks it, too

Cause: missing_since was set by one complete list, and 2 s later the worker counted as gone, whether or not a list had been read since. Entries that expire in a short outage which no reading notices are missing from one list; in a longer outage right after it no worker got tasks, and waits for workers that seemed gone ended early.

Change: the last complete list that lacks the entry must be more than 2 s younger than the first. Price: up to one reading (0.5 s) more until a worker that has left counts as gone.

The fixture closed_wait of worker::tests says since when and until when the entry is missing, as the state has both.

--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -89,6 +89,7 @@
         worker.times_logged = old.times_logged;
         worker.drain = old.drain;
         worker.missing_since = old.missing_since;
+        worker.missing_until = old.missing_until;
         worker.record_restart(old, now);
         Self::update_stays_until(&mut worker, now);
         let mut old = std::mem::replace(old, worker);
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -43,7 +43,11 @@
         let mut listed: IndexMap<WorkerId, WorkerEntry> =
             entries.into_iter().map(|entry| (entry.id.clone(), entry)).collect();
         for worker in self.workers.values_mut().filter(|_| is_complete) {
-            if !listed.contains_key(&worker.entry.id) && worker.missing_since.is_none() {
+            if listed.contains_key(&worker.entry.id) {
+                continue;
+            }
+            worker.missing_until = now;
+            if worker.missing_since.is_none() {
                 worker.missing_since = Some(now);
                 let (worker, runs) = (worker.entry.id.clone(), worker.runs.len());
                 self.actions.push(Action::Log(LogEvent::Worker {
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -118,6 +118,8 @@
     pub(super) known_since: Timestamp,
     /// Since when its entry has been missing from the store.
     pub(super) missing_since: Option<Timestamp>,
+    /// When the last complete list was read that lacks its entry.
+    pub(super) missing_until: Timestamp,
     /// Time until which a draining worker certainly stays.
     pub(super) stays_until: Option<Timestamp>,
     /// Whether the worker has answered a hold in this term, and so has listed its runs and rejects
@@ -245,6 +247,7 @@
             known_since: now,
             entry,
             missing_since: None,
+            missing_until: Timestamp(0),
             stays_until: None,
             is_adopted: false,
             has_listed_all: false,
@@ -471,9 +474,11 @@
         self.unanswered_renewal = self.unanswered_renewal.max(may_have_renewed.then_some(sent));
     }
 
-    /// Whether the worker's entry has been missing from the store for so long that it counts as gone.
+    /// Whether the worker's entry has been missing from the store for so long that it counts as gone: a
+    /// later list lacks it, too. An entry that one list lacks may have expired while the store was away.
     pub(super) fn is_gone(&self, now: Timestamp) -> bool {
-        self.missing_since.is_some_and(|since| now > since + MISSING_GRACE)
+        let last_seen_missing = self.missing_until.min(now);
+        self.missing_since.is_some_and(|since| last_seen_missing > since + MISSING_GRACE)
     }
 
     /// Takes the stop orders that the worker has not confirmed, each with its task and attempt, even
--- a/crates/core/src/job/worker/tests.rs
+++ b/crates/core/src/job/worker/tests.rs
@@ -69,6 +69,7 @@
         Some(StopOrder { next: None, confirmed, ..StopOrder::new(Timestamp(0)) });
     worker.unanswered_hold = if is_silent { order_expiry + Span(1) } else { order_expiry };
     worker.missing_since = is_missing.then_some(ANSWERED + Span(6_000));
+    worker.missing_until = order_expiry;
     worker.lease_expiry(LONGEST_LEASE, order_expiry + Span(10))
 }
 
