A VM whose unanswered maintenance may have begun at the last moment counts as down although lists lack it

Of a VM that the list lacks, the doubt now lasts until that maintenance would be over, for orders of this owner and of the previous one.

--- a/crates/core/src/job/fleet.rs
+++ b/crates/core/src/job/fleet.rs
@@ -397,9 +397,14 @@
     /// whether the list has others that could not be read.
     pub fn set_vms(&mut self, vms: Vec<Vm>, has_unreadable_entries: bool, asked: Timestamp) {
         self.vms_asked = Some(asked);
-        self.unlisted_orders.retain(|_, listed_from| asked < *listed_from);
-        self.changed_vms.retain(|_, listed_from| asked < *listed_from);
         let vms: IndexMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        // A VM that the list lacks may be down until maintenance that began at the last moment is over.
+        let maintenance_duration = self.cfg.maintenance_duration;
+        self.unlisted_orders.retain(|vm_id, listed_from| {
+            let is_listed = vms.contains_key(vm_id);
+            asked < if is_listed { *listed_from } else { *listed_from + maintenance_duration }
+        });
+        self.changed_vms.retain(|_, listed_from| asked < *listed_from);
         self.log_listing_changes(&vms);
         self.list_history.add(&self.vms, &vms, has_unreadable_entries, asked);
         self.vms = vms;
--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -556,3 +556,23 @@
     assert!(drains[&pool("desk")].contains_key(&worker(0)));
     assert!(drains[&pool("desk")].contains_key(&worker(9)));
 }
+
+/// The same for maintenance that the previous owner has ordered.
+#[test]
+fn a_vm_that_lists_lack_does_not_count_as_down_once_its_former_owners_maintenance_is_over() {
+    let (fleet, _) = fleet_with_sent_maintenance(&[0, 1]);
+    let record = fleet.record.clone();
+    let mut next = Fleet::new(config(), record, (Timestamp(2_000), 2_000));
+    next.set_standby_pools(IndexSet::from([pool("spare")]));
+    next.add_waves(vec![wave(&[0, 1], 1)]);
+
+    // The order may take effect until 5,000 ms, and the VM is down for 2,000 ms then.
+    next.set_vms(fleet_vms()[1..].to_vec(), false, Timestamp(5_100));
+    plan(&mut next, 1, Purpose::Maintain(1), Timestamp(5_100));
+    let early = sent_once_drained(&mut next, &[1], Timestamp(5_200));
+    next.set_vms(fleet_vms()[1..].to_vec(), false, Timestamp(7_100));
+    let late = sent_once_drained(&mut next, &[1], Timestamp(7_200));
+
+    assert_eq!(vms_of(&early), []);
+    assert_eq!(vms_of(&late), [vm_id(1)]);
+}
--- a/crates/core/src/job/fleet/wave.rs
+++ b/crates/core/src/job/fleet/wave.rs
@@ -376,12 +376,12 @@
         self.actions.extend(changes);
     }
 
-    /// Whether maintenance of a VM that the previous owner ordered may still begin, or may have begun since the
-    /// latest list was asked for.
+    /// Whether maintenance of a VM that the previous owner ordered may still begin, or may have begun and is not
+    /// shown by the latest list.
     fn may_be_down_for_predecessor(&self, vm_id: &VmId) -> bool {
-        let is_unlisted = |from: &Timestamp| self.vms_asked.is_none_or(|asked| asked < *from);
         self.record.maintained.contains(vm_id)
-            && self.vm_not_before.get(vm_id).is_some_and(is_unlisted)
+            && self.vm_not_before.contains_key(vm_id)
+            && self.unlisted_orders.contains_key(vm_id)
     }
 
     /// Whether a VM is down for maintenance, or may be because of an order of this owner or of its
