--- a/crates/core/src/job/fleet/orders/tests.rs
+++ b/crates/core/src/job/fleet/orders/tests.rs
@@ -576,3 +576,26 @@
     assert_eq!(vms_of(&early), []);
     assert_eq!(vms_of(&late), [vm_id(1)]);
 }
+
+/// Guards against a VM that is away for longer than needed: its maintenance was carried out long before the answer to
+/// the last copy, which only says so.
+#[test]
+fn a_new_worker_stays_drained_after_the_answer_that_the_maintenance_is_done() {
+    let (mut fleet, first) = fleet_with_sent_maintenance(&[0]);
+    answer(&mut fleet, &first, OrderOutcome::Unknown, Timestamp(2_500));
+    // The worker of the VM after its maintenance is drained, as the copy may take effect.
+    let back = Vm { worker: Some(worker(9)), ..vm(0, &pool("desk")) };
+    fleet.set_vms(vec![back], false, Timestamp(3_400));
+    let again = sent_once_drained(&mut fleet, &[9], Timestamp(3_600));
+    assert_eq!(vms_of(&again), [vm_id(0)]);
+    answer(&mut fleet, &again[0], OrderOutcome::Accepted, Timestamp(3_650));
+
+    // A list that was asked for after the answer shows the worker.
+    let back = Vm { worker: Some(worker(9)), ..vm(0, &pool("desk")) };
+    fleet.set_vms(vec![back], false, Timestamp(4_200));
+    fleet.tick(Timestamp(4_300));
+    let drains =
+        fleet.drain_requests(Timestamp(4_300)).shift_remove(&pool("desk")).unwrap_or_default();
+
+    assert!(!drains.contains_key(&worker(9)));
+}
