The drawn test of the fleet and three comments use the field's words

Cause: names and comments with words that the house doesn't use. Change: names and comments in test files only.

--- a/crates/core/src/job/fleet/drains/tests.rs
+++ b/crates/core/src/job/fleet/drains/tests.rs
@@ -51,7 +51,7 @@
     maintained_vms(&fleet.take_actions())
 }
 
-/// Guards against an order that ends tasks: the cell was told meanwhile that it may use the worker, and
+/// Guards against an order that ends tasks: an instruction has released the worker meanwhile, and
 /// the report that says so was lost.
 #[test]
 fn a_report_from_before_a_worker_was_released_does_not_make_it_drained() {
--- a/crates/standins/tests/fleet/history.rs
+++ b/crates/standins/tests/fleet/history.rs
@@ -12,8 +12,8 @@
 /// The longest time without an owner, or for which a VM is down or away, in milliseconds.
 const LONGEST_AWAY_MS: u64 = 6_000;
 
-/// The shortest time until a VM is back under the same name, in milliseconds: one that is replaced sooner can't be told
-/// from its predecessor before a list shows it.
+/// The shortest time until a VM is back under the same name, in milliseconds: one that is replaced sooner can't be
+/// distinguished from its predecessor before a list shows it.
 const SHORTEST_RETURN_MS: u64 = 3_000;
 
 /// The longest drain of a worker while trouble makes drains slow, in milliseconds.
--- a/crates/standins/tests/fleet/judge.rs
+++ b/crates/standins/tests/fleet/judge.rs
@@ -1,5 +1,5 @@
-//! The judge of a history. It knows what the platform did, which workers ran tasks, and what the operator was told;
-//! nothing of the fleet's state.
+//! The judge of a history. It knows what the platform did, which workers ran tasks, and what the operator reads of the
+//! waves; nothing of the fleet's state.
 
 use indexmap::{IndexMap, IndexSet};
 use teaselgap_core::{
@@ -45,8 +45,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Judge {
     begun: IndexSet<(u64, VmId)>,
-    /// What the operator was told last of each wave.
-    told: IndexMap<u64, bool>,
+    /// The state of each wave as the operator reads it.
+    reported: IndexMap<u64, bool>,
     /// VMs that had not begun when their wave was said to be done, with the time since which they were there.
     suspects: Vec<(u64, VmId, Timestamp, Timestamp)>,
     faults: Vec<(Rule, String)>,
@@ -124,7 +124,7 @@
         now: Timestamp,
     ) {
         self.note(now, || format!("wave {number} is reported, finished: {finished}"));
-        self.told.insert(number, finished);
+        self.reported.insert(number, finished);
         for wave in waves.iter().filter(|wave| finished && wave.number == number) {
             let open = self.open(wave, platform);
             let since = open.map(|id| (id.clone(), platform.vms[id].since));
@@ -153,7 +153,7 @@
     }
 
     pub(crate) fn all_done(&self, waves: &[Wave]) -> bool {
-        waves.iter().all(|wave| self.told.get(&wave.number) == Some(&true))
+        waves.iter().all(|wave| self.reported.get(&wave.number) == Some(&true))
     }
 
     /// Ends the history and returns all faults.
@@ -166,7 +166,7 @@
                 self.faults.push((Rule::Done, fault));
             }
         }
-        for wave in waves.iter().filter(|wave| self.told.get(&wave.number) != Some(&true)) {
+        for wave in waves.iter().filter(|wave| self.reported.get(&wave.number) != Some(&true)) {
             let fault = format!("wave {} isn't done at the end", wave.number);
             self.faults.push((Rule::InTheEnd, fault));
         }
--- a/crates/standins/tests/fleet/platform.rs
+++ b/crates/standins/tests/fleet/platform.rs
@@ -70,7 +70,7 @@
 pub(crate) struct Answer {
     pub(crate) call: u64,
     pub(crate) outcome: OrderOutcome,
-    /// Whether it is told even if the call has an outcome.
+    /// Whether it is entered even if the call has an outcome.
     pub(crate) is_doubled: bool,
     at: Timestamp,
 }
--- a/src/jobs/fleet/tests.rs
+++ b/src/jobs/fleet/tests.rs
@@ -121,7 +121,7 @@
 }
 
 /// Whether maintenance of the only VM, whose worker is in the pool of `service`, is ordered once the cells
-/// have been told to drain the worker.
+/// have been asked to drain the worker.
 async fn orders_maintenance(node: &Rc<Node>, service: &ServiceId) -> bool {
     let owner = fleet_owner(node);
     let now = clock::now();
