--- a/src/jobs/fleet/tests/status.rs
+++ b/src/jobs/fleet/tests/status.rs
@@ -123,6 +123,11 @@
         self.contents.lock().unwrap().fates = fates;
     }
 
+    /// Whether a call has come that gets no answer.
+    fn has_late_calls(&self) -> bool {
+        !self.contents.lock().unwrap().late.is_empty()
+    }
+
     /// Carries out what got no answer; returns how many transactions that were.
     fn carry_out_late(&self) -> usize {
         let mut contents = self.contents.lock().unwrap();
@@ -217,7 +222,9 @@
         // More than the copies of one call.
         store.set(vec![("succeeded", Fate::Late); 4]);
         let goes_on = async {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            while !store.has_late_calls() {
+                tokio::task::yield_now().await;
+            }
             report(&owner, false).await;
         };
         tokio::join!(report(&owner, true), goes_on);
