Test: how long tasks wait after changes of owner, by who could have known what

Cause: a task that lasts lapsed and stayed away with room free, and no test draws several changes of owner beside workers that are lost, with a judge of the time until the next run.

Change: takeovers:: draws histories in which the store is silent, terms end while their nodes live, die or die later, processes restart, nodes claim again or hand over, one to four times, beside workers that fall silent, stay listed, end or are reborn elsewhere. One test has living nodes only, one dead nodes only, one has both, one judges second runs with late calls and restarts; two fixed histories name a fault each. The model gains end_owner_term and lose_ended_owners (model/terms.rs), which change nothing for other tests.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -15,6 +15,7 @@
 mod log;
 mod message;
 mod owners;
+mod terms;
 mod worker;
 
 use std::{
@@ -135,6 +136,8 @@
     cell: Option<Cell>,
     /// Owners of earlier terms that still act.
     earlier_owners: Vec<owners::EarlierOwner>,
+    /// Owners whose terms ended by a lost lease and whose nodes live.
+    ended_owners: Vec<terms::EndedOwner>,
     /// Workers whose entries the store has lost, each with when the worker writes it again.
     lapsed_entries: IndexMap<WorkerId, Timestamp>,
     /// Time until which owners of earlier terms than the current or latest one may have given
@@ -295,6 +298,7 @@
             queues,
             cell: None,
             earlier_owners: Vec::new(),
+            ended_owners: Vec::new(),
             lapsed_entries: IndexMap::new(),
             earlier_orders_end: Timestamp(0),
             gave_up_at: Timestamp(0),
