Test: each change of the owner begins the pause of a task anew

Cause: the log says that a task has lost its workers, and not until when it pauses for that. A new owner begins the last pause anew (find_suspects), so that it lasts as long as owners change.

--- a/crates/standins/tests/cells/crashes.rs
+++ b/crates/standins/tests/cells/crashes.rs
@@ -1,6 +1,9 @@
 //! Tests of tasks that crash the workers that start them.
 
-use teaselgap_core::job::{JobEnd, JobId, JobState, TaskId};
+use teaselgap_core::{
+    Span,
+    job::{JobEnd, JobId, JobState, LogEvent, TaskId},
+};
 use teaselgap_standins::model::{Model, TaskTime};
 
 use crate::fixtures::{
@@ -281,3 +284,64 @@
     assert!(done, "{:?}", state(&model, job));
     assert_eq!(model.violations(), &[] as &[String]);
 }
+
+/// By how much a pause may be longer after a change of the owner, as the clocks of two nodes may differ, in
+/// milliseconds.
+const CLOCK_DIFFERENCE_MS: u64 = 2_500;
+
+/// Longer than a new owner takes until it plans what it has inherited, if each worker answers it.
+const RECOVERY_MS: u64 = 1_000;
+
+/// The longest time from the beginning of a pause to the next start, however often the owner changes.
+const LONGEST_TIME_PAUSED: Span = Span(LONGEST_PAUSE_MS + CLOCK_DIFFERENCE_MS + RECOVERY_MS);
+
+/// Crashes workers under a task until it pauses for as long as a task may, and then changes the owner four
+/// times. Returns how long the task has then been away from the pause on.
+fn time_paused(change_owner: impl Fn(&mut Model)) -> Span {
+    let mut model = new_model(9);
+    let (job, task) = (JobId(1), task_id(JobId(1), 0));
+    model.submit(job, &queue(), job_spec(vec![step(1, 2_000, 2_000)]));
+    run_until_started(&mut model, task);
+    let is_longest = |event: &LogEvent| matches!(event, LogEvent::TaskPaused { pause, .. } if pause.0 == LONGEST_PAUSE_MS);
+    let pauses = |model: &Model| model.log_events().iter().any(is_longest);
+    while !pauses(&model) {
+        let starts = model.start_count(task);
+        model.restart_worker(busy_worker(&model).as_str());
+        let goes_on = |model: &Model| pauses(model) || model.start_count(task) > starts;
+        assert!(model.run_until(FINISH_MS, goes_on), "{:?}", state(&model, job));
+        model.run_for(100);
+    }
+    let (paused_at, starts) = (model.now(), model.start_count(task));
+
+    for _ in 0..4 {
+        model.run_for(2_500);
+        change_owner(&mut model);
+    }
+    let is_started = |model: &Model| model.start_count(task) > starts;
+    assert!(model.run_until(10 * LONGEST_PAUSE_MS, is_started), "{:?}", state(&model, job));
+
+    assert_eq!(model.violations(), &[] as &[String]);
+    model.now().since(paused_at)
+}
+
+/// Guards against owners that each begin the pause of a task anew, so that it lasts as long as owners change.
+#[test]
+fn the_pause_of_a_task_does_not_begin_anew_with_each_owner_that_hands_over() {
+    let paused = time_paused(|model| {
+        model.hand_over();
+        model.take_over();
+    });
+
+    assert!(paused <= LONGEST_TIME_PAUSED, "{paused}");
+}
+
+/// The same with owners that are lost, whose log may have no write since the pause began.
+#[test]
+fn the_pause_of_a_task_does_not_begin_anew_with_each_owner_that_is_lost() {
+    let paused = time_paused(|model| {
+        model.kill_owner();
+        model.take_over();
+    });
+
+    assert!(paused <= LONGEST_TIME_PAUSED, "{paused}");
+}
