A change of the owner no longer begins the pause of a task anew

Cause: a task that has lost three workers or more pauses for 2.5 to 10 s. The log named the losses and not until when it pauses, so that each new owner began the last pause anew: it lasted as long as owners changed, although each of them knew its end and had written at that time.

Change: the record of the loss that begins a pause names its end on the wall clock (`pause_end_wall_ms`). A new owner adds 2.5 s (WALL_CLOCK_MARGIN), and never pauses for longer than if it began anew. Where the latest loss has no such record, as with earlier builds, it begins anew; earlier builds read the new records. No rule rests on the exact length of a pause: whether a worker has crashed is asked of the worker, and inherited jobs wait until it is heard or has expired. The fixtures of three test modules name the new field; no test is changed otherwise.

--- a/crates/core/src/job/cell/crashes.rs
+++ b/crates/core/src/job/cell/crashes.rs
@@ -30,7 +30,7 @@
     Cell,
     trials::{SURVIVAL, is_at_start, is_lost_trial},
 };
-use crate::{Span, Timestamp};
+use crate::{Span, Timestamp, job::WALL_CLOCK_MARGIN};
 
 /// The number of workers that a task loses before it pauses.
 const PAUSE_FROM: usize = 3;
@@ -156,6 +156,20 @@
         (pause > Span(0)).then_some(pause)
     }
 
+    /// When the pause ends, at the latest, that began with the loss that was noted last, as an owner before has
+    /// recorded it on its wall clock; `None` if no record says it.
+    fn recorded_pause_end(&self, wall_offset_ms: u64) -> Option<Timestamp> {
+        let latest = self.lost_runs.last()?;
+        let end = Timestamp(latest.pause_end_wall_ms?.saturating_sub(wall_offset_ms));
+        Some(end + WALL_CLOCK_MARGIN)
+    }
+
+    /// Notes, for later owners, when the pause ends that began with the loss of a run.
+    fn note_pause_end(&mut self, lost: &mut LostRun, wall_offset_ms: u64) {
+        lost.pause_end_wall_ms = Some(wall_offset_ms + self.paused_until.0);
+        self.remember_lost_run(lost.clone());
+    }
+
     /// Holds lost runs no longer against the task.
     fn forget_lost_runs(&mut self, is_groundless: impl Fn(&LostRun) -> bool) {
         self.lost_runs.retain(|lost| !is_groundless(lost));
@@ -174,6 +188,7 @@
         if let Some(known) = self.lost_runs.iter_mut().find(|known| known.attempt == lost.attempt) {
             known.is_crash |= lost.is_crash;
             known.alive_ms = known.alive_ms.max(lost.alive_ms);
+            known.pause_end_wall_ms = known.pause_end_wall_ms.max(lost.pause_end_wall_ms);
             return;
         }
         if self.lost_runs.len() >= MAX_LOST_RUNS {
@@ -223,6 +238,9 @@
         for id in &suspects {
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(*id)) {
                 task.pause_after_loss(now);
+                let recorded = task.recorded_pause_end(self.wall_offset_ms);
+                task.paused_until =
+                    recorded.map_or(task.paused_until, |end| end.min(task.paused_until));
             }
         }
         self.suspects = suspects;
@@ -353,7 +371,9 @@
         let is_crash = circumstances.has_crashed || address.is_some_and(is_replaced);
         let (worker, alive_ms) = (id.clone(), Some(circumstances.alive.0));
         let is_trial = self.was_trial(task, attempt);
-        let lost = LostRun { attempt, worker, address, is_crash, alive_ms, is_trial };
+        let pause_end_wall_ms = None;
+        let lost =
+            LostRun { attempt, worker, address, is_crash, alive_ms, is_trial, pause_end_wall_ms };
         self.record_lost_run(task, lost, circumstances.beside, now);
     }
 
@@ -361,7 +381,7 @@
     pub(super) fn record_lost_run(
         &mut self,
         id: TaskId,
-        lost: LostRun,
+        mut lost: LostRun,
         beside: Option<usize>,
         now: Timestamp,
     ) {
@@ -376,6 +396,9 @@
         let (losses, crashes) = (task.lost_runs.len(), task.crashes());
         // What becomes known of a loss later does not pause its task again.
         let pause = if is_known { None } else { task.pause_after_loss(now) };
+        if pause.is_some() {
+            task.note_pause_end(&mut lost, self.wall_offset_ms);
+        }
         self.suspects.insert(id);
         let run = RunId { task: id, attempt: lost.attempt, worker: lost.worker.clone() };
         let (is_crash, alive_ms) = (lost.is_crash, lost.alive_ms);
--- a/crates/core/src/job/cell/crashes/tests.rs
+++ b/crates/core/src/job/cell/crashes/tests.rs
@@ -8,6 +8,7 @@
         is_crash,
         alive_ms: Some(0),
         is_trial: false,
+        pause_end_wall_ms: None,
     }
 }
 
--- a/crates/core/src/job/cell/plan/chosen/tests.rs
+++ b/crates/core/src/job/cell/plan/chosen/tests.rs
@@ -11,6 +11,7 @@
         is_crash: true,
         alive_ms: Some(0),
         is_trial: false,
+        pause_end_wall_ms: None,
     }
 }
 
--- a/crates/core/src/job/cell/trials/tests.rs
+++ b/crates/core/src/job/cell/trials/tests.rs
@@ -1,7 +1,15 @@
 use super::*;
 
 fn lost(attempt: u32, alive_ms: Option<u64>, (is_crash, is_trial): (bool, bool)) -> LostRun {
-    LostRun { attempt, worker: "w0".into(), address: None, is_crash, alive_ms, is_trial }
+    LostRun {
+        attempt,
+        worker: "w0".into(),
+        address: None,
+        is_crash,
+        alive_ms,
+        is_trial,
+        pause_end_wall_ms: None,
+    }
 }
 
 fn task_with(lost_runs: Vec<LostRun>) -> Task {
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -105,6 +105,10 @@
     /// Whether the start was made as a trial of a task that has lost workers at its start before.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_trial: bool,
+    /// When the pause of the task that began with this loss ends, in milliseconds since the Unix epoch;
+    /// `None` if none began. Records of earlier builds don't say it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pause_end_wall_ms: Option<u64>,
 }
 
 /// The state of a task that is not done.
