An owner that is lost in its wait leaves what it waited for

Cause: a handover carries the deadlines of workers, a lost term carried nothing. The next owner took orders until 3 s after its own claim, and then the longest lease, also for workers that the lost term had neither heard nor ordered. Each lost term began that wait anew, so that their sum had no bound.

Change: an owner of a cell with earlier terms records, first of all, `Record::Awaited`: all workers that may have something from terms before, each with when that has expired, counted from before its claim was sent. It records it again if it learns of an earlier end. It grants no lease to a worker before its own record that it uses this worker is durable (`Worker::is_on_record`, kept over the worker's restart; until now a durable segment of the term was enough); start orders waited for that before. After a lost term, the next owner takes the earlier of today's deadline and the lost owner's for workers that this one had not used, doesn't wait for those that have nothing, and takes today's worst case for those used, and for all after a term without a list.

The lost owner's time is anchored at its claim: by its own clock at a time before the claim was sent, not when its answer came (the answer may be later than the time at which another node sees the claim); by the next owner's clock when that one first saw the claim (`Members`, the last 8 terms of each duty), or else at the reading of the log. A claim that was found in the store and not answered may have been sent at any time, and counts from 0, which shortens nothing of a deadline. 1 % is added for the drift of the two nodes' clocks.

The list has a segment of its own: builds that don't know it skip the whole segment, which then holds nothing else.

New log line `waiting for inherited workers`.

Tests: lost_terms::. Without the shortening, each_lost_term_starts_the_wait_for_a_silent_worker_anew fails. Without the flag over a restart, a_worker_that_has_restarted_gets_no_lease fails; with a term without a list taken for one with an empty list, three unit tests of awaited:: fail. a_lease_is_taken_for_expired_in_a_log_that_was_cleaned fails with none of these: the cleaning's copies count as uses of the worker.

Limit: the log's cleaning copies the records of workers that the owner has not heard, too.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -44,7 +44,7 @@
 
 pub use self::{
     advice::{AdviceAnswer, AdviceConfig, AdviceRequest},
-    cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
+    cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog, TermClaim},
     fence::{Fence, FencedCall},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, FleetRequest,
@@ -62,8 +62,8 @@
     },
     permission::{PeerWord, Permission},
     record::{
-        EndKind, JobEnd, LostRun, QueueSettings, Record, StoredSegment, TaskSnapshot,
-        UnsettledWorker,
+        AwaitedWorker, EndKind, JobEnd, LostRun, QueueSettings, Record, StoredSegment,
+        TaskSnapshot, UnsettledWorker,
     },
     retransmit::{AnswerOrder, RetransmitTimer},
     retry_after::retry_after,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -7,6 +7,7 @@
 mod advise;
 mod arrivals;
 mod availability;
+mod awaited;
 mod capacity;
 mod clean;
 mod crashes;
@@ -35,6 +36,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use self::admit::AdmissionPolicy;
+pub use self::awaited::TermClaim;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
 use self::{
@@ -295,11 +297,7 @@
     /// Marks the write with this sequence number as durable and applies the effects that waited
     /// for it.
     pub fn on_segment_written(&mut self, sequence: Sequence, now: Timestamp) {
-        let was_term_durable = self.log.is_term_durable();
         self.log.on_written(sequence);
-        if !was_term_durable {
-            self.begin_renewals(now);
-        }
         let durable = self.log.durable();
         while let Some((_, effect)) =
             self.deferred_effects.pop_front_if(|(position, _)| *position <= durable)
@@ -338,6 +336,9 @@
                 };
                 if let Some(worker) = worker.filter(is_newest) {
                     worker.logged = state;
+                    if state == Logged::Used && !worker.is_on_record {
+                        worker.begin_renewals(now);
+                    }
                     self.plan_due = true;
                 }
             }
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -145,7 +145,8 @@
                     self.live.set(key, position, 0);
                 }
             }
-            Record::HandedOver { .. } => {}
+            // Without the list the next owner assumes the worst.
+            Record::Awaited { .. } | Record::HandedOver { .. } => {}
         }
     }
 
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -6,7 +6,7 @@
             EndKind, JobSpec, LogWrite, Schedule, Step, StoredSegment, record,
             record::EncodedRecord,
         },
-        CellConfig, RecoveredLog,
+        CellConfig, RecoveredLog, TermClaim,
     },
     *,
 };
@@ -174,7 +174,13 @@
 fn recover(segments: &[StoredSegment]) -> Cell {
     let next = segments.last().map_or(0, |last| last.sequence + 1);
     let recovered = RecoveredLog { next, segments: segments.to_vec() };
-    Cell::new(config(), ("drums".parse().unwrap(), Epoch(2)), recovered, NOW.0, NOW)
+    Cell::new(
+        config(),
+        ("drums".parse().unwrap(), Epoch(2)),
+        recovered,
+        &TermClaim::unseen(NOW.0),
+        NOW,
+    )
 }
 
 /// What a log says about a job. Once a part of the job is done, its tasks no longer matter.
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -64,8 +64,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lease {
     duration: Span,
-    /// Whether a segment of the owner's term is durable. Before that, the next owner couldn't know that
-    /// this one has renewed a lease.
+    /// Whether a segment of the owner's term and the record that it uses the worker are durable. Before that, the
+    /// next owner couldn't know that this one has renewed a lease.
     is_granted: bool,
 }
 
@@ -74,6 +74,11 @@
         Self { duration: cfg.lease, is_granted: log.is_term_durable() }
     }
 
+    /// The lease that a hold of this worker asks for.
+    fn to(self, worker: &Worker) -> Self {
+        Self { is_granted: self.is_granted && worker.is_on_record, ..self }
+    }
+
     /// The longest time that a hold may wait at a worker, which answers several within a lease.
     fn max_wait(self) -> Span {
         let wait = Span(self.duration.0 / MIN_HOLDS_PER_LEASE);
@@ -157,6 +162,7 @@
     (lease, fence): (Lease, Fence),
     now: Timestamp,
 ) -> Action {
+    let lease = lease.to(worker);
     let is_delayed = worker.holds_in_flight == 0 && now > worker.next_hold + HOLD_INTERVAL;
     let last_seen = worker.confirmable((is_delayed, is_ordered), now);
     worker.read_ends.name(last_seen);
@@ -198,13 +204,6 @@
         HoldBudget::message_bytes(payload_bytes, entries)
     }
 
-    /// Lets the leases of all workers that have answered be renewed at once, when that is first allowed.
-    pub(super) fn begin_renewals(&mut self, now: Timestamp) {
-        for worker in self.workers.values_mut().filter(|worker| worker.is_adopted) {
-            worker.next_hold = worker.next_hold.min(now);
-        }
-    }
-
     /// Sends the holds that are due. Renewals and adoptions never wait; all others share what the
     /// link allows, the one that has been due the longest first. Workers that have long been silent have
     /// a share of their own.
--- a/crates/core/src/job/cell/inherited_starts/tests.rs
+++ b/crates/core/src/job/cell/inherited_starts/tests.rs
@@ -4,7 +4,7 @@
             JobId, JobSpec, LogConfig, Step,
             record::{self, EncodedRecord},
         },
-        CellConfig, RecoveredLog,
+        CellConfig, RecoveredLog, TermClaim,
         start_scope::StartScope,
     },
     *,
@@ -54,7 +54,13 @@
 
 fn recover(segments: Vec<StoredSegment>) -> Cell {
     let recovered = RecoveredLog { next: segments.len() as u64, segments };
-    Cell::new(config(), ("drums".parse().unwrap(), Epoch(9)), recovered, NOW.0, NOW)
+    Cell::new(
+        config(),
+        ("drums".parse().unwrap(), Epoch(9)),
+        recovered,
+        &TermClaim::unseen(NOW.0),
+        NOW,
+    )
 }
 
 #[test]
--- a/crates/core/src/job/cell/plan/tests.rs
+++ b/crates/core/src/job/cell/plan/tests.rs
@@ -4,7 +4,7 @@
             AdmissionPolicy, FlowLimits, HoldReport, JobSpec, LinkRate, ListedRun, LogConfig,
             Resources, StartOutcome, Token, WorkerEntry,
         },
-        CellConfig, QueueConfig, RecoveredLog,
+        CellConfig, QueueConfig, RecoveredLog, TermClaim,
     },
     *,
 };
@@ -73,7 +73,13 @@
         };
         let (now, recovered) = (Timestamp(100_000), RecoveredLog::default());
         let term = ("drums".parse().unwrap(), Epoch(1));
-        let mut cell = Cell::new(cfg, term, recovered, Timestamp(0), (now, WALL_MS + now.0));
+        let mut cell = Cell::new(
+            cfg,
+            term,
+            recovered,
+            &TermClaim::unseen(Timestamp(0)),
+            (now, WALL_MS + now.0),
+        );
         cell.set_queues(IndexMap::from([("quotes".parse().unwrap(), queue)]));
         cell.update_workers((0..WORKERS).map(entry).collect(), true, now);
         let mut fixture = Self { cell, now, jobs: 0 };
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -16,6 +16,7 @@
         worker::Worker,
     },
     Cell, CellConfig,
+    awaited::{LoggedWait, TermClaim},
     holds::{self, Lease},
     inherited_leases::InheritedLeases,
     inherited_starts::InheritedStarts,
@@ -52,6 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct InheritedWait {
     began: Timestamp,
+    /// A time before the owner's claim was sent.
+    pub(super) claim_sent: Timestamp,
     /// Number of workers that were adopted.
     adopted: usize,
     /// Number of workers whose leases had certainly expired.
@@ -59,8 +62,8 @@
 }
 
 impl InheritedWait {
-    fn new(began: Timestamp) -> Self {
-        Self { began, adopted: 0, expired: 0 }
+    fn new(began: Timestamp, claim_sent: Timestamp) -> Self {
+        Self { began, claim_sent, adopted: 0, expired: 0 }
     }
 }
 
@@ -190,18 +193,17 @@
 impl Cell {
     /// Creates the cell at the start of its owner's term.
     ///
-    /// Unless the log shows a handover, owners of earlier terms may have given orders until
-    /// `earlier_orders_end`.
     #[must_use]
     pub fn new(
         cfg: CellConfig,
         (service, epoch): (ServiceId, Epoch),
         recovered: RecoveredLog,
-        earlier_orders_end: Timestamp,
+        claim: &TermClaim,
         (now, wall_ms): (Timestamp, u64),
     ) -> Self {
         let handed_over = find_handover(&recovered.segments);
         let last_term = LoggedTerm::find(&recovered.segments, handed_over.is_some(), now);
+        let logged_wait = LoggedWait::find(&recovered.segments, claim, now);
         let mut cell = Self {
             cfg,
             service,
@@ -222,7 +224,7 @@
             last_term,
             inherited_starts: InheritedStarts::default(),
             inherited_leases: InheritedLeases::find(&recovered.segments, now),
-            inherited_wait: InheritedWait::new(now),
+            inherited_wait: InheritedWait::new(now, claim.sent),
             earlier_leases_expiry: now,
             plan_due: true,
             start_window: super::StartWindow::new(cfg.flow),
@@ -257,22 +259,29 @@
         cell.find_suspects(now);
         // After a handover only the owners before that one may still give orders.
         let handover = last_term.filter(|term| term.is_handed_over);
-        let last_order = handover
-            .map_or(earlier_orders_end, |term| earlier_orders_end.min(term.earlier_orders_end));
+        let last_order = handover.map_or(claim.earlier_orders_end, |term| {
+            claim.earlier_orders_end.min(term.earlier_orders_end)
+        });
         cell.earlier_leases_expiry = cell.expiry_after(last_order);
         let expiry = cell.earlier_leases_expiry;
+        let is_first_term = used_workers.is_empty() && handed_over.is_none();
+        let known_by = match (&handed_over, &logged_wait) {
+            (Some(_), _) => "handover",
+            (None, Some(_)) => "awaited record",
+            (None, None) => "claim",
+        };
         cell.inherited_workers = if let Some(pending) = handed_over {
             // The previous owner knew which workers had runs, and when their leases expire.
             let expiry_of = |one: &UnsettledWorker| unsettled_expiry(one, (now, wall_ms), expiry);
             pending.iter().map(|one| (one.worker.clone(), expiry_of(one))).collect()
         } else {
-            let expiry_of = |worker: WorkerId| {
-                let expiry = cell.unheard_expiry(&worker, last_order);
-                (worker, expiry)
-            };
-            used_workers.into_iter().map(expiry_of).collect()
+            cell.expiries_after_loss(used_workers, logged_wait.as_ref(), last_order)
         };
         cell.inherit_open_starts(open_starts);
+        cell.note_inherited_wait(known_by, now);
+        if !is_first_term {
+            cell.record_awaited(now);
+        }
         cell.release_inherited_jobs(now);
         cell.log.begin_term(last_order, now);
         cell
@@ -286,7 +295,7 @@
     /// When every lease of an inherited worker has certainly expired if the worker is never heard, and no
     /// order is given after `last_order`. One may have found an instance that its owner had not called, and
     /// that is on no record.
-    fn unheard_expiry(&self, worker: &WorkerId, last_order: Timestamp) -> Timestamp {
+    pub(super) fn unheard_expiry(&self, worker: &WorkerId, last_order: Timestamp) -> Timestamp {
         let longest = last_order + self.longest_lease();
         longest.max(self.expiry_after(last_order)).max(self.inherited_leases.expiry(worker))
     }
@@ -307,15 +316,21 @@
         let Some(term) = self.last_term.filter(is_ended) else {
             return self.log.earlier_orders_end();
         };
+        let known_at = last_order;
         let last_order = last_order.max(term.earlier_orders_end);
         self.log.end_earlier_orders(last_order);
         let expiry = self.expiry_after(last_order);
         self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
-        let mut inherited_workers = std::mem::take(&mut self.inherited_workers);
+        let earlier = std::mem::take(&mut self.inherited_workers);
+        let mut inherited_workers = earlier.clone();
         for (worker, inherited) in &mut inherited_workers {
             *inherited = (*inherited).min(self.unheard_expiry(worker, last_order));
         }
+        let is_shorter = inherited_workers != earlier;
         self.inherited_workers = inherited_workers;
+        if is_shorter && self.handover.is_none() {
+            self.record_awaited(known_at);
+        }
         // Asked about only once the worker has answered, which says whether it may have got more.
         for worker in self.workers.values_mut() {
             worker.inherited_expiry = worker.inherited_expiry.min(expiry);
@@ -467,7 +482,7 @@
                 // The fleet may have been told that it is drained, and may act on that.
                 self.drains.insert(worker.clone(), DrainMode::WaitForRuns);
             }
-            Record::StartOpen { .. } | Record::HandedOver { .. } => {}
+            Record::StartOpen { .. } | Record::Awaited { .. } | Record::HandedOver { .. } => {}
         }
     }
 
@@ -512,7 +527,7 @@
         }
         let inherited = self.jobs.open().filter(|(_, job)| job.is_inherited).count();
         if before > 0 || inherited > 0 {
-            let InheritedWait { began, adopted, expired } = self.inherited_wait;
+            let InheritedWait { began, adopted, expired, .. } = self.inherited_wait;
             let waited = now.since(began);
             let event = LogEvent::InheritedReleased { jobs: inherited, waited, adopted, expired };
             self.actions.push(Action::Log(event));
--- a/crates/core/src/job/cell/restarts.rs
+++ b/crates/core/src/job/cell/restarts.rs
@@ -87,6 +87,7 @@
         let mut worker = Worker { started_wall_ms, instances, stray_lease, read_ends, ..new };
         worker.logged = old.logged;
         worker.times_logged = old.times_logged;
+        worker.is_on_record = old.is_on_record;
         worker.drain = old.drain;
         worker.missing_since = old.missing_since;
         worker.missing_until = old.missing_until;
--- a/crates/core/src/job/life.rs
+++ b/crates/core/src/job/life.rs
@@ -22,6 +22,14 @@
     Span(elapsed.0 * (100 - CLOCK_DRIFT_PERCENT) / 100)
 }
 
+/// Maximum percentage by which the clocks of two nodes run apart.
+const NODE_DRIFT_PERCENT: u64 = 1;
+
+/// The longest time on a node's clock that another node's clock shows as `elapsed`.
+pub(super) fn longest_on_other_clock(elapsed: Span) -> Span {
+    Span(elapsed.0.saturating_mul(100 + NODE_DRIFT_PERCENT) / 100)
+}
+
 impl CellConfig {
     /// How long an order, with everything that it starts or prolongs, lives at most by any node's clock,
     /// from the moment when it is decided on, if it reaches the worker instance that it is meant for.
--- a/crates/core/src/job/log.rs
+++ b/crates/core/src/job/log.rs
@@ -285,7 +285,11 @@
             bytes += record.len() + 1;
             bytes <= self.cfg.max_segment_bytes
         };
-        let count = self.pending.iter().take(self.cfg.max_records).take_while(fits).count();
+        if self.pending.front().is_some_and(EncodedRecord::is_alone) {
+            return 1;
+        }
+        let others = self.pending.iter().take_while(|record| !record.is_alone());
+        let count = others.take(self.cfg.max_records).take_while(fits).count();
         count.max(1).min(self.pending.len())
     }
 
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -409,6 +409,17 @@
         /// The time since the job arrived.
         after: Span,
     },
+    /// The owner waits for workers of earlier terms.
+    InheritedWait {
+        /// Number of workers.
+        workers: usize,
+        /// How long the wait lasts at most.
+        left: Span,
+        /// What the wait follows from.
+        known_by: &'static str,
+        /// The worker that is waited for the longest.
+        last: WorkerId,
+    },
     /// Nothing that the owner inherited waits for workers of earlier terms any more.
     InheritedReleased {
         /// Number of inherited jobs that are open.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -86,6 +86,23 @@
     pub lapse_in_ms: Option<u64>,
 }
 
+/// A worker that may have something from terms before that of an owner which waits for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AwaitedWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// When that has certainly expired, in milliseconds after a time before the owner's claim was sent, by the
+    /// owner's clock.
+    pub after_claim_ms: u64,
+}
+
+impl AwaitedWorker {
+    /// When that has certainly expired, counted from the owner's claim.
+    pub(super) fn after_claim(&self) -> Span {
+        Span(self.after_claim_ms)
+    }
+}
+
 /// A run that was lost with its worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostRun {
@@ -277,6 +294,12 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         stray_until_ms: Option<u64>,
     },
+    /// All workers that may have something from terms before the owner's. A worker that is neither named nor
+    /// recorded as used in the same term has nothing. The latest list of a term counts.
+    Awaited {
+        /// The workers.
+        workers: Vec<AwaitedWorker>,
+    },
     /// The owner ended its term and sends no more orders.
     HandedOver {
         /// Workers on which runs may still be alive.
@@ -292,17 +315,26 @@
 
 /// A record in its stored form.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct EncodedRecord(Vec<u8>);
+pub(super) struct EncodedRecord {
+    bytes: Vec<u8>,
+    /// Whether it gets a segment of its own. Builds that don't know the record skip its whole segment.
+    is_alone: bool,
+}
 
 impl EncodedRecord {
     pub(super) fn new(record: &Record) -> Self {
         // Serialisation can't fail: records hold only values that JSON can represent.
-        Self(serde_json::to_vec(record).unwrap_or_default())
+        let bytes = serde_json::to_vec(record).unwrap_or_default();
+        Self { bytes, is_alone: matches!(record, Record::Awaited { .. }) }
+    }
+
+    pub(super) fn is_alone(&self) -> bool {
+        self.is_alone
     }
 
     /// Returns the size in bytes.
     pub(super) fn len(&self) -> usize {
-        self.0.len()
+        self.bytes.len()
     }
 }
 
@@ -346,7 +378,7 @@
         if index > 0 {
             buf.push(b',');
         }
-        buf.extend_from_slice(&record.0);
+        buf.extend_from_slice(&record.bytes);
     }
     buf.extend_from_slice(b"]}");
     buf
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -145,6 +145,9 @@
     /// How often the worker has been logged as used or gone. Only the latest of these records
     /// counts, once it is durable.
     pub(super) times_logged: u32,
+    /// Whether a record of this term that the worker is used has become durable. Before that the next owner
+    /// couldn't know that this one has granted it a lease.
+    pub(super) is_on_record: bool,
     /// The latest reading of the worker's clock.
     pub(super) clock: Option<ClockReading>,
     /// The worker's clock in the newest list that was processed; lists may arrive out of order.
@@ -258,6 +261,7 @@
             renewed_at: None,
             logged: Logged::Nothing,
             times_logged: 0,
+            is_on_record: false,
             clock: None,
             listed_clock_ms: 0,
             ended_attempts: IndexMap::new(),
@@ -342,6 +346,14 @@
         self.runs.values().any(is_unsettled)
     }
 
+    /// Notes that the record that the worker is used is durable, and lets its lease be renewed at once.
+    pub(super) fn begin_renewals(&mut self, now: Timestamp) {
+        self.is_on_record = true;
+        if self.is_adopted {
+            self.next_hold = self.next_hold.min(now);
+        }
+    }
+
     /// Whether a hold is to be sent.
     pub(super) fn is_hold_due(&self, now: Timestamp) -> bool {
         if now < self.next_hold {
--- a/crates/standins/src/measure/cell.rs
+++ b/crates/standins/src/measure/cell.rs
@@ -15,8 +15,8 @@
     Epoch, QueueId, ServiceId, Span, Timestamp,
     job::{
         Action, Cell, EndKind, HoldReport, JobId, JobSpec, JobState, ListedRun, QueueConfig,
-        RecoveredLog, Resources, RunEnd, Sequence, StartOutcome, Step, TaskId, Token, WorkerEntry,
-        WorkerId,
+        RecoveredLog, Resources, RunEnd, Sequence, StartOutcome, Step, TaskId, TermClaim, Token,
+        WorkerEntry, WorkerId,
     },
 };
 use teaselgap_standins::{cluster::ClusterError, model};
@@ -173,8 +173,13 @@
         let recovered = RecoveredLog { next: 1, segments: Vec::new() };
         let wall_ms = WALL_OFFSET_MS + now.0;
         let term = (service(), Epoch(1));
-        let mut cell =
-            Cell::new(model::cell_config(), term, recovered, Timestamp(0), (now, wall_ms));
+        let mut cell = Cell::new(
+            model::cell_config(),
+            term,
+            recovered,
+            &TermClaim::unseen(Timestamp(0)),
+            (now, wall_ms),
+        );
         let queue_config = QueueConfig {
             service: service(),
             max_attempts: 3,
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -143,6 +143,10 @@
     /// When the owner that gave up the cell may have given its last order.
     gave_up_at: Timestamp,
     epoch: Epoch,
+    /// When each term was claimed, as far as later owners know.
+    claims: Vec<(Epoch, Timestamp)>,
+    /// How much later other nodes have seen these claims.
+    claim_delay: Span,
     workers: IndexMap<WorkerId, ModelWorker>,
     faults: IndexMap<WorkerId, WorkerFaults>,
     fates: fates::Fates,
@@ -299,6 +303,8 @@
             earlier_orders_end: Timestamp(0),
             gave_up_at: Timestamp(0),
             epoch: Epoch(0),
+            claims: Vec::new(),
+            claim_delay: Span(0),
             workers: workers.into_iter().map(|one| (one.entry.id.clone(), one)).collect(),
             faults: IndexMap::new(),
             fates: fates::Fates::default(),
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -12,7 +12,7 @@
     Epoch, QueueId, Span, Timestamp,
     job::{
         Action, Answer, Cell, EndKind, FlowLimits, JobId, JobSpec, LogEvent, QueueConfig, Sequence,
-        TaskId, Token, WorkerId,
+        TaskId, TermClaim, Token, WorkerId,
     },
 };
 
@@ -334,6 +334,7 @@
 
     fn claim(&mut self, earlier_orders_end: Timestamp, read_ms: u64) {
         self.epoch = Epoch(self.epoch.0 + 1);
+        self.claims.push((self.epoch, self.now));
         self.limit_earlier_owners();
         self.earlier_orders_end = earlier_orders_end;
         self.run_for(read_ms);
@@ -344,8 +345,7 @@
         let recovered = self.log.recover();
         let service_and_epoch = (self.service.clone(), self.epoch);
         let time = (self.now, self.wall_ms());
-        let mut cell =
-            Cell::new(self.cfg, service_and_epoch, recovered, self.earlier_orders_end, time);
+        let mut cell = Cell::new(self.cfg, service_and_epoch, recovered, &self.term_claim(), time);
         cell.set_queues(self.queues.clone());
         self.cell = Some(cell);
         self.pending_write = None;
@@ -354,6 +354,26 @@
         self.starts_in_flight = 0;
     }
 
+    /// What the present owner knows of its claim and those before.
+    fn term_claim(&self) -> TermClaim {
+        let own = self.claims.iter().find(|(term, _)| *term == self.epoch);
+        TermClaim {
+            earlier_orders_end: self.earlier_orders_end,
+            sent: own.map_or(Timestamp(0), |(_, claimed)| *claimed),
+            seen: self.claims.iter().map(|(term, at)| (*term, *at + self.claim_delay)).collect(),
+        }
+    }
+
+    /// Sets how late the next owners have seen the claims of earlier terms, in milliseconds.
+    pub fn see_claims_after(&mut self, delay_ms: u64) {
+        self.claim_delay = Span(delay_ms);
+    }
+
+    /// Makes the next owners unaware of the claims of earlier terms.
+    pub fn forget_claims(&mut self) {
+        self.claims.clear();
+    }
+
     fn new_token(&mut self) -> Token {
         self.next_token += 1;
         Token(self.next_token)
--- a/crates/standins/tests/cells/flow.rs
+++ b/crates/standins/tests/cells/flow.rs
@@ -4,7 +4,7 @@
     Epoch, Span, Timestamp,
     job::{
         Action, Cell, CellConfig, EndKind, FlowLimits, HoldReport, JobId, LinkRate, LogEvent,
-        RecoveredLog, RunEnd, Step,
+        RecoveredLog, RunEnd, Step, TermClaim,
     },
 };
 use teaselgap_standins::model::{Model, WorkerFaults, cell_config};
@@ -196,7 +196,7 @@
     let begin = (Timestamp(10_000), 1_700_000_010_000);
     let (log, epoch) = (RecoveredLog::default(), Epoch(3));
     let cfg = CellConfig { flow, ..cell_config() };
-    let mut cell = Cell::new(cfg, (service(), epoch), log, begin.0, begin);
+    let mut cell = Cell::new(cfg, (service(), epoch), log, &TermClaim::unseen(begin.0), begin);
     let entries = (0..WORKERS).map(|number| worker(number).entry).collect();
     cell.update_workers(entries, true, begin.0);
 
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -19,6 +19,7 @@
 mod link_bytes;
 mod log;
 mod long_running;
+mod lost_terms;
 mod may_end;
 mod order_rate;
 mod order_refusals;
--- a/crates/standins/tests/cells/outranked.rs
+++ b/crates/standins/tests/cells/outranked.rs
@@ -7,7 +7,8 @@
     Epoch, Span, Timestamp,
     job::{
         Action, Cell, CellConfig, EndKind, Fence, FencedCall, HoldReport, JobId, ListedRun,
-        LogEvent, RecoveredLog, RunEnd, StartAnswer, StartOrder, StartOutcome, TaskId, Token,
+        LogEvent, RecoveredLog, RunEnd, StartAnswer, StartOrder, StartOutcome, TaskId, TermClaim,
+        Token,
     },
 };
 use teaselgap_standins::model::{Afterlife, Model, OWNER_TTL, cell_config};
@@ -100,7 +101,7 @@
             cfg,
             (service(), Epoch(3)),
             RecoveredLog::default(),
-            Timestamp(10_000),
+            &TermClaim::unseen(Timestamp(10_000)),
             (Timestamp(10_000), 1_700_000_010_000),
         );
         cell.set_queues(IndexMap::from([(queue(), queue_config())]));
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, Incarnation, NodeId, ServiceId, Span,
+    Epoch, Incarnation, NodeId, ServiceId, Span, Timestamp,
     job::{Duty, duty_to_hand_over, propose_owners},
 };
 use teaselgap_platform::{
@@ -282,7 +282,9 @@
 async fn claim_duty(node: Rc<Node>, duty: Duty, key_revision: u64) {
     let key = duty_key(&duty);
     let lease = node.lease.lease();
-    let epoch = write_claim(&node, &key, (key_revision, lease)).await;
+    let sent = clock::now();
+    let claim = write_claim(&node, &key, (key_revision, lease)).await;
+    let epoch = claim.map(|claim| claim.epoch);
     if let Some(epoch) = epoch.filter(|epoch| is_claim_current(&node, &duty, (*epoch, lease))) {
         let own_rate = current_order_rate(&node);
         let largest_rate = node.members.borrow().largest_order_rate((&node.id, own_rate));
@@ -296,6 +298,10 @@
                 members.predecessors.insert(duty.clone(), previous);
             }
         }
+        // A claim that was found in the store may have been sent at any time.
+        let sent = if claim.is_some_and(|claim| claim.is_answered) { sent } else { Timestamp(0) };
+        node.members.borrow_mut().record_claim(&duty, epoch, clock::now());
+        node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
         node.session.borrow_mut().claimed_at.insert(duty.clone(), clock::now());
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
@@ -327,12 +333,21 @@
     written_under.is_some() && written_under == present
 }
 
-/// Writes the duty's key under this lease of the node. Returns the epoch if this node owns the duty now.
+/// A claim that has taken effect.
+#[derive(Clone, Copy, Debug)]
+struct NewClaim {
+    epoch: Epoch,
+    /// Whether the store has said so in answer to this claim, and not only its key, which may show an earlier
+    /// one.
+    is_answered: bool,
+}
+
+/// Writes the duty's key under this lease of the node. Returns the claim if this node owns the duty now.
 async fn write_claim(
     node: &Rc<Node>,
     key: &str,
     (key_revision, lease): (u64, Option<u64>),
-) -> Option<Epoch> {
+) -> Option<NewClaim> {
     let lease = lease?;
     let txn = Transaction {
         expected: vec![Expected { key: key.to_owned(), revision: key_revision }],
@@ -347,12 +362,12 @@
         node.session.borrow_mut().open_claims.swap_remove(duty);
     }
     match result {
-        Ok(Outcome::Done(revision)) => Some(Epoch(revision)),
+        Ok(Outcome::Done(revision)) => Some(NewClaim { epoch: Epoch(revision), is_answered: true }),
         // An earlier copy of this claim may have taken effect without an answer.
         Ok(Outcome::Conflict(items)) => {
             let item = items.iter().find(|item| item.key == key && item.lease == lease)?;
             let epoch = own_claim(item, (&node.id, node.incarnation), key_revision)?;
-            (!had_term(node, key, epoch)).then_some(epoch)
+            (!had_term(node, key, epoch)).then_some(NewClaim { epoch, is_answered: false })
         }
         Err(StoreError::Unavailable(_) | StoreError::NoLease) => None,
         Err(StoreError::Uncertain(_) | StoreError::Compacted) => {
@@ -360,7 +375,7 @@
             // store late, after another claim, finds another revision and fails.
             let item = node.store.get(key).await.ok()?.filter(|item| item.lease == lease)?;
             let epoch = own_claim(&item, (&node.id, node.incarnation), key_revision)?;
-            (!had_term(node, key, epoch)).then_some(epoch)
+            (!had_term(node, key, epoch)).then_some(NewClaim { epoch, is_answered: false })
         }
     }
 }
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -17,7 +17,7 @@
     Epoch, ServiceId, Span, Timestamp,
     job::{
         Action, AdmissionPolicy, Cell, CellConfig, FlowLimits, LinkRate, Load, LogConfig,
-        WorkerEntry, WorkerId,
+        TermClaim, WorkerEntry, WorkerId,
     },
 };
 use teaselgap_platform::{
@@ -29,6 +29,7 @@
 
 use self::replies::PendingReplies;
 use super::{
+    duties::cell_duty,
     instruction::{CellReport, PoolInstruction},
     log_store::{LogStore, WriteError},
     node::Node,
@@ -202,6 +203,18 @@
         result
     }
 
+    /// What this node knows of the claim of this term and those before.
+    fn term_claim(&self) -> TermClaim {
+        let duty = cell_duty(&self.service);
+        let session = self.node.session.borrow();
+        let own = session.claims_sent.get(&duty).filter(|(epoch, _)| *epoch == self.epoch);
+        TermClaim {
+            earlier_orders_end: self.earlier_orders_end.get(),
+            sent: own.map_or(Timestamp(0), |(_, sent)| *sent),
+            seen: self.node.members.borrow().claims(&duty),
+        }
+    }
+
     async fn run(self: Rc<Self>) {
         let started = clock::now();
         let Some(recovered) = self.log_store.read(&self.is_term_over).await else {
@@ -212,8 +225,7 @@
         let time = (clock::now(), clock::wall_ms());
         let cfg = cell_config(&self.node);
         let service_and_epoch = (self.service.clone(), self.epoch);
-        let earlier_orders_end = self.earlier_orders_end.get();
-        let cell = Cell::new(cfg, service_and_epoch, recovered, earlier_orders_end, time);
+        let cell = Cell::new(cfg, service_and_epoch, recovered, &self.term_claim(), time);
         *self.cell.borrow_mut() = Some(cell);
         self.apply_predecessor_end();
         if let Some(config) = self.node.shared.config.load_full() {
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -1,6 +1,9 @@
 //! The registered nodes and the owners of duties, as read from the store.
 
-use std::net::SocketAddr;
+#[cfg(test)]
+mod tests;
+
+use std::{collections::VecDeque, net::SocketAddr};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -16,6 +19,9 @@
 /// lost its lease, and registers again as soon as it reaches the store.
 const FORMER_MEMBER_TIME: Span = Span(30_000);
 
+/// How many terms of a duty are remembered.
+const MAX_CLAIMS: usize = 8;
+
 /// The prefix of the keys of members and duties. Each node watches all of them, so their values must
 /// be small.
 pub(super) const CONTROL_PREFIX: &str = "teaselgap/control/";
@@ -56,6 +62,8 @@
     /// The last known owner of each duty before its key was deleted or this node claimed the duty, and
     /// the revision of the key, which is the epoch of its term.
     pub(super) predecessors: IndexMap<Duty, (NodeRecord, u64)>,
+    /// The latest terms of each duty that this node has seen, each with when it first was.
+    claims: IndexMap<Duty, VecDeque<(Epoch, Timestamp)>>,
     /// The revision up to which the store has been read.
     pub(super) revision: u64,
 }
@@ -105,6 +113,23 @@
         shown.into_iter().flatten().any(|(_, revision)| *revision > epoch.0)
     }
 
+    /// Notes that the store shows this term of a duty at `now`.
+    pub(super) fn record_claim(&mut self, duty: &str, epoch: Epoch, now: Timestamp) {
+        let claims = self.claims.entry(duty.to_owned()).or_default();
+        if claims.iter().any(|(known, _)| *known == epoch) {
+            return;
+        }
+        if claims.len() == MAX_CLAIMS {
+            claims.pop_front();
+        }
+        claims.push_back((epoch, now));
+    }
+
+    /// The latest terms of a duty, each with a time after its claim.
+    pub(super) fn claims(&self, duty: &str) -> Vec<(Epoch, Timestamp)> {
+        self.claims.get(duty).into_iter().flatten().copied().collect()
+    }
+
     fn add_node(&mut self, node: NodeId, record: NodeRecord) {
         self.former.swap_remove(&node);
         self.nodes.insert(node, record);
@@ -138,6 +163,7 @@
         } else if let Some(duty) = key.strip_prefix(DUTY_PREFIX) {
             match record {
                 Some(record) => {
+                    self.record_claim(duty, Epoch(revision), clock::now());
                     self.owners.insert(duty.to_owned(), (record, revision));
                 }
                 None => {
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -96,6 +96,11 @@
                     "workers_adopted" => adopted, "workers_expired" => expired, "cell" => cell,
                     "epoch" => epoch);
             }
+            LogEvent::InheritedWait { workers, left, known_by, last } => {
+                info!(log, "waiting for inherited workers"; "workers" => workers,
+                    "until_ms" => left.0, "known_by" => known_by, "last" => %last, "cell" => cell,
+                    "epoch" => epoch);
+            }
             LogEvent::OtherInstance(statement) => self.write_other_instance(statement),
             LogEvent::PlannedStart { run, other_runs, withheld } => {
                 self.write_planned_start(run, *other_runs, *withheld);
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -14,7 +14,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Span, Timestamp,
+    Epoch, Span, Timestamp,
     job::{Duty, LagMonitor, LinkRate, OrderRate, Permission},
 };
 use teaselgap_platform::{
@@ -76,6 +76,8 @@
     pub(super) free_since: IndexMap<Duty, Timestamp>,
     /// When this node claimed each of the duties that it owns.
     pub(super) claimed_at: IndexMap<Duty, Timestamp>,
+    /// A time before the latest claim of each duty was sent, and the epoch that it brought.
+    pub(super) claims_sent: IndexMap<Duty, (Epoch, Timestamp)>,
     /// Duties that are being handed over to another node.
     pub(super) handing_over: IndexSet<Duty>,
     /// How late the timers of this thread fire.
