A cell doesn't move while its owner waits for inherited workers

Cause: MIN_TENURE counted from the claim, so that an owner handed its cell over 3 s into its term, in the middle of the wait for workers of earlier terms. Callers paid a second claim, adoption and refusal for nothing.

Change: a cell is movable MIN_TENURE after the end of that wait (Cell::inherited_wait_end); a cell that waits for nothing has that end as its log is read. Session::claimed_at had no other use and is gone.

Tests: of has_settled, and that a cell which waits for nothing has an end of its wait; awaited:: for the end itself. No test drives cell_to_hand_over with a cell that waits.

--- a/crates/core/src/job/cell/awaited.rs
+++ b/crates/core/src/job/cell/awaited.rs
@@ -129,4 +129,10 @@
         let workers = self.inherited_workers.iter().map(awaited).collect();
         self.record(Record::Awaited { workers }, now, None);
     }
+
+    /// When the wait for workers of earlier terms was over; `None` while it lasts.
+    #[must_use]
+    pub fn inherited_wait_end(&self) -> Option<Timestamp> {
+        self.inherited_wait.ended
+    }
 }
--- a/crates/core/src/job/cell/awaited/tests.rs
+++ b/crates/core/src/job/cell/awaited/tests.rs
@@ -142,6 +142,20 @@
     assert_eq!(records, [awaited(&[("w0", 2_000 + 1_000 + 10_300)])]);
 }
 
+#[test]
+fn the_wait_is_over_before_the_last_worker_has_expired() {
+    let mut cell = waiting_cell();
+    let expiry = NOW + Span(1_000 + 10_300);
+
+    cell.tick(Timestamp(expiry.0 - 1), expiry.0 - 1);
+    let before = cell.inherited_wait_end();
+    cell.tick(expiry, expiry.0);
+    cell.tick(expiry + Span(50), expiry.0 + 50);
+
+    assert_eq!(before, None);
+    assert_eq!(cell.inherited_wait_end(), Some(expiry));
+}
+
 #[test]
 fn an_earlier_end_of_the_wait_is_not_recorded_again() {
     let mut cell = waiting_cell();
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -55,6 +55,8 @@
     began: Timestamp,
     /// A time before the owner's claim was sent.
     pub(super) claim_sent: Timestamp,
+    /// When it was over, once it is.
+    pub(super) ended: Option<Timestamp>,
     /// Number of workers that were adopted.
     adopted: usize,
     /// Number of workers whose leases had certainly expired.
@@ -63,7 +65,7 @@
 
 impl InheritedWait {
     fn new(began: Timestamp, claim_sent: Timestamp) -> Self {
-        Self { began, claim_sent, adopted: 0, expired: 0 }
+        Self { began, claim_sent, ended: None, adopted: 0, expired: 0 }
     }
 }
 
@@ -525,6 +527,7 @@
         if !self.inherited_workers.is_empty() {
             return;
         }
+        self.inherited_wait.ended.get_or_insert(now);
         let inherited = self.jobs.open().filter(|(_, job)| job.is_inherited).count();
         if before > 0 || inherited > 0 {
             let InheritedWait { began, adopted, expired, .. } = self.inherited_wait;
--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -44,7 +44,8 @@
 /// How long a claim that got no answer may still take effect.
 const OPEN_CLAIM_TIME: Span = Span(15_000);
 
-/// How long an owner keeps a cell before it may hand it over to a node that can carry more.
+/// How long an owner keeps a cell that waits for no workers of earlier terms before it may hand it over to a
+/// node that can carry more.
 const MIN_TENURE: Span = Span(3_000);
 
 /// The name of the duty to own a service's cell.
@@ -227,6 +228,12 @@
     claimable
 }
 
+/// Whether the owner of a cell may hand it over, whose wait for workers of earlier terms was over at
+/// `wait_end`; `None` while it lasts. The next owner would have to adopt all workers again.
+fn has_settled(wait_end: Option<Timestamp>, now: Timestamp) -> bool {
+    wait_end.is_some_and(|end| now >= end + MIN_TENURE)
+}
+
 /// The cell that this node should hand over now, if any; one at a time.
 fn cell_to_hand_over(node: &Rc<Node>) -> Option<Rc<host::CellOwner>> {
     let now = clock::now();
@@ -243,14 +250,11 @@
         .map(|(duty, (record, _))| (duty.clone(), record.node.clone()))
         .collect();
     let cell_owners = node.cell_owners.borrow();
-    let has_settled = |duty: &Duty| {
-        session.claimed_at.get(duty).is_some_and(|claimed_at| now >= *claimed_at + MIN_TENURE)
-    };
     let movable: Vec<Duty> = cell_owners
         .values()
-        .filter(|owner| owner.is_serving())
+        .filter(|owner| owner.is_serving() && has_settled(owner.inherited_wait_end(), now))
         .map(|owner| cell_duty(owner.service()))
-        .filter(|duty| has_settled(duty) && owners.get(duty) == Some(&node.id))
+        .filter(|duty| owners.get(duty) == Some(&node.id))
         .collect();
     let candidates = members.candidates((&node.id, own_rate));
     let duty = duty_to_hand_over(&node.id, &movable, &owners, &candidates)?;
@@ -302,7 +306,6 @@
         let sent = if claim.is_some_and(|claim| claim.is_answered) { sent } else { Timestamp(0) };
         node.members.borrow_mut().record_claim(&duty, epoch, clock::now());
         node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
-        node.session.borrow_mut().claimed_at.insert(duty.clone(), clock::now());
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
         } else if let Some(cell) = cell_of_duty(&duty) {
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -3,7 +3,7 @@
 use super::{
     super::{
         members::MEMBER_PREFIX,
-        test_node::{node, silent_address},
+        test_node::{node, serves, silent_address},
         test_server,
     },
     *,
@@ -198,3 +198,36 @@
 
     assert_eq!(claimable, []);
 }
+
+/// Guards against a cell that is handed over while its owner waits for workers of earlier terms, so that a second
+/// claim and adoption follow in the middle of a recovery.
+#[test]
+fn a_cell_is_movable_before_its_wait_for_inherited_workers_is_over() {
+    let claimed = clock::now();
+    let wait_end = claimed + Span(13_300);
+
+    let in_wait = has_settled(None, claimed + Span(60_000));
+    let just_after = has_settled(Some(wait_end), Timestamp(wait_end.0 + MIN_TENURE.0 - 1));
+    let later = has_settled(Some(wait_end), wait_end + MIN_TENURE);
+
+    assert!(!in_wait);
+    assert!(!just_after);
+    assert!(later);
+}
+
+/// Guards against a cell that no worker is waited for, and that never moves to a node that can carry more.
+#[test]
+fn an_owner_that_waits_for_nothing_keeps_its_cell_for_ever() {
+    let (store, _) = test_server::serve(DONE, &[]);
+    let cell: ServiceId = "drums".parse().unwrap();
+
+    let wait_end = run(async {
+        let node = node_with_lease(store);
+        host::start(&node, cell.clone(), Epoch(9), 0);
+        let owner = Rc::clone(&node.cell_owners.borrow()["drums"]);
+        assert!(serves(&node, std::slice::from_ref(&cell)).await);
+        owner.inherited_wait_end()
+    });
+
+    assert!(wait_end.is_some());
+}
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -171,6 +171,12 @@
         !self.is_term_over.get() && !self.is_handing_over.get() && self.cell.borrow().is_some()
     }
 
+    /// When the wait for workers of earlier terms was over; `None` while it lasts, and before the log has been
+    /// read.
+    pub(super) fn inherited_wait_end(&self) -> Option<Timestamp> {
+        self.cell.borrow().as_ref().and_then(Cell::inherited_wait_end)
+    }
+
     /// Since when the log has been read; `None` once it has been, and once the term is over.
     pub(super) fn recovering_since(&self) -> Option<Timestamp> {
         let is_recovering = !self.is_term_over.get() && self.cell.borrow().is_none();
--- a/src/jobs/session.rs
+++ b/src/jobs/session.rs
@@ -74,8 +74,6 @@
     pub(super) open_claims: IndexMap<Duty, Timestamp>,
     /// When each free duty was first seen to be free.
     pub(super) free_since: IndexMap<Duty, Timestamp>,
-    /// When this node claimed each of the duties that it owns.
-    pub(super) claimed_at: IndexMap<Duty, Timestamp>,
     /// A time before the latest claim of each duty was sent, and the epoch that it brought.
     pub(super) claims_sent: IndexMap<Duty, (Epoch, Timestamp)>,
     /// Duties that are being handed over to another node.
