--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{info, warn};
 use teaselgap_core::{
-    Epoch, Incarnation, NodeId, ServiceId, Span,
+    Epoch, Incarnation, NodeId, ServiceId, Span, Timestamp,
     job::{Duty, duty_to_hand_over, propose_owners},
 };
 use teaselgap_platform::{
@@ -44,7 +44,8 @@
 /// How long a claim that got no answer may still take effect.
 const OPEN_CLAIM_TIME: Span = Span(15_000);
 
-/// How long an owner keeps a cell before it may hand it over to a node that can carry more.
+/// How long an owner keeps a cell that waits for no workers of earlier terms before it may hand it over to a
+/// node that can carry more.
 const MIN_TENURE: Span = Span(3_000);
 
 /// The name of the duty to own a service's cell.
@@ -227,6 +228,12 @@
     claimable
 }
 
+/// Whether the owner of a cell may hand it over, whose wait for workers of earlier terms was over at
+/// `wait_end`; `None` while it lasts. The next owner would have to adopt all workers again.
+fn has_settled(wait_end: Option<Timestamp>, now: Timestamp) -> bool {
+    wait_end.is_some_and(|end| now >= end + MIN_TENURE)
+}
+
 /// The cell that this node should hand over now, if any; one at a time.
 fn cell_to_hand_over(node: &Rc<Node>) -> Option<Rc<host::CellOwner>> {
     let now = clock::now();
@@ -243,14 +250,11 @@
         .map(|(duty, (record, _))| (duty.clone(), record.node.clone()))
         .collect();
     let cell_owners = node.cell_owners.borrow();
-    let has_settled = |duty: &Duty| {
-        session.claimed_at.get(duty).is_some_and(|claimed_at| now >= *claimed_at + MIN_TENURE)
-    };
     let movable: Vec<Duty> = cell_owners
         .values()
-        .filter(|owner| owner.is_serving())
+        .filter(|owner| owner.is_serving() && has_settled(owner.inherited_wait_end(), now))
         .map(|owner| cell_duty(owner.service()))
-        .filter(|duty| has_settled(duty) && owners.get(duty) == Some(&node.id))
+        .filter(|duty| owners.get(duty) == Some(&node.id))
         .collect();
     let candidates = members.candidates((&node.id, own_rate));
     let duty = duty_to_hand_over(&node.id, &movable, &owners, &candidates)?;
@@ -282,7 +286,9 @@
 async fn claim_duty(node: Rc<Node>, duty: Duty, key_revision: u64) {
     let key = duty_key(&duty);
     let lease = node.lease.lease();
-    let epoch = write_claim(&node, &key, (key_revision, lease)).await;
+    let sent = clock::now();
+    let claim = write_claim(&node, &key, (key_revision, lease)).await;
+    let epoch = claim.map(|claim| claim.epoch);
     if let Some(epoch) = epoch.filter(|epoch| is_claim_current(&node, &duty, (*epoch, lease))) {
         let own_rate = current_order_rate(&node);
         let largest_rate = node.members.borrow().largest_order_rate((&node.id, own_rate));
@@ -296,7 +302,10 @@
                 members.predecessors.insert(duty.clone(), previous);
             }
         }
-        node.session.borrow_mut().claimed_at.insert(duty.clone(), clock::now());
+        // A claim that was found in the store may have been sent at any time.
+        let sent = if claim.is_some_and(|claim| claim.is_answered) { sent } else { Timestamp(0) };
+        node.members.borrow_mut().record_claim(&duty, epoch, clock::now());
+        node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
         if duty == FLEET_DUTY {
             fleet::start(&node, epoch);
         } else if let Some(cell) = cell_of_duty(&duty) {
@@ -327,12 +336,21 @@
     written_under.is_some() && written_under == present
 }
 
-/// Writes the duty's key under this lease of the node. Returns the epoch if this node owns the duty now.
+/// A claim that has taken effect.
+#[derive(Clone, Copy, Debug)]
+struct NewClaim {
+    epoch: Epoch,
+    /// Whether the store has said so in answer to this claim, and not only its key, which may show an earlier
+    /// one.
+    is_answered: bool,
+}
+
+/// Writes the duty's key under this lease of the node. Returns the claim if this node owns the duty now.
 async fn write_claim(
     node: &Rc<Node>,
     key: &str,
     (key_revision, lease): (u64, Option<u64>),
-) -> Option<Epoch> {
+) -> Option<NewClaim> {
     let lease = lease?;
     let txn = Transaction {
         expected: vec![Expected { key: key.to_owned(), revision: key_revision }],
@@ -347,12 +365,12 @@
         node.session.borrow_mut().open_claims.swap_remove(duty);
     }
     match result {
-        Ok(Outcome::Done(revision)) => Some(Epoch(revision)),
+        Ok(Outcome::Done(revision)) => Some(NewClaim { epoch: Epoch(revision), is_answered: true }),
         // An earlier copy of this claim may have taken effect without an answer.
         Ok(Outcome::Conflict(items)) => {
             let item = items.iter().find(|item| item.key == key && item.lease == lease)?;
             let epoch = own_claim(item, (&node.id, node.incarnation), key_revision)?;
-            (!had_term(node, key, epoch)).then_some(epoch)
+            (!had_term(node, key, epoch)).then_some(NewClaim { epoch, is_answered: false })
         }
         Err(StoreError::Unavailable(_) | StoreError::NoLease) => None,
         Err(StoreError::Uncertain(_) | StoreError::Compacted) => {
@@ -360,7 +378,7 @@
             // store late, after another claim, finds another revision and fails.
             let item = node.store.get(key).await.ok()?.filter(|item| item.lease == lease)?;
             let epoch = own_claim(&item, (&node.id, node.incarnation), key_revision)?;
-            (!had_term(node, key, epoch)).then_some(epoch)
+            (!had_term(node, key, epoch)).then_some(NewClaim { epoch, is_answered: false })
         }
     }
 }
