Test: the judge of takeovers counts what a moment's term can't know, and strays count

Cause: three flaws of the judge in its first form. An order to a worker that had just fallen silent was counted from the silence, not from the order. And starts in instances that no owner had called didn't count as second runs.

Change: a term that has heard a worker for less than 1.5 s knows of its own orders only, and the term before that heard it counts, too; orders count from when they were given; late orders of earlier owners reach later instances, and every start counts, as in owners::property.

--- a/crates/standins/tests/cells/takeovers/judge.rs
+++ b/crates/standins/tests/cells/takeovers/judge.rs
@@ -56,8 +56,8 @@
     ended: Option<(Timestamp, End)>,
     /// Until when its node can be asked.
     node_lives_until: Timestamp,
-    /// The workers that it has adopted, or ordered to start a task.
-    heard: BTreeSet<WorkerId>,
+    /// The workers that it has adopted, or ordered to start a task, each with when it did so first.
+    heard: BTreeMap<WorkerId, Timestamp>,
     /// For how long the store has answered it.
     heard_by_store: Span,
 }
@@ -69,7 +69,7 @@
             claimed,
             ended: None,
             node_lives_until: NEVER,
-            heard: BTreeSet::new(),
+            heard: BTreeMap::new(),
             heard_by_store: Span(0),
         }
     }
@@ -214,11 +214,11 @@
                         self.latest_orders.insert(task, now);
                         self.ordered_at.insert(placed.worker.clone(), now);
                         self.places.entry(task).or_default().insert(placed.worker.clone());
-                        self.note_heard(&placed.worker);
+                        self.note_heard(&placed.worker, now);
                     }
                 }
                 LogEvent::Worker { worker, change: "adopted" | "answers again", .. } => {
-                    self.note_heard(worker);
+                    self.note_heard(worker, now);
                 }
                 LogEvent::TaskPaused { task, .. } => {
                     self.paused.insert(*task);
@@ -232,9 +232,9 @@
         self.events_seen = model.log_events().len();
     }
 
-    fn note_heard(&mut self, worker: &WorkerId) {
+    fn note_heard(&mut self, worker: &WorkerId, now: Timestamp) {
         if let Some(term) = self.terms.last_mut() {
-            term.heard.insert(worker.clone());
+            term.heard.entry(worker.clone()).or_insert(now);
         }
     }
 
@@ -296,7 +296,7 @@
     /// When nothing can run any more on the workers that hold a task back: for one that lasts those where it has
     /// run last or was ordered since, for another one all workers that owners have used.
     fn free_at(&self, task: TaskId, is_lasting: bool, now: Timestamp) -> (Timestamp, String) {
-        let used = || self.terms.iter().flat_map(|term| &term.heard);
+        let used = || self.terms.iter().flat_map(|term| term.heard.keys());
         let places = self.places.get(&task).into_iter().flatten();
         let workers: BTreeSet<&WorkerId> =
             if is_lasting { places.collect() } else { used().chain(places).collect() };
@@ -311,32 +311,40 @@
             return (back.max(self.claimed()) + ADOPTION, format!("{id} is reached"));
         };
         let open = self.open_at.get(id).copied().unwrap_or_default();
-        let Some(position) = self.terms.iter().rposition(|term| term.heard.contains(id)) else {
-            return (open.max(self.unknown_until(0)), format!("no term has heard {id}"));
+        let (until, why) = self.known_until(id, self.terms.len(), absent);
+        (until.max(open), why)
+    }
+
+    /// Until when anything may run on a worker by what the last term before this position knows that has heard it. A
+    /// term that has heard it for a moment only knows of its own orders, and what earlier ones know counts, too.
+    fn known_until(&self, id: &WorkerId, before: usize, absent: &Absence) -> (Timestamp, String) {
+        let has_heard = |term: &Term| term.heard.contains_key(id);
+        let Some(position) = self.terms[..before].iter().rposition(has_heard) else {
+            return (self.unknown_until(0), format!("no term has heard {id}"));
         };
         let term = &self.terms[position];
-        let ended = term.ended.map_or(absent.since, |(at, _)| at);
+        let asked = self.claimed() + QUESTION;
+        let is_known =
+            term.ended.is_none() || term.is_handed_over() || term.node_lives_until >= asked;
+        if !is_known {
+            let why = format!("the node of term {} is dead, which heard {id} last", term.epoch);
+            return (self.unknown_until(position), why);
+        }
+        let ended = term.ended.map_or(NEVER, |(at, _)| at);
         // The first moment after which no order and no renewal of the term can have reached the worker.
         let touched = absent.since.min(ended);
         let ordered = self.ordered_at.get(id).copied().unwrap_or_default() + UNDER_WAY;
         let renewals = if term.is_handed_over() { HANDOVER_RENEWALS } else { Span(0) };
-        let mut known = touched + renewals + order_life();
+        let mut own = touched + renewals + order_life();
         if ordered >= touched {
-            known = known.max(ordered.min(ended.max(touched)) + longest_lease());
+            own = own.max(ordered.min(ended) + longest_lease());
         }
-        let asked = self.claimed() + QUESTION;
-        let is_known =
-            term.ended.is_none() || term.is_handed_over() || term.node_lives_until >= asked;
-        if !is_known {
-            let until = self.unknown_until(position);
-            return (
-                open.max(until),
-                format!("the node of term {} is dead, which heard {id} last", term.epoch),
-            );
+        let own = own.max(self.earlier_until(position)).max(self.mute_until(position));
+        let why = format!("term {} knows when {id} ends its runs", term.epoch);
+        if position > 0 && touched < term.heard[id] + ADOPTION {
+            return self.known_until(id, position, absent).max((own, why));
         }
-        let earlier = self.earlier_until(position);
-        let until = known.max(earlier).max(self.mute_until(position)).max(open);
-        (until, format!("term {} knows when {id} ends its runs", term.epoch))
+        (own, why)
     }
 
     /// Until when anything may run by orders of the term at this position, of which nobody knows: the next term that
--- a/crates/standins/tests/cells/takeovers/play.rs
+++ b/crates/standins/tests/cells/takeovers/play.rs
@@ -71,7 +71,8 @@
         let workers = (0..WORKERS + SPARES).map(worker).collect();
         let mut model = Model::new(service(), queues, workers);
         model.set_longest_lease(LONGEST_LEASE_MS);
-        model.allow_stray_orders(StrayOrders::None);
+        model.count_every_start();
+        model.allow_stray_orders(StrayOrders::OfEarlierOwners);
         for spare in WORKERS..WORKERS + SPARES {
             model.lapse_entry(&name(spare), FOREVER_MS);
         }
