The end of a term leaves what a handover leaves, while its node lives

Cause: what an owner knew died with its term. The next owner assumed orders until 3 s after its claim, and the longest lease of each worker after them, and each further lost term began that wait anew, although the node of the owner before lived and knew until when each lease lasts.

Change: Cell::term_end says what an owner knows as its term ends, TermEnd::report what is left of it, and Cell::on_term_end applies such a report of the last term in the log: deadlines of workers, the end of earlier orders, open start orders. Not shortened: workers with a start order of a lasting task under way or open, those that were removed before their ends were durable, and all of them below the last earlier order plus the longest lease while earlier owners may still order. An order that is in no record holds its task back no longer than before. The model keeps the ends of terms whose nodes live and lets the present owner ask for them each 300 ms.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -44,7 +44,10 @@
 
 pub use self::{
     advice::{AdviceAnswer, AdviceConfig, AdviceRequest},
-    cell::{AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog},
+    cell::{
+        AdmissionPolicy, Cell, CellConfig, QueueConfig, RecoveredLog, TermEnd, TermEndEffect,
+        TermEndReport,
+    },
     fence::{Fence, FencedCall},
     fleet::{
         BurstHistory, Fleet, FleetAction, FleetConfig, FleetOrder, FleetRecord, FleetRequest,
--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -26,6 +26,7 @@
 mod roster;
 mod staged;
 mod start_scope;
+mod term_end;
 mod trials;
 mod vacate;
 mod work;
@@ -37,6 +38,7 @@
 pub use self::admit::AdmissionPolicy;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
+pub use self::term_end::{TermEnd, TermEndEffect, TermEndReport};
 use self::{
     admit::Refusal,
     staged::{StagedSubmissions, Submission},
--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -12,7 +12,7 @@
 use super::{
     super::{
         Action, LogEvent, Record, RunId, StoredSegment, TaskId, WorkerId,
-        worker::{OpenOrder, RunState, UNANSWERED_START_LIFETIME},
+        worker::{OpenOrder, Run, RunState, UNANSWERED_START_LIFETIME, Worker},
     },
     Cell, log_time,
 };
@@ -23,6 +23,16 @@
     Timestamp(now.0.saturating_sub(ms.max(1)))
 }
 
+/// When a start order of an earlier term expires, or has expired, given what is left of the longest lease that its
+/// run may have got.
+pub(super) fn order_expiry(lease_left: Span, longest_lease: Span, now: Timestamp) -> Timestamp {
+    match lease_left.0.checked_sub(longest_lease.0).filter(|left| *left > 0) {
+        Some(left) => now + Span(left).min(UNANSWERED_START_LIFETIME),
+        // It had expired before that.
+        None => before(now, longest_lease.0.saturating_sub(lease_left.0)),
+    }
+}
+
 /// The open start orders of earlier terms, by worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct InheritedStarts {
@@ -42,13 +52,8 @@
                 };
                 let lease_until_ms = until_ms.saturating_add(longest_lease.0);
                 let lease_left = log_time::left(lease_until_ms, segment, passed);
-                let left = lease_left.0.checked_sub(longest_lease.0).filter(|left| *left > 0);
                 if lease_left.0 > 0 {
-                    let expiry = match left {
-                        Some(left) => now + Span(left).min(UNANSWERED_START_LIFETIME),
-                        // It had expired before that.
-                        None => before(now, longest_lease.0 - lease_left.0),
-                    };
+                    let expiry = order_expiry(lease_left, longest_lease, now);
                     let (task, attempt) = (*task, *attempt);
                     let order = OpenOrder { task, attempt, expiry, is_inherited: true };
                     found.orders.entry(worker.clone()).or_default().push(order);
@@ -68,6 +73,11 @@
         self.orders.iter().flat_map(of)
     }
 
+    /// All orders, each with its worker.
+    pub(super) fn all(&self) -> impl Iterator<Item = (&WorkerId, &OpenOrder)> {
+        self.orders.iter().flat_map(|(worker, orders)| orders.iter().map(move |one| (worker, one)))
+    }
+
     /// Takes the orders to a worker.
     pub(super) fn take(&mut self, worker: &WorkerId) -> Vec<OpenOrder> {
         self.orders.swap_remove(worker).unwrap_or_default()
@@ -136,6 +146,33 @@
         self.inherited_starts = starts;
     }
 
+    /// Takes over an order of which the owner of the last term has told after this term had begun.
+    pub(super) fn inherit_late_start(&mut self, id: &WorkerId, order: OpenOrder) {
+        let orders = match self.workers.get_mut(id) {
+            Some(worker) => &mut worker.open_orders,
+            None => self.inherited_starts.orders.entry(id.clone()).or_default(),
+        };
+        let is_same = |one: &&mut OpenOrder| {
+            one.is_inherited && (one.task, one.attempt) == (order.task, order.attempt)
+        };
+        match orders.iter_mut().find(is_same) {
+            Some(known) => known.expiry = known.expiry.max(order.expiry),
+            None => orders.push(order),
+        }
+        let found_at = self.inherited_starts.found_at;
+        let job = self.jobs.get_mut(&order.task.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(order.task)) {
+            task.inherit_late_start(id, order.attempt, (order.expiry, found_at));
+        }
+    }
+
+    /// The short start orders to a worker that have got no answer yet.
+    pub(super) fn starts_under_way(worker: &Worker) -> impl Iterator<Item = (&TaskId, &Run)> {
+        let ordered = worker.runs.iter().filter(|(_, run)| run.state == RunState::Ordered);
+        // A long-running task starts at once where a cell was handed over.
+        ordered.filter(|(_, run)| !run.is_long_running)
+    }
+
     /// Records the orders that are under way, before the handover, as their answers come too late for that, and those
     /// that have expired and may matter all the same.
     pub(super) fn record_unsettled_starts(&mut self, now: Timestamp) {
@@ -149,9 +186,7 @@
                 worker: id.clone(),
                 until_ms: order.expiry.0,
             }));
-            let ordered = worker.runs.iter().filter(|(_, run)| run.state == RunState::Ordered);
-            // A long-running task starts at once where a cell was handed over.
-            let short = ordered.filter(|(_, run)| !run.is_long_running);
+            let short = Self::starts_under_way(worker);
             unsettled.extend(short.map(|(task, run)| Record::StartOpen {
                 task: *task,
                 attempt: run.attempt,
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -67,10 +67,10 @@
 /// The last term that the log shows. No later one has granted leases or given start orders.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoggedTerm {
-    epoch: Epoch,
+    pub(super) epoch: Epoch,
     /// Time until which owners of terms before it may give orders.
     earlier_orders_end: Timestamp,
-    is_handed_over: bool,
+    pub(super) is_handed_over: bool,
 }
 
 impl LoggedTerm {
@@ -308,19 +308,34 @@
             return self.log.earlier_orders_end();
         };
         let last_order = last_order.max(term.earlier_orders_end);
-        self.log.end_earlier_orders(last_order);
-        let expiry = self.expiry_after(last_order);
-        self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
+        self.end_earlier_orders(last_order);
         let mut inherited_workers = std::mem::take(&mut self.inherited_workers);
         for (worker, inherited) in &mut inherited_workers {
             *inherited = (*inherited).min(self.unheard_expiry(worker, last_order));
         }
         self.inherited_workers = inherited_workers;
+        self.log.earlier_orders_end()
+    }
+
+    /// Brings forward what follows from the last order of any earlier owner, which is given by `last_order`.
+    pub(super) fn end_earlier_orders(&mut self, last_order: Timestamp) {
+        self.log.end_earlier_orders(last_order);
+        let expiry = self.expiry_after(last_order);
+        self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
         // Asked about only once the worker has answered, which says whether it may have got more.
         for worker in self.workers.values_mut() {
             worker.inherited_expiry = worker.inherited_expiry.min(expiry);
         }
-        self.log.earlier_orders_end()
+    }
+
+    /// When every lease of a worker of this term has certainly expired, with what an order under way brings, as far
+    /// as this owner can know if it sends nothing more. Such an order may find an instance that this owner has not
+    /// called.
+    pub(super) fn expiry_with_orders(&self, worker: &Worker, now: Timestamp) -> Timestamp {
+        let longest_lease = self.longest_lease();
+        let expiry = worker.lease_expiry(longest_lease, now);
+        let is_ordered = self.start_window.has_pending_at(&worker.entry.id);
+        if is_ordered { expiry.max(now + longest_lease) } else { expiry }
     }
 
     /// Ends the term by handover: records that no more orders follow and which workers may still
@@ -331,14 +346,10 @@
         // A worker without runs has no order of this term outstanding. One that was never adopted
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
-        let longest_lease = self.longest_lease();
         let handover = self.plan_handover(now);
         let own = own.map(|worker| {
             let id = &worker.entry.id;
-            let expiry = worker.lease_expiry(longest_lease, now);
-            // An order under way may find an instance that this owner has not called.
-            let is_ordered = self.start_window.has_pending_at(id);
-            let expiry = if is_ordered { expiry.max(now + longest_lease) } else { expiry };
+            let expiry = self.expiry_with_orders(worker, now);
             if !handover.renewed.contains(id) {
                 return (id, expiry, expiry);
             }
--- a/crates/core/src/job/task.rs
+++ b/crates/core/src/job/task.rs
@@ -171,6 +171,26 @@
         });
     }
 
+    /// The same for an order that became known only after this owner's term, in which the log was read at `found_at`,
+    /// had begun. What this owner has ordered itself stands.
+    pub(super) fn inherit_late_start(
+        &mut self,
+        worker: &WorkerId,
+        attempt: u32,
+        (until, found_at): (Timestamp, Timestamp),
+    ) {
+        let is_own = self.open_start.as_ref().is_some_and(|open| open.inherited_at.is_none());
+        if is_own || !self.run_workers.is_empty() {
+            return;
+        }
+        match self.open_start.as_mut().filter(|open| open.attempt >= attempt) {
+            Some(open) if open.worker != *worker => {}
+            Some(open) if open.attempt == attempt => open.until = open.until.max(Some(until)),
+            Some(open) => open.earlier_until = open.earlier_until.max(Some(until)),
+            None => self.inherit_start(worker, attempt, (until, found_at)),
+        }
+    }
+
     /// Notes until when a copy of the order of an attempt may still be carried out; `None` if each that was
     /// sent has been answered.
     pub(super) fn settle_start(
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -15,6 +15,7 @@
 mod log;
 mod message;
 mod owners;
+mod term_ends;
 mod worker;
 
 use std::{
@@ -135,6 +136,8 @@
     cell: Option<Cell>,
     /// Owners of earlier terms that still act.
     earlier_owners: Vec<owners::EarlierOwner>,
+    /// What owners of earlier terms know whose nodes live.
+    term_ends: term_ends::TermEnds,
     /// Workers whose entries the store has lost, each with when the worker writes it again.
     lapsed_entries: IndexMap<WorkerId, Timestamp>,
     /// Time until which owners of earlier terms than the current or latest one may have given
@@ -295,6 +298,7 @@
             queues,
             cell: None,
             earlier_owners: Vec::new(),
+            term_ends: term_ends::TermEnds::default(),
             lapsed_entries: IndexMap::new(),
             earlier_orders_end: Timestamp(0),
             gave_up_at: Timestamp(0),
@@ -460,6 +464,7 @@
                 cell.update_workers(entries, true, now);
             }
         }
+        self.ask_for_term_ends();
         let (now, wall_ms) = (self.now, self.wall_ms());
         let Some(cell) = &mut self.cell else {
             return;
--- a/crates/standins/src/model/control.rs
+++ b/crates/standins/src/model/control.rs
@@ -313,7 +313,9 @@
     /// the cell again with [`Model::take_over_again`].
     pub fn give_up(&mut self) {
         self.gave_up_at = self.now.max(self.earlier_orders_end);
-        self.cell = None;
+        if let Some(cell) = self.cell.take() {
+            self.term_ends.keep(&cell, self.now);
+        }
     }
 
     /// Begins the term of a new owner, which recovers the cell from the log in the store.
@@ -350,6 +352,7 @@
         self.cell = Some(cell);
         self.pending_write = None;
         self.next_worker_list = self.now;
+        self.term_ends.restart_questions(self.now);
         self.owner_lease = self.owner_lease.map(|_| OwnerLease::new(self.now));
         self.starts_in_flight = 0;
     }
--- a/crates/standins/src/model/worker.rs
+++ b/crates/standins/src/model/worker.rs
@@ -273,6 +273,12 @@
         self.runs.values().fold(Resources::default(), |sum, run| sum + run.need)
     }
 
+    /// Returns when the lease ends, if it is not renewed and the worker's clock shows true time.
+    #[must_use]
+    pub fn lease_until(&self, now: Timestamp) -> Timestamp {
+        now + Span(self.lease_end.saturating_sub(self.clock(now)))
+    }
+
     /// Returns how much of the lease is left; `None` if there are no runs.
     pub(super) fn lease_left(&self, now: Timestamp) -> Option<Span> {
         let left = Span(self.lease_end.saturating_sub(self.clock(now)));
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -31,6 +31,7 @@
 mod store_outage;
 mod stray_leases;
 mod takeover;
+mod term_ends;
 mod turns;
 mod unanswered;
 mod unheard;
