A new owner asks the other nodes how the last term ended

Cause: nobody asked the node of an owner whose term had ended by a lost lease, and an outage that deletes the duty's key made even the same process forget its own term.

Change: each process keeps what it knew as its latest three terms of a cell ended (a term that wrote nothing may have come after the log's last one). A new owner applies those of its own process, then asks all possible claimants each 300 ms, for up to 400 ms, while it waits for workers of earlier terms and until one knew the log's last term (rpc TermEnd). A node that still acts as the owner by an earlier claim ends its term before it answers. A node of an earlier version answers Unimplemented, which counts as silence and keeps the connection.

--- a/crates/proto/src/gen/teaselgap.cell.rs
+++ b/crates/proto/src/gen/teaselgap.cell.rs
@@ -244,6 +244,23 @@
     #[prost(bool, tag = "2")]
     pub may_have_claimed: bool,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TermEndRequest {
+    #[prost(string, tag = "1")]
+    pub cell: ::prost::alloc::string::String,
+    /// The epoch of the caller's term as the owner of the cell.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TermEndReply {
+    /// Whether the receiver has owned the cell.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    /// What is left of what it knew, of each term, as JSON.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub reports: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+}
 /// Generated client implementations.
 pub mod cell_client {
     #![allow(
@@ -399,6 +416,29 @@
                 .insert(GrpcMethod::new("teaselgap.cell.Cell", "StoreAge"));
             self.inner.unary(req, path, codec).await
         }
+        /// What the receiver knew as its latest terms as the owner of a cell ended. If it still acts as the owner, that
+        /// term ends first.
+        pub async fn term_end(
+            &mut self,
+            request: impl tonic::IntoRequest<super::TermEndRequest>,
+        ) -> std::result::Result<tonic::Response<super::TermEndReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/teaselgap.cell.Cell/TermEnd",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("teaselgap.cell.Cell", "TermEnd"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -430,6 +470,12 @@
             &self,
             request: tonic::Request<super::StoreAgeRequest>,
         ) -> std::result::Result<tonic::Response<super::StoreAgeReply>, tonic::Status>;
+        /// What the receiver knew as its latest terms as the owner of a cell ended. If it still acts as the owner, that
+        /// term ends first.
+        async fn term_end(
+            &self,
+            request: tonic::Request<super::TermEndRequest>,
+        ) -> std::result::Result<tonic::Response<super::TermEndReply>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct CellServer<T> {
@@ -636,6 +682,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/teaselgap.cell.Cell/TermEnd" => {
+                    #[allow(non_camel_case_types)]
+                    struct TermEndSvc<T: Cell>(pub Arc<T>);
+                    impl<T: Cell> tonic::server::UnaryService<super::TermEndRequest>
+                    for TermEndSvc<T> {
+                        type Response = super::TermEndReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::TermEndRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cell>::term_end(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TermEndSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -42,6 +42,7 @@
 mod roster;
 mod session;
 mod start_order;
+mod term_ends;
 #[cfg(test)]
 mod test_node;
 #[cfg(test)]
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -2,6 +2,7 @@
 //! clients and the calls to workers are in modules of their own.
 
 mod calls;
+mod predecessors;
 mod replies;
 mod requests;
 
@@ -187,6 +188,7 @@
         self.node.ended_terms.borrow_mut().insert(self.service.clone(), ended_term);
         info!(self.node.log, "cell term ended"; "cell" => %self.service, "epoch" => self.epoch.0,
             "reason" => reason, "open_questions" => self.pending_replies.borrow().len());
+        self.keep_term_end();
         self.pending_replies.borrow_mut().clear();
         self.wake.notify_one();
     }
@@ -224,6 +226,7 @@
         self.node.roster_refresh.notify_one();
         tokio::task::spawn_local(Rc::clone(&self).write_log());
         tokio::task::spawn_local(Rc::clone(&self).report());
+        tokio::task::spawn_local(Rc::clone(&self).learn_last_term_end());
         let mut next_tick = tokio::time::Instant::now();
         while !self.is_term_over.get() {
             let _ = tokio::time::timeout(TICK_INTERVAL, self.wake.notified()).await;
@@ -386,30 +389,6 @@
         !is_routed && self.cell.borrow().as_ref().is_some_and(|cell| !cell.has_jobs())
     }
 
-    /// Records that the owner of an earlier term sends no more orders.
-    pub(super) fn on_predecessor_ended(&self, ended: Epoch) {
-        let is_known = self.ended_predecessor.get().is_some_and(|(epoch, _)| epoch == ended);
-        if is_known {
-            return;
-        }
-        self.ended_predecessor.set(Some((ended, clock::now())));
-        info!(self.node.log, "previous owner has ended"; "cell" => %self.service,
-            "ended_epoch" => ended.0, "epoch" => self.epoch.0,
-            "waited_ms" => clock::now().since(self.started_at).0);
-        self.apply_predecessor_end();
-    }
-
-    /// Tells the cell, once it has been recovered, that an earlier owner has ended.
-    fn apply_predecessor_end(&self) {
-        let Some((ended, last_order)) = self.ended_predecessor.get() else {
-            return;
-        };
-        let orders_end = self.with_cell(|cell| cell.on_predecessor_ended(ended, last_order));
-        if let Some(orders_end) = orders_end {
-            self.earlier_orders_end.set(self.earlier_orders_end.get().min(orders_end));
-        }
-    }
-
     /// Stops sending orders and has the cell write the handover to its log.
     pub(super) fn hand_over(&self) {
         self.with_cell(|cell| cell.hand_over(clock::now(), clock::wall_ms()));
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -32,10 +32,11 @@
     log_store::LogReading,
     members::Members,
     operator, outage,
-    peer::{self, NodeRequest, Peers, PendingInstruction, PendingStoreAge},
+    peer::{self, NodeRequest, Peers, PendingInstruction, PendingStoreAge, PendingTermEnd},
     repeat::{MAX_STORE_COPIES, Repeater},
     roster,
     session::{self, Session},
+    term_ends::{self, TermEnds},
 };
 use crate::{
     clock, log,
@@ -108,6 +109,8 @@
     pub(super) cell_owners: RefCell<IndexMap<ServiceId, Rc<CellOwner>>>,
     /// The latest term of this process that is over, by cell.
     pub(super) ended_terms: RefCell<IndexMap<ServiceId, EndedTerm>>,
+    /// What this process knew as its latest terms ended.
+    pub(super) term_ends: TermEnds,
     /// The fleet's owner, if this node holds the fleet duty.
     pub(super) fleet: RefCell<Option<Rc<fleet::FleetOwner>>>,
     pub(super) operator: RefCell<operator::OperatorState>,
@@ -141,6 +144,7 @@
             members: RefCell::new(Members::default()),
             cell_owners: RefCell::new(IndexMap::new()),
             ended_terms: RefCell::new(IndexMap::new()),
+            term_ends: TermEnds::default(),
             fleet: RefCell::new(None),
             operator: RefCell::new(operator::OperatorState::default()),
             roster_refresh: Notify::new(),
@@ -193,6 +197,10 @@
                 // The caller may have stopped waiting.
                 let _ = reply.send(outage::store_word(self, &terms));
             }
+            NodeRequest::TermEnd(PendingTermEnd { cell, epoch, reply }) => {
+                // The caller may have stopped waiting.
+                let _ = reply.send(term_ends::tell(self, &cell, epoch));
+            }
         }
     }
 
--- a/src/jobs/peer.rs
+++ b/src/jobs/peer.rs
@@ -9,11 +9,11 @@
 use indexmap::IndexMap;
 use teaselgap_core::{
     Epoch, IdError, ServiceId, Span, Timestamp,
-    job::{DrainMode, Duty, InstructionNumber, JobEnd, JobId, JobState, Outlook},
+    job::{DrainMode, Duty, InstructionNumber, JobEnd, JobId, JobState, Outlook, TermEndReport},
 };
 use teaselgap_proto::cell::{
     AskReply, AskRequest, DirectReply, DirectRequest, Outlook as WireOutlook, StoreAgeReply,
-    StoreAgeRequest, Term as WireTerm,
+    StoreAgeRequest, Term as WireTerm, TermEndReply, TermEndRequest,
     ask_reply::{Outcome, State},
     ask_request::Verb as WireOperation,
     cell_client::CellClient,
@@ -96,12 +96,24 @@
     pub(super) reply: oneshot::Sender<StoreWord>,
 }
 
+/// The longest wait for another node to tell how its terms as the owner of a cell ended.
+const TERM_END_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The question of the owner of a cell, whose term has this epoch, how terms of this node ended.
+#[derive(Debug)]
+pub(crate) struct PendingTermEnd {
+    pub(super) cell: ServiceId,
+    pub(super) epoch: Epoch,
+    pub(super) reply: oneshot::Sender<Vec<TermEndReport>>,
+}
+
 /// A request of another node or of a client account to this node.
 #[derive(Debug)]
 pub(crate) enum NodeRequest {
     Cell(PendingRequest),
     Instruct(PendingInstruction),
     StoreAge(PendingStoreAge),
+    TermEnd(PendingTermEnd),
 }
 
 /// Connections to other nodes, each opened when first used.
@@ -187,6 +199,31 @@
         Some(StoreWord { age: Span(age_ms), may_have_claimed })
     }
 
+    /// Asks the node at `address` what it knew as its terms as the owner of a cell ended, for the owner whose term has
+    /// this epoch. Returns nothing if it doesn't answer or knows no such call.
+    pub(super) async fn term_end(
+        &self,
+        address: SocketAddr,
+        cell: &ServiceId,
+        epoch: Epoch,
+    ) -> Vec<TermEndReport> {
+        let Some(mut client) = self.get(address) else {
+            return Vec::new();
+        };
+        let request = TermEndRequest { cell: cell.to_string(), epoch: epoch.0 };
+        match tokio::time::timeout(TERM_END_TIMEOUT, client.term_end(request)).await {
+            Ok(Ok(reply)) => {
+                let reports = &reply.get_ref().reports;
+                reports.iter().filter_map(|report| serde_json::from_slice(report).ok()).collect()
+            }
+            Ok(Err(status)) if status.code() == Code::Unimplemented => Vec::new(),
+            Ok(Err(_)) | Err(_) => {
+                self.discard_client(address);
+                Vec::new()
+            }
+        }
+    }
+
     /// Passes an instruction to the owner of a cell at `address`. Returns `None` if the node does not
     /// answer or does not own the cell.
     pub(super) async fn instruct(
@@ -413,6 +450,22 @@
         Ok(Response::new(StoreAgeReply { age_ms, may_have_claimed }))
     }
 
+    async fn term_end(
+        &self,
+        req: Request<TermEndRequest>,
+    ) -> Result<Response<TermEndReply>, Status> {
+        let TermEndRequest { cell, epoch } = req.into_inner();
+        let cell = cell.parse().map_err(|err| invalid_id_status(&err))?;
+        let (reply, reply_rx) = oneshot::channel();
+        self.enqueue(NodeRequest::TermEnd(PendingTermEnd { cell, epoch: Epoch(epoch), reply }))?;
+        let reports = reply_rx.await.map_err(stopping_status)?;
+        let encoded: Result<Vec<_>, _> = reports.iter().map(serde_json::to_vec).collect();
+        let encoded = encoded.map_err(|err| Status::internal(err.to_string()))?;
+        let known = !encoded.is_empty();
+        let reports = encoded.into_iter().map(Into::into).collect();
+        Ok(Response::new(TermEndReply { known, reports }))
+    }
+
     async fn direct(&self, req: Request<DirectRequest>) -> Result<Response<DirectReply>, Status> {
         let req = req.into_inner();
         let modes = req.urgent.iter().map(|&value| drain_mode_from_wire(value));
--- a/src/jobs/peer/tests.rs
+++ b/src/jobs/peer/tests.rs
@@ -107,6 +107,39 @@
     assert_eq!(received, terms);
 }
 
+#[tokio::test]
+async fn the_next_owner_learns_how_a_term_of_another_node_ended() {
+    let json =
+        r#"{"epoch":8,"earlier_orders_left":"0ms","workers":{"w0":"700ms","w1":null},"starts":[]}"#;
+    let report: TermEndReport = serde_json::from_str(json).unwrap();
+    let (address, mut request_rx) = serve_peer().await;
+    let (peers, cell) = (Peers::default(), "drums".parse().unwrap());
+
+    let asked = peers.term_end(address, &cell, Epoch(9));
+    let received = async {
+        let Some(NodeRequest::TermEnd(pending)) = request_rx.recv().await else {
+            panic!("no question about a term");
+        };
+        pending.reply.send(vec![report.clone()]).expect("a caller that waits");
+        (pending.cell, pending.epoch)
+    };
+    let (reports, question) = tokio::join!(asked, received);
+
+    assert_eq!(reports, std::slice::from_ref(&report));
+    assert_eq!(question, (cell.clone(), Epoch(9)));
+}
+
+#[tokio::test]
+async fn a_node_that_does_not_answer_in_time_knows_of_no_term() {
+    let (address, _request_rx) = serve_peer().await;
+    let asked_at = std::time::Instant::now();
+
+    let reports = Peers::default().term_end(address, &"drums".parse().unwrap(), Epoch(9)).await;
+
+    assert_eq!(reports, []);
+    assert!(asked_at.elapsed() < 2 * TERM_END_TIMEOUT, "{:?}", asked_at.elapsed());
+}
+
 #[test]
 fn for_how_long_a_queue_is_closed_reaches_the_node_that_asked() {
     let closed = Reply::Closed { retry_after: Span(3_000), time: Span(700) };
