--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -27,6 +27,7 @@
 mod roster;
 mod staged;
 mod start_scope;
+mod term_end;
 mod trials;
 mod vacate;
 mod work;
@@ -39,6 +40,7 @@
 pub use self::awaited::TermClaim;
 pub(super) use self::progress::WorkerSpeed;
 pub use self::recover::RecoveredLog;
+pub use self::term_end::{TermEnd, TermEndEffect, TermEndReport};
 use self::{
     admit::Refusal,
     staged::{StagedSubmissions, Submission},
--- a/crates/core/src/job/cell/awaited.rs
+++ b/crates/core/src/job/cell/awaited.rs
@@ -82,7 +82,7 @@
 
     /// When everything at a worker has certainly expired; `None` if it has nothing. It is `worst` if
     /// nothing better is known.
-    fn expiry(&self, worker: &WorkerId, worst: Timestamp) -> Option<Timestamp> {
+    pub(super) fn expiry(&self, worker: &WorkerId, worst: Timestamp) -> Option<Timestamp> {
         if self.used.contains(worker) {
             return Some(worst);
         }
--- a/crates/core/src/job/cell/recover.rs
+++ b/crates/core/src/job/cell/recover.rs
@@ -72,10 +72,10 @@
 /// The last term that the log shows. No later one has granted leases or given start orders.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoggedTerm {
-    epoch: Epoch,
+    pub(super) epoch: Epoch,
     /// Time until which owners of terms before it may give orders.
     earlier_orders_end: Timestamp,
-    is_handed_over: bool,
+    pub(super) is_handed_over: bool,
 }
 
 impl LoggedTerm {
@@ -274,7 +274,12 @@
         };
         cell.inherited_workers = if let Some(pending) = handed_over {
             // The previous owner knew which workers had runs, and when their leases expire.
-            let expiry_of = |one: &UnsettledWorker| unsettled_expiry(one, (now, wall_ms), expiry);
+            let expiry_of = |one: &UnsettledWorker| {
+                let counted = unsettled_expiry(one, (now, wall_ms), expiry);
+                // That time counts from now, and the one of a worker that it had not used from its claim.
+                let wait = logged_wait.as_ref();
+                wait.and_then(|wait| wait.expiry(&one.worker, counted)).unwrap_or(counted)
+            };
             pending.iter().map(|one| (one.worker.clone(), expiry_of(one))).collect()
         } else {
             cell.expiries_after_loss(used_workers, logged_wait.as_ref(), last_order)
@@ -320,9 +325,7 @@
         };
         let known_at = last_order;
         let last_order = last_order.max(term.earlier_orders_end);
-        self.log.end_earlier_orders(last_order);
-        let expiry = self.expiry_after(last_order);
-        self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
+        self.end_earlier_orders(last_order);
         let earlier = std::mem::take(&mut self.inherited_workers);
         let mut inherited_workers = earlier.clone();
         for (worker, inherited) in &mut inherited_workers {
@@ -333,11 +336,28 @@
         if is_shorter && self.handover.is_none() {
             self.record_awaited(known_at);
         }
+        self.log.earlier_orders_end()
+    }
+
+    /// Brings forward what follows from the last order of any earlier owner, which is given by `last_order`.
+    pub(super) fn end_earlier_orders(&mut self, last_order: Timestamp) {
+        self.log.end_earlier_orders(last_order);
+        let expiry = self.expiry_after(last_order);
+        self.earlier_leases_expiry = self.earlier_leases_expiry.min(expiry);
         // Asked about only once the worker has answered, which says whether it may have got more.
         for worker in self.workers.values_mut() {
             worker.inherited_expiry = worker.inherited_expiry.min(expiry);
         }
-        self.log.earlier_orders_end()
+    }
+
+    /// When every lease of a worker of this term has certainly expired, with what an order under way brings, as far
+    /// as this owner can know if it sends nothing more. Such an order may find an instance that this owner has not
+    /// called.
+    pub(super) fn expiry_with_orders(&self, worker: &Worker, now: Timestamp) -> Timestamp {
+        let longest_lease = self.longest_lease();
+        let expiry = worker.lease_expiry(longest_lease, now);
+        let is_ordered = self.start_window.has_pending_at(&worker.entry.id);
+        if is_ordered { expiry.max(now + longest_lease) } else { expiry }
     }
 
     /// Ends the term by handover: records that no more orders follow and which workers may still
@@ -348,14 +368,10 @@
         // A worker without runs has no order of this term outstanding. One that was never adopted
         // got none; if it is inherited, it is added below.
         let own = self.workers.values().filter(|worker| !worker.runs.is_empty());
-        let longest_lease = self.longest_lease();
         let handover = self.plan_handover(now);
         let own = own.map(|worker| {
             let id = &worker.entry.id;
-            let expiry = worker.lease_expiry(longest_lease, now);
-            // An order under way may find an instance that this owner has not called.
-            let is_ordered = self.start_window.has_pending_at(id);
-            let expiry = if is_ordered { expiry.max(now + longest_lease) } else { expiry };
+            let expiry = self.expiry_with_orders(worker, now);
             if !handover.renewed.contains(id) {
                 return (id, expiry, expiry);
             }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -15,7 +15,7 @@
 mod log;
 mod message;
 mod owners;
-mod terms;
+mod term_ends;
 mod worker;
 
 use std::{
@@ -136,8 +136,8 @@
     cell: Option<Cell>,
     /// Owners of earlier terms that still act.
     earlier_owners: Vec<owners::EarlierOwner>,
-    /// Owners whose terms ended by a lost lease and whose nodes live.
-    ended_owners: Vec<terms::EndedOwner>,
+    /// What owners of earlier terms know whose nodes live.
+    term_ends: term_ends::TermEnds,
     /// Workers whose entries the store has lost, each with when the worker writes it again.
     lapsed_entries: IndexMap<WorkerId, Timestamp>,
     /// Time until which owners of earlier terms than the current or latest one may have given
@@ -302,7 +302,7 @@
             queues,
             cell: None,
             earlier_owners: Vec::new(),
-            ended_owners: Vec::new(),
+            term_ends: term_ends::TermEnds::default(),
             lapsed_entries: IndexMap::new(),
             earlier_orders_end: Timestamp(0),
             gave_up_at: Timestamp(0),
@@ -470,6 +470,7 @@
                 cell.update_workers(entries, true, now);
             }
         }
+        self.ask_for_term_ends();
         let (now, wall_ms) = (self.now, self.wall_ms());
         let Some(cell) = &mut self.cell else {
             return;
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -33,6 +33,7 @@
 mod stray_leases;
 mod takeover;
 mod takeovers;
+mod term_ends;
 mod turns;
 mod unanswered;
 mod unheard;
