A copied record of a worker is no use of it, and reported times count with the drift of clocks

Cause: the log's cleaning copied the records of workers that the owner had not heard, which counted as uses, so that the wait began anew if an owner was lost that had cleaned its log while it waited; the list of the awaited was not copied. A report's times were counted without the drift between two nodes' clocks (review). Change: WorkerUsed says whether it is a copy (is_copy), the cleaning copies Awaited, too, and on_term_end adds the drift.

--- a/crates/core/src/job/cell/awaited.rs
+++ b/crates/core/src/job/cell/awaited.rs
@@ -73,7 +73,7 @@
             (one.worker.clone(), claimed_by + left)
         };
         let used = |record: &Record| match record {
-            Record::WorkerUsed { worker, .. } => Some(worker.clone()),
+            Record::WorkerUsed { worker, is_copy: false, .. } => Some(worker.clone()),
             _ => None,
         };
         let deadlines = list.iter().map(deadline).collect();
@@ -121,13 +121,18 @@
 
     /// Records which workers may have something from earlier terms.
     pub(super) fn record_awaited(&mut self, now: Timestamp) {
+        self.record(self.awaited_record(), now, None);
+    }
+
+    /// The list of the workers that may have something from earlier terms.
+    pub(super) fn awaited_record(&self) -> Record {
         let claim_sent = self.inherited_wait.claim_sent;
         let awaited = |(worker, expiry): (&WorkerId, &Timestamp)| AwaitedWorker {
             worker: worker.clone(),
             after_claim_ms: expiry.since(claim_sent).0,
         };
         let workers = self.inherited_workers.iter().map(awaited).collect();
-        self.record(Record::Awaited { workers }, now, None);
+        Record::Awaited { workers }
     }
 
     /// When the wait for workers of earlier terms was over; `None` while it lasts.
--- a/crates/core/src/job/cell/awaited/tests.rs
+++ b/crates/core/src/job/cell/awaited/tests.rs
@@ -16,7 +16,12 @@
 const WORST: Timestamp = Timestamp(1_013_000);
 
 fn used(worker: &str) -> Record {
-    Record::WorkerUsed { worker: worker.into(), instance: None, stray_until_ms: None }
+    Record::WorkerUsed {
+        worker: worker.into(),
+        instance: None,
+        stray_until_ms: None,
+        is_copy: false,
+    }
 }
 
 fn awaited(workers: &[(&str, u64)]) -> Record {
@@ -67,6 +72,22 @@
     assert_eq!(expiry(&segments, "w1"), Some(WORST));
 }
 
+/// Guards against a wait that begins anew for a worker whose record the lost owner has only copied.
+#[test]
+fn a_copied_record_counts_as_a_use_of_its_worker() {
+    let copy = Record::WorkerUsed {
+        worker: "w0".into(),
+        instance: None,
+        stray_until_ms: None,
+        is_copy: true,
+    };
+    let records = [awaited(&[("w0", 10_000)]), copy];
+
+    let expiry = expiry(&[segment(0, 2, &records)], "w0");
+
+    assert_eq!(expiry, Some(SEEN + Span(10_100)));
+}
+
 #[test]
 fn a_time_later_than_the_worst_case_counts() {
     let segments = [segment(0, 2, &[awaited(&[("w0", 900_000)])])];
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -44,6 +44,8 @@
     Worker(WorkerId),
     /// The start orders of a task that a worker may still carry out.
     OpenStart(TaskId, WorkerId),
+    /// The list of the workers that may have something from earlier terms.
+    Awaited,
 }
 
 /// The records of one live thing.
@@ -145,8 +147,9 @@
                     self.live.set(key, position, 0);
                 }
             }
-            // Without the list the next owner assumes the worst.
-            Record::Awaited { .. } | Record::HandedOver { .. } => {}
+            // One of an earlier term says nothing any more, and is noticed as it would be copied.
+            Record::Awaited { .. } => self.live.set(LiveKey::Awaited, position, bytes),
+            Record::HandedOver { .. } => {}
         }
     }
 
@@ -197,6 +200,7 @@
             LiveKey::OpenStart(task, worker) => {
                 self.open_start_record(*task, worker, now).map(|record| vec![record])
             }
+            LiveKey::Awaited => Some(vec![self.awaited_record()]),
         };
         self.live.remove(key);
         let other_bytes = self.live.bytes;
--- a/crates/core/src/job/cell/clean/tests.rs
+++ b/crates/core/src/job/cell/clean/tests.rs
@@ -137,6 +137,7 @@
                 worker,
                 instance,
                 stray_until_ms,
+                is_copy: false,
             },
         ),
         1 => worker().prop_map(|worker| Record::WorkerGone { worker }),
--- a/crates/core/src/job/cell/inherited_leases.rs
+++ b/crates/core/src/job/cell/inherited_leases.rs
@@ -32,7 +32,7 @@
         let mut found = IndexMap::new();
         for (segment, passed) in log_time::with_time_passed(segments) {
             for record in &segment.records {
-                let Record::WorkerUsed { worker, instance, stray_until_ms } = record else {
+                let Record::WorkerUsed { worker, instance, stray_until_ms, .. } = record else {
                     continue;
                 };
                 let left = stray_until_ms.map(|until| log_time::left(until, segment, passed));
@@ -59,6 +59,6 @@
         let inherited = self.0.get(&worker);
         let instance = inherited.and_then(|inherited| inherited.instance);
         let until = inherited.map(|inherited| inherited.expiry.0).filter(|until| *until > now.0);
-        Record::WorkerUsed { worker, instance, stray_until_ms: until }
+        Record::WorkerUsed { worker, instance, stray_until_ms: until, is_copy: true }
     }
 }
--- a/crates/core/src/job/cell/inherited_leases/tests.rs
+++ b/crates/core/src/job/cell/inherited_leases/tests.rs
@@ -9,7 +9,7 @@
 const LONGEST_LEASE: Span = Span(10_300);
 
 fn used(instance: Option<u64>, stray_until_ms: Option<u64>) -> Record {
-    Record::WorkerUsed { worker: "w0".into(), instance, stray_until_ms }
+    Record::WorkerUsed { worker: "w0".into(), instance, stray_until_ms, is_copy: false }
 }
 
 fn segment(sequence: u64, (epoch, written): (u64, u64), records: &[Record]) -> StoredSegment {
--- a/crates/core/src/job/cell/roster.rs
+++ b/crates/core/src/job/cell/roster.rs
@@ -33,6 +33,7 @@
         worker: worker.entry.id.clone(),
         instance: is_known.then_some(name),
         stray_until_ms: Some(lease.expiry().0).filter(|until| *until > now.0),
+        is_copy: worker.times_logged == 0,
     }
 }
 
--- a/crates/core/src/job/cell/term_end.rs
+++ b/crates/core/src/job/cell/term_end.rs
@@ -13,7 +13,7 @@
 
 use super::{
     super::{
-        TaskId, WorkerId,
+        TaskId, WorkerId, life,
         worker::{OpenOrder, Worker},
     },
     Cell, DeferredEffect, inherited_starts,
@@ -252,14 +252,15 @@
             let order = OpenOrder { task, attempt, expiry, is_inherited: true };
             self.inherit_late_start(&start.worker, order);
         }
-        self.end_earlier_orders(now + report.earlier_orders_left);
+        self.end_earlier_orders(now + life::longest_on_other_clock(report.earlier_orders_left));
         let before = self.inherited_workers.len();
         let mut shortened = 0;
         self.inherited_workers.retain(|id, deadline| {
             let Some(lapse_in) = report.workers.get(id) else {
                 return false;
             };
-            let expiry = lapse_in.map(|left| now + left).filter(|expiry| expiry < deadline);
+            let expiry = lapse_in.map(|left| now + life::longest_on_other_clock(left));
+            let expiry = expiry.filter(|expiry| expiry < deadline);
             shortened += usize::from(expiry.is_some());
             *deadline = expiry.unwrap_or(*deadline);
             true
--- a/crates/core/src/job/cell/term_end/tests.rs
+++ b/crates/core/src/job/cell/term_end/tests.rs
@@ -37,6 +37,7 @@
         worker: (*worker).into(),
         instance: None,
         stray_until_ms: None,
+        is_copy: false,
     };
     let records = workers.iter().map(used).chain(more.iter().cloned());
     let encoded: Vec<EncodedRecord> = records.map(|record| EncodedRecord::new(&record)).collect();
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -297,6 +297,10 @@
         /// the clock that the segments of the same term show.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         stray_until_ms: Option<u64>,
+        /// Whether it only repeats what an earlier term has recorded: this one has granted the worker no lease, and has
+        /// given it no order.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        is_copy: bool,
     },
     /// All workers that may have something from terms before the owner's. A worker that is neither named nor
     /// recorded as used in the same term has nothing. The latest list of a term counts.
--- a/crates/standins/tests/cells/lost_terms.rs
+++ b/crates/standins/tests/cells/lost_terms.rs
@@ -114,6 +114,32 @@
     }
 }
 
+/// Guards against a wait that begins anew because the owner has cleaned its log meanwhile, which copies the records
+/// of workers that it has not heard.
+#[test]
+fn an_owner_that_cleans_its_log_while_it_waits_starts_the_wait_anew() {
+    let (mut model, busy) = model_with_task();
+    partition(&mut model, &busy);
+    model.kill_owner();
+    model.run_for(100);
+    let claimed_at = model.now();
+    model.take_over();
+    let first_segment = model.oldest_segment();
+
+    for number in 0..80 {
+        model.submit(JobId(100 + number), &queue(), job_spec(vec![step(1, 100, 50)]));
+        model.run_for(100);
+    }
+    let is_cleaned = model.oldest_segment() > first_segment.map(|first| first + 20);
+    lose_owner(&mut model);
+    let starts = model.run_until(LONG_MS, |model| starts(model) > 1);
+    let waited = model.now().since(claimed_at);
+
+    assert!(is_cleaned);
+    assert!(starts && waited <= BOUND, "{waited}");
+    assert_eq!(model.violations(), [] as [&str; 0]);
+}
+
 /// Guards against a task that runs twice because the time that a lost owner had waited for a worker counts,
 /// although it has renewed the lease there.
 #[test]
