A cleaned log makes the next owner wait anew: a failing test

The cleaning copies the WorkerUsed record of a worker that is only waited for into the present term, and LoggedWait takes any WorkerUsed of that term for a use. Should this owner be lost, the next one takes the worst case for a worker that nobody has called, as before the list of awaited workers. Two functions of the cleaning are visible to the module beside it for the test.

--- a/crates/core/src/job/cell/awaited/tests.rs
+++ b/crates/core/src/job/cell/awaited/tests.rs
@@ -181,3 +181,34 @@
 
     assert_eq!(first_records(&mut cell), [awaited(&[("w0", 3_000 + 10_300)])]);
 }
+
+/// Guards against a copy of an old record that the next owner takes for a use by the lost one.
+#[test]
+fn a_worker_whose_old_record_the_cleaning_copies_keeps_its_time_after_the_owner_is_lost() {
+    let old = segment(0, 1, &[used("w0")]);
+    let recovered = RecoveredLog { next: 1, segments: vec![old] };
+    let claim = TermClaim { sent: NOW, ..TermClaim::unseen(NOW + Span(3_000)) };
+    let term = ("drums".parse().unwrap(), Epoch(2));
+    let mut lost = Cell::new(config(), term, recovered, &claim, (NOW, NOW.0));
+    let first = lost.take_write(NOW + Span(100)).unwrap();
+    lost.on_segment_written(first.sequence, NOW + Span(110));
+    let end = lost.log.oldest_segment_end().unwrap();
+    let key = lost.live.first_until(end).unwrap();
+    lost.copy_forward(&key, NOW + Span(120));
+    lost.log.delete_oldest_segment(NOW + Span(120));
+    let second = lost.take_write(NOW + Span(300)).unwrap();
+    let writes = [first, second];
+    let segments: Vec<StoredSegment> =
+        writes.map(|write| StoredSegment::decode(write.sequence, &write.value).unwrap()).into();
+    let later = NOW + Span(8_000);
+    let seen = vec![(Epoch(2), NOW + Span(10))];
+    let claim = TermClaim { sent: later, seen, earlier_orders_end: later + Span(3_000) };
+    let recovered = RecoveredLog { next: segments.last().unwrap().sequence + 1, segments };
+
+    let term = ("drums".parse().unwrap(), Epoch(3));
+    let next = Cell::new(config(), term, recovered, &claim, (later, later.0));
+
+    // 13.3 s after the first claim on this node's clock, and not after the second.
+    let expected = NOW + Span(10 + 13_300 + 133);
+    assert_eq!(next.inherited_workers.get(&WorkerId::from("w0")), Some(&expected));
+}
--- a/crates/core/src/job/cell/clean.rs
+++ b/crates/core/src/job/cell/clean.rs
@@ -108,7 +108,7 @@
     }
 
     /// Returns the thing with the earliest record, if that is not after `end`.
-    fn first_until(&self, end: Position) -> Option<LiveKey> {
+    pub(super) fn first_until(&self, end: Position) -> Option<LiveKey> {
         self.by_position.range(..=end).next().map(|(_, key)| key.clone())
     }
 }
@@ -187,7 +187,7 @@
 
     /// Appends the state of a live thing, so that its earlier records are no longer needed. Returns
     /// the size of the new records.
-    fn copy_forward(&mut self, key: &LiveKey, now: Timestamp) -> usize {
+    pub(super) fn copy_forward(&mut self, key: &LiveKey, now: Timestamp) -> usize {
         let records = match key {
             LiveKey::Job(id) => self.jobs.get(id).map(|job| {
                 let settings = self.queue_settings(&job.queue);
