A killed owner of several cells: drawn orders of claims and readings, red

Fault: whether a cell hears that the process that owned it before was killed depends on whether a reading of the members falls after its claim and none of all members does. Change: no logic; the application of a reading and the beginning of a term are functions of their own, so that a test can order them. The guard (same process, another address, an earlier start) passes and must go on to.

--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -88,29 +88,49 @@
     }
 }
 
+/// What was read of the members and owners.
+#[derive(Debug)]
+enum Reading {
+    /// All of them, as of this revision.
+    All(Vec<Item>, u64),
+    /// What has changed up to this revision.
+    Changes(Vec<Change>, u64),
+}
+
 async fn follow_once(node: &Rc<Node>) -> Result<(), StoreError> {
     let after = node.members.borrow().revision;
-    if after == 0 {
+    let reading = if after == 0 {
         let range = node.store.range(CONTROL_PREFIX, false).await?;
-        let mut members = node.members.borrow_mut();
-        members.replace_all(&range.items, range.revision);
-        members.record_reading(clock::now());
-        drop(members);
-        check_own_duties(node);
-        return Ok(());
-    }
-    let (changes, revision) = node.store.watch(CONTROL_PREFIX, after, WATCH_TIMEOUT).await?;
-    {
-        let mut members = node.members.borrow_mut();
-        for Change { key, value, revision } in changes {
-            members.apply_change(&key, value.as_deref(), revision);
+        Reading::All(range.items, range.revision)
+    } else {
+        let (changes, revision) = node.store.watch(CONTROL_PREFIX, after, WATCH_TIMEOUT).await?;
+        Reading::Changes(changes, revision)
+    };
+    apply_reading(node, reading);
+    Ok(())
+}
+
+fn apply_reading(node: &Rc<Node>, reading: Reading) {
+    match reading {
+        Reading::All(items, revision) => {
+            let mut members = node.members.borrow_mut();
+            members.replace_all(&items, revision);
+            members.record_reading(clock::now());
+            drop(members);
+            check_own_duties(node);
+        }
+        Reading::Changes(changes, revision) => {
+            let mut members = node.members.borrow_mut();
+            for Change { key, value, revision } in changes {
+                members.apply_change(&key, value.as_deref(), revision);
+            }
+            members.revision = revision;
+            members.record_reading(clock::now());
+            drop(members);
+            check_own_duties(node);
+            report_ended_predecessors(node);
         }
-        members.revision = revision;
-        members.record_reading(clock::now());
     }
-    check_own_duties(node);
-    report_ended_predecessors(node);
-    Ok(())
 }
 
 /// Ends the terms of duties that have another owner, or none, according to the store.
@@ -290,34 +310,40 @@
     let claim = write_claim(&node, &key, (key_revision, lease)).await;
     let epoch = claim.map(|claim| claim.epoch);
     if let Some(epoch) = epoch.filter(|epoch| is_claim_current(&node, &duty, (*epoch, lease))) {
-        let own_rate = current_order_rate(&node);
-        let largest_rate = node.members.borrow().largest_order_rate((&node.id, own_rate));
-        info!(node.log, "duty claimed"; "seat" => &duty, "epoch" => epoch.0,
-            "earlier_revision" => key_revision, "order_rate" => %own_rate,
-            "largest_order_rate" => %largest_rate);
-        {
-            let mut members = node.members.borrow_mut();
-            let previous = members.owners.insert(duty.clone(), (own_record(&node), epoch.0));
-            if let Some(previous) = previous {
-                members.predecessors.insert(duty.clone(), previous);
-            }
-        }
         // A claim that was found in the store may have been sent at any time.
         let sent = if claim.is_some_and(|claim| claim.is_answered) { sent } else { Timestamp(0) };
-        node.members.borrow_mut().record_claim(&duty, epoch, clock::now());
-        node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
-        if duty == FLEET_DUTY {
-            fleet::start(&node, epoch);
-        } else if let Some(cell) = cell_of_duty(&duty) {
-            host::start(&node, cell, epoch, key_revision);
-        }
-        node.roster_refresh.notify_one();
+        begin_term(&node, &duty, (epoch, key_revision), sent);
     }
     let mut session = node.session.borrow_mut();
     session.claiming.swap_remove(&duty);
     session.free_since.swap_remove(&duty);
 }
 
+/// Begins the term of a claim that was sent at `sent` and has taken effect. The duty's key had `key_revision`
+/// before; zero if there was none.
+fn begin_term(node: &Rc<Node>, duty: &Duty, (epoch, key_revision): (Epoch, u64), sent: Timestamp) {
+    let own_rate = current_order_rate(node);
+    let largest_rate = node.members.borrow().largest_order_rate((&node.id, own_rate));
+    info!(node.log, "duty claimed"; "seat" => duty, "epoch" => epoch.0,
+        "earlier_revision" => key_revision, "order_rate" => %own_rate,
+        "largest_order_rate" => %largest_rate);
+    {
+        let mut members = node.members.borrow_mut();
+        let previous = members.owners.insert(duty.clone(), (own_record(node), epoch.0));
+        if let Some(previous) = previous {
+            members.predecessors.insert(duty.clone(), previous);
+        }
+    }
+    node.members.borrow_mut().record_claim(duty, epoch, clock::now());
+    node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
+    if duty == FLEET_DUTY {
+        fleet::start(node, epoch);
+    } else if let Some(cell) = cell_of_duty(duty) {
+        host::start(node, cell, epoch, key_revision);
+    }
+    node.roster_refresh.notify_one();
+}
+
 /// Whether the term of a claim may begin that was made under this lease. The process may have been
 /// paused meanwhile, so that the lease has expired, another one has replaced it, and other nodes have
 /// claimed the duty since.
--- a/src/jobs/duties/tests.rs
+++ b/src/jobs/duties/tests.rs
@@ -1,3 +1,5 @@
+mod killed;
+
 use teaselgap_core::job::OrderRate;
 
 use super::{
--- a/src/jobs/host/predecessors.rs
+++ b/src/jobs/host/predecessors.rs
@@ -25,6 +25,12 @@
         self.apply_predecessor_end();
     }
 
+    /// The term of an earlier owner that is known to have ended.
+    #[cfg(test)]
+    pub(in crate::jobs) fn ended_predecessor(&self) -> Option<Epoch> {
+        self.ended_predecessor.get().map(|(epoch, _)| epoch)
+    }
+
     /// Tells the cell, once it has been recovered, that an earlier owner has ended.
     pub(super) fn apply_predecessor_end(&self) {
         let Some((ended, last_order)) = self.ended_predecessor.get() else {
