A cell is told that its earlier owner was killed, whatever the order of claims and readings

Cause: the report came at a reading of changes only, to the owners that were there. A claim between two readings, or a reading of all members, left it out; replace_all put the present owner in the predecessor's place, and a claim that the watch showed before its own answer came did so too. An owner that isn't told waits for the earlier one's orders and then for the longest lease. Change: asked at each claim and after each reading of either kind. Who came before is kept by epoch: the present owner, and what a late page or watch says of earlier terms, doesn't replace it. This process itself proves the end of an earlier one at its own name and address, before the store shows it; one that has been seen and left proves it as well. Reason: two processes don't listen at one address at once, and the listener is bound before anything is claimed; the process that was killed sends nothing more. What it has sent counts as before, from the moment the end is known. Guard: the same process, another address or an earlier start proves nothing. Mutants, each failing: >= for > of incarnations, no comparison of addresses (a_cell_is_told_of_the_end_of_a_process_that_was_cut_off_or_may_live); no report at the claim, no proof by this process, former nodes left out (the two drawn tests); a reading that lacks a later claim, a late deletion (two tests of members).

--- a/src/jobs/duties.rs
+++ b/src/jobs/duties.rs
@@ -111,26 +111,20 @@
 }
 
 fn apply_reading(node: &Rc<Node>, reading: Reading) {
+    let mut members = node.members.borrow_mut();
     match reading {
-        Reading::All(items, revision) => {
-            let mut members = node.members.borrow_mut();
-            members.replace_all(&items, revision);
-            members.record_reading(clock::now());
-            drop(members);
-            check_own_duties(node);
-        }
+        Reading::All(items, revision) => members.replace_all(&items, revision),
         Reading::Changes(changes, revision) => {
-            let mut members = node.members.borrow_mut();
             for Change { key, value, revision } in changes {
                 members.apply_change(&key, value.as_deref(), revision);
             }
             members.revision = revision;
-            members.record_reading(clock::now());
-            drop(members);
-            check_own_duties(node);
-            report_ended_predecessors(node);
         }
     }
+    members.record_reading(clock::now());
+    drop(members);
+    check_own_duties(node);
+    report_ended_predecessors(node);
 }
 
 /// Ends the terms of duties that have another owner, or none, according to the store.
@@ -162,15 +156,13 @@
     }
 }
 
-/// Tells a cell's owner when the previous owner's node has restarted: the earlier process sends no
-/// more orders.
+/// Tells the owners of cells whose previous owner's process is known to have ended: it sends no more orders.
 fn report_ended_predecessors(node: &Rc<Node>) {
     let members = node.members.borrow();
+    let own = own_record(node);
     for owner in node.cell_owners.borrow().values() {
-        let predecessor = members.predecessors.get(&cell_duty(owner.service()));
-        let ended = predecessor.filter(|(record, _)| members.has_successor(record));
-        if let Some((_, revision)) = ended {
-            owner.on_predecessor_ended(Epoch(*revision));
+        if let Some(ended) = members.ended_predecessor(&cell_duty(owner.service()), &own) {
+            owner.on_predecessor_ended(ended);
         }
     }
 }
@@ -327,19 +319,14 @@
     info!(node.log, "duty claimed"; "seat" => duty, "epoch" => epoch.0,
         "earlier_revision" => key_revision, "order_rate" => %own_rate,
         "largest_order_rate" => %largest_rate);
-    {
-        let mut members = node.members.borrow_mut();
-        let previous = members.owners.insert(duty.clone(), (own_record(node), epoch.0));
-        if let Some(previous) = previous {
-            members.predecessors.insert(duty.clone(), previous);
-        }
-    }
+    node.members.borrow_mut().record_owner(duty, own_record(node), epoch.0);
     node.members.borrow_mut().record_claim(duty, epoch, clock::now());
     node.session.borrow_mut().claims_sent.insert(duty.clone(), (epoch, sent));
     if duty == FLEET_DUTY {
         fleet::start(node, epoch);
     } else if let Some(cell) = cell_of_duty(duty) {
         host::start(node, cell, epoch, key_revision);
+        report_ended_predecessors(node);
     }
     node.roster_refresh.notify_one();
 }
--- a/src/jobs/duties/tests/killed.rs
+++ b/src/jobs/duties/tests/killed.rs
@@ -42,15 +42,21 @@
 enum Step {
     /// The later process registers, or the same one does so again.
     Register,
+    /// It leaves.
+    Leave,
     /// The lease of the earlier owner expires.
     Lapse,
-    /// The store executes this node's claim of a cell.
+    /// This node sends a claim of a cell.
     Claim(usize),
-    /// The answer to a claim arrives.
+    /// The store executes it.
+    Execute(usize),
+    /// The answer arrives.
     Answer(usize),
     /// The store is asked for all members, or for what has changed.
     AskAll,
     AskChanges,
+    /// The last pages of all members are read.
+    ReadPages,
     /// The answer to that arrives.
     Read,
     /// It is lost.
@@ -59,12 +65,15 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        1 => Just(Step::Register),
+        2 => Just(Step::Register),
+        1 => Just(Step::Leave),
         1 => Just(Step::Lapse),
         4 => (0..CELLS.len()).prop_map(Step::Claim),
+        4 => (0..CELLS.len()).prop_map(Step::Execute),
         4 => (0..CELLS.len()).prop_map(Step::Answer),
         1 => Just(Step::AskAll),
         3 => Just(Step::AskChanges),
+        1 => Just(Step::ReadPages),
         4 => Just(Step::Read),
         1 => Just(Step::Fail),
     ]
@@ -72,8 +81,8 @@
 
 /// The steps of a history, which ends with all claims answered.
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let last = (0..CELLS.len()).map(Step::Answer);
-    proptest::collection::vec(step(), 0..40).prop_map(move |mut steps| {
+    let last = (0..CELLS.len()).flat_map(|cell| [Step::Execute(cell), Step::Answer(cell)]);
+    proptest::collection::vec(step(), 0..60).prop_map(move |mut steps| {
         steps.splice(0..0, [Step::AskAll, Step::Read]);
         steps.extend(last.clone());
         steps
@@ -97,16 +106,21 @@
         revision
     }
 
+    /// Deletes a key if this is its record.
+    fn delete(&mut self, key: &str, record: &NodeRecord) {
+        let value = serde_json::to_vec(record).unwrap();
+        if self.items.get(key).is_some_and(|item| item.value == value) {
+            self.revision += 1;
+            self.items.swap_remove(key);
+            self.changes.push(Change { key: key.to_owned(), value: None, revision: self.revision });
+        }
+    }
+
     /// Deletes the keys with this record.
     fn delete_all_of(&mut self, record: &NodeRecord) {
-        let value = serde_json::to_vec(record).unwrap();
         let keys: Vec<String> = self.items.keys().cloned().collect();
-        for key in keys {
-            if self.items[&key].value == value {
-                self.revision += 1;
-                self.items.swap_remove(&key);
-                self.changes.push(Change { key, value: None, revision: self.revision });
-            }
+        for key in &keys {
+            self.delete(key, record);
         }
     }
 
@@ -124,6 +138,11 @@
     }
 }
 
+thread_local! {
+    /// One node for all histories of a test: each has threads and sockets.
+    static NODE: Rc<Node> = node_with_lease(silent_address());
+}
+
 /// The node of this process, and the cells of an owner that was lost.
 struct History {
     node: Rc<Node>,
@@ -135,6 +154,8 @@
     reading: Option<Reading>,
     /// The epochs of the lost owner's terms, by cell.
     terms: Vec<u64>,
+    /// Claims that are under way, by cell: the revision that the key must have.
+    sent_claims: IndexMap<usize, u64>,
     /// Claims that the store has executed, by cell: the epoch and the revision before.
     open_claims: IndexMap<usize, (u64, u64)>,
     /// The cells of which this process has read that the lost owner had them.
@@ -145,7 +166,10 @@
 impl History {
     /// A history in which the lost owner was on this node, or on another one.
     fn new(later: Later, is_own_node: bool) -> Self {
-        let node = node_with_lease(silent_address());
+        let node = NODE.with(Rc::clone);
+        *node.members.borrow_mut() = Members::default();
+        node.cell_owners.borrow_mut().clear();
+        node.ended_terms.borrow_mut().clear();
         let own = own_record(&node);
         let other = NodeRecord {
             node: "n2".parse().unwrap(),
@@ -167,6 +191,7 @@
             present,
             reading: None,
             terms,
+            sent_claims: IndexMap::new(),
             open_claims,
             seen,
             has_read_present,
@@ -179,8 +204,10 @@
             Step::Register => {
                 self.store.put(&member_key(&self.present), &self.present);
             }
+            Step::Leave => self.store.delete(&member_key(&self.present), &self.present),
             Step::Lapse => self.store.delete_all_of(&self.earlier),
             Step::Claim(cell) => self.claim(cell),
+            Step::Execute(cell) => self.execute_claim(cell),
             Step::Answer(cell) => {
                 if let Some((epoch, before)) = self.open_claims.swap_remove(&cell) {
                     let duty = cell_duty(&CELLS[cell].parse().unwrap());
@@ -196,6 +223,11 @@
                 self.node.members.borrow_mut().revision = 0;
                 self.reading = Some(self.store.all());
             }
+            Step::ReadPages => {
+                if let Some(Reading::All(items, _)) = &mut self.reading {
+                    *items = self.store.items.values().cloned().collect();
+                }
+            }
             Step::Read => {
                 if let Some(reading) = self.reading.take() {
                     self.note(&reading);
@@ -212,17 +244,24 @@
 
     /// Claims a cell as the node does: one that nobody owns, or an earlier process of this node.
     fn claim(&mut self, cell: usize) {
-        let key = key_of(CELLS[cell]);
         let members = self.node.members.borrow();
         let owner = members.owners.get(&cell_duty(&CELLS[cell].parse().unwrap()));
-        let own = own_record(&self.node);
-        let is_claimable = owner.is_none_or(|(owner, _)| owner.node == own.node);
+        let is_claimable = owner.is_none_or(|(owner, _)| owner.node == self.node.id);
         let expected = owner.map_or(0, |(_, revision)| *revision);
-        let is_claimed = self.store.revision_of(&key) > self.terms[cell];
-        let may_claim = is_claimable && members.revision > 0 && !is_claimed;
+        let has_claimed = self.open_claims.contains_key(&cell)
+            || self.node.cell_owners.borrow().contains_key(CELLS[cell]);
+        let may_claim = is_claimable && members.revision > 0 && !has_claimed;
         drop(members);
-        if may_claim && self.store.revision_of(&key) == expected {
-            let epoch = self.store.put(&key, &own);
+        if may_claim {
+            self.sent_claims.entry(cell).or_insert(expected);
+        }
+    }
+
+    fn execute_claim(&mut self, cell: usize) {
+        let key = key_of(CELLS[cell]);
+        let sent = self.sent_claims.swap_remove(&cell);
+        if let Some(expected) = sent.filter(|expected| self.store.revision_of(&key) == *expected) {
+            let epoch = self.store.put(&key, &own_record(&self.node));
             self.open_claims.insert(cell, (epoch, expected));
         }
     }
@@ -287,7 +326,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 100, ..ProptestConfig::default() })]
 
     /// Guards against inherited jobs that wait for the longest lease although the process that owned the cell is known
     /// to be dead.
@@ -333,7 +372,9 @@
 fn owners_after(is_own_node: bool, steps: &[Step]) -> usize {
     run(async {
         let mut history = History::new(Later::Process, is_own_node);
-        steps.iter().for_each(|step| history.play(*step));
+        for step in steps {
+            history.play(*step);
+        }
         history.told().len()
     })
 }
--- a/src/jobs/members.rs
+++ b/src/jobs/members.rs
@@ -47,6 +47,16 @@
     pub(super) order_rate: OrderRate,
 }
 
+impl NodeRecord {
+    /// Whether this is of a later process than `earlier` at the same node and address, where no two processes listen
+    /// at once.
+    fn has_replaced(&self, earlier: &Self) -> bool {
+        self.node == earlier.node
+            && self.address == earlier.address
+            && self.incarnation > earlier.incarnation
+    }
+}
+
 /// The registered nodes and the owners of duties, as read from the store.
 #[derive(Debug, Default)]
 pub(crate) struct Members {
@@ -54,14 +64,14 @@
     pub(super) owners: IndexMap<Duty, (NodeRecord, u64)>,
     /// The services whose cells' logs may hold jobs.
     pub(super) marked_logs: IndexSet<ServiceId>,
-    /// Nodes that are no longer registered, each with when it is forgotten. None is while the store can't
-    /// be read, which would show that it has registered again.
-    former: IndexMap<NodeId, (SocketAddr, Timestamp)>,
+    /// The last records of nodes that are no longer registered, each with when it is forgotten. None is while the
+    /// store can't be read, which would show that it has registered again.
+    former: IndexMap<NodeId, (NodeRecord, Timestamp)>,
     /// When the store was last read.
     read_at: Timestamp,
-    /// The last known owner of each duty before its key was deleted or this node claimed the duty, and
-    /// the revision of the key, which is the epoch of its term.
-    pub(super) predecessors: IndexMap<Duty, (NodeRecord, u64)>,
+    /// The last known owner of each duty before the present one, or before its key was deleted, and the revision of
+    /// the key, which is the epoch of its term.
+    predecessors: IndexMap<Duty, (NodeRecord, u64)>,
     /// The latest terms of each duty that this node has seen, each with when it first was.
     claims: IndexMap<Duty, VecDeque<(Epoch, Timestamp)>>,
     /// The revision up to which the store has been read.
@@ -97,7 +107,7 @@
         let registered = self.nodes.values().map(|record| (&record.node, record.address));
         let is_known = |forgotten: &Timestamp| self.read_at < *forgotten;
         let former = self.former.iter().filter(|(_, (_, forgotten))| is_known(forgotten));
-        let former = former.map(|(node, (address, _))| (node, *address));
+        let former = former.map(|(node, (record, _))| (node, record.address));
         let all = registered.chain(former).filter(|(node, _)| *node != own);
         all.map(|(node, address)| (node.clone(), address)).collect()
     }
@@ -138,16 +148,51 @@
     fn remove_node(&mut self, node: &NodeId) {
         if let Some(record) = self.nodes.swap_remove(node) {
             let forgotten = clock::now() + FORMER_MEMBER_TIME;
-            self.former.insert(node.clone(), (record.address, forgotten));
+            self.former.insert(node.clone(), (record, forgotten));
         }
     }
 
-    /// Whether a later process has registered under the name and address of `predecessor`.
-    pub(super) fn has_successor(&self, predecessor: &NodeRecord) -> bool {
-        let current = self.nodes.get(&predecessor.node);
-        current.is_some_and(|current| {
-            current.incarnation > predecessor.incarnation && current.address == predecessor.address
-        })
+    /// The term of the owner before the present one of a duty, if the process that had it has ended: it sends
+    /// nothing more. A later process at its address shows that, be it this one, whose record is `own`.
+    pub(super) fn ended_predecessor(&self, duty: &str, own: &NodeRecord) -> Option<Epoch> {
+        let (predecessor, revision) = self.predecessors.get(duty)?;
+        let former = self.former.get(&predecessor.node).map(|(record, _)| record);
+        let mut later =
+            [Some(own), self.nodes.get(&predecessor.node), former].into_iter().flatten();
+        later.any(|record| record.has_replaced(predecessor)).then_some(Epoch(*revision))
+    }
+
+    /// Notes the owner of a duty in the term that begins at `revision`. What is learned of an earlier term than the
+    /// latest known one says only who came before.
+    pub(super) fn record_owner(&mut self, duty: &str, record: NodeRecord, revision: u64) {
+        match self.owners.get(duty) {
+            Some((_, known)) if revision < *known => {
+                self.record_predecessor(duty, (record, revision));
+            }
+            Some((_, known)) if revision == *known => {}
+            _ => {
+                let earlier = self.owners.insert(duty.to_owned(), (record, revision));
+                if let Some(earlier) = earlier {
+                    self.record_predecessor(duty, earlier);
+                }
+            }
+        }
+    }
+
+    /// Notes that a term of a duty is over, unless a later one is known to be.
+    fn record_predecessor(&mut self, duty: &str, owner: (NodeRecord, u64)) {
+        let known = self.predecessors.get(duty);
+        if known.is_none_or(|(_, revision)| *revision < owner.1) {
+            self.predecessors.insert(duty.to_owned(), owner);
+        }
+    }
+
+    /// Notes that the key of a duty was deleted at `revision`, unless it has been written since.
+    fn remove_owner(&mut self, duty: &str, revision: u64) {
+        let is_later = self.owners.get(duty).is_some_and(|(_, known)| revision < *known);
+        if !is_later && let Some(owner) = self.owners.swap_remove(duty) {
+            self.record_predecessor(duty, owner);
+        }
     }
 
     pub(super) fn apply_change(&mut self, key: &str, value: Option<&[u8]>, revision: u64) {
@@ -164,13 +209,9 @@
             match record {
                 Some(record) => {
                     self.record_claim(duty, Epoch(revision), clock::now());
-                    self.owners.insert(duty.to_owned(), (record, revision));
-                }
-                None => {
-                    if let Some(owner) = self.owners.swap_remove(duty) {
-                        self.predecessors.insert(duty.to_owned(), owner);
-                    }
+                    self.record_owner(duty, record, revision);
                 }
+                None => self.remove_owner(duty, revision),
             }
         } else if let Some(service) = key.strip_prefix(LOG_MARK_PREFIX) {
             let Ok(service) = service.parse::<ServiceId>() else {
@@ -188,13 +229,19 @@
         for node in nodes {
             self.remove_node(&node);
         }
-        for (duty, owner) in self.owners.drain(..) {
-            self.predecessors.insert(duty, owner);
-        }
+        // A claim that was made after the reading is missing from it.
+        let is_over = |_: &Duty, (_, claimed): &mut (NodeRecord, u64)| *claimed <= revision;
+        let earlier: Vec<_> = self.owners.extract_if(.., is_over).collect();
         self.marked_logs.clear();
         for item in items {
             self.apply_change(&item.key, Some(&item.value), item.revision);
         }
+        for (duty, owner) in earlier {
+            let is_present = self.owners.get(&duty).is_some_and(|(_, claimed)| *claimed == owner.1);
+            if !is_present {
+                self.record_predecessor(&duty, owner);
+            }
+        }
         self.revision = revision;
     }
 }
--- a/src/jobs/members/tests.rs
+++ b/src/jobs/members/tests.rs
@@ -49,3 +49,51 @@
     let epochs: Vec<Epoch> = members.claims(DUTY).into_iter().map(|(epoch, _)| epoch).collect();
     assert_eq!(epochs, [Epoch(12)]);
 }
+
+/// The record of this process of a node.
+fn record_of(node: &str, incarnation: u64) -> NodeRecord {
+    NodeRecord {
+        node: node.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        address: ([127, 0, 0, 1], 7_000).into(),
+        order_rate: OrderRate(500),
+    }
+}
+
+/// Members of which `n1` has claimed [`DUTY`] at revision 9 after process 5 of `n2`, whose claim was of revision 5.
+fn members_of_n1() -> Members {
+    let mut members = Members::default();
+    members.record_owner(DUTY, record_of("n2", 5), 5);
+    members.record_owner(DUTY, record_of("n1", 1), 9);
+    members
+}
+
+/// The term that is known to have ended once process 6 of `n2` has registered.
+fn ended_once_restarted(mut members: Members) -> Option<Epoch> {
+    let value = serde_json::to_vec(&record_of("n2", 6)).unwrap();
+    members.apply_change(&format!("{MEMBER_PREFIX}n2"), Some(&value), 12);
+    members.ended_predecessor(DUTY, &record_of("n1", 1))
+}
+
+#[test]
+fn a_claim_that_a_reading_of_all_members_lacks_counts_as_the_term_before_it() {
+    let mut members = members_of_n1();
+
+    members.replace_all(&[], 8);
+
+    assert_eq!(ended_once_restarted(members), Some(Epoch(5)));
+}
+
+/// The last pages of a reading may be newer than its revision, after which changes are followed.
+#[test]
+fn a_claim_counts_as_the_term_before_it_when_changes_before_it_are_read() {
+    let key = format!("{DUTY_PREFIX}{DUTY}");
+    let earlier = serde_json::to_vec(&record_of("n2", 5)).unwrap();
+    let mut members = members_of_n1();
+
+    members.apply_change(&key, Some(&earlier), 5);
+    members.apply_change(&key, None, 7);
+
+    assert_eq!(members.owners[DUTY].1, 9);
+    assert_eq!(ended_once_restarted(members), Some(Epoch(5)));
+}
