Tests of stops beside open orders: only one member's order is open, and tasks show progress

Before, both members of the gang had an open order, so that the test passed with a fix that asks for the stopped member only (mutant); and a task of 120 s without visible progress counts as too slow, which is a fault of its own.

--- a/crates/standins/tests/cells/open_stops.rs
+++ b/crates/standins/tests/cells/open_stops.rs
@@ -24,9 +24,9 @@
 /// How long a worker that leaves still stays, in milliseconds.
 const NOTICE_MS: u64 = 3_000;
 
-/// A task that takes longer than each test and saves its progress.
+/// A task that takes longer than each drain and saves its progress.
 fn checkpointed_job() -> JobSpec {
-    job_spec(vec![Step { checkpoints: true, ..step(1, 3_500, 120_000) }])
+    job_spec(vec![Step { checkpoints: true, ..step(1, 3_500, 40_000) }])
 }
 
 /// Submits a job of one task to three workers. The first copy of its start order has no answer, and its second
@@ -88,11 +88,16 @@
 /// A gang starts as a whole, so that one member's order keeps all of them away.
 #[test]
 fn a_drain_stops_no_member_of_a_gang_while_the_start_order_of_another_one_is_open() {
-    let gang = Step { gang: true, checkpoints: true, ..step(2, 20_000, 120_000) };
-    let (mut model, worker) = run_with_open_order(job_spec(vec![gang]));
-    let is_other = |id: &WorkerId| *id != worker;
+    let gang = Step { gang: true, checkpoints: true, ..step(2, 20_000, 40_000) };
+    let mut model = new_model_with_valid_late_orders(3);
+    let faults = WorkerFaults { late_orders: 1, late_ms: LATE_MS, ..WorkerFaults::default() };
+    model.set_faults("w0", faults);
+    model.submit(JOB, &queue(), job_spec(vec![gang]));
+    model.run_for(2_000);
+    let is_other = |id: &WorkerId| id.as_str() != "w0";
     let other = model.workers().find(|one| one.run_count() > 0 && is_other(&one.entry.id));
     let other = other.expect("the other member's worker").entry.id.clone();
+    assert_eq!((model.worker_mut("w0").run_count(), model.sent_copies()), (1, 1));
 
     drain(&mut model, &other, DrainMode::StopCheckpointed);
     let away_ms = longest_absence(&mut model, ORDER_LIFETIME_MS / 2);
