A stop that only empties a worker waits while the task's start order is open

Cause: drains and leaves asked only whether enough others of the step are at work. With a copy of the start order without an answer, the task may start nowhere else (Cell::start_scope) for what is left of 15 s, and its own worker is being emptied; the owner knows that beforehand. Evidence: open_stops, red before: a checkpointed task away for 12,860 ms, a gang as a whole for one member's order, a task that lasts stopped at once. Change: Cell::may_stop_on, which is asked at the decision and for each copy, says no while the task, or a member of its gang, could not start anywhere. The promises of maintenance come first: a worker that leaves is emptied within its notice as before (stop time and 700 ms before its end, 300 ms if others are being ended), and a wave that is late stops all (StopAll, from 130 % of the time that the rest of the wave needs). A move, and a wave that isn't late, wait for 15 s after the last copy at most. A line in the log that said 'too many others are away' now says 'must not end now', as there are two reasons.

--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -319,7 +319,7 @@
         };
         if run.stopping.take_if(|stop| !stop.is_sent).is_some() {
             let run_id = RunId { task, attempt: run.attempt, worker: id.clone() };
-            let reason = "too many others are away";
+            let reason = "must not end now";
             self.actions.push(Action::Log(LogEvent::StopRevoked { run: run_id, reason }));
         } else if let Some(stop) = &mut run.stopping {
             stop.next = Some(now + STOP_RETRY_DELAY);
--- a/crates/core/src/job/cell/vacate.rs
+++ b/crates/core/src/job/cell/vacate.rs
@@ -4,10 +4,11 @@
     super::{
         DrainMode, Step, TaskId, WorkerId,
         place::{self, PlacementCandidate},
-        worker::{Run, Worker},
+        worker::{Run, RunState, Worker},
     },
     Cell,
     plan::count_step_runs,
+    start_scope::StartScope,
 };
 use crate::{Span, Timestamp};
 
@@ -49,13 +50,16 @@
         }
     }
 
-    /// Whether a run may be stopped to empty its worker.
+    /// Whether a run may be stopped to empty its worker. While the task could start nowhere else, it waits for
+    /// its worker's notice to run out, or for a wave to be late, as these promises come first.
     pub(super) fn may_stop_on(&self, id: &WorkerId, task: TaskId, now: Timestamp) -> bool {
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
         if !worker.entry.is_draining {
-            return self.may_end(task, now);
+            let is_urgent = worker.drain == Some(DrainMode::StopAll);
+            let is_bound = || self.is_bound_by_order(worker, task, now);
+            return self.may_end(task, now) && (is_urgent || !is_bound());
         }
         if self.is_leave_due(worker, LAST_LEAVE_MARGIN, now) {
             return true;
@@ -64,7 +68,21 @@
             // An order that was sent before this worker's notice is given the time to take effect.
             return !self.is_other_being_ended(task);
         }
-        self.may_end_on_leaving(task, now)
+        self.may_end_on_leaving(task, now) && !self.is_bound_by_order(worker, task, now)
+    }
+
+    /// Whether a task whose run is stopped now could not start on every worker, as an order of before may still be
+    /// carried out. A gang starts as a whole, so that each member counts. What is only planned is merely withdrawn.
+    pub(super) fn is_bound_by_order(&self, worker: &Worker, id: TaskId, now: Timestamp) -> bool {
+        if worker.runs.get(&id).is_some_and(|run| run.state == RunState::Planned) {
+            return false;
+        }
+        let is_bound = |index| {
+            let scope = self.start_scope(TaskId { index, ..id }, now);
+            scope != StartScope::Anywhere
+        };
+        let gang = self.step(id).filter(|step| step.gang);
+        gang.map_or_else(|| is_bound(id.index), |step| (0..step.count).any(is_bound))
     }
 
     /// Whether the runs of a leaving worker must be stopped now, so that they end in time.
