Test: no run is moved for its slowness while its start order is open (red, listed)

Found while tracing open_stops: the same absence by another stop, 'progress too slow on this worker'.

--- a/crates/standins/tests/cells/open_stops.rs
+++ b/crates/standins/tests/cells/open_stops.rs
@@ -135,3 +135,16 @@
         assert_eq!(model.worker_mut(worker.as_str()).run_count(), 0);
     }
 }
+
+/// A run that shows no progress is moved to a faster worker, where it would not start before the order has expired.
+#[test]
+fn a_slow_run_is_not_moved_while_its_open_start_order_would_keep_it_away() {
+    let slow = Step { checkpoints: true, ..step(1, 3_500, 120_000) };
+    let (mut model, _) = run_with_open_order(job_spec(vec![slow]));
+
+    let away_ms = longest_absence(&mut model, ORDER_LIFETIME_MS + 3_000);
+
+    assert!(away_ms <= MAX_AWAY_MS, "away for {away_ms} ms");
+    // Once the order has expired, it is moved all the same.
+    assert!(model.start_count(task_id(JOB, 0)) > 1);
+}
