A slow run isn't moved while its start order is open

Cause: relocate_slow_runs asked for room elsewhere, not whether the task may start there. With a copy of its order without an answer it may not, for what is left of 15 s, so that the move takes longer than the slow run would. Change: asks is_bound_by_order, as drains do. It is moved once the order has expired (asserted).

--- a/crates/core/src/job/cell/progress.rs
+++ b/crates/core/src/job/cell/progress.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    /// Stops runs that would finish sooner on another worker with room.
+    /// Stops runs that would finish sooner on another worker with room, where they may start at once.
     fn relocate_slow_runs(&mut self, id: &WorkerId, speed_percent: u64, now: Timestamp) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -194,6 +194,7 @@
             .iter()
             .filter(|(_, run)| run.is_settled())
             .filter(|(task, run)| self.is_faster_elsewhere(**task, run, speed_percent))
+            .filter(|(task, _)| !self.is_bound_by_order(worker, **task, now))
             .map(|(task, _)| *task)
             .collect();
         let mut candidates =
