Test: an order whose only copy has begun a listed run isn't open (red, listed)

The answer to the only copy is lost, and a list shows the run before a second copy is due. Nothing is left that could come late; the order counts as open for 15 s all the same, and the task isn't back 1.5 s after its run was stopped.

--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -21,6 +21,7 @@
 mod long_running;
 mod lost_terms;
 mod may_end;
+mod only_copies;
 mod open_stops;
 mod order_rate;
 mod order_refusals;
