An order whose only copy has begun a listed run isn't open

Cause: on_start_answer took each order without an answer for one of which a copy may still come. Where a list shows the run before a second copy is due (no copy leaves any more then), the only copy has been carried out, and a copy is carried out once at most (0008); the order bound its task for 15 s for nothing. Evidence: only_copies, red before (not back 1.5 s after the stop). How often it happens on the sites isn't measured. Change: a run remembers whether its order was sent more than once; if it wasn't, and a list has shown the run in the instance known when it was ordered, no answer is needed. A listed end instead of a listed run isn't used: it says of no run that it was there (0008 on stops). Guard: late_copies::a_copy_is_not_taken_for_answered_because_a_list_shows_the_run_of_another is red if is_repeated is left out (mutant: 'started after it was done'). The condition on restarts is cautious only: no history breaks without it.

--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -112,6 +112,10 @@
         (task, attempt): (TaskId, u32),
         now: Timestamp,
     ) {
+        let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
+        if let Some(run) = run.filter(|run| run.attempt == attempt) {
+            run.is_repeated = true;
+        }
         self.record_open_start(id, (task, attempt), now + UNANSWERED_START_LIFETIME, now);
     }
 
--- a/crates/core/src/job/cell/orders.rs
+++ b/crates/core/src/job/cell/orders.rs
@@ -121,8 +121,11 @@
         let StartAnswer { outcome, clock_ms, last_sent } = answer.into();
         self.start_window.end((task, attempt), outcome != StartOutcome::Unknown, now);
         self.plan_due |= self.held_back_starts > 0;
+        let is_only_copy_used =
+            outcome == StartOutcome::Unknown && self.has_used_only_copy(id, (task, attempt));
         let has_unanswered_copy =
-            matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown);
+            matches!(outcome, StartOutcome::StartedRepeated | StartOutcome::Unknown)
+                && !is_only_copy_used;
         if has_unanswered_copy {
             self.fences.outrank(id);
         }
@@ -130,7 +133,8 @@
         let order_expiry = if has_unanswered_copy { open_until } else { now };
         if let Some(task) = self.jobs.get_mut(&task.job).and_then(|job| job.task_mut(task)) {
             let open_until = has_unanswered_copy.then_some(open_until);
-            task.settle_start(attempt, open_until, outcome != StartOutcome::Unknown);
+            let is_answered = outcome != StartOutcome::Unknown || is_only_copy_used;
+            task.settle_start(attempt, open_until, is_answered);
         }
         if has_unanswered_copy {
             let is_answered = outcome == StartOutcome::StartedRepeated;
@@ -219,6 +223,12 @@
         self.plan_due = true;
     }
 
+    /// Whether a list shows that the only copy of a start order has been carried out.
+    fn has_used_only_copy(&self, id: &WorkerId, (task, attempt): (TaskId, u32)) -> bool {
+        let run = self.workers.get(id).and_then(|worker| worker.runs.get(&task));
+        run.is_some_and(|run| run.attempt == attempt && run.has_used_only_copy())
+    }
+
     /// Stops every run of a task.
     pub(super) fn stop_task(&mut self, task: TaskId, reason: &'static str, now: Timestamp) {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
