Failing tests: an order whose copies are all answered isn't open

Change: only what the tests need: Repeater::call_all and start_order::send pass the first answer on and return whether each copy has an answer (always false so far); the host tells the cell; on_start_copies_answered, which does nothing yet, and open_starts move to a module of their own. call is split, its logic is the same.

--- a/crates/core/src/job/cell.rs
+++ b/crates/core/src/job/cell.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod advise;
+mod answered_copies;
 mod arrivals;
 mod availability;
 mod awaited;
--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -115,23 +115,6 @@
         self.record_open_start(id, (task, attempt), now + UNANSWERED_START_LIFETIME, now);
     }
 
-    /// Notes that each copy of a start order that was sent has been answered: none of them will be carried out any
-    /// more.
-    pub fn on_start_copies_answered(
-        &mut self,
-        _id: &WorkerId,
-        (_task, _attempt): (TaskId, u32),
-        _now: Timestamp,
-    ) {
-    }
-
-    /// The number of this owner's start orders of which a copy has got no answer and may still be carried out.
-    #[must_use]
-    pub fn open_starts(&self, now: Timestamp) -> usize {
-        let orders = self.workers.values().flat_map(|worker| &worker.open_orders);
-        orders.filter(|order| !order.is_inherited && now <= order.expiry).count()
-    }
-
     fn record_open_start(
         &mut self,
         id: &WorkerId,
--- a/src/jobs/host/calls.rs
+++ b/src/jobs/host/calls.rs
@@ -73,12 +73,26 @@
                         }
                         Ok(fence)
                     };
-                    let call = start_order::send(repeater, client, (&target, &order), permit);
+                    let id = owner.meter.borrow_mut().begin(CallKind::Start, clock::now());
+                    let has_open_copy = StdCell::new(false);
+                    let on_answer = |answer: StartAnswer| {
+                        let (outcome, now) = (answer.outcome, clock::now());
+                        has_open_copy.set(outcome == StartOutcome::StartedRepeated);
+                        let is_answered = outcome != StartOutcome::Unknown;
+                        owner.meter.borrow_mut().end(id, is_answered, now);
+                        owner.with_cell(|cell| {
+                            cell.on_start_answer(&target.worker, task, answer, now);
+                        });
+                    };
+                    let order = (&target, &order);
                     let is_answered =
-                        |answer: &StartAnswer| answer.outcome != StartOutcome::Unknown;
-                    let answer = owner.measured(CallKind::Start, call, is_answered).await;
-                    let now = clock::now();
-                    owner.with_cell(|cell| cell.on_start_answer(&target.worker, task, answer, now));
+                        start_order::send(repeater, client, order, permit, on_answer).await;
+                    if is_answered && has_open_copy.get() {
+                        let now = clock::now();
+                        owner.with_cell(|cell| {
+                            cell.on_start_copies_answered(&target.worker, task, now);
+                        });
+                    }
                 });
                 if !is_sent {
                     let outcome = StartOutcome::Refused("worker without an address");
--- a/src/jobs/repeat.rs
+++ b/src/jobs/repeat.rs
@@ -134,12 +134,41 @@
     where
         F: Future<Output = T>,
     {
-        let timed = async || {
+        let timed = || async {
             let sent_at = clock::now();
             (sent_at, call().await)
         };
         let mut copies = FuturesUnordered::new();
-        copies.push(timed());
+        self.first_result(timed, &mut copies, (&is_definite, &is_uncertain)).await
+    }
+
+    /// Like [`Repeater::call`], but passes the result on as soon as it is known and goes on to wait for the other
+    /// copies. Returns whether each copy that was sent has a result that isn't uncertain.
+    pub(super) async fn call_all<T, F>(
+        &self,
+        call: impl Fn() -> F,
+        is_definite: impl Fn(&T) -> bool,
+        is_uncertain: impl Fn(&T) -> bool,
+        on_result: impl FnOnce(Repeated<T>),
+    ) -> bool
+    where
+        F: Future<Output = T>,
+    {
+        on_result(self.call(call, is_definite, is_uncertain).await);
+        false
+    }
+
+    /// Sends copies of a call, which stay in `copies`, until one has a definite result.
+    async fn first_result<T, C>(
+        &self,
+        call: impl Fn() -> C,
+        copies: &mut FuturesUnordered<C>,
+        (is_definite, is_uncertain): (impl Fn(&T) -> bool, impl Fn(&T) -> bool),
+    ) -> Repeated<T>
+    where
+        C: Future<Output = (Timestamp, T)>,
+    {
+        copies.push(call());
         let mut sent = 1;
         let mut pause = self.timer.borrow().timeout();
         let mut last_sent = clock::now();
@@ -165,7 +194,7 @@
                         next_copy_at = clock::now() + LINK_CHECK_INTERVAL;
                         continue;
                     }
-                    copies.push(timed());
+                    copies.push(call());
                     sent += 1;
                     self.repeats.set(self.repeats.get() + 1);
                     pause = Span(pause.0 * 2);
--- a/src/jobs/repeat/tests.rs
+++ b/src/jobs/repeat/tests.rs
@@ -74,6 +74,8 @@
     Never,
     /// The result comes once this many copies have been sent.
     OnceSent(u32, u32),
+    /// The result comes once that of the call has been passed on.
+    OncePassedOn(u32),
 }
 
 /// A result that settles a call, one that leaves its effect open, and a refusal.
@@ -81,30 +83,67 @@
 const UNCERTAIN: u32 = 0;
 const REFUSED: u32 = 2;
 
-/// Makes a call whose copies have these results.
-fn call_with_results(results: &[CopyResult]) -> Repeated<u32> {
-    let sent = Cell::new(0);
-    let is_sent = Notify::new();
-    let call = || {
-        let copy = results[sent.replace(sent.get() + 1) as usize];
-        is_sent.notify_waiters();
-        let (sent, is_sent) = (&sent, &is_sent);
+/// The copies of a call, with the results that they have.
+struct Copies<'a> {
+    results: &'a [CopyResult],
+    sent: Cell<u32>,
+    is_sent: Notify,
+    is_passed_on: Notify,
+}
+
+impl<'a> Copies<'a> {
+    fn new(results: &'a [CopyResult]) -> Self {
+        Self { results, sent: Cell::new(0), is_sent: Notify::new(), is_passed_on: Notify::new() }
+    }
+
+    /// Sends the next copy.
+    fn send(&self) -> impl Future<Output = u32> {
+        let copy = self.results[self.sent.replace(self.sent.get() + 1) as usize];
+        self.is_sent.notify_waiters();
         async move {
             match copy {
                 CopyResult::Now(result) => result,
                 CopyResult::Never => std::future::pending().await,
                 CopyResult::OnceSent(count, result) => {
-                    while sent.get() < count {
-                        is_sent.notified().await;
+                    while self.sent.get() < count {
+                        self.is_sent.notified().await;
                     }
                     result
                 }
+                CopyResult::OncePassedOn(result) => {
+                    self.is_passed_on.notified().await;
+                    result
+                }
             }
         }
+    }
+}
+
+fn is_definite(result: &u32) -> bool {
+    *result == DEFINITE
+}
+
+fn is_uncertain(result: &u32) -> bool {
+    *result == UNCERTAIN
+}
+
+/// Makes a call whose copies have these results.
+fn call_with_results(results: &[CopyResult]) -> Repeated<u32> {
+    let copies = Copies::new(results);
+    run(Repeater::new(MAX_ORDER_COPIES).call(|| copies.send(), is_definite, is_uncertain))
+}
+
+/// Makes a call whose copies have these results. Returns what is passed on, and whether all copies have results.
+fn call_all_with_results(results: &[CopyResult]) -> (Repeated<u32>, bool) {
+    let (copies, first) = (Copies::new(results), Cell::new(None));
+    let repeater = Repeater::new(MAX_ORDER_COPIES);
+    let on_result = |result| {
+        first.set(Some(result));
+        copies.is_passed_on.notify_one();
     };
-    let is_definite = |result: &u32| *result == DEFINITE;
-    let is_uncertain = |result: &u32| *result == UNCERTAIN;
-    run(Repeater::new(MAX_ORDER_COPIES).call(call, is_definite, is_uncertain))
+    let call = repeater.call_all(|| copies.send(), is_definite, is_uncertain, on_result);
+    let is_answered = run(call);
+    (first.get().expect("a result"), is_answered)
 }
 
 #[test]
@@ -125,6 +164,42 @@
     assert_eq!(result, Repeated { result: UNCERTAIN, has_open_copy: false });
 }
 
+/// Guards against orders that count as open although each of their copies has been answered.
+#[test]
+fn no_copy_of_a_call_is_open_once_each_has_a_result() {
+    let crossing = |second| [CopyResult::OnceSent(2, DEFINITE), CopyResult::OncePassedOn(second)];
+    let repeated = Repeated { result: DEFINITE, has_open_copy: true };
+
+    assert_eq!(call_all_with_results(&crossing(DEFINITE)), (repeated, true));
+    assert_eq!(call_all_with_results(&crossing(REFUSED)), (repeated, true));
+    assert_eq!(call_all_with_results(&crossing(UNCERTAIN)), (repeated, false));
+}
+
+#[test]
+fn a_copy_that_got_no_result_stays_open_whatever_comes_of_the_others() {
+    let lost_first = [CopyResult::OnceSent(2, UNCERTAIN), CopyResult::OnceSent(3, REFUSED)];
+    let settled = [lost_first[0], lost_first[1], CopyResult::OnceSent(3, DEFINITE)];
+    let refused = [lost_first[0], lost_first[1], CopyResult::Now(REFUSED)];
+
+    let open = Repeated { result: DEFINITE, has_open_copy: true };
+    let uncertain = Repeated { result: UNCERTAIN, has_open_copy: false };
+    assert_eq!(call_all_with_results(&settled), (open, false));
+    assert_eq!(call_all_with_results(&refused), (uncertain, false));
+}
+
+#[test]
+fn a_call_is_answered_if_its_only_copy_or_all_copies_are() {
+    let started = [CopyResult::Now(DEFINITE)];
+    let refused = [CopyResult::Now(REFUSED)];
+    let refused_first = [CopyResult::OnceSent(3, DEFINITE), CopyResult::Now(REFUSED)];
+    let refused_first = [refused_first[0], refused_first[1], CopyResult::Now(REFUSED)];
+
+    let definite = Repeated { result: DEFINITE, has_open_copy: false };
+    assert_eq!(call_all_with_results(&started), (definite, true));
+    assert!(call_all_with_results(&refused).1);
+    assert!(call_all_with_results(&refused_first).1);
+}
+
 /// Number of orders that are sent at once to a link that passes one each [`LINK_STEP`].
 const QUEUED_ORDERS: u32 = 40;
 
@@ -147,8 +222,7 @@
                 DEFINITE
             }
         };
-        let is_definite = |result: &u32| *result == DEFINITE;
-        repeater.call(call, is_definite, |result| *result == UNCERTAIN).await
+        repeater.call(call, is_definite, is_uncertain).await
     };
     run(async {
         for _ in 0..8 {
--- a/src/jobs/start_order.rs
+++ b/src/jobs/start_order.rs
@@ -12,17 +12,19 @@
 use teaselgap_core::job::{Fence, StartAnswer, StartOrder, StartOutcome};
 use teaselgap_platform::worker::{Target, WorkerClient};
 
-use super::repeat::Repeater;
+use super::repeat::{Repeated, Repeater};
 use crate::clock;
 
 /// Orders a worker to start a task. `permit` gives the fencing token of each copy, or says why it must not be
-/// sent.
+/// sent. `on_answer` gets the answer as soon as it is known. Returns whether each copy that was sent has been
+/// answered then.
 pub(super) async fn send(
     repeater: &Repeater,
     client: &WorkerClient,
     (target, order): (&Target, &StartOrder),
     permit: impl Fn() -> Result<Fence, &'static str>,
-) -> StartAnswer {
+    on_answer: impl FnOnce(StartAnswer),
+) -> bool {
     let last_sent = Cell::new(clock::now());
     let call = async || {
         let fence = match permit() {
@@ -34,10 +36,12 @@
     };
     let is_started = |answer: &StartAnswer| answer.outcome == StartOutcome::Started;
     let is_unknown = |answer: &StartAnswer| answer.outcome == StartOutcome::Unknown;
-    let started = repeater.call(call, is_started, is_unknown).await;
-    let outcome = match started.result.outcome {
-        StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
-        outcome => outcome,
+    let on_result = |started: Repeated<StartAnswer>| {
+        let outcome = match started.result.outcome {
+            StartOutcome::Started if started.has_open_copy => StartOutcome::StartedRepeated,
+            outcome => outcome,
+        };
+        on_answer(StartAnswer { outcome, last_sent: Some(last_sent.get()), ..started.result });
     };
-    StartAnswer { outcome, last_sent: Some(last_sent.get()), ..started.result }
+    repeater.call_all(call, is_started, is_unknown, on_result).await
 }
--- a/src/jobs/start_order/tests.rs
+++ b/src/jobs/start_order/tests.rs
@@ -14,7 +14,7 @@
 use super::{
     super::{
         repeat::MAX_ORDER_COPIES,
-        test_server::{run, serve},
+        test_server::{run, serve, serve_together},
     },
     *,
 };
@@ -35,13 +35,25 @@
     }
 }
 
-/// Sends a start order to the worker at this address, unless there is an objection.
-fn send_to(address: SocketAddr, objection: impl Fn() -> Option<&'static str>) -> StartOutcome {
+/// Sends a start order to the worker at this address, unless there is an objection. Returns the answer, and whether
+/// each copy has been answered.
+fn send_copies_to(
+    address: SocketAddr,
+    objection: impl Fn() -> Option<&'static str>,
+) -> (StartOutcome, bool) {
     let client = WorkerClient::new(Rc::new(Connections::default()));
     let target = Target { address, worker: "w0".into() };
     let repeater = Repeater::new(MAX_ORDER_COPIES);
     let permit = || objection().map_or(Ok(Fence::first_of(Epoch(3))), Err);
-    run(send(&repeater, &client, (&target, &order()), permit)).outcome
+    let first = Cell::new(None);
+    let on_answer = |answer: StartAnswer| first.set(Some(answer.outcome));
+    let is_answered = run(send(&repeater, &client, (&target, &order()), permit, on_answer));
+    (first.get().expect("an answer"), is_answered)
+}
+
+/// Sends a start order to the worker at this address, unless there is an objection.
+fn send_to(address: SocketAddr, objection: impl Fn() -> Option<&'static str>) -> StartOutcome {
+    send_copies_to(address, objection).0
 }
 
 /// Guards against tasks that wait for a time-out, a stop and a list when one answer is lost.
@@ -93,3 +105,18 @@
     assert_eq!(outcome, StartOutcome::NotSent("another run may be alive"));
     assert_eq!(calls.load(SeqCst), 0);
 }
+
+/// Guards against tasks that are away for 15 s after an order of which nothing is under way any more.
+#[test]
+fn an_order_is_answered_once_each_of_its_copies_is() {
+    let (in_time, _) = serve(STARTED, &[]);
+    let (refused, _) = serve(NO_ROOM, &[]);
+    let (lost, _) = serve(STARTED, &[0]);
+    let (crossing, calls) = serve_together(STARTED, 2);
+
+    assert_eq!(send_copies_to(in_time, || None), (StartOutcome::Started, true));
+    assert!(send_copies_to(refused, || None).1);
+    assert_eq!(send_copies_to(lost, || None), (StartOutcome::StartedRepeated, false));
+    assert_eq!(send_copies_to(crossing, || None), (StartOutcome::StartedRepeated, true));
+    assert_eq!(calls.load(SeqCst), 2);
+}
--- a/src/jobs/test_server.rs
+++ b/src/jobs/test_server.rs
@@ -4,7 +4,7 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Barrier,
         atomic::{AtomicU32, Ordering::SeqCst},
     },
 };
@@ -38,6 +38,29 @@
     (address, calls)
 }
 
+/// Starts a server that answers no request before `count` of them have come, each on a connection of its own. Returns
+/// its address, and the number of requests so far.
+pub(super) fn serve_together(answer: &'static str, count: usize) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("the address of a listener");
+    let (calls, barrier) = (Arc::new(AtomicU32::new(0)), Arc::new(Barrier::new(count)));
+    let counted = Arc::clone(&calls);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let (calls, barrier) = (Arc::clone(&counted), Arc::clone(&barrier));
+            std::thread::spawn(move || {
+                if stream.read(&mut [0; 4_096]).is_ok_and(|count| count > 0) {
+                    calls.fetch_add(1, SeqCst);
+                    barrier.wait();
+                    // The client sees it if this fails.
+                    let _ = write!(stream, "{answer}");
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
 /// Runs a test on a runtime of its own.
 pub(super) fn run<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
