Model: copies of start orders that cross, with the answers of each

Change: let_copies_cross() makes owners send each order again that has no answer after REPEAT_MS, pass the first definite answer on, wait for the other copy and report when each is answered, as the host does. crossed_orders() counts these orders. Without it the model is as it was.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -9,6 +9,7 @@
 mod availability;
 mod calls;
 mod control;
+mod copies;
 mod fates;
 mod lease;
 mod link;
@@ -35,6 +36,7 @@
 
 use self::{
     availability::AvailabilityWatch,
+    copies::CrossingCopies,
     lease::OwnerLease,
     message::{Call, Delivery, Reply},
 };
@@ -198,6 +200,8 @@
     last_starts: IndexMap<TaskId, Timestamp>,
     /// The worker of the latest start order for each task.
     last_orders: IndexMap<TaskId, WorkerId>,
+    /// The start orders of which copies may cross; `None` if an order is sent again only once its first copy is lost.
+    copies: Option<CrossingCopies>,
     log_events: Vec<LogEvent>,
     /// Workers that the advice service allows.
     allowed_workers: BTreeSet<WorkerId>,
@@ -338,6 +342,7 @@
             crash_counts: IndexMap::new(),
             last_starts: IndexMap::new(),
             last_orders: IndexMap::new(),
+            copies: None,
             log_events: Vec::new(),
             allowed_workers: BTreeSet::new(),
             is_advice_available: true,
--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -97,6 +97,7 @@
         let fence = self.fence_of(&worker, epoch, &call);
         self.sent_copies += u32::from(matches!(call, Call::RepeatedStart(_)));
         self.traffic.record_call(&call);
+        self.begin_copy(epoch, &worker, &call);
         let is_cut_off = self.cut_off_from.contains(&(epoch, worker.clone()));
         if is_cut_off || epoch == self.epoch && self.is_unreachable(&worker) {
             self.schedule_timeout(worker, epoch, &call);
@@ -140,7 +141,7 @@
             delay_ms = at.since(self.now).0;
         }
         match &call {
-            Call::Start(order) if !answer_arrives => {
+            Call::Start(order) if !answer_arrives && self.copies.is_none() => {
                 let order = order.clone();
                 let worker = worker.clone();
                 self.send(REPEAT_MS, Delivery::RepeatStart { worker, epoch, order });
@@ -184,13 +185,13 @@
         }
     }
 
-    /// Returns how long the next answer of a worker is held up. The answer to a start order comes
-    /// before the owner sends a copy of it.
+    /// Returns how long the next answer of a worker is held up. Unless copies may cross, the answer to a start order
+    /// comes before the owner sends a copy of it.
     fn take_answer_delay(&mut self, worker: &WorkerId, reply: &Reply) -> u64 {
         let delay_ms = self.answer_delays.get_mut(worker).and_then(VecDeque::pop_front);
         let longest_ms = match reply {
-            Reply::Started(..) => REPEAT_MS - 2 * LATENCY_MS,
-            Reply::Stopped(..) | Reply::Held(..) | Reply::Outranked | Reply::Advice(..) => u64::MAX,
+            Reply::Started(..) if self.copies.is_none() => REPEAT_MS - 2 * LATENCY_MS,
+            _ => u64::MAX,
         };
         delay_ms.unwrap_or(0).min(longest_ms)
     }
@@ -230,6 +231,10 @@
                 Delivery::RenewalAtStore { epoch, sent } => self.on_renewal_at_store(epoch, sent),
                 Delivery::Renewed { epoch, sent } => self.on_renewed(epoch, sent),
                 Delivery::LogRead => self.take_over_again(0),
+                Delivery::RepeatStart { worker, epoch, order } if self.copies.is_some() => {
+                    let sender = self.sender_of(epoch);
+                    self.repeat_crossing(sender, worker, order, epoch);
+                }
                 Delivery::RepeatStart { worker, epoch, order } => {
                     let run = (order.task, order.attempt);
                     let now = self.now;
@@ -288,6 +293,7 @@
             Call::RepeatedStart(order) => {
                 let clock_ms = Some(worker.clock(now));
                 let outcome = match self.start_at(&id, &order, fence) {
+                    outcome if self.copies.is_some() => outcome,
                     StartOutcome::Started => StartOutcome::StartedRepeated,
                     _ => StartOutcome::Unknown,
                 };
@@ -461,16 +467,15 @@
             self.send(delay_ms, Delivery::ToCell { worker, epoch, reply });
             return;
         }
-        if matches!(reply, Reply::Started(..)) && epoch == self.epoch {
-            self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+        if let Reply::Started(task, attempt, answer) = reply {
+            self.on_copy_answer(id, epoch, (task, attempt), answer);
+            return;
         }
         let Some(cell) = self.cell_of(epoch) else {
             return;
         };
         match reply {
-            Reply::Started(task, attempt, answer) => {
-                cell.on_start_answer(id, (task, attempt), answer, now);
-            }
+            Reply::Started(..) => {}
             Reply::Stopped(task, attempt, confirmed, sent) => {
                 cell.on_stop_answer(id, (task, attempt), confirmed, (sent, now));
             }
--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -7,6 +7,7 @@
 mod closed_queues;
 mod cost;
 mod crashes;
+mod crossing_copies;
 mod every_call;
 mod faults;
 mod fixtures;
