An order is closed by the first list after the answers to all its copies

Ends waited, no end of the worker was confirmed, and its task was bound to the worker. Change: on_start_copies_answered marks the order; the first complete, newest list of its worker that is asked for after that closes it: the worker's order, the task's OpenStart (that attempt only), held ends, run.order_expiry, and the record (a StartOpen with until 0 takes the place of those of the same order and term; other open orders of the task there are recorded anew, since cleaning may have merged them). If an end or the task waits, a hold is asked for at once, a second one beside one in flight. Event StartSettled. Why only then: a copy that was answered as started may have been started by a later instance than the one whose list showed the run or its end. A list that was asked for after the last answer shows what has come of each copy. Ruled out: closing at once at a refusal by the same instance: the list comes within some hundred ms anyway. The fixture's list() now answers every hold that is under way (it left some without an answer for ever, so that no further one was sent), and the test of the confirmed end also reads a list that was asked for before the last answer; both are as strict as before or stricter.

--- a/crates/core/src/job/cell/answered_copies/tests.rs
+++ b/crates/core/src/job/cell/answered_copies/tests.rs
@@ -143,10 +143,12 @@
         holds.filter_map(|action| number(&action)).max().unwrap_or_default()
     }
 
-    /// Lets the worker answer a hold that was sent at `sent`.
+    /// Lets the worker answer all holds that are under way, as if they had been sent at `sent`.
     fn list(&mut self, sent: Timestamp, running: &[ListedRun], ends: &[RunEnd]) {
         let (id, now) = (self.run.worker.clone(), self.now);
-        self.cell.on_hold_answer(&id, sent, Some(report(now, running, ends)), now);
+        for _ in 0..self.cell.workers[&id].holds_in_flight.max(1) {
+            self.cell.on_hold_answer(&id, sent, Some(report(now, running, ends)), now);
+        }
     }
 
     fn on_copies_answered(&mut self) {
@@ -211,12 +213,14 @@
     fixture.step();
     fixture.list(fixture.now, &[], &end);
     let before = fixture.confirmed();
+    let asked = fixture.now;
     fixture.on_copies_answered();
-    let unlisted = fixture.confirmed();
+    fixture.list(asked, &[], &end);
+    let after_earlier_list = fixture.confirmed();
 
     fixture.list(fixture.now, &[], &end);
 
-    assert_eq!((before, unlisted), (0, 0));
+    assert_eq!((before, after_earlier_list), (0, 0));
     assert_eq!(fixture.confirmed(), 1);
 }
 
@@ -257,3 +261,43 @@
     let is_hold = |action: &Action| matches!(action, Action::Hold { worker, .. } if worker == id);
     assert!(fixture.cell.take_actions().iter().any(is_hold));
 }
+
+/// A list that is cut off, or overtaken by one that was read before, doesn't tell what has come of the copies.
+#[test]
+fn only_a_complete_list_that_is_the_newest_closes_an_order() {
+    let mut fixture = Fixture::new(false);
+    let (id, listed) = (fixture.run.worker.clone(), [fixture.listed_run()]);
+    fixture.step();
+    fixture.list(fixture.now, &listed, &[]);
+    fixture.on_copies_answered();
+    let latest_clock_ms = fixture.now.0;
+    let now = fixture.now + Span(1);
+    let list = report(now, &listed, &[]);
+    let cut_off = HoldReport { is_complete: false, ..list.clone() };
+    let overtaken = HoldReport { clock_ms: latest_clock_ms - 1, ..list.clone() };
+
+    let open = [overtaken, cut_off, list].map(|report| {
+        fixture.cell.on_hold_answer(&id, now, Some(report), now);
+        fixture.cell.open_starts(now)
+    });
+
+    assert_eq!(open, [1, 1, 0]);
+}
+
+/// The list is of another instance then, in which a copy has begun the run anew.
+#[test]
+fn a_list_that_shows_a_run_after_its_end_closes_no_order() {
+    let mut fixture = Fixture::new(false);
+    fixture.on_copies_answered();
+    fixture.step();
+    let list = report(fixture.now, &[fixture.listed_run()], &[]);
+    let RunId { task, attempt, worker } = fixture.run;
+    let worker = &mut fixture.cell.workers[&worker];
+    worker.record_ended_attempt(task, attempt);
+
+    let closed_by_run = worker.take_answered_orders(&list, fixture.now).len();
+    let none = report(fixture.now, &[], &[]);
+    let closed_without = worker.take_answered_orders(&none, fixture.now).len();
+
+    assert_eq!((closed_by_run, closed_without), (0, 1));
+}
--- a/crates/core/src/job/cell/holds.rs
+++ b/crates/core/src/job/cell/holds.rs
@@ -142,10 +142,15 @@
     let is_awaited = has_unconfirmed_ends
         || worker.has_confirmable_end(now)
         || worker.is_settling()
+        || worker.awaits_list_of_answered(now)
         || worker.is_watched(now);
     if worker.listed_ends > 0 && !worker.runs.is_empty() && !is_awaited {
         known_list_interval(worker, hold_rate)
-    } else if !worker.runs.is_empty() || has_unconfirmed_ends || worker.has_confirmable_end(now) {
+    } else if !worker.runs.is_empty()
+        || has_unconfirmed_ends
+        || worker.has_confirmable_end(now)
+        || worker.awaits_list_of_answered(now)
+    {
         HOLD_INTERVAL
     } else if worker.has_open_orders(now) {
         OPEN_ORDER_HOLD_INTERVAL
@@ -179,6 +184,7 @@
     let answers_at_once = worker.runs.is_empty()
         || has_unconfirmed_ends
         || worker.is_settling()
+        || worker.awaits_list_of_answered(now)
         || worker.is_watched(now)
         || worker.awaits_answer
         || worker.may_have_restarted()
@@ -389,6 +395,9 @@
         if !was_adopted {
             self.forget_losses(id);
         }
+        if is_newest && report.is_complete {
+            self.settle_answered_orders(id, report, (sent, now));
+        }
         self.on_run_ends(id, &report.ends, now);
         // A list that a newer one has overtaken does not show the current runs.
         if is_newest {
--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -16,7 +16,11 @@
     },
     Cell, log_time,
 };
-use crate::{Span, Timestamp};
+use crate::{Epoch, Span, Timestamp};
+
+/// The time until which an order is open that isn't any more, in its record. It takes the place of the earlier records
+/// of the same order.
+const SETTLED: u64 = 0;
 
 /// A time that is certainly over now, by this much at least.
 fn before(now: Timestamp, ms: u64) -> Timestamp {
@@ -44,22 +48,32 @@
     /// Finds the orders that were open at the last write, or had expired by less than the longest lease, for which
     /// an instance that nobody hears may run what they have begun. The time that was left then is counted from now.
     pub(super) fn find(segments: &[StoredSegment], longest_lease: Span, now: Timestamp) -> Self {
-        let mut found = Self { found_at: now, ..Self::default() };
+        // A later term may give the same attempt anew.
+        let mut open: IndexMap<(Epoch, &WorkerId, TaskId, u32), Timestamp> = IndexMap::new();
         for (segment, passed) in log_time::with_time_passed(segments) {
             for record in &segment.records {
                 let Record::StartOpen { task, attempt, worker, until_ms } = record else {
                     continue;
                 };
+                let key = (segment.epoch, worker, *task, *attempt);
+                if *until_ms == SETTLED {
+                    open.swap_remove(&key);
+                    continue;
+                }
                 let lease_until_ms = until_ms.saturating_add(longest_lease.0);
                 let lease_left = log_time::left(lease_until_ms, segment, passed);
                 if lease_left.0 > 0 {
                     let expiry = order_expiry(lease_left, longest_lease, now);
-                    let (task, attempt) = (*task, *attempt);
-                    let order = OpenOrder { task, attempt, expiry, is_inherited: true };
-                    found.orders.entry(worker.clone()).or_default().push(order);
+                    let known = open.entry(key).or_insert(expiry);
+                    *known = expiry.max(*known);
                 }
             }
         }
+        let mut found = Self { found_at: now, ..Self::default() };
+        for ((_, worker, task, attempt), expiry) in open {
+            let order = OpenOrder::inherited(task, attempt, expiry);
+            found.orders.entry(worker.clone()).or_default().push(order);
+        }
         found
     }
 
@@ -98,7 +112,8 @@
         self.actions.push(Action::Log(event));
         let longest_lease = self.longest_lease();
         if let Some(worker) = self.workers.get_mut(id) {
-            let order = OpenOrder { task, attempt, expiry: until, is_inherited: false };
+            let (is_inherited, answered_at) = (false, None);
+            let order = OpenOrder { task, attempt, expiry: until, is_inherited, answered_at };
             worker.record_open_order(order, longest_lease, now);
         }
         self.record_open_start(id, (task, attempt), until, now);
@@ -128,6 +143,24 @@
         }
     }
 
+    /// Records that an order which was recorded as open isn't any more. Others of the task to the same worker, whose
+    /// record may have been merged with its own, are recorded anew.
+    pub(super) fn record_settled_start(
+        &mut self,
+        id: &WorkerId,
+        (task, attempt): (TaskId, u32),
+        now: Timestamp,
+    ) {
+        if self.handover.is_some() {
+            return;
+        }
+        let worker = id.clone();
+        self.record(Record::StartOpen { task, attempt, worker, until_ms: SETTLED }, now, None);
+        if let Some(others) = self.open_start_record(task, id, now) {
+            self.record(others, now, None);
+        }
+    }
+
     /// Takes over the open orders of earlier terms.
     pub(super) fn inherit_open_starts(&mut self, starts: InheritedStarts) {
         let of_worker = |(id, orders)| {
--- a/crates/core/src/job/cell/inherited_starts/tests.rs
+++ b/crates/core/src/job/cell/inherited_starts/tests.rs
@@ -100,3 +100,48 @@
     assert_ne!(cell.start_scope(TASK, NOW.0 + Span(6_000)), StartScope::Anywhere);
     assert_eq!(cell.start_scope(TASK, NOW.0 + Span(6_001)), StartScope::Anywhere);
 }
+
+/// Guards against tasks that wait in the next term for copies that have long been answered.
+#[test]
+fn an_order_that_was_settled_is_open_no_more_for_the_next_owner() {
+    let open_and_settled = [accepted(), open(1, "w0", 19_000), open(1, "w0", SETTLED)];
+    let orders = |last: &[Record]| {
+        let first = segment(0, (1, 5_000), &open_and_settled[..2]);
+        recover(vec![first, segment(1, (1, 5_100), last)]).inherited_starts
+    };
+
+    let settled = orders(&open_and_settled[2..]);
+    let settled_elsewhere = orders(&[open(1, "w1", SETTLED)]);
+    let other_attempt = orders(&[open(2, "w0", SETTLED)]);
+
+    assert_eq!(settled.tasks().count(), 0);
+    assert_eq!(settled_elsewhere.tasks().count(), 1);
+    assert_eq!(other_attempt.tasks().count(), 1);
+}
+
+/// A lost owner's last orders are in no record, so that the next one may give the same attempt anew.
+#[test]
+fn an_order_that_was_settled_says_nothing_of_an_earlier_terms() {
+    let first = segment(0, (1, 5_000), &[accepted(), open(1, "w0", 19_000)]);
+    let second = segment(1, (2, 3_000), &[open(1, "w0", 18_000), open(1, "w0", SETTLED)]);
+
+    let cell = recover(vec![first, second]);
+
+    assert_eq!(cell.inherited_starts.tasks().count(), 1);
+}
+
+/// Cleaning of the log merges the orders of a task to a worker into one record.
+#[test]
+fn an_order_that_is_settled_leaves_others_of_its_task_on_record() {
+    let mut cell = recover(vec![segment(0, (1, 5_000), &[accepted(), open(1, "w0", 19_000)])]);
+
+    cell.record_settled_start(&"w0".into(), (TASK, 2), NOW.0);
+
+    let write = cell.take_write(NOW.0 + Span(100)).unwrap();
+    let written = StoredSegment::decode(1, &write.value).unwrap().records;
+    let of_orders = written.iter().filter_map(|record| match record {
+        Record::StartOpen { attempt, until_ms, .. } => Some((*attempt, *until_ms > 0)),
+        _ => None,
+    });
+    assert_eq!(of_orders.collect::<Vec<_>>(), [(2, false), (1, true)]);
+}
--- a/crates/core/src/job/cell/term_end.rs
+++ b/crates/core/src/job/cell/term_end.rs
@@ -249,7 +249,7 @@
             let expiry = inherited_starts::order_expiry(start.lease_left, longest_lease, now);
             // Of an order that is in no record, the task waits no longer than without the report.
             let expiry = expiry.min(self.log.earlier_orders_end());
-            let order = OpenOrder { task, attempt, expiry, is_inherited: true };
+            let order = OpenOrder::inherited(task, attempt, expiry);
             self.inherit_late_start(&start.worker, order);
         }
         self.end_earlier_orders(now + life::longest_on_other_clock(report.earlier_orders_left));
--- a/crates/core/src/job/message.rs
+++ b/crates/core/src/job/message.rs
@@ -351,6 +351,13 @@
         /// How long the copy may still be carried out.
         left: Span,
     },
+    /// A start order isn't open any more: each of its copies was answered, and a list was asked for since.
+    StartSettled {
+        /// The run.
+        run: RunId,
+        /// Time since the last copy was sent.
+        open: Span,
+    },
     /// The end of a task as done is not confirmed, because a copy of its start order is open.
     EndWaits {
         /// The run.
--- a/crates/core/src/job/worker.rs
+++ b/crates/core/src/job/worker.rs
@@ -363,7 +363,12 @@
         // to end and must not delay the list that settles the order, or the answer of a new instance.
         match self.holds_in_flight {
             0 => true,
-            1 => self.is_settling() || self.awaits_answer || self.instance_doubt.is_some(),
+            1 => {
+                self.is_settling()
+                    || self.awaits_list_of_answered(now)
+                    || self.awaits_answer
+                    || self.instance_doubt.is_some()
+            }
             _ => false,
         }
     }
--- a/crates/core/src/job/worker/open_orders.rs
+++ b/crates/core/src/job/worker/open_orders.rs
@@ -8,7 +8,7 @@
 use super::{Run, RunState, Worker};
 use crate::{
     Span, Timestamp,
-    job::{LeaseWait, TaskId},
+    job::{HoldReport, LeaseWait, TaskId},
 };
 
 /// A start order of which a copy got no answer.
@@ -20,6 +20,15 @@
     pub(in crate::job) expiry: Timestamp,
     /// Whether an earlier owner sent it. Each instance that this owner has called refuses it.
     pub(in crate::job) is_inherited: bool,
+    /// When each of its copies had been answered, so that none takes effect any more; `None` if one has no answer.
+    pub(in crate::job) answered_at: Option<Timestamp>,
+}
+
+impl OpenOrder {
+    /// An order that an earlier owner has sent.
+    pub(in crate::job) fn inherited(task: TaskId, attempt: u32, expiry: Timestamp) -> Self {
+        Self { task, attempt, expiry, is_inherited: true, answered_at: None }
+    }
 }
 
 impl Worker {
@@ -35,6 +44,47 @@
         self.open_orders = kept.chain([order]).collect();
     }
 
+    /// Notes that each copy of an order of this owner has been answered.
+    pub(in crate::job) fn on_copies_answered(&mut self, run: (TaskId, u32), now: Timestamp) {
+        let is_same =
+            |order: &&mut OpenOrder| !order.is_inherited && (order.task, order.attempt) == run;
+        for order in self.open_orders.iter_mut().filter(is_same) {
+            order.answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Whether an order of which each copy has been answered waits only for a list that is asked for since: its run is
+    /// not booked any more, so that an end or the task waits, too.
+    pub(in crate::job) fn awaits_list_of_answered(&self, now: Timestamp) -> bool {
+        let is_booked = |order: &OpenOrder| {
+            self.runs.get(&order.task).is_some_and(|run| run.attempt == order.attempt)
+        };
+        let open = self.open_orders.iter().filter(|order| now <= order.expiry);
+        open.filter(|order| order.answered_at.is_some()).any(|order| !is_booked(order))
+    }
+
+    /// Takes the orders of which each copy had been answered before this complete list was asked for, at `sent`. Any of
+    /// those may have begun the run in a later instance than the one that listed the run before. So the list counts
+    /// only now, and not if it shows a run that is known to have ended: then it is of another instance.
+    pub(in crate::job) fn take_answered_orders(
+        &mut self,
+        report: &HoldReport,
+        sent: Timestamp,
+    ) -> Vec<OpenOrder> {
+        let is_running = |order: &OpenOrder| {
+            let mut running = report.running.iter();
+            running.any(|run| (run.task, run.attempt) == (order.task, order.attempt))
+        };
+        let ended = &self.ended_attempts;
+        let has_ended =
+            |order: &OpenOrder| ended.get(&order.task).is_some_and(|&last| order.attempt <= last);
+        let is_settled = |order: &mut OpenOrder| {
+            let is_after = order.answered_at.is_some_and(|answered_at| sent > answered_at);
+            is_after && !(has_ended(order) && is_running(order))
+        };
+        self.open_orders.extract_if(.., is_settled).collect()
+    }
+
     /// Takes the start orders that an instance of which only an entry in the store tells may still carry out, or
     /// whose run it may have.
     pub(in crate::job) fn take_orders_of_unheard(
