Bytes on a node's link by purpose, and open start orders, once a second

Cause: an owner with a narrow link loses its term in calm, and no line of the log says what fills the link. Change: Connections count the bytes of each call by purpose (configuration, workers, members, reads of the log, writes, lease, holds, starts, other), answers as they arrive; the node writes one line 'link load' a second while it owns a cell. 'owner load' has the number of open start orders. Not counted: answers to clients, calls between nodes, what the operating system adds. Tests: jobs::link_load (the line), platform/tests/traffic.rs (purposes of calls to the store; an answer that never ends counts as far as it came).

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -10,6 +10,7 @@
 //! | `operator` | the configuration and the maintenance waves that the operator writes |
 //! | `host` | the owner of a cell: its term and its log (`requests`, `calls`, `replies`) |
 //! | `owner_load` | what an owner has in flight, and how quickly it is answered |
+//! | `link_load` | the bytes that a node's calls take on its link, by purpose |
 //! | `repeat`, `start_order` | calls to the store and start orders, sent again while no answer comes |
 //! | `roster` | the list of workers in the store |
 //! | `fleet` | the owner of the fleet: orders about VMs |
@@ -29,6 +30,7 @@
 mod instruction;
 mod lease;
 mod line_limit;
+mod link_load;
 mod log_store;
 mod members;
 mod node;
--- a/src/jobs/host.rs
+++ b/src/jobs/host.rs
@@ -272,6 +272,7 @@
         if let Some(cell) = self.cell.borrow().as_ref() {
             load.held_back_starts = cell.held_back_starts();
             load.waiting_ends = cell.waiting_ends(now);
+            load.open_starts = cell.open_starts(now);
         }
         let write_age = self.writing_since.get().map_or(Span(0), |since| now.since(since));
         let lease_validity = session::lease_validity(&self.node);
--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -18,6 +18,7 @@
 use teaselgap_platform::{
     client::Connections,
     store::{Store, StoreError},
+    traffic::Traffic,
 };
 
 use super::repeat::{MAX_STORE_COPIES, Repeater};
@@ -72,6 +73,7 @@
 #[derive(Debug)]
 pub(super) struct LeaseRenewer {
     state: Arc<Mutex<LeaseState>>,
+    traffic: Arc<Traffic>,
 }
 
 impl LeaseRenewer {
@@ -83,12 +85,18 @@
     pub(super) fn start(cfg: RenewalConfig, log: Logger) -> std::io::Result<Self> {
         let state = Arc::new(Mutex::new(LeaseState::default()));
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let shared = Arc::clone(&state);
+        let traffic = Arc::new(Traffic::default());
+        let shared = (Arc::clone(&state), Arc::clone(&traffic));
         std::thread::Builder::new()
             .name("lease".to_owned())
             .stack_size(STACK_BYTES)
             .spawn(move || runtime.block_on(renew_repeatedly(cfg, shared, log)))?;
-        Ok(Self { state })
+        Ok(Self { state, traffic })
+    }
+
+    /// Counts the bytes of this thread's calls, and of others that share it.
+    pub(super) fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
     }
 
     fn lock(&self) -> MutexGuard<'_, LeaseState> {
@@ -143,8 +151,12 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn renew_repeatedly(cfg: RenewalConfig, state: Arc<Mutex<LeaseState>>, log: Logger) {
-    let store = Store::new(cfg.store, Rc::new(Connections::default()));
+async fn renew_repeatedly(
+    cfg: RenewalConfig,
+    (state, traffic): (Arc<Mutex<LeaseState>>, Arc<Traffic>),
+    log: Logger,
+) {
+    let store = Store::new(cfg.store, Rc::new(Connections::new(traffic)));
     let repeater = Repeater::new(MAX_STORE_COPIES);
     let interval = Duration::from_millis(cfg.ttl.0 / RENEWALS_PER_TTL);
     let mut is_failing = false;
--- a/src/jobs/log_store.rs
+++ b/src/jobs/log_store.rs
@@ -11,16 +11,15 @@
     Epoch, ServiceId, Timestamp,
     job::{LogWrite, RecoveredLog, Sequence},
 };
-use teaselgap_platform::store::{Expected, Item, Outcome, Put, StoreError, Transaction};
+use teaselgap_platform::store::{
+    Expected, Item, LOG_PREFIX, Outcome, Put, StoreError, Transaction,
+};
 
 use self::reader::LogReader;
 pub(super) use self::reader::LogReading;
 use super::{duties, node::Node};
 use crate::clock;
 
-/// The prefix of the store keys that hold the logs of all cells.
-const LOG_PREFIX: &str = "teaselgap/log/";
-
 /// The pause before a failed call to the store is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -29,6 +29,7 @@
     host::{CellOwner, EndedTerm},
     instruction::{CellReport, PoolInstruction},
     lease::LeaseRenewer,
+    link_load,
     log_store::LogReading,
     members::Members,
     operator, outage,
@@ -126,7 +127,7 @@
         shared: Arc<SharedState>,
         lease: LeaseRenewer,
     ) -> Self {
-        let connections = Rc::new(Connections::default());
+        let connections = Rc::new(Connections::new(Arc::clone(lease.traffic())));
         Self {
             log: shared.log.clone(),
             id,
@@ -326,6 +327,7 @@
     tokio::task::spawn_local(session::run(Rc::clone(&node)));
     tokio::task::spawn_local(operator::run(Rc::clone(&node)));
     tokio::task::spawn_local(roster::run(Rc::clone(&node)));
+    tokio::task::spawn_local(link_load::run(Rc::clone(&node)));
     loop {
         tokio::select! {
             Some(request) = request_rx.recv() => node.dispatch(request),
--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -249,6 +249,7 @@
             "unanswered_holds" => load.unanswered_holds, "listed_runs" => load.lists.runs,
             "listed_ends" => load.lists.ends, "known_ends" => load.lists.known_ends,
             "hold_answer_bytes" => load.lists.bytes, "waiting_ends" => load.waiting_ends,
+            "open_starts" => load.open_starts,
             "median_answer_ms" => load.median_answer.0,
             "longest_answer_ms" => load.longest_answer.0,
             "longest_tick_us" => load.longest_tick.as_micros(), 
--- a/src/jobs/owner_load.rs
+++ b/src/jobs/owner_load.rs
@@ -96,6 +96,8 @@
     pub(crate) lists: ListTotals,
     /// Number of ends that are not confirmed before copies of their start orders have expired.
     pub(crate) waiting_ends: usize,
+    /// Number of start orders that have copies without an answer.
+    pub(crate) open_starts: usize,
     /// Number of submissions accepted.
     pub(crate) accepted: u32,
     /// Number of submissions refused.
@@ -186,6 +188,7 @@
             unanswered_holds: second.unanswered_holds,
             lists: second.lists,
             waiting_ends: 0,
+            open_starts: 0,
             accepted: second.accepted,
             refused: second.refused,
             median_answer: times.get(times.len() / 2).copied().unwrap_or_default(),
--- a/src/jobs/owner_load/tests.rs
+++ b/src/jobs/owner_load/tests.rs
@@ -38,6 +38,7 @@
         unanswered_holds: 1,
         lists: ListTotals { runs: 3, ends: 6, known_ends: 4, bytes: 1_250 },
         waiting_ends: 0,
+        open_starts: 0,
         accepted: 1,
         refused: 2,
         median_answer: Span(5),
