--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -117,3 +117,65 @@
         assert_eq!(renewer.poll(), LeaseStatus::Held(LEASE + 1));
     });
 }
+
+/// How long the slow store takes for each answer; longer than the interval between two renewals.
+const LINK_DELAY: Duration = Duration::from_millis(1_100);
+
+/// Starts a store whose answers wait for this long in the node's link. The answers to the handshakes of new
+/// connections don't.
+fn slow_store(delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut buf = [0; 4_096];
+                while stream.read(&mut buf).is_ok_and(|count| count > 0) {
+                    let answer_at = std::time::Instant::now() + delay;
+                    while std::time::Instant::now() < answer_at {
+                        std::thread::park_timeout(answer_at - std::time::Instant::now());
+                    }
+                    if write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{{}}").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an owner that loses its lease because a large answer fills its link: the answers to its
+/// renewals come, but later than the next renewal is due.
+#[test]
+fn a_lease_is_kept_whose_renewals_are_answered_later_than_the_next_one_is_due() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let cfg =
+        RenewalConfig { store: slow_store(LINK_DELAY), ttl: Span(2_000), max_stall: Span(60_000) };
+    let watched = Duration::from_secs(6);
+
+    let lapse = runtime.block_on(async {
+        let renewer = LeaseRenewer::start(cfg, Logger::root(Discard, o!())).unwrap();
+        renewer.record_progress();
+        renewer.set(LEASE, clock::now() + cfg.ttl);
+        let mut interval = tokio::time::interval(Duration::from_millis(5));
+        let until_lapse = async {
+            while clock::now() < renewer.valid_until() {
+                interval.tick().await;
+            }
+        };
+        tokio::time::timeout(watched, until_lapse).await
+    });
+
+    assert!(lapse.is_err(), "the lease ran out");
+}
+
+#[test]
+fn an_answer_to_an_earlier_renewal_does_not_shorten_the_lease() {
+    let mut state = LeaseState { lease: Some(LEASE), ..LeaseState::default() };
+
+    apply(&mut state, LEASE, &Ok(()), Timestamp(5_000));
+    apply(&mut state, LEASE, &Ok(()), Timestamp(4_500));
+
+    assert_eq!(state.valid_until, Timestamp(5_000));
+}
--- a/src/jobs/operator.rs
+++ b/src/jobs/operator.rs
@@ -1,5 +1,8 @@
 //! Follows the keys that the operator writes: the configuration and the maintenance waves.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
