Renewals of the lease go on while earlier ones wait in a full link

Cause: a renewal was given up after 500 ms (a quarter of the time-to-live) and the next one began only then, over a new connection. On a full link each answer came later than that, so that no renewal ever succeeded. Change: a renewal is sent each quarter of the time-to-live, whether earlier ones were answered or not (at most four wait); each may take three quarters of it; a later answer never shortens the validity; connections for the lease may take as long to open. Validity counts from the first copy of the renewal, as before.

--- a/src/jobs/lease.rs
+++ b/src/jobs/lease.rs
@@ -10,9 +10,9 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
 };
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use slog::{Logger, info, warn};
 use teaselgap_core::{Span, Timestamp};
 use teaselgap_platform::{
@@ -28,7 +28,10 @@
 const RENEWALS_PER_TTL: u64 = 4;
 
 /// The pause before a failed renewal is retried. It is short because the lease is short.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_PAUSE: Span = Span(50);
+
+/// The most renewals without an answer at a time.
+const MAX_RENEWALS: usize = 4;
 
 /// The stack of the thread that renews the lease.
 const STACK_BYTES: usize = 256 * 1024;
@@ -58,6 +61,14 @@
     has_expired: bool,
 }
 
+impl LeaseState {
+    /// The lease that is to be renewed now; none while the control thread hangs.
+    fn due(&self, max_stall: Span) -> Option<u64> {
+        let is_stalled = clock::now() > self.progress_at + max_stall;
+        self.lease.filter(|_| !is_stalled)
+    }
+}
+
 /// What the control thread has to know about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LeaseStatus {
@@ -151,37 +162,48 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Renews the lease at regular intervals, whether earlier renewals have been answered or not: on a full link,
+/// answers come later than the next renewal is due.
 async fn renew_repeatedly(
     cfg: RenewalConfig,
     (state, traffic): (Arc<Mutex<LeaseState>>, Arc<Traffic>),
     log: Logger,
 ) {
-    let store = Store::new(cfg.store, Rc::new(Connections::new(traffic)));
+    let interval = Span(cfg.ttl.0 / RENEWALS_PER_TTL);
+    // A later answer would prolong the lease by less than the time until the next one.
+    let timeout = Span(cfg.ttl.0.saturating_sub(interval.0)).to_std();
+    let connections = Connections::new(traffic).with_connect_timeout(timeout);
+    let store = Store::new(cfg.store, Rc::new(connections));
     let repeater = Repeater::new(MAX_STORE_COPIES);
-    let interval = Duration::from_millis(cfg.ttl.0 / RENEWALS_PER_TTL);
+    let renew = async |lease| {
+        // Counts from the first copy, which may be the only one that reaches the store.
+        let sent_at = clock::now();
+        (lease, sent_at, repeater.renew(&store, lease, timeout).await)
+    };
+    let mut renewals = FuturesUnordered::new();
+    let mut next_at = clock::now();
     let mut is_failing = false;
     loop {
-        let due = {
-            let state = lock(&state);
-            let is_stalled = clock::now() > state.progress_at + cfg.max_stall;
-            state.lease.filter(|_| !is_stalled)
-        };
-        let Some(lease) = due else {
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        let sent_at = clock::now();
-        // Counts from the first copy, which may be the only one that reaches the store.
-        let result = repeater.renew(&store, lease, interval).await;
-        apply(&mut lock(&state), lease, &result, sent_at + cfg.ttl);
-        if result.is_err() != is_failing {
-            is_failing = result.is_err();
-            match &result {
-                Ok(()) => info!(log, "lease calls succeed again"; "lease" => lease),
-                Err(err) => warn!(log, "lease calls fail"; "lease" => lease, "error" => %err),
+        tokio::select! {
+            Some((lease, sent_at, result)) = renewals.next() => {
+                apply(&mut lock(&state), lease, &result, sent_at + cfg.ttl);
+                if result.is_err() {
+                    next_at = next_at.min(clock::now() + RETRY_PAUSE);
+                }
+                if result.is_err() != is_failing {
+                    is_failing = result.is_err();
+                    match &result {
+                        Ok(()) => info!(log, "lease calls succeed again"; "lease" => lease),
+                        Err(err) => warn!(log, "lease calls fail"; "lease" => lease, "error" => %err),
+                    }
+                }
+            }
+            () = tokio::time::sleep(clock::until(next_at)), if renewals.len() < MAX_RENEWALS => {
+                let due = lock(&state).due(cfg.max_stall);
+                next_at = clock::now() + due.map_or(RETRY_PAUSE, |_| interval);
+                renewals.extend(due.map(&renew));
             }
         }
-        tokio::time::sleep(if is_failing { RETRY_PAUSE } else { interval }).await;
     }
 }
 
@@ -197,7 +219,8 @@
     }
     match result {
         Ok(()) => {
-            state.valid_until = valid_until;
+            // Answers may overtake each other.
+            state.valid_until = state.valid_until.max(valid_until);
             state.store_reached_at = clock::now();
         }
         Err(StoreError::NoLease) => {
--- a/src/jobs/lease/tests.rs
+++ b/src/jobs/lease/tests.rs
@@ -2,6 +2,7 @@
     io::{Read, Write},
     net::{TcpListener, TcpStream},
     sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    time::Duration,
 };
 
 use slog::{Discard, o};
