--- a/src/jobs/node.rs
+++ b/src/jobs/node.rs
@@ -97,6 +97,8 @@
     pub(super) peer_address: SocketAddr,
     pub(super) connections: Rc<Connections>,
     pub(super) store: Store,
+    /// For the operator's keys, whose answers may be large.
+    pub(super) operator_store: Store,
     /// Sends calls to the store again while no answer comes.
     pub(super) repeater: Repeater,
     pub(super) log_reading: LogReading,
@@ -128,12 +130,15 @@
         lease: LeaseRenewer,
     ) -> Self {
         let connections = Rc::new(Connections::new(Arc::clone(lease.traffic())));
+        let operator_connections =
+            operator::connections(Arc::clone(lease.traffic()), settings.limits.link_mbps);
         Self {
             log: shared.log.clone(),
             id,
             incarnation,
             peer_address,
             store: Store::new(settings.store.address, Rc::clone(&connections)),
+            operator_store: Store::new(settings.store.address, Rc::new(operator_connections)),
             repeater: Repeater::new(MAX_STORE_COPIES),
             log_reading: LogReading::new(settings.limits.link_mbps),
             connections,
