The host waits for the answers to all copies of a start order

A refusal, and a copy that never left, count as answers; Unknown doesn't, before or after the first definite answer. Calls to the store are as before. Log line 'start order settled' (task, attempt, worker, open_ms since the last copy, cell, epoch), at most 20 a second. Which results are definite: Started only, and that is right: a refusal says nothing of another copy, which may start the task (a token or room that comes meanwhile), so that it is waited for; of Refused and Started in either order Started stands, and neither copy comes again.

--- a/src/jobs/note.rs
+++ b/src/jobs/note.rs
@@ -72,6 +72,7 @@
             LogEvent::StartOpen { run, is_answered, left } => {
                 self.write_start_open(run, *is_answered, *left);
             }
+            LogEvent::StartSettled { run, open } => self.write_start_settled(run, *open),
             LogEvent::EndWaits { run, number, left } => self.write_waiting_end(run, *number, *left),
             LogEvent::RunEndedUnreported { run, reason, wait } => {
                 self.write_unreported_end(run, reason, *wait);
@@ -196,6 +197,14 @@
         }
     }
 
+    fn write_start_settled(&self, run: &RunId, open: Span) {
+        if self.limit.borrow_mut().admit("start order settled") {
+            info!(self.log, "start order settled"; "task" => %run.task, "attempt" => run.attempt,
+                "worker" => %run.worker, "open_ms" => open.0, "cell" => self.cell.as_str(),
+                "epoch" => self.epoch);
+        }
+    }
+
     fn write_waiting_end(&self, run: &RunId, number: u64, left: Span) {
         if self.limit.borrow_mut().admit("end waits") {
             info!(self.log, "end waits"; "task" => %run.task, "attempt" => run.attempt,
--- a/src/jobs/repeat.rs
+++ b/src/jobs/repeat.rs
@@ -49,6 +49,20 @@
     pub(super) has_open_copy: bool,
 }
 
+/// The copies of a call that have no result yet.
+#[derive(Debug)]
+struct Copies<C> {
+    in_flight: FuturesUnordered<C>,
+    /// Whether one has ended with an uncertain result.
+    has_uncertain: bool,
+}
+
+impl<C> Default for Copies<C> {
+    fn default() -> Self {
+        Self { in_flight: FuturesUnordered::new(), has_uncertain: false }
+    }
+}
+
 impl Repeater {
     /// Sends each call at most `max_copies` times.
     pub(super) fn new(max_copies: u32) -> Self {
@@ -138,8 +152,8 @@
             let sent_at = clock::now();
             (sent_at, call().await)
         };
-        let mut copies = FuturesUnordered::new();
-        self.first_result(timed, &mut copies, (&is_definite, &is_uncertain)).await
+        let copies = &mut Copies::default();
+        self.first_result(timed, copies, (&is_definite, &is_uncertain)).await
     }
 
     /// Like [`Repeater::call`], but passes the result on as soon as it is known and goes on to wait for the other
@@ -154,21 +168,29 @@
     where
         F: Future<Output = T>,
     {
-        on_result(self.call(call, is_definite, is_uncertain).await);
-        false
+        let timed = || async {
+            let sent_at = clock::now();
+            (sent_at, call().await)
+        };
+        let mut copies = Copies::default();
+        on_result(self.first_result(timed, &mut copies, (&is_definite, &is_uncertain)).await);
+        while let Some((_, result)) = copies.in_flight.next().await {
+            copies.has_uncertain |= is_uncertain(&result);
+        }
+        !copies.has_uncertain
     }
 
     /// Sends copies of a call, which stay in `copies`, until one has a definite result.
     async fn first_result<T, C>(
         &self,
         call: impl Fn() -> C,
-        copies: &mut FuturesUnordered<C>,
+        copies: &mut Copies<C>,
         (is_definite, is_uncertain): (impl Fn(&T) -> bool, impl Fn(&T) -> bool),
     ) -> Repeated<T>
     where
         C: Future<Output = (Timestamp, T)>,
     {
-        copies.push(call());
+        copies.in_flight.push(call());
         let mut sent = 1;
         let mut pause = self.timer.borrow().timeout();
         let mut last_sent = clock::now();
@@ -176,15 +198,15 @@
         let mut failure: Option<T> = None;
         loop {
             tokio::select! {
-                Some((sent_at, result)) = copies.next() => {
+                Some((sent_at, result)) = copies.in_flight.next() => {
                     if is_definite(&result) {
                         self.record(sent_at);
-                        let has_uncertain = failure.as_ref().is_some_and(&is_uncertain);
-                        let has_open_copy = has_uncertain || !copies.is_empty();
+                        let has_open_copy = copies.has_uncertain || !copies.in_flight.is_empty();
                         return Repeated { result, has_open_copy };
                     }
+                    copies.has_uncertain |= is_uncertain(&result);
                     let result = failure.take().filter(&is_uncertain).unwrap_or(result);
-                    if copies.is_empty() {
+                    if copies.in_flight.is_empty() {
                         return Repeated { result, has_open_copy: false };
                     }
                     failure = Some(result);
@@ -194,7 +216,7 @@
                         next_copy_at = clock::now() + LINK_CHECK_INTERVAL;
                         continue;
                     }
-                    copies.push(call());
+                    copies.in_flight.push(call());
                     sent += 1;
                     self.repeats.set(self.repeats.get() + 1);
                     pause = Span(pause.0 * 2);
