The list of workers leaves a narrow link to a large configuration

Cause: readings of the list are to take a tenth of the link, a quarter when triggered, but were reckoned without base64 and what an item adds, and went on while a large configuration passed. Change: its size counts as on the wire; while a part of an answer of the operator's keys has arrived and the rest has not, the list waits for up to 2 s.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -7,9 +7,10 @@
 
 use indexmap::IndexMap;
 use slog::{info, warn};
-use teaselgap_core::{ServiceId, job::WorkerEntry};
+use teaselgap_core::{ServiceId, Span, job::WorkerEntry};
 use teaselgap_platform::{
     store::{self, Item, Range, Store, StoreError, WORKERS_PREFIX},
+    traffic::Traffic,
     worker::{self, EntryError},
 };
 
@@ -25,6 +26,15 @@
 /// Triggered readings take at most one part in this many of the link.
 const TRIGGERED_LINK_DIVISOR: u32 = 4;
 
+/// The bytes of an item on the wire beyond its key and value.
+const ITEM_BYTES: usize = 80;
+
+/// How long the list waits at most for a large answer of the operator's keys to pass the link.
+const MAX_LARGE_ANSWER_WAIT: Span = Span(2_000);
+
+/// How often it is looked at whether such an answer has passed the link.
+const LARGE_ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The link rate that is assumed at least, in megabits per second.
 const MIN_LINK_MBPS: f64 = 0.1;
 
@@ -50,6 +60,11 @@
     Duration::try_from_secs_f64(megabits / link_mbps.max(MIN_LINK_MBPS)).unwrap_or(POLL_INTERVAL)
 }
 
+/// The approximate size of an item on the wire, where values are written in base64.
+fn wire_bytes(item: &Item) -> usize {
+    item.key.len() + item.value.len().div_ceil(3) * 4 + ITEM_BYTES
+}
+
 /// How long to wait for the next reading if nothing triggers one.
 fn regular_pause(list_bytes: usize, link_mbps: f64) -> Duration {
     let transfer = transfer_time(list_bytes, link_mbps);
@@ -85,6 +100,7 @@
         if node.cell_owners.borrow().is_empty() {
             continue;
         }
+        wait_for_large_answer(node.lease.traffic()).await;
         match reader.read(&node.store).await {
             Ok(WorkerList { workers, bytes, unreadable }) => {
                 list_bytes = bytes;
@@ -96,7 +112,7 @@
                 unreadable_count = count;
                 if let Some(since) = failing_since.take() {
                     info!(node.log, "list of workers readable again"; "since" => %since);
-                    complete_from = clock::now() + teaselgap_core::Span(REGISTRATION_GRACE_MS);
+                    complete_from = clock::now() + Span(REGISTRATION_GRACE_MS);
                 }
                 let is_complete = clock::now() >= complete_from;
                 for owner in node.cell_owners.borrow().values() {
@@ -114,6 +130,15 @@
     }
 }
 
+/// Waits while a large answer of the operator's keys passes the link, but not for ever: both would take longer
+/// beside each other, and only the configuration has a bound.
+async fn wait_for_large_answer(traffic: &Traffic) {
+    let deadline = clock::now() + MAX_LARGE_ANSWER_WAIT;
+    while traffic.is_large_answer_arriving() && clock::now() < deadline {
+        tokio::time::sleep(LARGE_ANSWER_POLL_INTERVAL).await;
+    }
+}
+
 /// The workers of each service.
 type Workers = IndexMap<ServiceId, Vec<WorkerEntry>>;
 
@@ -173,7 +198,7 @@
             self.page_timeout.record_failure(&err);
             return Err(err);
         }
-        let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
+        let bytes = range.items.iter().map(wire_bytes).sum();
         self.page_timeout = list_timeout(bytes, self.link_mbps);
         let (workers, unreadable) = parse_workers(&range.items, clock::wall_ms());
         Ok(WorkerList { workers, bytes, unreadable })
--- a/src/jobs/roster/tests.rs
+++ b/src/jobs/roster/tests.rs
@@ -90,3 +90,57 @@
         assert!(timeout >= (transfer * 4).min(store::page_timeout(link_mbps)), "{link_mbps}");
     }
 }
+
+/// Guards against readings that take a larger share of the link than is meant, as they are reckoned without
+/// what the wire adds.
+#[test]
+fn the_size_of_a_list_is_that_on_the_wire() {
+    let value = "v".repeat(300);
+    let body = "a".repeat(400);
+    let wire = format!(
+        r#"{{"key":"servers/i-1","value":"{body}","revision":123456,"created":123456,"lease":135530580750507}},"#
+    );
+
+    let bytes = wire_bytes(&entry("servers/i-1", &value));
+
+    assert!(bytes.abs_diff(wire.len()) * 20 <= wire.len(), "{bytes} for {}", wire.len());
+}
+
+/// Guards against a configuration that misses its bound as the list takes a part of a narrow link, and against a
+/// list that is never read because of it.
+#[test]
+fn the_list_waits_for_a_large_answer_but_not_for_ever() {
+    const STUCK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n{";
+    let (address, _) = test_server::serve(STUCK, &[]);
+    let traffic = std::sync::Arc::new(Traffic::default());
+    let connections = Connections::new(std::sync::Arc::clone(&traffic));
+    let store = Store::new(address, Rc::new(connections));
+
+    let (waited, was_idle) = test_server::run(async {
+        let idle_since = clock::now();
+        wait_for_large_answer(&traffic).await;
+        let was_idle = clock::now().since(idle_since) < Span(100);
+        let follow = async {
+            loop {
+                // Each answer stops after its first byte, and the next one follows.
+                let _ = store.watch(store::OPERATOR_PREFIX, 1, Duration::ZERO).await;
+            }
+        };
+        let wait = async {
+            while !traffic.is_large_answer_arriving() {
+                tokio::task::yield_now().await;
+            }
+            let since = clock::now();
+            wait_for_large_answer(&traffic).await;
+            clock::now().since(since)
+        };
+        tokio::select! {
+            never = follow => never,
+            waited = wait => (waited, was_idle),
+        }
+    });
+
+    assert!(was_idle);
+    assert!(waited >= Span(1_000), "{waited:?}");
+    assert!(waited <= Span(MAX_LARGE_ANSWER_WAIT.0 + 500), "{waited:?}");
+}
