--- a/src/jobs/operator.rs
+++ b/src/jobs/operator.rs
@@ -63,6 +63,15 @@
     transfer: Duration,
 }
 
+impl OperatorState {
+    /// Notes that the configuration was read, unless a later one has been.
+    fn record_config(&mut self, read: ConfigRead) {
+        if read.revision > self.config.revision {
+            self.config = read;
+        }
+    }
+}
+
 /// The connections for the operator's keys on a link of this rate. On a narrow one, little of a large
 /// configuration is on its way at a time, so that renewals of the lease don't wait long behind it.
 pub(super) fn connections(traffic: Arc<Traffic>, link_mbps: f64) -> Connections {
@@ -83,8 +92,11 @@
     loop {
         let before = node.operator.borrow().config.revision;
         if may_be_behind {
+            let caught_up = catch_up(&node).await;
+            let revision = node.operator.borrow().config.revision;
+            info!(node.log, "looked for a newer configuration"; "known_revision" => before,
+                "revision" => revision, "error" => caught_up.err().map(|err| err.to_string()));
             // Without an answer, the watch returns what came meanwhile.
-            let _ = catch_up(&node).await;
         } else if let Err(err) = follow_once(&node).await {
             if err != StoreError::Compacted {
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -175,10 +187,7 @@
 fn apply(node: &Rc<Node>, key: &str, value: &[u8], revision: u64) {
     if key == CONFIG_KEY {
         let transfer = transfer_time(value.len(), node.settings.limits.link_mbps);
-        let config = &mut node.operator.borrow_mut().config;
-        if revision > config.revision {
-            *config = ConfigRead { revision, transfer };
-        }
+        node.operator.borrow_mut().record_config(ConfigRead { revision, transfer });
         apply_config(node, value);
     } else if key.starts_with(WAVE_PREFIX) {
         apply_wave(node, value);
