--- a/src/jobs/repeat/tests.rs
+++ b/src/jobs/repeat/tests.rs
@@ -119,18 +119,14 @@
     }
 }
 
-fn is_definite(result: &u32) -> bool {
-    *result == DEFINITE
-}
+const IS_DEFINITE: fn(&u32) -> bool = |result| *result == DEFINITE;
 
-fn is_uncertain(result: &u32) -> bool {
-    *result == UNCERTAIN
-}
+const IS_UNCERTAIN: fn(&u32) -> bool = |result| *result == UNCERTAIN;
 
 /// Makes a call whose copies have these results.
 fn call_with_results(results: &[CopyResult]) -> Repeated<u32> {
     let copies = Copies::new(results);
-    run(Repeater::new(MAX_ORDER_COPIES).call(|| copies.send(), is_definite, is_uncertain))
+    run(Repeater::new(MAX_ORDER_COPIES).call(|| copies.send(), IS_DEFINITE, IS_UNCERTAIN))
 }
 
 /// Makes a call whose copies have these results. Returns what is passed on, and whether all copies have results.
@@ -141,7 +137,7 @@
         first.set(Some(result));
         copies.is_passed_on.notify_one();
     };
-    let call = repeater.call_all(|| copies.send(), is_definite, is_uncertain, on_result);
+    let call = repeater.call_all(|| copies.send(), IS_DEFINITE, IS_UNCERTAIN, on_result);
     let is_answered = run(call);
     (first.get().expect("a result"), is_answered)
 }
@@ -222,7 +218,7 @@
                 DEFINITE
             }
         };
-        repeater.call(call, is_definite, is_uncertain).await
+        repeater.call(call, IS_DEFINITE, IS_UNCERTAIN).await
     };
     run(async {
         for _ in 0..8 {
