--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -15,6 +15,7 @@
 mod given_up;
 mod idle;
 mod instances;
+mod late_answers;
 mod late_copies;
 mod late_holds;
 mod link_bytes;
