--- a/crates/standins/src/model/calls.rs
+++ b/crates/standins/src/model/calls.rs
@@ -136,8 +136,8 @@
             }
         }
         let fate = self.take_fate(&worker, &call);
-        answer_arrives &= matches!(fate, None | Some(Fate::Answered));
-        if let Some(Fate::Late(at)) = fate {
+        answer_arrives &= matches!(fate, None | Some(Fate::Answered | Fate::Slow(_)));
+        if let Some(Fate::Late(at) | Fate::Slow(at)) = fate {
             delay_ms = at.since(self.now).0;
         }
         match &call {
--- a/crates/standins/src/model/fates.rs
+++ b/crates/standins/src/model/fates.rs
@@ -20,6 +20,8 @@
     CallLost,
     /// It is carried out at this time, in whichever instance is up then, and not answered.
     Late(Timestamp),
+    /// The same, but it is answered if the owner still waits then.
+    Slow(Timestamp),
 }
 
 /// What a call asks of a worker.
--- a/crates/standins/tests/cells/late_answers.rs
+++ b/crates/standins/tests/cells/late_answers.rs
@@ -12,7 +12,7 @@
 };
 
 use self::{
-    history::{History, history},
+    history::{History, history, history_of_reborn_workers},
     play::{Play, play},
 };
 
@@ -30,8 +30,12 @@
     histories.into_iter().map(play).collect()
 }
 
+/// Histories in which no answer is lost.
 static PLAYED: LazyLock<Vec<Play>> = LazyLock::new(|| play_all(&history()));
 
+/// Histories in which workers restart while copies of orders to them are under way.
+static REBORN: LazyLock<Vec<Play>> = LazyLock::new(|| play_all(&history_of_reborn_workers()));
+
 /// Whether no history has a fault, and what the test is about has happened in one at least.
 fn assert_sound(played: &[Play], faults: impl Fn(&Play) -> Vec<String>) {
     let sum = |count: fn(&Play) -> usize| played.iter().map(count).sum::<usize>();
@@ -76,3 +80,10 @@
 fn no_task_runs_twice_while_copies_cross_answers() {
     assert_sound(&PLAYED, |play| play.model.violations().to_vec());
 }
+
+/// Guards against an order that is closed although a copy of it may be carried out, or has been by a later life of
+/// the worker than the one that has listed the end of its run.
+#[test]
+fn no_task_runs_twice_while_copies_come_in_the_next_life_of_a_worker() {
+    assert_sound(&REBORN, |play| play.model.violations().to_vec());
+}
--- a/crates/standins/tests/cells/late_answers/history.rs
+++ b/crates/standins/tests/cells/late_answers/history.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use teaselgap_core::job::DrainMode;
+use teaselgap_standins::model::ClockDraw;
 
 /// Number of workers. The first two are never drained and never leave, and have room for all tasks.
 pub(super) const WORKERS: usize = 5;
@@ -49,6 +50,83 @@
     /// The client account cancels the latest job of short tasks.
     Cancel,
     Nothing,
+    /// The worker restarts while a copy of an order to it is under way.
+    Reborn(usize, Rebirth),
+}
+
+/// What becomes of a call of a worker's earlier life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Course {
+    Answered,
+    AnswerLost,
+    CallLost,
+    /// It comes in the next life, and is answered if the owner still waits for it.
+    Next,
+}
+
+fn course() -> impl Strategy<Value = Course> {
+    prop_oneof![
+        2 => Just(Course::Answered),
+        1 => Just(Course::AnswerLost),
+        1 => Just(Course::CallLost),
+        4 => Just(Course::Next),
+    ]
+}
+
+/// A worker that restarts under its id soon after the order to start a task. Times are in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rebirth {
+    /// The fates of the order's copies.
+    pub(super) copies: [Course; 2],
+    /// The fate of the first stop.
+    pub(super) stop: Course,
+    /// How long after the order the worker is drained, if it is.
+    pub(super) drained_after: Option<u64>,
+    /// How long after that, or after the order, it restarts.
+    pub(super) restarts_after: u64,
+    /// How long its next life can't be reached.
+    pub(super) away: u64,
+    /// How long after that the late calls come.
+    pub(super) comes_after: u64,
+    /// Where the clock of the next life begins.
+    pub(super) clock: ClockDraw,
+    /// Whether the next life names the start of the one before as its own.
+    pub(super) has_same_start: bool,
+    /// How long each ordered task runs.
+    pub(super) task_ms: u64,
+}
+
+/// A clock that may look like that of the life before.
+fn clock() -> impl Strategy<Value = ClockDraw> {
+    prop_oneof![
+        3 => (0_u64..20).prop_map(ClockDraw::Inside),
+        2 => (0_u64..2_000).prop_map(ClockDraw::Behind),
+        1 => (0_u64..2_000).prop_map(ClockDraw::Small),
+    ]
+}
+
+fn rebirth() -> impl Strategy<Value = Rebirth> {
+    let copies = (course(), course()).prop_map(|(first, second)| [first, second]);
+    let drained_after = prop::option::weighted(0.7, 0_u64..700);
+    let restarts_after = prop_oneof![3 => 0_u64..500, 2 => 500_u64..3_000, 1 => 3_000_u64..12_000];
+    let times = (drained_after, restarts_after, 0_u64..300, 0_u64..120);
+    let task_ms = prop_oneof![50_u64..600, 2_000_u64..15_000];
+    (copies, course(), times, (clock(), any::<bool>()), task_ms).prop_map(
+        |(copies, stop, times, (clock, has_same_start), task_ms)| {
+            let (drained_after, restarts_after, away, comes_after) = times;
+            Rebirth {
+                copies,
+                stop,
+                drained_after,
+                restarts_after,
+                away,
+                comes_after,
+                clock,
+                has_same_start,
+                task_ms,
+            }
+        },
+    )
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -93,12 +171,12 @@
     prop_oneof![0_u64..700, 0_u64..3_000]
 }
 
-/// A history in which no answer is lost.
+/// What happens in a model. No answer is lost but to a worker that restarts.
 #[derive(Clone, Debug)]
 pub(super) struct History {
     pub(super) path: Path,
-    /// How many of the tasks that last may be away.
-    pub(super) max_unavailable: u32,
+    /// How many of the tasks that last may be away; `None` without such tasks.
+    pub(super) max_unavailable: Option<u32>,
     /// Each event, after a job was submitted and some time has passed.
     pub(super) events: Vec<(Short, u64, Event)>,
 }
@@ -107,7 +185,15 @@
     let events = prop::collection::vec((short(), pause(), event()), 2..8);
     (path(), 1_u32..=2, events).prop_map(|(path, max_unavailable, events)| History {
         path,
-        max_unavailable,
+        max_unavailable: Some(max_unavailable),
         events,
     })
 }
+
+/// Histories with short tasks in which workers restart while copies of orders to them are under way.
+pub(super) fn history_of_reborn_workers() -> impl Strategy<Value = History> {
+    let reborn = (0..WORKERS, rebirth()).prop_map(|(worker, birth)| Event::Reborn(worker, birth));
+    let event = prop_oneof![4 => reborn, 1 => event()];
+    let events = prop::collection::vec((short(), pause(), event), 1..5);
+    (path(), events).prop_map(|(path, events)| History { path, max_unavailable: None, events })
+}
--- a/crates/standins/tests/cells/late_answers/play.rs
+++ b/crates/standins/tests/cells/late_answers/play.rs
@@ -7,9 +7,9 @@
     Span, Timestamp,
     job::{DrainMode, EndKind, JobId, JobSpec, JobState, LogEvent, Step, TaskId, WorkerId},
 };
-use teaselgap_standins::model::Model;
+use teaselgap_standins::model::{CallKind, Fate, Model};
 
-use super::history::{Event, History, Path, Short, WORKERS};
+use super::history::{Course, Event, History, Path, Rebirth, Short, WORKERS};
 use crate::fixtures::{
     job_spec, long_running_job, new_model_with_link, queue, state, step, task_id,
 };
@@ -42,6 +42,12 @@
 /// Number of answers of each worker whose times are drawn, more than there are in a history.
 const DRAWN_ANSWERS: usize = 8_000;
 
+/// Number of the tasks that are ordered before a worker restarts.
+const REBORN_TASKS: u32 = 5;
+
+/// Time from an order within which the answer to a copy comes while the owner waits, in milliseconds.
+const AWAITED_MS: u64 = 480;
+
 /// How often the model is looked at, in milliseconds.
 const LOOK_MS: u64 = 5;
 
@@ -125,8 +131,10 @@
         for worker in 0..WORKERS {
             model.delay_answers(&format!("w{worker}"), path.delays(worker));
         }
-        let lasting = long_running_job(LASTING_TASKS, history.max_unavailable);
-        model.submit(LASTING, &queue(), JobSpec { payload: payload(path), ..lasting });
+        if let Some(max_unavailable) = history.max_unavailable {
+            let lasting = long_running_job(LASTING_TASKS, max_unavailable);
+            model.submit(LASTING, &queue(), JobSpec { payload: payload(path), ..lasting });
+        }
         Self {
             history,
             model,
@@ -172,11 +180,42 @@
                 self.model.cancel(JobId(latest));
             }
             Event::Nothing => {}
+            Event::Reborn(worker, birth) => self.bear_again(&name(worker), birth),
         }
+        self.set_drains();
+    }
+
+    fn set_drains(&mut self) {
         let drains = self.drains.clone();
         self.model.cell_mut().expect("an owner").set_drains(drains);
     }
 
+    /// Submits a job and lets a worker restart while copies of its orders are under way.
+    fn bear_again(&mut self, id: &str, birth: Rebirth) {
+        let began = self.model.now();
+        self.model.count_every_start();
+        self.drains.shift_remove(id);
+        self.set_drains();
+        let drained_after = birth.drained_after.unwrap_or(0);
+        let comes_at =
+            began + Span(drained_after + birth.restarts_after + birth.away + birth.comes_after);
+        let copies = birth.copies.map(|course| fate(course, began, comes_at));
+        self.model.script_fates(id, CallKind::Start, &copies);
+        self.model.script_fates(id, CallKind::Stop, &[fate(birth.stop, began, comes_at)]);
+        self.submit(Short { tasks: REBORN_TASKS, ms: birth.task_ms, saves_checkpoints: false });
+        self.run_for(drained_after);
+        if birth.drained_after.is_some() {
+            self.drains.insert(id.into(), DrainMode::StopAll);
+            self.set_drains();
+        }
+        self.run_for(birth.restarts_after);
+        let started = self.model.worker_mut(id).entry.started_wall_ms;
+        let wall_ms = if birth.has_same_start { started } else { self.model.wall_ms() };
+        self.model.worker_mut(id).next_clock = Some(birth.clock);
+        self.model.restart_worker_at(id, wall_ms, birth.away);
+        self.model.drop_fates(id);
+    }
+
     /// Lets the time pass, and judges what is open or away.
     fn run_for(&mut self, ms: u64) {
         let end = self.model.now() + Span(ms);
@@ -257,6 +296,17 @@
     }
 }
 
+/// The fate of a call that was sent soon after `began`.
+fn fate(course: Course, began: Timestamp, comes_at: Timestamp) -> Fate {
+    match course {
+        Course::Answered => Fate::Answered,
+        Course::AnswerLost => Fate::AnswerLost,
+        Course::CallLost => Fate::CallLost,
+        Course::Next if comes_at < began + Span(AWAITED_MS) => Fate::Slow(comes_at),
+        Course::Next => Fate::Late(comes_at),
+    }
+}
+
 fn payload(path: Path) -> String {
     "x".repeat(path.payload_bytes)
 }
