From the review: marks that hang on the order, times that can't be taken for settled, a wave between two readings

Found by a reviewer who hadn't seen the work, by reading, none of them in a run: - a run that was withdrawn and listed again counted as sent once, as it was new; now the mark is set when this owner sends the order and taken with its second copy, so that a run which was only listed has none; - an expiry that saturates at 0 would be read as 'settled' by the next owner: recorded times are at least 1.

--- a/crates/core/src/job/cell/inherited_starts.rs
+++ b/crates/core/src/job/cell/inherited_starts.rs
@@ -22,6 +22,11 @@
 /// of the same order.
 const SETTLED: u64 = 0;
 
+/// The time until which an order is open, or was, as it is recorded.
+fn until_ms(until: Timestamp) -> u64 {
+    until.0.max(SETTLED + 1)
+}
+
 /// A time that is certainly over now, by this much at least.
 fn before(now: Timestamp, ms: u64) -> Timestamp {
     Timestamp(now.0.saturating_sub(ms.max(1)))
@@ -129,7 +134,7 @@
     ) {
         let run = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&task));
         if let Some(run) = run.filter(|run| run.attempt == attempt) {
-            run.is_repeated = true;
+            run.has_single_copy = false;
         }
         self.record_open_start(id, (task, attempt), now + UNANSWERED_START_LIFETIME, now);
     }
@@ -143,7 +148,11 @@
     ) {
         if self.handover.is_none() {
             let worker = id.clone();
-            self.record(Record::StartOpen { task, attempt, worker, until_ms: until.0 }, now, None);
+            self.record(
+                Record::StartOpen { task, attempt, worker, until_ms: until_ms(until) },
+                now,
+                None,
+            );
         }
     }
 
@@ -221,14 +230,14 @@
                 task: order.task,
                 attempt: order.attempt,
                 worker: id.clone(),
-                until_ms: order.expiry.0,
+                until_ms: until_ms(order.expiry),
             }));
             let short = Self::starts_under_way(worker);
             unsettled.extend(short.map(|(task, run)| Record::StartOpen {
                 task: *task,
                 attempt: run.attempt,
                 worker: id.clone(),
-                until_ms: run.order_expiry.0,
+                until_ms: until_ms(run.order_expiry),
             }));
         }
         for record in unsettled {
--- a/crates/core/src/job/cell/inherited_starts/tests.rs
+++ b/crates/core/src/job/cell/inherited_starts/tests.rs
@@ -145,3 +145,19 @@
     });
     assert_eq!(of_orders.collect::<Vec<_>>(), [(2, false), (1, true)]);
 }
+
+/// Guards against a next owner that takes an order which has expired for one that was answered: what it has begun may
+/// run on.
+#[test]
+fn an_order_that_expired_long_before_a_handover_is_not_recorded_as_settled() {
+    let mut cell = recover(vec![segment(0, (1, 5_000), &[accepted()])]);
+
+    cell.record_open_start(&"w0".into(), (TASK, 1), Timestamp(0), NOW.0);
+
+    let write = cell.take_write(NOW.0 + Span(100)).unwrap();
+    let written = StoredSegment::decode(1, &write.value).unwrap().records;
+    let is_settled =
+        |record: &Record| matches!(record, Record::StartOpen { until_ms: SETTLED, .. });
+    assert!(written.iter().any(|record| matches!(record, Record::StartOpen { .. })));
+    assert!(!written.iter().any(is_settled));
+}
--- a/crates/core/src/job/worker/run.rs
+++ b/crates/core/src/job/worker/run.rs
@@ -32,8 +32,8 @@
     pub(in crate::job) state: RunState,
     /// Whether a list of the worker's runs has shown the run.
     pub(in crate::job) is_listed: bool,
-    /// Whether its start order was sent more than once.
-    pub(in crate::job) is_repeated: bool,
+    /// Whether this owner has sent its start order, and no second copy of it since.
+    pub(in crate::job) has_single_copy: bool,
     /// Whether workers were lost under its task before it was ordered.
     pub(in crate::job) is_suspected: bool,
     /// A time at which the run had certainly begun: when its order was answered or a list that shows
@@ -142,7 +142,7 @@
             is_long_running: false,
             state,
             is_listed: false,
-            is_repeated: false,
+            has_single_copy: false,
             is_suspected: false,
             begun_by: None,
             alive: Span(0),
@@ -172,7 +172,7 @@
     /// Records that the start order is sent.
     pub(in crate::job) fn order(&mut self, now: Timestamp) {
         self.state = RunState::Ordered;
-        self.is_repeated = false;
+        self.has_single_copy = true;
         self.order_expiry = now + UNANSWERED_START_LIFETIME;
         self.started = now;
         self.expect_in_lists_after = now;
@@ -259,7 +259,7 @@
     /// known when the order was sent. A copy is carried out once at most, so that none may come late.
     pub(in crate::job) fn has_used_only_copy(&self) -> bool {
         let is_shown = self.state == RunState::Running && self.ends_with_instance;
-        is_shown && !self.is_repeated && !self.outlived_restart
+        is_shown && self.has_single_copy && !self.outlived_restart
     }
 
     /// Whether no copy of the start order can begin the run in the instance that has confirmed its
--- a/src/jobs/operator/tests.rs
+++ b/src/jobs/operator/tests.rs
@@ -305,3 +305,74 @@
     assert_eq!(outcome.applied.last().map(|(version, _)| *version), Some(CHANGES + 1));
     assert!(outcome.applied.is_sorted_by_key(|(version, _)| version), "{:?}", outcome.applied);
 }
+
+/// Answers each request by its path and by how many of that path came before.
+fn serve_script(answer: fn(&str, usize) -> (&'static str, String)) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let counts: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+    let answer_all = move |mut stream: TcpStream, counts: &Mutex<HashMap<String, usize>>| {
+        let mut buf = [0; 4_096];
+        while let Ok(count @ 1..) = stream.read(&mut buf) {
+            let request = String::from_utf8_lossy(&buf[..count]).into_owned();
+            let path = request.split([' ', '?']).nth(1).unwrap_or_default().to_owned();
+            let mut counts = counts.lock().unwrap();
+            let before = counts.entry(path.clone()).or_default();
+            let (status, body) = answer(&path, *before);
+            *before += 1;
+            let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
+            if stream.write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let counts = Arc::clone(&counts);
+            std::thread::spawn(move || answer_all(stream, &counts));
+        }
+    });
+    address
+}
+
+/// A store in which a wave and then a version are written after the waves were read the first time, and before the
+/// configuration is.
+fn wave_and_version_between(path: &str, before: usize) -> (&'static str, String) {
+    let item = |key: &str, text: &str, revision: u64| {
+        let value = STANDARD.encode(text);
+        format!(
+            r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":1,"lease":0}}"#
+        )
+    };
+    let wave = r#"{"wave":1,"machines":["m1"],"duration_s":60,"maximum":1}"#;
+    match (path, before) {
+        ("/teaselgap/kv-range", 0) => {
+            ("200 OK", r#"{"items":[],"has_more":false,"at_rev":110}"#.to_owned())
+        }
+        ("/teaselgap/kv-range", _) => {
+            let items = item("op/wave/1", wave, 111);
+            ("200 OK", format!(r#"{{"items":[{items}],"has_more":false,"at_rev":112}}"#))
+        }
+        ("/teaselgap/kv-txn", _) => {
+            let newest = item(CONFIG_KEY, r#"{"version":2}"#, 112);
+            ("412 Precondition Failed", format!(r#"{{"items":[{newest}]}}"#))
+        }
+        _ => ("200 OK", "{}".to_owned()),
+    }
+}
+
+/// Guards against a wave that is never carried out because it was written after the waves were read and before the
+/// configuration was, after which the watch goes on.
+#[test]
+fn a_maintenance_wave_written_between_the_readings_is_known() {
+    let mut node = test_node::node(&[], serve_script(wave_and_version_between));
+    Rc::get_mut(&mut node).expect("the only one").settings.limits.link_mbps = LINK_MBPS;
+    node.operator.borrow_mut().record_config(ConfigRead { revision: 109, ..Default::default() });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+
+    LocalSet::new().block_on(&runtime, catch_up(&node)).unwrap();
+
+    let state = node.operator.borrow();
+    assert_eq!((state.revision, state.config.revision), (112, 112));
+    assert!(state.waves.contains_key(&1));
+}
