A worker whose address answers under another name is waited for: histories, one red

Fault: the next owner waits for the longest lease of an inherited worker although another worker answers at its address. Guards, which pass and must go on to: an entry alone, an answer before the last order of earlier owners, the address of an earlier instance than the latest on record.

--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -27,6 +27,7 @@
 mod owners;
 mod random;
 mod removed_queues;
+mod replaced;
 mod restarts;
 mod silence;
 mod store_outage;
