Guards of a worker that is not waited for made to bite, and a third history

The first versions of two guards passed with their mutants (an answer before the last order, the address of an earlier instance): the other worker fell silent before it was settled, and a recorded lease covered the other.

--- a/crates/standins/tests/cells/replaced.rs
+++ b/crates/standins/tests/cells/replaced.rs
@@ -13,6 +13,9 @@
 /// The longest lease of the workers, in milliseconds. The owner asks for 5.5 s.
 const LONGEST_LEASE_MS: u64 = 10_000;
 
+/// The longest lease of a worker that accepts shorter ones than the others, in milliseconds.
+const SHORT_LEASE_MS: u64 = 6_000;
+
 /// Time until an owner has heard all workers that it reaches, and its log is durable, in milliseconds.
 const SETTLED_MS: u64 = 300;
 
@@ -27,9 +30,14 @@
 
 /// Creates a model whose owner has heard all workers, and before which no owner gives orders.
 fn settled_model() -> Model {
+    settled_model_with_lease(LONGEST_LEASE_MS)
+}
+
+/// The same, with workers that accept this longest lease.
+fn settled_model_with_lease(longest_lease_ms: u64) -> Model {
     let mut model = new_model(4);
     model.count_every_start();
-    model.set_longest_lease(LONGEST_LEASE_MS);
+    model.set_longest_lease(longest_lease_ms);
     model.kill_owner();
     model.take_over();
     model.run_for(OWNER_TTL.0 + SETTLED_MS);
@@ -107,7 +115,7 @@
 #[test]
 fn an_answer_counts_as_the_end_of_a_worker_to_which_an_earlier_owner_still_gives_orders() {
     let mut begun_late = 0;
-    for late_ms in [1_200, 2_000, 2_900] {
+    for late_ms in [2_000, 2_500, 2_900] {
         let mut model = settled_model();
         let late = Fate::Late(model.now() + Span(late_ms));
         for id in ["w0", "w1", "w2", "w3"] {
@@ -126,7 +134,7 @@
         model.keep_entry(ordered.as_str(), LONG_MS);
         model.cut_owner_off_from(ordered.as_str());
         let other = pass_address_on(&mut model, &ordered);
-        model.run_for(500);
+        model.run_for(1_500);
         model.make_unreachable(other.as_str(), LONG_MS);
         model.restart_worker_at(ordered.as_str(), model.wall_ms(), 10);
         model.run_for(late_ms);
@@ -141,13 +149,15 @@
 /// A late write may show the address of an instance that has ended, while the next one runs elsewhere.
 #[test]
 fn an_answer_at_the_address_of_an_earlier_instance_counts_as_the_end_of_the_latest() {
-    let mut model = settled_model();
+    // What earlier calls have begun has expired then, and a late write may still come.
+    let between_ms = 7_500;
+    let mut model = settled_model_with_lease(6_000);
     for id in ["w0", "w1", "w2", "w3"] {
         model.restart_worker(id);
         let address = &mut model.worker_mut(id).entry.address;
         address.set_port(address.port() + 100);
     }
-    model.run_for(3_000);
+    model.run_for(between_ms);
     model.submit(JOB, &queue(), long_running_job(1, 1));
     model.run_for(1_000);
     let busy = busy_worker(&model);
@@ -164,3 +174,40 @@
     assert!(starts_again);
     assert_eq!(model.violations(), [] as [&str; 0]);
 }
+
+/// A copy of an order may come in a later instance of the worker, and nothing else holds back a task that lasts.
+#[test]
+fn an_answer_counts_as_the_end_of_a_worker_with_an_open_order_of_a_task_that_lasts() {
+    let mut begun_late = 0;
+    for late_ms in [4_950, 5_000] {
+        let mut model = settled_model();
+        let late = Fate::Late(model.now() + Span(late_ms));
+        for id in ["w0", "w1", "w2", "w3"] {
+            model.script_fates(id, CallKind::Start, &[late, late]);
+        }
+        let task = task_id(JOB, 0);
+        model.submit(JOB, &queue(), long_running_job(1, 1));
+        assert!(model.run_until(1_000, |model| model.ordered_worker(task).is_some()));
+        let ordered = model.ordered_worker(task).unwrap();
+        for id in ["w0", "w1", "w2", "w3"].into_iter().filter(|id| *id != ordered.as_str()) {
+            model.drop_fates(id);
+        }
+
+        model.run_for(100);
+        model.kill_owner();
+        model.take_over();
+        model.keep_entry(ordered.as_str(), LONG_MS);
+        model.cut_owner_off_from(ordered.as_str());
+        let other = pass_address_on(&mut model, &ordered);
+        model.worker_mut(ordered.as_str()).max_lease_ms = SHORT_LEASE_MS;
+        model.run_for(OWNER_TTL.0 + PROOF_MS + 200);
+        model.make_unreachable(other.as_str(), LONG_MS);
+        model.restart_worker_at(ordered.as_str(), model.wall_ms(), 10);
+        model.run_for(500);
+        begun_late += starts(&model);
+        model.run_for(LONG_MS);
+
+        assert_eq!(model.violations(), [] as [&str; 0], "{late_ms}");
+    }
+    assert_eq!(begun_late, 2);
+}
