--- a/crates/standins/tests/cells/main.rs
+++ b/crates/standins/tests/cells/main.rs
@@ -31,6 +31,7 @@
 mod owners;
 mod random;
 mod removed_queues;
+mod replaced;
 mod restarts;
 mod silence;
 mod store_outage;
