Late answers: a second copy that the next life answers in time

Cause: in no drawn history of reborn workers did a worker restart between the list with the stopped run and a second copy that its next life answers within the call's time limit. Change: half of the reborn workers restart so, with a clock that looks alike.

--- a/crates/standins/tests/cells/late_answers/history.rs
+++ b/crates/standins/tests/cells/late_answers/history.rs
@@ -129,6 +129,26 @@
     )
 }
 
+/// A worker that restarts as soon as it has listed the stopped run, just before the second copy comes to its next life
+/// and is answered in time.
+fn quick_rebirth() -> impl Strategy<Value = Rebirth> {
+    let times = (70_u64..130, 215_u64..300, 0_u64..20);
+    (times, clock(), any::<bool>()).prop_map(|(times, clock, has_same_start)| {
+        let (drained_after, restarts_after, comes_after) = times;
+        Rebirth {
+            copies: [Course::Answered, Course::Next],
+            stop: Course::Answered,
+            drained_after: Some(drained_after),
+            restarts_after,
+            away: 0,
+            comes_after,
+            clock,
+            has_same_start,
+            task_ms: LONG_TASK_MS,
+        }
+    })
+}
+
 fn event() -> impl Strategy<Value = Event> {
     let worker = || FIRST_TROUBLED..WORKERS;
     let mode = prop_oneof![
@@ -146,6 +166,9 @@
     ]
 }
 
+/// How long a task runs that goes on through all that a worker does meanwhile, in milliseconds.
+const LONG_TASK_MS: u64 = 15_000;
+
 /// A job of short tasks.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Short {
@@ -192,7 +215,8 @@
 
 /// Histories with short tasks in which workers restart while copies of orders to them are under way.
 pub(super) fn history_of_reborn_workers() -> impl Strategy<Value = History> {
-    let reborn = (0..WORKERS, rebirth()).prop_map(|(worker, birth)| Event::Reborn(worker, birth));
+    let birth = prop_oneof![rebirth(), quick_rebirth()];
+    let reborn = (0..WORKERS, birth).prop_map(|(worker, birth)| Event::Reborn(worker, birth));
     let event = prop_oneof![4 => reborn, 1 => event()];
     let events = prop::collection::vec((short(), pause(), event), 1..5);
     (path(), events).prop_map(|(path, events)| History { path, max_unavailable: None, events })
