--- a/src/jobs/operator/tests.rs
+++ b/src/jobs/operator/tests.rs
@@ -12,6 +12,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use slog::{Discard, Logger, o};
 use teaselgap_core::Span;
+use teaselgap_platform::store::{KEY_PATH, RANGE_PATH, TXN_PATH, WATCH_PATH};
 use tokio::task::LocalSet;
 
 use super::*;
@@ -151,18 +152,18 @@
         let params: HashMap<&str, String> =
             pairs.map(|(name, value)| (name, decode(value))).collect();
         match path {
-            "/teaselgap/kv-range" => {
+            RANGE_PATH => {
                 let (items, at_rev) = (self.items(&params["prefix"]), self.at_rev());
                 let items = items.join(",");
                 ("200 OK", format!(r#"{{"items":[{items}],"has_more":false,"at_rev":{at_rev}}}"#))
             }
-            "/teaselgap/kv-watch" => {
+            WATCH_PATH => {
                 let wait = Duration::from_millis(params["wait_ms"].parse().unwrap());
                 let after = params["after"].parse().unwrap();
                 ("200 OK", self.watch(&params["prefix"], after, wait))
             }
-            "/teaselgap/kv-key" => ("200 OK", self.items(&params["key"]).join("")),
-            "/teaselgap/kv-txn" => self.conditional_read(request.rsplit("\r\n").next().unwrap()),
+            KEY_PATH => ("200 OK", self.items(&params["key"]).join("")),
+            TXN_PATH => self.conditional_read(request.rsplit("\r\n").next().unwrap()),
             _ => ("200 OK", "{}".to_owned()),
         }
     }
@@ -346,14 +347,12 @@
     };
     let wave = r#"{"wave":1,"machines":["m1"],"duration_s":60,"maximum":1}"#;
     match (path, before) {
-        ("/teaselgap/kv-range", 0) => {
-            ("200 OK", r#"{"items":[],"has_more":false,"at_rev":110}"#.to_owned())
-        }
-        ("/teaselgap/kv-range", _) => {
+        (RANGE_PATH, 0) => ("200 OK", r#"{"items":[],"has_more":false,"at_rev":110}"#.to_owned()),
+        (RANGE_PATH, _) => {
             let items = item("op/wave/1", wave, 111);
             ("200 OK", format!(r#"{{"items":[{items}],"has_more":false,"at_rev":112}}"#))
         }
-        ("/teaselgap/kv-txn", _) => {
+        (TXN_PATH, _) => {
             let newest = item(CONFIG_KEY, r#"{"version":2}"#, 112);
             ("412 Precondition Failed", format!(r#"{{"items":[{newest}]}}"#))
         }
