The list of workers is reckoned as before

Reverted, the size only; that the list waits while a large configuration passes stays. Cause: reckoned at its size on the wire (1.6 times) the list is read less often, so that new workers are known later.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -26,9 +26,6 @@
 /// Triggered readings take at most one part in this many of the link.
 const TRIGGERED_LINK_DIVISOR: u32 = 4;
 
-/// The bytes of an item on the wire beyond its key and value.
-const ITEM_BYTES: usize = 80;
-
 /// How long the list waits at most for a large answer of the operator's keys to pass the link.
 const MAX_LARGE_ANSWER_WAIT: Span = Span(2_000);
 
@@ -60,11 +57,6 @@
     Duration::try_from_secs_f64(megabits / link_mbps.max(MIN_LINK_MBPS)).unwrap_or(POLL_INTERVAL)
 }
 
-/// The approximate size of an item on the wire, where values are written in base64.
-fn wire_bytes(item: &Item) -> usize {
-    item.key.len() + item.value.len().div_ceil(3) * 4 + ITEM_BYTES
-}
-
 /// How long to wait for the next reading if nothing triggers one.
 fn regular_pause(list_bytes: usize, link_mbps: f64) -> Duration {
     let transfer = transfer_time(list_bytes, link_mbps);
@@ -198,7 +190,7 @@
             self.page_timeout.record_failure(&err);
             return Err(err);
         }
-        let bytes = range.items.iter().map(wire_bytes).sum();
+        let bytes = range.items.iter().map(|item| item.key.len() + item.value.len()).sum();
         self.page_timeout = list_timeout(bytes, self.link_mbps);
         let (workers, unreadable) = parse_workers(&range.items, clock::wall_ms());
         Ok(WorkerList { workers, bytes, unreadable })
